--- /dev/null
+++ b/src/peppershore/__init__.py
@@ -0,0 +1,1 @@
+"""peppershore: configuration distribution for the proxies of a service mesh."""
--- /dev/null
+++ b/src/peppershore/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection: framing, links between processes, HTTP."""
--- /dev/null
+++ b/src/peppershore/connection/codec.py
@@ -0,0 +1,49 @@
+"""Encoding and decoding of link messages; garbage gives a typed error."""
+
+from __future__ import annotations
+
+from functools import reduce
+from operator import or_
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from peppershore.connection import messages
+from peppershore.connection.messages import Message
+
+
+class UndecodableMessage(msgspec.Struct, frozen=True):
+    """A payload is no known message; ``reason`` says where it goes wrong."""
+
+    reason: str
+
+
+def _message_types() -> list[type[Message]]:
+    found = [
+        candidate
+        for candidate in vars(messages).values()
+        if isinstance(candidate, type)
+        and issubclass(candidate, Message)
+        and candidate is not Message
+    ]
+    return sorted(found, key=lambda candidate: int(candidate.__struct_config__.tag or 0))
+
+
+MESSAGE_TYPES: tuple[type[Message], ...] = tuple(_message_types())
+_ANY_MESSAGE: Any = reduce(or_, MESSAGE_TYPES)
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(_ANY_MESSAGE)
+
+
+def encode_message(message: Message) -> bytes:
+    """Give the payload of one message, without the frame header."""
+    return _ENCODER.encode(message)
+
+
+def decode_message(payload: bytes) -> Result[Message, UndecodableMessage]:
+    """Give the message of one payload, or why it is none."""
+    try:
+        return Success(_DECODER.decode(payload))
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
+        return Failure(UndecodableMessage(str(problem)))
--- /dev/null
+++ b/src/peppershore/connection/messages.py
@@ -0,0 +1,352 @@
+"""Typed messages on the links between the system's own processes.
+
+One frame carries one message, encoded as a MessagePack array whose first item
+is the integer tag.  Tags are never reused.  Ranges: 1-19 session, 20-39
+configuration to nodes, 40-49 endpoints, 50-69 relay and replica, 70-89
+consensus, 90-119 operators, 120-139 claims, 140-159 calls between nodes.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from peppershore.version.model import (
+    Digest,
+    Edit,
+    EditOutcome,
+    Scope,
+    Tree,
+    Update,
+    Version,
+)
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True):
+    """Base of every message."""
+
+
+# --- session -----------------------------------------------------------------
+
+
+class Refused(Message, frozen=True, tag=1):
+    """The peer will not serve this link; ``reason`` is a stable word."""
+
+    reason: str
+    detail: str = ""
+
+
+class RetryAfter(Message, frozen=True, tag=2):
+    """Admission control: come back after so many milliseconds."""
+
+    milliseconds: int
+
+
+class Goodbye(Message, frozen=True, tag=3):
+    """A planned end of this link; the peer should move to another process."""
+
+    reason: str
+
+
+# --- configuration to nodes --------------------------------------------------
+
+
+class NodeHello(Message, frozen=True, tag=20):
+    """A node's first message: who it is and what it holds.
+
+    ``floor`` is the highest version it ever held, from its disk; ``digest`` 0
+    means it holds nothing.
+    """
+
+    cluster: str
+    node: str
+    incarnation: int
+    scope: Scope
+    version: Version
+    digest: Digest
+    floor: Version
+
+
+class Current(Message, frozen=True, tag=21):
+    """Answer to a hello whose digest is current: nothing to send."""
+
+    version: Version
+    confirmed_age_milliseconds: int
+
+
+class UpdateOffered(Message, frozen=True, tag=22):
+    """New state for the node's scope; ``confirmed_age_milliseconds`` says how
+    long ago a quorum confirmed the version, by the relay's clock."""
+
+    update: Update
+    confirmed_age_milliseconds: int
+
+
+class UpdateApplied(Message, frozen=True, tag=23):
+    """The node holds and uses ``version``."""
+
+    version: Version
+    digest: Digest
+
+
+class UpdateRefused(Message, frozen=True, tag=24):
+    """The node kept what it had; the relay answers with full state."""
+
+    version: Version
+    reason: str
+
+
+class Freshness(Message, frozen=True, tag=25):
+    """Heartbeat of a relay: highest version this node has, in effect, and its age.
+
+    ``confirmed_age_milliseconds`` grows while the relay is cut off from the quorum.
+    """
+
+    version: Version
+    confirmed_age_milliseconds: int
+
+
+# --- endpoints ---------------------------------------------------------------
+
+
+class Endpoint(msgspec.Struct, frozen=True, array_like=True):
+    """One back end, as its own node reports it.
+
+    Ordered by (incarnation, sequence) of its owner: a higher pair replaces a
+    lower one whatever link it came on.  ``state``: "warming", "ready",
+    "leaving", "gone".  ``address`` is the back end ("IP:port");
+    ``owner_address`` its node's internal listener.
+    """
+
+    node: str
+    service: str
+    zone: str
+    incarnation: int
+    sequence: int
+    state: str
+    address: str
+    owner_address: str
+    slots: int
+    connections: int
+
+
+class EndpointAnnounced(Message, frozen=True, tag=40):
+    """A node reports its back end's state to its relay."""
+
+    endpoint: Endpoint
+
+
+class EndpointsChanged(Message, frozen=True, tag=41):
+    """Endpoints that changed, to nodes that may call them and between relays.
+
+    ``complete``: the list replaces all that the receiver knew of ``services``
+    (empty: of every service).
+    """
+
+    endpoints: tuple[Endpoint, ...]
+    complete: bool = False
+    services: tuple[str, ...] = ()
+
+
+class RelayHello(Message, frozen=True, tag=42):
+    """First message between two relays, and its answer."""
+
+    cluster: str
+    relay: str
+    incarnation: int
+
+
+class EndpointDigest(Message, frozen=True, tag=43):
+    """Anti-entropy: digest of a relay's endpoint table, in buckets by node name."""
+
+    buckets: tuple[int, ...]
+
+
+class EndpointBucketsWanted(Message, frozen=True, tag=44):
+    """Anti-entropy: send the endpoints in these buckets."""
+
+    buckets: tuple[int, ...]
+
+
+class LeaseRenewed(Message, frozen=True, tag=45):
+    """A relay vouches, in one message, for its live sessions' endpoints."""
+
+    relay: str
+    nodes_alive: tuple[str, ...]
+
+
+# --- relay and replica -------------------------------------------------------
+
+
+class FollowRequest(Message, frozen=True, tag=50):
+    """A relay asks for all committed edits after ``after_version``."""
+
+    cluster: str
+    relay: str
+    zone: str
+    after_version: Version
+
+
+class TreeState(Message, frozen=True, tag=51):
+    """The whole tree, for a relay that is too far behind the log."""
+
+    tree: Tree
+
+
+class CommittedEdit(msgspec.Struct, frozen=True, array_like=True):
+    """One accepted edit and its version."""
+
+    version: Version
+    edit: Edit
+
+
+class EditsCommitted(Message, frozen=True, tag=52):
+    """Accepted edits in log order, without gaps in effect."""
+
+    edits: tuple[CommittedEdit, ...]
+
+
+class ConfirmRequest(Message, frozen=True, tag=53):
+    """Ask which version a quorum confirms now (a read index)."""
+
+    nonce: int
+
+
+class ConfirmReply(Message, frozen=True, tag=54):
+    """A quorum confirmed ``version`` after the request with this nonce was received."""
+
+    nonce: int
+    version: Version
+
+
+class LaggingNode(msgspec.Struct, frozen=True, array_like=True):
+    """A node that does not yet hold all of its scope, and why."""
+
+    node: str
+    service: str
+    zone: str
+    version: Version
+    reason: str
+
+
+class ProgressReported(Message, frozen=True, tag=55):
+    """A relay's progress: every session holds all changes up to ``in_force``.
+
+    ``lagging`` is a bounded sample; ``control_bytes`` counts what the relay
+    sent to nodes since it started; ``nodes_by_service`` is not included here.
+    """
+
+    relay: str
+    zone: str
+    version: Version
+    in_force: Version
+    nodes: int
+    lagging: tuple[LaggingNode, ...]
+    control_bytes: int
+
+
+# --- operators ---------------------------------------------------------------
+
+
+class SubmitEdit(Message, frozen=True, tag=90):
+    """An operator's edit."""
+
+    edit: Edit
+
+
+class EditAnswered(Message, frozen=True, tag=91):
+    """The outcome of a submitted edit."""
+
+    outcome: EditOutcome
+
+
+class NotLeader(Message, frozen=True, tag=92):
+    """This replica can't answer; ``leader`` is an address or empty if unknown."""
+
+    leader: str
+
+
+class TreeQuery(Message, frozen=True, tag=93):
+    """Ask for the tree at a version (0: the newest, confirmed by a quorum)."""
+
+    version: Version = 0
+
+
+class TreeAnswered(Message, frozen=True, tag=94):
+    """The tree asked for."""
+
+    tree: Tree
+
+
+class HistoryQuery(Message, frozen=True, tag=95):
+    """Ask for the accepted edits after a version, newest last."""
+
+    after_version: Version
+    limit: int
+
+
+class HistoryAnswered(Message, frozen=True, tag=96):
+    """Accepted edits; ``first_version`` is the oldest kept."""
+
+    edits: tuple[CommittedEdit, ...]
+    first_version: Version
+
+
+class StatusQuery(Message, frozen=True, tag=97):
+    """Ask for the state of the replicas, the relays and the rollout."""
+
+
+class ReplicaStatus(msgspec.Struct, frozen=True, array_like=True):
+    """One replica as the answering replica sees it."""
+
+    replica: str
+    address: str
+    role: str
+    term: int
+    match_version: Version
+    voter: bool
+
+
+class RelayStatus(msgspec.Struct, frozen=True, array_like=True):
+    """One relay as the control group sees it."""
+
+    relay: str
+    zone: str
+    version: Version
+    in_force: Version
+    nodes: int
+    lagging: tuple[LaggingNode, ...]
+    control_bytes: int
+    report_age_milliseconds: int
+
+
+class StatusAnswered(Message, frozen=True, tag=98):
+    """State of the cluster; ``in_force`` is the minimum over the live relays."""
+
+    cluster: str
+    replica: str
+    leader: str
+    version: Version
+    in_force: Version
+    replicas: tuple[ReplicaStatus, ...]
+    relays: tuple[RelayStatus, ...]
+    rotations: tuple[str, ...]
+
+
+class WatchRequest(Message, frozen=True, tag=99):
+    """Ask for a ``StatusAnswered`` at every change of progress until in force."""
+
+    version: Version
+
+
+class MembershipChange(Message, frozen=True, tag=100):
+    """Add (as a learner, then voter) or remove a replica."""
+
+    action: str
+    replica: str
+    address: str
+
+
+class MembershipAnswered(Message, frozen=True, tag=101):
+    """Outcome of a membership change; ``problem`` is empty on success."""
+
+    problem: str
--- /dev/null
+++ b/src/peppershore/process/shell.py
@@ -0,0 +1,174 @@
+"""The asyncio shell that carries out a core's commands and feeds it events.
+
+One shell drives one core on one loop.  It owns sockets, timers and the clock;
+role shells subclass it to add durable records, HTTP listeners or a back end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import secrets
+import ssl
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from peppershore.connection.codec import encode_message
+from peppershore.connection.link import Link, LinkListener, open_link
+from peppershore.process import commands, events
+from peppershore.process.core import Core
+
+FIRST_ACCEPTED_LINK = 2
+ACCEPTED_LINK_STEP = 2
+
+NoticeSink = Callable[[commands.Notice], None]
+
+
+class Shell:
+    """Drives one core: events in, commands out."""
+
+    def __init__(
+        self,
+        core: Core,
+        notice_sink: NoticeSink,
+        client_tls: ssl.SSLContext | None = None,
+        server_tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Bind a core to the running loop; nothing starts before ``run``."""
+        self.core = core
+        self.stopped = asyncio.Event()
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._notice_sink = notice_sink
+        self._client_tls = client_tls
+        self._server_tls = server_tls
+        self._links: dict[events.LinkId, Link] = {}
+        self._opening: dict[events.LinkId, asyncio.Task[None]] = {}
+        self._timers: dict[str, asyncio.TimerHandle] = {}
+        self._accepted_ids = itertools.count(FIRST_ACCEPTED_LINK, ACCEPTED_LINK_STEP)
+        self._listeners: list[LinkListener] = []
+
+    @property
+    def now(self) -> float:
+        """Monotonic seconds, as given to the core."""
+        return asyncio.get_running_loop().time()
+
+    async def listen(self, host: str, port: int) -> int:
+        """Accept links on an address; give the port bound."""
+        listener = LinkListener(self._accepted, self._server_tls)
+        bound_port = await listener.start(host, port)
+        self._listeners.append(listener)
+        return bound_port
+
+    def start(self, seed: int | None = None) -> None:
+        """Hand the core its ``Started`` event."""
+        chosen = secrets.randbits(63) if seed is None else seed
+        self.dispatch(events.Started(chosen))
+
+    def dispatch(self, event: events.Event) -> None:
+        """Step the core once and carry out its commands in order."""
+        for command in self.core.step(event, self.now):
+            self.execute(command)
+
+    async def close(self) -> None:
+        """Close listeners, links and timers; the core hears nothing of it."""
+        for timer in self._timers.values():
+            timer.cancel()
+        for task in self._opening.values():
+            task.cancel()
+        for listener in self._listeners:
+            await listener.close()
+        for link in list(self._links.values()):
+            link.close()
+        self._links.clear()
+
+    @singledispatchmethod
+    def execute(self, command: commands.Command) -> None:
+        """Carry out one command; a command no shell knows is a broken invariant."""
+        raise AssertionError(f"no shell carries out {type(command).__name__}")
+
+    @execute.register
+    def _open_link(self, command: commands.OpenLink) -> None:
+        task = asyncio.get_running_loop().create_task(self._connect(command))
+        self._opening[command.link] = task
+
+    @execute.register
+    def _close_link(self, command: commands.CloseLink) -> None:
+        task = self._opening.pop(command.link, None)
+        if task is not None:
+            task.cancel()
+        link = self._links.pop(command.link, None)
+        if link is not None:
+            link.close()
+
+    @execute.register
+    def _send_message(self, command: commands.SendMessage) -> None:
+        self._send_payload(command.link, encode_message(command.message))
+
+    @execute.register
+    def _send_encoded(self, command: commands.SendEncoded) -> None:
+        self._send_payload(command.link, command.payload)
+
+    @execute.register
+    def _set_timer(self, command: commands.SetTimer) -> None:
+        self._cancel(command.timer)
+        loop = asyncio.get_running_loop()
+        handle = loop.call_later(command.delay_seconds, self._fire, command.timer)
+        self._timers[command.timer] = handle
+
+    @execute.register
+    def _cancel_timer(self, command: commands.CancelTimer) -> None:
+        self._cancel(command.timer)
+
+    @execute.register
+    def _report(self, command: commands.Report) -> None:
+        self._notice_sink(command.notice)
+
+    @execute.register
+    def _exit(self, command: commands.Exit) -> None:
+        del command
+        self.stopped.set()
+
+    def _send_payload(self, link_id: events.LinkId, payload: bytes) -> None:
+        link = self._links.get(link_id)
+        if link is None:
+            return
+        self.bytes_sent += link.send(payload)
+
+    def _cancel(self, timer: str) -> None:
+        handle = self._timers.pop(timer, None)
+        if handle is not None:
+            handle.cancel()
+
+    def _fire(self, timer: str) -> None:
+        self._timers.pop(timer, None)
+        self.dispatch(events.TimerFired(timer))
+
+    async def _connect(self, command: commands.OpenLink) -> None:
+        outcome = await open_link(command.address, self._client_tls)
+        if self._opening.pop(command.link, None) is None:
+            return
+        if isinstance(outcome, str):
+            self.dispatch(events.LinkClosed(command.link, outcome))
+            return
+        self._adopt(command.link, outcome)
+
+    def _accepted(self, link: Link) -> None:
+        self._adopt(next(self._accepted_ids), link)
+
+    def _adopt(self, link_id: events.LinkId, link: Link) -> None:
+        self._links[link_id] = link
+        self.dispatch(events.LinkOpened(link_id, link.peer_address, link.peer_identity))
+        link.start(
+            on_message=lambda message, size: self._received(link_id, message, size),
+            on_closed=lambda reason: self._lost(link_id, reason),
+        )
+
+    def _received(self, link_id: events.LinkId, message: object, size: int) -> None:
+        self.bytes_received += size
+        if link_id in self._links:
+            self.dispatch(events.MessageReceived(link_id, message))  # type: ignore[arg-type]
+
+    def _lost(self, link_id: events.LinkId, reason: str) -> None:
+        if self._links.pop(link_id, None) is not None:
+            self.dispatch(events.LinkClosed(link_id, reason))
--- /dev/null
+++ b/src/peppershore/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one call: classification, admission, routing, retries, outcomes."""
--- /dev/null
+++ b/src/peppershore/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version: tree, resolved settings, snapshot, update."""
--- /dev/null
+++ b/src/peppershore/version/model.py
@@ -0,0 +1,353 @@
+"""The typed values of a configuration version: tree, edit, resource, snapshot, update.
+
+Everything here is an immutable value without behaviour.  The stages of the
+pipeline (tree -> resolved -> snapshot -> update) live in the other modules of
+this package and exchange these values.
+"""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+from msgspec import UNSET, UnsetType
+
+Version = int
+"""Position of an accepted change in the replicated log; 0 means "nothing yet"."""
+
+Digest = int
+"""Unsigned 64-bit digest of a resource or of a whole snapshot."""
+
+ROOT_PATH = "/"
+"""Path of the tree's root."""
+
+ANY_ZONE = "*"
+"""Zone segment of a path that applies to every zone of a service."""
+
+CallClass = Literal["critical", "normal", "bulk"]
+Audience = Literal["public", "member", "internal"]
+HopMode = Literal["direct", "owner"]
+
+
+class Value(msgspec.Struct, frozen=True):
+    """Base of the immutable values of a version."""
+
+
+class Overrides(Value, frozen=True, omit_defaults=True, forbid_unknown_fields=True):
+    """What one node of the tree overrides; an unset field is inherited."""
+
+    path_prefix: str | UnsetType = UNSET
+    methods: tuple[str, ...] | UnsetType = UNSET
+    target: str | UnsetType = UNSET
+    timeout_milliseconds: int | UnsetType = UNSET
+    call_class: CallClass | UnsetType = UNSET
+    repeatable: bool | UnsetType = UNSET
+    audience: tuple[Audience, ...] | UnsetType = UNSET
+    hop: HopMode | UnsetType = UNSET
+    retry_budget_percent: int | UnsetType = UNSET
+    retry_attempts: int | UnsetType = UNSET
+    require_ready: bool | UnsetType = UNSET
+    caller_rate_per_second: int | UnsetType = UNSET
+    verify_secret: str | UnsetType = UNSET
+    max_body_bytes: int | UnsetType = UNSET
+    calls: tuple[str, ...] | UnsetType = UNSET
+    slots: int | UnsetType = UNSET
+    connections: int | UnsetType = UNSET
+    queue_limit: int | UnsetType = UNSET
+    slow_start_milliseconds: int | UnsetType = UNSET
+    ejection_failures: int | UnsetType = UNSET
+    ejection_max_percent: int | UnsetType = UNSET
+    sign_secret: str | UnsetType = UNSET
+    spill_over: bool | UnsetType = UNSET
+
+
+class RouteSettings(Value, frozen=True):
+    """Effective settings of one route in one zone, after inheritance."""
+
+    path_prefix: str = ""
+    methods: tuple[str, ...] = ("GET",)
+    target: str = ""
+    timeout_milliseconds: int = 10_000
+    call_class: CallClass = "normal"
+    repeatable: bool = False
+    audience: tuple[Audience, ...] = ("internal",)
+    hop: HopMode = "direct"
+    retry_budget_percent: int = 10
+    retry_attempts: int = 2
+    require_ready: bool = True
+    caller_rate_per_second: int = 0
+    verify_secret: str = ""
+    max_body_bytes: int = 1_048_576
+
+
+class ServiceSettings(Value, frozen=True):
+    """Effective settings of one service in one zone, after inheritance."""
+
+    calls: tuple[str, ...] = ()
+    slots: int = 20
+    connections: int = 130
+    queue_limit: int = 100
+    slow_start_milliseconds: int = 2_000
+    ejection_failures: int = 5
+    ejection_max_percent: int = 50
+    sign_secret: str = ""
+    spill_over: bool = True
+
+
+class SecretGeneration(Value, frozen=True):
+    """One generation of a secret's key material (bytes, never logged)."""
+
+    generation: int
+    material: bytes
+
+    def __repr__(self) -> str:
+        """Keep key material out of logs and tracebacks."""
+        return f"SecretGeneration(generation={self.generation}, material=<hidden>)"
+
+
+class Secret(Value, frozen=True):
+    """A named secret: verifiers accept every generation, signers use one.
+
+    ``rotation_version`` is the version that added the newest generation while
+    signers still use an older one; 0 when no rotation is in progress.
+    """
+
+    generations: tuple[SecretGeneration, ...]
+    signing_generation: int
+    revision: Version = 0
+    rotation_version: Version = 0
+
+
+class TreeNode(Value, frozen=True):
+    """One node of the tree and the version that changed it last."""
+
+    overrides: Overrides
+    revision: Version = 0
+
+
+class Zone(Value, frozen=True):
+    """A zone and the region it belongs to."""
+
+    region: str
+    revision: Version = 0
+
+
+class Tree(Value, frozen=True):
+    """The whole accepted configuration at one version.
+
+    ``nodes`` maps a path ("/", "/service", "/service/zone",
+    "/service/zone/route", zone may be "*") to its node.  Never mutated: an
+    edit gives a new tree that shares the untouched nodes.
+    """
+
+    cluster: str
+    version: Version
+    zones: dict[str, Zone]
+    nodes: dict[str, TreeNode]
+    secrets: dict[str, Secret]
+
+
+class SetOverrides(Value, frozen=True, tag="set"):
+    """Create the node at ``path`` if absent and set the given overrides on it."""
+
+    path: str
+    overrides: Overrides
+
+
+class UnsetOverrides(Value, frozen=True, tag="unset"):
+    """Remove the named overrides from the node at ``path``."""
+
+    path: str
+    names: tuple[str, ...]
+
+
+class RemoveNode(Value, frozen=True, tag="remove"):
+    """Remove the node at ``path`` and everything below it."""
+
+    path: str
+
+
+class SetZone(Value, frozen=True, tag="set_zone"):
+    """Declare a zone or move it to another region."""
+
+    name: str
+    region: str
+
+
+class RemoveZone(Value, frozen=True, tag="remove_zone"):
+    """Remove a zone that no path names."""
+
+    name: str
+
+
+class PutSecret(Value, frozen=True, tag="put_secret"):
+    """Create a secret, or add a generation and begin its rotation."""
+
+    name: str
+    material: bytes
+
+    def __repr__(self) -> str:
+        """Keep key material out of logs and tracebacks."""
+        return f"PutSecret(name={self.name!r}, material=<hidden>)"
+
+
+class PromoteSecret(Value, frozen=True, tag="promote_secret"):
+    """Let signers use the newest generation; drop the generations before ``keep``."""
+
+    name: str
+    generation: int
+
+
+class RemoveSecret(Value, frozen=True, tag="remove_secret"):
+    """Remove a secret that no route or service uses."""
+
+    name: str
+
+
+Operation = (
+    SetOverrides
+    | UnsetOverrides
+    | RemoveNode
+    | SetZone
+    | RemoveZone
+    | PutSecret
+    | PromoteSecret
+    | RemoveSecret
+)
+
+
+class ExpectedRevision(Value, frozen=True):
+    """The revision an operator saw on a path (or "secret:NAME", "zone:NAME")."""
+
+    subject: str
+    revision: Version
+
+
+class Edit(Value, frozen=True):
+    """One atomic change of the tree, named by the ``change_id`` of its sender.
+
+    ``accepted_unix_milliseconds`` is stamped by the leader for people to read;
+    nothing is ordered by it.
+    """
+
+    change_id: str
+    operations: tuple[Operation, ...]
+    expected: tuple[ExpectedRevision, ...] = ()
+    author: str = ""
+    comment: str = ""
+    accepted_unix_milliseconds: int = 0
+
+
+class Problem(Value, frozen=True):
+    """One thing wrong with a tree or an edit: where, what, and what is allowed."""
+
+    subject: str
+    reason: str
+    allowed: str = ""
+
+
+class EditAccepted(Value, frozen=True, tag="accepted"):
+    """The edit is committed as ``version``; also the answer to a resend."""
+
+    change_id: str
+    version: Version
+
+
+class EditInvalid(Value, frozen=True, tag="invalid"):
+    """The edit would give a tree that breaks the listed rules; nothing changed."""
+
+    change_id: str
+    problems: tuple[Problem, ...]
+
+
+class EditConflict(Value, frozen=True, tag="conflict"):
+    """Another edit won the race for ``subject``; nothing changed."""
+
+    change_id: str
+    subject: str
+    expected_revision: Version
+    actual_revision: Version
+    winner_change_id: str = ""
+
+
+class EditExpired(Value, frozen=True, tag="expired"):
+    """The change id is older than the table of outcomes reaches; not run again."""
+
+    change_id: str
+    horizon_version: Version
+
+
+EditOutcome = EditAccepted | EditInvalid | EditConflict | EditExpired
+
+
+class Scope(Value, frozen=True, array_like=True, order=True):
+    """Which nodes share one snapshot: the hosted service and the zone.
+
+    The services it may call follow from the tree (``calls`` of the service).
+    """
+
+    service: str
+    zone: str
+
+
+class RouteResource(Value, frozen=True, array_like=True, tag=1):
+    """A route as a node holds it."""
+
+    service: str
+    route: str
+    settings: RouteSettings
+
+
+class ServiceResource(Value, frozen=True, array_like=True, tag=2):
+    """A service as a node holds it."""
+
+    service: str
+    settings: ServiceSettings
+
+
+class SecretResource(Value, frozen=True, array_like=True, tag=3):
+    """A secret as a node holds it: all verifying generations."""
+
+    name: str
+    generations: tuple[SecretGeneration, ...]
+    signing_generation: int
+
+
+ResourceContent = RouteResource | ServiceResource | SecretResource
+
+
+class Resource(Value, frozen=True, array_like=True):
+    """An encoded resource; ``payload`` is MessagePack of a ``ResourceContent``.
+
+    Names: "service:S", "route:S/R", "secret:N".
+    """
+
+    name: str
+    payload: bytes
+
+
+class Snapshot(Value, frozen=True):
+    """All a node of ``scope`` holds at ``version``; replaced as a whole.
+
+    ``digest`` is the digest over (name, payload) of all resources.
+    """
+
+    scope: Scope
+    version: Version
+    digest: Digest
+    resources: dict[str, Resource]
+
+
+class Update(Value, frozen=True, array_like=True):
+    """State that takes a holder of ``base_digest`` to ``digest`` at ``version``.
+
+    ``full`` means: start from nothing, ``removed`` is empty.
+    """
+
+    scope: Scope
+    full: bool
+    base_digest: Digest
+    version: Version
+    digest: Digest
+    changed: tuple[Resource, ...]
+    removed: tuple[str, ...]
--- /dev/null
+++ b/src/peppershore_lab/__init__.py
@@ -0,0 +1,1 @@
+"""The lab: stand-ins, fleets, faults, experiments and the simulator."""
