--- /dev/null
+++ b/src/peppershore/process/claims/client.py
@@ -0,0 +1,55 @@
+"""The asyncio face of the claims client, as the data plane uses it."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import ssl
+
+from peppershore.connection.messages import KeptAnswer
+from peppershore.process.claims.client_core import (
+    ClaimClientCore,
+    ClaimWanted,
+    CompletionWanted,
+    FinishWant,
+    ReleaseWanted,
+    WantOutcome,
+)
+from peppershore.process.shell import NoticeSink, Shell
+
+
+class ClaimClientShell(Shell):
+    """Drives a ``ClaimClientCore`` and keeps a future for each want."""
+
+    def __init__(
+        self,
+        addresses: tuple[str, ...],
+        notice_sink: NoticeSink,
+        client_tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Know the replicas' addresses; connect at the first want."""
+        super().__init__(ClaimClientCore(addresses), notice_sink, client_tls)
+        self._requests = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[WantOutcome]] = {}
+        self.handle(FinishWant, self._finish_want)
+
+    async def claim(self, key: str, attempt: str, seconds: float) -> WantOutcome:
+        """Ask for the claim on ``key``, for at most ``seconds``."""
+        request = next(self._requests)
+        future: asyncio.Future[WantOutcome] = asyncio.get_running_loop().create_future()
+        self._waiting[request] = future
+        self.dispatch(ClaimWanted(request, key, attempt, self.now + seconds))
+        return await future
+
+    def complete(self, key: str, attempt: str, answer: KeptAnswer | None) -> None:
+        """Keep the answer for callers that send the call again; does not wait."""
+        self.dispatch(CompletionWanted(next(self._requests), key, attempt, answer))
+
+    def release(self, key: str, attempt: str) -> None:
+        """Let the call be claimed again: this attempt provably did not run."""
+        self.dispatch(ReleaseWanted(next(self._requests), key, attempt))
+
+    def _finish_want(self, command: FinishWant) -> None:
+        future = self._waiting.pop(command.request, None)
+        if future is not None and not future.done():
+            future.set_result(command.outcome)
--- a/src/peppershore/process/shell.py
+++ b/src/peppershore/process/shell.py
@@ -11,7 +11,7 @@
 import secrets
 import ssl
 from collections.abc import Callable
-from functools import singledispatchmethod
+from typing import Any, TypeVar
 
 from peppershore.connection.codec import encode_message
 from peppershore.connection.link import Link, LinkListener, open_link
@@ -21,6 +21,7 @@
 FIRST_ACCEPTED_LINK = 2
 ACCEPTED_LINK_STEP = 2
 
+CommandType = TypeVar("CommandType", bound=commands.Command)
 NoticeSink = Callable[[commands.Notice], None]
 
 
@@ -47,6 +48,23 @@
         self._timers: dict[str, asyncio.TimerHandle] = {}
         self._accepted_ids = itertools.count(FIRST_ACCEPTED_LINK, ACCEPTED_LINK_STEP)
         self._listeners: list[LinkListener] = []
+        self._handlers: dict[type[commands.Command], Callable[[Any], None]] = {}
+        self.handle(commands.OpenLink, self._open_link)
+        self.handle(commands.CloseLink, self._close_link)
+        self.handle(commands.SendMessage, self._send_message)
+        self.handle(commands.SendEncoded, self._send_encoded)
+        self.handle(commands.SetTimer, self._set_timer)
+        self.handle(commands.CancelTimer, self._cancel_timer)
+        self.handle(commands.Report, self._report)
+        self.handle(commands.Exit, self._exit)
+
+    def handle(
+        self,
+        command_type: type[CommandType],
+        handler: Callable[[CommandType], None],
+    ) -> None:
+        """Let ``handler`` carry out commands of exactly this type."""
+        self._handlers[command_type] = handler
 
     @property
     def now(self) -> float:
@@ -82,17 +100,16 @@
             link.close()
         self._links.clear()
 
-    @singledispatchmethod
     def execute(self, command: commands.Command) -> None:
         """Carry out one command; a command no shell knows is a broken invariant."""
-        raise AssertionError(f"no shell carries out {type(command).__name__}")
+        handler = self._handlers.get(type(command))
+        assert handler is not None, f"no shell carries out {type(command).__name__}"
+        handler(command)
 
-    @execute.register
     def _open_link(self, command: commands.OpenLink) -> None:
         task = asyncio.get_running_loop().create_task(self._connect(command))
         self._opening[command.link] = task
 
-    @execute.register
     def _close_link(self, command: commands.CloseLink) -> None:
         task = self._opening.pop(command.link, None)
         if task is not None:
@@ -101,30 +118,24 @@
         if link is not None:
             link.close()
 
-    @execute.register
     def _send_message(self, command: commands.SendMessage) -> None:
         self._send_payload(command.link, encode_message(command.message))
 
-    @execute.register
     def _send_encoded(self, command: commands.SendEncoded) -> None:
         self._send_payload(command.link, command.payload)
 
-    @execute.register
     def _set_timer(self, command: commands.SetTimer) -> None:
         self._cancel(command.timer)
         loop = asyncio.get_running_loop()
         handle = loop.call_later(command.delay_seconds, self._fire, command.timer)
         self._timers[command.timer] = handle
 
-    @execute.register
     def _cancel_timer(self, command: commands.CancelTimer) -> None:
         self._cancel(command.timer)
 
-    @execute.register
     def _report(self, command: commands.Report) -> None:
         self._notice_sink(command.notice)
 
-    @execute.register
     def _exit(self, command: commands.Exit) -> None:
         del command
         self.stopped.set()
