--- /dev/null
+++ b/tests/claims/test_claim_keys.py
@@ -0,0 +1,39 @@
+"""Idempotency keys: bounds, and the age that a UUID version 7 carries."""
+
+import uuid
+
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.pipeline import is_successful
+
+from peppershore.process.claims.keys import CLOCK_MARGIN_MILLISECONDS, check_key
+
+DAY = 86_400_000
+NOW = 1_790_000_000_000
+
+
+def timed_key(unix_milliseconds: int) -> str:
+    return str(uuid.UUID(int=(unix_milliseconds << 80) | (7 << 76) | (2 << 62) | 12345))
+
+
+def test_a_key_older_than_the_horizon_is_refused():
+    oldest = NOW - DAY + CLOCK_MARGIN_MILLISECONDS
+    assert is_successful(check_key(timed_key(oldest), NOW, DAY))
+    assert not is_successful(check_key(timed_key(oldest - 1), NOW, DAY))
+
+
+def test_a_key_from_the_future_is_refused():
+    latest = NOW + CLOCK_MARGIN_MILLISECONDS
+    assert is_successful(check_key(timed_key(latest), NOW, DAY))
+    assert not is_successful(check_key(timed_key(latest + 1), NOW, DAY))
+
+
+def test_keys_without_a_time_are_bounded_only():
+    assert is_successful(check_key("payout-2026-000017", NOW, DAY))
+    for bad in ("short", "x" * 201, "pay\n00000001", "påyout-0000001"):
+        assert not is_successful(check_key(bad, NOW, DAY))
+
+
+@given(st.text(max_size=300))
+def test_no_text_raises(key):
+    check_key(key, NOW, DAY)
