--- a/src/peppershore/connection/messages.py
+++ b/src/peppershore/connection/messages.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 from peppershore.version.model import (
@@ -105,6 +107,12 @@
     confirmed_age_milliseconds: int
 
 
+class NodeAlive(Message, frozen=True, tag=26):
+    """Heartbeat of a node, in answer to ``Freshness``: the version in effect."""
+
+    version: Version
+
+
 # --- endpoints ---------------------------------------------------------------
 
 
@@ -156,9 +164,14 @@
 
 
 class EndpointDigest(Message, frozen=True, tag=43):
-    """Anti-entropy: digest of a relay's endpoint table, in buckets by node name."""
+    """Anti-entropy: digest of the endpoints the sender vouches for, by buckets.
+
+    Nodes fall into buckets by name.  ``hears`` names the relays the sender has
+    heard within the lease.
+    """
 
     buckets: tuple[int, ...]
+    hears: tuple[str, ...] = ()
 
 
 class EndpointBucketsWanted(Message, frozen=True, tag=44):
@@ -168,10 +181,20 @@
 
 
 class LeaseRenewed(Message, frozen=True, tag=45):
-    """A relay vouches, in one message, for its live sessions' endpoints."""
+    """A relay vouches for its live sessions' endpoints in ``buckets``.
+
+    Nodes of those buckets that are not named are no longer vouched for.
+    """
 
     relay: str
     nodes_alive: tuple[str, ...]
+    buckets: tuple[int, ...] = ()
+
+
+class EndpointsHeld(Message, frozen=True, tag=46):
+    """A node's digest of the endpoints it holds; the relay sends them if it differs."""
+
+    digest: int
 
 
 # --- relay and replica -------------------------------------------------------
@@ -244,6 +267,149 @@
     control_bytes: int
 
 
+# --- consensus ---------------------------------------------------------------
+
+
+class EntryKind(enum.IntEnum):
+    """What a log entry means to the consensus core itself."""
+
+    EMPTY = 0
+    COMMAND = 1
+    MEMBERSHIP = 2
+
+
+class LogEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One entry of the replicated log; only a COMMAND payload is for the state machine."""
+
+    index: int
+    term: int
+    kind: EntryKind
+    payload: bytes
+
+
+class ReplicaMember(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """A member of a consensus group.
+
+    ``identity`` is the random number its store was made with: a blank disk under
+    the same name has another one and is another member.  A learner (``voter``
+    false) receives the log and is counted in no quorum.
+    """
+
+    name: str
+    address: str
+    identity: int
+    voter: bool = True
+
+
+class Membership(msgspec.Struct, frozen=True, array_like=True):
+    """All members of a consensus group, sorted by name."""
+
+    members: tuple[ReplicaMember, ...]
+
+
+class ReplicaHello(Message, frozen=True, tag=70):
+    """First message between two replicas, and its answer.
+
+    ``group_id`` 0 means that the store of the sender is blank.
+    """
+
+    cluster: str
+    replica: str
+    identity: int
+    group_id: int
+
+
+class VoteRequest(Message, frozen=True, tag=71):
+    """Ask for a vote in ``term``; a pre-vote changes nothing at the receiver.
+
+    ``transfer``: the leader asked for this election, so its lease is given up.
+    """
+
+    term: int
+    last_index: int
+    last_term: int
+    pre_vote: bool
+    transfer: bool = False
+
+
+class VoteReply(Message, frozen=True, tag=72):
+    """Answer to a ``VoteRequest``; a granted pre-vote repeats the asked term."""
+
+    term: int
+    granted: bool
+    pre_vote: bool
+
+
+class AppendRequest(Message, frozen=True, tag=73):
+    """Entries that follow ``previous_index``; without entries a heartbeat."""
+
+    term: int
+    previous_index: int
+    previous_term: int
+    commit_index: int
+    round: int
+    entries: tuple[LogEntry, ...]
+
+
+class AppendReply(Message, frozen=True, tag=74):
+    """``last_index`` is durable and equal to the leader's log if ``accepted``,
+    else the highest index at which the receiver may agree."""
+
+    term: int
+    accepted: bool
+    last_index: int
+    round: int
+
+
+class SnapshotChunk(Message, frozen=True, tag=75):
+    """A piece of the state at ``index``, for a replica that lacks compacted entries."""
+
+    term: int
+    index: int
+    index_term: int
+    membership: Membership
+    offset: int
+    total_bytes: int
+    data: bytes
+    round: int
+
+
+class SnapshotReply(Message, frozen=True, tag=76):
+    """The receiver holds the first ``received_bytes`` of the snapshot at ``index``."""
+
+    term: int
+    index: int
+    received_bytes: int
+    round: int
+
+
+class ElectNow(Message, frozen=True, tag=77):
+    """The leader of ``term`` hands over: campaign at once."""
+
+    term: int
+
+
+class ReadIndexRequest(Message, frozen=True, tag=78):
+    """A follower asks the leader which index a read must have applied."""
+
+    request: int
+
+
+class ReadIndexReply(Message, frozen=True, tag=79):
+    """A quorum confirmed ``index`` after the request came, or nobody did."""
+
+    request: int
+    index: int
+    confirmed: bool
+
+
+class ProgressShared(Message, frozen=True, tag=80):
+    """A replica passes a relay's report on to the other replicas."""
+
+    report: ProgressReported
+    age_milliseconds: int
+
+
 # --- operators ---------------------------------------------------------------
 
 
