--- /dev/null
+++ b/src/peppershore/command/edits.py
@@ -0,0 +1,191 @@
+"""Sends an edit and turns its outcome into a result or a failure."""
+
+from __future__ import annotations
+
+import getpass
+import os
+import uuid
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from peppershore.command.client import ControlGroup, NoAnswer, ask
+from peppershore.command.exit_codes import ExitCode
+from peppershore.command.failures import Failed, invalid, not_found
+from peppershore.connection.messages import (
+    EditAnswered,
+    SubmitEdit,
+    TreeAnswered,
+    TreeQuery,
+)
+from peppershore.version.model import (
+    Edit,
+    EditAccepted,
+    EditConflict,
+    EditExpired,
+    EditInvalid,
+    EditOutcome,
+    ExpectedRevision,
+    Operation,
+    PromoteSecret,
+    PutSecret,
+    RemoveSecret,
+    RemoveZone,
+    SetZone,
+    Tree,
+    Version,
+)
+
+SECRET_SUBJECT = "secret:"
+ZONE_SUBJECT = "zone:"
+NEWEST: Version = 0
+
+
+class EditRequest(msgspec.Struct, frozen=True):
+    """What an operator asked for, before revisions and a change id are filled in.
+
+    ``revision`` holds for every subject of the edit; None: take the revisions
+    of the tree that is read before the edit is sent.
+    """
+
+    operations: tuple[Operation, ...]
+    change_id: str = ""
+    revision: Version | None = None
+    comment: str = ""
+    author: str = ""
+
+
+async def read_tree(group: ControlGroup, version: Version = NEWEST) -> Result[Tree, Failed]:
+    """Give the tree at a version; 0 is the newest that a quorum confirms."""
+    answer = await ask(group, TreeQuery(version), TreeAnswered)
+    if isinstance(answer, Failure):
+        return Failure(answer.failure().failed)
+    tree = answer.unwrap().tree
+    if version not in (NEWEST, tree.version):
+        step = "`peppershore tree history` lists the versions kept"
+        return Failure(not_found(f"version {version}", step))
+    return Success(tree)
+
+
+async def submit(group: ControlGroup, request: EditRequest) -> Result[EditAccepted, Failed]:
+    """Send an edit; made revisions come from the tree read just before."""
+    tree: Tree | None = None
+    if request.revision is None:
+        found = await read_tree(group)
+        if isinstance(found, Failure):
+            return Failure(found.failure())
+        tree = found.unwrap()
+    return await submit_on(group, request, tree)
+
+
+async def submit_on(
+    group: ControlGroup, request: EditRequest, tree: Tree | None
+) -> Result[EditAccepted, Failed]:
+    """Send an edit that was made looking at ``tree``."""
+    edit = Edit(
+        change_id=request.change_id or str(uuid.uuid4()),
+        operations=request.operations,
+        expected=_expected(request, tree),
+        author=request.author or _login(),
+        comment=request.comment,
+    )
+    answer = await ask(group, SubmitEdit(edit), EditAnswered)
+    if isinstance(answer, Failure):
+        return Failure(_unanswered(edit, answer.failure()))
+    return judge(answer.unwrap().outcome)
+
+
+def judge(outcome: EditOutcome) -> Result[EditAccepted, Failed]:
+    """Turn an outcome that is no acceptance into a failure."""
+    if isinstance(outcome, EditAccepted):
+        return Success(outcome)
+    if isinstance(outcome, EditInvalid):
+        failed = invalid(
+            "the edit would break the tree; nothing changed",
+            outcome.problems,
+            "mend the listed settings and send the edit again with a new change id",
+        )
+        return Failure(msgspec.structs.replace(failed, change_id=outcome.change_id))
+    if isinstance(outcome, EditConflict):
+        return Failure(_conflict(outcome))
+    return Failure(_expired(outcome))
+
+
+def subject_of(operation: Operation) -> str:
+    """Give what an operation touches, as expected revisions name it."""
+    if isinstance(operation, SetZone | RemoveZone):
+        return ZONE_SUBJECT + operation.name
+    if isinstance(operation, PutSecret | PromoteSecret | RemoveSecret):
+        return SECRET_SUBJECT + operation.name
+    return operation.path
+
+
+def revision_of(tree: Tree, subject: str) -> Version:
+    """Give the version that changed a subject last; 0 if it does not exist."""
+    if subject.startswith(ZONE_SUBJECT):
+        zone = tree.zones.get(subject.removeprefix(ZONE_SUBJECT))
+        return zone.revision if zone is not None else 0
+    if subject.startswith(SECRET_SUBJECT):
+        secret = tree.secrets.get(subject.removeprefix(SECRET_SUBJECT))
+        return secret.revision if secret is not None else 0
+    node = tree.nodes.get(subject)
+    return node.revision if node is not None else 0
+
+
+def _expected(request: EditRequest, tree: Tree | None) -> tuple[ExpectedRevision, ...]:
+    subjects = dict.fromkeys(subject_of(operation) for operation in request.operations)
+    if request.revision is not None:
+        return tuple(ExpectedRevision(name, request.revision) for name in subjects)
+    assert tree is not None
+    return tuple(ExpectedRevision(name, revision_of(tree, name)) for name in subjects)
+
+
+def _conflict(outcome: EditConflict) -> Failed:
+    winner = outcome.winner_change_id
+    by_winner = f" by change {winner}" if winner else ""
+    return Failed(
+        code=ExitCode.CONFLICT,
+        kind="conflict",
+        message=(
+            f"{outcome.subject} is at revision {outcome.actual_revision}{by_winner}, "
+            f"not at {outcome.expected_revision}; nothing changed"
+        ),
+        next_step="look at what won (`peppershore tree show`), then send a new edit",
+        change_id=outcome.change_id,
+        subject=outcome.subject,
+        expected_revision=outcome.expected_revision,
+        actual_revision=outcome.actual_revision,
+        winner_change_id=winner,
+    )
+
+
+def _expired(outcome: EditExpired) -> Failed:
+    return Failed(
+        code=ExitCode.EXPIRED,
+        kind="expired",
+        message=(
+            f"outcomes before version {outcome.horizon_version} are forgotten; "
+            "the edit was not run"
+        ),
+        next_step="look for the change with `peppershore tree history`",
+        change_id=outcome.change_id,
+    )
+
+
+def _unanswered(edit: Edit, lost: NoAnswer) -> Failed:
+    if not lost.maybe_sent:
+        return msgspec.structs.replace(lost.failed, change_id=edit.change_id)
+    return Failed(
+        code=ExitCode.UNKNOWN,
+        kind="unknown",
+        message=f"the edit may or may not be accepted: {lost.failed.message}",
+        next_step=f"send the same edit again with --change-id {edit.change_id}",
+        change_id=edit.change_id,
+    )
+
+
+def _login() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return f"uid-{os.getuid()}"
--- /dev/null
+++ b/src/peppershore/command/failures.py
@@ -0,0 +1,65 @@
+"""What can go wrong in a command, as values: a message, details and what to do next."""
+
+from __future__ import annotations
+
+import msgspec
+
+from peppershore.command.exit_codes import ExitCode
+from peppershore.version.model import Problem
+
+
+class Failed(msgspec.Struct, frozen=True, kw_only=True):
+    """A command's failure, ready to be shown to a person or as JSON."""
+
+    code: ExitCode
+    kind: str
+    message: str
+    next_step: str
+    problems: tuple[Problem, ...] = ()
+    change_id: str = ""
+    subject: str = ""
+    expected_revision: int | None = None
+    actual_revision: int | None = None
+    winner_change_id: str = ""
+
+
+def unreachable(reasons: tuple[str, ...]) -> Failed:
+    """No replica answered and nothing that changes state was sent."""
+    return Failed(
+        code=ExitCode.UNREACHABLE,
+        kind="unreachable",
+        message="no control replica answered: " + "; ".join(reasons),
+        next_step="check --replica IP:port and that a quorum of replicas runs",
+    )
+
+
+def not_found(what: str, next_step: str) -> Failed:
+    """The named thing does not exist."""
+    return Failed(
+        code=ExitCode.NOT_FOUND,
+        kind="not_found",
+        message=f"{what} does not exist",
+        next_step=next_step,
+    )
+
+
+def usage(message: str, next_step: str, problems: tuple[Problem, ...] = ()) -> Failed:
+    """The command line can't be understood; nothing was sent."""
+    return Failed(
+        code=ExitCode.USAGE,
+        kind="usage",
+        message=message,
+        next_step=next_step,
+        problems=problems,
+    )
+
+
+def invalid(message: str, problems: tuple[Problem, ...], next_step: str) -> Failed:
+    """A file, tree or edit breaks rules; nothing changed."""
+    return Failed(
+        code=ExitCode.INVALID,
+        kind="invalid",
+        message=message,
+        next_step=next_step,
+        problems=problems,
+    )
--- /dev/null
+++ b/src/peppershore/command/main.py
@@ -0,0 +1,29 @@
+"""The command ``peppershore``: every role's process and every operator's command."""
+
+from __future__ import annotations
+
+import click
+
+from peppershore.command.serve import serve
+from peppershore.command.status_commands import status, watch
+from peppershore.command.tree_commands import tree
+from peppershore.command.zone_commands import zone
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="peppershore")
+def main() -> None:
+    """Distribute configuration to the proxies of a service mesh.
+
+    Exit codes: 0 done, 2 wrong command line, 3 invalid edit or settings,
+    4 conflict, 5 no replica answered, 6 an edit's outcome is unknown (send it
+    again with its change id), 7 change id expired, 8 not found, 9 not in force
+    in time.
+    """
+
+
+main.add_command(serve)
+main.add_command(tree)
+main.add_command(zone)
+main.add_command(status)
+main.add_command(watch)
--- /dev/null
+++ b/src/peppershore/command/serve.py
@@ -0,0 +1,134 @@
+"""``peppershore serve``: runs one process of the system until it is stopped."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+from returns.result import Failure
+
+from peppershore.command.output import show_json, stop_with
+from peppershore.command.settings_flags import collect_flags, settings_flags
+from peppershore.command.settings_output import settings_failed
+from peppershore.process.commands import Notice
+from peppershore.process.logging import LogIdentity, configure_logging, write_notice
+from peppershore.process.settings import (
+    ClaimsSettings,
+    ControlSettings,
+    NodeSettings,
+    RelaySettings,
+    SettingsValue,
+)
+from peppershore.process.settings_loader import load_settings
+
+Kind = TypeVar("Kind", bound=SettingsValue)
+OnReady = Callable[[int], None]
+Arguments = dict[str, Any]
+
+settings_option = click.option(
+    "--settings",
+    "settings_path",
+    type=click.Path(path_type=Path),
+    help="The process's settings file (TOML); flags go before it.",
+)
+
+
+class ProcessStarting(Notice, frozen=True):
+    """The settings are read and the process begins."""
+
+    cluster: str
+
+
+class ProcessReady(Notice, frozen=True):
+    """The process accepts links or calls on ``port``."""
+
+    port: int
+
+
+class ProcessStopped(Notice, frozen=True):
+    """The planned stop is complete."""
+
+
+@click.group()
+def serve() -> None:
+    """Run one process of the system in the foreground.
+
+    It logs JSON lines on standard error, prints one JSON line with its port on
+    standard output when it is ready, and stops in a planned way on SIGTERM.
+    """
+
+
+@serve.command()
+@settings_option
+@settings_flags(ControlSettings)
+def control(settings_path: Path | None, **arguments: Any) -> None:
+    """Run a control replica."""
+    from peppershore.process.control.shell import run_control  # noqa: PLC0415
+
+    settings = _read("control", ControlSettings, settings_path, arguments)
+    _configure("control", settings.replica, settings.log_level, settings.cluster)
+    _run(run_control(settings, _announce))
+
+
+@serve.command()
+@settings_option
+@settings_flags(RelaySettings)
+def relay(settings_path: Path | None, **arguments: Any) -> None:
+    """Run a relay."""
+    from peppershore.process.relay.shell import run_relay  # noqa: PLC0415
+
+    settings = _read("relay", RelaySettings, settings_path, arguments)
+    _configure("relay", settings.relay, settings.log_level, settings.cluster)
+    _run(run_relay(settings, _announce))
+
+
+@serve.command()
+@settings_option
+@settings_flags(NodeSettings)
+def node(settings_path: Path | None, **arguments: Any) -> None:
+    """Run a node: the proxy beside a back end, or at the edge."""
+    from peppershore.process.node.shell import run_node  # noqa: PLC0415
+
+    settings = _read("node", NodeSettings, settings_path, arguments)
+    _configure("node", settings.node, settings.log_level, settings.cluster)
+    _run(run_node(settings, _announce))
+
+
+@serve.command()
+@settings_option
+@settings_flags(ClaimsSettings)
+def claims(settings_path: Path | None, **arguments: Any) -> None:
+    """Run a replica of a claims group."""
+    from peppershore.process.claims.shell import run_claims  # noqa: PLC0415
+
+    settings = _read("claims", ClaimsSettings, settings_path, arguments)
+    _configure("claims", settings.replica, settings.log_level, settings.cluster)
+    _run(run_claims(settings, _announce))
+
+
+def _read(role: str, kind: type[Kind], path: Path | None, arguments: Arguments) -> Kind:
+    loaded = load_settings(kind, path, collect_flags(kind, arguments))
+    if isinstance(loaded, Failure):
+        stop_with(settings_failed(role, path, loaded.failure()), as_json=False)
+    return loaded.unwrap()
+
+
+def _configure(role: str, process: str, level: str, cluster: str) -> None:
+    configure_logging(LogIdentity(role, process), level)
+    write_notice(ProcessStarting(cluster))
+
+
+def _announce(port: int) -> None:
+    write_notice(ProcessReady(port))
+    show_json({"event": "process_ready", "port": port})
+
+
+def _run(work: Awaitable[None]) -> None:
+    async def main() -> None:
+        await work
+
+    asyncio.run(main())
+    write_notice(ProcessStopped())
--- /dev/null
+++ b/src/peppershore/command/values.py
@@ -0,0 +1,86 @@
+"""Reads KEY=VALUE arguments as overrides of a tree node; all problems at once."""
+
+from __future__ import annotations
+
+import typing
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from peppershore.version.model import Overrides, Problem
+
+OVERRIDE_NAMES: tuple[str, ...] = Overrides.__struct_fields__
+LIST_SEPARATOR = ","
+_TRUE_WORDS = frozenset({"true", "yes", "on", "1"})
+_FALSE_WORDS = frozenset({"false", "no", "off", "0"})
+_HINTS = typing.get_type_hints(Overrides)
+
+
+def read_assignments(
+    assignments: tuple[str, ...],
+) -> Result[Overrides, tuple[Problem, ...]]:
+    """Read all KEY=VALUE arguments; a key given twice is a problem."""
+    values: dict[str, Any] = {}
+    problems: list[Problem] = []
+    for assignment in assignments:
+        name, separator, text = assignment.partition("=")
+        if not separator:
+            problems.append(Problem(assignment, "is no assignment", "KEY=VALUE"))
+        elif name not in OVERRIDE_NAMES:
+            allowed = "one of " + ", ".join(OVERRIDE_NAMES)
+            problems.append(Problem(name, "is no setting", allowed))
+        elif name in values:
+            problems.append(Problem(name, "is given twice", "each key once"))
+        else:
+            values[name] = _read_value(name, text, problems)
+    if problems:
+        return Failure(tuple(problems))
+    return Success(Overrides(**values))
+
+
+def describe_type(name: str) -> str:
+    """Say in words what a setting may hold."""
+    kind = _value_type(name)
+    if kind is bool:
+        return "true or false"
+    if kind is int:
+        return "a whole number"
+    if typing.get_origin(kind) is tuple:
+        element = typing.get_args(kind)[0]
+        return f"a list with commas of {_words(element)}"
+    return _words(kind)
+
+
+def _read_value(name: str, text: str, problems: list[Problem]) -> Any:
+    kind = _value_type(name)
+    raw: Any = text
+    if kind is bool:
+        raw = _read_switch(text)
+    elif typing.get_origin(kind) is tuple:
+        raw = [item.strip() for item in text.split(LIST_SEPARATOR) if item.strip()]
+    try:
+        return msgspec.convert(raw, kind, strict=False)
+    except msgspec.ValidationError:
+        problems.append(Problem(name, f"{text!r} does not fit", describe_type(name)))
+        return None
+
+
+def _read_switch(text: str) -> bool | str:
+    word = text.lower()
+    if word in _TRUE_WORDS:
+        return True
+    return False if word in _FALSE_WORDS else text
+
+
+def _value_type(name: str) -> Any:
+    """Give the type of a setting without "or unset"."""
+    hint = _HINTS[name]
+    kinds = [kind for kind in typing.get_args(hint) if kind is not msgspec.UnsetType]
+    return kinds[0] if len(kinds) == 1 else typing.Union[tuple(kinds)]  # noqa: UP007
+
+
+def _words(kind: Any) -> str:
+    if typing.get_origin(kind) is typing.Literal:
+        return " | ".join(str(choice) for choice in typing.get_args(kind))
+    return "text" if kind is str else "a whole number"
--- /dev/null
+++ b/src/peppershore/process/logging.py
@@ -0,0 +1,147 @@
+"""JSON lines on standard error, through ``absl.logging``.
+
+Each line is one object: ``time`` (Unix milliseconds), ``level``, ``event`` (a
+stable snake-case name), ``role`` and ``process``, then the event's own fields.
+Bytes never reach a line: key material is always bytes in this system.
+"""
+
+from __future__ import annotations
+
+import functools
+import logging
+import re
+import sys
+import traceback
+from collections.abc import Callable
+
+import msgspec
+from absl import logging as absl_logging
+
+from peppershore.process.commands import Notice
+
+LEVELS: dict[str, int] = {
+    "debug": absl_logging.DEBUG,
+    "info": absl_logging.INFO,
+    "warning": absl_logging.WARNING,
+    "error": absl_logging.ERROR,
+}
+"""Names allowed for ``log_level`` and absl's number for each."""
+
+HIDDEN = "<hidden>"
+SENSITIVE_FIELDS = frozenset({"material", "payload", "token", "authorization", "key"})
+MILLISECONDS_PER_SECOND = 1_000
+_RECORD_FIELDS = "peppershore_fields"
+_WORD_START = re.compile(r"(?<=[a-z0-9])(?=[A-Z])")
+
+NoticeSink = Callable[[Notice], None]
+
+
+class LogIdentity(msgspec.Struct, frozen=True):
+    """Which process writes: its role and its name in the cluster."""
+
+    role: str
+    process: str
+
+
+@functools.cache
+def event_name(notice_type: type[Notice]) -> str:
+    """Give the stable event name of a notice: its class name in snake case."""
+    return _WORD_START.sub("_", notice_type.__name__).lower()
+
+
+def configure_logging(identity: LogIdentity, level: str) -> None:
+    """Send every log record of this process, also of libraries, out as JSON lines.
+
+    ``level`` is one of ``LEVELS``; settings are checked before they come here.
+    """
+    absl_logging.use_absl_handler()
+    absl_logging.set_stderrthreshold("fatal")
+    absl_logging.set_verbosity(LEVELS[level])
+    handler = absl_logging.get_absl_handler()
+    handler.python_handler.stream = sys.stderr
+    handler.setFormatter(JsonLineFormatter(identity))
+    logging.captureWarnings(True)
+
+
+def write_notice(notice: Notice) -> None:
+    """Write one notice as a log line; a ``NoticeSink``."""
+    name = event_name(type(notice))
+    level = notice_level(notice)
+    logger = absl_logging.get_absl_logger()
+    if logger.isEnabledFor(level):
+        logger.log(level, name, extra={_RECORD_FIELDS: notice})
+
+
+def notice_level(notice: Notice) -> int:
+    """Give the ``logging`` level of a notice: its class's ``level``, or info."""
+    level = str(getattr(type(notice), "level", "info"))
+    return logging.getLevelNamesMapping()[level.upper()]
+
+
+class JsonLineFormatter(logging.Formatter):
+    """Formats a log record as one JSON object."""
+
+    def __init__(self, identity: LogIdentity) -> None:
+        """Put ``identity`` on every line."""
+        super().__init__()
+        self._identity = identity
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Give the line without its line feed."""
+        line: dict[str, object] = {
+            "time": int(record.created * MILLISECONDS_PER_SECOND),
+            "level": record.levelname.lower(),
+            "role": self._identity.role,
+            "process": self._identity.process,
+        }
+        notice = getattr(record, _RECORD_FIELDS, None)
+        if notice is None:
+            line |= _foreign_fields(record)
+        else:
+            line["event"] = record.getMessage()
+            line |= _notice_fields(notice, taken=line.keys())
+        return msgspec.json.encode(line, enc_hook=repr).decode()
+
+
+def public_value(value: object) -> object:
+    """Give ``value`` ready for JSON with bytes and sensitive fields hidden."""
+    if isinstance(value, bytes | bytearray | memoryview):
+        return HIDDEN
+    if isinstance(value, msgspec.Struct):
+        return _public_struct(value)
+    if isinstance(value, dict):
+        return {str(key): _public_item(str(key), item) for key, item in value.items()}
+    if isinstance(value, list | tuple | set | frozenset):
+        return [public_value(item) for item in value]
+    return value
+
+
+def _public_struct(value: msgspec.Struct) -> dict[str, object]:
+    names = value.__struct_fields__
+    return {name: _public_item(name, getattr(value, name)) for name in names}
+
+
+def _public_item(name: str, value: object) -> object:
+    return HIDDEN if name in SENSITIVE_FIELDS else public_value(value)
+
+
+def _notice_fields(notice: Notice, taken: object) -> dict[str, object]:
+    assert hasattr(taken, "__contains__")
+    fields = _public_struct(notice)
+    return {
+        (f"{name}_" if name in taken else name): value for name, value in fields.items()
+    }
+
+
+def _foreign_fields(record: logging.LogRecord) -> dict[str, object]:
+    """Fields of a record that a library or the interpreter wrote."""
+    fields: dict[str, object] = {"event": "library_message", "logger": record.name}
+    fields["message"] = record.getMessage()
+    if record.exc_info is not None and record.exc_info[0] is not None:
+        kind, _, frames = record.exc_info
+        fields["exception"] = kind.__name__
+        fields["frames"] = [
+            f"{frame.filename}:{frame.lineno} {frame.name}"
+            for frame in traceback.extract_tb(frames)
+        ]
+    return fields
--- a/src/peppershore/process/settings.py
+++ b/src/peppershore/process/settings.py
@@ -115,3 +115,12 @@
     horizon_seconds: int = 86_400
     log_level: str = "info"
     tls: TlsFiles | None = None
+
+
+class OperatorSettings(SettingsValue, frozen=True, kw_only=True):
+    """What the command line needs: where the control replicas are."""
+
+    replicas: tuple[str, ...]
+    timeout_milliseconds: int = 10_000
+    author: str = ""
+    tls: TlsFiles | None = None
--- /dev/null
+++ b/src/peppershore/process/settings_loader.py
@@ -0,0 +1,264 @@
+"""Reads settings from TOML and flags and reports everything that is wrong at once.
+
+A flag goes before the file.  Each problem names the key, the reason and what
+is allowed.  Nothing is raised for bad input.
+"""
+
+from __future__ import annotations
+
+import tomllib
+import types
+import typing
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+from msgspec.structs import FieldInfo
+from returns.result import Failure, Result, Success
+
+from peppershore.process.settings import (
+    ClaimsSettings,
+    ControlSettings,
+    NodeSettings,
+    OperatorSettings,
+    RelaySettings,
+    SettingsValue,
+)
+from peppershore.process.settings_rules import FIELD_RULES
+
+Kind = TypeVar("Kind", bound=SettingsValue)
+KINDS: dict[str, type[SettingsValue]] = {
+    "control": ControlSettings,
+    "relay": RelaySettings,
+    "node": NodeSettings,
+    "claims": ClaimsSettings,
+}
+"""Settings of each role that ``serve`` starts."""
+
+MIN_HEARTBEATS_PER_ELECTION = 3
+MAX_FILE_BYTES = 4 * 1024 * 1024
+WHOLE_FILE = "(file)"
+_TYPE_WORDS: dict[Any, str] = {
+    str: "text",
+    int: "a whole number",
+    bool: "true or false",
+    tuple[str, ...]: "a list of texts",
+}
+
+
+class SettingProblem(msgspec.Struct, frozen=True):
+    """One thing wrong with the settings."""
+
+    key: str
+    reason: str
+    allowed: str = ""
+
+
+Problems = tuple[SettingProblem, ...]
+
+
+def load_settings(
+    kind: type[Kind], path: Path | None, flags: Mapping[str, Any]
+) -> Result[Kind, Problems]:
+    """Read the file, if any, put the flags over it, and check the whole."""
+    if path is None:
+        return parse_settings(kind, "", flags)
+    try:
+        content = path.read_bytes()
+    except OSError as problem:
+        reason = f"cannot be read: {problem.strerror or type(problem).__name__}"
+        return _failure(WHOLE_FILE, reason, "a readable TOML file")
+    if len(content) > MAX_FILE_BYTES:
+        return _failure(WHOLE_FILE, "is too large", f"up to {MAX_FILE_BYTES} bytes")
+    try:
+        text = content.decode()
+    except UnicodeDecodeError:
+        return _failure(WHOLE_FILE, "is not text", "UTF-8")
+    return parse_settings(kind, text, flags)
+
+
+def parse_settings(
+    kind: type[Kind], text: str, flags: Mapping[str, Any]
+) -> Result[Kind, Problems]:
+    """Check settings given as TOML text, with flags over them."""
+    try:
+        table = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError, ValueError) as problem:
+        return _failure(WHOLE_FILE, f"is not TOML: {problem}", "a TOML document")
+    merged = _merge(table, flags)
+    reader = _Reader()
+    values = reader.read_struct(kind, merged, prefix="")
+    if reader.problems:
+        return Failure(tuple(reader.problems))
+    settings = kind(**values)
+    problems = _cross_checks(settings)
+    return Failure(problems) if problems else Success(settings)
+
+
+class _Reader:
+    """Walks a table along a settings type and collects every problem."""
+
+    def __init__(self) -> None:
+        self.problems: list[SettingProblem] = []
+
+    def read_struct(
+        self, kind: type[SettingsValue], table: Mapping[str, Any], prefix: str
+    ) -> dict[str, Any]:
+        """Give the checked values of one table."""
+        fields = {field.name: field for field in msgspec.structs.fields(kind)}
+        for key in sorted(table.keys() - fields.keys()):
+            self._add(prefix + key, "is no setting here", "one of " + ", ".join(fields))
+        values: dict[str, Any] = {}
+        for name, field in fields.items():
+            if name in table:
+                values[name] = self._read_field(field, table[name], prefix + name)
+            elif field.required:
+                self._add(prefix + name, "is missing", _type_words(field.type))
+        return values
+
+    def _read_field(self, field: FieldInfo, value: Any, key: str) -> Any:
+        nested = _nested_type(field.type)
+        if nested is not None and typing.get_origin(field.type) is tuple:
+            return self._read_tables(nested, value, key)
+        if nested is not None:
+            return self._read_table(nested, value, key)
+        if field.type == tuple[str, ...]:
+            return self._read_texts(field.name, value, key)
+        if type(value) is not field.type:
+            self._add(key, f"is {_value_words(value)}", _type_words(field.type))
+            return None
+        self._check_rule(field.name, value, key)
+        return value
+
+    def _read_texts(self, name: str, value: Any, key: str) -> tuple[str, ...]:
+        if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+            self._add(key, f"is {_value_words(value)}", "a list of texts")
+            return ()
+        for position, item in enumerate(value):
+            self._check_rule(name, item, f"{key}[{position}]")
+        return tuple(value)
+
+    def _read_tables(self, kind: type[SettingsValue], value: Any, key: str) -> Any:
+        if not isinstance(value, list):
+            self._add(key, f"is {_value_words(value)}", f"tables [[{key}]]")
+            return ()
+        return tuple(
+            self._read_table(kind, item, f"{key}[{position}]")
+            for position, item in enumerate(value)
+        )
+
+    def _read_table(self, kind: type[SettingsValue], value: Any, key: str) -> Any:
+        if not isinstance(value, dict):
+            self._add(key, f"is {_value_words(value)}", "a table")
+            return None
+        before = len(self.problems)
+        values = self.read_struct(kind, value, prefix=f"{key}.")
+        return kind(**values) if len(self.problems) == before else None
+
+    def _check_rule(self, name: str, value: Any, key: str) -> None:
+        rule = FIELD_RULES.get(name)
+        fault = rule(value) if rule is not None else None
+        if fault is not None:
+            self._add(key, f"{value!r} {fault.reason}", fault.allowed)
+
+    def _add(self, key: str, reason: str, allowed: str) -> None:
+        self.problems.append(SettingProblem(key, reason, allowed))
+
+
+def _cross_checks(settings: SettingsValue) -> Problems:
+    """Check what concerns several settings together."""
+    problems: list[SettingProblem] = []
+    if isinstance(settings, ControlSettings | ClaimsSettings):
+        problems += _check_group(settings)
+    if isinstance(settings, RelaySettings):
+        problems += _check_relay(settings)
+    if isinstance(settings, NodeSettings):
+        problems += _check_node(settings)
+    if isinstance(settings, OperatorSettings):
+        problems += _check_names("replicas", list(settings.replicas))
+    return tuple(problems)
+
+
+def _check_group(settings: ControlSettings | ClaimsSettings) -> list[SettingProblem]:
+    problems = _check_names("replicas", [peer.name for peer in settings.replicas])
+    names = {peer.name for peer in settings.replicas}
+    if not settings.data_folder:
+        problems.append(SettingProblem("data_folder", "is empty", "a folder on disk"))
+    if not settings.join and settings.replica not in names:
+        reason = f"does not list this replica ({settings.replica})"
+        allowed = "the first members, this one included; or join = true"
+        problems.append(SettingProblem("replicas", reason, allowed))
+    lowest = settings.heartbeat_milliseconds * MIN_HEARTBEATS_PER_ELECTION
+    if settings.election_milliseconds < lowest:
+        reason = f"{settings.election_milliseconds} is too short for the heartbeat"
+        allowed = f"at least {lowest} ({MIN_HEARTBEATS_PER_ELECTION} heartbeats)"
+        problems.append(SettingProblem("election_milliseconds", reason, allowed))
+    return problems
+
+
+def _check_relay(settings: RelaySettings) -> list[SettingProblem]:
+    problems = _check_names("replicas", [peer.name for peer in settings.replicas])
+    problems += _check_names("relays", [peer.name for peer in settings.relays], empty=True)
+    if settings.stale_after_milliseconds < settings.freshness_milliseconds:
+        reason = "is shorter than freshness_milliseconds"
+        allowed = f"at least {settings.freshness_milliseconds}"
+        problems.append(SettingProblem("stale_after_milliseconds", reason, allowed))
+    return problems
+
+
+def _check_node(settings: NodeSettings) -> list[SettingProblem]:
+    problems = _check_names("relays", [peer.name for peer in settings.relays])
+    problems += _check_names("claims", [peer.name for peer in settings.claims], empty=True)
+    if settings.backend and not settings.internal_listen:
+        reason = "is empty, but there is a backend"
+        allowed = "an address where other nodes reach this one"
+        problems.append(SettingProblem("internal_listen", reason, allowed))
+    return problems
+
+
+def _check_names(key: str, names: list[str], empty: bool = False) -> list[SettingProblem]:
+    problems: list[SettingProblem] = []
+    if not names and not empty:
+        problems.append(SettingProblem(key, "is empty", f"at least one [[{key}]]"))
+    for name in sorted({name for name in names if names.count(name) > 1}):
+        problems.append(SettingProblem(key, f"lists {name!r} twice", "each name once"))
+    return problems
+
+
+def _merge(table: Mapping[str, Any], flags: Mapping[str, Any]) -> dict[str, Any]:
+    """Put flags over the file; tables are merged key by key, lists replaced."""
+    merged = dict(table)
+    for key, value in flags.items():
+        below = merged.get(key)
+        if isinstance(value, dict) and isinstance(below, dict):
+            merged[key] = {**below, **value}
+        else:
+            merged[key] = value
+    return merged
+
+
+def _nested_type(annotation: Any) -> type[SettingsValue] | None:
+    """Give the settings type inside ``tuple[X, ...]`` or ``X | None``, if any."""
+    candidates = typing.get_args(annotation) or (annotation,)
+    for candidate in candidates:
+        if isinstance(candidate, type) and issubclass(candidate, SettingsValue):
+            return candidate
+    return None
+
+
+def _type_words(annotation: Any) -> str:
+    nested = _nested_type(annotation)
+    if nested is None:
+        return _TYPE_WORDS[annotation]
+    names = ", ".join(field.name for field in msgspec.structs.fields(nested))
+    many = typing.get_origin(annotation) not in (types.UnionType, typing.Union)
+    return f"{'tables' if many else 'a table'} with {names}"
+
+
+def _value_words(value: Any) -> str:
+    return _TYPE_WORDS.get(type(value), f"a {type(value).__name__}")
+
+
+def _failure(key: str, reason: str, allowed: str) -> Failure[Problems]:
+    return Failure((SettingProblem(key, reason, allowed),))
--- /dev/null
+++ b/src/peppershore/process/settings_rules.py
@@ -0,0 +1,145 @@
+"""What each setting may hold, by the name of its field.
+
+A rule gives None for a good value, else what is wrong and what is allowed.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from collections.abc import Callable
+
+import msgspec
+
+from peppershore.process.logging import LEVELS
+
+MAX_PORT = 65_535
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
+NAME_ALLOWED = "1 to 64 letters, digits, '_', '.' or '-', the first a letter or digit"
+ADDRESS_ALLOWED = "an IP number and a port, such as 127.0.0.1:7001 or [::1]:7001"
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """Why a value is refused and what would be taken."""
+
+    reason: str
+    allowed: str
+
+
+Rule = Callable[[object], Fault | None]
+
+
+def name_rule(value: object) -> Fault | None:
+    """Accept the name of a cluster, process, service or zone."""
+    if isinstance(value, str) and NAME_PATTERN.fullmatch(value):
+        return None
+    return Fault("is not a name", NAME_ALLOWED)
+
+
+def folder_rule(value: object) -> Fault | None:
+    """Accept a path that the machine can hold; it need not exist yet."""
+    if isinstance(value, str) and value and "\0" not in value:
+        return None
+    return Fault("is not a path", "a path without a zero byte")
+
+
+def level_rule(value: object) -> Fault | None:
+    """Accept the name of a log level."""
+    if value in LEVELS:
+        return None
+    return Fault("is no log level", ", ".join(LEVELS))
+
+
+def address_rule(value: object, *, lowest_port: int) -> Fault | None:
+    """Accept "IP:port" with a port of at least ``lowest_port``."""
+    allowed = f"{ADDRESS_ALLOWED}, port {lowest_port} to {MAX_PORT}"
+    if not isinstance(value, str):
+        return Fault("is not an address", allowed)
+    host, separator, port = value.rpartition(":")
+    if not separator or not _is_port(port, lowest_port):
+        return Fault("has no usable port", allowed)
+    if not _is_ip_number(host):
+        return Fault("has no IP number before the port", allowed)
+    return None
+
+
+def listen_rule(value: object) -> Fault | None:
+    """Accept an address to listen on; port 0 takes a free port."""
+    return address_rule(value, lowest_port=0)
+
+
+def peer_rule(value: object) -> Fault | None:
+    """Accept an address to connect to."""
+    return address_rule(value, lowest_port=1)
+
+
+def optional(rule: Rule) -> Rule:
+    """Let a rule also accept the empty string, which turns the feature off."""
+
+    def accept(value: object) -> Fault | None:
+        return None if value == "" else rule(value)
+
+    return accept
+
+
+def between(lowest: int, highest: int, unit: str) -> Rule:
+    """Accept whole numbers from ``lowest`` to ``highest``."""
+
+    def accept(value: object) -> Fault | None:
+        if isinstance(value, int) and lowest <= value <= highest:
+            return None
+        return Fault("is out of bounds", f"{lowest} to {highest} {unit}".rstrip())
+
+    return accept
+
+
+FIELD_RULES: dict[str, Rule] = {
+    "cluster": name_rule,
+    "replica": name_rule,
+    "relay": name_rule,
+    "node": name_rule,
+    "name": name_rule,
+    "service": name_rule,
+    "zone": name_rule,
+    "listen": listen_rule,
+    "admin_listen": optional(listen_rule),
+    "internal_listen": optional(listen_rule),
+    "backend": optional(peer_rule),
+    "address": peer_rule,
+    "replicas": peer_rule,
+    "data_folder": optional(folder_rule),
+    "certificate": folder_rule,
+    "key": folder_rule,
+    "authority": folder_rule,
+    "log_level": level_rule,
+    "heartbeat_milliseconds": between(5, 60_000, "milliseconds"),
+    "election_milliseconds": between(20, 600_000, "milliseconds"),
+    "snapshot_entries": between(1, 10_000_000, "entries"),
+    "change_id_horizon": between(1, 10_000_000, "changes"),
+    "batching_milliseconds": between(0, 60_000, "milliseconds"),
+    "freshness_milliseconds": between(20, 600_000, "milliseconds"),
+    "stale_after_milliseconds": between(50, 3_600_000, "milliseconds"),
+    "hellos_per_second": between(1, 1_000_000, "a second"),
+    "hold_milliseconds": between(0, 600_000, "milliseconds"),
+    "slots": between(1, 100_000, "slots"),
+    "connections": between(1, 100_000, "connections"),
+    "stop_bound_milliseconds": between(0, 3_600_000, "milliseconds"),
+    "timeout_milliseconds": between(1, 86_400_000, "milliseconds"),
+    "horizon_seconds": between(1, 31_536_000, "seconds"),
+}
+"""The rule of each field name, the same in every kind of settings."""
+
+
+def _is_port(text: str, lowest: int) -> bool:
+    if not (text.isascii() and text.isdigit()) or len(text) > len(str(MAX_PORT)):
+        return False
+    return lowest <= int(text) <= MAX_PORT
+
+
+def _is_ip_number(host: str) -> bool:
+    bare = host[1:-1] if host.startswith("[") and host.endswith("]") else host
+    try:
+        number = ipaddress.ip_address(bare)
+    except ValueError:
+        return False
+    return number.version == 4 or bare != host
