--- /dev/null
+++ b/src/peppershore_lab/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in callers: open-loop load with a journal of every outcome."""
--- /dev/null
+++ b/src/peppershore_lab/main.py
@@ -0,0 +1,62 @@
+"""The command line of the lab: ``peppershore-lab``."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import TypeVar
+
+import click
+import msgspec
+
+from peppershore_lab.calls.caller import run_caller
+from peppershore_lab.calls.plan import CallerPlan
+from peppershore_lab.standin.backend import Backend, BackendIdentity, run_backend
+from peppershore_lab.standin.behaviour import Behaviour
+
+Kind = TypeVar("Kind")
+FILE = click.Path(path_type=Path)
+EXISTING_FILE = click.Path(path_type=Path, exists=True, dir_okay=False)
+
+
+@click.group()
+def main() -> None:
+    """Fleets of real processes, stand-ins, faults and experiments for peppershore."""
+
+
+@main.command()
+@click.option("--service", required=True, help="The service it belongs to.")
+@click.option("--backend", required=True, help="Its own name.")
+@click.option("--listen", required=True, metavar="IP:PORT")
+@click.option("--journal", type=FILE, required=True, help="Journal of runs (JSON lines).")
+@click.option("--behaviour", type=EXISTING_FILE, help="Behaviour as a JSON file.")
+@click.option("--seed", type=int, default=1, show_default=True)
+def backend(
+    *,
+    service: str,
+    backend: str,
+    listen: str,
+    journal: Path,
+    behaviour: Path | None,
+    seed: int,
+) -> None:
+    """Run a stand-in back end until SIGTERM."""
+    host, _, port = listen.rpartition(":")
+    chosen = _read_json(behaviour, Behaviour) if behaviour is not None else Behaviour()
+    instance = Backend(BackendIdentity(service, backend), chosen, journal, seed)
+    asyncio.run(run_backend(instance, host, int(port)))
+
+
+@main.command()
+@click.option("--plan", type=EXISTING_FILE, required=True, help="A plan as a JSON file.")
+def caller(plan: Path) -> None:
+    """Send the calls of a plan; prints the summary as one JSON object."""
+    summary = asyncio.run(run_caller(_read_json(plan, CallerPlan)))
+    click.echo(msgspec.json.encode(summary).decode())
+
+
+def _read_json(path: Path, kind: type[Kind]) -> Kind:
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=kind)
+    except msgspec.DecodeError as problem:
+        raise click.BadParameter(f"{path}: {problem}") from problem
--- /dev/null
+++ b/src/peppershore_lab/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in back ends: processes that behave as a user's services do."""
