Certificates, identities and permissions of links; secret, replica, settings and keys commands

Cause: links between processes must be mutually authenticated, and no node may ask for another scope's secrets. Conclusion: a certificate's URI names role, name and a node's scope; the shell ends a link whose peer sends what its certificate does not allow.

--- a/src/peppershore/command/edits.py
+++ b/src/peppershore/command/edits.py
@@ -18,6 +18,7 @@
     TreeAnswered,
     TreeQuery,
 )
+from peppershore.version.editor import SECRET_SUBJECT, ZONE_SUBJECT
 from peppershore.version.model import (
     Edit,
     EditAccepted,
@@ -35,9 +36,8 @@
     Tree,
     Version,
 )
+from peppershore.version.tree import revision_of
 
-SECRET_SUBJECT = "secret:"
-ZONE_SUBJECT = "zone:"
 NEWEST: Version = 0
 
 
@@ -120,18 +120,6 @@
     return operation.path
 
 
-def revision_of(tree: Tree, subject: str) -> Version:
-    """Give the version that changed a subject last; 0 if it does not exist."""
-    if subject.startswith(ZONE_SUBJECT):
-        zone = tree.zones.get(subject.removeprefix(ZONE_SUBJECT))
-        return zone.revision if zone is not None else 0
-    if subject.startswith(SECRET_SUBJECT):
-        secret = tree.secrets.get(subject.removeprefix(SECRET_SUBJECT))
-        return secret.revision if secret is not None else 0
-    node = tree.nodes.get(subject)
-    return node.revision if node is not None else 0
-
-
 def _expected(request: EditRequest, tree: Tree | None) -> tuple[ExpectedRevision, ...]:
     subjects = dict.fromkeys(subject_of(operation) for operation in request.operations)
     if request.revision is not None:
--- a/src/peppershore/command/main.py
+++ b/src/peppershore/command/main.py
@@ -4,7 +4,11 @@
 
 import click
 
+from peppershore.command.key_commands import keys
+from peppershore.command.replica_commands import replica
+from peppershore.command.secret_commands import secret
 from peppershore.command.serve import serve
+from peppershore.command.settings_commands import settings
 from peppershore.command.status_commands import status, watch
 from peppershore.command.tree_commands import tree
 from peppershore.command.zone_commands import zone
@@ -22,8 +26,15 @@
     """
 
 
-main.add_command(serve)
-main.add_command(tree)
-main.add_command(zone)
-main.add_command(status)
-main.add_command(watch)
+for _command in (
+    serve,
+    tree,
+    zone,
+    secret,
+    status,
+    watch,
+    replica,
+    settings,
+    keys,
+):
+    main.add_command(_command)
--- a/src/peppershore/command/status_commands.py
+++ b/src/peppershore/command/status_commands.py
@@ -25,6 +25,8 @@
 )
 from peppershore.version.model import Version
 
+REPLICA_HEADER = ("REPLICA", "ADDRESS", "ROLE", "TERM", "VERSION", "VOTER")
+
 
 class WatchResult(msgspec.Struct, frozen=True):
     """How a version came into force.
@@ -87,20 +89,7 @@
     parts = [
         f"cluster {answer.cluster}: version {answer.version}, in force {answer.in_force}, "
         f"leader {answer.leader or 'unknown'}",
-        format_table(
-            ("REPLICA", "ADDRESS", "ROLE", "TERM", "VERSION", "VOTER"),
-            [
-                (
-                    item.replica,
-                    item.address,
-                    item.role,
-                    item.term,
-                    item.match_version,
-                    item.voter,
-                )
-                for item in answer.replicas
-            ],
-        ),
+        format_table(REPLICA_HEADER, replica_rows(answer)),
         format_table(
             ("RELAY", "ZONE", "VERSION", "IN FORCE", "NODES", "LAGGING", "BYTES", "AGE"),
             [_relay_row(item) for item in answer.relays],
@@ -117,6 +106,14 @@
     return "\n\n".join(parts)
 
 
+def replica_rows(answer: StatusAnswered) -> list[tuple[object, ...]]:
+    """Give a row of ``REPLICA_HEADER`` for each replica."""
+    return [
+        (item.replica, item.address, item.role, item.term, item.match_version, item.voter)
+        for item in answer.replicas
+    ]
+
+
 async def _watch(
     context: OperatorContext, version: int | None
 ) -> Result[WatchResult, Failed]:
--- a/src/peppershore/command/tree_commands.py
+++ b/src/peppershore/command/tree_commands.py
@@ -10,7 +10,7 @@
 from peppershore.command.failures import not_found, usage
 from peppershore.command.options import OperatorContext, operator_options
 from peppershore.command.output import show_json, show_table, stop_with
-from peppershore.command.tree_output import node_rows, set_values, view_tree
+from peppershore.command.tree_output import node_rows, view_tree
 from peppershore.command.values import OVERRIDE_NAMES, read_assignments
 from peppershore.version.model import (
     ROOT_PATH,
@@ -19,6 +19,7 @@
     SetOverrides,
     UnsetOverrides,
 )
+from peppershore.version.resolve import set_values
 
 SHOW_STEP = "`peppershore tree show` lists every node"
 version_option = click.option(
--- a/src/peppershore/command/tree_output.py
+++ b/src/peppershore/command/tree_output.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from peppershore.command.values import OVERRIDE_NAMES
-from peppershore.version.model import ROOT_PATH, Overrides, Secret, Tree, Version
+from peppershore.version.model import ROOT_PATH, Secret, Tree, Version
+from peppershore.version.resolve import set_values
 
 
 class NodeView(msgspec.Struct, frozen=True):
@@ -75,12 +75,6 @@
     )
 
 
-def set_values(overrides: Overrides) -> dict[str, object]:
-    """Give the overrides that are set, by name."""
-    values = ((name, getattr(overrides, name)) for name in OVERRIDE_NAMES)
-    return {name: value for name, value in values if value is not msgspec.UNSET}
-
-
 def is_within(path: str, below: str) -> bool:
     """Tell whether ``path`` is ``below`` or lies under it."""
     return below in (ROOT_PATH, path) or path.startswith(below + "/")
--- /dev/null
+++ b/src/peppershore/connection/authorization.py
@@ -0,0 +1,93 @@
+"""Which messages a peer may send, by the identity in its certificate.
+
+A link without TLS has no identity; everything is allowed on it, which suits a
+trial on one machine only.  With TLS, a peer may send the messages of its role,
+and must be the node, relay or scope that its own messages name.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from returns.result import Failure
+
+from peppershore.connection.identity import PeerIdentity, parse_identity
+from peppershore.connection.messages import (
+    EndpointAnnounced,
+    FollowRequest,
+    Message,
+    NodeHello,
+    ProgressReported,
+    RelayHello,
+)
+
+Authorize = Callable[[str, Message], str]
+"""Gives the reason why a peer (its identity's URI) may not send a message, or ""."""
+
+SESSION_TAGS = frozenset(range(1, 20))
+CONSENSUS_TAGS = frozenset(range(70, 90))
+OPERATOR_TAGS = frozenset(range(90, 120))
+CLAIMS_TAGS = frozenset(range(120, 140))
+CALL_TAGS = frozenset(range(140, 160))
+
+SENDER_TAGS: dict[str, frozenset[int]] = {
+    "control": frozenset({51, 52, 54}) | CONSENSUS_TAGS | OPERATOR_TAGS,
+    "relay": frozenset({21, 22, 25, 41, 42, 43, 44, 45, 50, 53, 55}),
+    "node": frozenset({20, 23, 24, 40}) | CLAIMS_TAGS | CALL_TAGS,
+    "claims": CONSENSUS_TAGS | CLAIMS_TAGS,
+    "operator": OPERATOR_TAGS,
+}
+"""The tags that each role sends, besides the session's."""
+
+
+def authorizer(own_role: str) -> Authorize:
+    """Give the check for a process of ``own_role``.
+
+    Consensus messages are taken only from the same role, so that a claims
+    replica never votes in the control group.
+    """
+
+    def authorize(uri: str, message: Message) -> str:
+        parsed = parse_identity(uri)
+        if isinstance(parsed, Failure):
+            return f"the certificate's identity {parsed.failure().reason}"
+        return _refusal(own_role, parsed.unwrap(), message)
+
+    return authorize
+
+
+def allow_all(uri: str, message: Message) -> str:
+    """Allow every message; for links without TLS."""
+    del uri, message
+    return ""
+
+
+def _refusal(own_role: str, peer: PeerIdentity, message: Message) -> str:
+    tag = int(message.__struct_config__.tag or 0)
+    if tag not in SESSION_TAGS | SENDER_TAGS[peer.role]:
+        return f"a {peer.role} may not send {type(message).__name__}"
+    if tag in CONSENSUS_TAGS and peer.role != own_role:
+        return f"a {peer.role} has no vote in a group of {own_role} replicas"
+    return _impersonation(peer, message)
+
+
+def _impersonation(peer: PeerIdentity, message: Message) -> str:
+    for claimed, own, what in _claims_of(peer, message):
+        if claimed != own:
+            return f"{what} {claimed!r} is not the certificate's {own!r}"
+    return ""
+
+
+def _claims_of(peer: PeerIdentity, message: Message) -> Iterable[tuple[str, str, str]]:
+    if isinstance(message, NodeHello):
+        yield message.cluster, peer.cluster, "the cluster"
+        yield message.node, peer.name, "the node"
+        yield message.scope.service, peer.service, "the service"
+        yield message.scope.zone, peer.zone, "the zone"
+    if isinstance(message, EndpointAnnounced):
+        yield message.endpoint.node, peer.name, "the node"
+        yield message.endpoint.service, peer.service, "the service"
+    if isinstance(message, FollowRequest | RelayHello):
+        yield message.cluster, peer.cluster, "the cluster"
+    if isinstance(message, FollowRequest | RelayHello | ProgressReported):
+        yield message.relay, peer.name, "the relay"
--- a/src/peppershore/connection/link.py
+++ b/src/peppershore/connection/link.py
@@ -173,11 +173,11 @@
 
 
 def _identity(transport: asyncio.BaseTransport) -> str:
+    """Give the URI in the peer's certificate, which ``identity`` can read."""
     certificate = transport.get_extra_info("peercert")
     if not certificate:
         return ""
-    for attributes in certificate.get("subject", ()):
-        for name, value in attributes:
-            if name == "commonName":
-                return str(value)
+    for kind, value in certificate.get("subjectAltName", ()):
+        if kind == "URI":
+            return str(value)
     return ""
--- a/src/peppershore/connection/tls.py
+++ b/src/peppershore/connection/tls.py
@@ -1,21 +1,23 @@
 """Mutual TLS between the system's processes, from PEM files.
 
 Both sides show a certificate of the site's authority.  Addresses are plain IP
-numbers, so that a peer is known by the common name of its certificate and not
-by a host name.  Files that changed on disk are read again without a restart:
-a context takes the new certificate for the links made after that.
+numbers, so that a peer is known by the identity in its certificate and not by
+a host name.  Files that changed on disk are read again without a restart: the
+context uses the new certificate for the links made after that.
 """
 
 from __future__ import annotations
 
 import os
 import ssl
+from pathlib import Path
 
 import msgspec
+from cryptography import x509
 
 
 class TlsPaths(msgspec.Struct, frozen=True):
-    """The PEM files of one process."""
+    """The PEM files of one process; certificate and key may be one file."""
 
     certificate: str
     key: str
@@ -23,42 +25,53 @@
 
 
 class FileStamp(msgspec.Struct, frozen=True):
-    """What tells one content of a file from the next: time, size and inode."""
+    """What tells one content of a file from the next."""
 
     modified_nanoseconds: int
     size: int
     inode: int
 
 
+class Reload(msgspec.Struct, frozen=True):
+    """What a look at the files gave; ``failure`` says why they can't be used."""
+
+    reloaded: bool = False
+    failure: str = ""
+
+
 class ReloadingContext:
     """An ``ssl.SSLContext`` that follows its files.
 
-    ``reload_if_changed`` reads changed files; a pair that does not fit (a
-    certificate written before its key) keeps the old one until the next call.
+    New files are tried on a scratch context first, so that a pair that does
+    not fit together leaves the context in use as it was.
     """
 
-    def __init__(self, paths: TlsPaths, side: ssl._SSLMethod) -> None:
-        """Read the files; raises OSError or ssl.SSLError when they are unusable."""
-        self.context = ssl.SSLContext(side)
+    def __init__(self, paths: TlsPaths, protocol: ssl._SSLMethod) -> None:
+        """Read the files; raises OSError, ValueError or ssl.SSLError if unusable."""
+        self._paths = paths
+        self._protocol = protocol
+        self._stamps = _stamps(paths)
+        self.context = ssl.SSLContext(protocol)
         self.context.minimum_version = ssl.TLSVersion.TLSv1_3
         self.context.check_hostname = False
         self.context.verify_mode = ssl.CERT_REQUIRED
-        self._paths = paths
-        self._stamps = _stamps(paths)
         self._load(self.context)
+        self.expires_unix_seconds = _expiry(paths)
 
-    def reload_if_changed(self) -> str:
-        """Read changed files; give the reason if they could not be used, else ""."""
+    def reload_if_changed(self) -> Reload:
+        """Read the files again if they changed."""
         try:
             stamps = _stamps(self._paths)
             if stamps == self._stamps:
-                return ""
-            self._load(ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT))
+                return Reload()
+            self._load(ssl.SSLContext(self._protocol))
+            expires = _expiry(self._paths)
             self._load(self.context)
-        except (OSError, ssl.SSLError) as problem:
-            return f"certificate files not taken: {type(problem).__name__}"
+        except (OSError, ValueError) as problem:
+            return Reload(failure=f"{type(problem).__name__} in the certificate files")
         self._stamps = stamps
-        return ""
+        self.expires_unix_seconds = expires
+        return Reload(reloaded=True)
 
     def _load(self, context: ssl.SSLContext) -> None:
         context.load_cert_chain(self._paths.certificate, self._paths.key)
@@ -75,6 +88,11 @@
     return ReloadingContext(paths, ssl.PROTOCOL_TLS_SERVER)
 
 
+def _expiry(paths: TlsPaths) -> float:
+    certificate = x509.load_pem_x509_certificate(Path(paths.certificate).read_bytes())
+    return certificate.not_valid_after_utc.timestamp()
+
+
 def _stamps(paths: TlsPaths) -> tuple[FileStamp, ...]:
     return tuple(_stamp(path) for path in (paths.certificate, paths.key, paths.authority))
 
--- /dev/null
+++ b/src/peppershore/process/link_security.py
@@ -0,0 +1,96 @@
+"""TLS contexts of one process, kept in step with its files, and its permissions."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+import time
+from collections.abc import Callable
+from typing import ClassVar
+
+from peppershore.connection.authorization import Authorize, allow_all, authorizer
+from peppershore.connection.tls import (
+    ReloadingContext,
+    TlsPaths,
+    client_context,
+    server_context,
+)
+from peppershore.process.commands import Notice
+from peppershore.process.metrics import ProcessMetrics
+from peppershore.process.settings import TlsFiles
+
+RELOAD_SECONDS = 5.0
+
+NoticeSink = Callable[[Notice], None]
+
+
+class CertificateReloaded(Notice, frozen=True):
+    """The process took changed certificate files for its new links."""
+
+
+class CertificateReloadFailed(Notice, frozen=True):
+    """Changed certificate files can't be used; the old ones stay."""
+
+    level: ClassVar[str] = "warning"
+    reason: str
+
+
+class CertificateFilesUnusable(Notice, frozen=True):
+    """The process can't start with its certificate files."""
+
+    level: ClassVar[str] = "error"
+    reason: str
+
+
+class LinkSecurity:
+    """What a role's shell gives its links: contexts and permissions.
+
+    Without TLS files there are no contexts, and every message is allowed.
+    Raises OSError or ssl.SSLError at the start when the files are unusable.
+    """
+
+    def __init__(self, role: str, files: TlsFiles | None) -> None:
+        """Read the files of a process of ``role``."""
+        self.authorize: Authorize = allow_all
+        self.client: ssl.SSLContext | None = None
+        self.server: ssl.SSLContext | None = None
+        self._reloading: tuple[ReloadingContext, ...] = ()
+        self._timer: asyncio.TimerHandle | None = None
+        if files is None:
+            return
+        paths = TlsPaths(files.certificate, files.key, files.authority)
+        client = client_context(paths)
+        server = server_context(paths)
+        self._reloading = (client, server)
+        self.authorize = authorizer(role)
+        self.client = client.context
+        self.server = server.context
+
+    def start(self, metrics: ProcessMetrics) -> None:
+        """Look at the files every few seconds; show when the certificate ends."""
+        if not self._reloading:
+            return
+        metrics.gauge(
+            "certificate_seconds_left",
+            "Seconds until the certificate in use ends.",
+            lambda: self._reloading[0].expires_unix_seconds - time.time(),
+        )
+        self._schedule(metrics.notice)
+
+    def close(self) -> None:
+        """Look no more."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _schedule(self, notice_sink: NoticeSink) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(RELOAD_SECONDS, self._reload, notice_sink)
+
+    def _reload(self, notice_sink: NoticeSink) -> None:
+        for context in self._reloading:
+            change = context.reload_if_changed()
+            if change.failure:
+                notice_sink(CertificateReloadFailed(change.failure))
+            elif change.reloaded:
+                notice_sink(CertificateReloaded())
+        self._schedule(notice_sink)
--- /dev/null
+++ b/src/peppershore/process/settings_examples.py
@@ -0,0 +1,115 @@
+"""Example settings files, one for each role; all are checked by a test."""
+
+from __future__ import annotations
+
+_TLS = """
+# Mutual TLS between processes (`peppershore keys make`); leave out for a trial.
+# [tls]
+# certificate = "keys/NAME.pem"      # key and certificate in one file
+# key = "keys/NAME.pem"
+# authority = "keys/authority.crt"
+"""
+
+_CONTROL = """\
+# A control replica: keeps the accepted changes and serves operators and relays.
+cluster = "refund-network"         # the same in every process of one cluster
+replica = "control-1"              # this replica's name; one of the replicas below
+listen = "127.0.0.1:7001"          # links of replicas, relays and operators
+data_folder = "data/control-1"     # on a disk of this machine
+admin_listen = "127.0.0.1:7901"    # /metrics, /healthz, /readyz, /status; "" for none
+join = false                       # true: wait to be added by `peppershore replica add`
+heartbeat_milliseconds = 50        # leader to followers
+election_milliseconds = 400        # silence after which a follower asks for votes
+snapshot_entries = 2000            # log entries between snapshots
+change_id_horizon = 20000          # changes whose outcome a resend still gets
+log_level = "info"                 # debug, info, warning or error
+
+[[replicas]]                       # the first members, this one included
+name = "control-1"
+address = "127.0.0.1:7001"
+"""
+
+_RELAY = """\
+# A relay: follows a control replica and serves the nodes of its zone.
+cluster = "refund-network"
+relay = "relay-1"
+zone = "pasila"
+listen = "127.0.0.1:7101"          # links of nodes and other relays
+admin_listen = "127.0.0.1:7911"    # /metrics, /healthz, /readyz; "" for none
+batching_milliseconds = 0          # collect changes this long: fewer bytes, later in force
+freshness_milliseconds = 2000      # between confirmations by a quorum
+stale_after_milliseconds = 6000    # confirmation older than this: not ready
+hellos_per_second = 3000           # nodes admitted; others are told when to come back
+hold_milliseconds = 3000           # endpoints outlive a lost session by this
+log_level = "info"                 # debug, info, warning or error
+
+[[replicas]]                       # every control replica
+name = "control-1"
+address = "127.0.0.1:7001"
+
+[[relays]]                         # every other relay
+name = "relay-2"
+zone = "keilaniemi"
+address = "127.0.0.1:7102"
+"""
+
+_NODE = """\
+# A node: the proxy beside one back end, or at the edge (no backend).
+cluster = "refund-network"
+node = "kassa-1"
+service = "kassa"                  # the service of the back end beside it
+zone = "pasila"
+listen = "127.0.0.1:7201"          # HTTP/1.1 of callers
+internal_listen = "127.0.0.1:7301" # calls from other nodes; needed with a backend
+backend = "127.0.0.1:7401"         # the back end; "" at the edge
+slots = 20                         # calls the back end runs at once
+connections = 130                  # connections the back end takes
+data_folder = "data/kassa-1"       # keeps the version floor; "" without a disk
+admin_listen = "127.0.0.1:7921"    # /metrics, /healthz, /readyz, /configuration
+stop_bound_milliseconds = 30000    # longest wait for calls in flight at a planned stop
+log_level = "info"                 # debug, info, warning or error
+
+[[relays]]                         # relays to choose from
+name = "relay-1"
+zone = "pasila"
+address = "127.0.0.1:7101"
+
+# [[claims]]                       # replicas of the claims group, if one runs
+# name = "claims-1"
+# address = "127.0.0.1:7501"
+"""
+
+_CLAIMS = """\
+# A claims replica: remembers the calls that may run only once.
+cluster = "refund-network"
+replica = "claims-1"
+listen = "127.0.0.1:7501"
+data_folder = "data/claims-1"
+admin_listen = "127.0.0.1:7931"
+join = false
+heartbeat_milliseconds = 50
+election_milliseconds = 400
+snapshot_entries = 20000
+horizon_seconds = 86400            # how long an idempotency key is remembered
+log_level = "info"                 # debug, info, warning or error
+
+[[replicas]]
+name = "claims-1"
+address = "127.0.0.1:7501"
+"""
+
+_OPERATOR = """\
+# The command line: `peppershore --settings FILE`, or PEPPERSHORE_SETTINGS.
+replicas = ["127.0.0.1:7001"]      # control replicas; the leader is found by itself
+timeout_milliseconds = 10000       # how long a command keeps trying
+author = "anna"                    # shown in the history; default: your login
+"""
+
+EXAMPLES: dict[str, str] = {
+    "control": _CONTROL + _TLS,
+    "relay": _RELAY + _TLS,
+    "node": _NODE + _TLS,
+    "claims": _CLAIMS + _TLS,
+    "operator": _OPERATOR + _TLS,
+}
+"""An example file for each kind of settings, by the role's name."""
--- a/src/peppershore/process/settings_loader.py
+++ b/src/peppershore/process/settings_loader.py
@@ -33,8 +33,9 @@
     "relay": RelaySettings,
     "node": NodeSettings,
     "claims": ClaimsSettings,
+    "operator": OperatorSettings,
 }
-"""Settings of each role that ``serve`` starts."""
+"""Settings of each role that ``serve`` starts, and of the command line."""
 
 MIN_HEARTBEATS_PER_ELECTION = 3
 MAX_FILE_BYTES = 4 * 1024 * 1024
--- a/src/peppershore/process/settings_rules.py
+++ b/src/peppershore/process/settings_rules.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from peppershore.process.logging import LEVELS
+from peppershore.version.path import NAME_RULE, is_name
 
 MAX_PORT = 65_535
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
@@ -30,12 +31,19 @@
 
 
 def name_rule(value: object) -> Fault | None:
-    """Accept the name of a cluster, process, service or zone."""
+    """Accept the name of a cluster or process."""
     if isinstance(value, str) and NAME_PATTERN.fullmatch(value):
         return None
     return Fault("is not a name", NAME_ALLOWED)
 
 
+def tree_name_rule(value: object) -> Fault | None:
+    """Accept the name of a service or zone, as the tree names them."""
+    if isinstance(value, str) and is_name(value):
+        return None
+    return Fault("is not a name of the tree", NAME_RULE)
+
+
 def folder_rule(value: object) -> Fault | None:
     """Accept a path that the machine can hold; it need not exist yet."""
     if isinstance(value, str) and value and "\0" not in value:
@@ -99,8 +107,8 @@
     "relay": name_rule,
     "node": name_rule,
     "name": name_rule,
-    "service": name_rule,
-    "zone": name_rule,
+    "service": tree_name_rule,
+    "zone": tree_name_rule,
     "listen": listen_rule,
     "admin_listen": optional(listen_rule),
     "internal_listen": optional(listen_rule),
--- a/src/peppershore/process/shell.py
+++ b/src/peppershore/process/shell.py
@@ -11,10 +11,12 @@
 import secrets
 import ssl
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Any, ClassVar, TypeVar
 
+from peppershore.connection.authorization import Authorize, allow_all
 from peppershore.connection.codec import encode_message
 from peppershore.connection.link import Link, LinkListener, open_link
+from peppershore.connection.messages import Message, Refused
 from peppershore.process import commands, events
 from peppershore.process.core import Core
 
@@ -23,6 +25,16 @@
 
 CommandType = TypeVar("CommandType", bound=commands.Command)
 NoticeSink = Callable[[commands.Notice], None]
+NOT_AUTHORIZED = "not authorized"
+
+
+class PeerRefused(commands.Notice, frozen=True):
+    """A peer sent a message that its certificate does not allow."""
+
+    level: ClassVar[str] = "warning"
+    address: str
+    identity: str
+    reason: str
 
 
 class Shell:
@@ -34,8 +46,12 @@
         notice_sink: NoticeSink,
         client_tls: ssl.SSLContext | None = None,
         server_tls: ssl.SSLContext | None = None,
+        authorize: Authorize = allow_all,
     ) -> None:
-        """Bind a core to the running loop; nothing starts before ``run``."""
+        """Bind a core to the running loop; nothing starts before ``run``.
+
+        A message that ``authorize`` refuses ends its link.
+        """
         self.core = core
         self.stopped = asyncio.Event()
         self.bytes_sent = 0
@@ -43,6 +59,7 @@
         self._notice_sink = notice_sink
         self._client_tls = client_tls
         self._server_tls = server_tls
+        self._authorize = authorize
         self._links: dict[events.LinkId, Link] = {}
         self._opening: dict[events.LinkId, asyncio.Task[None]] = {}
         self._timers: dict[str, asyncio.TimerHandle] = {}
@@ -175,10 +192,22 @@
             on_closed=lambda reason: self._lost(link_id, reason),
         )
 
-    def _received(self, link_id: events.LinkId, message: object, size: int) -> None:
+    def _received(self, link_id: events.LinkId, message: Message, size: int) -> None:
         self.bytes_received += size
-        if link_id in self._links:
-            self.dispatch(events.MessageReceived(link_id, message))  # type: ignore[arg-type]
+        link = self._links.get(link_id)
+        if link is None:
+            return
+        refusal = self._authorize(link.peer_identity, message)
+        if refusal:
+            self._refuse(link_id, link, refusal)
+            return
+        self.dispatch(events.MessageReceived(link_id, message))
+
+    def _refuse(self, link_id: events.LinkId, link: Link, refusal: str) -> None:
+        self._notice_sink(PeerRefused(link.peer_address, link.peer_identity, refusal))
+        link.send(encode_message(Refused(NOT_AUTHORIZED, refusal)))
+        link.close()
+        self._lost(link_id, refusal)
 
     def _lost(self, link_id: events.LinkId, reason: str) -> None:
         if self._links.pop(link_id, None) is not None:
