--- a/src/peppershore/version/model.py
+++ b/src/peppershore/version/model.py
@@ -330,6 +330,10 @@
     name: str
     payload: bytes
 
+    def __repr__(self) -> str:
+        """Keep key material out of logs and tracebacks."""
+        return f"Resource(name={self.name!r}, payload=<{len(self.payload)} bytes>)"
+
 
 class Snapshot(Value, frozen=True):
     """All a node of ``scope`` holds at ``version``; replaced as a whole.
--- /dev/null
+++ b/src/peppershore/version/revert.py
@@ -0,0 +1,97 @@
+"""Operations that give a tree the content of another one, as a new version.
+
+Versions only go up: an operator who wants an older tree back edits the newest
+one.  Key material is not taken back: a secret that both trees have stays as it
+is, because a key that was replaced may be known to others.
+"""
+
+from __future__ import annotations
+
+from peppershore.version.model import (
+    Operation,
+    PromoteSecret,
+    PutSecret,
+    RemoveNode,
+    RemoveSecret,
+    RemoveZone,
+    Secret,
+    SetOverrides,
+    SetZone,
+    Tree,
+    UnsetOverrides,
+)
+from peppershore.version.resolve import set_values
+
+GENERATIONS_BEFORE_SIGNING = 1
+
+
+def revert_operations(current: Tree, older: Tree) -> tuple[Operation, ...]:
+    """Give what makes ``current`` equal to ``older`` but for secrets both have.
+
+    Empty if there is nothing to do.  The operations belong in one edit.
+    """
+    return (
+        *_zone_operations(current, older),
+        *_secret_operations(current, older),
+        *_node_operations(current, older),
+        *(RemoveSecret(name) for name in sorted(current.secrets.keys() - older.secrets)),
+        *(RemoveZone(name) for name in sorted(current.zones.keys() - older.zones)),
+    )
+
+
+def _zone_operations(current: Tree, older: Tree) -> list[Operation]:
+    operations: list[Operation] = []
+    for name, zone in sorted(older.zones.items()):
+        known = current.zones.get(name)
+        if known is None or known.region != zone.region:
+            operations.append(SetZone(name, zone.region))
+    return operations
+
+
+def _secret_operations(current: Tree, older: Tree) -> list[Operation]:
+    operations: list[Operation] = []
+    for name in sorted(older.secrets.keys() - current.secrets):
+        operations += _create_secret(name, older.secrets[name])
+    return operations
+
+
+def _create_secret(name: str, secret: Secret) -> list[Operation]:
+    """Create a secret from the generation before the signing one onwards."""
+    numbers = [each.generation for each in secret.generations]
+    signing = numbers.index(secret.signing_generation)
+    first = max(0, signing - GENERATIONS_BEFORE_SIGNING)
+    operations: list[Operation] = [
+        PutSecret(name, each.material) for each in secret.generations[first:]
+    ]
+    if first < signing:
+        operations.append(PromoteSecret(name, 1 + signing - first))
+    return operations
+
+
+def _node_operations(current: Tree, older: Tree) -> list[Operation]:
+    removed = _topmost(current.nodes.keys() - older.nodes)
+    gone = {path for path in current.nodes if _is_below(path, removed)}
+    operations: list[Operation] = [RemoveNode(path) for path in sorted(removed)]
+    for path, node in sorted(older.nodes.items()):
+        known = None if path in gone else current.nodes.get(path)
+        if known is None:
+            operations.append(SetOverrides(path, node.overrides))
+            continue
+        surplus = set_values(known.overrides).keys() - set_values(node.overrides)
+        if surplus:
+            operations.append(UnsetOverrides(path, tuple(sorted(surplus))))
+        if known.overrides != node.overrides:
+            operations.append(SetOverrides(path, node.overrides))
+    return operations
+
+
+def _topmost(paths: set[str]) -> frozenset[str]:
+    return frozenset(
+        path for path in paths if not _is_below(path, frozenset(paths) - {path})
+    )
+
+
+def _is_below(path: str, others: frozenset[str]) -> bool:
+    """Tell whether a path is one of the others or lies under one of them."""
+    segments = path.split("/")
+    return any("/".join(segments[: end + 1]) in others for end in range(1, len(segments)))
--- /dev/null
+++ b/tests/version/test_resolution.py
@@ -0,0 +1,80 @@
+"""Inheritance: which layer wins, and that each value tells where it comes from."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Success
+from tests.version.tree_strategies import SERVICES, STARTING_OPERATIONS, ZONES, edits
+from tests.version.trees import applied, edit_of, refund_tree
+
+from peppershore.version.catalog import ScopeCatalog
+from peppershore.version.model import Operation, Overrides, Scope, SetOverrides, Tree
+from peppershore.version.resolve import (
+    BUILT_IN,
+    resolve_route,
+    resolve_service,
+    routes_of,
+    services_of,
+)
+from peppershore.version.snapshot import open_snapshot
+from peppershore.version.tree import apply_edit, empty_tree
+
+
+def test_later_layers_win_and_each_value_names_its_node() -> None:
+    tree = refund_tree()
+    layers = ("/", "/kassa", "/kassa/*", "/kassa/pasila", "/kassa/*/pay")
+    for number, path in enumerate((*layers, "/kassa/pasila/pay"), start=1):
+        tree = applied(tree, SetOverrides(path, Overrides(retry_attempts=number))).tree
+        resolved = resolve_route(tree, "kassa", "pasila", "pay")
+        assert resolved.settings.retry_attempts == number
+        origin = next(each for each in resolved.origins if each.name == "retry_attempts")
+        assert (origin.value, origin.path) == (number, path)
+    elsewhere = resolve_route(tree, "kassa", "vantaa-t2", "pay")
+    assert elsewhere.settings.retry_attempts == 5
+
+
+def test_built_in_values_and_default_target() -> None:
+    resolved = resolve_route(refund_tree(), "kuitti", "pasila", "read")
+    origins = {each.name: each.path for each in resolved.origins}
+    assert resolved.settings.target == "kuitti"
+    assert origins["target"] == BUILT_IN
+    assert origins["timeout_milliseconds"] == "/"
+    service = resolve_service(refund_tree(), "kassa", "pasila")
+    assert {each.name: each.path for each in service.origins}["slots"] == "/kassa"
+
+
+def test_routes_of_a_zone_are_those_of_any_zone_and_its_own() -> None:
+    operation = SetOverrides("/kassa/pasila/refund", Overrides(path_prefix="/refund"))
+    tree = applied(refund_tree(), operation).tree
+    assert routes_of(tree, "kassa", "pasila") == ("pay", "refund")
+    assert routes_of(tree, "kassa", "vantaa-t2") == ("pay",)
+    assert routes_of(tree, "nobody", "pasila") == ()
+
+
+def check_catalog_against_resolution(tree: Tree) -> None:
+    catalog = ScopeCatalog()
+    catalog.load(tree)
+    for service in services_of(tree):
+        for zone in (*ZONES, "undeclared"):
+            active = open_snapshot(catalog.snapshot(Scope(service, zone)))
+            settings = resolve_service(tree, service, zone).settings
+            assert active.services[service] == settings
+            holders = {service, *settings.calls}
+            assert {(each.service, each.route) for each in active.routes} == {
+                (name, route) for name in holders for route in routes_of(tree, name, zone)
+            }
+            for each in active.routes:
+                resolved = resolve_route(tree, each.service, zone, each.route)
+                assert each.settings == resolved.settings
+
+
+@given(st.lists(edits, max_size=6))
+def test_the_catalog_holds_what_resolution_gives(
+    sequence: list[tuple[Operation, ...]],
+) -> None:
+    tree = applied(empty_tree("test"), *STARTING_OPERATIONS).tree
+    for operations in sequence:
+        outcome = apply_edit(tree, edit_of(*operations), tree.version + 1)
+        if isinstance(outcome, Success):
+            tree = outcome.unwrap().tree
+    assert set(services_of(tree)) <= set(SERVICES)
+    check_catalog_against_resolution(tree)
--- a/tests/version/test_tree_edits.py
+++ b/tests/version/test_tree_edits.py
@@ -2,6 +2,7 @@
 
 import pytest
 from returns.result import Failure
+from tests.version.trees import applied, edit_of, refund_tree
 
 from peppershore.version import model
 from peppershore.version.model import (
@@ -20,7 +21,6 @@
     UnsetOverrides,
 )
 from peppershore.version.tree import apply_edit, revision_of
-from tests.version.trees import applied, edit_of, refund_tree
 
 
 def refused(*operations: model.Operation) -> EditInvalid:
