--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""The model-checked specification of the core protocol: ``python -m spec``."""
--- /dev/null
+++ b/spec/__main__.py
@@ -0,0 +1,76 @@
+"""Checks every specification: ``python -m spec [--only NAME] [--json FILE]``.
+
+Exit code 0 only if every search was exhaustive within its bounds and every
+property holds; 1 otherwise.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+import click
+
+from spec.catalog import SPECIFICATIONS
+from spec.checking import CheckResult, PropertyResult, check
+
+VERDICTS = {True: "holds", False: "BROKEN", None: "UNDETERMINED"}
+
+
+@click.command()
+@click.option("--only", default="", help="Check only the specification of this name.")
+@click.option("--json", "json_file", default="", help="Also write the results there.")
+def main(only: str, json_file: str) -> None:
+    """Check the specifications and print states, depth, time and verdicts."""
+    chosen = [entry for entry in SPECIFICATIONS if only in ("", entry.name)]
+    if not chosen:
+        names = ", ".join(entry.name for entry in SPECIFICATIONS)
+        raise click.UsageError(f"no specification is called {only!r}; there are: {names}")
+    results = []
+    for specification in chosen:
+        result = check(specification)
+        _print_result(result)
+        results.append(result)
+    if json_file:
+        _write(Path(json_file), results)
+    sys.exit(0 if all(result.passed for result in results) else 1)
+
+
+def _print_result(result: CheckResult) -> None:
+    coverage = "exhaustive" if result.exhaustive else "NOT EXHAUSTIVE"
+    click.echo(
+        f"{result.name}: {result.states} states, depth {result.depth}, "
+        f"{result.seconds:.1f} s CPU, {coverage}"
+    )
+    for entry in result.properties:
+        click.echo(f"  {VERDICTS[entry.holds]:>12}  {entry.name}")
+        _print_counterexample(entry)
+
+
+def _print_counterexample(entry: PropertyResult) -> None:
+    for number, step in enumerate(entry.counterexample):
+        click.echo(f"      {number:>3}  {step.label}")
+    if entry.counterexample:
+        click.echo(f"           reaches {entry.counterexample[-1].state}")
+
+
+def _write(target: Path, results: list[CheckResult]) -> None:
+    entries = [
+        {
+            "name": result.name,
+            "states": result.states,
+            "depth": result.depth,
+            "cpu_seconds": round(result.seconds, 1),
+            "exhaustive": result.exhaustive,
+            "properties": {
+                entry.name: VERDICTS[entry.holds] for entry in result.properties
+            },
+        }
+        for result in results
+    ]
+    target.write_text(json.dumps({"specifications": entries}, indent=2) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/spec/catalog.py
@@ -0,0 +1,7 @@
+"""All specifications, in the order of the path accept -> distribute -> apply."""
+
+from __future__ import annotations
+
+from spec import acceptance
+
+SPECIFICATIONS = (acceptance.SPECIFICATION,)
--- /dev/null
+++ b/tests/spec/test_specifications.py
@@ -0,0 +1,28 @@
+"""Each specification is exhaustive within its bounds, and each invariant bites."""
+
+from __future__ import annotations
+
+import pytest
+from spec.catalog import SPECIFICATIONS
+from spec.checking import find_counterexample
+from spec.specification import Mutant, Specification
+
+MUTANTS = [
+    pytest.param(specification, mutant, id=f"{specification.name}: {mutant.guard}")
+    for specification in SPECIFICATIONS
+    for mutant in specification.mutants
+]
+
+
+@pytest.mark.parametrize(("specification", "mutant"), MUTANTS)
+def test_dropping_a_guard_breaks_its_invariant(
+    specification: Specification, mutant: Mutant
+) -> None:
+    counterexample = find_counterexample(specification, mutant)
+    assert len(counterexample) > 1
+
+
+@pytest.mark.parametrize("specification", SPECIFICATIONS, ids=lambda entry: entry.name)
+def test_every_invariant_has_a_mutant(specification: Specification) -> None:
+    broken = {mutant.breaks for mutant in specification.mutants}
+    assert broken == set(specification.model().invariants)
