Command line: diff, history, validate, load, save, revert, edit, explain; status and configuration pages

Cause: operators need every tree operation, the origin of each setting, and pages they can open. Measured: type checks and help output only; not yet run against a replica. Conclusion: trees and edits reach operators through version/redaction, without key material.

--- a/src/peppershore/command/edits.py
+++ b/src/peppershore/command/edits.py
@@ -4,7 +4,6 @@
 
 import getpass
 import os
-import uuid
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -42,15 +41,15 @@
 
 
 class EditRequest(msgspec.Struct, frozen=True):
-    """What an operator asked for, before revisions and a change id are filled in.
+    """What an operator asked for, before the other revisions are filled in.
 
-    ``revision`` holds for every subject of the edit; None: take the revisions
-    of the tree that is read before the edit is sent.
+    ``revisions`` guards the subjects it names; those of the other subjects come
+    from the tree that is read before the edit is sent.
     """
 
     operations: tuple[Operation, ...]
-    change_id: str = ""
-    revision: Version | None = None
+    change_id: str
+    revisions: tuple[ExpectedRevision, ...] = ()
     comment: str = ""
     author: str = ""
 
@@ -68,22 +67,19 @@
 
 
 async def submit(group: ControlGroup, request: EditRequest) -> Result[EditAccepted, Failed]:
-    """Send an edit; made revisions come from the tree read just before."""
-    tree: Tree | None = None
-    if request.revision is None:
-        found = await read_tree(group)
-        if isinstance(found, Failure):
-            return Failure(found.failure())
-        tree = found.unwrap()
-    return await submit_on(group, request, tree)
+    """Read the tree, then send an edit guarded by the revisions found there."""
+    found = await read_tree(group)
+    if isinstance(found, Failure):
+        return Failure(found.failure())
+    return await submit_on(group, request, found.unwrap())
 
 
 async def submit_on(
-    group: ControlGroup, request: EditRequest, tree: Tree | None
+    group: ControlGroup, request: EditRequest, tree: Tree
 ) -> Result[EditAccepted, Failed]:
     """Send an edit that was made looking at ``tree``."""
     edit = Edit(
-        change_id=request.change_id or str(uuid.uuid4()),
+        change_id=request.change_id,
         operations=request.operations,
         expected=_expected(request, tree),
         author=request.author or _login(),
@@ -120,12 +116,13 @@
     return operation.path
 
 
-def _expected(request: EditRequest, tree: Tree | None) -> tuple[ExpectedRevision, ...]:
+def _expected(request: EditRequest, tree: Tree) -> tuple[ExpectedRevision, ...]:
+    """Give the revision of every subject: as given, else as the tree has it."""
     subjects = dict.fromkeys(subject_of(operation) for operation in request.operations)
-    if request.revision is not None:
-        return tuple(ExpectedRevision(name, request.revision) for name in subjects)
-    assert tree is not None
-    return tuple(ExpectedRevision(name, revision_of(tree, name)) for name in subjects)
+    given = {item.subject: item.revision for item in request.revisions}
+    made = {name: revision_of(tree, name) for name in subjects}
+    merged = {**made, **given}
+    return tuple(ExpectedRevision(name, revision) for name, revision in merged.items())
 
 
 def _conflict(outcome: EditConflict) -> Failed:
--- /dev/null
+++ b/src/peppershore/command/explain_command.py
@@ -0,0 +1,165 @@
+"""``peppershore explain``: every effective setting and the node it comes from."""
+
+from __future__ import annotations
+
+import click
+import msgspec
+from returns.result import Failure, Result, Success
+
+from peppershore.command.admin_client import fetch
+from peppershore.command.edits import read_tree
+from peppershore.command.failures import Failed, not_found
+from peppershore.command.options import OperatorContext, operator_options
+from peppershore.command.output import show_json, show_table, stop_with
+from peppershore.process.configuration_page import CONFIGURATION_PATH, HeldConfiguration
+from peppershore.version.model import RouteSettings, Tree, Version
+from peppershore.version.path import route_path
+from peppershore.version.resolve import Origin, resolve_route, resolve_service, routes_of
+
+UNKNOWN_VALUE = "?"
+
+
+class Explanation(msgspec.Struct, frozen=True):
+    """The effective settings of a route in a zone at a version."""
+
+    service: str
+    zone: str
+    route: str
+    version: Version
+    route_settings: tuple[Origin, ...]
+    service_settings: tuple[Origin, ...]
+
+
+class HeldSetting(msgspec.Struct, frozen=True):
+    """One setting as the tree gives it and as a node holds it."""
+
+    name: str
+    value: object
+    path: str
+    held: object
+
+
+class Comparison(msgspec.Struct, frozen=True):
+    """A route's settings in the tree's newest version beside what a node holds."""
+
+    node: str
+    tree_version: Version
+    node_version: Version
+    settings: tuple[HeldSetting, ...]
+
+
+@click.command()
+@click.argument("service")
+@click.argument("zone")
+@click.argument("route")
+@click.option(
+    "--node",
+    "admin_address",
+    metavar="IP:PORT",
+    help="Also ask the node with this admin address what it really holds.",
+)
+@click.option("--version", type=click.IntRange(min=0), default=0, help="A kept version.")
+@operator_options
+def explain(
+    context: OperatorContext,
+    *,
+    service: str,
+    zone: str,
+    route: str,
+    admin_address: str | None,
+    version: int,
+) -> None:
+    """Show each effective setting of ROUTE of SERVICE in ZONE, and its origin."""
+    tree = context.run(read_tree(context.group, version))
+    explained = explain_route(tree, service, zone, route)
+    if isinstance(explained, Failure):
+        stop_with(explained.failure(), context.as_json)
+    explanation = explained.unwrap()
+    if admin_address is None:
+        _show(context, explanation)
+        return
+    held = context.run(_read_held(admin_address, context.group.timeout_seconds))
+    _show_comparison(context, compare(explanation, held))
+
+
+def explain_route(
+    tree: Tree, service: str, zone: str, route: str
+) -> Result[Explanation, Failed]:
+    """Resolve one route; it and its zone must exist."""
+    if zone not in tree.zones:
+        step = "`peppershore tree show` lists the zones"
+        return Failure(not_found(f"the zone {zone}", step))
+    routes = routes_of(tree, service, zone)
+    if route not in routes:
+        known = ", ".join(routes) or "none"
+        step = f"routes of {service} in {zone}: {known}"
+        return Failure(not_found(f"the route {route_path(service, zone, route)}", step))
+    return Success(
+        Explanation(
+            service=service,
+            zone=zone,
+            route=route,
+            version=tree.version,
+            route_settings=resolve_route(tree, service, zone, route).origins,
+            service_settings=resolve_service(tree, service, zone).origins,
+        )
+    )
+
+
+def compare(explanation: Explanation, held: HeldConfiguration) -> Comparison:
+    """Put what a node holds of the route beside the tree's settings."""
+    found = [
+        item.settings
+        for item in held.routes
+        if (item.service, item.route) == (explanation.service, explanation.route)
+    ]
+    settings = found[0] if found else None
+    return Comparison(
+        node=held.node,
+        tree_version=explanation.version,
+        node_version=held.version,
+        settings=tuple(
+            HeldSetting(item.name, item.value, item.path, _held(settings, item.name))
+            for item in explanation.route_settings
+        ),
+    )
+
+
+async def _read_held(
+    address: str, timeout_seconds: float
+) -> Result[HeldConfiguration, Failed]:
+    body = await fetch(address, CONFIGURATION_PATH, timeout_seconds)
+    if isinstance(body, Failure):
+        return Failure(body.failure())
+    try:
+        return Success(msgspec.json.decode(body.unwrap(), type=HeldConfiguration))
+    except msgspec.DecodeError:
+        what = f"a node's configuration page at {address}"
+        return Failure(not_found(what, "give the admin_listen address of a node"))
+
+
+def _held(settings: RouteSettings | None, name: str) -> object:
+    return UNKNOWN_VALUE if settings is None else getattr(settings, name)
+
+
+def _show(context: OperatorContext, explanation: Explanation) -> None:
+    if context.as_json:
+        show_json(explanation)
+        return
+    path = route_path(explanation.service, explanation.zone, explanation.route)
+    click.echo(f"{path} at version {explanation.version}")
+    origins = (*explanation.route_settings, *explanation.service_settings)
+    rows = [(item.name, item.value, item.path) for item in origins]
+    show_table(("SETTING", "VALUE", "FROM"), rows)
+
+
+def _show_comparison(context: OperatorContext, comparison: Comparison) -> None:
+    if context.as_json:
+        show_json(comparison)
+        return
+    click.echo(
+        f"tree at version {comparison.tree_version}; "
+        f"{comparison.node} holds version {comparison.node_version}"
+    )
+    rows = [(item.name, item.value, item.path, item.held) for item in comparison.settings]
+    show_table(("SETTING", "VALUE", "FROM", "HELD BY THE NODE"), rows)
--- /dev/null
+++ b/src/peppershore/command/history.py
@@ -0,0 +1,119 @@
+"""The accepted edits as shown: who, when, why and what, without key material."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from peppershore.command.client import ControlGroup, ask
+from peppershore.command.failures import Failed
+from peppershore.connection.messages import (
+    CommittedEdit,
+    HistoryAnswered,
+    HistoryQuery,
+)
+from peppershore.version.model import (
+    Operation,
+    PromoteSecret,
+    PutSecret,
+    RemoveNode,
+    RemoveSecret,
+    RemoveZone,
+    SetOverrides,
+    SetZone,
+    UnsetOverrides,
+    Version,
+)
+from peppershore.version.resolve import set_values
+
+MILLISECONDS_PER_SECOND = 1_000
+MAX_SHOWN_OPERATIONS = 3
+
+
+class ChangeView(msgspec.Struct, frozen=True):
+    """One accepted edit as shown; ``accepted`` is the leader's clock, for people."""
+
+    version: Version
+    accepted: datetime
+    author: str
+    change_id: str
+    comment: str
+    operations: tuple[str, ...]
+
+
+class HistoryView(msgspec.Struct, frozen=True):
+    """The accepted edits asked for; ``first_version`` is the oldest kept."""
+
+    first_version: Version
+    changes: tuple[ChangeView, ...]
+
+
+async def read_history(
+    group: ControlGroup, after_version: Version, limit: int
+) -> Result[HistoryView, Failed]:
+    """Ask for accepted edits after a version, oldest first."""
+    answer = await ask(group, HistoryQuery(after_version, limit), HistoryAnswered)
+    if isinstance(answer, Failure):
+        return Failure(answer.failure().failed)
+    history = answer.unwrap()
+    changes = tuple(view_change(item) for item in history.edits)
+    return Success(HistoryView(history.first_version, changes))
+
+
+def view_change(committed: CommittedEdit) -> ChangeView:
+    """Give the shown form of one accepted edit."""
+    edit = committed.edit
+    seconds = edit.accepted_unix_milliseconds / MILLISECONDS_PER_SECOND
+    return ChangeView(
+        version=committed.version,
+        accepted=datetime.fromtimestamp(seconds, UTC),
+        author=edit.author,
+        change_id=edit.change_id,
+        comment=edit.comment,
+        operations=tuple(describe(operation) for operation in edit.operations),
+    )
+
+
+def describe(operation: Operation) -> str:
+    """Give an operation in words that hold no key material."""
+    match operation:
+        case SetOverrides(path, overrides):
+            values = (f"{name}={value}" for name, value in set_values(overrides).items())
+            return f"set {path} " + " ".join(values)
+        case UnsetOverrides(path, names):
+            return f"unset {path} " + " ".join(names)
+        case RemoveNode(path):
+            return f"remove {path}"
+        case SetZone(name, region):
+            return f"zone set {name} {region}"
+        case RemoveZone(name):
+            return f"zone remove {name}"
+        case PutSecret(name):
+            return f"secret put {name}"
+        case PromoteSecret(name, generation):
+            return f"secret {name}: signers use generation {generation}"
+        case RemoveSecret(name):
+            return f"secret remove {name}"
+
+
+def change_rows(view: HistoryView) -> list[tuple[object, ...]]:
+    """Give a row for each change: version, time, author, change id, what, why."""
+    return [
+        (
+            change.version,
+            f"{change.accepted:%Y-%m-%d %H:%M:%S}Z",
+            change.author,
+            change.change_id,
+            _short(change.operations),
+            change.comment,
+        )
+        for change in view.changes
+    ]
+
+
+def _short(operations: tuple[str, ...]) -> str:
+    shown = "; ".join(operations[:MAX_SHOWN_OPERATIONS])
+    more = len(operations) - MAX_SHOWN_OPERATIONS
+    return f"{shown}; and {more} more" if more > 0 else shown
--- a/src/peppershore/command/main.py
+++ b/src/peppershore/command/main.py
@@ -4,6 +4,7 @@
 
 import click
 
+from peppershore.command.explain_command import explain
 from peppershore.command.key_commands import keys
 from peppershore.command.replica_commands import replica
 from peppershore.command.secret_commands import secret
@@ -11,6 +12,15 @@
 from peppershore.command.settings_commands import settings
 from peppershore.command.status_commands import status, watch
 from peppershore.command.tree_commands import tree
+from peppershore.command.tree_file_commands import (
+    diff,
+    edit,
+    history,
+    load,
+    revert,
+    save,
+    validate,
+)
 from peppershore.command.zone_commands import zone
 
 
@@ -33,8 +43,12 @@
     secret,
     status,
     watch,
+    explain,
     replica,
     settings,
     keys,
 ):
     main.add_command(_command)
+
+for _command in (diff, edit, history, load, revert, save, validate):
+    tree.add_command(_command)
--- /dev/null
+++ b/src/peppershore/command/tree_file_commands.py
@@ -0,0 +1,256 @@
+"""``peppershore tree``: files, versions and several operations at once."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+from returns.result import Failure, Result, Success
+
+from peppershore.command.client import ControlGroup
+from peppershore.command.edit_file import EditFile, parse_edit_file, read_text
+from peppershore.command.edit_options import (
+    EditNames,
+    edit_options,
+    edit_request,
+    run_edit,
+    show_accepted,
+)
+from peppershore.command.edits import read_tree, submit_on
+from peppershore.command.failures import Failed, invalid, usage
+from peppershore.command.history import HistoryView, change_rows, read_history
+from peppershore.command.options import OperatorContext, operator_options
+from peppershore.command.output import show_json, show_table, stop_with
+from peppershore.version.difference import Difference, compare_trees
+from peppershore.version.model import Tree, Version
+from peppershore.version.redaction import puts_hidden_material
+from peppershore.version.revert import revert_operations
+from peppershore.version.tree_file import tree_from_toml, tree_to_toml
+
+DEFAULT_HISTORY = 20
+path_argument = click.argument("path", type=click.Path(path_type=Path))
+
+
+class TwoTrees(msgspec.Struct, frozen=True):
+    """Two trees to compare."""
+
+    before: Tree
+    after: Tree
+
+
+@click.command()
+@click.argument("before", type=click.IntRange(min=1))
+@click.argument("after", type=click.IntRange(min=0), default=0)
+@operator_options
+def diff(context: OperatorContext, before: int, after: int) -> None:
+    """Show what differs between two kept versions; AFTER is the newest if absent."""
+    trees = context.run(_read_two(context.group, before, after))
+    differences = compare_trees(trees.before, trees.after)
+    _show_differences(context, trees, differences)
+
+
+@click.command()
+@click.option("--after", type=click.IntRange(min=0), help="Only changes after a version.")
+@click.option(
+    "--limit",
+    type=click.IntRange(min=1),
+    default=DEFAULT_HISTORY,
+    show_default=True,
+    help="At most so many changes.",
+)
+@operator_options
+def history(context: OperatorContext, after: int | None, limit: int) -> None:
+    """List accepted changes, oldest first; without --after the newest ones."""
+    view = context.run(_history(context.group, after, limit))
+    if context.as_json:
+        show_json(view)
+        return
+    header = ("VERSION", "ACCEPTED", "AUTHOR", "CHANGE ID", "OPERATIONS", "COMMENT")
+    show_table(header, change_rows(view))
+    click.echo(f"the oldest version kept is {view.first_version}")
+
+
+@click.command()
+@path_argument
+@click.option("--json", "as_json", is_flag=True, help="One JSON object as output.")
+def validate(path: Path, as_json: bool) -> None:
+    """Check the tree in the TOML file PATH by itself; nothing is sent.
+
+    Secrets that the file names and does not hold are taken as missing; `tree
+    load --dry-run` checks the file against the cluster.
+    """
+    text = _value(read_text(path), as_json)
+    found = tree_from_toml(text)
+    if isinstance(found, Failure):
+        failed = invalid(f"{path} holds no valid tree", found.failure(), "mend the file")
+        stop_with(failed, as_json)
+    if as_json:
+        show_json({"valid": True, "nodes": len(found.unwrap().nodes)})
+        return
+    click.echo(f"{path}: a valid tree of {len(found.unwrap().nodes)} nodes")
+
+
+@click.command()
+@path_argument
+@click.option("--dry-run", is_flag=True, help="Show what would change; send nothing.")
+@edit_options
+@operator_options
+def load(context: OperatorContext, names: EditNames, path: Path, dry_run: bool) -> None:
+    """Make the cluster's tree equal to the TOML file PATH, as one edit.
+
+    A file without a table of secrets leaves the secrets as they are.
+    """
+    text = _value(read_text(path), context.as_json)
+    current = context.run(read_tree(context.group))
+    wanted = _value(_tree_in(path, text, current), context.as_json)
+    _make_equal(context, names, TwoTrees(current, wanted), dry_run)
+
+
+@click.command()
+@click.argument("path", type=click.Path(path_type=Path), required=False)
+@click.option("--version", type=click.IntRange(min=0), default=0, help="A kept version.")
+@operator_options
+def save(context: OperatorContext, path: Path | None, version: int) -> None:
+    """Write the tree as TOML to PATH, or to standard output; without secrets."""
+    found = context.run(read_tree(context.group, version))
+    text = tree_to_toml(found)
+    if path is None and context.as_json:
+        show_json({"version": found.version, "toml": text})
+        return
+    if path is None:
+        click.echo(text, nl=False)
+        return
+    try:
+        path.write_text(text, encoding="utf-8")
+    except OSError as problem:
+        message = f"{path} can't be written: {problem.strerror}"
+        stop_with(usage(message, "give a writable path"), context.as_json)
+    if context.as_json:
+        show_json({"version": found.version, "path": str(path)})
+        return
+    click.echo(f"wrote version {found.version} to {path}")
+
+
+@click.command()
+@click.argument("version", type=click.IntRange(min=1))
+@click.option("--dry-run", is_flag=True, help="Show what would change; send nothing.")
+@edit_options
+@operator_options
+def revert(context: OperatorContext, names: EditNames, version: int, dry_run: bool) -> None:
+    """Give the tree the content of a kept VERSION again, as a new version.
+
+    Secrets that exist now keep their generations.
+    """
+    trees = context.run(_read_two(context.group, version, 0))
+    wanted = TwoTrees(before=trees.after, after=trees.before)
+    comment = names.comment or f"revert to version {version}"
+    named = msgspec.structs.replace(names, comment=comment)
+    _make_equal(context, named, wanted, dry_run)
+
+
+@click.command()
+@path_argument
+@edit_options
+@operator_options
+def edit(context: OperatorContext, names: EditNames, path: Path) -> None:
+    """Send the operations in the TOML file PATH as one atomic edit.
+
+    \b
+    comment = "why"
+    [[operations]]
+    type = "set"                # set, unset, remove, set_zone, remove_zone,
+    path = "/kassa/*/pay"       # remove_secret
+    [operations.overrides]
+    timeout_milliseconds = 3000
+    [[operations]]
+    type = "unset"
+    path = "/kassa"
+    names = ["slots"]
+    """
+    text = _value(read_text(path), context.as_json)
+    file: EditFile = _value(parse_edit_file(text), context.as_json)
+    named = msgspec.structs.replace(names, comment=names.comment or file.comment)
+    run_edit(context, named, *file.operations)
+
+
+async def _read_two(
+    group: ControlGroup, before: Version, after: Version
+) -> Result[TwoTrees, Failed]:
+    first = await read_tree(group, before)
+    if isinstance(first, Failure):
+        return Failure(first.failure())
+    second = await read_tree(group, after)
+    if isinstance(second, Failure):
+        return Failure(second.failure())
+    return Success(TwoTrees(first.unwrap(), second.unwrap()))
+
+
+async def _history(
+    group: ControlGroup, after: Version | None, limit: int
+) -> Result[HistoryView, Failed]:
+    if after is not None:
+        return await read_history(group, after, limit)
+    newest = await read_tree(group)
+    if isinstance(newest, Failure):
+        return Failure(newest.failure())
+    return await read_history(group, max(0, newest.unwrap().version - limit), limit)
+
+
+def _tree_in(path: Path, text: str, current: Tree) -> Result[Tree, Failed]:
+    found = tree_from_toml(text, current.secrets)
+    if isinstance(found, Failure):
+        step = "mend the file; nothing was sent"
+        return Failure(invalid(f"{path} holds no valid tree", found.failure(), step))
+    wanted = found.unwrap()
+    if wanted.cluster != current.cluster:
+        message = f"{path} is of cluster {wanted.cluster!r}, not {current.cluster!r}"
+        step = "check --replica, or change the cluster's name in the file"
+        return Failure(usage(message, step))
+    return Success(wanted)
+
+
+def _make_equal(
+    context: OperatorContext, names: EditNames, trees: TwoTrees, dry_run: bool
+) -> None:
+    """Send one edit that gives ``trees.before`` the content of ``trees.after``."""
+    differences = compare_trees(trees.before, trees.after)
+    operations = revert_operations(trees.before, trees.after)
+    if dry_run or not operations:
+        _show_differences(context, trees, differences)
+        return
+    missing = puts_hidden_material(operations)
+    if missing:
+        listed = ", ".join(missing)
+        message = f"the material of {listed} is no longer in the tree and can't come back"
+        step = "create it again with `peppershore secret put`, then repeat"
+        stop_with(invalid(message, (), step), context.as_json)
+    request = edit_request(context, names, operations)
+    accepted = context.run(submit_on(context.group, request, trees.before))
+    show_accepted(context, accepted)
+
+
+def _show_differences(
+    context: OperatorContext, trees: TwoTrees, differences: tuple[Difference, ...]
+) -> None:
+    if context.as_json:
+        show_json(
+            {
+                "before": trees.before.version,
+                "after": trees.after.version,
+                "differences": differences,
+            }
+        )
+        return
+    if not differences:
+        click.echo("no differences")
+        return
+    rows = [(item.subject, item.setting, item.before, item.after) for item in differences]
+    show_table(("SUBJECT", "SETTING", "BEFORE", "AFTER"), rows)
+
+
+def _value(result: Result[Any, Failed], as_json: bool) -> Any:
+    if isinstance(result, Failure):
+        stop_with(result.failure(), as_json)
+    return result.unwrap()
--- /dev/null
+++ b/src/peppershore/process/status_page.py
@@ -0,0 +1,218 @@
+"""The status page of a control replica: read-only HTML without outside assets.
+
+Shows the tree (secrets by name only), the version in force in each zone, who
+lags and why, the replicas and the relays.  The browser reloads it by itself.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from html import escape
+
+import msgspec
+
+from peppershore.connection.messages import RelayStatus, StatusAnswered
+from peppershore.process.admin_http import HTML, Page
+from peppershore.version.model import Tree, Version
+from peppershore.version.resolve import set_values
+
+STATUS_PATH = "/status"
+REFRESH_SECONDS = 2
+STALE_REPORT_MILLISECONDS = 5_000
+_STYLE = """
+body { font: 15px/1.5 system-ui, sans-serif; margin: 2rem; color: #1c1c1c;
+  background: #fff; }
+h1 { font-size: 1.4rem; } h2 { font-size: 1.1rem; margin-top: 2rem; }
+table { border-collapse: collapse; } th, td { text-align: left;
+  padding: .25rem .9rem .25rem 0; border-bottom: 1px solid #ddd; vertical-align: top; }
+.behind { color: #a30000; font-weight: 600; } .quiet { color: #555; }
+@media (prefers-color-scheme: dark) { body { color: #e4e4e4; background: #161616; }
+  th, td { border-color: #3a3a3a; } .behind { color: #ff8a80; } .quiet { color: #aaa; } }
+"""
+
+
+class Cell(msgspec.Struct, frozen=True):
+    """One cell of a table; ``behind`` marks what needs a look."""
+
+    text: str
+    behind: bool = False
+
+
+class ZoneProgress(msgspec.Struct, frozen=True):
+    """How far one zone is."""
+
+    zone: str
+    in_force: Version
+    relays: int
+    nodes: int
+    lagging: int
+
+
+def status_page(status: StatusAnswered, tree: Tree) -> Page:
+    """Give the whole page; ``status`` and ``tree`` are the replica's own view."""
+    return Page(render_status(status, tree).encode(), HTML)
+
+
+def zone_progress(relays: Iterable[RelayStatus]) -> tuple[ZoneProgress, ...]:
+    """Give the version in force in each zone: the lowest of its relays."""
+    by_zone: dict[str, list[RelayStatus]] = {}
+    for relay in relays:
+        by_zone.setdefault(relay.zone, []).append(relay)
+    return tuple(
+        ZoneProgress(
+            zone=zone,
+            in_force=min(relay.in_force for relay in members),
+            relays=len(members),
+            nodes=sum(relay.nodes for relay in members),
+            lagging=sum(len(relay.lagging) for relay in members),
+        )
+        for zone, members in sorted(by_zone.items())
+    )
+
+
+def render_status(status: StatusAnswered, tree: Tree) -> str:
+    """Give the page's HTML; every text from outside is escaped."""
+    title = f"{status.cluster}: version {status.version}"
+    sections = (
+        _summary(status),
+        _section(
+            "Zones", ("Zone", "In force", "Relays", "Nodes", "Lagging"), _zones(status)
+        ),
+        _section(
+            "Lagging nodes",
+            ("Node", "Service", "Zone", "Holds", "Relay", "Reason"),
+            _lagging(status),
+        ),
+        _section(
+            "Replicas",
+            ("Replica", "Address", "Role", "Term", "Version", "Voter"),
+            _replicas(status),
+        ),
+        _section(
+            "Relays",
+            (
+                "Relay",
+                "Zone",
+                "Version",
+                "In force",
+                "Nodes",
+                "Control bytes",
+                "Report age",
+            ),
+            _relays(status),
+        ),
+        _section("Tree", ("Path", "Revision", "Setting", "Value"), _nodes(tree)),
+        _section(
+            "Secrets", ("Secret", "Generations", "Signing", "Revision"), _secrets(tree)
+        ),
+    )
+    return (
+        '<!doctype html><html lang="en"><head><meta charset="utf-8">'
+        f'<meta http-equiv="refresh" content="{REFRESH_SECONDS}">'
+        f"<title>{escape(title)}</title><style>{_STYLE}</style></head>"
+        f"<body><h1>{escape(title)}</h1>{''.join(sections)}</body></html>\n"
+    )
+
+
+def _summary(status: StatusAnswered) -> str:
+    lines = [
+        f"In force everywhere: version {status.in_force}.",
+        f"Leader: {status.leader or 'unknown'}.  Answered by {status.replica}.",
+    ]
+    lines += [f"Rotation in progress: {text}" for text in status.rotations]
+    return "".join(f"<p>{escape(line)}</p>" for line in lines)
+
+
+def _zones(status: StatusAnswered) -> list[Sequence[Cell]]:
+    return [
+        (
+            Cell(item.zone),
+            Cell(str(item.in_force), behind=item.in_force < status.version),
+            Cell(str(item.relays)),
+            Cell(str(item.nodes)),
+            Cell(str(item.lagging), behind=item.lagging > 0),
+        )
+        for item in zone_progress(status.relays)
+    ]
+
+
+def _lagging(status: StatusAnswered) -> list[Sequence[Cell]]:
+    return [
+        (
+            Cell(node.node),
+            Cell(node.service),
+            Cell(node.zone),
+            Cell(str(node.version), behind=True),
+            Cell(relay.relay),
+            Cell(node.reason),
+        )
+        for relay in status.relays
+        for node in relay.lagging
+    ]
+
+
+def _replicas(status: StatusAnswered) -> list[Sequence[Cell]]:
+    return [
+        (
+            Cell(item.replica),
+            Cell(item.address),
+            Cell(item.role),
+            Cell(str(item.term)),
+            Cell(str(item.match_version), behind=item.match_version < status.version),
+            Cell("yes" if item.voter else "no"),
+        )
+        for item in status.replicas
+    ]
+
+
+def _relays(status: StatusAnswered) -> list[Sequence[Cell]]:
+    return [
+        (
+            Cell(item.relay),
+            Cell(item.zone),
+            Cell(str(item.version), behind=item.version < status.version),
+            Cell(str(item.in_force), behind=item.in_force < status.version),
+            Cell(str(item.nodes)),
+            Cell(str(item.control_bytes)),
+            Cell(
+                f"{item.report_age_milliseconds} ms",
+                behind=item.report_age_milliseconds > STALE_REPORT_MILLISECONDS,
+            ),
+        )
+        for item in status.relays
+    ]
+
+
+def _nodes(tree: Tree) -> list[Sequence[Cell]]:
+    rows: list[Sequence[Cell]] = []
+    for path, node in sorted(tree.nodes.items()):
+        values = set_values(node.overrides) or {"": ""}
+        for name, value in values.items():
+            shown = msgspec.json.encode(value).decode() if name else ""
+            rows.append((Cell(path), Cell(str(node.revision)), Cell(name), Cell(shown)))
+    return rows
+
+
+def _secrets(tree: Tree) -> list[Sequence[Cell]]:
+    return [
+        (
+            Cell(name),
+            Cell(", ".join(str(item.generation) for item in secret.generations)),
+            Cell(str(secret.signing_generation)),
+            Cell(str(secret.revision)),
+        )
+        for name, secret in sorted(tree.secrets.items())
+    ]
+
+
+def _section(title: str, header: Sequence[str], rows: Sequence[Sequence[Cell]]) -> str:
+    if not rows:
+        return f'<h2>{escape(title)}</h2><p class="quiet">none</p>'
+    head = "".join(f"<th>{escape(name)}</th>" for name in header)
+    body = "".join(f"<tr>{''.join(map(_cell, row))}</tr>" for row in rows)
+    return f"<h2>{escape(title)}</h2><table><tr>{head}</tr>{body}</table>"
+
+
+def _cell(cell: Cell) -> str:
+    mark = ' class="behind"' if cell.behind else ""
+    return f"<td{mark}>{escape(cell.text)}</td>"
