--- /dev/null
+++ b/src/peppershore/process/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""The live endpoint table: leases, order and anti-entropy."""
--- /dev/null
+++ b/src/peppershore/process/endpoints/exchange.py
@@ -0,0 +1,336 @@
+"""How relays keep one another's endpoint tables alike.
+
+Every relay vouches for the endpoints of its own sessions, and only for those,
+to all other relays.  A change is sent at once; a digest in buckets, sent with
+every heartbeat, renews the lease of all the sender's endpoints and finds what
+was missed.  Endpoints nobody vouches for are hidden after a lease, unless it is
+this relay that is cut off.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from peppershore.connection.messages import (
+    Endpoint,
+    EndpointBucketsWanted,
+    EndpointDigest,
+    EndpointsChanged,
+    LeaseRenewed,
+    Message,
+    RelayHello,
+)
+from peppershore.process.commands import (
+    CloseLink,
+    Command,
+    OpenLink,
+    Report,
+    SendMessage,
+    SetTimer,
+)
+from peppershore.process.endpoints.notices import (
+    EndpointsExpired,
+    RelayPeerConnected,
+    RelayPeerLost,
+)
+from peppershore.process.endpoints.table import (
+    STATE_GONE,
+    EndpointTable,
+    order_of,
+)
+from peppershore.process.endpoints.vouched import VouchedNodes
+from peppershore.process.events import LinkId
+from peppershore.process.link_numbers import LinkNumbers
+from peppershore.process.randomness import Randomness
+from peppershore.process.settings import RelaySettings
+
+PEER_TIMER = "exchange.tick"
+
+DIGEST_SECONDS = 2.0
+LEASE_SECONDS = 8.0
+"""How long endpoints stay shown without anybody vouching for them."""
+BACKOFF_BASE_SECONDS = 0.2
+BACKOFF_CEILING_SECONDS = 5.0
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another relay and what it vouches for, as far as this one knows."""
+
+    name: str
+    address: str
+    link: LinkId | None = None
+    is_open: bool = False
+    view: VouchedNodes = field(default_factory=VouchedNodes)
+    lease_until: float = 0.0
+    hears: frozenset[str] = frozenset()
+    failures: int = 0
+    retry_at: float = 0.0
+
+
+class EndpointExchange:
+    """The endpoint table of a relay and its links to the other relays."""
+
+    def __init__(self, settings: RelaySettings, numbers: LinkNumbers) -> None:
+        """Know nothing yet; ``start`` begins to connect."""
+        self.table = EndpointTable()
+        self.own = VouchedNodes()
+        self.changed: dict[str, Endpoint] = {}
+        """What the nodes of this relay have yet to be told, by node."""
+        self._settings = settings
+        self._numbers = numbers
+        self._randomness = Randomness(0)
+        self._incarnation = 0
+        self._started_at = 0.0
+        self._unvouched: dict[str, float] = {}
+        self._peers = {
+            relay.name: Peer(relay.name, relay.address)
+            for relay in settings.relays
+            if relay.name != settings.relay
+        }
+        self._by_link: dict[LinkId, Peer] = {}
+
+    def start(self, randomness: Randomness, incarnation: int, now: float) -> list[Command]:
+        """Begin to connect to the other relays."""
+        self._randomness = randomness
+        self._incarnation = incarnation
+        self._started_at = now
+        return [*self._connect_missing(now), SetTimer(PEER_TIMER, DIGEST_SECONDS)]
+
+    def owns(self, link: LinkId) -> bool:
+        """Tell whether a link belongs to another relay."""
+        return link in self._by_link
+
+    def is_settled(self, now: float) -> bool:
+        """Tell whether the table can be taken for complete.
+
+        All live nodes had a lease's time to register somewhere, and every relay
+        that is heard has its endpoints here.
+        """
+        return now - self._started_at >= LEASE_SECONDS
+
+    # --- this relay's own sessions ---------------------------------------------
+
+    def announced(self, endpoint: Endpoint, now: float) -> list[Command]:
+        """Take what a node of this relay says of its back end."""
+        if not self.table.merge(endpoint, now):
+            return self._announced_again(endpoint)
+        self.changed[endpoint.node] = endpoint
+        self._unvouched.pop(endpoint.node, None)
+        if endpoint.state == STATE_GONE:
+            self.own.remove(endpoint.node)
+        else:
+            self.own.add(endpoint.node, order_of(endpoint))
+        return self._to_peers(EndpointsChanged((endpoint,)))
+
+    def newer_than(self, endpoint: Endpoint) -> Endpoint | None:
+        """Give the known state if it is newer than what a node announces."""
+        known = self.table.get(endpoint.node)
+        if known is None or order_of(known) <= order_of(endpoint):
+            return None
+        return known
+
+    def session_lost(self, node: str, now: float) -> None:
+        """Vouch no longer for a node whose session ended."""
+        if self.own.remove(node):
+            self._note_unvouched(node, now)
+
+    # --- the other relays ------------------------------------------------------
+
+    def opened(self, link: LinkId) -> list[Command]:
+        """Greet the relay at the other end of a link opened from here."""
+        hello = RelayHello(self._settings.cluster, self._settings.relay, self._incarnation)
+        return [SendMessage(link, hello)]
+
+    def lost(self, link: LinkId, reason: str, now: float) -> list[Command]:
+        """Forget a link; try again after a wait."""
+        peer = self._by_link.pop(link)
+        if peer.link != link:
+            return []
+        was_open = peer.is_open
+        peer.link = None
+        peer.is_open = False
+        peer.retry_at = now + self._randomness.backoff_seconds(
+            peer.failures, BACKOFF_BASE_SECONDS, BACKOFF_CEILING_SECONDS
+        )
+        peer.failures += 1
+        return [Report(RelayPeerLost(peer.name, reason))] if was_open else []
+
+    def greeted(self, link: LinkId, hello: RelayHello, now: float) -> list[Command]:
+        """Take another relay's greeting; answer it if it opened the link."""
+        peer = self._peers.get(hello.relay)
+        if peer is None or hello.cluster != self._settings.cluster:
+            return [CloseLink(link, "unknown relay")]
+        replies: list[Command] = []
+        if link not in self._by_link:
+            replies.extend(self.opened(link))
+            replies.extend(self._replace_link(peer, link))
+        peer.is_open = True
+        peer.failures = 0
+        return [
+            *replies,
+            Report(RelayPeerConnected(peer.name)),
+            SendMessage(link, self._digest(now)),
+        ]
+
+    def received(self, link: LinkId, message: Message, now: float) -> list[Command]:
+        """Take a message of another relay."""
+        peer = self._by_link[link]
+        match message:
+            case RelayHello():
+                return self.greeted(link, message, now)
+            case EndpointsChanged():
+                self._take_endpoints(peer, message, now)
+            case EndpointDigest():
+                return self._compare(peer, message, now)
+            case EndpointBucketsWanted():
+                return self._send_buckets(link, message.buckets)
+            case LeaseRenewed():
+                self._drop_unnamed(peer, message, now)
+            case _:
+                return [CloseLink(link, "unexpected message")]
+        return []
+
+    def tick(self, now: float, is_confirmed: bool) -> list[Command]:
+        """Send the digest, expire what is due, connect again."""
+        out: list[Command] = list(self._to_peers(self._digest(now)))
+        if is_confirmed:
+            out.extend(self._expire(now))
+        self.table.drop_old_tombstones(now)
+        out.extend(self._connect_missing(now))
+        out.append(SetTimer(PEER_TIMER, DIGEST_SECONDS))
+        return out
+
+    # --- internals -------------------------------------------------------------
+
+    def _announced_again(self, endpoint: Endpoint) -> list[Command]:
+        known = self.table.get(endpoint.node)
+        if known is None or order_of(known) != order_of(endpoint):
+            return []
+        if known.state == STATE_GONE:
+            return []
+        self.own.add(endpoint.node, order_of(endpoint))
+        self._vouched_again(endpoint.node)
+        return []
+
+    def _vouched_again(self, node: str) -> None:
+        self._unvouched.pop(node, None)
+        revealed = self.table.reveal(node)
+        if revealed is not None:
+            self.changed[node] = revealed
+
+    def _note_unvouched(self, node: str, now: float) -> None:
+        if not self._is_vouched(node, now):
+            self._unvouched.setdefault(node, now)
+
+    def _is_vouched(self, node: str, now: float) -> bool:
+        if node in self.own:
+            return True
+        return any(
+            node in peer.view and self._is_held(peer, now) for peer in self._peers.values()
+        )
+
+    def _is_held(self, peer: Peer, now: float) -> bool:
+        """Tell whether a peer's endpoints are kept: heard here or by others."""
+        if now <= peer.lease_until:
+            return True
+        return any(
+            now <= other.lease_until and peer.name in other.hears
+            for other in self._peers.values()
+        )
+
+    def _digest(self, now: float) -> EndpointDigest:
+        heard = tuple(peer.name for peer in self._peers.values() if now <= peer.lease_until)
+        return EndpointDigest(self.own.buckets, heard)
+
+    def _to_peers(self, message: Message) -> list[Command]:
+        return [
+            SendMessage(peer.link, message)
+            for peer in self._peers.values()
+            if peer.is_open and peer.link is not None
+        ]
+
+    def _connect_missing(self, now: float) -> list[Command]:
+        out: list[Command] = []
+        for peer in self._peers.values():
+            dials = self._settings.relay < peer.name
+            if not dials or peer.link is not None or now < peer.retry_at:
+                continue
+            peer.link = self._numbers.take()
+            self._by_link[peer.link] = peer
+            out.append(OpenLink(peer.link, peer.address))
+        return out
+
+    def _replace_link(self, peer: Peer, link: LinkId) -> list[Command]:
+        old = peer.link
+        peer.link = link
+        self._by_link[link] = peer
+        if old is None:
+            return []
+        self._by_link.pop(old, None)
+        return [CloseLink(old, "replaced")]
+
+    def _take_endpoints(self, peer: Peer, message: EndpointsChanged, now: float) -> None:
+        for endpoint in message.endpoints:
+            if self.table.merge(endpoint, now):
+                self.changed[endpoint.node] = endpoint
+            if endpoint.state == STATE_GONE:
+                peer.view.remove(endpoint.node)
+                continue
+            peer.view.add(endpoint.node, order_of(endpoint))
+            known = self.table.get(endpoint.node)
+            if known is not None and order_of(known) == order_of(endpoint):
+                self._vouched_again(endpoint.node)
+
+    def _compare(self, peer: Peer, message: EndpointDigest, now: float) -> list[Command]:
+        peer.hears = frozenset(message.hears)
+        differing = peer.view.differing_buckets(message.buckets)
+        if not differing:
+            peer.lease_until = now + LEASE_SECONDS
+            return []
+        assert peer.link is not None
+        return [SendMessage(peer.link, EndpointBucketsWanted(differing))]
+
+    def _send_buckets(self, link: LinkId, buckets: tuple[int, ...]) -> list[Command]:
+        nodes = self.own.in_buckets(buckets)
+        known = (self.table.get(node) for node in nodes)
+        endpoints = tuple(endpoint for endpoint in known if endpoint is not None)
+        return [
+            SendMessage(link, EndpointsChanged(endpoints)),
+            SendMessage(link, LeaseRenewed(self._settings.relay, nodes, buckets)),
+        ]
+
+    def _drop_unnamed(self, peer: Peer, message: LeaseRenewed, now: float) -> None:
+        peer.lease_until = now + LEASE_SECONDS
+        named = frozenset(message.nodes_alive)
+        for node in peer.view.in_buckets(message.buckets):
+            if node not in named:
+                peer.view.remove(node)
+                self._note_unvouched(node, now)
+
+    def _expire(self, now: float) -> list[Command]:
+        out: list[Command] = []
+        for peer in self._peers.values():
+            if len(peer.view) and not self._is_held(peer, now):
+                out.extend(self._expire_peer(peer, now))
+        for node, since in list(self._unvouched.items()):
+            if now - since >= LEASE_SECONDS:
+                del self._unvouched[node]
+                self._hide(node, now)
+        return out
+
+    def _expire_peer(self, peer: Peer, now: float) -> list[Command]:
+        nodes = peer.view.nodes
+        for node in nodes:
+            peer.view.remove(node)
+        hidden = sum(self._hide(node, now) for node in nodes)
+        return [Report(EndpointsExpired(peer.name, hidden))]
+
+    def _hide(self, node: str, now: float) -> bool:
+        if self._is_vouched(node, now):
+            return False
+        hidden = self.table.hide(node, now)
+        if hidden is None:
+            return False
+        self.changed[node] = hidden
+        return True
--- /dev/null
+++ b/src/peppershore/process/node/commands.py
@@ -0,0 +1,30 @@
+"""What a node core asks of its shell beyond what every core may ask."""
+
+from __future__ import annotations
+
+from peppershore.connection.messages import Endpoint
+from peppershore.process.commands import Command, PersistRecords
+from peppershore.version.model import Snapshot
+from peppershore.version.snapshot import ActiveConfiguration
+
+
+class ConfigurationSwapped(Command, frozen=True):
+    """Serve calls by this configuration from now on."""
+
+    active: ActiveConfiguration
+
+
+class EndpointsSwapped(Command, frozen=True):
+    """These are all known endpoints of the services the node may call."""
+
+    endpoints: tuple[Endpoint, ...]
+
+
+class PersistSnapshot(PersistRecords, frozen=True):
+    """Write a snapshot, whose version is the new floor, to disk and sync it."""
+
+    snapshot: Snapshot
+
+
+class DrainBackend(Command, frozen=True):
+    """Take no new work and finish what runs; answered by ``BackendDrained``."""
--- /dev/null
+++ b/src/peppershore/process/node/core.py
@@ -0,0 +1,354 @@
+"""The node as a step function: relay in, configuration and endpoints out.
+
+``relay_sessions`` decides which relay is used, ``configuration`` what is held,
+``endpoints`` and ``own_endpoint`` the live endpoints.  This module routes
+events between them.
+"""
+
+from __future__ import annotations
+
+from returns.result import Failure
+
+from peppershore.connection.messages import (
+    Current,
+    EndpointAnnounced,
+    EndpointsChanged,
+    EndpointsHeld,
+    Freshness,
+    Goodbye,
+    Message,
+    NodeAlive,
+    NodeHello,
+    Refused,
+    RetryAfter,
+    UpdateApplied,
+    UpdateOffered,
+    UpdateRefused,
+)
+from peppershore.process import events
+from peppershore.process.commands import (
+    Command,
+    Exit,
+    Notice,
+    Report,
+    SendMessage,
+    SetTimer,
+)
+from peppershore.process.link_numbers import LinkNumbers
+from peppershore.process.node import notices
+from peppershore.process.node.commands import (
+    ConfigurationSwapped,
+    DrainBackend,
+    EndpointsSwapped,
+    PersistSnapshot,
+)
+from peppershore.process.node.configuration import NOT_NEWER, ConfigurationHolder
+from peppershore.process.node.endpoints import KnownEndpoints
+from peppershore.process.node.inputs import BackendDrained, BackendStateChanged
+from peppershore.process.node.own_endpoint import OwnEndpoint
+from peppershore.process.node.relay_sessions import (
+    CONNECT_TIMER,
+    WATCH_TIMER,
+    RelaySession,
+    RelaySessions,
+)
+from peppershore.process.randomness import Randomness
+from peppershore.process.settings import NodeSettings
+from peppershore.version.model import Scope, Snapshot, Version
+from peppershore.version.snapshot import open_snapshot
+
+PERSIST_TIMER = "node.persist"
+PERSIST_RETRY_SECONDS = 1.0
+AGE_TOLERANCE_MILLISECONDS = 1
+"""Ages are rounded up to whole milliseconds."""
+UNCONFIRMED = "unconfirmed"
+
+
+class NodeMemory:
+    """What a node brings along from before its start.
+
+    ``incarnation`` is above that of every earlier start; ``floor`` and
+    ``snapshot`` come from the disk, if there is one.
+    """
+
+    def __init__(
+        self, incarnation: int, floor: Version = 0, snapshot: Snapshot | None = None
+    ) -> None:
+        """Keep the values."""
+        self.incarnation = incarnation
+        self.floor = floor
+        self.snapshot = snapshot
+
+
+class NodeCore:
+    """Decides everything a node does towards relays; see ``process.core.Core``."""
+
+    def __init__(
+        self, settings: NodeSettings, memory: NodeMemory, owner_address: str = ""
+    ) -> None:
+        """Begin with what the disk held; ``owner_address`` is the internal listener."""
+        scope = Scope(settings.service, settings.zone)
+        self._settings = settings
+        self._has_disk = bool(settings.data_folder)
+        self.holder = ConfigurationHolder(scope, memory.floor, memory.snapshot)
+        self.known = KnownEndpoints()
+        self._own = OwnEndpoint(settings, memory.incarnation, owner_address)
+        self.sessions = RelaySessions(settings, LinkNumbers(), self._hello)
+        self._pending: Snapshot | None = None
+        self._pending_from: RelaySession | None = None
+        self._token = 0
+        self._is_stopping = False
+        self._now = 0.0
+        self._out: list[Command] = []
+
+    def step(self, event: events.Event, now: float) -> list[Command]:
+        """Take one event; give the commands it leads to."""
+        self._now = now
+        self._out = []
+        self._take(event)
+        return self._out
+
+    @property
+    def incarnation(self) -> int:
+        """Number of this start; above that of every earlier one."""
+        return self._own.incarnation
+
+    # --- events ----------------------------------------------------------------
+
+    def _take(self, event: events.Event) -> None:
+        match event:
+            case events.MessageReceived():
+                self._message(event)
+            case events.TimerFired():
+                self._timer(event.timer)
+            case events.LinkOpened() | events.LinkClosed():
+                self._link_changed(event)
+            case events.RecordsPersisted():
+                self._persisted(event.token)
+            case events.RecordsFailed():
+                self._not_persisted(event)
+            case BackendStateChanged():
+                self._backend_state(event.state)
+            case BackendDrained():
+                self._drained()
+            case events.Started():
+                self._started(event)
+            case events.StopRequested():
+                self._stop()
+            case _:
+                raise AssertionError(f"a node takes no {type(event).__name__}")
+
+    def _started(self, event: events.Started) -> None:
+        if not self.holder.holds_nothing:
+            self._report(notices.VersionRestored(self.holder.snapshot.version))
+            self._out.append(ConfigurationSwapped(open_snapshot(self.holder.snapshot)))
+        self._do(self.sessions.start(Randomness(event.seed), self._now))
+
+    def _link_changed(self, event: events.LinkOpened | events.LinkClosed) -> None:
+        session = self.sessions.find(event.link)
+        if session is None:
+            return
+        if isinstance(event, events.LinkOpened):
+            self._do(self.sessions.opened(session, self._now))
+        else:
+            self._do(self.sessions.closed(session, event.reason, self._now))
+
+    def _timer(self, timer: str) -> None:
+        if timer == WATCH_TIMER:
+            self._do(self.sessions.watch(self._now))
+        elif timer == CONNECT_TIMER:
+            self._do(self.sessions.connect(self._now))
+        elif timer == PERSIST_TIMER:
+            self._persist()
+        else:
+            raise AssertionError(f"a node sets no timer {timer}")
+
+    def _message(self, event: events.MessageReceived) -> None:
+        session = self.sessions.find(event.link)
+        if session is not None:
+            self._from_relay(session, event.message)
+
+    # --- the relay -------------------------------------------------------------
+
+    def _from_relay(self, session: RelaySession, message: Message) -> None:
+        self.sessions.heard(session, None, self._now)
+        match message:
+            case UpdateOffered():
+                self._heard_age(session, message.confirmed_age_milliseconds)
+                self._offered(session, message)
+            case Current():
+                session.agreed_digest = self.holder.digest
+                self._heard_age(session, message.confirmed_age_milliseconds)
+                self._still_current(session, message.version)
+            case Freshness():
+                self._heard_age(session, message.confirmed_age_milliseconds)
+                self._still_current(session, message.version)
+                alive = NodeAlive(self.holder.effective_version)
+                self._out.append(SendMessage(session.link, alive))
+            case EndpointsChanged():
+                self._endpoints_changed(session, message)
+            case EndpointsHeld():
+                self._compare_endpoints(session, message)
+            case RetryAfter():
+                self._do(self.sessions.deferred(session, message.milliseconds, self._now))
+            case Goodbye():
+                self._do(self.sessions.goodbye(session, self._now))
+            case Refused():
+                self._do(self.sessions.drop(session, message.reason, self._now))
+            case _:
+                self._do(self.sessions.drop(session, "unexpected message", self._now))
+
+    def _heard_age(self, session: RelaySession, age_milliseconds: int) -> None:
+        """Note an answer and its age; a candidate may become the relay in use."""
+        self.sessions.heard(session, age_milliseconds, self._now)
+        session.answered = True
+        was_active = session is self.sessions.active
+        self._do(self.sessions.settle(session, self._now))
+        if session is self.sessions.active and not was_active:
+            self._introduce(session)
+
+    def _introduce(self, session: RelaySession) -> None:
+        """Tell a relay that is used from now on of the back end and the endpoints."""
+        if self._own.exists:
+            self._announce()
+        self._out.append(SendMessage(session.link, EndpointsHeld(self.known.digest)))
+
+    def _still_current(self, session: RelaySession, version: Version) -> None:
+        if self._pending is None and session.agreed_digest == self.holder.digest:
+            self.holder.still_current(version)
+
+    def _offered(self, session: RelaySession, offer: UpdateOffered) -> None:
+        update = offer.update
+        if self._pending is not None and session is not self._pending_from:
+            self._refuse(session, update.version, "another version is being stored")
+            return
+        if not self._is_acceptable(session, offer):
+            self._refuse(session, update.version, UNCONFIRMED)
+            return
+        prepared = self.holder.prepare(update)
+        if isinstance(prepared, Failure):
+            self._answer_refusal(session, update.version, prepared.failure())
+            return
+        self._pending = prepared.unwrap()
+        self._pending_from = session
+        self._persist()
+
+    def _is_acceptable(self, session: RelaySession, offer: UpdateOffered) -> bool:
+        """Take what was confirmed after the hello, unless there is a floor to go by."""
+        if self.holder.floor > 0:
+            return True
+        since_hello = (self._now - session.opened_at) * 1_000
+        age = offer.confirmed_age_milliseconds
+        return age <= since_hello + AGE_TOLERANCE_MILLISECONDS
+
+    def _answer_refusal(self, session: RelaySession, version: Version, reason: str) -> None:
+        if reason == NOT_NEWER:
+            self._tell_held(session)
+        else:
+            self._refuse(session, version, reason)
+
+    def _refuse(self, session: RelaySession, version: Version, reason: str) -> None:
+        self._report(notices.VersionRefused(version, reason))
+        self._out.append(SendMessage(session.link, UpdateRefused(version, reason)))
+
+    def _tell_held(self, session: RelaySession) -> None:
+        applied = UpdateApplied(self.holder.effective_version, self.holder.digest)
+        self._out.append(SendMessage(session.link, applied))
+
+    # --- storing and using a version -------------------------------------------
+
+    def _persist(self) -> None:
+        """Store the prepared version; use it only once it is synced."""
+        if self._pending is None:
+            return
+        if not self._has_disk:
+            self._use_pending()
+            return
+        self._token += 1
+        self._out.append(PersistSnapshot(self._token, self._pending))
+
+    def _persisted(self, token: int) -> None:
+        if token == self._token and self._pending is not None:
+            self._use_pending()
+
+    def _not_persisted(self, event: events.RecordsFailed) -> None:
+        if event.token != self._token or self._pending is None:
+            return
+        self._report(notices.FloorNotPersisted(self._pending.version, event.reason))
+        self._out.append(SetTimer(PERSIST_TIMER, PERSIST_RETRY_SECONDS))
+
+    def _use_pending(self) -> None:
+        snapshot, origin = self._pending, self._pending_from
+        assert snapshot is not None
+        self._pending = None
+        self._pending_from = None
+        self.holder.use(snapshot)
+        active = open_snapshot(snapshot)
+        self._out.append(ConfigurationSwapped(active))
+        self._report(notices.VersionApplied(snapshot.version, len(snapshot.resources)))
+        if self.known.forget_services_but(frozenset(active.services)):
+            self._out.append(EndpointsSwapped(self.known.endpoints))
+        for session in self.sessions.all_answered():
+            if session is origin:
+                session.agreed_digest = snapshot.digest
+            self._tell_held(session)
+
+    # --- endpoints -------------------------------------------------------------
+
+    def _endpoints_changed(self, session: RelaySession, message: EndpointsChanged) -> None:
+        for endpoint in message.endpoints:
+            if endpoint.node == self._settings.node and self._own.overtake(endpoint):
+                self._announce()
+        if session is self.sessions.active and self.known.take(message):
+            self._out.append(EndpointsSwapped(self.known.endpoints))
+
+    def _compare_endpoints(self, session: RelaySession, message: EndpointsHeld) -> None:
+        digest = self.known.digest
+        if message.digest != digest:
+            self._out.append(SendMessage(session.link, EndpointsHeld(digest)))
+
+    def _backend_state(self, state: str) -> None:
+        if self._own.exists and self._own.change_state(state):
+            self._announce()
+
+    def _announce(self) -> None:
+        active = self.sessions.active
+        if active is None:
+            return
+        endpoint = self._own.current
+        self._out.append(SendMessage(active.link, EndpointAnnounced(endpoint)))
+        self._report(notices.OwnEndpointAnnounced(endpoint.state, endpoint.sequence))
+
+    # --- planned stop ----------------------------------------------------------
+
+    def _stop(self) -> None:
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        self._report(notices.NodeStopping(self._own.exists))
+        self._backend_state("leaving")
+        self._out.append(DrainBackend())
+
+    def _drained(self) -> None:
+        self._backend_state("gone")
+        self._out.append(Exit("stopped"))
+
+    # --- helpers ---------------------------------------------------------------
+
+    def _hello(self) -> NodeHello:
+        holder = self.holder
+        return NodeHello(
+            cluster=self._settings.cluster,
+            node=self._settings.node,
+            incarnation=self._own.incarnation,
+            scope=holder.snapshot.scope,
+            version=holder.effective_version,
+            digest=holder.digest,
+            floor=holder.floor,
+        )
+
+    def _do(self, commands: list[Command]) -> None:
+        self._out.extend(commands)
+
+    def _report(self, notice: Notice) -> None:
+        self._out.append(Report(notice))
--- /dev/null
+++ b/src/peppershore/process/node/data_plane.py
@@ -0,0 +1,279 @@
+"""The data plane of a node: takes callers' requests, gives back ends' answers."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable
+
+import msgspec
+
+from peppershore.connection.http_head import HeadProblem, RequestHead
+from peppershore.connection.http_server import (
+    HttpListener,
+    RequestSink,
+    ServerConnection,
+    ServerExchange,
+)
+from peppershore.connection.messages import CallLinkHello, Endpoint
+from peppershore.connection.tls import client_context, server_context
+from peppershore.process.commands import Notice
+from peppershore.process.node.data import notices
+from peppershore.process.node.data.backend_probe import STATE_READY, BackendProbe
+from peppershore.process.node.data.call import Call
+from peppershore.process.node.data.call_listener import CallListener
+from peppershore.process.node.data.calls import Calls
+from peppershore.process.node.data.own_backend import OwnBackend
+from peppershore.process.node.data.owner_links import OwnerLinks
+from peppershore.process.randomness import Randomness
+from peppershore.process.settings import NodeSettings
+from peppershore.request.claim import ClaimsClient
+from peppershore.version.active import ActiveConfiguration
+from peppershore.version.model import ServiceSettings
+
+TICK_SECONDS = 0.5
+IDLE_SECONDS = 75.0
+LEAVING_SECONDS = 2.0
+"""For so long after ``begin_drain`` others may still send: they are answered."""
+
+DRAIN_POLL_SECONDS = 0.02
+MILLISECONDS = 1_000
+LONGEST_CALL_SECONDS = 10.0
+"""Assumed while no configuration tells the longest timeout."""
+
+
+class ListenAddresses(msgspec.Struct, frozen=True):
+    """Where a node listens, "IP:port"; ``internal`` is empty without a listener."""
+
+    callers: str
+    internal: str
+
+    @property
+    def callers_port(self) -> int:
+        """Port for callers."""
+        return int(self.callers.rpartition(":")[2])
+
+
+class DrainReport(msgspec.Struct, frozen=True):
+    """What a drain waited for, and what it left behind at its bound."""
+
+    seconds: float
+    calls_at_start: int
+    calls_cut: int
+    direct_slots_cut: int
+
+
+class DataPlane:
+    """Listeners, calls, the own back end and its links, of one node."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        notice_sink: Callable[[Notice], None],
+        seed: int | None = None,
+    ) -> None:
+        """Prepare; must run on the loop.  ``seed`` fixes random choices."""
+        self.draining = False
+        self._settings = settings
+        self._notice_sink = notice_sink
+        self._loop = asyncio.get_running_loop()
+        random = Randomness(secrets.randbits(63) if seed is None else seed)
+        hello = CallLinkHello(settings.cluster, settings.node, 0)
+        self._links = OwnerLinks(hello, client_context(settings.tls))
+        self.calls = Calls(settings, notice_sink, random, self._links)
+        self._connections: set[ServerConnection] = set()
+        self._listener = HttpListener(lambda: ServerConnection(self))
+        self._own = _own_backend(settings, random)
+        self.calls.own = self._own
+        self._call_listener = CallListener(
+            settings.cluster,
+            lambda: self._own,
+            self._longest_call_seconds,
+            server_context(settings.tls),
+        )
+        self._probe: BackendProbe | None = None
+        self._on_backend_state: Callable[[str], None] | None = None
+        self._tick: asyncio.TimerHandle | None = None
+        self._drain_began = 0.0
+        self._calls_at_drain = 0
+
+    # --- for the node's shell
+
+    def use_configuration(self, active: ActiveConfiguration) -> None:
+        """Decide new calls by this configuration."""
+        self.calls.use_configuration(active)
+        settings = active.services.get(self._settings.service)
+        if self._own is not None and settings is not None:
+            self._own.use_settings(settings)
+
+    def use_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
+        """Replace the live endpoints of the services that may be called."""
+        self.calls.use_endpoints(endpoints)
+
+    def use_claims(self, claims: ClaimsClient) -> None:
+        """Record a claim before a call with an idempotency key is sent."""
+        self.calls.claims = claims
+
+    def on_backend_state(self, callback: Callable[[str], None]) -> None:
+        """Begin to watch the own back end; tell ``callback`` of its changes."""
+        self._on_backend_state = callback
+        if self._settings.backend and self._probe is None:
+            self._probe = BackendProbe(self._settings.backend, self._backend_changed)
+            self._probe.start()
+
+    async def start(self) -> ListenAddresses:
+        """Listen for callers and, where set, for other nodes."""
+        host, _, port = self._settings.listen.rpartition(":")
+        callers = await self._listener.start(host, int(port))
+        internal = ""
+        if self._settings.internal_listen:
+            host, _, port = self._settings.internal_listen.rpartition(":")
+            bound = await self._call_listener.start(host, int(port))
+            internal = f"{host}:{bound}"
+        self._tick = self._loop.call_later(TICK_SECONDS, self._ticked)
+        return ListenAddresses(callers, internal)
+
+    def begin_drain(self) -> None:
+        """Take no new work; calls in flight go on."""
+        if self.draining:
+            return
+        self.draining = True
+        self._drain_began = self._loop.time()
+        self._calls_at_drain = self._in_flight
+        self._call_listener.lend_no_more()
+
+    async def drained(self, bound_seconds: float) -> DrainReport:
+        """Wait until nothing is in flight, or the bound; say what was waited for."""
+        self.begin_drain()
+        end = self._drain_began + bound_seconds
+        leaving_ends = min(end, self._drain_began + LEAVING_SECONDS)
+        while self._loop.time() < leaving_ends:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        if self._own is not None:
+            self._own.leaving = True
+        self._listener.close()
+        while self._busy and self._loop.time() < end:
+            self._close_idle(0.0)
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        self._close_idle(0.0)
+        return self._report_drain()
+
+    async def close(self) -> None:
+        """Close listeners and connections at once."""
+        if self._tick is not None:
+            self._tick.cancel()
+        if self._probe is not None:
+            self._probe.stop()
+        self._listener.close()
+        self.calls.close()
+        for connection in list(self._connections):
+            connection.close()
+        await self._call_listener.close()
+        self._links.close()
+        if self._own is not None:
+            self._own.close()
+
+    # --- ServerOwner
+
+    def request_received(self, exchange: ServerExchange, head: RequestHead) -> RequestSink:
+        """Begin a call."""
+        call = Call(self.calls, exchange, head)
+        call.start()
+        return call
+
+    def request_refused(self, problem: HeadProblem) -> bytes:
+        """Count a malformed request; give the refusal's body."""
+        self._notice_sink(notices.MalformedRequest(problem.reason, problem.status))
+        return f"not-run: {problem.reason}\n".encode()
+
+    def connection_opened(self, connection: ServerConnection) -> None:
+        """Remember a caller's connection."""
+        self._connections.add(connection)
+
+    def connection_closed(self, connection: ServerConnection) -> None:
+        """Forget a caller's connection."""
+        self._connections.discard(connection)
+
+    # --- inside
+
+    @property
+    def _in_flight(self) -> int:
+        return self.calls.in_flight + self._call_listener.streams
+
+    @property
+    def _busy(self) -> bool:
+        lent = self._call_listener.lent(self._loop.time())
+        return self._in_flight > 0 or lent > 0 or any(c.busy for c in self._connections)
+
+    def _ticked(self) -> None:
+        now = self._loop.time()
+        self._tick = self._loop.call_later(TICK_SECONDS, self._ticked)
+        self.calls.tick(now)
+        self._call_listener.take_back_expired(now)
+        if self._own is not None:
+            self._own.pool.trim(now)
+        self._close_idle(IDLE_SECONDS)
+
+    def _close_idle(self, seconds: float) -> None:
+        now = self._loop.time()
+        for connection in list(self._connections):
+            if not connection.busy and connection.idle_seconds(now) >= seconds:
+                connection.close()
+
+    def _backend_changed(self, state: str) -> None:
+        if self.draining:
+            return
+        self._notice_sink(notices.BackendStateSeen(state))
+        if state == STATE_READY and self._own is not None:
+            self._own.start_ramp()
+        if self._on_backend_state is not None:
+            self._on_backend_state(state)
+
+    def _longest_call_seconds(self) -> float:
+        """Bound on a call begun directly by another node at the own back end."""
+        active = self.calls.configuration
+        if active is None:
+            return LONGEST_CALL_SECONDS
+        own = self._settings.service
+        timeouts = [
+            route.settings.timeout_milliseconds
+            for route in active.routes
+            if (route.settings.target or route.service) == own
+        ]
+        return max(timeouts, default=0) / MILLISECONDS or LONGEST_CALL_SECONDS
+
+    def _report_drain(self) -> DrainReport:
+        now = self._loop.time()
+        report = DrainReport(
+            now - self._drain_began,
+            self._calls_at_drain,
+            self._in_flight,
+            self._call_listener.lent(now),
+        )
+        self._notice_sink(
+            notices.DrainEnded(
+                report.seconds,
+                report.calls_at_start,
+                report.calls_cut,
+                report.direct_slots_cut,
+            )
+        )
+        return report
+
+
+def _own_backend(settings: NodeSettings, random: Randomness) -> OwnBackend | None:
+    if not settings.backend:
+        return None
+    endpoint = Endpoint(
+        node=settings.node,
+        service=settings.service,
+        zone=settings.zone,
+        incarnation=0,
+        sequence=0,
+        state=STATE_READY,
+        address=settings.backend,
+        owner_address="",
+        slots=settings.slots,
+        connections=settings.connections,
+    )
+    return OwnBackend(endpoint, ServiceSettings(), random)
--- /dev/null
+++ b/src/peppershore/process/node/notices.py
@@ -0,0 +1,67 @@
+"""What a node reports to logs and metrics."""
+
+from __future__ import annotations
+
+from peppershore.process.commands import Notice
+from peppershore.version.model import Version
+
+
+class RelayChosen(Notice, frozen=True):
+    """The node takes its configuration from this relay now."""
+
+    relay: str
+
+
+class RelayLeft(Notice, frozen=True):
+    """The node no longer uses this relay."""
+
+    relay: str
+    reason: str
+
+
+class RelayUnavailable(Notice, frozen=True):
+    """A relay could not be used; another is tried after a wait."""
+
+    relay: str
+    reason: str
+    wait_milliseconds: int
+
+
+class VersionApplied(Notice, frozen=True):
+    """The node holds and uses this version."""
+
+    version: Version
+    resources: int
+
+
+class VersionRefused(Notice, frozen=True):
+    """The node kept what it had."""
+
+    version: Version
+    reason: str
+
+
+class VersionRestored(Notice, frozen=True):
+    """The node started with the version its disk held."""
+
+    version: Version
+
+
+class FloorNotPersisted(Notice, frozen=True):
+    """The disk refused a new version, so it is not used; it is tried again."""
+
+    version: Version
+    reason: str
+
+
+class OwnEndpointAnnounced(Notice, frozen=True):
+    """The node told its relay of its back end's state."""
+
+    state: str
+    sequence: int
+
+
+class NodeStopping(Notice, frozen=True):
+    """A planned stop began."""
+
+    has_backend: bool
--- /dev/null
+++ b/src/peppershore/process/node/own_endpoint.py
@@ -0,0 +1,66 @@
+"""What a node says of its own back end."""
+
+from __future__ import annotations
+
+from peppershore.connection.messages import Endpoint
+from peppershore.process.endpoints.table import STATE_LEAVING, STATE_WARMING
+from peppershore.process.settings import NodeSettings
+
+
+class OwnEndpoint:
+    """The state of the back end, with a sequence that rises at each change."""
+
+    def __init__(
+        self, settings: NodeSettings, incarnation: int, owner_address: str
+    ) -> None:
+        """Begin as warming; ``owner_address`` is the node's internal listener."""
+        self.incarnation = incarnation
+        self._settings = settings
+        self._owner_address = owner_address
+        self._sequence = 1
+        self._state = STATE_WARMING
+
+    @property
+    def exists(self) -> bool:
+        """Whether the node has a back end; a node at the edge has none."""
+        return bool(self._settings.backend)
+
+    @property
+    def current(self) -> Endpoint:
+        """The endpoint as it is to be announced."""
+        settings = self._settings
+        return Endpoint(
+            node=settings.node,
+            service=settings.service,
+            zone=settings.zone,
+            incarnation=self.incarnation,
+            sequence=self._sequence,
+            state=self._state,
+            address=settings.backend,
+            owner_address=self._owner_address,
+            slots=settings.slots,
+            connections=settings.connections,
+        )
+
+    def change_state(self, state: str) -> bool:
+        """Take a new state; a leaving back end stays leaving until it is gone."""
+        if state == self._state:
+            return False
+        if self._state == STATE_LEAVING and state != "gone":
+            return False
+        self._state = state
+        self._sequence += 1
+        return True
+
+    def overtake(self, other: Endpoint) -> bool:
+        """Go above what others believe of this node; tell whether that was needed.
+
+        After a restart without memory the incarnation can be lower than the
+        one others remember, for instance when the machine's clock went back.
+        """
+        if (other.incarnation, other.sequence) < (self.incarnation, self._sequence):
+            return False
+        if other == self.current:
+            return False
+        self.incarnation = other.incarnation + 1
+        return True
--- /dev/null
+++ b/src/peppershore/process/node/relay_choice.py
@@ -0,0 +1,61 @@
+"""Which relay a node uses: rendezvous order, what failed lately, and waits.
+
+The node's own zone goes first.  A relay that failed is avoided for a while; if
+all are avoided, the one whose time ends first is tried.
+"""
+
+from __future__ import annotations
+
+from peppershore.process.randomness import Randomness
+from peppershore.process.rendezvous import rank_relays
+from peppershore.process.settings import NodeSettings, PeerRelay
+
+BACKOFF_BASE_SECONDS = 0.1
+BACKOFF_CEILING_SECONDS = 10.0
+AVOID_SECONDS = 10.0
+"""How long a relay that failed or went stale is passed over."""
+
+
+class RelayChoice:
+    """The order of relays for one node."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        """Rank the relays of the settings."""
+        self._ranked = rank_relays(settings.node, settings.zone, settings.relays)
+        self._avoid_until: dict[str, float] = {}
+        self._failures = 0
+
+    def next_relay(self, now: float, besides: str = "") -> PeerRelay | None:
+        """Give the relay to try now; None if there is none besides one."""
+        others = [relay for relay in self._ranked if relay.name != besides]
+        if not others:
+            return None
+        for relay in others:
+            if self._avoid_until.get(relay.name, 0.0) <= now:
+                return relay
+        return min(others, key=lambda relay: self._avoid_until[relay.name])
+
+    def better_than(self, name: str, now: float) -> PeerRelay | None:
+        """Give a relay that ranks above the one in use and is not avoided."""
+        for relay in self._ranked:
+            if relay.name == name:
+                return None
+            if self._avoid_until.get(relay.name, 0.0) <= now:
+                return relay
+        return None
+
+    def failed(self, name: str, now: float) -> None:
+        """Pass a relay over for a while."""
+        self._failures += 1
+        self._avoid_until[name] = now + AVOID_SECONDS
+
+    def succeeded(self, name: str) -> None:
+        """Forget failures once a relay answers."""
+        self._failures = 0
+        self._avoid_until.pop(name, None)
+
+    def wait_seconds(self, randomness: Randomness) -> float:
+        """Give the wait before the next attempt, with full jitter."""
+        return randomness.backoff_seconds(
+            self._failures, BACKOFF_BASE_SECONDS, BACKOFF_CEILING_SECONDS
+        )
--- /dev/null
+++ b/src/peppershore/process/node/relay_sessions.py
@@ -0,0 +1,216 @@
+"""The node's links to relays: one in use, and one that may take its place.
+
+A relay is left for another only once the other has answered, except when the
+link is gone or the relay is silent.  Reasons to move: the relay's confirmation
+is stale, it says goodbye, or a relay that ranks higher is back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from peppershore.connection.messages import NodeHello
+from peppershore.process.commands import (
+    CloseLink,
+    Command,
+    OpenLink,
+    Report,
+    SendMessage,
+    SetTimer,
+)
+from peppershore.process.events import LinkId
+from peppershore.process.link_numbers import LinkNumbers
+from peppershore.process.node import notices
+from peppershore.process.node.relay_choice import RelayChoice
+from peppershore.process.randomness import Randomness
+from peppershore.process.settings import NodeSettings, PeerRelay
+from peppershore.version.model import Digest
+
+CONNECT_TIMER = "relay.connect"
+WATCH_TIMER = "relay.watch"
+
+WATCH_SECONDS = 1.0
+SILENCE_SECONDS = 5.0
+"""A relay that says nothing for this long is left."""
+STALE_MILLISECONDS = 6_000
+"""A relay whose confirmation is older than this is left for a confirmed one."""
+REBALANCE_SECONDS = 60.0
+"""How often, on average, a node looks whether a relay that ranks higher is back."""
+
+
+@dataclass(slots=True)
+class RelaySession:
+    """One link to a relay.  Times are monotonic seconds of the node."""
+
+    link: LinkId
+    relay: PeerRelay
+    opened_at: float
+    last_heard: float
+    is_open: bool = False
+    answered: bool = False
+    age_milliseconds: int = 0
+    agreed_digest: Digest = 0
+    """Digest that this relay knows the node to hold, by its own last answer."""
+
+    def is_silent(self, now: float) -> bool:
+        """Tell whether nothing was heard for too long."""
+        return now - self.last_heard > SILENCE_SECONDS
+
+    def is_stale(self, now: float) -> bool:
+        """Tell whether the relay's version was confirmed too long ago."""
+        since_heard = (now - self.last_heard) * 1_000
+        return self.age_milliseconds + since_heard > STALE_MILLISECONDS
+
+
+class RelaySessions:
+    """Keeps a session with the best relay there is."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        numbers: LinkNumbers,
+        make_hello: Callable[[], NodeHello],
+    ) -> None:
+        """Connect to nothing until ``start``."""
+        self.active: RelaySession | None = None
+        self.candidate: RelaySession | None = None
+        self._choice = RelayChoice(settings)
+        self._numbers = numbers
+        self._make_hello = make_hello
+        self._randomness = Randomness(0)
+        self._rebalance_at = 0.0
+        self._connect_due = False
+
+    def start(self, randomness: Randomness, now: float) -> list[Command]:
+        """Open the first link."""
+        self._randomness = randomness
+        self._plan_rebalance(now)
+        return [*self.connect(now), SetTimer(WATCH_TIMER, WATCH_SECONDS)]
+
+    def find(self, link: LinkId) -> RelaySession | None:
+        """Give the session of a link."""
+        for session in (self.active, self.candidate):
+            if session is not None and session.link == link:
+                return session
+        return None
+
+    def all_answered(self) -> tuple[RelaySession, ...]:
+        """Give the sessions whose relay has answered the hello."""
+        sessions = (self.active, self.candidate)
+        return tuple(each for each in sessions if each is not None and each.answered)
+
+    def connect(self, now: float) -> list[Command]:
+        """Open a link to the next relay, unless one is being tried."""
+        self._connect_due = False
+        if self.candidate is not None:
+            return []
+        besides = self.active.relay.name if self.active else ""
+        relay = self._choice.next_relay(now, besides)
+        return [] if relay is None else self._open(relay, now)
+
+    def opened(self, session: RelaySession, now: float) -> list[Command]:
+        """Say hello on a link that is open now."""
+        session.is_open = True
+        session.opened_at = now
+        session.last_heard = now
+        return [SendMessage(session.link, self._make_hello())]
+
+    def closed(self, session: RelaySession, reason: str, now: float) -> list[Command]:
+        """Forget a link that is gone and plan the next."""
+        was_active = session is self.active
+        if was_active:
+            self.active = None
+        else:
+            self.candidate = None
+        self._choice.failed(session.relay.name, now)
+        out: list[Command] = []
+        if was_active:
+            out.append(Report(notices.RelayLeft(session.relay.name, reason)))
+        if self.active is not None or self.candidate is not None:
+            return out
+        wait = self._choice.wait_seconds(self._randomness)
+        notice = notices.RelayUnavailable(session.relay.name, reason, round(wait * 1_000))
+        return [*out, Report(notice), *self._connect_after(wait)]
+
+    def drop(self, session: RelaySession, reason: str, now: float) -> list[Command]:
+        """Close a link from here and plan the next."""
+        return [CloseLink(session.link, reason), *self.closed(session, reason, now)]
+
+    def deferred(
+        self, session: RelaySession, milliseconds: int, now: float
+    ) -> list[Command]:
+        """Come back later, as the relay asked; the wait is spread at random."""
+        if session is self.active:
+            return self.drop(session, "deferred", now)
+        self.candidate = None
+        close = CloseLink(session.link, "deferred")
+        if self.active is not None:
+            return [close]
+        wait = self._randomness.below(milliseconds / 1_000)
+        notice = notices.RelayUnavailable(
+            session.relay.name, "deferred", round(wait * 1_000)
+        )
+        return [close, Report(notice), *self._connect_after(wait)]
+
+    def heard(
+        self, session: RelaySession, age_milliseconds: int | None, now: float
+    ) -> None:
+        """Note that a relay spoke, and how old its confirmation is."""
+        session.last_heard = now
+        if age_milliseconds is not None:
+            session.age_milliseconds = age_milliseconds
+
+    def settle(self, session: RelaySession, now: float) -> list[Command]:
+        """Decide, after a relay's answer, whether the candidate takes over."""
+        if session is not self.candidate:
+            return []
+        old = self.active
+        if old is not None and session.is_stale(now):
+            self.candidate = None
+            self._choice.failed(session.relay.name, now)
+            return [CloseLink(session.link, "stale")]
+        self.active = session
+        self.candidate = None
+        self._choice.succeeded(session.relay.name)
+        out: list[Command] = [Report(notices.RelayChosen(session.relay.name))]
+        if old is not None:
+            out.append(CloseLink(old.link, "moved"))
+        return out
+
+    def goodbye(self, session: RelaySession, now: float) -> list[Command]:
+        """Move away from a relay that will stop."""
+        if session is self.candidate:
+            return self.drop(session, "goodbye", now)
+        self._choice.failed(session.relay.name, now)
+        return self._connect_after(self._choice.wait_seconds(self._randomness))
+
+    def watch(self, now: float) -> list[Command]:
+        """Leave silent relays; look for a better one when there is reason to."""
+        out: list[Command] = [SetTimer(WATCH_TIMER, WATCH_SECONDS)]
+        for session in (self.active, self.candidate):
+            if session is not None and session.is_silent(now):
+                out.extend(self.drop(session, "silent", now))
+        if self.active is None or self.candidate is not None or self._connect_due:
+            return out
+        if self.active.is_stale(now):
+            self._choice.failed(self.active.relay.name, now)
+            out.extend(self._connect_after(self._choice.wait_seconds(self._randomness)))
+        elif now >= self._rebalance_at:
+            self._plan_rebalance(now)
+            better = self._choice.better_than(self.active.relay.name, now)
+            out.extend([] if better is None else self._open(better, now))
+        return out
+
+    def _open(self, relay: PeerRelay, now: float) -> list[Command]:
+        link = self._numbers.take()
+        self.candidate = RelaySession(link, relay, opened_at=now, last_heard=now)
+        return [OpenLink(link, relay.address)]
+
+    def _connect_after(self, seconds: float) -> list[Command]:
+        self._connect_due = True
+        return [SetTimer(CONNECT_TIMER, seconds)]
+
+    def _plan_rebalance(self, now: float) -> None:
+        wait = self._randomness.between(0.5 * REBALANCE_SECONDS, 1.5 * REBALANCE_SECONDS)
+        self._rebalance_at = now + wait
--- /dev/null
+++ b/src/peppershore/process/relay/__init__.py
@@ -0,0 +1,1 @@
+"""The relay: follows a control replica and serves the nodes of a zone."""
--- /dev/null
+++ b/src/peppershore/process/relay/distribution.py
@@ -0,0 +1,190 @@
+"""Which session needs which update, and when it is sent.
+
+At most one update is outstanding at a session: changes that come meanwhile are
+sent together once it is answered.  So a slow node costs no memory, and answers
+can't cross.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from peppershore.connection.codec import encode_message
+from peppershore.connection.messages import Current, UpdateApplied
+from peppershore.process.commands import Command, SendEncoded
+from peppershore.process.events import LinkId
+from peppershore.process.relay.encoding import EncodedUpdates, encode_offer
+from peppershore.process.relay.session import NodeSession
+from peppershore.version.catalog import ScopeCatalog
+from peppershore.version.model import Digest, Scope, Update, Version
+
+
+class Distributor:
+    """All sessions of a relay and what each of them is to be sent."""
+
+    def __init__(self, catalog: ScopeCatalog) -> None:
+        """Serve the scopes of a catalog."""
+        self.sessions: dict[LinkId, NodeSession] = {}
+        self.sessions_by_scope: dict[Scope, dict[LinkId, NodeSession]] = {}
+        self.behind: dict[LinkId, NodeSession] = {}
+        self.unconfirmed: dict[LinkId, NodeSession] = {}
+        self.bytes_sent = 0
+        self.encoded_updates = EncodedUpdates()
+        self._catalog = catalog
+        self._by_node: dict[str, NodeSession] = {}
+        self._version: Version = 0
+
+    @property
+    def version(self) -> Version:
+        """Version of the tree that is distributed."""
+        return self._version
+
+    def tree_changed(self, version: Version, affected: Iterable[Scope]) -> None:
+        """Note a new tree version and which scopes differ from before."""
+        for scope in affected:
+            for session in self.sessions_of(scope):
+                self._mark_behind(session, version)
+        self._version = version
+
+    def sessions_of(self, scope: Scope) -> tuple[NodeSession, ...]:
+        """The sessions of one scope."""
+        return tuple(self.sessions_by_scope.get(scope, {}).values())
+
+    def has_node(self, node: str) -> bool:
+        """Tell whether a session of the node is open."""
+        return node in self._by_node
+
+    def add(self, session: NodeSession) -> None:
+        """Take a session after its hello; nothing is sent yet."""
+        self.sessions[session.link] = session
+        self.sessions_by_scope.setdefault(session.scope, {})[session.link] = session
+        self._by_node[session.node] = session
+        self._catalog.use(session.scope)
+        self._mark_behind(session, session.version + 1)
+        if session.needs_confirmation:
+            self.unconfirmed[session.link] = session
+
+    def remove(self, link: LinkId) -> NodeSession | None:
+        """Forget a session."""
+        session = self.sessions.pop(link, None)
+        if session is None:
+            return None
+        self.behind.pop(link, None)
+        self.unconfirmed.pop(link, None)
+        if self._by_node.get(session.node) is session:
+            del self._by_node[session.node]
+        of_scope = self.sessions_by_scope[session.scope]
+        del of_scope[link]
+        if not of_scope:
+            del self.sessions_by_scope[session.scope]
+        return session
+
+    def confirm(self, confirmed_at: float) -> list[NodeSession]:
+        """Give the sessions whose wait for a confirmation is over."""
+        ready = [
+            session
+            for session in self.unconfirmed.values()
+            if session.hello_at <= confirmed_at
+        ]
+        for session in ready:
+            session.needs_confirmation = False
+            del self.unconfirmed[session.link]
+        return ready
+
+    def unanswered(self) -> list[NodeSession]:
+        """Give the sessions whose hello could not be answered so far."""
+        return [session for session in self.behind.values() if not session.answered]
+
+    def offer_all(self, sessions: Iterable[NodeSession], age: int) -> list[Command]:
+        """Send to each of these sessions what it needs; equal bytes are shared.
+
+        ``age`` is that of the confirmation, in milliseconds.
+        """
+        payloads: dict[tuple[Scope, Digest], bytes] = {}
+        out: list[Command] = []
+        for session in sessions:
+            if self._may_be_sent(session):
+                out.extend(self._offer(session, age, payloads))
+        return out
+
+    def applied(self, session: NodeSession, message: UpdateApplied) -> bool:
+        """Take a node's word that it holds a version; tell whether more is due."""
+        session.outstanding_version = 0
+        session.version = max(session.version, message.version)
+        session.digest = message.digest
+        if self._catalog.digest(session.scope) == session.digest:
+            self._mark_current(session)
+            return False
+        session.behind_since = session.version + 1
+        self.behind[session.link] = session
+        return True
+
+    def refused(self, session: NodeSession, version: Version) -> bool:
+        """Take a node's refusal; tell whether full state is due."""
+        if version != session.outstanding_version:
+            return False
+        session.outstanding_version = 0
+        session.digest = 0
+        return True
+
+    def in_force(self) -> Version:
+        """Every session that holds anything holds all changes up to this version."""
+        lowest = self._version
+        for session in self.behind.values():
+            if session.version:
+                lowest = min(lowest, session.behind_since - 1)
+        return lowest
+
+    def effective_version(self, session: NodeSession) -> Version:
+        """Give the highest version that is in effect at a node."""
+        if session.behind_since:
+            return session.version
+        return max(session.version, self._version)
+
+    def _may_be_sent(self, session: NodeSession) -> bool:
+        if session.outstanding_version or session.needs_confirmation:
+            return False
+        return self._version > 0 and session.lowest_acceptable <= self._version
+
+    def _offer(
+        self,
+        session: NodeSession,
+        age: int,
+        payloads: dict[tuple[Scope, Digest], bytes],
+    ) -> list[Command]:
+        scope = session.scope
+        update = self._catalog.update_since(scope, session.version, session.digest)
+        if update is None:
+            return self._answer_current(session, age)
+        if update.version <= session.version:
+            return []
+        key = (scope, session.digest)
+        if key not in payloads:
+            payloads[key] = self._encode(update, age)
+        session.answered = True
+        session.outstanding_version = update.version
+        return [self._send(session, payloads[key])]
+
+    def _encode(self, update: Update, age: int) -> bytes:
+        return encode_offer(self.encoded_updates.encoded(update), age)
+
+    def _answer_current(self, session: NodeSession, age: int) -> list[Command]:
+        self._mark_current(session)
+        session.version = max(session.version, self._version)
+        if session.answered:
+            return []
+        session.answered = True
+        return [self._send(session, encode_message(Current(session.version, age)))]
+
+    def _send(self, session: NodeSession, payload: bytes) -> Command:
+        self.bytes_sent += len(payload)
+        return SendEncoded(session.link, payload)
+
+    def _mark_behind(self, session: NodeSession, version: Version) -> None:
+        if session.behind_since == 0:
+            session.behind_since = version
+        self.behind[session.link] = session
+
+    def _mark_current(self, session: NodeSession) -> None:
+        session.behind_since = 0
+        self.behind.pop(session.link, None)
--- /dev/null
+++ b/src/peppershore/process/relay/endpoint_fanout.py
@@ -0,0 +1,90 @@
+"""Which nodes are told of which endpoints, and in what form.
+
+A node is told of the services its snapshot holds.  Changes of a short window
+go out together, encoded once per scope; ``leaving`` does not wait.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from peppershore.connection.codec import encode_message
+from peppershore.connection.messages import Endpoint, EndpointsChanged, EndpointsHeld
+from peppershore.process.commands import Command, SendEncoded
+from peppershore.process.endpoints.table import STATE_GONE, STATE_LEAVING, EndpointTable
+from peppershore.process.events import LinkId
+from peppershore.process.relay.session import NodeSession
+from peppershore.version.catalog import ScopeCatalog
+from peppershore.version.model import Scope
+
+FANOUT_TIMER = "endpoints.fanout"
+FANOUT_SECONDS = 0.05
+
+URGENT_STATES = frozenset((STATE_LEAVING, STATE_GONE))
+
+
+class EndpointFanout:
+    """Encodes endpoint messages for the nodes of a relay."""
+
+    def __init__(self, catalog: ScopeCatalog, table: EndpointTable) -> None:
+        """Tell of the endpoints in a table."""
+        self.bytes_sent = 0
+        self._catalog = catalog
+        self._table = table
+        self._complete: dict[Scope, tuple[int, bytes]] = {}
+
+    def digest_for(self, session: NodeSession) -> Command:
+        """Give the message that tells a node which endpoints it should hold."""
+        digest = self._table.digest(self._catalog.services_held(session.scope))
+        return self._send(session, encode_message(EndpointsHeld(digest)))
+
+    def answer_held(
+        self, session: NodeSession, held: EndpointsHeld, is_settled: bool
+    ) -> list[Command]:
+        """Send a node all endpoints of its services if it holds others."""
+        services = self._catalog.services_held(session.scope)
+        digest = self._table.digest(services)
+        if held.digest == digest:
+            return []
+        if held.digest and not is_settled:
+            return []
+        return [
+            self._send(session, self._encode_complete(session.scope, digest, is_settled))
+        ]
+
+    def changes(
+        self,
+        changed: Iterable[Endpoint],
+        sessions_by_scope: dict[Scope, dict[LinkId, NodeSession]],
+    ) -> list[Command]:
+        """Send changed endpoints to the sessions of the scopes that may use them."""
+        endpoints = tuple(changed)
+        out: list[Command] = []
+        for scope, sessions in sessions_by_scope.items():
+            services = self._catalog.services_held(scope)
+            wanted = tuple(each for each in endpoints if each.service in services)
+            if not wanted:
+                continue
+            payload = encode_message(EndpointsChanged(wanted))
+            out.extend(self._send(session, payload) for session in sessions.values())
+        return out
+
+    def _encode_complete(self, scope: Scope, digest: int, is_settled: bool) -> bytes:
+        key = digest if is_settled else ~digest
+        known = self._complete.get(scope)
+        if known is not None and known[0] == key:
+            return known[1]
+        services = tuple(sorted(self._catalog.services_held(scope)))
+        shown = self._table.shown(services)
+        payload = encode_message(EndpointsChanged(shown, is_settled, services))
+        self._complete[scope] = (key, payload)
+        return payload
+
+    def _send(self, session: NodeSession, payload: bytes) -> Command:
+        self.bytes_sent += len(payload)
+        return SendEncoded(session.link, payload)
+
+
+def is_urgent(endpoint: Endpoint) -> bool:
+    """Tell whether nodes must hear of an endpoint's state without delay."""
+    return endpoint.state in URGENT_STATES
--- /dev/null
+++ b/src/peppershore/process/relay/notices.py
@@ -0,0 +1,118 @@
+"""What a relay reports to logs and metrics."""
+
+from __future__ import annotations
+
+from peppershore.process.commands import Notice
+from peppershore.version.model import Version
+
+
+class ReplicaFollowed(Notice, frozen=True):
+    """The relay follows this replica now."""
+
+    replica: str
+    after_version: Version
+
+
+class ReplicaLost(Notice, frozen=True):
+    """The relay no longer follows this replica and tries another."""
+
+    replica: str
+    reason: str
+
+
+class TreeLoaded(Notice, frozen=True):
+    """The relay took a whole tree from its replica."""
+
+    version: Version
+
+
+class TreeAdvanced(Notice, frozen=True):
+    """The relay took accepted edits; ``affected_scopes`` of those in use changed."""
+
+    version: Version
+    edits: int
+    affected_scopes: int
+
+
+class EditUnusable(Notice, frozen=True):
+    """An accepted edit does not apply to this relay's tree; it loads the tree again."""
+
+    version: Version
+    reason: str
+
+
+class ConfirmationStale(Notice, frozen=True):
+    """No quorum confirmed this relay's version for too long; nodes are told."""
+
+    age_milliseconds: int
+
+
+class ConfirmationFresh(Notice, frozen=True):
+    """A quorum confirms this relay's version again."""
+
+    version: Version
+
+
+class NodeConnected(Notice, frozen=True):
+    """A node said hello."""
+
+    node: str
+    service: str
+    zone: str
+    version: Version
+    holds_nothing: bool
+
+
+class NodeDisconnected(Notice, frozen=True):
+    """A node's session ended."""
+
+    node: str
+    reason: str
+
+
+class HelloRejected(Notice, frozen=True):
+    """A peer's first message was refused."""
+
+    peer: str
+    reason: str
+
+
+class HelloDeferred(Notice, frozen=True):
+    """Admission control told a node to come back later."""
+
+    node: str
+    retry_after_milliseconds: int
+
+
+class UpdateRejected(Notice, frozen=True):
+    """A node kept what it had; it is sent full state."""
+
+    node: str
+    version: Version
+    reason: str
+
+
+class ScopeHeld(Notice, frozen=True):
+    """A change waits because a route's target has no ready endpoint."""
+
+    service: str
+    zone: str
+    route: str
+    target: str
+    version: Version
+
+
+class ScopeReleased(Notice, frozen=True):
+    """A change that waited goes out; ``ready`` tells whether the target became ready."""
+
+    service: str
+    zone: str
+    version: Version
+    ready: bool
+    waited_milliseconds: int
+
+
+class RelayStopping(Notice, frozen=True):
+    """A planned stop began."""
+
+    nodes: int
--- /dev/null
+++ b/src/peppershore/process/relay/session.py
@@ -0,0 +1,48 @@
+"""One node's session at a relay."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from peppershore.process.events import LinkId
+from peppershore.version.model import Digest, Scope, Version
+
+
+@dataclass(slots=True)
+class NodeSession:
+    """What a relay knows of one connected node.
+
+    ``version`` is in effect at the node; ``digest`` is what it will hold once
+    it has taken the update that is outstanding, if there is one.  Times are
+    monotonic seconds of the relay.
+    """
+
+    link: LinkId
+    node: str
+    incarnation: int
+    scope: Scope
+    version: Version
+    digest: Digest
+    floor: Version
+    hello_at: float
+    last_heard: float
+    needs_confirmation: bool
+    """Holds nothing and has no floor: takes only what was confirmed after its hello."""
+    outstanding_version: Version = 0
+    """Version of the update sent and not yet answered; 0 when there is none."""
+    behind_since: Version = 0
+    """First version whose change the node lacks; 0 when it lacks none."""
+    answered: bool = False
+    """The hello was answered by ``Current`` or ``UpdateOffered``."""
+    endpoint_services: frozenset[str] = frozenset()
+    """Services whose endpoints the node was sent."""
+
+    @property
+    def holds_nothing(self) -> bool:
+        """Tell whether the node has no configuration and none is on the way."""
+        return self.digest == 0
+
+    @property
+    def lowest_acceptable(self) -> Version:
+        """The version below which nothing may be offered."""
+        return max(self.version, self.floor)
--- /dev/null
+++ b/src/peppershore/process/relay/shell.py
@@ -0,0 +1,81 @@
+"""Runs a relay as a process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from peppershore.process.admin_http import AdminServer, Readiness
+from peppershore.process.link_security import LinkSecurity
+from peppershore.process.logging import LogIdentity
+from peppershore.process.metrics import ProcessMetrics
+from peppershore.process.relay.core import RelayCore
+from peppershore.process.settings import RelaySettings
+from peppershore.process.shell import Shell
+from peppershore.process.signals import stop_on_signals
+
+
+async def run_relay(
+    settings: RelaySettings, on_ready: Callable[[int], None] | None = None
+) -> None:
+    """Run a relay until its planned stop; tell ``on_ready`` the port bound."""
+    metrics = ProcessMetrics(LogIdentity("relay", settings.relay))
+    security = LinkSecurity("relay", settings.tls)
+    core = RelayCore(settings)
+    shell = Shell(
+        core, metrics.notice, security.client, security.server, security.authorize
+    )
+    _add_gauges(metrics, core, shell)
+    security.start(metrics)
+    admin = AdminServer(metrics, lambda: _readiness(core))
+    if settings.admin_listen:
+        await admin.start(settings.admin_listen)
+    host, _, port = settings.listen.rpartition(":")
+    bound_port = await shell.listen(host, int(port))
+    stop_on_signals(shell)
+    shell.start()
+    if on_ready is not None:
+        on_ready(bound_port)
+    await shell.stopped.wait()
+    await shell.close()
+    await admin.close()
+    security.close()
+
+
+def _readiness(core: RelayCore) -> Readiness:
+    if core.distributor.version == 0:
+        return Readiness(False, "no configuration was had from a control replica yet")
+    if not core.is_fresh:
+        return Readiness(False, "no quorum has confirmed the version lately")
+    return Readiness(True)
+
+
+def _add_gauges(metrics: ProcessMetrics, core: RelayCore, shell: Shell) -> None:
+    metrics.gauge("bytes_sent", "Bytes sent on links.", lambda: shell.bytes_sent)
+    metrics.gauge(
+        "bytes_received", "Bytes received on links.", lambda: shell.bytes_received
+    )
+    metrics.gauge(
+        "control_bytes",
+        "Payload bytes sent to nodes.",
+        lambda: core.nodes.bytes_sent,
+    )
+    metrics.gauge("version", "Newest version held.", lambda: core.distributor.version)
+    metrics.gauge(
+        "in_force",
+        "Version that every connected node holds.",
+        core.distributor.in_force,
+    )
+    metrics.gauge("nodes", "Connected nodes.", lambda: len(core.distributor.sessions))
+    metrics.gauge(
+        "lagging_nodes",
+        "Connected nodes that lack a change.",
+        lambda: len(core.distributor.behind),
+    )
+    metrics.gauge(
+        "endpoints", "Entries of the endpoint table.", lambda: len(core.exchange.table)
+    )
+    metrics.gauge(
+        "encoded_update_bytes",
+        "Bytes of encoded updates kept.",
+        lambda: core.distributor.encoded_updates.held_bytes,
+    )
--- /dev/null
+++ b/src/peppershore/process/relay/source.py
@@ -0,0 +1,163 @@
+"""How a relay follows the control replicas and learns how fresh it is.
+
+One replica is followed at a time.  Confirmations are asked for all the time;
+the age of the newest one, measured from when it was asked for, is what the
+relay tells its nodes.  A replica that stays silent is left for another.
+"""
+
+from __future__ import annotations
+
+import math
+
+from peppershore.connection.messages import ConfirmReply, ConfirmRequest, FollowRequest
+from peppershore.process.commands import (
+    CloseLink,
+    Command,
+    OpenLink,
+    Report,
+    SendMessage,
+    SetTimer,
+)
+from peppershore.process.events import LinkId
+from peppershore.process.link_numbers import LinkNumbers
+from peppershore.process.randomness import Randomness
+from peppershore.process.relay.notices import ReplicaFollowed, ReplicaLost
+from peppershore.process.settings import PeerReplica, RelaySettings
+from peppershore.version.model import Version
+
+CONFIRM_TIMER = "source.confirm"
+RECONNECT_TIMER = "source.reconnect"
+
+CONFIRM_SECONDS = 0.5
+SILENCE_SECONDS = 2.0
+"""A replica that confirms nothing for this long is left for another."""
+BACKOFF_BASE_SECONDS = 0.1
+BACKOFF_CEILING_SECONDS = 3.0
+NEVER_CONFIRMED_MILLISECONDS = 2**31 - 1
+"""The age told while nothing was ever confirmed."""
+MAX_REQUESTS_IN_FLIGHT = 64
+
+
+class SourceFollower:
+    """The relay's link to one control replica."""
+
+    def __init__(self, settings: RelaySettings, numbers: LinkNumbers) -> None:
+        """Follow nothing until ``start``."""
+        self.link: LinkId | None = None
+        self.is_open = False
+        self.confirmed_at: float | None = None
+        self._settings = settings
+        self._numbers = numbers
+        self._randomness = Randomness(0)
+        self._next_replica = 0
+        self._replica: PeerReplica | None = None
+        self._failures = 0
+        self._nonce = 0
+        self._asked_at: dict[int, float] = {}
+        self._waiting: list[tuple[float, Version]] = []
+        self._heard_at = 0.0
+
+    def start(self, randomness: Randomness, now: float) -> list[Command]:
+        """Begin with a replica chosen at random."""
+        self._randomness = randomness
+        self._next_replica = int(randomness.below(len(self._settings.replicas)))
+        return [*self._connect(now), SetTimer(CONFIRM_TIMER, CONFIRM_SECONDS)]
+
+    def opened(self, after_version: Version, now: float) -> list[Command]:
+        """Ask the replica for everything after a version."""
+        assert self.link is not None
+        assert self._replica is not None
+        self.is_open = True
+        self._heard_at = now
+        follow = FollowRequest(
+            self._settings.cluster,
+            self._settings.relay,
+            self._settings.zone,
+            after_version,
+        )
+        return [
+            SendMessage(self.link, follow),
+            *self.ask_confirmation(now),
+            Report(ReplicaFollowed(self._replica.name, after_version)),
+        ]
+
+    def lost(self, reason: str) -> list[Command]:
+        """Forget the link and try another replica after a wait."""
+        name = self._replica.name if self._replica else ""
+        self.link = None
+        self.is_open = False
+        self._asked_at.clear()
+        wait = self._randomness.backoff_seconds(
+            self._failures, BACKOFF_BASE_SECONDS, BACKOFF_CEILING_SECONDS
+        )
+        self._failures += 1
+        return [Report(ReplicaLost(name, reason)), SetTimer(RECONNECT_TIMER, wait)]
+
+    def leave(self, reason: str) -> list[Command]:
+        """Close the link, then go on as if it had been lost."""
+        if self.link is None:
+            return []
+        return [CloseLink(self.link, reason), *self.lost(reason)]
+
+    def reconnect(self, now: float) -> list[Command]:
+        """Open a link to the next replica, unless there is one."""
+        return [] if self.link is not None else self._connect(now)
+
+    def confirm_tick(self, now: float) -> list[Command]:
+        """Ask again; leave a replica that has confirmed nothing for too long."""
+        again: list[Command] = [SetTimer(CONFIRM_TIMER, CONFIRM_SECONDS)]
+        if not self.is_open:
+            return again
+        if now - self._heard_at > SILENCE_SECONDS:
+            return [*self.leave("no confirmation"), *again]
+        return [*self.ask_confirmation(now), *again]
+
+    def ask_confirmation(self, now: float) -> list[Command]:
+        """Ask which version a quorum confirms."""
+        if self.link is None or not self.is_open:
+            return []
+        if len(self._asked_at) >= MAX_REQUESTS_IN_FLIGHT:
+            return []
+        self._nonce += 1
+        self._asked_at[self._nonce] = now
+        return [SendMessage(self.link, ConfirmRequest(self._nonce))]
+
+    def confirmed(self, reply: ConfirmReply, tree_version: Version, now: float) -> None:
+        """Take a confirmation; it counts once the tree has reached its version."""
+        asked_at = self._asked_at.pop(reply.nonce, None)
+        if asked_at is None:
+            return
+        for nonce in [nonce for nonce in self._asked_at if nonce < reply.nonce]:
+            del self._asked_at[nonce]
+        self._heard_at = now
+        self._failures = 0
+        self._waiting.append((asked_at, reply.version))
+        self.tree_reached(tree_version)
+
+    def tree_reached(self, tree_version: Version) -> None:
+        """Let the confirmations count that the tree has caught up with."""
+        still_waiting: list[tuple[float, Version]] = []
+        for asked_at, version in self._waiting:
+            if version > tree_version:
+                still_waiting.append((asked_at, version))
+            elif self.confirmed_at is None or asked_at > self.confirmed_at:
+                self.confirmed_at = asked_at
+        self._waiting = still_waiting[-MAX_REQUESTS_IN_FLIGHT:]
+
+    def age_milliseconds(self, now: float) -> int:
+        """Tell how long ago the newest confirmation was asked for."""
+        if self.confirmed_at is None:
+            return NEVER_CONFIRMED_MILLISECONDS
+        return math.ceil((now - self.confirmed_at) * 1_000)
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether the newest confirmation is younger than the stale bound."""
+        return self.age_milliseconds(now) <= self._settings.stale_after_milliseconds
+
+    def _connect(self, now: float) -> list[Command]:
+        replicas = self._settings.replicas
+        self._replica = replicas[self._next_replica % len(replicas)]
+        self._next_replica += 1
+        self.link = self._numbers.take()
+        self._heard_at = now
+        return [OpenLink(self.link, self._replica.address)]
