--- /dev/null
+++ b/src/peppershore/process/consensus/election.py
@@ -0,0 +1,118 @@
+"""Elections: pre-votes, votes, and whom this replica gives its own to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from peppershore.connection.messages import VoteReply, VoteRequest
+from peppershore.process.consensus.membership import quorum_size, voters_of
+from peppershore.process.consensus.role import Role
+
+if TYPE_CHECKING:
+    from peppershore.process.consensus.core import Consensus
+
+
+class Election:
+    """One campaign of this replica, first for pre-votes, then for votes."""
+
+    def __init__(self, core: Consensus, pre_vote: bool, transfer: bool) -> None:
+        """Prepare a campaign; ``begin_*`` starts it."""
+        self.pre_vote = pre_vote
+        self._core = core
+        self._transfer = transfer
+        self._granted: set[str] = set()
+
+    def begin_pre_vote(self, now: float) -> None:
+        """Ask whether a vote could be won, without changing any term."""
+        core = self._core
+        core.role = Role.PRE_CANDIDATE
+        self._request(core.term + 1)
+        self.count(core.settings.replica, now)
+
+    def begin_vote(self, now: float) -> None:
+        """Enter the next term, vote for this replica and ask the others."""
+        core = self._core
+        core.role = Role.CANDIDATE
+        core.enter_term(core.term + 1, voted_for=core.settings.replica)
+        term = core.term
+        core.durability.when_durable(lambda: self._own_vote_durable(term, now))
+        self._request(term)
+
+    def count(self, voter: str, now: float) -> None:
+        """A voter granted: with a majority go on to the vote, or lead."""
+        core = self._core
+        self._granted.add(voter)
+        voters = voters_of(core.membership)
+        if len(self._granted.intersection(voters)) < quorum_size(core.membership):
+            return
+        if self.pre_vote:
+            core.campaign(pre_vote=False, transfer=False, now=now)
+        else:
+            core.lead(now)
+
+    def _own_vote_durable(self, term: int, now: float) -> None:
+        core = self._core
+        if core.election is self and core.term == term:
+            self.count(core.settings.replica, now)
+
+    def _request(self, term: int) -> None:
+        core = self._core
+        request = VoteRequest(
+            term, core.log.last_index, core.log.last_term, self.pre_vote, self._transfer
+        )
+        for name in voters_of(core.membership):
+            if name != core.settings.replica:
+                core.send_when_durable(name, request)
+
+
+def answer_vote_request(
+    core: Consensus, name: str, request: VoteRequest, now: float
+) -> None:
+    """Grant or deny a vote or pre-vote to the replica of that name."""
+    if _leader_heard(core, now) and not request.transfer:
+        _deny(core, name, request)
+        return
+    if request.pre_vote:
+        _answer_pre_vote(core, name, request)
+        return
+    if request.term > core.term:
+        core.follow("", request.term, "a candidate has a higher term", now)
+    if not _may_vote_for(core, name, request):
+        _deny(core, name, request)
+        return
+    core.vote_for(name, now)
+    core.send_when_durable(name, VoteReply(core.term, True, False))
+
+
+def _answer_pre_vote(core: Consensus, name: str, request: VoteRequest) -> None:
+    if request.term <= core.term or not _log_is_current(core, request):
+        _deny(core, name, request)
+        return
+    core.send_when_durable(name, VoteReply(request.term, True, True))
+
+
+def _leader_heard(core: Consensus, now: float) -> bool:
+    """Whether a leader may still hold a lease that counts on this replica.
+
+    A replica that started a moment ago may have promised a lease before.
+    """
+    if core.leadership is not None:
+        return core.leadership.lease_valid(now)
+    return now < core.leader_heard_at + core.settings.election_seconds
+
+
+def _may_vote_for(core: Consensus, name: str, request: VoteRequest) -> bool:
+    if core.disk_refused or request.term < core.term:
+        return False
+    if core.voted_for not in ("", name):
+        return False
+    return _log_is_current(core, request)
+
+
+def _log_is_current(core: Consensus, request: VoteRequest) -> bool:
+    own = (core.log.last_term, core.log.last_index)
+    return (request.last_term, request.last_index) >= own
+
+
+def _deny(core: Consensus, name: str, request: VoteRequest) -> None:
+    core.send_when_durable(name, VoteReply(core.term, False, request.pre_vote))
--- /dev/null
+++ b/src/peppershore/process/consensus/following.py
@@ -0,0 +1,124 @@
+"""What a follower does with the messages of a leader."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from peppershore.connection.messages import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    Membership,
+    SnapshotChunk,
+    SnapshotReply,
+)
+from peppershore.process.consensus.records import StateSnapshot
+
+if TYPE_CHECKING:
+    from peppershore.process.consensus.core import Consensus
+
+
+class IncomingSnapshot:
+    """A snapshot of which the first bytes arrived."""
+
+    def __init__(self, index: int, term: int, membership: Membership) -> None:
+        """Begin with nothing received."""
+        self.index = index
+        self.term = term
+        self.membership = membership
+        self.data = bytearray()
+
+
+class Following:
+    """Takes entries and snapshots from whoever leads the newest term."""
+
+    def __init__(self, core: Consensus) -> None:
+        """Bind to the core whose log is kept."""
+        self._core = core
+        self._incoming: IncomingSnapshot | None = None
+
+    def take_append(self, leader: str, request: AppendRequest, now: float) -> None:
+        """Append what follows this replica's log, or say where they differ."""
+        core = self._core
+        if not self._accept_leader(leader, request.term, request.round, now):
+            return
+        previous = request.previous_index
+        if previous < core.log.base_index:
+            self._reply(leader, True, core.commit_index, request.round)
+            return
+        if core.log.term_at(previous) != request.previous_term:
+            self._reply(leader, False, self._hint(previous), request.round)
+            return
+        self._append_new(request.entries)
+        last = previous + len(request.entries)
+        core.commit_to(min(request.commit_index, last))
+        self._reply(leader, True, last, request.round)
+
+    def take_chunk(self, leader: str, chunk: SnapshotChunk, now: float) -> None:
+        """Collect a piece of a snapshot; install it once it is whole."""
+        core = self._core
+        if not self._accept_leader(leader, chunk.term, chunk.round, now):
+            return
+        if chunk.index <= core.commit_index:
+            self._incoming = None
+            self._reply(leader, True, core.commit_index, chunk.round)
+            return
+        incoming = self._incoming_for(chunk)
+        if chunk.offset == len(incoming.data):
+            incoming.data += chunk.data
+        if len(incoming.data) < chunk.total_bytes:
+            received = len(incoming.data)
+            reply = SnapshotReply(core.term, chunk.index, received, chunk.round)
+            core.send_when_durable(leader, reply)
+            return
+        self._incoming = None
+        state = bytes(incoming.data)
+        core.install(
+            StateSnapshot(incoming.index, incoming.term, incoming.membership, state)
+        )
+        self._reply(leader, True, chunk.index, chunk.round)
+
+    def _accept_leader(self, leader: str, term: int, round_number: int, now: float) -> bool:
+        core = self._core
+        if core.disk_refused:
+            return False
+        if term < core.term:
+            self._reply(leader, False, core.log.last_index, round_number)
+            return False
+        assert core.leadership is None or term > core.term
+        core.follow(leader, term, "another replica leads", now)
+        return True
+
+    def _incoming_for(self, chunk: SnapshotChunk) -> IncomingSnapshot:
+        incoming = self._incoming
+        same = incoming is not None and (
+            (incoming.index, incoming.term) == (chunk.index, chunk.index_term)
+        )
+        if incoming is None or not same:
+            incoming = IncomingSnapshot(chunk.index, chunk.index_term, chunk.membership)
+            self._incoming = incoming
+        return incoming
+
+    def _append_new(self, entries: tuple[LogEntry, ...]) -> None:
+        core = self._core
+        for position, entry in enumerate(entries):
+            if core.log.term_at(entry.index) == entry.term:
+                continue
+            if entry.index <= core.log.last_index:
+                core.truncate_from(entry.index)
+            core.append(entries[position:])
+            return
+
+    def _hint(self, previous: int) -> int:
+        """Highest index before the run of entries that differ."""
+        log = self._core.log
+        if previous > log.last_index:
+            return log.last_index
+        first = log.first_index_of_term_at(previous)
+        return max(first - 1, self._core.commit_index)
+
+    def _reply(self, leader: str, accepted: bool, index: int, round_number: int) -> None:
+        core = self._core
+        core.send_when_durable(
+            leader, AppendReply(core.term, accepted, index, round_number)
+        )
--- /dev/null
+++ b/src/peppershore/process/consensus/leadership.py
@@ -0,0 +1,310 @@
+"""What only a leader does: replication, commit, lease, reads, hand-over."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from peppershore.connection.messages import (
+    AppendReply,
+    AppendRequest,
+    ElectNow,
+    LogEntry,
+    SnapshotChunk,
+    SnapshotReply,
+)
+from peppershore.process.consensus.membership import quorum_size, voters_of
+from peppershore.process.consensus.outputs import ReadConfirmed, ReadFailed
+from peppershore.process.consensus.peer_progress import PeerProgress
+
+if TYPE_CHECKING:
+    from peppershore.process.consensus.core import Consensus
+
+CLOCK_DRIFT_BOUND = 0.05
+"""Each replica's monotonic clock runs at most this much too fast or too slow."""
+
+LEASE_FRACTION = (1 - CLOCK_DRIFT_BOUND) / (1 + CLOCK_DRIFT_BOUND)
+"""Part of the election timeout for which a confirmed leader may trust its lease."""
+
+
+class PendingRead(msgspec.Struct, frozen=True):
+    """A read that waits for the quorum's answers to ``round``."""
+
+    request: int
+    index: int
+    round: int
+
+
+class Leadership:
+    """State of one leader in one term."""
+
+    def __init__(self, core: Consensus, now: float) -> None:
+        """Start to lead ``core.term``; the core appends the term's first entry."""
+        self.term = core.term
+        self.first_index = core.log.last_index + 1
+        self.own_match = 0
+        self.handing_over_to = ""
+        self._announced = False
+        self._core = core
+        self._round = 0
+        self._round_started: dict[int, float] = {}
+        self._confirmed_round = 0
+        self._confirmed_at = now
+        self._peers: dict[str, PeerProgress] = {}
+        self._reads: list[PendingRead] = []
+        self._round_wanted = False
+
+    @property
+    def announced(self) -> bool:
+        """Whether the term's first entry is committed and no hand-over began."""
+        return self._announced and not self.handing_over_to
+
+    def begins_with(self, commit_index: int) -> bool:
+        """Whether this commit is the one that lets the leader take proposals."""
+        if self._announced or commit_index < self.first_index:
+            return False
+        self._announced = True
+        return True
+
+    # --- replication ---------------------------------------------------------
+
+    def broadcast(self, now: float) -> None:
+        """Begin a new round: a heartbeat or entries to every peer."""
+        self._round += 1
+        self._round_started[self._round] = now
+        self._round_wanted = False
+        for peer in self._current_peers().values():
+            self._send_append(peer, heartbeat=True)
+        self._note_answers()
+
+    def replicate(self, now: float) -> None:
+        """Send new entries to the peers that are ready for them."""
+        if self._round_wanted:
+            self.broadcast(now)
+        for peer in self._current_peers().values():
+            self._send_append(peer, heartbeat=False)
+
+    def take_append_reply(self, name: str, reply: AppendReply) -> None:
+        """Count a member's answer; commit, confirm reads and send more."""
+        peer = self._current_peers().get(name)
+        if peer is None:
+            return
+        peer.take_round(reply.round)
+        if reply.accepted:
+            peer.take_match(reply.last_index)
+        else:
+            peer.take_mismatch(reply.last_index)
+        self._note_answers()
+        self._hand_over_if_ready()
+        self._send_append(peer, heartbeat=False)
+
+    def take_snapshot_reply(self, name: str, reply: SnapshotReply) -> None:
+        """A member holds part of the snapshot: send the next piece."""
+        peer = self._current_peers().get(name)
+        if peer is None:
+            return
+        peer.take_round(reply.round)
+        self._note_answers()
+        snapshot = self._core.snapshot
+        if snapshot is None or snapshot.index != reply.index:
+            return
+        if peer.take_received_bytes(reply.received_bytes):
+            self._send_snapshot(peer)
+
+    def peer_restarted(self, name: str) -> None:
+        """The link to a member is new: nothing sent before counts on arrival."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.restart()
+
+    def match_index(self, name: str) -> int:
+        """Highest index known to be durable at that member."""
+        if name == self._core.settings.replica:
+            return self.own_match
+        peer = self._peers.get(name)
+        return 0 if peer is None else peer.match_index
+
+    def own_log_durable(self, index: int) -> None:
+        """This replica's own disk holds the log up to ``index``."""
+        self.own_match = max(self.own_match, index)
+        self._note_answers()
+
+    def _note_answers(self) -> None:
+        self._advance_commit()
+        self._advance_confirmed_round()
+        self._confirm_reads()
+
+    def _advance_commit(self) -> None:
+        """Commit what a majority holds durably, if it ends in this term."""
+        core = self._core
+        voters = voters_of(core.membership)
+        matches = sorted((self.match_index(name) for name in voters), reverse=True)
+        if not matches:
+            return
+        index = matches[quorum_size(core.membership) - 1]
+        if index > core.commit_index and core.log.term_at(index) == self.term:
+            core.commit_to(index)
+
+    # --- lease, check-quorum and reads ---------------------------------------
+
+    def lease_valid(self, now: float) -> bool:
+        """Whether no other leader can have been elected yet, within drift bound."""
+        if self.handing_over_to:
+            return False
+        if self._alone():
+            return True
+        if self._confirmed_round == 0:
+            return False
+        lease = self._core.settings.election_seconds * LEASE_FRACTION
+        return now < self._confirmed_at + lease
+
+    def quorum_lost(self, now: float) -> bool:
+        """Check-quorum: whether no majority answered for an election timeout."""
+        if self._alone():
+            return False
+        return now >= self._confirmed_at + self._core.settings.election_seconds
+
+    def read(self, request: int, now: float) -> None:
+        """Confirm a read by the lease, or by a round that begins after it."""
+        core = self._core
+        if core.commit_index >= self.first_index and self.lease_valid(now):
+            core.emit(ReadConfirmed(request, core.commit_index))
+            return
+        index = max(core.commit_index, self.first_index)
+        self._reads.append(PendingRead(request, index, self._round + 1))
+        self._round_wanted = True
+
+    def end(self) -> None:
+        """This leadership is over: no waiting read is confirmed."""
+        for read in self._reads:
+            self._core.emit(ReadFailed(read.request))
+        self._reads.clear()
+
+    # --- hand-over -----------------------------------------------------------
+
+    def hand_over(self) -> None:
+        """Let the most advanced voter campaign, once its log is complete."""
+        peers = self._current_peers()
+        voters = [name for name in voters_of(self._core.membership) if name in peers]
+        if not voters:
+            return
+        self.handing_over_to = max(
+            voters, key=lambda name: (peers[name].match_index, peers[name].answered_round)
+        )
+        self._hand_over_if_ready()
+
+    def _hand_over_if_ready(self) -> None:
+        peer = self._peers.get(self.handing_over_to)
+        if peer is None or peer.match_index < self._core.log.last_index:
+            return
+        self._core.send(self.handing_over_to, ElectNow(self.term))
+
+    # --- internals -----------------------------------------------------------
+
+    def _alone(self) -> bool:
+        return voters_of(self._core.membership) == (self._core.settings.replica,)
+
+    def _current_peers(self) -> dict[str, PeerProgress]:
+        own = self._core.settings.replica
+        names = [each.name for each in self._core.membership.members if each.name != own]
+        for name in names:
+            if name not in self._peers:
+                self._peers[name] = PeerProgress(name, self._core.log.last_index + 1)
+        if len(self._peers) != len(names):
+            self._peers = {name: self._peers[name] for name in names}
+        return self._peers
+
+    def _advance_confirmed_round(self) -> None:
+        core = self._core
+        own = core.settings.replica
+        peers = self._current_peers()
+        rounds = [
+            self._round if name == own else peers[name].answered_round
+            for name in voters_of(core.membership)
+        ]
+        if not rounds:
+            return
+        rounds.sort(reverse=True)
+        answered = rounds[quorum_size(core.membership) - 1]
+        if answered <= self._confirmed_round:
+            return
+        self._confirmed_round = answered
+        self._confirmed_at = self._round_started[answered]
+        for old in [each for each in self._round_started if each < answered]:
+            del self._round_started[old]
+
+    def _confirm_reads(self) -> None:
+        core = self._core
+        if not self._reads or core.commit_index < self.first_index:
+            return
+        waiting: list[PendingRead] = []
+        for read in self._reads:
+            if read.round <= self._confirmed_round and read.index <= core.commit_index:
+                core.emit(ReadConfirmed(read.request, read.index))
+            else:
+                waiting.append(read)
+        self._reads = waiting
+
+    def _send_append(self, peer: PeerProgress, heartbeat: bool) -> None:
+        core = self._core
+        if peer.next_index <= core.log.base_index:
+            self._send_snapshot_or_heartbeat(peer, heartbeat)
+            return
+        settings = core.settings
+        may_send = peer.may_send_entries(settings.max_unanswered_messages)
+        sent = False
+        while may_send and peer.next_index <= core.log.last_index:
+            entries = core.log.entries_after(
+                peer.next_index - 1,
+                settings.max_message_entries,
+                settings.max_message_bytes,
+            )
+            core.send(peer.name, self._append_request(peer.next_index - 1, entries))
+            peer.sent_entries(entries[-1].index)
+            sent = True
+            may_send = peer.may_send_entries(settings.max_unanswered_messages)
+        if heartbeat and not sent:
+            core.send(peer.name, self._append_request(peer.next_index - 1, ()))
+
+    def _append_request(
+        self, previous_index: int, entries: tuple[LogEntry, ...]
+    ) -> AppendRequest:
+        core = self._core
+        previous_term = core.log.term_at(previous_index)
+        assert previous_term is not None
+        return AppendRequest(
+            self.term,
+            previous_index,
+            previous_term,
+            core.commit_index,
+            self._round,
+            entries,
+        )
+
+    def _send_snapshot_or_heartbeat(self, peer: PeerProgress, heartbeat: bool) -> None:
+        snapshot = self._core.snapshot
+        assert snapshot is not None
+        if peer.begin_snapshot(snapshot.index) or (heartbeat and peer.snapshot_stalled()):
+            self._send_snapshot(peer)
+        elif heartbeat:
+            request = self._append_request(self._core.log.base_index, ())
+            self._core.send(peer.name, request)
+
+    def _send_snapshot(self, peer: PeerProgress) -> None:
+        core = self._core
+        snapshot = core.snapshot
+        assert snapshot is not None
+        start = peer.snapshot_offset
+        end = start + core.settings.snapshot_chunk_bytes
+        chunk = SnapshotChunk(
+            self.term,
+            snapshot.index,
+            snapshot.term,
+            snapshot.membership,
+            start,
+            len(snapshot.state),
+            snapshot.state[start:end],
+            self._round,
+        )
+        core.send(peer.name, chunk)
--- /dev/null
+++ b/src/peppershore/process/consensus/membership_changes.py
@@ -0,0 +1,156 @@
+"""Membership changes that an operator asked for, one at a time.
+
+A replica is added as a learner; when it has caught up, the leader makes it a
+voter.  A replica that is lost is removed and its successor added; a blank disk
+under an old name is a new member and comes back by remove and add.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from peppershore.connection.messages import (
+    MembershipAnswered,
+    MembershipChange,
+    ReplicaMember,
+)
+from peppershore.process.consensus.membership import (
+    find_member,
+    voters_of,
+    with_member,
+    without_member,
+)
+from peppershore.process.events import LinkId
+
+if TYPE_CHECKING:
+    from peppershore.process.consensus.replica import ReplicaCore
+
+CHANGE_BOUND_SECONDS = 60.0
+CAUGHT_UP_ENTRIES = 100
+"""A learner at most so far behind the log's end becomes a voter."""
+
+ACTION_ADD = "add"
+ACTION_REMOVE = "remove"
+NOT_LEADER = "this replica no longer leads; ask `replica list` what came of it"
+
+
+class _Request(msgspec.Struct, frozen=True):
+    link: LinkId
+    change: MembershipChange
+    deadline: float
+
+
+class MembershipChanges:
+    """Carries out the requested changes on the leader, the oldest first."""
+
+    def __init__(self, replica: ReplicaCore) -> None:
+        """Start without requests."""
+        self._replica = replica
+        self._requests: list[_Request] = []
+
+    def prospects(self) -> dict[str, str]:
+        """Addresses of replicas that are about to be added, by name."""
+        return {
+            request.change.replica: request.change.address
+            for request in self._requests
+            if request.change.action == ACTION_ADD
+        }
+
+    def request(self, link: LinkId, change: MembershipChange) -> None:
+        """Take an operator's change; the answer follows when it is committed."""
+        problem = self._problem(change)
+        if problem:
+            self._replica.send(link, MembershipAnswered(problem))
+            return
+        deadline = self._replica.now + CHANGE_BOUND_SECONDS
+        self._requests.append(_Request(link, change, deadline))
+        self._replica.want_peers()
+        self.tick()
+
+    def tick(self) -> None:
+        """Move the oldest request on, and make caught-up learners voters."""
+        consensus = self._replica.consensus
+        if not consensus.ready_to_propose:
+            return
+        if self._requests:
+            self._advance(self._requests[0])
+        self._promote_caught_up()
+
+    def membership_committed(self) -> None:
+        """Answer the requests that are done with this membership."""
+        for request in [each for each in self._requests if self._done(each.change)]:
+            self._answer(request, "")
+
+    def leadership_lost(self) -> None:
+        """Another leader may or may not finish what is under way."""
+        for request in self._requests:
+            self._replica.send(request.link, MembershipAnswered(NOT_LEADER))
+        self._requests.clear()
+
+    def _problem(self, change: MembershipChange) -> str:
+        member = find_member(self._replica.consensus.membership, change.replica)
+        if change.action == ACTION_ADD:
+            return "" if member is None else f"{change.replica} is a member already"
+        if change.action != ACTION_REMOVE:
+            return f"unknown action {change.action!r}: add or remove"
+        if member is None:
+            return f"{change.replica} is no member"
+        if voters_of(self._replica.consensus.membership) == (change.replica,):
+            return f"{change.replica} is the only voter"
+        return ""
+
+    def _advance(self, request: _Request) -> None:
+        replica = self._replica
+        if self._done(request.change):
+            self._answer(request, "")
+        elif replica.now >= request.deadline:
+            reason = "not done in time; it goes on if the replica can be reached"
+            self._answer(request, reason)
+        else:
+            self._propose(request.change)
+
+    def _done(self, change: MembershipChange) -> bool:
+        consensus = self._replica.consensus
+        if consensus.memberships.current_index > consensus.commit_index:
+            return False
+        member = find_member(consensus.membership, change.replica)
+        if change.action == ACTION_REMOVE:
+            return member is None
+        return member is not None and member.voter
+
+    def _propose(self, change: MembershipChange) -> None:
+        consensus = self._replica.consensus
+        member = find_member(consensus.membership, change.replica)
+        if change.action == ACTION_REMOVE:
+            if member is not None:
+                removed = without_member(consensus.membership, change.replica)
+                consensus.propose_membership(removed)
+                consensus.flush(self._replica.now)
+            return
+        if member is not None:
+            return
+        known = self._replica.peers.identity_of(change.replica)
+        if known is None:
+            return
+        learner = ReplicaMember(change.replica, change.address, known.identity, False)
+        consensus.propose_membership(with_member(consensus.membership, learner))
+        consensus.flush(self._replica.now)
+
+    def _promote_caught_up(self) -> None:
+        consensus = self._replica.consensus
+        leadership = consensus.leadership
+        if leadership is None:
+            return
+        for member in consensus.membership.members:
+            lag = consensus.log.last_index - leadership.match_index(member.name)
+            if not member.voter and lag <= CAUGHT_UP_ENTRIES:
+                voter = msgspec.structs.replace(member, voter=True)
+                consensus.propose_membership(with_member(consensus.membership, voter))
+                consensus.flush(self._replica.now)
+                return
+
+    def _answer(self, request: _Request, problem: str) -> None:
+        self._requests.remove(request)
+        self._replica.send(request.link, MembershipAnswered(problem))
--- /dev/null
+++ b/src/peppershore/process/consensus/peers.py
@@ -0,0 +1,134 @@
+"""Links to the other replicas of the group, and who they say they are."""
+
+from __future__ import annotations
+
+import msgspec
+
+from peppershore.connection.messages import Message, ReplicaHello
+from peppershore.process.commands import CloseLink, Command, OpenLink, SendMessage
+from peppershore.process.events import LinkId
+from peppershore.process.link_numbers import LinkNumbers
+
+RECONNECT_SECONDS = 0.25
+
+
+class _Outgoing:
+    """The link this replica opens to one peer."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.link: LinkId | None = None
+        self.greeted = False
+        self.next_attempt = 0.0
+
+
+class PeerIdentity(msgspec.Struct, frozen=True):
+    """Who is at the other end of a link, by its hello."""
+
+    name: str
+    identity: int
+    group_id: int
+
+
+class PeerLinks:
+    """Keeps one link open to every wanted peer and knows those peers opened."""
+
+    def __init__(self, numbers: LinkNumbers) -> None:
+        """Open nothing before ``want``."""
+        self._numbers = numbers
+        self._outgoing: dict[str, _Outgoing] = {}
+        self._names: dict[LinkId, str] = {}
+        self._greeted: dict[LinkId, PeerIdentity] = {}
+        self._accepted: dict[str, LinkId] = {}
+
+    def want(self, addresses: dict[str, str]) -> list[Command]:
+        """Keep links to exactly these peers, by name and address."""
+        commands: list[Command] = []
+        for name in [name for name in self._outgoing if name not in addresses]:
+            commands += self._drop(name, "no longer a member")
+        for name, address in addresses.items():
+            known = self._outgoing.get(name)
+            if known is not None and known.address != address:
+                commands += self._drop(name, "address changed")
+            if name not in self._outgoing:
+                self._outgoing[name] = _Outgoing(address)
+        return commands
+
+    def connect(self, now: float) -> list[Command]:
+        """Open the links that are due."""
+        commands: list[Command] = []
+        for name, outgoing in self._outgoing.items():
+            if outgoing.link is None and now >= outgoing.next_attempt:
+                outgoing.link = self._numbers.take()
+                outgoing.next_attempt = now + RECONNECT_SECONDS
+                self._names[outgoing.link] = name
+                commands.append(OpenLink(outgoing.link, outgoing.address))
+        return commands
+
+    def opened_by_us(self, link: LinkId) -> bool:
+        """Whether this replica opened the link."""
+        return link in self._names
+
+    def closed(self, link: LinkId) -> str | None:
+        """A link is gone; give the name of the peer it led to, if any."""
+        known = self._greeted.pop(link, None)
+        name = self._names.pop(link, None)
+        if name is not None:
+            outgoing = self._outgoing.get(name)
+            if outgoing is not None and outgoing.link == link:
+                outgoing.link = None
+                outgoing.greeted = False
+            return name
+        if known is None:
+            return None
+        if self._accepted.get(known.name) == link:
+            del self._accepted[known.name]
+        return known.name
+
+    def greeted(self, link: LinkId, hello: ReplicaHello) -> None:
+        """The peer on this link said who it is."""
+        self._greeted[link] = PeerIdentity(hello.replica, hello.identity, hello.group_id)
+        name = self._names.get(link)
+        if name is None:
+            self._accepted[hello.replica] = link
+        else:
+            self._outgoing[name].greeted = True
+
+    def expected_name(self, link: LinkId) -> str | None:
+        """The peer's name a link was opened for."""
+        return self._names.get(link)
+
+    def identity_on(self, link: LinkId) -> PeerIdentity | None:
+        """Who greeted on this link; None for other clients."""
+        return self._greeted.get(link)
+
+    def identity_of(self, name: str) -> PeerIdentity | None:
+        """Who answers on the link this replica opened to that peer."""
+        outgoing = self._outgoing.get(name)
+        if outgoing is None or outgoing.link is None or not outgoing.greeted:
+            return None
+        return self._greeted.get(outgoing.link)
+
+    def send(self, name: str, message: Message) -> list[Command]:
+        """Send on the link opened to the peer, else on one it opened, else drop."""
+        link = self.link_to(name)
+        return [] if link is None else [SendMessage(link, message)]
+
+    def link_to(self, name: str) -> LinkId | None:
+        """The link on which that peer is reached now."""
+        outgoing = self._outgoing.get(name)
+        if outgoing is not None and outgoing.greeted:
+            return outgoing.link
+        return self._accepted.get(name)
+
+    def all_links(self) -> tuple[LinkId, ...]:
+        """Every link on which a peer greeted."""
+        return tuple(self._greeted)
+
+    def _drop(self, name: str, reason: str) -> list[Command]:
+        outgoing = self._outgoing.pop(name)
+        if outgoing.link is None:
+            return []
+        self._names.pop(outgoing.link, None)
+        self._greeted.pop(outgoing.link, None)
+        return [CloseLink(outgoing.link, reason)]
--- /dev/null
+++ b/src/peppershore/process/consensus/replica.py
@@ -0,0 +1,526 @@
+"""The core of one replica of a group: consensus, peers, disk and state machine.
+
+A role's core (control, claims) derives from ``ReplicaCore``: it gives a state
+machine and takes what concerns its own clients by overriding the hooks at the
+end of the class.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from peppershore.connection.messages import (
+    AppendReply,
+    AppendRequest,
+    ElectNow,
+    EntryKind,
+    Goodbye,
+    LogEntry,
+    Message,
+    ReadIndexReply,
+    ReadIndexRequest,
+    Refused,
+    ReplicaHello,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from peppershore.process import events
+from peppershore.process.commands import (
+    CloseLink,
+    Command,
+    Exit,
+    Notice,
+    Report,
+    SendMessage,
+    SetTimer,
+)
+from peppershore.process.consensus import notices, outputs
+from peppershore.process.consensus.core import Consensus, ConsensusSettings
+from peppershore.process.consensus.founding import Founding
+from peppershore.process.consensus.membership import find_member, voters_of
+from peppershore.process.consensus.membership_changes import MembershipChanges
+from peppershore.process.consensus.peers import PeerIdentity, PeerLinks
+from peppershore.process.consensus.reads import ReadTable
+from peppershore.process.consensus.records import PersistLog, StoredState
+from peppershore.process.consensus.state_machine import StateMachine
+from peppershore.process.events import LinkId
+from peppershore.process.link_numbers import LinkNumbers
+from peppershore.process.randomness import Randomness
+from peppershore.process.settings import PeerReplica
+
+TICK_TIMER = "consensus-tick"
+FLUSH_TIMER = "consensus-flush"
+DISK_TIMER = "consensus-disk"
+STOP_TIMER = "consensus-stop"
+DISK_RETRY_SECONDS = 1.0
+STOP_BOUND_SECONDS = 3.0
+
+_CONSENSUS_MESSAGES = (
+    VoteRequest,
+    VoteReply,
+    AppendRequest,
+    AppendReply,
+    SnapshotChunk,
+    SnapshotReply,
+    ElectNow,
+)
+
+
+class ReplicaSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What every replica needs, whatever its group replicates."""
+
+    cluster: str
+    consensus: ConsensusSettings
+    replicas: tuple[PeerReplica, ...]
+    join: bool = False
+    snapshot_entries: int = 2_000
+
+
+class ReplicaCore:
+    """Drives consensus, feeds the state machine, and keeps links to the peers."""
+
+    def __init__(
+        self, settings: ReplicaSettings, stored: StoredState, machine: StateMachine
+    ) -> None:
+        """Take up a stored state; nothing happens before ``Started``."""
+        self.settings = settings
+        self.name = settings.consensus.replica
+        self.now = 0.0
+        self.stopping = False
+        self._stored = stored
+        self._machine = machine
+        self._commands: list[Command] = []
+        self._flush_timer_set = False
+        self._applied_index = 0
+        self._reads = ReadTable()
+        self.consensus = Consensus(settings.consensus, stored, Randomness(stored.identity))
+        self.peers = PeerLinks(LinkNumbers())
+        self._founding = Founding(settings.replicas, self.name)
+        self.changes = MembershipChanges(self)
+
+    def step(self, event: events.Event, now: float) -> list[Command]:
+        """Take one event; give what to do."""
+        self.now = now
+        self._take(event)
+        self._carry_out_outputs()
+        commands = self._commands
+        self._commands = []
+        return commands
+
+    # --- for the role's core -------------------------------------------------
+
+    @property
+    def leads(self) -> bool:
+        """Whether proposals are taken here."""
+        return self.consensus.ready_to_propose
+
+    @property
+    def applied_index(self) -> int:
+        """Index of the newest entry that the state machine has applied."""
+        return self._applied_index
+
+    @property
+    def next_index(self) -> int:
+        """Index that the next proposal will get."""
+        return self.consensus.log.last_index + 1
+
+    @property
+    def leader_address(self) -> str:
+        """Address of the leader this replica follows; "" if it knows none."""
+        leader = self.consensus.leader
+        member = find_member(self.consensus.membership, leader)
+        return "" if member is None else member.address
+
+    def propose(self, payload: bytes) -> int | None:
+        """Append a command if this replica leads; proposals of one moment share a write."""
+        index = self.consensus.propose(payload)
+        if index is not None and not self._flush_timer_set:
+            self._flush_timer_set = True
+            self.command(SetTimer(FLUSH_TIMER, 0.0))
+        return index
+
+    def read(self) -> int:
+        """Ask for a confirmed read; ``on_read`` answers with this request's number."""
+        request = self._reads.take_local()
+        if self.consensus.leadership is not None:
+            self.consensus.read(request, self.now)
+        elif not self._forward_read(request):
+            self.consensus.emit(outputs.ReadFailed(request))
+        return request
+
+    def command(self, command: Command) -> None:
+        """Add a command to this step."""
+        self._commands.append(command)
+
+    def send(self, link: LinkId, message: Message) -> None:
+        """Send a message on a link."""
+        self.command(SendMessage(link, message))
+
+    def report(self, notice: Notice) -> None:
+        """Report to logs and metrics."""
+        self.command(Report(notice))
+
+    def send_to_peer(self, name: str, message: Message) -> None:
+        """Send to another replica, if it is reached."""
+        self._commands += self.peers.send(name, message)
+
+    def want_peers(self) -> None:
+        """Keep links to all members, and to those that are about to be one."""
+        wanted = {
+            member.name: member.address for member in self.consensus.membership.members
+        }
+        if self.consensus.group_id == 0 and not self.settings.join:
+            wanted |= {each.name: each.address for each in self.settings.replicas}
+        wanted |= self.changes.prospects()
+        wanted.pop(self.name, None)
+        self._commands += self.peers.want(wanted)
+        self._commands += self.peers.connect(self.now)
+
+    # --- events --------------------------------------------------------------
+
+    def _take(self, event: events.Event) -> None:
+        if isinstance(event, events.MessageReceived):
+            self._take_message(event.link, event.message)
+        elif isinstance(event, events.TimerFired):
+            self._take_timer(event.timer)
+        elif isinstance(event, events.RecordsPersisted):
+            self._persisted(event.token)
+        elif isinstance(event, events.RecordsFailed):
+            self._records_failed(event.reason)
+        elif isinstance(event, events.LinkOpened):
+            self._link_opened(event)
+        elif isinstance(event, events.LinkClosed):
+            self._link_closed(event.link)
+        elif isinstance(event, events.Started):
+            self._started()
+        elif isinstance(event, events.StopRequested):
+            self._stop_requested()
+        else:
+            self.on_event(event)
+
+    def _started(self) -> None:
+        snapshot = self._stored.snapshot
+        if snapshot is not None:
+            self._machine.restore(snapshot.state)
+            self._applied_index = snapshot.index
+        self._stored = StoredState(self._stored.identity)
+        self.consensus.start(self.now)
+        self._tick()
+
+    def _take_timer(self, timer: str) -> None:
+        if timer == TICK_TIMER:
+            self._tick()
+        elif timer == FLUSH_TIMER:
+            self._flush_timer_set = False
+            self.consensus.flush(self.now)
+        elif timer == DISK_TIMER:
+            self.consensus.retry_disk()
+        elif timer == STOP_TIMER:
+            self.command(Exit("the bound of the planned stop ran out"))
+        else:
+            self.on_timer(timer)
+
+    def _tick(self) -> None:
+        self.command(SetTimer(TICK_TIMER, self.settings.consensus.heartbeat_seconds))
+        self.want_peers()
+        if self.consensus.group_id == 0 and not self.settings.join:
+            self._found_if_possible()
+        self.consensus.tick(self.now)
+        self.changes.tick()
+        self.on_tick()
+        self._exit_if_stopped()
+
+    def _persisted(self, token: int) -> None:
+        if self.consensus.disk_refused:
+            self.report(notices.StorageRecovered(self.name))
+        self.consensus.persisted(token, self.now)
+
+    def _records_failed(self, reason: str) -> None:
+        if not self.consensus.disk_refused:
+            self.report(notices.StorageRefused(self.name, reason))
+        self.consensus.disk_failed(self.now)
+        self.command(SetTimer(DISK_TIMER, DISK_RETRY_SECONDS))
+
+    # --- links and hellos ----------------------------------------------------
+
+    def _link_opened(self, event: events.LinkOpened) -> None:
+        self.on_link_opened(event.link, event.identity)
+        if self.peers.opened_by_us(event.link):
+            self.send(event.link, self._hello())
+
+    def _link_closed(self, link: LinkId) -> None:
+        self.on_link_closed(link)
+        peer = self.peers.closed(link)
+        if peer is None:
+            return
+        if peer == self.consensus.leader:
+            self._reads.fail_forwarded(self.consensus)
+        if self.consensus.leadership is not None:
+            self.consensus.leadership.peer_restarted(peer)
+
+    def _hello(self) -> ReplicaHello:
+        return ReplicaHello(
+            self.settings.cluster,
+            self.name,
+            self.consensus.identity,
+            self.consensus.group_id,
+        )
+
+    def _greet_again(self) -> None:
+        for link in self.peers.all_links():
+            self.send(link, self._hello())
+
+    def _take_hello(self, link: LinkId, hello: ReplicaHello) -> None:
+        problem = self._hello_problem(link, hello)
+        if not problem and not self.may_be_replica(link, hello.replica):
+            problem = "certificate"
+        if problem:
+            self.report(notices.PeerRefused(self.name, hello.replica, problem))
+            self.send(link, Refused(problem))
+            self.command(CloseLink(link, problem))
+            self.peers.closed(link)
+            return
+        first = self.peers.identity_on(link) is None
+        self.peers.greeted(link, hello)
+        if first and not self.peers.opened_by_us(link):
+            self.send(link, self._hello())
+        member = find_member(self.consensus.membership, hello.replica)
+        if member is not None and member.identity != hello.identity:
+            self.report(notices.OtherStoreSeen(self.name, hello.replica))
+        if first and self.consensus.leadership is not None:
+            self.consensus.leadership.peer_restarted(hello.replica)
+
+    def _hello_problem(self, link: LinkId, hello: ReplicaHello) -> str:
+        if hello.cluster != self.settings.cluster:
+            return "other-cluster"
+        if hello.replica == self.name:
+            return "own-name"
+        expected = self.peers.expected_name(link)
+        if expected is not None and expected != hello.replica:
+            return "other-replica"
+        groups = (self.consensus.group_id, hello.group_id)
+        if 0 not in groups and groups[0] != groups[1]:
+            return "other-group"
+        return ""
+
+    def _found_if_possible(self) -> None:
+        progress = self._founding.progress(self.peers)
+        if progress.ready:
+            membership = self._founding.membership(self.consensus.identity, self.peers)
+            self.consensus.found(membership, self.now)
+            self.report(notices.GroupFounded(self.name, self.consensus.group_id))
+            self._greet_again()
+        elif self._founding.should_report(progress):
+            self.report(
+                notices.FoundingAwaited(
+                    self.name, progress.missing, progress.already_in_group
+                )
+            )
+
+    # --- messages ------------------------------------------------------------
+
+    def _take_message(self, link: LinkId, message: Message) -> None:
+        if isinstance(message, ReplicaHello):
+            self._take_hello(link, message)
+            return
+        peer = self.peers.identity_on(link)
+        if peer is None:
+            self.on_client_message(link, message)
+        elif isinstance(message, _CONSENSUS_MESSAGES):
+            self._take_consensus_message(peer, message)
+        elif isinstance(message, ReadIndexRequest):
+            self._take_read_request(peer.name, message)
+        elif isinstance(message, ReadIndexReply):
+            self._take_read_reply(message)
+        elif not isinstance(message, Refused):
+            self.on_peer_message(peer.name, message)
+
+    def _take_consensus_message(self, peer: PeerIdentity, message: Message) -> None:
+        own = self.consensus.group_id
+        if own == 0 and isinstance(message, (AppendRequest, SnapshotChunk)):
+            if peer.group_id == 0:
+                return
+            self.consensus.join_group(peer.group_id)
+            self.report(notices.GroupJoined(self.name, peer.group_id))
+            self._greet_again()
+        elif own != 0 and peer.group_id not in (0, own):
+            return
+        self.consensus.receive(peer.name, peer.identity, message, self.now)
+
+    def _take_read_request(self, peer: str, message: ReadIndexRequest) -> None:
+        request = self._reads.take_for_peer(peer, message.request)
+        self.consensus.read(request, self.now)
+
+    def _take_read_reply(self, message: ReadIndexReply) -> None:
+        if not self._reads.forwarded_answered(message.request):
+            return
+        if message.confirmed:
+            self._reads.confirm(message.request, message.index)
+            self._answer_reads()
+        else:
+            self.on_read(message.request, confirmed=False)
+
+    def _forward_read(self, request: int) -> bool:
+        leader = self.consensus.leader
+        link = self.peers.link_to(leader)
+        if not leader or link is None:
+            return False
+        self._reads.forward(request)
+        self.send(link, ReadIndexRequest(request))
+        return True
+
+    def _answer_reads(self) -> None:
+        for request in self._reads.take_ready(self._applied_index):
+            self.on_read(request, confirmed=True)
+
+    # --- outputs of the consensus core ---------------------------------------
+
+    def _carry_out_outputs(self) -> None:
+        pending = self.consensus.take_outputs()
+        while pending:
+            for output in pending:
+                self._carry_out(output)
+            pending = self.consensus.take_outputs()
+
+    def _carry_out(self, output: outputs.Output) -> None:
+        if isinstance(output, outputs.SendToPeer):
+            self.send_to_peer(output.peer, output.message)
+        elif isinstance(output, outputs.Persist):
+            self.command(PersistLog(output.token, output.records, output.retry))
+        elif isinstance(output, outputs.EntriesCommitted):
+            self._apply(output.entries)
+        elif isinstance(output, outputs.StateInstalled):
+            self._machine.restore(output.snapshot.state)
+            self._applied_index = output.snapshot.index
+            self.on_state_installed()
+            self._answer_reads()
+        elif isinstance(output, outputs.LeadershipGained):
+            self.report(notices.LeadershipStarted(self.name, output.term))
+            self.on_leadership_gained()
+        elif isinstance(output, outputs.LeadershipLost):
+            self.report(notices.LeadershipEnded(self.name, output.reason))
+            self.changes.leadership_lost()
+            self.on_leadership_lost()
+        elif isinstance(output, outputs.LeaderChanged):
+            self.report(notices.LeaderObserved(self.name, output.leader, output.term))
+            self._reads.fail_forwarded(self.consensus)
+            self.on_leader_changed()
+        else:
+            self._take_read_output(output)
+
+    def _take_read_output(self, output: outputs.Output) -> None:
+        if isinstance(output, outputs.ReadConfirmed):
+            remote = self._reads.take_remote(output.request)
+            if remote is not None:
+                reply = ReadIndexReply(remote.request, output.index, True)
+                self.send_to_peer(remote.peer, reply)
+                return
+            self._reads.confirm(output.request, output.index)
+            self._answer_reads()
+        elif isinstance(output, outputs.ReadFailed):
+            remote = self._reads.take_remote(output.request)
+            if remote is not None:
+                self.send_to_peer(remote.peer, ReadIndexReply(remote.request, 0, False))
+                return
+            self.on_read(output.request, confirmed=False)
+
+    def _apply(self, entries: tuple[LogEntry, ...]) -> None:
+        for entry in entries:
+            if entry.kind is EntryKind.COMMAND:
+                self._machine.apply(entry.index, entry.payload)
+            self._applied_index = entry.index
+            if entry.kind is EntryKind.MEMBERSHIP:
+                self._membership_committed()
+        self.on_applied()
+        self._answer_reads()
+        self._snapshot_if_due()
+
+    def _snapshot_if_due(self) -> None:
+        snapshot = self.consensus.snapshot
+        newest = 0 if snapshot is None else snapshot.index
+        if self._applied_index - newest >= self.settings.snapshot_entries:
+            self.consensus.compact(self._applied_index, self._machine.snapshot())
+            self.consensus.flush(self.now)
+
+    def _membership_committed(self) -> None:
+        members = self.consensus.membership.members
+        learners = tuple(member.name for member in members if not member.voter)
+        voters = voters_of(self.consensus.membership)
+        self.report(notices.MembershipChanged(self.name, voters, learners))
+        self.changes.membership_committed()
+        self.want_peers()
+
+    # --- planned stop --------------------------------------------------------
+
+    def _stop_requested(self) -> None:
+        if self.stopping:
+            return
+        self.stopping = True
+        self.command(SetTimer(STOP_TIMER, STOP_BOUND_SECONDS))
+        for link in self.client_links():
+            self.send(link, Goodbye("stopping"))
+        self._exit_if_stopped()
+
+    def _exit_if_stopped(self) -> None:
+        if not self.stopping or self.has_unanswered():
+            return
+        alone = voters_of(self.consensus.membership) == (self.name,)
+        if self.consensus.leadership is not None and not alone:
+            self.consensus.hand_over()
+        elif self.consensus.durability.idle:
+            self.command(Exit("stopped as planned"))
+
+    # --- hooks of the role's core --------------------------------------------
+
+    def on_event(self, event: events.Event) -> None:
+        """Take an event that only the role knows."""
+
+    def on_timer(self, timer: str) -> None:
+        """Take a timer that the role set."""
+
+    def on_tick(self) -> None:
+        """Do what is due at every heartbeat."""
+
+    def on_link_opened(self, link: LinkId, identity: str) -> None:
+        """A link is usable; whether a client or a peer is there shows later."""
+
+    def on_link_closed(self, link: LinkId) -> None:
+        """A link is gone."""
+
+    def may_be_replica(self, link: LinkId, name: str) -> bool:
+        """Whether whoever is on this link may be the replica of that name."""
+        return True
+
+    def on_client_message(self, link: LinkId, message: Message) -> None:
+        """Take a message of a client."""
+
+    def on_peer_message(self, peer: str, message: Message) -> None:
+        """Take a message of another replica that isn't consensus."""
+
+    def on_applied(self) -> None:
+        """The state machine moved on."""
+
+    def on_state_installed(self) -> None:
+        """The state machine was replaced by a snapshot's state."""
+
+    def on_leadership_gained(self) -> None:
+        """Proposals are taken from now on; the state is that of all earlier terms."""
+
+    def on_leadership_lost(self) -> None:
+        """Proposals without outcome may still commit; nothing is known here."""
+
+    def on_leader_changed(self) -> None:
+        """Another leader, or none, is known."""
+
+    def on_read(self, request: int, confirmed: bool) -> None:
+        """A read may be answered from the state now, or could not be confirmed."""
+
+    def has_unanswered(self) -> bool:
+        """Whether a planned stop should wait for answers."""
+        return False
+
+    def client_links(self) -> tuple[LinkId, ...]:
+        """Links of clients that should hear of a planned stop."""
+        return ()
--- /dev/null
+++ b/src/peppershore/process/consensus/role.py
@@ -0,0 +1,14 @@
+"""The role of a replica within its group."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Role(enum.Enum):
+    """What a replica currently does."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
--- /dev/null
+++ b/src/peppershore/process/control/core.py
@@ -0,0 +1,367 @@
+"""The core of a control replica: takes edits, serves relays and operators."""
+
+from __future__ import annotations
+
+import msgspec
+
+from peppershore.connection.identity import parse_identity
+from peppershore.connection.messages import (
+    ConfirmReply,
+    ConfirmRequest,
+    EditAnswered,
+    FollowRequest,
+    HistoryAnswered,
+    HistoryQuery,
+    MembershipChange,
+    Message,
+    NotLeader,
+    ProgressReported,
+    ProgressShared,
+    Refused,
+    ReplicaStatus,
+    RetryAfter,
+    StatusAnswered,
+    StatusQuery,
+    SubmitEdit,
+    TreeAnswered,
+    TreeQuery,
+    WatchRequest,
+)
+from peppershore.process import events
+from peppershore.process.commands import SetTimer
+from peppershore.process.consensus.core import ConsensusSettings
+from peppershore.process.consensus.records import StoredState
+from peppershore.process.consensus.replica import ReplicaCore, ReplicaSettings
+from peppershore.process.control.clock import ClockObserved, WallClock
+from peppershore.process.control.edit_intake import INTERNAL_LINK, EditIntake
+from peppershore.process.control.followers import Followers
+from peppershore.process.control.progress import ProgressTable
+from peppershore.process.control.redaction import edits_without_material, without_material
+from peppershore.process.control.rotation import RotationBarrier
+from peppershore.process.control.state import (
+    ControlCommand,
+    ControlState,
+    encode_command,
+)
+from peppershore.process.events import LinkId
+from peppershore.process.settings import ControlSettings
+from peppershore.version.model import Edit, Version
+
+WATCH_TIMER = "control-watch"
+WATCH_SECONDS = 0.005
+"""Changes of progress within this time are shown to watchers together."""
+
+MAX_WAITING_EDITS = 10_000
+BUSY_RETRY_MILLISECONDS = 500
+HISTORY_CAPACITY = 5_000
+MILLISECONDS_PER_SECOND = 1_000
+
+CONTROL_ROLE = "control"
+RELAY_ROLE = "relay"
+OPERATOR_ROLE = "operator"
+
+_RELAY_MESSAGES = (FollowRequest, ConfirmRequest, ProgressReported)
+
+
+class PendingRead(msgspec.Struct, frozen=True):
+    """A client's request that waits for a confirmed read."""
+
+    link: LinkId
+    request: ConfirmRequest | TreeQuery
+
+
+class ControlCore(ReplicaCore):
+    """Control replica: replicated edits on one side, relays and operators on the other."""
+
+    def __init__(self, settings: ControlSettings, stored: StoredState) -> None:
+        """Take up a stored state; nothing happens before ``Started``."""
+        self.state = ControlState(
+            settings.cluster, settings.change_id_horizon, HISTORY_CAPACITY
+        )
+        super().__init__(_replica_settings(settings), stored, self.state)
+        self._intake = EditIntake(self.state)
+        self._followers = Followers(self.state)
+        self._progress = ProgressTable()
+        self._rotation: RotationBarrier | None = None
+        self._clock = WallClock()
+        self._identities: dict[LinkId, str] = {}
+        self._pending_reads: dict[int, PendingRead] = {}
+        self._watchers: dict[LinkId, Version] = {}
+        self._watch_timer_set = False
+
+    # --- events --------------------------------------------------------------
+
+    def on_event(self, event: events.Event) -> None:
+        """Take the shell's observation of the wall clock."""
+        if isinstance(event, ClockObserved):
+            self._clock.observe(event, self.now)
+
+    def on_timer(self, timer: str) -> None:
+        """Show the newest progress to watchers."""
+        if timer == WATCH_TIMER:
+            self._watch_timer_set = False
+            self._show_watchers()
+
+    def on_tick(self) -> None:
+        """Forget silent relays; let rotations go on whose barrier is passed."""
+        if self._rotation is None:
+            self._rotation = RotationBarrier(self._progress, self.now)
+        if self._progress.forget_old(self.now):
+            self._progress_changed()
+        if not self.leads or self.stopping:
+            return
+        for notice in self._rotation.overdue(self.state.tree, self.now):
+            self.report(notice)
+        for edit in self._rotation.due(self.state.tree, self.now):
+            self._submit(INTERNAL_LINK, edit)
+
+    def on_link_opened(self, link: LinkId, identity: str) -> None:
+        """Remember who the certificate says is there."""
+        self._identities[link] = identity
+
+    def on_link_closed(self, link: LinkId) -> None:
+        """Forget a client."""
+        self._identities.pop(link, None)
+        self._watchers.pop(link, None)
+        self._followers.leave(link)
+
+    def may_be_replica(self, link: LinkId, name: str) -> bool:
+        """Whether the certificate on this link is that replica's."""
+        identity = self._identities.get(link, "")
+        if not identity:
+            return True
+        parsed = parse_identity(identity).value_or(None)
+        if parsed is None or parsed.cluster != self.settings.cluster:
+            return False
+        return (parsed.role, parsed.name) == (CONTROL_ROLE, name)
+
+    # --- clients -------------------------------------------------------------
+
+    def on_client_message(self, link: LinkId, message: Message) -> None:
+        """Serve a relay or an operator."""
+        if not self._allowed(link, message):
+            self.send(link, Refused("role", "this certificate may not ask for that"))
+        elif isinstance(message, SubmitEdit):
+            self._submit(link, message.edit)
+        elif isinstance(message, FollowRequest):
+            self._follow(link, message)
+        elif isinstance(message, (ConfirmRequest, TreeQuery)):
+            self._ask_read(link, message)
+        elif isinstance(message, ProgressReported):
+            self._take_progress(message)
+        elif isinstance(message, HistoryQuery):
+            self.send(link, self._history(message))
+        elif isinstance(message, StatusQuery):
+            self.send(link, self.status())
+        elif isinstance(message, WatchRequest):
+            self._watchers[link] = message.version
+            self._progress_changed()
+        elif isinstance(message, MembershipChange):
+            self._change_membership(link, message)
+        else:
+            self.send(link, Refused("unexpected", type(message).__name__))
+
+    def on_peer_message(self, peer: str, message: Message) -> None:
+        """Take what another replica heard of a relay."""
+        if isinstance(message, ProgressShared):
+            age = message.age_milliseconds / MILLISECONDS_PER_SECOND
+            if self._progress.take(message.report, self.now - age):
+                self._progress_changed()
+
+    def _allowed(self, link: LinkId, message: Message) -> bool:
+        identity = self._identities.get(link, "")
+        if not identity:
+            return True
+        parsed = parse_identity(identity).value_or(None)
+        if parsed is None or parsed.cluster != self.settings.cluster:
+            return False
+        wanted = RELAY_ROLE if isinstance(message, _RELAY_MESSAGES) else OPERATOR_ROLE
+        return parsed.role == wanted
+
+    def _submit(self, link: LinkId, edit: Edit) -> None:
+        if not self.leads or self.stopping:
+            self._answer(link, NotLeader(self.leader_address))
+            return
+        known = self._intake.known_outcome(edit)
+        if known is not None:
+            self._answer(link, EditAnswered(known))
+        elif self._intake.waiting_edits >= MAX_WAITING_EDITS:
+            self._answer(link, RetryAfter(BUSY_RETRY_MILLISECONDS))
+        else:
+            stamp = self._clock.unix_milliseconds(self.now)
+            self._intake.submit(link, edit, stamp, self.next_index, self._propose)
+
+    def _propose(self, command: ControlCommand) -> int | None:
+        return self.propose(encode_command(command))
+
+    def _answer(self, link: LinkId, message: Message) -> None:
+        if link != INTERNAL_LINK:
+            self.send(link, message)
+
+    def _follow(self, link: LinkId, request: FollowRequest) -> None:
+        if request.cluster != self.settings.cluster:
+            self.send(link, Refused("other-cluster", self.settings.cluster))
+            return
+        for command in self._followers.follow(link, request):
+            self.command(command)
+
+    def _ask_read(self, link: LinkId, request: ConfirmRequest | TreeQuery) -> None:
+        if isinstance(request, TreeQuery) and request.version != 0:
+            self._answer_tree(link, request.version)
+            return
+        self._pending_reads[self.read()] = PendingRead(link, request)
+
+    def on_read(self, request: int, confirmed: bool) -> None:
+        """Answer a read that a quorum confirmed; a failed one says who may know."""
+        pending = self._pending_reads.pop(request, None)
+        if pending is None:
+            return
+        if isinstance(pending.request, TreeQuery):
+            if confirmed:
+                self._answer_tree(pending.link, self.state.tree.version)
+            else:
+                self.send(pending.link, NotLeader(self.leader_address))
+        elif confirmed:
+            version = self.state.tree.version
+            self.send(pending.link, ConfirmReply(pending.request.nonce, version))
+
+    def _answer_tree(self, link: LinkId, version: Version) -> None:
+        tree = self.state.history.tree_at(self.state.tree, version)
+        if tree is None:
+            oldest = self.state.history.base_version
+            detail = f"kept are {oldest} to {self.state.tree.version}"
+            self.send(link, Refused("version-not-kept", detail))
+            return
+        self.send(link, TreeAnswered(without_material(tree)))
+
+    def _history(self, query: HistoryQuery) -> HistoryAnswered:
+        """The newest ``limit`` edits after the version asked for."""
+        edits = self.state.history.edits_after(query.after_version)
+        newest = edits[-query.limit :] if query.limit > 0 else ()
+        kept = self.state.history.all_kept()
+        first = kept[0].version if kept else 0
+        return HistoryAnswered(edits_without_material(newest), first)
+
+    def _change_membership(self, link: LinkId, change: MembershipChange) -> None:
+        if self.leads and not self.stopping:
+            self.changes.request(link, change)
+        else:
+            self.send(link, NotLeader(self.leader_address))
+
+    # --- replication ---------------------------------------------------------
+
+    def on_applied(self) -> None:
+        """Answer outcomes and send accepted edits to relays."""
+        for outcome in self.state.take_new_outcomes():
+            for link in self._intake.links_waiting_for(outcome.change_id):
+                self._answer(link, EditAnswered(outcome))
+        for command in self._followers.advance(self.state.take_new_edits()):
+            self.command(command)
+        self._progress_changed()
+
+    def on_state_installed(self) -> None:
+        """The state jumped ahead: relays get the whole tree."""
+        for command in self._followers.state_replaced():
+            self.command(command)
+
+    def on_leadership_gained(self) -> None:
+        """Judge edits on the newest tree from now on."""
+        self._intake.begin()
+
+    def on_leadership_lost(self) -> None:
+        """Edits under way may commit: who waits asks again with the same change id."""
+        for link in self._intake.end():
+            self._answer(link, NotLeader(self.leader_address))
+
+    def has_unanswered(self) -> bool:
+        """Whether an edit waits for its outcome."""
+        return self._intake.waiting_edits > 0
+
+    def client_links(self) -> tuple[LinkId, ...]:
+        """Following relays and watching operators."""
+        return tuple(dict.fromkeys((*self._followers.links(), *self._watchers)))
+
+    # --- progress and status -------------------------------------------------
+
+    def _take_progress(self, report: ProgressReported) -> None:
+        shared = ProgressShared(report, 0)
+        for member in self.consensus.membership.members:
+            if member.name != self.name:
+                self.send_to_peer(member.name, shared)
+        if self._progress.take(report, self.now):
+            self._progress_changed()
+
+    def _progress_changed(self) -> None:
+        if self._watchers and not self._watch_timer_set:
+            self._watch_timer_set = True
+            self.command(SetTimer(WATCH_TIMER, WATCH_SECONDS))
+
+    def _show_watchers(self) -> None:
+        status = self.status()
+        for link, version in list(self._watchers.items()):
+            self.send(link, status)
+            if status.in_force >= version:
+                del self._watchers[link]
+
+    def status(self) -> StatusAnswered:
+        """The cluster as this replica sees it."""
+        rotations: tuple[str, ...] = ()
+        if self._rotation is not None:
+            rotations = self._rotation.descriptions(self.state.tree, self.now)
+        return StatusAnswered(
+            self.settings.cluster,
+            self.name,
+            self.consensus.leader,
+            self.state.tree.version,
+            min(self._progress.in_force(), self.state.tree.version),
+            self._replica_statuses(),
+            self._progress.statuses(self.now),
+            rotations,
+        )
+
+    def _replica_statuses(self) -> tuple[ReplicaStatus, ...]:
+        leadership = self.consensus.leadership
+        statuses: list[ReplicaStatus] = []
+        for member in self.consensus.membership.members:
+            match = 0
+            if leadership is not None:
+                match = leadership.match_index(member.name)
+            elif member.name == self.name:
+                match = self.applied_index
+            role = self._role_of(member.name, member.voter)
+            statuses.append(
+                ReplicaStatus(
+                    member.name,
+                    member.address,
+                    role,
+                    self.consensus.term,
+                    match,
+                    member.voter,
+                )
+            )
+        return tuple(statuses)
+
+    def _role_of(self, name: str, voter: bool) -> str:
+        if name == self.consensus.leader:
+            return "leader"
+        if name == self.name and self.consensus.disk_refused:
+            return "disk-refused"
+        if name != self.name and self.peers.link_to(name) is None:
+            return "unreachable"
+        return "follower" if voter else "learner"
+
+
+def _replica_settings(settings: ControlSettings) -> ReplicaSettings:
+    consensus = ConsensusSettings(
+        replica=settings.replica,
+        heartbeat_seconds=settings.heartbeat_milliseconds / MILLISECONDS_PER_SECOND,
+        election_seconds=settings.election_milliseconds / MILLISECONDS_PER_SECOND,
+        kept_entries=settings.snapshot_entries,
+    )
+    return ReplicaSettings(
+        cluster=settings.cluster,
+        consensus=consensus,
+        replicas=settings.replicas,
+        join=settings.join,
+        snapshot_entries=settings.snapshot_entries,
+    )
--- /dev/null
+++ b/src/peppershore/process/control/followers.py
@@ -0,0 +1,76 @@
+"""Relays that follow the committed edits of this replica."""
+
+from __future__ import annotations
+
+from peppershore.connection.codec import encode_message
+from peppershore.connection.messages import (
+    CommittedEdit,
+    EditsCommitted,
+    FollowRequest,
+    TreeState,
+)
+from peppershore.process.commands import Command, SendEncoded, SendMessage
+from peppershore.process.control.state import ControlState
+from peppershore.process.events import LinkId
+from peppershore.version.model import Version
+
+MAX_EDITS_IN_MESSAGE = 200
+
+
+class Followers:
+    """Sends every following relay each accepted edit once, in log order."""
+
+    def __init__(self, state: ControlState) -> None:
+        """Start without followers."""
+        self._state = state
+        self._sent: dict[LinkId, Version] = {}
+
+    def follow(self, link: LinkId, request: FollowRequest) -> list[Command]:
+        """Bring a relay up to date and keep it so."""
+        version = self._state.tree.version
+        after = request.after_version
+        self._sent[link] = max(after, version)
+        if after >= version:
+            return []
+        if after < self._state.history.base_version:
+            return [SendMessage(link, TreeState(self._state.tree))]
+        edits = self._state.history.edits_after(after)
+        return [SendMessage(link, message) for message in _messages(edits)]
+
+    def leave(self, link: LinkId) -> None:
+        """The relay's link is gone."""
+        self._sent.pop(link, None)
+
+    def advance(self, edits: list[CommittedEdit]) -> list[Command]:
+        """Send newly accepted edits to all relays that lack them."""
+        if not edits:
+            return []
+        commands: list[Command] = []
+        encoded = [encode_message(message) for message in _messages(tuple(edits))]
+        first = edits[0].version
+        last = edits[-1].version
+        for link, sent in self._sent.items():
+            if sent < first:
+                commands += [SendEncoded(link, payload) for payload in encoded]
+            elif sent < last:
+                missing = tuple(edit for edit in edits if edit.version > sent)
+                commands += [SendMessage(link, each) for each in _messages(missing)]
+            self._sent[link] = max(sent, last)
+        return commands
+
+    def state_replaced(self) -> list[Command]:
+        """The state jumped ahead by a snapshot: relays behind get the whole tree."""
+        version = self._state.tree.version
+        behind = [link for link, sent in self._sent.items() if sent < version]
+        for link in behind:
+            self._sent[link] = version
+        return [SendMessage(link, TreeState(self._state.tree)) for link in behind]
+
+    def links(self) -> tuple[LinkId, ...]:
+        """Links of all followers."""
+        return tuple(self._sent)
+
+
+def _messages(edits: tuple[CommittedEdit, ...]) -> list[EditsCommitted]:
+    starts = range(0, len(edits), MAX_EDITS_IN_MESSAGE)
+    return [EditsCommitted(edits[start : start + MAX_EDITS_IN_MESSAGE]) for start in starts]
--- /dev/null
+++ b/src/peppershore/process/control/rotation.py
@@ -0,0 +1,139 @@
+"""The barrier of a secret's rotation: all verifiers hold a key before any signer uses it.
+
+``PutSecret`` adds a generation that nodes verify with but don't sign with.  Once
+every node holds that version, the leader itself proposes ``PromoteSecret``.  A
+wait beyond the bound is reported; nothing is promoted because time has passed.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from peppershore.connection.messages import ProgressReported
+from peppershore.process.commands import Notice
+from peppershore.process.control.progress import RELAY_SILENT_SECONDS, ProgressTable
+from peppershore.version.model import (
+    Edit,
+    ExpectedRevision,
+    PromoteSecret,
+    Secret,
+    Tree,
+    Version,
+)
+
+OVERDUE_SECONDS = 60.0
+ROTATION_AUTHOR = "peppershore"
+SHOWN_NODES = 3
+
+
+class RotationOverdue(Notice, frozen=True):
+    """A rotation waits longer than its bound; the old key stays in use."""
+
+    secret: str
+    reason: str
+
+
+class _Waiting(msgspec.Struct):
+    revision: Version
+    since: float
+    reported: bool = False
+
+
+class RotationBarrier:
+    """Judges which rotations may go on, and says what the others wait for."""
+
+    def __init__(self, progress: ProgressTable, started_at: float) -> None:
+        """Reports are complete once every relay had time to send one."""
+        self._progress = progress
+        self._started_at = started_at
+        self._waiting: dict[str, _Waiting] = {}
+
+    def due(self, tree: Tree, now: float) -> list[Edit]:
+        """Promotions whose barrier is passed."""
+        self._note_waiting(tree, now)
+        return [
+            _promotion(name, tree.secrets[name])
+            for name in sorted(self._waiting)
+            if not self._obstacle(tree.secrets[name], now)
+        ]
+
+    def overdue(self, tree: Tree, now: float) -> list[RotationOverdue]:
+        """Rotations that have just passed their bound."""
+        self._note_waiting(tree, now)
+        found: list[RotationOverdue] = []
+        for name, waiting in sorted(self._waiting.items()):
+            if waiting.reported or now - waiting.since < OVERDUE_SECONDS:
+                continue
+            waiting.reported = True
+            found.append(RotationOverdue(name, self._obstacle(tree.secrets[name], now)))
+        return found
+
+    def descriptions(self, tree: Tree, now: float) -> tuple[str, ...]:
+        """What each rotation under way waits for, for people to read."""
+        self._note_waiting(tree, now)
+        return tuple(
+            self._describe(name, tree.secrets[name], now) for name in sorted(self._waiting)
+        )
+
+    def _describe(self, name: str, secret: Secret, now: float) -> str:
+        waited = now - self._waiting[name].since
+        overdue = ", overdue" if waited >= OVERDUE_SECONDS else ""
+        obstacle = self._obstacle(secret, now) or "the promotion is being committed"
+        generation = _next_generation(secret)
+        return f"{name} to generation {generation} ({waited:.0f} s{overdue}): {obstacle}"
+
+    def _note_waiting(self, tree: Tree, now: float) -> None:
+        rotating = {
+            name: secret.revision
+            for name, secret in tree.secrets.items()
+            if secret.signing_generation != secret.generations[-1].generation
+        }
+        for name in [name for name in self._waiting if name not in rotating]:
+            del self._waiting[name]
+        for name, revision in rotating.items():
+            known = self._waiting.get(name)
+            if known is None or known.revision != revision:
+                self._waiting[name] = _Waiting(revision, now)
+
+    def _obstacle(self, secret: Secret, now: float) -> str:
+        """Why signers may not change yet; "" if they may."""
+        reports = self._progress.reports()
+        if not reports:
+            return "no relay reports"
+        if now - self._started_at < RELAY_SILENT_SECONDS:
+            return "this replica started a moment ago and may not know all relays"
+        silent = self._progress.silent(now)
+        if silent:
+            return f"no report from relay {', '.join(silent)}"
+        behind = [report for report in reports if report.in_force < secret.revision]
+        if behind:
+            return "; ".join(_behind(report, secret.revision) for report in behind)
+        return ""
+
+
+def _behind(report: ProgressReported, wanted: Version) -> str:
+    lagging = [node for node in report.lagging if node.version < wanted]
+    shown = ", ".join(f"{node.node} ({node.reason})" for node in lagging[:SHOWN_NODES])
+    reached = f"relay {report.relay} is at version {report.in_force} of {wanted}"
+    return f"{reached}: {shown}" if shown else reached
+
+
+def _next_generation(secret: Secret) -> int:
+    later = [
+        each.generation
+        for each in secret.generations
+        if each.generation > secret.signing_generation
+    ]
+    return min(later)
+
+
+def _promotion(name: str, secret: Secret) -> Edit:
+    """One generation at a time: verifiers keep the one that signers come from."""
+    generation = _next_generation(secret)
+    return Edit(
+        change_id=f"v{secret.revision}-promote-{name}-{generation}",
+        operations=(PromoteSecret(name, generation),),
+        expected=(ExpectedRevision(f"secret:{name}", secret.revision),),
+        author=ROTATION_AUTHOR,
+        comment=f"all nodes hold version {secret.revision}",
+    )
--- /dev/null
+++ b/src/peppershore/process/control/state.py
@@ -0,0 +1,117 @@
+"""The replicated state of the control group: tree, outcomes and history."""
+
+from __future__ import annotations
+
+import msgspec
+
+from peppershore.connection.messages import CommittedEdit
+from peppershore.process.control.history import History, KeptEdit
+from peppershore.process.control.outcomes import OutcomeTable, RecordedOutcome
+from peppershore.version.model import Edit, EditAccepted, EditOutcome, Tree, Version
+from peppershore.version.tree import AppliedEdit, empty_tree, replay_edit
+
+
+class EditAdmitted(msgspec.Struct, frozen=True, tag=1, array_like=True):
+    """Log command: the leader found this edit valid on the tree before it."""
+
+    edit: Edit
+
+
+class OutcomeNoted(msgspec.Struct, frozen=True, tag=2, array_like=True):
+    """Log command: the leader refused an edit; a resend gets the same answer."""
+
+    outcome: EditOutcome
+
+
+ControlCommand = EditAdmitted | OutcomeNoted
+
+
+class StateImage(msgspec.Struct, frozen=True, array_like=True):
+    """The encoded form of the whole state."""
+
+    tree: Tree
+    horizon_version: Version
+    outcomes: tuple[RecordedOutcome, ...]
+    base_version: Version
+    history: tuple[KeptEdit, ...]
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_COMMANDS: msgspec.msgpack.Decoder[ControlCommand] = msgspec.msgpack.Decoder(ControlCommand)
+_IMAGES = msgspec.msgpack.Decoder(StateImage)
+
+
+def encode_command(command: ControlCommand) -> bytes:
+    """Payload of a log entry."""
+    return _ENCODER.encode(command)
+
+
+class ControlState:
+    """Applies log commands; an equal log gives an equal state on every replica."""
+
+    def __init__(self, cluster: str, outcome_capacity: int, history_capacity: int) -> None:
+        """Start with the empty tree."""
+        self.tree = empty_tree(cluster)
+        self.outcomes = OutcomeTable(outcome_capacity)
+        self.history = History(history_capacity)
+        self._prepared: dict[int, AppliedEdit] = {}
+        self._new_outcomes: list[EditOutcome] = []
+        self._new_edits: list[CommittedEdit] = []
+
+    def prepare(self, index: int, applied: AppliedEdit) -> None:
+        """The leader already knows what its own proposal at ``index`` gives."""
+        self._prepared[index] = applied
+
+    def forget_prepared(self) -> None:
+        """What stands at those indexes may now be another leader's."""
+        self._prepared.clear()
+
+    def apply(self, index: int, payload: bytes) -> None:
+        """Apply the command of the entry at ``index``."""
+        command = _COMMANDS.decode(payload)
+        if isinstance(command, OutcomeNoted):
+            self._record(index, command.outcome)
+            return
+        edit = command.edit
+        applied = self._prepared.pop(index, None)
+        if applied is None:
+            applied = replay_edit(self.tree, edit, index)
+        self.history.add(edit, self.tree, applied)
+        self.tree = applied.tree
+        self._new_edits.append(CommittedEdit(index, edit))
+        self._record(index, EditAccepted(edit.change_id, index))
+
+    def snapshot(self) -> bytes:
+        """Encode the whole state."""
+        image = StateImage(
+            self.tree,
+            self.outcomes.horizon_version,
+            self.outcomes.all_recorded(),
+            self.history.base_version,
+            self.history.all_kept(),
+        )
+        return _ENCODER.encode(image)
+
+    def restore(self, state: bytes) -> None:
+        """Replace the whole state by an encoded one."""
+        image = _IMAGES.decode(state)
+        self.tree = image.tree
+        self.outcomes.restore(image.horizon_version, image.outcomes)
+        self.history.restore(image.base_version, image.history)
+        self._prepared.clear()
+
+    def take_new_outcomes(self) -> list[EditOutcome]:
+        """Outcomes recorded since the last call, in log order."""
+        taken = self._new_outcomes
+        self._new_outcomes = []
+        return taken
+
+    def take_new_edits(self) -> list[CommittedEdit]:
+        """Edits accepted since the last call, in log order."""
+        taken = self._new_edits
+        self._new_edits = []
+        return taken
+
+    def _record(self, index: int, outcome: EditOutcome) -> None:
+        self.outcomes.record(index, outcome)
+        self._new_outcomes.append(outcome)
--- /dev/null
+++ b/src/peppershore/process/storage/schema.py
@@ -0,0 +1,49 @@
+"""Tables, version stamp and checksums of a replica's store."""
+
+from __future__ import annotations
+
+import xxhash
+
+APPLICATION_ID = 0x50455050
+"""Stamp of the SQLite header that marks a store of this program."""
+
+FORMAT_VERSION = 1
+"""Raised with every change of the tables or of what the rows hold."""
+
+CREATE_TABLES = """
+CREATE TABLE owner (
+    only INTEGER PRIMARY KEY CHECK (only = 1),
+    cluster TEXT NOT NULL,
+    replica TEXT NOT NULL,
+    identity INTEGER NOT NULL,
+    group_id INTEGER NOT NULL
+);
+CREATE TABLE hard_state (
+    only INTEGER PRIMARY KEY CHECK (only = 1),
+    term INTEGER NOT NULL,
+    voted_for TEXT NOT NULL
+);
+CREATE TABLE entries (
+    position INTEGER PRIMARY KEY,
+    term INTEGER NOT NULL,
+    kind INTEGER NOT NULL,
+    payload BLOB NOT NULL,
+    checksum INTEGER NOT NULL
+);
+CREATE TABLE snapshot (
+    only INTEGER PRIMARY KEY CHECK (only = 1),
+    position INTEGER NOT NULL,
+    term INTEGER NOT NULL,
+    membership BLOB NOT NULL,
+    state BLOB NOT NULL,
+    checksum INTEGER NOT NULL
+);
+"""
+
+
+def checksum_of(position: int, term: int, kind: int, payload: bytes) -> int:
+    """Checksum of one row, within SQLite's signed 64 bits."""
+    head = f"{position}:{term}:{kind}:".encode()
+    hasher = xxhash.xxh3_64(head)
+    hasher.update(payload)
+    return hasher.intdigest() >> 1
