--- /dev/null
+++ b/src/peppershore/process/node/shell.py
@@ -0,0 +1,173 @@
+"""Runs a node as a process: its core, its disk and its data plane."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from returns.result import Failure
+
+from peppershore.process import events
+from peppershore.process.admin_http import AdminServer, Readiness
+from peppershore.process.commands import Notice
+from peppershore.process.link_security import LinkSecurity
+from peppershore.process.logging import LogIdentity
+from peppershore.process.metrics import ProcessMetrics
+from peppershore.process.node.commands import (
+    ConfigurationSwapped,
+    DrainBackend,
+    EndpointsSwapped,
+    PersistSnapshot,
+)
+from peppershore.process.node.core import NodeCore, NodeMemory
+from peppershore.process.node.data_plane import DataPlane
+from peppershore.process.node.inputs import BackendDrained, BackendStateChanged
+from peppershore.process.node.storage import NodeRecord, NodeStorage
+from peppershore.process.settings import NodeSettings
+from peppershore.process.shell import NoticeSink, Shell
+from peppershore.process.signals import stop_on_signals
+
+GONE_NOTICE_SECONDS = 0.1
+"""Time for the last announcement to leave before the links are closed."""
+
+
+class StoredStateUnusable(Notice, frozen=True):
+    """The stored file is not used; the node takes only confirmed versions."""
+
+    path: str
+    reason: str
+    advice: str
+
+
+class NodeShell(Shell):
+    """Carries out a node core's commands."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        core: NodeCore,
+        data_plane: DataPlane,
+        notice_sink: NoticeSink,
+        security: LinkSecurity,
+    ) -> None:
+        """Bind the core to its data plane and, if there is a folder, to its file."""
+        super().__init__(
+            core, notice_sink, security.client, security.server, security.authorize
+        )
+        self._settings = settings
+        self._node_core = core
+        self._data_plane = data_plane
+        self._storage = NodeStorage(settings.data_folder)
+        self._disk = ThreadPoolExecutor(max_workers=1)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.handle(ConfigurationSwapped, self._use_configuration)
+        self.handle(EndpointsSwapped, self._use_endpoints)
+        self.handle(PersistSnapshot, self._persist)
+        self.handle(DrainBackend, self._drain)
+
+    def _use_configuration(self, command: ConfigurationSwapped) -> None:
+        self._data_plane.use_configuration(command.active)
+
+    def _use_endpoints(self, command: EndpointsSwapped) -> None:
+        self._data_plane.use_endpoints(command.endpoints)
+
+    def _persist(self, command: PersistSnapshot) -> None:
+        self._run(self._save(command))
+
+    async def _save(self, command: PersistSnapshot) -> None:
+        """Sync on a thread of its own: a slow disk must not hold up calls."""
+        record = NodeRecord(
+            self._settings.cluster,
+            self._node_core.incarnation,
+            command.snapshot.version,
+            command.snapshot,
+        )
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.run_in_executor(self._disk, self._storage.save, record)
+        except OSError as problem:
+            self.dispatch(events.RecordsFailed(command.token, str(problem)))
+            return
+        self.dispatch(events.RecordsPersisted(command.token))
+
+    def _drain(self, command: DrainBackend) -> None:
+        del command
+        self._run(self._drain_backend())
+
+    async def _drain_backend(self) -> None:
+        self._data_plane.begin_drain()
+        await self._data_plane.drained(self._settings.stop_bound_milliseconds / 1_000)
+        self.dispatch(BackendDrained())
+
+    def _run(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def recall(settings: NodeSettings, notice_sink: NoticeSink) -> NodeMemory:
+    """Read what the node held before, and count this start."""
+    started_milliseconds = int(time.time() * 1_000)
+    if not settings.data_folder:
+        return NodeMemory(started_milliseconds)
+    storage = NodeStorage(settings.data_folder)
+    loaded = storage.load()
+    if isinstance(loaded, Failure):
+        problem = loaded.failure()
+        notice_sink(StoredStateUnusable(problem.path, problem.reason, problem.advice))
+        return NodeMemory(started_milliseconds)
+    record = loaded.unwrap()
+    if record is None or record.cluster != settings.cluster:
+        return NodeMemory(started_milliseconds)
+    incarnation = max(record.incarnation + 1, started_milliseconds)
+    return NodeMemory(incarnation, record.floor, record.snapshot)
+
+
+async def run_node(
+    settings: NodeSettings, on_ready: Callable[[int], None] | None = None
+) -> None:
+    """Run a node until its planned stop; tell ``on_ready`` the callers' port."""
+    metrics = ProcessMetrics(LogIdentity("node", settings.node))
+    security = LinkSecurity("node", settings.tls)
+    data_plane = DataPlane(settings, metrics.notice)
+    addresses = await data_plane.start()
+    core = NodeCore(settings, recall(settings, metrics.notice), addresses.internal)
+    shell = NodeShell(settings, core, data_plane, metrics.notice, security)
+    data_plane.on_backend_state(lambda state: shell.dispatch(BackendStateChanged(state)))
+    _add_gauges(metrics, core, shell)
+    security.start(metrics)
+    admin = AdminServer(metrics, lambda: _readiness(core))
+    if settings.admin_listen:
+        await admin.start(settings.admin_listen)
+    stop_on_signals(shell)
+    shell.start()
+    if on_ready is not None:
+        on_ready(addresses.callers_port)
+    await shell.stopped.wait()
+    await asyncio.sleep(GONE_NOTICE_SECONDS)
+    await shell.close()
+    await data_plane.close()
+    await admin.close()
+    security.close()
+
+
+def _add_gauges(metrics: ProcessMetrics, core: NodeCore, shell: Shell) -> None:
+    metrics.gauge("bytes_sent", "Bytes sent on links.", lambda: shell.bytes_sent)
+    metrics.gauge(
+        "bytes_received", "Bytes received on links.", lambda: shell.bytes_received
+    )
+    metrics.gauge(
+        "version",
+        "Version in effect at this node.",
+        lambda: core.holder.effective_version,
+    )
+    metrics.gauge("endpoints", "Back ends known.", lambda: len(core.known.endpoints))
+
+
+def _readiness(core: NodeCore) -> Readiness:
+    if core.holder.holds_nothing:
+        return Readiness(False, "no configuration is held yet")
+    return Readiness(True)
--- a/tests/relay/test_relay_and_node.py
+++ b/tests/relay/test_relay_and_node.py
@@ -2,14 +2,6 @@
 
 from __future__ import annotations
 
-from peppershore.process.node.core import NodeCore, NodeMemory
-from peppershore.process.relay.core import RelayCore
-from peppershore.process.settings import (
-    NodeSettings,
-    PeerRelay,
-    PeerReplica,
-    RelaySettings,
-)
 from tests.relay.scripted_replica import (
     CLUSTER,
     AcceptEdit,
@@ -19,6 +11,15 @@
 )
 from tests.relay.virtual_network import VirtualNetwork
 
+from peppershore.process.node.core import NodeCore, NodeMemory
+from peppershore.process.relay.core import RelayCore
+from peppershore.process.settings import (
+    NodeSettings,
+    PeerRelay,
+    PeerReplica,
+    RelaySettings,
+)
+
 RELAYS = tuple(
     PeerRelay(name=name, zone=zone, address=name)
     for name, zone in (("r1", "pasila"), ("r2", "pasila"), ("r3", "vantaa"))
