--- /dev/null
+++ b/src/peppershore/connection/call_link.py
@@ -0,0 +1,195 @@
+"""Calls multiplexed on one link between two nodes.
+
+Stream numbers only ever grow, so a late message never meets another call's
+stream.  Body bytes both ways are bounded by credit for each stream.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from typing import Protocol
+
+from peppershore.connection.codec import encode_message
+from peppershore.connection.link import Link
+from peppershore.connection.messages import (
+    CallAnswerBody,
+    CallAnswered,
+    CallBody,
+    CallCancelled,
+    CallCredit,
+    CallNotRun,
+    CallStarted,
+    CallUnknown,
+    Message,
+)
+
+STREAM_WINDOW_BYTES = 256 * 1024
+"""Body bytes that may be under way on one stream in one direction."""
+
+
+class StreamSink(Protocol):
+    """Takes the messages of one stream."""
+
+    def stream_message(self, message: Message) -> None:
+        """Take the next message of this stream."""
+
+    def stream_lost(self, reason: str) -> None:
+        """The link is gone; nothing more comes."""
+
+
+StreamMessage = (
+    CallStarted
+    | CallBody
+    | CallCancelled
+    | CallCredit
+    | CallAnswered
+    | CallAnswerBody
+    | CallNotRun
+    | CallUnknown
+)
+
+
+class CallLink:
+    """The streams of one link."""
+
+    def __init__(
+        self,
+        link: Link,
+        on_started: Callable[[CallLink, CallStarted], None],
+        on_other: Callable[[CallLink, Message], None],
+        on_lost: Callable[[CallLink, str], None],
+    ) -> None:
+        """Take over an open link.
+
+        ``on_started`` gets calls from the peer, ``on_other`` messages outside
+        any stream.
+        """
+        self.alive = True
+        self._link = link
+        self._on_started = on_started
+        self._on_other = on_other
+        self._on_lost = on_lost
+        self._streams: dict[int, StreamSink] = {}
+        self._numbers = itertools.count(1)
+        self._highest_started = 0
+
+    @property
+    def streams(self) -> int:
+        """Streams open now."""
+        return len(self._streams)
+
+    def start(self) -> None:
+        """Begin to take messages."""
+        self._link.start(self._received, self._lost)
+
+    def open_stream(self, sink: StreamSink) -> int:
+        """Give the number of a new stream of ours."""
+        number = next(self._numbers)
+        self._streams[number] = sink
+        return number
+
+    def serve(self, stream: int, sink: StreamSink) -> None:
+        """Hand what comes on the peer's stream to ``sink``."""
+        self._streams[stream] = sink
+
+    def forget(self, stream: int) -> None:
+        """The stream is over; what still comes on it is discarded."""
+        self._streams.pop(stream, None)
+
+    def send(self, message: Message) -> bool:
+        """Queue a message; false if it surely never leaves this process."""
+        return self.alive and self._link.send(encode_message(message)) > 0
+
+    def close(self) -> None:
+        """Send what is queued, then close."""
+        self.alive = False
+        self._link.close()
+        self._lose_streams("closed")
+
+    def _received(self, message: Message, size: int) -> None:
+        del size
+        if isinstance(message, CallStarted):
+            self._begin(message)
+        elif isinstance(message, StreamMessage):
+            sink = self._streams.get(message.stream)
+            if sink is not None:
+                sink.stream_message(message)
+        else:
+            self._on_other(self, message)
+
+    def _begin(self, message: CallStarted) -> None:
+        if message.stream <= self._highest_started:
+            self.close()
+            self._on_lost(self, "stream number used twice")
+            return
+        self._highest_started = message.stream
+        self._on_started(self, message)
+
+    def _lost(self, reason: str) -> None:
+        self.alive = False
+        self._lose_streams(reason)
+        self._on_lost(self, reason)
+
+    def _lose_streams(self, reason: str) -> None:
+        streams = list(self._streams.values())
+        self._streams.clear()
+        for sink in streams:
+            sink.stream_lost(reason)
+
+
+class SendWindow:
+    """Credit left for sending body bytes on one stream."""
+
+    __slots__ = ("_left",)
+
+    def __init__(self) -> None:
+        """Start with a whole window."""
+        self._left = STREAM_WINDOW_BYTES
+
+    @property
+    def open(self) -> bool:
+        """Whether more may be sent."""
+        return self._left > 0
+
+    def sent(self, octets: int) -> None:
+        """Count bytes sent."""
+        self._left -= octets
+
+    def credited(self, octets: int) -> bool:
+        """Take credit; true if this opened a closed window."""
+        was_open = self.open
+        self._left += octets
+        return self.open and not was_open
+
+
+class ReceiveWindow:
+    """Credit owed for body bytes taken on one stream."""
+
+    __slots__ = ("_owed", "_paused")
+
+    def __init__(self) -> None:
+        """Start with nothing owed."""
+        self._owed = 0
+        self._paused = False
+
+    def taken(self, octets: int) -> int:
+        """Count bytes handed on; give the credit to send now, or 0."""
+        self._owed += octets
+        return self._due()
+
+    def pause(self) -> None:
+        """Owe, but give no credit."""
+        self._paused = True
+
+    def resume(self) -> int:
+        """Give the credit to send now, or 0."""
+        self._paused = False
+        return self._due()
+
+    def _due(self) -> int:
+        if self._paused or self._owed < STREAM_WINDOW_BYTES // 4:
+            return 0
+        due = self._owed
+        self._owed = 0
+        return due
--- /dev/null
+++ b/src/peppershore/connection/http_client.py
@@ -0,0 +1,263 @@
+"""HTTP/1.1 towards back ends: one connection, on h11, one exchange at a time.
+
+An answer is handed on only as far as it is well-formed; an answer that ends
+before its declared length, or that declares no length at all, is a failure.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+import h11
+
+from peppershore.connection.http_head import (
+    MAX_HEAD_BYTES,
+    AnswerHead,
+    HeaderList,
+    RequestHead,
+    end_to_end_headers,
+)
+
+WRITE_HIGH_WATER_BYTES = 256 * 1024
+STATUS_NO_CONTENT = 204
+STATUS_NOT_MODIFIED = 304
+HTTP_1_1 = b"1.1"
+
+
+class AnswerSink(Protocol):
+    """Takes what a back end answers to one attempt."""
+
+    def answer_head(self, head: AnswerHead) -> None:
+        """The answer begins."""
+
+    def answer_data(self, data: bytes) -> None:
+        """A piece of the answer's body."""
+
+    def answer_ended(self, trailers: HeaderList) -> None:
+        """The answer is whole."""
+
+    def attempt_failed(self, reason: str) -> None:
+        """There will be no whole answer; the request's bytes may have been read."""
+
+    def sending_paused(self) -> None:
+        """The back end reads slowly: give no more request bytes for now."""
+
+    def sending_resumed(self) -> None:
+        """The back end caught up."""
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a back end."""
+
+    def __init__(self, on_idle_lost: Callable[[ClientConnection], None]) -> None:
+        """Call ``on_idle_lost`` when the connection ends outside an exchange."""
+        self.last_used = 0.0
+        self.exchanges = 0
+        self._on_idle_lost = on_idle_lost
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._transport: asyncio.Transport | None = None
+        self._sink: AnswerSink | None = None
+        self._on_free: Callable[[ClientConnection], None] | None = None
+        self._out: list[bytes] = []
+        self._method = b""
+        self._poll: select.poll | None = None
+
+    # --- transport callbacks
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._poll = select.poll()
+            self._poll.register(raw.fileno(), select.POLLIN)
+
+    def data_received(self, data: bytes) -> None:
+        """Take received bytes through h11."""
+        if self._sink is None:
+            self.close()
+            return
+        self._http.receive_data(data)
+        self._process()
+
+    def eof_received(self) -> bool:
+        """No more answer bytes will come."""
+        if self._sink is not None:
+            self._http.receive_data(b"")
+            self._process()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange in flight, or leave the pool."""
+        self._transport = None
+        if self._sink is not None:
+            self._fail(str(exc) if exc else "connection closed")
+        else:
+            self._on_idle_lost(self)
+
+    def pause_writing(self) -> None:
+        """Pass the back end's slowness on."""
+        if self._sink is not None:
+            self._sink.sending_paused()
+
+    def resume_writing(self) -> None:
+        """The back end reads again."""
+        if self._sink is not None:
+            self._sink.sending_resumed()
+
+    # --- used by the owner
+
+    @property
+    def usable(self) -> bool:
+        """Whether the connection looks open: no end and no stray bytes waiting."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        return self._poll is None or not self._poll.poll(0)
+
+    def begin(
+        self,
+        head: RequestHead,
+        headers: HeaderList,
+        sink: AnswerSink,
+        on_free: Callable[[ClientConnection], None],
+    ) -> None:
+        """Queue a request's head; ``on_free`` follows when the exchange is over."""
+        assert self._sink is None, "one exchange at a time"
+        self._sink = sink
+        self._on_free = on_free
+        self._method = head.method
+        self.exchanges += 1
+        request = h11.Request(method=head.method, target=head.target, headers=headers)
+        self._out.append(self._http.send(request))
+
+    def send_data(self, data: bytes) -> None:
+        """Queue a piece of the request's body."""
+        if self._http.our_state is h11.SEND_BODY:
+            self._out.append(self._http.send(h11.Data(data=data)))
+
+    def send_end(self, trailers: HeaderList) -> None:
+        """Queue the request's end."""
+        if self._http.our_state is h11.SEND_BODY:
+            self._out.append(self._http.send(h11.EndOfMessage(headers=trailers)))
+
+    def flush(self) -> None:
+        """Write what is queued, in one piece."""
+        out = self._out
+        self._out = []
+        if self._transport is not None and out:
+            self._transport.write(out[0] if len(out) == 1 else b"".join(out))
+
+    def cancel(self) -> None:
+        """Give the exchange up: close, so that the back end stops working on it."""
+        self._sink = None
+        on_free = self._on_free
+        self._on_free = None
+        if self._transport is not None:
+            self._transport.abort()
+        if on_free is not None:
+            on_free(self)
+
+    def pause_reading(self) -> None:
+        """Stop reading the answer."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Go on reading the answer."""
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    def close(self) -> None:
+        """Close an idle connection."""
+        if self._transport is not None:
+            self._transport.close()
+
+    # --- inside
+
+    def _process(self) -> None:
+        while self._sink is not None:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as problem:
+                self._fail(f"broken answer: {problem}")
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            self._take(event)
+
+    def _take(self, event: object) -> None:
+        sink = self._sink
+        assert sink is not None
+        if isinstance(event, h11.Data):
+            sink.answer_data(event.data)
+        elif isinstance(event, h11.Response):
+            self._take_head(event, sink)
+        elif isinstance(event, h11.EndOfMessage):
+            self._finish(sink, list(event.headers))
+        elif isinstance(event, h11.ConnectionClosed):
+            self._fail("connection closed")
+
+    def _take_head(self, event: h11.Response, sink: AnswerSink) -> None:
+        headers: HeaderList = list(event.headers)
+        content_length: int | None = None
+        chunked = False
+        for name, value in headers:
+            if name == b"content-length":
+                content_length = int(value)
+            elif name == b"transfer-encoding":
+                chunked = True
+        has_body = self._answer_has_body(event.status_code)
+        if has_body and not chunked and content_length is None:
+            self._fail("answer without a length")
+            return
+        sink.answer_head(
+            AnswerHead(
+                status=event.status_code,
+                reason=event.reason,
+                headers=end_to_end_headers(headers),
+                content_length=None if chunked else content_length,
+                has_body=has_body,
+            )
+        )
+
+    def _answer_has_body(self, status: int) -> bool:
+        if status in (STATUS_NO_CONTENT, STATUS_NOT_MODIFIED):
+            return False
+        return self._method != b"HEAD"
+
+    def _finish(self, sink: AnswerSink, trailers: HeaderList) -> None:
+        self._sink = None
+        on_free = self._on_free
+        self._on_free = None
+        self._make_reusable()
+        if on_free is not None:
+            on_free(self)
+        sink.answer_ended(trailers)
+
+    def _make_reusable(self) -> None:
+        http = self._http
+        if http.our_state is h11.DONE and http.their_state is h11.DONE:
+            http.start_next_cycle()
+            return
+        if self._transport is not None:
+            self._transport.close()
+
+    def _fail(self, reason: str) -> None:
+        sink = self._sink
+        self._sink = None
+        on_free = self._on_free
+        self._on_free = None
+        if self._transport is not None:
+            self._transport.abort()
+        if on_free is not None:
+            on_free(self)
+        if sink is not None:
+            sink.attempt_failed(reason)
--- /dev/null
+++ b/src/peppershore/connection/http_head.py
@@ -0,0 +1,173 @@
+"""Heads of HTTP/1.1 messages: typed values, strict checks, hop-by-hop headers.
+
+h11 parses leniently in places where two parsers may disagree about where a
+message ends (bare LF, folded lines, repeated Content-Length).  ``check_request_head``
+looks at the raw bytes first and refuses those shapes.
+"""
+
+from __future__ import annotations
+
+import re
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+HeaderList = list[tuple[bytes, bytes]]
+"""Header fields as h11 yields them: lower-case name, value; order kept."""
+
+MAX_HEAD_BYTES = 32 * 1024
+MAX_HEADER_FIELDS = 100
+HEAD_END = b"\r\n\r\n"
+LINE_END = b"\r\n"
+
+STATUS_BAD_REQUEST = 400
+STATUS_HEAD_TOO_LARGE = 431
+STATUS_NOT_IMPLEMENTED = 501
+
+_FOLDED_LINE = re.compile(rb"\r\n[ \t]")
+_FRAMING_FIELD = re.compile(
+    rb"\r\n(content-length|transfer-encoding):([^\r]*)", re.IGNORECASE
+)
+_SPACE_BEFORE_COLON = re.compile(rb"\r\n[^\r:]*[ \t]+:")
+_DECIMAL = re.compile(rb"[0-9]{1,18}")
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
+
+
+class HeadProblem(msgspec.Struct, frozen=True):
+    """A head that is refused: the status to answer with and a stable reason."""
+
+    status: int
+    reason: str
+
+
+class RequestHead(msgspec.Struct, frozen=True):
+    """Head of a request.
+
+    ``content_length`` is None for a chunked body; 0 when there is no body, which
+    ``declares_length`` tells from a body declared empty.
+    ``headers`` holds end-to-end fields only, without Content-Length.
+    """
+
+    method: bytes
+    target: bytes
+    headers: HeaderList
+    content_length: int | None
+    declares_length: bool = False
+    peer_address: str = ""
+    expects_continue: bool = False
+
+    def header(self, name: bytes) -> bytes:
+        """Give the first value of a field (lower-case name), or nothing."""
+        return first_value(self.headers, name)
+
+
+class AnswerHead(msgspec.Struct, frozen=True):
+    """Head of an answer; ``content_length`` is None for a chunked body.
+
+    For answers without a body (HEAD, 204, 304) ``has_body`` is false and
+    ``content_length`` repeats what the back end declared, if anything.
+    """
+
+    status: int
+    reason: bytes
+    headers: HeaderList
+    content_length: int | None
+    has_body: bool = True
+
+
+def first_value(headers: HeaderList, name: bytes) -> bytes:
+    """Give the first value of a field (lower-case name), or nothing."""
+    for candidate, value in headers:
+        if candidate == name:
+            return value
+    return b""
+
+
+def check_request_head(received: bytes) -> Result[bool, HeadProblem]:
+    """Check the raw bytes of a request head, as far as received.
+
+    Success(False): not whole yet.  Success(True): whole, and no other parser
+    can read its boundaries otherwise.
+    """
+    end = received.find(HEAD_END)
+    head = received if end < 0 else received[: end + len(HEAD_END)]
+    if len(head) > MAX_HEAD_BYTES:
+        return Failure(HeadProblem(STATUS_HEAD_TOO_LARGE, "head-too-large"))
+    if end < 0:
+        return _check_partial(head)
+    return _check_whole(head)
+
+
+def end_to_end_headers(headers: HeaderList) -> HeaderList:
+    """Drop the fields that concern one connection only, and Content-Length."""
+    listed = _connection_options(headers)
+    return [
+        field
+        for field in headers
+        if field[0] not in HOP_BY_HOP
+        and field[0] != b"content-length"
+        and field[0] not in listed
+    ]
+
+
+def _check_partial(head: bytes) -> Result[bool, HeadProblem]:
+    if head.count(b"\n") != head.count(LINE_END):
+        return Failure(HeadProblem(STATUS_BAD_REQUEST, "bare-line-feed"))
+    return Success(False)
+
+
+def _check_whole(head: bytes) -> Result[bool, HeadProblem]:
+    line_ends = head.count(LINE_END)
+    if head.count(b"\n") != line_ends:
+        return Failure(HeadProblem(STATUS_BAD_REQUEST, "bare-line-feed"))
+    if head.count(b"\r") != line_ends:
+        return Failure(HeadProblem(STATUS_BAD_REQUEST, "bare-carriage-return"))
+    if line_ends > MAX_HEADER_FIELDS:
+        return Failure(HeadProblem(STATUS_HEAD_TOO_LARGE, "too-many-fields"))
+    if b"\x00" in head:
+        return Failure(HeadProblem(STATUS_BAD_REQUEST, "null-byte"))
+    if _FOLDED_LINE.search(head):
+        return Failure(HeadProblem(STATUS_BAD_REQUEST, "folded-line"))
+    if _SPACE_BEFORE_COLON.search(head):
+        return Failure(HeadProblem(STATUS_BAD_REQUEST, "space-before-colon"))
+    return _check_framing(_FRAMING_FIELD.findall(head))
+
+
+def _check_framing(fields: list[tuple[bytes, bytes]]) -> Result[bool, HeadProblem]:
+    if not fields:
+        return Success(True)
+    if len(fields) > 1:
+        return Failure(HeadProblem(STATUS_BAD_REQUEST, "ambiguous-length"))
+    name, value = fields[0]
+    if name.lower() == b"content-length":
+        if _DECIMAL.fullmatch(value.strip(b" \t")) is None:
+            return Failure(HeadProblem(STATUS_BAD_REQUEST, "bad-content-length"))
+        return Success(True)
+    if value.strip(b" \t").lower() != b"chunked":
+        return Failure(HeadProblem(STATUS_NOT_IMPLEMENTED, "unknown-transfer-encoding"))
+    return Success(True)
+
+
+def _connection_options(headers: HeaderList) -> frozenset[bytes]:
+    value = first_value(headers, b"connection")
+    if not value or value in {b"close", b"keep-alive"}:
+        return frozenset()
+    options: list[bytes] = []
+    for name, listed in headers:
+        if name == b"connection":
+            options.extend(option.strip().lower() for option in listed.split(b","))
+    return frozenset(options)
--- /dev/null
+++ b/src/peppershore/connection/http_pool.py
@@ -0,0 +1,106 @@
+"""Kept connections to one back end, newest first, within a bound."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from peppershore.connection.http_client import ClientConnection
+
+CONNECT_TIMEOUT_SECONDS = 2.0
+IDLE_SECONDS = 20.0
+
+ConnectOutcome = Callable[[ClientConnection | str], None]
+"""Gets the new connection, or why there is none."""
+
+
+class ConnectionPool:
+    """Connections to one address; at most ``bound`` open or opening."""
+
+    def __init__(self, address: str, bound: int) -> None:
+        """Start without connections; ``address`` is "IP:port"."""
+        self.address = address
+        self.bound = bound
+        self._idle: list[ClientConnection] = []
+        self._open: set[ClientConnection] = set()
+        self._opening: set[asyncio.Task[None]] = set()
+        self._closed = False
+
+    @property
+    def connections(self) -> int:
+        """Connections open or opening."""
+        return len(self._open) + len(self._opening)
+
+    def take(self, max_age_seconds: float | None = None) -> ClientConnection | None:
+        """Give an idle connection that looks open, or None.
+
+        ``max_age_seconds`` bounds for how long it may have been idle.
+        """
+        while self._idle:
+            connection = self._idle[-1]
+            if max_age_seconds is not None:
+                age = asyncio.get_running_loop().time() - connection.last_used
+                if age > max_age_seconds:
+                    return None
+            self._idle.pop()
+            if connection.usable:
+                return connection
+            self._discard(connection)
+        return None
+
+    def connect(self, outcome: ConnectOutcome) -> None:
+        """Open a connection for the caller alone; refused above the bound."""
+        if self.connections >= self.bound and self._idle:
+            self._discard(self._idle.pop(0))
+        if self.connections >= self.bound:
+            outcome("connection bound reached")
+            return
+        task = asyncio.get_running_loop().create_task(self._connect(outcome))
+        self._opening.add(task)
+
+    def give_back(self, connection: ClientConnection) -> None:
+        """Keep a connection whose exchange is over, if it can be used again."""
+        if self._closed or not connection.usable:
+            self._discard(connection)
+            return
+        connection.last_used = asyncio.get_running_loop().time()
+        self._idle.append(connection)
+
+    def trim(self, now: float) -> None:
+        """Close connections that were idle for long."""
+        while self._idle and now - self._idle[0].last_used > IDLE_SECONDS:
+            self._discard(self._idle.pop(0))
+
+    def close(self) -> None:
+        """Close idle connections now and used ones once their exchange is over."""
+        self._closed = True
+        for connection in self._idle:
+            self._discard(connection)
+        self._idle.clear()
+
+    async def _connect(self, outcome: ConnectOutcome) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        host, _, port = self.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(self._lost), host, int(port)
+                )
+        except (OSError, TimeoutError, ValueError) as problem:
+            self._opening.discard(task)
+            outcome(str(problem) or type(problem).__name__)
+            return
+        self._opening.discard(task)
+        self._open.add(connection)
+        outcome(connection)
+
+    def _lost(self, connection: ClientConnection) -> None:
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def _discard(self, connection: ClientConnection) -> None:
+        self._open.discard(connection)
+        connection.close()
--- a/src/peppershore/connection/messages.py
+++ b/src/peppershore/connection/messages.py
@@ -586,3 +586,130 @@
     """A completion or release is on disk at a quorum."""
 
     request: int
+
+
+# --- calls between nodes -----------------------------------------------------
+
+HeaderFields = list[tuple[bytes, bytes]]
+"""HTTP header fields: lower-case name, value; order kept."""
+
+
+class CallLinkHello(Message, frozen=True, tag=140):
+    """First message of a node that will send calls to a back end's own node."""
+
+    cluster: str
+    node: str
+    incarnation: int
+
+
+class CallStarted(Message, frozen=True, tag=141):
+    """A call for the receiver's back end; ``stream`` is never reused on a link.
+
+    ``content_length`` -1 means a body of unknown length; ``data`` is its first
+    piece.  ``deadline_milliseconds`` is what remains.
+    """
+
+    stream: int
+    method: bytes
+    target: bytes
+    headers: HeaderFields
+    content_length: int
+    call_class: str
+    repeatable: bool
+    cancellable: bool
+    deadline_milliseconds: int
+    data: bytes
+    ended: bool
+    trailers: HeaderFields
+
+
+class CallBody(Message, frozen=True, tag=142):
+    """More of a call's body."""
+
+    stream: int
+    data: bytes
+    ended: bool
+    trailers: HeaderFields
+
+
+class CallCancelled(Message, frozen=True, tag=143):
+    """The caller gave the call up; whatever comes of it is discarded."""
+
+    stream: int
+
+
+class CallCredit(Message, frozen=True, tag=144):
+    """The sender of this can take so many more body bytes on the stream."""
+
+    stream: int
+    octets: int
+
+
+class CallAnswered(Message, frozen=True, tag=145):
+    """The head of the back end's answer and the first piece of its body."""
+
+    stream: int
+    status: int
+    reason: bytes
+    headers: HeaderFields
+    content_length: int
+    has_body: bool
+    data: bytes
+    ended: bool
+    trailers: HeaderFields
+
+
+class CallAnswerBody(Message, frozen=True, tag=146):
+    """More of an answer's body."""
+
+    stream: int
+    data: bytes
+    ended: bool
+    trailers: HeaderFields
+
+
+class CallNotRun(Message, frozen=True, tag=147):
+    """The back end's own node refused the call; the back end never saw it."""
+
+    stream: int
+    status: int
+    reason: str
+    retry_after_milliseconds: int
+    retryable: bool
+
+
+class CallUnknown(Message, frozen=True, tag=148):
+    """The call was sent to the back end and no whole answer came."""
+
+    stream: int
+    status: int
+    reason: str
+
+
+class SlotsAsked(Message, frozen=True, tag=149):
+    """A node asks to hold this many slots of the receiver's back end itself.
+
+    ``number`` grows with every ask on a link.
+    """
+
+    number: int
+    wanted: int
+
+
+class SlotsLent(Message, frozen=True, tag=150):
+    """The receiver may have ``slots`` calls at the back end by the direct way.
+
+    Replaces the grant before.  ``number`` is that of the ask; the loan ends
+    ``lease_milliseconds`` after that ask was sent, unless asked for again.
+    """
+
+    number: int
+    slots: int
+    lease_milliseconds: int
+
+
+class SlotsReturned(Message, frozen=True, tag=151):
+    """Under grant ``number`` the node keeps no more than ``kept`` slots."""
+
+    number: int
+    kept: int
--- /dev/null
+++ b/src/peppershore/process/node/data/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane of a node: calls in, attempts out, drain."""
--- /dev/null
+++ b/src/peppershore/process/node/data/attempt.py
@@ -0,0 +1,81 @@
+"""One try of a call at one back end, whatever way it goes there.
+
+Ways: a connection of this node's to the back end, a stream to the back end's
+own node, or this node's own back end.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import msgspec
+
+from peppershore.connection.http_head import AnswerHead, HeaderList, RequestHead
+from peppershore.request.outcome import Failed
+from peppershore.version.model import CallClass
+
+
+class AttemptSink(Protocol):
+    """Takes what becomes of an attempt.  Nothing follows its end or a failure."""
+
+    def attempt_begun(self) -> None:
+        """The request's body may be given now; from here on the call may run."""
+
+    def answer_head(self, head: AnswerHead) -> None:
+        """The answer begins."""
+
+    def answer_data(self, data: bytes) -> None:
+        """A piece of the answer's body."""
+
+    def answer_ended(self, trailers: HeaderList) -> None:
+        """The answer is whole."""
+
+    def attempt_failed(self, failed: Failed) -> None:
+        """There will be no whole answer."""
+
+    def sending_paused(self) -> None:
+        """Give no more body bytes for now."""
+
+    def sending_resumed(self) -> None:
+        """Go on giving body bytes."""
+
+
+class Attempt(Protocol):
+    """What the owner of an attempt can do with it."""
+
+    def start(self) -> None:
+        """Go; the sink hears of all that follows."""
+
+    def send_data(self, data: bytes) -> None:
+        """Queue a piece of the request's body."""
+
+    def send_end(self, trailers: HeaderList) -> None:
+        """Queue the request's end."""
+
+    def flush(self) -> None:
+        """Send what is queued."""
+
+    def cancel(self) -> None:
+        """Give the attempt up; its sink hears nothing more."""
+
+    def pause_answer(self) -> None:
+        """Take no more answer bytes for now."""
+
+    def resume_answer(self) -> None:
+        """Go on taking answer bytes."""
+
+
+class AttemptRequest(msgspec.Struct, frozen=True):
+    """What is asked of a back end.
+
+    ``headers`` are the end-to-end fields to send, without those of framing and
+    deadline.  ``cancellable`` is false where the answer is wanted even if the
+    caller leaves.
+    """
+
+    head: RequestHead
+    headers: HeaderList
+    call_class: CallClass
+    repeatable: bool
+    cancellable: bool
+    deadline: float
--- /dev/null
+++ b/src/peppershore/process/node/data/call.py
@@ -0,0 +1,363 @@
+"""One call of a caller, from its request's head to its outcome.
+
+Runs in the callbacks of its connections and timers.  What is decided is decided
+by the cores in ``peppershore.request``; this ties them to the I/O.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result
+
+from peppershore.connection.http_head import AnswerHead, HeaderList, RequestHead
+from peppershore.connection.http_server import ServerExchange
+from peppershore.process.node.data.answer_relay import AnswerRelay
+from peppershore.process.node.data.attempt import Attempt, AttemptRequest
+from peppershore.process.node.data.request_body import RequestBody
+from peppershore.process.node.data.verdicts import verdict_of_failure, verdict_of_status
+from peppershore.request.admission import Dispatch
+from peppershore.request.claim import (
+    ClaimDenied,
+    ClaimGranted,
+    ClaimTaken,
+    claim_key,
+)
+from peppershore.request.classification import CallPlan
+from peppershore.request.endpoint_state import Verdict
+from peppershore.request.outcome import (
+    REQUEST_ID_HEADER,
+    STATUS_BAD_GATEWAY,
+    STATUS_BODY_TOO_LARGE,
+    STATUS_GATEWAY_TIMEOUT,
+    STATUS_UNAVAILABLE,
+    Failed,
+    NotRun,
+    Unknown,
+    worse,
+)
+from peppershore.request.waiting import Ticket
+
+if TYPE_CHECKING:
+    from peppershore.process.node.data.calls import Calls
+
+CLAIM_RETRY_AFTER_MILLISECONDS = 1_000
+
+
+class Call:
+    """One call; a sink of its request and of its attempts."""
+
+    __slots__ = (
+        "_answer",
+        "_attempt",
+        "_attempts_made",
+        "_began_at",
+        "_begun",
+        "_body",
+        "_calls",
+        "_claim",
+        "_dispatch",
+        "_earlier",
+        "_exchange",
+        "_excluded",
+        "_head",
+        "_loop",
+        "_over",
+        "_plan",
+        "_request_id",
+        "_retry",
+        "_ticket",
+        "_timer",
+    )
+
+    def __init__(self, calls: Calls, exchange: ServerExchange, head: RequestHead) -> None:
+        """Nothing happens before ``start``."""
+        self._calls = calls
+        self._exchange = exchange
+        self._head = head
+        self._loop = calls.loop
+        self._request_id = head.header(REQUEST_ID_HEADER) or calls.new_request_id()
+        self._answer = AnswerRelay(exchange, self._request_id, keep=False)
+        self._body = RequestBody()
+        self._plan: CallPlan | None = None
+        self._attempt: Attempt | None = None
+        self._attempts_made = 0
+        self._began_at = 0.0
+        self._begun = False
+        self._claim = ""
+        self._dispatch: Dispatch | None = None
+        self._earlier: Failed | None = None
+        self._excluded: frozenset[str] = frozenset()
+        self._over = False
+        self._retry: asyncio.TimerHandle | None = None
+        self._ticket: Ticket | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def plan(self) -> CallPlan:
+        """What was decided about the call."""
+        assert self._plan is not None
+        return self._plan
+
+    def start(self) -> None:
+        """Decide what the call is, and admit or refuse it."""
+        self._calls.begun(self)
+        planned = self._calls.plan(self._head)
+        if isinstance(planned, Failure):
+            self._fail(planned.failure())
+            return
+        entry = planned.unwrap()
+        self._plan = entry.plan
+        self._timer = self._loop.call_at(entry.plan.deadline, self._deadline_passed)
+        if entry.plan.key and self._calls.claims is not None:
+            self._claim_first(claim_key(entry.plan, entry.caller.name))
+            return
+        self._admit()
+
+    # --- RequestSink
+
+    def body_received(self, data: bytes) -> None:
+        """Pass a piece of the request's body on, or hold it."""
+        if self._over:
+            return
+        self._body.add(data)
+        if (
+            self._plan is not None
+            and self._body.received > self._plan.settings.max_body_bytes
+        ):
+            self._body_too_large()
+            return
+        if self._begun and self._attempt is not None:
+            self._body.send(self._attempt)
+        elif self._body.held_too_much:
+            self._exchange.pause_body()
+
+    def body_ended(self, trailers: HeaderList) -> None:
+        """The request is whole."""
+        self._body.end(trailers)
+        if self._begun and self._attempt is not None:
+            self._body.send(self._attempt)
+
+    def caller_gone(self) -> None:
+        """Cancel, unless the answer is to be kept for a resend."""
+        if self._over or (self._claim and self._begun and self._body.ended):
+            return
+        self._calls.abandoned()
+        self._give_up()
+
+    def writing_paused(self) -> None:
+        """The caller reads slowly."""
+        if self._attempt is not None:
+            self._attempt.pause_answer()
+
+    def writing_resumed(self) -> None:
+        """The caller caught up."""
+        if self._attempt is not None:
+            self._attempt.resume_answer()
+
+    # --- AttemptSink
+
+    def attempt_begun(self) -> None:
+        """Send what there is of the body; from here on the call may run."""
+        self._begun = True
+        self._exchange.send_continue()
+        assert self._attempt is not None
+        self._body.send(self._attempt)
+        self._exchange.resume_body()
+
+    def answer_head(self, head: AnswerHead) -> None:
+        """The answer begins."""
+        self._answer.head(head)
+
+    def answer_data(self, data: bytes) -> None:
+        """A piece of the answer."""
+        self._answer.data(data)
+
+    def answer_ended(self, trailers: HeaderList) -> None:
+        """The answer is whole: give it first, then free the slot."""
+        self._over = True
+        self._answer.end(trailers)
+        if self._claim:
+            self._calls.complete_claim(
+                self._claim, self._claim_attempt, self._answer.kept()
+            )
+        self._calls.answered(
+            self.plan, self._answer.status, self._request_id, self._began_at
+        )
+        self._finish(verdict_of_status(self._answer.status))
+
+    def attempt_failed(self, failed: Failed) -> None:
+        """Try again where that is safe and within budget, else tell the caller."""
+        self._attempt = None
+        self._begun = False
+        if self._dispatch is not None:
+            self._excluded |= {self._dispatch.endpoint.node}
+        self._free_slot(verdict_of_failure(failed))
+        self._earlier = worse(self._earlier, failed)
+        if self._may_retry(failed):
+            delay = self._calls.retry_delay(
+                self.plan, self._attempts_made, self._loop.time()
+            )
+            if delay is not None:
+                self._answer.forget()
+                self._retry = self._loop.call_later(delay, self._try_again)
+                return
+        self._fail(self._earlier)
+
+    def sending_paused(self) -> None:
+        """The back end reads slowly."""
+        self._exchange.pause_body()
+
+    def sending_resumed(self) -> None:
+        """The back end caught up."""
+        self._exchange.resume_body()
+
+    # --- used by the calls
+
+    def dispatched(self, dispatch: Dispatch) -> None:
+        """A slot was found: start an attempt."""
+        self._ticket = None
+        self._dispatch = dispatch
+        self._attempts_made += 1
+        if self._attempts_made == 1:
+            self._calls.first_attempt(self.plan)
+        self._began_at = self._loop.time()
+        request = AttemptRequest(
+            self._head,
+            self._calls.forwarded_headers(self._head, self._request_id),
+            self.plan.call_class,
+            self.plan.repeatable,
+            not self._claim,
+            self.plan.deadline,
+        )
+        attempt = self._calls.new_attempt(dispatch, self.plan, request, self)
+        self._attempt = attempt
+        attempt.start()
+
+    def refused(self, refusal: NotRun) -> None:
+        """The call lost its place in the queue."""
+        self._ticket = None
+        self._fail(worse(self._earlier, refusal))
+
+    # --- inside
+
+    @property
+    def _claim_attempt(self) -> str:
+        return self._request_id.decode("latin-1")
+
+    def _claim_first(self, key: str) -> None:
+        self._exchange.pause_body()
+        seconds = self.plan.deadline - self._loop.time()
+        self._calls.claim(key, self._claim_attempt, seconds, self._claimed)
+
+    def _claimed(self, key: str, outcome: Result[ClaimGranted, ClaimDenied]) -> None:
+        if self._over:
+            if not isinstance(outcome, Failure):
+                self._calls.release_claim(key, self._claim_attempt)
+            return
+        self._exchange.resume_body()
+        if isinstance(outcome, Failure):
+            self._claim_denied(outcome.failure())
+            return
+        self._claim = key
+        self._answer = AnswerRelay(self._exchange, self._request_id, keep=True)
+        self._admit()
+
+    def _claim_denied(self, denied: ClaimDenied) -> None:
+        if not isinstance(denied, ClaimTaken):
+            advice = CLAIM_RETRY_AFTER_MILLISECONDS
+            self._fail(NotRun(STATUS_UNAVAILABLE, "claim-unavailable", advice))
+        elif denied.answer is None:
+            self._fail(Unknown(STATUS_BAD_GATEWAY, "claimed-before"))
+        else:
+            self._over = True
+            self._answer.give_kept(denied.answer, self._head.method == b"HEAD")
+            self._calls.answered(self.plan, denied.answer.status, self._request_id, 0.0)
+            self._finish(None)
+
+    def _admit(self) -> None:
+        ticket = self._calls.ticket(self.plan, self._excluded)
+        self._ticket = ticket
+        decision = self._calls.offer(ticket, self.plan, self)
+        if isinstance(decision, Dispatch):
+            self.dispatched(decision)
+        elif isinstance(decision, NotRun):
+            self._ticket = None
+            self._fail(worse(self._earlier, decision))
+
+    def _may_retry(self, failed: Failed) -> bool:
+        if self._over or self._answer.begun or not self._body.replayable:
+            return False
+        if self._attempts_made > self.plan.settings.retry_attempts:
+            return False
+        if isinstance(failed, NotRun):
+            return failed.retryable
+        return self.plan.repeatable and failed.status != STATUS_GATEWAY_TIMEOUT
+
+    def _try_again(self) -> None:
+        self._retry = None
+        self._body.restart()
+        self._admit()
+
+    def _deadline_passed(self) -> None:
+        if self._begun:
+            failed: Failed = Unknown(STATUS_GATEWAY_TIMEOUT, "deadline-passed")
+        else:
+            refusal = NotRun(STATUS_UNAVAILABLE, "deadline-passed")
+            failed = worse(self._earlier, refusal)
+        verdict: Verdict | None = "failed" if self._begun else None
+        if self._attempt is not None:
+            self._attempt.cancel()
+            self._attempt = None
+        self._free_slot(verdict)
+        self._fail(failed)
+
+    def _body_too_large(self) -> None:
+        reason = "body-too-large"
+        begun = self._begun
+        if self._attempt is not None:
+            self._attempt.cancel()
+            self._attempt = None
+        failed = (
+            Unknown(STATUS_BODY_TOO_LARGE, reason)
+            if begun
+            else NotRun(STATUS_BODY_TOO_LARGE, reason)
+        )
+        self._fail(worse(self._earlier, failed))
+
+    def _fail(self, failed: Failed) -> None:
+        self._over = True
+        self._answer.fail(failed)
+        if self._claim and isinstance(failed, NotRun):
+            self._calls.release_claim(self._claim, self._claim_attempt)
+        self._calls.failed(self._plan, failed, self._request_id)
+        self._finish(None)
+
+    def _give_up(self) -> None:
+        """The caller is gone: stop all work for it."""
+        if self._claim and not self._begun and not isinstance(self._earlier, Unknown):
+            self._calls.release_claim(self._claim, self._claim_attempt)
+        if self._attempt is not None:
+            self._attempt.cancel()
+        self._finish(None)
+
+    def _finish(self, verdict: Verdict | None) -> None:
+        self._over = True
+        self._attempt = None
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._retry is not None:
+            self._retry.cancel()
+        if self._ticket is not None:
+            self._calls.withdraw(self._ticket, self.plan)
+            self._ticket = None
+        self._free_slot(verdict)
+        self._calls.over(self)
+
+    def _free_slot(self, verdict: Verdict | None) -> None:
+        dispatch = self._dispatch
+        self._dispatch = None
+        if dispatch is not None:
+            latency = self._loop.time() - self._began_at
+            self._calls.slot_freed(dispatch, self.plan, latency, verdict)
--- /dev/null
+++ b/src/peppershore/process/node/data/call_listener.py
@@ -0,0 +1,138 @@
+"""Accepts call links: the authority over this node's back end, for its peers."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import ssl
+from collections.abc import Callable
+
+from peppershore.connection.call_link import CallLink
+from peppershore.connection.link import Link, LinkListener
+from peppershore.connection.messages import (
+    CallLinkHello,
+    CallStarted,
+    Message,
+    Refused,
+    SlotsAsked,
+    SlotsLent,
+    SlotsReturned,
+)
+from peppershore.process.node.data.own_backend import OwnBackend
+from peppershore.process.node.data.served_stream import ServedStream
+from peppershore.request.outcome import STATUS_UNAVAILABLE, NotRun
+from peppershore.request.slot_loans import LEASE_SECONDS, RECALL_NUMBER, Lender
+
+MILLISECONDS = 1_000
+
+
+class CallListener:
+    """The links of peers that send calls for this node's back end."""
+
+    def __init__(
+        self,
+        cluster: str,
+        backend: Callable[[], OwnBackend | None],
+        longest_call_seconds: Callable[[], float],
+        tls: ssl.SSLContext | None,
+    ) -> None:
+        """``backend`` gives the authority, once the node has one."""
+        self._cluster = cluster
+        self._backend = backend
+        self._longest_call_seconds = longest_call_seconds
+        self._listener = LinkListener(self._accepted, tls)
+        self._links: dict[CallLink, int] = {}
+        self._borrowers = itertools.count(1)
+        self._lender: Lender | None = None
+
+    @property
+    def streams(self) -> int:
+        """Calls of peers in flight."""
+        return sum(link.streams for link in self._links)
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen; give the port bound."""
+        return await self._listener.start(host, port)
+
+    def lent(self, now: float) -> int:
+        """Slots that peers may be using directly."""
+        return self._lender.lent(now) if self._lender is not None else 0
+
+    def take_back_expired(self, now: float) -> None:
+        """Use slots again whose loans are over."""
+        backend = self._backend()
+        if backend is not None and self._lender is not None:
+            backend.lend(self._lender.lent(now))
+
+    def lend_no_more(self) -> None:
+        """The back end leaves: shrink every loan to nothing."""
+        if self._lender is not None:
+            self._lender.recall()
+        for link in self._links:
+            link.send(SlotsLent(RECALL_NUMBER, 0, 0))
+
+    async def close(self) -> None:
+        """Close the listener and the links."""
+        await self._listener.close()
+        for link in list(self._links):
+            link.close()
+        self._links.clear()
+
+    def _accepted(self, link: Link) -> None:
+        call_link = CallLink(link, self._started, self._other_message, self._lost)
+        self._links[call_link] = next(self._borrowers)
+        asyncio.get_running_loop().call_soon(call_link.start)
+
+    def _started(self, link: CallLink, started: CallStarted) -> None:
+        stream = ServedStream(link, started)
+        backend = self._backend()
+        if backend is None:
+            stream.refuse(NotRun(STATUS_UNAVAILABLE, "no-back-end", 0, True))
+            return
+        link.serve(started.stream, stream)
+        stream.start(backend, started)
+
+    def _other_message(self, link: CallLink, message: Message) -> None:
+        match message:
+            case CallLinkHello() if message.cluster != self._cluster:
+                link.send(Refused("other-cluster"))
+                link.close()
+                self._lost(link, "other-cluster")
+            case SlotsAsked():
+                self._lend(link, message)
+            case SlotsReturned():
+                self._returned(link, message)
+            case _:
+                pass
+
+    def _lend(self, link: CallLink, ask: SlotsAsked) -> None:
+        backend = self._backend()
+        if backend is None or link not in self._links:
+            link.send(SlotsLent(ask.number, 0, 0))
+            return
+        lender = self._lender_of(backend)
+        now = asyncio.get_running_loop().time()
+        free = backend.slots - backend.admission.in_flight - lender.lent(now)
+        wanted = 0 if backend.leaving else ask.wanted
+        borrower = self._links[link]
+        granted = lender.asked(borrower, ask.number, wanted, free, now)
+        backend.lend(lender.lent(now))
+        link.send(SlotsLent(ask.number, granted, int(LEASE_SECONDS * MILLISECONDS)))
+
+    def _lender_of(self, backend: OwnBackend) -> Lender:
+        longest = self._longest_call_seconds()
+        if self._lender is None:
+            self._lender = Lender(backend.slots, longest)
+        self._lender.longest_call_seconds = longest
+        return self._lender
+
+    def _returned(self, link: CallLink, returned: SlotsReturned) -> None:
+        if self._lender is not None and link in self._links:
+            self._lender.returned(self._links[link], returned.number, returned.kept)
+            self.take_back_expired(asyncio.get_running_loop().time())
+
+    def _lost(self, link: CallLink, reason: str) -> None:
+        del reason
+        borrower = self._links.pop(link, None)
+        if borrower is not None and self._lender is not None:
+            self._lender.borrower_lost(borrower)
--- /dev/null
+++ b/src/peppershore/process/node/data/calls.py
@@ -0,0 +1,385 @@
+"""All calls of a node: what they share, and the way each attempt goes."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import secrets
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from peppershore.connection.http_head import HeaderList, RequestHead
+from peppershore.connection.http_pool import ConnectionPool
+from peppershore.connection.messages import Endpoint, KeptAnswer
+from peppershore.process.commands import Notice
+from peppershore.process.node.data import notices
+from peppershore.process.node.data.attempt import Attempt, AttemptRequest, AttemptSink
+from peppershore.process.node.data.direct_attempt import DirectAttempt
+from peppershore.process.node.data.link_attempt import LinkAttempt
+from peppershore.process.node.data.own_backend import OwnBackend
+from peppershore.process.node.data.owner_links import OwnerLinks
+from peppershore.process.settings import NodeSettings
+from peppershore.request.admission import Admission, Decision, Dispatch, Waiting
+from peppershore.request.audience import AudienceCheck, Caller
+from peppershore.request.caller_rate import CallerRates
+from peppershore.request.claim import ClaimDenied, ClaimGranted, ClaimsClient
+from peppershore.request.classification import CallPlan, classify
+from peppershore.request.endpoint_state import Verdict
+from peppershore.request.outcome import (
+    DEADLINE_HEADER,
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    STATUS_TOO_MANY_REQUESTS,
+    STATUS_UNAVAILABLE,
+    Failed,
+    NotRun,
+)
+from peppershore.request.picker import RandomSource
+from peppershore.request.retry_budget import RetryBudget, retry_delay
+from peppershore.request.waiting import Ticket
+from peppershore.version.active import ActiveConfiguration
+
+if TYPE_CHECKING:
+    from peppershore.process.node.data.call import Call
+
+KICK_SECONDS = 0.02
+OWNER_LIMIT_FACTOR = 2
+"""Calls this node sends to one owner at a time, as a multiple of its slots: the
+owner counts the slots, this bounds what may wait there."""
+
+MILLISECONDS = 1_000
+REPLACED_HEADERS = frozenset({DEADLINE_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER})
+
+ClaimSink = Callable[[str, Result[ClaimGranted, ClaimDenied]], None]
+
+
+class EntryPlan(msgspec.Struct, frozen=True):
+    """What a call is, and whose."""
+
+    plan: CallPlan
+    caller: Caller
+
+
+class CallCounts(msgspec.Struct):
+    """Ends of calls since the start."""
+
+    answered: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    abandoned: int = 0
+    retries: int = 0
+
+
+class Calls:
+    """What the calls of one node share: configuration, limits, pools, budgets."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        notice_sink: Callable[[Notice], None],
+        random: RandomSource,
+        links: OwnerLinks,
+    ) -> None:
+        """Start without configuration and without endpoints."""
+        self.loop = asyncio.get_running_loop()
+        self.configuration: ActiveConfiguration | None = None
+        self.claims: ClaimsClient | None = None
+        self.own: OwnBackend | None = None
+        self.counts = CallCounts()
+        self._settings = settings
+        self._notice_sink = notice_sink
+        self._random = random
+        self._links = links
+        self._audience = AudienceCheck()
+        self._rates = CallerRates()
+        self._admissions: dict[str, Admission] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._endpoints: dict[str, tuple[Endpoint, ...]] = {}
+        self._pools: dict[str, ConnectionPool] = {}
+        self._waiting: dict[int, Call] = {}
+        self._live: set[Call] = set()
+        self._ticket_numbers = itertools.count(1)
+        self._id_prefix = secrets.token_hex(6).encode()
+        self._id_numbers = itertools.count(1)
+        self._kick: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def in_flight(self) -> int:
+        """Calls not over."""
+        return len(self._live)
+
+    # --- configuration and endpoints
+
+    def use_configuration(self, active: ActiveConfiguration) -> None:
+        """Decide new calls by this configuration."""
+        self.configuration = active
+        for service, admission in self._admissions.items():
+            if service in active.services:
+                admission.use_settings(active.services[service])
+        self._start_all_waiting()
+
+    def use_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
+        """Replace the live endpoints."""
+        grouped: dict[str, list[Endpoint]] = {}
+        for endpoint in endpoints:
+            grouped.setdefault(endpoint.service, []).append(endpoint)
+        self._endpoints = {name: tuple(found) for name, found in grouped.items()}
+        now = self.loop.time()
+        for service, admission in self._admissions.items():
+            self._feed(admission, service, now)
+        self._close_unused(endpoints)
+        self._start_all_waiting()
+
+    def tick(self, now: float) -> None:
+        """Do what is due every second or so."""
+        for pool in self._pools.values():
+            pool.trim(now)
+        self._links.renew(now)
+
+    def close(self) -> None:
+        """Cut what is left."""
+        for call in list(self._live):
+            call.caller_gone()
+        for pool in self._pools.values():
+            pool.close()
+        if self._kick is not None:
+            self._kick.cancel()
+        for task in self._tasks:
+            task.cancel()
+
+    # --- used by a call
+
+    def begun(self, call: Call) -> None:
+        """A call came in."""
+        self._live.add(call)
+
+    def over(self, call: Call) -> None:
+        """A call is over."""
+        self._live.discard(call)
+
+    def new_request_id(self) -> bytes:
+        """Give an id for a request that has none."""
+        return self._id_prefix + b"-%x" % next(self._id_numbers)
+
+    def plan(self, head: RequestHead) -> Result[EntryPlan, NotRun]:
+        """Decide what a call is and whether its caller may make it."""
+        configuration = self.configuration
+        now = self.loop.time()
+        classified = classify(configuration, head, now)
+        if isinstance(classified, Failure) or configuration is None:
+            return classified.map(lambda plan: EntryPlan(plan, Caller("")))
+        plan = classified.unwrap()
+        checked = self._audience.check(
+            plan.settings, configuration.secrets, head.header(b"authorization"), time.time()
+        )
+        if isinstance(checked, Failure):
+            return Failure(checked.failure())
+        caller = checked.unwrap()
+        rate = plan.settings.caller_rate_per_second
+        name = caller.name or head.peer_address
+        wait = self._rates.wait_seconds(f"{plan.service}/{plan.route}", name, rate, now)
+        if wait > 0.0:
+            advice = max(1, int(wait * MILLISECONDS))
+            return Failure(NotRun(STATUS_TOO_MANY_REQUESTS, "caller-rate", advice))
+        return Success(EntryPlan(plan, caller))
+
+    def ticket(self, plan: CallPlan, excluded: frozenset[str]) -> Ticket:
+        """Give a place in line."""
+        number = next(self._ticket_numbers)
+        return Ticket(number, plan.call_class, plan.deadline, excluded)
+
+    def offer(self, ticket: Ticket, plan: CallPlan, call: Call) -> Decision:
+        """Ask for a slot; a call that waits hears ``dispatched`` or ``refused``."""
+        admission = self._admission(plan.target)
+        if admission is None:
+            return NotRun(STATUS_UNAVAILABLE, "service-not-held", MILLISECONDS)
+        now = self.loop.time()
+        decision = admission.offer(ticket, now)
+        if isinstance(decision, Waiting):
+            self._waiting[ticket.number] = call
+            if decision.evicted is not None:
+                evicted = self._waiting.pop(decision.evicted.number)
+                evicted.refused(admission.refusal_of_evicted(decision.evicted, now))
+            self._kick_later()
+        return decision
+
+    def withdraw(self, ticket: Ticket, plan: CallPlan) -> None:
+        """A waiting call was given up."""
+        if self._waiting.pop(ticket.number, None) is not None:
+            self._admissions[plan.target].withdraw(ticket)
+
+    def slot_freed(
+        self, dispatch: Dispatch, plan: CallPlan, latency: float, verdict: Verdict | None
+    ) -> None:
+        """An attempt ended: learn from it and start who waits."""
+        admission = self._admissions[plan.target]
+        ejected = admission.finished(dispatch, latency, verdict, self.loop.time())
+        if ejected is not None:
+            node = dispatch.endpoint.node
+            self._notice_sink(notices.BackendEjected(plan.target, node, ejected))
+        self._start_waiting(admission)
+
+    def new_attempt(
+        self, dispatch: Dispatch, plan: CallPlan, request: AttemptRequest, sink: AttemptSink
+    ) -> Attempt:
+        """Choose the way: own back end, direct under a loan, or through the owner."""
+        endpoint = dispatch.endpoint
+        if self.own is not None and endpoint.node == self._settings.node:
+            return self.own.attempt(request, sink)
+        if not endpoint.owner_address:
+            return DirectAttempt(self._pool(endpoint), request, sink)
+        if plan.hop == "direct":
+            address = endpoint.owner_address
+            if self._links.borrow(address, self.loop.time()):
+                pool = self._pool(endpoint)
+                return DirectAttempt(
+                    pool, request, sink, lambda: self._links.give_back(address)
+                )
+        return LinkAttempt(self._links, endpoint.owner_address, request, sink)
+
+    def retry_delay(self, plan: CallPlan, attempts_made: int, now: float) -> float | None:
+        """Give the wait before another attempt, or None if there must be none."""
+        delay = retry_delay(attempts_made, self._random)
+        if now + delay >= plan.deadline:
+            return None
+        if not self._budget(plan.target).spend():
+            self._notice_sink(notices.RetryBudgetSpent(plan.target))
+            return None
+        self.counts.retries += 1
+        return delay
+
+    def forwarded_headers(self, head: RequestHead, request_id: bytes) -> HeaderList:
+        """Give the header fields for the back end."""
+        headers = [field for field in head.headers if field[0] not in REPLACED_HEADERS]
+        headers.append((REQUEST_ID_HEADER, request_id))
+        return headers
+
+    def claim(self, key: str, attempt: str, seconds: float, sink: ClaimSink) -> None:
+        """Claim a key; the sink hears of it later."""
+        assert self.claims is not None
+        task = self.loop.create_task(self._claim(self.claims, key, attempt, seconds, sink))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def complete_claim(self, key: str, attempt: str, answer: KeptAnswer | None) -> None:
+        """Keep the answer of a claimed call."""
+        if self.claims is not None:
+            self.claims.complete(key, attempt, answer)
+
+    def release_claim(self, key: str, attempt: str) -> None:
+        """Give back the claim of a call that has not run."""
+        if self.claims is not None:
+            self.claims.release(key, attempt)
+
+    def first_attempt(self, plan: CallPlan) -> None:
+        """Let a call's first attempt earn its share of a retry."""
+        self._budget(plan.target).earn(plan.settings.retry_budget_percent)
+
+    def answered(
+        self, plan: CallPlan, status: int, request_id: bytes, since: float
+    ) -> None:
+        """Count an answered call."""
+        del plan, status, request_id, since
+        self.counts.answered += 1
+
+    def failed(self, plan: CallPlan | None, failed: Failed, request_id: bytes) -> None:
+        """Count a call that got no answer."""
+        not_run = isinstance(failed, NotRun)
+        if not_run:
+            self.counts.not_run += 1
+        else:
+            self.counts.unknown += 1
+        self._notice_sink(
+            notices.CallFailedNotice(
+                service=plan.service if plan is not None else "",
+                route=plan.route if plan is not None else "",
+                outcome="not-run" if not_run else "unknown",
+                reason=failed.reason,
+                status=failed.status,
+                request_id=request_id.decode("latin-1"),
+            )
+        )
+
+    def abandoned(self) -> None:
+        """Count a call whose caller left."""
+        self.counts.abandoned += 1
+
+    # --- inside
+
+    async def _claim(
+        self, claims: ClaimsClient, key: str, attempt: str, seconds: float, sink: ClaimSink
+    ) -> None:
+        sink(key, await claims.claim(key, attempt, seconds))
+
+    def _admission(self, service: str) -> Admission | None:
+        admission = self._admissions.get(service)
+        if admission is not None:
+            return admission
+        configuration = self.configuration
+        if configuration is None or service not in configuration.services:
+            return None
+        settings = configuration.services[service]
+        admission = Admission(service, settings, self._settings.zone, self._random)
+        self._admissions[service] = admission
+        self._feed(admission, service, self.loop.time())
+        return admission
+
+    def _feed(self, admission: Admission, service: str, now: float) -> None:
+        """Give an admission its endpoints, with this node's limit for each."""
+        endpoints = self._endpoints.get(service, ())
+        limited = [
+            msgspec.structs.replace(endpoint, slots=endpoint.slots * OWNER_LIMIT_FACTOR)
+            if endpoint.owner_address
+            else endpoint
+            for endpoint in endpoints
+        ]
+        admission.use_endpoints(tuple(limited), now)
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget()
+            self._budgets[service] = budget
+        return budget
+
+    def _pool(self, endpoint: Endpoint) -> ConnectionPool:
+        pool = self._pools.get(endpoint.address)
+        if pool is None:
+            pool = ConnectionPool(endpoint.address, endpoint.connections)
+            self._pools[endpoint.address] = pool
+        return pool
+
+    def _close_unused(self, endpoints: tuple[Endpoint, ...]) -> None:
+        addresses = {endpoint.address for endpoint in endpoints}
+        for address in [known for known in self._pools if known not in addresses]:
+            self._pools.pop(address).close()
+        self._links.keep_only(frozenset(endpoint.owner_address for endpoint in endpoints))
+
+    def _start_all_waiting(self) -> None:
+        for admission in list(self._admissions.values()):
+            self._start_waiting(admission)
+
+    def _start_waiting(self, admission: Admission) -> None:
+        if not admission.waiting:
+            return
+        for dispatch in admission.ready(self.loop.time()):
+            call = self._waiting.pop(dispatch.ticket.number, None)
+            if call is not None:
+                call.dispatched(dispatch)
+            else:
+                admission.finished(dispatch, 0.0, None, self.loop.time())
+        self._kick_later()
+
+    def _kick_later(self) -> None:
+        """Look again soon: ramps and ejections end without an event."""
+        if self._kick is None and self._waiting:
+            self._kick = self.loop.call_later(KICK_SECONDS, self._kicked)
+
+    def _kicked(self) -> None:
+        self._kick = None
+        self._start_all_waiting()
--- /dev/null
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -0,0 +1,244 @@
+"""An attempt through the back end's own node, on a stream of a call link."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from peppershore.connection.call_link import CallLink, ReceiveWindow, SendWindow
+from peppershore.connection.http_head import AnswerHead, HeaderList
+from peppershore.connection.messages import (
+    CallAnswerBody,
+    CallAnswered,
+    CallBody,
+    CallCancelled,
+    CallCredit,
+    CallNotRun,
+    CallStarted,
+    CallUnknown,
+    Message,
+)
+from peppershore.process.node.data.attempt import AttemptRequest, AttemptSink
+from peppershore.request.deadline import remaining_milliseconds
+from peppershore.request.outcome import (
+    STATUS_BAD_GATEWAY,
+    STATUS_UNAVAILABLE,
+    Failed,
+    NotRun,
+    Unknown,
+)
+
+NO_LENGTH = -1
+
+
+class CancellableWait(Protocol):
+    """A wait for a link that can be given up."""
+
+    def cancel(self) -> None:
+        """Wait no more."""
+
+
+class LinkSource(Protocol):
+    """Where links to owners come from."""
+
+    def when_open(self, address: str, attempt: LinkAttempt) -> None:
+        """Call ``attempt.link_open`` or ``attempt.link_refused``, at once if open."""
+
+
+class LinkAttempt:
+    """One stream: the request out, the answer or a typed failure back."""
+
+    __slots__ = (
+        "_address",
+        "_data",
+        "_ended",
+        "_link",
+        "_links",
+        "_over",
+        "_paused",
+        "_receiving",
+        "_request",
+        "_sending",
+        "_sink",
+        "_started",
+        "_stream",
+        "_trailers",
+    )
+
+    def __init__(
+        self, links: LinkSource, address: str, request: AttemptRequest, sink: AttemptSink
+    ) -> None:
+        """Nothing happens before ``start``."""
+        self._links = links
+        self._address = address
+        self._request = request
+        self._sink = sink
+        self._link: CallLink | None = None
+        self._stream = 0
+        self._started = False
+        self._over = False
+        self._paused = False
+        self._data: list[bytes] = []
+        self._ended = False
+        self._trailers: HeaderList = []
+        self._sending = SendWindow()
+        self._receiving = ReceiveWindow()
+
+    def start(self) -> None:
+        """Ask for the link to the owner."""
+        self._links.when_open(self._address, self)
+
+    def link_open(self, link: CallLink) -> None:
+        """Begin the stream; the first message goes out with the first flush."""
+        if self._over:
+            return
+        self._link = link
+        self._stream = link.open_stream(self)
+        self._sink.attempt_begun()
+
+    def link_refused(self) -> None:
+        """There is no link: nothing was sent."""
+        if not self._over:
+            refusal = NotRun(STATUS_UNAVAILABLE, "owner-unreachable", 0, True)
+            self._end(refusal)
+
+    # --- Attempt
+
+    def send_data(self, data: bytes) -> None:
+        """Queue a piece of the request's body."""
+        self._data.append(data)
+
+    def send_end(self, trailers: HeaderList) -> None:
+        """Queue the request's end."""
+        self._ended = True
+        self._trailers = trailers
+
+    def flush(self) -> None:
+        """Send what is queued in one message."""
+        if self._over or self._link is None:
+            return
+        data = b"".join(self._data)
+        self._data.clear()
+        if not self._started:
+            self._send_start(data)
+        elif data or self._ended:
+            self._link.send(CallBody(self._stream, data, self._ended, self._trailers))
+        self._sending.sent(len(data))
+        if not self._sending.open and not self._paused:
+            self._paused = True
+            self._sink.sending_paused()
+
+    def cancel(self) -> None:
+        """Tell the owner to stop; discard what still comes."""
+        if self._over:
+            return
+        self._over = True
+        if self._link is not None:
+            self._link.forget(self._stream)
+            if self._started:
+                self._link.send(CallCancelled(self._stream))
+
+    def pause_answer(self) -> None:
+        """Give no more credit."""
+        self._receiving.pause()
+
+    def resume_answer(self) -> None:
+        """Give the credit owed."""
+        self._credit(self._receiving.resume())
+
+    # --- StreamSink
+
+    def stream_message(self, message: Message) -> None:
+        """Take the owner's next message."""
+        match message:
+            case CallAnswered():
+                self._answered(message)
+            case CallAnswerBody():
+                self._more(message.data, message.ended, message.trailers)
+            case CallCredit():
+                self._credited(message.octets)
+            case CallNotRun():
+                self._end(
+                    NotRun(
+                        message.status,
+                        message.reason,
+                        message.retry_after_milliseconds,
+                        message.retryable,
+                    )
+                )
+            case CallUnknown():
+                self._end(Unknown(message.status, message.reason))
+            case _:
+                pass
+
+    def stream_lost(self, reason: str) -> None:
+        """The link is gone after the call was sent."""
+        del reason
+        if self._started:
+            self._end(Unknown(STATUS_BAD_GATEWAY, "owner-link-lost"))
+        else:
+            self._end(NotRun(STATUS_UNAVAILABLE, "owner-unreachable", 0, True))
+
+    # --- inside
+
+    def _send_start(self, data: bytes) -> None:
+        request = self._request
+        head = request.head
+        now = asyncio.get_running_loop().time()
+        length = NO_LENGTH if head.content_length is None else head.content_length
+        assert self._link is not None
+        self._started = self._link.send(
+            CallStarted(
+                stream=self._stream,
+                method=head.method,
+                target=head.target,
+                headers=request.headers,
+                content_length=length,
+                call_class=request.call_class,
+                repeatable=request.repeatable,
+                cancellable=request.cancellable,
+                deadline_milliseconds=remaining_milliseconds(now, request.deadline),
+                data=data,
+                ended=self._ended,
+                trailers=self._trailers,
+            )
+        )
+        if not self._started:
+            self._end(NotRun(STATUS_UNAVAILABLE, "owner-unreachable", 0, True))
+
+    def _answered(self, message: CallAnswered) -> None:
+        length = None if message.content_length == NO_LENGTH else message.content_length
+        self._sink.answer_head(
+            AnswerHead(
+                message.status, message.reason, message.headers, length, message.has_body
+            )
+        )
+        self._more(message.data, message.ended, message.trailers)
+
+    def _more(self, data: bytes, ended: bool, trailers: HeaderList) -> None:
+        if data and not self._over:
+            self._sink.answer_data(data)
+            self._credit(self._receiving.taken(len(data)))
+        if ended and not self._over:
+            self._close_stream()
+            self._sink.answer_ended(trailers)
+
+    def _credit(self, octets: int) -> None:
+        if octets and self._link is not None and not self._over:
+            self._link.send(CallCredit(self._stream, octets))
+
+    def _credited(self, octets: int) -> None:
+        if self._sending.credited(octets) and self._paused:
+            self._paused = False
+            self._sink.sending_resumed()
+
+    def _end(self, failed: Failed) -> None:
+        if self._over:
+            return
+        self._close_stream()
+        self._sink.attempt_failed(failed)
+
+    def _close_stream(self) -> None:
+        self._over = True
+        if self._link is not None:
+            self._link.forget(self._stream)
--- /dev/null
+++ b/src/peppershore/process/node/data/notices.py
@@ -0,0 +1,68 @@
+"""What the data plane reports to logs and metrics."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+from peppershore.process.commands import Notice
+
+
+class CallAnsweredNotice(Notice, frozen=True):
+    """A call ended with the back end's whole answer."""
+
+    level: ClassVar[str] = "debug"
+    service: str
+    route: str
+    status: int
+    request_id: str
+    milliseconds: float
+
+
+class CallFailedNotice(Notice, frozen=True):
+    """A call ended without an answer; ``outcome`` is "not-run" or "unknown"."""
+
+    level: ClassVar[str] = "debug"
+    service: str
+    route: str
+    outcome: str
+    reason: str
+    status: int
+    request_id: str
+
+
+class MalformedRequest(Notice, frozen=True):
+    """A request that no two parsers surely read alike was refused."""
+
+    reason: str
+    status: int
+
+
+class BackendEjected(Notice, frozen=True):
+    """A back end kept failing and gets no calls of this node for a while."""
+
+    level: ClassVar[str] = "warning"
+    service: str
+    endpoint: str
+    seconds: float
+
+
+class RetryBudgetSpent(Notice, frozen=True):
+    """Calls of a service fail without a retry, as its budget is used up."""
+
+    level: ClassVar[str] = "warning"
+    service: str
+
+
+class BackendStateSeen(Notice, frozen=True):
+    """This node's own back end changed as seen by probing and draining."""
+
+    state: str
+
+
+class DrainEnded(Notice, frozen=True):
+    """The planned stop of calls is over; what was waited for, and what was left."""
+
+    seconds: float
+    calls_at_start: int
+    calls_cut: int
+    direct_slots_cut: int
--- /dev/null
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -0,0 +1,311 @@
+"""This node's own back end: the one authority over its slots and its drain."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+from peppershore.connection.http_head import AnswerHead, HeaderList
+from peppershore.connection.http_pool import ConnectionPool
+from peppershore.connection.messages import Endpoint
+from peppershore.process.node.data.attempt import AttemptRequest, AttemptSink
+from peppershore.process.node.data.direct_attempt import DirectAttempt
+from peppershore.process.node.data.verdicts import verdict_of_failure, verdict_of_status
+from peppershore.request.admission import Admission, Dispatch, Waiting
+from peppershore.request.endpoint_state import Verdict
+from peppershore.request.outcome import (
+    STATUS_GATEWAY_TIMEOUT,
+    STATUS_UNAVAILABLE,
+    Failed,
+    NotRun,
+    Unknown,
+)
+from peppershore.request.picker import RandomSource
+from peppershore.request.waiting import Ticket
+from peppershore.version.model import ServiceSettings
+
+LEAVING_RETRY_AFTER_MILLISECONDS = 100
+KICK_SECONDS = 0.02
+
+
+class OwnBackend:
+    """Admits every call to the back end beside this node."""
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        settings: ServiceSettings,
+        random: RandomSource,
+    ) -> None:
+        """Start with all slots free."""
+        self.leaving = False
+        self.slots = endpoint.slots
+        self._offered_slots = endpoint.slots
+        self._lent = 0
+        self.pool = ConnectionPool(endpoint.address, endpoint.connections)
+        self._node = endpoint.node
+        now = asyncio.get_running_loop().time()
+        self.admission = Admission(endpoint.service, settings, endpoint.zone, random)
+        self.admission.use_endpoints((endpoint,), now)
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, OwnAttempt] = {}
+        self._kick: asyncio.TimerHandle | None = None
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that hold a slot or wait for one here."""
+        return self.admission.in_flight + self.admission.waiting
+
+    def use_settings(self, settings: ServiceSettings) -> None:
+        """Take new settings; the tree may lower the slots, not raise them."""
+        self.slots = min(self._offered_slots, settings.slots)
+        self.admission.use_settings(settings)
+        self._apply_limit()
+
+    def lend(self, slots: int) -> None:
+        """Keep ``slots`` back for nodes that call the back end themselves."""
+        self._lent = slots
+        self._apply_limit()
+
+    def start_ramp(self) -> None:
+        """The back end has come up: give it its calls little by little."""
+        state = self.admission.state(self._node)
+        if state is not None:
+            state.ramp_started = asyncio.get_running_loop().time()
+
+    def attempt(self, request: AttemptRequest, sink: AttemptSink) -> OwnAttempt:
+        """Give an attempt to be started."""
+        return OwnAttempt(self, request, sink)
+
+    def admit(
+        self, attempt: OwnAttempt, request: AttemptRequest
+    ) -> Dispatch | NotRun | Ticket:
+        """Give the slot, the refusal, or the place in the queue."""
+        if self.leaving:
+            advice = LEAVING_RETRY_AFTER_MILLISECONDS
+            return NotRun(STATUS_UNAVAILABLE, "back-end-leaving", advice, True)
+        now = asyncio.get_running_loop().time()
+        ticket = Ticket(next(self._numbers), request.call_class, request.deadline)
+        decision = self.admission.offer(ticket, now)
+        if isinstance(decision, NotRun):
+            return NotRun(
+                decision.status, decision.reason, decision.retry_after_milliseconds, True
+            )
+        if isinstance(decision, Dispatch):
+            return decision
+        self._waiting[ticket.number] = attempt
+        self._refuse_evicted(decision, now)
+        self._kick_later()
+        return ticket
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """A waiting attempt was given up."""
+        self._waiting.pop(ticket.number, None)
+        self.admission.withdraw(ticket)
+
+    def finished(self, dispatch: Dispatch, latency: float, verdict: Verdict | None) -> None:
+        """Free a slot and give it to the next."""
+        now = asyncio.get_running_loop().time()
+        self.admission.finished(dispatch, latency, verdict, now)
+        self.start_waiting()
+
+    def start_waiting(self) -> None:
+        """Start the waiting attempts that have room now."""
+        if not self.admission.waiting:
+            return
+        now = asyncio.get_running_loop().time()
+        for dispatch in self.admission.ready(now):
+            attempt = self._waiting.pop(dispatch.ticket.number, None)
+            if attempt is not None:
+                attempt.admitted(dispatch)
+            else:
+                self.admission.finished(dispatch, 0.0, None, now)
+        self._kick_later()
+
+    def refuse_waiting(self) -> None:
+        """Refuse all that wait: the back end leaves."""
+        refusal = NotRun(
+            STATUS_UNAVAILABLE, "back-end-leaving", LEAVING_RETRY_AFTER_MILLISECONDS, True
+        )
+        for attempt in list(self._waiting.values()):
+            attempt.refused(refusal)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        if self._kick is not None:
+            self._kick.cancel()
+        self.pool.close()
+
+    def _apply_limit(self) -> None:
+        self.admission.set_limit(self._node, max(0, self.slots - self._lent))
+        self.start_waiting()
+
+    def _refuse_evicted(self, decision: Waiting, now: float) -> None:
+        if decision.evicted is None:
+            return
+        attempt = self._waiting.pop(decision.evicted.number)
+        attempt.refused(self.admission.refusal_of_evicted(decision.evicted, now))
+
+    def _kick_later(self) -> None:
+        """Look again soon: ramps and ejections end without an event."""
+        if self._kick is None and self.admission.waiting:
+            loop = asyncio.get_running_loop()
+            self._kick = loop.call_later(KICK_SECONDS, self._kicked)
+
+    def _kicked(self) -> None:
+        self._kick = None
+        self.start_waiting()
+
+
+class OwnAttempt:
+    """An attempt at this node's own back end: waits for a slot, then goes direct."""
+
+    __slots__ = (
+        "_backend",
+        "_direct",
+        "_dispatch",
+        "_done",
+        "_request",
+        "_sink",
+        "_started",
+        "_status",
+        "_ticket",
+        "_timer",
+    )
+
+    def __init__(
+        self, backend: OwnBackend, request: AttemptRequest, sink: AttemptSink
+    ) -> None:
+        """Nothing happens before ``start``."""
+        self._backend = backend
+        self._request = request
+        self._sink = sink
+        self._direct: DirectAttempt | None = None
+        self._dispatch: Dispatch | None = None
+        self._ticket: Ticket | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._started = 0.0
+        self._status = 0
+        self._done = False
+
+    def start(self) -> None:
+        """Ask for a slot."""
+        admitted = self._backend.admit(self, self._request)
+        if isinstance(admitted, NotRun):
+            self._done = True
+            self._sink.attempt_failed(admitted)
+            return
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(self._request.deadline, self._expired)
+        if isinstance(admitted, Ticket):
+            self._ticket = admitted
+            return
+        self.admitted(admitted)
+
+    def admitted(self, dispatch: Dispatch) -> None:
+        """A slot is free: go to the back end."""
+        self._ticket = None
+        self._dispatch = dispatch
+        self._started = asyncio.get_running_loop().time()
+        self._direct = DirectAttempt(self._backend.pool, self._request, self)
+        self._direct.start()
+
+    def refused(self, refusal: NotRun) -> None:
+        """A waiting attempt is refused."""
+        self._end(None)
+        self._sink.attempt_failed(refusal)
+
+    # --- Attempt
+
+    def send_data(self, data: bytes) -> None:
+        """Queue a piece of the request's body."""
+        if self._direct is not None:
+            self._direct.send_data(data)
+
+    def send_end(self, trailers: HeaderList) -> None:
+        """Queue the request's end."""
+        if self._direct is not None:
+            self._direct.send_end(trailers)
+
+    def flush(self) -> None:
+        """Send what is queued."""
+        if self._direct is not None:
+            self._direct.flush()
+
+    def cancel(self) -> None:
+        """Give the attempt up and free its slot."""
+        if self._done:
+            return
+        direct = self._direct
+        if direct is not None:
+            direct.cancel()
+        self._end(None)
+
+    def pause_answer(self) -> None:
+        """Take no more answer bytes for now."""
+        if self._direct is not None:
+            self._direct.pause_answer()
+
+    def resume_answer(self) -> None:
+        """Go on taking answer bytes."""
+        if self._direct is not None:
+            self._direct.resume_answer()
+
+    # --- AttemptSink of the direct attempt
+
+    def attempt_begun(self) -> None:
+        """Connected: the body may follow."""
+        self._sink.attempt_begun()
+
+    def answer_head(self, head: AnswerHead) -> None:
+        """Hand the answer's head on."""
+        self._status = head.status
+        self._sink.answer_head(head)
+
+    def answer_data(self, data: bytes) -> None:
+        """Hand a piece of the answer's body on."""
+        self._sink.answer_data(data)
+
+    def answer_ended(self, trailers: HeaderList) -> None:
+        """Hand the answer's end on, then free the slot."""
+        self._sink.answer_ended(trailers)
+        self._end(verdict_of_status(self._status))
+
+    def attempt_failed(self, failed: Failed) -> None:
+        """Free the slot, then hand the failure on."""
+        self._end(verdict_of_failure(failed))
+        self._sink.attempt_failed(failed)
+
+    def sending_paused(self) -> None:
+        """Hand the back end's slowness on."""
+        self._sink.sending_paused()
+
+    def sending_resumed(self) -> None:
+        """The back end reads again."""
+        self._sink.sending_resumed()
+
+    # --- inside
+
+    def _expired(self) -> None:
+        """The deadline passed; what was not sent has not run."""
+        begun = self._direct is not None and self._direct.begun
+        self.cancel()
+        if begun:
+            self._sink.attempt_failed(Unknown(STATUS_GATEWAY_TIMEOUT, "deadline-passed"))
+        else:
+            self._sink.attempt_failed(NotRun(STATUS_UNAVAILABLE, "deadline-passed"))
+
+    def _end(self, verdict: Verdict | None) -> None:
+        if self._done:
+            return
+        self._done = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._ticket is not None:
+            self._backend.withdraw(self._ticket)
+            self._ticket = None
+        dispatch = self._dispatch
+        self._dispatch = None
+        if dispatch is not None:
+            latency = asyncio.get_running_loop().time() - self._started
+            self._backend.finished(dispatch, latency, verdict)
--- /dev/null
+++ b/src/peppershore/process/node/data/owner_links.py
@@ -0,0 +1,148 @@
+"""Call links to the nodes beside the back ends, opened when first wanted."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+
+from peppershore.connection.call_link import CallLink
+from peppershore.connection.link import open_link
+from peppershore.connection.messages import (
+    CallLinkHello,
+    Message,
+    SlotsLent,
+    SlotsReturned,
+)
+from peppershore.process.node.data.link_attempt import LinkAttempt
+from peppershore.request.slot_loans import Borrower
+
+
+class _Owner:
+    """One owner: its link if open, who waits for it, and the slots borrowed."""
+
+    __slots__ = ("borrower", "link", "opening", "waiting")
+
+    def __init__(self) -> None:
+        self.link: CallLink | None = None
+        self.opening: asyncio.Task[None] | None = None
+        self.waiting: list[LinkAttempt] = []
+        self.borrower = Borrower()
+
+
+class OwnerLinks:
+    """All links of this node to owners, by address."""
+
+    def __init__(self, hello: CallLinkHello, tls: ssl.SSLContext | None) -> None:
+        """``hello`` introduces this node."""
+        self._hello = hello
+        self._tls = tls
+        self._owners: dict[str, _Owner] = {}
+        self._closed = False
+
+    def when_open(self, address: str, attempt: LinkAttempt) -> None:
+        """Give the attempt its link, at once if it is open."""
+        owner = self._owner(address)
+        if owner.link is not None and owner.link.alive:
+            attempt.link_open(owner.link)
+            return
+        owner.waiting.append(attempt)
+        self._open(address, owner)
+
+    def borrow(self, address: str, now: float) -> bool:
+        """Use one slot lent by the owner, if one is free; ask for more if not."""
+        owner = self._owner(address)
+        taken = owner.borrower.take(now)
+        self._ask(address, owner, now)
+        return taken
+
+    def give_back(self, address: str) -> None:
+        """Free a slot taken by ``borrow``."""
+        owner = self._owner(address)
+        kept = owner.borrower.give_back()
+        if kept is not None and owner.link is not None:
+            owner.link.send(SlotsReturned(owner.borrower.number, kept))
+
+    def renew(self, now: float) -> None:
+        """Renew the loans that are in use; forget what is not wanted."""
+        for address, owner in self._owners.items():
+            if owner.link is not None:
+                self._ask(address, owner, now)
+
+    def keep_only(self, addresses: frozenset[str]) -> None:
+        """Close links to owners that are gone and have no stream open."""
+        for address in [known for known in self._owners if known not in addresses]:
+            owner = self._owners[address]
+            idle = owner.link is None or owner.link.streams == 0
+            if idle and owner.opening is None and owner.borrower.in_use == 0:
+                del self._owners[address]
+                if owner.link is not None:
+                    owner.link.close()
+
+    def close(self) -> None:
+        """Close all links."""
+        self._closed = True
+        for owner in self._owners.values():
+            if owner.opening is not None:
+                owner.opening.cancel()
+            if owner.link is not None:
+                owner.link.close()
+        self._owners.clear()
+
+    def _owner(self, address: str) -> _Owner:
+        owner = self._owners.get(address)
+        if owner is None:
+            owner = _Owner()
+            self._owners[address] = owner
+        return owner
+
+    def _ask(self, address: str, owner: _Owner, now: float) -> None:
+        if owner.link is None:
+            self._open(address, owner)
+            return
+        ask = owner.borrower.ask(now)
+        if ask is not None:
+            owner.link.send(ask)
+
+    def _open(self, address: str, owner: _Owner) -> None:
+        if owner.opening is None and not self._closed:
+            loop = asyncio.get_running_loop()
+            owner.opening = loop.create_task(self._connect(address, owner))
+
+    async def _connect(self, address: str, owner: _Owner) -> None:
+        outcome = await open_link(address, self._tls)
+        owner.opening = None
+        waiting = owner.waiting
+        owner.waiting = []
+        if isinstance(outcome, str):
+            for attempt in waiting:
+                attempt.link_refused()
+            return
+        link = CallLink(outcome, _refuse_calls, self._other_message, self._lost)
+        owner.link = link
+        link.start()
+        link.send(self._hello)
+        for attempt in waiting:
+            attempt.link_open(link)
+
+    def _other_message(self, link: CallLink, message: Message) -> None:
+        owner = self._owner_of(link)
+        if owner is not None and isinstance(message, SlotsLent):
+            link.send(owner.borrower.lent(message))
+
+    def _lost(self, link: CallLink, reason: str) -> None:
+        del reason
+        owner = self._owner_of(link)
+        if owner is not None:
+            owner.link = None
+            owner.borrower.lost()
+
+    def _owner_of(self, link: CallLink) -> _Owner | None:
+        for owner in self._owners.values():
+            if owner.link is link:
+                return owner
+        return None
+
+
+def _refuse_calls(link: CallLink, message: Message) -> None:
+    """An owner sends no calls on a link that it accepted."""
+    del link, message
--- /dev/null
+++ b/src/peppershore/process/node/data/request_body.py
@@ -0,0 +1,60 @@
+"""A request's body on its way: held until it may be sent, kept for a retry."""
+
+from __future__ import annotations
+
+from peppershore.connection.http_head import HeaderList
+from peppershore.process.node.data.attempt import Attempt
+
+REPLAY_BYTES = 64 * 1024
+"""A body up to this size is kept, so that a retry can send it again."""
+
+HOLD_BYTES = 64 * 1024
+"""More than this is not read from the caller before it can be sent on."""
+
+
+class RequestBody:
+    """The pieces of one body, and how far they were sent."""
+
+    __slots__ = ("_pieces", "_sent", "ended", "received", "replayable", "trailers")
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._pieces: list[bytes] = []
+        self._sent = 0
+        self.received = 0
+        self.replayable = True
+        self.ended = False
+        self.trailers: HeaderList = []
+
+    @property
+    def held_too_much(self) -> bool:
+        """Whether the caller should be read no further for now."""
+        return self.received > HOLD_BYTES and self._sent < len(self._pieces)
+
+    def add(self, data: bytes) -> None:
+        """Take a piece from the caller."""
+        self._pieces.append(data)
+        self.received += len(data)
+
+    def end(self, trailers: HeaderList) -> None:
+        """The caller sent it all."""
+        self.ended = True
+        self.trailers = trailers
+
+    def restart(self) -> None:
+        """Begin again for another attempt."""
+        assert self.replayable, "the body's beginning is gone"
+        self._sent = 0
+
+    def send(self, attempt: Attempt) -> None:
+        """Give the attempt all that it has not had."""
+        for piece in self._pieces[self._sent :]:
+            attempt.send_data(piece)
+        self._sent = len(self._pieces)
+        if self.received > REPLAY_BYTES:
+            self.replayable = False
+            self._pieces.clear()
+            self._sent = 0
+        if self.ended:
+            attempt.send_end(self.trailers)
+        attempt.flush()
--- /dev/null
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -0,0 +1,252 @@
+"""The owner's side of a stream: a peer's call at this node's own back end."""
+
+from __future__ import annotations
+
+import asyncio
+
+from peppershore.connection.call_link import CallLink, ReceiveWindow, SendWindow
+from peppershore.connection.http_head import AnswerHead, HeaderList, RequestHead
+from peppershore.connection.messages import (
+    CallAnswerBody,
+    CallAnswered,
+    CallBody,
+    CallCancelled,
+    CallCredit,
+    CallNotRun,
+    CallStarted,
+    CallUnknown,
+    Message,
+)
+from peppershore.process.node.data.attempt import AttemptRequest
+from peppershore.process.node.data.own_backend import OwnAttempt, OwnBackend
+from peppershore.process.node.data.request_body import RequestBody
+from peppershore.request.outcome import Failed, NotRun
+from peppershore.request.waiting import RANKS
+from peppershore.version.model import CallClass
+
+NO_LENGTH = -1
+MILLISECONDS = 1_000
+CLASSES: dict[str, CallClass] = {name: name for name in RANKS}
+
+
+class ServedStream:
+    """Takes a peer's call to the back end and its answer back to the peer."""
+
+    __slots__ = (
+        "_answer_head",
+        "_attempt",
+        "_begun",
+        "_body",
+        "_cancellable",
+        "_link",
+        "_out",
+        "_over",
+        "_paused",
+        "_receiving",
+        "_scheduled",
+        "_sending",
+        "_stream",
+    )
+
+    def __init__(self, link: CallLink, started: CallStarted) -> None:
+        """Bind to the stream; nothing happens before ``start``."""
+        self._link: CallLink | None = link
+        self._stream = started.stream
+        self._cancellable = started.cancellable
+        self._attempt: OwnAttempt | None = None
+        self._body = RequestBody()
+        self._begun = False
+        self._over = False
+        self._paused = False
+        self._scheduled = False
+        self._answer_head: AnswerHead | None = None
+        self._out: list[bytes] = []
+        self._sending = SendWindow()
+        self._receiving = ReceiveWindow()
+
+    def start(self, backend: OwnBackend, started: CallStarted) -> None:
+        """Ask the authority for a slot."""
+        if started.data:
+            self._body.add(started.data)
+        if started.ended:
+            self._body.end(started.trailers)
+        self._attempt = backend.attempt(_request(started), self)
+        self._attempt.start()
+
+    def refuse(self, refusal: NotRun) -> None:
+        """Refuse the call before it is begun."""
+        self.attempt_failed(refusal)
+
+    # --- StreamSink
+
+    def stream_message(self, message: Message) -> None:
+        """Take the peer's next message."""
+        match message:
+            case CallBody():
+                self._more(message)
+            case CallCancelled():
+                self._cancel()
+            case CallCredit():
+                self._credited(message.octets)
+            case _:
+                pass
+
+    def stream_lost(self, reason: str) -> None:
+        """The peer is gone: cancel, unless the answer is kept elsewhere."""
+        del reason
+        self._link = None
+        if self._cancellable or not self._begun or not self._body.ended:
+            self._cancel()
+
+    # --- AttemptSink
+
+    def attempt_begun(self) -> None:
+        """Send what there is of the body."""
+        self._begun = True
+        assert self._attempt is not None
+        self._body.send(self._attempt)
+        self._credit(self._receiving.resume())
+
+    def answer_head(self, head: AnswerHead) -> None:
+        """Keep the head until the end of this loop turn: most answers are whole then."""
+        self._answer_head = head
+        self._flush_later()
+
+    def answer_data(self, data: bytes) -> None:
+        """Queue a piece of the answer."""
+        self._out.append(data)
+        self._flush_later()
+
+    def answer_ended(self, trailers: HeaderList) -> None:
+        """The answer is whole: send it."""
+        self._over = True
+        self._flush(True, trailers)
+        self._close()
+
+    def attempt_failed(self, failed: Failed) -> None:
+        """Tell the peer how the call failed."""
+        self._over = True
+        if self._link is not None:
+            self._link.send(_failure_message(self._stream, failed))
+        self._close()
+
+    def sending_paused(self) -> None:
+        """Give the peer no more credit."""
+        self._receiving.pause()
+
+    def sending_resumed(self) -> None:
+        """Give the credit owed."""
+        self._credit(self._receiving.resume())
+
+    # --- inside
+
+    def _more(self, message: CallBody) -> None:
+        if self._over:
+            return
+        self._body.add(message.data)
+        if message.ended:
+            self._body.end(message.trailers)
+        if self._begun and self._attempt is not None:
+            self._body.send(self._attempt)
+        else:
+            self._receiving.pause()
+        self._credit(self._receiving.taken(len(message.data)))
+
+    def _cancel(self) -> None:
+        if self._over:
+            return
+        self._over = True
+        if self._attempt is not None:
+            self._attempt.cancel()
+        self._close()
+
+    def _flush_later(self) -> None:
+        if not self._scheduled:
+            self._scheduled = True
+            asyncio.get_running_loop().call_soon(self._flush_scheduled)
+
+    def _flush_scheduled(self) -> None:
+        self._scheduled = False
+        if not self._over:
+            self._flush(False, [])
+
+    def _flush(self, ended: bool, trailers: HeaderList) -> None:
+        data = b"".join(self._out)
+        self._out.clear()
+        message: Message
+        if self._answer_head is not None:
+            message = _answer_message(
+                self._stream, self._answer_head, data, ended, trailers
+            )
+            self._answer_head = None
+        elif data or ended:
+            message = CallAnswerBody(self._stream, data, ended, trailers)
+        else:
+            return
+        if self._link is not None:
+            self._link.send(message)
+        self._sending.sent(len(data))
+        if not self._sending.open and not self._paused and self._attempt is not None:
+            self._paused = True
+            self._attempt.pause_answer()
+
+    def _credit(self, octets: int) -> None:
+        if octets and self._link is not None and not self._over:
+            self._link.send(CallCredit(self._stream, octets))
+
+    def _credited(self, octets: int) -> None:
+        if self._sending.credited(octets) and self._paused and self._attempt is not None:
+            self._paused = False
+            self._attempt.resume_answer()
+
+    def _close(self) -> None:
+        if self._link is not None:
+            self._link.forget(self._stream)
+
+
+def _request(started: CallStarted) -> AttemptRequest:
+    length = None if started.content_length == NO_LENGTH else started.content_length
+    head = RequestHead(
+        method=started.method,
+        target=started.target,
+        headers=started.headers,
+        content_length=length,
+    )
+    now = asyncio.get_running_loop().time()
+    return AttemptRequest(
+        head=head,
+        headers=started.headers,
+        call_class=CLASSES.get(started.call_class, "bulk"),
+        repeatable=started.repeatable,
+        cancellable=started.cancellable,
+        deadline=now + started.deadline_milliseconds / MILLISECONDS,
+    )
+
+
+def _answer_message(
+    stream: int, head: AnswerHead, data: bytes, ended: bool, trailers: HeaderList
+) -> CallAnswered:
+    length = NO_LENGTH if head.content_length is None else head.content_length
+    return CallAnswered(
+        stream=stream,
+        status=head.status,
+        reason=bytes(head.reason),
+        headers=head.headers,
+        content_length=length,
+        has_body=head.has_body,
+        data=data,
+        ended=ended,
+        trailers=trailers,
+    )
+
+
+def _failure_message(stream: int, failed: Failed) -> Message:
+    if isinstance(failed, NotRun):
+        return CallNotRun(
+            stream,
+            failed.status,
+            failed.reason,
+            failed.retry_after_milliseconds,
+            failed.retryable,
+        )
+    return CallUnknown(stream, failed.status, failed.reason)
--- /dev/null
+++ b/src/peppershore/process/node/data/verdicts.py
@@ -0,0 +1,25 @@
+"""What the end of an attempt says of its back end."""
+
+from __future__ import annotations
+
+from peppershore.request.endpoint_state import Verdict
+from peppershore.request.outcome import STATUS_UNAVAILABLE, Failed, NotRun
+
+FIRST_SERVER_ERROR = 500
+
+
+def verdict_of_status(status: int) -> Verdict:
+    """Judge by the status of a whole answer."""
+    if status == STATUS_UNAVAILABLE:
+        return "shed"
+    return "failed" if status >= FIRST_SERVER_ERROR else "good"
+
+
+def verdict_of_failure(failed: Failed) -> Verdict | None:
+    """Judge by a failure: a refusal for load or a drain is no fault."""
+    if not isinstance(failed, NotRun):
+        return "failed"
+    return "failed" if failed.reason in UNREACHABLE_REASONS else "shed"
+
+
+UNREACHABLE_REASONS = frozenset({"back-end-unreachable", "owner-unreachable"})
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+import ssl
 from collections.abc import Callable
 
 import msgspec
@@ -16,7 +17,6 @@
     ServerExchange,
 )
 from peppershore.connection.messages import CallLinkHello, Endpoint
-from peppershore.connection.tls import client_context, server_context
 from peppershore.process.commands import Notice
 from peppershore.process.node.data import notices
 from peppershore.process.node.data.backend_probe import STATE_READY, BackendProbe
@@ -71,15 +71,20 @@
         settings: NodeSettings,
         notice_sink: Callable[[Notice], None],
         seed: int | None = None,
+        client_tls: ssl.SSLContext | None = None,
+        server_tls: ssl.SSLContext | None = None,
     ) -> None:
-        """Prepare; must run on the loop.  ``seed`` fixes random choices."""
+        """Prepare; must run on the loop.
+
+        ``seed`` fixes random choices; the contexts secure links between nodes.
+        """
         self.draining = False
         self._settings = settings
         self._notice_sink = notice_sink
         self._loop = asyncio.get_running_loop()
         random = Randomness(secrets.randbits(63) if seed is None else seed)
         hello = CallLinkHello(settings.cluster, settings.node, 0)
-        self._links = OwnerLinks(hello, client_context(settings.tls))
+        self._links = OwnerLinks(hello, client_tls)
         self.calls = Calls(settings, notice_sink, random, self._links)
         self._connections: set[ServerConnection] = set()
         self._listener = HttpListener(lambda: ServerConnection(self))
@@ -89,7 +94,7 @@
             settings.cluster,
             lambda: self._own,
             self._longest_call_seconds,
-            server_context(settings.tls),
+            server_tls,
         )
         self._probe: BackendProbe | None = None
         self._on_backend_state: Callable[[str], None] | None = None
@@ -147,8 +152,7 @@
         self.begin_drain()
         end = self._drain_began + bound_seconds
         leaving_ends = min(end, self._drain_began + LEAVING_SECONDS)
-        while self._loop.time() < leaving_ends:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await asyncio.sleep(max(0.0, leaving_ends - self._loop.time()))
         if self._own is not None:
             self._own.leaving = True
         self._listener.close()
--- /dev/null
+++ b/src/peppershore/request/admission.py
@@ -0,0 +1,244 @@
+"""Whether a call may start now, waits, or is refused, for one target service.
+
+The core of limits: slots per back end, a bounded queue, refusal at once when
+the deadline can't be met.  Time is passed in; randomness is the seeded source.
+"""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from peppershore.connection.messages import Endpoint
+from peppershore.request.endpoint_state import EndpointState, Verdict
+from peppershore.request.outcome import STATUS_UNAVAILABLE, NotRun
+from peppershore.request.picker import Preference, RandomSource, pick
+from peppershore.request.waiting import RANKS, Ticket, WaitingQueue
+from peppershore.version.model import ServiceSettings
+
+STATE_READY = "ready"
+BULK_SHARE = 0.5
+"""Share of all slots that bulk calls may hold, so that others find room."""
+
+MIN_RETRY_AFTER_MILLISECONDS = 100
+NOBODY_READY_RETRY_AFTER_MILLISECONDS = 1_000
+
+
+class Dispatch(msgspec.Struct, frozen=True):
+    """The ticket holds a slot of this back end until ``finished``."""
+
+    ticket: Ticket
+    endpoint: Endpoint
+
+
+class Waiting(msgspec.Struct, frozen=True):
+    """The ticket waits; a later ``ready`` gives its dispatch.
+
+    ``evicted`` gave its place to this one and is refused.
+    """
+
+    evicted: Ticket | None = None
+
+
+Decision = Dispatch | Waiting | NotRun
+
+
+class Admission:
+    """Slots and queue of one target service, as one node applies them."""
+
+    def __init__(
+        self, service: str, settings: ServiceSettings, zone: str, random: RandomSource
+    ) -> None:
+        """Start without back ends."""
+        self.service = service
+        self.settings = settings
+        self._zone = zone
+        self._random = random
+        self._states: dict[str, EndpointState] = {}
+        self._offered: dict[str, EndpointState] = {}
+        self._queue = WaitingQueue()
+        self._bulk_in_flight = 0
+
+    @property
+    def waiting(self) -> int:
+        """Calls in the queue."""
+        return len(self._queue)
+
+    @property
+    def in_flight(self) -> int:
+        """Calls that hold a slot."""
+        return sum(state.in_flight for state in self._states.values())
+
+    def state(self, node: str) -> EndpointState | None:
+        """Give what is known of one back end."""
+        return self._states.get(node)
+
+    def use_settings(self, settings: ServiceSettings) -> None:
+        """Take new settings; calls in flight keep their slots."""
+        self.settings = settings
+        for state in self._states.values():
+            state.ramp_seconds = settings.slow_start_milliseconds / 1_000
+
+    def use_endpoints(self, endpoints: tuple[Endpoint, ...], now: float) -> None:
+        """Replace the live back ends; what was seen of those that stay is kept."""
+        offered: dict[str, EndpointState] = {}
+        for endpoint in endpoints:
+            state = self._adopt(endpoint, now)
+            if endpoint.state == STATE_READY:
+                offered[endpoint.node] = state
+        self._offered = offered
+        present = {endpoint.node for endpoint in endpoints}
+        for node in [node for node in self._states if node not in present]:
+            if self._states[node].in_flight == 0:
+                del self._states[node]
+
+    def set_limit(self, node: str, limit: int) -> None:
+        """Change how many calls one back end may hold; 0 stops new ones."""
+        state = self._states.get(node)
+        if state is not None:
+            state.limit = limit
+
+    def offer(self, ticket: Ticket, now: float) -> Decision:
+        """Decide on a new call."""
+        if not self._offered:
+            reason = "nobody-ready"
+            return NotRun(STATUS_UNAVAILABLE, reason, NOBODY_READY_RETRY_AFTER_MILLISECONDS)
+        if ticket.deadline - now <= 0.0:
+            return NotRun(STATUS_UNAVAILABLE, "deadline-passed")
+        if not self._must_wait(ticket):
+            state = self._pick(ticket, now)
+            if state is not None:
+                return self._dispatch(ticket, state)
+        return self._enqueue(ticket, now)
+
+    def finished(
+        self, dispatch: Dispatch, latency: float, verdict: Verdict | None, now: float
+    ) -> float | None:
+        """Free the slot; learn from the attempt (verdict None: nothing to learn).
+
+        Gives the seconds of an ejection if this failure caused one.
+        """
+        state = self._states.get(dispatch.endpoint.node)
+        if dispatch.ticket.call_class == "bulk":
+            self._bulk_in_flight -= 1
+        if state is None:
+            return None
+        state.in_flight -= 1
+        assert state.in_flight >= 0, "a slot was freed twice"
+        if verdict is None:
+            return None
+        state.observe(latency, verdict, now)
+        return self._eject_outlier(state, now)
+
+    def ready(self, now: float) -> list[Dispatch]:
+        """Give the waiting calls that can start now."""
+        started: list[Dispatch] = []
+        while len(self._queue):
+            ticket = self._queue.peek(self._ranks_allowed())
+            if ticket is None:
+                break
+            state = self._pick(ticket, now)
+            if state is None:
+                break
+            self._queue.taken(ticket)
+            started.append(self._dispatch(ticket, state))
+        return started
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Take a waiting call out of the queue."""
+        self._queue.remove(ticket)
+
+    def _adopt(self, endpoint: Endpoint, now: float) -> EndpointState:
+        state = self._states.get(endpoint.node)
+        ramp_seconds = self.settings.slow_start_milliseconds / 1_000
+        if state is None or state.endpoint.incarnation != endpoint.incarnation:
+            in_flight = state.in_flight if state is not None else 0
+            state = EndpointState(endpoint, endpoint.slots, ramp_seconds, now)
+            state.in_flight = in_flight
+            self._states[endpoint.node] = state
+            return state
+        if state.endpoint.state != STATE_READY and endpoint.state == STATE_READY:
+            state.ramp_started = now
+        if state.endpoint.slots != endpoint.slots:
+            state.limit = endpoint.slots
+        state.endpoint = endpoint
+        return state
+
+    def _must_wait(self, ticket: Ticket) -> bool:
+        """Whether a new call would overtake one that waits, or bulk has its share."""
+        if ticket.call_class == "bulk" and not self._bulk_allowed():
+            return True
+        if not len(self._queue):
+            return False
+        return self._queue.ahead_of(ticket.call_class, ticket.deadline) > 0
+
+    def _bulk_allowed(self) -> bool:
+        slots = sum(state.limit for state in self._offered.values())
+        return self._bulk_in_flight < max(1, int(slots * BULK_SHARE))
+
+    def _ranks_allowed(self) -> int:
+        return len(RANKS) if self._bulk_allowed() else len(RANKS) - 1
+
+    def _pick(self, ticket: Ticket, now: float) -> EndpointState | None:
+        return pick(
+            self._offered.values(),
+            Preference(self._zone, self.settings.spill_over, ticket.excluded),
+            self._random,
+            now,
+        )
+
+    def _dispatch(self, ticket: Ticket, state: EndpointState) -> Dispatch:
+        state.in_flight += 1
+        if ticket.call_class == "bulk":
+            self._bulk_in_flight += 1
+        return Dispatch(ticket, state.endpoint)
+
+    def _enqueue(self, ticket: Ticket, now: float) -> Decision:
+        wait = self._expected_wait(ticket, now)
+        if wait > ticket.deadline - now:
+            return self._refusal("deadline-too-short", wait)
+        evicted: Ticket | None = None
+        if len(self._queue) >= self.settings.queue_limit:
+            evicted = self._queue.least_important()
+            if evicted is None or not _more_important(ticket, evicted):
+                return self._refusal("queue-full", wait)
+            self._queue.remove(evicted)
+        self._queue.push(ticket)
+        return Waiting(evicted)
+
+    def refusal_of_evicted(self, ticket: Ticket, now: float) -> NotRun:
+        """Give what a call is told that gave its place to a more important one."""
+        return self._refusal("displaced", self._expected_wait(ticket, now))
+
+    def _expected_wait(self, ticket: Ticket, now: float) -> float:
+        """Give the seconds until this call's answer, from what was seen so far."""
+        states = [state for state in self._offered.values() if not state.ejected(now)]
+        if not states:
+            return 0.0
+        rate = sum(state.slots(now) / state.latency_seconds for state in states)
+        ahead = self._queue.ahead_of(ticket.call_class, ticket.deadline)
+        service_time = min(state.latency_seconds for state in states)
+        return (ahead + 1) / rate + service_time
+
+    @staticmethod
+    def _refusal(reason: str, wait: float) -> NotRun:
+        advice = max(MIN_RETRY_AFTER_MILLISECONDS, math.ceil(wait * 1_000))
+        return NotRun(STATUS_UNAVAILABLE, reason, advice)
+
+    def _eject_outlier(self, state: EndpointState, now: float) -> float | None:
+        """Eject a back end that keeps failing, unless too many are out already."""
+        limit = self.settings.ejection_failures
+        if limit <= 0 or state.consecutive_failures < limit:
+            return None
+        if state.ejected(now):
+            return None
+        out = sum(1 for other in self._offered.values() if other.ejected(now))
+        allowed = len(self._offered) * self.settings.ejection_max_percent // 100
+        if out + 1 > allowed:
+            return None
+        return state.eject(now)
+
+
+def _more_important(one: Ticket, other: Ticket) -> bool:
+    return RANKS[one.call_class] < RANKS[other.call_class]
--- /dev/null
+++ b/src/peppershore/request/claim.py
@@ -0,0 +1,56 @@
+"""The hook for calls that run at most once even when their caller resends them."""
+
+from __future__ import annotations
+
+from hashlib import sha256
+from typing import Protocol
+
+import msgspec
+from returns.result import Result
+
+from peppershore.connection.messages import KeptAnswer
+from peppershore.request.classification import CallPlan
+
+CALLER_DIGEST_DIGITS = 16
+MAX_KEPT_BODY_BYTES = 64 * 1024
+"""A longer answer is not kept: a resend is told that the outcome is not known."""
+
+
+class ClaimGranted(msgspec.Struct, frozen=True):
+    """This attempt, and no other, may run the call of that key."""
+
+
+class ClaimTaken(msgspec.Struct, frozen=True):
+    """The key was claimed before; ``answer`` is there once it was answered and kept."""
+
+    answer: KeptAnswer | None = None
+
+
+class ClaimUnavailable(msgspec.Struct, frozen=True):
+    """No claim could be recorded in time; the call must not run."""
+
+    reason: str
+
+
+ClaimDenied = ClaimTaken | ClaimUnavailable
+
+
+class ClaimsClient(Protocol):
+    """Records claims in a place that survives the losses promised."""
+
+    async def claim(
+        self, key: str, attempt: str, seconds: float
+    ) -> Result[ClaimGranted, ClaimDenied]:
+        """Claim ``key`` for ``attempt`` before anything is sent to a back end."""
+
+    def complete(self, key: str, attempt: str, answer: KeptAnswer | None) -> None:
+        """Keep the answer for resends (None: it is too long to keep)."""
+
+    def release(self, key: str, attempt: str) -> None:
+        """Give the claim back: this attempt was proven not to have run."""
+
+
+def claim_key(plan: CallPlan, caller: str) -> str:
+    """Give the key of a call among all calls: two callers never share one."""
+    owner = sha256(caller.encode()).hexdigest()[:CALLER_DIGEST_DIGITS] if caller else "-"
+    return "/".join((plan.service, plan.route, owner, plan.key))
--- /dev/null
+++ b/src/peppershore/request/endpoint_state.py
@@ -0,0 +1,123 @@
+"""What this node has seen of one back end: in flight, latency, failures, ramp.
+
+Own sight goes before reports: the reported state only says whether a back end
+wants work at all; whether it gets any is decided from here.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Literal
+
+from peppershore.connection.messages import Endpoint
+
+Verdict = Literal["good", "failed", "shed"]
+"""What an attempt says of its back end; "shed": alive, and refusing for load."""
+
+LATENCY_DECAY_SECONDS = 5.0
+FIRST_LATENCY_SECONDS = 0.005
+FAILURE_DECAY_SECONDS = 10.0
+FAILURE_COST = 8.0
+"""How many times more a back end that always fails is taken to cost."""
+
+FIRST_EJECTION_SECONDS = 1.0
+MAX_EJECTION_SECONDS = 30.0
+RAMP_FLOOR = 0.1
+"""Share of its slots that a back end gets when its ramp begins."""
+
+
+class EndpointState:
+    """One back end as this node knows it; ``limit`` calls may be in flight."""
+
+    __slots__ = (
+        "_ejections",
+        "_failure_rate",
+        "_latency",
+        "_last_seen",
+        "consecutive_failures",
+        "ejected_until",
+        "endpoint",
+        "in_flight",
+        "limit",
+        "ramp_seconds",
+        "ramp_started",
+    )
+
+    def __init__(
+        self, endpoint: Endpoint, limit: int, ramp_seconds: float, now: float
+    ) -> None:
+        """Begin without observations, at the start of the ramp."""
+        self.endpoint = endpoint
+        self.limit = limit
+        self.in_flight = 0
+        self.consecutive_failures = 0
+        self.ejected_until = 0.0
+        self.ramp_seconds = ramp_seconds
+        self.ramp_started = now
+        self._latency = FIRST_LATENCY_SECONDS
+        self._failure_rate = 0.0
+        self._ejections = 0
+        self._last_seen = now
+
+    def ramp(self, now: float) -> float:
+        """Give the share of full load allowed now, between RAMP_FLOOR and 1."""
+        if self.ramp_seconds <= 0.0:
+            return 1.0
+        share = (now - self.ramp_started) / self.ramp_seconds
+        return min(1.0, max(RAMP_FLOOR, share))
+
+    def slots(self, now: float) -> int:
+        """Give how many calls may be in flight now; at least one."""
+        return max(1, math.ceil(self.limit * self.ramp(now)))
+
+    def free(self, now: float) -> bool:
+        """Whether one more call may start."""
+        return self.in_flight < self.limit and self.in_flight < self.slots(now)
+
+    def ejected(self, now: float) -> bool:
+        """Whether failures keep this back end out for now."""
+        return now < self.ejected_until
+
+    def cost(self, now: float) -> float:
+        """Give the expected cost of one more call; lower is better."""
+        failing = 1.0 + FAILURE_COST * self._failure_rate
+        return (self.in_flight + 1) * self._latency * failing / self.ramp(now)
+
+    @property
+    def latency_seconds(self) -> float:
+        """Smoothed time of a call."""
+        return self._latency
+
+    def observe(self, latency: float, verdict: Verdict, now: float) -> None:
+        """Take what one finished attempt showed."""
+        elapsed = max(0.0, now - self._last_seen)
+        self._last_seen = now
+        self._observe_failure(verdict != "good", elapsed)
+        if verdict == "failed":
+            self.consecutive_failures += 1
+        if verdict != "good":
+            return
+        self.consecutive_failures = 0
+        self._ejections = 0
+        weight = _weight(elapsed, LATENCY_DECAY_SECONDS)
+        peak = latency > self._latency
+        self._latency += (latency - self._latency) * (max(weight, 0.3) if peak else weight)
+
+    def eject(self, now: float) -> float:
+        """Keep this back end out, longer each time; give for how many seconds."""
+        seconds = min(MAX_EJECTION_SECONDS, FIRST_EJECTION_SECONDS * 2.0**self._ejections)
+        self._ejections = min(self._ejections + 1, 10)
+        self.consecutive_failures = 0
+        self.ejected_until = now + seconds
+        self.ramp_started = self.ejected_until
+        return seconds
+
+    def _observe_failure(self, failed: bool, elapsed: float) -> None:
+        weight = _weight(elapsed, FAILURE_DECAY_SECONDS)
+        seen = 1.0 if failed else 0.0
+        self._failure_rate += (seen - self._failure_rate) * weight
+
+
+def _weight(elapsed: float, decay: float) -> float:
+    """Give the weight of a new observation: at least 5 %, more after silence."""
+    return max(0.05, 1.0 - math.exp(-elapsed / decay))
--- /dev/null
+++ b/src/peppershore/request/outcome.py
@@ -0,0 +1,58 @@
+"""How a call ends, as its caller sees it.
+
+*answered*: the caller has the back end's whole answer.  *not run*: proven, no
+back end began it.  *unknown*: it was sent and no whole answer came.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+OUTCOME_HEADER = b"peppershore-outcome"
+REASON_HEADER = b"peppershore-reason"
+DEADLINE_HEADER = b"peppershore-deadline-milliseconds"
+REQUEST_ID_HEADER = b"x-request-id"
+IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
+RETRY_AFTER_HEADER = b"retry-after"
+
+ANSWERED = b"answered"
+NOT_RUN = b"not-run"
+UNKNOWN = b"unknown"
+
+STATUS_FORBIDDEN = 403
+STATUS_NOT_FOUND = 404
+STATUS_BODY_TOO_LARGE = 413
+STATUS_TOO_MANY_REQUESTS = 429
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_GATEWAY_TIMEOUT = 504
+
+
+class NotRun(msgspec.Struct, frozen=True):
+    """No back end began the call.
+
+    ``reason`` is a stable word; ``retry_after_milliseconds`` 0 means: no advice.
+    ``retryable`` says whether another back end may do better at once.
+    """
+
+    status: int
+    reason: str
+    retry_after_milliseconds: int = 0
+    retryable: bool = False
+
+
+class Unknown(msgspec.Struct, frozen=True):
+    """The call was sent and may have run; ``reason`` is a stable word."""
+
+    status: int
+    reason: str
+
+
+Failed = NotRun | Unknown
+
+
+def worse(earlier: Failed | None, later: Failed) -> Failed:
+    """Give what the caller must be told of several attempts: unknown outlives not run."""
+    if isinstance(earlier, Unknown) and isinstance(later, NotRun):
+        return earlier
+    return later
--- /dev/null
+++ b/src/peppershore/request/picker.py
@@ -0,0 +1,61 @@
+"""Which back end takes a call: power of two choices within the nearest zone."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import Protocol
+
+import msgspec
+
+from peppershore.request.endpoint_state import EndpointState
+
+
+class RandomSource(Protocol):
+    """The seeded generator that a core is given."""
+
+    def below(self, limit: float) -> float:
+        """Give a number in [0, limit)."""
+
+
+class Preference(msgspec.Struct, frozen=True):
+    """What one call asks of its back end.
+
+    Back ends in ``zone`` go first; others take what does not fit there if
+    ``spill_over``.  ``excluded`` names the nodes that failed this call before;
+    they are taken only when nobody else is there.
+    """
+
+    zone: str
+    spill_over: bool
+    excluded: frozenset[str]
+
+
+def pick(
+    states: Iterable[EndpointState],
+    preference: Preference,
+    random: RandomSource,
+    now: float,
+) -> EndpointState | None:
+    """Give the back end for one call, or None if none has room now."""
+    usable = [state for state in states if state.free(now) and not state.ejected(now)]
+    excluded = preference.excluded
+    fresh = [state for state in usable if state.endpoint.node not in excluded]
+    candidates = fresh or usable
+    near = [state for state in candidates if state.endpoint.zone == preference.zone]
+    if near:
+        return _better_of_two(near, random, now)
+    if not candidates or not preference.spill_over:
+        return None
+    return _better_of_two(candidates, random, now)
+
+
+def _better_of_two(
+    candidates: Sequence[EndpointState], random: RandomSource, now: float
+) -> EndpointState:
+    count = len(candidates)
+    if count == 1:
+        return candidates[0]
+    first = int(random.below(count))
+    second = (first + 1 + int(random.below(count - 1))) % count
+    one, other = candidates[first], candidates[second]
+    return one if one.cost(now) <= other.cost(now) else other
--- /dev/null
+++ b/tests/data_plane/stage.py
@@ -0,0 +1,183 @@
+"""Data planes, back ends and raw callers in one loop, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import h11
+import msgspec
+
+from peppershore.connection.messages import Endpoint
+from peppershore.process.commands import Notice
+from peppershore.process.node.data_plane import DataPlane, ListenAddresses
+from peppershore.process.settings import NodeSettings
+from peppershore.version.active import ActiveConfiguration
+from peppershore.version.model import (
+    RouteResource,
+    RouteSettings,
+    Scope,
+    SecretResource,
+    ServiceSettings,
+)
+
+SERVICE = "kassa"
+QUICK_SERVICE = ServiceSettings(slow_start_milliseconds=0)
+PUBLIC_ROUTE = RouteSettings(
+    path_prefix="/",
+    methods=("GET", "POST", "HEAD", "PUT"),
+    audience=("public",),
+    repeatable=True,
+    timeout_milliseconds=3_000,
+)
+
+
+def run(work: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(work, 20))
+
+
+def configuration(
+    route: RouteSettings = PUBLIC_ROUTE,
+    service: ServiceSettings = QUICK_SERVICE,
+    secrets: dict[str, SecretResource] | None = None,
+) -> ActiveConfiguration:
+    return ActiveConfiguration(
+        scope=Scope("edge", "pasila"),
+        version=1,
+        digest=1,
+        routes=(RouteResource(SERVICE, "all", route),),
+        services={SERVICE: service},
+        secrets=secrets or {},
+    )
+
+
+def endpoint(
+    address: str, node: str = "k1", owner_address: str = "", slots: int = 20
+) -> Endpoint:
+    return Endpoint(
+        node=node,
+        service=SERVICE,
+        zone="pasila",
+        incarnation=1,
+        sequence=1,
+        state="ready",
+        address=address,
+        owner_address=owner_address,
+        slots=slots,
+        connections=130,
+    )
+
+
+class Node:
+    """One data plane and what it reported."""
+
+    def __init__(self, name: str = "e1", backend: str = "", slots: int = 20) -> None:
+        self.notices: list[Notice] = []
+        settings = NodeSettings(
+            cluster="test",
+            node=name,
+            service=SERVICE if backend else "edge",
+            zone="pasila",
+            listen="127.0.0.1:0",
+            internal_listen="127.0.0.1:0" if backend else "",
+            relays=(),
+            backend=backend,
+            slots=slots,
+        )
+        self.plane = DataPlane(settings, self.notices.append, seed=7)
+        self.addresses = ListenAddresses("", "")
+
+    async def start(self, *endpoints: Endpoint, **changes: Any) -> str:
+        self.addresses = await self.plane.start()
+        self.plane.use_configuration(configuration(**changes))
+        self.plane.use_endpoints(endpoints)
+        return self.addresses.callers
+
+
+class Answer(msgspec.Struct):
+    """A whole answer, or why there is none."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    broken: str = ""
+
+    @property
+    def outcome(self) -> str:
+        return self.headers.get("peppershore-outcome", "")
+
+    @property
+    def reason(self) -> str:
+        return self.headers.get("peppershore-reason", "")
+
+
+class Caller:
+    """A raw connection of a caller, with h11 only to read answers."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self._received = b""
+
+    @classmethod
+    async def connect(cls, address: str) -> Caller:
+        host, _, port = address.rpartition(":")
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    def write(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    def request(
+        self,
+        target: str = "/",
+        method: str = "GET",
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> None:
+        lines = [f"{method} {target} HTTP/1.1", "host: kassa"]
+        if body:
+            lines.append(f"content-length: {len(body)}")
+        lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+        self.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
+
+    async def answer(self, method: str = "GET") -> Answer:
+        http = h11.Connection(h11.CLIENT)
+        http.send(h11.Request(method=method, target="/", headers=[("host", "x")]))
+        http.send(h11.EndOfMessage())
+        http.receive_data(self._received) if self._received else None
+        answer = Answer(0, {}, b"")
+        while True:
+            try:
+                event = http.next_event()
+            except h11.RemoteProtocolError as problem:
+                answer.broken = str(problem)
+                return answer
+            if event is h11.NEED_DATA:
+                try:
+                    http.receive_data(await self.reader.read(65_536))
+                except ConnectionError as problem:
+                    answer.broken = str(problem)
+                    return answer
+            elif isinstance(event, h11.Response):
+                answer.status = event.status_code
+                answer.headers = {n.decode(): v.decode() for n, v in event.headers}
+            elif isinstance(event, h11.Data):
+                answer.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._received = http.trailing_data[0]
+                return answer
+            elif isinstance(event, h11.ConnectionClosed):
+                answer.broken = "closed"
+                return answer
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+async def call(address: str, target: str = "/", **changes: Any) -> Answer:
+    caller = await Caller.connect(address)
+    caller.request(target, **changes)
+    answer = await caller.answer(changes.get("method", "GET"))
+    caller.close()
+    return answer
