--- a/src/peppershore/process/claims/client.py
+++ b/src/peppershore/process/claims/client.py
@@ -6,6 +6,8 @@
 import itertools
 import ssl
 
+from returns.result import Failure, Result, Success
+
 from peppershore.connection.messages import KeptAnswer
 from peppershore.process.claims.client_core import (
     ClaimClientCore,
@@ -13,9 +15,17 @@
     CompletionWanted,
     FinishWant,
     ReleaseWanted,
+    WantGranted,
     WantOutcome,
+    WantTaken,
 )
 from peppershore.process.shell import NoticeSink, Shell
+from peppershore.request.claim import (
+    ClaimDenied,
+    ClaimGranted,
+    ClaimTaken,
+    ClaimUnavailable,
+)
 
 
 class ClaimClientShell(Shell):
@@ -33,13 +43,15 @@
         self._waiting: dict[int, asyncio.Future[WantOutcome]] = {}
         self.handle(FinishWant, self._finish_want)
 
-    async def claim(self, key: str, attempt: str, seconds: float) -> WantOutcome:
+    async def claim(
+        self, key: str, attempt: str, seconds: float
+    ) -> Result[ClaimGranted, ClaimDenied]:
         """Ask for the claim on ``key``, for at most ``seconds``."""
         request = next(self._requests)
         future: asyncio.Future[WantOutcome] = asyncio.get_running_loop().create_future()
         self._waiting[request] = future
         self.dispatch(ClaimWanted(request, key, attempt, self.now + seconds))
-        return await future
+        return _as_result(await future)
 
     def complete(self, key: str, attempt: str, answer: KeptAnswer | None) -> None:
         """Keep the answer for callers that send the call again; does not wait."""
@@ -53,3 +65,11 @@
         future = self._waiting.pop(command.request, None)
         if future is not None and not future.done():
             future.set_result(command.outcome)
+
+
+def _as_result(outcome: WantOutcome) -> Result[ClaimGranted, ClaimDenied]:
+    if isinstance(outcome, WantGranted):
+        return Success(ClaimGranted())
+    if isinstance(outcome, WantTaken):
+        return Failure(ClaimTaken(outcome.answer))
+    return Failure(ClaimUnavailable(outcome.reason))
--- /dev/null
+++ b/src/peppershore/process/claims/core.py
@@ -0,0 +1,199 @@
+"""The core of one replica of a claims group.
+
+Takes what nodes ask, replicates it, answers from the committed table.  An
+answer leaves only after a quorum has the entry on disk.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from peppershore.connection.identity import parse_identity
+from peppershore.connection.messages import (
+    ClaimCompleted,
+    ClaimGranted,
+    ClaimNoted,
+    ClaimRefused,
+    ClaimReleased,
+    ClaimRequest,
+    ClaimTaken,
+    Message,
+    Refused,
+)
+from peppershore.process.claims.client_core import REASON_NOT_LEADER
+from peppershore.process.claims.machine import AppliedEntry, ClaimsMachine
+from peppershore.process.claims.table import (
+    ClaimEntry,
+    ClaimTable,
+    ClockAdvanced,
+    CompletionEntry,
+    Granted,
+    Noted,
+    ReleaseEntry,
+    TableAnswer,
+    TableEntry,
+    TableFull,
+    Taken,
+    encode_entry,
+)
+from peppershore.process.consensus.core import ConsensusSettings
+from peppershore.process.consensus.records import StoredState
+from peppershore.process.consensus.replica import ReplicaCore, ReplicaSettings
+from peppershore.process.events import LinkId
+from peppershore.process.settings import ClaimsSettings
+
+MAX_WAITING = 20_000
+CLOCK_SECONDS = 10.0
+MILLISECONDS = 1_000
+REASON_FULL = "full"
+REASON_BUSY = "busy"
+CLAIMS_ROLE = "claims"
+
+ClaimsAsk = ClaimRequest | ClaimCompleted | ClaimReleased
+
+
+class WaitingAsk(msgspec.Struct, frozen=True):
+    """Who asked for the entry proposed at some index."""
+
+    link: LinkId
+    request: int
+    entry: TableEntry
+
+
+class ClaimsCore(ReplicaCore):
+    """Claims replica: a replicated table on one side, nodes on the other."""
+
+    def __init__(self, settings: ClaimsSettings, stored: StoredState) -> None:
+        """Take up a stored state; nothing happens before ``Started``."""
+        table = ClaimTable(settings.horizon_seconds * MILLISECONDS)
+        self.machine = ClaimsMachine(table)
+        super().__init__(_replica_settings(settings), stored, self.machine)
+        self._identities: dict[LinkId, str] = {}
+        self._waiting: dict[int, WaitingAsk] = {}
+        self._clock_proposed_at = 0.0
+
+    # --- hooks of the replica core -------------------------------------------
+
+    def on_link_opened(self, link: LinkId, identity: str) -> None:
+        """Remember who the certificate says is there."""
+        self._identities[link] = identity
+
+    def on_link_closed(self, link: LinkId) -> None:
+        """Forget a link; what it asked for still commits."""
+        self._identities.pop(link, None)
+
+    def may_be_replica(self, link: LinkId, name: str) -> bool:
+        """Whether the certificate on this link is that replica's."""
+        return self._is(link, CLAIMS_ROLE, name)
+
+    def on_client_message(self, link: LinkId, message: Message) -> None:
+        """Serve a node."""
+        if isinstance(message, (ClaimRequest, ClaimCompleted, ClaimReleased)):
+            self._ask(link, message)
+        else:
+            self.send(link, Refused("unexpected", type(message).__name__))
+
+    def on_applied(self) -> None:
+        """Answer what was committed."""
+        for applied in self.machine.take_applied():
+            self._answer(applied)
+
+    def on_leadership_gained(self) -> None:
+        """Count the table's time from now on."""
+        self._clock_proposed_at = self.now
+
+    def on_leadership_lost(self) -> None:
+        """What waits may commit or not: the nodes ask the next leader again."""
+        waiting = self._waiting
+        self._waiting = {}
+        for ask in waiting.values():
+            self._refuse(ask.link, ask.request, REASON_NOT_LEADER)
+
+    def on_tick(self) -> None:
+        """Let the table's clock advance while this replica leads."""
+        passed = self.now - self._clock_proposed_at
+        if not self.leads or self.stopping or passed < CLOCK_SECONDS:
+            return
+        self._clock_proposed_at = self.now
+        self.propose(encode_entry(ClockAdvanced(int(passed * MILLISECONDS))))
+
+    def has_unanswered(self) -> bool:
+        """Whether a node waits for an answer."""
+        return bool(self._waiting)
+
+    def client_links(self) -> tuple[LinkId, ...]:
+        """Links of nodes; they ask another replica after a goodbye."""
+        return tuple(dict.fromkeys(ask.link for ask in self._waiting.values()))
+
+    # --- asks and answers ----------------------------------------------------
+
+    def _ask(self, link: LinkId, ask: ClaimsAsk) -> None:
+        if not self.leads or self.stopping:
+            self._refuse(link, ask.request, REASON_NOT_LEADER)
+            return
+        if len(self._waiting) >= MAX_WAITING:
+            self._refuse(link, ask.request, REASON_BUSY)
+            return
+        entry = _entry_of(ask)
+        index = self.propose(encode_entry(entry))
+        if index is None:
+            self._refuse(link, ask.request, REASON_NOT_LEADER)
+            return
+        self._waiting[index] = WaitingAsk(link, ask.request, entry)
+
+    def _refuse(self, link: LinkId, request: int, reason: str) -> None:
+        self.send(link, ClaimRefused(request, reason, self.leader_address))
+
+    def _answer(self, applied: AppliedEntry) -> None:
+        ask = self._waiting.pop(applied.index, None)
+        if ask is None:
+            return
+        assert ask.entry == applied.entry, "another entry committed at a proposed index"
+        self.send(ask.link, _message_of(ask.request, applied.answer))
+
+    def _is(self, link: LinkId, role: str, name: str = "") -> bool:
+        identity = self._identities.get(link, "")
+        if not identity:
+            return True  # links without TLS carry no identity
+        parsed = parse_identity(identity).value_or(None)
+        if parsed is None or parsed.cluster != self.settings.cluster:
+            return False
+        return parsed.role == role and name in ("", parsed.name)
+
+
+def _entry_of(ask: ClaimsAsk) -> TableEntry:
+    match ask:
+        case ClaimRequest():
+            return ClaimEntry(ask.key, ask.attempt)
+        case ClaimCompleted():
+            return CompletionEntry(ask.key, ask.attempt, ask.answer)
+        case ClaimReleased():
+            return ReleaseEntry(ask.key, ask.attempt)
+
+
+def _message_of(request: int, answer: TableAnswer) -> Message:
+    match answer:
+        case Granted():
+            return ClaimGranted(request)
+        case Taken():
+            return ClaimTaken(request, answer.answer)
+        case TableFull():
+            return ClaimRefused(request, REASON_FULL)
+        case Noted():
+            return ClaimNoted(request)
+
+
+def _replica_settings(settings: ClaimsSettings) -> ReplicaSettings:
+    consensus = ConsensusSettings(
+        replica=settings.replica,
+        heartbeat_seconds=settings.heartbeat_milliseconds / MILLISECONDS,
+        election_seconds=settings.election_milliseconds / MILLISECONDS,
+        kept_entries=settings.snapshot_entries,
+    )
+    return ReplicaSettings(
+        cluster=settings.cluster,
+        consensus=consensus,
+        replicas=settings.replicas,
+        join=settings.join,
+        snapshot_entries=settings.snapshot_entries,
+    )
--- /dev/null
+++ b/src/peppershore/process/claims/machine.py
@@ -0,0 +1,49 @@
+"""The claims table as a replicated state machine whose answers can be taken."""
+
+from __future__ import annotations
+
+import msgspec
+
+from peppershore.process.claims.table import (
+    ClaimTable,
+    TableAnswer,
+    TableEntry,
+    decode_entry,
+)
+
+
+class AppliedEntry(msgspec.Struct, frozen=True):
+    """A committed entry, its index in the log, and the table's answer."""
+
+    index: int
+    entry: TableEntry
+    answer: TableAnswer
+
+
+class ClaimsMachine:
+    """Applies committed entries and collects the answers for whoever waits."""
+
+    def __init__(self, table: ClaimTable) -> None:
+        """Start with the given table."""
+        self.table = table
+        self._applied: list[AppliedEntry] = []
+
+    def apply(self, index: int, payload: bytes) -> None:
+        """Apply the committed entry at ``index``."""
+        entry = decode_entry(payload)
+        self._applied.append(AppliedEntry(index, entry, self.table.apply_entry(entry)))
+
+    def snapshot(self) -> bytes:
+        """Encode the whole table."""
+        return self.table.snapshot()
+
+    def restore(self, state: bytes) -> None:
+        """Replace the whole table."""
+        self._applied.clear()
+        self.table.restore(state)
+
+    def take_applied(self) -> list[AppliedEntry]:
+        """Give what was applied since the last call."""
+        applied = self._applied
+        self._applied = []
+        return applied
--- a/src/peppershore/process/claims/table.py
+++ b/src/peppershore/process/claims/table.py
@@ -14,8 +14,9 @@
 
 from peppershore.connection.messages import KeptAnswer
 
-MAX_KEPT_ANSWER_BYTES = 4_096
-DEFAULT_MAX_RECORDS = 2_000_000
+DEFAULT_MAX_RECORDS = 500_000
+DEFAULT_MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""All kept answers together; the oldest are dropped first, their records stay."""
 
 
 class ClaimEntry(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -75,14 +76,19 @@
 
     attempt: str
     claimed_at: int
+    completed: bool = False
     answer: KeptAnswer | None = None
 
 
 class TableState(msgspec.Struct, frozen=True, array_like=True):
-    """The whole table as a snapshot holds it; records oldest first."""
+    """The whole table as a snapshot holds it; both lists oldest first.
+
+    ``answered`` names the keys whose answers are kept, with their body bytes.
+    """
 
     clock: int
     records: tuple[tuple[str, ClaimRecord], ...]
+    answered: tuple[tuple[str, int], ...]
 
 
 _ENTRY_DECODER: msgspec.msgpack.Decoder[TableEntry] = msgspec.msgpack.Decoder(TableEntry)
@@ -95,15 +101,26 @@
     return _ENCODER.encode(entry)
 
 
+def decode_entry(payload: bytes) -> TableEntry:
+    """Give the entry of a committed payload; any other payload breaks an invariant."""
+    return _ENTRY_DECODER.decode(payload)
+
+
 class ClaimTable:
     """The records of one claims group, bounded in age and number."""
 
     def __init__(
-        self, horizon_milliseconds: int, max_records: int = DEFAULT_MAX_RECORDS
+        self,
+        horizon_milliseconds: int,
+        max_records: int = DEFAULT_MAX_RECORDS,
+        max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES,
     ) -> None:
         """Keep each record for ``horizon_milliseconds`` of table time."""
         self._horizon = horizon_milliseconds
         self._max_records = max_records
+        self._max_answer_bytes = max_answer_bytes
+        self._answer_bytes = 0
+        self._answered: OrderedDict[str, int] = OrderedDict()
         self._clock = 0
         self._records: OrderedDict[str, ClaimRecord] = OrderedDict()
 
@@ -112,11 +129,6 @@
         """Records kept."""
         return len(self._records)
 
-    def apply(self, index: int, payload: bytes) -> TableAnswer:
-        """Apply one committed entry; a payload that is none breaks an invariant."""
-        del index
-        return self.apply_entry(_ENTRY_DECODER.decode(payload))
-
     def apply_entry(self, entry: TableEntry) -> TableAnswer:
         """Apply one entry."""
         match entry:
@@ -132,19 +144,23 @@
 
     def snapshot(self) -> bytes:
         """Give the whole table."""
-        return _ENCODER.encode(TableState(self._clock, tuple(self._records.items())))
+        records = tuple(self._records.items())
+        answered = tuple(self._answered.items())
+        return _ENCODER.encode(TableState(self._clock, records, answered))
 
     def restore(self, data: bytes) -> None:
         """Replace the whole table."""
         state = _STATE_DECODER.decode(data)
         self._clock = state.clock
         self._records = OrderedDict(state.records)
+        self._answered = OrderedDict(state.answered)
+        self._answer_bytes = sum(self._answered.values())
 
     def _claim(self, entry: ClaimEntry) -> TableAnswer:
         record = self._records.get(entry.key)
         if record is None:
             return self._grant(entry)
-        if record.attempt == entry.attempt and record.answer is None:
+        if record.attempt == entry.attempt and not record.completed:
             return Granted()
         return Taken(record.answer)
 
@@ -158,14 +174,29 @@
         record = self._records.get(entry.key)
         if record is None or record.attempt != entry.attempt:
             return
-        if record.answer is None:
-            record.answer = entry.answer
+        if record.completed:
+            return
+        record.completed = True
+        if entry.answer is not None:
+            self._keep(entry.key, record, entry.answer)
+
+    def _keep(self, key: str, record: ClaimRecord, answer: KeptAnswer) -> None:
+        record.answer = answer
+        self._answered[key] = len(answer.body)
+        self._answer_bytes += len(answer.body)
+        while self._answer_bytes > self._max_answer_bytes:
+            oldest = next(iter(self._answered))
+            self._records[oldest].answer = None
+            self._forget_answer(oldest)
+
+    def _forget_answer(self, key: str) -> None:
+        self._answer_bytes -= self._answered.pop(key, 0)
 
     def _release(self, entry: ReleaseEntry) -> None:
         record = self._records.get(entry.key)
         if record is None or record.attempt != entry.attempt:
             return
-        if record.answer is None:
+        if not record.completed:
             del self._records[entry.key]
 
     def _advance(self, milliseconds: int) -> None:
@@ -176,3 +207,4 @@
             if self._records[key].claimed_at >= oldest_kept:
                 return
             del self._records[key]
+            self._forget_answer(key)
--- a/src/peppershore/process/consensus/replica_shell.py
+++ b/src/peppershore/process/consensus/replica_shell.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure
 
+from peppershore.connection.authorization import Authorize, allow_all
 from peppershore.process.consensus.records import PersistLog
 from peppershore.process.consensus.replica import ReplicaCore
 from peppershore.process.events import RecordsFailed, RecordsPersisted
@@ -26,11 +27,13 @@
         core: ReplicaCore,
         store: LogStore,
         notice_sink: NoticeSink,
+        *,
         client_tls: ssl.SSLContext | None = None,
         server_tls: ssl.SSLContext | None = None,
+        authorize: Authorize = allow_all,
     ) -> None:
         """Bind a core and its open store to the running loop."""
-        super().__init__(core, notice_sink, client_tls, server_tls)
+        super().__init__(core, notice_sink, client_tls, server_tls, authorize)
         self.commits = 0
         self._store = store
         self._pending: list[PersistLog] = []
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -12,6 +12,7 @@
 
 from peppershore.process import events
 from peppershore.process.admin_http import AdminServer, Readiness
+from peppershore.process.claims.client import ClaimClientShell
 from peppershore.process.commands import Notice
 from peppershore.process.link_security import LinkSecurity
 from peppershore.process.logging import LogIdentity
@@ -133,6 +134,9 @@
     metrics = ProcessMetrics(LogIdentity("node", settings.node))
     security = LinkSecurity("node", settings.tls)
     data_plane = DataPlane(settings, metrics.notice)
+    claims = _claims_client(settings, metrics, security)
+    if claims is not None:
+        data_plane.use_claims(claims)
     addresses = await data_plane.start()
     core = NodeCore(settings, recall(settings, metrics.notice), addresses.internal)
     shell = NodeShell(settings, core, data_plane, metrics.notice, security)
@@ -150,10 +154,22 @@
     await asyncio.sleep(GONE_NOTICE_SECONDS)
     await shell.close()
     await data_plane.close()
+    if claims is not None:
+        await claims.close()
     await admin.close()
     security.close()
 
 
+def _claims_client(
+    settings: NodeSettings, metrics: ProcessMetrics, security: LinkSecurity
+) -> ClaimClientShell | None:
+    """Give the client of the claims group, if the settings name one."""
+    if not settings.claims:
+        return None
+    addresses = tuple(replica.address for replica in settings.claims)
+    return ClaimClientShell(addresses, metrics.notice, security.client)
+
+
 def _add_gauges(metrics: ProcessMetrics, core: NodeCore, shell: Shell) -> None:
     metrics.gauge("bytes_sent", "Bytes sent on links.", lambda: shell.bytes_sent)
     metrics.gauge(
--- a/tests/claims/test_claim_table.py
+++ b/tests/claims/test_claim_table.py
@@ -14,6 +14,7 @@
     TableEntry,
     TableFull,
     Taken,
+    decode_entry,
     encode_entry,
 )
 
@@ -77,6 +78,16 @@
     assert claims.apply_entry(ClaimEntry("pay-1", "b")) == Taken(None)
 
 
+def test_kept_answers_are_bounded_and_their_records_stay():
+    claims = ClaimTable(HORIZON, max_answer_bytes=len(ANSWER.body))
+    for key in ("pay-1", "pay-2"):
+        claims.apply_entry(ClaimEntry(key, "a"))
+        claims.apply_entry(CompletionEntry(key, "a", ANSWER))
+    assert claims.apply_entry(ClaimEntry("pay-2", "b")) == Taken(ANSWER)
+    assert claims.apply_entry(ClaimEntry("pay-1", "b")) == Taken(None)
+    assert claims.apply_entry(ClaimEntry("pay-1", "a")) == Taken(None)
+
+
 KEYS = st.sampled_from(["k1", "k2"])
 ATTEMPTS = st.sampled_from(["a", "b", "c"])
 ENTRIES: st.SearchStrategy[TableEntry] = st.one_of(
@@ -98,7 +109,7 @@
             copy.restore(claims.snapshot())
             assert copy.snapshot() == claims.snapshot()
             claims = copy
-        answer = claims.apply(position, encode_entry(entry))
+        answer = claims.apply_entry(decode_entry(encode_entry(entry)))
         match entry:
             case ClockAdvanced():
                 clock += entry.milliseconds
