Relay: holds, planned stop, pauses, departures, heartbeats in slots

Cause: a route to a service with nobody ready went out at once, a stopping relay cut its sessions, a relay that had been stopped in silence went on vouching for nodes that had left, and a node between two relays did not count for what is in force.

--- a/src/peppershore/process/node/configuration.py
+++ b/src/peppershore/process/node/configuration.py
@@ -4,12 +4,10 @@
 
 from returns.result import Failure, Result, Success
 
+from peppershore.process.node.refusals import BELOW_FLOOR, NOT_NEWER
 from peppershore.version.model import Digest, Scope, Snapshot, Update, Version
 from peppershore.version.snapshot import UpdateProblem, apply_update, empty_snapshot
 
-NOT_NEWER = "not-newer"
-BELOW_FLOOR = "below-floor"
-
 
 class ConfigurationHolder:
     """The snapshot in use, the floor, and the highest version in effect.
--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -42,10 +42,11 @@
     EndpointsSwapped,
     PersistSnapshot,
 )
-from peppershore.process.node.configuration import NOT_NEWER, ConfigurationHolder
+from peppershore.process.node.configuration import ConfigurationHolder
 from peppershore.process.node.endpoints import KnownEndpoints
 from peppershore.process.node.inputs import BackendDrained, BackendStateChanged
 from peppershore.process.node.own_endpoint import OwnEndpoint
+from peppershore.process.node.refusals import BUSY, NOT_NEWER, UNCONFIRMED
 from peppershore.process.node.relay_sessions import (
     CONNECT_TIMER,
     WATCH_TIMER,
@@ -61,7 +62,6 @@
 PERSIST_RETRY_SECONDS = 1.0
 AGE_TOLERANCE_MILLISECONDS = 1
 """Ages are rounded up to whole milliseconds."""
-UNCONFIRMED = "unconfirmed"
 
 
 class NodeMemory:
@@ -220,7 +220,7 @@
     def _offered(self, session: RelaySession, offer: UpdateOffered) -> None:
         update = offer.update
         if self._pending is not None and session is not self._pending_from:
-            self._refuse(session, update.version, "another version is being stored")
+            self._refuse(session, update.version, BUSY)
             return
         if not self._is_acceptable(session, offer):
             self._refuse(session, update.version, UNCONFIRMED)
--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -8,11 +8,10 @@
 
 from __future__ import annotations
 
-from returns.result import Failure
-
 from peppershore.connection.messages import (
     ConfirmReply,
     EditsCommitted,
+    Goodbye,
     Message,
     Refused,
     RelayHello,
@@ -20,6 +19,7 @@
 )
 from peppershore.process import events
 from peppershore.process.commands import (
+    CloseLink,
     Command,
     Exit,
     Notice,
@@ -28,22 +28,33 @@
     SetTimer,
 )
 from peppershore.process.endpoints.exchange import PEER_TIMER, EndpointExchange
+from peppershore.process.endpoints.table import STATE_READY
 from peppershore.process.link_numbers import LinkNumbers
 from peppershore.process.randomness import Randomness
 from peppershore.process.relay import notices
+from peppershore.process.relay.departures import Departures
 from peppershore.process.relay.distribution import Distributor
 from peppershore.process.relay.endpoint_fanout import (
     FANOUT_SECONDS,
     FANOUT_TIMER,
     EndpointFanout,
+    is_urgent,
 )
+from peppershore.process.relay.hold import HoldBook
 from peppershore.process.relay.node_service import NodeService
+from peppershore.process.relay.planned_stop import (
+    STOP_TIMER,
+    STOPPING,
+    TURN_SECONDS,
+    PlannedStop,
+)
 from peppershore.process.relay.progress import (
     PROGRESS_IDLE_SECONDS,
     PROGRESS_SECONDS,
     PROGRESS_TIMER,
     make_report,
 )
+from peppershore.process.relay.rollout import Rollout
 from peppershore.process.relay.source import (
     CONFIRM_TIMER,
     RECONNECT_TIMER,
@@ -51,10 +62,16 @@
 )
 from peppershore.process.relay.tree_follower import TreeChange, TreeFollower
 from peppershore.process.settings import RelaySettings
-from peppershore.version.model import Scope
 
 HEARTBEAT_TIMER = "relay.heartbeat"
 FLUSH_TIMER = "relay.flush"
+HOLD_TIMER = "relay.hold"
+
+HOLD_CHECK_SECONDS = 0.1
+PAUSE_SECONDS = 3.0
+"""Without any event for this long the process can't have been running."""
+HELLO_SECONDS = 10.0
+"""A link that has not said hello after this is closed."""
 
 
 class RelayCore:
@@ -66,20 +83,32 @@
         self._settings = settings
         self.follower = TreeFollower(settings.cluster)
         self.source = SourceFollower(settings, numbers)
-        self.distributor = Distributor(self.follower.catalog)
         self.exchange = EndpointExchange(settings, numbers)
-        self._fanout = EndpointFanout(self.follower.catalog, self.exchange.table)
+        catalog, table = self.follower.catalog, self.exchange.table
+        self.holds = HoldBook(catalog, table, settings.hold_milliseconds / 1_000)
+        self.distributor = Distributor(catalog, self.holds)
+        self.departures = Departures(catalog)
+        self._fanout = EndpointFanout(catalog, table)
         self.nodes = NodeService(
-            settings, self.distributor, self.source, self.exchange, self._fanout
+            settings,
+            distributor=self.distributor,
+            departures=self.departures,
+            source=self.source,
+            exchange=self.exchange,
+            fanout=self._fanout,
         )
-        self._unsent_scopes: set[Scope] = set()
+        self._unnamed_links: dict[events.LinkId, float] = {}
+        self._planned_stop: PlannedStop | None = None
+        self.rollout = Rollout(self.distributor, self.holds, self.nodes)
         self._timers_set: set[str] = set()
         self._was_fresh = False
+        self._pause_milliseconds = 0
         self._now = 0.0
         self._out: list[Command] = []
 
     def step(self, event: events.Event, now: float) -> list[Command]:
         """Take one event; give the commands it leads to."""
+        self._note_pause(now)
         self._now = now
         self._out = []
         self._take(event)
@@ -116,7 +145,7 @@
         incarnation = int(randomness.below(2**53))
         self._do(self.source.start(randomness, self._now))
         self._do(self.exchange.start(randomness, incarnation, self._now))
-        self._set_timer(HEARTBEAT_TIMER, self.nodes.slot_seconds)
+        self._set_timer(HEARTBEAT_TIMER, self.nodes.heartbeats.slot_seconds)
         self._set_timer(PROGRESS_TIMER, PROGRESS_IDLE_SECONDS)
 
     def _opened(self, event: events.LinkOpened) -> None:
@@ -124,8 +153,11 @@
             self._do(self.source.opened(self.follower.version, self._now))
         elif self.exchange.owns(event.link):
             self._do(self.exchange.opened(event.link))
+        else:
+            self._unnamed_links[event.link] = self._now
 
     def _closed(self, event: events.LinkClosed) -> None:
+        self._unnamed_links.pop(event.link, None)
         if event.link == self.source.link:
             self._do(self.source.lost(event.reason))
         elif self.exchange.owns(event.link):
@@ -142,23 +174,36 @@
             self._from_replica(message)
         elif self.exchange.owns(link):
             self._do(self.exchange.received(link, message, self._now))
-        elif isinstance(message, RelayHello):
+        else:
+            self._first_message(link, message)
+
+    def _first_message(self, link: events.LinkId, message: Message) -> None:
+        if self._unnamed_links.pop(link, None) is None:
+            return
+        if isinstance(message, RelayHello):
             self._do(self.exchange.greeted(link, message, self._now))
+        elif self._planned_stop is not None:
+            self._out.append(SendMessage(link, Goodbye(STOPPING)))
+            self._out.append(CloseLink(link, STOPPING))
         else:
             self._do(self.nodes.first_message(link, message, self._now))
 
     def _timer(self, timer: str) -> None:
         if timer == HEARTBEAT_TIMER:
             self._do(self.nodes.heartbeat(self._now))
-            self._set_timer(HEARTBEAT_TIMER, self.nodes.slot_seconds)
+            self._set_timer(HEARTBEAT_TIMER, self.nodes.heartbeats.slot_seconds)
         elif timer == CONFIRM_TIMER:
             self._do(self.source.confirm_tick(self._now))
         elif timer == RECONNECT_TIMER:
             self._do(self.source.reconnect(self._now))
         elif timer == PEER_TIMER:
-            self._do(self.exchange.tick(self._now, self.source.is_fresh(self._now)))
+            self._peer_tick()
+        elif timer == HOLD_TIMER:
+            self._do(self.rollout.release_held(self._now))
+        elif timer == STOP_TIMER:
+            self._continue_stop()
         elif timer == FLUSH_TIMER:
-            self._flush()
+            self._do(self.rollout.flush(self._now))
         elif timer == FANOUT_TIMER:
             self._do(self.nodes.endpoint_changes())
         elif timer == PROGRESS_TIMER:
@@ -167,21 +212,63 @@
             raise AssertionError(f"a relay sets no timer {timer}")
 
     def _stop(self) -> None:
-        self._report(notices.RelayStopping(len(self.distributor.sessions)))
-        self._out.append(Exit("stopped"))
+        if self._planned_stop is not None:
+            return
+        links = list(self.distributor.sessions)
+        self._report(notices.RelayStopping(len(links)))
+        self._planned_stop = PlannedStop(links, self._now)
+        self._continue_stop()
+
+    def _continue_stop(self) -> None:
+        assert self._planned_stop is not None
+        self._do(self._planned_stop.turn())
+        if self._planned_stop.is_over(len(self.distributor.sessions), self._now):
+            self._out.append(Exit("stopped"))
+        else:
+            self._set_timer(STOP_TIMER, TURN_SECONDS)
+
+    def _peer_tick(self) -> None:
+        self._do(self.exchange.tick(self._now, self.source.is_fresh(self._now)))
+        for scope in self.distributor.drop_idle_scopes(self._now):
+            self._fanout.forget_scope(scope)
+        for link, opened_at in list(self._unnamed_links.items()):
+            if self._now - opened_at > HELLO_SECONDS:
+                del self._unnamed_links[link]
+                self._out.append(CloseLink(link, "no hello"))
+
+    def _note_pause(self, now: float) -> None:
+        """Notice that this process did not run, for instance while it was stopped."""
+        pause = now - self._now
+        is_started = bool(self._timers_set)
+        if not is_started or pause < PAUSE_SECONDS:
+            return
+        self.nodes.paused(now)
+        self._pause_milliseconds = round(pause * 1_000)
 
     def _after_event(self) -> None:
         """Do what several kinds of events can make due."""
         self._note_freshness()
+        if self._pause_milliseconds:
+            self._report(notices.ProcessPaused(self._pause_milliseconds))
+            self._pause_milliseconds = 0
         if self.exchange.changed:
-            if self.nodes.has_urgent_endpoints:
-                self._do(self.nodes.endpoint_changes())
-            else:
-                self._set_timer_once(FANOUT_TIMER, FANOUT_SECONDS)
+            self._endpoints_changed()
+        if self.rollout.is_holding:
+            self._set_timer_once(HOLD_TIMER, HOLD_CHECK_SECONDS)
         if self.nodes.progress_changed:
             self.nodes.progress_changed = False
             self._set_timer(PROGRESS_TIMER, PROGRESS_SECONDS)
 
+    def _endpoints_changed(self) -> None:
+        """Tell nodes: at once of what must not wait, of the rest after a window."""
+        changed = self.exchange.changed.values()
+        if self.holds.held and any(each.state == STATE_READY for each in changed):
+            self._do(self.rollout.release_held(self._now))
+        if any(is_urgent(each) for each in changed):
+            self._do(self.nodes.endpoint_changes())
+        else:
+            self._set_timer_once(FANOUT_TIMER, FANOUT_SECONDS)
+
     # --- the replica -----------------------------------------------------------
 
     def _from_replica(self, message: Message) -> None:
@@ -202,13 +289,7 @@
                 self._do(self.source.leave(f"unexpected {type(message).__name__}"))
 
     def _edits(self, message: EditsCommitted) -> None:
-        outcome = self.follower.advance(message.edits)
-        if isinstance(outcome, Failure):
-            problem = outcome.failure()
-            self._report(notices.EditUnusable(problem.version, problem.reason))
-            self._do(self.source.leave("an edit does not apply"))
-            return
-        change = outcome.unwrap()
+        change = self.follower.advance(message.edits)
         if change is None:
             return
         self._report(
@@ -217,29 +298,27 @@
         self._tree_changed(change)
 
     def _tree_changed(self, change: TreeChange) -> None:
-        self.distributor.tree_changed(change.version, change.affected)
+        self._do(self.rollout.tree_changed(change, self._now))
         self.nodes.progress_changed = True
         self.source.tree_reached(change.version)
-        self._unsent_scopes |= change.affected
         if self._settings.batching_milliseconds:
             seconds = self._settings.batching_milliseconds / 1_000
             self._set_timer_once(FLUSH_TIMER, seconds)
         else:
-            self._flush()
+            self._do(self.rollout.flush(self._now))
         self._do(self.nodes.release_confirmed(self._now))
-        self._do(self.nodes.offer(self.distributor.unanswered(), self._now))
-
-    def _flush(self) -> None:
-        scopes = sorted(self._unsent_scopes)
-        self._unsent_scopes = set()
-        for scope in scopes:
-            self._do(self.nodes.offer(self.distributor.sessions_of(scope), self._now))
 
     def _report_progress(self) -> None:
         self._set_timer(PROGRESS_TIMER, PROGRESS_IDLE_SECONDS)
         if self.source.link is None or not self.source.is_open:
             return
-        report = make_report(self._settings, self.distributor, self.nodes.bytes_sent)
+        report = make_report(
+            self._settings,
+            self.distributor,
+            self.departures,
+            self.holds,
+            self.nodes.bytes_sent,
+        )
         self._out.append(SendMessage(self.source.link, report))
 
     def _note_freshness(self) -> None:
--- a/src/peppershore/process/relay/distribution.py
+++ b/src/peppershore/process/relay/distribution.py
@@ -14,16 +14,19 @@
 from peppershore.process.commands import Command, SendEncoded
 from peppershore.process.events import LinkId
 from peppershore.process.relay.encoding import EncodedUpdates, encode_offer
+from peppershore.process.relay.hold import HoldBook
 from peppershore.process.relay.session import NodeSession
 from peppershore.version.catalog import ScopeCatalog
 from peppershore.version.model import Digest, Scope, Update, Version
 
+IDLE_SCOPE_SECONDS = 600.0
+
 
 class Distributor:
     """All sessions of a relay and what each of them is to be sent."""
 
-    def __init__(self, catalog: ScopeCatalog) -> None:
-        """Serve the scopes of a catalog."""
+    def __init__(self, catalog: ScopeCatalog, holds: HoldBook) -> None:
+        """Serve the scopes of a catalog, except while they are held."""
         self.sessions: dict[LinkId, NodeSession] = {}
         self.sessions_by_scope: dict[Scope, dict[LinkId, NodeSession]] = {}
         self.behind: dict[LinkId, NodeSession] = {}
@@ -31,6 +34,8 @@
         self.bytes_sent = 0
         self.encoded_updates = EncodedUpdates()
         self._catalog = catalog
+        self._holds = holds
+        self._idle_scopes: dict[Scope, float] = {}
         self._by_node: dict[str, NodeSession] = {}
         self._version: Version = 0
 
@@ -59,13 +64,15 @@
         self.sessions[session.link] = session
         self.sessions_by_scope.setdefault(session.scope, {})[session.link] = session
         self._by_node[session.node] = session
+        self._idle_scopes.pop(session.scope, None)
         self._catalog.use(session.scope)
+        self._holds.use(session.scope)
         self._mark_behind(session, session.version + 1)
         if session.needs_confirmation:
             self.unconfirmed[session.link] = session
 
-    def remove(self, link: LinkId) -> NodeSession | None:
-        """Forget a session."""
+    def remove(self, link: LinkId, now: float) -> NodeSession | None:
+        """Forget a session; its scope is kept for a while."""
         session = self.sessions.pop(link, None)
         if session is None:
             return None
@@ -77,8 +84,22 @@
         del of_scope[link]
         if not of_scope:
             del self.sessions_by_scope[session.scope]
+            self._idle_scopes[session.scope] = now
         return session
 
+    def drop_idle_scopes(self, now: float) -> list[Scope]:
+        """Forget the scopes that had no node for long, so deltas need no room."""
+        dropped = [
+            scope
+            for scope, since in self._idle_scopes.items()
+            if now - since >= IDLE_SCOPE_SECONDS
+        ]
+        for scope in dropped:
+            del self._idle_scopes[scope]
+            self._catalog.forget(scope)
+            self._holds.forget(scope)
+        return dropped
+
     def confirm(self, confirmed_at: float) -> list[NodeSession]:
         """Give the sessions whose wait for a confirmation is over."""
         ready = [
@@ -119,13 +140,23 @@
         self.behind[session.link] = session
         return True
 
-    def refused(self, session: NodeSession, version: Version) -> bool:
-        """Take a node's refusal; tell whether full state is due."""
+    def refused(
+        self, session: NodeSession, version: Version, is_unconfirmed: bool, now: float
+    ) -> bool:
+        """Take a node's refusal; tell whether full state is due now.
+
+        ``is_unconfirmed``: the node asks for one confirmed after this moment.
+        """
         if version != session.outstanding_version:
             return False
         session.outstanding_version = 0
         session.digest = 0
-        return True
+        if not is_unconfirmed:
+            return True
+        session.needs_confirmation = True
+        session.hello_at = now
+        self.unconfirmed[session.link] = session
+        return False
 
     def in_force(self) -> Version:
         """Every session that holds anything holds all changes up to this version."""
@@ -156,7 +187,7 @@
         update = self._catalog.update_since(scope, session.version, session.digest)
         if update is None:
             return self._answer_current(session, age)
-        if update.version <= session.version:
+        if update.version <= session.version or self._must_wait(session):
             return []
         key = (scope, session.digest)
         if key not in payloads:
@@ -165,6 +196,9 @@
         session.outstanding_version = update.version
         return [self._send(session, payloads[key])]
 
+    def _must_wait(self, session: NodeSession) -> bool:
+        return session.scope in self._holds.held and not session.holds_nothing
+
     def _encode(self, update: Update, age: int) -> bytes:
         return encode_offer(self.encoded_updates.encoded(update), age)
 
--- a/src/peppershore/process/relay/endpoint_fanout.py
+++ b/src/peppershore/process/relay/endpoint_fanout.py
@@ -33,6 +33,10 @@
         self._table = table
         self._complete: dict[Scope, tuple[int, bytes]] = {}
 
+    def forget_scope(self, scope: Scope) -> None:
+        """Drop what is kept for a scope that no node of this relay has."""
+        self._complete.pop(scope, None)
+
     def digest_for(self, session: NodeSession) -> Command:
         """Give the message that tells a node which endpoints it should hold."""
         digest = self._table.digest(self._catalog.services_held(session.scope))
--- a/src/peppershore/process/relay/notices.py
+++ b/src/peppershore/process/relay/notices.py
@@ -34,13 +34,6 @@
     affected_scopes: int
 
 
-class EditUnusable(Notice, frozen=True):
-    """An accepted edit does not apply to this relay's tree; it loads the tree again."""
-
-    version: Version
-    reason: str
-
-
 class ConfirmationStale(Notice, frozen=True):
     """No quorum confirmed this relay's version for too long; nodes are told."""
 
@@ -112,6 +105,12 @@
     waited_milliseconds: int
 
 
+class ProcessPaused(Notice, frozen=True):
+    """This relay did not run for a while; it vouches again only for nodes it hears."""
+
+    milliseconds: int
+
+
 class RelayStopping(Notice, frozen=True):
     """A planned stop began."""
 
--- a/src/peppershore/process/relay/progress.py
+++ b/src/peppershore/process/relay/progress.py
@@ -5,7 +5,9 @@
 from itertools import islice
 
 from peppershore.connection.messages import LaggingNode, ProgressReported
+from peppershore.process.relay.departures import Departure, Departures
 from peppershore.process.relay.distribution import Distributor
+from peppershore.process.relay.hold import HoldBook
 from peppershore.process.relay.session import NodeSession
 from peppershore.process.settings import RelaySettings
 from peppershore.version.model import Version
@@ -19,39 +21,59 @@
 
 
 def make_report(
-    settings: RelaySettings, distributor: Distributor, control_bytes: int
+    settings: RelaySettings,
+    distributor: Distributor,
+    departures: Departures,
+    holds: HoldBook,
+    control_bytes: int,
 ) -> ProgressReported:
     """Give the report of this moment."""
-    lagging = tuple(
-        _lagging(session, distributor)
-        for session in islice(distributor.behind.values(), MAX_LAGGING_NODES)
-    )
+    away = departures.lagging()
+    behind = islice(distributor.behind.values(), MAX_LAGGING_NODES)
+    lagging = [_lagging(session, distributor, holds) for session in behind]
+    lagging += [_away(each) for each in away[: MAX_LAGGING_NODES - len(lagging)]]
+    lowest_away = min((each.version for each in away), default=distributor.version)
     return ProgressReported(
         relay=settings.relay,
         zone=settings.zone,
         version=distributor.version,
-        in_force=distributor.in_force(),
+        in_force=min(distributor.in_force(), lowest_away),
         nodes=len(distributor.sessions),
-        lagging=lagging,
+        lagging=tuple(lagging),
         control_bytes=control_bytes,
     )
 
 
-def _lagging(session: NodeSession, distributor: Distributor) -> LaggingNode:
+def _lagging(
+    session: NodeSession, distributor: Distributor, holds: HoldBook
+) -> LaggingNode:
     return LaggingNode(
         node=session.node,
         service=session.scope.service,
         zone=session.scope.zone,
         version=session.version,
-        reason=_reason(session, distributor.version),
+        reason=_reason(session, distributor.version, holds),
+    )
+
+
+def _away(departure: Departure) -> LaggingNode:
+    return LaggingNode(
+        node=departure.node,
+        service=departure.scope.service,
+        zone=departure.scope.zone,
+        version=departure.version,
+        reason="its session ended and it was not seen again yet",
     )
 
 
-def _reason(session: NodeSession, version: Version) -> str:
+def _reason(session: NodeSession, version: Version, holds: HoldBook) -> str:
     if session.outstanding_version:
         return f"version {session.outstanding_version} was sent and not yet answered"
     if session.needs_confirmation:
         return "holds nothing and waits for a confirmed version"
     if version < session.lowest_acceptable:
         return "the relay is behind the node"
+    held = holds.held.get(session.scope)
+    if held is not None:
+        return held.reason
     return "waits for its turn"
--- a/src/peppershore/process/relay/session.py
+++ b/src/peppershore/process/relay/session.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from peppershore.connection.messages import Endpoint
 from peppershore.process.events import LinkId
 from peppershore.version.model import Digest, Scope, Version
 
@@ -12,9 +13,9 @@
 class NodeSession:
     """What a relay knows of one connected node.
 
-    ``version`` is in effect at the node; ``digest`` is what it will hold once
-    it has taken the update that is outstanding, if there is one.  Times are
-    monotonic seconds of the relay.
+    ``version`` is in effect at the node and ``digest`` is what it holds, by its
+    own last word; 0 after it refused an update, so that it is sent full state.
+    Times are monotonic seconds of the relay.
     """
 
     link: LinkId
@@ -34,13 +35,17 @@
     """First version whose change the node lacks; 0 when it lacks none."""
     answered: bool = False
     """The hello was answered by ``Current`` or ``UpdateOffered``."""
-    endpoint_services: frozenset[str] = frozenset()
-    """Services whose endpoints the node was sent."""
+    endpoint: Endpoint | None = None
+    """The back end as the node announced it last."""
+    is_leaving: bool = False
+    """The node said that its back end is leaving: a planned stop."""
+    is_vouched: bool = True
+    """Whether the node was heard since this relay last went on after a pause."""
 
     @property
     def holds_nothing(self) -> bool:
-        """Tell whether the node has no configuration and none is on the way."""
-        return self.digest == 0
+        """Tell whether the node has no configuration at all."""
+        return self.version == 0
 
     @property
     def lowest_acceptable(self) -> Version:
--- a/src/peppershore/process/relay/tree_follower.py
+++ b/src/peppershore/process/relay/tree_follower.py
@@ -5,12 +5,11 @@
 from collections.abc import Iterable
 
 import msgspec
-from returns.result import Failure, Result, Success
 
 from peppershore.connection.messages import CommittedEdit
 from peppershore.version.catalog import ScopeCatalog
 from peppershore.version.model import Scope, Tree, Version
-from peppershore.version.tree import apply_edit, empty_tree
+from peppershore.version.tree import empty_tree, replay_edit
 
 
 class TreeChange(msgspec.Struct, frozen=True):
@@ -21,13 +20,6 @@
     affected: frozenset[Scope]
 
 
-class EditDoesNotApply(msgspec.Struct, frozen=True):
-    """An accepted edit can't be applied here, so this copy of the tree is wrong."""
-
-    version: Version
-    reason: str
-
-
 class TreeFollower:
     """Takes accepted edits and whole trees in order; never goes back."""
 
@@ -49,23 +41,20 @@
         affected = self.catalog.load(tree)
         return TreeChange(tree.version, 0, frozenset(affected))
 
-    def advance(
-        self, edits: Iterable[CommittedEdit]
-    ) -> Result[TreeChange | None, EditDoesNotApply]:
-        """Take accepted edits in order; those taken before are passed over."""
+    def advance(self, edits: Iterable[CommittedEdit]) -> TreeChange | None:
+        """Take accepted edits in order; those taken before are passed over.
+
+        An accepted edit that does not apply is a broken invariant.
+        """
         affected: set[Scope] = set()
         count = 0
         for committed in edits:
             if committed.version <= self.version:
                 continue
-            outcome = apply_edit(self.tree, committed.edit, committed.version)
-            if isinstance(outcome, Failure):
-                reason = type(outcome.failure()).__name__
-                return Failure(EditDoesNotApply(committed.version, reason))
-            applied = outcome.unwrap()
+            applied = replay_edit(self.tree, committed.edit, committed.version)
             self.tree = applied.tree
             affected.update(self.catalog.advance(applied))
             count += 1
         if count == 0:
-            return Success(None)
-        return Success(TreeChange(self.version, count, frozenset(affected)))
+            return None
+        return TreeChange(self.version, count, frozenset(affected))
