--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -57,6 +57,7 @@
         "_body",
         "_calls",
         "_claim",
+        "_claim_attempt",
         "_dispatch",
         "_earlier",
         "_exchange",
@@ -86,6 +87,7 @@
         self._began_at = 0.0
         self._begun = False
         self._claim = ""
+        self._claim_attempt = ""
         self._dispatch: Dispatch | None = None
         self._earlier: Failed | None = None
         self._excluded: frozenset[str] = frozenset()
@@ -242,11 +244,9 @@
 
     # --- inside
 
-    @property
-    def _claim_attempt(self) -> str:
-        return self._request_id.decode("latin-1")
-
     def _claim_first(self, key: str) -> None:
+        # Never the request id: a caller that sends the call again may repeat that.
+        self._claim_attempt = self._calls.new_request_id().decode("latin-1")
         self._exchange.pause_body()
         seconds = self.plan.deadline - self._loop.time()
         self._calls.claim(key, self._claim_attempt, seconds, self._claimed)
--- a/tests/data_plane/stage.py
+++ b/tests/data_plane/stage.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import h11
@@ -37,6 +37,12 @@
     asyncio.run(asyncio.wait_for(work, 20))
 
 
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(5):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.002)
+
+
 def configuration(
     route: RouteSettings = PUBLIC_ROUTE,
     service: ServiceSettings = QUICK_SERVICE,
--- /dev/null
+++ b/tests/request/test_admission.py
@@ -0,0 +1,266 @@
+"""Playbooks of admission: slots, queue order, refusals, ejection; and its invariants."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from peppershore.connection.messages import Endpoint
+from peppershore.process.randomness import Randomness
+from peppershore.request.admission import Admission, Dispatch, Waiting
+from peppershore.request.outcome import NotRun
+from peppershore.request.waiting import FAIRNESS_INTERVAL, Ticket
+from peppershore.version.model import CallClass, ServiceSettings
+
+SETTINGS = ServiceSettings(slow_start_milliseconds=0, queue_limit=4)
+
+
+def _endpoint(node: str, slots: int = 2, zone: str = "a", state: str = "ready") -> Endpoint:
+    address = f"10.0.0.1:{len(node)}"
+    return Endpoint(node, "kassa", zone, 1, 1, state, address, "", slots, 130)
+
+
+class Desk:
+    """An admission with short hands."""
+
+    def __init__(self, *endpoints: Endpoint, settings: ServiceSettings = SETTINGS) -> None:
+        self.admission = Admission("kassa", settings, "a", Randomness(1))
+        self.admission.use_endpoints(endpoints or (_endpoint("k1"),), 0.0)
+        self._numbers = itertools.count(1)
+
+    def ticket(self, call_class: CallClass = "normal", deadline: float = 10.0) -> Ticket:
+        return Ticket(next(self._numbers), call_class, deadline)
+
+    def offer(
+        self, call_class: CallClass = "normal", deadline: float = 10.0, now: float = 0.0
+    ) -> Dispatch | Waiting | NotRun:
+        return self.admission.offer(self.ticket(call_class, deadline), now)
+
+    def fill(self, count: int = 2) -> list[Dispatch]:
+        held = [self.offer() for _ in range(count)]
+        assert all(isinstance(each, Dispatch) for each in held)
+        return [each for each in held if isinstance(each, Dispatch)]
+
+    def next_classes(self, held: list[Dispatch]) -> list[str]:
+        """Free and refill one slot until nobody waits; give the classes in order."""
+        order = []
+        while self.admission.waiting:
+            self.admission.finished(held.pop(), 0.001, "good", 0.0)
+            started = self.admission.ready(0.0)
+            order += [each.ticket.call_class for each in started]
+            held += started
+        return order
+
+
+def test_slots_bound_what_is_in_flight() -> None:
+    desk = Desk()
+    held = desk.fill()
+    assert isinstance(desk.offer(), Waiting)
+    assert desk.admission.ready(0.0) == []
+    desk.admission.finished(held[0], 0.001, "good", 0.0)
+    assert len(desk.admission.ready(0.0)) == 1
+    assert desk.admission.in_flight == 2
+
+
+def test_queue_goes_by_class_then_deadline() -> None:
+    desk = Desk()
+    held = desk.fill()
+    tickets = [
+        desk.ticket("bulk", 3.0),
+        desk.ticket("normal", 9.0),
+        desk.ticket("normal", 5.0),
+        desk.ticket("critical", 8.0),
+    ]
+    for ticket in tickets:
+        assert isinstance(desk.admission.offer(ticket, 0.0), Waiting)
+    assert desk.next_classes(held) == ["critical", "normal", "normal", "bulk"]
+
+
+def test_deadline_that_cannot_be_met_is_refused_at_once_with_advice() -> None:
+    desk = Desk()
+    held = desk.fill()
+    desk.admission.finished(held[0], 1.0, "good", 0.0)
+    desk.fill(1)
+    refused = desk.offer(deadline=0.1)
+    assert isinstance(refused, NotRun)
+    assert refused.reason == "deadline-too-short"
+    assert refused.retry_after_milliseconds > 100
+
+
+def test_full_queue_refuses_its_equal_and_yields_to_the_more_important() -> None:
+    desk = Desk()
+    desk.fill()
+    for _ in range(3):
+        desk.offer("normal")
+    bulk = desk.ticket("bulk")
+    desk.admission.offer(bulk, 0.0)
+    refused = desk.offer("bulk")
+    assert isinstance(refused, NotRun)
+    assert refused.reason == "queue-full"
+    decision = desk.offer("critical")
+    assert decision == Waiting(evicted=bulk)
+    assert desk.admission.waiting == SETTINGS.queue_limit
+
+
+def test_bulk_keeps_to_its_share_while_others_pass() -> None:
+    desk = Desk(_endpoint("k1", slots=4))
+    taken = [desk.offer("bulk") for _ in range(3)]
+    assert [type(each) for each in taken] == [Dispatch, Dispatch, Waiting]
+    assert isinstance(desk.offer("normal"), Dispatch)
+    assert isinstance(desk.offer("critical"), Dispatch)
+
+
+def test_bulk_moves_under_a_stream_of_critical_calls() -> None:
+    settings = ServiceSettings(slow_start_milliseconds=0, queue_limit=1_000)
+    desk = Desk(settings=settings)
+    held = desk.fill()
+    desk.offer("bulk")
+    for _ in range(3 * FAIRNESS_INTERVAL):
+        desk.offer("critical")
+    assert "bulk" in desk.next_classes(held)[: FAIRNESS_INTERVAL + 1]
+
+
+def test_nobody_ready_is_not_run() -> None:
+    desk = Desk(_endpoint("k1", state="leaving"), _endpoint("k2", state="warming"))
+    refused = desk.offer()
+    assert isinstance(refused, NotRun)
+    assert refused.reason == "nobody-ready"
+
+
+def test_leaving_back_end_gets_nothing_new() -> None:
+    desk = Desk(_endpoint("k1"), _endpoint("k2"))
+    desk.admission.use_endpoints((_endpoint("k1", state="leaving"), _endpoint("k2")), 0.0)
+    assert {dispatch.endpoint.node for dispatch in desk.fill(2)} == {"k2"}
+
+
+def test_own_zone_first_then_spill_over() -> None:
+    desk = Desk(_endpoint("far", zone="b"), _endpoint("near", slots=2))
+    nodes = [dispatch.endpoint.node for dispatch in desk.fill(4)]
+    assert nodes == ["near", "near", "far", "far"]
+
+
+def test_without_spill_over_the_far_zone_is_not_used() -> None:
+    settings = ServiceSettings(slow_start_milliseconds=0, spill_over=False)
+    desk = Desk(_endpoint("far", zone="b"), _endpoint("near"), settings=settings)
+    desk.fill(2)
+    assert isinstance(desk.offer(), Waiting)
+
+
+def test_cold_back_end_is_ramped() -> None:
+    settings = ServiceSettings(slow_start_milliseconds=1_000)
+    desk = Desk(_endpoint("k1", slots=10), settings=settings)
+    assert isinstance(desk.offer(now=0.0), Dispatch)
+    assert isinstance(desk.offer(now=0.0), Waiting)
+    assert len(desk.admission.ready(0.5)) == 1
+    for _ in range(3):
+        assert isinstance(desk.offer(now=0.5), Dispatch)
+    assert isinstance(desk.offer(now=0.5), Waiting)
+    assert isinstance(desk.offer("critical", now=1.0), Dispatch)
+
+
+@pytest.mark.parametrize(("percent", "expected"), [(50, 1), (100, 2), (0, 0)])
+def test_failing_back_ends_are_ejected_down_to_a_floor(percent: int, expected: int) -> None:
+    settings = ServiceSettings(
+        slow_start_milliseconds=0, ejection_failures=3, ejection_max_percent=percent
+    )
+    desk = Desk(_endpoint("k1"), _endpoint("k2"), settings=settings)
+    ejections = 0
+    for _ in range(30):
+        dispatch = desk.offer()
+        if not isinstance(dispatch, Dispatch):
+            break
+        out = desk.admission.finished(dispatch, 0.001, "failed", 0.0)
+        ejections += out is not None
+    assert ejections == expected
+
+
+def test_shedding_is_no_reason_to_eject() -> None:
+    settings = ServiceSettings(slow_start_milliseconds=0, ejection_failures=3)
+    desk = Desk(_endpoint("k1"), _endpoint("k2"), settings=settings)
+    for _ in range(20):
+        dispatch = desk.fill(1)[0]
+        assert desk.admission.finished(dispatch, 0.001, "shed", 0.0) is None
+
+
+def test_ejected_back_end_returns_and_ramps() -> None:
+    settings = ServiceSettings(slow_start_milliseconds=1_000, ejection_failures=1)
+    desk = Desk(_endpoint("k1"), _endpoint("k2"), settings=settings)
+    first = desk.fill(1)[0]
+    seconds = desk.admission.finished(first, 0.001, "failed", 0.0)
+    assert seconds == 1.0
+    out = first.endpoint.node
+    state = desk.admission.state(out)
+    assert state is not None
+    assert state.ejected(0.9)
+    assert not state.ejected(1.0)
+    assert state.ramp(1.0) < 0.2
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Random offers, ends, withdrawals and endpoint changes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.desk = Desk(_endpoint("k1"), _endpoint("k2", zone="b"))
+        self.held: list[Dispatch] = []
+        self.queued: list[Ticket] = []
+
+    @rule(
+        call_class=st.sampled_from(["critical", "normal", "bulk"]),
+        seconds=st.floats(0.0, 5.0),
+    )
+    def offer(self, call_class: CallClass, seconds: float) -> None:
+        ticket = self.desk.ticket(call_class, self.now + seconds)
+        decision = self.desk.admission.offer(ticket, self.now)
+        if isinstance(decision, Dispatch):
+            self.held.append(decision)
+        elif isinstance(decision, Waiting):
+            self.queued.append(ticket)
+            if decision.evicted is not None:
+                self.queued.remove(decision.evicted)
+
+    @precondition(lambda self: self.held)
+    @rule(data=st.data(), verdict=st.sampled_from(["good", "failed", "shed", None]))
+    def finish(self, data: st.DataObject, verdict: str | None) -> None:
+        dispatch = self.held.pop(data.draw(st.integers(0, len(self.held) - 1)))
+        self.desk.admission.finished(dispatch, 0.01, verdict, self.now)  # type: ignore[arg-type]
+
+    @rule(seconds=st.floats(0.0, 3.0))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+        for dispatch in self.desk.admission.ready(self.now):
+            self.held.append(dispatch)
+            self.queued.remove(dispatch.ticket)
+
+    @precondition(lambda self: self.queued)
+    @rule(data=st.data())
+    def withdraw(self, data: st.DataObject) -> None:
+        ticket = self.queued.pop(data.draw(st.integers(0, len(self.queued) - 1)))
+        self.desk.admission.withdraw(ticket)
+
+    @rule(states=st.lists(st.sampled_from(["ready", "leaving"]), min_size=2, max_size=2))
+    def change_endpoints(self, states: list[str]) -> None:
+        pair = (
+            _endpoint("k1", state=states[0]),
+            _endpoint("k2", zone="b", state=states[1]),
+        )
+        self.desk.admission.use_endpoints(pair, self.now)
+
+    @invariant()
+    def slots_hold(self) -> None:
+        for node in ("k1", "k2"):
+            used = sum(1 for dispatch in self.held if dispatch.endpoint.node == node)
+            state = self.desk.admission.state(node)
+            assert state is not None
+            assert used == state.in_flight <= 2
+
+    @invariant()
+    def queue_holds(self) -> None:
+        assert self.desk.admission.waiting == len(self.queued) <= SETTINGS.queue_limit
+
+
+TestAdmissionMachine = AdmissionMachine.TestCase
