Relay and node: playbooks of the failures; a paused relay's table counts as incomplete

One playbook failed first: a relay that ran again after 708 s of pause showed an endpoint that had left meanwhile for a whole lease more, and could hand it to nodes as part of a complete list. After a pause the table now counts as incomplete and the missed time counts as lease time.

--- a/src/peppershore/process/endpoints/exchange.py
+++ b/src/peppershore/process/endpoints/exchange.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from peppershore.connection.messages import (
@@ -49,6 +50,8 @@
 DIGEST_SECONDS = 2.0
 LEASE_SECONDS = 8.0
 """How long endpoints stay shown without anybody vouching for them."""
+RESUME_GRACE_SECONDS = 4.0
+"""What is left of the lease, at least, when this relay goes on after a pause."""
 BACKOFF_BASE_SECONDS = 0.2
 BACKOFF_CEILING_SECONDS = 5.0
 
@@ -135,6 +138,18 @@
         if self.own.remove(node):
             self._note_unvouched(node, now)
 
+    def resumed(self, nodes: Iterable[str], pause_seconds: float, now: float) -> None:
+        """Go on after a pause: vouch for none of these nodes until it is heard.
+
+        The table is not complete until the other relays had time to correct it.
+        Nodes get time for a heartbeat, then what was missed counts as lease time.
+        """
+        self._started_at = now
+        missed = min(pause_seconds, LEASE_SECONDS - RESUME_GRACE_SECONDS)
+        for node in nodes:
+            if self.own.remove(node) and not self._is_vouched(node, now):
+                self._unvouched.setdefault(node, now - missed)
+
     # --- the other relays ------------------------------------------------------
 
     def opened(self, link: LinkId) -> list[Command]:
--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -242,7 +242,7 @@
         is_started = bool(self._timers_set)
         if not is_started or pause < PAUSE_SECONDS:
             return
-        self.nodes.paused(now)
+        self.nodes.resumed(pause, now)
         self._pause_milliseconds = round(pause * 1_000)
 
     def _after_event(self) -> None:
--- a/src/peppershore/process/relay/node_service.py
+++ b/src/peppershore/process/relay/node_service.py
@@ -143,11 +143,14 @@
             self._departures.seen(endpoint.node)
         return self._fanout.changes(changed, self._distributor.sessions_by_scope)
 
-    def paused(self, now: float) -> None:
-        """Stop vouching for all nodes until each is heard again."""
-        for session in self._distributor.sessions.values():
+    def resumed(self, pause_seconds: float, now: float) -> None:
+        """Go on after a pause: no node is vouched for until it is heard again."""
+        sessions = self._distributor.sessions.values()
+        for session in sessions:
             session.is_vouched = False
-            self._exchange.session_lost(session.node, now)
+        nodes = [session.node for session in sessions]
+        self._exchange.resumed(nodes, pause_seconds, now)
+        self._was_settled = False
 
     # --- hello -----------------------------------------------------------------
 
--- a/tests/relay/scripted_replica.py
+++ b/tests/relay/scripted_replica.py
@@ -42,6 +42,7 @@
         self.reports: dict[str, ProgressReported] = {}
         self.has_quorum = True
         self.forgets_log = False
+        self.loses_edits = False
 
     def step(self, event: events.Event, now: float) -> list[Command]:
         match event:
@@ -60,6 +61,8 @@
         committed = CommittedEdit(version, edit)
         self.edits.append(committed)
         message = EditsCommitted((committed,))
+        if self.loses_edits:
+            return []
         return [SendMessage(link, message) for link in sorted(self.followers)]
 
     def _message(self, event: events.MessageReceived) -> list[Command]:
--- /dev/null
+++ b/tests/relay/site.py
@@ -0,0 +1,127 @@
+"""A small site of cores for the tests: one replica, three relays, nodes as added."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+from tests.relay.scripted_replica import (
+    CLUSTER,
+    AcceptEdit,
+    ScriptedReplica,
+    base_operations,
+)
+from tests.relay.virtual_network import VirtualNetwork
+
+from peppershore.connection.messages import EndpointsChanged, Message
+from peppershore.process.commands import Notice
+from peppershore.process.node.core import NodeCore, NodeMemory
+from peppershore.process.node.notices import RelayLeft
+from peppershore.process.relay.core import RelayCore
+from peppershore.process.settings import (
+    NodeSettings,
+    PeerRelay,
+    PeerReplica,
+    RelaySettings,
+)
+from peppershore.version.model import Operation
+
+NoticeType = TypeVar("NoticeType", bound=Notice)
+
+RELAYS = tuple(
+    PeerRelay(name=name, zone=zone, address=name)
+    for name, zone in (("r1", "pasila"), ("r2", "pasila"), ("r3", "vantaa"))
+)
+
+
+class Site:
+    """Processes whose addresses are their names."""
+
+    def __init__(self, **relay_settings: int) -> None:
+        self.network = VirtualNetwork()
+        self.replica = ScriptedReplica()
+        self.relays: dict[str, RelayCore] = {}
+        self.nodes: dict[str, NodeCore] = {}
+        self._relay_settings = relay_settings
+        self.network.start("replica", self.replica)
+        self.edit(base_operations())
+        for relay in RELAYS:
+            self.restart_relay(relay.name)
+
+    def restart_relay(self, name: str) -> RelayCore:
+        """Start a relay, after a kill if it runs."""
+        if name in self.network.processes:
+            self.network.kill(name)
+        settings = RelaySettings(
+            cluster=CLUSTER,
+            relay=name,
+            zone=next(relay.zone for relay in RELAYS if relay.name == name),
+            listen="",
+            replicas=(PeerReplica(name="replica", address="replica"),),
+            relays=RELAYS,
+            **self._relay_settings,  # type: ignore[arg-type]
+        )
+        self.relays[name] = RelayCore(settings)
+        self.network.start(name, self.relays[name])
+        return self.relays[name]
+
+    def start_node(
+        self,
+        name: str,
+        service: str,
+        memory: NodeMemory | None = None,
+        seed: int = 1,
+        data_folder: str = "",
+    ) -> NodeCore:
+        """Start a node with a back end in zone "pasila"."""
+        settings = NodeSettings(
+            cluster=CLUSTER,
+            node=name,
+            service=service,
+            zone="pasila",
+            listen="",
+            relays=RELAYS,
+            backend=f"{name}:80",
+            data_folder=data_folder,
+        )
+        core = NodeCore(settings, memory or NodeMemory(incarnation=1))
+        self.nodes[name] = core
+        self.network.start(name, core, seed)
+        return core
+
+    def edit(self, operations: tuple[Operation, ...]) -> None:
+        """Accept an edit; it is on its way to the relays."""
+        self.network.give("replica", AcceptEdit(operations))
+
+    def relay_of(self, name: str) -> str:
+        """Give the relay a node uses; empty if none."""
+        active = self.nodes[name].sessions.active
+        return active.relay.name if active is not None else ""
+
+    def notices(self, name: str, kind: type[NoticeType]) -> list[NoticeType]:
+        """Give what a process reported of one kind."""
+        reported = self.network.processes[name].notices
+        return [each for each in reported if isinstance(each, kind)]
+
+    def count_sent(self, name: str, kind: type[Message]) -> int:
+        """Count the messages of one kind a process sent."""
+        sent = self.network.processes[name].sent
+        return sum(isinstance(each, kind) for each in sent)
+
+    def left_without_relay(self, name: str) -> bool:
+        """Tell whether a node ever lost its relay before it had another."""
+        return bool(self.notices(name, RelayLeft))
+
+    def told_gone(self, name: str) -> int:
+        """Count how often a node was told that an endpoint is gone."""
+        received = self.network.processes[name].received
+        return sum(
+            endpoint.state == "gone"
+            for message in received
+            if isinstance(message, EndpointsChanged)
+            for endpoint in message.endpoints
+        )
+
+    def shown(self, relay: str, service: str) -> set[str]:
+        """Give the nodes whose endpoints a relay shows."""
+        table = self.relays[relay].exchange.table
+        return {each.node for each in table.shown([service])}
--- /dev/null
+++ b/tests/relay/test_relay_failures.py
@@ -0,0 +1,359 @@
+"""Failures that a relay and its nodes live through, each as a playbook."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from tests.relay.scripted_replica import base_operations, timeout_change
+from tests.relay.site import Site
+
+from peppershore.connection.messages import (
+    EndpointsChanged,
+    UpdateOffered,
+    UpdateRefused,
+)
+from peppershore.process import events
+from peppershore.process.node.core import NodeCore, NodeMemory
+from peppershore.process.node.inputs import BackendStateChanged
+from peppershore.process.relay import notices
+from peppershore.version.model import Overrides, SetOverrides
+
+
+def make_ready(site: Site, *names: str) -> None:
+    for name in names:
+        site.network.give(name, BackendStateChanged("ready"))
+
+
+def test_a_silent_relay_is_left_within_seconds_and_takes_nobody_back() -> None:
+    site = Site()
+    node = site.start_node("a", "kassa")
+    site.network.run(10.0)
+    silent = site.relay_of("a")
+    site.network.freeze(silent)
+    site.network.run(1.0)
+    site.edit(timeout_change("kassa", "pay", 1_234))
+    site.network.run(6.0)
+    assert site.relay_of("a") not in ("", silent)
+    assert node.holder.snapshot.version == 2
+    site.network.thaw(silent)
+    site.network.run(0.5)
+    assert node.holder.snapshot.version == 2
+    paused = site.notices(silent, notices.ProcessPaused)
+    assert len(paused) == 1
+
+
+def test_a_relay_that_was_stopped_vouches_only_for_nodes_it_hears_again() -> None:
+    site = Site()
+    site.start_node("a", "kuitti")
+    other = site.start_node("b", "kuitti")
+    site.network.run(10.0)
+    silent = site.relay_of("a")
+    site.network.freeze(silent)
+    site.network.run(8.0)
+    site.network.kill("a")
+    site.network.run(700.0)
+    site.network.thaw(silent)
+    for _ in range(30):
+        site.network.run(0.1)
+        assert {each.node for each in other.known.endpoints} == {"b"}
+        for name in site.relays.keys() - {silent}:
+            assert site.shown(name, "kuitti") == {"b"}
+    site.network.run(5.0)
+    assert site.shown(silent, "kuitti") == {"b"}
+
+
+def test_a_relay_cut_from_the_source_grows_stale_and_is_left() -> None:
+    site = Site()
+    node = site.start_node("a", "kassa")
+    site.network.run(10.0)
+    cut = site.relay_of("a")
+    site.network.cut(cut, "replica")
+    site.network.run(0.1)
+    site.edit(timeout_change("kassa", "pay", 1_234))
+    site.network.run(9.0)
+    assert site.notices(cut, notices.ConfirmationStale)
+    assert site.relay_of("a") not in ("", cut)
+    assert node.holder.snapshot.version == 2
+
+
+def test_in_a_total_outage_nodes_stay_with_a_relay_and_keep_what_they_hold() -> None:
+    site = Site()
+    node = site.start_node("a", "kassa")
+    site.network.run(10.0)
+    site.replica.has_quorum = False
+    site.network.run(120.0)
+    assert node.holder.snapshot.version == 1
+    assert site.relay_of("a")
+    assert {each.node for each in node.known.endpoints} == {"a"}
+
+
+def test_a_node_without_memory_takes_nothing_that_was_confirmed_before_its_hello() -> None:
+    site = Site()
+    site.network.run(5.0)
+    site.replica.has_quorum = False
+    site.network.run(0.6)
+    assert all(relay.is_fresh for relay in site.relays.values())
+    empty = site.start_node("a", "kassa", NodeMemory(incarnation=1))
+    with_floor = site.start_node("b", "kassa", NodeMemory(incarnation=1, floor=1))
+    below_floor = site.start_node("c", "kassa", NodeMemory(incarnation=1, floor=2))
+    site.network.run(4.0)
+    assert empty.holder.holds_nothing
+    assert with_floor.holder.snapshot.version == 1
+    assert below_floor.holder.holds_nothing
+    site.replica.has_quorum = True
+    site.edit(timeout_change("kassa", "pay", 1_234))
+    site.network.run(4.0)
+    assert empty.holder.snapshot.version == 2
+    assert below_floor.holder.snapshot.version == 2
+
+
+def test_a_confirmation_counts_only_once_the_tree_has_reached_its_version() -> None:
+    site = Site()
+    site.network.run(5.0)
+    cut = site.relays["r1"]
+    site.replica.loses_edits = True
+    site.edit(timeout_change("kassa", "pay", 1_234))
+    site.network.run(10.0)
+    assert cut.follower.version == 1
+    assert not cut.is_fresh
+
+
+def test_a_replica_that_confirms_nothing_is_left_for_another() -> None:
+    site = Site()
+    site.network.run(2.0)
+    site.network.freeze("replica")
+    site.network.run(10.0)
+    lost = site.notices("r1", notices.ReplicaLost)
+    assert {each.reason for each in lost} == {"no confirmation"}
+    assert len(lost) > 1
+
+
+def test_a_digest_mismatch_leads_to_full_state_and_never_to_a_part() -> None:
+    site = Site()
+    node = site.start_node("a", "kassa")
+    site.network.run(5.0)
+    held = node.holder.snapshot
+    damaged = {name: each for name, each in held.resources.items() if "pay" not in name}
+    node.holder.snapshot = msgspec.structs.replace(held, resources=damaged)
+    site.edit(timeout_change("kuitti", "find", 1_234))
+    site.network.run(0.1)
+    assert site.count_sent("a", UpdateRefused) == 1
+    assert set(node.holder.snapshot.resources) == set(held.resources)
+    catalog = site.relays[site.relay_of("a")].follower.catalog
+    assert node.holder.digest == catalog.digest(held.scope)
+
+
+def test_hundreds_of_missed_changes_come_as_one_update() -> None:
+    site = Site()
+    node = site.start_node("a", "kassa")
+    site.network.run(5.0)
+    for name in site.relays:
+        site.network.cut("a", name)
+    for milliseconds in range(1_000, 1_300):
+        site.edit(timeout_change("kassa", "pay", milliseconds))
+    site.network.run(0.5)
+    assert node.holder.snapshot.version == 1
+    site.network.heal()
+    offers = [site.count_sent(name, UpdateOffered) for name in site.relays]
+    site.network.run(15.0)
+    assert node.holder.snapshot.version == 301
+    assert sum(site.count_sent(n, UpdateOffered) for n in site.relays) - sum(offers) == 1
+
+
+def test_a_route_to_a_service_with_nobody_ready_waits_visibly_then_goes_out() -> None:
+    site = Site(hold_milliseconds=3_000)
+    caller = site.start_node("a", "kassa")
+    site.start_node("b", "kuitti")
+    make_ready(site, "a")
+    site.network.run(5.0)
+    retarget = (SetOverrides("/kassa/*/pay", Overrides(target="kuitti")),)
+    site.edit(retarget)
+    site.network.run(1.0)
+    assert caller.holder.snapshot.version == 1
+    report = site.replica.reports[site.relay_of("a")]
+    reasons = [each.reason for each in report.lagging]
+    assert reasons == ["route:kassa/pay waits for a ready endpoint of kuitti"]
+    assert report.in_force == 1
+    site.network.run(2.2)
+    assert caller.holder.snapshot.version == 2
+    released = site.notices(site.relay_of("a"), notices.ScopeReleased)
+    assert [each.ready for each in released] == [False]
+
+
+def test_a_held_change_goes_out_as_soon_as_its_target_is_ready() -> None:
+    site = Site(hold_milliseconds=60_000)
+    caller = site.start_node("a", "kassa")
+    site.start_node("b", "kuitti")
+    site.network.run(5.0)
+    site.edit((SetOverrides("/kassa/*/pay", Overrides(target="kuitti")),))
+    site.network.run(1.0)
+    assert caller.holder.snapshot.version == 1
+    make_ready(site, "b")
+    site.network.run(0.1)
+    assert caller.holder.snapshot.version == 2
+
+
+def test_a_batching_window_sends_many_changes_as_one() -> None:
+    site = Site(batching_milliseconds=500)
+    node = site.start_node("a", "kassa")
+    site.network.run(5.0)
+    sent = site.count_sent(site.relay_of("a"), UpdateOffered)
+    for milliseconds in range(1_000, 1_010):
+        site.edit(timeout_change("kassa", "pay", milliseconds))
+        site.network.run(0.02)
+    assert node.holder.snapshot.version == 1
+    site.network.run(0.5)
+    assert node.holder.snapshot.version == 11
+    assert site.count_sent(site.relay_of("a"), UpdateOffered) == sent + 1
+
+
+def test_a_node_that_a_change_does_not_concern_receives_nothing_for_it() -> None:
+    site = Site()
+    site.start_node("a", "kuitti")
+    site.network.run(20.0)
+    relay = site.network.processes[site.relay_of("a")]
+    links = [link for link, (peer, _) in relay.links.items() if peer.name == "a"]
+    before = relay.bytes_by_link[links[0]]
+    site.network.run(2.0)
+    idle = relay.bytes_by_link[links[0]] - before
+    for milliseconds in range(1_000, 1_020):
+        site.edit(timeout_change("kassa", "pay", milliseconds))
+    site.network.run(2.0)
+    assert relay.bytes_by_link[links[0]] - before == 2 * idle
+    assert 0 < idle <= 200
+
+
+@pytest.mark.parametrize("rate", [10, 50])
+def test_a_herd_is_admitted_at_the_rate_and_every_node_is_served(rate: int) -> None:
+    site = Site(hellos_per_second=rate)
+    site.network.run(2.0)
+    nodes: list[NodeCore] = [
+        site.start_node(f"n{index}", "kuitti", seed=index) for index in range(100)
+    ]
+    site.network.run(0.5)
+    served = sum(not node.holder.holds_nothing for node in nodes)
+    assert served <= 3 * (1 + rate)
+    site.network.run(60.0)
+    assert all(node.holder.snapshot.version == 1 for node in nodes)
+
+
+def test_a_planned_stop_moves_every_node_before_the_relay_ends() -> None:
+    site = Site()
+    names = [f"n{index}" for index in range(12)]
+    for index, name in enumerate(names):
+        site.start_node(name, "kuitti", seed=index)
+    site.network.run(10.0)
+    stopping = site.relay_of("n0")
+    site.network.give(stopping, events.StopRequested())
+    site.network.run(6.0)
+    assert site.network.processes[stopping].is_exited
+    assert all(site.relay_of(name) not in ("", stopping) for name in names)
+    assert not any(site.left_without_relay(name) for name in names)
+
+
+def test_a_leaving_back_end_is_told_at_once_and_does_not_come_back() -> None:
+    site = Site()
+    site.start_node("a", "kuitti")
+    other = site.start_node("b", "kuitti")
+    make_ready(site, "a", "b")
+    site.network.run(10.0)
+    site.network.give("a", events.StopRequested())
+    site.network.run(0.01)
+    states = {each.node: each.state for each in other.known.endpoints}
+    assert states == {"a": "leaving", "b": "ready"}
+    site.network.kill("a")
+    site.network.run(60.0)
+    assert {each.node for each in other.known.endpoints} == {"b"}
+
+
+def test_endpoints_of_a_dead_relay_stay_while_its_nodes_register_elsewhere() -> None:
+    site = Site()
+    watcher = site.start_node("w", "kuitti")
+    for index in range(6):
+        site.start_node(f"n{index}", "kuitti", seed=index)
+    site.network.run(12.0)
+    lost = next(name for name in site.relays if name != site.relay_of("w"))
+    gone_before = site.told_gone("w")
+    site.network.kill(lost)
+    site.network.run(60.0)
+    assert site.told_gone("w") == gone_before
+    assert len(watcher.known.endpoints) == 7
+
+
+def test_a_relay_that_is_cut_off_itself_empties_nothing() -> None:
+    site = Site()
+    watcher = site.start_node("w", "kuitti")
+    for index in range(6):
+        site.start_node(f"n{index}", "kuitti", seed=index)
+    site.network.run(12.0)
+    cut = site.relay_of("w")
+    for name in ("replica", *site.relays):
+        site.network.cut(cut, name)
+        site.network.cut("w", name)
+    site.network.cuts.discard(frozenset(("w", cut)))
+    site.network.run(120.0)
+    assert len(watcher.known.endpoints) == 7
+
+
+def test_a_restarted_relay_does_not_empty_its_nodes_tables() -> None:
+    site = Site()
+    watcher = site.start_node("w", "kuitti")
+    for index in range(6):
+        site.start_node(f"n{index}", "kuitti", seed=index)
+    site.network.run(12.0)
+    for name in list(site.relays):
+        site.network.kill(name)
+    for relay in list(site.relays):
+        site.restart_relay(relay)
+    smallest = 7
+    for _ in range(300):
+        site.network.run(0.1)
+        smallest = min(smallest, len(watcher.known.endpoints))
+    assert smallest == 7
+
+
+def test_a_node_whose_incarnation_went_back_overtakes_what_others_remember() -> None:
+    site = Site()
+    other = site.start_node("b", "kuitti")
+    site.start_node("a", "kuitti", NodeMemory(incarnation=900))
+    site.network.run(10.0)
+    site.network.kill("a")
+    site.network.run(0.5)
+    site.start_node("a", "kuitti", NodeMemory(incarnation=5))
+    make_ready(site, "a")
+    site.network.run(1.0)
+    mine = {each.node: each for each in other.known.endpoints}["a"]
+    assert (mine.incarnation, mine.state) == (901, "ready")
+
+
+def test_a_lost_endpoint_message_between_relays_is_found_by_the_digest() -> None:
+    site = Site()
+    site.start_node("a", "kuitti")
+    site.network.run(10.0)
+    home = site.relay_of("a")
+    others = [name for name in site.relays if name != home]
+    site.network.lose_next(home, EndpointsChanged)
+    make_ready(site, "a")
+    site.network.run(5.0)
+    for name in others:
+        known = site.relays[name].exchange.table.get("a")
+        assert known is not None
+        assert known.state == "ready"
+
+
+def test_a_link_that_never_says_hello_is_closed() -> None:
+    site = Site()
+    site.network.run(1.0)
+    relay = site.relays["r1"]
+    relay.step(events.LinkOpened(1_000, "somebody"), site.network.now)
+    site.network.run(15.0)
+    assert 1_000 in site.network.processes["r1"].closed_links
+
+
+def test_base_tree_reaches_a_relay_as_a_whole_tree_too() -> None:
+    site = Site()
+    site.replica.forgets_log = True
+    site.restart_relay("r1")
+    site.network.run(1.0)
+    assert site.relays["r1"].follower.version == 1
+    assert len(base_operations()) == 5
--- a/tests/relay/virtual_network.py
+++ b/tests/relay/virtual_network.py
@@ -8,10 +8,12 @@
 
 import heapq
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from peppershore.connection.codec import decode_message, encode_message
+from peppershore.connection.framing import HEADER_BYTES
 from peppershore.connection.messages import Message
 from peppershore.process import commands, events
 from peppershore.process.core import Core
@@ -32,6 +34,9 @@
     notices: list[commands.Notice] = field(default_factory=list)
     others: list[commands.Command] = field(default_factory=list)
     sent: list[Message] = field(default_factory=list)
+    received: list[Message] = field(default_factory=list)
+    bytes_by_link: Counter[int] = field(default_factory=Counter)
+    closed_links: set[int] = field(default_factory=set)
     is_alive: bool = True
     is_frozen: bool = False
     is_exited: bool = False
@@ -45,6 +50,7 @@
         self.now = 0.0
         self.processes: dict[str, Process] = {}
         self.cuts: set[frozenset[str]] = set()
+        self._losses: set[tuple[str, type[Message]]] = set()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
 
@@ -78,6 +84,10 @@
         """Cut two processes off from each other; nothing tells them."""
         self.cuts.add(frozenset((one, other)))
 
+    def lose_next(self, name: str, kind: type[Message]) -> None:
+        """Lose all of a process's messages of one kind from now to its next turn."""
+        self._losses.add((name, kind))
+
     def heal(self) -> None:
         """End all cuts; the links that were cut are reset."""
         cuts, self.cuts = self.cuts, set()
@@ -116,6 +126,7 @@
             case commands.OpenLink():
                 self._after(LATENCY_SECONDS, lambda: self._open(process, command))
             case commands.CloseLink():
+                process.closed_links.add(command.link)
                 self._close(process, command.link, "closed by peer")
             case commands.SendMessage():
                 self._send(process, command.link, encode_message(command.message))
@@ -162,7 +173,12 @@
         self._give(process, events.LinkOpened(command.link, peer.name))
 
     def _send(self, process: Process, link: int, payload: bytes) -> None:
-        process.sent.append(decode_message(payload).unwrap())
+        message = decode_message(payload).unwrap()
+        process.sent.append(message)
+        process.bytes_by_link[link] += len(payload) + HEADER_BYTES
+        if (process.name, type(message)) in self._losses:
+            self._after(0.0, lambda: self._losses.discard((process.name, type(message))))
+            return
         end = process.links.get(link)
         if end is None or frozenset((process.name, end[0].name)) in self.cuts:
             return
@@ -170,7 +186,7 @@
 
         def arrive() -> None:
             if peer_link in peer.links:
-                message = decode_message(payload).unwrap()
+                peer.received.append(message)
                 self._give(peer, events.MessageReceived(peer_link, message))
 
         self._after(LATENCY_SECONDS, arrive)
