--- a/src/peppershore/command/edit_options.py
+++ b/src/peppershore/command/edit_options.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import functools
-import uuid
 from collections.abc import Callable
 from typing import Any
 
@@ -72,7 +71,7 @@
         stop_with(revisions.failure(), context.as_json)
     return EditRequest(
         operations=operations,
-        change_id=names.change_id or str(uuid.uuid4()),
+        change_id=names.change_id,
         revisions=revisions.unwrap(),
         comment=names.comment,
         author=context.author,
--- a/src/peppershore/command/edits.py
+++ b/src/peppershore/command/edits.py
@@ -4,6 +4,7 @@
 
 import getpass
 import os
+import uuid
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -17,6 +18,7 @@
     TreeAnswered,
     TreeQuery,
 )
+from peppershore.process.control.change_ids import new_change_id
 from peppershore.version.editor import SECRET_SUBJECT, ZONE_SUBJECT
 from peppershore.version.model import (
     Edit,
@@ -41,7 +43,7 @@
 
 
 class EditRequest(msgspec.Struct, frozen=True):
-    """What an operator asked for, before the other revisions are filled in.
+    """What an operator asked for; an empty change id is made when it is sent.
 
     ``revisions`` guards the subjects it names; those of the other subjects come
     from the tree that is read before the edit is sent.
@@ -79,7 +81,7 @@
 ) -> Result[EditAccepted, Failed]:
     """Send an edit that was made looking at ``tree``."""
     edit = Edit(
-        change_id=request.change_id,
+        change_id=request.change_id or new_change_id(tree.version, uuid.uuid4().hex),
         operations=request.operations,
         expected=_expected(request, tree),
         author=request.author or _login(),
--- a/src/peppershore/connection/messages.py
+++ b/src/peppershore/connection/messages.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from peppershore.version.hidden import describe
 from peppershore.version.model import (
     Digest,
     Edit,
@@ -26,6 +27,10 @@
 class Message(msgspec.Struct, frozen=True, array_like=True):
     """Base of every message."""
 
+    def __repr__(self) -> str:
+        """Show of bytes only how many there are."""
+        return describe(self)
+
 
 # --- session -----------------------------------------------------------------
 
@@ -286,6 +291,10 @@
     kind: EntryKind
     payload: bytes
 
+    def __repr__(self) -> str:
+        """Show of bytes only how many there are."""
+        return describe(self)
+
 
 class ReplicaMember(msgspec.Struct, frozen=True, array_like=True, order=True):
     """A member of a consensus group.
@@ -546,6 +555,10 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
 
+    def __repr__(self) -> str:
+        """Show of bytes only how many there are."""
+        return describe(self)
+
 
 class ClaimTaken(Message, frozen=True, tag=122):
     """Another attempt holds the claim.
--- a/src/peppershore/process/commands.py
+++ b/src/peppershore/process/commands.py
@@ -9,11 +9,16 @@
 
 from peppershore.connection.messages import Message
 from peppershore.process.events import LinkId
+from peppershore.version.hidden import describe
 
 
 class Command(msgspec.Struct, frozen=True):
     """Base of all commands."""
 
+    def __repr__(self) -> str:
+        """Show of bytes only how many there are."""
+        return describe(self)
+
 
 class OpenLink(Command, frozen=True):
     """Connect to ``address`` ("IP:port"); answered by LinkOpened or LinkClosed."""
--- a/src/peppershore/process/consensus/records.py
+++ b/src/peppershore/process/consensus/records.py
@@ -10,6 +10,7 @@
 
 from peppershore.connection.messages import LogEntry, Membership
 from peppershore.process.commands import PersistRecords
+from peppershore.version.hidden import describe
 
 
 class HardState(msgspec.Struct, frozen=True):
@@ -27,6 +28,10 @@
     membership: Membership
     state: bytes
 
+    def __repr__(self) -> str:
+        """Show of bytes only how many there are."""
+        return describe(self)
+
 
 class StoredState(msgspec.Struct, frozen=True):
     """All that a store holds when its replica starts.
--- a/src/peppershore/version/model.py
+++ b/src/peppershore/version/model.py
@@ -12,6 +12,8 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
+from peppershore.version.hidden import describe
+
 Version = int
 """Position of an accepted change in the replicated log; 0 means "nothing yet"."""
 
@@ -32,6 +34,10 @@
 class Value(msgspec.Struct, frozen=True):
     """Base of the immutable values of a version."""
 
+    def __repr__(self) -> str:
+        """Show of bytes only how many there are."""
+        return describe(self)
+
 
 class Overrides(Value, frozen=True, omit_defaults=True, forbid_unknown_fields=True):
     """What one node of the tree overrides; an unset field is inherited."""
