--- a/src/peppershore/connection/messages.py
+++ b/src/peppershore/connection/messages.py
@@ -19,7 +19,6 @@
     EditOutcome,
     Scope,
     Tree,
-    Update,
     Version,
 )
 
@@ -81,10 +80,13 @@
 
 
 class UpdateOffered(Message, frozen=True, tag=22):
-    """New state for the node's scope; ``confirmed_age_milliseconds`` says how
-    long ago a quorum confirmed the version, by the relay's clock."""
+    """New state for the node's scope, packed by ``update_packing``.
 
-    update: Update
+    ``confirmed_age_milliseconds`` says how long ago a quorum confirmed the
+    version, by the relay's clock.
+    """
+
+    packed_update: bytes
     confirmed_age_milliseconds: int
 
 
--- /dev/null
+++ b/src/peppershore/connection/update_packing.py
@@ -0,0 +1,89 @@
+"""Updates packed for the wire: MessagePack, then Zstandard with a dictionary.
+
+Most updates are one or two resources that look much like any other, so they
+shrink mainly by a dictionary that both ends know.  The dictionary is part of the
+protocol: it must never change.  Another one needs another message tag.
+"""
+
+from __future__ import annotations
+
+import msgspec
+import zstandard
+from returns.result import Failure, Result, Success
+
+from peppershore.version.model import Update
+
+MAX_UNPACKED_BYTES = 64 * 1024 * 1024
+PIECE_BYTES = 65_536
+COMPRESSION_LEVEL = 9
+
+DICTIONARY = (
+    b"\x94\x03\xa7secret:\x91\x82\xaageneration\x01\xa8material\xc4\x00\x01"
+    b"\x93\x02\xa8service:\x99\x90\x14\xcc\x82d\xcd\x07\xd0\x052\xa0\xc3"
+    b"\x94\x01\xa6route:\xa0\x9e\xa0\x91\xa4POST\xa0\xcd'\x10\xa8critical\xc2"
+    b"\x92\xa6public\xa6member\xa5owner\n\x02\xc3\x00\xa0\xce\x00\x10\x00\x00"
+    b"\x94\x01\xa6route:\xa0\x9e\xa0\x92\xa3GET\xa4HEAD\xa0\xcd'\x10\xa4bulk\xc3"
+    b"\x92\xa6member\xa8internal\xa6direct\n\x02\xc3\x00\xa0\xce\x00\x10\x00\x00"
+    b"\x94\x01\xa6route:\xa0\x9e\xa0\x91\xa3GET\xa0\xcd'\x10\xa6normal\xc3"
+    b"\x91\xa8internal\xa6direct\n\x02\xc3\x00\xa0\xce\x00\x10\x00\x00"
+    b"\x94\x01\xa6route:\xa0\x9e\xa0\x91\xa3GET\xa0\xcd'\x10\xa6normal\xc2"
+    b"\x91\xa8internal\xa6direct\n\x02\xc3\x00\xa0\xce\x00\x10\x00\x00"
+)
+"""Typical resources, the most frequent last."""
+
+_SHARED = zstandard.ZstdCompressionDict(
+    DICTIONARY, dict_type=zstandard.DICT_TYPE_RAWCONTENT
+)
+_COMPRESSOR = zstandard.ZstdCompressor(
+    dict_data=_SHARED,
+    compression_params=zstandard.ZstdCompressionParameters.from_level(
+        COMPRESSION_LEVEL,
+        format=zstandard.FORMAT_ZSTD1_MAGICLESS,
+        write_content_size=False,
+        write_checksum=False,
+        write_dict_id=False,
+    ),
+)
+_DECOMPRESSOR = zstandard.ZstdDecompressor(
+    dict_data=_SHARED, format=zstandard.FORMAT_ZSTD1_MAGICLESS
+)
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Update)
+
+
+class UnusablePacking(msgspec.Struct, frozen=True):
+    """Bytes are no packed update; ``reason`` says where it goes wrong."""
+
+    reason: str
+
+
+def pack_update(update: Update) -> bytes:
+    """Give the bytes of an update on the wire."""
+    return _COMPRESSOR.compress(_ENCODER.encode(update))
+
+
+def unpack_update(packed: bytes) -> Result[Update, UnusablePacking]:
+    """Give the update of these bytes, or why there is none."""
+    try:
+        encoded = _decompress(packed)
+    except zstandard.ZstdError as problem:
+        return Failure(UnusablePacking(str(problem)))
+    if encoded is None:
+        return Failure(UnusablePacking(f"more than {MAX_UNPACKED_BYTES} bytes"))
+    try:
+        return Success(_DECODER.decode(encoded))
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
+        return Failure(UnusablePacking(str(problem)))
+
+
+def _decompress(packed: bytes) -> bytes | None:
+    """Decompress piece by piece; None if it gets too large."""
+    pieces: list[bytes] = []
+    total = 0
+    with _DECOMPRESSOR.stream_reader(packed) as reader:
+        while piece := reader.read(PIECE_BYTES):
+            total += len(piece)
+            if total > MAX_UNPACKED_BYTES:
+                return None
+            pieces.append(piece)
+    return b"".join(pieces)
--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -25,6 +25,7 @@
     UpdateOffered,
     UpdateRefused,
 )
+from peppershore.connection.update_packing import unpack_update
 from peppershore.process import events
 from peppershore.process.commands import (
     Command,
@@ -218,7 +219,11 @@
             self.holder.still_current(version)
 
     def _offered(self, session: RelaySession, offer: UpdateOffered) -> None:
-        update = offer.update
+        unpacked = unpack_update(offer.packed_update)
+        if isinstance(unpacked, Failure):
+            self._do(self.sessions.drop(session, "undecodable update", self._now))
+            return
+        update = unpacked.unwrap()
         if self._pending is not None and session is not self._pending_from:
             self._refuse(session, update.version, BUSY)
             return
--- a/src/peppershore/process/relay/distribution.py
+++ b/src/peppershore/process/relay/distribution.py
@@ -10,11 +10,11 @@
 from collections.abc import Iterable
 
 from peppershore.connection.codec import encode_message
-from peppershore.connection.messages import Current, UpdateApplied
+from peppershore.connection.messages import Current, UpdateApplied, UpdateOffered
 from peppershore.process.commands import Command, SendEncoded
 from peppershore.process.events import LinkId
-from peppershore.process.relay.encoding import EncodedUpdates, encode_offer
 from peppershore.process.relay.hold import HoldBook
+from peppershore.process.relay.packed_updates import PackedUpdates
 from peppershore.process.relay.session import NodeSession
 from peppershore.version.catalog import ScopeCatalog
 from peppershore.version.model import Digest, Scope, Update, Version
@@ -32,7 +32,7 @@
         self.behind: dict[LinkId, NodeSession] = {}
         self.unconfirmed: dict[LinkId, NodeSession] = {}
         self.bytes_sent = 0
-        self.encoded_updates = EncodedUpdates()
+        self.packed_updates = PackedUpdates()
         self._catalog = catalog
         self._holds = holds
         self._idle_scopes: dict[Scope, float] = {}
@@ -200,7 +200,7 @@
         return session.scope in self._holds.held and not session.holds_nothing
 
     def _encode(self, update: Update, age: int) -> bytes:
-        return encode_offer(self.encoded_updates.encoded(update), age)
+        return encode_message(UpdateOffered(self.packed_updates.packed(update), age))
 
     def _answer_current(self, session: NodeSession, age: int) -> list[Command]:
         self._mark_current(session)
--- a/src/peppershore/process/relay/encoding.py
+++ b/src/peppershore/process/relay/packed_updates.py
@@ -1,8 +1,7 @@
-"""Encoded updates, shared by all sessions that need the same one.
+"""Packed updates, shared by all sessions that need the same one.
 
-An update is encoded once per (scope, base, result).  The age of the
-confirmation differs by moment, so it is put beside the encoded update and not
-into it.  The memory taken is bounded; the entry unused for longest goes first.
+An update is packed once per (scope, base, result).  The memory taken is bounded;
+the entry unused for longest goes first.
 """
 
 from __future__ import annotations
@@ -10,19 +9,14 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-import msgspec
-
-from peppershore.connection.messages import UpdateOffered
+from peppershore.connection.update_packing import pack_update
 from peppershore.version.model import Digest, Scope, Update, Version
 
 MAX_CACHE_BYTES = 32 * 1024 * 1024
 
-_ENCODER = msgspec.msgpack.Encoder()
-_UPDATE_OFFERED_TAG = UpdateOffered.__struct_config__.tag
-
 
 class UpdateKey(NamedTuple):
-    """What an encoded update depends on."""
+    """What a packed update depends on."""
 
     scope: Scope
     base_digest: Digest
@@ -30,37 +24,30 @@
     version: Version
 
 
-def encode_offer(encoded_update: bytes, confirmed_age_milliseconds: int) -> bytes:
-    """Give the payload of ``UpdateOffered`` around an update encoded before."""
-    return _ENCODER.encode(
-        (_UPDATE_OFFERED_TAG, msgspec.Raw(encoded_update), confirmed_age_milliseconds)
-    )
-
-
-class EncodedUpdates:
-    """A bounded cache of encoded updates."""
+class PackedUpdates:
+    """A bounded cache of packed updates."""
 
     def __init__(self, max_bytes: int = MAX_CACHE_BYTES) -> None:
         """Start empty."""
-        self.encoded_count = 0
+        self.packed_count = 0
         self._max_bytes = max_bytes
         self._bytes = 0
         self._entries: OrderedDict[UpdateKey, bytes] = OrderedDict()
 
     @property
     def held_bytes(self) -> int:
-        """Bytes of all encoded updates held."""
+        """Bytes of all packed updates held."""
         return self._bytes
 
-    def encoded(self, update: Update) -> bytes:
-        """Give the encoded update, from the cache if it is there."""
+    def packed(self, update: Update) -> bytes:
+        """Give the packed update, from the cache if it is there."""
         key = UpdateKey(update.scope, update.base_digest, update.digest, update.version)
         found = self._entries.get(key)
         if found is not None:
             self._entries.move_to_end(key)
             return found
-        payload = _ENCODER.encode(update)
-        self.encoded_count += 1
+        payload = pack_update(update)
+        self.packed_count += 1
         self._store(key, payload)
         return payload
 
--- a/src/peppershore/process/relay/shell.py
+++ b/src/peppershore/process/relay/shell.py
@@ -75,7 +75,7 @@
         "endpoints", "Entries of the endpoint table.", lambda: len(core.exchange.table)
     )
     metrics.gauge(
-        "encoded_update_bytes",
-        "Bytes of encoded updates kept.",
-        lambda: core.distributor.encoded_updates.held_bytes,
+        "packed_update_bytes",
+        "Bytes of packed updates kept.",
+        lambda: core.distributor.packed_updates.held_bytes,
     )
