--- a/tests/version/test_catalog_machine.py
+++ b/tests/version/test_catalog_machine.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from returns.result import Success
-from tests.version.tree_strategies import STARTING_OPERATIONS, edits
+from tests.version.tree_strategies import STARTING_OPERATIONS, edits, visible_changes
 from tests.version.trees import applied, edit_of
 
 from peppershore.version.catalog import ScopeCatalog
@@ -27,6 +27,12 @@
 from peppershore.version.tree import apply_edit, empty_tree
 
 SCOPES = (Scope("a", "north"), Scope("a", "south"), Scope("b", "north"), Scope("c", "east"))
+DISTURBANCES = (
+    "holder restarts without memory",
+    "catalog forgets",
+    "catalog restarts",
+    "catalog loads",
+)
 scopes = st.sampled_from(SCOPES)
 
 
@@ -66,22 +72,28 @@
         }
         self.backlog.append(change)
 
+    @rule(operation=visible_changes)
+    def edit_visibly(self, operation: Operation) -> None:
+        self.edit((operation,))
+
     @rule()
     def lagging_catalog_advances(self) -> None:
         if self.backlog:
             self.lagging.advance(self.backlog.pop(0))
 
-    @rule(anew=st.booleans())
-    def lagging_catalog_loads(self, anew: bool) -> None:
-        if anew:
+    @rule(disturbance=st.sampled_from(DISTURBANCES), scope=scopes)
+    def disturb(self, disturbance: str, scope: Scope) -> None:
+        if disturbance == "holder restarts without memory":
+            self.held[scope] = empty_snapshot(scope)
+            return
+        if disturbance == "catalog forgets":
+            self.lagging.forget(scope)
+            return
+        if disturbance == "catalog restarts":
             self.lagging = ScopeCatalog()
         self.lagging.load(self.tree)
         self.backlog.clear()
 
-    @rule(scope=scopes)
-    def lagging_catalog_forgets(self, scope: Scope) -> None:
-        self.lagging.forget(scope)
-
     @rule(scope=scopes, from_lagging=st.booleans())
     def ask(self, scope: Scope, from_lagging: bool) -> None:
         catalog = self.lagging if from_lagging else self.current
@@ -91,6 +103,12 @@
             assert update.version == catalog.version
             self.in_flight.append(update)
 
+    @rule(scope=scopes, from_lagging=st.booleans())
+    def ask_and_receive(self, scope: Scope, from_lagging: bool) -> None:
+        self.ask(scope, from_lagging)
+        if self.in_flight:
+            self.take(self.in_flight.pop())
+
     @rule(choice=st.integers(0, 1_000), comes_again=st.booleans())
     def deliver(self, choice: int, comes_again: bool) -> None:
         if not self.in_flight:
@@ -106,10 +124,6 @@
         if self.in_flight:
             del self.in_flight[choice % len(self.in_flight)]
 
-    @rule(scope=scopes)
-    def restart_without_memory(self, scope: Scope) -> None:
-        self.held[scope] = empty_snapshot(scope)
-
     def take(self, update: Update) -> None:
         former = self.held[update.scope]
         if update.version < self.floors[update.scope]:
@@ -148,4 +162,4 @@
 
 
 class TestCatalogMachine(CatalogMachine.TestCase):  # type: ignore[name-defined]
-    settings = settings(max_examples=150, stateful_step_count=40)
+    settings = settings(max_examples=150, stateful_step_count=60)
--- a/tests/version/test_resolution.py
+++ b/tests/version/test_resolution.py
@@ -1,5 +1,6 @@
 """Inheritance: which layer wins, and that each value tells where it comes from."""
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 from returns.result import Success
@@ -14,6 +15,7 @@
     resolve_service,
     routes_of,
     services_of,
+    set_values,
 )
 from peppershore.version.snapshot import open_snapshot
 from peppershore.version.tree import apply_edit, empty_tree
@@ -50,6 +52,54 @@
     assert routes_of(tree, "nobody", "pasila") == ()
 
 
+EVERY_ROUTE_SETTING = Overrides(
+    path_prefix="/other",
+    methods=("PUT", "POST"),
+    target="kuitti",
+    timeout_milliseconds=1,
+    call_class="bulk",
+    repeatable=True,
+    audience=("member", "public"),
+    hop="owner",
+    retry_budget_percent=1,
+    retry_attempts=1,
+    require_ready=False,
+    caller_rate_per_second=1,
+    verify_secret="member-key",
+    max_body_bytes=1,
+)
+EVERY_SERVICE_SETTING = Overrides(
+    calls=("kuitti",),
+    slots=1,
+    connections=1,
+    queue_limit=1,
+    slow_start_milliseconds=1,
+    ejection_failures=1,
+    ejection_max_percent=1,
+    sign_secret="member-key",
+    spill_over=False,
+)
+
+
+def test_every_setting_reaches_the_node() -> None:
+    tree = applied(
+        refund_tree(),
+        SetOverrides("/kassa", EVERY_SERVICE_SETTING),
+        SetOverrides("/kassa/*/pay", EVERY_ROUTE_SETTING),
+    ).tree
+    catalog = ScopeCatalog()
+    catalog.load(tree)
+    active = open_snapshot(catalog.snapshot(Scope("kassa", "vantaa-t2")))
+    route = next(each for each in active.routes if each.service == "kassa")
+    expected = {**set_values(EVERY_SERVICE_SETTING), **set_values(EVERY_ROUTE_SETTING)}
+    held = {
+        **msgspec.structs.asdict(active.services["kassa"]),
+        **msgspec.structs.asdict(route.settings),
+    }
+    assert held == expected
+    assert held.keys() == set(Overrides.__struct_fields__)
+
+
 def check_catalog_against_resolution(tree: Tree) -> None:
     catalog = ScopeCatalog()
     catalog.load(tree)
--- a/tests/version/test_tree_edits.py
+++ b/tests/version/test_tree_edits.py
@@ -107,6 +107,16 @@
     )
 
 
+def test_a_secret_that_only_the_root_names_cannot_go() -> None:
+    tree = applied(
+        refund_tree(),
+        PutSecret("root-key", b"x"),
+        SetOverrides("/", Overrides(verify_secret="root-key")),
+    ).tree
+    outcome = apply_edit(tree, edit_of(RemoveSecret("root-key")), tree.version + 1)
+    assert [each.subject for each in outcome.failure().problems] == ["/"]
+
+
 def test_one_bad_operation_refuses_the_whole_edit() -> None:
     problems = refused(
         SetOverrides("/kassa", Overrides(slots=5)), RemoveNode("/nobody")
--- a/tests/version/tree_strategies.py
+++ b/tests/version/tree_strategies.py
@@ -52,7 +52,29 @@
     strategies.sampled_from(("/r", "/s")).map(lambda text: Overrides(path_prefix=text)),
 )
 
+visible_changes: strategies.SearchStrategy[Operation] = strategies.one_of(
+    strategies.builds(
+        SetOverrides,
+        strategies.sampled_from(("/", "/a", "/b", "/b/*/r", "/b/north/r", "/c/north/s")),
+        strategies.integers(1, 3).map(lambda value: Overrides(retry_attempts=value)),
+    ),
+    strategies.sampled_from(
+        (
+            SetOverrides("/a", Overrides(calls=("b",))),
+            SetOverrides("/a", Overrides(calls=("c",))),
+            SetOverrides("/b/*/r", Overrides(target="c")),
+            SetOverrides("/b/*/s", Overrides(path_prefix="/s")),
+            SetOverrides("/c/*/r", Overrides(path_prefix="/r")),
+            RemoveNode("/b/*/s"),
+            RemoveNode("/c/*/r"),
+            RemoveNode("/b/north"),
+        )
+    ),
+)
+"""Operations that mostly are valid and change what some scope holds."""
+
 operations: strategies.SearchStrategy[Operation] = strategies.one_of(
+    visible_changes,
     strategies.builds(SetOverrides, _service_paths, _on_services),
     strategies.builds(SetOverrides, _route_paths, _on_routes),
     strategies.builds(SetOverrides, _paths, _anywhere),
@@ -69,7 +91,10 @@
     strategies.builds(RemoveSecret, _secrets),
 )
 
-edits = strategies.lists(operations, min_size=1, max_size=4).map(tuple)
+edits = strategies.one_of(
+    visible_changes.map(lambda operation: (operation,)),
+    strategies.lists(operations, min_size=1, max_size=4).map(tuple),
+)
 
 STARTING_OPERATIONS: tuple[Operation, ...] = (
     SetZone("north", "region"),
