Calls: claims before what runs once, vouching, drain and outcomes under test

Cause: a resend, a broken back end, a lost owner and a planned stop had code and no proof. An attempt at a claim is named by its node: a name taken from the caller's request id would have let a resend with the same id run twice.

--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -21,7 +21,8 @@
 from peppershore.request.claim import (
     ClaimDenied,
     ClaimGranted,
-    ClaimTaken,
+    ClaimKeyRefused,
+    ClaimUnavailable,
     claim_key,
 )
 from peppershore.request.classification import CallPlan
@@ -29,6 +30,7 @@
 from peppershore.request.outcome import (
     REQUEST_ID_HEADER,
     STATUS_BAD_GATEWAY,
+    STATUS_BAD_REQUEST,
     STATUS_BODY_TOO_LARGE,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
@@ -58,6 +60,7 @@
         "_calls",
         "_claim",
         "_claim_attempt",
+        "_claim_attempt",
         "_dispatch",
         "_earlier",
         "_exchange",
@@ -88,6 +91,7 @@
         self._begun = False
         self._claim = ""
         self._claim_attempt = ""
+        self._claim_attempt = ""
         self._dispatch: Dispatch | None = None
         self._earlier: Failed | None = None
         self._excluded: frozenset[str] = frozenset()
@@ -248,6 +252,7 @@
         # Never the request id: a caller that sends the call again may repeat that.
         self._claim_attempt = self._calls.new_request_id().decode("latin-1")
         self._exchange.pause_body()
+        self._claim_attempt = self._calls.new_attempt_name()
         seconds = self.plan.deadline - self._loop.time()
         self._calls.claim(key, self._claim_attempt, seconds, self._claimed)
 
@@ -265,7 +270,9 @@
         self._admit()
 
     def _claim_denied(self, denied: ClaimDenied) -> None:
-        if not isinstance(denied, ClaimTaken):
+        if isinstance(denied, ClaimKeyRefused):
+            self._fail(NotRun(STATUS_BAD_REQUEST, "idempotency-key-refused"))
+        elif isinstance(denied, ClaimUnavailable):
             advice = CLAIM_RETRY_AFTER_MILLISECONDS
             self._fail(NotRun(STATUS_UNAVAILABLE, "claim-unavailable", advice))
         elif denied.answer is None:
--- a/src/peppershore/process/node/data/call_listener.py
+++ b/src/peppershore/process/node/data/call_listener.py
@@ -44,6 +44,7 @@
         self._links: dict[CallLink, int] = {}
         self._borrowers = itertools.count(1)
         self._lender: Lender | None = None
+        self.streams_served = 0
 
     @property
     def streams(self) -> int:
@@ -89,6 +90,7 @@
         if backend is None:
             stream.refuse(NotRun(STATUS_UNAVAILABLE, "no-back-end", 0, True))
             return
+        self.streams_served += 1
         link.serve(started.stream, stream)
         stream.start(backend, started)
 
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -30,6 +30,7 @@
 from peppershore.request.classification import CallPlan, classify
 from peppershore.request.endpoint_state import Verdict
 from peppershore.request.outcome import (
+    AUTHORIZATION_HEADER,
     DEADLINE_HEADER,
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
@@ -40,6 +41,7 @@
 )
 from peppershore.request.picker import RandomSource
 from peppershore.request.retry_budget import RetryBudget, retry_delay
+from peppershore.request.vouching import Voucher
 from peppershore.request.waiting import Ticket
 from peppershore.version.active import ActiveConfiguration
 
@@ -95,6 +97,7 @@
         self._random = random
         self._links = links
         self._audience = AudienceCheck()
+        self._voucher = Voucher(settings.service)
         self._rates = CallerRates()
         self._admissions: dict[str, Admission] = {}
         self._budgets: dict[str, RetryBudget] = {}
@@ -166,6 +169,10 @@
         """Give an id for a request that has none."""
         return self._id_prefix + b"-%x" % next(self._id_numbers)
 
+    def new_attempt_name(self) -> str:
+        """Give a name that no other claim of any process has."""
+        return self.new_request_id().decode("ascii")
+
     def plan(self, head: RequestHead) -> Result[EntryPlan, NotRun]:
         """Decide what a call is and whether its caller may make it."""
         configuration = self.configuration
@@ -174,9 +181,7 @@
         if isinstance(classified, Failure) or configuration is None:
             return classified.map(lambda plan: EntryPlan(plan, Caller("")))
         plan = classified.unwrap()
-        checked = self._audience.check(
-            plan.settings, configuration.secrets, head.header(b"authorization"), time.time()
-        )
+        checked = self._check_audience(plan, configuration, head)
         if isinstance(checked, Failure):
             return Failure(checked.failure())
         caller = checked.unwrap()
@@ -257,6 +262,8 @@
         """Give the header fields for the back end."""
         headers = [field for field in head.headers if field[0] not in REPLACED_HEADERS]
         headers.append((REQUEST_ID_HEADER, request_id))
+        if self._from_own_backend(head) and not head.header(AUTHORIZATION_HEADER):
+            self._vouch(headers)
         return headers
 
     def claim(self, key: str, attempt: str, seconds: float, sink: ClaimSink) -> None:
@@ -316,6 +323,26 @@
     ) -> None:
         sink(key, await claims.claim(key, attempt, seconds))
 
+    def _check_audience(
+        self, plan: CallPlan, configuration: ActiveConfiguration, head: RequestHead
+    ) -> Result[Caller, NotRun]:
+        authorization = head.header(AUTHORIZATION_HEADER)
+        if not authorization and self._from_own_backend(head):
+            authorization = self._voucher.authorization(configuration, time.time())
+        return self._audience.check(
+            plan.settings, configuration.secrets, authorization, time.time()
+        )
+
+    def _vouch(self, headers: HeaderList) -> None:
+        if self.configuration is not None:
+            token = self._voucher.authorization(self.configuration, time.time())
+            if token:
+                headers.append((AUTHORIZATION_HEADER, token))
+
+    def _from_own_backend(self, head: RequestHead) -> bool:
+        host = self._settings.backend.rpartition(":")[0]
+        return bool(host) and head.peer_address == host
+
     def _admission(self, service: str) -> Admission | None:
         admission = self._admissions.get(service)
         if admission is not None:
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -17,12 +17,14 @@
     ServerExchange,
 )
 from peppershore.connection.messages import CallLinkHello, Endpoint
+from peppershore.process.claims.client import ClaimClientShell
 from peppershore.process.commands import Notice
 from peppershore.process.node.data import notices
 from peppershore.process.node.data.backend_probe import STATE_READY, BackendProbe
 from peppershore.process.node.data.call import Call
 from peppershore.process.node.data.call_listener import CallListener
 from peppershore.process.node.data.calls import Calls
+from peppershore.process.node.data.claims_group import ClaimsGroup
 from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.owner_links import OwnerLinks
 from peppershore.process.randomness import Randomness
@@ -96,6 +98,12 @@
             self._longest_call_seconds,
             server_tls,
         )
+        self._claims: ClaimsGroup | None = None
+        if settings.claims:
+            addresses = tuple(replica.address for replica in settings.claims)
+            client = ClaimClientShell(addresses, notice_sink, client_tls)
+            self._claims = ClaimsGroup(client)
+            self.calls.claims = self._claims
         self._probe: BackendProbe | None = None
         self._on_backend_state: Callable[[str], None] | None = None
         self._tick: asyncio.TimerHandle | None = None
@@ -174,9 +182,21 @@
             connection.close()
         await self._call_listener.close()
         self._links.close()
+        if self._claims is not None:
+            await self._claims.close()
         if self._own is not None:
             self._own.close()
 
+    @property
+    def lent_slots(self) -> int:
+        """Slots of the own back end that other nodes may be using directly."""
+        return self._call_listener.lent(self._loop.time())
+
+    @property
+    def streams_served(self) -> int:
+        """Calls of other nodes taken for the own back end since the start."""
+        return self._call_listener.streams_served
+
     # --- ServerOwner
 
     def request_received(self, exchange: ServerExchange, head: RequestHead) -> RequestSink:
@@ -206,8 +226,11 @@
 
     @property
     def _busy(self) -> bool:
-        lent = self._call_listener.lent(self._loop.time())
-        return self._in_flight > 0 or lent > 0 or any(c.busy for c in self._connections)
+        return (
+            self._in_flight > 0
+            or self.lent_slots > 0
+            or any(c.busy for c in self._connections)
+        )
 
     def _ticked(self) -> None:
         now = self._loop.time()
@@ -252,7 +275,7 @@
             now - self._drain_began,
             self._calls_at_drain,
             self._in_flight,
-            self._call_listener.lent(now),
+            self.lent_slots,
         )
         self._notice_sink(
             notices.DrainEnded(
--- a/src/peppershore/request/claim.py
+++ b/src/peppershore/request/claim.py
@@ -12,6 +12,7 @@
 from peppershore.request.classification import CallPlan
 
 CALLER_DIGEST_DIGITS = 16
+CLAIM_KEY_PARTS = 4
 MAX_KEPT_BODY_BYTES = 64 * 1024
 """A longer answer is not kept: a resend is told that the outcome is not known."""
 
@@ -32,7 +33,13 @@
     reason: str
 
 
-ClaimDenied = ClaimTaken | ClaimUnavailable
+class ClaimKeyRefused(msgspec.Struct, frozen=True):
+    """No claim can be trusted under this key; nothing was recorded."""
+
+    reason: str
+
+
+ClaimDenied = ClaimTaken | ClaimUnavailable | ClaimKeyRefused
 
 
 class ClaimsClient(Protocol):
@@ -50,6 +57,11 @@
         """Give the claim back: this attempt was proven not to have run."""
 
 
+def callers_key(key: str) -> str:
+    """Give the part of a claim's key that the caller chose."""
+    return key.split("/", CLAIM_KEY_PARTS - 1)[-1]
+
+
 def claim_key(plan: CallPlan, caller: str) -> str:
     """Give the key of a call among all calls: two callers never share one."""
     owner = sha256(caller.encode()).hexdigest()[:CALLER_DIGEST_DIGITS] if caller else "-"
--- a/src/peppershore/request/outcome.py
+++ b/src/peppershore/request/outcome.py
@@ -13,12 +13,14 @@
 DEADLINE_HEADER = b"peppershore-deadline-milliseconds"
 REQUEST_ID_HEADER = b"x-request-id"
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
+AUTHORIZATION_HEADER = b"authorization"
 RETRY_AFTER_HEADER = b"retry-after"
 
 ANSWERED = b"answered"
 NOT_RUN = b"not-run"
 UNKNOWN = b"unknown"
 
+STATUS_BAD_REQUEST = 400
 STATUS_FORBIDDEN = 403
 STATUS_NOT_FOUND = 404
 STATUS_BODY_TOO_LARGE = 413
--- /dev/null
+++ b/tests/data_plane/test_planned_stop.py
@@ -0,0 +1,107 @@
+"""A planned stop: no new work after a while, nothing in flight cut, a bound."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from tests.data_plane.scripted_backend import Received, ScriptedBackend, answer_ok
+from tests.data_plane.stage import Caller, Node, call, endpoint, run, until
+
+from peppershore.process.node import data_plane
+from peppershore.process.node.data.notices import DrainEnded
+
+
+@pytest.fixture(autouse=True)
+def _short_leaving(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(data_plane, "LEAVING_SECONDS", 0.1)
+
+
+async def _slow(request: Received, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(0.3)
+    await answer_ok(request, writer)
+
+
+def test_owner_drains_without_cutting_and_refuses_new_work_as_not_run() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend(_slow)
+        owner = Node("k1", await backend.start())
+        await owner.start()
+        edge = Node()
+        address = await edge.start(
+            endpoint(backend.address, owner_address=owner.addresses.internal)
+        )
+        before = await Caller.connect(address)
+        before.request(method="POST", body=b"a")
+        await until(lambda: len(backend.requests) == 1)
+        drained = asyncio.create_task(owner.plane.drained(5.0))
+        await asyncio.sleep(0.2)
+        late = await call(address)
+        assert (late.status, late.outcome) == (503, "not-run")
+        assert (await before.answer()).body == b"ok:a"
+        report = await drained
+        assert (report.calls_at_start, report.calls_cut) == (1, 0)
+        assert len(backend.requests) == 1
+        assert any(isinstance(notice, DrainEnded) for notice in owner.notices)
+        await owner.plane.close()
+        await edge.plane.close()
+        backend.stop()
+
+    run(scene())
+
+
+def test_edge_answers_to_the_end_and_closes_kept_connections_in_order() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend(_slow)
+        edge = Node()
+        address = await edge.start(endpoint(await backend.start()))
+        idle, busy = await Caller.connect(address), await Caller.connect(address)
+        busy.request(method="POST", body=b"a")
+        await until(lambda: len(backend.requests) == 1)
+        drained = asyncio.create_task(edge.plane.drained(5.0))
+        await asyncio.sleep(0.01)
+        late = await call(address, method="POST", body=b"late")
+        assert late.body == b"ok:late", "until neighbours know, callers are answered"
+        assert late.headers["connection"] == "close"
+        assert (await busy.answer()).body == b"ok:a"
+        assert await idle.reader.read() == b""
+        assert (await drained).calls_cut == 0
+        await edge.plane.close()
+        backend.stop()
+
+    run(scene())
+
+
+def test_drain_ends_at_its_bound_and_says_what_is_left() -> None:
+    async def hang(request: Received, writer: asyncio.StreamWriter) -> None:
+        await request.reader.read(1)
+        raise ConnectionError
+
+    async def scene() -> None:
+        backend = ScriptedBackend(hang)
+        edge = Node()
+        address = await edge.start(endpoint(await backend.start()))
+        caller = await Caller.connect(address)
+        caller.request()
+        await until(lambda: len(backend.requests) == 1)
+        report = await edge.plane.drained(0.2)
+        assert report.calls_cut == 1
+        await edge.plane.close()
+        backend.stop()
+
+    run(scene())
+
+
+def test_probe_tells_when_the_back_end_comes_and_goes() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        states: list[str] = []
+        node = Node("k1", await backend.start())
+        await node.start()
+        node.plane.on_backend_state(states.append)
+        await until(lambda: states == ["ready"])
+        backend.stop()
+        await until(lambda: states == ["ready", "warming"])
+        await node.plane.close()
+
+    run(scene())
