Simulator: the real cores under virtual time with seeded faults

Control, relay and node cores run under one virtual clock with a network of delays, silent cuts, resets and late arrivals, crashes that lose unsynced records, freezes, clock jumps and refused disks; racing operators read, edit and resend.

--- /dev/null
+++ b/src/peppershore_lab/simulator/cluster.py
@@ -0,0 +1,233 @@
+"""A small cluster of simulated processes around the real cores."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass
+from random import Random
+
+from peppershore.process import commands, events
+from peppershore.process.consensus.records import StoredState
+from peppershore.process.control.core import ControlCore
+from peppershore.process.node.core import NodeCore, NodeMemory
+from peppershore.process.node.inputs import BackendStateChanged
+from peppershore.process.relay.core import RelayCore
+from peppershore.process.settings import (
+    ControlSettings,
+    NodeSettings,
+    PeerRelay,
+    PeerReplica,
+    RelaySettings,
+)
+from peppershore.version.model import Scope
+from peppershore_lab.simulator.accepted_log import AcceptedLog
+from peppershore_lab.simulator.checks import Checks
+from peppershore_lab.simulator.edit_generator import BACK_END_SERVICES, EDGE_SERVICE, ZONES
+from peppershore_lab.simulator.host_clock import HostClock
+from peppershore_lab.simulator.network import Network
+from peppershore_lab.simulator.operator import OperatorCore
+from peppershore_lab.simulator.process import Role, SimulatedProcess
+from peppershore_lab.simulator.roles import ControlRole, NodeRole, PlainRole
+from peppershore_lab.simulator.scheduler import Scheduler
+from peppershore_lab.simulator.trace import TraceTail
+
+CLUSTER = "simulated"
+MAX_CLOCK_OFFSET_SECONDS = 10_000.0
+MAX_CLOCK_DRIFT = 0.0005
+"""Half a millisecond a second: within the drift bound that the lease states."""
+TRACE_STEPS = 60
+INCARNATIONS_PER_SECOND = 1_000
+
+
+@dataclass(frozen=True)
+class ClusterShape:
+    """How many processes of each kind, and bounds that make them work harder."""
+
+    replicas: int = 3
+    relays: int = 2
+    nodes: int = 4
+    operators: int = 2
+    think_seconds: float = 0.5
+    snapshot_entries: int = 20
+    change_id_horizon: int = 1_000
+    batching_milliseconds: int = 0
+
+
+@dataclass(frozen=True)
+class CoreMakers:
+    """Makes the cores; a test that drops a guard gives other makers."""
+
+    control: type[ControlCore] = ControlCore
+    relay: type[RelayCore] = RelayCore
+    node: type[NodeCore] = NodeCore
+
+
+class Cluster:
+    """All processes, the network between them, and the checks of every step."""
+
+    def __init__(self, shape: ClusterShape, seed: int, makers: CoreMakers) -> None:
+        """Make the machines; nothing runs before ``start``."""
+        self.shape = shape
+        self.scheduler = Scheduler()
+        self.randomness = Random(seed)
+        self.network = Network(self.scheduler, self.randomness)
+        self.trace = TraceTail(TRACE_STEPS)
+        self.steps = 0
+        self._makers = makers
+        self._starts = itertools.count(1)
+        self._replica_peers = tuple(
+            PeerReplica(name=f"c{number}", address=f"c{number}:1")
+            for number in range(1, shape.replicas + 1)
+        )
+        self._relay_peers = tuple(
+            PeerRelay(
+                name=f"r{number}",
+                zone=ZONES[(number - 1) % len(ZONES)],
+                address=f"r{number}:1",
+            )
+            for number in range(1, shape.relays + 1)
+        )
+        scopes = tuple(self._scope(number) for number in range(1, shape.nodes + 1))
+        self.checks = Checks(AcceptedLog(CLUSTER, tuple(dict.fromkeys(scopes))))
+        self.replicas = [self._replica(peer) for peer in self._replica_peers]
+        self.relays = [self._relay(peer) for peer in self._relay_peers]
+        self.nodes = [self._node(number) for number in range(1, shape.nodes + 1)]
+        self.operators = [
+            self._operator(number) for number in range(1, shape.operators + 1)
+        ]
+
+    @property
+    def processes(self) -> list[SimulatedProcess]:
+        """All of them."""
+        return [*self.replicas, *self.relays, *self.nodes, *self.operators]
+
+    def start(self) -> None:
+        """Start everything at once."""
+        for process in self.processes:
+            process.start()
+
+    def stepped(
+        self, process: SimulatedProcess, event: events.Event, out: list[commands.Command]
+    ) -> None:
+        """Note and check one step (the ``Trace`` of all processes)."""
+        self.steps += 1
+        self.trace.add(self.scheduler.now, process.name, event, out)
+        self.checks.after_step(process)
+        if isinstance(event, events.Started) and isinstance(process.core, NodeCore):
+            self.scheduler.after(0.1, lambda: self._back_end_ready(process))
+
+    def leader_or_any(self) -> SimulatedProcess:
+        """Give a replica that leads, or a random one."""
+        for process in self.replicas:
+            if isinstance(process.core, ControlCore) and process.core.leads:
+                return process
+        return self.randomness.choice(self.replicas)
+
+    def set_operators_active(self, active: bool) -> None:
+        """Let operators begin new edits, or only finish those under way."""
+        for process in self.operators:
+            if isinstance(process.core, OperatorCore):
+                process.core.is_active = active
+
+    def is_converged(self) -> bool:
+        """Tell whether every node runs and holds the newest accepted version."""
+        return all(self.holds_newest(process) for process in self.nodes)
+
+    def holds_newest(self, process: SimulatedProcess) -> bool:
+        """Tell whether one node holds what its scope must hold now."""
+        core = process.core
+        if not isinstance(core, NodeCore):
+            return False
+        snapshot = core.holder.snapshot
+        log = self.checks.log
+        wanted = log.digest_at(snapshot.scope, log.newest)
+        if log.newest == 0:
+            return True
+        return snapshot.version > 0 and snapshot.digest == wanted
+
+    # --- making machines -----------------------------------------------------------------
+
+    def _back_end_ready(self, process: SimulatedProcess) -> None:
+        if isinstance(process.core, NodeCore):
+            process.take(BackendStateChanged("ready"))
+
+    def _scope(self, number: int) -> Scope:
+        services = (EDGE_SERVICE, *BACK_END_SERVICES)
+        service = services[(number - 1) % len(services)]
+        return Scope(service, ZONES[(number - 1) // len(services) % len(ZONES)])
+
+    def _replica(self, peer: PeerReplica) -> SimulatedProcess:
+        settings = ControlSettings(
+            cluster=CLUSTER,
+            replica=peer.name,
+            listen=peer.address,
+            data_folder="simulated",
+            replicas=self._replica_peers,
+            snapshot_entries=self.shape.snapshot_entries,
+            change_id_horizon=self.shape.change_id_horizon,
+        )
+
+        def make(of: ControlSettings, stored: StoredState) -> ControlCore:
+            return self._makers.control(of, stored)
+
+        role = ControlRole(settings, make, lambda: self.randomness.getrandbits(62))
+        return self._machine(peer.name, peer.address, role)
+
+    def _relay(self, peer: PeerRelay) -> SimulatedProcess:
+        settings = RelaySettings(
+            cluster=CLUSTER,
+            relay=peer.name,
+            zone=peer.zone,
+            listen=peer.address,
+            replicas=self._replica_peers,
+            relays=self._relay_peers,
+            batching_milliseconds=self.shape.batching_milliseconds,
+        )
+        role = PlainRole(lambda: self._makers.relay(settings))
+        return self._machine(peer.name, peer.address, role)
+
+    def _node(self, number: int) -> SimulatedProcess:
+        name = f"n{number}"
+        scope = self._scope(number)
+        has_disk = number % 2 == 1
+        settings = NodeSettings(
+            cluster=CLUSTER,
+            node=name,
+            service=scope.service,
+            zone=scope.zone,
+            listen=f"{name}:1",
+            relays=self._relay_peers,
+            backend="" if scope.service == EDGE_SERVICE else f"{name}:80",
+            data_folder="simulated" if has_disk else "",
+        )
+
+        def make(of: NodeSettings, memory: NodeMemory) -> NodeCore:
+            return self._makers.node(of, memory)
+
+        role = NodeRole(settings, make, self._incarnation)
+        return self._machine(name, f"{name}:1", role)
+
+    def _operator(self, number: int) -> SimulatedProcess:
+        name = f"o{number}"
+        addresses = tuple(peer.address for peer in self._replica_peers)
+        think = self.shape.think_seconds
+        role = PlainRole(lambda: OperatorCore(name, addresses, think, self.checks))
+        return self._machine(name, f"{name}:1", role)
+
+    def _machine(self, name: str, address: str, role: Role) -> SimulatedProcess:
+        offset = self.randomness.random() * MAX_CLOCK_OFFSET_SECONDS
+        rate = 1.0 + MAX_CLOCK_DRIFT * (2.0 * self.randomness.random() - 1.0)
+        clock = HostClock(self.scheduler, offset, rate)
+        return SimulatedProcess(
+            name,
+            address,
+            role,
+            scheduler=self.scheduler,
+            network=self.network,
+            clock=clock,
+            randomness=self.randomness,
+            trace=self,
+        )
+
+    def _incarnation(self) -> int:
+        return int(self.scheduler.now * INCARNATIONS_PER_SECOND) + next(self._starts)
--- /dev/null
+++ b/src/peppershore_lab/simulator/process.py
@@ -0,0 +1,249 @@
+"""One simulated machine and the process on it: timers, disk, crash, freeze."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple, Protocol
+
+from peppershore.connection.codec import encode_message
+from peppershore.process import commands, events
+from peppershore.process.core import Core
+from peppershore_lab.simulator.host_clock import HostClock
+from peppershore_lab.simulator.network import Network
+from peppershore_lab.simulator.scheduler import Planned, Scheduler
+
+FIRST_ACCEPTED_LINK = 2
+ACCEPTED_LINK_STEP = 2
+SYNC_SECONDS = 0.002
+"""Typical time of one synced write; single ones take up to ten times as long."""
+
+
+class Role(Protocol):
+    """What is particular to a kind of process: its core and its disk."""
+
+    def boot(self) -> Core:
+        """Make a core from what the disk holds."""
+        ...
+
+    def write(self, command: commands.PersistRecords) -> None:
+        """Put durable records on the disk; they are synced from now on."""
+        ...
+
+    def execute(self, process: SimulatedProcess, command: commands.Command) -> None:
+        """Carry out a command that only this kind of process has."""
+        ...
+
+    def lose_disk(self) -> None:
+        """Forget everything on the disk."""
+        ...
+
+
+class Life(NamedTuple):
+    """One run of the process on a machine, from its start to its end."""
+
+    machine: str
+    number: int
+
+
+class Trace(Protocol):
+    """Takes note of what happens, for people and for the checks."""
+
+    def stepped(
+        self, process: SimulatedProcess, event: events.Event, out: list[commands.Command]
+    ) -> None:
+        """A core took an event."""
+        ...
+
+
+class _PendingTimer:
+    """A timer that is set: its time on the machine's own clock."""
+
+    __slots__ = ("due", "planned")
+
+    def __init__(self, due: float) -> None:
+        self.due = due
+        self.planned: Planned | None = None
+
+
+class SimulatedProcess:
+    """Drives one core as a shell would, under virtual time."""
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        role: Role,
+        *,
+        scheduler: Scheduler,
+        network: Network,
+        clock: HostClock,
+        randomness: Random,
+        trace: Trace,
+    ) -> None:
+        """Make a machine on which nothing runs yet."""
+        self.role = role
+        self.clock = clock
+        self.core: Core | None = None
+        self.started_at = 0.0
+        self.is_frozen = False
+        self.disk_fails = False
+        self._name = name
+        self._address = address
+        self._scheduler = scheduler
+        self._network = network
+        self._randomness = randomness
+        self._trace = trace
+        self.life = Life(name, 0)
+        self._timers: dict[str, _PendingTimer] = {}
+        self._waiting: list[Callable[[], None]] = []
+        self._accepted = itertools.count(FIRST_ACCEPTED_LINK, ACCEPTED_LINK_STEP)
+        self._disk_free_at = 0.0
+        network.add(self)
+
+    @property
+    def name(self) -> str:
+        """Name of the machine."""
+        return self._name
+
+    @property
+    def address(self) -> str:
+        """Where the process accepts links."""
+        return self._address
+
+    @property
+    def is_running(self) -> bool:
+        """Whether a process runs (a frozen one does)."""
+        return self.core is not None
+
+    def next_accepted_link(self) -> events.LinkId:
+        """Give the number of the next accepted link."""
+        return next(self._accepted)
+
+    # --- life of the process --------------------------------------------------------
+
+    def start(self) -> None:
+        """Boot from the disk."""
+        assert self.core is None, f"{self._name} runs already"
+        self.life = Life(self._name, self.life.number + 1)
+        self.started_at = self._scheduler.now
+        self.core = self.role.boot()
+        self.take(events.Started(self._randomness.getrandbits(63)))
+
+    def crash(self) -> None:
+        """End at once: what was not synced is gone."""
+        self.core = None
+        self.is_frozen = False
+        self._waiting.clear()
+        for timer in self._timers.values():
+            if timer.planned is not None:
+                timer.planned.cancel()
+        self._timers.clear()
+        self._network.process_gone(self)
+
+    def freeze(self) -> None:
+        """Do nothing from now on, in silence."""
+        self.is_frozen = True
+
+    def thaw(self) -> None:
+        """Go on; what came meanwhile is taken now."""
+        self.is_frozen = False
+        waiting = self._waiting
+        self._waiting = []
+        for action in waiting:
+            action()
+
+    def jump_clock(self, seconds: float) -> None:
+        """Set the monotonic clock ahead; timers that are due by now fire."""
+        self.clock.jump(seconds)
+        for name, timer in list(self._timers.items()):
+            if timer.planned is not None:
+                timer.planned.cancel()
+            self._plan(name, timer)
+
+    def take(self, event: events.Event) -> None:
+        """Step the core, now or once it is no longer frozen."""
+        life = self.life
+        if self.is_frozen:
+            self._waiting.append(lambda: self._step(event, life))
+        else:
+            self._step(event, life)
+
+    def _step(self, event: events.Event, life: Life) -> None:
+        if self.core is None or life != self.life:
+            return
+        if self.is_frozen:
+            self._waiting.append(lambda: self._step(event, life))
+            return
+        out = self.core.step(event, self.clock.now)
+        self._trace.stepped(self, event, out)
+        for command in out:
+            if self.core is not None:
+                self._execute(command)
+
+    # --- commands -------------------------------------------------------------------
+
+    def _execute(self, command: commands.Command) -> None:
+        match command:
+            case commands.SendMessage():
+                payload = encode_message(command.message)
+                self._network.send(self, command.link, payload)
+            case commands.SendEncoded():
+                self._network.send(self, command.link, command.payload)
+            case commands.OpenLink():
+                self._network.open(self, command.link, command.address)
+            case commands.CloseLink():
+                self._network.close(self, command.link)
+            case commands.SetTimer():
+                self._set_timer(command)
+            case commands.CancelTimer():
+                self._cancel_timer(command.timer)
+            case commands.PersistRecords():
+                self._persist(command)
+            case commands.Report():
+                pass
+            case commands.Exit():
+                self.crash()
+            case _:
+                self.role.execute(self, command)
+
+    def _set_timer(self, command: commands.SetTimer) -> None:
+        self._cancel_timer(command.timer)
+        timer = _PendingTimer(self.clock.now + command.delay_seconds)
+        self._timers[command.timer] = timer
+        self._plan(command.timer, timer)
+
+    def _plan(self, name: str, timer: _PendingTimer) -> None:
+        wait = self.clock.virtual_delay(timer.due - self.clock.now)
+        timer.planned = self._scheduler.after(wait, lambda: self._due(name, timer))
+
+    def _due(self, name: str, timer: _PendingTimer) -> None:
+        if self.is_frozen:
+            self._waiting.append(lambda: self._due(name, timer))
+            return
+        if self._timers.get(name) is timer:
+            del self._timers[name]
+            self.take(events.TimerFired(name))
+
+    def _cancel_timer(self, name: str) -> None:
+        timer = self._timers.pop(name, None)
+        if timer is not None and timer.planned is not None:
+            timer.planned.cancel()
+
+    def _persist(self, command: commands.PersistRecords) -> None:
+        slowness = 10.0 ** self._randomness.random()
+        begin = max(self._disk_free_at, self._scheduler.now)
+        self._disk_free_at = begin + SYNC_SECONDS * slowness
+        life = self.life
+        wait = self._disk_free_at - self._scheduler.now
+        self._scheduler.after(wait, lambda: self._synced(command, life))
+
+    def _synced(self, command: commands.PersistRecords, life: Life) -> None:
+        if self.core is None or life != self.life:
+            return
+        if self.disk_fails:
+            self.take(events.RecordsFailed(command.token, "disk full"))
+            return
+        self.role.write(command)
+        self.take(events.RecordsPersisted(command.token))
--- /dev/null
+++ b/src/peppershore_lab/simulator/run.py
@@ -0,0 +1,132 @@
+"""Runs one seed: faults for a while, then healing, then convergence."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from peppershore.process.node.core import NodeCore
+from peppershore_lab.simulator.cluster import Cluster, CoreMakers
+from peppershore_lab.simulator.faults import FaultInjector
+from peppershore_lab.simulator.operator import OperatorCore
+from peppershore_lab.simulator.profiles import Profile
+from peppershore_lab.simulator.violations import PromiseBrokenError, require
+
+CONVERGED = "after the faults every node soon holds the newest version"
+INVARIANT = "no core breaks an invariant of its own"
+SLICE_SECONDS = 0.1
+"""How often the conditions that concern the whole cluster are looked at."""
+QUIET_SECONDS = 1.0
+"""How long the cluster must stay converged to be taken as such."""
+
+
+@dataclass(frozen=True)
+class SeedResult:
+    """What one run did; ``promise`` is empty if everything held."""
+
+    profile: str
+    seed: int
+    steps: int
+    messages: int
+    faults: int
+    accepted_edits: int
+    swaps: int
+    convergence_seconds: float
+    promise: str = ""
+    detail: str = ""
+    trace: tuple[str, ...] = ()
+
+    @property
+    def passed(self) -> bool:
+        """Whether every promise held."""
+        return not self.promise
+
+
+def run_seed(profile: Profile, seed: int, makers: CoreMakers | None = None) -> SeedResult:
+    """Run one seed of a profile with the real cores, or with a test's."""
+    cluster = Cluster(profile.shape, seed, makers or CoreMakers())
+    run = _Run(cluster, profile)
+    promise, detail = "", ""
+    try:
+        run.play()
+    except PromiseBrokenError as broken:
+        promise, detail = broken.promise, broken.detail
+    except AssertionError as broken:
+        promise, detail = INVARIANT, str(broken) or "assertion without text"
+    return SeedResult(
+        profile=profile.name,
+        seed=seed,
+        steps=cluster.steps,
+        messages=cluster.network.messages,
+        faults=run.injector.injected,
+        accepted_edits=cluster.checks.log.edits,
+        swaps=cluster.checks.swaps,
+        convergence_seconds=run.convergence_seconds,
+        promise=promise,
+        detail=detail,
+        trace=tuple(cluster.trace.lines()) if promise else (),
+    )
+
+
+class _Run:
+    """The phases of one run."""
+
+    def __init__(self, cluster: Cluster, profile: Profile) -> None:
+        self.convergence_seconds = 0.0
+        self._cluster = cluster
+        self._profile = profile
+        self.injector = FaultInjector(cluster, profile.faults)
+
+    def play(self) -> None:
+        self._cluster.start()
+        self._advance(self._profile.fault_seconds)
+        self.injector.heal()
+        self._cluster.set_operators_active(False)
+        healed_at = self._cluster.scheduler.now
+        self._await_convergence(healed_at + self._profile.convergence_bound_seconds)
+        self.convergence_seconds = self._cluster.scheduler.now - healed_at - QUIET_SECONDS
+        self._check_end()
+
+    def _advance(self, seconds: float) -> None:
+        end = self._cluster.scheduler.now + seconds
+        while self._cluster.scheduler.now < end:
+            self._slice()
+
+    def _slice(self) -> None:
+        scheduler = self._cluster.scheduler
+        scheduler.run_until(scheduler.now + SLICE_SECONDS)
+        for process in self._cluster.nodes:
+            undisturbed = process.name not in self.injector.disturbed
+            if undisturbed and isinstance(process.core, NodeCore):
+                self._cluster.checks.check_in_force(process.name, process.core)
+
+    def _await_convergence(self, deadline: float) -> None:
+        scheduler = self._cluster.scheduler
+        quiet_since = scheduler.now
+        while scheduler.now - quiet_since < QUIET_SECONDS:
+            self._slice()
+            if not self._is_settled():
+                quiet_since = scheduler.now
+            require(scheduler.now < deadline, CONVERGED, self._unsettled())
+
+    def _is_settled(self) -> bool:
+        idle = all(
+            core.is_idle
+            for process in self._cluster.operators
+            if isinstance(core := process.core, OperatorCore)
+        )
+        return idle and self._cluster.is_converged()
+
+    def _unsettled(self) -> str:
+        newest = self._cluster.checks.log.newest
+        behind = [
+            process.name
+            for process in self._cluster.nodes
+            if not self._cluster.holds_newest(process)
+        ]
+        return f"newest {newest}, not held by {behind}"
+
+    def _check_end(self) -> None:
+        log = self._cluster.checks.log
+        for process in self._cluster.replicas:
+            self._cluster.checks.after_step(process)
+        require(log.newest >= log.confirmed, CONVERGED, "an answered edit is missing")
