--- a/src/peppershore/process/logging.py
+++ b/src/peppershore/process/logging.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 
 import msgspec
+from absl import flags
 from absl import logging as absl_logging
 
 from peppershore.process.commands import Notice
@@ -54,8 +55,8 @@
 
     ``level`` is one of ``LEVELS``; settings are checked before they come here.
     """
+    flags.FLAGS.mark_as_parsed()  # click reads the command line, not absl
     absl_logging.use_absl_handler()
-    absl_logging.set_stderrthreshold("fatal")
     absl_logging.set_verbosity(LEVELS[level])
     handler = absl_logging.get_absl_handler()
     handler.python_handler.stream = sys.stderr
