--- a/src/peppershore/version/catalog.py
+++ b/src/peppershore/version/catalog.py
@@ -11,8 +11,11 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+
 from peppershore.version.editor import AppliedEdit
 from peppershore.version.model import (
+    ANY_ZONE,
     ROOT_PATH,
     Digest,
     Scope,
@@ -21,7 +24,12 @@
     Update,
     Version,
 )
-from peppershore.version.resource_tables import GroupKey, GroupTable, SecretTable
+from peppershore.version.resource_tables import (
+    GroupKey,
+    GroupTable,
+    SecretTable,
+    TouchedZones,
+)
 from peppershore.version.scope_contents import HolderIndex, collect_contents
 from peppershore.version.scope_state import ScopeState
 from peppershore.version.tree import empty_tree
@@ -68,7 +76,7 @@
         if tree.version < self._tree.version:
             raise AssertionError(f"{tree.version} is below {self._tree.version}")
         self._tree = tree
-        changed_groups = self._groups.refresh(tree, self._groups.services)
+        changed_groups = self._groups.refresh(tree, self._all_groups())
         changed_secrets = self._secrets.refresh(tree, self._secrets.names)
         return self._put_together(changed_groups, changed_secrets)
 
@@ -79,7 +87,7 @@
                 f"{applied.tree.version} does not follow {self._tree.version}"
             )
         self._tree = applied.tree
-        touched = self._touched_services(applied)
+        touched = self._touched_groups(applied)
         changed_groups = self._groups.refresh(applied.tree, touched)
         changed_secrets = self._secrets.refresh(applied.tree, applied.changed_secrets)
         return self._put_together(changed_groups, changed_secrets)
@@ -137,10 +145,17 @@
             self._states[scope] = state
         return state
 
-    def _touched_services(self, applied: AppliedEdit) -> frozenset[str]:
+    def _all_groups(self) -> TouchedZones:
+        return dict.fromkeys(self._groups.services, frozenset({ANY_ZONE}))
+
+    def _touched_groups(self, applied: AppliedEdit) -> TouchedZones:
         if ROOT_PATH in applied.changed_paths:
-            return self._groups.services
-        return frozenset(split_path(path).service for path in applied.changed_paths)
+            return self._all_groups()
+        zones: dict[str, set[str]] = defaultdict(set)
+        for text in applied.changed_paths:
+            path = split_path(text)
+            zones[path.service].add(path.zone or ANY_ZONE)
+        return {service: frozenset(names) for service, names in zones.items()}
 
     def _put_together(
         self, changed_groups: set[GroupKey], changed_secrets: set[str]
--- a/src/peppershore/version/resource_tables.py
+++ b/src/peppershore/version/resource_tables.py
@@ -19,6 +19,9 @@
 )
 from peppershore.version.model import ANY_ZONE, Tree, Value
 
+TouchedZones = dict[str, frozenset[str]]
+"""Zones in which nodes of a service changed, by service; "*" stands for all."""
+
 _GroupsByZone = dict[str, ServiceGroup | None]
 
 
@@ -48,23 +51,24 @@
             groups[zone] = _encode_in_zone(tree, service, zone, groups, known)
         return groups[zone]
 
-    def refresh(self, tree: Tree, services: Iterable[str]) -> set[GroupKey]:
-        """Encode known groups of services again; give those that differ now."""
+    def refresh(self, tree: Tree, touched: TouchedZones) -> set[GroupKey]:
+        """Encode known groups that an edit touched again; give those that differ now."""
         changed: set[GroupKey] = set()
-        for service in services:
+        for service, zones in touched.items():
             former = self._groups.get(service)
-            if former is None:
-                continue
-            changed |= self._refresh_service(tree, service, former)
+            if former is not None:
+                stale = former if ANY_ZONE in zones else zones & former.keys()
+                changed |= self._refresh_service(tree, service, frozenset(stale))
         return changed
 
     def _refresh_service(
-        self, tree: Tree, service: str, former: _GroupsByZone
+        self, tree: Tree, service: str, stale: frozenset[str]
     ) -> set[GroupKey]:
+        former = self._groups[service]
         known = _known_entries(former)
-        groups: _GroupsByZone = {}
+        groups = {zone: group for zone, group in former.items() if zone not in stale}
         changed = set()
-        for zone in former:
+        for zone in stale:
             if zone not in groups:
                 groups[zone] = _encode_in_zone(tree, service, zone, groups, known)
             if _is_same(former[zone], groups[zone]):
--- a/src/peppershore/version/tree_file.py
+++ b/src/peppershore/version/tree_file.py
@@ -43,7 +43,7 @@
 from peppershore.version.path import parse_path, service_path
 from peppershore.version.resolve import set_values
 from peppershore.version.setting_rules import SETTING_RULES
-from peppershore.version.tree_index import split_path
+from peppershore.version.tree_index import referenced_secrets, split_path
 from peppershore.version.validation import validate_tree
 
 FILE_SUBJECT = "file"
@@ -97,7 +97,8 @@
 ) -> Result[Tree, tuple[Problem, ...]]:
     """Give the valid tree of a text at version 0, or everything wrong with it.
 
-    ``secrets`` stand in for a missing ``secrets`` table.
+    ``secrets`` stand in for a missing ``secrets`` table.  Without either, the
+    names of secrets can't be checked and the tree comes without secrets.
     """
     try:
         table = tomllib.loads(text)
@@ -105,10 +106,21 @@
         return Failure((Problem(FILE_SUBJECT, f"not TOML: {problem}"),))
     reader = _Reader(table)
     tree = reader.read_tree(secrets or {})
-    problems = tuple(reader.problems) or validate_tree(tree)
+    secrets_are_known = "secrets" in table or secrets is not None
+    checked = tree if secrets_are_known else _with_named_secrets(tree)
+    problems = tuple(reader.problems) or validate_tree(checked)
     return Failure(problems) if problems else Success(tree)
 
 
+def _with_named_secrets(tree: Tree) -> Tree:
+    """Give the tree with a placeholder for each secret it names."""
+    placeholder = Secret((SecretGeneration(1, b"placeholder"),), signing_generation=1)
+    names = frozenset().union(
+        *(referenced_secrets(node.overrides) for node in tree.nodes.values())
+    )
+    return msgspec.structs.replace(tree, secrets=dict.fromkeys(names, placeholder))
+
+
 def _secret_form(secret: Secret) -> _SecretForm:
     return _SecretForm(
         signing_generation=secret.signing_generation,
--- a/tests/version/test_tree_file.py
+++ b/tests/version/test_tree_file.py
@@ -99,6 +99,15 @@
     )
 
 
+def test_names_of_secrets_count_once_the_secrets_are_known() -> None:
+    text = tree_to_toml(refund_tree())
+    assert tree_from_toml(text).unwrap().secrets == {}
+    problems = tree_from_toml(text, secrets={}).failure()
+    assert {each.subject for each in problems} == {"/kassa", "/kassa/*/pay"}
+    broken = text.replace('target = "kuitti"', 'target = "nobody"')
+    assert [each.subject for each in tree_from_toml(broken).failure()] == ["/till/*/status"]
+
+
 def test_material_is_written_on_demand_only() -> None:
     assert "secrets" not in tree_to_toml(refund_tree())
     assert "material_base64" in tree_to_toml(refund_tree(), with_material=True)
