Version: paths with dot segments match no route

Cause: routes are matched by prefix, so /pay/../status was judged by the audience of /pay, while a back end that resolves dots serves /status. Found by reading; ten forms (encoded, backslash, parameters) were put into a test, which failed before. Conclusion: refused as no route.

--- a/src/peppershore/version/active.py
+++ b/src/peppershore/version/active.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from collections.abc import Iterable
 
 from peppershore.version.model import (
@@ -20,6 +19,9 @@
 )
 from peppershore.version.resource_codec import decode_resource
 
+DOT_SEGMENTS = (".", "..")
+ENCODED_SIGNS = (("%2e", "."), ("%2f", "/"), ("%5c", "\\"), ("%3b", ";"))
+
 
 class ActiveConfiguration(Value, frozen=True):
     """All that one node holds, as its data plane uses it.
@@ -42,8 +44,12 @@
 
         ``service`` narrows the search to one service's routes.  Between routes
         of equal prefix the hosted service's comes first, then by name.  A
-        prefix ends at a segment: "/pay" takes "/pay/1" and not "/payout".
+        prefix ends at a segment: "/pay" takes "/pay/1" and not "/payout".  A path
+        with dot segments matches nothing: what a back end makes of "/pay/../x"
+        may belong to another route, with another audience.
         """
+        if _has_dot_segment(path):
+            return None
         for route in self.routes:
             if service and route.service != service:
                 continue
@@ -53,6 +59,8 @@
 
     def allowed_methods(self, path: str, service: str = "") -> tuple[str, ...]:
         """Give the methods that some route takes on ``path``; none: no route."""
+        if _has_dot_segment(path):
+            return ()
         methods: set[str] = set()
         for route in self.routes:
             if (not service or route.service == service) and _covers(route, path):
@@ -94,21 +102,25 @@
     return contents
 
 
-def routes_by_service(
-    active: ActiveConfiguration,
-) -> dict[str, tuple[RouteResource, ...]]:
-    """Give the routes of each service that has any, in the order they match."""
-    grouped: dict[str, list[RouteResource]] = defaultdict(list)
-    for route in active.routes:
-        grouped[route.service].append(route)
-    return {service: tuple(routes) for service, routes in grouped.items()}
-
-
 def _match_order(hosted: str, route: RouteResource) -> tuple[int, bool, str, str]:
     length = len(route.settings.path_prefix)
     return (-length, route.service != hosted, route.service, route.route)
 
 
+def _has_dot_segment(path: str) -> bool:
+    """Tell whether a path, before its query, has a "." or ".." segment in any form.
+
+    Percent-encoded, behind a backslash, or with parameters (";") it counts too.
+    """
+    plain = path.partition("?")[0].lower()
+    if not any(sign in plain for sign in ("/.", "%", "\\")):
+        return False
+    for encoded, sign in ENCODED_SIGNS:
+        plain = plain.replace(encoded, sign)
+    segments = plain.replace("\\", "/").split("/")
+    return any(segment.partition(";")[0] in DOT_SEGMENTS for segment in segments)
+
+
 def _covers(route: RouteResource, path: str) -> bool:
     prefix = route.settings.path_prefix
     if not path.startswith(prefix):
--- a/tests/version/test_snapshot_updates.py
+++ b/tests/version/test_snapshot_updates.py
@@ -132,6 +132,34 @@
     assert active.allowed_methods("/pay") == ("GET", "POST")
 
 
+@pytest.mark.parametrize(
+    "path",
+    [
+        "/pay/../status",
+        "/pay/..",
+        "/pay/./1",
+        "/pay/%2e%2E/status",
+        "/pay/%2e./status",
+        "/pay/..%2fstatus",
+        "/pay/..%5Cstatus",
+        "/pay/..;x=1/status",
+        "/pay/%2e%2e%3bx/status",
+        "/pay\\..\\status",
+    ],
+)
+def test_a_path_that_leads_elsewhere_matches_nothing(path: str) -> None:
+    active = open_snapshot(held_and_delta()[0])
+    assert active.match_route("/pay/x", "POST") is not None
+    assert active.match_route(path, "POST") is None
+    assert active.allowed_methods(path) == ()
+
+
+def test_dots_that_are_no_segment_do_no_harm() -> None:
+    active = open_snapshot(held_and_delta()[0])
+    for path in ("/pay/a..b", "/pay/.hidden", "/pay/x%20y", "/pay?next=/../x"):
+        assert active.match_route(path, "POST") is not None, path
+
+
 def test_key_material_stays_out_of_texts() -> None:
     held, _ = held_and_delta()
     active = open_snapshot(held)
