Command line runs against a control replica; conflicts show what won; status page

Cause: a leader that stepped down answered a proposed edit like one never seen, and a refused question was asked until the time was over. Conclusion: NotLeader says whether an edit is undecided; a refusal by all replicas ends the search with its own exit code.

--- a/src/peppershore/command/client.py
+++ b/src/peppershore/command/client.py
@@ -15,7 +15,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from peppershore.command.failures import Failed, unreachable
+from peppershore.command.failures import Failed, refused, unreachable
 from peppershore.connection.codec import encode_message
 from peppershore.connection.link import Link, open_link
 from peppershore.connection.messages import Message, NotLeader, Refused, RetryAfter
@@ -43,9 +43,24 @@
 
 
 class Redirected(msgspec.Struct, frozen=True):
-    """The replica named another one, or none."""
+    """The replica does not lead; it names the leader if it knows one.
+
+    ``undecided``: it led when the question came and may have carried it out.
+    """
 
     leader: str
+    undecided: bool
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """The replica will never answer this; another replica might."""
+
+    reason: str
+    detail: str
+
+
+OtherAnswer = Redirected | Refusal | LinkLost | RetryAfter
+"""What may come instead of the answer asked for."""
 
 
 class OperatorLink:
@@ -85,7 +100,9 @@
         self._loop = asyncio.get_running_loop()
         self._deadline = self._loop.time() + group.timeout_seconds
         self._waiting = deque(group.replicas)
-        self._group = group
+        self.group = group
+        self._refusals: dict[str, Refusal] = {}
+        self._redirected: set[str] = set()
         self.reasons: dict[str, str] = {}
         self.maybe_sent = False
 
@@ -95,15 +112,22 @@
         return self._deadline - self._loop.time()
 
     async def next_address(self) -> str | None:
-        """Give the next replica to try; pause after each round; None when over."""
+        """Give the next replica to try; pause after each round; None when over.
+
+        It is over when the time is, or when every replica given has refused.
+        """
+        if self._refusals.keys() >= set(self.group.replicas):
+            return None
         if not self._waiting:
             await asyncio.sleep(max(0.0, min(PAUSE_SECONDS, self.remaining_seconds)))
-            self._waiting.extend(self._group.replicas)
+            self._waiting.extend(self.group.replicas)
+            self._redirected.clear()
         return None if self.remaining_seconds <= 0 else self._waiting.popleft()
 
     def prefer(self, address: str) -> None:
-        """Try ``address`` next."""
-        if address and address not in self._waiting:
+        """Try ``address`` next, but once in a round: replicas may disagree."""
+        if address and address not in self._redirected:
+            self._redirected.add(address)
             self._waiting.appendleft(address)
 
     def note(self, address: str, lost: LinkLost) -> None:
@@ -111,8 +135,16 @@
         self.reasons[address] = lost.reason
         self.maybe_sent = self.maybe_sent or lost.sent
 
+    def refuse(self, address: str, refusal: Refusal) -> None:
+        """Remember that a replica refused the question."""
+        self._refusals[address] = refusal
+        self.reasons[address] = f"refused: {refusal.reason}"
+
     def failed(self) -> Failed:
-        """Say that no replica answered."""
+        """Say that no replica answered, or why all refused."""
+        if self._refusals:
+            last = tuple(self._refusals.values())[-1]
+            return refused(last.reason, last.detail)
         reasons = (f"{address} ({reason})" for address, reason in self.reasons.items())
         return unreachable(tuple(reasons) or ("no time to try one",))
 
@@ -131,10 +163,10 @@
     search = Search(group)
     payload = encode_message(question)
     while (address := await search.next_address()) is not None:
-        outcome = await _ask_one(address, payload, answer_type, search)
-        if isinstance(outcome, answer_type):
-            return Success(outcome)
-        await _learn(search, address, outcome)
+        message = await _ask_one(address, payload, search)
+        if isinstance(message, answer_type):
+            return Success(message)
+        await _learn(search, address, _other_answer(message))
     return Failure(NoAnswer(search.failed(), search.maybe_sent))
 
 
@@ -166,43 +198,40 @@
     yield Failure(NoAnswer(search.failed(), search.maybe_sent))
 
 
-async def _ask_one(
-    address: str, payload: bytes, answer_type: type[Answer], search: Search
-) -> Answer | Redirected | LinkLost | RetryAfter:
-    link = await open_link(address, search._group.tls)
+async def _ask_one(address: str, payload: bytes, search: Search) -> Message | LinkLost:
+    link = await open_link(address, search.group.tls)
     if isinstance(link, str):
         return LinkLost(link, sent=False)
     operator_link = OperatorLink(link)
     try:
         operator_link.send(payload)
         limit = min(ANSWER_TIMEOUT_SECONDS, max(0.0, search.remaining_seconds))
-        message = await operator_link.receive(limit)
+        return await operator_link.receive(limit)
     finally:
         operator_link.close()
-    return message if isinstance(message, answer_type) else _other_answer(message)
 
 
-def _other_answer(message: Message | LinkLost) -> Redirected | LinkLost | RetryAfter:
+def _other_answer(message: Message | LinkLost) -> OtherAnswer:
     if isinstance(message, LinkLost | RetryAfter):
         return message
     if isinstance(message, NotLeader):
-        return Redirected(message.leader)
+        return Redirected(message.leader, message.undecided)
     if isinstance(message, Refused):
-        return LinkLost(f"refused: {message.reason} {message.detail}".strip(), sent=False)
+        return Refusal(message.reason, message.detail)
     return LinkLost(f"unexpected {type(message).__name__}", sent=True)
 
 
-async def _learn(
-    search: Search, address: str, outcome: Message | Redirected | LinkLost
-) -> None:
+async def _learn(search: Search, address: str, outcome: OtherAnswer) -> None:
     """Take from an outcome that is no answer where and when to try next."""
     if isinstance(outcome, Redirected):
-        search.note(address, LinkLost("does not lead", sent=False))
+        search.note(address, LinkLost("does not lead", sent=outcome.undecided))
         if outcome.leader != address:
             search.prefer(outcome.leader)
     elif isinstance(outcome, RetryAfter):
         search.note(address, LinkLost("busy", sent=False))
         wait = outcome.milliseconds / MILLISECONDS_PER_SECOND
         await asyncio.sleep(max(0.0, min(wait, search.remaining_seconds)))
+    elif isinstance(outcome, Refusal):
+        search.refuse(address, outcome)
     elif isinstance(outcome, LinkLost):
         search.note(address, outcome)
--- a/src/peppershore/command/edits.py
+++ b/src/peppershore/command/edits.py
@@ -11,7 +11,7 @@
 
 from peppershore.command.client import ControlGroup, NoAnswer, ask
 from peppershore.command.exit_codes import ExitCode
-from peppershore.command.failures import Failed, invalid, not_found
+from peppershore.command.failures import Failed, invalid
 from peppershore.connection.messages import (
     EditAnswered,
     SubmitEdit,
@@ -37,6 +37,7 @@
     Tree,
     Version,
 )
+from peppershore.version.resolve import set_values
 from peppershore.version.tree import revision_of
 
 NEWEST: Version = 0
@@ -57,15 +58,11 @@
 
 
 async def read_tree(group: ControlGroup, version: Version = NEWEST) -> Result[Tree, Failed]:
-    """Give the tree at a version; 0 is the newest that a quorum confirms."""
+    """Give the tree as of a version; 0 is the newest that a quorum confirms."""
     answer = await ask(group, TreeQuery(version), TreeAnswered)
     if isinstance(answer, Failure):
         return Failure(answer.failure().failed)
-    tree = answer.unwrap().tree
-    if version not in (NEWEST, tree.version):
-        step = "`peppershore tree history` lists the versions kept"
-        return Failure(not_found(f"version {version}", step))
-    return Success(tree)
+    return Success(answer.unwrap().tree)
 
 
 async def submit(group: ControlGroup, request: EditRequest) -> Result[EditAccepted, Failed]:
@@ -90,7 +87,10 @@
     answer = await ask(group, SubmitEdit(edit), EditAnswered)
     if isinstance(answer, Failure):
         return Failure(_unanswered(edit, answer.failure()))
-    return judge(answer.unwrap().outcome)
+    outcome = answer.unwrap().outcome
+    if isinstance(outcome, EditConflict):
+        return Failure(await _conflict_with_winner(group, outcome))
+    return judge(outcome)
 
 
 def judge(outcome: EditOutcome) -> Result[EditAccepted, Failed]:
@@ -146,6 +146,19 @@
     )
 
 
+async def _conflict_with_winner(group: ControlGroup, outcome: EditConflict) -> Failed:
+    """Add what the winner left on the subject, if it can be read."""
+    failed = _conflict(outcome)
+    found = await read_tree(group)
+    node = found.map(lambda tree: tree.nodes.get(outcome.subject)).value_or(None)
+    if node is None:
+        return failed
+    values = set_values(node.overrides)
+    shown = " ".join(f"{name}={value}" for name, value in values.items())
+    message = f"{failed.message}; there is now: {shown or 'no override'}"
+    return msgspec.structs.replace(failed, message=message, present=values)
+
+
 def _expired(outcome: EditExpired) -> Failed:
     return Failed(
         code=ExitCode.EXPIRED,
--- a/src/peppershore/command/exit_codes.py
+++ b/src/peppershore/command/exit_codes.py
@@ -28,3 +28,5 @@
     """What the command names does not exist."""
     NOT_IN_FORCE = 9
     """The time given ran out before the version was in force everywhere."""
+    NOT_PERMITTED = 10
+    """The certificate does not allow what was asked."""
--- a/src/peppershore/command/failures.py
+++ b/src/peppershore/command/failures.py
@@ -7,6 +7,27 @@
 from peppershore.command.exit_codes import ExitCode
 from peppershore.version.model import Problem
 
+_REFUSALS: dict[str, tuple[ExitCode, str]] = {
+    "version-not-kept": (
+        ExitCode.NOT_FOUND,
+        "`peppershore tree history` lists the versions kept",
+    ),
+    "role": (
+        ExitCode.NOT_PERMITTED,
+        "use a certificate of an operator (`peppershore keys make CLUSTER operator/NAME`)",
+    ),
+    "not authorized": (
+        ExitCode.NOT_PERMITTED,
+        "use a certificate of an operator (`peppershore keys make CLUSTER operator/NAME`)",
+    ),
+}
+"""What a refusal's stable word means to the caller of a command."""
+
+_OTHER_REFUSAL = (
+    ExitCode.UNREACHABLE,
+    "check that command line and replicas are of one release",
+)
+
 
 class Failed(msgspec.Struct, frozen=True, kw_only=True):
     """A command's failure, ready to be shown to a person or as JSON."""
@@ -21,6 +42,7 @@
     expected_revision: int | None = None
     actual_revision: int | None = None
     winner_change_id: str = ""
+    present: dict[str, object] | None = None
 
 
 def unreachable(reasons: tuple[str, ...]) -> Failed:
@@ -33,6 +55,17 @@
     )
 
 
+def refused(reason: str, detail: str) -> Failed:
+    """Every replica refused the question; ``reason`` is its stable word."""
+    code, next_step = _REFUSALS.get(reason, _OTHER_REFUSAL)
+    return Failed(
+        code=code,
+        kind=reason,
+        message=f"the control group refuses: {reason} ({detail})",
+        next_step=next_step,
+    )
+
+
 def not_found(what: str, next_step: str) -> Failed:
     """The named thing does not exist."""
     return Failed(
--- a/src/peppershore/command/tree_file_commands.py
+++ b/src/peppershore/command/tree_file_commands.py
@@ -23,9 +23,9 @@
 from peppershore.command.history import HistoryView, change_rows, read_history
 from peppershore.command.options import OperatorContext, operator_options
 from peppershore.command.output import show_json, show_table, stop_with
+from peppershore.process.control.redaction import HIDDEN_MATERIAL
 from peppershore.version.difference import Difference, compare_trees
-from peppershore.version.model import Tree, Version
-from peppershore.version.redaction import puts_hidden_material
+from peppershore.version.model import Operation, PutSecret, Tree, Version
 from peppershore.version.revert import revert_operations
 from peppershore.version.tree_file import tree_from_toml, tree_to_toml
 
@@ -220,7 +220,7 @@
     if dry_run or not operations:
         _show_differences(context, trees, differences)
         return
-    missing = puts_hidden_material(operations)
+    missing = _secrets_without_material(operations)
     if missing:
         listed = ", ".join(missing)
         message = f"the material of {listed} is no longer in the tree and can't come back"
@@ -231,6 +231,15 @@
     show_accepted(context, accepted)
 
 
+def _secrets_without_material(operations: tuple[Operation, ...]) -> tuple[str, ...]:
+    """Give the secrets that can't be made: operators never get material back."""
+    return tuple(
+        operation.name
+        for operation in operations
+        if isinstance(operation, PutSecret) and operation.material == HIDDEN_MATERIAL
+    )
+
+
 def _show_differences(
     context: OperatorContext, trees: TwoTrees, differences: tuple[Difference, ...]
 ) -> None:
--- a/src/peppershore/connection/messages.py
+++ b/src/peppershore/connection/messages.py
@@ -437,9 +437,14 @@
 
 
 class NotLeader(Message, frozen=True, tag=92):
-    """This replica can't answer; ``leader`` is an address or empty if unknown."""
+    """This replica can't answer; ``leader`` is an address or empty if unknown.
+
+    ``undecided``: the edit was proposed and may still be accepted; the sender
+    learns its outcome by sending it again with the same change id.
+    """
 
     leader: str
+    undecided: bool = False
 
 
 class TreeQuery(Message, frozen=True, tag=93):
--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -271,7 +271,7 @@
     def on_leadership_lost(self) -> None:
         """Edits under way may commit: who waits asks again with the same change id."""
         for link in self._intake.end():
-            self._answer(link, NotLeader(self.leader_address))
+            self._answer(link, NotLeader(self.leader_address, undecided=True))
 
     def has_unanswered(self) -> bool:
         """Whether an edit waits for its outcome."""
--- a/src/peppershore/process/control/shell.py
+++ b/src/peppershore/process/control/shell.py
@@ -11,6 +11,7 @@
 from peppershore.process.control.clock import ClockObserved
 from peppershore.process.control.core import ControlCore
 from peppershore.process.settings import ControlSettings
+from peppershore.process.status_page import STATUS_PATH, status_page
 
 CLOCK_SECONDS = 1.0
 NANOSECONDS_PER_MILLISECOND = 1_000_000
@@ -36,7 +37,10 @@
     state = process.core.state
     process.metrics.gauge("version", "Newest accepted version.", lambda: state.tree.version)
     clock = asyncio.get_running_loop().create_task(_observe_clock(process.shell))
-    await process.serve(on_ready)
+    pages = {
+        STATUS_PATH: lambda _query: status_page(process.core.status(), state.tree),
+    }
+    await process.serve(on_ready, pages)
     clock.cancel()
 
 
--- a/tests/logging/test_hidden_material.py
+++ b/tests/logging/test_hidden_material.py
@@ -12,8 +12,12 @@
 from hypothesis import strategies as st
 
 from peppershore.connection.codec import MESSAGE_TYPES
-from peppershore.connection.messages import Message
+from peppershore.connection.messages import CommittedEdit, Message
 from peppershore.process.commands import Notice
+from peppershore.process.control.redaction import (
+    edits_without_material,
+    without_material,
+)
 from peppershore.process.logging import JsonLineFormatter, LogIdentity
 from peppershore.version.model import (
     Edit,
@@ -23,7 +27,6 @@
     SecretResource,
     Tree,
 )
-from peppershore.version.redaction import redact_edit, redact_tree
 from peppershore.version.resource_codec import encode_resource
 
 MATERIAL = bytes(range(200, 232))
@@ -82,8 +85,9 @@
 
 def test_operators_get_trees_and_edits_without_material() -> None:
     secret = Secret((SecretGeneration(1, MATERIAL),), 1)
-    tree = redact_tree(Tree("refund", 1, {}, {}, {"key": secret}))
-    edit = redact_edit(Edit("id", (PutSecret("key", MATERIAL),)))
+    tree = without_material(Tree("refund", 1, {}, {}, {"key": secret}))
+    edit = Edit("id", (PutSecret("key", MATERIAL),))
+    shown = edits_without_material((CommittedEdit(1, edit),))[0].edit
     assert tree.secrets["key"].generations[0].material != MATERIAL
-    assert all(getattr(item, "material", b"") != MATERIAL for item in edit.operations)
+    assert all(getattr(item, "material", b"") != MATERIAL for item in shown.operations)
     assert tree.secrets["key"].signing_generation == 1
