--- a/src/peppershore/process/consensus/core.py
+++ b/src/peppershore/process/consensus/core.py
@@ -63,6 +63,9 @@
 FIRST_INDEX = 1
 FIRST_TERM = 1
 
+MAX_KEPT_FACTOR = 10
+"""A snapshot under way holds back at most so many times ``kept_entries``."""
+
 
 class ConsensusSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds and times of the consensus core.
@@ -195,7 +198,7 @@
         assert term is not None and index <= self.commit_index
         membership = self.memberships.at(index)
         self.snapshot = StateSnapshot(index, term, membership, state)
-        self.log.compact(max(self.log.base_index, index - self.settings.kept_entries))
+        self.log.compact(self._compaction_point(index))
         self.durability.add(SaveSnapshot(self.snapshot, self.log.base_index))
 
     def persisted(self, token: int, now: float) -> None:
@@ -401,6 +404,17 @@
         member = find_member(self.membership, name)
         return member is not None and member.identity == identity
 
+    def _compaction_point(self, snapshot_index: int) -> int:
+        """Keep some entries for peers behind, more while one receives a snapshot."""
+        kept = self.settings.kept_entries
+        point = snapshot_index - kept
+        under_way = None
+        if self.leadership is not None:
+            under_way = self.leadership.oldest_snapshot_under_way()
+        if under_way is not None:
+            point = max(min(point, under_way), snapshot_index - MAX_KEPT_FACTOR * kept)
+        return point
+
     def _set_leader(self, leader: str) -> None:
         if leader != self.leader:
             self.leader = leader
--- a/src/peppershore/process/consensus/leadership.py
+++ b/src/peppershore/process/consensus/leadership.py
@@ -106,8 +106,7 @@
             return
         peer.take_round(reply.round)
         self._note_answers()
-        snapshot = self._core.snapshot
-        if snapshot is None or snapshot.index != reply.index:
+        if peer.snapshot is None or peer.snapshot.index != reply.index:
             return
         if peer.take_received_bytes(reply.received_bytes):
             self._send_snapshot(peer)
@@ -125,6 +124,11 @@
         peer = self._peers.get(name)
         return 0 if peer is None else peer.match_index
 
+    def oldest_snapshot_under_way(self) -> int | None:
+        """Index of the oldest snapshot a peer is still receiving."""
+        indexes = [peer.snapshot.index for peer in self._peers.values() if peer.snapshot]
+        return min(indexes, default=None)
+
     def own_log_durable(self, index: int) -> None:
         """This replica's own disk holds the log up to ``index``."""
         self.own_match = max(self.own_match, index)
@@ -285,7 +289,7 @@
     def _send_snapshot_or_heartbeat(self, peer: PeerProgress, heartbeat: bool) -> None:
         snapshot = self._core.snapshot
         assert snapshot is not None
-        if peer.begin_snapshot(snapshot.index) or (heartbeat and peer.snapshot_stalled()):
+        if peer.begin_snapshot(snapshot) or (heartbeat and peer.snapshot_stalled()):
             self._send_snapshot(peer)
         elif heartbeat:
             request = self._append_request(self._core.log.base_index, ())
@@ -293,7 +297,7 @@
 
     def _send_snapshot(self, peer: PeerProgress) -> None:
         core = self._core
-        snapshot = core.snapshot
+        snapshot = peer.snapshot
         assert snapshot is not None
         start = peer.snapshot_offset
         end = start + core.settings.snapshot_chunk_bytes
--- a/src/peppershore/process/consensus/peer_progress.py
+++ b/src/peppershore/process/consensus/peer_progress.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-STALLED_HEARTBEATS = 20
+from peppershore.process.consensus.records import StateSnapshot
+
+STALLED_HEARTBEATS = 4
 """A piece of snapshot without answer is sent again after so many heartbeats."""
 
 
@@ -15,10 +17,10 @@
         self.next_index = next_index
         self.match_index = 0
         self.answered_round = 0
+        self.snapshot: StateSnapshot | None = None
         self.snapshot_offset = 0
         self._probing = True
         self._unanswered = 0
-        self._snapshot_index = 0
         self._silent_heartbeats = 0
 
     def restart(self) -> None:
@@ -26,7 +28,7 @@
         self.next_index = self.match_index + 1
         self._probing = True
         self._unanswered = 0
-        self._snapshot_index = 0
+        self.snapshot = None
 
     def take_round(self, round_number: int) -> None:
         """Count an answer to a message of that round."""
@@ -38,7 +40,7 @@
         self.next_index = max(self.next_index, self.match_index + 1)
         self._probing = False
         self._unanswered = max(0, self._unanswered - 1)
-        self._snapshot_index = 0
+        self.snapshot = None
 
     def take_mismatch(self, hint_index: int) -> None:
         """The peer's log differs somewhere after ``hint_index``."""
@@ -55,11 +57,14 @@
         self.next_index = last_index + 1
         self._unanswered += 1
 
-    def begin_snapshot(self, index: int) -> bool:
-        """Start sending the snapshot at ``index``; False if that already runs."""
-        if self._snapshot_index == index:
+    def begin_snapshot(self, snapshot: StateSnapshot) -> bool:
+        """Start sending a snapshot; False if one is on its way.
+
+        A newer snapshot doesn't replace it, else a slow peer would never finish.
+        """
+        if self.snapshot is not None:
             return False
-        self._snapshot_index = index
+        self.snapshot = snapshot
         self.snapshot_offset = 0
         self._silent_heartbeats = 0
         return True
--- a/src/peppershore/process/control/state.py
+++ b/src/peppershore/process/control/state.py
@@ -46,6 +46,11 @@
     return _ENCODER.encode(command)
 
 
+def decode_command(payload: bytes) -> ControlCommand:
+    """Command of a log entry that this program wrote."""
+    return _COMMANDS.decode(payload)
+
+
 class ControlState:
     """Applies log commands; an equal log gives an equal state on every replica."""
 
@@ -68,7 +73,7 @@
 
     def apply(self, index: int, payload: bytes) -> None:
         """Apply the command of the entry at ``index``."""
-        command = _COMMANDS.decode(payload)
+        command = decode_command(payload)
         if isinstance(command, OutcomeNoted):
             self._record(index, command.outcome)
             return
