Consensus: durable log and settings in modules of their own

Cause: core.py held the log's durability and the settings of every replica; both change for other reasons. No change of behaviour: tests of consensus, claims and control pass unchanged.

--- a/src/peppershore/process/claims/core.py
+++ b/src/peppershore/process/claims/core.py
@@ -36,9 +36,9 @@
     Taken,
     encode_entry,
 )
-from peppershore.process.consensus.core import ConsensusSettings
 from peppershore.process.consensus.records import StoredState
-from peppershore.process.consensus.replica import ReplicaCore, ReplicaSettings
+from peppershore.process.consensus.replica import ReplicaCore
+from peppershore.process.consensus.settings import ConsensusSettings, ReplicaSettings
 from peppershore.process.events import LinkId
 from peppershore.process.settings import ClaimsSettings
 
--- a/src/peppershore/process/consensus/core.py
+++ b/src/peppershore/process/consensus/core.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from peppershore.connection.messages import (
     AppendReply,
     AppendRequest,
@@ -22,15 +20,13 @@
     VoteReply,
     VoteRequest,
 )
-from peppershore.process.consensus.durability import DurabilityQueue
+from peppershore.process.consensus.durable_log import DurableLog
 from peppershore.process.consensus.election import Election, answer_vote_request
 from peppershore.process.consensus.following import Following
 from peppershore.process.consensus.leadership import Leadership
 from peppershore.process.consensus.log import ReplicatedLog
 from peppershore.process.consensus.membership import (
-    EMPTY_MEMBERSHIP,
     MembershipHistory,
-    decode_membership,
     encode_membership,
     find_member,
     group_id_of,
@@ -49,15 +45,13 @@
 )
 from peppershore.process.consensus.records import (
     HardState,
-    InstallSnapshot,
-    SaveEntries,
     SaveGroup,
     SaveHardState,
-    SaveSnapshot,
     StateSnapshot,
     StoredState,
 )
 from peppershore.process.consensus.role import Role
+from peppershore.process.consensus.settings import ConsensusSettings
 from peppershore.process.randomness import Randomness
 
 FIRST_INDEX = 1
@@ -67,22 +61,6 @@
 """A snapshot under way holds back at most so many times ``kept_entries``."""
 
 
-class ConsensusSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Bounds and times of the consensus core.
-
-    ``kept_entries`` stay in the log behind a snapshot, for peers slightly behind.
-    """
-
-    replica: str
-    heartbeat_seconds: float = 0.05
-    election_seconds: float = 0.4
-    kept_entries: int = 2_000
-    max_unanswered_messages: int = 64
-    max_message_entries: int = 512
-    max_message_bytes: int = 1_048_576
-    snapshot_chunk_bytes: int = 1_048_576
-
-
 class Consensus:
     """One replica's part in keeping one log equal on all replicas."""
 
@@ -95,16 +73,14 @@
         self.group_id = stored.group_id
         self.term = stored.hard_state.term
         self.voted_for = stored.hard_state.voted_for
-        self.snapshot = stored.snapshot
-        self.log = _stored_log(stored)
-        self.memberships = _stored_memberships(stored)
+        self.durable_log = DurableLog(stored)
         self.commit_index = 0 if stored.snapshot is None else stored.snapshot.index
         self.role = Role.FOLLOWER
         self.leader = ""
         self.leader_heard_at = 0.0
         self.leadership: Leadership | None = None
         self.election: Election | None = None
-        self.durability = DurabilityQueue()
+        self.durability = self.durable_log.durability
         self.disk_refused = False
         self._following = Following(self)
         self._randomness = randomness
@@ -194,12 +170,8 @@
 
     def compact(self, index: int, state: bytes) -> None:
         """Keep the state after the entry at ``index``; drop old entries."""
-        term = self.log.term_at(index)
-        assert term is not None and index <= self.commit_index
-        membership = self.memberships.at(index)
-        self.snapshot = StateSnapshot(index, term, membership, state)
-        self.log.compact(self._compaction_point(index))
-        self.durability.add(SaveSnapshot(self.snapshot, self.log.base_index))
+        assert index <= self.commit_index
+        self.durable_log.compact(index, state, self._compaction_point(index))
 
     def persisted(self, token: int, now: float) -> None:
         """The records of that write are durable."""
@@ -237,6 +209,21 @@
 
     # --- state that the parts share ------------------------------------------
 
+    @property
+    def log(self) -> ReplicatedLog:
+        """The entries after the compaction point."""
+        return self.durable_log.entries
+
+    @property
+    def snapshot(self) -> StateSnapshot | None:
+        """The newest snapshot of the state."""
+        return self.durable_log.snapshot
+
+    @property
+    def memberships(self) -> MembershipHistory:
+        """The memberships along the log."""
+        return self.durable_log.memberships
+
     @property
     def membership(self) -> Membership:
         """The newest membership in the log, committed or not."""
@@ -327,25 +314,17 @@
 
     def append(self, entries: tuple[LogEntry, ...]) -> None:
         """Add entries to the log, in memory and on disk."""
-        for entry in entries:
-            self.log.append(entry)
-            if entry.kind is EntryKind.MEMBERSHIP:
-                self.memberships.append(entry.index, decode_membership(entry.payload))
-        self.durability.add(SaveEntries(entries))
+        self.durable_log.append(entries)
 
     def truncate_from(self, index: int) -> None:
         """Drop uncommitted entries that the leader doesn't have."""
         assert index > self.commit_index
-        self.log.truncate_from(index)
-        self.memberships.truncate_from(index)
+        self.durable_log.truncate_from(index)
 
     def install(self, snapshot: StateSnapshot) -> None:
         """Replace log and state by a snapshot that is ahead of both."""
-        self.snapshot = snapshot
-        self.log = ReplicatedLog(snapshot.index, snapshot.term)
-        self.memberships = MembershipHistory(snapshot.index, snapshot.membership)
+        self.durable_log.install(snapshot)
         self.commit_index = snapshot.index
-        self.durability.add(InstallSnapshot(snapshot))
         self.emit(StateInstalled(snapshot))
 
     # --- internals -----------------------------------------------------------
@@ -423,26 +402,3 @@
     def _postpone_election(self, now: float) -> None:
         shortest = self.settings.election_seconds
         self._election_due = now + self._randomness.between(shortest, 2 * shortest)
-
-
-def _stored_log(stored: StoredState) -> ReplicatedLog:
-    snapshot = stored.snapshot
-    entries = stored.entries
-    if snapshot is None:
-        return ReplicatedLog(0, 0, entries)
-    if entries and entries[0].index <= snapshot.index:
-        return ReplicatedLog(entries[0].index, entries[0].term, entries[1:])
-    return ReplicatedLog(snapshot.index, snapshot.term, entries)
-
-
-def _stored_memberships(stored: StoredState) -> MembershipHistory:
-    snapshot = stored.snapshot
-    if snapshot is None:
-        history = MembershipHistory(0, EMPTY_MEMBERSHIP)
-    else:
-        history = MembershipHistory(snapshot.index, snapshot.membership)
-    first = 0 if snapshot is None else snapshot.index
-    for entry in stored.entries:
-        if entry.kind is EntryKind.MEMBERSHIP and entry.index > first:
-            history.append(entry.index, decode_membership(entry.payload))
-    return history
--- a/src/peppershore/process/consensus/replica.py
+++ b/src/peppershore/process/consensus/replica.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from peppershore.connection.messages import (
     AppendReply,
     AppendRequest,
@@ -37,18 +35,18 @@
     SetTimer,
 )
 from peppershore.process.consensus import notices, outputs
-from peppershore.process.consensus.core import Consensus, ConsensusSettings
+from peppershore.process.consensus.core import Consensus
 from peppershore.process.consensus.founding import Founding
 from peppershore.process.consensus.membership import find_member, voters_of
 from peppershore.process.consensus.membership_changes import MembershipChanges
 from peppershore.process.consensus.peers import PeerIdentity, PeerLinks
 from peppershore.process.consensus.reads import ReadTable
 from peppershore.process.consensus.records import PersistLog, StoredState
+from peppershore.process.consensus.settings import ReplicaSettings
 from peppershore.process.consensus.state_machine import StateMachine
 from peppershore.process.events import LinkId
 from peppershore.process.link_numbers import LinkNumbers
 from peppershore.process.randomness import Randomness
-from peppershore.process.settings import PeerReplica
 
 TICK_TIMER = "consensus-tick"
 FLUSH_TIMER = "consensus-flush"
@@ -68,16 +66,6 @@
 )
 
 
-class ReplicaSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """What every replica needs, whatever its group replicates."""
-
-    cluster: str
-    consensus: ConsensusSettings
-    replicas: tuple[PeerReplica, ...]
-    join: bool = False
-    snapshot_entries: int = 2_000
-
-
 class ReplicaCore:
     """Drives consensus, feeds the state machine, and keeps links to the peers."""
 
--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -29,9 +29,9 @@
 )
 from peppershore.process import events
 from peppershore.process.commands import SetTimer
-from peppershore.process.consensus.core import ConsensusSettings
 from peppershore.process.consensus.records import StoredState
-from peppershore.process.consensus.replica import ReplicaCore, ReplicaSettings
+from peppershore.process.consensus.replica import ReplicaCore
+from peppershore.process.consensus.settings import ConsensusSettings, ReplicaSettings
 from peppershore.process.control.clock import ClockObserved, WallClock
 from peppershore.process.control.edit_intake import INTERNAL_LINK, EditIntake
 from peppershore.process.control.followers import Followers
