--- a/src/peppershore/connection/http_client.py
+++ b/src/peppershore/connection/http_client.py
@@ -19,7 +19,9 @@
     AnswerHead,
     HeaderList,
     RequestHead,
+    checked_headers,
     end_to_end_headers,
+    received_headers,
 )
 
 WRITE_HIGH_WATER_BYTES = 256 * 1024
@@ -37,6 +39,9 @@
     def answer_data(self, data: bytes) -> None:
         """A piece of the answer's body."""
 
+    def answer_batch_ended(self) -> None:
+        """No more of the answer is at hand for now."""
+
     def answer_ended(self, trailers: HeaderList) -> None:
         """The answer is whole."""
 
@@ -128,25 +133,32 @@
         headers: HeaderList,
         sink: AnswerSink,
         on_free: Callable[[ClientConnection], None],
-    ) -> None:
-        """Queue a request's head; ``on_free`` follows when the exchange is over."""
+    ) -> bool:
+        """Queue a request's head; ``on_free`` follows when the exchange is over.
+
+        False: this can't be sent as HTTP, and nothing was.
+        """
         assert self._sink is None, "one exchange at a time"
+        try:
+            request = h11.Request(
+                method=head.method, target=head.target, headers=checked_headers(headers)
+            )
+            self._out.append(self._http.send(request))
+        except h11.LocalProtocolError:
+            return False
         self._sink = sink
         self._on_free = on_free
         self._method = head.method
         self.exchanges += 1
-        request = h11.Request(method=head.method, target=head.target, headers=headers)
-        self._out.append(self._http.send(request))
+        return True
 
     def send_data(self, data: bytes) -> None:
         """Queue a piece of the request's body."""
-        if self._http.our_state is h11.SEND_BODY:
-            self._out.append(self._http.send(h11.Data(data=data)))
+        self._send(h11.Data(data=data))
 
     def send_end(self, trailers: HeaderList) -> None:
         """Queue the request's end."""
-        if self._http.our_state is h11.SEND_BODY:
-            self._out.append(self._http.send(h11.EndOfMessage(headers=trailers)))
+        self._send(h11.EndOfMessage(headers=trailers))
 
     def flush(self) -> None:
         """Write what is queued, in one piece."""
@@ -182,6 +194,15 @@
 
     # --- inside
 
+    def _send(self, event: h11.Data | h11.EndOfMessage) -> None:
+        """Queue a part of the body; one that breaks the framing ends the exchange."""
+        if self._http.our_state is not h11.SEND_BODY:
+            return
+        try:
+            self._out.append(self._http.send(event))
+        except h11.LocalProtocolError:
+            self._fail("the request's body does not fit its head")
+
     def _process(self) -> None:
         while self._sink is not None:
             try:
@@ -190,6 +211,7 @@
                 self._fail(f"broken answer: {problem}")
                 return
             if event is h11.NEED_DATA or event is h11.PAUSED:
+                self._sink.answer_batch_ended()
                 return
             self._take(event)
 
@@ -201,12 +223,12 @@
         elif isinstance(event, h11.Response):
             self._take_head(event, sink)
         elif isinstance(event, h11.EndOfMessage):
-            self._finish(sink, list(event.headers))
+            self._finish(sink, received_headers(event.headers))
         elif isinstance(event, h11.ConnectionClosed):
             self._fail("connection closed")
 
     def _take_head(self, event: h11.Response, sink: AnswerSink) -> None:
-        headers: HeaderList = list(event.headers)
+        headers = received_headers(event.headers)
         content_length: int | None = None
         chunked = False
         for name, value in headers:
--- a/src/peppershore/connection/http_head.py
+++ b/src/peppershore/connection/http_head.py
@@ -9,7 +9,9 @@
 
 import re
 
+import h11
 import msgspec
+from h11._headers import Headers
 from returns.result import Failure, Result, Success
 
 HeaderList = list[tuple[bytes, bytes]]
@@ -29,6 +31,8 @@
     rb"\r\n(content-length|transfer-encoding):([^\r]*)", re.IGNORECASE
 )
 _SPACE_BEFORE_COLON = re.compile(rb"\r\n[^\r:]*[ \t]+:")
+_LINE_BREAK = re.compile(rb"[\r\n]")
+_NOT_IN_NAME = re.compile(rb"[^\0!#$%&'*+.^_`|~0-9a-z-]")
 _DECIMAL = re.compile(rb"[0-9]{1,18}")
 
 HOP_BY_HOP = frozenset(
@@ -89,6 +93,37 @@
     has_body: bool = True
 
 
+def received_headers(headers: Headers) -> HeaderList:
+    """Give the fields of a parsed h11 event, names in lower case."""
+    return [(name.lower(), value) for name, value in headers.raw_items()]
+
+
+def checked_headers(fields: HeaderList) -> Headers:
+    """Give fields to h11 as checked before.
+
+    All fields that are sent were parsed by h11 here or in another node, or are
+    constants, so h11 need not match each against its patterns again: that was a
+    sixth of the processor time of a call.  ``fields_unsafe`` guards what links bring.
+    """
+    return Headers([(name, name, value) for name, value in fields])
+
+
+def fields_unsafe(fields: HeaderList) -> bool:
+    """Whether a name or value would end its line or its field when written."""
+    names = b"\0".join(name for name, _ in fields)
+    values = b"\0".join(value for _, value in fields)
+    if _LINE_BREAK.search(values) or b"" in [name for name, _ in fields]:
+        return True
+    return _NOT_IN_NAME.search(names) is not None
+
+
+def answer_event(head: AnswerHead, headers: HeaderList) -> h11.Response:
+    """Give the h11 event of an answer's head with the given fields."""
+    return h11.Response(
+        status_code=head.status, headers=checked_headers(headers), reason=head.reason
+    )
+
+
 def first_value(headers: HeaderList, name: bytes) -> bytes:
     """Give the first value of a field (lower-case name), or nothing."""
     for candidate, value in headers:
--- a/src/peppershore/connection/http_server.py
+++ b/src/peppershore/connection/http_server.py
@@ -22,8 +22,10 @@
     HeaderList,
     HeadProblem,
     RequestHead,
+    answer_event,
     check_request_head,
     end_to_end_headers,
+    received_headers,
 )
 
 MAX_PIPELINED_BYTES = 64 * 1024
@@ -220,25 +222,38 @@
         request_unread = self._http.their_state is not h11.DONE
         if request_unread or self._owner.draining:
             headers.append((b"connection", b"close"))
-        response = h11.Response(
-            status_code=head.status, headers=headers, reason=head.reason
-        )
-        self._write(self._http.send(response))
+        try:
+            self._write(self._http.send(answer_event(head, headers)))
+        except h11.LocalProtocolError:
+            self._break_off()
 
     def send_data(self, data: bytes) -> None:
         """Queue a piece of the answer's body."""
-        self._write(self._http.send(h11.Data(data=data)))
+        try:
+            self._write(self._http.send(h11.Data(data=data)))
+        except h11.LocalProtocolError:
+            self._break_off()
 
     def send_end(self, trailers: HeaderList) -> None:
         """End the answer and go on to the next request, or close."""
         if (self._http.their_http_version or b"") < HTTP_1_1:
             trailers = []
-        self._write(self._http.send(h11.EndOfMessage(headers=trailers)))
+        try:
+            self._write(self._http.send(h11.EndOfMessage(headers=trailers)))
+        except h11.LocalProtocolError:
+            self._break_off()
+            return
         self.flush()
         self._exchange = None
         self._sink = None
         self._finish_cycle()
 
+    def _break_off(self) -> None:
+        """An answer that can't be sent as HTTP: let the caller see that it broke."""
+        self._out.clear()
+        if self._transport is not None:
+            self._transport.abort()
+
     def abort(self) -> None:
         """Drop the connection at once."""
         self._exchange = None
@@ -326,7 +341,7 @@
             return True
         if isinstance(event, h11.EndOfMessage):
             if self._sink is not None:
-                self._sink.body_ended(list(event.headers))
+                self._sink.body_ended(received_headers(event.headers))
             return False
         return False
 
@@ -344,7 +359,7 @@
         for piece in pieces:
             sink.body_received(piece)
         if end is not None:
-            sink.body_ended(list(end.headers))
+            sink.body_ended(received_headers(end.headers))
 
     def _body_at_hand(self) -> tuple[list[bytes], h11.EndOfMessage | None]:
         pieces: list[bytes] = []
@@ -358,7 +373,7 @@
                 return pieces, None
 
     def _request_head(self, event: h11.Request) -> RequestHead:
-        headers: HeaderList = list(event.headers)
+        headers = received_headers(event.headers)
         content_length: int | None = 0
         declares_length = False
         for name, value in headers:
--- a/src/peppershore/process/node/data/answer_relay.py
+++ b/src/peppershore/process/node/data/answer_relay.py
@@ -66,17 +66,20 @@
         self._head = head
         if not _held(head):
             self._send_head(head)
-            self._exchange.flush()
 
     def data(self, data: bytes) -> None:
         """Take a piece of the body."""
         self._keep_piece(data)
         if self.begun:
             self._exchange.send_data(data)
-            self._exchange.flush()
         else:
             self._pieces.append(data)
 
+    def flush(self) -> None:
+        """Write what may be passed on so far."""
+        if self.begun:
+            self._exchange.flush()
+
     def end(self, trailers: HeaderList) -> None:
         """The answer is whole."""
         if not self.begun and self._head is not None:
--- a/src/peppershore/process/node/data/attempt.py
+++ b/src/peppershore/process/node/data/attempt.py
@@ -27,6 +27,9 @@
     def answer_data(self, data: bytes) -> None:
         """A piece of the answer's body."""
 
+    def answer_batch_ended(self) -> None:
+        """No more of the answer is at hand for now: pass on what there is."""
+
     def answer_ended(self, trailers: HeaderList) -> None:
         """The answer is whole."""
 
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -180,6 +180,10 @@
         """A piece of the answer."""
         self._answer.data(data)
 
+    def answer_batch_ended(self) -> None:
+        """Pass on what there is."""
+        self._answer.flush()
+
     def answer_ended(self, trailers: HeaderList) -> None:
         """The answer is whole: give it first, then free the slot."""
         self._over = True
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -116,6 +116,11 @@
         """Calls not over."""
         return len(self._live)
 
+    @property
+    def waiting(self) -> int:
+        """Calls in this node's queues."""
+        return len(self._waiting)
+
     # --- configuration and endpoints
 
     def use_configuration(self, active: ActiveConfiguration) -> None:
--- a/src/peppershore/process/node/data/direct_attempt.py
+++ b/src/peppershore/process/node/data/direct_attempt.py
@@ -13,6 +13,7 @@
 from peppershore.request.outcome import (
     DEADLINE_HEADER,
     STATUS_BAD_GATEWAY,
+    STATUS_BAD_REQUEST,
     STATUS_UNAVAILABLE,
     NotRun,
     Unknown,
@@ -107,6 +108,10 @@
         """Hand a piece of the answer's body on."""
         self._sink.answer_data(data)
 
+    def answer_batch_ended(self) -> None:
+        """Hand on that no more is at hand for now."""
+        self._sink.answer_batch_ended()
+
     def answer_ended(self, trailers: HeaderList) -> None:
         """The answer is whole."""
         self._connection = None
@@ -160,6 +165,13 @@
             headers.append((b"transfer-encoding", b"chunked"))
         elif length > 0 or request.head.declares_length:
             headers.append((b"content-length", b"%d" % length))
+        if not request.head.header(b"host"):
+            headers.append((b"host", self._pool.address.encode("ascii")))
+        if not connection.begin(request.head, headers, self, self._pool.give_back):
+            self._connection = None
+            self._pool.give_back(connection)
+            self._over()
+            self._sink.attempt_failed(NotRun(STATUS_BAD_REQUEST, "malformed-request"))
+            return
         self.begun = True
-        connection.begin(request.head, headers, self, self._pool.give_back)
         self._sink.attempt_begun()
--- /dev/null
+++ b/src/peppershore/process/node/data/gauges.py
@@ -0,0 +1,21 @@
+"""Metrics of the data plane."""
+
+from __future__ import annotations
+
+from peppershore.process.metrics import ProcessMetrics
+from peppershore.process.node.data_plane import DataPlane
+
+
+def add_call_gauges(metrics: ProcessMetrics, plane: DataPlane) -> None:
+    """Show the ends of calls and what is in flight."""
+    counts = plane.calls.counts
+    metrics.gauge("calls_answered", "Calls answered whole.", lambda: counts.answered)
+    metrics.gauge("calls_not_run", "Calls refused, proven not run.", lambda: counts.not_run)
+    metrics.gauge("calls_unknown", "Calls sent, without answer.", lambda: counts.unknown)
+    metrics.gauge("calls_abandoned", "Calls whose caller left.", lambda: counts.abandoned)
+    metrics.gauge("call_retries", "Attempts after the first.", lambda: counts.retries)
+    metrics.gauge("calls_in_flight", "Calls not over.", lambda: plane.calls.in_flight)
+    metrics.gauge(
+        "calls_waiting", "Calls waiting for a slot here.", lambda: plane.calls.waiting
+    )
+    metrics.gauge("slots_lent", "Slots that other nodes may use.", lambda: plane.lent_slots)
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from peppershore.connection.call_link import CallLink, ReceiveWindow, SendWindow
-from peppershore.connection.http_head import AnswerHead, HeaderList
+from peppershore.connection.http_head import AnswerHead, HeaderList, fields_unsafe
 from peppershore.connection.messages import (
     CallAnswerBody,
     CallAnswered,
@@ -207,6 +207,9 @@
             self._end(NotRun(STATUS_UNAVAILABLE, "owner-unreachable", 0, True))
 
     def _answered(self, message: CallAnswered) -> None:
+        if fields_unsafe(message.headers):
+            self._refuse_answer()
+            return
         length = None if message.content_length == NO_LENGTH else message.content_length
         self._sink.answer_head(
             AnswerHead(
@@ -215,13 +218,26 @@
         )
         self._more(message.data, message.ended, message.trailers)
 
+    def _refuse_answer(self) -> None:
+        """The owner sent what is no HTTP: discard the rest."""
+        if self._link is not None:
+            self._link.send(CallCancelled(self._stream))
+        self._end(Unknown(STATUS_BAD_GATEWAY, "malformed-answer"))
+
     def _more(self, data: bytes, ended: bool, trailers: HeaderList) -> None:
         if data and not self._over:
             self._sink.answer_data(data)
             self._credit(self._receiving.taken(len(data)))
-        if ended and not self._over:
-            self._close_stream()
-            self._sink.answer_ended(trailers)
+        if self._over:
+            return
+        if not ended:
+            self._sink.answer_batch_ended()
+            return
+        if trailers and fields_unsafe(trailers):
+            self._refuse_answer()
+            return
+        self._close_stream()
+        self._sink.answer_ended(trailers)
 
     def _credit(self, octets: int) -> None:
         if octets and self._link is not None and not self._over:
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -266,6 +266,10 @@
         """Hand a piece of the answer's body on."""
         self._sink.answer_data(data)
 
+    def answer_batch_ended(self) -> None:
+        """Hand on that no more is at hand for now."""
+        self._sink.answer_batch_ended()
+
     def answer_ended(self, trailers: HeaderList) -> None:
         """Hand the answer's end on, then free the slot."""
         self._sink.answer_ended(trailers)
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -5,7 +5,12 @@
 import asyncio
 
 from peppershore.connection.call_link import CallLink, ReceiveWindow, SendWindow
-from peppershore.connection.http_head import AnswerHead, HeaderList, RequestHead
+from peppershore.connection.http_head import (
+    AnswerHead,
+    HeaderList,
+    RequestHead,
+    fields_unsafe,
+)
 from peppershore.connection.messages import (
     CallAnswerBody,
     CallAnswered,
@@ -20,7 +25,7 @@
 from peppershore.process.node.data.attempt import AttemptRequest
 from peppershore.process.node.data.own_backend import OwnAttempt, OwnBackend
 from peppershore.process.node.data.request_body import RequestBody
-from peppershore.request.outcome import Failed, NotRun
+from peppershore.request.outcome import STATUS_BAD_REQUEST, Failed, NotRun
 from peppershore.request.waiting import RANKS
 from peppershore.version.model import CallClass
 
@@ -43,7 +48,6 @@
         "_over",
         "_paused",
         "_receiving",
-        "_scheduled",
         "_sending",
         "_stream",
     )
@@ -58,7 +62,6 @@
         self._begun = False
         self._over = False
         self._paused = False
-        self._scheduled = False
         self._answer_head: AnswerHead | None = None
         self._out: list[bytes] = []
         self._sending = SendWindow()
@@ -70,6 +73,9 @@
             self._body.add(started.data)
         if started.ended:
             self._body.end(started.trailers)
+        if fields_unsafe(started.headers) or fields_unsafe(started.trailers):
+            self.refuse(NotRun(STATUS_BAD_REQUEST, "malformed-fields"))
+            return
         self._attempt = backend.attempt(_request(started), self)
         self._attempt.start()
 
@@ -108,14 +114,16 @@
         self._credit(self._receiving.resume())
 
     def answer_head(self, head: AnswerHead) -> None:
-        """Keep the head until the end of this loop turn: most answers are whole then."""
+        """Keep the head until this batch ends: most answers are whole then."""
         self._answer_head = head
-        self._flush_later()
 
     def answer_data(self, data: bytes) -> None:
         """Queue a piece of the answer."""
         self._out.append(data)
-        self._flush_later()
+
+    def answer_batch_ended(self) -> None:
+        """Send what there is."""
+        self._flush(False, [])
 
     def answer_ended(self, trailers: HeaderList) -> None:
         """The answer is whole: send it."""
@@ -143,6 +151,9 @@
     def _more(self, message: CallBody) -> None:
         if self._over:
             return
+        if message.trailers and fields_unsafe(message.trailers):
+            self._cancel()
+            return
         self._body.add(message.data)
         if message.ended:
             self._body.end(message.trailers)
@@ -160,16 +171,6 @@
             self._attempt.cancel()
         self._close()
 
-    def _flush_later(self) -> None:
-        if not self._scheduled:
-            self._scheduled = True
-            asyncio.get_running_loop().call_soon(self._flush_scheduled)
-
-    def _flush_scheduled(self) -> None:
-        self._scheduled = False
-        if not self._over:
-            self._flush(False, [])
-
     def _flush(self, ended: bool, trailers: HeaderList) -> None:
         data = b"".join(self._out)
         self._out.clear()
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -17,14 +17,13 @@
     ServerExchange,
 )
 from peppershore.connection.messages import CallLinkHello, Endpoint
-from peppershore.process.claims.client import ClaimClientShell
 from peppershore.process.commands import Notice
 from peppershore.process.node.data import notices
 from peppershore.process.node.data.backend_probe import STATE_READY, BackendProbe
 from peppershore.process.node.data.call import Call
 from peppershore.process.node.data.call_listener import CallListener
 from peppershore.process.node.data.calls import Calls
-from peppershore.process.node.data.claims_group import ClaimsGroup
+from peppershore.process.node.data.checked_claims import CheckedClaims
 from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.owner_links import OwnerLinks
 from peppershore.process.randomness import Randomness
@@ -98,12 +97,6 @@
             self._longest_call_seconds,
             server_tls,
         )
-        self._claims: ClaimsGroup | None = None
-        if settings.claims:
-            addresses = tuple(replica.address for replica in settings.claims)
-            client = ClaimClientShell(addresses, notice_sink, client_tls)
-            self._claims = ClaimsGroup(client)
-            self.calls.claims = self._claims
         self._probe: BackendProbe | None = None
         self._on_backend_state: Callable[[str], None] | None = None
         self._tick: asyncio.TimerHandle | None = None
@@ -125,7 +118,7 @@
 
     def use_claims(self, claims: ClaimsClient) -> None:
         """Record a claim before a call with an idempotency key is sent."""
-        self.calls.claims = claims
+        self.calls.claims = CheckedClaims(claims)
 
     def on_backend_state(self, callback: Callable[[str], None]) -> None:
         """Begin to watch the own back end; tell ``callback`` of its changes."""
@@ -182,8 +175,6 @@
             connection.close()
         await self._call_listener.close()
         self._links.close()
-        if self._claims is not None:
-            await self._claims.close()
         if self._own is not None:
             self._own.close()
 
--- a/tests/data_plane/test_call_outcomes.py
+++ b/tests/data_plane/test_call_outcomes.py
@@ -357,6 +357,20 @@
     run(scene())
 
 
+def test_key_that_no_claim_can_be_trusted_under_is_refused() -> None:
+    async def scene() -> None:
+        stage = ClaimScene()
+        address = await stage.start()
+        headers = {"idempotency-key": "short"}
+        refused = await call(address, method="POST", body=b"a", headers=headers)
+        assert (refused.status, refused.outcome) == (400, "not-run")
+        assert stage.claims.attempts == []
+        assert stage.backend.requests == []
+        await stage.close()
+
+    run(scene())
+
+
 def test_unreachable_claims_refuse_keyed_calls_only() -> None:
     async def scene() -> None:
         stage = ClaimScene(reachable=False)
