--- a/tests/relay/site.py
+++ b/tests/relay/site.py
@@ -125,3 +125,7 @@
         """Give the nodes whose endpoints a relay shows."""
         table = self.relays[relay].exchange.table
         return {each.node for each in table.shown([service])}
+
+    def sessions(self, relay: str) -> list[int]:
+        """Give the links of a relay's sessions."""
+        return list(self.relays[relay].distributor.sessions)
--- a/tests/relay/test_relay_failures.py
+++ b/tests/relay/test_relay_failures.py
@@ -4,11 +4,12 @@
 
 import msgspec
 import pytest
-from tests.relay.scripted_replica import base_operations, timeout_change
+from tests.relay.scripted_replica import CLUSTER, base_operations, timeout_change
 from tests.relay.site import Site
 
 from peppershore.connection.messages import (
     EndpointsChanged,
+    NodeHello,
     UpdateOffered,
     UpdateRefused,
 )
@@ -16,7 +17,7 @@
 from peppershore.process.node.core import NodeCore, NodeMemory
 from peppershore.process.node.inputs import BackendStateChanged
 from peppershore.process.relay import notices
-from peppershore.version.model import Overrides, SetOverrides
+from peppershore.version.model import Overrides, Scope, SetOverrides
 
 
 def make_ready(site: Site, *names: str) -> None:
@@ -49,6 +50,8 @@
     site.network.run(10.0)
     silent = site.relay_of("a")
     site.network.freeze(silent)
+    site.network.run(0.1)
+    site.network.cut(silent, "a")
     site.network.run(8.0)
     site.network.kill("a")
     site.network.run(700.0)
@@ -62,6 +65,50 @@
     assert site.shown(silent, "kuitti") == {"b"}
 
 
+def test_a_relay_that_accepts_links_but_never_answers_is_passed_over() -> None:
+    site = Site()
+    site.network.run(2.0)
+    names = [f"n{index}" for index in range(6)]
+    site.network.freeze("r1")
+    for index, name in enumerate(names):
+        site.start_node(name, "kuitti", seed=index)
+    site.network.run(8.0)
+    assert all(site.nodes[name].holder.snapshot.version == 1 for name in names)
+
+
+def test_nodes_go_back_to_the_relay_that_ranks_first() -> None:
+    site = Site()
+    names = [f"n{index}" for index in range(8)]
+    for index, name in enumerate(names):
+        site.start_node(name, "kuitti", seed=index)
+    site.network.run(10.0)
+    first_choice = {name: site.relay_of(name) for name in names}
+    assert len(set(first_choice.values())) == 2
+    site.network.kill("r1")
+    site.network.run(5.0)
+    assert "r1" not in {site.relay_of(name) for name in names}
+    site.restart_relay("r1")
+    site.network.run(200.0)
+    assert {name: site.relay_of(name) for name in names} == first_choice
+
+
+def test_a_node_that_is_away_counts_for_what_is_in_force() -> None:
+    site = Site()
+    site.start_node("a", "kassa")
+    site.network.run(10.0)
+    home = site.relay_of("a")
+    for name in site.relays:
+        site.network.cut("a", name)
+    site.network.give(home, events.LinkClosed(next(iter(site.sessions(home))), "reset"))
+    site.edit(timeout_change("kassa", "pay", 1_234))
+    site.network.run(5.0)
+    report = site.replica.reports[home]
+    assert (report.version, report.in_force) == (2, 1)
+    assert [each.node for each in report.lagging] == ["a"]
+    site.network.run(5.0)
+    assert site.replica.reports[home].in_force == 2
+
+
 def test_a_relay_cut_from_the_source_grows_stale_and_is_left() -> None:
     site = Site()
     node = site.start_node("a", "kassa")
@@ -100,6 +147,7 @@
     assert empty.holder.holds_nothing
     assert with_floor.holder.snapshot.version == 1
     assert below_floor.holder.holds_nothing
+    assert sum(site.count_sent(name, UpdateOffered) for name in site.relays) == 1
     site.replica.has_quorum = True
     site.edit(timeout_change("kassa", "pay", 1_234))
     site.network.run(4.0)
@@ -357,3 +405,43 @@
     site.network.run(1.0)
     assert site.relays["r1"].follower.version == 1
     assert len(base_operations()) == 5
+
+
+def test_a_node_with_other_state_at_the_same_version_is_not_sent_it_for_ever() -> None:
+    site = Site()
+    site.network.run(1.0)
+    relay = site.network.processes["r1"]
+    hello = NodeHello(CLUSTER, "x", 1, Scope("kassa", "pasila"), 1, 12_345, 1)
+    site.network.give("r1", events.LinkOpened(1_000, "x"))
+    site.network.give("r1", events.MessageReceived(1_000, hello))
+    site.network.run(1.0)
+    assert site.count_sent("r1", UpdateOffered) == 0
+    assert relay.bytes_by_link[1_000] < 40
+    site.edit(timeout_change("kassa", "pay", 1_234))
+    site.network.run(0.1)
+    assert site.count_sent("r1", UpdateOffered) == 1
+
+
+def test_a_silent_node_is_taken_for_gone_until_it_goes_on() -> None:
+    site = Site()
+    other = site.start_node("b", "kuitti")
+    site.start_node("a", "kuitti")
+    site.network.run(10.0)
+    site.network.freeze("a")
+    site.network.run(20.0)
+    assert {each.node for each in other.known.endpoints} == {"b"}
+    site.network.thaw("a")
+    site.network.run(12.0)
+    assert {each.node for each in other.known.endpoints} == {"a", "b"}
+
+
+def test_relays_that_only_hear_each_other_through_a_third_hide_nothing() -> None:
+    site = Site()
+    names = [f"n{index}" for index in range(8)]
+    for index, name in enumerate(names):
+        site.start_node(name, "kuitti", seed=index)
+    site.network.run(12.0)
+    site.network.cut("r1", "r2")
+    site.network.run(60.0)
+    for relay in site.relays:
+        assert site.shown(relay, "kuitti") == set(names)
