--- a/src/peppershore_lab/fleet/deployment.py
+++ b/src/peppershore_lab/fleet/deployment.py
@@ -5,11 +5,15 @@
 
 from __future__ import annotations
 
+from typing import Literal
+
 import msgspec
 
 from peppershore_lab.calls.plan import CallKind
 from peppershore_lab.standin.behaviour import Behaviour
 
+EmulatedLinks = Literal["none", "between-zones", "all"]
+
 
 class SpecValue(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Base of the values that describe a deployment."""
@@ -46,8 +50,9 @@
 class Deployment(SpecValue, frozen=True, kw_only=True):
     """A whole deployment.
 
-    ``zone_delay_milliseconds`` is the one-way delay between zones; it is put
-    on the links of relays to replicas and to other relays by an emulator.
+    ``zone_delay_milliseconds`` is the one-way delay between zones, put on the
+    emulated links between the system's own processes.  ``emulated_links``
+    "all" also emulates those within a zone, so that faults can reach them.
     """
 
     name: str
@@ -59,6 +64,7 @@
     edges_per_zone: int = 1
     claims_replicas: int = 0
     zone_delay_milliseconds: float = 0.0
+    emulated_links: EmulatedLinks = "between-zones"
     batching_milliseconds: int = 0
     edge_service: str = "edge"
 
--- a/src/peppershore_lab/fleet/fleet.py
+++ b/src/peppershore_lab/fleet/fleet.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 from types import TracebackType
 
+import click
 import msgspec
 
 from peppershore.process.settings import PeerRelay, PeerReplica, SettingsValue
@@ -29,27 +30,28 @@
     claims_settings,
     control_settings,
     node_settings,
-    peer_relays,
-    peer_replicas,
     relay_settings,
     settings_text,
 )
 from peppershore_lab.fleet.plan import FleetLayout, lay_out
 from peppershore_lab.fleet.readiness import NotReady, wait_listening, wait_ready
+from peppershore_lab.links.model import EmulatorSettings
+from peppershore_lab.links.table import LinkTable
 
 READY_SECONDS = 20.0
 STOP_SECONDS = 8.0
+Wait = Coroutine[None, None, NotReady | None]
 BIN_FOLDER = Path(sys.executable).parent
 
 
-class FleetFailed(Exception):  # noqa: N818 - it ends a run of the lab
-    """A process of the fleet did not become ready."""
+class FleetFailed(click.ClickException):
+    """The fleet could not be brought up; ends the command with a message."""
 
-    def __init__(self, problems: list[NotReady]) -> None:
-        """Tell of every process that is not ready."""
-        lines = [f"{item.name}: {item.reason}\n{item.log_tail}" for item in problems]
-        super().__init__("\n".join(lines))
-        self.problems = problems
+
+def not_ready(problems: list[NotReady]) -> FleetFailed:
+    """Tell of every process that is not ready."""
+    lines = [f"{item.name}: {item.reason}\n{item.log_tail}" for item in problems]
+    return FleetFailed("\n".join(lines))
 
 
 class Fleet:
@@ -67,6 +69,8 @@
         self.folder = keep_folder or Path(tempfile.mkdtemp(prefix="peppershore-lab-"))
         self.layout: FleetLayout = lay_out(deployment, self._block)
         self.seed = seed
+        self.emulator = Member(name="emulator", host=self._block.next_host(), zone="")
+        self.links = LinkTable(self.layout, self.emulator.host)
         self.processes: dict[str, ManagedProcess] = {}
         for name in ("settings", "logs", "journals", "data"):
             (self.folder / name).mkdir(parents=True, exist_ok=True)
@@ -89,19 +93,32 @@
         """Where the control replicas accept links."""
         return tuple(member.link_address for member in self.layout.replicas)
 
+    async def start_emulator(self) -> None:
+        """Start the process that carries the emulated links, if there are any."""
+        if not self.links.specs:
+            return
+        settings = EmulatorSettings(
+            control=self.emulator.admin_address, links=self.links.specs, seed=self.seed
+        )
+        path = self.folder / "settings" / "emulator.json"
+        path.write_bytes(msgspec.json.encode(settings))
+        program = self._program("peppershore-lab")
+        self._start("emulator", (program, "link-emulator", "--settings", str(path)))
+        await self._wait_all([self._listening("emulator", self.emulator.admin_address)])
+
     async def start_control(self) -> None:
         """Start the control replicas and, where there are any, the claims group."""
-        replicas = peer_replicas(self.layout.replicas)
         for member in self.layout.replicas:
             folder = self._data_folder(member)
+            replicas = self._replicas_for(member, self.layout.replicas)
             self._serve(
                 "control",
                 member,
                 control_settings(self._cluster, member, replicas, folder),
             )
-        claims = peer_replicas(self.layout.claims)
         for member in self.layout.claims:
             folder = self._data_folder(member)
+            claims = self._replicas_for(member, self.layout.claims)
             self._serve(
                 "claims", member, claims_settings(self._cluster, member, claims, folder)
             )
@@ -109,13 +126,12 @@
 
     async def start_relays(self) -> None:
         """Start the relays."""
-        relays = peer_relays(self.layout.relays)
         for member in self.layout.relays:
             settings = relay_settings(
                 self._cluster,
                 member,
-                self.replicas_seen_from(member),
-                relays,
+                self._replicas_for(member, self.layout.replicas),
+                self._relays_for(member),
                 self.layout.deployment.batching_milliseconds,
             )
             self._serve("relay", member, settings)
@@ -135,8 +151,8 @@
             settings = node_settings(
                 self._cluster,
                 member,
-                relays=self.relays_seen_from(member),
-                claims=peer_replicas(self.layout.claims),
+                relays=self._relays_for(member),
+                claims=self._replicas_for(member, self.layout.claims),
                 folder=self._data_folder(member),
                 behaviour=behaviours.get(member.backend, any_behaviour),
             )
@@ -157,16 +173,6 @@
             for member in members
         )
 
-    def replicas_seen_from(self, member: Member) -> tuple[PeerReplica, ...]:
-        """Give the control replicas by the addresses that ``member`` must use."""
-        del member
-        return peer_replicas(self.layout.replicas)
-
-    def relays_seen_from(self, member: Member) -> tuple[PeerRelay, ...]:
-        """Give the relays by the addresses that ``member`` must use."""
-        del member
-        return peer_relays(self.layout.relays)
-
     def journal_path(self, name: str) -> Path:
         """Give the journal file of a stand-in."""
         return self.folder / "journals" / f"{name}.jsonl"
@@ -194,6 +200,24 @@
         folder.mkdir(exist_ok=True)
         return folder
 
+    def _replicas_for(
+        self, source: Member, replicas: tuple[Member, ...]
+    ) -> tuple[PeerReplica, ...]:
+        return tuple(
+            PeerReplica(name=target.name, address=self.links.address(source, target))
+            for target in replicas
+        )
+
+    def _relays_for(self, source: Member) -> tuple[PeerRelay, ...]:
+        return tuple(
+            PeerRelay(
+                name=target.name,
+                zone=target.zone,
+                address=self.links.address(source, target),
+            )
+            for target in self.layout.relays
+        )
+
     def _serve(self, role: str, member: Member, settings: SettingsValue) -> None:
         path = self.folder / "settings" / f"{member.name}.toml"
         path.write_text(settings_text(settings))
@@ -221,17 +245,17 @@
 
     async def _wait_listening(self, members: Iterable[BackendMember]) -> None:
         await self._wait_all(
-            wait_listening(self.processes[member.name], member.http_address, READY_SECONDS)
-            for member in members
+            self._listening(member.name, member.http_address) for member in members
         )
 
-    async def _wait_all(
-        self, waits: Iterable[Coroutine[None, None, NotReady | None]]
-    ) -> None:
+    def _listening(self, name: str, address: str) -> Wait:
+        return wait_listening(self.processes[name], address, READY_SECONDS)
+
+    async def _wait_all(self, waits: Iterable[Wait]) -> None:
         outcomes = await asyncio.gather(*waits)
         problems = [outcome for outcome in outcomes if outcome is not None]
         if problems:
-            raise FleetFailed(problems)
+            raise not_ready(problems)
 
     def _program(self, name: str) -> str:
         program = BIN_FOLDER / name
--- a/src/peppershore_lab/fleet/managed_process.py
+++ b/src/peppershore_lab/fleet/managed_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import ctypes
 import os
@@ -93,6 +94,20 @@
         except subprocess.TimeoutExpired:
             self.kill()
 
+    async def ended(self) -> None:
+        """Wait until the process ends by itself."""
+        if not self.running:
+            return
+        loop = asyncio.get_running_loop()
+        end = asyncio.Event()
+        descriptor = os.pidfd_open(self.pid)
+        loop.add_reader(descriptor, end.set)
+        try:
+            await end.wait()
+        finally:
+            loop.remove_reader(descriptor)
+            os.close(descriptor)
+
     def _signal(self, number: signal.Signals) -> None:
         if self.running:
             with contextlib.suppress(ProcessLookupError):
--- a/src/peppershore_lab/fleet/members.py
+++ b/src/peppershore_lab/fleet/members.py
@@ -78,21 +78,6 @@
     return {name: value for name, value in table.items() if value is not None}
 
 
-def peer_replicas(members: tuple[Member, ...]) -> tuple[PeerReplica, ...]:
-    """Give the replicas as settings name them."""
-    return tuple(
-        PeerReplica(name=member.name, address=member.link_address) for member in members
-    )
-
-
-def peer_relays(members: tuple[Member, ...]) -> tuple[PeerRelay, ...]:
-    """Give the relays as settings name them."""
-    return tuple(
-        PeerRelay(name=member.name, zone=member.zone, address=member.link_address)
-        for member in members
-    )
-
-
 def control_settings(
     cluster: str, member: Member, replicas: tuple[PeerReplica, ...], folder: Path
 ) -> ControlSettings:
--- /dev/null
+++ b/src/peppershore_lab/links/__init__.py
@@ -0,0 +1,1 @@
+"""Emulated links: delays, silent cuts and duplicates between processes."""
--- a/src/peppershore_lab/main.py
+++ b/src/peppershore_lab/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from pathlib import Path
 from typing import TypeVar
 
@@ -11,6 +12,12 @@
 
 from peppershore_lab.calls.caller import run_caller
 from peppershore_lab.calls.plan import CallerPlan
+from peppershore_lab.demo import SMALL_NETWORK, run_demo
+from peppershore_lab.demo_output import show_demo
+from peppershore_lab.fleet.deployment import REFUND_NETWORK
+from peppershore_lab.links.emulator import run_emulator
+from peppershore_lab.links.model import EmulatorSettings
+from peppershore_lab.run import run_to_end
 from peppershore_lab.standin.backend import Backend, BackendIdentity, run_backend
 from peppershore_lab.standin.behaviour import Behaviour
 
@@ -55,6 +62,30 @@
     click.echo(msgspec.json.encode(summary).decode())
 
 
+@main.command(name="link-emulator")
+@click.option("--settings", type=EXISTING_FILE, required=True, help="Links as JSON.")
+def link_emulator(settings: Path) -> None:
+    """Carry emulated links until SIGTERM."""
+    asyncio.run(run_emulator(_read_json(settings, EmulatorSettings)))
+
+
+@main.command()
+@click.option("--json", "as_json", is_flag=True, help="One JSON object last.")
+@click.option("--small", is_flag=True, help="One replica, one relay, two back ends.")
+def demo(as_json: bool, small: bool) -> None:
+    """Run a small fleet, watch one edit take effect, audit all calls.
+
+    Exits with 0 only if every promise held.
+    """
+    deployment = SMALL_NETWORK if small else REFUND_NETWORK
+    result = run_to_end(run_demo(deployment, lambda line: click.echo(line, err=True)))
+    if as_json:
+        click.echo(msgspec.json.encode(result).decode())
+    else:
+        show_demo(result)
+    sys.exit(0 if result.clean else 1)
+
+
 def _read_json(path: Path, kind: type[Kind]) -> Kind:
     try:
         return msgspec.json.decode(path.read_bytes(), type=kind)
