--- /dev/null
+++ b/tests/command/test_tree_commands.py
@@ -0,0 +1,213 @@
+"""Every command of the tree, zones, secrets and history against a real replica."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from tests.acceptance.site import Site, rows
+
+from peppershore.command.exit_codes import ExitCode
+
+PAY = "/kassa/*/pay"
+
+
+@pytest.fixture(scope="module", autouse=True)
+def tree(site: Site) -> None:
+    site.ok("zone", "set", "pasila", "uusimaa")
+    site.ok("tree", "set", PAY, "path_prefix=/pay", "methods=POST,PUT")
+
+
+def values(site: Site, path: str) -> dict[str, object]:
+    found: dict[str, object] = site.ok("tree", "get", path, "--json").json["overrides"]
+    return found
+
+
+def test_set_unset_and_get(site: Site) -> None:
+    site.ok("tree", "set", PAY, "timeout_milliseconds=700", "repeatable=no")
+    assert values(site, PAY) == {
+        "path_prefix": "/pay",
+        "methods": ["POST", "PUT"],
+        "timeout_milliseconds": 700,
+        "repeatable": False,
+    }
+    site.ok("tree", "unset", PAY, "timeout_milliseconds", "repeatable")
+    assert "timeout_milliseconds" not in values(site, PAY)
+    missing = site.command("tree", "get", PAY, "slots")
+    assert missing.exit_code == ExitCode.NOT_FOUND
+    assert "next:" in missing.error
+
+
+def test_show_lists_nodes_and_zones(site: Site) -> None:
+    shown = rows(site.ok("tree", "show").output)
+    assert [PAY, "methods", "POST,PUT"] in [[row[0], *row[2:]] for row in shown if row]
+    assert ["pasila", "uusimaa"] in [list(row[:2]) for row in shown]
+    below = site.ok("tree", "show", "/other", "--json").json
+    assert below["nodes"] == []
+
+
+def test_resend_gives_the_first_outcome(site: Site) -> None:
+    arguments = ("tree", "set", "/kassa", "slots=7", "--change-id", "once", "--json")
+    first = site.ok(*arguments).json["accepted"]
+    site.ok("tree", "set", "/kassa", "slots=8")
+    assert site.ok(*arguments).json["accepted"] == first
+    assert values(site, "/kassa")["slots"] == 8
+
+
+def test_stale_revision_is_a_conflict_that_shows_what_won(site: Site) -> None:
+    site.ok("tree", "set", "/kassa", "slots=9", "--change-id", "the-winner")
+    lost = site.command("tree", "set", "/kassa", "slots=1", "--expected-revision", "1")
+    assert lost.exit_code == ExitCode.CONFLICT
+    assert "the-winner" in lost.error
+    assert "slots=9" in lost.error
+    shown = site.command(
+        "tree", "set", "/kassa", "slots=1", "--expected-revision", "/kassa=1", "--json"
+    ).json["failed"]
+    assert shown["winner_change_id"] == "the-winner"
+    assert shown["present"]["slots"] == 9
+    assert shown["expected_revision"] == 1 < shown["actual_revision"]
+
+
+def test_must_not_exist_can_be_asked_for(site: Site) -> None:
+    site.ok("tree", "set", "/fresh", "slots=3", "--expected-revision", "0")
+    again = site.command("tree", "set", "/fresh", "slots=4", "--expected-revision", "0")
+    assert again.exit_code == ExitCode.CONFLICT
+    site.ok("tree", "remove", "/fresh")
+    assert site.command("tree", "get", "/fresh").exit_code == ExitCode.NOT_FOUND
+
+
+def test_invalid_edit_names_each_problem_and_changes_nothing(site: Site) -> None:
+    before = site.ok("tree", "show", "--json").json
+    done = site.command(
+        "tree", "set", PAY, "target=nowhere", "verify_secret=none", "--json"
+    )
+    assert done.exit_code == ExitCode.INVALID
+    problems = done.json["failed"]["problems"]
+    assert {problem["subject"] for problem in problems} == {PAY}
+    assert len(problems) == 2
+    assert site.ok("tree", "show", "--json").json == before
+
+
+def test_wrong_assignments_are_all_listed_before_anything_is_sent(site: Site) -> None:
+    done = site.command("tree", "set", PAY, "slots=x", "colour=1", "slots=2", "nothing")
+    assert done.exit_code == ExitCode.USAGE
+    for name in ("slots", "colour", "nothing"):
+        assert f"  {name}: " in done.error
+
+
+def test_several_operations_are_one_version(site: Site, tmp_path: Path) -> None:
+    file = tmp_path / "edit.toml"
+    file.write_text(
+        """
+        comment = "together"
+        [[operations]]
+        type = "set"
+        path = "/kuitti"
+        overrides = { slots = 2 }
+        [[operations]]
+        type = "set_zone"
+        name = "vantaa-t2"
+        region = "uusimaa"
+        """
+    )
+    version = site.ok("tree", "edit", str(file), "--json").json["accepted"]["version"]
+    newest = site.ok("tree", "history", "--limit", "1", "--json").json["changes"]
+    assert [change["version"] for change in newest] == [version]
+    assert newest[0]["operations"] == ["set /kuitti slots=2", "zone set vantaa-t2 uusimaa"]
+    assert (newest[0]["comment"], newest[0]["author"]) == ("together", "anna")
+    ambiguous = site.command("tree", "edit", str(file), "--expected-revision", "0")
+    assert ambiguous.exit_code == ExitCode.USAGE
+
+
+def test_save_load_diff_and_revert(site: Site, tmp_path: Path) -> None:
+    file = tmp_path / "tree.toml"
+    first = site.ok("tree", "show", "--json").json
+    site.ok("tree", "save", str(file))
+    site.ok("tree", "set", "/kassa", "slots=33", "queue_limit=44")
+    difference = site.ok("tree", "diff", str(first["version"]), "--json").json
+    changed = {item["setting"]: item["after"] for item in difference["differences"]}
+    assert changed == {"slots": "33", "queue_limit": "44"}
+
+    dry = site.ok("tree", "load", str(file), "--dry-run", "--json").json
+    assert {item["setting"] for item in dry["differences"]} == {"slots", "queue_limit"}
+    site.ok("tree", "load", str(file))
+    assert "no differences" in site.ok("tree", "diff", str(first["version"])).output
+
+    site.ok("tree", "set", "/kassa", "slots=34")
+    reverted = site.ok("tree", "revert", str(first["version"]), "--json").json
+    assert reverted["accepted"]["version"] > first["version"]
+    assert "no differences" in site.ok("tree", "diff", str(first["version"])).output
+
+
+def test_bad_files_are_refused_with_their_problems(site: Site, tmp_path: Path) -> None:
+    file = tmp_path / "bad.toml"
+    file.write_text('cluster = "refund"\n[nodes."/kassa"]\nslots = "many"\ncolour = 1\n')
+    for arguments in (("tree", "load", str(file)), ("tree", "edit", str(file))):
+        done = site.command(*arguments)
+        assert done.exit_code == ExitCode.INVALID
+    missing = site.command("tree", "load", str(tmp_path / "none.toml"))
+    assert missing.exit_code == ExitCode.USAGE
+
+
+def test_explain_names_value_and_origin(site: Site) -> None:
+    site.ok("tree", "set", "/kassa/pasila/pay", "timeout_milliseconds=123")
+    explained = site.ok("explain", "kassa", "pasila", "pay", "--json").json
+    origins = {
+        item["name"]: (item["value"], item["path"]) for item in explained["route_settings"]
+    }
+    assert origins["timeout_milliseconds"] == (123, "/kassa/pasila/pay")
+    assert origins["path_prefix"] == ("/pay", PAY)
+    assert origins["target"] == ("kassa", "built-in")
+    missing = site.command("explain", "kassa", "pasila", "none")
+    assert missing.exit_code == ExitCode.NOT_FOUND
+    assert "pay" in missing.error
+
+
+def test_unknown_version_is_not_found(site: Site) -> None:
+    done = site.command("tree", "show", "--version", "999999")
+    assert done.exit_code == ExitCode.NOT_FOUND
+
+
+def test_secret_in_use_stays_and_rotation_needs_a_secret(site: Site) -> None:
+    site.ok("secret", "put", "member", "--generate", "32")
+    site.ok("tree", "set", PAY, "verify_secret=member")
+    assert site.command("secret", "remove", "member").exit_code == ExitCode.INVALID
+    assert site.command("secret", "rotate", "other").exit_code == ExitCode.NOT_FOUND
+    site.ok("secret", "rotate", "member")
+    listed = site.ok("secret", "list", "--json").json["secrets"]
+    assert listed[0]["generations"] == [1, 2]
+    site.ok("tree", "unset", PAY, "verify_secret")
+    site.ok("secret", "remove", "member")
+
+
+def test_zone_in_use_stays(site: Site) -> None:
+    assert site.command("zone", "remove", "pasila").exit_code == ExitCode.INVALID
+    site.ok("zone", "set", "empty", "uusimaa")
+    site.ok("zone", "remove", "empty")
+
+
+def test_status_and_replicas(site: Site) -> None:
+    status = site.ok("status", "--json").json
+    assert (status["cluster"], status["leader"]) == ("refund", "c1")
+    replicas = site.ok("replica", "list", "--json").json["replicas"]
+    assert [item["role"] for item in replicas] == ["leader"]
+    refused = site.command("replica", "remove", "c1", "--json")
+    assert refused.exit_code == ExitCode.INVALID
+    assert refused.json["failed"]["kind"] == "membership"
+
+
+def test_json_is_one_object_a_line_for_every_reading_command(site: Site) -> None:
+    for arguments in (
+        ("tree", "show"),
+        ("tree", "get", PAY),
+        ("tree", "history"),
+        ("tree", "diff", "1"),
+        ("tree", "save"),
+        ("status",),
+        ("secret", "list"),
+        ("replica", "list"),
+        ("explain", "kassa", "pasila", "pay"),
+    ):
+        lines = site.ok(*arguments, "--json").output.splitlines()
+        assert [type(json.loads(line)) for line in lines] == [dict]
--- /dev/null
+++ b/tests/node/test_node_core.py
@@ -0,0 +1,225 @@
+"""The node core alone: what it takes, what it refuses, and when it uses it."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import pytest
+
+from peppershore.connection.messages import (
+    Current,
+    Freshness,
+    Message,
+    NodeAlive,
+    NodeHello,
+    RetryAfter,
+    UpdateApplied,
+    UpdateOffered,
+    UpdateRefused,
+)
+from peppershore.connection.update_packing import pack_update
+from peppershore.process import events
+from peppershore.process.commands import CloseLink, Command, OpenLink, SendMessage
+from peppershore.process.node.commands import ConfigurationSwapped, PersistSnapshot
+from peppershore.process.node.core import NodeCore, NodeMemory
+from peppershore.process.settings import NodeSettings, PeerRelay
+from peppershore.version.catalog import ScopeCatalog
+from peppershore.version.model import Edit, Overrides, Scope, SetOverrides, SetZone, Tree
+from peppershore.version.tree import apply_edit, empty_tree
+
+SCOPE = Scope("kassa", "pasila")
+NEVER_MILLISECONDS = 2**31 - 1
+CommandType = TypeVar("CommandType", bound=Command)
+MessageType = TypeVar("MessageType", bound=Message)
+
+
+def trees(count: int) -> list[Tree]:
+    """Give versions 1 to ``count``, each with another timeout."""
+    operations = (
+        SetZone("pasila", "uusimaa"),
+        SetOverrides("/kassa/*/pay", Overrides(path_prefix="/pay", target="kassa")),
+    )
+    found = [apply_edit(empty_tree("c"), Edit("e", operations), 1).unwrap().tree]
+    for version in range(2, count + 1):
+        change = SetOverrides("/kassa", Overrides(timeout_milliseconds=version * 1_000))
+        edit = Edit(f"e{version}", (change,))
+        found.append(apply_edit(found[-1], edit, version).unwrap().tree)
+    return found
+
+
+TREES = trees(4)
+
+
+def offer(version: int, base: int = 0, age: int = 0) -> UpdateOffered:
+    """Give the offer from version ``base`` (0: full state) to ``version``."""
+    catalog = ScopeCatalog()
+    catalog.load(TREES[max(base, 1) - 1])
+    digest = catalog.digest(SCOPE) if base else 0
+    if version > max(base, 1):
+        catalog.load(TREES[version - 1])
+    update = catalog.update_since(SCOPE, base, digest)
+    assert update is not None
+    return UpdateOffered(pack_update(update), age)
+
+
+def digest_of(version: int) -> int:
+    """Give the digest of what the node holds at a version."""
+    catalog = ScopeCatalog()
+    catalog.load(TREES[version - 1])
+    return catalog.digest(SCOPE)
+
+
+class Bench:
+    """A node with its first link open and its hello sent."""
+
+    def __init__(self, data_folder: str = "", memory: NodeMemory | None = None) -> None:
+        relays = tuple(
+            PeerRelay(name=name, zone="pasila", address=name) for name in ("r1", "r2")
+        )
+        settings = NodeSettings(
+            cluster="c",
+            node="n",
+            service="kassa",
+            zone="pasila",
+            listen="",
+            relays=relays,
+            data_folder=data_folder,
+        )
+        self.core = NodeCore(settings, memory or NodeMemory(1))
+        self.now = 100.0
+        self.out = self.core.step(events.Started(1), self.now)
+        self.open_candidate()
+
+    def open_candidate(self) -> int:
+        """Let the link asked for last be open; give its number."""
+        link = self.only(OpenLink).link
+        self.give(events.LinkOpened(link, "relay"))
+        return link
+
+    def give(self, event: events.Event) -> list[Command]:
+        """Step the core."""
+        self.out = self.core.step(event, self.now)
+        return self.out
+
+    def receive(self, message: Message, link: int = 1) -> list[Command]:
+        """Step the core with a message."""
+        return self.give(events.MessageReceived(link, message))
+
+    def only(self, kind: type[CommandType]) -> CommandType:
+        """Give the one command of a kind in the last step."""
+        (found,) = [each for each in self.out if isinstance(each, kind)]
+        return found
+
+    def has(self, kind: type[Command]) -> bool:
+        """Tell whether the last step gave a command of a kind."""
+        return any(isinstance(each, kind) for each in self.out)
+
+    def sent(self, kind: type[MessageType]) -> list[MessageType]:
+        """Give the messages of a kind that the last step sent."""
+        messages = [each.message for each in self.out if isinstance(each, SendMessage)]
+        return [each for each in messages if isinstance(each, kind)]
+
+
+def test_the_hello_says_what_is_held() -> None:
+    bench = Bench(memory=NodeMemory(1, floor=7))
+    (hello,) = bench.sent(NodeHello)
+    assert (hello.version, hello.digest, hello.floor) == (0, 0, 7)
+
+
+def test_a_node_without_memory_refuses_what_was_confirmed_before_its_hello() -> None:
+    bench = Bench()
+    bench.now += 0.5
+    bench.receive(offer(1, age=700))
+    assert [each.reason for each in bench.sent(UpdateRefused)] == ["unconfirmed"]
+    assert bench.core.holder.holds_nothing
+    bench.receive(offer(1, age=400))
+    assert bench.sent(UpdateApplied) == [UpdateApplied(1, digest_of(1))]
+
+
+def test_a_node_with_a_floor_takes_unconfirmed_versions_at_or_above_it() -> None:
+    bench = Bench(memory=NodeMemory(1, floor=2))
+    bench.receive(offer(1, age=NEVER_MILLISECONDS))
+    assert [each.reason for each in bench.sent(UpdateRefused)] == ["below-floor"]
+    bench.receive(offer(2, age=NEVER_MILLISECONDS))
+    assert bench.core.holder.snapshot.version == 2
+
+
+def test_an_older_version_on_any_link_is_answered_with_what_is_held() -> None:
+    bench = Bench()
+    bench.receive(offer(3))
+    bench.receive(offer(2))
+    assert bench.sent(UpdateApplied) == [UpdateApplied(3, digest_of(3))]
+    assert not bench.has(ConfigurationSwapped)
+
+
+@pytest.mark.parametrize("packed", [b"", b"garbage", offer(1).packed_update[:-3]])
+def test_an_undecodable_update_ends_the_link_and_changes_nothing(packed: bytes) -> None:
+    bench = Bench()
+    bench.receive(UpdateOffered(packed, 0))
+    assert bench.has(CloseLink)
+    assert bench.core.holder.holds_nothing
+
+
+def test_a_version_is_used_only_once_it_is_on_disk() -> None:
+    bench = Bench(data_folder="somewhere")
+    bench.receive(offer(1))
+    token = bench.only(PersistSnapshot).token
+    assert not bench.has(ConfigurationSwapped)
+    assert not bench.sent(UpdateApplied)
+    bench.give(events.RecordsPersisted(token))
+    assert bench.only(ConfigurationSwapped).active.version == 1
+    assert bench.sent(UpdateApplied) == [UpdateApplied(1, digest_of(1))]
+
+
+def test_a_version_the_disk_refuses_is_not_used_and_tried_again() -> None:
+    bench = Bench(data_folder="somewhere")
+    bench.receive(offer(1))
+    token = bench.only(PersistSnapshot).token
+    bench.give(events.RecordsFailed(token, "disk full"))
+    assert bench.core.holder.holds_nothing
+    bench.give(events.TimerFired("node.persist"))
+    again = bench.only(PersistSnapshot).token
+    assert again != token
+    bench.give(events.RecordsPersisted(token))
+    assert bench.core.holder.holds_nothing
+    bench.give(events.RecordsPersisted(again))
+    assert bench.core.holder.snapshot.version == 1
+
+
+def test_a_heartbeat_raises_the_version_in_effect_and_is_answered() -> None:
+    bench = Bench()
+    bench.receive(offer(1))
+    bench.receive(Freshness(9, 100))
+    assert bench.core.holder.effective_version == 9
+    assert bench.sent(NodeAlive) == [NodeAlive(9)]
+
+
+def test_a_heartbeat_raises_nothing_while_a_version_is_being_stored() -> None:
+    bench = Bench(data_folder="somewhere")
+    bench.receive(offer(1))
+    bench.give(events.RecordsPersisted(bench.only(PersistSnapshot).token))
+    bench.receive(offer(2, base=1))
+    token = bench.only(PersistSnapshot).token
+    bench.receive(Freshness(9, 0))
+    assert bench.core.holder.effective_version == 1
+    bench.give(events.RecordsPersisted(token))
+    assert bench.core.holder.effective_version == 2
+
+
+def test_a_deferred_hello_comes_back_within_the_time_the_relay_gave() -> None:
+    bench = Bench()
+    bench.receive(RetryAfter(4_000))
+    assert bench.has(CloseLink)
+    (timer,) = [each for each in bench.out if hasattr(each, "delay_seconds")]
+    assert 0 <= timer.delay_seconds <= 4.0
+
+
+def test_what_the_disk_held_is_used_at_once_and_said_in_the_hello() -> None:
+    first = Bench()
+    first.receive(offer(2))
+    stored = first.core.holder.snapshot
+    bench = Bench(memory=NodeMemory(2, floor=2, snapshot=stored))
+    (hello,) = bench.sent(NodeHello)
+    assert (hello.version, hello.digest, hello.floor) == (2, digest_of(2), 2)
+    bench.receive(Current(5, 0))
+    assert bench.core.holder.effective_version == 5
