--- a/src/peppershore_lab/calls/caller.py
+++ b/src/peppershore_lab/calls/caller.py
@@ -209,7 +209,7 @@
             return msgspec.structs.replace(
                 record, outcome=word or OUTCOME_BROKEN, problem=outcome.reason
             )
-        return _with_answer(record, call.kind, outcome)
+        return with_answer(record, call.kind, outcome)
 
     def _count(self, call: _PlannedCall, record: CallRecord) -> None:
         self._outcomes[record.outcome] = self._outcomes.get(record.outcome, 0) + 1
@@ -244,7 +244,8 @@
         )
 
 
-def _with_answer(record: CallRecord, kind: CallKind, answer: ClientAnswer) -> CallRecord:
+def with_answer(record: CallRecord, kind: CallKind, answer: ClientAnswer) -> CallRecord:
+    """Give the record with what the answer said, checked against what was asked."""
     outcome = answer.headers.get(OUTCOME_HEADER, "")
     told = msgspec.structs.replace(
         record, status=answer.status, outcome=outcome or OUTCOME_UNKNOWN
