Control: the leader reports every edit accepted or refused

Cause: no log line told when an edit was accepted, so convergence could only be timed from the command line's answer, and a refused edit left no trace. Only the leader reports (edit_accepted, edit_refused); a resend of a change id is reported once. After a change of leader one edit may be reported by both, with the same version.

--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -6,6 +6,7 @@
 
 from peppershore.connection.identity import parse_identity
 from peppershore.connection.messages import (
+    CommittedEdit,
     ConfirmReply,
     ConfirmRequest,
     EditAnswered,
@@ -32,9 +33,11 @@
 from peppershore.process.consensus.records import StoredState
 from peppershore.process.consensus.replica import ReplicaCore
 from peppershore.process.consensus.settings import ConsensusSettings, ReplicaSettings
+from peppershore.process.control import notices
 from peppershore.process.control.clock import ClockObserved, WallClock
 from peppershore.process.control.edit_intake import INTERNAL_LINK, EditIntake
 from peppershore.process.control.followers import Followers
+from peppershore.process.control.notices import edit_refused
 from peppershore.process.control.progress import ProgressTable
 from peppershore.process.control.redaction import edits_without_material, without_material
 from peppershore.process.control.rotation import RotationBarrier
@@ -45,7 +48,7 @@
 )
 from peppershore.process.events import LinkId
 from peppershore.process.settings import ControlSettings
-from peppershore.version.model import Edit, Version
+from peppershore.version.model import Edit, EditAccepted, EditOutcome, Version
 
 WATCH_TIMER = "control-watch"
 WATCH_SECONDS = 0.005
@@ -184,13 +187,19 @@
             return
         known = self._intake.known_outcome(edit)
         if known is not None:
-            self._answer(link, EditAnswered(known))
+            self._answer_known(link, known)
         elif self._intake.waiting_edits >= MAX_WAITING_EDITS:
             self._answer(link, RetryAfter(BUSY_RETRY_MILLISECONDS))
         else:
             stamp = self._clock.unix_milliseconds(self.now)
             self._intake.submit(link, edit, stamp, self.next_index, self._propose)
 
+    def _answer_known(self, link: LinkId, outcome: EditOutcome) -> None:
+        recorded = self.state.outcomes.find(outcome.change_id) is not None
+        if not recorded and not isinstance(outcome, EditAccepted):
+            self.report(edit_refused(outcome, self.name))
+        self._answer(link, EditAnswered(outcome))
+
     def _propose(self, command: ControlCommand) -> int | None:
         return self.propose(encode_command(command))
 
@@ -252,13 +261,31 @@
 
     def on_applied(self) -> None:
         """Answer outcomes and send accepted edits to relays."""
-        for outcome in self.state.take_new_outcomes():
+        edits = self.state.take_new_edits()
+        outcomes = self.state.take_new_outcomes()
+        if self.consensus.leadership is not None:
+            self._report_outcomes(edits, outcomes)
+        for outcome in outcomes:
             for link in self._intake.links_waiting_for(outcome.change_id):
                 self._answer(link, EditAnswered(outcome))
-        for command in self._followers.advance(self.state.take_new_edits()):
+        for command in self._followers.advance(edits):
             self.command(command)
         self._progress_changed()
 
+    def _report_outcomes(
+        self, edits: list[CommittedEdit], outcomes: list[EditOutcome]
+    ) -> None:
+        for committed in edits:
+            edit = committed.edit
+            self.report(
+                notices.EditAccepted(
+                    committed.version, edit.change_id, edit.author, self.name
+                )
+            )
+        for outcome in outcomes:
+            if not isinstance(outcome, EditAccepted):
+                self.report(edit_refused(outcome, self.name))
+
     def on_state_installed(self) -> None:
         """The state jumped ahead: relays get the whole tree."""
         for command in self._followers.state_replaced():
--- /dev/null
+++ b/src/peppershore/process/control/notices.py
@@ -0,0 +1,55 @@
+"""What a control replica reports of edits to logs and metrics.
+
+Only the leader reports.  A new leader reports again what its predecessor may
+have reported just before it was lost: readers go by the version or change id.
+"""
+
+from __future__ import annotations
+
+from typing import assert_never
+
+from peppershore.process.commands import Notice
+from peppershore.version.model import EditConflict, EditExpired, EditInvalid, Version
+
+
+class EditAccepted(Notice, frozen=True):
+    """An edit is committed as ``version``; ``operator`` is its author."""
+
+    version: Version
+    change_id: str
+    operator: str
+    replica: str
+
+
+class EditRefused(Notice, frozen=True):
+    """An edit changed nothing.
+
+    ``reason`` is a stable word: "invalid", "conflict" or "expired".
+    """
+
+    change_id: str
+    reason: str
+    detail: str
+    replica: str
+
+
+def edit_refused(
+    outcome: EditInvalid | EditConflict | EditExpired, replica: str
+) -> EditRefused:
+    """Give the notice of a refusal."""
+    reason, detail = _refusal(outcome)
+    return EditRefused(outcome.change_id, reason, detail, replica)
+
+
+def _refusal(outcome: EditInvalid | EditConflict | EditExpired) -> tuple[str, str]:
+    if isinstance(outcome, EditInvalid):
+        return "invalid", "; ".join(_describe(outcome))
+    if isinstance(outcome, EditConflict):
+        return "conflict", f"{outcome.subject} was changed by {outcome.winner_change_id}"
+    if isinstance(outcome, EditExpired):
+        return "expired", f"older than version {outcome.horizon_version}"
+    assert_never(outcome)
+
+
+def _describe(outcome: EditInvalid) -> list[str]:
+    return [f"{each.subject}: {each.reason}" for each in outcome.problems]
--- a/src/peppershore_lab/convergence.py
+++ b/src/peppershore_lab/convergence.py
@@ -15,7 +15,7 @@
 from peppershore.version.model import Version
 from peppershore_lab.log_reader import LogLine, read_log
 
-ACCEPTED_EVENT = "edit_committed"
+ACCEPTED_EVENT = "edit_accepted"
 APPLIED_EVENT = "configuration_applied"
 MILLISECONDS = 1_000
 
