Messages: a relay's report names its life, whether it is settled, and the relays it hears

Additive fields with defaults; a replica can then keep what it knew of a relay's former life and knows which relays have not reported yet. Status answers say which relays are awaited.

--- a/src/peppershore/connection/messages.py
+++ b/src/peppershore/connection/messages.py
@@ -263,6 +263,11 @@
 
     ``lagging`` is a bounded sample; ``control_bytes`` counts what the relay
     sent to nodes since it started; ``nodes_by_service`` is not included here.
+
+    ``incarnation`` names this life of the relay, without order; ``number`` counts
+    its reports.  ``settled``: every node that the relay had in a former life, or
+    before a pause, came back somewhere or counts as gone.  ``relays`` are this one
+    and those it hears.
     """
 
     relay: str
@@ -272,6 +277,10 @@
     nodes: int
     lagging: tuple[LaggingNode, ...]
     control_bytes: int
+    incarnation: int = 0
+    settled: bool = True
+    relays: tuple[str, ...] = ()
+    number: int = 0
 
 
 # --- consensus ---------------------------------------------------------------
@@ -489,7 +498,10 @@
 
 
 class RelayStatus(msgspec.Struct, frozen=True, array_like=True):
-    """One relay as the control group sees it."""
+    """One relay as the control group sees it.
+
+    ``settled``: as in ``ProgressReported``; while false, ``in_force`` does not rise.
+    """
 
     relay: str
     zone: str
@@ -499,10 +511,14 @@
     lagging: tuple[LaggingNode, ...]
     control_bytes: int
     report_age_milliseconds: int
+    settled: bool = True
 
 
 class StatusAnswered(Message, frozen=True, tag=98):
-    """State of the cluster; ``in_force`` is the minimum over the live relays."""
+    """State of the cluster; ``in_force`` is the minimum over the live relays.
+
+    It is 0 while ``relays_awaited``, which other relays name, have not reported.
+    """
 
     cluster: str
     replica: str
@@ -512,6 +528,7 @@
     replicas: tuple[ReplicaStatus, ...]
     relays: tuple[RelayStatus, ...]
     rotations: tuple[str, ...]
+    relays_awaited: tuple[str, ...] = ()
 
 
 class WatchRequest(Message, frozen=True, tag=99):
