Node: links between nodes are secured; call figures are shown

Cause: the node's shell made its data plane without the TLS contexts, so calls between nodes went in plain text even with certificates set, and the gauges of calls were registered nowhere. Before: the new test of a node process fails at the handshake; after: TLS 1.3 and the gauges are there.

--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -24,6 +24,7 @@
     PersistSnapshot,
 )
 from peppershore.process.node.core import NodeCore, NodeMemory
+from peppershore.process.node.data.gauges import add_call_gauges
 from peppershore.process.node.data_plane import DataPlane
 from peppershore.process.node.inputs import BackendDrained, BackendStateChanged
 from peppershore.process.node.storage import NodeRecord, NodeStorage
@@ -133,7 +134,12 @@
     """Run a node until its planned stop; tell ``on_ready`` the callers' port."""
     metrics = ProcessMetrics(LogIdentity("node", settings.node))
     security = LinkSecurity("node", settings.tls)
-    data_plane = DataPlane(settings, metrics.notice)
+    data_plane = DataPlane(
+        settings,
+        metrics.notice,
+        client_tls=security.client,
+        server_tls=security.server,
+    )
     claims = _claims_client(settings, metrics, security)
     if claims is not None:
         data_plane.use_claims(claims)
@@ -142,6 +148,7 @@
     shell = NodeShell(settings, core, data_plane, metrics.notice, security)
     data_plane.on_backend_state(lambda state: shell.dispatch(BackendStateChanged(state)))
     _add_gauges(metrics, core, shell)
+    add_call_gauges(metrics, data_plane)
     security.start(metrics)
     admin = AdminServer(metrics, lambda: _readiness(core))
     if settings.admin_listen:
--- /dev/null
+++ b/tests/node/test_node_process.py
@@ -0,0 +1,87 @@
+"""A node as a process: what its shell binds together."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import ssl
+from pathlib import Path
+
+from peppershore.connection import certificates
+from peppershore.connection.identity import SCHEME, parse_identity
+from peppershore.connection.tls import TlsPaths, client_context
+from peppershore.process.node.shell import run_node
+from peppershore.process.settings import NodeSettings, PeerRelay, TlsFiles
+
+HOST = "127.0.0.1"
+BOUND_SECONDS = 20.0
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return int(probe.getsockname()[1])
+
+
+def make_settings(folder: Path) -> NodeSettings:
+    authority = certificates.make_authority(folder).unwrap()
+    identity = parse_identity(f"{SCHEME}site/node/kassa/pasila/kassa-1").unwrap()
+    pem = str(certificates.issue(folder, authority, identity, days=1).unwrap())
+    return NodeSettings(
+        cluster="site",
+        node="kassa-1",
+        service="kassa",
+        zone="pasila",
+        listen=f"{HOST}:0",
+        internal_listen=f"{HOST}:{free_port()}",
+        admin_listen=f"{HOST}:{free_port()}",
+        relays=(PeerRelay(name="r1", zone="pasila", address=f"{HOST}:{free_port()}"),),
+        tls=TlsFiles(
+            certificate=pem,
+            key=pem,
+            authority=str(folder / certificates.AUTHORITY_CERTIFICATE),
+        ),
+    )
+
+
+async def read_metrics(address: str) -> str:
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+    content = await reader.read()
+    writer.close()
+    return content.decode()
+
+
+async def greet_internal(settings: NodeSettings, context: ssl.SSLContext) -> str:
+    """Give the TLS version spoken with the node's listener for other nodes."""
+    host, _, port = settings.internal_listen.rpartition(":")
+    _, writer = await asyncio.open_connection(
+        host, int(port), ssl=context, server_hostname=""
+    )
+    secured: ssl.SSLObject = writer.get_extra_info("ssl_object")
+    writer.close()
+    return secured.version() or ""
+
+
+def test_a_node_process_secures_calls_between_nodes_and_shows_their_figures(
+    tmp_path: Path,
+) -> None:
+    settings = make_settings(tmp_path)
+    assert settings.tls is not None
+    files = TlsPaths(settings.tls.certificate, settings.tls.key, settings.tls.authority)
+
+    async def check() -> None:
+        ready = asyncio.Event()
+        node = asyncio.create_task(run_node(settings, lambda _port: ready.set()))
+        await ready.wait()
+        assert await greet_internal(settings, client_context(files).context) == "TLSv1.3"
+        shown = await read_metrics(settings.admin_listen)
+        assert "calls_answered" in shown
+        assert "calls_in_flight" in shown
+        os.kill(os.getpid(), signal.SIGTERM)
+        await node
+
+    asyncio.run(asyncio.wait_for(check(), BOUND_SECONDS))
