make model-check starts the specification's runner

The target named spec.run, a module that isn't there, so it always failed; the runner is the package itself.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 
 # Explores the specification in spec/; fails if the run was not exhaustive.
 model-check: $(STAMP)
-	$(BIN)/python -m spec.run
+	$(BIN)/python -m spec
 
 # Drives the real cores under virtual time: make simulate SEEDS=1000 FIRST=1
 simulate: $(STAMP)
