Calls: the owner's word at the deadline; keyed calls without a claims group are refused

Cause: a call that waits in its back end's own node was told unknown when the caller's node reached the deadline before the owner's refusal was read: both timers fire within 2 ms, so a busy loop turned not-run into unknown (seen once under pytest -n 10; reproduced always with the owner's deadline put 5 s later). A longer margin was ruled out: it only makes the race rarer. Now the caller's node cancels at its deadline and the owner answers whether the back end had the call; 25 ms without a word still end as unknown. A cancel was never answered before. Second cause: a call that may run only once and carries a key was sent on without any claim when no claims group was configured. It is refused as not-run (no-claims-group) unless forward_unclaimed_keys is set; the demo runs one claims replica. Also: an attempt's name is made once, never from the caller's request id (test: resent request id and key run once on one node and on two).

--- a/src/peppershore/process/node/data/attempt.py
+++ b/src/peppershore/process/node/data/attempt.py
@@ -61,6 +61,13 @@
     def cancel(self) -> None:
         """Give the attempt up; its sink hears nothing more."""
 
+    def settle(self) -> bool:
+        """The deadline passed: stop, and say whether the call may have run.
+
+        True: the sink hears that soon from who knows.  False: nobody else knows
+        more; the attempt still has to be cancelled.
+        """
+
     def pause_answer(self) -> None:
         """Take no more answer bytes for now."""
 
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -45,6 +45,9 @@
     from peppershore.process.node.data.calls import Calls
 
 CLAIM_RETRY_AFTER_MILLISECONDS = 1_000
+VERDICT_SECONDS = 0.025
+"""For so long after its deadline a call may wait for the word of the back end's
+own node on whether it ran; after that its outcome is unknown."""
 
 
 class Call:
@@ -60,7 +63,6 @@
         "_calls",
         "_claim",
         "_claim_attempt",
-        "_claim_attempt",
         "_dispatch",
         "_earlier",
         "_exchange",
@@ -91,7 +93,6 @@
         self._begun = False
         self._claim = ""
         self._claim_attempt = ""
-        self._claim_attempt = ""
         self._dispatch: Dispatch | None = None
         self._earlier: Failed | None = None
         self._excluded: frozenset[str] = frozenset()
@@ -116,10 +117,12 @@
         entry = planned.unwrap()
         self._plan = entry.plan
         self._timer = self._loop.call_at(entry.plan.deadline, self._deadline_passed)
-        if entry.plan.key and self._calls.claims is not None:
+        if not entry.plan.key or self._calls.forwards_unclaimed_keys:
+            self._admit()
+        elif self._calls.claims is None:
+            self._fail(NotRun(STATUS_UNAVAILABLE, "no-claims-group"))
+        else:
             self._claim_first(claim_key(entry.plan, entry.caller.name))
-            return
-        self._admit()
 
     # --- RequestSink
 
@@ -254,9 +257,8 @@
 
     def _claim_first(self, key: str) -> None:
         # Never the request id: a caller that sends the call again may repeat that.
-        self._claim_attempt = self._calls.new_request_id().decode("latin-1")
-        self._exchange.pause_body()
         self._claim_attempt = self._calls.new_attempt_name()
+        self._exchange.pause_body()
         seconds = self.plan.deadline - self._loop.time()
         self._calls.claim(key, self._claim_attempt, seconds, self._claimed)
 
@@ -312,6 +314,20 @@
         self._admit()
 
     def _deadline_passed(self) -> None:
+        """End the call, once the back end's own node has said whether it ran."""
+        attempt = self._attempt
+        asked = (
+            attempt is not None
+            and self._begun
+            and not self._answer.begun
+            and attempt.settle()
+        )
+        if asked:
+            self._timer = self._loop.call_later(VERDICT_SECONDS, self._end_at_deadline)
+        else:
+            self._end_at_deadline()
+
+    def _end_at_deadline(self) -> None:
         if self._begun:
             failed: Failed = Unknown(STATUS_GATEWAY_TIMEOUT, "deadline-passed")
         else:
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -111,6 +111,11 @@
         self._kick: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def forwards_unclaimed_keys(self) -> bool:
+        """Whether calls with an idempotency key go on without a claim."""
+        return self.claims is None and self._settings.forward_unclaimed_keys
+
     @property
     def in_flight(self) -> int:
         """Calls not over."""
--- a/src/peppershore/process/node/data/direct_attempt.py
+++ b/src/peppershore/process/node/data/direct_attempt.py
@@ -88,6 +88,10 @@
             connection.cancel()
         self._over()
 
+    def settle(self) -> bool:
+        """Nobody else knows more about this attempt."""
+        return False
+
     def pause_answer(self) -> None:
         """Stop reading from the back end."""
         if self._connection is not None:
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -22,6 +22,7 @@
 from peppershore.request.deadline import remaining_milliseconds
 from peppershore.request.outcome import (
     STATUS_BAD_GATEWAY,
+    STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
     Failed,
     NotRun,
@@ -59,6 +60,7 @@
         "_receiving",
         "_request",
         "_sending",
+        "_settling",
         "_sink",
         "_started",
         "_stream",
@@ -77,6 +79,7 @@
         self._stream = 0
         self._started = False
         self._over = False
+        self._settling = False
         self._paused = False
         self._data: list[bytes] = []
         self._ended = False
@@ -115,7 +118,7 @@
 
     def flush(self) -> None:
         """Send what is queued in one message."""
-        if self._over or self._link is None:
+        if self._over or self._settling or self._link is None:
             return
         data = b"".join(self._data)
         self._data.clear()
@@ -138,6 +141,13 @@
             if self._started:
                 self._link.send(CallCancelled(self._stream))
 
+    def settle(self) -> bool:
+        """Cancel at the owner, which answers whether the back end had the call."""
+        if self._over or self._link is None or not self._started:
+            return False
+        self._settling = True
+        return self._link.send(CallCancelled(self._stream))
+
     def pause_answer(self) -> None:
         """Give no more credit."""
         self._receiving.pause()
@@ -251,6 +261,8 @@
     def _end(self, failed: Failed) -> None:
         if self._over:
             return
+        if self._settling:
+            failed = _at_deadline(failed)
         self._close_stream()
         self._sink.attempt_failed(failed)
 
@@ -258,3 +270,10 @@
         self._over = True
         if self._link is not None:
             self._link.forget(self._stream)
+
+
+def _at_deadline(failed: Failed) -> Failed:
+    """Keep the owner's word on whether it ran; the cause is the deadline."""
+    if isinstance(failed, NotRun):
+        return NotRun(STATUS_UNAVAILABLE, "deadline-passed")
+    return Unknown(STATUS_GATEWAY_TIMEOUT, "deadline-passed")
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -241,6 +241,10 @@
             direct.cancel()
         self._end(None)
 
+    def settle(self) -> bool:
+        """Nobody else knows more about this attempt."""
+        return False
+
     def pause_answer(self) -> None:
         """Take no more answer bytes for now."""
         if self._direct is not None:
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -25,7 +25,14 @@
 from peppershore.process.node.data.attempt import AttemptRequest
 from peppershore.process.node.data.own_backend import OwnAttempt, OwnBackend
 from peppershore.process.node.data.request_body import RequestBody
-from peppershore.request.outcome import STATUS_BAD_REQUEST, Failed, NotRun
+from peppershore.request.outcome import (
+    STATUS_BAD_REQUEST,
+    STATUS_GATEWAY_TIMEOUT,
+    STATUS_UNAVAILABLE,
+    Failed,
+    NotRun,
+    Unknown,
+)
 from peppershore.request.waiting import RANKS
 from peppershore.version.model import CallClass
 
@@ -169,8 +176,16 @@
         self._over = True
         if self._attempt is not None:
             self._attempt.cancel()
+        if self._link is not None:
+            self._link.send(_failure_message(self._stream, self._cancelled()))
         self._close()
 
+    def _cancelled(self) -> Failed:
+        """Tell a peer that asks at its deadline whether the back end had the call."""
+        if self._begun:
+            return Unknown(STATUS_GATEWAY_TIMEOUT, "cancelled")
+        return NotRun(STATUS_UNAVAILABLE, "cancelled")
+
     def _flush(self, ended: bool, trailers: HeaderList) -> None:
         data = b"".join(self._out)
         self._out.clear()
--- a/src/peppershore/process/settings.py
+++ b/src/peppershore/process/settings.py
@@ -79,7 +79,12 @@
 
 
 class NodeSettings(SettingsValue, frozen=True, kw_only=True):
-    """A node: the proxy beside one back end, or at the edge (no ``backend``)."""
+    """A node: the proxy beside one back end, or at the edge (no ``backend``).
+
+    Without ``claims``, a call that may run only once and carries an idempotency
+    key is refused; ``forward_unclaimed_keys`` sends it on, where the back end
+    itself is trusted to run each key once.
+    """
 
     cluster: str
     node: str
@@ -94,6 +99,7 @@
     data_folder: str = ""
     admin_listen: str = ""
     claims: tuple[PeerReplica, ...] = ()
+    forward_unclaimed_keys: bool = False
     stop_bound_milliseconds: int = 30_000
     log_level: str = "info"
     tls: TlsFiles | None = None
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -67,6 +67,7 @@
 data_folder = "data/kassa-1"       # keeps the version floor; "" without a disk
 admin_listen = "127.0.0.1:7921"    # /metrics, /healthz, /readyz, /configuration
 stop_bound_milliseconds = 30000    # longest wait for calls in flight at a planned stop
+forward_unclaimed_keys = false     # without claims: send keyed calls on all the same
 log_level = "info"                 # debug, info, warning or error
 
 [[relays]]                         # relays to choose from
--- a/src/peppershore_lab/demo.py
+++ b/src/peppershore_lab/demo.py
@@ -75,9 +75,10 @@
         if service.name in (OLD_SERVICE, NEW_SERVICE)
     ),
     replicas=1,
-    claims_replicas=0,
+    claims_replicas=1,
 )
-"""One control replica, one relay, two back ends with their nodes, one edge node."""
+"""One control and one claims replica, one relay, two back ends with their nodes, one
+edge node."""
 
 
 async def run_demo(deployment: Deployment, progress: Progress) -> DemoResult:
--- a/tests/data_plane/stage.py
+++ b/tests/data_plane/stage.py
@@ -78,7 +78,9 @@
 class Node:
     """One data plane and what it reported."""
 
-    def __init__(self, name: str = "e1", backend: str = "", slots: int = 20) -> None:
+    def __init__(
+        self, name: str = "e1", backend: str = "", slots: int = 20, **changes: Any
+    ) -> None:
         self.notices: list[Notice] = []
         settings = NodeSettings(
             cluster="test",
@@ -90,6 +92,7 @@
             relays=(),
             backend=backend,
             slots=slots,
+            **changes,
         )
         self.plane = DataPlane(settings, self.notices.append, seed=7)
         self.addresses = ListenAddresses("", "")
--- a/tests/data_plane/test_call_outcomes.py
+++ b/tests/data_plane/test_call_outcomes.py
@@ -21,7 +21,16 @@
     until,
 )
 
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.codec import decode_message, encode_message
+from peppershore.connection.framing import FrameReader, encode_frame
+from peppershore.connection.messages import (
+    CallCancelled,
+    CallNotRun,
+    CallUnknown,
+    KeptAnswer,
+)
+from peppershore.process.node.data import call as call_module
+from peppershore.request import deadline
 from peppershore.request.audience import sign_token
 from peppershore.request.claim import (
     ClaimDenied,
@@ -177,8 +186,21 @@
     run(scene())
 
 
+@pytest.fixture
+def patient_verdict(monkeypatch: pytest.MonkeyPatch) -> None:
+    """However slow this machine is, the owner's word is waited for."""
+    monkeypatch.setattr(call_module, "VERDICT_SECONDS", 10.0)
+
+
 @pytest.mark.parametrize("hop", ["direct", "owner"])
-def test_deadline_in_the_queue_is_not_run(hop: str) -> None:
+@pytest.mark.parametrize("hop_margin", [0.002, -5.0])
+@pytest.mark.usefixtures("patient_verdict")
+def test_deadline_in_the_queue_is_not_run(
+    hop: str, hop_margin: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Also where the caller's node gives up first, as when its peer is slow."""
+    monkeypatch.setattr(deadline, "HOP_MARGIN_SECONDS", hop_margin)
+
     async def scene() -> None:
         backend = ScriptedBackend(_hang)
         owner = Node("k1", await backend.start(), slots=1)
@@ -202,6 +224,48 @@
     run(scene())
 
 
+OWNERS_WORD = {
+    "not run": (CallNotRun(1, 503, "cancelled", 0, False), (503, "not-run")),
+    "unknown": (CallUnknown(1, 504, "cancelled"), (504, "unknown")),
+    "silent": (None, (504, "unknown")),
+}
+
+
+@pytest.mark.parametrize("word", OWNERS_WORD)
+def test_at_the_deadline_the_owner_says_whether_the_call_ran(
+    word: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    message, told = OWNERS_WORD[word]
+    if message is not None:
+        monkeypatch.setattr(call_module, "VERDICT_SECONDS", 10.0)
+
+    async def owner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        frames = FrameReader()
+        while received := await reader.read(65_536):
+            for payload in frames.feed(received).unwrap():
+                cancelled = isinstance(decode_message(payload).unwrap(), CallCancelled)
+                if cancelled and message is not None:
+                    writer.write(encode_frame(encode_message(message)))
+        writer.close()
+
+    async def scene() -> None:
+        server = await asyncio.start_server(owner, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        edge = Node()
+        address = await edge.start(
+            endpoint("127.0.0.1:1", owner_address=f"{host}:{port}"), route=ONCE
+        )
+        headers = {"peppershore-deadline-milliseconds": "50"}
+        answer = await call(address, method="POST", body=b"x", headers=headers)
+        assert (answer.status, answer.outcome) == told
+        assert answer.reason == "deadline-passed"
+        assert edge.plane.calls.in_flight == 0
+        await edge.plane.close()
+        server.close()
+
+    run(scene())
+
+
 def test_owner_lost_with_a_call_in_flight_is_unknown() -> None:
     async def scene() -> None:
         backend = ScriptedBackend(_hang)
@@ -384,6 +448,65 @@
     run(scene())
 
 
+@pytest.mark.parametrize("operator_forwards", [False, True])
+def test_keyed_call_without_a_claims_group_is_refused_unless_the_operator_forwards_it(
+    operator_forwards: bool,
+) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        node = Node(forward_unclaimed_keys=operator_forwards)
+        address = await node.start(endpoint(await backend.start()), route=ONCE)
+        keyed = await call(address, method="POST", body=b"a", headers=KEYED)
+        if operator_forwards:
+            assert (keyed.status, len(backend.requests)) == (200, 1)
+        else:
+            assert (keyed.status, keyed.outcome) == (503, "not-run")
+            assert keyed.reason == "no-claims-group"
+            assert backend.requests == []
+        assert (await call(address, method="POST", body=b"a")).status == 200
+        node.plane.use_configuration(_with_route(node, PUBLIC_ROUTE))
+        assert (await call(address, headers=KEYED)).status == 200
+        await node.plane.close()
+        backend.stop()
+
+    run(scene())
+
+
+@pytest.mark.parametrize("same_node", [True, False])
+def test_resent_request_id_and_key_run_once(same_node: bool) -> None:
+    """Claims as the group keeps them: an attempt's own name gets its grant again."""
+
+    class NamedClaims(FakeClaims):
+        async def claim(
+            self, key: str, attempt: str, seconds: float
+        ) -> Result[ClaimGranted, ClaimDenied]:
+            if attempt in self.attempts:
+                return Success(ClaimGranted())
+            return await super().claim(key, attempt, seconds)
+
+    async def scene() -> None:
+        backend = ScriptedBackend(_break_off)
+        claims = NamedClaims()
+        nodes = [Node("e1"), Node("e1" if same_node else "e2")]
+        shared = endpoint(await backend.start())
+        for node in nodes:
+            node.plane.use_claims(claims)
+            await node.start(shared, route=ONCE)
+        first = nodes[0].addresses.callers
+        second = first if same_node else nodes[1].addresses.callers
+        for address in (first, second, first):
+            answer = await call(address, method="POST", body=b"a", headers=KEYED)
+            assert (answer.status, answer.outcome) == (502, "unknown")
+        assert len(backend.requests) == 1
+        assert len(set(claims.attempts)) == 3
+        assert KEYED["x-request-id"] not in claims.attempts
+        for node in nodes:
+            await node.plane.close()
+        backend.stop()
+
+    run(scene())
+
+
 def test_call_that_did_not_run_gives_its_claim_back() -> None:
     async def scene() -> None:
         stage = ClaimScene()
