Control: in force never rises by a relay that has just started

Now an unsettled report can lower what a relay counts for, never raise it; nothing rises while a relay that others hear has not reported, or while one catches up with its former life; late reports of a former life are not taken. Rotations wait by the same rule. A silent relay that others still hear is not forgotten. Ruled out: ordering lives by incarnation (it is drawn at random; a relay has no disk).

--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -109,7 +109,7 @@
         """Forget silent relays; let rotations go on whose barrier is passed."""
         if self._rotation is None:
             self._rotation = RotationBarrier(self._progress, self.now)
-        if self._progress.forget_old(self.now):
+        if self._progress.refresh(self.now):
             self._progress_changed()
         if not self.leads or self.stopping:
             return
@@ -168,7 +168,7 @@
         """Take what another replica heard of a relay."""
         if isinstance(message, ProgressShared):
             age = message.age_milliseconds / MILLISECONDS_PER_SECOND
-            if self._progress.take(message.report, self.now - age):
+            if self._progress.take(message.report, self.now - age, self.now):
                 self._progress_changed()
 
     def _allowed(self, link: LinkId, message: Message) -> bool:
@@ -315,7 +315,7 @@
         for member in self.consensus.membership.members:
             if member.name != self.name:
                 self.send_to_peer(member.name, shared)
-        if self._progress.take(report, self.now):
+        if self._progress.take(report, self.now, self.now):
             self._progress_changed()
 
     def _progress_changed(self) -> None:
@@ -340,10 +340,11 @@
             self.name,
             self.consensus.leader,
             self.state.tree.version,
-            min(self._progress.in_force(), self.state.tree.version),
+            min(self._progress.in_force, self.state.tree.version),
             self._replica_statuses(),
             self._progress.statuses(self.now),
             rotations,
+            self._progress.awaited(self.now),
         )
 
     def _replica_statuses(self) -> tuple[ReplicaStatus, ...]:
--- a/src/peppershore/process/control/rotation.py
+++ b/src/peppershore/process/control/rotation.py
@@ -9,9 +9,12 @@
 
 import msgspec
 
-from peppershore.connection.messages import ProgressReported
 from peppershore.process.commands import Notice
-from peppershore.process.control.progress import RELAY_SILENT_SECONDS, ProgressTable
+from peppershore.process.control.progress import (
+    RELAY_SILENT_SECONDS,
+    ProgressTable,
+    RelayProgress,
+)
 from peppershore.version.model import (
     Edit,
     ExpectedRevision,
@@ -97,24 +100,25 @@
 
     def _obstacle(self, secret: Secret, now: float) -> str:
         """Why signers may not change yet; "" if they may."""
-        reports = self._progress.reports()
-        if not reports:
+        relays = self._progress.relays()
+        if not relays:
             return "no relay reports"
         if now - self._started_at < RELAY_SILENT_SECONDS:
             return "this replica started a moment ago and may not know all relays"
-        silent = self._progress.silent(now)
-        if silent:
-            return f"no report from relay {', '.join(silent)}"
-        behind = [report for report in reports if report.in_force < secret.revision]
-        if behind:
-            return "; ".join(_behind(report, secret.revision) for report in behind)
-        return ""
+        missing = [*self._progress.awaited(now), *self._progress.silent(now)]
+        if missing:
+            return f"no report from relay {', '.join(missing)}"
+        behind = [relay for relay in relays if relay.in_force < secret.revision]
+        return "; ".join(_behind(relay, secret.revision) for relay in behind)
 
 
-def _behind(report: ProgressReported, wanted: Version) -> str:
+def _behind(relay: RelayProgress, wanted: Version) -> str:
+    report = relay.report
     lagging = [node for node in report.lagging if node.version < wanted]
     shown = ", ".join(f"{node.node} ({node.reason})" for node in lagging[:SHOWN_NODES])
-    reached = f"relay {report.relay} is at version {report.in_force} of {wanted}"
+    reached = f"relay {report.relay} is at version {relay.in_force} of {wanted}"
+    if not report.settled:
+        reached += ", started a moment ago and may not know all its nodes"
     return f"{reached}: {shown}" if shown else reached
 
 
