Demo: convergence counts the proxies that need the edit; event names come from the notices

It also waited for 8 proxies whose content the edit leaves alone; they are sent nothing. What each proxy needs is now worked out again from the accepted edits. Conclusion: event names in the lab are taken from the notice classes, so that a renamed event can't pass unseen.

--- a/src/peppershore_lab/convergence.py
+++ b/src/peppershore_lab/convergence.py
@@ -1,7 +1,8 @@
 """How long a change took to be in force on every proxy, by the processes' logs.
 
 Acceptance is the leader's log line for the accepted edit; a proxy holds the
-change from its own log line on.  Both clocks are this machine's.
+change from its own log line on.  Both clocks are this machine's.  Proxies whose
+content a change leaves alone are sent nothing for it and aren't waited for.
 """
 
 from __future__ import annotations
@@ -12,18 +13,21 @@
 
 import msgspec
 
+from peppershore.process.control.notices import EditAccepted
+from peppershore.process.logging import event_name
+from peppershore.process.node.notices import VersionApplied, VersionRestored
 from peppershore.version.model import Version
 from peppershore_lab.log_reader import LogLine, read_log
 
-ACCEPTED_EVENT = "edit_accepted"
-APPLIED_EVENT = "configuration_applied"
+ACCEPTED_EVENT = event_name(EditAccepted)
+HELD_EVENTS = (event_name(VersionApplied), event_name(VersionRestored))
 MILLISECONDS = 1_000
 
 
 class Convergence(msgspec.Struct, frozen=True):
-    """Milliseconds from acceptance until each proxy held a version.
+    """Milliseconds from acceptance until each proxy that needs a version held it.
 
-    ``missing`` names the proxies that never did.
+    ``proxies`` counts those that need it; ``missing`` names those that never did.
     """
 
     version: Version
@@ -49,7 +53,7 @@
         VersionHeld(proxy, line.unix_seconds, int(line.fields["version"]))
         for proxy in proxies
         for line in read_log(logs / f"{proxy}.log")
-        if line.event == APPLIED_EVENT
+        if line.event in HELD_EVENTS
     ]
 
 
@@ -71,11 +75,15 @@
 def convergence(
     version: Version, accepted: float, proxies: Iterable[str], held: Iterable[VersionHeld]
 ) -> Convergence:
-    """Give the times from acceptance until each proxy held at least ``version``."""
+    """Give the times from acceptance until each proxy held at least ``version``.
+
+    ``proxies`` are those that need it; what others hold isn't counted.
+    """
     names = list(proxies)
     reached: dict[str, float] = {}
     for moment in held:
-        if moment.version >= version and moment.proxy not in reached:
+        is_first = moment.proxy in names and moment.proxy not in reached
+        if is_first and moment.version >= version:
             reached[moment.proxy] = max(0.0, moment.unix_seconds - accepted) * MILLISECONDS
     times = sorted(reached.values())
     return Convergence(
--- a/src/peppershore_lab/demo.py
+++ b/src/peppershore_lab/demo.py
@@ -36,6 +36,12 @@
 from peppershore_lab.fleet.managed_process import ManagedProcess
 from peppershore_lab.journal import CallRecord, JournalReader
 from peppershore_lab.operator_client import Operator, control_bytes
+from peppershore_lab.reference import (
+    HistoryIncomplete,
+    Reference,
+    needed_by,
+    read_reference,
+)
 
 MOVED_KIND = "statusdesk/status"
 MOVED_PATH = "/statusdesk/*/status"
@@ -46,6 +52,7 @@
 EDIT_AFTER_SECONDS = 4.0
 IN_FORCE_SECONDS = 10.0
 CALLER_GRACE_SECONDS = 20.0
+LOG_RESOLUTION_SECONDS = 0.001
 
 Progress = Callable[[str], None]
 
@@ -93,7 +100,11 @@
         edit = await make_edit(operator, fleet, progress)
         await wait_for_callers(callers)
         progress("calls ended; auditing the journals")
-        return _judge(fleet, up.seconds, edit)
+        layout = fleet.layout
+        reference = await read_reference(
+            deployment.cluster, fleet.replica_addresses, layout.proxies
+        )
+        return _judge(fleet, up.seconds, edit, reference)
 
 
 class EditMade(msgspec.Struct, frozen=True):
@@ -162,17 +173,24 @@
     return sum(len(group) for group in members)
 
 
-def _judge(fleet: Fleet, bring_up_seconds: float, edit: EditMade) -> DemoResult:
-    proxies = [member.name for member in fleet.layout.proxies]
+def _judge(
+    fleet: Fleet,
+    bring_up_seconds: float,
+    edit: EditMade,
+    reference: Reference | HistoryIncomplete,
+) -> DemoResult:
     logs = fleet.folder / "logs"
-    held = versions_held(logs, proxies)
+    held = versions_held(logs, [member.name for member in fleet.layout.proxies])
+    proxies = _proxies_to_change(fleet, edit, reference)
     replicas = [member.name for member in fleet.layout.replicas]
     accepted = accepted_at(logs, replicas, edit.version)
     reached = convergence(edit.version, accepted or 0.0, proxies, held)
-    in_force = (accepted or 0.0) + reached.max_milliseconds / 1_000
+    in_force = (accepted or 0.0) + reached.max_milliseconds / 1_000 + LOG_RESOLUTION_SECONDS
     before, after = _moved_calls(fleet, accepted or 0.0, in_force)
     report = audit_folder(fleet.folder / "journals")
     problems = _problems(edit, accepted, reached, steps_back(held), after)
+    if isinstance(reference, HistoryIncomplete):
+        problems.append(f"the history could not be read: {reference.reason}")
     return DemoResult(
         clean=report.clean and not problems,
         problems=tuple(problems),
@@ -188,6 +206,14 @@
     )
 
 
+def _proxies_to_change(
+    fleet: Fleet, edit: EditMade, reference: Reference | HistoryIncomplete
+) -> tuple[str, ...]:
+    if isinstance(reference, HistoryIncomplete):
+        return tuple(member.name for member in fleet.layout.proxies)
+    return needed_by(reference, edit.version, fleet.layout.proxies)
+
+
 def _problems(
     edit: EditMade,
     accepted: float | None,
@@ -200,6 +226,8 @@
         problems.append(edit.problem)
     if accepted is None:
         problems.append("no replica logged the acceptance of the edit")
+    if not reached.proxies:
+        problems.append("the edit changed no proxy")
     problems += [f"{name} never held version {edit.version}" for name in reached.missing]
     if after.get(OLD_SERVICE):
         problems.append(f"{after[OLD_SERVICE]} calls went to the old service afterwards")
--- a/src/peppershore_lab/demo_output.py
+++ b/src/peppershore_lab/demo_output.py
@@ -17,7 +17,7 @@
         ("bring-up", f"{result.bring_up_seconds:.1f} s"),
         ("version of the edit", str(result.version)),
         (
-            "proxies that hold it",
+            "proxies that need it and hold it",
             f"{reached.proxies - len(reached.missing)} of {reached.proxies}",
         ),
         (
