Relay and node: words that cross an update count for what they name

An acknowledgement of an older version cleared a newer outstanding update; an equal digest counted as current although the node could still take the version between; an answer to a hello counted for whatever the node held by then. Now an older word only raises the known version, Current names its digest, and a node that skipped a change counts once it has said so, which it does in answer to Current. Ruled out: remembering the hello's digest at the node, because Current then could not be sent again to a session that is open.

--- a/src/peppershore/connection/messages.py
+++ b/src/peppershore/connection/messages.py
@@ -73,10 +73,14 @@
 
 
 class Current(Message, frozen=True, tag=21):
-    """Answer to a hello whose digest is current: nothing to send."""
+    """What has this digest is right up to ``version``: nothing to send.
+
+    It names the digest because it can cross an update from another relay.
+    """
 
     version: Version
     confirmed_age_milliseconds: int
+    digest: Digest
 
 
 class UpdateOffered(Message, frozen=True, tag=22):
--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -178,9 +178,10 @@
                 self._heard_age(session, message.confirmed_age_milliseconds)
                 self._offered(session, message)
             case Current():
-                session.agreed_digest = self.holder.digest
+                session.agreed_digest = message.digest
                 self._heard_age(session, message.confirmed_age_milliseconds)
                 self._still_current(session, message.version)
+                self._tell_held(session)
             case Freshness():
                 self._heard_age(session, message.confirmed_age_milliseconds)
                 self._still_current(session, message.version)
--- a/src/peppershore/process/relay/distribution.py
+++ b/src/peppershore/process/relay/distribution.py
@@ -1,8 +1,11 @@
 """Which session needs which update, and when it is sent.
 
 At most one update is outstanding at a session: changes that come meanwhile are
-sent together once it is answered.  So a slow node costs no memory, and answers
-can't cross.
+sent together once it is answered.  So a slow node costs no memory.
+
+A node may take versions from two relays while it moves, so its words can cross
+an update.  An older word does not answer a newer update, and a node counts as
+current only by a digest that it named together with a high enough version.
 """
 
 from __future__ import annotations
@@ -130,10 +133,13 @@
 
     def applied(self, session: NodeSession, message: UpdateApplied) -> bool:
         """Take a node's word that it holds a version; tell whether more is due."""
-        session.outstanding_version = 0
+        is_older = message.version < session.outstanding_version
         session.version = max(session.version, message.version)
+        if is_older:
+            return False
+        session.outstanding_version = 0
         session.digest = message.digest
-        if self._catalog.digest(session.scope) == session.digest:
+        if self._is_current(session):
             self._mark_current(session)
             return False
         session.behind_since = session.version + 1
@@ -202,13 +208,31 @@
     def _encode(self, update: Update, age: int) -> bytes:
         return encode_message(UpdateOffered(self.packed_updates.packed(update), age))
 
+    def _is_current(self, session: NodeSession) -> bool:
+        """Tell whether the node holds all that this relay knows, by its own word.
+
+        An equal digest is not enough: a node that holds what the scope went back
+        to may yet take the version between from another relay.
+        """
+        if session.version > self._version:
+            return True
+        if session.digest != self._catalog.digest(session.scope):
+            return False
+        return session.version >= self._catalog.changed_at(session.scope)
+
     def _answer_current(self, session: NodeSession, age: int) -> list[Command]:
-        self._mark_current(session)
-        session.version = max(session.version, self._version)
-        if session.answered:
+        """Tell a node that lacks nothing; it counts as current once it agrees."""
+        is_current = self._is_current(session)
+        version = max(session.version, self._version)
+        if is_current:
+            self._mark_current(session)
+            session.version = version
+        is_told = session.answered and (is_current or session.current_told == version)
+        if is_told:
             return []
         session.answered = True
-        return [self._send(session, encode_message(Current(session.version, age)))]
+        session.current_told = version
+        return [self._send(session, encode_message(Current(version, age, session.digest)))]
 
     def _send(self, session: NodeSession, payload: bytes) -> Command:
         self.bytes_sent += len(payload)
--- a/src/peppershore/process/relay/session.py
+++ b/src/peppershore/process/relay/session.py
@@ -31,6 +31,8 @@
     """Holds nothing and has no floor: takes only what was confirmed after its hello."""
     outstanding_version: Version = 0
     """Version of the update sent and not yet answered; 0 when there is none."""
+    current_told: Version = 0
+    """Version up to which the node was last told that what it holds is right."""
     behind_since: Version = 0
     """First version whose change the node lacks; 0 when it lacks none."""
     answered: bool = False
--- a/src/peppershore/version/catalog.py
+++ b/src/peppershore/version/catalog.py
@@ -129,6 +129,14 @@
         """Give the digest of a scope's snapshot."""
         return self._state(scope).digest
 
+    def changed_at(self, scope: Scope) -> Version:
+        """Give the version at which a scope got its present digest.
+
+        For a scope that has not changed since it came into use, it is the
+        version of that moment.
+        """
+        return self._state(scope).changed_at
+
     def services_held(self, scope: Scope) -> frozenset[str]:
         """Give the services a node of a scope holds, so whose endpoints it needs."""
         self._state(scope)
--- a/src/peppershore/version/scope_state.py
+++ b/src/peppershore/version/scope_state.py
@@ -48,6 +48,11 @@
             return None
         return self._versions[self._digests.index(digest)]
 
+    @property
+    def newest_version(self) -> Version:
+        """The version at which the newest digest came to be."""
+        return self._versions[-1]
+
     @property
     def oldest_version(self) -> Version:
         """The version of the oldest digest kept."""
@@ -67,6 +72,11 @@
         self._removed: dict[str, Version] = {}
         self._updates: dict[Version, Update] = {}
 
+    @property
+    def changed_at(self) -> Version:
+        """The version at which the resources became what they are."""
+        return self._history.newest_version
+
     def replace(self, entries: dict[str, Entry], version: Version) -> bool:
         """Take the resources at a newer version; tell whether any differs."""
         former = self.entries
--- a/tests/node/test_node_core.py
+++ b/tests/node/test_node_core.py
@@ -9,6 +9,7 @@
 from peppershore.connection.messages import (
     Current,
     Freshness,
+    Goodbye,
     Message,
     NodeAlive,
     NodeHello,
@@ -221,5 +222,27 @@
     bench = Bench(memory=NodeMemory(2, floor=2, snapshot=stored))
     (hello,) = bench.sent(NodeHello)
     assert (hello.version, hello.digest, hello.floor) == (2, digest_of(2), 2)
-    bench.receive(Current(5, 0))
+    bench.receive(Current(5, 0, digest_of(2)))
     assert bench.core.holder.effective_version == 5
+
+
+def test_an_answer_to_a_hello_counts_for_what_the_hello_named() -> None:
+    bench = Bench()
+    bench.receive(offer(2))
+    bench.receive(Goodbye("stopping"))
+    bench.give(events.TimerFired("relay.connect"))
+    other = bench.open_candidate()
+    bench.receive(offer(3, base=2))
+    bench.receive(Current(4, 0, digest_of(2)), other)
+    assert bench.core.holder.effective_version == 3
+    assert bench.sent(UpdateApplied) == [UpdateApplied(3, digest_of(3))]
+    bench.receive(Freshness(4, 0), other)
+    assert bench.core.holder.effective_version == 3
+
+
+def test_an_answer_to_a_hello_is_acknowledged_with_what_is_held_now() -> None:
+    first = Bench()
+    first.receive(offer(2))
+    bench = Bench(memory=NodeMemory(2, floor=2, snapshot=first.core.holder.snapshot))
+    bench.receive(Current(4, 0, digest_of(2)))
+    assert bench.sent(UpdateApplied) == [UpdateApplied(4, digest_of(2))]
--- /dev/null
+++ b/tests/relay/test_relay_crossing.py
@@ -0,0 +1,146 @@
+"""Words of a node that cross an update, each as a playbook.
+
+A node that moves between relays takes versions from both.  Scope "kassa" goes
+from its first content to another at version 2, and back to the first at 3.
+"""
+
+from __future__ import annotations
+
+from tests.relay.scripted_replica import CLUSTER, timeout_change
+from tests.relay.site import Site
+
+from peppershore.connection.messages import (
+    Current,
+    Freshness,
+    Message,
+    NodeHello,
+    UpdateApplied,
+    UpdateOffered,
+)
+from peppershore.connection.update_packing import unpack_update
+from peppershore.process import events
+from peppershore.version.model import Digest, Scope, Version
+
+LINK = 1_000
+RELAY = "r1"
+SCOPE = Scope("kassa", "pasila")
+BASE_MILLISECONDS = 10_000
+OTHER_MILLISECONDS = 1_234
+
+
+class OneSession:
+    """A relay of a site, and a node that the test plays."""
+
+    def __init__(self) -> None:
+        self.site = Site()
+        self.site.network.run(10.0)
+        self.edit(BASE_MILLISECONDS)
+        self.site.network.run(0.1)
+        self.first_version = self.version
+        self.first_digest = self.digest
+
+    @property
+    def version(self) -> Version:
+        return self.site.relays[RELAY].follower.version
+
+    @property
+    def digest(self) -> Digest:
+        return self.site.relays[RELAY].follower.catalog.digest(SCOPE)
+
+    @property
+    def in_force(self) -> Version:
+        """What the relay reports, once it had time to."""
+        self.site.network.run(1.2)
+        return self.site.replica.reports[RELAY].in_force
+
+    def edit(self, milliseconds: int) -> None:
+        """Accept a change of the scope's one route; the relay has it after."""
+        self.site.edit(timeout_change("kassa", "pay", milliseconds))
+        self.site.network.run(0.01)
+
+    def give(self, message: Message) -> None:
+        self.site.network.give(RELAY, events.MessageReceived(LINK, message))
+
+    def hello(self, version: Version, digest: Digest) -> None:
+        self.site.network.give(RELAY, events.LinkOpened(LINK, "x"))
+        self.give(NodeHello(CLUSTER, "x", 1, SCOPE, version, digest, version))
+
+    def sent(self, kind: type[Message]) -> list[Message]:
+        sent = self.site.network.processes[RELAY].sent
+        return [each for each in sent if isinstance(each, kind)]
+
+    def offered_versions(self) -> list[Version]:
+        return [
+            unpack_update(each.packed_update).unwrap().version
+            for each in self.sent(UpdateOffered)
+            if isinstance(each, UpdateOffered)
+        ]
+
+
+def test_an_older_word_does_not_answer_an_update_that_is_outstanding() -> None:
+    relay = OneSession()
+    first, digest = relay.first_version, relay.first_digest
+    relay.hello(first, digest)
+    relay.edit(OTHER_MILLISECONDS)
+    relay.give(UpdateApplied(first, digest))
+    assert relay.offered_versions() == [first + 1]
+    assert relay.in_force == first
+    relay.edit(BASE_MILLISECONDS)
+    relay.give(UpdateApplied(first, digest))
+    assert relay.in_force == first
+    assert relay.offered_versions() == [first + 1]
+
+
+def test_an_older_word_leaves_what_the_next_update_starts_from() -> None:
+    relay = OneSession()
+    first, digest = relay.first_version, relay.first_digest
+    relay.hello(first, digest)
+    relay.edit(OTHER_MILLISECONDS)
+    other_digest = relay.digest
+    relay.give(UpdateApplied(first, digest))
+    relay.edit(BASE_MILLISECONDS)
+    relay.give(UpdateApplied(first + 1, other_digest))
+    assert relay.offered_versions() == [first + 1, first + 2]
+    relay.give(UpdateApplied(first + 2, digest))
+    assert relay.in_force == first + 2
+
+
+def test_a_node_that_skipped_a_change_counts_once_it_has_said_so() -> None:
+    relay = OneSession()
+    first, digest = relay.first_version, relay.first_digest
+    relay.edit(OTHER_MILLISECONDS)
+    relay.edit(BASE_MILLISECONDS)
+    relay.hello(first, digest)
+    (answer,) = relay.sent(Current)
+    assert isinstance(answer, Current)
+    assert (answer.version, answer.digest) == (first + 2, digest)
+    assert relay.in_force == first
+    relay.give(UpdateApplied(first + 2, digest))
+    assert relay.in_force == first + 2
+    assert relay.sent(UpdateOffered) == []
+
+
+def test_a_node_that_took_the_skipped_change_elsewhere_is_sent_the_next() -> None:
+    relay = OneSession()
+    first, digest = relay.first_version, relay.first_digest
+    relay.edit(OTHER_MILLISECONDS)
+    other_digest = relay.digest
+    relay.edit(BASE_MILLISECONDS)
+    relay.hello(first, digest)
+    relay.give(UpdateApplied(first + 1, other_digest))
+    assert relay.offered_versions() == [first + 2]
+    assert relay.in_force < first + 2
+
+
+def test_a_word_that_is_repeated_is_answered_once() -> None:
+    relay = OneSession()
+    first, digest = relay.first_version, relay.first_digest
+    relay.edit(OTHER_MILLISECONDS)
+    relay.edit(BASE_MILLISECONDS)
+    relay.hello(first, digest)
+    for _ in range(3):
+        relay.give(UpdateApplied(first, digest))
+    assert len(relay.sent(Current)) == 1
+    relay.site.network.run(2.5)
+    beats = [each for each in relay.sent(Freshness) if isinstance(each, Freshness)]
+    assert beats[-1].version == first
