--- a/src/peppershore/process/claims/client.py
+++ b/src/peppershore/process/claims/client.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import itertools
+import secrets
 import ssl
 
 from returns.result import Failure, Result, Success
 
 from peppershore.connection.messages import KeptAnswer
-from peppershore.process.claims.client_core import (
-    ClaimClientCore,
+from peppershore.process.claims.client_core import ClaimClientCore
+from peppershore.process.claims.wants import (
     ClaimWanted,
     CompletionWanted,
     FinishWant,
@@ -27,6 +28,8 @@
     ClaimUnavailable,
 )
 
+SEED_BITS = 63
+
 
 class ClaimClientShell(Shell):
     """Drives a ``ClaimClientCore`` and keeps a future for each want."""
@@ -38,7 +41,8 @@
         client_tls: ssl.SSLContext | None = None,
     ) -> None:
         """Know the replicas' addresses; connect at the first want."""
-        super().__init__(ClaimClientCore(addresses), notice_sink, client_tls)
+        self.client = ClaimClientCore(addresses, secrets.randbits(SEED_BITS))
+        super().__init__(self.client, notice_sink, client_tls)
         self._requests = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[WantOutcome]] = {}
         self.handle(FinishWant, self._finish_want)
--- a/src/peppershore/process/claims/core.py
+++ b/src/peppershore/process/claims/core.py
@@ -17,10 +17,12 @@
     ClaimReleased,
     ClaimRequest,
     ClaimTaken,
+    MembershipChange,
     Message,
+    NotLeader,
     Refused,
 )
-from peppershore.process.claims.client_core import REASON_NOT_LEADER
+from peppershore.process.claims.client_core import REASON_FULL, REASON_NOT_LEADER
 from peppershore.process.claims.machine import AppliedEntry, ClaimsMachine
 from peppershore.process.claims.table import (
     ClaimEntry,
@@ -45,9 +47,9 @@
 MAX_WAITING = 20_000
 CLOCK_SECONDS = 10.0
 MILLISECONDS = 1_000
-REASON_FULL = "full"
 REASON_BUSY = "busy"
 CLAIMS_ROLE = "claims"
+OPERATOR_ROLE = "operator"
 
 ClaimsAsk = ClaimRequest | ClaimCompleted | ClaimReleased
 
@@ -87,9 +89,11 @@
         return self._is(link, CLAIMS_ROLE, name)
 
     def on_client_message(self, link: LinkId, message: Message) -> None:
-        """Serve a node."""
+        """Serve a node, or an operator who replaces a replica."""
         if isinstance(message, (ClaimRequest, ClaimCompleted, ClaimReleased)):
             self._ask(link, message)
+        elif isinstance(message, MembershipChange) and self._is(link, OPERATOR_ROLE):
+            self._change_membership(link, message)
         else:
             self.send(link, Refused("unexpected", type(message).__name__))
 
@@ -151,6 +155,12 @@
         assert ask.entry == applied.entry, "another entry committed at a proposed index"
         self.send(ask.link, _message_of(ask.request, applied.answer))
 
+    def _change_membership(self, link: LinkId, change: MembershipChange) -> None:
+        if self.leads and not self.stopping:
+            self.changes.request(link, change)
+        else:
+            self.send(link, NotLeader(self.leader_address))
+
     def _is(self, link: LinkId, role: str, name: str = "") -> bool:
         identity = self._identities.get(link, "")
         if not identity:
