Calls: a request at hand goes to its back end's node in one message

Cause: a call was started before the body that came with its head was handed over, so a small call on an open link took two messages (the head; the end), and a small POST two writes. The new test counts the messages and fails on the code before. Conclusion: kept for the saved wake-up of the owner.

--- a/src/peppershore/connection/http_server.py
+++ b/src/peppershore/connection/http_server.py
@@ -36,7 +36,14 @@
 
 
 class RequestSink(Protocol):
-    """Takes what follows a request's head."""
+    """Takes what follows a request's head.
+
+    What is at hand of the body comes before ``start``, so that a small request
+    leaves in one piece.
+    """
+
+    def start(self) -> None:
+        """Begin the call."""
 
     def body_received(self, data: bytes) -> None:
         """Take a piece of the request's body."""
@@ -60,7 +67,7 @@
     draining: bool
 
     def request_received(self, exchange: ServerExchange, head: RequestHead) -> RequestSink:
-        """Begin a call; its body follows on the sink."""
+        """Make a call; its body and its start follow on the sink."""
 
     def request_refused(self, problem: HeadProblem) -> bytes:
         """Count a malformed request; give the refusal's body."""
@@ -353,13 +360,12 @@
         self._exchange = exchange
         self._pipelined_bytes = 0
         sink = self._owner.request_received(exchange, head)
-        if not exchange.live:
-            return
         self._sink = sink
         for piece in pieces:
             sink.body_received(piece)
         if end is not None:
             sink.body_ended(received_headers(end.headers))
+        sink.start()
 
     def _body_at_hand(self) -> tuple[list[bytes], h11.EndOfMessage | None]:
         pieces: list[bytes] = []
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -107,6 +107,8 @@
         assert self._plan is not None
         return self._plan
 
+    # --- RequestSink
+
     def start(self) -> None:
         """Decide what the call is, and admit or refuse it."""
         self._calls.begun(self)
@@ -117,15 +119,15 @@
         entry = planned.unwrap()
         self._plan = entry.plan
         self._timer = self._loop.call_at(entry.plan.deadline, self._deadline_passed)
-        if not entry.plan.key or self._calls.forwards_unclaimed_keys:
+        if self._body.received > entry.plan.settings.max_body_bytes:
+            self._body_too_large()
+        elif not entry.plan.key or self._calls.forwards_unclaimed_keys:
             self._admit()
         elif self._calls.claims is None:
             self._fail(NotRun(STATUS_UNAVAILABLE, "no-claims-group"))
         else:
             self._claim_first(claim_key(entry.plan, entry.caller.name))
 
-    # --- RequestSink
-
     def body_received(self, data: bytes) -> None:
         """Pass a piece of the request's body on, or hold it."""
         if self._over:
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -191,10 +191,8 @@
     # --- ServerOwner
 
     def request_received(self, exchange: ServerExchange, head: RequestHead) -> RequestSink:
-        """Begin a call."""
-        call = Call(self.calls, exchange, head)
-        call.start()
-        return call
+        """Make a call."""
+        return Call(self.calls, exchange, head)
 
     def request_refused(self, problem: HeadProblem) -> bytes:
         """Count a malformed request; give the refusal's body."""
--- a/tests/data_plane/test_call_path.py
+++ b/tests/data_plane/test_call_path.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from tests.data_plane.scripted_backend import ScriptedBackend
-from tests.data_plane.stage import Caller, Node, call, endpoint, run
+from tests.data_plane.stage import Caller, Node, call, endpoint, run, until
+
+from peppershore.connection.codec import decode_message
+from peppershore.connection.framing import FrameReader
+from peppershore.connection.messages import CallLinkHello, CallStarted, Message
 
 
 def test_no_configuration_refuses_as_not_run() -> None:
@@ -73,3 +79,39 @@
         other.stop()
 
     run(scene())
+
+
+def test_small_request_goes_to_the_owner_in_one_message() -> None:
+    received: list[Message] = []
+
+    async def owner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        frames = FrameReader()
+        while data := await reader.read(65_536):
+            payloads = frames.feed(data).unwrap()
+            received.extend(decode_message(payload).unwrap() for payload in payloads)
+        writer.close()
+
+    async def scene() -> None:
+        server = await asyncio.start_server(owner, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        edge = Node()
+        address = await edge.start(endpoint("127.0.0.1:1", owner_address=f"{host}:{port}"))
+        callers = [await Caller.connect(address) for _ in range(2)]
+        for number, caller in enumerate(callers):
+            caller.request(method="POST", body=b"hello")
+            await until(lambda: len(_started(received)) > number)  # noqa: B023
+        assert isinstance(received[0], CallLinkHello)
+        assert [(each.data, each.ended) for each in _started(received)] == [
+            (b"hello", True),
+            (b"hello", True),
+        ]
+        for caller in callers:
+            caller.close()
+        await edge.plane.close()
+        server.close()
+
+    run(scene())
+
+
+def _started(received: list[Message]) -> list[CallStarted]:
+    return [each for each in received if isinstance(each, CallStarted)]
