--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -291,7 +291,9 @@
         self.holder.use(snapshot)
         active = open_snapshot(snapshot)
         self._out.append(ConfigurationSwapped(active))
-        self._report(notices.VersionApplied(snapshot.version, len(snapshot.resources)))
+        resources = len(snapshot.resources)
+        applied = notices.VersionApplied(snapshot.version, resources, snapshot.digest)
+        self._report(applied)
         if self.known.forget_services_but(frozenset(active.services)):
             self._out.append(EndpointsSwapped(self.known.endpoints))
         for session in self.sessions.all_answered():
--- a/src/peppershore/process/node/notices.py
+++ b/src/peppershore/process/node/notices.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from peppershore.process.commands import Notice
-from peppershore.version.model import Version
+from peppershore.version.model import Digest, Version
 
 
 class RelayChosen(Notice, frozen=True):
@@ -28,10 +28,11 @@
 
 
 class VersionApplied(Notice, frozen=True):
-    """The node holds and uses this version."""
+    """The node holds and uses this version, whose content has this digest."""
 
     version: Version
     resources: int
+    digest: Digest = 0
 
 
 class VersionRefused(Notice, frozen=True):
--- /dev/null
+++ b/src/peppershore_lab/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: a fleet under load and faults, judged promise by promise."""
