Command tests start each from the same tree

Cause: tests of one module shared a replica, and test_zone_in_use_stays relied on a node left by another test; spread over several workers or run alone it removed the zone, after which the JSON test could not explain a route in it. Ruled out: a race in the replica. Before: test_zone_in_use_stays failed alone; now each of the 16 tests passes alone, in reversed order and in four shuffled orders, and 37 tests with three workers. Each test loads the same tree first.

--- a/tests/command/test_tree_commands.py
+++ b/tests/command/test_tree_commands.py
@@ -13,10 +13,22 @@
 PAY = "/kassa/*/pay"
 
 
-@pytest.fixture(scope="module", autouse=True)
-def tree(site: Site) -> None:
-    site.ok("zone", "set", "pasila", "uusimaa")
-    site.ok("tree", "set", PAY, "path_prefix=/pay", "methods=POST,PUT")
+TREE = f"""
+cluster = "refund"
+[zones.pasila]
+region = "uusimaa"
+[nodes."{PAY}"]
+path_prefix = "/pay"
+methods = ["POST", "PUT"]
+"""
+
+
+@pytest.fixture(autouse=True)
+def tree(site: Site, tmp_path: Path) -> None:
+    """Give each test the same tree, whichever tests ran before on this replica."""
+    file = tmp_path / "start.toml"
+    file.write_text(TREE)
+    site.ok("tree", "load", str(file))
 
 
 def values(site: Site, path: str) -> dict[str, object]:
@@ -182,6 +194,7 @@
 
 
 def test_zone_in_use_stays(site: Site) -> None:
+    site.ok("tree", "set", "/kassa/pasila", "slots=5")
     assert site.command("zone", "remove", "pasila").exit_code == ExitCode.INVALID
     site.ok("zone", "set", "empty", "uusimaa")
     site.ok("zone", "remove", "empty")
