Specification of claims: claim, run, settle with dead nodes, resends and lost replicas

The promise that a payout runs at most once had tests but no model. The model calls the product's ClaimTable for what an entry does; the group is one log that three replicas hold in part, two disks are lost one after the other.

--- a/spec/catalog.py
+++ b/spec/catalog.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from spec import acceptance, distribution
+from spec import acceptance, claims, distribution
 
 SPECIFICATIONS = (
     acceptance.SPECIFICATION,
     distribution.SPECIFICATION,
     distribution.WITH_DISK,
+    claims.SPECIFICATION,
 )
