Consensus: a commit is told to the followers at once

Cause: followers learned of a commit with the next heartbeat (every 50 ms), so a relay that follows a follower got an accepted edit up to 50 ms late. The leader now sends an empty append to each peer that holds what was committed and was not told yet; entries that go out anyway carry it, so a loaded group sends no more messages. Ruled out: relays that follow only the leader (all 16 relays on one replica, and a move at each election); shorter heartbeats (idle processor time).

--- a/src/peppershore/process/consensus/leadership.py
+++ b/src/peppershore/process/consensus/leadership.py
@@ -264,20 +264,22 @@
                 settings.max_message_entries,
                 settings.max_message_bytes,
             )
-            core.send(peer.name, self._append_request(peer.next_index - 1, entries))
+            self._send_request(peer, peer.next_index - 1, entries)
             peer.sent_entries(entries[-1].index)
             sent = True
             may_send = peer.may_send_entries(settings.max_unanswered_messages)
-        if heartbeat and not sent:
-            core.send(peer.name, self._append_request(peer.next_index - 1, ()))
+        if sent:
+            return
+        if heartbeat or peer.must_hear_of_commit(core.commit_index):
+            self._send_request(peer, peer.next_index - 1, ())
 
-    def _append_request(
-        self, previous_index: int, entries: tuple[LogEntry, ...]
-    ) -> AppendRequest:
+    def _send_request(
+        self, peer: PeerProgress, previous_index: int, entries: tuple[LogEntry, ...]
+    ) -> None:
         core = self._core
         previous_term = core.log.term_at(previous_index)
         assert previous_term is not None
-        return AppendRequest(
+        request = AppendRequest(
             self.term,
             previous_index,
             previous_term,
@@ -285,6 +287,8 @@
             self._round,
             entries,
         )
+        peer.told_commit_index = core.commit_index
+        core.send(peer.name, request)
 
     def _send_snapshot_or_heartbeat(self, peer: PeerProgress, heartbeat: bool) -> None:
         snapshot = self._core.snapshot
@@ -292,8 +296,7 @@
         if peer.begin_snapshot(snapshot) or (heartbeat and peer.snapshot_stalled()):
             self._send_snapshot(peer)
         elif heartbeat:
-            request = self._append_request(self._core.log.base_index, ())
-            self._core.send(peer.name, request)
+            self._send_request(peer, self._core.log.base_index, ())
 
     def _send_snapshot(self, peer: PeerProgress) -> None:
         core = self._core
--- a/src/peppershore/process/consensus/peer_progress.py
+++ b/src/peppershore/process/consensus/peer_progress.py
@@ -17,6 +17,7 @@
         self.next_index = next_index
         self.match_index = 0
         self.answered_round = 0
+        self.told_commit_index = 0
         self.snapshot: StateSnapshot | None = None
         self.snapshot_offset = 0
         self._probing = True
@@ -26,6 +27,7 @@
     def restart(self) -> None:
         """Forget what may have been lost with a link: probe again."""
         self.next_index = self.match_index + 1
+        self.told_commit_index = 0
         self._probing = True
         self._unanswered = 0
         self.snapshot = None
@@ -57,6 +59,10 @@
         self.next_index = last_index + 1
         self._unanswered += 1
 
+    def must_hear_of_commit(self, commit_index: int) -> bool:
+        """Whether a commit should be told at once: the peer holds what it commits."""
+        return self.told_commit_index < commit_index <= self.match_index
+
     def begin_snapshot(self, snapshot: StateSnapshot) -> bool:
         """Start sending a snapshot; False if one is on its way.
 
