--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --editable .
 	touch $(STAMP)
 
-.PHONY: install demo check test model-check simulate scale capacity lock
+.PHONY: install demo check test model-check simulate scale slopes capacity lock
 
 install: $(STAMP)
 
@@ -46,6 +46,12 @@
 scale: $(STAMP)
 	$(BIN)/python -m benchmarks.scale_run --output results/scale_run.json
 
+# Measures the slopes behind docs/CAPACITY.md again, one after the other (minutes).
+slopes: $(STAMP)
+	@set -e; for name in control claims relay node command; do \
+		$(BIN)/python -m benchmarks.slopes_$$name --output results/slopes_$$name.json; \
+	done
+
 # Redraws the tables and plots of docs/CAPACITY.md from results/*.json.
 capacity: $(STAMP)
 	$(BIN)/python -m benchmarks.capacity
--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import shlex
-import sys
 import time
 from pathlib import Path
 from typing import Any
 
 import click
-import msgspec
 
+from benchmarks.measuring import command_of, write_result
 from peppershore_lab.hollow.layout import FleetLayout
 from peppershore_lab.hollow.plan import ScalePlan
 from peppershore_lab.hollow.results import ScaleResults, ScaleRun
@@ -46,14 +44,7 @@
         for count in nodes
     ]
     runs = tuple(_run(plan) for plan in plans)
-    command = shlex.join(["python", "-m", "benchmarks.scale_run", *sys.argv[1:]])
-    encoded = msgspec.json.format(
-        msgspec.json.encode(ScaleResults(command=command, runs=runs)), indent=2
-    )
-    if output is None:
-        click.echo(encoded)
-    else:
-        output.write_bytes(encoded + b"\n")
+    write_result(ScaleResults(command=command_of("scale_run"), runs=runs), output)
 
 
 def _run(plan: ScalePlan) -> ScaleRun:
