Updates leave out what the receiver knows: 70 bytes in place of 100

Cause: each packed update still named the scope, the base digest and every resource twice (once in the payload). The receiver knows its scope and what it holds, and the names are in the payloads; a base that differs leads to another digest than the one named, so nothing is checked less. Measured with benchmarks/update_bytes (300 changes of the scale layout, 9,887 updates, frames included): 99.8 to 70.0 bytes an update, 1.17 to 0.82 times the changed resources compressed alone; the worst kind (a service's settings) 1.72 to 1.22; full state 282 to 220 bytes. Tried and not taken: raw deflate with the same dictionary, 10 bytes less for one resource but 30 more for full state and 2.5 times the time.

--- a/src/peppershore/connection/update_packing.py
+++ b/src/peppershore/connection/update_packing.py
@@ -3,6 +3,11 @@
 Most updates are one or two resources that look much like any other, so they
 shrink mainly by a dictionary that both ends know.  The dictionary is part of the
 protocol: it must never change.  Another one needs another message tag.
+
+What the receiver knows or can work out is left out: its scope, the digest it
+holds, and the names of resources, which their payloads hold as well.  An update
+that does not fit what the receiver holds leads to another digest than the one
+it names, and is refused for that.
 """
 
 from __future__ import annotations
@@ -11,7 +16,8 @@
 import zstandard
 from returns.result import Failure, Result, Success
 
-from peppershore.version.model import Update
+from peppershore.version.model import Digest, Scope, Update, Version
+from peppershore.version.resource_codec import resource_of
 
 MAX_UNPACKED_BYTES = 64 * 1024 * 1024
 PIECE_BYTES = 65_536
@@ -47,8 +53,20 @@
 _DECOMPRESSOR = zstandard.ZstdDecompressor(
     dict_data=_SHARED, format=zstandard.FORMAT_ZSTD1_MAGICLESS
 )
+
+
+class _Row(msgspec.Struct, frozen=True, array_like=True):
+    """What is packed of an update; ``changed`` are the payloads of resources."""
+
+    full: bool
+    version: Version
+    digest: Digest
+    changed: tuple[bytes, ...]
+    removed: tuple[str, ...]
+
+
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Update)
+_DECODER = msgspec.msgpack.Decoder(_Row)
 
 
 class UnusablePacking(msgspec.Struct, frozen=True):
@@ -59,11 +77,18 @@
 
 def pack_update(update: Update) -> bytes:
     """Give the bytes of an update on the wire."""
-    return _COMPRESSOR.compress(_ENCODER.encode(update))
+    payloads = tuple(resource.payload for resource in update.changed)
+    row = _Row(update.full, update.version, update.digest, payloads, update.removed)
+    return _COMPRESSOR.compress(_ENCODER.encode(row))
+
 
+def unpack_update(
+    packed: bytes, scope: Scope, held: Digest
+) -> Result[Update, UnusablePacking]:
+    """Give the update that these bytes mean to a holder of ``held`` in ``scope``.
 
-def unpack_update(packed: bytes) -> Result[Update, UnusablePacking]:
-    """Give the update of these bytes, or why there is none."""
+    Fails, with the reason, if the bytes are no packed update.
+    """
     try:
         encoded = _decompress(packed)
     except zstandard.ZstdError as problem:
@@ -71,9 +96,22 @@
     if encoded is None:
         return Failure(UnusablePacking(f"more than {MAX_UNPACKED_BYTES} bytes"))
     try:
-        return Success(_DECODER.decode(encoded))
+        row = _DECODER.decode(encoded)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
         return Failure(UnusablePacking(str(problem)))
+    return Success(_update(row, scope, held))
+
+
+def _update(row: _Row, scope: Scope, held: Digest) -> Update:
+    return Update(
+        scope=scope,
+        full=row.full,
+        base_digest=0 if row.full else held,
+        version=row.version,
+        digest=row.digest,
+        changed=tuple(resource_of(payload) for payload in row.changed),
+        removed=row.removed,
+    )
 
 
 def _decompress(packed: bytes) -> bytes | None:
--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -220,7 +220,8 @@
             self.holder.still_current(version)
 
     def _offered(self, session: RelaySession, offer: UpdateOffered) -> None:
-        unpacked = unpack_update(offer.packed_update)
+        held = self.holder.snapshot
+        unpacked = unpack_update(offer.packed_update, held.scope, held.digest)
         if isinstance(unpacked, Failure):
             self._do(self.sessions.drop(session, "undecodable update", self._now))
             return
--- a/src/peppershore/version/resource_codec.py
+++ b/src/peppershore/version/resource_codec.py
@@ -92,6 +92,19 @@
     return Resource(resource_name(content), _ENCODER.encode(_row(content)))
 
 
+def resource_of(payload: bytes) -> Resource:
+    """Give the resource that a payload says it is.
+
+    The name is empty if the payload says nothing; ``decode_resource`` gives the
+    reason.
+    """
+    try:
+        row = _DECODER.decode(payload)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return Resource("", payload)
+    return Resource(_row_name(row), payload)
+
+
 def decode_resource(resource: Resource) -> Result[ResourceContent, Problem]:
     """Give the content of a resource, or why its bytes are not what its name says."""
     try:
@@ -115,6 +128,14 @@
     return _SecretRow(content.name, content.generations, content.signing_generation)
 
 
+def _row_name(row: _RouteRow | _ServiceRow | _SecretRow) -> str:
+    if isinstance(row, _RouteRow):
+        return route_name(row.service, row.route)
+    if isinstance(row, _ServiceRow):
+        return service_name(row.service)
+    return secret_name(row.name)
+
+
 def _content(row: _RouteRow | _ServiceRow | _SecretRow) -> ResourceContent:
     if isinstance(row, _RouteRow):
         route_settings = RouteSettings(*msgspec.structs.astuple(row.settings))
--- a/tests/relay/test_relay_crossing.py
+++ b/tests/relay/test_relay_crossing.py
@@ -71,7 +71,7 @@
 
     def offered_versions(self) -> list[Version]:
         return [
-            unpack_update(each.packed_update).unwrap().version
+            unpack_update(each.packed_update, SCOPE, 0).unwrap().version
             for each in self.sent(UpdateOffered)
             if isinstance(each, UpdateOffered)
         ]
