--- a/src/peppershore/process/consensus/core.py
+++ b/src/peppershore/process/consensus/core.py
@@ -47,6 +47,7 @@
     HardState,
     SaveGroup,
     SaveHardState,
+    SnapshotPart,
     StateSnapshot,
     StoredState,
 )
@@ -168,10 +169,10 @@
         if self.leadership is not None:
             self.leadership.hand_over()
 
-    def compact(self, index: int, state: bytes) -> None:
+    def compact(self, index: int, parts: tuple[SnapshotPart, ...]) -> None:
         """Keep the state after the entry at ``index``; drop old entries."""
         assert index <= self.commit_index
-        self.durable_log.compact(index, state, self._compaction_point(index))
+        self.durable_log.compact(index, parts, self._compaction_point(index))
 
     def persisted(self, token: int, now: float) -> None:
         """The records of that write are durable."""
--- a/src/peppershore/process/consensus/durable_log.py
+++ b/src/peppershore/process/consensus/durable_log.py
@@ -14,6 +14,8 @@
     InstallSnapshot,
     SaveEntries,
     SaveSnapshot,
+    SaveSnapshotPart,
+    SnapshotPart,
     StateSnapshot,
     StoredState,
 )
@@ -28,6 +30,7 @@
         self.snapshot = stored.snapshot
         self.entries = _stored_entries(stored)
         self.memberships = _stored_memberships(stored)
+        self._next_part = _first_free_part(stored.snapshot)
 
     def append(self, entries: tuple[LogEntry, ...]) -> None:
         """Add entries at the end."""
@@ -42,12 +45,24 @@
         self.entries.truncate_from(index)
         self.memberships.truncate_from(index)
 
-    def compact(self, index: int, state: bytes, first_kept_index: int) -> None:
+    def new_part(self, data: bytes) -> SnapshotPart:
+        """Give a piece of an encoded state its number."""
+        part = SnapshotPart(self._next_part, data)
+        self._next_part += 1
+        return part
+
+    def save_part(self, part: SnapshotPart) -> None:
+        """Write a part ahead of the snapshot that will name it."""
+        self.durability.add(SaveSnapshotPart(part))
+
+    def compact(
+        self, index: int, parts: tuple[SnapshotPart, ...], first_kept_index: int
+    ) -> None:
         """Keep the state after the entry at ``index``, and the first kept entries on."""
         term = self.entries.term_at(index)
         assert term is not None
         membership = self.memberships.at(index)
-        self.snapshot = StateSnapshot(index, term, membership, state)
+        self.snapshot = StateSnapshot(index, term, membership, parts)
         self.entries.compact(first_kept_index)
         self.durability.add(SaveSnapshot(self.snapshot, self.entries.base_index))
 
@@ -59,6 +74,11 @@
         self.durability.add(InstallSnapshot(snapshot))
 
 
+def _first_free_part(snapshot: StateSnapshot | None) -> int:
+    numbers = [] if snapshot is None else [part.number for part in snapshot.parts]
+    return max(numbers, default=0) + 1
+
+
 def _stored_entries(stored: StoredState) -> ReplicatedLog:
     snapshot = stored.snapshot
     entries = stored.entries
--- a/src/peppershore/process/consensus/following.py
+++ b/src/peppershore/process/consensus/following.py
@@ -72,9 +72,9 @@
             core.send_when_durable(leader, reply)
             return
         self._incoming = None
-        state = bytes(incoming.data)
+        parts = (core.durable_log.new_part(bytes(incoming.data)),)
         core.install(
-            StateSnapshot(incoming.index, incoming.term, incoming.membership, state)
+            StateSnapshot(incoming.index, incoming.term, incoming.membership, parts)
         )
         self._reply(leader, True, chunk.index, chunk.round)
 
--- a/src/peppershore/process/consensus/leadership.py
+++ b/src/peppershore/process/consensus/leadership.py
@@ -310,8 +310,8 @@
             snapshot.term,
             snapshot.membership,
             start,
-            len(snapshot.state),
-            snapshot.state[start:end],
+            snapshot.size,
+            snapshot.piece(start, end),
             self._round,
         )
         core.send(peer.name, chunk)
--- a/src/peppershore/process/consensus/records.py
+++ b/src/peppershore/process/consensus/records.py
@@ -20,19 +20,51 @@
     voted_for: str = ""
 
 
-class StateSnapshot(msgspec.Struct, frozen=True):
-    """State of the state machine after applying the entry at ``index``."""
+class SnapshotPart(msgspec.Struct, frozen=True):
+    """A piece of an encoded state; its store never uses ``number`` again."""
 
-    index: int
-    term: int
-    membership: Membership
-    state: bytes
+    number: int
+    data: bytes
 
     def __repr__(self) -> str:
         """Show of bytes only how many there are."""
         return describe(self)
 
 
+class StateSnapshot(msgspec.Struct, frozen=True):
+    """State of the state machine after applying the entry at ``index``.
+
+    The state is the parts put together; a part may be that of an older snapshot.
+    """
+
+    index: int
+    term: int
+    membership: Membership
+    parts: tuple[SnapshotPart, ...]
+
+    @property
+    def size(self) -> int:
+        """Bytes of the state."""
+        return sum(len(part.data) for part in self.parts)
+
+    @property
+    def state(self) -> bytes:
+        """The whole state, copied together."""
+        return b"".join(part.data for part in self.parts)
+
+    def piece(self, start: int, end: int) -> bytes:
+        """The bytes of the state from ``start`` up to ``end``."""
+        found: list[bytes] = []
+        offset = 0
+        for part in self.parts:
+            low, high = max(0, start - offset), end - offset
+            if high <= 0:
+                break
+            found.append(part.data[low:high])
+            offset += len(part.data)
+        return b"".join(found)
+
+
 class StoredState(msgspec.Struct, frozen=True):
     """All that a store holds when its replica starts.
 
@@ -65,9 +97,18 @@
     entries: tuple[LogEntry, ...]
 
 
+class SaveSnapshotPart(msgspec.Struct, frozen=True):
+    """Keep a part of a snapshot that is being made; it counts once named by one."""
+
+    part: SnapshotPart
+
+
 class SaveSnapshot(msgspec.Struct, frozen=True):
     """Replace the snapshot and drop the entries before ``first_kept_index``,
-    which itself stays for its term."""
+    which itself stays for its term.
+
+    Parts that are stored are not written again; those not named any more go.
+    """
 
     snapshot: StateSnapshot
     first_kept_index: int
@@ -79,7 +120,14 @@
     snapshot: StateSnapshot
 
 
-Record = SaveHardState | SaveGroup | SaveEntries | SaveSnapshot | InstallSnapshot
+Record = (
+    SaveHardState
+    | SaveGroup
+    | SaveEntries
+    | SaveSnapshotPart
+    | SaveSnapshot
+    | InstallSnapshot
+)
 
 
 class PersistLog(PersistRecords, frozen=True):
--- a/src/peppershore/process/consensus/replica.py
+++ b/src/peppershore/process/consensus/replica.py
@@ -43,6 +43,7 @@
 from peppershore.process.consensus.reads import ReadTable
 from peppershore.process.consensus.records import PersistLog, StoredState
 from peppershore.process.consensus.settings import ReplicaSettings
+from peppershore.process.consensus.snapshotting import SNAPSHOT_TIMER, Snapshotting
 from peppershore.process.consensus.state_machine import StateMachine
 from peppershore.process.events import LinkId
 from peppershore.process.link_numbers import LinkNumbers
@@ -85,6 +86,7 @@
         self._reads = ReadTable()
         self.consensus = Consensus(settings.consensus, stored, Randomness(stored.identity))
         self.peers = PeerLinks(LinkNumbers())
+        self._snapshotting = Snapshotting(self, machine)
         self._founding = Founding(settings.replicas, self.name)
         self.changes = MembershipChanges(self)
 
@@ -203,6 +205,8 @@
         elif timer == FLUSH_TIMER:
             self._flush_timer_set = False
             self.consensus.flush(self.now)
+        elif timer == SNAPSHOT_TIMER:
+            self._snapshotting.advance()
         elif timer == DISK_TIMER:
             self.consensus.retry_disk()
         elif timer == STOP_TIMER:
@@ -380,6 +384,7 @@
         elif isinstance(output, outputs.EntriesCommitted):
             self._apply(output.entries)
         elif isinstance(output, outputs.StateInstalled):
+            self._snapshotting.cancel()
             self._machine.restore(output.snapshot.state)
             self._applied_index = output.snapshot.index
             self.on_state_installed()
@@ -423,14 +428,7 @@
                 self._membership_committed()
         self.on_applied()
         self._answer_reads()
-        self._snapshot_if_due()
-
-    def _snapshot_if_due(self) -> None:
-        snapshot = self.consensus.snapshot
-        newest = 0 if snapshot is None else snapshot.index
-        if self._applied_index - newest >= self.settings.snapshot_entries:
-            self.consensus.compact(self._applied_index, self._machine.snapshot())
-            self.consensus.flush(self.now)
+        self._snapshotting.begin_if_due()
 
     def _membership_committed(self) -> None:
         members = self.consensus.membership.members
--- a/src/peppershore/process/consensus/state_machine.py
+++ b/src/peppershore/process/consensus/state_machine.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from collections.abc import Callable, Iterator
+from typing import Protocol, runtime_checkable
+
+import msgspec
+
+from peppershore.process.consensus.records import SnapshotPart
 
 
 class StateMachine(Protocol):
@@ -19,3 +24,30 @@
     def restore(self, state: bytes) -> None:
         """Replace the whole state by one that ``snapshot`` encoded."""
         ...
+
+
+class NewPiece(msgspec.Struct, frozen=True):
+    """A piece of a state that is not stored; ``stored_as`` is told its part."""
+
+    data: bytes
+    stored_as: Callable[[SnapshotPart], None]
+
+
+Piece = SnapshotPart | NewPiece
+"""A piece of a state: one that an older snapshot has stored, or a new one."""
+
+
+@runtime_checkable
+class PiecewiseStateMachine(StateMachine, Protocol):
+    """A state machine whose snapshot is made piece by piece while it goes on.
+
+    ``restore`` takes the bytes of all pieces put together.
+    """
+
+    def begin_snapshot(self) -> Iterator[Piece]:
+        """Give the pieces of the state as it is now, each worked out when asked for.
+
+        Entries may be applied between two pieces; they don't show in them.  A
+        snapshot begun before is given up.
+        """
+        ...
--- a/src/peppershore/process/storage/log_store.py
+++ b/src/peppershore/process/storage/log_store.py
@@ -26,6 +26,8 @@
     SaveGroup,
     SaveHardState,
     SaveSnapshot,
+    SaveSnapshotPart,
+    SnapshotPart,
     StateSnapshot,
     StoredState,
 )
@@ -33,7 +35,9 @@
 from peppershore.process.storage.schema import (
     APPLICATION_ID,
     CREATE_TABLES,
+    FIRST_FORMAT,
     FORMAT_VERSION,
+    UPGRADE_FROM_FIRST_FORMAT,
     checksum_of,
 )
 
@@ -41,6 +45,7 @@
 PRIVATE_MODE = 0o700
 IDENTITY_BITS = 63
 SNAPSHOT_KIND = -1
+PART_KIND = -2
 DISK_FULL_CODES = frozenset({sqlite3.SQLITE_FULL})
 
 _UNREADABLE_CODES = frozenset({sqlite3.SQLITE_CANTOPEN, sqlite3.SQLITE_PERM})
@@ -54,24 +59,27 @@
 class LogStore:
     """An open store; only one process can have it open."""
 
-    def __init__(self, connection: sqlite3.Connection, last_index: int) -> None:
+    def __init__(
+        self, connection: sqlite3.Connection, last_index: int, parts: frozenset[int]
+    ) -> None:
         """Use ``open_store``."""
         self._connection = connection
         self._last_index = last_index
+        self._parts = parts
         self._broken = False
 
     def write(self, records: list[Record]) -> Result[None, StoreFailed]:
         """Make all records durable in one synced commit, or none of them."""
         if self._broken:
             return Failure(StoreFailed("the store is closed after an error", final=True))
-        before = self._last_index
+        before = (self._last_index, self._parts)
         try:
             self._connection.execute("BEGIN IMMEDIATE")
             for record in records:
                 self._apply(record)
             self._connection.execute("COMMIT")
         except sqlite3.Error as problem:
-            self._last_index = before
+            self._last_index, self._parts = before
             return Failure(self._failed(problem))
         return Success(None)
 
@@ -129,6 +137,11 @@
         self._connection.executemany("INSERT INTO entries VALUES (?, ?, ?, ?, ?)", rows)
         self._last_index = record.entries[-1].index
 
+    @_apply.register
+    def _save_snapshot_part(self, record: SaveSnapshotPart) -> None:
+        _write_part(self._connection, record.part)
+        self._parts |= {record.part.number}
+
     @_apply.register
     def _save_snapshot(self, record: SaveSnapshot) -> None:
         self._replace_snapshot(record.snapshot)
@@ -138,19 +151,44 @@
 
     @_apply.register
     def _install_snapshot(self, record: InstallSnapshot) -> None:
+        self._connection.execute("DELETE FROM snapshot_parts")
+        self._parts = frozenset()
         self._replace_snapshot(record.snapshot)
         self._connection.execute("DELETE FROM entries")
         self._last_index = record.snapshot.index
 
     def _replace_snapshot(self, snapshot: StateSnapshot) -> None:
-        membership = encode_membership(snapshot.membership)
-        checksum = checksum_of(
-            snapshot.index, snapshot.term, SNAPSHOT_KIND, membership + snapshot.state
-        )
-        self._connection.execute(
-            "REPLACE INTO snapshot VALUES (1, ?, ?, ?, ?, ?)",
-            (snapshot.index, snapshot.term, membership, snapshot.state, checksum),
+        """Write what parts are missing, then name them all; drop the others."""
+        for part in snapshot.parts:
+            if part.number not in self._parts:
+                _write_part(self._connection, part)
+        numbers = [part.number for part in snapshot.parts]
+        _write_snapshot(self._connection, snapshot, numbers)
+        unused = self._parts - frozenset(numbers)
+        self._connection.executemany(
+            "DELETE FROM snapshot_parts WHERE number = ?",
+            [(number,) for number in unused],
         )
+        self._parts = frozenset(numbers)
+
+
+def _write_part(connection: sqlite3.Connection, part: SnapshotPart) -> None:
+    checksum = checksum_of(part.number, 0, PART_KIND, part.data)
+    connection.execute(
+        "REPLACE INTO snapshot_parts VALUES (?, ?, ?)", (part.number, part.data, checksum)
+    )
+
+
+def _write_snapshot(
+    connection: sqlite3.Connection, snapshot: StateSnapshot, numbers: list[int]
+) -> None:
+    membership = encode_membership(snapshot.membership)
+    parts = msgspec.msgpack.encode(numbers)
+    checksum = checksum_of(snapshot.index, snapshot.term, SNAPSHOT_KIND, membership + parts)
+    connection.execute(
+        "REPLACE INTO snapshot VALUES (1, ?, ?, ?, ?, ?)",
+        (snapshot.index, snapshot.term, membership, parts, checksum),
+    )
 
 
 class OpenedStore(msgspec.Struct, frozen=True):
@@ -204,6 +242,8 @@
     else:
         _set_durable(connection)
         _check_pages(connection)
+        if version == FIRST_FORMAT:
+            _upgrade_from_first_format(connection)
     owner = connection.execute("SELECT cluster, replica FROM owner").fetchone()
     if owner is None:
         raise DamagedStoreError("the store names no owner")
@@ -214,7 +254,8 @@
     last = stored.entries[-1].index if stored.entries else 0
     if stored.snapshot is not None:
         last = max(last, stored.snapshot.index)
-    return Success(OpenedStore(LogStore(connection, last), stored))
+    parts = _drop_unused_parts(connection, stored.snapshot)
+    return Success(OpenedStore(LogStore(connection, last, parts), stored))
 
 
 def _set_durable(connection: sqlite3.Connection) -> None:
@@ -238,6 +279,40 @@
     _sync_folder(path.parent)
 
 
+def _upgrade_from_first_format(connection: sqlite3.Connection) -> None:
+    """Move the state of the one snapshot, if any, into a part of its own."""
+    row = connection.execute(
+        "SELECT position, term, membership, state, checksum FROM snapshot"
+    ).fetchone()
+    connection.execute("BEGIN IMMEDIATE")
+    for statement in UPGRADE_FROM_FIRST_FORMAT.split(";"):
+        connection.execute(statement)
+    if row is not None:
+        position, term, membership, state, checksum = row
+        if checksum != checksum_of(position, term, SNAPSHOT_KIND, membership + state):
+            raise DamagedStoreError(f"checksum of the snapshot at {position}")
+        part = SnapshotPart(1, state)
+        snapshot = StateSnapshot(position, term, decode_membership(membership), (part,))
+        _write_part(connection, part)
+        _write_snapshot(connection, snapshot, [part.number])
+    connection.execute(f"PRAGMA user_version={FORMAT_VERSION}")
+    connection.execute("COMMIT")
+
+
+def _drop_unused_parts(
+    connection: sqlite3.Connection, snapshot: StateSnapshot | None
+) -> frozenset[int]:
+    """Drop the parts of a snapshot that was not finished; give those in use."""
+    used = frozenset(part.number for part in snapshot.parts) if snapshot else frozenset()
+    stored = connection.execute("SELECT number FROM snapshot_parts").fetchall()
+    unused = [row for row in stored if row[0] not in used]
+    if unused:
+        connection.execute("BEGIN IMMEDIATE")
+        connection.executemany("DELETE FROM snapshot_parts WHERE number = ?", unused)
+        connection.execute("COMMIT")
+    return used
+
+
 def _sync_folder(folder: Path) -> None:
     descriptor = os.open(folder, os.O_RDONLY)
     try:
@@ -265,14 +340,28 @@
 
 def _load_snapshot(connection: sqlite3.Connection) -> StateSnapshot | None:
     row = connection.execute(
-        "SELECT position, term, membership, state, checksum FROM snapshot"
+        "SELECT position, term, membership, parts, checksum FROM snapshot"
     ).fetchone()
     if row is None:
         return None
-    position, term, membership, state, checksum = row
-    if checksum != checksum_of(position, term, SNAPSHOT_KIND, membership + state):
+    position, term, membership, parts, checksum = row
+    if checksum != checksum_of(position, term, SNAPSHOT_KIND, membership + parts):
         raise DamagedStoreError(f"checksum of the snapshot at {position}")
-    return StateSnapshot(position, term, decode_membership(membership), state)
+    numbers = msgspec.msgpack.decode(parts, type=list[int])
+    loaded = tuple(_load_part(connection, number) for number in numbers)
+    return StateSnapshot(position, term, decode_membership(membership), loaded)
+
+
+def _load_part(connection: sqlite3.Connection, number: int) -> SnapshotPart:
+    row = connection.execute(
+        "SELECT data, checksum FROM snapshot_parts WHERE number = ?", (number,)
+    ).fetchone()
+    if row is None:
+        raise DamagedStoreError(f"part {number} of the snapshot is missing")
+    data, checksum = row
+    if checksum != checksum_of(number, 0, PART_KIND, data):
+        raise DamagedStoreError(f"checksum of part {number} of the snapshot")
+    return SnapshotPart(number, data)
 
 
 def _load_entries(connection: sqlite3.Connection) -> tuple[LogEntry, ...]:
--- a/src/peppershore/process/storage/schema.py
+++ b/src/peppershore/process/storage/schema.py
@@ -7,7 +7,7 @@
 APPLICATION_ID = 0x50455050
 """Stamp of the SQLite header that marks a store of this program."""
 
-FORMAT_VERSION = 1
+FORMAT_VERSION = 2
 """Raised with every change of the tables or of what the rows hold."""
 
 CREATE_TABLES = """
@@ -35,9 +35,27 @@
     position INTEGER NOT NULL,
     term INTEGER NOT NULL,
     membership BLOB NOT NULL,
-    state BLOB NOT NULL,
+    parts BLOB NOT NULL,
     checksum INTEGER NOT NULL
 );
+CREATE TABLE snapshot_parts (
+    number INTEGER PRIMARY KEY,
+    data BLOB NOT NULL,
+    checksum INTEGER NOT NULL
+);
+"""
+"""``snapshot.parts`` lists the numbers of the parts that make up the state."""
+
+FIRST_FORMAT = 1
+"""The format in which ``snapshot.state`` held the whole state."""
+
+UPGRADE_FROM_FIRST_FORMAT = """
+ALTER TABLE snapshot RENAME COLUMN state TO parts;
+CREATE TABLE snapshot_parts (
+    number INTEGER PRIMARY KEY,
+    data BLOB NOT NULL,
+    checksum INTEGER NOT NULL
+)
 """
 
 
--- a/src/peppershore_lab/simulator/roles.py
+++ b/src/peppershore_lab/simulator/roles.py
@@ -16,6 +16,7 @@
     SaveGroup,
     SaveHardState,
     SaveSnapshot,
+    SaveSnapshotPart,
     StoredState,
 )
 from peppershore.process.control.core import ControlCore
@@ -153,6 +154,8 @@
             first = record.first_kept_index
             kept = tuple(entry for entry in stored.entries if entry.index >= first)
             return msgspec.structs.replace(stored, snapshot=record.snapshot, entries=kept)
+        case SaveSnapshotPart():
+            return stored  # counts only once a snapshot names it
         case InstallSnapshot():
             return msgspec.structs.replace(stored, snapshot=record.snapshot, entries=())
 
--- a/tests/consensus/memory_store.py
+++ b/tests/consensus/memory_store.py
@@ -14,6 +14,7 @@
     SaveGroup,
     SaveHardState,
     SaveSnapshot,
+    SaveSnapshotPart,
     StoredState,
 )
 
@@ -37,6 +38,8 @@
         return replace(state, group_id=record.group_id)
     if isinstance(record, SaveEntries):
         return replace(state, entries=_with_entries(state, record.entries))
+    if isinstance(record, SaveSnapshotPart):
+        return state  # counts only once a snapshot names it
     if isinstance(record, InstallSnapshot):
         return replace(state, snapshot=record.snapshot, entries=())
     assert isinstance(record, SaveSnapshot)
