--- a/src/peppershore/command/admin_client.py
+++ b/src/peppershore/command/admin_client.py
@@ -8,7 +8,8 @@
 from returns.result import Failure, Result, Success
 
 from peppershore.command.exit_codes import ExitCode
-from peppershore.command.failures import Failed
+from peppershore.command.failures import Failed, usage
+from peppershore.connection.link import connection_problem
 
 RECEIVE_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
@@ -18,6 +19,8 @@
 async def fetch(address: str, path: str, timeout_seconds: float) -> Result[bytes, Failed]:
     """GET one page; any answer but 200 is a failure."""
     host, _, port = address.rpartition(":")
+    if not port.isascii() or not port.isdigit():
+        return Failure(usage(f"{address!r} is no address", "give IP:port"))
     try:
         async with asyncio.timeout(timeout_seconds):
             reader, writer = await asyncio.open_connection(host.strip("[]"), int(port))
@@ -26,7 +29,7 @@
             finally:
                 writer.close()
     except (OSError, TimeoutError, ValueError, h11.RemoteProtocolError) as problem:
-        return Failure(_unreachable(address, str(problem) or type(problem).__name__))
+        return Failure(_unreachable(address, connection_problem(problem)))
 
 
 async def _get(
--- a/src/peppershore/command/client.py
+++ b/src/peppershore/command/client.py
@@ -85,7 +85,7 @@
             async with asyncio.timeout(timeout_seconds):
                 return await self._queue.get()
         except TimeoutError:
-            return LinkLost(f"no answer within {timeout_seconds:g} s", sent=True)
+            return LinkLost(f"no answer within {timeout_seconds:.1f} s", sent=True)
 
     def close(self) -> None:
         """End the link."""
@@ -173,7 +173,7 @@
 async def stream(
     group: ControlGroup, question: Message, answer_type: type[Answer]
 ) -> AsyncGenerator[Result[Answer, NoAnswer], None]:
-    """Ask for a stream of answers; a lost link is opened again elsewhere.
+    """Ask for a stream of answers; a lost or silent link is opened again elsewhere.
 
     Ends with a failure when the group's time is over; the caller stops before.
     """
@@ -188,7 +188,7 @@
         try:
             operator_link.send(payload)
             while True:
-                message = await operator_link.receive(max(0.0, search.remaining_seconds))
+                message = await operator_link.receive(_answer_seconds(search))
                 if not isinstance(message, answer_type):
                     break
                 yield Success(message)
@@ -205,12 +205,16 @@
     operator_link = OperatorLink(link)
     try:
         operator_link.send(payload)
-        limit = min(ANSWER_TIMEOUT_SECONDS, max(0.0, search.remaining_seconds))
-        return await operator_link.receive(limit)
+        return await operator_link.receive(_answer_seconds(search))
     finally:
         operator_link.close()
 
 
+def _answer_seconds(search: Search) -> float:
+    """Give how long to wait for the next answer: a replica may hang in silence."""
+    return min(ANSWER_TIMEOUT_SECONDS, max(0.0, search.remaining_seconds))
+
+
 def _other_answer(message: Message | LinkLost) -> OtherAnswer:
     if isinstance(message, LinkLost | RetryAfter):
         return message
@@ -224,7 +228,9 @@
 async def _learn(search: Search, address: str, outcome: OtherAnswer) -> None:
     """Take from an outcome that is no answer where and when to try next."""
     if isinstance(outcome, Redirected):
-        search.note(address, LinkLost("does not lead", sent=outcome.undecided))
+        known = f"leader: {outcome.leader}" if outcome.leader else "knows no leader"
+        reason = f"does not lead, {known}"
+        search.note(address, LinkLost(reason, sent=outcome.undecided))
         if outcome.leader != address:
             search.prefer(outcome.leader)
     elif isinstance(outcome, RetryAfter):
--- a/src/peppershore/command/edit_options.py
+++ b/src/peppershore/command/edit_options.py
@@ -2,21 +2,27 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import click
 import msgspec
 from returns.result import Failure, Result, Success
 
-from peppershore.command.edits import EditRequest, subject_of, submit
+from peppershore.command.edits import EditRequest, Submitted, subject_of, submit
 from peppershore.command.failures import Failed, usage
 from peppershore.command.options import OperatorContext
 from peppershore.command.output import show_json, stop_with
-from peppershore.version.model import EditAccepted, ExpectedRevision, Operation
+from peppershore.command.status_commands import read_status
+from peppershore.command.watch_output import WatchOutput
+from peppershore.command.watching import WatchStart, control_bytes, watch_version
+from peppershore.version.model import ExpectedRevision, Operation
 
 Command = Callable[..., None]
+Sending = Coroutine[Any, Any, Result[Submitted, Failed]]
+"""An edit on its way to the control group."""
 
 
 class EditNames(msgspec.Struct, frozen=True):
@@ -25,6 +31,7 @@
     change_id: str
     revisions: tuple[str, ...]
     comment: str
+    watch: bool
 
 
 def edit_options(command: Command) -> Command:
@@ -41,24 +48,52 @@
         "the tree just read if absent.",
     )
     @click.option("--comment", default="", help="Why, for the history.")
+    @click.option("--watch", is_flag=True, help="Wait until it is in force everywhere.")
     @functools.wraps(command)
     def with_names(
-        change_id: str, revisions: tuple[str, ...], comment: str, **arguments: Any
+        change_id: str,
+        revisions: tuple[str, ...],
+        comment: str,
+        watch: bool,
+        **arguments: Any,
     ) -> None:
-        names = EditNames(change_id, revisions, comment)
+        names = EditNames(change_id, revisions, comment, watch)
         command(names=names, **arguments)
 
     return with_names
 
 
-def run_edit(
-    context: OperatorContext, names: EditNames, *operations: Operation
-) -> EditAccepted:
+def run_edit(context: OperatorContext, names: EditNames, *operations: Operation) -> None:
     """Send the operations as one edit and show its outcome."""
     request = edit_request(context, names, operations)
-    accepted = context.run(submit(context.group, request))
-    show_accepted(context, accepted)
-    return accepted
+    send_edit(context, names, submit(context.group, request))
+
+
+def send_edit(context: OperatorContext, names: EditNames, sending: Sending) -> None:
+    """Await the outcome of an edit and show it, and its rollout if that is asked for."""
+    if names.watch:
+        context.run(_send_and_watch(context, sending))
+    else:
+        show_accepted(context, context.run(sending))
+
+
+async def _send_and_watch(
+    context: OperatorContext, sending: Sending
+) -> Result[None, Failed]:
+    before = await read_status(context.group)
+    sent_before = before.map(control_bytes).value_or(None)
+    submitted = await sending
+    start = WatchStart(asyncio.get_running_loop().time(), sent_before)
+    if isinstance(submitted, Failure):
+        return Failure(submitted.failure())
+    show_accepted(context, submitted.unwrap())
+    version = submitted.unwrap().accepted.version
+    output = WatchOutput(context.as_json, version)
+    watched = await watch_version(context.group, version, start, output.step)
+    if isinstance(watched, Failure):
+        return Failure(watched.failure())
+    output.result(watched.unwrap())
+    return Success(None)
 
 
 def edit_request(
@@ -95,9 +130,14 @@
     return Success(tuple(found))
 
 
-def show_accepted(context: OperatorContext, accepted: EditAccepted) -> None:
-    """Show the version that an edit became."""
+def show_accepted(context: OperatorContext, submitted: Submitted) -> None:
+    """Show the version that an edit became, or had become before."""
+    accepted = submitted.accepted
     if context.as_json:
-        show_json({"accepted": accepted})
+        show_json(submitted)
         return
-    click.echo(f"accepted as version {accepted.version} (change id {accepted.change_id})")
+    named = f"version {accepted.version} (change id {accepted.change_id})"
+    if submitted.repeated:
+        click.echo(f"was accepted before as {named}; nothing was done again")
+        return
+    click.echo(f"accepted as {named}")
--- a/src/peppershore/command/edits.py
+++ b/src/peppershore/command/edits.py
@@ -12,6 +12,7 @@
 from peppershore.command.client import ControlGroup, NoAnswer, ask
 from peppershore.command.exit_codes import ExitCode
 from peppershore.command.failures import Failed, invalid
+from peppershore.command.values import format_assignments
 from peppershore.connection.messages import (
     EditAnswered,
     SubmitEdit,
@@ -65,7 +66,14 @@
     return Success(answer.unwrap().tree)
 
 
-async def submit(group: ControlGroup, request: EditRequest) -> Result[EditAccepted, Failed]:
+class Submitted(msgspec.Struct, frozen=True):
+    """An accepted edit; ``repeated``: it was accepted before it was sent this time."""
+
+    accepted: EditAccepted
+    repeated: bool = False
+
+
+async def submit(group: ControlGroup, request: EditRequest) -> Result[Submitted, Failed]:
     """Read the tree, then send an edit guarded by the revisions found there."""
     found = await read_tree(group)
     if isinstance(found, Failure):
@@ -75,7 +83,7 @@
 
 async def submit_on(
     group: ControlGroup, request: EditRequest, tree: Tree
-) -> Result[EditAccepted, Failed]:
+) -> Result[Submitted, Failed]:
     """Send an edit that was made looking at ``tree``."""
     edit = Edit(
         change_id=request.change_id or new_change_id(tree.version, uuid.uuid4().hex),
@@ -90,7 +98,9 @@
     outcome = answer.unwrap().outcome
     if isinstance(outcome, EditConflict):
         return Failure(await _conflict_with_winner(group, outcome))
-    return judge(outcome)
+    return judge(outcome).map(
+        lambda accepted: Submitted(accepted, accepted.version <= tree.version)
+    )
 
 
 def judge(outcome: EditOutcome) -> Result[EditAccepted, Failed]:
@@ -154,7 +164,7 @@
     if node is None:
         return failed
     values = set_values(node.overrides)
-    shown = " ".join(f"{name}={value}" for name, value in values.items())
+    shown = " ".join(format_assignments(node.overrides))
     message = f"{failed.message}; there is now: {shown or 'no override'}"
     return msgspec.structs.replace(failed, message=message, present=values)
 
--- a/src/peppershore/command/main.py
+++ b/src/peppershore/command/main.py
@@ -4,13 +4,14 @@
 
 import click
 
+from peppershore.command.completion_command import completion
 from peppershore.command.explain_command import explain
 from peppershore.command.key_commands import keys
 from peppershore.command.replica_commands import replica
 from peppershore.command.secret_commands import secret
 from peppershore.command.serve import serve
 from peppershore.command.settings_commands import settings
-from peppershore.command.status_commands import status, watch
+from peppershore.command.status_commands import status
 from peppershore.command.tree_commands import tree
 from peppershore.command.tree_file_commands import (
     diff,
@@ -21,6 +22,7 @@
     save,
     validate,
 )
+from peppershore.command.watch_command import watch
 from peppershore.command.zone_commands import zone
 
 
@@ -29,10 +31,10 @@
 def main() -> None:
     """Distribute configuration to the proxies of a service mesh.
 
-    Exit codes: 0 done, 2 wrong command line, 3 invalid edit or settings,
-    4 conflict, 5 no replica answered, 6 an edit's outcome is unknown (send it
-    again with its change id), 7 change id expired, 8 not found, 9 not in force
-    in time, 10 not permitted by the certificate.
+    Exit codes: 0 done, 1 a fault of the program itself, 2 wrong command line,
+    3 invalid edit or settings, 4 conflict, 5 no replica answered, 6 an edit's
+    outcome is unknown (send it again with its change id), 7 change id expired,
+    8 not found, 9 not in force in time, 10 not permitted by the certificate.
     """
 
 
@@ -47,6 +49,7 @@
     replica,
     settings,
     keys,
+    completion,
 ):
     main.add_command(_command)
 
--- a/src/peppershore/command/options.py
+++ b/src/peppershore/command/options.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import math
 import ssl
 from collections.abc import Callable, Coroutine
 from pathlib import Path
@@ -25,6 +26,26 @@
 
 REPLICA_VARIABLE = "PEPPERSHORE_REPLICA"
 SETTINGS_VARIABLE = "PEPPERSHORE_SETTINGS"
+MIN_TIMEOUT_SECONDS = 0.001
+MAX_TIMEOUT_SECONDS = 86_400
+
+
+class Seconds(click.FloatRange):
+    """A number of seconds within bounds; "nan" is none."""
+
+    name = "seconds"
+
+    def convert(
+        self,
+        value: Any,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> Any:
+        """Give the number, or fail as any wrong argument does."""
+        seconds = super().convert(value, param, ctx)
+        if math.isnan(seconds):
+            self.fail(f"{value!r} is no number of seconds", param, ctx)
+        return seconds
 
 
 class OperatorContext(msgspec.Struct, frozen=True):
@@ -60,7 +81,11 @@
         envvar=SETTINGS_VARIABLE,
         help="Operator settings (TOML): replicas, TLS files, timeout, author.",
     )
-    @click.option("--timeout", type=float, help="Seconds to keep trying.  [default: 10]")
+    @click.option(
+        "--timeout",
+        type=Seconds(MIN_TIMEOUT_SECONDS, MAX_TIMEOUT_SECONDS),
+        help="Seconds to keep trying.  [default: 10]",
+    )
     @click.option("--json", "as_json", is_flag=True, help="One JSON object as output.")
     @functools.wraps(command)
     def with_context(
--- a/src/peppershore/command/replica_commands.py
+++ b/src/peppershore/command/replica_commands.py
@@ -5,7 +5,7 @@
 import click
 from returns.result import Failure, Result, Success
 
-from peppershore.command.client import ControlGroup, ask
+from peppershore.command.client import ControlGroup, NoAnswer, ask
 from peppershore.command.exit_codes import ExitCode
 from peppershore.command.failures import Failed
 from peppershore.command.options import OperatorContext, operator_options
@@ -67,7 +67,7 @@
     """Ask the leader for one change of membership."""
     answer = await ask(group, change, MembershipAnswered)
     if isinstance(answer, Failure):
-        return Failure(answer.failure().failed)
+        return Failure(_unanswered(change, answer.failure()))
     problem = answer.unwrap().problem
     if not problem:
         return Success(change)
@@ -81,6 +81,24 @@
     )
 
 
+def _unanswered(change: MembershipChange, lost: NoAnswer) -> Failed:
+    """Tell a change that may be under way from one that was never sent."""
+    if not lost.maybe_sent:
+        return lost.failed
+    return Failed(
+        code=ExitCode.UNKNOWN,
+        kind="unknown",
+        message=(
+            f"the group did not finish to {change.action} {change.replica} in time, "
+            f"and may yet do so: {lost.failed.message}"
+        ),
+        next_step=(
+            f"check that {change.replica} runs and is reached at its address; "
+            "`peppershore replica list` shows whether it is a member"
+        ),
+    )
+
+
 def _show_done(context: OperatorContext, change: MembershipChange) -> None:
     if context.as_json:
         show_json({"membership": change})
--- a/src/peppershore/command/tree_commands.py
+++ b/src/peppershore/command/tree_commands.py
@@ -19,6 +19,7 @@
     SetOverrides,
     UnsetOverrides,
 )
+from peppershore.version.path import parse_path
 from peppershore.version.resolve import set_values
 
 SHOW_STEP = "`peppershore tree show` lists every node"
@@ -42,8 +43,11 @@
 @operator_options
 def show(context: OperatorContext, path: str, version: int) -> None:
     """Show every override at and below PATH."""
+    _check_path(context, path)
     found = context.run(read_tree(context.group, version))
     view = view_tree(found, path)
+    if not view.nodes and path != ROOT_PATH:
+        stop_with(not_found(f"node {path}", SHOW_STEP), context.as_json)
     if context.as_json:
         show_json(view)
         return
@@ -63,6 +67,7 @@
 @operator_options
 def get(context: OperatorContext, path: str, key: str | None, version: int) -> None:
     """Show what the node at PATH overrides, or one KEY of it."""
+    _check_path(context, path)
     found = context.run(read_tree(context.group, version))
     node = found.nodes.get(path)
     if node is None:
@@ -75,6 +80,9 @@
     if context.as_json:
         show_json({"path": path, "revision": node.revision, "overrides": shown})
         return
+    if not shown:
+        click.echo(f"{path} overrides nothing (revision {node.revision})")
+        return
     show_table(("SETTING", "VALUE"), list(shown.items()))
 
 
@@ -113,7 +121,9 @@
         if key not in OVERRIDE_NAMES
     )
     if unknown:
-        failed = usage("nothing was sent", "mend the listed keys", unknown)
+        failed = usage(
+            "the keys can't be read; nothing was sent", "mend the listed keys", unknown
+        )
         stop_with(failed, context.as_json)
     run_edit(context, names, UnsetOverrides(path, keys))
 
@@ -125,3 +135,11 @@
 def remove(context: OperatorContext, names: EditNames, path: str) -> None:
     """Remove the node at PATH and everything below it."""
     run_edit(context, names, RemoveNode(path))
+
+
+def _check_path(context: OperatorContext, path: str) -> None:
+    """Stop on what can be no path, before anything is asked."""
+    parsed = parse_path(path)
+    if isinstance(parsed, Failure):
+        failed = usage("the path can't be read", SHOW_STEP, (parsed.failure(),))
+        stop_with(failed, context.as_json)
--- a/src/peppershore/command/tree_file_commands.py
+++ b/src/peppershore/command/tree_file_commands.py
@@ -16,11 +16,12 @@
     edit_options,
     edit_request,
     run_edit,
+    send_edit,
     show_accepted,
 )
-from peppershore.command.edits import read_tree, submit_on
+from peppershore.command.edits import Submitted, read_tree, submit_on
 from peppershore.command.failures import Failed, invalid, usage
-from peppershore.command.history import HistoryView, change_rows, read_history
+from peppershore.command.history import change_rows, find_change, read_history
 from peppershore.command.options import OperatorContext, operator_options
 from peppershore.command.output import show_json, show_table, stop_with
 from peppershore.process.control.redaction import HIDDEN_MATERIAL
@@ -52,7 +53,12 @@
 
 
 @click.command()
-@click.option("--after", type=click.IntRange(min=0), help="Only changes after a version.")
+@click.option(
+    "--after",
+    type=click.IntRange(min=0),
+    default=0,
+    help="Only changes after a version.",
+)
 @click.option(
     "--limit",
     type=click.IntRange(min=1),
@@ -61,9 +67,9 @@
     help="At most so many changes.",
 )
 @operator_options
-def history(context: OperatorContext, after: int | None, limit: int) -> None:
-    """List accepted changes, oldest first; without --after the newest ones."""
-    view = context.run(_history(context.group, after, limit))
+def history(context: OperatorContext, after: int, limit: int) -> None:
+    """List the newest accepted changes, oldest first."""
+    view = context.run(read_history(context.group, after, limit))
     if context.as_json:
         show_json(view)
         return
@@ -187,17 +193,6 @@
     return Success(TwoTrees(first.unwrap(), second.unwrap()))
 
 
-async def _history(
-    group: ControlGroup, after: Version | None, limit: int
-) -> Result[HistoryView, Failed]:
-    if after is not None:
-        return await read_history(group, after, limit)
-    newest = await read_tree(group)
-    if isinstance(newest, Failure):
-        return Failure(newest.failure())
-    return await read_history(group, max(0, newest.unwrap().version - limit), limit)
-
-
 def _tree_in(path: Path, text: str, current: Tree) -> Result[Tree, Failed]:
     found = tree_from_toml(text, current.secrets)
     if isinstance(found, Failure):
@@ -217,6 +212,11 @@
     """Send one edit that gives ``trees.before`` the content of ``trees.after``."""
     differences = compare_trees(trees.before, trees.after)
     operations = revert_operations(trees.before, trees.after)
+    if not operations and names.change_id and not dry_run:
+        first = context.run(find_change(context.group, names.change_id))
+        if first is not None:
+            show_accepted(context, Submitted(first, repeated=True))
+            return
     if dry_run or not operations:
         _show_differences(context, trees, differences)
         return
@@ -227,8 +227,7 @@
         step = "create it again with `peppershore secret put`, then repeat"
         stop_with(invalid(message, (), step), context.as_json)
     request = edit_request(context, names, operations)
-    accepted = context.run(submit_on(context.group, request, trees.before))
-    show_accepted(context, accepted)
+    send_edit(context, names, submit_on(context.group, request, trees.before))
 
 
 def _secrets_without_material(operations: tuple[Operation, ...]) -> tuple[str, ...]:
@@ -255,8 +254,11 @@
     if not differences:
         click.echo("no differences")
         return
-    rows = [(item.subject, item.setting, item.before, item.after) for item in differences]
-    show_table(("SUBJECT", "SETTING", "BEFORE", "AFTER"), rows)
+    rows = [
+        (item.subject, item.kind, item.setting, item.before, item.after)
+        for item in differences
+    ]
+    show_table(("SUBJECT", "CHANGE", "SETTING", "BEFORE", "AFTER"), rows)
 
 
 def _value(result: Result[Any, Failed], as_json: bool) -> Any:
--- a/src/peppershore/command/values.py
+++ b/src/peppershore/command/values.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from peppershore.version.model import Overrides, Problem
+from peppershore.version.resolve import set_values
 
 OVERRIDE_NAMES: tuple[str, ...] = Overrides.__struct_fields__
 LIST_SEPARATOR = ","
@@ -39,6 +40,12 @@
     return Success(Overrides(**values))
 
 
+def format_assignments(overrides: Overrides) -> tuple[str, ...]:
+    """Give overrides as the KEY=VALUE arguments that would set them."""
+    values = set_values(overrides)
+    return tuple(f"{name}={_format_value(value)}" for name, value in values.items())
+
+
 def describe_type(name: str) -> str:
     """Say in words what a setting may hold."""
     kind = _value_type(name)
@@ -52,6 +59,14 @@
     return _words(kind)
 
 
+def _format_value(value: object) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, tuple):
+        return LIST_SEPARATOR.join(str(item) for item in value)
+    return str(value)
+
+
 def _read_value(name: str, text: str, problems: list[Problem]) -> Any:
     kind = _value_type(name)
     raw: Any = text
--- /dev/null
+++ b/src/peppershore/command/watch_output.py
@@ -0,0 +1,91 @@
+"""How a watch is shown: a line for what is new, or one JSON object for each answer."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+from peppershore.command.output import show_json
+from peppershore.command.watching import WatchResult, WatchStep
+from peppershore.connection.messages import LaggingNode, RelayStatus, StatusAnswered
+from peppershore.version.model import Version
+
+
+class WatchLines:
+    """Turns the answers of a watch into lines: what is new since the answer before."""
+
+    def __init__(self, wanted: Version = 0) -> None:
+        """Watch for ``wanted``; 0: for the newest version of each answer."""
+        self._given = wanted
+        self._wanted = wanted
+        self._in_force: Version | None = None
+        self._relays: dict[str, str] = {}
+        self._waiting: dict[str, LaggingNode] = {}
+
+    def take(self, step: WatchStep) -> list[str]:
+        """Give the lines that an answer adds."""
+        status = step.status
+        lines: list[str] = []
+        self._wanted = self._given or status.version
+        if status.in_force != self._in_force:
+            self._in_force = status.in_force
+            lines.append(f"in force {status.in_force} of {self._wanted}")
+        for relay in status.relays:
+            lines += self._relay_lines(relay)
+        lines += self._node_lines(status)
+        return [f"{step.elapsed_milliseconds:>6} ms  {line}" for line in lines]
+
+    def _relay_lines(self, relay: RelayStatus) -> list[str]:
+        if relay.in_force >= self._wanted:
+            text = f"all its {relay.nodes} nodes hold {self._wanted}"
+        elif relay.version < self._wanted:
+            text = f"the relay is at {relay.version}"
+        else:
+            text = f"its nodes are at {relay.in_force} or above"
+        if self._relays.get(relay.relay) == text:
+            return []
+        self._relays[relay.relay] = text
+        return [f"{relay.relay} ({relay.zone}): {text}"]
+
+    def _node_lines(self, status: StatusAnswered) -> list[str]:
+        lagging = {node.node: node for relay in status.relays for node in relay.lagging}
+        lines: list[str] = []
+        for name, node in lagging.items():
+            before = self._waiting.get(name)
+            if before is None or before.reason != node.reason:
+                lines.append(f"  {name} holds {node.version}: {node.reason}")
+        for name in self._waiting.keys() - lagging.keys():
+            lines.append(f"  {name} lags no more")
+        self._waiting = lagging
+        return lines
+
+
+class WatchOutput:
+    """Shows a watch as it goes on."""
+
+    def __init__(self, as_json: bool, wanted: Version = 0) -> None:
+        """Watch for ``wanted``; 0: for the newest version of each answer."""
+        self._as_json = as_json
+        self._lines = WatchLines(wanted)
+
+    def step(self, step: WatchStep) -> None:
+        """Show one answer at once."""
+        if self._as_json:
+            show_json(step)
+        else:
+            for line in self._lines.take(step):
+                click.echo(line)
+        sys.stdout.flush()
+
+    def result(self, result: WatchResult) -> None:
+        """Show how a version came into force."""
+        if self._as_json:
+            show_json({"in_force": result})
+        else:
+            click.echo(
+                f"version {result.version} is in force on {result.nodes} nodes after "
+                f"{result.convergence_milliseconds} ms; "
+                f"{result.control_bytes} control bytes were sent"
+            )
+        sys.stdout.flush()
--- /dev/null
+++ b/src/peppershore/command/watching.py
@@ -0,0 +1,135 @@
+"""Follows a version, or every version, until it is in force on every node."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import aclosing
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from peppershore.command.client import ControlGroup, stream
+from peppershore.command.exit_codes import ExitCode
+from peppershore.command.failures import Failed
+from peppershore.connection.messages import StatusAnswered, WatchRequest
+from peppershore.version.model import Version
+
+MILLISECONDS_PER_SECOND = 1_000
+NEVER_IN_FORCE: Version = 2**62
+"""A version above all: a watch for it does not end by itself."""
+
+
+class WatchStart(msgspec.Struct, frozen=True):
+    """What a watch counts from: a moment of the loop's clock and bytes sent by then.
+
+    ``control_bytes`` None takes what the first answer says.
+    """
+
+    at: float
+    control_bytes: int | None = None
+
+
+class WatchStep(msgspec.Struct, frozen=True):
+    """One answer of a watch and when it came."""
+
+    elapsed_milliseconds: int
+    status: StatusAnswered
+
+
+class WatchResult(msgspec.Struct, frozen=True):
+    """How a version came into force.
+
+    ``convergence_milliseconds`` runs from the start of the watch;
+    ``control_bytes`` is what the relays sent to nodes in that time.
+    """
+
+    version: Version
+    in_force: Version
+    nodes: int
+    convergence_milliseconds: int
+    control_bytes: int
+
+
+OnStep = Callable[[WatchStep], None]
+OnResult = Callable[[WatchResult], None]
+
+
+async def watch_version(
+    group: ControlGroup, wanted: Version, start: WatchStart, on_step: OnStep
+) -> Result[WatchResult, Failed]:
+    """Tell ``on_step`` of each answer until ``wanted`` is in force or time is over."""
+    loop = asyncio.get_running_loop()
+    first_bytes = start.control_bytes
+    last: StatusAnswered | None = None
+    answers = stream(group, WatchRequest(wanted), StatusAnswered)
+    async with aclosing(answers) as steps:
+        async for step in steps:
+            if isinstance(step, Failure):
+                return Failure(_not_in_force(wanted, last, step.failure().failed))
+            last = step.unwrap()
+            sent = control_bytes(last)
+            first_bytes = sent if first_bytes is None else first_bytes
+            elapsed = round((loop.time() - start.at) * MILLISECONDS_PER_SECOND)
+            on_step(WatchStep(elapsed, last))
+            if last.in_force >= wanted:
+                nodes = sum(relay.nodes for relay in last.relays)
+                spent = max(0, sent - first_bytes)
+                return Success(WatchResult(wanted, last.in_force, nodes, elapsed, spent))
+    raise AssertionError("a stream of answers ends with a failure")
+
+
+def control_bytes(status: StatusAnswered) -> int:
+    """Give what all relays have sent to their nodes."""
+    return sum(relay.control_bytes for relay in status.relays)
+
+
+async def follow_versions(
+    group: ControlGroup, on_step: OnStep, on_result: OnResult
+) -> Result[None, Failed]:
+    """Tell of each answer and of each newest version that comes into force.
+
+    Ends only with a failure, when the group's time is over.  A version's time runs
+    from the first answer that shows it.
+    """
+    loop = asyncio.get_running_loop()
+    wanted: Version = 0
+    started, first_bytes, is_told = loop.time(), 0, True
+    answers = stream(group, WatchRequest(NEVER_IN_FORCE), StatusAnswered)
+    async with aclosing(answers) as steps:
+        async for step in steps:
+            if isinstance(step, Failure):
+                return Failure(step.failure().failed)
+            status = step.unwrap()
+            sent = control_bytes(status)
+            if status.version > wanted:
+                is_told = wanted == 0 and status.in_force >= status.version
+                wanted, started, first_bytes = status.version, loop.time(), sent
+            elapsed = round((loop.time() - started) * MILLISECONDS_PER_SECOND)
+            on_step(WatchStep(elapsed, status))
+            if status.in_force >= wanted and not is_told:
+                is_told = True
+                nodes = sum(relay.nodes for relay in status.relays)
+                spent = max(0, sent - first_bytes)
+                on_result(WatchResult(wanted, status.in_force, nodes, elapsed, spent))
+    raise AssertionError("a stream of answers ends with a failure")
+
+
+def _not_in_force(wanted: Version, last: StatusAnswered | None, lost: Failed) -> Failed:
+    if last is None:
+        return lost
+    if last.version < wanted:
+        message = f"version {wanted} is not accepted yet; the newest is {last.version}"
+        step = "`peppershore tree history` lists the accepted versions"
+    else:
+        lagging = sum(len(relay.lagging) for relay in last.relays)
+        message = (
+            f"version {wanted} is not in force everywhere yet ({lagging} known to lag)"
+        )
+        step = "`peppershore status` shows who lags and why; watch again for longer"
+    return Failed(
+        code=ExitCode.NOT_IN_FORCE,
+        kind="not_in_force",
+        message=message,
+        next_step=step,
+    )
--- a/src/peppershore/connection/link.py
+++ b/src/peppershore/connection/link.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import ssl
 from collections.abc import Callable
@@ -168,10 +169,23 @@
                 server_hostname="" if tls is not None else None,
             )
     except (OSError, TimeoutError, ValueError) as problem:
-        return str(problem) or type(problem).__name__
+        return connection_problem(problem)
     return link
 
 
+def connection_problem(problem: Exception) -> str:
+    """Say in words why a connection could not be had."""
+    if isinstance(problem, ssl.SSLCertVerificationError):
+        return f"its certificate is refused: {problem.verify_message}"
+    if isinstance(problem, ssl.SSLError):
+        return f"TLS: {problem.reason or problem}"
+    if isinstance(problem, TimeoutError):
+        return "no answer in time"
+    if isinstance(problem, OSError) and problem.errno:
+        return os.strerror(problem.errno).lower()
+    return str(problem) or type(problem).__name__
+
+
 def _identity(transport: asyncio.BaseTransport) -> str:
     """Give the URI in the peer's certificate, which ``identity`` can read."""
     certificate = transport.get_extra_info("peercert")
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -14,6 +14,10 @@
 from peppershore.process.admin_http import AdminServer, Readiness
 from peppershore.process.claims.client import ClaimClientShell
 from peppershore.process.commands import Notice
+from peppershore.process.configuration_page import (
+    CONFIGURATION_PATH,
+    configuration_page,
+)
 from peppershore.process.link_security import LinkSecurity
 from peppershore.process.logging import LogIdentity
 from peppershore.process.metrics import ProcessMetrics
@@ -150,7 +154,12 @@
     _add_gauges(metrics, core, shell)
     add_call_gauges(metrics, data_plane)
     security.start(metrics)
-    admin = AdminServer(metrics, lambda: _readiness(core))
+    pages = {
+        CONFIGURATION_PATH: lambda _query: configuration_page(
+            settings.node, data_plane.calls.configuration
+        )
+    }
+    admin = AdminServer(metrics, lambda: _readiness(core), pages)
     if settings.admin_listen:
         await admin.start(settings.admin_listen)
     stop_on_signals(shell)
