--- a/benchmarks/slopes_claims.py
+++ b/benchmarks/slopes_claims.py
@@ -32,7 +32,11 @@
 )
 from peppershore.connection.messages import KeptAnswer
 from peppershore.process.claims.client import ClaimClientShell
-from peppershore.process.claims.table import ClaimEntry, ClaimTable, CompletionEntry
+from peppershore.process.claims.entries import (
+    ClaimEntry,
+    CompletionEntry,
+)
+from peppershore.process.claims.table import ClaimTable
 from peppershore.process.settings import ClaimsSettings, PeerReplica
 from peppershore_lab.fleet.addresses import AddressBlock
 from peppershore_lab.fleet.managed_process import ManagedProcess
--- a/src/peppershore/process/claims/core.py
+++ b/src/peppershore/process/claims/core.py
@@ -23,10 +23,8 @@
     Refused,
 )
 from peppershore.process.claims.client_core import REASON_FULL, REASON_NOT_LEADER
-from peppershore.process.claims.machine import AppliedEntry, ClaimsMachine
-from peppershore.process.claims.table import (
+from peppershore.process.claims.entries import (
     ClaimEntry,
-    ClaimTable,
     ClockAdvanced,
     CompletionEntry,
     Granted,
@@ -38,6 +36,8 @@
     Taken,
     encode_entry,
 )
+from peppershore.process.claims.machine import AppliedEntry, ClaimsMachine
+from peppershore.process.claims.table import ClaimTable
 from peppershore.process.consensus.records import StoredState
 from peppershore.process.consensus.replica import ReplicaCore
 from peppershore.process.consensus.settings import ConsensusSettings, ReplicaSettings
@@ -45,7 +45,7 @@
 from peppershore.process.settings import ClaimsSettings
 
 MAX_WAITING = 20_000
-CLOCK_SECONDS = 10.0
+CLOCK_SECONDS = 1.0
 MILLISECONDS = 1_000
 REASON_BUSY = "busy"
 CLAIMS_ROLE = "claims"
--- a/src/peppershore/process/claims/machine.py
+++ b/src/peppershore/process/claims/machine.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 import msgspec
 
-from peppershore.process.claims.table import (
-    ClaimTable,
+from peppershore.process.claims.entries import (
     TableAnswer,
     TableEntry,
     decode_entry,
 )
+from peppershore.process.claims.table import ClaimTable
+from peppershore.process.consensus.state_machine import Piece
 
 
 class AppliedEntry(msgspec.Struct, frozen=True):
@@ -37,6 +40,10 @@
         """Encode the whole table."""
         return self.table.snapshot()
 
+    def begin_snapshot(self) -> Iterator[Piece]:
+        """Give the pieces of the table as it is now, while entries go on."""
+        return self.table.begin_snapshot()
+
     def restore(self, state: bytes) -> None:
         """Replace the whole table."""
         self._applied.clear()
--- a/src/peppershore/process/claims/table.py
+++ b/src/peppershore/process/claims/table.py
@@ -8,102 +8,56 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections.abc import Iterator
 
 import msgspec
 
-from peppershore.connection.messages import KeptAnswer
+from peppershore.process.claims.entries import (
+    ClaimEntry,
+    ClockAdvanced,
+    CompletionEntry,
+    Granted,
+    Noted,
+    ReleaseEntry,
+    TableAnswer,
+    TableEntry,
+    TableFull,
+    Taken,
+)
+from peppershore.process.claims.records import (
+    SEGMENT_RECORDS,
+    ClaimRecord,
+    Segment,
+    answer_size,
+    decode_record,
+    decode_segment,
+    encode_record,
+)
+from peppershore.process.claims.table_snapshot import MAGIC, TableSnapshot, unframed
+from peppershore.process.consensus.state_machine import Piece
 
 DEFAULT_MAX_RECORDS = 500_000
 DEFAULT_MAX_ANSWER_BYTES = 64 * 1024 * 1024
 """All kept answers together; the oldest are dropped first, their records stay."""
 
 
-class ClaimEntry(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """An attempt asks for the claim on ``key``."""
-
-    key: str
-    attempt: str
-
-
-class CompletionEntry(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """An attempt finished, with the answer to keep (None: not kept)."""
-
-    key: str
-    attempt: str
-    answer: KeptAnswer | None
-
-
-class ReleaseEntry(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """An attempt provably did not run."""
-
-    key: str
-    attempt: str
-
-
-class ClockAdvanced(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """Milliseconds that passed on the leader's monotonic clock."""
-
-    milliseconds: int
-
-
-TableEntry = ClaimEntry | CompletionEntry | ReleaseEntry | ClockAdvanced
-
-
-class Granted(msgspec.Struct, frozen=True):
-    """The attempt holds the claim."""
-
-
-class Taken(msgspec.Struct, frozen=True):
-    """Another attempt holds it; ``answer`` is kept or None."""
-
-    answer: KeptAnswer | None
-
-
-class TableFull(msgspec.Struct, frozen=True):
-    """No record could be kept, so no claim was given."""
-
-
-class Noted(msgspec.Struct, frozen=True):
-    """A completion, release or clock entry took effect or changed nothing."""
-
-
-TableAnswer = Granted | Taken | TableFull | Noted
-
-
-class ClaimRecord(msgspec.Struct, array_like=True):
-    """One claimed call; ``claimed_at`` in table milliseconds."""
-
-    attempt: str
-    claimed_at: int
-    completed: bool = False
-    answer: KeptAnswer | None = None
+class TableHeader(msgspec.Struct, frozen=True, array_like=True):
+    """What a snapshot holds besides the segments."""
 
+    clock: int
+    next_segment: int
 
-class TableState(msgspec.Struct, frozen=True, array_like=True):
-    """The whole table as a snapshot holds it; both lists oldest first.
 
-    ``answered`` names the keys whose answers are kept, with their body bytes.
-    """
+class FirstFormatState(msgspec.Struct, frozen=True, array_like=True):
+    """The whole table as snapshots held it before there were segments."""
 
     clock: int
     records: tuple[tuple[str, ClaimRecord], ...]
     answered: tuple[tuple[str, int], ...]
 
 
-_ENTRY_DECODER: msgspec.msgpack.Decoder[TableEntry] = msgspec.msgpack.Decoder(TableEntry)
-_STATE_DECODER = msgspec.msgpack.Decoder(TableState)
-_ENCODER = msgspec.msgpack.Encoder()
-
-
-def encode_entry(entry: TableEntry) -> bytes:
-    """Give the log payload of an entry."""
-    return _ENCODER.encode(entry)
-
-
-def decode_entry(payload: bytes) -> TableEntry:
-    """Give the entry of a committed payload; any other payload breaks an invariant."""
-    return _ENTRY_DECODER.decode(payload)
+_HEADER_DECODER = msgspec.msgpack.Decoder(TableHeader)
+_FIRST_FORMAT_DECODER = msgspec.msgpack.Decoder(FirstFormatState)
 
 
 class ClaimTable:
@@ -114,20 +68,36 @@
         horizon_milliseconds: int,
         max_records: int = DEFAULT_MAX_RECORDS,
         max_answer_bytes: int = DEFAULT_MAX_ANSWER_BYTES,
+        segment_records: int = SEGMENT_RECORDS,
     ) -> None:
-        """Keep each record for ``horizon_milliseconds`` of table time."""
+        """Keep each record for ``horizon_milliseconds`` of table time.
+
+        Replicas of a group must agree on all of these.
+        """
+        self.max_records = max_records
+        self.refused_full = 0
         self._horizon = horizon_milliseconds
-        self._max_records = max_records
         self._max_answer_bytes = max_answer_bytes
-        self._answer_bytes = 0
-        self._answered: OrderedDict[str, int] = OrderedDict()
+        self._segment_records = segment_records
         self._clock = 0
-        self._records: OrderedDict[str, ClaimRecord] = OrderedDict()
+        self._answer_bytes = 0
+        self._next_segment = 1
+        self._segments: dict[int, Segment] = {}
+        self._index: dict[str, int] = {}
+        self._newest: Segment | None = None
+        self._dropping: list[str] = []
+        self._dropping_segment = 0
+        self._snapshot: TableSnapshot | None = None
 
     @property
     def size(self) -> int:
         """Records kept."""
-        return len(self._records)
+        return len(self._index)
+
+    @property
+    def answer_bytes(self) -> int:
+        """Bytes of all kept answers."""
+        return self._answer_bytes
 
     def apply_entry(self, entry: TableEntry) -> TableAnswer:
         """Apply one entry."""
@@ -142,22 +112,58 @@
                 self._advance(entry.milliseconds)
         return Noted()
 
+    # --- snapshots -----------------------------------------------------------
+
+    def begin_snapshot(self) -> Iterator[Piece]:
+        """Give the pieces of the table as it is now, while entries go on."""
+        header = msgspec.msgpack.encode(TableHeader(self._clock, self._next_segment))
+        self._snapshot = TableSnapshot(header, list(self._segments.values()))
+        return self._snapshot.pieces()
+
     def snapshot(self) -> bytes:
-        """Give the whole table."""
-        records = tuple(self._records.items())
-        answered = tuple(self._answered.items())
-        return _ENCODER.encode(TableState(self._clock, records, answered))
+        """Give the whole table at once."""
+        pieces = self.begin_snapshot()
+        return b"".join(piece.data for piece in pieces)
 
     def restore(self, data: bytes) -> None:
         """Replace the whole table."""
-        state = _STATE_DECODER.decode(data)
+        self._clear()
+        if not data.startswith(MAGIC):
+            self._restore_first_format(data)
+            return
+        pieces = unframed(data)
+        header = _HEADER_DECODER.decode(next(pieces))
+        self._clock = header.clock
+        self._next_segment = header.next_segment
+        for piece in pieces:
+            self._add_segment(decode_segment(piece))
+
+    def _clear(self) -> None:
+        self._answer_bytes = 0
+        self._next_segment = 1
+        self._segments.clear()
+        self._index.clear()
+        self._newest = None
+        self._dropping.clear()
+        self._snapshot = None
+
+    def _add_segment(self, segment: Segment) -> None:
+        self._segments[segment.number] = segment
+        self._index.update(dict.fromkeys(segment.records, segment.number))
+        self._answer_bytes += segment.answer_bytes
+        self._newest = segment
+
+    def _restore_first_format(self, data: bytes) -> None:
+        state = _FIRST_FORMAT_DECODER.decode(data)
+        for key, record in state.records:
+            self._clock = record.claimed_at
+            self._add_record(key, record)
         self._clock = state.clock
-        self._records = OrderedDict(state.records)
-        self._answered = OrderedDict(state.answered)
-        self._answer_bytes = sum(self._answered.values())
+
+    # --- entries -------------------------------------------------------------
 
     def _claim(self, entry: ClaimEntry) -> TableAnswer:
-        record = self._records.get(entry.key)
+        record = self._find(entry.key)
         if record is None:
             return self._grant(entry)
         if record.attempt == entry.attempt and not record.completed:
@@ -165,46 +171,144 @@
         return Taken(record.answer)
 
     def _grant(self, entry: ClaimEntry) -> TableAnswer:
-        if len(self._records) >= self._max_records:
+        if len(self._index) >= self.max_records:
+            self.refused_full += 1
             return TableFull()
-        self._records[entry.key] = ClaimRecord(entry.attempt, self._clock)
+        self._add_record(entry.key, ClaimRecord(entry.attempt, self._clock))
         return Granted()
 
     def _complete(self, entry: CompletionEntry) -> None:
-        record = self._records.get(entry.key)
-        if record is None or record.attempt != entry.attempt:
-            return
-        if record.completed:
+        record = self._find(entry.key)
+        if record is None or record.attempt != entry.attempt or record.completed:
             return
-        record.completed = True
+        segment = self._segments[self._index[entry.key]]
+        self._change(segment)
+        done = ClaimRecord(record.attempt, record.claimed_at, True, entry.answer)
+        segment.records[entry.key] = encode_record(done)
         if entry.answer is not None:
-            self._keep(entry.key, record, entry.answer)
-
-    def _keep(self, key: str, record: ClaimRecord, answer: KeptAnswer) -> None:
-        record.answer = answer
-        self._answered[key] = len(answer.body)
-        self._answer_bytes += len(answer.body)
-        while self._answer_bytes > self._max_answer_bytes:
-            oldest = next(iter(self._answered))
-            self._records[oldest].answer = None
-            self._forget_answer(oldest)
-
-    def _forget_answer(self, key: str) -> None:
-        self._answer_bytes -= self._answered.pop(key, 0)
+            self._count_answer(segment, answer_size(entry.answer))
+            self._drop_answers_beyond_bound()
 
     def _release(self, entry: ReleaseEntry) -> None:
-        record = self._records.get(entry.key)
-        if record is None or record.attempt != entry.attempt:
+        record = self._find(entry.key)
+        if record is None or record.attempt != entry.attempt or record.completed:
             return
-        if not record.completed:
-            del self._records[entry.key]
+        segment = self._segments[self._index.pop(entry.key)]
+        self._change(segment)
+        del segment.records[entry.key]
+        if not segment.records and segment is not self._newest:
+            del self._segments[segment.number]
 
     def _advance(self, milliseconds: int) -> None:
         self._clock += max(0, milliseconds)
         oldest_kept = self._clock - self._horizon
-        while self._records:
-            key = next(iter(self._records))
-            if self._records[key].claimed_at >= oldest_kept:
+        for segment in list(self._segments.values()):
+            if segment.newest_claimed_at >= oldest_kept:
+                self._expire_part(segment, oldest_kept)
                 return
-            del self._records[key]
-            self._forget_answer(key)
+            self._expire_whole(segment)
+
+    # --- records -------------------------------------------------------------
+
+    def _find(self, key: str) -> ClaimRecord | None:
+        number = self._index.get(key)
+        if number is None:
+            return None
+        return decode_record(self._segments[number].records[key])
+
+    def _add_record(self, key: str, record: ClaimRecord) -> None:
+        segment = self._newest
+        if segment is None or segment.taken >= self._segment_records:
+            segment = self._open_segment()
+        self._change(segment)
+        segment.records[key] = encode_record(record)
+        segment.taken += 1
+        segment.newest_claimed_at = record.claimed_at
+        self._index[key] = segment.number
+        if record.answer is not None:
+            self._count_answer(segment, answer_size(record.answer))
+
+    def _open_segment(self) -> Segment:
+        full = self._newest
+        if full is not None and not full.records:
+            self._segments.pop(full.number, None)
+        segment = Segment(self._next_segment)
+        self._next_segment += 1
+        self._segments[segment.number] = segment
+        self._newest = segment
+        return segment
+
+    def _change(self, segment: Segment) -> None:
+        """Let a snapshot under way take the segment before it changes."""
+        if self._snapshot is not None:
+            self._snapshot.about_to_change(segment)
+        segment.changed()
+
+    # --- expiry --------------------------------------------------------------
+
+    def _expire_whole(self, segment: Segment) -> None:
+        self._change(segment)
+        for key in segment.records:
+            del self._index[key]
+        self._answer_bytes -= segment.answer_bytes
+        self._dropping.clear()
+        del self._segments[segment.number]
+        if segment is self._newest:
+            self._newest = None
+
+    def _expire_part(self, segment: Segment, oldest_kept: int) -> None:
+        expired: list[str] = []
+        freed = 0
+        for key, packed in segment.records.items():
+            record = decode_record(packed)
+            if record.claimed_at >= oldest_kept:
+                break
+            expired.append(key)
+            freed += 0 if record.answer is None else answer_size(record.answer)
+        if not expired:
+            return
+        self._change(segment)
+        for key in expired:
+            del segment.records[key]
+            del self._index[key]
+        self._count_answer(segment, -freed)
+
+    # --- kept answers --------------------------------------------------------
+
+    def _count_answer(self, segment: Segment, size: int) -> None:
+        """Count an answer in or out; which one is the oldest may have changed."""
+        segment.answer_bytes += size
+        self._answer_bytes += size
+        if segment.number <= self._dropping_segment:
+            self._dropping.clear()
+
+    def _drop_answers_beyond_bound(self) -> None:
+        while self._answer_bytes > self._max_answer_bytes:
+            if not self._dropping:
+                self._dropping = self._oldest_answered_keys()
+            self._drop_answer(self._dropping.pop())
+
+    def _oldest_answered_keys(self) -> list[str]:
+        """Give the keys with answers of the oldest segment that has any, oldest last."""
+        for segment in self._segments.values():
+            if segment.answer_bytes > 0:
+                self._dropping_segment = segment.number
+                keys = [
+                    key
+                    for key, packed in segment.records.items()
+                    if decode_record(packed).answer is not None
+                ]
+                return keys[::-1]
+        raise AssertionError("bytes of answers are counted that no segment holds")
+
+    def _drop_answer(self, key: str) -> None:
+        segment = self._segments[self._index[key]]
+        record = decode_record(segment.records[key])
+        assert record.answer is not None
+        self._change(segment)
+        size = answer_size(record.answer)
+        segment.answer_bytes -= size
+        self._answer_bytes -= size
+        segment.records[key] = encode_record(
+            ClaimRecord(record.attempt, record.claimed_at, record.completed)
+        )
