serve: a process that can't start says why in a log line

Cause: an address in use, a missing TLS file or an unusable folder ended serve in a traceback with exit code 1. Now one JSON line process_not_started with reason and advice, exit code 11, documented in the help.

--- a/src/peppershore/command/exit_codes.py
+++ b/src/peppershore/command/exit_codes.py
@@ -30,3 +30,5 @@
     """The time given ran out before the version was in force everywhere."""
     NOT_PERMITTED = 10
     """The certificate does not allow what was asked."""
+    NOT_STARTED = 11
+    """A process could not use an address, file or folder of its settings."""
--- a/src/peppershore/command/main.py
+++ b/src/peppershore/command/main.py
@@ -34,7 +34,8 @@
     Exit codes: 0 done, 1 a fault of the program itself, 2 wrong command line,
     3 invalid edit or settings, 4 conflict, 5 no replica answered, 6 an edit's
     outcome is unknown (send it again with its change id), 7 change id expired,
-    8 not found, 9 not in force in time, 10 not permitted by the certificate.
+    8 not found, 9 not in force in time, 10 not permitted by the certificate,
+    11 a process could not start.
     """
 
 
--- a/src/peppershore/command/serve.py
+++ b/src/peppershore/command/serve.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import sys
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any, TypeVar
 
 import click
 from returns.result import Failure
 
+from peppershore.command.exit_codes import ExitCode
 from peppershore.command.output import show_json, stop_with
 from peppershore.command.settings_flags import collect_flags, settings_flags
 from peppershore.command.settings_output import settings_failed
@@ -48,6 +50,14 @@
     port: int
 
 
+class ProcessNotStarted(Notice, frozen=True):
+    """An address, file or folder of the settings can't be used; the process ends."""
+
+    level = "error"
+    reason: str
+    advice: str = "check the addresses, TLS files and folders of the settings"
+
+
 class ProcessStopped(Notice, frozen=True):
     """The planned stop is complete."""
 
@@ -58,6 +68,9 @@
 
     It logs JSON lines on standard error, prints one JSON line with its port on
     standard output when it is ready, and stops in a planned way on SIGTERM.
+
+    Exit codes: 0 stopped as planned, 2 wrong command line, 3 settings or store
+    refused, 11 an address, file or folder can't be used.
     """
 
 
@@ -70,7 +83,7 @@
 
     settings = _read("control", ControlSettings, settings_path, arguments)
     _configure("control", settings.replica, settings.log_level, settings.cluster)
-    _run(run_control(settings, _announce))
+    _run(lambda on_ready: run_control(settings, on_ready))
 
 
 @serve.command()
@@ -82,7 +95,7 @@
 
     settings = _read("relay", RelaySettings, settings_path, arguments)
     _configure("relay", settings.relay, settings.log_level, settings.cluster)
-    _run(run_relay(settings, _announce))
+    _run(lambda on_ready: run_relay(settings, on_ready))
 
 
 @serve.command()
@@ -94,7 +107,7 @@
 
     settings = _read("node", NodeSettings, settings_path, arguments)
     _configure("node", settings.node, settings.log_level, settings.cluster)
-    _run(run_node(settings, _announce))
+    _run(lambda on_ready: run_node(settings, on_ready))
 
 
 @serve.command()
@@ -106,7 +119,7 @@
 
     settings = _read("claims", ClaimsSettings, settings_path, arguments)
     _configure("claims", settings.replica, settings.log_level, settings.cluster)
-    _run(run_claims(settings, _announce))
+    _run(lambda on_ready: run_claims(settings, on_ready))
 
 
 def _read(role: str, kind: type[Kind], path: Path | None, arguments: Arguments) -> Kind:
@@ -121,14 +134,33 @@
     write_notice(ProcessStarting(cluster))
 
 
-def _announce(port: int) -> None:
-    write_notice(ProcessReady(port))
-    show_json({"event": "process_ready", "port": port})
+class Announcer:
+    """Tells once that the process is ready."""
 
+    def __init__(self) -> None:
+        """Begin before the process is ready."""
+        self.is_ready = False
 
-def _run(work: Awaitable[None]) -> None:
-    async def main() -> None:
-        await work
+    def __call__(self, port: int) -> None:
+        """Log the port and print it for whoever started the process."""
+        self.is_ready = True
+        write_notice(ProcessReady(port))
+        show_json({"event": "process_ready", "port": port})
 
-    asyncio.run(main())
+
+def _run(work: Callable[[OnReady], Coroutine[Any, Any, None]]) -> None:
+    """Run a process to its planned stop; one that can't start says why."""
+    announcer = Announcer()
+    try:
+        asyncio.run(work(announcer))
+    except OSError as problem:
+        if announcer.is_ready:
+            raise
+        write_notice(ProcessNotStarted(_reason(problem)))
+        sys.exit(int(ExitCode.NOT_STARTED))
     write_notice(ProcessStopped())
+
+
+def _reason(problem: OSError) -> str:
+    reason = problem.strerror or str(problem)
+    return f"{reason}: {problem.filename}" if problem.filename else reason
--- a/src/peppershore/command/settings_commands.py
+++ b/src/peppershore/command/settings_commands.py
@@ -32,7 +32,7 @@
     if as_json:
         show_json({"settings": loaded.unwrap()})
         return
-    click.echo(f"{path}: usable settings of this {role}")
+    click.echo(f"{path}: usable settings of role {role}")
 
 
 @settings.command()
--- a/src/peppershore/command/settings_output.py
+++ b/src/peppershore/command/settings_output.py
@@ -19,7 +19,7 @@
     return Failed(
         code=ExitCode.INVALID,
         kind="settings",
-        message=f"the settings of this {role} in {source} are not usable",
+        message=f"the {role} settings in {source} are not usable",
         next_step=f"mend the listed keys; `peppershore settings example {role}` shows all",
         problems=shown,
     )
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -100,7 +100,7 @@
 """
 
 _OPERATOR = """\
-# The command line: `peppershore --settings FILE`, or PEPPERSHORE_SETTINGS.
+# The command line: `--settings FILE` on a command, or PEPPERSHORE_SETTINGS.
 replicas = ["127.0.0.1:7001"]      # control replicas; the leader is found by itself
 timeout_milliseconds = 10000       # how long a command keeps trying
 author = "anna"                    # shown in the history; default: your login
