Calls: fewer turns through h11 for a request without a body

Cause: after a request's end the connection asked h11 once more and was told to pause; each bodyless message made its own end event; a call's second write was empty.

--- a/benchmarks/call_path.py
+++ b/benchmarks/call_path.py
@@ -5,6 +5,9 @@
 back end's own node (two hops).  Every part is a process of its own on loopback.
 
     python benchmarks/call_path.py --out results/call_path.json
+
+uvloop was tried and is left out: strace shows io_uring_setup in a process that
+runs it (0.23), which the place this runs in does not allow.
 """
 
 from __future__ import annotations
@@ -198,19 +201,11 @@
         print(address, flush=True)
         await stop.wait()
 
-    def run() -> None:
-        if arguments.uvloop:
-            import uvloop  # type: ignore[import-not-found]  # noqa: PLC0415
-
-            uvloop.run(main())
-        else:
-            asyncio.run(main())
-
     if not arguments.profile:
-        run()
+        asyncio.run(main())
         return
     profile = cProfile.Profile()
-    profile.runcall(run)
+    profile.runcall(asyncio.run, main())
     text = io.StringIO()
     pstats.Stats(profile, stream=text).sort_stats("tottime").print_stats(35)
     Path(arguments.profile).write_text(text.getvalue())
@@ -345,7 +340,6 @@
 
 def start_parts(options: argparse.Namespace) -> tuple[list[Part], dict[str, str]]:
     """Start all parts; give them and each path's entry."""
-    node_options = ["--uvloop"] if options.uvloop else []
 
     def profiled(name: str) -> list[str]:
         if not options.profile_folder:
@@ -355,14 +349,10 @@
     backend = Part("back end", "backend")
     forwarder = Part("forwarder-1", "forwarder", "--target", backend.address)
     second = Part("forwarder-2", "forwarder", "--target", forwarder.address)
-    owner = Part(
-        "owner", "owner", "--target", backend.address, *node_options, *profiled("owner")
-    )
+    owner = Part("owner", "owner", "--target", backend.address, *profiled("owner"))
     aim = ("node", "--target", backend.address, "--owner", owner.address)
-    direct = Part(
-        "node-direct", *aim, "--hop", "direct", *node_options, *profiled("direct")
-    )
-    through = Part("node-owner", *aim, "--hop", "owner", *node_options, *profiled("entry"))
+    direct = Part("node-direct", *aim, "--hop", "direct", *profiled("direct"))
+    through = Part("node-owner", *aim, "--hop", "owner", *profiled("entry"))
     entries = {
         "direct": backend.address,
         "forwarder-1": forwarder.address,
@@ -466,7 +456,6 @@
     parser.add_argument("--hop", default="direct")
     parser.add_argument("--profile", default="")
     parser.add_argument("--profile-folder", default="")
-    parser.add_argument("--uvloop", action="store_true")
     parser.add_argument("--rounds", type=int, default=6)
     parser.add_argument("--seconds", type=float, default=2.0)
     parser.add_argument("--seed", type=int, default=1)
@@ -491,7 +480,6 @@
         "resident_megabytes": memory,
         "rounds": options.rounds,
         "seconds_per_round": options.seconds,
-        "uvloop": options.uvloop,
         "python": sys.version.split()[0],
         "load_average_at_end": os.getloadavg()[0],
     }
--- a/src/peppershore/connection/http_client.py
+++ b/src/peppershore/connection/http_client.py
@@ -20,6 +20,7 @@
     HeaderList,
     RequestHead,
     checked_headers,
+    end_event,
     end_to_end_headers,
     received_headers,
 )
@@ -158,7 +159,7 @@
 
     def send_end(self, trailers: HeaderList) -> None:
         """Queue the request's end."""
-        self._send(h11.EndOfMessage(headers=trailers))
+        self._send(end_event(trailers))
 
     def flush(self) -> None:
         """Write what is queued, in one piece."""
--- a/src/peppershore/connection/http_head.py
+++ b/src/peppershore/connection/http_head.py
@@ -95,6 +95,8 @@
 
 def received_headers(headers: Headers) -> HeaderList:
     """Give the fields of a parsed h11 event, names in lower case."""
+    if not headers:
+        return []
     return [(name.lower(), value) for name, value in headers.raw_items()]
 
 
@@ -117,6 +119,14 @@
     return _NOT_IN_NAME.search(names) is not None
 
 
+_END = h11.EndOfMessage()
+
+
+def end_event(trailers: HeaderList) -> h11.EndOfMessage:
+    """Give the h11 event of a body's end; most have no trailers and share one."""
+    return h11.EndOfMessage(headers=trailers) if trailers else _END
+
+
 def answer_event(head: AnswerHead, headers: HeaderList) -> h11.Response:
     """Give the h11 event of an answer's head with the given fields."""
     return h11.Response(
--- a/src/peppershore/connection/http_server.py
+++ b/src/peppershore/connection/http_server.py
@@ -24,6 +24,7 @@
     RequestHead,
     answer_event,
     check_request_head,
+    end_event,
     end_to_end_headers,
     received_headers,
 )
@@ -246,7 +247,7 @@
         if (self._http.their_http_version or b"") < HTTP_1_1:
             trailers = []
         try:
-            self._write(self._http.send(h11.EndOfMessage(headers=trailers)))
+            self._write(self._http.send(end_event(trailers)))
         except h11.LocalProtocolError:
             self._break_off()
             return
@@ -339,13 +340,13 @@
         return checked.unwrap()
 
     def _take_event(self, event: object) -> bool:
+        if isinstance(event, h11.Request):
+            self._begin(event)
+            return self._http.their_state is not h11.DONE
         if isinstance(event, h11.Data):
             if self._sink is not None:
                 self._sink.body_received(event.data)
             return True
-        if isinstance(event, h11.Request):
-            self._begin(event)
-            return True
         if isinstance(event, h11.EndOfMessage):
             if self._sink is not None:
                 self._sink.body_ended(received_headers(event.headers))
