Relays report when they are settled, whom they hear, and every held scope

A relay now says that it is not settled for 8 s after a start or a pause and while deferred hellos are due; its reports are numbered within a life and name the relays it hears. A node's backoff ends at 4 s, so with the 3 s of a connection attempt it is back before it counts as gone. Two gaps found while reading: a node seen at another relay was dropped at once, before that relay's report was known, and one hidden because nobody vouched for it was taken for seen. Also: the sample of lagging nodes shows each held scope, and nobody lags before anything is accepted.

--- a/src/peppershore/process/endpoints/exchange.py
+++ b/src/peppershore/process/endpoints/exchange.py
@@ -112,6 +112,11 @@
         """
         return now - self._started_at >= LEASE_SECONDS
 
+    def heard(self, now: float) -> tuple[str, ...]:
+        """Name this relay and those heard within the lease."""
+        others = (peer.name for peer in self._peers.values() if now <= peer.lease_until)
+        return tuple(sorted((self._settings.relay, *others)))
+
     # --- this relay's own sessions ---------------------------------------------
 
     def announced(self, endpoint: Endpoint, now: float) -> list[Command]:
--- a/src/peppershore/process/node/relay_choice.py
+++ b/src/peppershore/process/node/relay_choice.py
@@ -11,7 +11,9 @@
 from peppershore.process.settings import NodeSettings, PeerRelay
 
 BACKOFF_BASE_SECONDS = 0.1
-BACKOFF_CEILING_SECONDS = 10.0
+BACKOFF_CEILING_SECONDS = 4.0
+"""With the bound of a connection attempt still less than the lease of endpoints and
+the time for which relays wait for a node that is away (8 s each)."""
 AVOID_SECONDS = 10.0
 """How long a relay that failed or went stale is passed over."""
 
--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -52,6 +52,7 @@
     PROGRESS_IDLE_SECONDS,
     PROGRESS_SECONDS,
     PROGRESS_TIMER,
+    RelayLife,
     make_report,
 )
 from peppershore.process.relay.rollout import Rollout
@@ -103,6 +104,8 @@
         self._timers_set: set[str] = set()
         self._was_fresh = False
         self._pause_milliseconds = 0
+        self._incarnation = 0
+        self._reports = 0
         self._now = 0.0
         self._out: list[Command] = []
 
@@ -142,9 +145,9 @@
 
     def _started(self, event: events.Started) -> None:
         randomness = Randomness(event.seed)
-        incarnation = int(randomness.below(2**53))
+        self._incarnation = int(randomness.below(2**53))
         self._do(self.source.start(randomness, self._now))
-        self._do(self.exchange.start(randomness, incarnation, self._now))
+        self._do(self.exchange.start(randomness, self._incarnation, self._now))
         self._set_timer(HEARTBEAT_TIMER, self.nodes.heartbeats.slot_seconds)
         self._set_timer(PROGRESS_TIMER, PROGRESS_IDLE_SECONDS)
 
@@ -205,7 +208,7 @@
         elif timer == FLUSH_TIMER:
             self._do(self.rollout.flush(self._now))
         elif timer == FANOUT_TIMER:
-            self._do(self.nodes.endpoint_changes())
+            self._do(self.nodes.endpoint_changes(self._now))
         elif timer == PROGRESS_TIMER:
             self._report_progress()
         else:
@@ -265,7 +268,7 @@
         if self.holds.held and any(each.state == STATE_READY for each in changed):
             self._do(self.rollout.release_held(self._now))
         if any(is_urgent(each) for each in changed):
-            self._do(self.nodes.endpoint_changes())
+            self._do(self.nodes.endpoint_changes(self._now))
         else:
             self._set_timer_once(FANOUT_TIMER, FANOUT_SECONDS)
 
@@ -313,7 +316,7 @@
         if self.source.link is None or not self.source.is_open:
             return
         report = make_report(
-            self._settings,
+            self._life(),
             self.distributor,
             self.departures,
             self.holds,
@@ -321,6 +324,20 @@
         )
         self._out.append(SendMessage(self.source.link, report))
 
+    def _life(self) -> RelayLife:
+        self._reports += 1
+        now = self._now
+        settled = self.exchange.is_settled(now) and now >= self.nodes.deferred_until
+        heard = self.exchange.heard(now)
+        return RelayLife(
+            self._settings.relay,
+            self._settings.zone,
+            self._incarnation,
+            self._reports,
+            settled,
+            heard,
+        )
+
     def _note_freshness(self) -> None:
         is_fresh = self.source.is_fresh(self._now)
         if is_fresh == self._was_fresh:
--- a/src/peppershore/process/relay/departures.py
+++ b/src/peppershore/process/relay/departures.py
@@ -14,21 +14,25 @@
 from peppershore.version.model import Digest, Scope, Version
 
 AWAY_SECONDS = 8.0
+HANDOVER_SECONDS = 1.5
+"""How long a node seen at another relay still counts here: that relay reports
+once a second, and its report must be known before this one counts the node no
+more."""
 MAX_AWAY = 20_000
 
 
 class Departure(msgspec.Struct, frozen=True):
-    """What a node held when its session ended, at monotonic seconds ``at``."""
+    """What a node held when its session ended; counts until ``until`` (monotonic)."""
 
     node: str
     scope: Scope
     version: Version
     digest: Digest
-    at: float
+    until: float
 
 
 class Departures:
-    """The nodes that are away, oldest first."""
+    """The nodes that are away."""
 
     def __init__(self, catalog: ScopeCatalog) -> None:
         """Judge what they hold by a catalog."""
@@ -45,23 +49,30 @@
         if session.version == 0 or len(self._away) >= MAX_AWAY:
             return
         self._away[session.node] = Departure(
-            session.node, session.scope, session.version, session.digest, now
+            session.node,
+            session.scope,
+            session.version,
+            session.digest,
+            now + AWAY_SECONDS,
         )
 
-    def seen(self, node: str) -> None:
-        """Forget a node that is back, or at another relay, or stopped as planned."""
+    def came_back(self, node: str) -> None:
+        """Forget a node that has a session here again."""
         self._away.pop(node, None)
 
+    def seen_elsewhere(self, node: str, now: float) -> None:
+        """Count a node no more once the relay that has it now had time to report."""
+        away = self._away.get(node)
+        if away is None or away.until <= now + HANDOVER_SECONDS:
+            return
+        self._away[node] = msgspec.structs.replace(away, until=now + HANDOVER_SECONDS)
+
     def drop_old(self, now: float) -> bool:
-        """Forget nodes that count as gone; tell whether there were any."""
-        dropped = False
-        while self._away:
-            oldest = next(iter(self._away.values()))
-            if now - oldest.at < AWAY_SECONDS:
-                break
-            del self._away[oldest.node]
-            dropped = True
-        return dropped
+        """Forget nodes that count no more; tell whether there were any."""
+        over = [each.node for each in self._away.values() if now >= each.until]
+        for node in over:
+            del self._away[node]
+        return bool(over)
 
     def lagging(self) -> list[Departure]:
         """Give the nodes away that lack a change."""
--- a/src/peppershore/process/relay/node_service.py
+++ b/src/peppershore/process/relay/node_service.py
@@ -138,12 +138,13 @@
             self.progress_changed = True
         return out + self._settle(now)
 
-    def endpoint_changes(self) -> list[Command]:
+    def endpoint_changes(self, now: float) -> list[Command]:
         """Tell nodes of all endpoints that changed since the last call."""
         changed = tuple(self._exchange.changed.values())
         self._exchange.changed.clear()
         for endpoint in changed:
-            self._departures.seen(endpoint.node)
+            if endpoint.state != STATE_GONE:
+                self._departures.seen_elsewhere(endpoint.node, now)
         return self._fanout.changes(changed, self._distributor.sessions_by_scope)
 
     def resumed(self, pause_seconds: float, now: float) -> None:
@@ -160,7 +161,7 @@
     def _welcome(self, link: LinkId, hello: NodeHello, now: float) -> list[Command]:
         session = _session(link, hello, now)
         self._distributor.add(session)
-        self._departures.seen(hello.node)
+        self._departures.came_back(hello.node)
         self.heartbeats.add(session)
         self.progress_changed = True
         out: list[Command] = [Report(_connected(session))]
--- a/src/peppershore/process/relay/progress.py
+++ b/src/peppershore/process/relay/progress.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from itertools import islice
+from itertools import chain, islice
+
+import msgspec
 
 from peppershore.connection.messages import LaggingNode, ProgressReported
 from peppershore.process.relay.departures import Departure, Departures
 from peppershore.process.relay.distribution import Distributor
 from peppershore.process.relay.hold import HoldBook
 from peppershore.process.relay.session import NodeSession
-from peppershore.process.settings import RelaySettings
 from peppershore.version.model import Version
 
 PROGRESS_TIMER = "relay.progress"
@@ -20,8 +21,19 @@
 MAX_LAGGING_NODES = 20
 
 
+class RelayLife(msgspec.Struct, frozen=True):
+    """What a report tells of the relay itself; see ``ProgressReported``."""
+
+    relay: str
+    zone: str
+    incarnation: int
+    reports: int
+    settled: bool
+    relays: tuple[str, ...]
+
+
 def make_report(
-    settings: RelaySettings,
+    life: RelayLife,
     distributor: Distributor,
     departures: Departures,
     holds: HoldBook,
@@ -29,21 +41,38 @@
 ) -> ProgressReported:
     """Give the report of this moment."""
     away = departures.lagging()
-    behind = islice(distributor.behind.values(), MAX_LAGGING_NODES)
-    lagging = [_lagging(session, distributor, holds) for session in behind]
+    lagging = _lagging_nodes(distributor, holds)
     lagging += [_away(each) for each in away[: MAX_LAGGING_NODES - len(lagging)]]
     lowest_away = min((each.version for each in away), default=distributor.version)
     return ProgressReported(
-        relay=settings.relay,
-        zone=settings.zone,
+        relay=life.relay,
+        zone=life.zone,
         version=distributor.version,
         in_force=min(distributor.in_force(), lowest_away),
         nodes=len(distributor.sessions),
         lagging=tuple(lagging),
         control_bytes=control_bytes,
+        incarnation=life.incarnation,
+        settled=life.settled,
+        relays=life.relays,
+        number=life.reports,
     )
 
 
+def _lagging_nodes(distributor: Distributor, holds: HoldBook) -> list[LaggingNode]:
+    """Give a sample in which each held scope shows, however many nodes are slow.
+
+    Before anything is accepted no node lacks anything.
+    """
+    if distributor.version == 0:
+        return []
+    held = (distributor.sessions_of(scope)[:1] for scope in holds.held)
+    sessions = {each.link: each for each in chain.from_iterable(held)}
+    behind = (each for link, each in distributor.behind.items() if link not in sessions)
+    sample = islice(chain(sessions.values(), behind), MAX_LAGGING_NODES)
+    return [_lagging(session, distributor, holds) for session in sample]
+
+
 def _lagging(
     session: NodeSession, distributor: Distributor, holds: HoldBook
 ) -> LaggingNode:
--- a/tests/relay/site.py
+++ b/tests/relay/site.py
@@ -48,7 +48,7 @@
         for relay in RELAYS:
             self.restart_relay(relay.name)
 
-    def restart_relay(self, name: str) -> RelayCore:
+    def restart_relay(self, name: str, seed: int = 1) -> RelayCore:
         """Start a relay, after a kill if it runs."""
         if name in self.network.processes:
             self.network.kill(name)
@@ -62,7 +62,7 @@
             **self._relay_settings,  # type: ignore[arg-type]
         )
         self.relays[name] = RelayCore(settings)
-        self.network.start(name, self.relays[name])
+        self.network.start(name, self.relays[name], seed)
         return self.relays[name]
 
     def start_node(
--- a/tests/relay/test_relay_crossing.py
+++ b/tests/relay/test_relay_crossing.py
@@ -11,6 +11,8 @@
 
 from peppershore.connection.messages import (
     Current,
+    Endpoint,
+    EndpointAnnounced,
     Freshness,
     Message,
     NodeHello,
@@ -19,11 +21,14 @@
 )
 from peppershore.connection.update_packing import unpack_update
 from peppershore.process import events
+from peppershore.process.endpoints.table import as_gone
+from peppershore.process.node.core import NodeMemory
 from peppershore.version.model import Digest, Scope, Version
 
 LINK = 1_000
 RELAY = "r1"
 SCOPE = Scope("kassa", "pasila")
+ENDPOINT = Endpoint("x", "kassa", "pasila", 1, 1, "ready", "x:80", "x:81", 20, 130)
 BASE_MILLISECONDS = 10_000
 OTHER_MILLISECONDS = 1_234
 
@@ -144,3 +149,32 @@
     relay.site.network.run(2.5)
     beats = [each for each in relay.sent(Freshness) if isinstance(each, Freshness)]
     assert beats[-1].version == first
+
+
+def test_a_node_seen_at_another_relay_counts_here_until_that_relay_has_reported() -> None:
+    relay = OneSession()
+    site, first = relay.site, relay.first_version
+    relay.hello(first, relay.first_digest)
+    site.network.give(RELAY, events.LinkClosed(LINK, "reset"))
+    site.start_node("x", "kassa", NodeMemory(incarnation=1))
+    site.network.cut("x", RELAY)
+    relay.edit(OTHER_MILLISECONDS)
+    site.network.run(0.3)
+    assert site.relays[RELAY].exchange.table.get("x") is not None
+    assert site.replica.reports[RELAY].in_force == first
+    site.network.run(2.5)
+    assert site.replica.reports[RELAY].in_force == first + 1
+
+
+def test_a_node_that_nobody_hears_any_more_is_not_taken_for_seen() -> None:
+    relay = OneSession()
+    first = relay.first_version
+    relay.hello(first, relay.first_digest)
+    relay.give(EndpointAnnounced(ENDPOINT))
+    relay.site.network.run(0.1)
+    relay.edit(OTHER_MILLISECONDS)
+    relay.site.network.give(RELAY, events.LinkClosed(LINK, "reset"))
+    relay.site.relays[RELAY].exchange.table.hide("x", relay.site.network.now)
+    relay.site.relays[RELAY].exchange.changed["x"] = as_gone(ENDPOINT)
+    relay.site.network.run(4.0)
+    assert relay.site.replica.reports[RELAY].in_force == first
