Lab: members of a consensus group know each other by one emulated address

Cause: each process got its own emulated address of a replica, but a group's log holds one address for each member: the founder's. Ruled out: pre-vote, lease and timers (a frozen leader was replaced in 0.7 s). Now the links to one replica share an address and the first message tells which link a connection is. Conclusion: a fault of the lab, not of the product.

--- a/src/peppershore_lab/links/model.py
+++ b/src/peppershore_lab/links/model.py
@@ -28,13 +28,17 @@
 class LinkSpec(LinkValue, frozen=True, kw_only=True):
     """A link: accepted at ``listen``, carried on to ``target`` ("IP:port").
 
-    Named "SOURCE>TARGET" after the two processes.
+    Named "SOURCE>TARGET" after the two processes.  Links with ``by_hello`` share
+    their address with others to the same target: the members of a consensus
+    group know each other by one address each.  Which link a connection is, the
+    name in its first message tells.
     """
 
     name: str
     listen: str
     target: str
     frames: bool = True
+    by_hello: bool = False
     to_target: Direction = Direction()
     to_source: Direction = Direction()
 
