Lab: experiments run, judge, report and compare

peppershore-lab run FILE brings a fleet up, drives callers, operators, faults and baselines, and judges each promise from journals, logs and the accepted edits; report draws the HTML page again from the JSON; compare sets two results side by side. Baselines of distribution (full push, polling) and of calls (plain proxy) are stand-ins of the lab. Slow and full disks and jumps of the wall clock come from a shim around the product's unchanged command line; nothing needs privileges.

--- a/src/peppershore_lab/convergence.py
+++ b/src/peppershore_lab/convergence.py
@@ -16,7 +16,7 @@
 from peppershore.process.control.notices import EditAccepted
 from peppershore.process.logging import event_name
 from peppershore.process.node.notices import VersionApplied, VersionRestored
-from peppershore.version.model import Version
+from peppershore.version.model import Digest, Version
 from peppershore_lab.log_reader import LogLine, read_log
 
 ACCEPTED_EVENT = event_name(EditAccepted)
@@ -40,17 +40,26 @@
 
 
 class VersionHeld(msgspec.Struct, frozen=True):
-    """From this moment on, a proxy held this version."""
+    """From this moment on, a proxy held this version.
+
+    ``digest`` is what the proxy says of its content; None after a restart.
+    """
 
     proxy: str
     unix_seconds: float
     version: Version
+    digest: Digest | None = None
 
 
 def versions_held(logs: Path, proxies: Iterable[str]) -> list[VersionHeld]:
     """Give every version each proxy took, in the order of its log."""
     return [
-        VersionHeld(proxy, line.unix_seconds, int(line.fields["version"]))
+        VersionHeld(
+            proxy,
+            line.unix_seconds,
+            int(line.fields["version"]),
+            line.fields.get("digest"),
+        )
         for proxy in proxies
         for line in read_log(logs / f"{proxy}.log")
         if line.event in HELD_EVENTS
--- a/src/peppershore_lab/fleet/fleet.py
+++ b/src/peppershore_lab/fleet/fleet.py
@@ -35,7 +35,7 @@
 )
 from peppershore_lab.fleet.plan import FleetLayout, lay_out
 from peppershore_lab.fleet.readiness import NotReady, wait_listening, wait_ready
-from peppershore_lab.links.model import EmulatorSettings
+from peppershore_lab.links.model import EmulatorSettings, matches
 from peppershore_lab.links.table import LinkTable
 
 READY_SECONDS = 20.0
@@ -58,12 +58,19 @@
     """All processes of one deployment."""
 
     def __init__(
-        self, deployment: Deployment, keep_folder: Path | None = None, seed: int = 1
+        self,
+        deployment: Deployment,
+        keep_folder: Path | None = None,
+        seed: int = 1,
+        injected: tuple[str, ...] = (),
     ) -> None:
         """Lay the deployment out; processes start with ``start_control`` and so on.
 
         Files go to ``keep_folder``, or to a temporary folder removed at the end.
+        Processes whose names match ``injected`` (shell patterns) run with the
+        shim of ``faulty_process`` and read their faults from ``fault_path``.
         """
+        self._injected = injected
         self._block = AddressBlock()
         self._keeps = keep_folder is not None
         self.folder = keep_folder or Path(tempfile.mkdtemp(prefix="peppershore-lab-"))
@@ -143,6 +150,24 @@
             self._start_backend(member, number)
         await self._wait_listening(self.layout.backends)
 
+    async def start_more_backends(self, members: tuple[BackendMember, ...]) -> None:
+        """Start stand-in back ends that no node stands beside."""
+        for number, member in enumerate(members):
+            self._start_backend(member, number)
+        await self._wait_listening(members)
+
+    def new_host(self) -> str:
+        """Give a loopback address that no process of the fleet uses."""
+        return self._block.next_host()
+
+    def start_lab_process(self, name: str, arguments: tuple[str, ...]) -> ManagedProcess:
+        """Start a command of the lab as one more process."""
+        return self._start(name, (self._program("peppershore-lab"), *arguments))
+
+    async def wait_listening(self, member: Member) -> None:
+        """Wait until a process accepts calls; else raise FleetFailed."""
+        await self._wait_all([self._listening(member.name, member.http_address)])
+
     async def start_nodes(self) -> None:
         """Start all nodes, those at the edge included."""
         behaviours = {item.http_address: item.behaviour for item in self.layout.backends}
@@ -181,6 +206,31 @@
         """Give the log file of a process."""
         return self.folder / "logs" / f"{name}.log"
 
+    def fault_path(self, name: str) -> Path:
+        """Give the file from which a process with the shim reads its faults."""
+        return self.folder / "settings" / f"{name}.faults"
+
+    def data_path(self, name: str) -> Path:
+        """Give the data folder of a process."""
+        return self.folder / "data" / name
+
+    def settings_path(self, name: str) -> Path:
+        """Give the settings file of a process of the product."""
+        return self.folder / "settings" / f"{name}.toml"
+
+    @property
+    def members(self) -> dict[str, Member]:
+        """All processes but the emulator and the callers, by name."""
+        layout = self.layout
+        groups = (
+            layout.replicas,
+            layout.claims,
+            layout.relays,
+            layout.backends,
+            layout.proxies,
+        )
+        return {member.name: member for group in groups for member in group}
+
     def stop_all(self) -> None:
         """Stop every process: callers first, control last; kill what lingers."""
         for process in reversed(self.processes.values()):
@@ -221,8 +271,14 @@
     def _serve(self, role: str, member: Member, settings: SettingsValue) -> None:
         path = self.folder / "settings" / f"{member.name}.toml"
         path.write_text(settings_text(settings))
-        program = self._program("peppershore")
-        self._start(member.name, (program, "serve", role, "--settings", str(path)))
+        arguments = ("serve", role, "--settings", str(path))
+        self._start(member.name, (*self._program_of(member), *arguments))
+
+    def _program_of(self, member: Member) -> tuple[str, ...]:
+        if not matches(member.name, self._injected):
+            return (self._program("peppershore"),)
+        faults = str(self.fault_path(member.name))
+        return (sys.executable, "-m", "peppershore_lab.faulty_process", faults)
 
     def _start_backend(self, member: BackendMember, number: int) -> None:
         path = self.folder / "settings" / f"{member.name}.json"
--- a/src/peppershore_lab/main.py
+++ b/src/peppershore_lab/main.py
@@ -14,6 +14,8 @@
 from peppershore_lab.calls.plan import CallerPlan
 from peppershore_lab.demo import SMALL_NETWORK, run_demo
 from peppershore_lab.demo_output import show_demo
+from peppershore_lab.experiments.commands import compare, report, run
+from peppershore_lab.experiments.plain_proxy import PlainProxyPlan, run_plain_proxy
 from peppershore_lab.fleet.deployment import REFUND_NETWORK
 from peppershore_lab.links.emulator import run_emulator
 from peppershore_lab.links.model import EmulatorSettings
@@ -62,6 +64,13 @@
     click.echo(msgspec.json.encode(summary).decode())
 
 
+@main.command(name="plain-proxy")
+@click.option("--plan", type=EXISTING_FILE, required=True, help="A plan as a JSON file.")
+def plain_proxy(plan: Path) -> None:
+    """Run the call path's baseline until SIGTERM."""
+    asyncio.run(run_plain_proxy(_read_json(plan, PlainProxyPlan)))
+
+
 @main.command(name="link-emulator")
 @click.option("--settings", type=EXISTING_FILE, required=True, help="Links as JSON.")
 def link_emulator(settings: Path) -> None:
@@ -86,6 +95,10 @@
     sys.exit(0 if result.clean else 1)
 
 
+for _command in (run, report, compare):
+    main.add_command(_command)
+
+
 def _read_json(path: Path, kind: type[Kind]) -> Kind:
     try:
         return msgspec.json.decode(path.read_bytes(), type=kind)
--- a/src/peppershore_lab/reference.py
+++ b/src/peppershore_lab/reference.py
@@ -18,6 +18,8 @@
     HistoryQuery,
 )
 from peppershore.process.control.core import HISTORY_CAPACITY
+from peppershore.version.catalog import ScopeCatalog
+from peppershore.version.closure import find_gaps
 from peppershore.version.model import Digest, Scope, Version
 from peppershore_lab.fleet.members import NodeMember
 from peppershore_lab.simulator.accepted_log import AcceptedLog
@@ -39,11 +41,21 @@
         self, cluster: str, scopes: Iterable[Scope], edits: Iterable[CommittedEdit]
     ) -> None:
         """Apply the edits, oldest first, from the empty tree on."""
-        self._log = AcceptedLog(cluster, tuple(scopes))
+        self._scopes = tuple(scopes)
+        self._log = AcceptedLog(cluster, self._scopes)
+        self._catalog = ScopeCatalog()
         self._versions: dict[str, Version] = {}
+        self.gaps: list[str] = []
+        """Names used and not held, in any scope at any version."""
         for committed in edits:
             self._log.applied(HISTORY_READER, committed.version, committed.edit)
             self._versions[committed.edit.change_id] = committed.version
+            self._find_gaps()
+
+    @property
+    def newest(self) -> Version:
+        """The newest accepted version."""
+        return self._log.newest
 
     @property
     def versions(self) -> tuple[Version, ...]:
@@ -62,6 +74,16 @@
         """Whether a version changed what a scope holds."""
         return self.digest_at(scope, version - 1) != self.digest_at(scope, version)
 
+    def _find_gaps(self) -> None:
+        self._catalog.load(self._log.tree)
+        for scope in self._scopes:
+            if self.changes(scope, self._log.newest):
+                held = self._catalog.snapshot(scope).resources.values()
+                self.gaps += (
+                    f"{scope.service} in {scope.zone} at {self._log.newest}: {gap}"
+                    for gap in find_gaps(scope, held)
+                )
+
 
 def scope_of(proxy: NodeMember) -> Scope:
     """Give the scope of a proxy."""
--- a/tests/lab/test_lab_convergence.py
+++ b/tests/lab/test_lab_convergence.py
@@ -56,9 +56,11 @@
 
 def test_acceptance_and_holding_are_read_from_the_notices_the_processes_write(tmp_path):
     write_log(tmp_path, "control-1", (10.0, EditAccepted(4, "move", "ann", "control-1")))
-    write_log(tmp_path, "edge", (9.0, VersionRestored(3)), (10.25, VersionApplied(4, 7)))
+    write_log(
+        tmp_path, "edge", (9.0, VersionRestored(3)), (10.25, VersionApplied(4, 7, 11))
+    )
     held = versions_held(tmp_path, ["edge", "never-started"])
-    assert held == [VersionHeld("edge", 9.0, 3), VersionHeld("edge", 10.25, 4)]
+    assert held == [VersionHeld("edge", 9.0, 3), VersionHeld("edge", 10.25, 4, 11)]
     assert accepted_at(tmp_path, ["control-1", "control-2"], 4) == 10.0
     assert accepted_at(tmp_path, ["control-1"], 5) is None
 
