Specification of replacing a lost replica, with a second loss right after

Membership changes were only covered by seeded runs. The model removes a replica, adds its successor as learner and voter, and loses another disk once the group is whole; quorums and changed memberships come from the product's own functions. Ruled out as a mutant: counting by the accepted instead of the newest membership breaks nothing within two terms.

--- a/spec/catalog.py
+++ b/spec/catalog.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from spec import acceptance, claims, distribution
+from spec import acceptance, claims, distribution, membership
 
 SPECIFICATIONS = (
     acceptance.SPECIFICATION,
+    membership.SPECIFICATION,
     distribution.SPECIFICATION,
     distribution.WITH_DISK,
     claims.SPECIFICATION,
