Simulator: lost disks with a second loss, zones cut off, storms, outages, slow disks, planned stops

The profiles did not bring about a second loss right after a repair, a whole fleet dying at once, a zone cut off, slow disks, planned stops, nor hundreds of missed changes.

--- a/src/peppershore_lab/simulator/checks.py
+++ b/src/peppershore_lab/simulator/checks.py
@@ -37,6 +37,7 @@
         """Check against the accepted log."""
         self.log = log
         self.swaps = 0
+        self.largest_step = 0
         self.in_force: Version = 0
         self._leaders: dict[int, str] = {}
         self._seen: dict[Life, Version] = {}
@@ -91,6 +92,8 @@
         before = self._highest.get(name, 0)
         detail = f"{name} went from {before} to {snapshot.version}"
         require(snapshot.version >= before, NO_STEP_BACK, detail)
+        if before:
+            self.largest_step = max(self.largest_step, snapshot.version - before)
         self._highest[name] = snapshot.version
         self._check_content(name, snapshot)
 
--- a/src/peppershore_lab/simulator/cluster.py
+++ b/src/peppershore_lab/simulator/cluster.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
 from peppershore.process import commands, events
+from peppershore.process.consensus.core import Consensus
+from peppershore.process.consensus.membership import find_member
 from peppershore.process.consensus.records import StoredState
 from peppershore.process.control.core import ControlCore
 from peppershore.process.node.core import NodeCore, NodeMemory
@@ -21,6 +24,11 @@
 )
 from peppershore.version.model import Scope
 from peppershore_lab.simulator.accepted_log import AcceptedLog
+from peppershore_lab.simulator.administrator import (
+    AdministratorCore,
+    Replacement,
+    Replacements,
+)
 from peppershore_lab.simulator.checks import Checks
 from peppershore_lab.simulator.edit_generator import BACK_END_SERVICES, EDGE_SERVICE, ZONES
 from peppershore_lab.simulator.host_clock import HostClock
@@ -51,6 +59,7 @@
     snapshot_entries: int = 20
     change_id_horizon: int = 1_000
     batching_milliseconds: int = 0
+    has_administrator: bool = False
 
 
 @dataclass(frozen=True)
@@ -73,6 +82,7 @@
         self.network = Network(self.scheduler, self.randomness)
         self.trace = TraceTail(TRACE_STEPS)
         self.steps = 0
+        self.replacements = Replacements()
         self._makers = makers
         self._starts = itertools.count(1)
         self._replica_peers = tuple(
@@ -95,11 +105,49 @@
         self.operators = [
             self._operator(number) for number in range(1, shape.operators + 1)
         ]
+        self.administrators = [self._administrator()] if shape.has_administrator else []
 
     @property
     def processes(self) -> list[SimulatedProcess]:
         """All of them."""
-        return [*self.replicas, *self.relays, *self.nodes, *self.operators]
+        return [
+            *self.replicas,
+            *self.relays,
+            *self.nodes,
+            *self.operators,
+            *self.administrators,
+        ]
+
+    @property
+    def zones(self) -> tuple[str, ...]:
+        """Zones with relays."""
+        return tuple(dict.fromkeys(peer.zone for peer in self._relay_peers))
+
+    def processes_of_zone(self, zone: str) -> list[SimulatedProcess]:
+        """Relays and nodes of a zone."""
+        relays = [
+            process
+            for process, peer in zip(self.relays, self._relay_peers, strict=True)
+            if peer.zone == zone
+        ]
+        nodes = [
+            process
+            for number, process in enumerate(self.nodes, start=1)
+            if self._scope(number).zone == zone
+        ]
+        return [*relays, *nodes]
+
+    def replace(self, victim: SimulatedProcess, when_done: Callable[[], None]) -> None:
+        """Have the administrator replace a replica whose disk is lost."""
+        self.replacements.add(
+            Replacement(
+                victim.name, victim.address, lambda: self._is_voter(victim), when_done
+            )
+        )
+
+    def is_group_whole(self) -> bool:
+        """Whether every replica is a voter, as the leader's committed log has it."""
+        return all(self._is_voter(process) for process in self.replicas)
 
     def start(self) -> None:
         """Start everything at once."""
@@ -116,6 +164,16 @@
         if isinstance(event, events.Started) and isinstance(process.core, NodeCore):
             self.scheduler.after(0.1, lambda: self._back_end_ready(process))
 
+    @property
+    def leader(self) -> Consensus | None:
+        """The replica that leads the newest term, if one does."""
+        leading = [
+            process.core.consensus
+            for process in self.replicas
+            if isinstance(process.core, ControlCore) and process.core.leads
+        ]
+        return max(leading, key=lambda consensus: consensus.term, default=None)
+
     def leader_or_any(self) -> SimulatedProcess:
         """Give a replica that leads, or a random one."""
         for process in self.replicas:
@@ -145,6 +203,18 @@
             return True
         return snapshot.version > 0 and snapshot.digest == wanted
 
+    def _is_voter(self, replica: SimulatedProcess) -> bool:
+        leader = self.leader
+        if leader is None or leader.memberships.current_index > leader.commit_index:
+            return False
+        member = find_member(leader.membership, replica.name)
+        core = replica.core
+        if member is None or not member.voter:
+            return False
+        return not isinstance(core, ControlCore) or (
+            core.consensus.identity == member.identity
+        )
+
     # --- making machines -----------------------------------------------------------------
 
     def _back_end_ready(self, process: SimulatedProcess) -> None:
@@ -214,6 +284,11 @@
         role = PlainRole(lambda: OperatorCore(name, addresses, think, self.checks))
         return self._machine(name, f"{name}:1", role)
 
+    def _administrator(self) -> SimulatedProcess:
+        addresses = tuple(peer.address for peer in self._replica_peers)
+        role = PlainRole(lambda: AdministratorCore(addresses, self.replacements))
+        return self._machine("admin", "admin:1", role)
+
     def _machine(self, name: str, address: str, role: Role) -> SimulatedProcess:
         offset = self.randomness.random() * MAX_CLOCK_OFFSET_SECONDS
         rate = 1.0 + MAX_CLOCK_DRIFT * (2.0 * self.randomness.random() - 1.0)
--- a/src/peppershore_lab/simulator/command.py
+++ b/src/peppershore_lab/simulator/command.py
@@ -90,6 +90,8 @@
         "faults": sum(each.faults for each in results),
         "accepted_edits": sum(each.accepted_edits for each in results),
         "versions_taken_by_nodes": sum(each.swaps for each in results),
+        "largest_step_in_versions": max(each.largest_step for each in results),
+        "replaced_replicas": sum(each.replaced_replicas for each in results),
         "convergence_seconds": {
             "median": round(median(times), 2) if times else None,
             "p99": round(times[int(PERCENTILE_99 * (len(times) - 1))], 2)
--- a/src/peppershore_lab/simulator/fault_actions.py
+++ b/src/peppershore_lab/simulator/fault_actions.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from peppershore.process.events import StopRequested
 from peppershore_lab.simulator.cluster import Cluster
 from peppershore_lab.simulator.fault_kinds import Fault
 from peppershore_lab.simulator.process import SimulatedProcess
@@ -12,6 +13,8 @@
 MAX_CLOCK_JUMP_SECONDS = 20.0
 SLOW_ONE_WAY_SECONDS = 0.08
 MAX_RESETS = 5
+SLOW_DISK_FACTOR = 50.0
+"""A sync then takes 0.1 s to 1 s."""
 
 Action = Callable[[], None]
 
@@ -57,6 +60,12 @@
             Fault.SLOW_NETWORK: self._slow_network,
             Fault.JUMP_CLOCK: self._jump_clock,
             Fault.REFUSE_DISK: self._refuse_disk,
+            Fault.SLOW_DISK: self._slow_disk,
+            Fault.CRASH_FLEET: lambda: self._crash(*cluster.relays, *cluster.nodes),
+            Fault.ISOLATE_ZONE: self._isolate_zone,
+            Fault.LOSE_REPLICA: lambda: self._lose_replica(nothing),
+            Fault.LOSE_SECOND_REPLICA: self._lose_second_replica,
+            Fault.STOP_NODE: self._stop_node,
         }
 
     def bring_about(self, kind: Fault) -> Effect:
@@ -92,6 +101,19 @@
     def _separate_relay(self) -> Effect:
         return self._separate(self._one(self._cluster.relays), self._cluster.replicas)
 
+    def _isolate_zone(self) -> Effect:
+        cluster = self._cluster
+        zone = self._randomness.choice(cluster.zones)
+        inside = cluster.processes_of_zone(zone)
+        outside = [each for each in cluster.processes if each not in inside]
+        effects = [self._separate(process, outside) for process in inside]
+
+        def undo() -> None:
+            for effect in effects:
+                effect.undo()
+
+        return Effect(tuple(inside), undo)
+
     def _separate(self, victim: SimulatedProcess, others: list[SimulatedProcess]) -> Effect:
         network = self._cluster.network
         names = [other.name for other in others if other is not victim]
@@ -105,6 +127,33 @@
 
         return Effect((victim,), undo)
 
+    def _lose_replica(self, when_replaced: Action) -> Effect:
+        """Lose one disk; while another one is not yet replaced, only crash."""
+        cluster = self._cluster
+        victim = self._one(cluster.replicas)
+        if cluster.replacements or not cluster.is_group_whole():
+            return self._crash(victim)
+        if victim.is_running:
+            victim.crash()
+        victim.role.lose_disk()
+        cluster.replace(victim, when_replaced)
+        return Effect((victim,), lambda: _start((victim,)))
+
+    def _lose_second_replica(self) -> Effect:
+        return self._lose_replica(self._lose_replica_at_once)
+
+    def _lose_replica_at_once(self) -> None:
+        """The second loss: its process starts again at once, with a blank disk."""
+        effect = self._lose_replica(nothing)
+        names = ", ".join(process.name for process in effect.victims)
+        self._cluster.trace.note(self._cluster.scheduler.now, f"second loss: {names}")
+        effect.undo()
+
+    def _stop_node(self) -> Effect:
+        victim = self._one(self._cluster.nodes)
+        victim.take(StopRequested())
+        return Effect((victim,), lambda: _start((victim,)))
+
     def _cut_one_way(self) -> Effect:
         network = self._cluster.network
         sender, receiver = self._randomness.sample(self._cluster.processes, 2)
@@ -145,6 +194,15 @@
 
         return Effect((victim,), undo)
 
+    def _slow_disk(self) -> Effect:
+        victim = self._one([*self._cluster.replicas, *self._cluster.nodes])
+        victim.disk_slowness = SLOW_DISK_FACTOR
+
+        def undo() -> None:
+            victim.disk_slowness = 1.0
+
+        return Effect((victim,), undo)
+
 
 def _start(processes: tuple[SimulatedProcess, ...]) -> None:
     for process in processes:
--- a/src/peppershore_lab/simulator/fault_kinds.py
+++ b/src/peppershore_lab/simulator/fault_kinds.py
@@ -30,6 +30,12 @@
     SLOW_NETWORK = "everything takes long and overtakes"
     JUMP_CLOCK = "a clock jumps ahead"
     REFUSE_DISK = "a disk refuses to write"
+    SLOW_DISK = "a disk takes long to sync"
+    CRASH_FLEET = "all relays and nodes die at once"
+    ISOLATE_ZONE = "a zone is cut off in silence"
+    LOSE_REPLICA = "a replica loses its disk and is replaced"
+    LOSE_SECOND_REPLICA = "a replica is replaced, and right after another loses its disk"
+    STOP_NODE = "a node is stopped as planned"
 
 
 @dataclass(frozen=True)
@@ -39,3 +45,5 @@
     kinds: tuple[Fault, ...]
     mean_gap_seconds: float
     max_fault_seconds: float
+    repeat_share: float = 0.0
+    """Share of faults that come again at the moment they end."""
--- a/src/peppershore_lab/simulator/faults.py
+++ b/src/peppershore_lab/simulator/faults.py
@@ -6,7 +6,7 @@
 
 from peppershore_lab.simulator.cluster import Cluster
 from peppershore_lab.simulator.fault_actions import Action, FaultActions
-from peppershore_lab.simulator.fault_kinds import FaultPlan
+from peppershore_lab.simulator.fault_kinds import Fault, FaultPlan
 
 MIN_FAULT_SECONDS = 0.05
 
@@ -37,6 +37,7 @@
         self._cluster.network.heal()
         for process in self._cluster.processes:
             process.disk_fails = False
+            process.disk_slowness = 1.0
             if process.is_frozen:
                 process.thaw()
             if not process.is_running:
@@ -50,7 +51,10 @@
     def _inject(self) -> None:
         if not self.is_active:
             return
-        kind = self._randomness.choice(self._plan.kinds)
+        self._bring_about(self._randomness.choice(self._plan.kinds))
+        self._plan_next()
+
+    def _bring_about(self, kind: Fault) -> None:
         self.injected += 1
         effect = self._actions.bring_about(kind)
         names = ", ".join(process.name for process in effect.victims)
@@ -60,10 +64,15 @@
         self._undo.append(effect.undo)
         span = self._plan.max_fault_seconds - MIN_FAULT_SECONDS
         duration = MIN_FAULT_SECONDS + span * self._randomness.random() ** 2
-        self._cluster.scheduler.after(duration, lambda: self._end(effect.undo))
-        self._plan_next()
+        self._cluster.scheduler.after(duration, lambda: self._end(kind, effect.undo))
 
-    def _end(self, undo: Action) -> None:
+    def _end(self, kind: Fault, undo: Action) -> None:
         if undo in self._undo:
             self._undo.remove(undo)
             undo()
+            self._repeat(kind)
+
+    def _repeat(self, kind: Fault) -> None:
+        share = self._plan.repeat_share
+        if share and self._randomness.random() < share:
+            self._bring_about(kind)
--- a/src/peppershore_lab/simulator/process.py
+++ b/src/peppershore_lab/simulator/process.py
@@ -89,6 +89,7 @@
         self.started_at = 0.0
         self.is_frozen = False
         self.disk_fails = False
+        self.disk_slowness = 1.0
         self._name = name
         self._address = address
         self._scheduler = scheduler
@@ -234,7 +235,7 @@
     def _persist(self, command: commands.PersistRecords) -> None:
         slowness = 10.0 ** self._randomness.random()
         begin = max(self._disk_free_at, self._scheduler.now)
-        self._disk_free_at = begin + SYNC_SECONDS * slowness
+        self._disk_free_at = begin + SYNC_SECONDS * slowness * self.disk_slowness
         life = self.life
         wait = self._disk_free_at - self._scheduler.now
         self._scheduler.after(wait, lambda: self._synced(command, life))
--- a/src/peppershore_lab/simulator/profiles.py
+++ b/src/peppershore_lab/simulator/profiles.py
@@ -34,6 +34,25 @@
     Fault.JUMP_CLOCK,
     Fault.REFUSE_DISK,
 )
+LOSS_FAULTS = (
+    Fault.LOSE_REPLICA,
+    Fault.LOSE_SECOND_REPLICA,
+    Fault.CRASH_REPLICA,
+    Fault.FREEZE_REPLICA,
+    Fault.ISOLATE_REPLICA,
+    Fault.ISOLATE_LEADER,
+    Fault.RESET_LINKS,
+    Fault.SLOW_DISK,
+)
+LATER_KINDS = (
+    Fault.SLOW_DISK,
+    Fault.CRASH_FLEET,
+    Fault.ISOLATE_ZONE,
+    Fault.LOSE_REPLICA,
+    Fault.LOSE_SECOND_REPLICA,
+    Fault.STOP_NODE,
+)
+"""Not in "mixed", so that its seeds stay what they were."""
 
 
 @dataclass(frozen=True)
@@ -53,7 +72,13 @@
         "mixed",
         "every fault, one after the other and together",
         ClusterShape(),
-        FaultPlan(tuple(Fault), 0.5, 4.0),
+        FaultPlan(tuple(kind for kind in Fault if kind not in LATER_KINDS), 0.5, 4.0),
+    ),
+    Profile(
+        "everything",
+        "every fault, alone, together and again at the moment it ends",
+        ClusterShape(has_administrator=True),
+        FaultPlan(tuple(Fault), 0.3, 4.0, repeat_share=0.3),
     ),
     Profile(
         "control",
@@ -90,6 +115,95 @@
         FaultPlan(CONTROL_FAULTS, 0.3, 3.0),
         fault_seconds=6.0,
     ),
+    Profile(
+        "losses",
+        "disks of replicas are lost, and a second one right after the repair",
+        ClusterShape(operators=3, nodes=2, has_administrator=True),
+        FaultPlan(LOSS_FAULTS, 0.6, 2.0),
+        fault_seconds=12.0,
+    ),
+    Profile(
+        "losses-of-five",
+        "the same with five replicas",
+        ClusterShape(replicas=5, operators=2, nodes=2, has_administrator=True),
+        FaultPlan(LOSS_FAULTS, 0.5, 2.0, repeat_share=0.3),
+        fault_seconds=8.0,
+    ),
+    Profile(
+        "storm",
+        "herds of relays and nodes die and come back at once, again and again",
+        ClusterShape(relays=3, nodes=24, think_seconds=0.4),
+        FaultPlan(
+            (
+                Fault.CRASH_FLEET,
+                Fault.CRASH_ALL_NODES,
+                Fault.CRASH_ALL_RELAYS,
+                Fault.CRASH_RELAY,
+                Fault.RESET_LINKS,
+            ),
+            0.6,
+            1.5,
+            repeat_share=0.5,
+        ),
+        fault_seconds=6.0,
+    ),
+    Profile(
+        "outage",
+        "the source is down for long, relays and nodes restart meanwhile",
+        ClusterShape(relays=2, nodes=6, think_seconds=0.1),
+        FaultPlan(
+            (
+                Fault.CRASH_ALL_REPLICAS,
+                Fault.ISOLATE_LEADER,
+                Fault.CRASH_RELAY,
+                Fault.CRASH_NODE,
+                Fault.LOSE_NODE_MEMORY,
+                Fault.CRASH_FLEET,
+                Fault.STOP_NODE,
+            ),
+            0.5,
+            6.0,
+            repeat_share=0.3,
+        ),
+        fault_seconds=12.0,
+    ),
+    Profile(
+        "catch-up",
+        "processes come back after hundreds of changes",
+        ClusterShape(nodes=4, operators=6, think_seconds=0.01, snapshot_entries=100),
+        FaultPlan(
+            (
+                Fault.CRASH_RELAY,
+                Fault.CRASH_NODE,
+                Fault.FREEZE_NODE,
+                Fault.FREEZE_RELAY,
+                Fault.ISOLATE_NODE,
+                Fault.ISOLATE_RELAY,
+                Fault.CRASH_REPLICA,
+                Fault.ISOLATE_REPLICA,
+            ),
+            0.5,
+            8.0,
+        ),
+        fault_seconds=8.0,
+    ),
+    Profile(
+        "zones",
+        "a zone with its relays and nodes is cut off from the rest",
+        ClusterShape(relays=4, nodes=6, think_seconds=0.2),
+        FaultPlan(
+            (
+                Fault.ISOLATE_ZONE,
+                Fault.CRASH_RELAY,
+                Fault.CRASH_NODE,
+                Fault.ISOLATE_LEADER,
+                Fault.SLOW_NETWORK,
+            ),
+            0.6,
+            5.0,
+            repeat_share=0.2,
+        ),
+    ),
 )
 
 
--- a/src/peppershore_lab/simulator/run.py
+++ b/src/peppershore_lab/simulator/run.py
@@ -31,6 +31,9 @@
     accepted_edits: int
     swaps: int
     convergence_seconds: float
+    replaced_replicas: int
+    largest_step: int
+    """Versions that one node passed over at most when it took a newer one."""
     promise: str = ""
     detail: str = ""
     trace: tuple[str, ...] = ()
@@ -61,6 +64,8 @@
         accepted_edits=cluster.checks.log.edits,
         swaps=cluster.checks.swaps,
         convergence_seconds=run.convergence_seconds,
+        replaced_replicas=cluster.replacements.done,
+        largest_step=cluster.checks.largest_step,
         promise=promise,
         detail=detail,
         trace=tuple(cluster.trace.lines()) if promise else (),
@@ -114,7 +119,8 @@
             for process in self._cluster.operators
             if isinstance(core := process.core, OperatorCore)
         )
-        return idle and self._cluster.is_converged()
+        whole = not self._cluster.replacements
+        return idle and whole and self._cluster.is_converged()
 
     def _unsettled(self) -> str:
         newest = self._cluster.checks.log.newest
@@ -123,7 +129,8 @@
             for process in self._cluster.nodes
             if not self._cluster.holds_newest(process)
         ]
-        return f"newest {newest}, not held by {behind}"
+        waiting = len(self._cluster.replacements)
+        return f"newest {newest}, not held by {behind}; {waiting} replicas to be replaced"
 
     def _check_end(self) -> None:
         log = self._cluster.checks.log
