--- a/src/peppershore_lab/experiments/distribution_baselines.py
+++ b/src/peppershore_lab/experiments/distribution_baselines.py
@@ -83,6 +83,11 @@
             if each in self._held:
                 self._held[each].append(now - self._accepted[each])
 
+    @property
+    def count(self) -> int:
+        """How often a proxy held a change for the first time."""
+        return sum(len(each) for each in self._held.values())
+
     def measure(self, name: str, control_bytes: int) -> BaselineMeasure:
         """Give the summary."""
         waits = sorted(
@@ -135,6 +140,11 @@
             for writer in tuple(self._writers):
                 self._send(writer, self._whole.frame)
 
+    @property
+    def arrivals(self) -> int:
+        """How often a proxy held a change, over all changes."""
+        return self._arrivals.count
+
     def reconnect(self, number: int) -> None:
         """A proxy restarted: it connects again, holding nothing."""
         self._sinks[number].cancel()
--- a/src/peppershore_lab/experiments/sampling.py
+++ b/src/peppershore_lab/experiments/sampling.py
@@ -30,7 +30,8 @@
         """Sample these relays from ``run`` on."""
         self._relays = tuple(relays)
         self._last: dict[str, int] = {}
-        self._total = 0
+        self.total = 0
+        """Bytes sent by all relays since the first sample."""
         self.samples: list[BytesSample] = []
 
     async def run(self) -> None:
@@ -45,13 +46,13 @@
         for relay, count in zip(self._relays, counts, strict=True):
             if count is not None:
                 self.count(relay.name, count)
-        self.samples.append(BytesSample(time.time(), self._total))
+        self.samples.append(BytesSample(time.time(), self.total))
 
     def count(self, relay: str, counter: int) -> None:
         """Take a relay's counter; one below the last began again from 0."""
         last = self._last.get(relay)
         if last is not None:
-            self._total += counter - last if counter >= last else counter
+            self.total += counter - last if counter >= last else counter
         self._last[relay] = counter
 
 
--- /dev/null
+++ b/tests/lab/test_experiment_files.py
@@ -0,0 +1,88 @@
+"""Experiment files: every committed one is valid; bad ones name every problem."""
+
+from pathlib import Path
+
+import pytest
+
+from peppershore_lab.experiments.definition import Experiment, FaultStep
+from peppershore_lab.experiments.loading import deployment_of, load_experiment
+from peppershore_lab.experiments.timeline import plan_faults
+from peppershore_lab.fleet.addresses import AddressBlock
+from peppershore_lab.fleet.plan import lay_out
+from peppershore_lab.links.table import LinkTable
+
+FILES = sorted((Path(__file__).parents[2] / "experiments").glob("*.toml"))
+PROCESSES = ("control-1", "control-2", "relay-a", "relay-b", "relay-c")
+
+
+def step(**fields):
+    return FaultStep(**({"at_seconds": 1.0, "action": "kill"} | fields))
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_each_experiment_is_valid_and_every_step_hits_something(path):
+    experiment = load_experiment(path).unwrap()
+    assert experiment.name == path.stem
+    block = AddressBlock()
+    layout = lay_out(deployment_of(experiment), block)
+    links = [spec.name for spec in LinkTable(layout, block.next_host()).specs]
+    block.close()
+    groups = (layout.replicas, layout.claims, layout.relays, layout.backends)
+    names = [member.name for group in (*groups, layout.proxies) for member in group]
+    planned = plan_faults(experiment.faults, names, links, experiment.seed).unwrap()
+    assert len(planned) >= len(experiment.faults)
+
+
+def test_every_problem_of_a_file_is_told_at_once(tmp_path):
+    path = tmp_path / "bad.toml"
+    path.write_text(
+        'name = "bad"\ntitle = ""\nshows = ""\ndeployment = "nowhere"\n'
+        "duration_seconds = 900\n"
+        '[[faults]]\nat_seconds = 1\naction = "cut"\nprocesses = ["relay-*"]\n'
+        '[[faults]]\nat_seconds = 1\naction = "full-disk"\nprocesses = ["control-1"]\n'
+        '[[faults]]\nat_seconds = 1\naction = "replace"\nprocesses = ["relay-a"]\n'
+        '[[faults]]\nat_seconds = 1\naction = "damage-file"\nprocesses = ["control-1"]\n'
+    )
+    problems = load_experiment(path).failure().problems
+    assert len(problems) == 6
+
+
+@pytest.mark.parametrize(
+    "text", ["name = ", "unknown = 1", 'name = "x"\nseed = "one"', "\x00"]
+)
+def test_a_file_that_is_no_experiment_is_refused(tmp_path, text):
+    path = tmp_path / "bad.toml"
+    path.write_text(text)
+    assert load_experiment(path).failure().problems
+
+
+def test_the_same_seed_draws_the_same_targets_and_moments():
+    steps = [
+        step(processes=("relay-*",), pick=2),
+        step(processes=("*",), spread_seconds=5.0, at_seconds=0.5),
+    ]
+    first = plan_faults(steps, PROCESSES, (), seed=7).unwrap()
+    assert first == plan_faults(steps, PROCESSES, (), seed=7).unwrap()
+    assert first != plan_faults(steps, PROCESSES, (), seed=8).unwrap()
+    assert [fault.at_seconds for fault in first] == sorted(
+        fault.at_seconds for fault in first
+    )
+    picked = next(fault for fault in first if fault.step.pick)
+    assert len(picked.targets) == 2
+    assert sum(len(fault.targets) for fault in first) == 2 + len(PROCESSES)
+
+
+def test_a_step_that_matches_nothing_is_refused():
+    nothing = step(processes=("edge-*",))
+    assert plan_faults([nothing], PROCESSES, (), seed=1).failure().step == nothing
+
+
+def test_changes_of_the_fleet_reach_the_deployment(tmp_path):
+    experiment = Experiment(
+        name="x",
+        title="",
+        shows="",
+        deployment="guild",
+        duration_seconds=1.0,
+    )
+    assert deployment_of(experiment).replicas == 3
