--- a/src/peppershore/command/status_commands.py
+++ b/src/peppershore/command/status_commands.py
@@ -16,8 +16,13 @@
     StatusAnswered,
     StatusQuery,
 )
+from peppershore.process.control.progress import (
+    MILLISECONDS_PER_SECOND,
+    RELAY_SILENT_SECONDS,
+)
 
 LEADER_SECONDS = 2.0
+SILENT_MILLISECONDS = RELAY_SILENT_SECONDS * MILLISECONDS_PER_SECOND
 REPLICA_HEADER = ("REPLICA", "ADDRESS", "ROLE", "TERM", "LOG SYNCED TO", "VOTER")
 RELAY_HEADER = ("RELAY", "ZONE", "VERSION", "IN FORCE", "NODES", "LAGGING", "BYTES", "AGE")
 LAGGING_HEADER = ("LAGGING NODE", "SERVICE", "ZONE", "VERSION", "RELAY", "REASON")
@@ -81,6 +86,12 @@
         for item in answer.relays
         if not item.settled
     ]
+    remarks += [
+        f"relay {item.relay} has not reported for "
+        f"{item.report_age_milliseconds // MILLISECONDS_PER_SECOND} s"
+        for item in answer.relays
+        if item.report_age_milliseconds >= SILENT_MILLISECONDS
+    ]
     if not answer.relays and not answer.relays_awaited:
         remarks.append("no relay reports")
     if answer.replica != answer.leader:
--- a/src/peppershore/command/watching.py
+++ b/src/peppershore/command/watching.py
@@ -123,8 +123,11 @@
         step = "`peppershore tree history` lists the accepted versions"
     else:
         lagging = sum(len(relay.lagging) for relay in last.relays)
+        behind = [item.relay for item in last.relays if item.in_force < wanted]
+        where = f"; below it: {', '.join(behind)}" if behind else ""
         message = (
-            f"version {wanted} is not in force everywhere yet ({lagging} known to lag)"
+            f"version {wanted} is not in force everywhere yet "
+            f"({lagging} known to lag{where})"
         )
         step = "`peppershore status` shows who lags and why; watch again for longer"
     return Failed(
