--- a/src/peppershore/process/storage/log_store.py
+++ b/src/peppershore/process/storage/log_store.py
@@ -46,6 +46,10 @@
 IDENTITY_BITS = 63
 SNAPSHOT_KIND = -1
 PART_KIND = -2
+DROPPED_PER_WRITE = 1_000
+"""Old entries dropped with one commit at most: dropping many takes as long as a
+disk's sync several times over, and they do no harm meanwhile."""
+
 DISK_FULL_CODES = frozenset({sqlite3.SQLITE_FULL})
 
 _UNREADABLE_CODES = frozenset({sqlite3.SQLITE_CANTOPEN, sqlite3.SQLITE_PERM})
@@ -60,11 +64,14 @@
     """An open store; only one process can have it open."""
 
     def __init__(
-        self, connection: sqlite3.Connection, last_index: int, parts: frozenset[int]
+        self, connection: sqlite3.Connection, stored: StoredState, parts: frozenset[int]
     ) -> None:
         """Use ``open_store``."""
         self._connection = connection
-        self._last_index = last_index
+        self._last_index = _last_index(stored)
+        entries = stored.entries
+        self._first_index = entries[0].index if entries else self._last_index + 1
+        self._first_kept_index = self._first_index
         self._parts = parts
         self._broken = False
 
@@ -72,14 +79,25 @@
         """Make all records durable in one synced commit, or none of them."""
         if self._broken:
             return Failure(StoreFailed("the store is closed after an error", final=True))
-        before = (self._last_index, self._parts)
+        before = (
+            self._last_index,
+            self._first_index,
+            self._first_kept_index,
+            self._parts,
+        )
         try:
             self._connection.execute("BEGIN IMMEDIATE")
             for record in records:
                 self._apply(record)
+            self._drop_some_entries()
             self._connection.execute("COMMIT")
         except sqlite3.Error as problem:
-            self._last_index, self._parts = before
+            (
+                self._last_index,
+                self._first_index,
+                self._first_kept_index,
+                self._parts,
+            ) = before
             return Failure(self._failed(problem))
         return Success(None)
 
@@ -91,6 +109,13 @@
         """Refuse to grow beyond so many pages, as a full disk would."""
         self._connection.execute(f"PRAGMA max_page_count={pages}")
 
+    def _drop_some_entries(self) -> None:
+        if self._first_index >= self._first_kept_index:
+            return
+        first = min(self._first_index + DROPPED_PER_WRITE, self._first_kept_index)
+        self._connection.execute("DELETE FROM entries WHERE position < ?", (first,))
+        self._first_index = first
+
     def _failed(self, problem: sqlite3.Error) -> StoreFailed:
         """After a failed sync nobody knows what the disk holds: no second try."""
         final = _code_of(problem) not in DISK_FULL_CODES
@@ -145,9 +170,7 @@
     @_apply.register
     def _save_snapshot(self, record: SaveSnapshot) -> None:
         self._replace_snapshot(record.snapshot)
-        self._connection.execute(
-            "DELETE FROM entries WHERE position < ?", (record.first_kept_index,)
-        )
+        self._first_kept_index = record.first_kept_index
 
     @_apply.register
     def _install_snapshot(self, record: InstallSnapshot) -> None:
@@ -156,6 +179,7 @@
         self._replace_snapshot(record.snapshot)
         self._connection.execute("DELETE FROM entries")
         self._last_index = record.snapshot.index
+        self._first_index = self._first_kept_index = self._last_index + 1
 
     def _replace_snapshot(self, snapshot: StateSnapshot) -> None:
         """Write what parts are missing, then name them all; drop the others."""
@@ -251,11 +275,15 @@
         detail = f"the file belongs to replica {owner[1]} of cluster {owner[0]}"
         return Failure(StoreRefused(str(path), StoreRefusal.OTHER_OWNER, detail))
     stored = _load(connection)
+    parts = _drop_unused_parts(connection, stored.snapshot)
+    return Success(OpenedStore(LogStore(connection, stored, parts), stored))
+
+
+def _last_index(stored: StoredState) -> int:
     last = stored.entries[-1].index if stored.entries else 0
     if stored.snapshot is not None:
         last = max(last, stored.snapshot.index)
-    parts = _drop_unused_parts(connection, stored.snapshot)
-    return Success(OpenedStore(LogStore(connection, last, parts), stored))
+    return last
 
 
 def _set_durable(connection: sqlite3.Connection) -> None:
--- a/tests/storage/test_snapshot_parts.py
+++ b/tests/storage/test_snapshot_parts.py
@@ -18,6 +18,7 @@
 )
 from peppershore.process.storage.errors import StoreRefusal
 from peppershore.process.storage.log_store import (
+    DROPPED_PER_WRITE,
     FILE_NAME,
     SNAPSHOT_KIND,
     open_store,
@@ -151,3 +152,28 @@
     for start in range(6):
         for end in range(start, 8):
             assert whole.piece(start, end) == b"abcde"[start:end]
+
+
+def test_old_entries_go_little_by_little_and_never_one_that_is_needed(tmp_path: Path):
+    count = 3 * DROPPED_PER_WRITE
+    entries = tuple(
+        LogEntry(index, 1, EntryKind.COMMAND, b"x") for index in range(1, count + 1)
+    )
+    store = opened(tmp_path).store
+    store.write([SaveEntries(entries)])
+    store.write([SaveSnapshot(snapshot(count - 10, OLD), count - 20)])
+    store.close()
+    reopened = opened(tmp_path)
+    kept = [entry.index for entry in reopened.stored.entries]
+    assert kept == list(range(DROPPED_PER_WRITE + 1, count + 1))
+    store = reopened.store
+    store.write([SaveSnapshot(snapshot(count - 10, OLD), count - 20)])
+    for number in range(3):
+        added = LogEntry(count + 1 + number, 1, EntryKind.COMMAND, b"x")
+        store.write([SaveEntries((added,))])
+    store.close()
+    reopened = opened(tmp_path)
+    reopened.store.close()
+    assert [entry.index for entry in reopened.stored.entries] == list(
+        range(count - 20, count + 4)
+    )
