--- a/src/peppershore/process/relay/distribution.py
+++ b/src/peppershore/process/relay/distribution.py
@@ -48,10 +48,13 @@
         return self._version
 
     def tree_changed(self, version: Version, affected: Iterable[Scope]) -> None:
-        """Note a new tree version and which scopes differ from before."""
+        """Note a new tree version and which scopes differ from before.
+
+        Edits may have come together: what a scope lacks may be any since the last.
+        """
         for scope in affected:
             for session in self.sessions_of(scope):
-                self._mark_behind(session, version)
+                self._mark_behind(session, self._version + 1)
         self._version = version
 
     def sessions_of(self, scope: Scope) -> tuple[NodeSession, ...]:
--- a/tests/relay/test_relay_progress.py
+++ b/tests/relay/test_relay_progress.py
@@ -114,3 +114,14 @@
     (report,) = [each.message for each in commands if isinstance(each, SendMessage)]
     assert isinstance(report, ProgressReported)
     assert (report.nodes, report.lagging) == (1, ())
+
+
+def test_edits_that_come_together_are_lacked_from_the_first_of_them_on() -> None:
+    site = Site()
+    site.start_node("a", "kassa")
+    site.network.run(5.0)
+    distributor = site.relays[site.relay_of("a")].distributor
+    held = distributor.version
+    assert distributor.in_force() == held
+    distributor.tree_changed(held + 9, [Scope("kassa", "pasila")])
+    assert distributor.in_force() == held
