--- a/src/peppershore/connection/link.py
+++ b/src/peppershore/connection/link.py
@@ -20,6 +20,8 @@
 
 CONNECT_TIMEOUT_SECONDS = 3.0
 MAX_QUEUED_BYTES = 128 * 1024 * 1024
+FLUSH_SECONDS = 5.0
+"""A closed link that has not sent what was queued by then is cut."""
 LISTEN_BACKLOG = 4_096
 
 MessageSink = Callable[[Message, int], None]
@@ -40,6 +42,7 @@
         self._on_closed: CloseSink | None = None
         self._early: list[bytes] = []
         self._closed_reason: str | None = None
+        self._cut_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport; learn who the peer is."""
@@ -62,6 +65,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the owner once that the link is gone."""
+        if self._cut_timer is not None:
+            self._cut_timer.cancel()
         self._finish(str(exc) if exc else "closed by peer")
 
     def start(self, on_message: MessageSink, on_closed: CloseSink) -> None:
@@ -75,6 +80,11 @@
         if self._closed_reason is not None:
             on_closed(self._closed_reason)
 
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that wait because the peer does not read."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
     def send(self, payload: bytes) -> int:
         """Queue one payload; give the bytes put on the wire (0 if closing)."""
         transport = self._transport
@@ -87,11 +97,17 @@
         return len(payload) + HEADER_BYTES
 
     def close(self) -> None:
-        """Send what is queued, then close; the owner hears nothing more."""
+        """Send what is queued, then close; the owner hears nothing more.
+
+        A peer that stands still keeps nothing queued here for longer than the bound.
+        """
         self._on_closed = None
         self._on_message = None
-        if self._transport is not None:
-            self._transport.close()
+        if self._transport is None or self._cut_timer is not None:
+            return
+        self._transport.close()
+        loop = asyncio.get_running_loop()
+        self._cut_timer = loop.call_later(FLUSH_SECONDS, self._transport.abort)
 
     def _take(self, data: bytes) -> None:
         cut = self._reader.feed(data)
