Mutual TLS end to end on real processes; peers of another cluster may send nothing

Cause: the check of a peer's message looked at its role and names, not at its cluster, so under one authority a process of another cluster passed it; and a process started with a certificate of another role and was refused everywhere afterwards. Now a process reads its own identity at the start, refuses to start with a certificate of another role or files that do not fit, and takes nothing from peers of another cluster. Short: call links between nodes and links to the claims group do not check the peer's role yet.

--- a/src/peppershore/connection/authorization.py
+++ b/src/peppershore/connection/authorization.py
@@ -40,9 +40,10 @@
 """The tags that each role sends, besides the session's."""
 
 
-def authorizer(own_role: str) -> Authorize:
-    """Give the check for a process of ``own_role``.
+def authorizer(own: PeerIdentity) -> Authorize:
+    """Give the check for a process whose certificate names ``own``.
 
+    Peers of another cluster may send nothing, also under the same authority.
     Consensus messages are taken only from the same role, so that a claims
     replica never votes in the control group.
     """
@@ -51,7 +52,7 @@
         parsed = parse_identity(uri)
         if isinstance(parsed, Failure):
             return f"the certificate's identity {parsed.failure().reason}"
-        return _refusal(own_role, parsed.unwrap(), message)
+        return _refusal(own, parsed.unwrap(), message)
 
     return authorize
 
@@ -62,12 +63,14 @@
     return ""
 
 
-def _refusal(own_role: str, peer: PeerIdentity, message: Message) -> str:
+def _refusal(own: PeerIdentity, peer: PeerIdentity, message: Message) -> str:
+    if peer.cluster != own.cluster:
+        return f"the peer is of cluster {peer.cluster!r}, not {own.cluster!r}"
     tag = int(message.__struct_config__.tag or 0)
     if tag not in SESSION_TAGS | SENDER_TAGS[peer.role]:
         return f"a {peer.role} may not send {type(message).__name__}"
-    if tag in CONSENSUS_TAGS and peer.role != own_role:
-        return f"a {peer.role} has no vote in a group of {own_role} replicas"
+    if tag in CONSENSUS_TAGS and peer.role != own.role:
+        return f"a {peer.role} has no vote in a group of {own.role} replicas"
     return _impersonation(peer, message)
 
 
--- a/src/peppershore/process/link_security.py
+++ b/src/peppershore/process/link_security.py
@@ -6,9 +6,14 @@
 import ssl
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import ClassVar
 
+from returns.result import Failure
+
 from peppershore.connection.authorization import Authorize, allow_all, authorizer
+from peppershore.connection.certificates import read_issued
+from peppershore.connection.identity import PeerIdentity, parse_identity
 from peppershore.connection.tls import (
     ReloadingContext,
     TlsPaths,
@@ -35,18 +40,15 @@
     reason: str
 
 
-class CertificateFilesUnusable(Notice, frozen=True):
-    """The process can't start with its certificate files."""
-
-    level: ClassVar[str] = "error"
-    reason: str
+class UnusableCertificateError(OSError):
+    """The process can't start with its certificate files; the text says why."""
 
 
 class LinkSecurity:
     """What a role's shell gives its links: contexts and permissions.
 
     Without TLS files there are no contexts, and every message is allowed.
-    Raises OSError or ssl.SSLError at the start when the files are unusable.
+    Raises OSError at the start when the files are unusable.
     """
 
     def __init__(self, role: str, files: TlsFiles | None) -> None:
@@ -59,10 +61,15 @@
         if files is None:
             return
         paths = TlsPaths(files.certificate, files.key, files.authority)
-        client = client_context(paths)
-        server = server_context(paths)
+        own = _own_identity(paths, role)
+        try:
+            client = client_context(paths)
+            server = server_context(paths)
+        except (ssl.SSLError, ValueError) as problem:
+            reason = f"the TLS files do not fit together: {problem}"
+            raise UnusableCertificateError(reason) from problem
         self._reloading = (client, server)
-        self.authorize = authorizer(role)
+        self.authorize = authorizer(own)
         self.client = client.context
         self.server = server.context
 
@@ -94,3 +101,19 @@
             elif change.reloaded:
                 notice_sink(CertificateReloaded())
         self._schedule(notice_sink)
+
+
+def _own_identity(paths: TlsPaths, role: str) -> PeerIdentity:
+    """Read whose certificate the process has: it must be one of its role."""
+    issued = read_issued(Path(paths.certificate))
+    if isinstance(issued, Failure):
+        raise UnusableCertificateError(issued.failure().reason)
+    identity = parse_identity(issued.unwrap().identity)
+    if isinstance(identity, Failure):
+        reason = f"the identity in {paths.certificate} {identity.failure().reason}"
+        raise UnusableCertificateError(reason)
+    own = identity.unwrap()
+    if own.role != role:
+        reason = f"{paths.certificate} is the certificate of a {own.role}, not a {role}"
+        raise UnusableCertificateError(reason)
+    return own
--- a/tests/acceptance/cluster.py
+++ b/tests/acceptance/cluster.py
@@ -17,8 +17,7 @@
 from tests.acceptance.site import CommandDone
 
 from peppershore.command.main import main
-from peppershore.connection import certificates
-from peppershore.connection.identity import SCHEME, parse_identity
+from peppershore.connection.certificates import AUTHORITY_CERTIFICATE
 from peppershore_lab.fleet.addresses import (
     ADMIN_PORT,
     HTTP_PORT,
@@ -138,6 +137,7 @@
 
     def __init__(self, folder: Path, tls: bool = False) -> None:
         self.folder = folder
+        self.keys_folder = folder / "keys"
         self.replicas: dict[str, Member] = {}
         self.relays: dict[str, Member] = {}
         self.nodes: dict[str, Member] = {}
@@ -246,7 +246,7 @@
     # --- the end -------------------------------------------------------------
 
     def stop(self) -> None:
-        for member in self._members():
+        for member in self.members():
             if member.is_running:
                 member.resume()
                 member.kill()
@@ -254,7 +254,8 @@
             backend.stop()
         self._block.close()
 
-    def _members(self) -> list[Member]:
+    def members(self) -> list[Member]:
+        """Every process, nodes first."""
         groups = (self.nodes, self.relays, self.replicas)
         return [member for group in groups for member in group.values()]
 
@@ -275,15 +276,18 @@
         """Give the TLS settings of a process; its certificate is made."""
         if not self._tls:
             return {}
-        keys = self.folder / "keys"
-        if not (keys / certificates.AUTHORITY_KEY).exists():
-            certificates.make_authority(keys).unwrap()
-        authority = certificates.load_authority(keys).unwrap()
-        parsed = parse_identity(f"{SCHEME}{cluster}/{identity}").unwrap()
-        pem = str(certificates.issue(keys, authority, parsed, days=1).unwrap())
-        trusted = str(keys / certificates.AUTHORITY_CERTIFICATE)
+        self.keys("make", cluster, identity, "--days", "1")
+        name = identity.rpartition("/")[2]
+        pem = str(self.keys_folder / f"{name}.pem")
+        trusted = str(self.keys_folder / AUTHORITY_CERTIFICATE)
         return {"tls": {"certificate": pem, "key": pem, "authority": trusted}}
 
+    def keys(self, *arguments: str) -> None:
+        """Run `peppershore keys` on the site's folder of keys."""
+        folder = ("--folder", str(self.keys_folder))
+        done = CliRunner().invoke(main, ["keys", *arguments, *folder])
+        assert done.exit_code == 0, done.output
+
     def _operator_settings(self) -> Path:
         path = self.folder / "operator.toml"
         if not path.exists():
--- a/tests/keys/test_keys.py
+++ b/tests/keys/test_keys.py
@@ -204,9 +204,23 @@
 def test_certificate_decides_which_messages_a_peer_may_send(
     own_role: str, peer: PeerIdentity, message: Message, permitted: bool
 ) -> None:
-    refusal = authorizer(own_role)(format_identity(peer), message)
+    own = PeerIdentity("refund", own_role, "own")
+    refusal = authorizer(own)(format_identity(peer), message)
     assert (refusal == "") is permitted
 
 
+@pytest.mark.parametrize("role", ROLES)
+def test_no_role_of_another_cluster_may_send_anything(role: str) -> None:
+    foreign = PeerIdentity("guild", role, "x", *_scope(role))
+    for own_role in ROLES:
+        own = PeerIdentity("refund", own_role, "own", *_scope(own_role))
+        for message in (Goodbye("stop"), StatusQuery(), ConfirmRequest(1)):
+            assert authorizer(own)(format_identity(foreign), message)
+
+
+def _scope(role: str) -> tuple[str, ...]:
+    return ("kassa", "pasila") if role == "node" else ()
+
+
 def test_link_without_identity_may_send_nothing_under_tls() -> None:
-    assert authorizer("control")("", StatusQuery())
+    assert authorizer(CONTROL)("", StatusQuery())
