Demo: calls run while the relays settle; stand-ins don't load the plots' library

Cause: a relay that has just started reports nothing in force for 8 s, so the demo waited that long before its calls; the status was asked 100 times a second meanwhile; and every stand-in imported matplotlib, about 1.1 s of processor time each.

--- a/src/peppershore_lab/demo.py
+++ b/src/peppershore_lab/demo.py
@@ -25,7 +25,7 @@
     steps_back,
     versions_held,
 )
-from peppershore_lab.fleet.bring_up import bring_up
+from peppershore_lab.fleet.bring_up import start_serving, wait_in_force
 from peppershore_lab.fleet.deployment import (
     REFUND_NETWORK,
     Deployment,
@@ -93,10 +93,12 @@
     async with Fleet(deployment) as fleet:
         operator = Operator(fleet.replica_addresses)
         progress(f"starting {_process_count(fleet)} processes")
-        up = await bring_up(fleet, operator)
-        progress(f"version {up.version} in force everywhere after {up.seconds:.1f} s")
+        up = await start_serving(fleet, operator)
+        progress(f"every node serves calls after {up.seconds:.1f} s")
         callers = [fleet.start_caller(plan) for plan in caller_plans(fleet)]
         await asyncio.sleep(EDIT_AFTER_SECONDS)
+        await wait_in_force(fleet, operator, up.version)
+        progress(f"version {up.version} in force everywhere")
         edit = await make_edit(operator, fleet, progress)
         await wait_for_callers(callers)
         progress("calls ended; auditing the journals")
--- a/src/peppershore_lab/experiments/commands.py
+++ b/src/peppershore_lab/experiments/commands.py
@@ -14,7 +14,6 @@
 from peppershore_lab.experiments.definition import Experiment
 from peppershore_lab.experiments.figures import figure_rows
 from peppershore_lab.experiments.loading import load_experiment
-from peppershore_lab.experiments.report import write_report
 from peppershore_lab.experiments.result import ExperimentResult, read_result, write_result
 from peppershore_lab.experiments.runner import ExperimentRun
 from peppershore_lab.experiments.verdict import Verdict
@@ -49,7 +48,7 @@
     work = ExperimentRun(experiment, keep, lambda line: click.echo(line, err=True))
     result = run_to_end(work.run())
     write_result(output / f"{experiment.name}.json", result)
-    write_report(output / f"{experiment.name}.html", result)
+    _write_report(output / f"{experiment.name}.html", result)
     if as_json:
         click.echo(msgspec.json.encode(result).decode())
     else:
@@ -62,7 +61,7 @@
 @click.option("--output", type=click.Path(path_type=Path, dir_okay=False))
 def report(result_file: Path, output: Path | None) -> None:
     """Draw the HTML report of a result again."""
-    write_report(output or result_file.with_suffix(".html"), _result(result_file))
+    _write_report(output or result_file.with_suffix(".html"), _result(result_file))
 
 
 @click.command()
@@ -80,6 +79,13 @@
         click.echo(f"{name:<55} {left:>18} {right:>18} {ratio:>8}")
 
 
+def _write_report(path: Path, result: ExperimentResult) -> None:
+    """Draw the page; the plots' library takes a second to import, so only here."""
+    from peppershore_lab.experiments.report import write_report  # noqa: PLC0415
+
+    write_report(path, result)
+
+
 def _experiment(path: Path, seed: int | None) -> Experiment:
     loaded = load_experiment(path)
     if isinstance(loaded, Failure):
--- a/src/peppershore_lab/operator_client.py
+++ b/src/peppershore_lab/operator_client.py
@@ -22,7 +22,7 @@
 
 PROGRAM = Path(sys.executable).parent / "peppershore"
 ASK_SECONDS = 10.0
-POLL_SECONDS = 0.01
+POLL_SECONDS = 0.05
 
 
 class CommandResult(msgspec.Struct, frozen=True):
