Command line imports a command's modules only when it runs

Cause: every command paid for the imports of all (metrics client, X.509, absl) before it did anything. Measured with importtime: edit options, logging and certificates were most of it. Now commands are found lazily, what is shown no longer imports the log module, and X.509 is read only with TLS.

--- a/src/peppershore/command/main.py
+++ b/src/peppershore/command/main.py
@@ -4,29 +4,30 @@
 
 import click
 
-from peppershore.command.completion_command import completion
-from peppershore.command.explain_command import explain
-from peppershore.command.key_commands import keys
-from peppershore.command.replica_commands import replica
-from peppershore.command.secret_commands import secret
-from peppershore.command.serve import serve
-from peppershore.command.settings_commands import settings
-from peppershore.command.status_commands import status
-from peppershore.command.tree_commands import tree
-from peppershore.command.tree_file_commands import (
-    diff,
-    edit,
-    history,
-    load,
-    revert,
-    save,
-    validate,
-)
-from peppershore.command.watch_command import watch
-from peppershore.command.zone_commands import zone
-
-
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+from peppershore.command.lazy_group import LazyGroup
+
+PACKAGE = "peppershore.command"
+
+
+class Commands(LazyGroup):
+    """Every command; importing all of them would take longer than most of them run."""
+
+    places = {
+        "completion": f"{PACKAGE}.completion_command:completion",
+        "explain": f"{PACKAGE}.explain_command:explain",
+        "keys": f"{PACKAGE}.key_commands:keys",
+        "replica": f"{PACKAGE}.replica_commands:replica",
+        "secret": f"{PACKAGE}.secret_commands:secret",
+        "serve": f"{PACKAGE}.serve:serve",
+        "settings": f"{PACKAGE}.settings_commands:settings",
+        "status": f"{PACKAGE}.status_commands:status",
+        "tree": f"{PACKAGE}.tree_commands:tree",
+        "watch": f"{PACKAGE}.watch_command:watch",
+        "zone": f"{PACKAGE}.zone_commands:zone",
+    }
+
+
+@click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="peppershore")
 def main() -> None:
     """Distribute configuration to the proxies of a service mesh.
@@ -37,22 +38,3 @@
     8 not found, 9 not in force in time, 10 not permitted by the certificate,
     11 a process could not start.
     """
-
-
-for _command in (
-    serve,
-    tree,
-    zone,
-    secret,
-    status,
-    watch,
-    explain,
-    replica,
-    settings,
-    keys,
-    completion,
-):
-    main.add_command(_command)
-
-for _command in (diff, edit, history, load, revert, save, validate):
-    tree.add_command(_command)
--- a/src/peppershore/command/output.py
+++ b/src/peppershore/command/output.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from peppershore.command.failures import Failed
-from peppershore.process.logging import public_value
+from peppershore.process.public_value import public_value
 
 COLUMN_GAP = "  "
 NOTHING = "-"
--- a/src/peppershore/command/tree_commands.py
+++ b/src/peppershore/command/tree_commands.py
@@ -8,6 +8,7 @@
 from peppershore.command.edit_options import EditNames, edit_options, run_edit
 from peppershore.command.edits import read_tree
 from peppershore.command.failures import not_found, usage
+from peppershore.command.lazy_group import LazyGroup
 from peppershore.command.options import OperatorContext, operator_options
 from peppershore.command.output import show_json, show_table, stop_with
 from peppershore.command.tree_output import node_rows, view_tree
@@ -28,7 +29,16 @@
 )
 
 
-@click.group()
+class TreeCommands(LazyGroup):
+    """The commands of this module, and those about files and versions."""
+
+    places = {
+        name: f"peppershore.command.tree_file_commands:{name}"
+        for name in ("diff", "edit", "history", "load", "revert", "save", "validate")
+    }
+
+
+@click.group(cls=TreeCommands)
 def tree() -> None:
     """Read and change the tree of settings.
 
--- a/src/peppershore/connection/tls.py
+++ b/src/peppershore/connection/tls.py
@@ -13,7 +13,6 @@
 from pathlib import Path
 
 import msgspec
-from cryptography import x509
 
 
 class TlsPaths(msgspec.Struct, frozen=True):
@@ -89,6 +88,8 @@
 
 
 def _expiry(paths: TlsPaths) -> float:
+    from cryptography import x509  # noqa: PLC0415 -- costly where there is no TLS
+
     certificate = x509.load_pem_x509_certificate(Path(paths.certificate).read_bytes())
     return certificate.not_valid_after_utc.timestamp()
 
--- a/src/peppershore/process/logging.py
+++ b/src/peppershore/process/logging.py
@@ -19,6 +19,7 @@
 from absl import logging as absl_logging
 
 from peppershore.process.commands import Notice
+from peppershore.process.public_value import public_struct
 
 LEVELS: dict[str, int] = {
     "debug": absl_logging.DEBUG,
@@ -28,8 +29,6 @@
 }
 """Names allowed for ``log_level`` and absl's number for each."""
 
-HIDDEN = "<hidden>"
-SENSITIVE_FIELDS = frozenset({"material", "payload", "token", "authorization", "key"})
 MILLISECONDS_PER_SECOND = 1_000
 _RECORD_FIELDS = "peppershore_fields"
 _WORD_START = re.compile(r"(?<=[a-z0-9])(?=[A-Z])")
@@ -104,31 +103,9 @@
         return msgspec.json.encode(line, enc_hook=repr).decode()
 
 
-def public_value(value: object) -> object:
-    """Give ``value`` ready for JSON with bytes and sensitive fields hidden."""
-    if isinstance(value, bytes | bytearray | memoryview):
-        return HIDDEN
-    if isinstance(value, msgspec.Struct):
-        return _public_struct(value)
-    if isinstance(value, dict):
-        return {str(key): _public_item(str(key), item) for key, item in value.items()}
-    if isinstance(value, list | tuple | set | frozenset):
-        return [public_value(item) for item in value]
-    return value
-
-
-def _public_struct(value: msgspec.Struct) -> dict[str, object]:
-    names = value.__struct_fields__
-    return {name: _public_item(name, getattr(value, name)) for name in names}
-
-
-def _public_item(name: str, value: object) -> object:
-    return HIDDEN if name in SENSITIVE_FIELDS else public_value(value)
-
-
 def _notice_fields(notice: Notice, taken: object) -> dict[str, object]:
     assert hasattr(taken, "__contains__")
-    fields = _public_struct(notice)
+    fields = public_struct(notice)
     return {
         (f"{name}_" if name in taken else name): value for name, value in fields.items()
     }
--- a/src/peppershore/process/settings.py
+++ b/src/peppershore/process/settings.py
@@ -8,6 +8,9 @@
 
 import msgspec
 
+LOG_LEVELS = ("debug", "info", "warning", "error")
+"""What ``log_level`` may be."""
+
 
 class SettingsValue(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Base of all settings: unknown keys are refused."""
--- a/src/peppershore/process/settings_rules.py
+++ b/src/peppershore/process/settings_rules.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from peppershore.process.logging import LEVELS
+from peppershore.process.settings import LOG_LEVELS
 from peppershore.version.path import NAME_RULE, is_name
 
 MAX_PORT = 65_535
@@ -53,9 +53,9 @@
 
 def level_rule(value: object) -> Fault | None:
     """Accept the name of a log level."""
-    if value in LEVELS:
+    if value in LOG_LEVELS:
         return None
-    return Fault("is no log level", ", ".join(LEVELS))
+    return Fault("is no log level", ", ".join(LOG_LEVELS))
 
 
 def address_rule(value: object, *, lowest_port: int) -> Fault | None:
--- a/tests/logging/test_json_lines.py
+++ b/tests/logging/test_json_lines.py
@@ -14,13 +14,15 @@
 
 from peppershore.process.commands import Notice
 from peppershore.process.logging import (
+    LEVELS,
     JsonLineFormatter,
     LogIdentity,
     event_name,
     notice_level,
-    public_value,
 )
 from peppershore.process.metrics import ProcessMetrics
+from peppershore.process.public_value import public_value
+from peppershore.process.settings import LOG_LEVELS
 
 IDENTITY = LogIdentity("relay", "relay-1")
 PROGRAM = """
@@ -130,3 +132,7 @@
     assert 'peppershore_events_total{event="node_httplost"} 3.0' in page
     assert 'peppershore_process_information{process="relay-1",role="relay"} 1.0' in page
     assert "peppershore_version 12.0" in page
+
+
+def test_every_level_that_settings_allow_can_be_configured() -> None:
+    assert tuple(LEVELS) == LOG_LEVELS
