Limits: waiting calls whose time is too short are refused; late is not failed

Cause: at three times the capacity, earliest deadline first started calls that had too little time left: they held slots and ended at their deadlines (487 of 4,900 calls), and each counted as a failure, so healthy back ends were ejected (8 ejections in 4 s). Ruled out: retries (within budget) and the queue's bound.

--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -335,7 +335,7 @@
         else:
             refusal = NotRun(STATUS_UNAVAILABLE, "deadline-passed")
             failed = worse(self._earlier, refusal)
-        verdict: Verdict | None = "failed" if self._begun else None
+        verdict: Verdict | None = "late" if self._begun else None
         if self._attempt is not None:
             self._attempt.cancel()
             self._attempt = None
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -404,6 +404,11 @@
     def _start_waiting(self, admission: Admission) -> None:
         if not admission.waiting:
             return
+        now = self.loop.time()
+        for ticket in admission.hopeless(now):
+            self._waiting.pop(ticket.number).refused(
+                admission.refusal_of_hopeless(ticket, now)
+            )
         for dispatch in admission.ready(self.loop.time()):
             call = self._waiting.pop(dispatch.ticket.number, None)
             if call is not None:
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -114,6 +114,9 @@
         if not self.admission.waiting:
             return
         now = asyncio.get_running_loop().time()
+        for ticket in self.admission.hopeless(now):
+            given_up = self._waiting.pop(ticket.number)
+            given_up.refused(self.admission.refusal_of_hopeless(ticket, now))
         for dispatch in self.admission.ready(now):
             attempt = self._waiting.pop(dispatch.ticket.number, None)
             if attempt is not None:
--- a/src/peppershore/process/node/data/verdicts.py
+++ b/src/peppershore/process/node/data/verdicts.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from peppershore.request.endpoint_state import Verdict
-from peppershore.request.outcome import STATUS_UNAVAILABLE, Failed, NotRun
+from peppershore.request.outcome import (
+    STATUS_GATEWAY_TIMEOUT,
+    STATUS_UNAVAILABLE,
+    Failed,
+    NotRun,
+)
 
 FIRST_SERVER_ERROR = 500
 
@@ -18,7 +23,7 @@
 def verdict_of_failure(failed: Failed) -> Verdict | None:
     """Judge by a failure: a refusal for load or a drain is no fault."""
     if not isinstance(failed, NotRun):
-        return "failed"
+        return "late" if failed.status == STATUS_GATEWAY_TIMEOUT else "failed"
     return "failed" if failed.reason in UNREACHABLE_REASONS else "shed"
 
 
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -13,7 +13,13 @@
 from peppershore.connection.messages import Endpoint
 from peppershore.request.endpoint_state import EndpointState, Verdict
 from peppershore.request.outcome import STATUS_UNAVAILABLE, NotRun
-from peppershore.request.picker import Preference, RandomSource, pick
+from peppershore.request.picker import (
+    Choice,
+    Preference,
+    RandomSource,
+    better_of_two,
+    pick,
+)
 from peppershore.request.waiting import RANKS, Ticket, WaitingQueue
 from peppershore.version.model import ServiceSettings
 
@@ -48,13 +54,19 @@
     """Slots and queue of one target service, as one node applies them."""
 
     def __init__(
-        self, service: str, settings: ServiceSettings, zone: str, random: RandomSource
+        self,
+        service: str,
+        settings: ServiceSettings,
+        zone: str,
+        random: RandomSource,
+        choose: Choice = better_of_two,
     ) -> None:
-        """Start without back ends."""
+        """Start without back ends; ``choose`` picks among those that have room."""
         self.service = service
         self.settings = settings
         self._zone = zone
         self._random = random
+        self._choose = choose
         self._states: dict[str, EndpointState] = {}
         self._offered: dict[str, EndpointState] = {}
         self._queue = WaitingQueue()
@@ -131,6 +143,14 @@
         state.observe(latency, verdict, now)
         return self._eject_outlier(state, now)
 
+    def hopeless(self, now: float) -> list[Ticket]:
+        """Give up the waiting calls whose time is too short for a back end's work.
+
+        Started, they would hold a slot and end at their deadline all the same:
+        under overload, earliest deadline first would serve little else.
+        """
+        return self._queue.due_by(now + self._service_seconds(now))
+
     def ready(self, now: float) -> list[Dispatch]:
         """Give the waiting calls that can start now."""
         started: list[Dispatch] = []
@@ -186,6 +206,7 @@
             Preference(self._zone, self.settings.spill_over, ticket.excluded),
             self._random,
             now,
+            self._choose,
         )
 
     def _dispatch(self, ticket: Ticket, state: EndpointState) -> Dispatch:
@@ -207,6 +228,10 @@
         self._queue.push(ticket)
         return Waiting(evicted)
 
+    def refusal_of_hopeless(self, ticket: Ticket, now: float) -> NotRun:
+        """Give what a call is told whose time has become too short."""
+        return self._refusal("deadline-too-short", self._expected_wait(ticket, now))
+
     def refusal_of_evicted(self, ticket: Ticket, now: float) -> NotRun:
         """Give what a call is told that gave its place to a more important one."""
         return self._refusal("displaced", self._expected_wait(ticket, now))
@@ -218,8 +243,18 @@
             return 0.0
         rate = sum(state.slots(now) / state.latency_seconds for state in states)
         ahead = self._queue.ahead_of(ticket.call_class, ticket.deadline)
-        service_time = min(state.latency_seconds for state in states)
-        return (ahead + 1) / rate + service_time
+        return (ahead + 1) / rate + self._service_seconds(now)
+
+    def _service_seconds(self, now: float) -> float:
+        """Give the shortest smoothed time of a call among the back ends in use."""
+        return min(
+            (
+                state.latency_seconds
+                for state in self._offered.values()
+                if not state.ejected(now)
+            ),
+            default=0.0,
+        )
 
     @staticmethod
     def _refusal(reason: str, wait: float) -> NotRun:
--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -11,8 +11,13 @@
 
 from peppershore.connection.messages import Endpoint
 
-Verdict = Literal["good", "failed", "shed"]
-"""What an attempt says of its back end; "shed": alive, and refusing for load."""
+Verdict = Literal["good", "failed", "shed", "late"]
+"""What an attempt says of its back end; "shed": alive, and refusing for load;
+"late": no answer within the time its caller had."""
+
+LATE_FACTOR = 4.0
+"""An attempt without answer says something of its back end only after so many
+times the usual time: a caller in a hurry is no fault of the back end."""
 
 LATENCY_DECAY_SECONDS = 5.0
 FIRST_LATENCY_SECONDS = 0.005
@@ -90,6 +95,10 @@
 
     def observe(self, latency: float, verdict: Verdict, now: float) -> None:
         """Take what one finished attempt showed."""
+        if verdict == "late":
+            if latency < LATE_FACTOR * self._latency:
+                return
+            verdict = "failed"
         elapsed = max(0.0, now - self._last_seen)
         self._last_seen = now
         self._observe_failure(verdict != "good", elapsed)
--- a/src/peppershore/request/picker.py
+++ b/src/peppershore/request/picker.py
@@ -1,8 +1,12 @@
-"""Which back end takes a call: power of two choices within the nearest zone."""
+"""Which back end takes a call: power of two choices within the nearest zone.
+
+``benchmarks/pickers.py`` compares this choice with others on skewed, cold,
+failing and lying back ends; the figures are in ``docs/design/calls.md``.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
 import msgspec
@@ -30,11 +34,16 @@
     excluded: frozenset[str]
 
 
+Choice = Callable[[Sequence[EndpointState], RandomSource, float], EndpointState]
+"""Chooses among candidates, at least one, by what was seen until now (seconds)."""
+
+
 def pick(
     states: Iterable[EndpointState],
     preference: Preference,
     random: RandomSource,
     now: float,
+    choose: Choice,
 ) -> EndpointState | None:
     """Give the back end for one call, or None if none has room now."""
     usable = [state for state in states if state.free(now) and not state.ejected(now)]
@@ -43,15 +52,16 @@
     candidates = fresh or usable
     near = [state for state in candidates if state.endpoint.zone == preference.zone]
     if near:
-        return _better_of_two(near, random, now)
+        return choose(near, random, now)
     if not candidates or not preference.spill_over:
         return None
-    return _better_of_two(candidates, random, now)
+    return choose(candidates, random, now)
 
 
-def _better_of_two(
+def better_of_two(
     candidates: Sequence[EndpointState], random: RandomSource, now: float
 ) -> EndpointState:
+    """Give the cheaper of two candidates drawn at random."""
     count = len(candidates)
     if count == 1:
         return candidates[0]
--- a/src/peppershore/request/waiting.py
+++ b/src/peppershore/request/waiting.py
@@ -72,6 +72,18 @@
                 return heap[0][2]
         return None
 
+    def due_by(self, moment: float) -> list[Ticket]:
+        """Take out the tickets whose deadlines are not after ``moment``."""
+        due: list[Ticket] = []
+        for heap in self._heaps:
+            while heap and (not heap[0][2].waiting or heap[0][0] <= moment):
+                ticket = heapq.heappop(heap)[2]
+                if ticket.waiting:
+                    ticket.waiting = False
+                    self._length -= 1
+                    due.append(ticket)
+        return due
+
     def taken(self, ticket: Ticket) -> None:
         """A ticket got its slot."""
         self._taken += 1
--- a/tests/request/test_admission.py
+++ b/tests/request/test_admission.py
@@ -185,6 +185,38 @@
         assert desk.admission.finished(dispatch, 0.001, "shed", 0.0) is None
 
 
+def test_waiting_call_is_given_up_once_its_time_is_too_short_for_any_back_end() -> None:
+    desk = Desk()
+    held = desk.fill()
+    for _ in range(40):
+        desk.admission.finished(held.pop(), 0.5, "good", 0.0)
+        held += desk.fill(1)
+    long, short = desk.ticket(deadline=9.0), desk.ticket(deadline=2.0)
+    assert isinstance(desk.admission.offer(long, 0.0), Waiting)
+    assert isinstance(desk.admission.offer(short, 0.0), Waiting)
+    assert desk.admission.hopeless(1.0) == []
+    assert desk.admission.hopeless(1.7) == [short]
+    assert desk.admission.refusal_of_hopeless(short, 1.7).retry_after_milliseconds > 0
+    assert desk.admission.waiting == 1
+    desk.admission.finished(held.pop(), 0.5, "good", 1.7)
+    assert [each.ticket for each in desk.admission.ready(1.7)] == [long]
+
+
+@pytest.mark.parametrize(("seconds", "ejected"), [(0.004, False), (0.5, True)])
+def test_late_attempt_counts_against_its_back_end_only_if_it_was_slow(
+    seconds: float, ejected: bool
+) -> None:
+    settings = ServiceSettings(slow_start_milliseconds=0, ejection_failures=5)
+    desk = Desk(_endpoint("k1"), _endpoint("k2"), settings=settings)
+    for _ in range(30):
+        for dispatch in desk.fill(1):
+            verdict = "late" if dispatch.endpoint.node == "k1" else "good"
+            desk.admission.finished(dispatch, seconds, verdict, 0.0)
+    state = desk.admission.state("k1")
+    assert state is not None
+    assert state.ejected(0.5) == ejected
+
+
 def test_ejected_back_end_returns_and_ramps() -> None:
     settings = ServiceSettings(slow_start_milliseconds=1_000, ejection_failures=1)
     desk = Desk(_endpoint("k1"), _endpoint("k2"), settings=settings)
