--- a/src/peppershore/process/settings_loader.py
+++ b/src/peppershore/process/settings_loader.py
@@ -182,8 +182,9 @@
 
 
 def _check_group(settings: ControlSettings | ClaimsSettings) -> list[SettingProblem]:
-    problems = _check_names("replicas", [peer.name for peer in settings.replicas])
-    names = {peer.name for peer in settings.replicas}
+    listed = [peer.name for peer in settings.replicas]
+    problems = _check_names("replicas", listed, empty=settings.join)
+    names = set(listed)
     if not settings.data_folder:
         problems.append(SettingProblem("data_folder", "is empty", "a folder on disk"))
     if not settings.join and settings.replica not in names:
