--- a/src/peppershore/process/consensus/notices.py
+++ b/src/peppershore/process/consensus/notices.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 from peppershore.process.commands import Notice
 
 
@@ -44,6 +46,7 @@
 class FoundingAwaited(Notice, frozen=True):
     """A blank store waits: for peers not reached, or to be added by an operator."""
 
+    level: ClassVar[str] = "warning"
     replica: str
     missing: tuple[str, ...]
     already_in_group: tuple[str, ...]
@@ -52,6 +55,7 @@
 class OtherStoreSeen(Notice, frozen=True):
     """A replica came under a member's name with another store; it isn't counted."""
 
+    level: ClassVar[str] = "warning"
     replica: str
     peer: str
 
@@ -59,6 +63,7 @@
 class PeerRefused(Notice, frozen=True):
     """A link was refused: wrong cluster, group, name or certificate."""
 
+    level: ClassVar[str] = "warning"
     replica: str
     peer: str
     reason: str
@@ -67,6 +72,7 @@
 class StorageRefused(Notice, frozen=True):
     """The disk refused a write; this replica leads and votes no more until it takes one."""
 
+    level: ClassVar[str] = "error"
     replica: str
     reason: str
 
--- a/src/peppershore/process/control/rotation.py
+++ b/src/peppershore/process/control/rotation.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 import msgspec
 
 from peppershore.process.commands import Notice
@@ -32,6 +34,7 @@
 class RotationOverdue(Notice, frozen=True):
     """A rotation waits longer than its bound; the old key stays in use."""
 
+    level: ClassVar[str] = "warning"
     secret: str
     reason: str
 
--- a/src/peppershore/process/node/notices.py
+++ b/src/peppershore/process/node/notices.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 from peppershore.process.commands import Notice
 from peppershore.version.model import Digest, Version
 
@@ -51,6 +53,7 @@
 class FloorNotPersisted(Notice, frozen=True):
     """The disk refused a new version, so it is not used; it is tried again."""
 
+    level: ClassVar[str] = "error"
     version: Version
     reason: str
 
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable, Coroutine
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any
+from typing import Any, ClassVar
 
 from returns.result import Failure
 
@@ -43,6 +43,7 @@
 class StoredStateUnusable(Notice, frozen=True):
     """The stored file is not used; the node takes only confirmed versions."""
 
+    level: ClassVar[str] = "warning"
     path: str
     reason: str
     advice: str
--- a/src/peppershore/process/relay/notices.py
+++ b/src/peppershore/process/relay/notices.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 from peppershore.process.commands import Notice
 from peppershore.version.model import Version
 
@@ -37,6 +39,7 @@
 class ConfirmationStale(Notice, frozen=True):
     """No quorum confirmed this relay's version for too long; nodes are told."""
 
+    level: ClassVar[str] = "warning"
     age_milliseconds: int
 
 
@@ -66,6 +69,7 @@
 class HelloRejected(Notice, frozen=True):
     """A peer's first message was refused."""
 
+    level: ClassVar[str] = "warning"
     peer: str
     reason: str
 
@@ -80,6 +84,7 @@
 class UpdateRejected(Notice, frozen=True):
     """A node kept what it had; it is sent full state."""
 
+    level: ClassVar[str] = "warning"
     node: str
     version: Version
     reason: str
@@ -108,6 +113,7 @@
 class ProcessPaused(Notice, frozen=True):
     """This relay did not run for a while; it vouches again only for nodes it hears."""
 
+    level: ClassVar[str] = "warning"
     milliseconds: int
 
 
--- a/src/peppershore/process/shell.py
+++ b/src/peppershore/process/shell.py
@@ -28,7 +28,7 @@
 NOT_AUTHORIZED = "not authorized"
 
 
-class PeerRefused(commands.Notice, frozen=True):
+class MessageRefused(commands.Notice, frozen=True):
     """A peer sent a message that its certificate does not allow."""
 
     level: ClassVar[str] = "warning"
@@ -204,7 +204,7 @@
         self.dispatch(events.MessageReceived(link_id, message))
 
     def _refuse(self, link_id: events.LinkId, link: Link, refusal: str) -> None:
-        self._notice_sink(PeerRefused(link.peer_address, link.peer_identity, refusal))
+        self._notice_sink(MessageRefused(link.peer_address, link.peer_identity, refusal))
         link.send(encode_message(Refused(NOT_AUTHORIZED, refusal)))
         link.close()
         self._lost(link_id, refusal)
--- a/tests/acceptance/test_mutual_tls.py
+++ b/tests/acceptance/test_mutual_tls.py
@@ -120,7 +120,9 @@
         assert done.returncode == ExitCode.UNREACHABLE
     finally:
         foreign.stop()
-    refused = [event for each in cluster.members() for event in each.events("peer_refused")]
+    refused = [
+        event for each in cluster.members() for event in each.events("message_refused")
+    ]
     assert {"impostor", "eve"} <= {event["identity"].split("/")[-1] for event in refused}
     started = serve_relay_with(cluster, as_node)
     assert started.returncode == ExitCode.NOT_STARTED
