Control: a new group from one replica's store when a majority is lost

peppershore replica recover makes a stopped replica, or a backup of one, the only member of a new group. Versions jump ahead by 1,000,000, so that no proxy goes back and each takes the recovered tree as a newer one; relays are sent the whole tree; the change-id table is kept; the group gets another identity, so that lost replicas that turn up again are refused. Weighed: founding a new cluster from a saved tree (versions start over: proxies refuse them, and the change ids are lost); keeping the versions (the same number could mean two trees). Test on real processes: backup of a follower, later edits lost, recovery, resend answered as before, old disk refused, blank one joins.

--- a/src/peppershore/command/replica_commands.py
+++ b/src/peppershore/command/replica_commands.py
@@ -10,6 +10,7 @@
 from peppershore.command.failures import Failed
 from peppershore.command.options import OperatorContext, operator_options
 from peppershore.command.output import show_json, show_table
+from peppershore.command.recover_command import recover
 from peppershore.command.status_commands import (
     REPLICA_HEADER,
     read_status,
@@ -26,6 +27,9 @@
     """Add, remove and list control replicas, one at a time."""
 
 
+replica.add_command(recover)
+
+
 @replica.command()
 @click.argument("name")
 @click.argument("address", metavar="IP:PORT")
--- a/src/peppershore/process/control/state.py
+++ b/src/peppershore/process/control/state.py
@@ -105,6 +105,14 @@
         self.history.restore(image.base_version, image.history)
         self._prepared.clear()
 
+    def begin_history(self, version: Version) -> None:
+        """Let the tree count as ``version`` and keep no edit before it.
+
+        Whoever followed before is sent the whole tree.
+        """
+        self.tree = msgspec.structs.replace(self.tree, version=version)
+        self.history.restore(version, ())
+
     def take_new_outcomes(self) -> list[EditOutcome]:
         """Outcomes recorded since the last call, in log order."""
         taken = self._new_outcomes
--- a/src/peppershore_lab/replica_group.py
+++ b/src/peppershore_lab/replica_group.py
@@ -91,6 +91,10 @@
         """Where a replica keeps its store."""
         return self.folder / "data" / name
 
+    def settings(self, name: str) -> Path:
+        """A replica's settings file."""
+        return self.folder / f"{name}.toml"
+
     def operator(self, *names: str) -> Operator:
         """Give an operator who knows these replicas, or all."""
         known = names or tuple(self._members)
@@ -202,7 +206,7 @@
             join=join,
         )
         settings = msgspec.structs.replace(settings, **self._overrides)
-        path = self.folder / f"{name}.toml"
+        path = self.settings(name)
         path.write_text(settings_text(settings))
         command = (str(PROGRAM), "serve", "control", "--settings", str(path))
         self.processes[name] = ManagedProcess(name, command, self.folder / f"{name}.log")
