--- a/src/peppershore/process/consensus/replica_process.py
+++ b/src/peppershore/process/consensus/replica_process.py
@@ -19,7 +19,7 @@
 from peppershore.process.metrics import ProcessMetrics
 from peppershore.process.settings import TlsFiles
 from peppershore.process.signals import stop_on_signals
-from peppershore.process.storage.log_store import OpenedStore, open_store
+from peppershore.process.storage.opening import OpenedStore, open_store
 
 EXIT_STORE_REFUSED = 3
 
--- a/src/peppershore/process/control/recovery.py
+++ b/src/peppershore/process/control/recovery.py
@@ -29,7 +29,7 @@
 from peppershore.process.control.state import ControlState
 from peppershore.process.settings import ControlSettings
 from peppershore.process.storage.errors import StoreFailed, StoreRefused
-from peppershore.process.storage.log_store import open_store
+from peppershore.process.storage.opening import open_store
 from peppershore.version.model import Version
 
 SKIPPED_VERSIONS = 1_000_000
--- a/src/peppershore/process/storage/schema.py
+++ b/src/peppershore/process/storage/schema.py
@@ -16,12 +16,14 @@
     cluster TEXT NOT NULL,
     replica TEXT NOT NULL,
     identity INTEGER NOT NULL,
-    group_id INTEGER NOT NULL
+    group_id INTEGER NOT NULL,
+    checksum INTEGER NOT NULL
 );
 CREATE TABLE hard_state (
     only INTEGER PRIMARY KEY CHECK (only = 1),
     term INTEGER NOT NULL,
-    voted_for TEXT NOT NULL
+    voted_for TEXT NOT NULL,
+    checksum INTEGER NOT NULL
 );
 CREATE TABLE entries (
     position INTEGER PRIMARY KEY,
@@ -50,6 +52,8 @@
 """The format in which ``snapshot.state`` held the whole state."""
 
 UPGRADE_FROM_FIRST_FORMAT = """
+ALTER TABLE owner ADD COLUMN checksum INTEGER NOT NULL DEFAULT 0;
+ALTER TABLE hard_state ADD COLUMN checksum INTEGER NOT NULL DEFAULT 0;
 ALTER TABLE snapshot RENAME COLUMN state TO parts;
 CREATE TABLE snapshot_parts (
     number INTEGER PRIMARY KEY,
--- a/tests/control/test_group_recovered.py
+++ b/tests/control/test_group_recovered.py
@@ -20,7 +20,7 @@
 )
 from peppershore.process.control.recovery import NothingToRecover, recover_store
 from peppershore.process.settings import ControlSettings, PeerReplica
-from peppershore.process.storage.log_store import open_store
+from peppershore.process.storage.opening import open_store
 from peppershore.version.model import Edit, EditAccepted, Overrides, SetOverrides, Tree
 from peppershore_lab.peer_link import PeerLink
 from peppershore_lab.replica_group import CLUSTER, ReplicaGroup
--- a/tests/storage/test_disk_full.py
+++ b/tests/storage/test_disk_full.py
@@ -24,7 +24,7 @@
 from peppershore.process.consensus.replica_shell import ReplicaShell
 from peppershore.process.control.core import ControlCore
 from peppershore.process.settings import ControlSettings, PeerReplica
-from peppershore.process.storage.log_store import open_store
+from peppershore.process.storage.opening import open_store
 from peppershore.version.model import Edit, EditAccepted, Overrides, SetOverrides
 from peppershore_lab.peer_link import PeerLink
 
--- a/tests/storage/test_snapshot_parts.py
+++ b/tests/storage/test_snapshot_parts.py
@@ -17,12 +17,9 @@
     StateSnapshot,
 )
 from peppershore.process.storage.errors import StoreRefusal
-from peppershore.process.storage.log_store import (
-    DROPPED_PER_WRITE,
-    FILE_NAME,
-    SNAPSHOT_KIND,
-    open_store,
-)
+from peppershore.process.storage.log_store import DROPPED_PER_WRITE
+from peppershore.process.storage.opening import FILE_NAME, open_store
+from peppershore.process.storage.rows import SNAPSHOT_KIND
 from peppershore.process.storage.schema import checksum_of
 
 ENTRIES = tuple(LogEntry(index, 1, EntryKind.COMMAND, b"x") for index in range(1, 31))
@@ -31,6 +28,8 @@
 FIRST_FORMAT_SNAPSHOT = """
 DROP TABLE snapshot_parts;
 ALTER TABLE snapshot RENAME COLUMN parts TO state;
+ALTER TABLE owner DROP COLUMN checksum;
+ALTER TABLE hard_state DROP COLUMN checksum;
 PRAGMA user_version=1
 """
 
--- a/tests/storage/test_store_refusals.py
+++ b/tests/storage/test_store_refusals.py
@@ -18,7 +18,7 @@
     StateSnapshot,
 )
 from peppershore.process.storage.errors import StoreRefusal
-from peppershore.process.storage.log_store import FILE_NAME, open_store
+from peppershore.process.storage.opening import FILE_NAME, open_store
 from peppershore.process.storage.schema import FORMAT_VERSION
 
 ENTRIES = tuple(
@@ -99,3 +99,24 @@
         reopened.store.close()
         assert reopened.stored == stored, f"damage at {start} was taken up"
     assert refused > DAMAGED_COPIES // 4
+
+
+@pytest.mark.parametrize(
+    "damage",
+    [
+        "UPDATE hard_state SET voted_for = 'c9'",
+        "UPDATE hard_state SET term = term + 1",
+        "UPDATE owner SET group_id = group_id + 1",
+        "UPDATE owner SET identity = identity + 1",
+        "DELETE FROM hard_state",
+        "DELETE FROM owner",
+        "DELETE FROM entries WHERE position = 30",
+        "UPDATE entries SET term = 2 WHERE position = 30",
+    ],
+)
+def test_a_changed_row_is_refused(folder: Path, damage: str) -> None:
+    connection = sqlite3.connect(folder / FILE_NAME)
+    connection.execute(damage)
+    connection.commit()
+    connection.close()
+    assert refusal(folder) is StoreRefusal.DAMAGED
