Relay: in a storm, endpoint news goes together; urgent news still at once

Changes were joined for 50 ms only, and all that waited was looked through at each event. Ruled out: a longer window for everything, since leaving must not wait.

--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -35,11 +35,11 @@
 from peppershore.process.relay.departures import Departures
 from peppershore.process.relay.distribution import Distributor
 from peppershore.process.relay.endpoint_fanout import (
-    FANOUT_SECONDS,
     FANOUT_TIMER,
     EndpointFanout,
     is_urgent,
 )
+from peppershore.process.relay.fanout_pace import FanoutPace
 from peppershore.process.relay.hold import HoldBook
 from peppershore.process.relay.node_service import NodeService
 from peppershore.process.relay.planned_stop import (
@@ -101,6 +101,7 @@
         self._unnamed_links: dict[events.LinkId, float] = {}
         self._planned_stop: PlannedStop | None = None
         self.rollout = Rollout(self.distributor, self.holds, self.nodes)
+        self._fanout_pace = FanoutPace()
         self._timers_set: set[str] = set()
         self._was_fresh = False
         self._pause_milliseconds = 0
@@ -208,7 +209,7 @@
         elif timer == FLUSH_TIMER:
             self._do(self.rollout.flush(self._now))
         elif timer == FANOUT_TIMER:
-            self._do(self.nodes.endpoint_changes(self._now))
+            self._endpoints_due()
         elif timer == PROGRESS_TIMER:
             self._report_progress()
         else:
@@ -267,10 +268,27 @@
         changed = self.exchange.changed.values()
         if self.holds.held and any(each.state == STATE_READY for each in changed):
             self._do(self.rollout.release_held(self._now))
-        if any(is_urgent(each) for each in changed):
-            self._do(self.nodes.endpoint_changes(self._now))
+        wait = self._fanout_pace.plan(any(map(is_urgent, changed)), self._now)
+        if wait == 0.0:
+            self._send_endpoint_changes()
+        elif wait is not None:
+            self._set_timer(FANOUT_TIMER, wait)
+
+    def _endpoints_due(self) -> None:
+        """Tell nodes of all changed endpoints, unless a storm makes them wait."""
+        changed = self.exchange.changed.values()
+        if not changed:
+            return
+        is_any_urgent = any(map(is_urgent, changed))
+        wait = self._fanout_pace.postponed(len(changed), is_any_urgent, self._now)
+        if wait:
+            self._set_timer(FANOUT_TIMER, wait)
         else:
-            self._set_timer_once(FANOUT_TIMER, FANOUT_SECONDS)
+            self._send_endpoint_changes()
+
+    def _send_endpoint_changes(self) -> None:
+        self._fanout_pace.sent(self._now)
+        self._do(self.nodes.endpoint_changes(self._now))
 
     # --- the replica -----------------------------------------------------------
 
--- a/src/peppershore/process/relay/endpoint_fanout.py
+++ b/src/peppershore/process/relay/endpoint_fanout.py
@@ -1,7 +1,7 @@
 """Which nodes are told of which endpoints, and in what form.
 
-A node is told of the services its snapshot holds.  Changes of a short window
-go out together, encoded once per scope; ``leaving`` does not wait.
+A node is told of the services its snapshot holds.  Changes that go out together
+(see ``fanout_pace``) are encoded once per scope.
 """
 
 from __future__ import annotations
@@ -19,7 +19,6 @@
 from peppershore.version.model import Scope
 
 FANOUT_TIMER = "endpoints.fanout"
-FANOUT_SECONDS = 0.05
 
 URGENT_STATES = frozenset((STATE_LEAVING, STATE_GONE))
 
--- /dev/null
+++ b/tests/relay/test_relay_fanout_pace.py
@@ -0,0 +1,81 @@
+"""Endpoint news: soon when it is little, together in a storm, urgent news first."""
+
+from __future__ import annotations
+
+import pytest
+from tests.relay.site import Site
+
+from peppershore.connection.endpoint_packing import unpack_endpoints
+from peppershore.connection.messages import EndpointsPacked
+from peppershore.process.node.core import NodeMemory
+from peppershore.process.relay.fanout_pace import (
+    STORM_ENDPOINTS,
+    STORM_WINDOW_SECONDS,
+    WINDOW_SECONDS,
+    FanoutPace,
+)
+
+NODES = 240
+RESTART_SECONDS = 1.0
+MOST_MESSAGES = 8
+
+
+def test_a_first_change_waits_a_window_and_later_ones_join_it() -> None:
+    pace = FanoutPace()
+    assert pace.plan(False, 10.0) == pytest.approx(WINDOW_SECONDS)
+    assert pace.plan(False, 10.01) is None
+    assert pace.postponed(2, False, 10.0 + WINDOW_SECONDS) == 0.0
+
+
+def test_urgent_news_goes_at_once_and_then_at_most_once_a_window() -> None:
+    pace = FanoutPace()
+    pace.plan(False, 9.99)
+    assert pace.plan(True, 10.0) == 0.0
+    pace.sent(10.0)
+    wait = pace.plan(True, 10.01)
+    assert wait is not None
+    assert 0.0 < wait <= WINDOW_SECONDS
+    assert pace.postponed(1_000, True, 10.01 + wait) == 0.0
+
+
+def test_in_a_storm_other_news_waits_for_the_long_window_and_no_longer() -> None:
+    pace = FanoutPace()
+    pace.sent(10.0)
+    pace.plan(False, 10.01)
+    wait = pace.postponed(STORM_ENDPOINTS, False, 10.06)
+    assert 0.0 < wait <= STORM_WINDOW_SECONDS
+    assert pace.plan(False, 10.07) is None
+    assert pace.postponed(1_000, False, 10.06 + wait) == 0.0
+
+
+def test_urgent_news_does_not_wait_for_the_end_of_a_storm() -> None:
+    pace = FanoutPace()
+    pace.sent(10.0)
+    pace.plan(False, 10.01)
+    assert pace.postponed(STORM_ENDPOINTS, False, 10.06) > WINDOW_SECONDS
+    assert pace.plan(True, 10.2) == 0.0
+
+
+def test_a_herd_of_restarts_reaches_a_neighbour_in_few_messages() -> None:
+    site = Site()
+    names = [f"k{number}" for number in range(NODES)]
+    for number, name in enumerate(names):
+        site.start_node(name, "kassa", seed=number + 1)
+    site.start_node("watcher", "kassa", seed=NODES + 1)
+    site.network.run(20.0)
+    before = len(_news(site))
+    for number, name in enumerate(names):
+        site.network.kill(name)
+        site.start_node(name, "kassa", NodeMemory(incarnation=2), seed=NODES + number)
+        site.network.run(RESTART_SECONDS / NODES)
+    site.network.run(5.0)
+    news = _news(site)[before:]
+    unpacked = [unpack_endpoints(message).unwrap() for message in news]
+    told = {each.node for changed in unpacked for each in changed.endpoints}
+    assert set(names) <= told
+    assert len(news) <= MOST_MESSAGES
+
+
+def _news(site: Site) -> list[EndpointsPacked]:
+    received = site.network.processes["watcher"].received
+    return [message for message in received if isinstance(message, EndpointsPacked)]
