--- a/src/peppershore_lab/hollow/observer.py
+++ b/src/peppershore_lab/hollow/observer.py
@@ -93,7 +93,7 @@
         since: float,
         *,
         changes_missed: int = 0,
-        bytes_per_node: float = 0.0,
+        cost: PhaseCost | None = None,
         relay_peak_resident_bytes: int = 0,
     ) -> RecoveryPhase:
         """Give how long after ``since`` each node held the newest version."""
@@ -105,7 +105,8 @@
             recovered=len(spans),
             milliseconds=distribution(spans),
             changes_missed=changes_missed,
-            bytes_per_node=bytes_per_node,
+            bytes_per_node=_bytes_per_node(cost),
+            cost=cost,
             relay_peak_resident_bytes=relay_peak_resident_bytes,
         )
 
@@ -113,6 +114,10 @@
         return self._times.first_holding(node, self.version, since)
 
 
+def _bytes_per_node(cost: PhaseCost | None) -> float:
+    return 0.0 if cost is None else cost.received_bytes_per_node_second * cost.seconds
+
+
 def _rate(changes: Sequence[AcceptedChange]) -> float:
     if len(changes) < 2:
         return 0.0
--- a/src/peppershore_lab/hollow/results.py
+++ b/src/peppershore_lab/hollow/results.py
@@ -55,7 +55,10 @@
 
 
 class RecoveryPhase(ResultValue, frozen=True, kw_only=True):
-    """Nodes that lost their links or were restarted: until each was current again."""
+    """Nodes that lost their links or were restarted: until each was current again.
+
+    ``cost`` is of the time until then; None where other things went on meanwhile.
+    """
 
     name: str
     nodes: int
@@ -64,6 +67,7 @@
     changes_missed: int
     bytes_per_node: float
     relay_peak_resident_bytes: int
+    cost: PhaseCost | None = None
 
 
 class ScaleRun(ResultValue, frozen=True, kw_only=True):
--- a/src/peppershore_lab/hollow/scale.py
+++ b/src/peppershore_lab/hollow/scale.py
@@ -153,7 +153,7 @@
             nodes,
             since,
             changes_missed=changes_missed,
-            bytes_per_node=cost.received_bytes_per_node_second * cost.seconds,
+            cost=cost,
             relay_peak_resident_bytes=peak,
         )
 
