--- a/src/peppershore/process/consensus/core.py
+++ b/src/peppershore/process/consensus/core.py
@@ -20,7 +20,7 @@
     VoteReply,
     VoteRequest,
 )
-from peppershore.process.consensus.durable_log import DurableLog
+from peppershore.process.consensus.durable_log import DurableLog, compaction_point
 from peppershore.process.consensus.election import Election, answer_vote_request
 from peppershore.process.consensus.following import Following
 from peppershore.process.consensus.leadership import Leadership
@@ -58,9 +58,6 @@
 FIRST_INDEX = 1
 FIRST_TERM = 1
 
-MAX_KEPT_FACTOR = 10
-"""A snapshot under way holds back at most so many times ``kept_entries``."""
-
 
 class Consensus:
     """One replica's part in keeping one log equal on all replicas."""
@@ -172,7 +169,11 @@
     def compact(self, index: int, parts: tuple[SnapshotPart, ...]) -> None:
         """Keep the state after the entry at ``index``; drop old entries."""
         assert index <= self.commit_index
-        self.durable_log.compact(index, parts, self._compaction_point(index))
+        under_way = None
+        if self.leadership is not None:
+            under_way = self.leadership.oldest_snapshot_under_way()
+        kept = self.settings.kept_entries
+        self.durable_log.compact(index, parts, compaction_point(index, kept, under_way))
 
     def persisted(self, token: int, now: float) -> None:
         """The records of that write are durable."""
@@ -384,17 +385,6 @@
         member = find_member(self.membership, name)
         return member is not None and member.identity == identity
 
-    def _compaction_point(self, snapshot_index: int) -> int:
-        """Keep some entries for peers behind, more while one receives a snapshot."""
-        kept = self.settings.kept_entries
-        point = snapshot_index - kept
-        under_way = None
-        if self.leadership is not None:
-            under_way = self.leadership.oldest_snapshot_under_way()
-        if under_way is not None:
-            point = max(min(point, under_way), snapshot_index - MAX_KEPT_FACTOR * kept)
-        return point
-
     def _set_leader(self, leader: str) -> None:
         if leader != self.leader:
             self.leader = leader
--- a/src/peppershore/process/consensus/durable_log.py
+++ b/src/peppershore/process/consensus/durable_log.py
@@ -20,6 +20,20 @@
     StoredState,
 )
 
+MAX_KEPT_FACTOR = 10
+"""A snapshot under way holds back at most so many times the entries kept."""
+
+
+def compaction_point(snapshot_index: int, kept: int, under_way: int | None) -> int:
+    """First entry to keep: some for peers behind, more while one gets a snapshot.
+
+    ``under_way`` is the index of the oldest snapshot that a peer is receiving.
+    """
+    point = snapshot_index - kept
+    if under_way is None:
+        return point
+    return max(min(point, under_way), snapshot_index - MAX_KEPT_FACTOR * kept)
+
 
 class DurableLog:
     """What this replica holds of the group's log, in memory and on its way to disk."""
--- /dev/null
+++ b/src/peppershore/process/consensus/greeting.py
@@ -0,0 +1,92 @@
+"""How replicas greet each other, and how a group begins."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from peppershore.connection.messages import Refused, ReplicaHello
+from peppershore.process.commands import CloseLink
+from peppershore.process.consensus import notices
+from peppershore.process.consensus.founding import Founding
+from peppershore.process.consensus.membership import find_member
+from peppershore.process.events import LinkId
+
+if TYPE_CHECKING:
+    from peppershore.process.consensus.replica import ReplicaCore
+
+
+class Greeting:
+    """Says hello on links to other replicas, judges theirs, and founds the group."""
+
+    def __init__(self, replica: ReplicaCore) -> None:
+        """Greet for this replica."""
+        self._replica = replica
+        self._founding = Founding(replica.settings.replicas, replica.name)
+
+    def greet(self, link: LinkId) -> None:
+        """Say hello on a link."""
+        replica = self._replica
+        consensus = replica.consensus
+        hello = ReplicaHello(
+            replica.settings.cluster,
+            replica.name,
+            consensus.identity,
+            consensus.group_id,
+        )
+        replica.send(link, hello)
+
+    def greet_again(self) -> None:
+        """Say hello on all links: the group of this replica has changed."""
+        for link in self._replica.peers.all_links():
+            self.greet(link)
+
+    def take(self, link: LinkId, hello: ReplicaHello) -> None:
+        """Take a hello; refuse one that is none of this group's replicas."""
+        replica = self._replica
+        problem = self._problem(link, hello)
+        if problem:
+            replica.report(notices.PeerRefused(replica.name, hello.replica, problem))
+            replica.send(link, Refused(problem))
+            replica.command(CloseLink(link, problem))
+            replica.peers.closed(link)
+            return
+        first = replica.peers.identity_on(link) is None
+        replica.peers.greeted(link, hello)
+        if first and not replica.peers.opened_by_us(link):
+            self.greet(link)
+        member = find_member(replica.consensus.membership, hello.replica)
+        if member is not None and member.identity != hello.identity:
+            replica.report(notices.OtherStoreSeen(replica.name, hello.replica))
+        if first and replica.consensus.leadership is not None:
+            replica.consensus.leadership.peer_restarted(hello.replica)
+
+    def found_if_possible(self) -> None:
+        """Begin the group once every first member is reached and blank."""
+        replica = self._replica
+        consensus = replica.consensus
+        progress = self._founding.progress(replica.peers)
+        if progress.ready:
+            membership = self._founding.membership(consensus.identity, replica.peers)
+            consensus.found(membership, replica.now)
+            replica.report(notices.GroupFounded(replica.name, consensus.group_id))
+            self.greet_again()
+        elif self._founding.should_report(progress):
+            replica.report(
+                notices.FoundingAwaited(
+                    replica.name, progress.missing, progress.already_in_group
+                )
+            )
+
+    def _problem(self, link: LinkId, hello: ReplicaHello) -> str:
+        replica = self._replica
+        if hello.cluster != replica.settings.cluster:
+            return "other-cluster"
+        if hello.replica == replica.name:
+            return "own-name"
+        expected = replica.peers.expected_name(link)
+        if expected is not None and expected != hello.replica:
+            return "other-replica"
+        groups = (replica.consensus.group_id, hello.group_id)
+        if 0 not in groups and groups[0] != groups[1]:
+            return "other-group"
+        return "" if replica.may_be_replica(link, hello.replica) else "certificate"
--- a/src/peppershore/process/consensus/replica.py
+++ b/src/peppershore/process/consensus/replica.py
@@ -1,8 +1,7 @@
 """The core of one replica of a group: consensus, peers, disk and state machine.
 
 A role's core (control, claims) derives from ``ReplicaCore``: it gives a state
-machine and takes what concerns its own clients by overriding the hooks at the
-end of the class.
+machine and takes what concerns its own clients by overriding ``ReplicaHooks``.
 """
 
 from __future__ import annotations
@@ -26,7 +25,6 @@
 )
 from peppershore.process import events
 from peppershore.process.commands import (
-    CloseLink,
     Command,
     Exit,
     Notice,
@@ -36,12 +34,13 @@
 )
 from peppershore.process.consensus import notices, outputs
 from peppershore.process.consensus.core import Consensus
-from peppershore.process.consensus.founding import Founding
+from peppershore.process.consensus.greeting import Greeting
 from peppershore.process.consensus.membership import find_member, voters_of
 from peppershore.process.consensus.membership_changes import MembershipChanges
 from peppershore.process.consensus.peers import PeerIdentity, PeerLinks
-from peppershore.process.consensus.reads import ReadTable
 from peppershore.process.consensus.records import PersistLog, StoredState
+from peppershore.process.consensus.replica_hooks import ReplicaHooks
+from peppershore.process.consensus.replica_reads import ReplicaReads
 from peppershore.process.consensus.settings import ReplicaSettings
 from peppershore.process.consensus.snapshotting import SNAPSHOT_TIMER, Snapshotting
 from peppershore.process.consensus.state_machine import StateMachine
@@ -67,7 +66,7 @@
 )
 
 
-class ReplicaCore:
+class ReplicaCore(ReplicaHooks):
     """Drives consensus, feeds the state machine, and keeps links to the peers."""
 
     def __init__(
@@ -83,11 +82,11 @@
         self._commands: list[Command] = []
         self._flush_timer_set = False
         self._applied_index = 0
-        self._reads = ReadTable()
+        self._reads = ReplicaReads(self)
         self.consensus = Consensus(settings.consensus, stored, Randomness(stored.identity))
         self.peers = PeerLinks(LinkNumbers())
         self._snapshotting = Snapshotting(self, machine)
-        self._founding = Founding(settings.replicas, self.name)
+        self._greeting = Greeting(self)
         self.changes = MembershipChanges(self)
 
     def step(self, event: events.Event, now: float) -> list[Command]:
@@ -123,6 +122,11 @@
         member = find_member(self.consensus.membership, leader)
         return "" if member is None else member.address
 
+    @property
+    def snapshots_made(self) -> int:
+        """Snapshots made since the start."""
+        return self._snapshotting.made
+
     def propose(self, payload: bytes) -> int | None:
         """Append a command if this replica leads; proposals of one moment share a write."""
         index = self.consensus.propose(payload)
@@ -133,12 +137,7 @@
 
     def read(self) -> int:
         """Ask for a confirmed read; ``on_read`` answers with this request's number."""
-        request = self._reads.take_local()
-        if self.consensus.leadership is not None:
-            self.consensus.read(request, self.now)
-        elif not self._forward_read(request):
-            self.consensus.emit(outputs.ReadFailed(request))
-        return request
+        return self._reads.ask()
 
     def command(self, command: Command) -> None:
         """Add a command to this step."""
@@ -218,7 +217,7 @@
         self.command(SetTimer(TICK_TIMER, self.settings.consensus.heartbeat_seconds))
         self.want_peers()
         if self.consensus.group_id == 0 and not self.settings.join:
-            self._found_if_possible()
+            self._greeting.found_if_possible()
         self.consensus.tick(self.now)
         self.changes.tick()
         self.on_tick()
@@ -235,12 +234,12 @@
         self.consensus.disk_failed(self.now)
         self.command(SetTimer(DISK_TIMER, DISK_RETRY_SECONDS))
 
-    # --- links and hellos ----------------------------------------------------
+    # --- links ----------------------------------------------------
 
     def _link_opened(self, event: events.LinkOpened) -> None:
         self.on_link_opened(event.link, event.identity)
         if self.peers.opened_by_us(event.link):
-            self.send(event.link, self._hello())
+            self._greeting.greet(event.link)
 
     def _link_closed(self, link: LinkId) -> None:
         self.on_link_closed(link)
@@ -248,74 +247,15 @@
         if peer is None:
             return
         if peer == self.consensus.leader:
-            self._reads.fail_forwarded(self.consensus)
+            self._reads.leader_gone()
         if self.consensus.leadership is not None:
             self.consensus.leadership.peer_restarted(peer)
 
-    def _hello(self) -> ReplicaHello:
-        return ReplicaHello(
-            self.settings.cluster,
-            self.name,
-            self.consensus.identity,
-            self.consensus.group_id,
-        )
-
-    def _greet_again(self) -> None:
-        for link in self.peers.all_links():
-            self.send(link, self._hello())
-
-    def _take_hello(self, link: LinkId, hello: ReplicaHello) -> None:
-        problem = self._hello_problem(link, hello)
-        if not problem and not self.may_be_replica(link, hello.replica):
-            problem = "certificate"
-        if problem:
-            self.report(notices.PeerRefused(self.name, hello.replica, problem))
-            self.send(link, Refused(problem))
-            self.command(CloseLink(link, problem))
-            self.peers.closed(link)
-            return
-        first = self.peers.identity_on(link) is None
-        self.peers.greeted(link, hello)
-        if first and not self.peers.opened_by_us(link):
-            self.send(link, self._hello())
-        member = find_member(self.consensus.membership, hello.replica)
-        if member is not None and member.identity != hello.identity:
-            self.report(notices.OtherStoreSeen(self.name, hello.replica))
-        if first and self.consensus.leadership is not None:
-            self.consensus.leadership.peer_restarted(hello.replica)
-
-    def _hello_problem(self, link: LinkId, hello: ReplicaHello) -> str:
-        if hello.cluster != self.settings.cluster:
-            return "other-cluster"
-        if hello.replica == self.name:
-            return "own-name"
-        expected = self.peers.expected_name(link)
-        if expected is not None and expected != hello.replica:
-            return "other-replica"
-        groups = (self.consensus.group_id, hello.group_id)
-        if 0 not in groups and groups[0] != groups[1]:
-            return "other-group"
-        return ""
-
-    def _found_if_possible(self) -> None:
-        progress = self._founding.progress(self.peers)
-        if progress.ready:
-            membership = self._founding.membership(self.consensus.identity, self.peers)
-            self.consensus.found(membership, self.now)
-            self.report(notices.GroupFounded(self.name, self.consensus.group_id))
-            self._greet_again()
-        elif self._founding.should_report(progress):
-            self.report(
-                notices.FoundingAwaited(
-                    self.name, progress.missing, progress.already_in_group
-                )
-            )
-
     # --- messages ------------------------------------------------------------
 
     def _take_message(self, link: LinkId, message: Message) -> None:
         if isinstance(message, ReplicaHello):
-            self._take_hello(link, message)
+            self._greeting.take(link, message)
             return
         peer = self.peers.identity_on(link)
         if peer is None:
@@ -323,9 +263,9 @@
         elif isinstance(message, _CONSENSUS_MESSAGES):
             self._take_consensus_message(peer, message)
         elif isinstance(message, ReadIndexRequest):
-            self._take_read_request(peer.name, message)
+            self._reads.take_request(peer.name, message)
         elif isinstance(message, ReadIndexReply):
-            self._take_read_reply(message)
+            self._reads.take_reply(message)
         elif not isinstance(message, Refused):
             self.on_peer_message(peer.name, message)
 
@@ -336,37 +276,11 @@
                 return
             self.consensus.join_group(peer.group_id)
             self.report(notices.GroupJoined(self.name, peer.group_id))
-            self._greet_again()
+            self._greeting.greet_again()
         elif own != 0 and peer.group_id not in (0, own):
             return
         self.consensus.receive(peer.name, peer.identity, message, self.now)
 
-    def _take_read_request(self, peer: str, message: ReadIndexRequest) -> None:
-        request = self._reads.take_for_peer(peer, message.request)
-        self.consensus.read(request, self.now)
-
-    def _take_read_reply(self, message: ReadIndexReply) -> None:
-        if not self._reads.forwarded_answered(message.request):
-            return
-        if message.confirmed:
-            self._reads.confirm(message.request, message.index)
-            self._answer_reads()
-        else:
-            self.on_read(message.request, confirmed=False)
-
-    def _forward_read(self, request: int) -> bool:
-        leader = self.consensus.leader
-        link = self.peers.link_to(leader)
-        if not leader or link is None:
-            return False
-        self._reads.forward(request)
-        self.send(link, ReadIndexRequest(request))
-        return True
-
-    def _answer_reads(self) -> None:
-        for request in self._reads.take_ready(self._applied_index):
-            self.on_read(request, confirmed=True)
-
     # --- outputs of the consensus core ---------------------------------------
 
     def _carry_out_outputs(self) -> None:
@@ -388,7 +302,7 @@
             self._machine.restore(output.snapshot.state)
             self._applied_index = output.snapshot.index
             self.on_state_installed()
-            self._answer_reads()
+            self._reads.answer_ready()
         elif isinstance(output, outputs.LeadershipGained):
             self.report(notices.LeadershipStarted(self.name, output.term))
             self.on_leadership_gained()
@@ -398,26 +312,10 @@
             self.on_leadership_lost()
         elif isinstance(output, outputs.LeaderChanged):
             self.report(notices.LeaderObserved(self.name, output.leader, output.term))
-            self._reads.fail_forwarded(self.consensus)
+            self._reads.leader_gone()
             self.on_leader_changed()
         else:
-            self._take_read_output(output)
-
-    def _take_read_output(self, output: outputs.Output) -> None:
-        if isinstance(output, outputs.ReadConfirmed):
-            remote = self._reads.take_remote(output.request)
-            if remote is not None:
-                reply = ReadIndexReply(remote.request, output.index, True)
-                self.send_to_peer(remote.peer, reply)
-                return
-            self._reads.confirm(output.request, output.index)
-            self._answer_reads()
-        elif isinstance(output, outputs.ReadFailed):
-            remote = self._reads.take_remote(output.request)
-            if remote is not None:
-                self.send_to_peer(remote.peer, ReadIndexReply(remote.request, 0, False))
-                return
-            self.on_read(output.request, confirmed=False)
+            self._reads.take_output(output)
 
     def _apply(self, entries: tuple[LogEntry, ...]) -> None:
         for entry in entries:
@@ -427,7 +325,7 @@
             if entry.kind is EntryKind.MEMBERSHIP:
                 self._membership_committed()
         self.on_applied()
-        self._answer_reads()
+        self._reads.answer_ready()
         self._snapshotting.begin_if_due()
 
     def _membership_committed(self) -> None:
@@ -457,56 +355,3 @@
             self.consensus.hand_over()
         elif self.consensus.durability.idle:
             self.command(Exit("stopped as planned"))
-
-    # --- hooks of the role's core --------------------------------------------
-
-    def on_event(self, event: events.Event) -> None:
-        """Take an event that only the role knows."""
-
-    def on_timer(self, timer: str) -> None:
-        """Take a timer that the role set."""
-
-    def on_tick(self) -> None:
-        """Do what is due at every heartbeat."""
-
-    def on_link_opened(self, link: LinkId, identity: str) -> None:
-        """A link is usable; whether a client or a peer is there shows later."""
-
-    def on_link_closed(self, link: LinkId) -> None:
-        """A link is gone."""
-
-    def may_be_replica(self, link: LinkId, name: str) -> bool:
-        """Whether whoever is on this link may be the replica of that name."""
-        return True
-
-    def on_client_message(self, link: LinkId, message: Message) -> None:
-        """Take a message of a client."""
-
-    def on_peer_message(self, peer: str, message: Message) -> None:
-        """Take a message of another replica that isn't consensus."""
-
-    def on_applied(self) -> None:
-        """The state machine moved on."""
-
-    def on_state_installed(self) -> None:
-        """The state machine was replaced by a snapshot's state."""
-
-    def on_leadership_gained(self) -> None:
-        """Proposals are taken from now on; the state is that of all earlier terms."""
-
-    def on_leadership_lost(self) -> None:
-        """Proposals without outcome may still commit; nothing is known here."""
-
-    def on_leader_changed(self) -> None:
-        """Another leader, or none, is known."""
-
-    def on_read(self, request: int, confirmed: bool) -> None:
-        """A read may be answered from the state now, or could not be confirmed."""
-
-    def has_unanswered(self) -> bool:
-        """Whether a planned stop should wait for answers."""
-        return False
-
-    def client_links(self) -> tuple[LinkId, ...]:
-        """Links of clients that should hear of a planned stop."""
-        return ()
--- a/src/peppershore/process/consensus/snapshotting.py
+++ b/src/peppershore/process/consensus/snapshotting.py
@@ -36,6 +36,7 @@
         self._index = 0
         self._pieces: Iterator[Piece] | None = None
         self._parts: list[SnapshotPart] = []
+        self.made = 0
 
     def begin_if_due(self) -> None:
         """Begin a snapshot once ``snapshot_entries`` were applied since the last."""
@@ -89,6 +90,7 @@
         return None
 
     def _compact(self, index: int, parts: tuple[SnapshotPart, ...]) -> None:
+        self.made += 1
         self._replica.consensus.compact(index, parts)
         self._replica.consensus.flush(self._replica.now)
 
