Drain: a successor process takes over the callers' listener

Cause: a node at the edge that was replaced refused new callers until its successor was up, and a listener closed with connections in its queue cuts them. Weighed: handing the socket over a Unix socket (processes talk over TCP or UDP only) and inheritance (a process starts no other); taken: SO_REUSEPORT, with new connections steered to the younger listener before the older one closes. take_over lets a node listen beside the running one once it holds a configuration; without it a taken address is refused as before. Conclusion: kept; Linux only, elsewhere connections go to both until the older closes.

--- a/src/peppershore/connection/http_server.py
+++ b/src/peppershore/connection/http_server.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
 from typing import Protocol
 
 import h11
@@ -461,27 +460,3 @@
     def _write(self, data: bytes) -> None:
         if data:
             self._out.append(data)
-
-
-class HttpListener:
-    """Accepts callers on one address."""
-
-    def __init__(self, make_connection: Callable[[], ServerConnection]) -> None:
-        """Make one protocol for each accepted connection."""
-        self._make_connection = make_connection
-        self._server: asyncio.Server | None = None
-
-    async def start(self, host: str, port: int, backlog: int = 4_096) -> str:
-        """Listen; port 0 takes a free one.  Gives the address bound, "IP:port"."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._make_connection, host, port, backlog=backlog
-        )
-        bound = self._server.sockets[0].getsockname()
-        return f"{bound[0]}:{bound[1]}"
-
-    def close(self) -> None:
-        """Stop accepting; open connections stay."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from peppershore.connection.http_head import HeadProblem, RequestHead
+from peppershore.connection.http_listener import HttpListener
 from peppershore.connection.http_server import (
-    HttpListener,
     RequestSink,
     ServerConnection,
     ServerExchange,
@@ -100,6 +100,7 @@
         self._probe: BackendProbe | None = None
         self._on_backend_state: Callable[[str], None] | None = None
         self._tick: asyncio.TimerHandle | None = None
+        self._listening: asyncio.Task[None] | None = None
         self._drain_began = 0.0
         self._calls_at_drain = 0
 
@@ -108,6 +109,8 @@
     def use_configuration(self, active: ActiveConfiguration) -> None:
         """Decide new calls by this configuration."""
         self.calls.use_configuration(active)
+        if not self._listener.listening and not self.draining:
+            self._listening = self._loop.create_task(self._listener.listen())
         settings = active.services.get(self._settings.service)
         if self._own is not None and settings is not None:
             self._own.use_settings(settings)
@@ -128,9 +131,15 @@
             self._probe.start()
 
     async def start(self) -> ListenAddresses:
-        """Listen for callers and, where set, for other nodes."""
+        """Listen for callers and, where set, for other nodes.
+
+        One that takes over listens for callers once it holds a configuration.
+        Raises OSError if an address is taken.
+        """
         host, _, port = self._settings.listen.rpartition(":")
-        callers = await self._listener.start(host, int(port))
+        callers = self._listener.bind(host, int(port), self._settings.take_over)
+        if not self._settings.take_over:
+            await self._listener.listen()
         internal = ""
         if self._settings.internal_listen:
             host, _, port = self._settings.internal_listen.rpartition(":")
@@ -147,6 +156,7 @@
         self._drain_began = self._loop.time()
         self._calls_at_drain = self._in_flight
         self._call_listener.lend_no_more()
+        self._listener.hand_over()
 
     async def drained(self, bound_seconds: float) -> DrainReport:
         """Wait until nothing is in flight, or the bound; say what was waited for."""
@@ -178,6 +188,11 @@
         if self._own is not None:
             self._own.close()
 
+    @property
+    def listening(self) -> bool:
+        """Whether callers are accepted."""
+        return self._listener.listening
+
     @property
     def lent_slots(self) -> int:
         """Slots of the own back end that other nodes may be using directly."""
--- a/src/peppershore/process/settings.py
+++ b/src/peppershore/process/settings.py
@@ -39,6 +39,13 @@
     authority: str
 
 
+class ClaimsGroup(SettingsValue, frozen=True, kw_only=True):
+    """One claims group among several; its name decides which keys are its own."""
+
+    name: str
+    replicas: tuple[PeerReplica, ...]
+
+
 class ControlSettings(SettingsValue, frozen=True, kw_only=True):
     """A control replica.
 
@@ -85,8 +92,12 @@
     """A node: the proxy beside one back end, or at the edge (no ``backend``).
 
     Without ``claims``, a call that may run only once and carries an idempotency
-    key is refused; ``forward_unclaimed_keys`` sends it on, where the back end
+    key is refused; several groups go under ``claims_groups`` instead, and those
+    that are being left under ``previous_claims_groups`` for a horizon.
+    ``forward_unclaimed_keys`` sends it on, where the back end
     itself is trusted to run each key once.
+    ``take_over`` shares ``listen`` with a running node that is about to stop, from
+    when this one holds a configuration.
     """
 
     cluster: str
@@ -102,14 +113,20 @@
     data_folder: str = ""
     admin_listen: str = ""
     claims: tuple[PeerReplica, ...] = ()
+    claims_groups: tuple[ClaimsGroup, ...] = ()
+    previous_claims_groups: tuple[ClaimsGroup, ...] = ()
     forward_unclaimed_keys: bool = False
+    take_over: bool = False
     stop_bound_milliseconds: int = 30_000
     log_level: str = "info"
     tls: TlsFiles | None = None
 
 
 class ClaimsSettings(SettingsValue, frozen=True, kw_only=True):
-    """A replica of a claims group: the record of calls that run at most once."""
+    """A replica of a claims group: the record of calls that run at most once.
+
+    All replicas of a group must have the same horizon and bounds.
+    """
 
     cluster: str
     replica: str
@@ -122,6 +139,8 @@
     election_milliseconds: int = 400
     snapshot_entries: int = 20_000
     horizon_seconds: int = 86_400
+    max_records: int = 500_000
+    max_answer_megabytes: int = 64
     log_level: str = "info"
     tls: TlsFiles | None = None
 
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -67,6 +67,7 @@
 data_folder = "data/kassa-1"       # keeps the version floor; "" without a disk
 admin_listen = "127.0.0.1:7921"    # /metrics, /healthz, /readyz, /configuration
 stop_bound_milliseconds = 30000    # longest wait for calls in flight at a planned stop
+take_over = false                  # listen beside a node that is about to stop
 forward_unclaimed_keys = false     # without claims: send keyed calls on all the same
 log_level = "info"                 # debug, info, warning or error
 
@@ -78,6 +79,12 @@
 # [[claims]]                       # replicas of the claims group, if one runs
 # name = "claims-1"
 # address = "127.0.0.1:7501"
+
+# [[claims_groups]]                # instead of claims: several groups share the keys
+# name = "first"
+# [[claims_groups.replicas]]
+# name = "claims-1"
+# address = "127.0.0.1:7501"
 """
 
 _CLAIMS = """\
@@ -92,6 +99,8 @@
 election_milliseconds = 400
 snapshot_entries = 20000
 horizon_seconds = 86400            # how long an idempotency key is remembered
+max_records = 500000               # keys remembered at most; more are refused
+max_answer_megabytes = 64          # kept answers in all; the oldest go first
 log_level = "info"                 # debug, info, warning or error
 
 [[replicas]]
--- a/tests/data_plane/stage.py
+++ b/tests/data_plane/stage.py
@@ -87,7 +87,7 @@
             node=name,
             service=SERVICE if backend else "edge",
             zone="pasila",
-            listen="127.0.0.1:0",
+            listen=changes.pop("listen", "127.0.0.1:0"),
             internal_listen="127.0.0.1:0" if backend else "",
             relays=(),
             backend=backend,
