--- a/tests/acceptance/cluster.py
+++ b/tests/acceptance/cluster.py
@@ -139,6 +139,7 @@
         self.folder = folder
         self.keys_folder = folder / "keys"
         self.replicas: dict[str, Member] = {}
+        self.claims: dict[str, Member] = {}
         self.relays: dict[str, Member] = {}
         self.nodes: dict[str, Member] = {}
         self.backends: dict[str, PlainBackend] = {}
@@ -159,6 +160,16 @@
             }
         _start(self.replicas.values())
 
+    def start_claims(self) -> None:
+        """Start a claims group of one."""
+        member = self._add(self.claims, "claims", "claims-1")
+        member.settings |= {
+            "replica": member.name,
+            "replicas": [_peer(member)],
+            "data_folder": str(self.folder / f"data-{member.name}"),
+        }
+        _start([member])
+
     def start_relays(self, count: int) -> None:
         for number in range(1, count + 1):
             self._add(self.relays, "relay", f"relay-{number}")
@@ -256,7 +267,7 @@
 
     def members(self) -> list[Member]:
         """Every process, nodes first."""
-        groups = (self.nodes, self.relays, self.replicas)
+        groups = (self.nodes, self.relays, self.claims, self.replicas)
         return [member for group in groups for member in group.values()]
 
     def _add(
