Experiments: the behaviour of back ends in a file reaches them

Cause: the change of behaviour was read and never applied, so back ends worked 4 ms instead of 40 and no request was in flight at a planned stop. The test of the deployment now asks for it; it failed before.

--- a/src/peppershore_lab/experiments/loading.py
+++ b/src/peppershore_lab/experiments/loading.py
@@ -16,6 +16,7 @@
     FaultStep,
 )
 from peppershore_lab.fleet.deployment import DEPLOYMENTS, Deployment
+from peppershore_lab.standin.behaviour import changed
 
 MAXIMUM_SECONDS = 600.0
 BACKEND_PATTERN_PREFIX = "backend-"
@@ -55,7 +56,13 @@
         )
         if (value := getattr(fleet, name)) is not None
     }
-    return msgspec.structs.replace(base, **given)
+    services = tuple(
+        msgspec.structs.replace(
+            service, behaviour=changed(service.behaviour, fleet.behaviour)
+        )
+        for service in base.services
+    )
+    return msgspec.structs.replace(base, services=services, **given)
 
 
 def _problems(experiment: Experiment) -> Iterator[str]:
--- a/tests/lab/test_experiment_files.py
+++ b/tests/lab/test_experiment_files.py
@@ -4,12 +4,14 @@
 
 import pytest
 
-from peppershore_lab.experiments.definition import Experiment, FaultStep
+from peppershore_lab.experiments.definition import Experiment, FaultStep, FleetChange
 from peppershore_lab.experiments.loading import deployment_of, load_experiment
 from peppershore_lab.experiments.timeline import plan_faults
 from peppershore_lab.fleet.addresses import AddressBlock
+from peppershore_lab.fleet.deployment import GUILD
 from peppershore_lab.fleet.plan import lay_out
 from peppershore_lab.links.table import LinkTable
+from peppershore_lab.standin.behaviour import BehaviourChange
 
 FILES = sorted((Path(__file__).parents[2] / "experiments").glob("*.toml"))
 PROCESSES = ("control-1", "control-2", "relay-a", "relay-b", "relay-c")
@@ -77,12 +79,17 @@
     assert plan_faults([nothing], PROCESSES, (), seed=1).failure().step == nothing
 
 
-def test_changes_of_the_fleet_reach_the_deployment(tmp_path):
+def test_changes_of_the_fleet_reach_the_deployment():
     experiment = Experiment(
         name="x",
         title="",
         shows="",
         deployment="guild",
         duration_seconds=1.0,
+        fleet=FleetChange(replicas=5, behaviour=BehaviourChange(work_milliseconds=40.0)),
     )
-    assert deployment_of(experiment).replicas == 3
+    deployment = deployment_of(experiment)
+    assert (deployment.replicas, deployment.claims_replicas) == (5, GUILD.claims_replicas)
+    works = {service.behaviour.work_milliseconds for service in deployment.services}
+    slots = {service.behaviour.slots for service in deployment.services}
+    assert (works, slots) == ({40.0}, {10})
