--- a/src/peppershore_lab/experiments/availability.py
+++ b/src/peppershore_lab/experiments/availability.py
@@ -55,14 +55,19 @@
         return self._spans[proxy]
 
     def clock_start(self, proxy: str, accepted: float, held: float) -> float:
-        """Give when the bound for this change began: acceptance, or the last
-        moment before ``held`` at which the proxy could be reached again."""
+        """Give when the bound for this change began.
+
+        That is acceptance, or the last moment up to ``held`` at which the proxy
+        could be reached again.  A span ends when readiness is seen, which may be
+        just after a proxy that came back held the change: then it waited for
+        nothing but its own return.
+        """
         ends = [
-            span.ended
+            min(span.ended, held)
             for span in self._spans[proxy]
             if span.ended > accepted and span.began < held
         ]
-        return max([accepted, *(end for end in ends if end <= held)])
+        return max([accepted, *ends])
 
     def _served(self, state: _State) -> set[str]:
         replicas = self._majority(state)
--- a/tests/lab/test_experiment_availability.py
+++ b/tests/lab/test_experiment_availability.py
@@ -46,6 +46,7 @@
 def test_the_clock_starts_when_the_last_hindrance_before_holding_ended():
     found = Availability(ROLES, [mark("freeze", "p1")], RUN)
     assert found.clock_start("p1", accepted=12.0, held=22.0) == 20.0
+    assert found.clock_start("p1", accepted=12.0, held=19.9) == 19.9
     assert found.clock_start("p1", accepted=5.0, held=9.0) == 5.0
     assert found.clock_start("p1", accepted=30.0, held=31.0) == 30.0
     assert found.clock_start("p2", accepted=12.0, held=22.0) == 12.0
