Status page and status say the same of what waits, from one module

Cause: the page did not tell of silent, awaited or unsettled relays nor of a missing leader, marked replicas that a follower knows nothing of as behind, and the command had its own copy of some of it. No browser was at hand; the page was checked as HTML over HTTP.

--- a/src/peppershore/command/status_commands.py
+++ b/src/peppershore/command/status_commands.py
@@ -16,13 +16,9 @@
     StatusAnswered,
     StatusQuery,
 )
-from peppershore.process.control.progress import (
-    MILLISECONDS_PER_SECOND,
-    RELAY_SILENT_SECONDS,
-)
+from peppershore.process.status_remarks import status_remarks
 
 LEADER_SECONDS = 2.0
-SILENT_MILLISECONDS = RELAY_SILENT_SECONDS * MILLISECONDS_PER_SECOND
 REPLICA_HEADER = ("REPLICA", "ADDRESS", "ROLE", "TERM", "LOG SYNCED TO", "VOTER")
 RELAY_HEADER = ("RELAY", "ZONE", "VERSION", "IN FORCE", "NODES", "LAGGING", "BYTES", "AGE")
 LAGGING_HEADER = ("LAGGING NODE", "SERVICE", "ZONE", "VERSION", "RELAY", "REASON")
@@ -71,35 +67,7 @@
     ]
     if lagging:
         parts.append(format_table(LAGGING_HEADER, lagging))
-    return "\n\n".join((*parts, *_remarks(answer)))
-
-
-def _remarks(answer: StatusAnswered) -> list[str]:
-    """Give what holds versions or rotations up, a line each."""
-    remarks = [f"rotation waits: {text}" for text in answer.rotations]
-    remarks += [
-        f"relay {name} is heard by other relays and has not reported to {answer.replica}"
-        for name in answer.relays_awaited
-    ]
-    remarks += [
-        f"relay {item.relay} started a moment ago and may not know all its nodes"
-        for item in answer.relays
-        if not item.settled
-    ]
-    remarks += [
-        f"relay {item.relay} has not reported for "
-        f"{item.report_age_milliseconds // MILLISECONDS_PER_SECOND} s"
-        for item in answer.relays
-        if item.report_age_milliseconds >= SILENT_MILLISECONDS
-    ]
-    if not answer.relays and not answer.relays_awaited:
-        remarks.append("no relay reports")
-    if answer.replica != answer.leader:
-        remarks.append(
-            f"{answer.replica} does not lead: rotations and what other replicas hold "
-            "are not known to it"
-        )
-    return remarks
+    return "\n\n".join((*parts, *status_remarks(answer)))
 
 
 def replica_rows(answer: StatusAnswered) -> list[tuple[object, ...]]:
--- a/src/peppershore/command/watch_output.py
+++ b/src/peppershore/command/watch_output.py
@@ -9,14 +9,9 @@
 from peppershore.command.output import show_json
 from peppershore.command.watching import WatchResult, WatchStep
 from peppershore.connection.messages import LaggingNode, RelayStatus, StatusAnswered
-from peppershore.process.control.progress import (
-    MILLISECONDS_PER_SECOND,
-    RELAY_SILENT_SECONDS,
-)
+from peppershore.process.status_remarks import is_silent
 from peppershore.version.model import Version
 
-SILENT_MILLISECONDS = RELAY_SILENT_SECONDS * MILLISECONDS_PER_SECOND
-
 
 class WatchLines:
     """Turns the answers of a watch into lines: what is new since the answer before."""
@@ -43,7 +38,7 @@
         return [f"{step.elapsed_milliseconds:>6} ms  {line}" for line in lines]
 
     def _relay_lines(self, relay: RelayStatus) -> list[str]:
-        if relay.report_age_milliseconds >= SILENT_MILLISECONDS:
+        if is_silent(relay):
             text = "no report for some seconds; it counts until it is forgotten"
         elif relay.in_force >= self._wanted:
             text = f"all its {relay.nodes} nodes hold {self._wanted}"
--- a/src/peppershore/process/status_page.py
+++ b/src/peppershore/process/status_page.py
@@ -13,12 +13,13 @@
 
 from peppershore.connection.messages import RelayStatus, StatusAnswered
 from peppershore.process.admin_http import HTML, Page
+from peppershore.process.status_remarks import is_silent, status_remarks
 from peppershore.version.model import Tree, Version
 from peppershore.version.resolve import set_values
 
 STATUS_PATH = "/status"
 REFRESH_SECONDS = 2
-STALE_REPORT_MILLISECONDS = 5_000
+UNKNOWN = "-"
 _STYLE = """
 body { font: 15px/1.5 system-ui, sans-serif; margin: 2rem; color: #1c1c1c;
   background: #fff; }
@@ -85,7 +86,7 @@
         ),
         _section(
             "Replicas",
-            ("Replica", "Address", "Role", "Term", "Version", "Voter"),
+            ("Replica", "Address", "Role", "Term", "Log synced to", "Voter"),
             _replicas(status),
         ),
         _section(
@@ -119,8 +120,9 @@
         f"In force everywhere: version {status.in_force}.",
         f"Leader: {status.leader or 'unknown'}.  Answered by {status.replica}.",
     ]
-    lines += [f"Rotation in progress: {text}" for text in status.rotations]
-    return "".join(f"<p>{escape(line)}</p>" for line in lines)
+    summary = "".join(f"<p>{escape(line)}</p>" for line in lines)
+    remarks = "".join(f"<li>{escape(line)}</li>" for line in status_remarks(status))
+    return f'{summary}<ul class="behind">{remarks}</ul>' if remarks else summary
 
 
 def _zones(status: StatusAnswered) -> list[Sequence[Cell]]:
@@ -158,13 +160,20 @@
             Cell(item.address),
             Cell(item.role),
             Cell(str(item.term)),
-            Cell(str(item.match_version), behind=item.match_version < status.version),
+            _match_cell(item.match_version, status.version),
             Cell("yes" if item.voter else "no"),
         )
         for item in status.replicas
     ]
 
 
+def _match_cell(match_version: Version, version: Version) -> Cell:
+    """Give how far a replica's log is; only the leader knows that of the others."""
+    if not match_version:
+        return Cell(UNKNOWN)
+    return Cell(str(match_version), behind=match_version < version)
+
+
 def _relays(status: StatusAnswered) -> list[Sequence[Cell]]:
     return [
         (
@@ -176,7 +185,7 @@
             Cell(str(item.control_bytes)),
             Cell(
                 f"{item.report_age_milliseconds} ms",
-                behind=item.report_age_milliseconds > STALE_REPORT_MILLISECONDS,
+                behind=is_silent(item),
             ),
         )
         for item in status.relays
