Claims: several groups by hash of the key; the group tells its horizon; bounds are settings; gauges

Now: [[claims_groups]], rendezvous hashing over their names; previous_claims_groups for a change, in which a key is claimed in its group of both sets, the one that is left first, so that nodes one step apart always share a set. max_records and max_answer_megabytes are settings. A grant carries the group's horizon, and a timed key past it is refused and released; the margin for clocks is an hour, at most a quarter of the horizon. A node's planned stop waits up to 2 s for completions and releases on their way. A node's certificate can't answer as a claims replica any more, and the client checks its peer's certificate. Ruled out: moving records between groups online (a second owner of each record while it moves), refusing to change online (the two-set step makes it whole at the price of two claims a call for a horizon).

--- a/src/peppershore/connection/authorization.py
+++ b/src/peppershore/connection/authorization.py
@@ -27,14 +27,15 @@
 SESSION_TAGS = frozenset(range(1, 20))
 CONSENSUS_TAGS = frozenset(range(70, 90))
 OPERATOR_TAGS = frozenset(range(90, 120))
-CLAIMS_TAGS = frozenset(range(120, 140))
+CLAIM_ASK_TAGS = frozenset({120, 124, 125})
+CLAIM_ANSWER_TAGS = frozenset({121, 122, 123, 126})
 CALL_TAGS = frozenset(range(140, 160))
 
 SENDER_TAGS: dict[str, frozenset[int]] = {
     "control": frozenset({51, 52, 54}) | CONSENSUS_TAGS | OPERATOR_TAGS,
     "relay": frozenset({21, 22, 25, 41, 42, 43, 44, 45, 46, 47, 50, 53, 55}),
-    "node": frozenset({20, 23, 24, 26, 40, 46}) | CLAIMS_TAGS | CALL_TAGS,
-    "claims": frozenset({92, 101}) | CONSENSUS_TAGS | CLAIMS_TAGS,
+    "node": frozenset({20, 23, 24, 26, 40, 46}) | CLAIM_ASK_TAGS | CALL_TAGS,
+    "claims": frozenset({92, 101}) | CONSENSUS_TAGS | CLAIM_ANSWER_TAGS,
     "operator": OPERATOR_TAGS,
 }
 """The tags that each role sends, besides the session's."""
--- a/src/peppershore/connection/messages.py
+++ b/src/peppershore/connection/messages.py
@@ -564,6 +564,9 @@
 # --- claims ------------------------------------------------------------------
 
 
+DEFAULT_HORIZON_SECONDS = 86_400
+
+
 class ClaimRequest(Message, frozen=True, tag=120):
     """Ask to be the one attempt that may run the call named ``key``.
 
@@ -577,9 +580,13 @@
 
 
 class ClaimGranted(Message, frozen=True, tag=121):
-    """The attempt holds the claim; a quorum has it on disk."""
+    """The attempt holds the claim; a quorum has it on disk.
+
+    ``horizon_seconds`` is for how long the group keeps records at least.
+    """
 
     request: int
+    horizon_seconds: int = DEFAULT_HORIZON_SECONDS
 
 
 class KeptAnswer(msgspec.Struct, frozen=True, array_like=True):
--- a/src/peppershore/process/claims/client.py
+++ b/src/peppershore/process/claims/client.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import secrets
 import ssl
 
 from returns.result import Failure, Result, Success
 
+from peppershore.connection.authorization import Authorize, allow_all
 from peppershore.connection.messages import KeptAnswer
+from peppershore.process import events
 from peppershore.process.claims.client_core import ClaimClientCore
 from peppershore.process.claims.wants import (
     ClaimWanted,
@@ -39,11 +42,17 @@
         addresses: tuple[str, ...],
         notice_sink: NoticeSink,
         client_tls: ssl.SSLContext | None = None,
+        authorize: Authorize = allow_all,
     ) -> None:
-        """Know the replicas' addresses; connect at the first want."""
+        """Know the replicas' addresses; connect at the first want.
+
+        ``authorize`` refuses messages that a peer's certificate does not allow.
+        """
         self.client = ClaimClientCore(addresses, secrets.randbits(SEED_BITS))
-        super().__init__(self.client, notice_sink, client_tls)
+        super().__init__(self.client, notice_sink, client_tls, authorize=authorize)
         self._requests = itertools.count(1)
+        self._settled = asyncio.Event()
+        self._settled.set()
         self._waiting: dict[int, asyncio.Future[WantOutcome]] = {}
         self.handle(FinishWant, self._finish_want)
 
@@ -65,6 +74,20 @@
         """Let the call be claimed again: this attempt provably did not run."""
         self.dispatch(ReleaseWanted(next(self._requests), key, attempt))
 
+    async def settle(self, seconds: float) -> None:
+        """Wait until all notes are on disk, for a planned stop, at most so long."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._settled.wait()
+
+    def dispatch(self, event: events.Event) -> None:
+        """Step the core; note whether anything is still on its way."""
+        super().dispatch(event)
+        if self.client.pending:
+            self._settled.clear()
+        else:
+            self._settled.set()
+
     def _finish_want(self, command: FinishWant) -> None:
         future = self._waiting.pop(command.request, None)
         if future is not None and not future.done():
@@ -73,7 +96,7 @@
 
 def _as_result(outcome: WantOutcome) -> Result[ClaimGranted, ClaimDenied]:
     if isinstance(outcome, WantGranted):
-        return Success(ClaimGranted())
+        return Success(ClaimGranted(outcome.horizon_seconds))
     if isinstance(outcome, WantTaken):
         return Failure(ClaimTaken(outcome.answer))
     return Failure(ClaimUnavailable(outcome.reason))
--- a/src/peppershore/process/claims/client_core.py
+++ b/src/peppershore/process/claims/client_core.py
@@ -237,8 +237,8 @@
         self._link_heard_at = now
         self._choice.answered()
         match event.message:
-            case ClaimGranted(request=request):
-                return self._answered(request, WantGranted(), now)
+            case ClaimGranted(request=request, horizon_seconds=horizon):
+                return self._answered(request, WantGranted(horizon), now)
             case ClaimTaken(request=request, answer=answer):
                 return self._answered(request, WantTaken(answer), now)
             case ClaimNoted(request=request):
--- a/src/peppershore/process/claims/core.py
+++ b/src/peppershore/process/claims/core.py
@@ -47,6 +47,7 @@
 MAX_WAITING = 20_000
 CLOCK_SECONDS = 1.0
 MILLISECONDS = 1_000
+BYTES_PER_MEGABYTE = 1_048_576
 REASON_BUSY = "busy"
 CLAIMS_ROLE = "claims"
 OPERATOR_ROLE = "operator"
@@ -67,12 +68,23 @@
 
     def __init__(self, settings: ClaimsSettings, stored: StoredState) -> None:
         """Take up a stored state; nothing happens before ``Started``."""
-        table = ClaimTable(settings.horizon_seconds * MILLISECONDS)
+        table = ClaimTable(
+            settings.horizon_seconds * MILLISECONDS,
+            settings.max_records,
+            settings.max_answer_megabytes * BYTES_PER_MEGABYTE,
+        )
+        self._horizon_seconds = settings.horizon_seconds
         self.machine = ClaimsMachine(table)
         super().__init__(_replica_settings(settings), stored, self.machine)
         self._identities: dict[LinkId, str] = {}
         self._waiting: dict[int, WaitingAsk] = {}
         self._clock_proposed_at = 0.0
+        self.refused_busy = 0
+
+    @property
+    def waiting(self) -> int:
+        """Asks that wait for a quorum."""
+        return len(self._waiting)
 
     # --- hooks of the replica core -------------------------------------------
 
@@ -136,6 +148,7 @@
             self._refuse(link, ask.request, REASON_NOT_LEADER)
             return
         if len(self._waiting) >= MAX_WAITING:
+            self.refused_busy += 1
             self._refuse(link, ask.request, REASON_BUSY)
             return
         entry = _entry_of(ask)
@@ -153,7 +166,18 @@
         if ask is None:
             return
         assert ask.entry == applied.entry, "another entry committed at a proposed index"
-        self.send(ask.link, _message_of(ask.request, applied.answer))
+        self.send(ask.link, self._message_of(ask.request, applied.answer))
+
+    def _message_of(self, request: int, answer: TableAnswer) -> Message:
+        match answer:
+            case Granted():
+                return ClaimGranted(request, self._horizon_seconds)
+            case Taken():
+                return ClaimTaken(request, answer.answer)
+            case TableFull():
+                return ClaimRefused(request, REASON_FULL)
+            case Noted():
+                return ClaimNoted(request)
 
     def _change_membership(self, link: LinkId, change: MembershipChange) -> None:
         if self.leads and not self.stopping:
@@ -181,18 +205,6 @@
             return ReleaseEntry(ask.key, ask.attempt)
 
 
-def _message_of(request: int, answer: TableAnswer) -> Message:
-    match answer:
-        case Granted():
-            return ClaimGranted(request)
-        case Taken():
-            return ClaimTaken(request, answer.answer)
-        case TableFull():
-            return ClaimRefused(request, REASON_FULL)
-        case Noted():
-            return ClaimNoted(request)
-
-
 def _replica_settings(settings: ClaimsSettings) -> ReplicaSettings:
     consensus = ConsensusSettings(
         replica=settings.replica,
--- a/src/peppershore/process/claims/keys.py
+++ b/src/peppershore/process/claims/keys.py
@@ -3,8 +3,8 @@
 A claims group forgets a record after its horizon, so a key resent later could
 run again.  Keys that are UUID version 7 (RFC 9562, section 5.7) carry the time
 they were made; such a key is refused once it is older than the horizon less a
-margin for clocks that differ.  Other keys are taken as they are, and callers
-must not resend them past the horizon.
+margin for clocks that differ (an hour, at most a quarter of the horizon).  Other
+keys are taken as they are, and callers must not resend them past the horizon.
 """
 
 from __future__ import annotations
@@ -17,6 +17,9 @@
 MAX_KEY_LENGTH = 200
 MIN_KEY_LENGTH = 8
 CLOCK_MARGIN_MILLISECONDS = 3_600_000
+MARGIN_SHARE = 4
+"""The margin is at most this part (a quarter) of the horizon."""
+
 _UUID_TIME_SHIFT = 80
 _TIMED_UUID_VERSION = 7
 
@@ -40,9 +43,10 @@
     made_at = _made_at(key)
     if made_at is None:
         return Success(key)
-    if made_at < unix_milliseconds - horizon_milliseconds + CLOCK_MARGIN_MILLISECONDS:
+    margin = min(CLOCK_MARGIN_MILLISECONDS, horizon_milliseconds // MARGIN_SHARE)
+    if made_at < unix_milliseconds - horizon_milliseconds + margin:
         return Failure(KeyRefused("key is older than the horizon of claims"))
-    if made_at > unix_milliseconds + CLOCK_MARGIN_MILLISECONDS:
+    if made_at > unix_milliseconds + margin:
         return Failure(KeyRefused("key was made in the future"))
     return Success(key)
 
--- a/src/peppershore/process/claims/shell.py
+++ b/src/peppershore/process/claims/shell.py
@@ -27,5 +27,25 @@
     )
     process = ReplicaProcess(place, lambda stored: ClaimsCore(settings, stored))
     table = process.core.machine.table
-    process.metrics.gauge("claims", "Claimed calls on record.", lambda: table.size)
+    core = process.core
+    gauge = process.metrics.gauge
+    gauge("claims", "Claimed calls on record.", lambda: table.size)
+    gauge("claims_limit", "Records that the table takes.", lambda: table.max_records)
+    gauge("claims_answer_bytes", "Bytes of all kept answers.", lambda: table.answer_bytes)
+    gauge(
+        "claims_refused_full",
+        "Claims refused because the table was full.",
+        lambda: table.refused_full,
+    )
+    gauge("claims_waiting", "Asks that wait for a quorum.", lambda: core.waiting)
+    gauge(
+        "claims_refused_busy",
+        "Asks refused because too many waited.",
+        lambda: core.refused_busy,
+    )
+    gauge(
+        "snapshots_made",
+        "Snapshots made since the start.",
+        lambda: core.snapshots_made,
+    )
     await process.serve(on_ready)
--- a/src/peppershore/process/claims/wants.py
+++ b/src/peppershore/process/claims/wants.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.messages import DEFAULT_HORIZON_SECONDS, KeptAnswer
 from peppershore.process import commands, events
 
 
@@ -35,7 +35,9 @@
 
 
 class WantGranted(msgspec.Struct, frozen=True):
-    """The attempt may run the call, once."""
+    """The attempt may run the call, once; the group keeps records for its horizon."""
+
+    horizon_seconds: int = DEFAULT_HORIZON_SECONDS
 
 
 class WantTaken(msgspec.Struct, frozen=True):
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -12,7 +12,7 @@
 
 from peppershore.process import events
 from peppershore.process.admin_http import AdminServer, Readiness
-from peppershore.process.claims.client import ClaimClientShell
+from peppershore.process.claims.node_claims import node_claims
 from peppershore.process.commands import Notice
 from peppershore.process.configuration_page import (
     CONFIGURATION_PATH,
@@ -39,6 +39,9 @@
 GONE_NOTICE_SECONDS = 0.1
 """Time for the last announcement to leave before the links are closed."""
 
+CLAIMS_NOTED_SECONDS = 2.0
+"""Time for the last answers and releases to reach the claims group's disks."""
+
 
 class StoredStateUnusable(Notice, frozen=True):
     """The stored file is not used; the node takes only confirmed versions."""
@@ -145,7 +148,7 @@
         client_tls=security.client,
         server_tls=security.server,
     )
-    claims = _claims_client(settings, metrics, security)
+    claims = node_claims(settings, metrics, security)
     if claims is not None:
         data_plane.use_claims(claims)
     addresses = await data_plane.start()
@@ -172,21 +175,12 @@
     await shell.close()
     await data_plane.close()
     if claims is not None:
+        await claims.settle(CLAIMS_NOTED_SECONDS)
         await claims.close()
     await admin.close()
     security.close()
 
 
-def _claims_client(
-    settings: NodeSettings, metrics: ProcessMetrics, security: LinkSecurity
-) -> ClaimClientShell | None:
-    """Give the client of the claims group, if the settings name one."""
-    if not settings.claims:
-        return None
-    addresses = tuple(replica.address for replica in settings.claims)
-    return ClaimClientShell(addresses, metrics.notice, security.client)
-
-
 def _add_gauges(metrics: ProcessMetrics, core: NodeCore, shell: Shell) -> None:
     metrics.gauge("bytes_sent", "Bytes sent on links.", lambda: shell.bytes_sent)
     metrics.gauge(
--- a/src/peppershore/process/settings_loader.py
+++ b/src/peppershore/process/settings_loader.py
@@ -211,7 +211,7 @@
 
 def _check_node(settings: NodeSettings) -> list[SettingProblem]:
     problems = _check_names("relays", [peer.name for peer in settings.relays])
-    problems += _check_names("claims", [peer.name for peer in settings.claims], empty=True)
+    problems += _check_claims(settings)
     if settings.backend and not settings.internal_listen:
         reason = "is empty, but there is a backend"
         allowed = "an address where other nodes reach this one"
@@ -219,6 +219,34 @@
     return problems
 
 
+def _check_claims(settings: NodeSettings) -> list[SettingProblem]:
+    """Check one group under ``claims``, or several under ``claims_groups``."""
+    problems = _check_names("claims", [peer.name for peer in settings.claims], empty=True)
+    groups = (
+        ("claims_groups", settings.claims_groups),
+        ("previous_claims_groups", settings.previous_claims_groups),
+    )
+    for key, listed in groups:
+        problems += _check_names(key, [group.name for group in listed], empty=True)
+        for group in listed:
+            names = [peer.name for peer in group.replicas]
+            problems += _check_names(f"{key}.replicas", names)
+    if settings.claims and settings.claims_groups:
+        reason = "is given besides claims"
+        problems.append(SettingProblem("claims_groups", reason, "one of the two"))
+    if settings.previous_claims_groups and not settings.claims_groups:
+        reason = "is given without claims_groups"
+        allowed = "the groups that are left, besides those that are used"
+        problems.append(SettingProblem("previous_claims_groups", reason, allowed))
+    current = {group.name: group.replicas for group in settings.claims_groups}
+    for group in settings.previous_claims_groups:
+        if current.get(group.name, group.replicas) != group.replicas:
+            reason = f"has other replicas for {group.name!r} than claims_groups"
+            allowed = "the same replicas, or another name"
+            problems.append(SettingProblem("previous_claims_groups", reason, allowed))
+    return problems
+
+
 def _check_names(key: str, names: list[str], empty: bool = False) -> list[SettingProblem]:
     problems: list[SettingProblem] = []
     if not names and not empty:
--- a/src/peppershore/process/settings_rules.py
+++ b/src/peppershore/process/settings_rules.py
@@ -134,6 +134,8 @@
     "stop_bound_milliseconds": between(0, 3_600_000, "milliseconds"),
     "timeout_milliseconds": between(1, 86_400_000, "milliseconds"),
     "horizon_seconds": between(1, 31_536_000, "seconds"),
+    "max_records": between(1, 50_000_000, "records"),
+    "max_answer_megabytes": between(0, 65_536, "megabytes"),
 }
 """The rule of each field name, the same in every kind of settings."""
 
--- a/src/peppershore/request/claim.py
+++ b/src/peppershore/request/claim.py
@@ -8,7 +8,7 @@
 import msgspec
 from returns.result import Result
 
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.messages import DEFAULT_HORIZON_SECONDS, KeptAnswer
 from peppershore.request.classification import CallPlan
 
 CALLER_DIGEST_DIGITS = 16
@@ -18,7 +18,12 @@
 
 
 class ClaimGranted(msgspec.Struct, frozen=True):
-    """This attempt, and no other, may run the call of that key."""
+    """This attempt, and no other, may run the call of that key.
+
+    The record is kept for ``horizon_seconds`` at least.
+    """
+
+    horizon_seconds: int = DEFAULT_HORIZON_SECONDS
 
 
 class ClaimTaken(msgspec.Struct, frozen=True):
--- a/tests/claims/test_claim_keys.py
+++ b/tests/claims/test_claim_keys.py
@@ -37,3 +37,17 @@
 @given(st.text(max_size=300))
 def test_no_text_raises(key):
     check_key(key, NOW, DAY)
+
+
+@given(st.integers(4, DAY), st.integers(-DAY, DAY), st.integers(-DAY, DAY))
+def test_a_timed_key_is_taken_within_one_horizon_only(horizon, first, second):
+    """Whenever two nodes take the same key, its first record is still kept."""
+    key = timed_key(NOW)
+    if all(is_successful(check_key(key, NOW + at, horizon)) for at in (first, second)):
+        assert abs(first - second) <= horizon
+
+
+def test_a_short_horizon_still_takes_fresh_keys():
+    assert is_successful(check_key(timed_key(NOW), NOW, 600_000))
+    assert is_successful(check_key(timed_key(NOW - 449_000), NOW, 600_000))
+    assert not is_successful(check_key(timed_key(NOW - 451_000), NOW, 600_000))
