--- a/src/peppershore_lab/experiments/definition.py
+++ b/src/peppershore_lab/experiments/definition.py
@@ -139,8 +139,8 @@
     proxy could be reached again) to in force.  ``answered_share`` is that of all
     calls.  ``goodput_share`` compares the answers a second between
     ``goodput_from_seconds`` and ``goodput_until_seconds`` with
-    ``capacity_per_second``.  ``recovered_share`` is the share of calls answered
-    in the last ``recovered_seconds``.
+    ``capacity_per_second``.  ``recovered_share`` is the share answered at last of
+    the calls begun in the last ``recovered_seconds``.
     """
 
     convergence_milliseconds: float = 5_000.0
--- a/src/peppershore_lab/experiments/limits.py
+++ b/src/peppershore_lab/experiments/limits.py
@@ -65,8 +65,8 @@
         if load_seconds - limits.recovered_seconds <= each.second < load_seconds
     ]
     offered = sum(each.offered for each in window)
-    answered = sum(each.answered for each in window)
-    share = answered / offered if offered else 0.0
+    served = sum(each.served for each in window)
+    share = served / offered if offered else 0.0
     problems = [f"{share:.4f}"] if share < limits.recovered_share else []
     promise = f"at the end at least {limits.recovered_share:.1%} are answered again"
     yield judge(promise, offered, problems)
--- a/src/peppershore_lab/experiments/measures.py
+++ b/src/peppershore_lab/experiments/measures.py
@@ -55,10 +55,14 @@
 
 
 class SecondOfCalls(msgspec.Struct, frozen=True, kw_only=True):
-    """Calls of one second of the run: begun in it, and answered in it."""
+    """Calls of one second of the run: begun in it, and ended in it.
+
+    ``served`` counts those begun in it that were answered at last, also by a resend.
+    """
 
     second: int
     offered: int
+    served: int
     answered: int
     not_run: int
     unknown: int
@@ -168,15 +172,20 @@
     for call in calls:
         begun[int(call.intended_unix_seconds - run.began)].append(call)
         ended[int(call.ended_unix_seconds - run.began)].append(call)
+    answered_keys = {call.idempotency_key for call in calls if is_good(call)} - {""}
     return tuple(
-        _one_second(second, begun[second], ended[second])
+        _one_second(second, begun[second], ended[second], answered_keys)
         for second in range(int(run.ended - run.began) + 1)
     )
 
 
 def _one_second(
-    second: int, begun: list[CallRecord], ended: list[CallRecord]
+    second: int,
+    begun: list[CallRecord],
+    ended: list[CallRecord],
+    answered_keys: set[str],
 ) -> SecondOfCalls:
+    offered = [call for call in begun if call.attempt == 1]
     waits = sorted(
         (call.ended_unix_seconds - call.intended_unix_seconds) * MILLISECONDS
         for call in begun
@@ -186,7 +195,10 @@
     good = sum(1 for call in ended if is_good(call))
     return SecondOfCalls(
         second=second,
-        offered=sum(1 for call in begun if call.attempt == 1),
+        offered=len(offered),
+        served=sum(
+            1 for call in offered if is_good(call) or call.idempotency_key in answered_keys
+        ),
         answered=good,
         not_run=outcomes["not-run"],
         unknown=len(ended) - good - outcomes["not-run"],
--- a/tests/lab/test_experiment_results.py
+++ b/tests/lab/test_experiment_results.py
@@ -29,10 +29,10 @@
 )
 
 
-def call(intended, seconds, outcome="answered", attempt=1, **fields):
+def call(intended, seconds, outcome="answered", attempt=1, key="", **fields):
     return CallRecord(
         request_id="c1",
-        idempotency_key="",
+        idempotency_key=key,
         kind="kuitti/check",
         method="GET",
         path="/kuitti/check",
@@ -74,11 +74,26 @@
     assert (measured.offered, measured.sent, measured.answered) == (4, 5, 2)
     assert [each.answered for each in measured.seconds[:2]] == [1, 1]
     assert [each.offered for each in measured.seconds] == [2, 0, 1, 1, 0]
+    assert [each.served for each in measured.seconds] == [2, 0, 0, 0, 0]
     assert measured.seconds[3].not_run == 1
     assert measured.seconds[3].unknown == 2
     assert measured.p99_milliseconds == pytest.approx(500, rel=0.01)
 
 
+def test_a_call_that_a_resend_answers_is_served_in_its_own_second():
+    calls = [
+        call(100.5, 0.1, "unknown", key="k1"),
+        call(102.0, 0.1, attempt=2, key="k1"),
+        call(100.6, 0.1, "unknown", key="k2"),
+    ]
+    seconds = measure_calls(calls, RUN).seconds
+    assert [(each.offered, each.served, each.answered) for each in seconds[:3]] == [
+        (2, 1, 0),
+        (0, 0, 0),
+        (0, 0, 1),
+    ]
+
+
 def test_bytes_of_a_relay_that_began_again_are_added_to_what_it_sent_before():
     sampler = ControlByteSampler(LAYOUT.relays)
     for relay, counter in [("a", 100), ("b", 10), ("a", 150), ("a", 30), ("a", 40)]:
