--- a/src/peppershore_lab/claims_trial/faults.py
+++ b/src/peppershore_lab/claims_trial/faults.py
@@ -39,8 +39,11 @@
 class FaultSchedule:
     """Brings faults about until it is cancelled; afterwards everything runs again."""
 
-    def __init__(self, fleet: Fleet, seed: int) -> None:
-        """Choose faults from ``seed``; every kind once before any is repeated."""
+    def __init__(self, fleet: Fleet, seed: int, only: tuple[str, ...] = ()) -> None:
+        """Choose faults from ``seed``; every kind once before any is repeated.
+
+        ``only``: no other kinds than these; empty for all.
+        """
         self.marks: list[FaultMark] = []
         self._fleet = fleet
         self._random = random.Random(f"faults/{seed}")
@@ -58,6 +61,7 @@
             "claims-quorum-lost": self._quorum_lost,
             "owner-and-backend-killed": self._owner_and_backend_killed,
         }
+        self._kinds = {name: self._kinds[name] for name in only or self._kinds}
 
     @property
     def kinds(self) -> tuple[str, ...]:
--- a/src/peppershore_lab/claims_trial/trial.py
+++ b/src/peppershore_lab/claims_trial/trial.py
@@ -37,13 +37,18 @@
 
 
 class TrialPlan(msgspec.Struct, frozen=True):
-    """How long, how fast, and from which seed."""
+    """How long, how fast, and from which seed.
+
+    ``faults`` names the kinds of faults, empty for all.
+    """
 
     seed: int = 1
     seconds: float = 30.0
     payouts_per_second: float = 60.0
     upstreams: int = 3
     edges_per_zone: int = 1
+    faults: tuple[str, ...] = ()
+    claims_replicas: int = 3
 
 
 class TrialResult(msgspec.Struct, frozen=True):
@@ -94,7 +99,7 @@
         services=(service,),
         replicas=1,
         edges_per_zone=plan.edges_per_zone,
-        claims_replicas=3,
+        claims_replicas=plan.claims_replicas,
         emulated_links="none",
     )
 
@@ -108,7 +113,7 @@
         progress(f"fleet of {len(fleet.processes)} processes up in {up.seconds:.1f} s")
         nodes = tuple(edge.http_address for edge in fleet.layout.edges)
         caller = PayoutCaller(nodes, fleet.journal_path(CALLER), plan.seed)
-        schedule = FaultSchedule(fleet, plan.seed)
+        schedule = FaultSchedule(fleet, plan.seed, plan.faults)
         await asyncio.gather(
             caller.run(plan.payouts_per_second, plan.seconds),
             schedule.run(plan.seconds),
