Limits: connections to a back end are bounded over all nodes together

Cause: a node that had borrowed slots kept its connections for 20 s after the loan was over, so nodes that borrow in turn add up past the back end's bound: 13 connections with 4 slots in the test of 12 nodes, and without end with more nodes. Ruled out: a count of connections at the owner, since it cannot see them; the loan already names how many calls may run. Now a node holds at most one connection a slot that it was lent, and closes the rest when the loan shrinks, lapses or is lost. Measured: both new tests fail on the code before and pass after (8 connections at most); tests/data_plane passes. Conclusion: the owner's own connections plus one a slot lent, at most twice the slots.

--- a/src/peppershore/connection/http_pool.py
+++ b/src/peppershore/connection/http_pool.py
@@ -60,12 +60,18 @@
 
     def give_back(self, connection: ClientConnection) -> None:
         """Keep a connection whose exchange is over, if it can be used again."""
-        if self._closed or not connection.usable:
+        if self._closed or self.connections > self.bound or not connection.usable:
             self._discard(connection)
             return
         connection.last_used = asyncio.get_running_loop().time()
         self._idle.append(connection)
 
+    def limit(self, bound: int) -> None:
+        """Change the bound; idle connections above it are closed at once."""
+        self.bound = bound
+        while self._idle and self.connections > bound:
+            self._discard(self._idle.pop(0))
+
     def trim(self, now: float) -> None:
         """Close connections that were idle for long."""
         while self._idle and now - self._idle[0].last_used > IDLE_SECONDS:
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -96,6 +96,7 @@
         self._notice_sink = notice_sink
         self._random = random
         self._links = links
+        links.on_allowance = self._limit_borrowed
         self._audience = AudienceCheck()
         self._voucher = Voucher(settings.service)
         self._rates = CallerRates()
@@ -103,6 +104,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._endpoints: dict[str, tuple[Endpoint, ...]] = {}
         self._pools: dict[str, ConnectionPool] = {}
+        self._borrowed: dict[str, ConnectionPool] = {}
         self._waiting: dict[int, Call] = {}
         self._live: set[Call] = set()
         self._ticket_numbers = itertools.count(1)
@@ -251,7 +253,7 @@
         if plan.hop == "direct":
             address = endpoint.owner_address
             if self._links.borrow(address, self.loop.time()):
-                pool = self._pool(endpoint)
+                pool = self._borrowed_pool(endpoint)
                 return DirectAttempt(
                     pool, request, sink, lambda: self._links.give_back(address)
                 )
@@ -391,10 +393,28 @@
             self._pools[endpoint.address] = pool
         return pool
 
+    def _borrowed_pool(self, endpoint: Endpoint) -> ConnectionPool:
+        """Give connections to another node's back end, one a slot that it lends.
+
+        So the back end's connections are bounded over all nodes together.
+        """
+        pool = self._pool(endpoint)
+        self._borrowed[endpoint.owner_address] = pool
+        pool.limit(self._links.allowance(endpoint.owner_address))
+        return pool
+
+    def _limit_borrowed(self, owner_address: str, connections: int) -> None:
+        pool = self._borrowed.get(owner_address)
+        if pool is not None:
+            pool.limit(connections)
+
     def _close_unused(self, endpoints: tuple[Endpoint, ...]) -> None:
         addresses = {endpoint.address for endpoint in endpoints}
         for address in [known for known in self._pools if known not in addresses]:
             self._pools.pop(address).close()
+        live = {endpoint.owner_address for endpoint in endpoints}
+        for address in [known for known in self._borrowed if known not in live]:
+            del self._borrowed[address]
         self._links.keep_only(frozenset(endpoint.owner_address for endpoint in endpoints))
 
     def _start_all_waiting(self) -> None:
--- a/src/peppershore/process/node/data/owner_links.py
+++ b/src/peppershore/process/node/data/owner_links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import ssl
+from collections.abc import Callable
 
 from peppershore.connection.call_link import CallLink
 from peppershore.connection.link import open_link
@@ -34,6 +35,7 @@
 
     def __init__(self, hello: CallLinkHello, tls: ssl.SSLContext | None) -> None:
         """``hello`` introduces this node."""
+        self.on_allowance: Callable[[str, int], None] = lambda address, connections: None
         self._hello = hello
         self._tls = tls
         self._owners: dict[str, _Owner] = {}
@@ -59,14 +61,21 @@
         """Free a slot taken by ``borrow``."""
         owner = self._owner(address)
         kept = owner.borrower.give_back()
+        self.on_allowance(address, self.allowance(address))
         if kept is not None and owner.link is not None:
             owner.link.send(SlotsReturned(owner.borrower.number, kept))
 
+    def allowance(self, address: str) -> int:
+        """Connections that this node may hold to the owner's back end now."""
+        now = asyncio.get_running_loop().time()
+        return self._owner(address).borrower.allowance(now)
+
     def renew(self, now: float) -> None:
         """Renew the loans that are in use; forget what is not wanted."""
         for address, owner in self._owners.items():
             if owner.link is not None:
                 self._ask(address, owner, now)
+            self.on_allowance(address, owner.borrower.allowance(now))
 
     def keep_only(self, addresses: frozenset[str]) -> None:
         """Close links to owners that are gone and have no stream open."""
@@ -125,21 +134,26 @@
             attempt.link_open(link)
 
     def _other_message(self, link: CallLink, message: Message) -> None:
-        owner = self._owner_of(link)
-        if owner is not None and isinstance(message, SlotsLent):
-            link.send(owner.borrower.lent(message))
+        address = self._address_of(link)
+        if address is None or not isinstance(message, SlotsLent):
+            return
+        returned = self._owners[address].borrower.lent(message)
+        self.on_allowance(address, self.allowance(address))
+        link.send(returned)
 
     def _lost(self, link: CallLink, reason: str) -> None:
         del reason
-        owner = self._owner_of(link)
-        if owner is not None:
+        address = self._address_of(link)
+        if address is not None:
+            owner = self._owners[address]
             owner.link = None
             owner.borrower.lost()
+            self.on_allowance(address, self.allowance(address))
 
-    def _owner_of(self, link: CallLink) -> _Owner | None:
-        for owner in self._owners.values():
+    def _address_of(self, link: CallLink) -> str | None:
+        for address, owner in self._owners.items():
             if owner.link is link:
-                return owner
+                return address
         return None
 
 
--- a/src/peppershore/request/slot_loans.py
+++ b/src/peppershore/request/slot_loans.py
@@ -123,6 +123,11 @@
         """The grant held."""
         return self._number
 
+    def allowance(self, now: float) -> int:
+        """Connections that this node may hold to the back end now: one a slot."""
+        held = self._held if now < self._until else 0
+        return max(held, self.in_use)
+
     def take(self, now: float) -> bool:
         """Use one slot, if one is held and free."""
         self._peak = max(self._peak, self.in_use + 1)
--- a/tests/data_plane/test_call_outcomes.py
+++ b/tests/data_plane/test_call_outcomes.py
@@ -29,8 +29,9 @@
     CallUnknown,
     KeptAnswer,
 )
+from peppershore.process.node import data_plane
 from peppershore.process.node.data import call as call_module
-from peppershore.request import deadline
+from peppershore.request import deadline, slot_loans
 from peppershore.request.audience import sign_token
 from peppershore.request.claim import (
     ClaimDenied,
@@ -358,6 +359,66 @@
     run(scene())
 
 
+def test_connections_of_a_loan_that_is_over_are_closed() -> None:
+    """Kept ones of many nodes would pass the back end's bound in time."""
+
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        owner = Node("k1", await backend.start())
+        await owner.start()
+        edge = Node()
+        address = await edge.start(
+            endpoint(backend.address, owner_address=owner.addresses.internal)
+        )
+        await call(address)
+        await until(lambda: owner.plane.lent_slots == 1)
+        await call(address)
+        assert backend.open == 2
+        await until(lambda: owner.plane.lent_slots == 0)
+        await until(lambda: backend.open == 1)
+        await edge.plane.close()
+        await owner.plane.close()
+        backend.stop()
+
+    run(scene())
+
+
+def test_connections_are_bounded_over_all_nodes_together(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nodes that borrow slots one after the other leave no connections behind."""
+    monkeypatch.setattr(slot_loans, "RENEW_SECONDS", 0.05)
+    monkeypatch.setattr(data_plane, "TICK_SECONDS", 0.02)
+    slots, most = 4, 0
+
+    async def counted(request: Received, writer: asyncio.StreamWriter) -> None:
+        nonlocal most
+        most = max(most, backend.open)
+        await answer_ok(request, writer)
+
+    backend = ScriptedBackend(counted)
+
+    async def scene() -> None:
+        owner = Node("k1", await backend.start(), slots=slots)
+        await owner.start()
+        edges = [Node(f"e{number}") for number in range(12)]
+        shared = endpoint(
+            backend.address, owner_address=owner.addresses.internal, slots=slots
+        )
+        for edge in edges:
+            address = await edge.start(shared)
+            while owner.plane.lent_slots == 0:
+                assert (await call(address)).status == 200
+            assert (await call(address)).status == 200
+            await until(lambda: owner.plane.lent_slots == 0)
+        assert 1 < most <= 2 * slots, "the owner's own, and one for each slot lent"
+        for node in (*edges, owner):
+            await node.plane.close()
+        backend.stop()
+
+    run(scene())
+
+
 class FakeClaims:
     """Claims in memory, or nobody there."""
 
