Simulator: what every simulated site has stands in one module

A second kind of site, for a claims group, needs the same machines, faults and replacement of replicas; ReplicaRole boots any replica core.

--- a/src/peppershore_lab/simulator/cluster.py
+++ b/src/peppershore_lab/simulator/cluster.py
@@ -3,13 +3,9 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable
 from dataclasses import dataclass
-from random import Random
 
-from peppershore.process import commands, events
-from peppershore.process.consensus.core import Consensus
-from peppershore.process.consensus.membership import find_member
+from peppershore.process import events
 from peppershore.process.consensus.records import StoredState
 from peppershore.process.control.core import ControlCore
 from peppershore.process.node.core import NodeCore, NodeMemory
@@ -24,26 +20,14 @@
 )
 from peppershore.version.model import Scope
 from peppershore_lab.simulator.accepted_log import AcceptedLog
-from peppershore_lab.simulator.administrator import (
-    AdministratorCore,
-    Replacement,
-    Replacements,
-)
 from peppershore_lab.simulator.checks import Checks
 from peppershore_lab.simulator.edit_generator import BACK_END_SERVICES, EDGE_SERVICE, ZONES
-from peppershore_lab.simulator.host_clock import HostClock
-from peppershore_lab.simulator.network import Network
 from peppershore_lab.simulator.operator import OperatorCore
-from peppershore_lab.simulator.process import Role, SimulatedProcess
-from peppershore_lab.simulator.roles import ControlRole, NodeRole, PlainRole
-from peppershore_lab.simulator.scheduler import Scheduler
-from peppershore_lab.simulator.trace import TraceTail
+from peppershore_lab.simulator.process import SimulatedProcess
+from peppershore_lab.simulator.roles import NodeRole, PlainRole, ReplicaRole
+from peppershore_lab.simulator.site import SimulatedSite
 
 CLUSTER = "simulated"
-MAX_CLOCK_OFFSET_SECONDS = 10_000.0
-MAX_CLOCK_DRIFT = 0.0005
-"""Half a millisecond a second: within the drift bound that the lease states."""
-TRACE_STEPS = 60
 INCARNATIONS_PER_SECOND = 1_000
 
 
@@ -71,18 +55,13 @@
     node: type[NodeCore] = NodeCore
 
 
-class Cluster:
+class Cluster(SimulatedSite):
     """All processes, the network between them, and the checks of every step."""
 
     def __init__(self, shape: ClusterShape, seed: int, makers: CoreMakers) -> None:
         """Make the machines; nothing runs before ``start``."""
+        super().__init__(seed)
         self.shape = shape
-        self.scheduler = Scheduler()
-        self.randomness = Random(seed)
-        self.network = Network(self.scheduler, self.randomness)
-        self.trace = TraceTail(TRACE_STEPS)
-        self.steps = 0
-        self.replacements = Replacements()
         self._makers = makers
         self._starts = itertools.count(1)
         self._replica_peers = tuple(
@@ -105,18 +84,9 @@
         self.operators = [
             self._operator(number) for number in range(1, shape.operators + 1)
         ]
-        self.administrators = [self._administrator()] if shape.has_administrator else []
-
-    @property
-    def processes(self) -> list[SimulatedProcess]:
-        """All of them."""
-        return [
-            *self.replicas,
-            *self.relays,
-            *self.nodes,
-            *self.operators,
-            *self.administrators,
-        ]
+        if shape.has_administrator:
+            addresses = tuple(peer.address for peer in self._replica_peers)
+            self.administrators = [self.make_administrator(addresses)]
 
     @property
     def zones(self) -> tuple[str, ...]:
@@ -137,50 +107,12 @@
         ]
         return [*relays, *nodes]
 
-    def replace(self, victim: SimulatedProcess, when_done: Callable[[], None]) -> None:
-        """Have the administrator replace a replica whose disk is lost."""
-        self.replacements.add(
-            Replacement(
-                victim.name, victim.address, lambda: self._is_voter(victim), when_done
-            )
-        )
-
-    def is_group_whole(self) -> bool:
-        """Whether every replica is a voter, as the leader's committed log has it."""
-        return all(self._is_voter(process) for process in self.replicas)
-
-    def start(self) -> None:
-        """Start everything at once."""
-        for process in self.processes:
-            process.start()
-
-    def stepped(
-        self, process: SimulatedProcess, event: events.Event, out: list[commands.Command]
-    ) -> None:
-        """Note and check one step (the ``Trace`` of all processes)."""
-        self.steps += 1
-        self.trace.add(self.scheduler.now, process.name, event, out)
+    def check_step(self, process: SimulatedProcess, event: events.Event) -> None:
+        """Check the promises after a step; a node's back end is soon ready."""
         self.checks.after_step(process)
         if isinstance(event, events.Started) and isinstance(process.core, NodeCore):
             self.scheduler.after(0.1, lambda: self._back_end_ready(process))
 
-    @property
-    def leader(self) -> Consensus | None:
-        """The replica that leads the newest term, if one does."""
-        leading = [
-            process.core.consensus
-            for process in self.replicas
-            if isinstance(process.core, ControlCore) and process.core.leads
-        ]
-        return max(leading, key=lambda consensus: consensus.term, default=None)
-
-    def leader_or_any(self) -> SimulatedProcess:
-        """Give a replica that leads, or a random one."""
-        for process in self.replicas:
-            if isinstance(process.core, ControlCore) and process.core.leads:
-                return process
-        return self.randomness.choice(self.replicas)
-
     def set_operators_active(self, active: bool) -> None:
         """Let operators begin new edits, or only finish those under way."""
         for process in self.operators:
@@ -203,18 +135,6 @@
             return True
         return snapshot.version > 0 and snapshot.digest == wanted
 
-    def _is_voter(self, replica: SimulatedProcess) -> bool:
-        leader = self.leader
-        if leader is None or leader.memberships.current_index > leader.commit_index:
-            return False
-        member = find_member(leader.membership, replica.name)
-        core = replica.core
-        if member is None or not member.voter:
-            return False
-        return not isinstance(core, ControlCore) or (
-            core.consensus.identity == member.identity
-        )
-
     # --- making machines -----------------------------------------------------------------
 
     def _back_end_ready(self, process: SimulatedProcess) -> None:
@@ -237,11 +157,11 @@
             change_id_horizon=self.shape.change_id_horizon,
         )
 
-        def make(of: ControlSettings, stored: StoredState) -> ControlCore:
-            return self._makers.control(of, stored)
+        def make(stored: StoredState) -> ControlCore:
+            return self._makers.control(settings, stored)
 
-        role = ControlRole(settings, make, lambda: self.randomness.getrandbits(62))
-        return self._machine(peer.name, peer.address, role)
+        role = ReplicaRole(make, lambda: self.randomness.getrandbits(62))
+        return self.make_machine(peer.name, peer.address, role)
 
     def _relay(self, peer: PeerRelay) -> SimulatedProcess:
         settings = RelaySettings(
@@ -254,7 +174,7 @@
             batching_milliseconds=self.shape.batching_milliseconds,
         )
         role = PlainRole(lambda: self._makers.relay(settings))
-        return self._machine(peer.name, peer.address, role)
+        return self.make_machine(peer.name, peer.address, role)
 
     def _node(self, number: int) -> SimulatedProcess:
         name = f"n{number}"
@@ -275,34 +195,14 @@
             return self._makers.node(of, memory)
 
         role = NodeRole(settings, make, self._incarnation)
-        return self._machine(name, f"{name}:1", role)
+        return self.make_machine(name, f"{name}:1", role)
 
     def _operator(self, number: int) -> SimulatedProcess:
         name = f"o{number}"
         addresses = tuple(peer.address for peer in self._replica_peers)
         think = self.shape.think_seconds
         role = PlainRole(lambda: OperatorCore(name, addresses, think, self.checks))
-        return self._machine(name, f"{name}:1", role)
-
-    def _administrator(self) -> SimulatedProcess:
-        addresses = tuple(peer.address for peer in self._replica_peers)
-        role = PlainRole(lambda: AdministratorCore(addresses, self.replacements))
-        return self._machine("admin", "admin:1", role)
-
-    def _machine(self, name: str, address: str, role: Role) -> SimulatedProcess:
-        offset = self.randomness.random() * MAX_CLOCK_OFFSET_SECONDS
-        rate = 1.0 + MAX_CLOCK_DRIFT * (2.0 * self.randomness.random() - 1.0)
-        clock = HostClock(self.scheduler, offset, rate)
-        return SimulatedProcess(
-            name,
-            address,
-            role,
-            scheduler=self.scheduler,
-            network=self.network,
-            clock=clock,
-            randomness=self.randomness,
-            trace=self,
-        )
+        return self.make_machine(name, f"{name}:1", role)
 
     def _incarnation(self) -> int:
         return int(self.scheduler.now * INCARNATIONS_PER_SECOND) + next(self._starts)
--- a/src/peppershore_lab/simulator/fault_actions.py
+++ b/src/peppershore_lab/simulator/fault_actions.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 
 from peppershore.process.events import StopRequested
-from peppershore_lab.simulator.cluster import Cluster
 from peppershore_lab.simulator.fault_kinds import Fault
 from peppershore_lab.simulator.process import SimulatedProcess
+from peppershore_lab.simulator.site import SimulatedSite
 
 MAX_CLOCK_JUMP_SECONDS = 20.0
 SLOW_ONE_WAY_SECONDS = 0.08
@@ -34,7 +34,7 @@
 class FaultActions:
     """Brings single faults about, on victims drawn from the cluster's seed."""
 
-    def __init__(self, cluster: Cluster) -> None:
+    def __init__(self, cluster: SimulatedSite) -> None:
         """Act on this cluster."""
         self._cluster = cluster
         self._randomness = cluster.randomness
--- a/src/peppershore_lab/simulator/faults.py
+++ b/src/peppershore_lab/simulator/faults.py
@@ -4,9 +4,9 @@
 
 from random import Random
 
-from peppershore_lab.simulator.cluster import Cluster
 from peppershore_lab.simulator.fault_actions import Action, FaultActions
 from peppershore_lab.simulator.fault_kinds import Fault, FaultPlan
+from peppershore_lab.simulator.site import SimulatedSite
 
 MIN_FAULT_SECONDS = 0.05
 
@@ -14,7 +14,7 @@
 class FaultInjector:
     """Brings faults about while ``is_active`` and undoes each after its time."""
 
-    def __init__(self, cluster: Cluster, plan: FaultPlan) -> None:
+    def __init__(self, cluster: SimulatedSite, plan: FaultPlan) -> None:
         """Plan the first fault."""
         self.is_active = True
         self.injected = 0
--- a/src/peppershore_lab/simulator/roles.py
+++ b/src/peppershore_lab/simulator/roles.py
@@ -19,7 +19,6 @@
     SaveSnapshotPart,
     StoredState,
 )
-from peppershore.process.control.core import ControlCore
 from peppershore.process.core import Core
 from peppershore.process.node.commands import (
     ConfigurationSwapped,
@@ -29,13 +28,11 @@
 )
 from peppershore.process.node.core import NodeCore, NodeMemory
 from peppershore.process.node.inputs import BackendDrained
-from peppershore.process.relay.core import RelayCore
-from peppershore.process.settings import ControlSettings, NodeSettings, RelaySettings
+from peppershore.process.settings import NodeSettings
 from peppershore.version.model import Snapshot
 from peppershore_lab.simulator.process import SimulatedProcess
 
-MakeControlCore = Callable[[ControlSettings, StoredState], ControlCore]
-MakeRelayCore = Callable[[RelaySettings], RelayCore]
+MakeReplicaCore = Callable[[StoredState], Core]
 MakeNodeCore = Callable[[NodeSettings, NodeMemory], NodeCore]
 
 
@@ -67,24 +64,22 @@
         """There is none."""
 
 
-class ControlRole:
-    """A control replica and its log on disk."""
+class ReplicaRole:
+    """A replica of a group and its log on disk."""
 
     def __init__(
         self,
-        settings: ControlSettings,
-        make_core: MakeControlCore,
+        make_core: MakeReplicaCore,
         new_identity: Callable[[], int],
     ) -> None:
         """Begin with a blank store."""
-        self._settings = settings
         self._make_core = make_core
         self._new_identity = new_identity
         self._stored = StoredState(new_identity())
 
     def boot(self) -> Core:
         """Make a core from the stored log."""
-        return self._make_core(self._settings, self._stored)
+        return self._make_core(self._stored)
 
     def write(self, command: commands.PersistRecords) -> None:
         """Take the records of one write, all together."""
