--- a/src/peppershore/process/claims/node_claims.py
+++ b/src/peppershore/process/claims/node_claims.py
@@ -19,6 +19,7 @@
     """Give the client of the claims groups that the settings name, if any."""
     layout = layout_of(settings)
     if layout is None:
+        _add_gauges(metrics, [])
         return None
     clients = {
         name: ClaimClientShell(
--- a/src/peppershore/process/claims/shell.py
+++ b/src/peppershore/process/claims/shell.py
@@ -37,7 +37,7 @@
         "Claims refused because the table was full.",
         lambda: table.refused_full,
     )
-    gauge("claims_waiting", "Asks that wait for a quorum.", lambda: core.waiting)
+    gauge("claims_asks", "Asks that wait for a quorum.", lambda: core.waiting)
     gauge(
         "claims_refused_busy",
         "Asks refused because too many waited.",
