Simulator: a claims group, its nodes and impatient callers under faults

At most once was tried on real processes and in the model, never with the real cores under thousands of fault schedules.

--- a/src/peppershore_lab/simulator/profiles.py
+++ b/src/peppershore_lab/simulator/profiles.py
@@ -6,6 +6,7 @@
 
 from peppershore_lab.simulator.cluster import ClusterShape
 from peppershore_lab.simulator.fault_kinds import Fault, FaultPlan
+from peppershore_lab.simulator.payout_site import PayoutShape
 
 CONTROL_FAULTS = (
     Fault.CRASH_REPLICA,
@@ -44,6 +45,22 @@
     Fault.RESET_LINKS,
     Fault.SLOW_DISK,
 )
+CLAIMS_FAULTS = (
+    Fault.CRASH_REPLICA,
+    Fault.CRASH_ALL_REPLICAS,
+    Fault.FREEZE_REPLICA,
+    Fault.ISOLATE_REPLICA,
+    Fault.ISOLATE_LEADER,
+    Fault.CRASH_NODE,
+    Fault.FREEZE_NODE,
+    Fault.ISOLATE_NODE,
+    Fault.CUT_ONE_WAY,
+    Fault.RESET_LINKS,
+    Fault.SLOW_NETWORK,
+    Fault.JUMP_CLOCK,
+    Fault.REFUSE_DISK,
+    Fault.SLOW_DISK,
+)
 LATER_KINDS = (
     Fault.SLOW_DISK,
     Fault.CRASH_FLEET,
@@ -67,7 +84,19 @@
     convergence_bound_seconds: float = 40.0
 
 
-PROFILES = (
+@dataclass(frozen=True)
+class PayoutProfile:
+    """One way to stress a claims group and its nodes; times in virtual seconds."""
+
+    name: str
+    summary: str
+    shape: PayoutShape
+    faults: FaultPlan
+    fault_seconds: float = 10.0
+    convergence_bound_seconds: float = 20.0
+
+
+PROFILES: tuple[Profile | PayoutProfile, ...] = (
     Profile(
         "mixed",
         "every fault, one after the other and together",
@@ -225,6 +254,18 @@
         ),
         fault_seconds=40.0,
     ),
+    PayoutProfile(
+        "payouts",
+        "calls that may run once are sent again, late and elsewhere, while all fails",
+        PayoutShape(),
+        FaultPlan(CLAIMS_FAULTS, 0.4, 2.0, repeat_share=0.2),
+    ),
+    PayoutProfile(
+        "payout-losses",
+        "the same while disks of claims replicas are lost, two in a row",
+        PayoutShape(mean_gap_seconds=0.05),
+        FaultPlan((*LOSS_FAULTS, Fault.CRASH_NODE, Fault.FREEZE_NODE), 0.4, 2.0),
+    ),
     Profile(
         "zones",
         "a zone with its relays and nodes is cut off from the rest",
@@ -245,6 +286,6 @@
 )
 
 
-def profile_named(name: str) -> Profile | None:
+def profile_named(name: str) -> Profile | PayoutProfile | None:
     """Give the profile of that name."""
     return next((profile for profile in PROFILES if profile.name == name), None)
