Claims client: a group without a leader is asked less and less often

The pause doubles with each round of all replicas, up to 0.4 s, and only the first refusal in a row is logged.

--- a/src/peppershore/process/claims/client_core.py
+++ b/src/peppershore/process/claims/client_core.py
@@ -45,7 +45,6 @@
 
 STALL_SECONDS = 0.4
 TICK_SECONDS = 0.1
-RECONNECT_SECONDS = 0.05
 NOTE_RESEND_SECONDS = 1.0
 PATIENCE_SECONDS = 1.5
 """Silence of the whole group after which it is unavailable; a change of leader
@@ -221,11 +220,14 @@
         return result
 
     def _leave(self, address: str, reason: str, now: float) -> list[commands.Command]:
-        notice = ClaimsLinkLost(address, reason, len(self.table))
         self._link = None
         self._link_ready = False
-        wait = max(RECONNECT_SECONDS, self._choice.wait_seconds(now))
-        return [commands.Report(notice), commands.SetTimer(RECONNECT_TIMER, wait)]
+        wait = max(self._choice.pause_seconds, self._choice.wait_seconds(now))
+        retry = commands.SetTimer(RECONNECT_TIMER, wait)
+        if self._choice.looking_for_leader:
+            return [retry]
+        notice = ClaimsLinkLost(address, reason, len(self.table))
+        return [commands.Report(notice), retry]
 
     # --- answers -------------------------------------------------------------
 
@@ -265,6 +267,7 @@
     def _group_answered(self, now: float) -> list[commands.Command]:
         """A quorum works: it committed what it answers about."""
         self._group_heard_at = now
+        self._choice.group_answered()
         since = self._unavailable_since
         if since is None:
             return []
--- a/src/peppershore/process/claims/replica_choice.py
+++ b/src/peppershore/process/claims/replica_choice.py
@@ -15,6 +15,11 @@
 BACKOFF_BASE_SECONDS = 0.4
 BACKOFF_CEILING_SECONDS = 2.0
 SHORTEST_BACKOFF_SECONDS = 0.2
+PAUSE_BASE_SECONDS = 0.05
+PAUSE_CEILING_SECONDS = 0.4
+"""Pause before another replica is asked; it doubles with each round of all replicas
+in which none led, as in an election or without a quorum."""
+
 FAILURE_MEMORY_SECONDS = 10.0
 """A failure so long ago says nothing about a replica any more."""
 
@@ -34,6 +39,7 @@
         self._addresses = addresses
         self._randomness = randomness
         self._current = 0
+        self._redirects = 0
         self._health = [_Health() for _ in addresses]
 
     @property
@@ -41,6 +47,21 @@
         """The replica in use or tried next."""
         return self._addresses[self._current]
 
+    @property
+    def looking_for_leader(self) -> bool:
+        """Whether more than one replica said in a row that it doesn't lead."""
+        return self._redirects > 1
+
+    @property
+    def pause_seconds(self) -> float:
+        """Time before the next replica is asked, whatever became of it earlier."""
+        rounds = self._redirects // len(self._addresses)
+        return min(PAUSE_CEILING_SECONDS, PAUSE_BASE_SECONDS * 2.0 ** min(rounds, 10))
+
+    def group_answered(self) -> None:
+        """The replica in use leads, and a quorum follows it."""
+        self._redirects = 0
+
     def answered(self) -> None:
         """The replica in use said something: it lives."""
         self._health[self._current].failures = 0
@@ -60,6 +81,7 @@
 
     def redirected(self, leader: str, now: float) -> None:
         """The replica in use doesn't lead; follow its hint unless that one fails."""
+        self._redirects += 1
         if leader in self._addresses:
             position = self._addresses.index(leader)
             if position != self._current and self._wait_of(position, now) == 0.0:
--- a/tests/claims/test_claim_client.py
+++ b/tests/claims/test_claim_client.py
@@ -29,7 +29,13 @@
     WantTaken,
     WantUnavailable,
 )
-from peppershore.process.commands import CloseLink, OpenLink, SendMessage
+from peppershore.process.commands import (
+    CloseLink,
+    OpenLink,
+    Report,
+    SendMessage,
+    SetTimer,
+)
 from peppershore.process.events import LinkClosed, LinkOpened, MessageReceived, TimerFired
 
 REPLICAS = ("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
@@ -166,3 +172,20 @@
     assert release in core.step(TimerFired(STALL_TIMER), 1.2)
     core.step(MessageReceived(1, ClaimNoted(1)), 1.3)
     assert core.pending == 0
+
+
+def test_a_group_without_leader_is_asked_less_and_less_often_and_logged_once():
+    core = opened_client()
+    now, link, asked, reports = 0.1, 1, 0, 0
+    while now < 1.4:
+        refused = MessageReceived(link, ClaimRefused(1, REASON_NOT_LEADER, ""))
+        commands = core.step(refused, now)
+        reports += sum(isinstance(command, Report) for command in commands)
+        (wait,) = [each for each in commands if isinstance(each, SetTimer)]
+        now += wait.delay_seconds
+        (opening,) = core.step(TimerFired("claims-reconnect"), now)
+        link = opening.link
+        core.step(LinkOpened(link, ""), now)
+        asked += 1
+    assert 6 <= asked <= 12, "three rounds at least, none of them in a hurry"
+    assert reports == 1
