Control: a replica whose disk refuses writes sends its relays to the others at once

A replica of several now says goodbye to its followers when its disk first refuses; the only replica keeps them. A relay takes a replica's goodbye as a reason to leave, also at a planned stop, and no longer logs it as unexpected.

--- a/src/peppershore/process/consensus/replica.py
+++ b/src/peppershore/process/consensus/replica.py
@@ -231,6 +231,7 @@
     def _records_failed(self, reason: str) -> None:
         if not self.consensus.disk_refused:
             self.report(notices.StorageRefused(self.name, reason))
+            self.on_disk_refused()
         self.consensus.disk_failed(self.now)
         self.command(SetTimer(DISK_TIMER, DISK_RETRY_SECONDS))
 
--- a/src/peppershore/process/consensus/replica_hooks.py
+++ b/src/peppershore/process/consensus/replica_hooks.py
@@ -50,6 +50,9 @@
     def on_leader_changed(self) -> None:
         """Another leader, or none, is known."""
 
+    def on_disk_refused(self) -> None:
+        """The disk refuses writes: nothing new will be seen here until it takes one."""
+
     def on_read(self, request: int, confirmed: bool) -> None:
         """A read may be answered from the state now, or could not be confirmed."""
 
--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -11,6 +11,7 @@
     ConfirmRequest,
     EditAnswered,
     FollowRequest,
+    Goodbye,
     HistoryAnswered,
     HistoryQuery,
     MembershipChange,
@@ -32,7 +33,6 @@
 from peppershore.process.commands import SetTimer
 from peppershore.process.consensus.records import StoredState
 from peppershore.process.consensus.replica import ReplicaCore
-from peppershore.process.consensus.settings import ConsensusSettings, ReplicaSettings
 from peppershore.process.control import notices
 from peppershore.process.control.clock import ClockObserved, WallClock
 from peppershore.process.control.edit_intake import INTERNAL_LINK, EditIntake
@@ -40,6 +40,7 @@
 from peppershore.process.control.notices import edit_refused
 from peppershore.process.control.progress import ProgressTable
 from peppershore.process.control.redaction import edits_without_material, without_material
+from peppershore.process.control.replica_settings import replica_settings
 from peppershore.process.control.rotation import RotationBarrier
 from peppershore.process.control.state import (
     ControlCommand,
@@ -63,6 +64,8 @@
 RELAY_ROLE = "relay"
 OPERATOR_ROLE = "operator"
 
+DISK_REFUSED = "the disk refuses writes"
+
 _RELAY_MESSAGES = (FollowRequest, ConfirmRequest, ProgressReported)
 
 
@@ -81,7 +84,7 @@
         self.state = ControlState(
             settings.cluster, settings.change_id_horizon, HISTORY_CAPACITY
         )
-        super().__init__(_replica_settings(settings), stored, self.state)
+        super().__init__(replica_settings(settings), stored, self.state)
         self._intake = EditIntake(self.state)
         self._followers = Followers(self.state)
         self._progress = ProgressTable()
@@ -300,6 +303,13 @@
         for link in self._intake.end():
             self._answer(link, NotLeader(self.leader_address, undecided=True))
 
+    def on_disk_refused(self) -> None:
+        """Send the relays to other replicas, which learn of new edits."""
+        if len(self.consensus.membership.members) == 1:
+            return
+        for link in self._followers.links():
+            self.send(link, Goodbye(DISK_REFUSED))
+
     def has_unanswered(self) -> bool:
         """Whether an edit waits for its outcome."""
         return self._intake.waiting_edits > 0
@@ -377,19 +387,3 @@
         if name != self.name and self.peers.link_to(name) is None:
             return "unreachable"
         return "follower" if voter else "learner"
-
-
-def _replica_settings(settings: ControlSettings) -> ReplicaSettings:
-    consensus = ConsensusSettings(
-        replica=settings.replica,
-        heartbeat_seconds=settings.heartbeat_milliseconds / MILLISECONDS_PER_SECOND,
-        election_seconds=settings.election_milliseconds / MILLISECONDS_PER_SECOND,
-        kept_entries=settings.snapshot_entries,
-    )
-    return ReplicaSettings(
-        cluster=settings.cluster,
-        consensus=consensus,
-        replicas=settings.replicas,
-        join=settings.join,
-        snapshot_entries=settings.snapshot_entries,
-    )
--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -304,7 +304,7 @@
                 if change is not None:
                     self._report(notices.TreeLoaded(change.version))
                     self._tree_changed(change)
-            case Refused():
+            case Refused() | Goodbye():
                 self._do(self.source.leave(message.reason))
             case _:
                 self._do(self.source.leave(f"unexpected {type(message).__name__}"))
--- a/tests/consensus/workload.py
+++ b/tests/consensus/workload.py
@@ -10,11 +10,13 @@
     EditAnswered,
     EditsCommitted,
     FollowRequest,
+    Goodbye,
     Message,
     NotLeader,
     SubmitEdit,
     TreeState,
 )
+from peppershore.process.control.core import DISK_REFUSED
 from peppershore.version.model import (
     Edit,
     EditAccepted,
@@ -144,6 +146,9 @@
         if isinstance(message, TreeState):
             self.version = max(self.version, message.tree.version)
             return
+        if isinstance(message, Goodbye):
+            assert message.reason == DISK_REFUSED
+            return
         assert isinstance(message, EditsCommitted)
         accepted = sorted(self._cluster.invariants.accepted.values())
         for committed in message.edits:
