--- a/src/peppershore_lab/experiments/distribution_baselines.py
+++ b/src/peppershore_lab/experiments/distribution_baselines.py
@@ -83,11 +83,6 @@
             if each in self._held:
                 self._held[each].append(now - self._accepted[each])
 
-    @property
-    def count(self) -> int:
-        """How often a proxy held a change for the first time."""
-        return sum(len(each) for each in self._held.values())
-
     def measure(self, name: str, control_bytes: int) -> BaselineMeasure:
         """Give the summary."""
         waits = sorted(
@@ -118,6 +113,7 @@
         self._poll_seconds = poll_seconds
         self._arrivals = Arrivals(len(self._delays))
         self._held = [tree.version] * len(self._delays)
+        self._highest = list(self._held)
         self._writers: set[asyncio.StreamWriter] = set()
         self._sinks: list[asyncio.Task[None]] = []
         self._server: asyncio.Server | None = None
@@ -141,9 +137,9 @@
                 self._send(writer, self._whole.frame)
 
     @property
-    def arrivals(self) -> int:
-        """How often a proxy held a change, over all changes."""
-        return self._arrivals.count
+    def is_current(self) -> bool:
+        """Whether every proxy holds the newest version."""
+        return all(version == self._whole.tree.version for version in self._held)
 
     def reconnect(self, number: int) -> None:
         """A proxy restarted: it connects again, holding nothing."""
@@ -216,5 +212,6 @@
 
     def _took(self, number: int, version: Version) -> None:
         """A proxy holds a version: frames come in order on one link."""
-        self._arrivals.holds(self._held[number], version)
+        self._arrivals.holds(self._highest[number], version)
         self._held[number] = max(self._held[number], version)
+        self._highest[number] = max(self._highest[number], version)
--- a/tests/lab/test_lab_baselines.py
+++ b/tests/lab/test_lab_baselines.py
@@ -23,8 +23,8 @@
     return Edit(f"edit-{number}", (change,), expected)
 
 
-async def all_hold(baseline, changes):
-    while baseline.arrivals < changes * len(DELAYS):  # noqa: ASYNC110 - no event
+async def all_hold(baseline):
+    while not baseline.is_current:  # noqa: ASYNC110 - no event
         await asyncio.sleep(0)
 
 
@@ -35,7 +35,7 @@
         await baseline.start()
         for number in (1, 2):
             baseline.accepted(edit(number), number)
-            await all_hold(baseline, number)
+            await all_hold(baseline)
         return await baseline.stop()
 
     measured = asyncio.run(scenario())
@@ -44,6 +44,22 @@
     assert measured.control_bytes > 2 * 3 * whole
 
 
+def test_a_proxy_that_reconnects_costs_a_push_and_counts_no_change_twice():
+    async def scenario():
+        baseline = DistributionBaseline("b", TREE, DELAYS)
+        await baseline.start()
+        baseline.accepted(edit(1), 1)
+        await all_hold(baseline)
+        baseline.reconnect(0)
+        await all_hold(baseline)
+        baseline.accepted(edit(2), 2)
+        await all_hold(baseline)
+        return await baseline.stop()
+
+    measured = asyncio.run(scenario())
+    assert (measured.changes, measured.missing) == (2, 0)
+
+
 class Backend:
     def __init__(self, status):
         self.status = status
