--- a/src/peppershore/connection/authorization.py
+++ b/src/peppershore/connection/authorization.py
@@ -13,6 +13,7 @@
 
 from peppershore.connection.identity import PeerIdentity, parse_identity
 from peppershore.connection.messages import (
+    CallLinkHello,
     EndpointAnnounced,
     FollowRequest,
     Message,
@@ -35,7 +36,7 @@
     "control": frozenset({51, 52, 54}) | CONSENSUS_TAGS | OPERATOR_TAGS,
     "relay": frozenset({21, 22, 25, 41, 42, 43, 44, 45, 46, 47, 50, 53, 55}),
     "node": frozenset({20, 23, 24, 26, 40, 46}) | CLAIM_ASK_TAGS | CALL_TAGS,
-    "claims": frozenset({92, 101}) | CONSENSUS_TAGS | CLAIM_ANSWER_TAGS,
+    "claims": frozenset({92, 98, 101}) | CONSENSUS_TAGS | CLAIM_ANSWER_TAGS,
     "operator": OPERATOR_TAGS,
 }
 """The tags that each role sends, besides the session's."""
@@ -83,6 +84,9 @@
 
 
 def _claims_of(peer: PeerIdentity, message: Message) -> Iterable[tuple[str, str, str]]:
+    if isinstance(message, CallLinkHello):
+        yield message.cluster, peer.cluster, "the cluster"
+        yield message.node, peer.name, "the node"
     if isinstance(message, NodeHello):
         yield message.cluster, peer.cluster, "the cluster"
         yield message.node, peer.name, "the node"
--- a/src/peppershore/process/claims/core.py
+++ b/src/peppershore/process/claims/core.py
@@ -21,6 +21,8 @@
     Message,
     NotLeader,
     Refused,
+    StatusAnswered,
+    StatusQuery,
 )
 from peppershore.process.claims.client_core import REASON_FULL, REASON_NOT_LEADER
 from peppershore.process.claims.entries import (
@@ -40,6 +42,7 @@
 from peppershore.process.claims.table import ClaimTable
 from peppershore.process.consensus.records import StoredState
 from peppershore.process.consensus.replica import ReplicaCore
+from peppershore.process.consensus.replica_statuses import replica_statuses
 from peppershore.process.consensus.settings import ConsensusSettings, ReplicaSettings
 from peppershore.process.events import LinkId
 from peppershore.process.settings import ClaimsSettings
@@ -106,6 +109,8 @@
             self._ask(link, message)
         elif isinstance(message, MembershipChange) and self._is(link, OPERATOR_ROLE):
             self._change_membership(link, message)
+        elif isinstance(message, StatusQuery):
+            self.send(link, self._status())
         else:
             self.send(link, Refused("unexpected", type(message).__name__))
 
@@ -185,6 +190,19 @@
         else:
             self.send(link, NotLeader(self.leader_address))
 
+    def _status(self) -> StatusAnswered:
+        """The members; a claims group holds no version and serves no relays."""
+        return StatusAnswered(
+            cluster=self.settings.cluster,
+            replica=self.name,
+            leader=self.consensus.leader,
+            version=0,
+            in_force=0,
+            replicas=replica_statuses(self),
+            relays=(),
+            rotations=(),
+        )
+
     def _is(self, link: LinkId, role: str, name: str = "") -> bool:
         identity = self._identities.get(link, "")
         if not identity:
--- a/src/peppershore_lab/claims_trial/__main__.py
+++ b/src/peppershore_lab/claims_trial/__main__.py
@@ -8,12 +8,18 @@
 import click
 import msgspec
 
-from peppershore_lab.claims_trial.trial import TrialPlan, run_trial
+from peppershore_lab.claims_trial.trial import (
+    TrialPlan,
+    TrialResult,
+    run_trial,
+    series_of,
+)
 from peppershore_lab.run import run_to_end
 
 
 @click.command()
 @click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--seeds", type=int, default=1, show_default=True, help="Trials to run.")
 @click.option("--seconds", type=float, default=30.0, show_default=True)
 @click.option(
     "--rate", type=float, default=60.0, show_default=True, help="Payouts a second."
@@ -26,6 +32,7 @@
 def main(
     *,
     seed: int,
+    seeds: int,
     seconds: float,
     rate: float,
     edges_per_zone: int,
@@ -33,8 +40,12 @@
     output: Path | None,
 ) -> None:
     """Send payouts with resends while processes of every role fail; judge the journals."""
-    plan = TrialPlan(seed, seconds, rate, edges_per_zone=edges_per_zone)
-    result = run_to_end(run_trial(plan, lambda line: click.echo(line, err=True), keep))
+    trials: list[TrialResult] = []
+    for number in range(seed, seed + seeds):
+        plan = TrialPlan(number, seconds, rate, edges_per_zone=edges_per_zone)
+        folder = keep / str(number) if keep is not None else None
+        trials.append(run_to_end(run_trial(plan, _show, folder)))
+    result = series_of(_command(), tuple(trials))
     text = msgspec.json.format(msgspec.json.encode(result), indent=1).decode()
     if output is not None:
         output.write_text(text + "\n")
@@ -42,5 +53,15 @@
     sys.exit(0 if result.clean else 1)
 
 
+def _show(line: str) -> None:
+    click.echo(line, err=True)
+
+
+def _command() -> str:
+    arguments = [each for each in sys.argv[1:] if not each.endswith(".json")]
+    shown = [each for each in arguments if each != "--output"]
+    return " ".join(["python -m peppershore_lab.claims_trial", *shown])
+
+
 if __name__ == "__main__":
     main()
--- a/src/peppershore_lab/claims_trial/trial.py
+++ b/src/peppershore_lab/claims_trial/trial.py
@@ -74,6 +74,43 @@
     audit: AuditReport
 
 
+class TrialSeries(msgspec.Struct, frozen=True):
+    """Trials of several seeds; ``clean`` only if each of them is."""
+
+    command: str
+    clean: bool
+    keys: int
+    sends: int
+    runs: int
+    not_run: int
+    unknown: int
+    kept_answers_given: int
+    ran_but_unanswered: int
+    unknown_but_never_ran: int
+    violations: int
+    faults: int
+    trials: tuple[TrialResult, ...]
+
+
+def series_of(command: str, trials: tuple[TrialResult, ...]) -> TrialSeries:
+    """Add up the trials."""
+    return TrialSeries(
+        command=command,
+        clean=all(trial.clean for trial in trials),
+        keys=sum(trial.keys for trial in trials),
+        sends=sum(trial.sends for trial in trials),
+        runs=sum(trial.audit.runs for trial in trials),
+        not_run=sum(trial.audit.outcomes.get("not-run", 0) for trial in trials),
+        unknown=sum(trial.audit.outcomes.get("unknown", 0) for trial in trials),
+        kept_answers_given=sum(trial.kept_answers_given for trial in trials),
+        ran_but_unanswered=sum(trial.ran_but_unanswered for trial in trials),
+        unknown_but_never_ran=sum(trial.unknown_but_never_ran for trial in trials),
+        violations=sum(trial.audit.violation_count for trial in trials),
+        faults=sum(len(trial.marks) for trial in trials),
+        trials=trials,
+    )
+
+
 def deployment_of(plan: TrialPlan) -> Deployment:
     """Give the fleet: one service of payouts, three claims replicas, two zones."""
     behaviour = Behaviour(slots=20, connections=130, work_milliseconds=15.0)
--- a/tests/claims/claims_cluster.py
+++ b/tests/claims/claims_cluster.py
@@ -73,10 +73,12 @@
 class Node:
     """One node's claims client; remembers how each want ended, and when."""
 
-    def __init__(self, cluster: ClaimsCluster, name: str) -> None:
+    def __init__(
+        self, cluster: ClaimsCluster, name: str, addresses: tuple[str, ...] = NAMES
+    ) -> None:
         self.cluster = cluster
         self.name = name
-        self.core = ClaimClientCore(NAMES, seed=len(cluster.nodes))
+        self.core = ClaimClientCore(addresses, seed=len(cluster.nodes))
         self.outcomes: dict[int, WantOutcome] = {}
         self.ended: dict[int, float] = {}
         self.notices: list[commands.Notice] = []
