Capacity page: each role at the two-year size, from measured slopes

Not yet in: the run at today's sizes with delays, and a scale run of the present code. The command noted in scale_run.json no longer names its output file.

--- a/benchmarks/capacity/convergence.py
+++ b/benchmarks/capacity/convergence.py
@@ -5,9 +5,13 @@
 from benchmarks.capacity.measured import Measured
 from benchmarks.capacity.tables import markdown_table, milliseconds, number
 
+NOT_MEASURED = "Not measured yet."
+
 
 def today_table(measured: Measured) -> str:
     """Give convergence at today's sizes beside its limit."""
+    if measured.today is None:
+        return NOT_MEASURED
     header = (
         "deployment",
         "window",
--- a/benchmarks/capacity/measured.py
+++ b/benchmarks/capacity/measured.py
@@ -52,7 +52,7 @@
     command: CommandSlopes
     calls: CallPathResult
     scale: ScaleRun
-    today: TodayResults
+    today: TodayResults | None
     batching: BatchingCurve
 
     @property
@@ -87,6 +87,11 @@
     return msgspec.json.decode((RESULTS / name).read_bytes(), type=kind)
 
 
+def read_if_there(name: str, kind: type[_Result]) -> _Result | None:
+    """Read one result file that may not have been measured yet."""
+    return read(name, kind) if (RESULTS / name).exists() else None
+
+
 def read_measured() -> Measured:
     """Read all result files."""
     return Measured(
@@ -98,6 +103,6 @@
         command=read("slopes_command.json", CommandSlopes),
         calls=read("call_path.json", CallPathResult),
         scale=read("scale_run.json", ScaleResults).runs[-1],
-        today=read("convergence_today.json", TodayResults),
+        today=read_if_there("convergence_today.json", TodayResults),
         batching=read("batching_curve.json", BatchingCurve),
     )
--- a/benchmarks/capacity/sources.py
+++ b/benchmarks/capacity/sources.py
@@ -14,9 +14,11 @@
         ("slopes_relay", measured.relay.command, measured.relay.machine),
         ("slopes_node", measured.node.command, measured.node.machine),
         ("slopes_command", measured.command.command, measured.command.machine),
-        ("convergence_today", measured.today.command, measured.today.machine),
         ("batching_curve", measured.batching.command, measured.batching.machine),
     ]
+    if measured.today is not None:
+        today = measured.today
+        machines.append(("convergence_today", today.command, today.machine))
     rows = [
         (f"`results/{name}.json`", f"`{command}`", number(machine.load_average))
         for name, command, machine in machines
