Results name no path of a machine

Cause: a benchmark's command was noted with the folder it was given. The test looked for one folder only; it now refuses every absolute path, and failed on results/node_sync.json before.

--- a/benchmarks/measuring.py
+++ b/benchmarks/measuring.py
@@ -72,10 +72,11 @@
 
 
 def command_of(module: str) -> str:
-    """Give the command that runs this benchmark, without its output file."""
+    """Give the command that runs this benchmark, without output file and folders."""
     arguments = [each for each in sys.argv[1:] if not each.endswith(".json")]
     arguments = [each for each in arguments if each != "--output"]
-    return shlex.join(["python", "-m", f"benchmarks.{module}", *arguments])
+    shown = ["FOLDER" if each.startswith("/") else each for each in arguments]
+    return shlex.join(["python", "-m", f"benchmarks.{module}", *shown])
 
 
 def write_result(result: msgspec.Struct, output: Path | None) -> None:
--- a/tests/packaging/test_capacity_page.py
+++ b/tests/packaging/test_capacity_page.py
@@ -79,4 +79,5 @@
 
 def test_the_results_name_no_path_of_a_machine():
     for path in Path(PAGE.parents[1] / "results").glob("*.json"):
-        assert "/tmp/" not in path.read_text(encoding="utf-8"), path.name
+        for word in re.split(r"[\s\"]+", path.read_text(encoding="utf-8")):
+            assert not word.startswith("/") or word == "/", (path.name, word)
