--- a/tests/relay/site.py
+++ b/tests/relay/site.py
@@ -16,6 +16,7 @@
 from peppershore.connection.messages import EndpointsPacked, Message
 from peppershore.process.commands import Notice
 from peppershore.process.node.core import NodeCore, NodeMemory
+from peppershore.process.node.inputs import BackendStateChanged
 from peppershore.process.node.notices import RelayLeft
 from peppershore.process.relay.core import RelayCore
 from peppershore.process.settings import (
@@ -93,6 +94,11 @@
         """Accept an edit; it is on its way to the relays."""
         self.network.give("replica", AcceptEdit(operations))
 
+    def make_ready(self, *names: str) -> None:
+        """Let the back ends of nodes be ready."""
+        for name in names:
+            self.network.give(name, BackendStateChanged("ready"))
+
     def relay_of(self, name: str) -> str:
         """Give the relay a node uses; empty if none."""
         active = self.nodes[name].sessions.active
