--- a/src/peppershore_lab/fleet/deployment.py
+++ b/src/peppershore_lab/fleet/deployment.py
@@ -184,7 +184,7 @@
     ),
     zone_delay_milliseconds=1.0,
     claims_replicas=3,
-    batching_milliseconds=250,
+    batching_milliseconds=1_000,
 )
 
 DEPLOYMENTS = {deployment.name: deployment for deployment in (REFUND_NETWORK, GUILD)}
