--- a/tests/acceptance/cluster.py
+++ b/tests/acceptance/cluster.py
@@ -75,7 +75,7 @@
         return self._process is not None and self._process.poll() is None
 
     def events(self, name: str) -> list[dict[str, Any]]:
-        lines = [json.loads(line) for line in self.log.splitlines()]
+        lines = [json.loads(line) for line in self.log.split("\n") if line]
         return [line for line in lines if line["event"] == name]
 
     def versions_applied(self) -> list[int]:
