Operators' page on claims, its commands run by a test

A claims group that is not founded yet answers a status query as one without a leader, so that the command waits: its first run showed an empty list, and the page went on to kill a replica before the group was founded.

--- a/src/peppershore/process/claims/core.py
+++ b/src/peppershore/process/claims/core.py
@@ -109,8 +109,10 @@
             self._ask(link, message)
         elif isinstance(message, MembershipChange) and self._is(link, OPERATOR_ROLE):
             self._change_membership(link, message)
-        elif isinstance(message, StatusQuery):
+        elif isinstance(message, StatusQuery) and self.consensus.leader:
             self.send(link, self._status())
+        elif isinstance(message, StatusQuery):
+            self.send(link, NotLeader(""))
         else:
             self.send(link, Refused("unexpected", type(message).__name__))
 
--- a/tests/operations_pages/test_pages_run.py
+++ b/tests/operations_pages/test_pages_run.py
@@ -75,6 +75,18 @@
     assert "all paid" in output
 
 
+def test_page_about_claims(folder: Path) -> None:
+    block = AddressBlock()
+    try:
+        script = blocks("claims.md", "sh")
+        run(folder, script.replace(PAGE_ADDRESSES, f"{block.prefix}."))
+    finally:
+        block.close()
+    listed = (folder / "page.output").read_text().split("replica list")[-1]
+    assert "claims-4" in listed
+    assert "claims-3" not in listed
+
+
 def test_page_about_certificates(folder: Path) -> None:
     run(folder, blocks("certificates.md", "sh"))
 
@@ -104,7 +116,7 @@
 @pytest.mark.parametrize("page", sorted(path.name for path in PAGES.glob("*.md")))
 def test_no_page_has_commands_that_are_not_run(page: str) -> None:
     run_elsewhere = {"changing-the-tree.md"}
-    run_here = {*CLUSTER_PAGES, "certificates.md", "install.md"}
+    run_here = {*CLUSTER_PAGES, "certificates.md", "claims.md", "install.md"}
     if blocks(page, "sh"):
         assert page in run_here | run_elsewhere
 
