--- a/src/peppershore/process/consensus/membership_changes.py
+++ b/src/peppershore/process/consensus/membership_changes.py
@@ -92,7 +92,7 @@
     def _problem(self, change: MembershipChange) -> str:
         member = find_member(self._replica.consensus.membership, change.replica)
         if change.action == ACTION_ADD:
-            return "" if member is None else f"{change.replica} is a member already"
+            return "" if member is None else self._problem_of_again(change, member)
         if change.action != ACTION_REMOVE:
             return f"unknown action {change.action!r}: add or remove"
         if member is None:
@@ -101,6 +101,15 @@
             return f"{change.replica} is the only voter"
         return ""
 
+    def _problem_of_again(self, change: MembershipChange, member: ReplicaMember) -> str:
+        """Adding a member again only waits for it: the first answer may be lost."""
+        if member.address != change.address:
+            return f"{change.replica} is a member already, at {member.address}"
+        known = self._replica.peers.identity_of(change.replica)
+        if known is not None and known.identity != member.identity:
+            return f"{change.replica} is a member with another disk; remove it first"
+        return ""
+
     def _advance(self, request: _Request) -> None:
         replica = self._replica
         if self._done(request.change):
--- a/tests/control/test_replica_changes.py
+++ b/tests/control/test_replica_changes.py
@@ -87,6 +87,7 @@
         await group.start("c4")
         await _command(group, "remove", lost)
         await _command(group, "add", "c4", group.address("c4"))
+        await _command(group, "add", "c4", group.address("c4"))
         kept = [name for name in NAMES if name != lost]
         assert await _listed(group) == dict.fromkeys((*kept, "c4"), True)
 
@@ -114,6 +115,12 @@
         await group.start(blank)
         await _accept(group, "two")
         assert group.events(leader, "other_store_seen")
+        again = await group.operator().run("replica", "add", blank, group.address(blank))
+        assert again.exit_code != 0
+        assert "another disk" in str(again.output)
+        moved = await group.operator().run("replica", "add", other, "127.0.0.1:1")
+        assert moved.exit_code != 0
+        assert group.address(other) in str(moved.output)
 
         group.kill(other)
         link = await PeerLink.open(group.address(leader))
