Claims: what a caller hears of a claimed call, through the data plane

A back end that dies after running, crossed sends through two nodes, a full table, a group that is gone, a key past the group's own horizon, a grant that comes after its call was given up.

--- /dev/null
+++ b/tests/claims/test_claimed_calls.py
@@ -0,0 +1,189 @@
+"""Calls through a node's data plane: what a caller hears of a claimed call."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+
+import msgspec
+import pytest
+from returns.result import Failure, Result, Success
+from tests.data_plane.scripted_backend import Received, ScriptedBackend, answer_ok
+from tests.data_plane.stage import PUBLIC_ROUTE, Node, call, endpoint, run, until
+
+from peppershore.connection.messages import KeptAnswer
+from peppershore.process.claims.entries import (
+    ClaimEntry,
+    CompletionEntry,
+    Granted,
+    ReleaseEntry,
+    TableFull,
+    Taken,
+)
+from peppershore.process.claims.table import ClaimTable
+from peppershore.request.claim import (
+    ClaimDenied,
+    ClaimGranted,
+    ClaimTaken,
+    ClaimUnavailable,
+)
+
+ONCE = msgspec.structs.replace(PUBLIC_ROUTE, repeatable=False)
+KEYED = {"idempotency-key": "payout-0001"}
+HORIZON_SECONDS = 600
+MILLISECONDS = 1_000
+
+
+class TableClaims:
+    """A group's client over the real table, with what the group would answer."""
+
+    def __init__(self, max_records: int = 100) -> None:
+        self.table = ClaimTable(HORIZON_SECONDS * MILLISECONDS, max_records)
+        self.unavailable = False
+
+    async def claim(
+        self, key: str, attempt: str, seconds: float
+    ) -> Result[ClaimGranted, ClaimDenied]:
+        await asyncio.sleep(0)
+        if self.unavailable:
+            return Failure(ClaimUnavailable("claims group unavailable"))
+        answer = self.table.apply_entry(ClaimEntry(key, attempt))
+        if isinstance(answer, Taken):
+            return Failure(ClaimTaken(answer.answer))
+        if isinstance(answer, TableFull):
+            return Failure(ClaimUnavailable("full"))
+        assert answer == Granted()
+        return Success(ClaimGranted(HORIZON_SECONDS))
+
+    def complete(self, key: str, attempt: str, answer: KeptAnswer | None) -> None:
+        self.table.apply_entry(CompletionEntry(key, attempt, answer))
+
+    def release(self, key: str, attempt: str) -> None:
+        self.table.apply_entry(ReleaseEntry(key, attempt))
+
+
+class Scene:
+    """Two edges that share a group, before one back end."""
+
+    def __init__(self, max_records: int = 100) -> None:
+        self.claims = TableClaims(max_records)
+        self.backend = ScriptedBackend()
+        self.nodes = [Node("e1"), Node("e2")]
+        self.edges: list[str] = []
+
+    async def start(self) -> None:
+        address = await self.backend.start()
+        for node in self.nodes:
+            node.plane.use_claims(self.claims)
+            self.edges.append(await node.start(endpoint(address), route=ONCE))
+
+    async def close(self) -> None:
+        for node in self.nodes:
+            await node.plane.close()
+        self.backend.stop()
+
+
+async def dies_after_running(request: Received, writer: asyncio.StreamWriter) -> None:
+    """The back end has run the call and dies before it answers."""
+    writer.transport.abort()
+
+
+def test_back_end_dead_after_running_is_unknown_and_never_run_again() -> None:
+    async def scene() -> None:
+        stage = Scene()
+        await stage.start()
+        stage.backend.script = dies_after_running
+        first = await call(stage.edges[0], method="POST", body=b"a", headers=KEYED)
+        assert (first.status, first.outcome) == (502, "unknown")
+        stage.backend.script = answer_ok
+        for edge in (*stage.edges, *stage.edges):
+            again = await call(edge, method="POST", body=b"a", headers=KEYED)
+            assert (again.status, again.outcome) == (502, "unknown")
+            assert again.reason == "claimed-before"
+        assert len(stage.backend.requests) == 1
+        await stage.close()
+
+    run(scene())
+
+
+def test_crossed_sends_through_two_nodes_run_once() -> None:
+    async def slow(request: Received, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.05)
+        await answer_ok(request, writer)
+
+    async def scene() -> None:
+        stage = Scene()
+        await stage.start()
+        stage.backend.script = slow
+        sends = (
+            call(edge, method="POST", body=b"a", headers=KEYED) for edge in stage.edges
+        )
+        outcomes = sorted(answer.outcome for answer in await asyncio.gather(*sends))
+        assert outcomes == ["answered", "unknown"]
+        late = await call(stage.edges[1], method="POST", body=b"a", headers=KEYED)
+        assert late.body == b"ok:a"
+        assert len(stage.backend.requests) == 1
+        await stage.close()
+
+    run(scene())
+
+
+@pytest.mark.parametrize("max_records", [0, 100])
+def test_no_claim_means_not_run_at_once_and_when_to_come_back(max_records: int) -> None:
+    """A full table and a group that is gone look the same to the caller."""
+
+    async def scene() -> None:
+        stage = Scene(max_records)
+        await stage.start()
+        stage.claims.unavailable = max_records > 0
+        refused = await call(stage.edges[0], method="POST", body=b"a", headers=KEYED)
+        assert (refused.status, refused.outcome) == (503, "not-run")
+        assert refused.headers["retry-after"] == "1"
+        assert stage.backend.requests == []
+        await stage.close()
+
+    run(scene())
+
+
+def test_key_older_than_the_groups_own_horizon_is_refused_and_released() -> None:
+    """The node's own check knows a day only; the group keeps ten minutes."""
+
+    async def scene() -> None:
+        stage = Scene()
+        await stage.start()
+        now = int(time.time() * MILLISECONDS)
+        old = str(uuid.UUID(int=((now - 500_000) << 80) | (7 << 76) | (2 << 62)))
+        headers = {"idempotency-key": old}
+        refused = await call(stage.edges[0], method="POST", body=b"a", headers=headers)
+        assert (refused.status, refused.outcome) == (400, "not-run")
+        assert stage.backend.requests == []
+        assert stage.claims.table.size == 0
+        await stage.close()
+
+    run(scene())
+
+
+def test_call_given_up_before_its_claim_comes_is_released() -> None:
+    async def scene() -> None:
+        stage = Scene()
+        await stage.start()
+        held = asyncio.Event()
+        granted = stage.claims.claim
+
+        async def late(key: str, attempt: str, seconds: float):
+            claimed = await granted(key, attempt, seconds)
+            await held.wait()
+            return claimed
+
+        stage.claims.claim = late  # type: ignore[method-assign]
+        headers = {**KEYED, "peppershore-deadline-milliseconds": "60"}
+        refused = await call(stage.edges[0], method="POST", body=b"a", headers=headers)
+        assert (refused.outcome, refused.reason) == ("not-run", "deadline-passed")
+        assert stage.claims.table.size == 1
+        held.set()
+        await until(lambda: stage.claims.table.size == 0)
+        assert stage.backend.requests == []
+        await stage.close()
+
+    run(scene())
