A planned stop of a relay leaves no gap when the first other relay can't be had

Cause: after a goodbye a node tried one other relay. When that one deferred the hello, was dead, or was stale like all others, nothing was tried again until the stopping relay closed the link, and the node was without relay for its backoff. Now a relay that said goodbye is known to be leaving: the node goes on trying, waits as long as a deferring relay asks, and takes a stale relay rather than none.

--- a/src/peppershore/process/node/relay_sessions.py
+++ b/src/peppershore/process/node/relay_sessions.py
@@ -49,6 +49,8 @@
     last_heard: float
     is_open: bool = False
     answered: bool = False
+    is_leaving: bool = False
+    """The relay said goodbye: another one must answer before it ends."""
     age_milliseconds: int = 0
     agreed_digest: Digest = 0
     """Digest that this relay knows the node to hold, by its own last answer."""
@@ -127,7 +129,7 @@
         out: list[Command] = []
         if was_active:
             out.append(Report(notices.RelayLeft(session.relay.name, reason)))
-        if self.active is not None or self.candidate is not None:
+        if self.candidate is not None or not self._needs_relay:
             return out
         wait = self._choice.wait_seconds(self._randomness)
         notice = notices.RelayUnavailable(session.relay.name, reason, round(wait * 1_000))
@@ -145,7 +147,7 @@
             return self.drop(session, "deferred", now)
         self.candidate = None
         close = CloseLink(session.link, "deferred")
-        if self.active is not None:
+        if not self._needs_relay:
             return [close]
         wait = self._randomness.below(milliseconds / 1_000)
         notice = notices.RelayUnavailable(
@@ -166,7 +168,7 @@
         if session is not self.candidate:
             return []
         old = self.active
-        if old is not None and session.is_stale(now):
+        if old is not None and not old.is_leaving and session.is_stale(now):
             self.candidate = None
             self._choice.failed(session.relay.name, now)
             return [CloseLink(session.link, "stale")]
@@ -182,6 +184,7 @@
         """Move away from a relay that will stop."""
         if session is self.candidate:
             return self.drop(session, "goodbye", now)
+        session.is_leaving = True
         self._choice.failed(session.relay.name, now)
         return self._connect_after(self._choice.wait_seconds(self._randomness))
 
@@ -202,6 +205,11 @@
             out.extend([] if better is None else self._open(better, now))
         return out
 
+    @property
+    def _needs_relay(self) -> bool:
+        """Whether there is no relay, or one that is about to end."""
+        return self.active is None or self.active.is_leaving
+
     def _open(self, relay: PeerRelay, now: float) -> list[Command]:
         link = self._numbers.take()
         self.candidate = RelaySession(link, relay, opened_at=now, last_heard=now)
--- a/tests/relay/test_relay_failures.py
+++ b/tests/relay/test_relay_failures.py
@@ -270,6 +270,37 @@
     assert not any(site.left_without_relay(name) for name in names)
 
 
+def test_a_planned_stop_leaves_no_gap_when_the_other_relays_defer_hellos() -> None:
+    site = Site(hellos_per_second=2)
+    names = [f"n{index}" for index in range(12)]
+    for index, name in enumerate(names):
+        site.start_node(name, "kuitti", seed=index)
+    site.network.run(40.0)
+    stopping = site.relay_of("n0")
+    site.network.give(stopping, events.StopRequested())
+    site.network.run(12.0)
+    others = site.relays.keys() - {stopping}
+    assert any(site.notices(name, notices.HelloDeferred) for name in others)
+    assert all(site.relay_of(name) not in ("", stopping) for name in names)
+    assert not any(site.left_without_relay(name) for name in names)
+
+
+def test_a_planned_stop_leaves_no_gap_when_another_relay_is_dead() -> None:
+    site = Site()
+    names = [f"n{index}" for index in range(12)]
+    for index, name in enumerate(names):
+        site.start_node(name, "kuitti", seed=index)
+    site.network.run(10.0)
+    stopping = site.relay_of("n0")
+    (dead,) = {"r1", "r2"} - {stopping}
+    moving = [name for name in names if site.relay_of(name) == stopping]
+    site.network.kill(dead)
+    site.network.give(stopping, events.StopRequested())
+    site.network.run(12.0)
+    assert {site.relay_of(name) for name in names} == {"r3"}
+    assert not any(site.left_without_relay(name) for name in moving)
+
+
 def test_a_link_that_never_says_hello_is_closed() -> None:
     site = Site()
     site.network.run(1.0)
