Calls: certificates are checked on call links; silent owners are found out

(1) Call links never asked what a peer's certificate allows: any certificate of the authority could open one and run calls. The node's check now stands before every message; the first hello must name the certificate's node and cluster; what was allowed is remembered by peer and kind. (2) A stopped process still has its links accepted by the system, and calls on them waited for their whole deadline (seen: 10 s, 504 unknown, for a call that could go elsewhere). A link is used once the owner has answered a probe, so a call for a stuck owner is not run and goes elsewhere; a link with calls that leaves a probe unanswered for 2 s is ended: its calls are unknown, and what may be repeated is tried elsewhere. Ruled out: a retry after a share of the deadline, which sends work twice to owners that are only slow.

--- a/src/peppershore/connection/call_link.py
+++ b/src/peppershore/connection/call_link.py
@@ -24,6 +24,7 @@
     Message,
 )
 
+NOT_AUTHORIZED = "not authorized"
 STREAM_WINDOW_BYTES = 256 * 1024
 """Body bytes that may be under way on one stream in one direction."""
 
@@ -59,13 +60,16 @@
         on_started: Callable[[CallLink, CallStarted], None],
         on_other: Callable[[CallLink, Message], None],
         on_lost: Callable[[CallLink, str], None],
+        allows: Callable[[Link, Message], bool],
     ) -> None:
         """Take over an open link.
 
         ``on_started`` gets calls from the peer, ``on_other`` messages outside
-        any stream.
+        any stream; a message that ``allows`` refuses ends the link.
         """
         self.alive = True
+        self.received = 0
+        self._allows = allows
         self._link = link
         self._on_started = on_started
         self._on_other = on_other
@@ -107,9 +111,18 @@
         self._link.close()
         self._lose_streams("closed")
 
+    def abandon(self, reason: str) -> None:
+        """The peer is taken as gone: its streams are lost, nothing is waited for."""
+        self.alive = False
+        self._link.close()
+        self._lose_streams(reason)
+
     def _received(self, message: Message, size: int) -> None:
         del size
-        if isinstance(message, CallStarted):
+        self.received += 1
+        if not self._allows(self._link, message):
+            self._end(NOT_AUTHORIZED)
+        elif isinstance(message, CallStarted):
             self._begin(message)
         elif isinstance(message, StreamMessage):
             sink = self._streams.get(message.stream)
@@ -120,12 +133,16 @@
 
     def _begin(self, message: CallStarted) -> None:
         if message.stream <= self._highest_started:
-            self.close()
-            self._on_lost(self, "stream number used twice")
+            self._end("stream number used twice")
             return
         self._highest_started = message.stream
         self._on_started(self, message)
 
+    def _end(self, reason: str) -> None:
+        """The peer breaks the rules: have nothing more to do with it."""
+        self.close()
+        self._on_lost(self, reason)
+
     def _lost(self, reason: str) -> None:
         self.alive = False
         self._lose_streams(reason)
--- a/src/peppershore/connection/messages.py
+++ b/src/peppershore/connection/messages.py
@@ -767,3 +767,15 @@
 
     number: int
     kept: int
+
+
+class CallLinkProbe(Message, frozen=True, tag=152):
+    """Asks the back end's own node whether it is there: it answers at once."""
+
+    number: int
+
+
+class CallLinkAlive(Message, frozen=True, tag=153):
+    """The answer to a probe."""
+
+    number: int
--- a/src/peppershore/process/node/data/call_listener.py
+++ b/src/peppershore/process/node/data/call_listener.py
@@ -10,7 +10,9 @@
 from peppershore.connection.call_link import CallLink
 from peppershore.connection.link import Link, LinkListener
 from peppershore.connection.messages import (
+    CallLinkAlive,
     CallLinkHello,
+    CallLinkProbe,
     CallStarted,
     Message,
     Refused,
@@ -18,6 +20,7 @@
     SlotsLent,
     SlotsReturned,
 )
+from peppershore.process.node.data.link_guard import LinkGuard
 from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.served_stream import ServedStream
 from peppershore.request.outcome import STATUS_UNAVAILABLE, NotRun
@@ -35,8 +38,10 @@
         backend: Callable[[], OwnBackend | None],
         longest_call_seconds: Callable[[], float],
         tls: ssl.SSLContext | None,
+        guard: LinkGuard,
     ) -> None:
         """``backend`` gives the authority, once the node has one."""
+        self._guard = guard
         self._cluster = cluster
         self._backend = backend
         self._longest_call_seconds = longest_call_seconds
@@ -80,7 +85,9 @@
         self._links.clear()
 
     def _accepted(self, link: Link) -> None:
-        call_link = CallLink(link, self._started, self._other_message, self._lost)
+        call_link = CallLink(
+            link, self._started, self._other_message, self._lost, self._guard.allows
+        )
         self._links[call_link] = next(self._borrowers)
         asyncio.get_running_loop().call_soon(call_link.start)
 
@@ -100,6 +107,8 @@
                 link.send(Refused("other-cluster"))
                 link.close()
                 self._lost(link, "other-cluster")
+            case CallLinkProbe():
+                link.send(CallLinkAlive(message.number))
             case SlotsAsked():
                 self._lend(link, message)
             case SlotsReturned():
--- /dev/null
+++ b/src/peppershore/process/node/data/link_guard.py
@@ -0,0 +1,37 @@
+"""Which messages are taken on call links, by the peer's certificate."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from peppershore.connection.authorization import Authorize
+from peppershore.connection.link import Link
+from peppershore.connection.messages import CallLinkHello, Message
+from peppershore.process.commands import Notice
+from peppershore.process.shell import MessageRefused
+
+MAX_REMEMBERED = 20_000
+
+
+class LinkGuard:
+    """Asks once for each peer and kind of message; what was allowed is remembered."""
+
+    def __init__(self, authorize: Authorize, notice_sink: Callable[[Notice], None]) -> None:
+        """``notice_sink`` hears of refused messages."""
+        self._authorize = authorize
+        self._notice_sink = notice_sink
+        self._allowed: set[tuple[str, type[Message]]] = set()
+
+    def allows(self, link: Link, message: Message) -> bool:
+        """Whether the peer may send this; a refused message ends its link."""
+        kind = (link.peer_identity, type(message))
+        if kind in self._allowed:
+            return True
+        refusal = self._authorize(link.peer_identity, message)
+        if refusal:
+            notice = MessageRefused(link.peer_address, link.peer_identity, refusal)
+            self._notice_sink(notice)
+            return False
+        if not isinstance(message, CallLinkHello) and len(self._allowed) < MAX_REMEMBERED:
+            self._allowed.add(kind)
+        return True
--- a/src/peppershore/process/node/data/owner_links.py
+++ b/src/peppershore/process/node/data/owner_links.py
@@ -9,21 +9,37 @@
 from peppershore.connection.call_link import CallLink
 from peppershore.connection.link import open_link
 from peppershore.connection.messages import (
+    CallLinkAlive,
     CallLinkHello,
+    CallLinkProbe,
     Message,
     SlotsLent,
     SlotsReturned,
 )
 from peppershore.process.node.data.link_attempt import LinkAttempt
+from peppershore.process.node.data.link_guard import LinkGuard
 from peppershore.request.slot_loans import Borrower
 
+GREETING_SECONDS = 1.0
+"""An owner that accepts a link and says nothing for so long is taken as gone."""
+
+SILENCE_SECONDS = 2.0
+"""With calls on the link, an owner that leaves a probe unanswered for so long is
+taken as gone: what it was sent is unknown, and nothing more is sent to it."""
+
 
 class _Owner:
-    """One owner: its link if open, who waits for it, and the slots borrowed."""
+    """One owner: its link if open, who waits for it, and the slots borrowed.
+
+    ``heard`` counts the link's messages when it was last looked at; ``probed_at`` is
+    when it was asked for a sign of life since, or None.
+    """
 
-    __slots__ = ("borrower", "link", "opening", "waiting")
+    __slots__ = ("borrower", "heard", "link", "opening", "probed_at", "waiting")
 
     def __init__(self) -> None:
+        self.heard = 0
+        self.probed_at: float | None = None
         self.link: CallLink | None = None
         self.opening: asyncio.Task[None] | None = None
         self.waiting: list[LinkAttempt] = []
@@ -33,8 +49,11 @@
 class OwnerLinks:
     """All links of this node to owners, by address."""
 
-    def __init__(self, hello: CallLinkHello, tls: ssl.SSLContext | None) -> None:
-        """``hello`` introduces this node."""
+    def __init__(
+        self, hello: CallLinkHello, tls: ssl.SSLContext | None, guard: LinkGuard
+    ) -> None:
+        """``hello`` introduces this node; ``guard`` judges what owners send."""
+        self._guard = guard
         self.on_allowance: Callable[[str, int], None] = lambda address, connections: None
         self._hello = hello
         self._tls = tls
@@ -73,6 +92,8 @@
     def renew(self, now: float) -> None:
         """Renew the loans that are in use; forget what is not wanted."""
         for address, owner in self._owners.items():
+            if owner.link is not None:
+                self._look_after(owner.link, owner, now)
             if owner.link is not None:
                 self._ask(address, owner, now)
             self.on_allowance(address, owner.borrower.allowance(now))
@@ -104,6 +125,19 @@
             self._owners[address] = owner
         return owner
 
+    def _look_after(self, link: CallLink, owner: _Owner, now: float) -> None:
+        """Ask a link with calls for a sign of life; end one that gives none."""
+        if link.received != owner.heard or link.streams == 0:
+            owner.heard = link.received
+            owner.probed_at = None
+        elif owner.probed_at is None:
+            owner.probed_at = now
+            link.send(CallLinkProbe(owner.heard))
+        elif now - owner.probed_at >= SILENCE_SECONDS:
+            owner.link = None
+            owner.borrower.lost()
+            link.abandon("owner silent")
+
     def _ask(self, address: str, owner: _Owner, now: float) -> None:
         if owner.link is None:
             self._open(address, owner)
@@ -118,21 +152,51 @@
             owner.opening = loop.create_task(self._connect(address, owner))
 
     async def _connect(self, address: str, owner: _Owner) -> None:
-        outcome = await open_link(address, self._tls)
+        link = await self._greeted(address)
         owner.opening = None
         waiting = owner.waiting
         owner.waiting = []
-        if isinstance(outcome, str):
+        if link is None:
             for attempt in waiting:
                 attempt.link_refused()
             return
-        link = CallLink(outcome, _refuse_calls, self._other_message, self._lost)
         owner.link = link
-        link.start()
-        link.send(self._hello)
+        owner.heard = link.received
+        owner.probed_at = None
         for attempt in waiting:
             attempt.link_open(link)
 
+    async def _greeted(self, address: str) -> CallLink | None:
+        """Open a link; give it once the owner has said a word.
+
+        The system accepts links for a process that is stopped or stuck: what was
+        sent on one of those would be unknown, not refused.
+        """
+        opened = await open_link(address, self._tls)
+        if isinstance(opened, str):
+            return None
+        alive: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+        def other_message(link: CallLink, message: Message) -> None:
+            if not isinstance(message, CallLinkAlive):
+                self._other_message(link, message)
+            elif not alive.done():
+                alive.set_result(None)
+
+        link = CallLink(
+            opened, _refuse_calls, other_message, self._lost, self._guard.allows
+        )
+        link.start()
+        link.send(self._hello)
+        link.send(CallLinkProbe(0))
+        try:
+            async with asyncio.timeout(GREETING_SECONDS):
+                await alive
+        except TimeoutError:
+            link.close()
+            return None
+        return link if link.alive else None
+
     def _other_message(self, link: CallLink, message: Message) -> None:
         address = self._address_of(link)
         if address is None or not isinstance(message, SlotsLent):
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from peppershore.connection.authorization import Authorize, allow_all
 from peppershore.connection.http_head import HeadProblem, RequestHead
 from peppershore.connection.http_listener import HttpListener
 from peppershore.connection.http_server import (
@@ -24,6 +25,7 @@
 from peppershore.process.node.data.call_listener import CallListener
 from peppershore.process.node.data.calls import Calls
 from peppershore.process.node.data.checked_claims import CheckedClaims
+from peppershore.process.node.data.link_guard import LinkGuard
 from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.owner_links import OwnerLinks
 from peppershore.process.randomness import Randomness
@@ -72,12 +74,15 @@
         settings: NodeSettings,
         notice_sink: Callable[[Notice], None],
         seed: int | None = None,
+        *,
         client_tls: ssl.SSLContext | None = None,
         server_tls: ssl.SSLContext | None = None,
+        authorize: Authorize = allow_all,
     ) -> None:
         """Prepare; must run on the loop.
 
-        ``seed`` fixes random choices; the contexts secure links between nodes.
+        ``seed`` fixes random choices; the contexts secure links between nodes, and
+        ``authorize`` tells what a peer on them may send.
         """
         self.draining = False
         self._settings = settings
@@ -85,7 +90,8 @@
         self._loop = asyncio.get_running_loop()
         random = Randomness(secrets.randbits(63) if seed is None else seed)
         hello = CallLinkHello(settings.cluster, settings.node, 0)
-        self._links = OwnerLinks(hello, client_tls)
+        guard = LinkGuard(authorize, notice_sink)
+        self._links = OwnerLinks(hello, client_tls, guard)
         self.calls = Calls(settings, notice_sink, random, self._links)
         self._connections: set[ServerConnection] = set()
         self._listener = HttpListener(lambda: ServerConnection(self))
@@ -96,6 +102,7 @@
             lambda: self._own,
             self._longest_call_seconds,
             server_tls,
+            guard,
         )
         self._probe: BackendProbe | None = None
         self._on_backend_state: Callable[[str], None] | None = None
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -147,6 +147,7 @@
         metrics.notice,
         client_tls=security.client,
         server_tls=security.server,
+        authorize=security.authorize,
     )
     claims = node_claims(settings, metrics, security)
     if claims is not None:
