--- a/benchmarks/capacity/limits.py
+++ b/benchmarks/capacity/limits.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from benchmarks.capacity import roles, sizes
+from benchmarks.capacity import loads, sizes
 from benchmarks.capacity.measured import Measured
 from benchmarks.capacity.tables import (
     markdown_table,
@@ -40,9 +40,9 @@
 def limits(measured: Measured) -> list[Limit]:
     """Give every limit of the letter."""
     peak = sizes.PEAK_CHANGES_PER_SECOND
-    share = roles.node_core_share(measured, peak)
-    memory = roles.node_memory(measured)
-    traffic = roles.node_bytes_per_second(measured, peak)
+    share = loads.node_core_share(measured, peak)
+    memory = loads.node_memory(measured)
+    traffic = loads.node_bytes_per_second(measured, peak)
     steady = measured.scale.phases[0].convergence.per_change
     restarting = measured.scale.phases[1].convergence.per_change
     found = [
@@ -197,7 +197,7 @@
     nodes = sizes.NODES_PER_RELAY
     step = sizes.NODES_PER_RELAY
     peak = sizes.PEAK_CHANGES_PER_SECOND
-    while roles.relay_core_share(measured, nodes + step, peak) < FULL_SHARE:
+    while loads.relay_core_share(measured, nodes + step, peak) < FULL_SHARE:
         nodes += step
     return (
         nodes / sizes.NODES_PER_RELAY,
--- a/benchmarks/capacity/scenarios.py
+++ b/benchmarks/capacity/scenarios.py
@@ -4,7 +4,7 @@
 
 import math
 
-from benchmarks.capacity import roles, sizes
+from benchmarks.capacity import loads, sizes
 from benchmarks.capacity.measured import Measured
 from benchmarks.capacity.tables import (
     markdown_table,
@@ -34,8 +34,8 @@
     """Give the worst hour."""
     peak = sizes.PEAK_CHANGES_PER_SECOND
     steady = measured.scale.phases[0]
-    relay = roles.relay_core_share(measured, sizes.NODES_PER_RELAY, peak)
-    node_bytes = roles.node_bytes_per_second(measured, peak)
+    relay = loads.relay_core_share(measured, sizes.NODES_PER_RELAY, peak)
+    node_bytes = loads.node_bytes_per_second(measured, peak)
     fleet_bytes = node_bytes * sizes.NODES
     baseline = measured.scale.baseline
     assert baseline is not None
@@ -48,7 +48,7 @@
         ),
         (
             "nodes that need a change",
-            number(roles.nodes_per_change(measured)),
+            number(loads.nodes_per_change(measured)),
             "mean of the scale run's mix of changes",
         ),
         (
@@ -64,7 +64,7 @@
         ("each relay", f"{percent(relay)} of a core", "`slopes_relay`"),
         (
             "each node",
-            f"{percent(roles.node_core_share(measured, peak))} of a core,"
+            f"{percent(loads.node_core_share(measured, peak))} of a core,"
             f" {number(node_bytes)} B a second",
             "`slopes_node`, `slopes_relay`",
         ),
@@ -92,7 +92,7 @@
     nodes = sizes.NODES_PER_ZONE
     lost_each = sizes.ENDPOINTS_PER_NODE / sizes.ZONES
     news_bytes = max(measured.node.churn_bytes_per_endpoint) * lost_each
-    cpu = roles.restart_seconds(measured) * nodes
+    cpu = loads.restart_seconds(measured) * nodes
     rows = [
         (
             "lost at once",
@@ -234,7 +234,7 @@
 def machines_table(measured: Measured) -> str:
     """Give the layout of the 21 machines."""
     peak = sizes.PEAK_CHANGES_PER_SECOND
-    relay_share = roles.relay_core_share(measured, sizes.NODES_PER_RELAY, peak)
+    relay_share = loads.relay_core_share(measured, sizes.NODES_PER_RELAY, peak)
     leader = measured.control.leader_core_share.at(peak)
     spare = sizes.RELAYS - sizes.ZONES
     claims = measured.claims
@@ -243,14 +243,14 @@
             str(sizes.REPLICAS),
             "five zones, two in one region and one in each other",
             "one control replica, with a disk",
-            f"{percent(leader)} of a core, {megabytes(roles.control_memory(measured))}",
+            f"{percent(leader)} of a core, {megabytes(loads.control_memory(measured))}",
         ),
         (
             str(sizes.ZONES),
             "one in each zone",
             "one relay; on five of them, in one region, a claims replica with a disk",
             f"{percent(relay_share)} of a core,"
-            f" {megabytes(roles.relay_memory(measured, sizes.NODES_PER_RELAY))};"
+            f" {megabytes(loads.relay_memory(measured, sizes.NODES_PER_RELAY))};"
             f" claims: one core, {megabytes(claims.resident_bytes_at_start)} and records",
         ),
         (
