Simulator: disks commit in groups, and may have synced what was never told

Ruled out: elections (the vote was given, its sync stood in the queue) and the replacement of replicas. A process that dies during a write may now leave it on the disk without word of it.

--- a/src/peppershore_lab/simulator/process.py
+++ b/src/peppershore_lab/simulator/process.py
@@ -16,6 +16,8 @@
 
 FIRST_ACCEPTED_LINK = 2
 ACCEPTED_LINK_STEP = 2
+SYNCED_UNTOLD_SHARE = 0.5
+"""Chance that a write was synced when the process died before it was told."""
 SYNC_SECONDS = 0.002
 """Typical time of one synced write; single ones take up to ten times as long."""
 
@@ -104,7 +106,8 @@
         self._timers: dict[str, _PendingTimer] = {}
         self._waiting: list[Callable[[], None]] = []
         self._accepted = itertools.count(FIRST_ACCEPTED_LINK, ACCEPTED_LINK_STEP)
-        self._disk_free_at = 0.0
+        self._unwritten: list[commands.PersistRecords] = []
+        self._being_written: list[commands.PersistRecords] = []
         self._refuses_writes = False
         network.add(self)
 
@@ -138,7 +141,9 @@
         self.take(events.Started(self._randomness.getrandbits(63)))
 
     def crash(self) -> None:
-        """End at once: what was not synced is gone."""
+        """End at once: what was not synced is gone, unless it just was."""
+        if self.core is not None:
+            self._end_write()
         self.core = None
         self.is_frozen = False
         self._refuses_writes = False
@@ -239,12 +244,37 @@
             timer.planned.cancel()
 
     def _persist(self, command: commands.PersistRecords) -> None:
-        slowness = 10.0 ** self._randomness.random()
-        begin = max(self._disk_free_at, self._scheduler.now)
-        self._disk_free_at = begin + SYNC_SECONDS * slowness * self.disk_slowness
+        self._unwritten.append(command)
+        if not self._being_written:
+            self._begin_write()
+
+    def _begin_write(self) -> None:
+        """Write all that waits in one synced commit, as the shells do."""
+        batch = self._unwritten
+        self._unwritten = []
+        self._being_written = batch
         life = self.life
-        wait = self._disk_free_at - self._scheduler.now
-        self._scheduler.after(wait, lambda: self._synced(command, life))
+        slowness = 10.0 ** self._randomness.random() * self.disk_slowness
+        self._scheduler.after(SYNC_SECONDS * slowness, lambda: self._written(batch, life))
+
+    def _written(self, batch: list[commands.PersistRecords], life: Life) -> None:
+        if self.core is None or life != self.life:
+            return
+        self._being_written = []
+        for command in batch:
+            self._synced(command, life)
+        if self._unwritten and not self._being_written:
+            self._begin_write()
+
+    def _end_write(self) -> None:
+        """The process dies during a write: all of it is on the disk or nothing."""
+        batch = self._being_written
+        self._being_written = []
+        self._unwritten = []
+        refused = self.disk_fails or self._refuses_writes
+        if batch and not refused and self._randomness.random() < SYNCED_UNTOLD_SHARE:
+            for command in batch:
+                self.role.write(command)
 
     def _synced(self, command: commands.PersistRecords, life: Life) -> None:
         if self.core is None or life != self.life:
--- a/tests/simulator/test_simulated_network.py
+++ b/tests/simulator/test_simulated_network.py
@@ -7,6 +7,10 @@
 from peppershore.connection.messages import Goodbye
 from peppershore.process import commands, events
 
+SYNCED_SEED = 1
+UNSYNCED_SEED = 2
+"""Seeds whose first number is below the chance of a sync before a crash, or not."""
+
 
 def joined(site: ToySite) -> tuple[ToyMachine, ToyMachine]:
     """Two machines with link 1 of the first open to the second."""
@@ -123,6 +127,7 @@
     site = ToySite()
     machine = site.machine("a")
     machine.do(commands.PersistRecords(1))
+    site.randomness.seed(UNSYNCED_SEED)
     machine.process.crash()
     machine.process.start()
     site.run(1.0)
@@ -133,6 +138,30 @@
     assert machine.seen_of(events.RecordsPersisted) == [events.RecordsPersisted(2)]
 
 
+def test_a_write_may_be_synced_although_the_crash_came_before_the_word_of_it() -> None:
+    site = ToySite()
+    machine = site.machine("a")
+    machine.do(commands.PersistRecords(1), commands.PersistRecords(2))
+    site.randomness.seed(SYNCED_SEED)
+    machine.process.crash()
+    machine.process.start()
+    site.run(1.0)
+    assert machine.role.written == [commands.PersistRecords(1)]
+    assert machine.seen_of(events.RecordsPersisted) == []
+
+
+def test_writes_that_come_during_one_share_the_next_commit() -> None:
+    site = ToySite()
+    machine = site.machine("a")
+    machine.process.disk_slowness = 100.0
+    machine.do(commands.PersistRecords(1))
+    machine.do(commands.PersistRecords(2))
+    machine.do(commands.PersistRecords(3))
+    machine.process.disk_slowness = 1.0
+    site.run(2.1)
+    assert len(machine.seen_of(events.RecordsPersisted)) == 3
+
+
 def test_a_refused_write_is_told_and_writes_nothing() -> None:
     site = ToySite()
     machine = site.machine("a")
