--- a/src/peppershore_lab/experiments/load.py
+++ b/src/peppershore_lab/experiments/load.py
@@ -7,7 +7,7 @@
 from peppershore_lab.calls.plan import CallerPlan, CallKind
 from peppershore_lab.experiments.definition import CallLoad, Experiment
 from peppershore_lab.fleet.deployment import call_kinds
-from peppershore_lab.fleet.fleet import Fleet, FleetFailed
+from peppershore_lab.fleet.fleet import Fleet
 
 
 def caller_plans(experiment: Experiment, fleet: Fleet) -> list[CallerPlan]:
@@ -42,10 +42,6 @@
     known = {kind.name: kind for kind in call_kinds(fleet.layout.deployment)}
     if not load.kinds:
         return tuple(known.values())
-    unknown = sorted(load.kinds.keys() - known.keys())
-    if unknown:
-        allowed = ", ".join(sorted(known))
-        raise FleetFailed(f"no kind of call {', '.join(unknown)}; there are {allowed}")
     return tuple(
         msgspec.structs.replace(
             known[name],
--- a/src/peppershore_lab/experiments/loading.py
+++ b/src/peppershore_lab/experiments/loading.py
@@ -15,7 +15,7 @@
     Experiment,
     FaultStep,
 )
-from peppershore_lab.fleet.deployment import DEPLOYMENTS, Deployment
+from peppershore_lab.fleet.deployment import DEPLOYMENTS, Deployment, call_kinds
 from peppershore_lab.standin.behaviour import changed
 
 MAXIMUM_SECONDS = 600.0
@@ -74,11 +74,19 @@
     for number, load in enumerate(experiment.calls):
         if not load.rate:
             yield f"calls[{number}].rate: at least one point is needed"
+        for name in sorted(load.kinds.keys() - _kind_names(experiment)):
+            yield f"calls[{number}].kinds: {experiment.deployment} has no call {name!r}"
     for number, step in enumerate(experiment.faults):
         for problem in _step_problems(experiment, step):
             yield f"faults[{number}] ({step.action}): {problem}"
 
 
+def _kind_names(experiment: Experiment) -> frozenset[str]:
+    deployment = DEPLOYMENTS.get(experiment.deployment)
+    kinds = call_kinds(deployment) if deployment is not None else ()
+    return frozenset(kind.name for kind in kinds)
+
+
 def _step_problems(experiment: Experiment, step: FaultStep) -> Iterator[str]:
     if not 0 <= step.at_seconds <= experiment.duration_seconds:
         yield "at_seconds lies outside the run"
--- a/tests/lab/test_experiment_files.py
+++ b/tests/lab/test_experiment_files.py
@@ -58,6 +58,18 @@
     assert load_experiment(path).failure().problems
 
 
+def test_a_kind_of_call_that_the_deployment_lacks_is_refused(tmp_path):
+    path = tmp_path / "bad.toml"
+    path.write_text(
+        'name = "bad"\ntitle = ""\nshows = ""\ndeployment = "guild"\n'
+        "duration_seconds = 1\n[[calls]]\n"
+        "rate = [{ at_seconds = 0, calls_per_second = 1 }]\n"
+        '[calls.kinds."kassa/payout"]\nshare = 1.0\n'
+    )
+    (problem,) = load_experiment(path).failure().problems
+    assert "kassa/payout" in problem
+
+
 def test_the_same_seed_draws_the_same_targets_and_moments():
     steps = [
         step(processes=("relay-*",), pick=2),
