--- a/benchmarks/consensus_commit.py
+++ b/benchmarks/consensus_commit.py
@@ -5,7 +5,8 @@
 * one operator sends edit after edit: time to the answer (a quorum has synced), and
   from the answer until the last replica has handed the edit to its relays;
 * many operators at once: accepted edits a second, and processor time an edit;
-* the same replicas without edits: processor time of heartbeats alone.
+* the same replicas without edits: processor time of heartbeats alone;
+* the leader is killed (SIGKILL): time until another replica accepts an edit.
 
     python -m benchmarks.consensus_commit --output results/consensus_commit.json
 """
@@ -13,6 +14,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import statistics
 import tempfile
@@ -39,6 +41,9 @@
 WAIT_SECONDS = 5.0
 WARM_UP_EDITS = 50
 SERVICES = 20
+FAILOVERS = 10
+FAILOVER_PAUSE_SECONDS = 0.01
+FAILOVER_REST_SECONDS = 1.0
 SYNC_BYTES = 4_096
 SYNC_TRIES = 200
 MILLISECONDS = 1_000
@@ -66,6 +71,8 @@
     follower_microseconds_an_edit: float
     idle_leader_core_percent: float
     idle_follower_core_percent: float
+    accepted_again_after_leader_killed: Spread | None
+    """None for a single replica."""
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -113,6 +120,7 @@
     names = [f"c{number}" for number in range(1, size + 1)]
     async with ReplicaGroup(folder, names) as group:
         await group.start()
+        await group.submit(_edit("first", 0))
         leader = await group.leader()
         followers = [name for name in names if name != leader]
         commit, spread = await _measure_latency(group, leader, edits)
@@ -126,6 +134,7 @@
 
         busy = await _processor_time(group, names, load())
         seconds = time.monotonic() - started
+        failover = await _measure_failover(group) if followers else None
     return SizeResult(
         replicas=size,
         edits=edits,
@@ -141,9 +150,36 @@
         idle_follower_core_percent=round(
             100 * _mean(idle[name] for name in followers) / WAIT_SECONDS, 2
         ),
+        accepted_again_after_leader_killed=failover,
     )
 
 
+async def _measure_failover(group: ReplicaGroup) -> Spread:
+    """Kill the leader again and again; each time until an edit is accepted."""
+    times: list[float] = []
+    for number in range(FAILOVERS):
+        leader = await group.leader()
+        others = [name for name in group.processes if name != leader]
+        group.kill(leader)
+        started = time.monotonic()
+        await _accepted_by_any(group, others, _edit("failover", number))
+        times.append(time.monotonic() - started)
+        await group.start(leader)
+        await asyncio.sleep(FAILOVER_REST_SECONDS)
+    return _spread(times)
+
+
+async def _accepted_by_any(group: ReplicaGroup, names: list[str], edit: Edit) -> None:
+    """Ask in turn, without redirects, until one of these replicas accepts."""
+    for name in itertools.cycle(names):
+        link = await _opened(group, name)
+        outcome = await submit_on(link, edit)
+        link.close()
+        if isinstance(outcome, EditAccepted):
+            return
+        await asyncio.sleep(FAILOVER_PAUSE_SECONDS)
+
+
 async def _measure_latency(
     group: ReplicaGroup, leader: str, edits: int
 ) -> tuple[Spread, Spread]:
