--- a/benchmarks/capacity/limits.py
+++ b/benchmarks/capacity/limits.py
@@ -176,7 +176,7 @@
         "a claims group, by rate",
         f"{number(best)} calls a second, {percent(share)} of all calls",
         f"not given; {percent(sizes.CLAIM_SHARES[2])} taken here",
-        "several groups, by service: not built",
+        "several groups, by key: `claims_groups`",
     )
 
 
@@ -189,7 +189,7 @@
         "a claims group, by its records of 24 h",
         f"{number(rate)} calls a second all day, {number(share * 1e6)} in a million",
         f"not given; {percent(sizes.CLAIM_SHARES[2])} taken here",
-        "a shorter horizon, more records (memory below); several groups: not built",
+        "more records (memory below), a shorter horizon, several groups",
     )
 
 
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from benchmarks.capacity import sizes
+from benchmarks.capacity.figures import Figure
 from benchmarks.capacity.loads import (
     CHANGE_IDS_KEPT,
     FRESHNESS_PER_SECOND,
@@ -23,7 +22,6 @@
 )
 from benchmarks.capacity.measured import Measured
 from benchmarks.capacity.tables import (
-    markdown_table,
     megabytes,
     milliseconds,
     number,
@@ -33,34 +31,7 @@
 from peppershore.process.control.core import HISTORY_CAPACITY
 from peppershore.process.relay.source import CONFIRM_SECONDS
 
-HEADER = ("", "measured slope", "size", "at the letter's size", "carried by", "from")
-
-
-class Figure(msgspec.Struct, frozen=True):
-    """One line of a role's table."""
-
-    what: str
-    slope: str
-    size: str
-    value: str
-    mechanism: str
-    source: str
-
-    def cells(self) -> tuple[str, ...]:
-        """Give the line's cells."""
-        return (
-            self.what,
-            self.slope,
-            self.size,
-            self.value,
-            self.mechanism,
-            self.source,
-        )
-
-
-def role_table(figures: list[Figure]) -> str:
-    """Give a role's table."""
-    return markdown_table(HEADER, [figure.cells() for figure in figures])
+GIGABYTE = 1e9
 
 
 def control_figures(measured: Measured) -> list[Figure]:
@@ -181,6 +152,19 @@
             "bounded table",
             source,
         ),
+        Figure(
+            "records in a gigabyte",
+            f"{number(bare.bytes_per_record)} to {number(answered.bytes_per_record)} B"
+            " a record",
+            "1 GB of each replica",
+            f"{number(GIGABYTE / answered.bytes_per_record)} to"
+            f" {number(GIGABYTE / bare.bytes_per_record)}; over 24 h"
+            f" {number(GIGABYTE / answered.bytes_per_record / sizes.SECONDS_PER_DAY)} to"
+            f" {number(GIGABYTE / bare.bytes_per_record / sizes.SECONDS_PER_DAY)}"
+            " calls a second",
+            "`max_records`, `max_answer_megabytes`, `horizon_seconds`",
+            source,
+        ),
         Figure(
             "snapshot",
             f"{number(answered.snapshot_milliseconds * 1e3 / answered.records)} us and"
@@ -188,7 +172,7 @@
             f"{full:,} records",
             f"{milliseconds(snapshot)} of processor time to encode,"
             f" {megabytes(answered.snapshot_bytes_per_record * full)}",
-            "compaction; parts are written between commits",
+            "by segments: only those that changed are written, between commits",
             source,
         ),
         Figure(
