--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -175,6 +175,15 @@
             "by segments: only those that changed are written, between commits",
             source,
         ),
+        Figure(
+            "messages of a call",
+            "claim and grant; completion and its note",
+            f"{number(best.calls_per_second)} calls a second",
+            f"{number(4 * best.calls_per_second)} a second with nodes, and those of"
+            " the log in batches",
+            "one link a node, kept open",
+            "design",
+        ),
         Figure(
             "time of a claim",
             "one quorum commit",
@@ -369,6 +378,16 @@
         )
         for cost in measured.command.commands
     ]
+    lines.append(
+        Figure(
+            "messages",
+            "a question and its answer, on a link of its own, to the leader",
+            f"{number(sizes.PEAK_CHANGES_PER_SECOND)} edits a second",
+            f"{number(2 * sizes.PEAK_CHANGES_PER_SECOND)} a second",
+            "a follower names the leader",
+            "design",
+        )
+    )
     lines.append(
         Figure(
             "the worst hour's edits, one command each",
