Claims: an edit of the tree no longer makes a resend another call

It is named by method, path without query, caller and key now. Two calls with one key on different paths stay two calls. Ruled out: key and caller alone with a fingerprint in the record (a caller that reuses a key on another path would hear another call's answer or have to be refused).

--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -126,7 +126,8 @@
         elif self._calls.claims is None:
             self._fail(NotRun(STATUS_UNAVAILABLE, "no-claims-group"))
         else:
-            self._claim_first(claim_key(entry.plan, entry.caller.name))
+            key = claim_key(self._head, entry.plan.key, entry.caller.name)
+            self._claim_first(key)
 
     def body_received(self, data: bytes) -> None:
         """Pass a piece of the request's body on, or hold it."""
--- a/src/peppershore/request/claim.py
+++ b/src/peppershore/request/claim.py
@@ -8,11 +8,11 @@
 import msgspec
 from returns.result import Result
 
+from peppershore.connection.http_head import RequestHead
 from peppershore.connection.messages import DEFAULT_HORIZON_SECONDS, KeptAnswer
-from peppershore.request.classification import CallPlan
 
-CALLER_DIGEST_DIGITS = 16
-CLAIM_KEY_PARTS = 4
+DIGEST_DIGITS = 16
+CLAIM_KEY_PARTS = 3
 MAX_KEPT_BODY_BYTES = 64 * 1024
 """A longer answer is not kept: a resend is told that the outcome is not known."""
 
@@ -67,7 +67,16 @@
     return key.split("/", CLAIM_KEY_PARTS - 1)[-1]
 
 
-def claim_key(plan: CallPlan, caller: str) -> str:
-    """Give the key of a call among all calls: two callers never share one."""
-    owner = sha256(caller.encode()).hexdigest()[:CALLER_DIGEST_DIGITS] if caller else "-"
-    return "/".join((plan.service, plan.route, owner, plan.key))
+def claim_key(head: RequestHead, key: str, caller: str) -> str:
+    """Give the name of a call among all calls: two callers never share one.
+
+    A resend has the method and path of the first send.  Its route and service may
+    be others by then: an edit of the tree must not make it another call.
+    """
+    path = head.target.partition(b"?")[0]
+    owner = _digest(caller.encode()) if caller else "-"
+    return "/".join((_digest(head.method + b" " + path), owner, key))
+
+
+def _digest(data: bytes) -> str:
+    return sha256(data).hexdigest()[:DIGEST_DIGITS]
--- a/tests/claims/test_claimed_calls.py
+++ b/tests/claims/test_claimed_calls.py
@@ -10,8 +10,18 @@
 import pytest
 from returns.result import Failure, Result, Success
 from tests.data_plane.scripted_backend import Received, ScriptedBackend, answer_ok
-from tests.data_plane.stage import PUBLIC_ROUTE, Node, call, endpoint, run, until
+from tests.data_plane.stage import (
+    PUBLIC_ROUTE,
+    SERVICE,
+    Node,
+    call,
+    configuration,
+    endpoint,
+    run,
+    until,
+)
 
+from peppershore.connection.http_head import RequestHead
 from peppershore.connection.messages import KeptAnswer
 from peppershore.process.claims.entries import (
     ClaimEntry,
@@ -27,7 +37,10 @@
     ClaimGranted,
     ClaimTaken,
     ClaimUnavailable,
+    callers_key,
+    claim_key,
 )
+from peppershore.version.model import RouteResource
 
 ONCE = msgspec.structs.replace(PUBLIC_ROUTE, repeatable=False)
 KEYED = {"idempotency-key": "payout-0001"}
@@ -187,3 +200,50 @@
         await stage.close()
 
     run(scene())
+
+
+@pytest.mark.parametrize(("service", "route"), [("kassa", "split"), ("payouts", "all")])
+def test_resend_after_an_edit_of_the_tree_is_the_same_call(
+    service: str, route: str
+) -> None:
+    """An operator moves the path to another route, or to another service."""
+
+    async def scene() -> None:
+        stage = Scene()
+        await stage.start()
+        sent = {"target": "/kassa/payout?x=1", "method": "POST", "headers": KEYED}
+        first = await call(stage.edges[0], body=b"a", **sent)
+        before = configuration(ONCE)
+        moved = msgspec.structs.replace(ONCE, target=SERVICE)
+        after = msgspec.structs.replace(
+            before, version=2, routes=(RouteResource(service, route, moved),)
+        )
+        for node in stage.nodes:
+            node.plane.use_configuration(after)
+        again = await call(stage.edges[1], body=b"a", **sent)
+        assert (first.body, again.body) == (b"ok:a", b"ok:a")
+        assert len(stage.backend.requests) == 1
+        await stage.close()
+
+    run(scene())
+
+
+def test_a_key_on_another_path_or_method_or_caller_is_another_call() -> None:
+    async def scene() -> None:
+        stage = Scene()
+        await stage.start()
+        for target, method in (("/a", "POST"), ("/b", "POST"), ("/a", "PUT")):
+            answer = await call(
+                stage.edges[0], target, method=method, body=b"a", headers=KEYED
+            )
+            assert answer.outcome == "answered"
+        assert len(stage.backend.requests) == 3
+        await stage.close()
+
+    run(scene())
+    head = RequestHead(b"POST", b"/a", [], 0)
+    names = [claim_key(head, "payout-0001", caller) for caller in ("", "shop", "till")]
+    assert len(set(names)) == 3
+    assert [callers_key(name) for name in names] == ["payout-0001"] * 3
+    slashes = claim_key(head, "pay/out/1", "shop")
+    assert callers_key(slashes) == "pay/out/1"
