--- a/src/peppershore_lab/links/emulator.py
+++ b/src/peppershore_lab/links/emulator.py
@@ -171,8 +171,8 @@
         try:
             await self._to_target.wait_open()
             await self._carry(reader, writer, first)
-        except OSError:
-            pass
+        except (OSError, asyncio.CancelledError):
+            pass  # an end of the link, or of the emulator
         finally:
             self._writers.discard(writer)
             writer.transport.abort()
