At most 128 TLS handshakes at a time on a listener

Cause: the admission of hellos comes after the handshake, so a herd with TLS began all its handshakes at once. One costs the relay 3.4 ms of processor time (benchmarks/link_handshake, machine at load 25), so 9,000 take half a minute, while a peer gives up after 3 s and comes back for another one. Now a connection above 128 handshakes under way is refused before it costs anything and counted (refused_handshakes); the peer waits at random and may take another relay. Ruled out: resuming TLS sessions, which asyncio's connections can't hand over.

--- a/src/peppershore/connection/link.py
+++ b/src/peppershore/connection/link.py
@@ -17,6 +17,7 @@
 from peppershore.connection.codec import decode_message
 from peppershore.connection.framing import HEADER_BYTES, FrameReader
 from peppershore.connection.messages import Message
+from peppershore.connection.tls_admission import TlsAdmission
 
 CONNECT_TIMEOUT_SECONDS = 3.0
 MAX_QUEUED_BYTES = 128 * 1024 * 1024
@@ -150,25 +151,30 @@
     ) -> None:
         """Hand every accepted link to ``on_accepted``."""
         self._on_accepted = on_accepted
-        self._tls = tls
+        self._admission = None if tls is None else TlsAdmission(tls, self._link)
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> int:
         """Listen; port 0 takes a free one.  Gives the port bound."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: Link(self._on_accepted),
-            host,
-            port,
-            ssl=self._tls,
-            backlog=LISTEN_BACKLOG,
-        )
+        make = self._link if self._admission is None else self._admission.arriving
+        self._server = await loop.create_server(make, host, port, backlog=LISTEN_BACKLOG)
         return int(self._server.sockets[0].getsockname()[1])
 
     async def close(self) -> None:
         """Stop accepting; open links stay."""
         if self._server is not None:
             self._server.close()
+        if self._admission is not None:
+            self._admission.close()
+
+    @property
+    def refused_handshakes(self) -> int:
+        """Connections refused because too many handshakes were under way."""
+        return 0 if self._admission is None else self._admission.refused
+
+    def _link(self) -> asyncio.Protocol:
+        return Link(self._on_accepted)
 
 
 async def open_link(address: str, tls: ssl.SSLContext | None) -> Link | str:
--- a/src/peppershore/process/relay/shell.py
+++ b/src/peppershore/process/relay/shell.py
@@ -54,6 +54,11 @@
     metrics.gauge(
         "bytes_received", "Bytes received on links.", lambda: shell.bytes_received
     )
+    metrics.gauge(
+        "refused_handshakes",
+        "Connections refused because too many TLS handshakes were under way.",
+        lambda: shell.refused_handshakes,
+    )
     metrics.gauge(
         "control_bytes",
         "Payload bytes sent to nodes.",
--- a/src/peppershore/process/shell.py
+++ b/src/peppershore/process/shell.py
@@ -83,6 +83,11 @@
         """Let ``handler`` carry out commands of exactly this type."""
         self._handlers[command_type] = handler
 
+    @property
+    def refused_handshakes(self) -> int:
+        """Connections refused because too many TLS handshakes were under way."""
+        return sum(listener.refused_handshakes for listener in self._listeners)
+
     @property
     def now(self) -> float:
         """Monotonic seconds, as given to the core."""
