--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -292,6 +292,7 @@
     resources = sizes.RESOURCES_PER_NODE
     needed = peak * nodes_per_change(measured) / sizes.NODES
     change = node.change_milliseconds.at(resources)
+    churn = node_churn_seconds(measured)
     source = "`slopes_node`"
     calls = measured.calls.at_122_calls_per_second
     direct = calls["node-direct"].processor_ms_per_call
@@ -326,12 +327,11 @@
         ),
         Figure(
             "endpoints",
-            f"{number(node_churn_seconds(measured) / MICROSECOND)} us and"
+            f"{number(churn / MICROSECOND)} us and"
             f" {number(max(node.churn_bytes_per_endpoint))} B"
             " an endpoint that leaves and comes",
             f"{number(endpoint_news_per_second())} a second",
-            f"{percent(endpoint_news_per_second() * node_churn_seconds(measured))}"
-            " of a core",
+            f"{percent(endpoint_news_per_second() * churn)} of a core",
             "only the services it may call",
             source,
         ),
@@ -366,7 +366,8 @@
 def command_figures(measured: Measured) -> list[Figure]:
     """Give the lines of the command line."""
     set_cost = next(c for c in measured.command.commands if c.command == "tree set")
-    at_peak = sizes.PEAK_CHANGES_PER_SECOND * set_cost.processor_milliseconds / 1e3
+    peak = sizes.PEAK_CHANGES_PER_SECOND
+    at_peak = peak * set_cost.processor_milliseconds / 1e3
     lines = [
         Figure(
             f"`{cost.command}`",
@@ -382,8 +383,8 @@
         Figure(
             "messages",
             "a question and its answer, on a link of its own, to the leader",
-            f"{number(sizes.PEAK_CHANGES_PER_SECOND)} edits a second",
-            f"{number(2 * sizes.PEAK_CHANGES_PER_SECOND)} a second",
+            f"{number(peak)} edits a second",
+            f"{number(2 * peak)} a second",
             "a follower names the leader",
             "design",
         )
@@ -392,7 +393,7 @@
         Figure(
             "the worst hour's edits, one command each",
             f"{milliseconds(set_cost.processor_milliseconds)} an edit",
-            f"{number(sizes.PEAK_CHANGES_PER_SECOND)} a second",
+            f"{number(peak)} a second",
             f"{percent(at_peak)} of a core, on the operators' machines",
             "several edits go in one atomic change",
             "`slopes_command`",
