--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from benchmarks.capacity import convergence, limits, roles, scenarios
+from benchmarks.capacity.command_line import command_figures
 from benchmarks.capacity.figures import role_table
 from benchmarks.capacity.measured import Measured
 from benchmarks.capacity.sources import sources_table
@@ -24,7 +25,7 @@
         "claims": role_table(roles.claims_figures(measured)),
         "relay": role_table(roles.relay_figures(measured)),
         "node": role_table(roles.node_figures(measured)),
-        "command": role_table(roles.command_figures(measured)),
+        "command": role_table(command_figures(measured)),
         "claim-shares": scenarios.claims_table(measured),
         "worst-hour": scenarios.worst_hour_table(measured),
         "zone-loss": scenarios.zone_loss_table(measured),
