Operators' page on control replicas runs as a test

The page starts a group of three, loses and replaces replicas, backs one up, loses the majority and recovers; each command runs, in order, against real processes.

--- a/tests/operations_pages/test_pages_run.py
+++ b/tests/operations_pages/test_pages_run.py
@@ -15,6 +15,7 @@
 from click.testing import CliRunner
 
 from peppershore.command.main import main
+from peppershore.process.storage.errors import StoreRefusal
 from peppershore_lab.fleet.addresses import AddressBlock
 
 PROJECT = Path(__file__).parents[2]
@@ -87,6 +88,26 @@
     assert "claims-3" not in listed
 
 
+def test_page_about_replicas(folder: Path) -> None:
+    block = AddressBlock()
+    try:
+        script = blocks("replicas.md", "sh")
+        run(folder, script.replace(PAGE_ADDRESSES, f"{block.prefix}."))
+    finally:
+        block.close()
+    recovered = (folder / "page.output").read_text().split("replica recover")[-1]
+    assert re.search(r"slots\W+22", recovered), "what was accepted before the backup"
+    listed = recovered.split("replica list")[-1]
+    assert "c2" in listed
+    assert "c4" in listed
+    assert "c1" not in listed
+
+
+def test_page_about_replicas_names_every_reason_for_refusing_a_store() -> None:
+    text = (PAGES / "replicas.md").read_text()
+    assert all(f"`{refusal.value}`" in text for refusal in StoreRefusal)
+
+
 def test_page_about_certificates(folder: Path) -> None:
     run(folder, blocks("certificates.md", "sh"))
 
@@ -116,7 +137,13 @@
 @pytest.mark.parametrize("page", sorted(path.name for path in PAGES.glob("*.md")))
 def test_no_page_has_commands_that_are_not_run(page: str) -> None:
     run_elsewhere = {"changing-the-tree.md"}
-    run_here = {*CLUSTER_PAGES, "certificates.md", "claims.md", "install.md"}
+    run_here = {
+        *CLUSTER_PAGES,
+        "certificates.md",
+        "claims.md",
+        "install.md",
+        "replicas.md",
+    }
     if blocks(page, "sh"):
         assert page in run_here | run_elsewhere
 
