--- a/tests/acceptance/cluster.py
+++ b/tests/acceptance/cluster.py
@@ -11,10 +11,10 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import tomli_w
 from click.testing import CliRunner
 from tests.acceptance.backend import PlainBackend
-from tests.acceptance.site import CommandDone
 
 from peppershore.command.main import main
 from peppershore.connection.certificates import AUTHORITY_CERTIFICATE
@@ -43,6 +43,19 @@
         time.sleep(POLL_SECONDS)
 
 
+class CommandDone(msgspec.Struct, frozen=True):
+    """What a command gave."""
+
+    exit_code: int
+    output: str
+    error: str
+
+    @property
+    def json(self) -> Any:
+        """The last line of the output as JSON."""
+        return json.loads(self.output.splitlines()[-1])
+
+
 class Member:
     """One process of the product: where it listens, and each of its lives."""
 
--- a/tests/acceptance/test_features.py
+++ b/tests/acceptance/test_features.py
@@ -12,8 +12,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 from tests.acceptance.backend import Answer, Callers, call
-from tests.acceptance.cluster import ZONE, Cluster, Member, wait_until
-from tests.acceptance.site import CommandDone
+from tests.acceptance.cluster import ZONE, Cluster, CommandDone, Member, wait_until
 
 from peppershore.command.exit_codes import ExitCode
 from peppershore.connection.codec import encode_message
--- a/tests/command/conftest.py
+++ b/tests/command/conftest.py
@@ -5,11 +5,14 @@
 from collections.abc import Iterator
 
 import pytest
-from tests.acceptance.site import Site
+from tests.acceptance.cluster import Cluster
 
 
 @pytest.fixture(scope="module")
-def site(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Site]:
-    started = Site(tmp_path_factory.mktemp("site"))
-    yield started
-    started.stop()
+def cluster(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Cluster]:
+    started = Cluster(tmp_path_factory.mktemp("cluster"))
+    try:
+        started.start_replicas(1)
+        yield started
+    finally:
+        started.stop()
--- a/tests/command/test_serve_start.py
+++ b/tests/command/test_serve_start.py
@@ -9,11 +9,13 @@
 from pathlib import Path
 
 import pytest
-from tests.acceptance.site import HOST, PROGRAM, UNUSED
+from tests.acceptance.cluster import PROGRAM
 
 from peppershore.command.exit_codes import ExitCode
 
 END_SECONDS = 20.0
+HOST = "127.0.0.1"
+UNUSED = f"{HOST}:1"
 
 
 @pytest.fixture
--- a/tests/command/test_tree_commands.py
+++ b/tests/command/test_tree_commands.py
@@ -7,7 +7,7 @@
 
 import pytest
 from click.testing import CliRunner
-from tests.acceptance.site import Site, rows
+from tests.acceptance.cluster import Cluster
 
 from peppershore.command.exit_codes import ExitCode
 from peppershore.command.main import main
@@ -26,89 +26,99 @@
 
 
 @pytest.fixture(autouse=True)
-def tree(site: Site, tmp_path: Path) -> None:
+def tree(cluster: Cluster, tmp_path: Path) -> None:
     """Give each test the same tree, whichever tests ran before on this replica."""
     file = tmp_path / "start.toml"
     file.write_text(TREE)
-    site.ok("tree", "load", str(file))
+    cluster.ok("tree", "load", str(file))
 
 
-def values(site: Site, path: str) -> dict[str, object]:
-    found: dict[str, object] = site.ok("tree", "get", path, "--json").json["overrides"]
+def rows(output: str) -> list[list[str]]:
+    """The cells of a table that a command printed."""
+    return [line.split() for line in output.splitlines()]
+
+
+def values(cluster: Cluster, path: str) -> dict[str, object]:
+    found: dict[str, object] = cluster.ok("tree", "get", path, "--json").json["overrides"]
     return found
 
 
-def test_set_unset_and_get(site: Site) -> None:
-    site.ok("tree", "set", PAY, "timeout_milliseconds=700", "repeatable=no")
-    assert values(site, PAY) == {
+def test_set_unset_and_get(cluster: Cluster) -> None:
+    cluster.ok("tree", "set", PAY, "timeout_milliseconds=700", "repeatable=no")
+    assert values(cluster, PAY) == {
         "path_prefix": "/pay",
         "methods": ["POST", "PUT"],
         "timeout_milliseconds": 700,
         "repeatable": False,
     }
-    site.ok("tree", "unset", PAY, "timeout_milliseconds", "repeatable")
-    assert "timeout_milliseconds" not in values(site, PAY)
-    missing = site.command("tree", "get", PAY, "slots")
+    cluster.ok("tree", "unset", PAY, "timeout_milliseconds", "repeatable")
+    assert "timeout_milliseconds" not in values(cluster, PAY)
+    missing = cluster.command("tree", "get", PAY, "slots")
     assert missing.exit_code == ExitCode.NOT_FOUND
     assert "next:" in missing.error
 
 
-def test_show_lists_nodes_and_zones(site: Site) -> None:
-    shown = rows(site.ok("tree", "show").output)
+def test_show_lists_nodes_and_zones(cluster: Cluster) -> None:
+    shown = rows(cluster.ok("tree", "show").output)
     assert [PAY, "methods", "POST,PUT"] in [[row[0], *row[2:]] for row in shown if row]
     assert ["pasila", "uusimaa"] in [list(row[:2]) for row in shown]
-    below = site.ok("tree", "show", "/kassa/*", "--json").json
+    below = cluster.ok("tree", "show", "/kassa/*", "--json").json
     assert [node["path"] for node in below["nodes"]] == [PAY]
-    assert site.command("tree", "show", "/other").exit_code == ExitCode.NOT_FOUND
+    assert cluster.command("tree", "show", "/other").exit_code == ExitCode.NOT_FOUND
     for command in ("show", "get"):
-        assert site.command("tree", command, "kassa").exit_code == ExitCode.USAGE
+        assert cluster.command("tree", command, "kassa").exit_code == ExitCode.USAGE
 
 
-def test_resend_gives_the_first_outcome(site: Site) -> None:
+def test_resend_gives_the_first_outcome(cluster: Cluster) -> None:
     arguments = ("tree", "set", "/kassa", "slots=7", "--change-id", "once", "--json")
-    first = site.ok(*arguments).json["accepted"]
-    site.ok("tree", "set", "/kassa", "slots=8")
-    again = site.ok(*arguments).json
+    first = cluster.ok(*arguments).json["accepted"]
+    cluster.ok("tree", "set", "/kassa", "slots=8")
+    again = cluster.ok(*arguments).json
     assert (again["accepted"], again["repeated"]) == (first, True)
-    assert values(site, "/kassa")["slots"] == 8
-    assert "accepted before" in site.ok(*arguments[:-1]).output
+    assert values(cluster, "/kassa")["slots"] == 8
+    assert "accepted before" in cluster.ok(*arguments[:-1]).output
 
 
-def test_resent_revert_and_load_give_the_first_outcome(site: Site, tmp_path: Path) -> None:
-    version = site.ok("tree", "show", "--json").json["version"]
+def test_resent_revert_and_load_give_the_first_outcome(
+    cluster: Cluster, tmp_path: Path
+) -> None:
+    version = cluster.ok("tree", "show", "--json").json["version"]
     file = tmp_path / "tree.toml"
-    site.ok("tree", "save", str(file))
+    cluster.ok("tree", "save", str(file))
     for name, command in (
         ("reverted", ("tree", "revert", str(version))),
         ("loaded", ("tree", "load", str(file))),
     ):
-        site.ok("tree", "set", "/kassa", "slots=8")
+        cluster.ok("tree", "set", "/kassa", "slots=8")
         arguments = (*command, "--change-id", name, "--json")
-        first = site.ok(*arguments).json
+        first = cluster.ok(*arguments).json
         assert first["repeated"] is False
-        assert site.ok(*arguments).json == {"accepted": first["accepted"], "repeated": True}
+        assert cluster.ok(*arguments).json == {
+            "accepted": first["accepted"],
+            "repeated": True,
+        }
 
 
-def test_history_gives_as_many_changes_as_asked_for(site: Site) -> None:
+def test_history_gives_as_many_changes_as_asked_for(cluster: Cluster) -> None:
     for slots in ("1", "2"):
-        site.ok("tree", "set", "/kassa", f"slots={slots}")
-        site.command("tree", "set", "/kassa", "slots=0")
-    changes = site.ok("tree", "history", "--limit", "2", "--json").json["changes"]
+        cluster.ok("tree", "set", "/kassa", f"slots={slots}")
+        cluster.command("tree", "set", "/kassa", "slots=0")
+    changes = cluster.ok("tree", "history", "--limit", "2", "--json").json["changes"]
     assert [change["operations"] for change in changes] == [
         ["set /kassa slots=1"],
         ["set /kassa slots=2"],
     ]
-    shown = site.ok("tree", "history").output
+    shown = cluster.ok("tree", "history").output
     assert f"set {PAY} path_prefix=/pay methods=POST,PUT" in shown
 
 
-def test_stale_revision_is_a_conflict_that_shows_what_won(site: Site) -> None:
-    site.ok("tree", "set", "/kassa", "slots=9", "--change-id", "the-winner")
-    lost = site.command("tree", "set", "/kassa", "slots=1", "--expected-revision", "1")
+def test_stale_revision_is_a_conflict_that_shows_what_won(cluster: Cluster) -> None:
+    cluster.ok("tree", "set", "/kassa", "slots=9", "--change-id", "the-winner")
+    lost = cluster.command("tree", "set", "/kassa", "slots=1", "--expected-revision", "1")
     assert lost.exit_code == ExitCode.CONFLICT
     assert "the-winner" in lost.error
     assert "slots=9" in lost.error
-    shown = site.command(
+    shown = cluster.command(
         "tree", "set", "/kassa", "slots=1", "--expected-revision", "/kassa=1", "--json"
     ).json["failed"]
     assert shown["winner_change_id"] == "the-winner"
@@ -116,34 +126,34 @@
     assert shown["expected_revision"] == 1 < shown["actual_revision"]
 
 
-def test_must_not_exist_can_be_asked_for(site: Site) -> None:
-    site.ok("tree", "set", "/fresh", "slots=3", "--expected-revision", "0")
-    again = site.command("tree", "set", "/fresh", "slots=4", "--expected-revision", "0")
+def test_must_not_exist_can_be_asked_for(cluster: Cluster) -> None:
+    cluster.ok("tree", "set", "/fresh", "slots=3", "--expected-revision", "0")
+    again = cluster.command("tree", "set", "/fresh", "slots=4", "--expected-revision", "0")
     assert again.exit_code == ExitCode.CONFLICT
-    site.ok("tree", "remove", "/fresh")
-    assert site.command("tree", "get", "/fresh").exit_code == ExitCode.NOT_FOUND
+    cluster.ok("tree", "remove", "/fresh")
+    assert cluster.command("tree", "get", "/fresh").exit_code == ExitCode.NOT_FOUND
 
 
-def test_invalid_edit_names_each_problem_and_changes_nothing(site: Site) -> None:
-    before = site.ok("tree", "show", "--json").json
-    done = site.command(
+def test_invalid_edit_names_each_problem_and_changes_nothing(cluster: Cluster) -> None:
+    before = cluster.ok("tree", "show", "--json").json
+    done = cluster.command(
         "tree", "set", PAY, "target=nowhere", "verify_secret=none", "--json"
     )
     assert done.exit_code == ExitCode.INVALID
     problems = done.json["failed"]["problems"]
     assert {problem["subject"] for problem in problems} == {PAY}
     assert len(problems) == 2
-    assert site.ok("tree", "show", "--json").json == before
+    assert cluster.ok("tree", "show", "--json").json == before
 
 
-def test_wrong_assignments_are_all_listed_before_anything_is_sent(site: Site) -> None:
-    done = site.command("tree", "set", PAY, "slots=x", "colour=1", "slots=2", "nothing")
+def test_wrong_assignments_are_all_listed_before_anything_is_sent(cluster: Cluster) -> None:
+    done = cluster.command("tree", "set", PAY, "slots=x", "colour=1", "slots=2", "nothing")
     assert done.exit_code == ExitCode.USAGE
     for name in ("slots", "colour", "nothing"):
         assert f"  {name}: " in done.error
 
 
-def test_several_operations_are_one_version(site: Site, tmp_path: Path) -> None:
+def test_several_operations_are_one_version(cluster: Cluster, tmp_path: Path) -> None:
     file = tmp_path / "edit.toml"
     file.write_text(
         """
@@ -158,120 +168,122 @@
         region = "uusimaa"
         """
     )
-    version = site.ok("tree", "edit", str(file), "--json").json["accepted"]["version"]
-    newest = site.ok("tree", "history", "--limit", "1", "--json").json["changes"]
+    version = cluster.ok("tree", "edit", str(file), "--json").json["accepted"]["version"]
+    newest = cluster.ok("tree", "history", "--limit", "1", "--json").json["changes"]
     assert [change["version"] for change in newest] == [version]
     assert newest[0]["operations"] == ["set /kuitti slots=2", "zone set vantaa-t2 uusimaa"]
     assert (newest[0]["comment"], newest[0]["author"]) == ("together", "anna")
-    ambiguous = site.command("tree", "edit", str(file), "--expected-revision", "0")
+    ambiguous = cluster.command("tree", "edit", str(file), "--expected-revision", "0")
     assert ambiguous.exit_code == ExitCode.USAGE
 
 
-def test_save_load_diff_and_revert(site: Site, tmp_path: Path) -> None:
+def test_save_load_diff_and_revert(cluster: Cluster, tmp_path: Path) -> None:
     file = tmp_path / "tree.toml"
-    first = site.ok("tree", "show", "--json").json
-    site.ok("tree", "save", str(file))
-    site.ok("tree", "set", "/kassa", "slots=33", "queue_limit=44")
-    difference = site.ok("tree", "diff", str(first["version"]), "--json").json
+    first = cluster.ok("tree", "show", "--json").json
+    cluster.ok("tree", "save", str(file))
+    cluster.ok("tree", "set", "/kassa", "slots=33", "queue_limit=44")
+    difference = cluster.ok("tree", "diff", str(first["version"]), "--json").json
     changed = {item["setting"]: item["after"] for item in difference["differences"]}
     assert changed == {"slots": "33", "queue_limit": "44"}
 
-    dry = site.ok("tree", "load", str(file), "--dry-run", "--json").json
+    dry = cluster.ok("tree", "load", str(file), "--dry-run", "--json").json
     assert {item["setting"] for item in dry["differences"]} == {"slots", "queue_limit"}
-    site.ok("tree", "load", str(file))
-    assert "no differences" in site.ok("tree", "diff", str(first["version"])).output
+    cluster.ok("tree", "load", str(file))
+    assert "no differences" in cluster.ok("tree", "diff", str(first["version"])).output
 
-    site.ok("tree", "set", "/kassa", "slots=34")
-    reverted = site.ok("tree", "revert", str(first["version"]), "--json").json
+    cluster.ok("tree", "set", "/kassa", "slots=34")
+    reverted = cluster.ok("tree", "revert", str(first["version"]), "--json").json
     assert reverted["accepted"]["version"] > first["version"]
-    assert "no differences" in site.ok("tree", "diff", str(first["version"])).output
+    assert "no differences" in cluster.ok("tree", "diff", str(first["version"])).output
 
 
-def test_bad_files_are_refused_with_their_problems(site: Site, tmp_path: Path) -> None:
+def test_bad_files_are_refused_with_their_problems(
+    cluster: Cluster, tmp_path: Path
+) -> None:
     file = tmp_path / "bad.toml"
     file.write_text('cluster = "refund"\n[nodes."/kassa"]\nslots = "many"\ncolour = 1\n')
     for arguments in (("tree", "load", str(file)), ("tree", "edit", str(file))):
-        done = site.command(*arguments)
+        done = cluster.command(*arguments)
         assert done.exit_code == ExitCode.INVALID
-    missing = site.command("tree", "load", str(tmp_path / "none.toml"))
+    missing = cluster.command("tree", "load", str(tmp_path / "none.toml"))
     assert missing.exit_code == ExitCode.USAGE
 
 
-def test_explain_names_value_and_origin(site: Site) -> None:
-    site.ok("tree", "set", "/kassa/pasila/pay", "timeout_milliseconds=123")
-    explained = site.ok("explain", "kassa", "pasila", "pay", "--json").json
+def test_explain_names_value_and_origin(cluster: Cluster) -> None:
+    cluster.ok("tree", "set", "/kassa/pasila/pay", "timeout_milliseconds=123")
+    explained = cluster.ok("explain", "kassa", "pasila", "pay", "--json").json
     origins = {
         item["name"]: (item["value"], item["path"]) for item in explained["route_settings"]
     }
     assert origins["timeout_milliseconds"] == (123, "/kassa/pasila/pay")
     assert origins["path_prefix"] == ("/pay", PAY)
     assert origins["target"] == ("kassa", "built-in")
-    missing = site.command("explain", "kassa", "pasila", "none")
+    missing = cluster.command("explain", "kassa", "pasila", "none")
     assert missing.exit_code == ExitCode.NOT_FOUND
     assert "pay" in missing.error
 
 
-def test_unknown_version_is_not_found(site: Site) -> None:
-    done = site.command("tree", "show", "--version", "999999")
+def test_unknown_version_is_not_found(cluster: Cluster) -> None:
+    done = cluster.command("tree", "show", "--version", "999999")
     assert done.exit_code == ExitCode.NOT_FOUND
 
 
-def test_secret_in_use_stays_and_rotation_needs_a_secret(site: Site) -> None:
-    site.ok("secret", "put", "member", "--generate", "32")
-    site.ok("tree", "set", PAY, "verify_secret=member")
-    assert site.command("secret", "remove", "member").exit_code == ExitCode.INVALID
-    assert site.command("secret", "rotate", "other").exit_code == ExitCode.NOT_FOUND
-    site.ok("secret", "rotate", "member")
-    listed = site.ok("secret", "list", "--json").json["secrets"]
+def test_secret_in_use_stays_and_rotation_needs_a_secret(cluster: Cluster) -> None:
+    cluster.ok("secret", "put", "member", "--generate", "32")
+    cluster.ok("tree", "set", PAY, "verify_secret=member")
+    assert cluster.command("secret", "remove", "member").exit_code == ExitCode.INVALID
+    assert cluster.command("secret", "rotate", "other").exit_code == ExitCode.NOT_FOUND
+    cluster.ok("secret", "rotate", "member")
+    listed = cluster.ok("secret", "list", "--json").json["secrets"]
     assert listed[0]["generations"] == [1, 2]
-    site.ok("tree", "unset", PAY, "verify_secret")
-    site.ok("secret", "remove", "member")
+    cluster.ok("tree", "unset", PAY, "verify_secret")
+    cluster.ok("secret", "remove", "member")
 
 
-def test_zone_in_use_stays(site: Site) -> None:
-    site.ok("tree", "set", "/kassa/pasila", "slots=5")
-    assert site.command("zone", "remove", "pasila").exit_code == ExitCode.INVALID
-    site.ok("zone", "set", "empty", "uusimaa")
-    site.ok("zone", "remove", "empty")
+def test_zone_in_use_stays(cluster: Cluster) -> None:
+    cluster.ok("tree", "set", "/kassa/pasila", "slots=5")
+    assert cluster.command("zone", "remove", "pasila").exit_code == ExitCode.INVALID
+    cluster.ok("zone", "set", "empty", "uusimaa")
+    cluster.ok("zone", "remove", "empty")
 
 
-def test_timeouts_that_are_no_numbers_are_refused(site: Site) -> None:
+def test_timeouts_that_are_no_numbers_are_refused(cluster: Cluster) -> None:
     for text in ("nan", "inf", "0", "-1", "x"):
-        assert site.command("status", "--timeout", text).exit_code == ExitCode.USAGE
+        assert cluster.command("status", "--timeout", text).exit_code == ExitCode.USAGE
 
 
-def test_added_replica_that_never_comes_is_not_said_to_be_unsent(site: Site) -> None:
+def test_added_replica_that_never_comes_is_not_said_to_be_unsent(cluster: Cluster) -> None:
     arguments = ("replica", "add", "c2", "127.0.0.1:1", "--timeout", "0.5", "--json")
-    failed = site.command(*arguments).json["failed"]
+    failed = cluster.command(*arguments).json["failed"]
     assert failed["code"] == ExitCode.UNKNOWN
     assert "c2" in failed["next_step"]
-    site.command("replica", "remove", "c2")
+    cluster.command("replica", "remove", "c2")
 
 
-def test_watch_of_a_version_that_is_not_accepted(site: Site) -> None:
-    done = site.command("watch", "999999", "--timeout", "0.3")
+def test_watch_of_a_version_that_is_not_accepted(cluster: Cluster) -> None:
+    done = cluster.command("watch", "999999", "--timeout", "0.3")
     assert done.exit_code == ExitCode.NOT_IN_FORCE
     assert "not accepted yet" in done.error
 
 
 @pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
-def test_completion_scripts_name_the_program(site: Site, shell: str) -> None:
+def test_completion_scripts_name_the_program(cluster: Cluster, shell: str) -> None:
     done = CliRunner().invoke(main, ["completion", shell])
     assert done.exit_code == ExitCode.DONE
     assert "_PEPPERSHORE_COMPLETE" in done.output
 
 
-def test_status_and_replicas(site: Site) -> None:
-    status = site.ok("status", "--json").json
-    assert (status["cluster"], status["leader"]) == ("refund", "c1")
-    replicas = site.ok("replica", "list", "--json").json["replicas"]
+def test_status_and_replicas(cluster: Cluster) -> None:
+    status = cluster.ok("status", "--json").json
+    assert (status["cluster"], status["leader"]) == ("refund", "control-1")
+    replicas = cluster.ok("replica", "list", "--json").json["replicas"]
     assert [item["role"] for item in replicas] == ["leader"]
-    refused = site.command("replica", "remove", "c1", "--json")
+    refused = cluster.command("replica", "remove", "control-1", "--json")
     assert refused.exit_code == ExitCode.INVALID
     assert refused.json["failed"]["kind"] == "membership"
 
 
-def test_json_is_one_object_a_line_for_every_reading_command(site: Site) -> None:
+def test_json_is_one_object_a_line_for_every_reading_command(cluster: Cluster) -> None:
     for arguments in (
         ("tree", "show"),
         ("tree", "get", PAY),
@@ -283,5 +295,5 @@
         ("replica", "list"),
         ("explain", "kassa", "pasila", "pay"),
     ):
-        lines = site.ok(*arguments, "--json").output.splitlines()
+        lines = cluster.ok(*arguments, "--json").output.splitlines()
         assert [type(json.loads(line)) for line in lines] == [dict]
