--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -20,7 +20,6 @@
     ProgressReported,
     ProgressShared,
     Refused,
-    ReplicaStatus,
     RetryAfter,
     StatusAnswered,
     StatusQuery,
@@ -33,6 +32,7 @@
 from peppershore.process.commands import SetTimer
 from peppershore.process.consensus.records import StoredState
 from peppershore.process.consensus.replica import ReplicaCore
+from peppershore.process.consensus.replica_statuses import replica_statuses
 from peppershore.process.control import notices
 from peppershore.process.control.clock import ClockObserved, WallClock
 from peppershore.process.control.edit_intake import INTERNAL_LINK, EditIntake
@@ -351,39 +351,8 @@
             self.consensus.leader,
             self.state.tree.version,
             min(self._progress.in_force, self.state.tree.version),
-            self._replica_statuses(),
+            replica_statuses(self),
             self._progress.statuses(self.now),
             rotations,
             self._progress.awaited(self.now),
         )
-
-    def _replica_statuses(self) -> tuple[ReplicaStatus, ...]:
-        leadership = self.consensus.leadership
-        statuses: list[ReplicaStatus] = []
-        for member in self.consensus.membership.members:
-            match = 0
-            if leadership is not None:
-                match = leadership.match_index(member.name)
-            elif member.name == self.name:
-                match = self.applied_index
-            role = self._role_of(member.name, member.voter)
-            statuses.append(
-                ReplicaStatus(
-                    member.name,
-                    member.address,
-                    role,
-                    self.consensus.term,
-                    match,
-                    member.voter,
-                )
-            )
-        return tuple(statuses)
-
-    def _role_of(self, name: str, voter: bool) -> str:
-        if name == self.consensus.leader:
-            return "leader"
-        if name == self.name and self.consensus.disk_refused:
-            return "disk-refused"
-        if name != self.name and self.peers.link_to(name) is None:
-            return "unreachable"
-        return "follower" if voter else "learner"
