Every setting says what it means, in the example and beside its flag

Cause: flags of serve had no explanation, the examples left some settings without one, told the wrong meaning of hold_milliseconds, and lacked previous_claims_groups; groups of tables got a flag that could not be used. A test asks for a meaning of each setting of each role.

--- a/src/peppershore/command/serve.py
+++ b/src/peppershore/command/serve.py
@@ -76,7 +76,7 @@
 
 @serve.command()
 @settings_option
-@settings_flags(ControlSettings)
+@settings_flags("control")
 def control(settings_path: Path | None, **arguments: Any) -> None:
     """Run a control replica."""
     from peppershore.process.control.shell import run_control  # noqa: PLC0415
@@ -88,7 +88,7 @@
 
 @serve.command()
 @settings_option
-@settings_flags(RelaySettings)
+@settings_flags("relay")
 def relay(settings_path: Path | None, **arguments: Any) -> None:
     """Run a relay."""
     from peppershore.process.relay.shell import run_relay  # noqa: PLC0415
@@ -100,7 +100,7 @@
 
 @serve.command()
 @settings_option
-@settings_flags(NodeSettings)
+@settings_flags("node")
 def node(settings_path: Path | None, **arguments: Any) -> None:
     """Run a node: the proxy beside a back end, or at the edge."""
     from peppershore.process.node.shell import run_node  # noqa: PLC0415
@@ -112,7 +112,7 @@
 
 @serve.command()
 @settings_option
-@settings_flags(ClaimsSettings)
+@settings_flags("claims")
 def claims(settings_path: Path | None, **arguments: Any) -> None:
     """Run a replica of a claims group."""
     from peppershore.process.claims.shell import run_claims  # noqa: PLC0415
--- a/src/peppershore/command/settings_flags.py
+++ b/src/peppershore/command/settings_flags.py
@@ -16,18 +16,21 @@
 from msgspec.structs import FieldInfo
 
 from peppershore.process.settings import SettingsValue, TlsFiles
+from peppershore.process.settings_examples import meanings
+from peppershore.process.settings_loader import KINDS
 
 TLS_FIELD = "tls"
 TLS_PREFIX = "tls_"
 Command = Callable[..., None]
 
 
-def settings_flags(kind: type[SettingsValue]) -> Callable[[Command], Command]:
-    """Give a decorator that adds a flag for every setting of ``kind``."""
+def settings_flags(role: str) -> Callable[[Command], Command]:
+    """Give a decorator that adds a flag for every setting of ``role`` but nested ones."""
+    shown = meanings(role)
 
     def decorate(command: Command) -> Command:
-        for field in reversed(msgspec.structs.fields(kind)):
-            for option in reversed(_options(field)):
+        for field in reversed(msgspec.structs.fields(KINDS[role])):
+            for option in reversed(_options(field, shown.get(field.name, ""))):
                 command = option(command)
         return command
 
@@ -41,25 +44,29 @@
         if field.name == TLS_FIELD:
             flags |= _collect_tls(arguments)
             continue
-        value = arguments[field.name]
+        value = arguments.get(field.name)
         if value is None or value == ():
             continue
         flags[field.name] = [_table(item) for item in value] if _is_list(field) else value
     return flags
 
 
-def _options(field: FieldInfo) -> list[Callable[[Command], Command]]:
+def _options(field: FieldInfo, meaning: str) -> list[Callable[[Command], Command]]:
     if field.name == TLS_FIELD:
         return [
             click.option(_flag(TLS_PREFIX + part.name), help=f"PEM file: {part.name}.")
             for part in msgspec.structs.fields(TlsFiles)
         ]
     flag = _flag(field.name)
+    if _is_nested(field):
+        return []
     if _is_list(field):
-        return [click.option(flag, multiple=True, metavar=_table_form(field))]
+        form = _table_form(field)
+        return [click.option(flag, multiple=True, metavar=form, help=meaning)]
+    default = "" if field.required else f"  [default: {field.default!r}]"
+    shown = f"{meaning}{default}"
     if field.type is bool:
-        return [click.option(f"{flag}/--no-{flag[2:]}", default=None)]
-    shown = None if field.required else f"[default: {field.default!r}]"
+        return [click.option(f"{flag}/--no-{flag[2:]}", default=None, help=shown)]
     return [click.option(flag, type=field.type, help=shown)]
 
 
@@ -88,5 +95,13 @@
     return typing.get_origin(field.type) is tuple
 
 
+def _is_nested(field: FieldInfo) -> bool:
+    """Tell a list of tables that hold lists: it has no form on one line."""
+    if not _is_list(field):
+        return False
+    element = typing.get_args(field.type)[0]
+    return any(_is_list(part) for part in msgspec.structs.fields(element))
+
+
 def _flag(name: str) -> str:
     return "--" + name.replace("_", "-")
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 _TLS = """
 # Mutual TLS between processes (`peppershore keys make`); leave out for a trial.
 # [tls]
@@ -31,16 +33,16 @@
 
 _RELAY = """\
 # A relay: follows a control replica and serves the nodes of its zone.
-cluster = "refund-network"
-relay = "relay-1"
-zone = "pasila"
+cluster = "refund-network"         # the same in every process of one cluster
+relay = "relay-1"                  # this relay's name
+zone = "pasila"                    # nodes of this zone come here first
 listen = "127.0.0.1:7101"          # links of nodes and other relays
 admin_listen = "127.0.0.1:7911"    # /metrics, /healthz, /readyz; "" for none
 batching_milliseconds = 0          # collect changes this long: fewer bytes, later in force
 freshness_milliseconds = 2000      # between confirmations by a quorum
 stale_after_milliseconds = 6000    # confirmation older than this: not ready
 hellos_per_second = 3000           # nodes admitted; others are told when to come back
-hold_milliseconds = 3000           # endpoints outlive a lost session by this
+hold_milliseconds = 3000           # a changed route waits this long for a ready back end
 log_level = "info"                 # debug, info, warning or error
 
 [[replicas]]                       # every control replica
@@ -55,10 +57,10 @@
 
 _NODE = """\
 # A node: the proxy beside one back end, or at the edge (no backend).
-cluster = "refund-network"
-node = "kassa-1"
+cluster = "refund-network"         # the same in every process of one cluster
+node = "kassa-1"                   # this node's name, no other node's
 service = "kassa"                  # the service of the back end beside it
-zone = "pasila"
+zone = "pasila"                    # where it runs
 listen = "127.0.0.1:7201"          # HTTP/1.1 of callers
 internal_listen = "127.0.0.1:7301" # calls from other nodes; needed with a backend
 backend = "127.0.0.1:7401"         # the back end; "" at the edge
@@ -85,25 +87,31 @@
 # [[claims_groups.replicas]]
 # name = "claims-1"
 # address = "127.0.0.1:7501"
+
+# [[previous_claims_groups]]       # groups that are being left, for a horizon
+# name = "first"
+# [[previous_claims_groups.replicas]]
+# name = "claims-1"
+# address = "127.0.0.1:7501"
 """
 
 _CLAIMS = """\
 # A claims replica: remembers the calls that may run only once.
-cluster = "refund-network"
-replica = "claims-1"
-listen = "127.0.0.1:7501"
-data_folder = "data/claims-1"
-admin_listen = "127.0.0.1:7931"
-join = false
-heartbeat_milliseconds = 50
-election_milliseconds = 400
-snapshot_entries = 20000
+cluster = "refund-network"         # the same in every process of one cluster
+replica = "claims-1"               # this replica's name; one of the replicas below
+listen = "127.0.0.1:7501"          # links of replicas and nodes
+data_folder = "data/claims-1"      # on a disk of this machine
+admin_listen = "127.0.0.1:7931"    # /metrics, /healthz, /readyz; "" for none
+join = false                       # true: wait to be added to the group
+heartbeat_milliseconds = 50        # leader to followers
+election_milliseconds = 400        # silence after which a follower asks for votes
+snapshot_entries = 20000           # log entries between snapshots
 horizon_seconds = 86400            # how long an idempotency key is remembered
 max_records = 500000               # keys remembered at most; more are refused
 max_answer_megabytes = 64          # kept answers in all; the oldest go first
 log_level = "info"                 # debug, info, warning or error
 
-[[replicas]]
+[[replicas]]                       # the first members, this one included
 name = "claims-1"
 address = "127.0.0.1:7501"
 """
@@ -123,3 +131,10 @@
     "operator": _OPERATOR + _TLS,
 }
 """An example file for each kind of settings, by the role's name."""
+
+_MEANING = re.compile(r"^(?:# )?(?:\[\[)?(\w+)(?:\]\]| = .*?) +# (.*)$", re.MULTILINE)
+
+
+def meanings(role: str) -> dict[str, str]:
+    """Give what each setting of a role means, as its example says."""
+    return dict(_MEANING.findall(EXAMPLES[role]))
--- a/tests/settings/test_settings_loader.py
+++ b/tests/settings/test_settings_loader.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Success
 
 from peppershore.process.settings import ControlSettings, NodeSettings, RelaySettings
-from peppershore.process.settings_examples import EXAMPLES
+from peppershore.process.settings_examples import EXAMPLES, meanings
 from peppershore.process.settings_loader import (
     KINDS,
     Problems,
@@ -182,3 +182,10 @@
         named = {problem.key for problem in parsed.failure()}
         assert named <= {key, "replicas", "election_milliseconds"}
         assert named
+
+
+@pytest.mark.parametrize("role", sorted(KINDS))
+def test_examples_show_every_setting_with_its_meaning(role: str) -> None:
+    names = set(KINDS[role].__struct_fields__) - {"tls"}
+    assert meanings(role).keys() >= names
+    assert all(len(meanings(role)[name]) > 3 for name in names)
