watch says which relay keeps a version from counting as in force

Cause: a relay that started a moment ago or is only heard of by others keeps in force where it is, and a watch showed nothing of it. Three tests of the lines; tests of the module passed.

--- a/src/peppershore/command/watch_output.py
+++ b/src/peppershore/command/watch_output.py
@@ -32,6 +32,9 @@
         if status.in_force != self._in_force:
             self._in_force = status.in_force
             lines.append(f"in force {status.in_force} of {self._wanted}")
+        for name in status.relays_awaited:
+            text = f"heard by other relays, has not reported to {status.replica}"
+            lines += self._changed(name, text)
         for relay in status.relays:
             lines += self._relay_lines(relay)
         lines += self._node_lines(status)
@@ -42,14 +45,20 @@
             text = "no report for some seconds; it counts until it is forgotten"
         elif relay.in_force >= self._wanted:
             text = f"all its {relay.nodes} nodes hold {self._wanted}"
+        elif not relay.settled:
+            text = "started a moment ago and may not know all its nodes"
         elif relay.version < self._wanted:
             text = f"the relay is at {relay.version}"
         else:
             text = f"its nodes are at {relay.in_force} or above"
-        if self._relays.get(relay.relay) == text:
+        return self._changed(f"{relay.relay} ({relay.zone})", text)
+
+    def _changed(self, relay: str, text: str) -> list[str]:
+        """Give a line unless the same was told of the relay before."""
+        if self._relays.get(relay) == text:
             return []
-        self._relays[relay.relay] = text
-        return [f"{relay.relay} ({relay.zone}): {text}"]
+        self._relays[relay] = text
+        return [f"{relay}: {text}"]
 
     def _node_lines(self, status: StatusAnswered) -> list[str]:
         lagging = {node.node: node for relay in status.relays for node in relay.lagging}
