Routing: a back end that fails fast draws no calls; what was seen fades

And one that had once been slow or failing was never picked again at low load, so it was never seen to have recovered. What was seen fades by e in 10 s without a new observation.

--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -22,8 +22,14 @@
 LATENCY_DECAY_SECONDS = 5.0
 FIRST_LATENCY_SECONDS = 0.005
 FAILURE_DECAY_SECONDS = 10.0
-FAILURE_COST = 8.0
-"""How many times more a back end that always fails is taken to cost."""
+FAILURE_COST = 200.0
+"""How many times more a back end that always fails is taken to cost.  Failures are
+quick: with less, a failing back end looks the fastest and draws calls.  It goes by
+the square of the share of failures, so that a few now and then shift no load."""
+
+FADE_SECONDS = 10.0
+"""What was seen counts less with time: one that is not picked any more for what it
+did once would never be seen to have recovered."""
 
 FIRST_EJECTION_SECONDS = 1.0
 MAX_EJECTION_SECONDS = 30.0
@@ -85,8 +91,12 @@
 
     def cost(self, now: float) -> float:
         """Give the expected cost of one more call; lower is better."""
-        failing = 1.0 + FAILURE_COST * self._failure_rate
-        return (self.in_flight + 1) * self._latency * failing / self.ramp(now)
+        fade = math.exp((self._last_seen - now) / FADE_SECONDS)
+        failing = 1.0 + FAILURE_COST * (self._failure_rate * fade) ** 2
+        latency = self._latency
+        if latency > FIRST_LATENCY_SECONDS:
+            latency += (FIRST_LATENCY_SECONDS - latency) * (1.0 - fade)
+        return (self.in_flight + 1) * latency * failing / self.ramp(now)
 
     @property
     def latency_seconds(self) -> float:
--- a/tests/request/test_admission.py
+++ b/tests/request/test_admission.py
@@ -11,6 +11,7 @@
 from peppershore.connection.messages import Endpoint
 from peppershore.process.randomness import Randomness
 from peppershore.request.admission import Admission, Dispatch, Waiting
+from peppershore.request.endpoint_state import Verdict
 from peppershore.request.outcome import NotRun
 from peppershore.request.waiting import FAIRNESS_INTERVAL, Ticket
 from peppershore.version.model import CallClass, ServiceSettings
@@ -217,6 +218,34 @@
     assert state.ejected(0.5) == ejected
 
 
+@pytest.mark.parametrize(("verdict", "seconds"), [("failed", 0.001), ("good", 3.0)])
+def test_back_end_that_did_badly_once_is_tried_again_in_time(
+    verdict: Verdict, seconds: float
+) -> None:
+    settings = ServiceSettings(slow_start_milliseconds=0, ejection_failures=0)
+    desk = Desk(_endpoint("bad"), _endpoint("well"), settings=settings)
+    for _ in range(20):
+        for dispatch in desk.fill(1):
+            is_bad = dispatch.endpoint.node == "bad"
+            latency, seen = (seconds, verdict) if is_bad else (0.02, "good")
+            desk.admission.finished(dispatch, latency, seen, 0.0)
+
+    def picked(now: float) -> set[str]:
+        nodes = set()
+        for _ in range(20):
+            dispatch = desk.offer(now=now, deadline=now + 9.0)
+            assert isinstance(dispatch, Dispatch)
+            nodes.add(dispatch.endpoint.node)
+            if dispatch.endpoint.node == "well":
+                desk.admission.finished(dispatch, 0.02, "good", now)
+            else:
+                desk.admission.finished(dispatch, 0.0, None, now)
+        return nodes
+
+    assert picked(0.1) == {"well"}
+    assert "bad" in picked(100.0)
+
+
 def test_ejected_back_end_returns_and_ramps() -> None:
     settings = ServiceSettings(slow_start_milliseconds=1_000, ejection_failures=1)
     desk = Desk(_endpoint("k1"), _endpoint("k2"), settings=settings)
--- a/tests/request/test_overload.py
+++ b/tests/request/test_overload.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from benchmarks.call_model import Model, Resends, Site
+from benchmarks.call_model import Model, Resends, Site, Traits
 from benchmarks.overload import (
     CALLERS,
     OVERLOAD,
@@ -14,8 +14,10 @@
 )
 
 from peppershore.request.outcome import NotRun
+from peppershore.version.model import ServiceSettings
 
 SITES = {"1 s deadline": SMALL_SITE, "200 ms deadline": TIGHT_SITE}
+NO_EJECTION = ServiceSettings(slow_start_milliseconds=0, ejection_failures=0)
 RESERVED_RETRIES = 2 * 50
 """Retries that two nodes may have saved up before a storm."""
 
@@ -58,3 +60,16 @@
     quiet = run_overload(site, 2, Resends())
     storm = run_overload(site, 2, Resends(5, patient=False))
     assert storm.overloaded >= 0.9 * quiet.overloaded
+
+
+def test_back_end_that_fails_fast_draws_no_calls_even_if_it_is_never_ejected() -> None:
+    failing = Traits(slots=10, failure_share=1.0)
+    site = Site(backends=(failing, *(Traits(slots=10),) * 2), settings=NO_EJECTION)
+    model = Model(site, 1)
+    model.clock.run(0.0)
+    model.arrive(0.5 * site.capacity, 4.0, ("normal",))
+    model.clock.run(6.0)
+    learned = [end for end in model.ends if end.at > 1.0]
+    failed = sum(1 for end in learned if end.failure is not None)
+    assert failed < len(learned) // 100
+    assert model.backends[0].runs < model.backends[1].runs // 4
