Lab: a frame that comes in pieces no longer ends an emulated link in silence

Cause: a read that held only part of a frame gave no bytes to write, and no bytes was also the sign for the end of the stream: the link then read on and carried nothing more. A replica that came back and had much to catch up followed for 0.6 s and then heard nothing for half a minute; payouts were refused when the next replica failed. Ruled out by counting bytes per socket: the leader sent, the replica's socket got none; elections, hellos and the log were right. The new test hung before.

--- a/src/peppershore_lab/links/emulator.py
+++ b/src/peppershore_lab/links/emulator.py
@@ -36,7 +36,6 @@
 QUEUE_CHUNKS = 256
 LISTEN_BACKLOG = 1_024
 MILLISECONDS = 1_000
-END_OF_STREAM = b""
 Accept = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -67,6 +66,14 @@
         return (self.direction.delay_milliseconds + jitter) / MILLISECONDS
 
 
+class Chunk(msgspec.Struct, frozen=True):
+    """Data to be written at a moment of the loop's clock; the last one is empty."""
+
+    due: float
+    data: bytes
+    is_last: bool = False
+
+
 class Pump:
     """Carries one direction of one connection: reads, delays, writes in order."""
 
@@ -84,7 +91,7 @@
         self._writer = writer
         self._frames = frames
         self._generator = generator
-        self._queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(QUEUE_CHUNKS)
+        self._queue: asyncio.Queue[Chunk] = asyncio.Queue(QUEUE_CHUNKS)
 
     async def run(self, first: bytes = b"") -> None:
         """Carry ``first``, then what comes, until either end closes."""
@@ -102,24 +109,26 @@
         while data := await self._reader.read(READ_BYTES):
             await self._take(data)
         moment = loop.time() + self._gate.delay_seconds(self._generator)
-        await self._queue.put((moment, END_OF_STREAM))
+        await self._queue.put(Chunk(moment, b"", is_last=True))
 
     async def _take(self, data: bytes) -> None:
         loop = asyncio.get_running_loop()
         moment = loop.time() + self._gate.delay_seconds(self._generator)
-        await self._queue.put((moment, self._duplicated(data)))
+        whole = self._duplicated(data)
+        if whole:
+            await self._queue.put(Chunk(moment, whole))
 
     async def _write(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            moment, data = await self._queue.get()
-            delay = moment - loop.time()
+            chunk = await self._queue.get()
+            delay = chunk.due - loop.time()
             if delay > 0:
                 await asyncio.sleep(delay)
             await self._gate.wait_open()
-            if data == END_OF_STREAM:
+            if chunk.is_last:
                 return
-            self._writer.write(data)
+            self._writer.write(chunk.data)
             await self._writer.drain()
 
     def _duplicated(self, data: bytes) -> bytes:
--- a/tests/lab/test_lab_links.py
+++ b/tests/lab/test_lab_links.py
@@ -65,6 +65,22 @@
     assert asyncio.run(scenario())
 
 
+def test_a_frame_that_comes_in_pieces_passes_whole():
+    async def scenario():
+        peer = Peer()
+        _, writer = await open_through(link_to(await peer.start()))
+        frame = encode_frame(b"in pieces")
+        for place in range(len(frame)):
+            writer.write(frame[place : place + 1])
+            await writer.drain()
+            for _ in range(20):
+                await asyncio.sleep(0)
+        writer.write(encode_frame(b"next"))
+        return [await peer.received.get() for _ in range(2)]
+
+    assert asyncio.run(scenario()) == [b"in pieces", b"next"]
+
+
 def test_a_cut_holds_one_direction_in_silence_until_it_is_healed():
     async def scenario():
         peer = Peer()
