tree validate warns of routes that serve nobody

Cause: a route whose audience has no public and that names no verify_secret answers every call with 403 audience-not-verifiable, on purpose: an internal lookup never opens by a missing setting. The operator learned it from callers only. Measured: the new tests pass; command tests pass. Conclusion: a warning, not a refusal: a route may be prepared before its secret.

--- a/src/peppershore/command/tree_file_commands.py
+++ b/src/peppershore/command/tree_file_commands.py
@@ -29,6 +29,7 @@
 from peppershore.version.model import Operation, PutSecret, Tree, Version
 from peppershore.version.revert import revert_operations
 from peppershore.version.tree_file import tree_from_toml, tree_to_toml
+from peppershore.version.warnings import warn_of
 
 DEFAULT_HISTORY = 20
 path_argument = click.argument("path", type=click.Path(path_type=Path))
@@ -84,6 +85,7 @@
 def validate(path: Path, as_json: bool) -> None:
     """Check the tree in the TOML file PATH by itself; nothing is sent.
 
+    Warns of routes that serve nobody.
     Secrets that the file names and does not hold are taken as missing; `tree
     load --dry-run` checks the file against the cluster.
     """
@@ -92,10 +94,15 @@
     if isinstance(found, Failure):
         failed = invalid(f"{path} holds no valid tree", found.failure(), "mend the file")
         stop_with(failed, as_json)
+    tree = found.unwrap()
+    warnings = warn_of(tree)
     if as_json:
-        show_json({"valid": True, "nodes": len(found.unwrap().nodes)})
+        show_json({"valid": True, "nodes": len(tree.nodes), "warnings": warnings})
         return
-    click.echo(f"{path}: a valid tree of {len(found.unwrap().nodes)} nodes")
+    for warning in warnings:
+        advice = f"{warning.subject} {warning.reason}; set {warning.allowed}"
+        click.echo(f"warning: {advice}", err=True)
+    click.echo(f"{path}: a valid tree of {len(tree.nodes)} nodes")
 
 
 @click.command()
