Benchmarks end in order on SIGTERM

Cause: two scale runs that were ended at three minutes left their folders behind; the child processes went with their parent. Seen: a run ended by SIGTERM after 12 s leaves neither a process nor a folder.

--- a/benchmarks/batching_curve.py
+++ b/benchmarks/batching_curve.py
@@ -32,6 +32,7 @@
 from peppershore_lab.hollow.measure import AcceptedChange, Distribution
 from peppershore_lab.hollow.observer import RunObserver
 from peppershore_lab.hollow.operator import ScaleOperator
+from peppershore_lab.run import run_to_end
 
 WINDOWS_MILLISECONDS = (0, 50, 100, 250, 1_000)
 NODES = 1_860
@@ -134,7 +135,7 @@
 def main(bursts: int, output: Path | None) -> None:
     """Measure every window."""
     windows = [
-        asyncio.run(measure_window(window, bursts)) for window in WINDOWS_MILLISECONDS
+        run_to_end(measure_window(window, bursts)) for window in WINDOWS_MILLISECONDS
     ]
     result = BatchingCurve(
         command_of("batching_curve"), machine_now(), NODES, EDITS_PER_BURST, windows
--- a/benchmarks/convergence_today.py
+++ b/benchmarks/convergence_today.py
@@ -43,6 +43,7 @@
 from peppershore_lab.hollow.measure import MILLISECONDS, Distribution, distribution
 from peppershore_lab.operator_client import Operator, control_bytes
 from peppershore_lab.reference import HistoryIncomplete, needed_by, read_reference
+from peppershore_lab.run import run_to_end
 
 SETTLE_SECONDS = 2.0
 ONE_WAY_DELAYS = 2
@@ -174,7 +175,7 @@
     """Measure both users' deployments, the Guild's also without its batching."""
     unbatched = msgspec.structs.replace(GUILD, batching_milliseconds=0)
     runs = [
-        asyncio.run(measure(deployment, changes, pause))
+        run_to_end(measure(deployment, changes, pause))
         for deployment in (REFUND_NETWORK, unbatched, GUILD)
     ]
     write_result(TodayResults(command_of("convergence_today"), machine_now(), runs), output)
--- a/benchmarks/scale_run.py
+++ b/benchmarks/scale_run.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from pathlib import Path
 from typing import Any
@@ -14,6 +13,7 @@
 from peppershore_lab.hollow.plan import ScalePlan
 from peppershore_lab.hollow.results import ScaleResults, ScaleRun
 from peppershore_lab.hollow.run import run_scale
+from peppershore_lab.run import run_to_end
 
 NODES_PER_HOLLOW_PROCESS = 1_125
 
@@ -54,7 +54,7 @@
         elapsed = time.monotonic() - started
         click.echo(f"{elapsed:7.1f} s  {plan.layout.nodes} nodes: {phase}", err=True)
 
-    return asyncio.run(run_scale(plan, progress))
+    return run_to_end(run_scale(plan, progress))
 
 
 if __name__ == "__main__":
--- a/benchmarks/slopes_claims.py
+++ b/benchmarks/slopes_claims.py
@@ -43,6 +43,7 @@
 from peppershore_lab.fleet.members import Member, settings_text
 from peppershore_lab.hollow.cluster import PROGRAM
 from peppershore_lab.hollow.measure import Distribution, distribution
+from peppershore_lab.run import run_to_end
 
 REPLICAS = 3
 CONCURRENCIES = (1, 16, 64, 256)
@@ -269,7 +270,7 @@
 @click.option("--output", type=click.Path(path_type=Path), help="Where to write the JSON.")
 def main(seconds: float, output: Path | None) -> None:
     """Measure a claims group of three replicas, then its table."""
-    loads, at_start, at_end, records = asyncio.run(measure_group(seconds))
+    loads, at_start, at_end, records = run_to_end(measure_group(seconds))
     tables = [
         measure_table(size, with_answers)
         for with_answers in (False, True)
--- a/benchmarks/slopes_control.py
+++ b/benchmarks/slopes_control.py
@@ -38,6 +38,7 @@
 from peppershore_lab.hollow.layout import ChangePlan, FleetLayout, initial_edit
 from peppershore_lab.hollow.measure import MILLISECONDS, Distribution, distribution
 from peppershore_lab.hollow.operator import ScaleOperator
+from peppershore_lab.run import run_to_end
 
 REPLICAS = 5
 RELAY_COUNTS = (0, 16)
@@ -176,7 +177,7 @@
     loads = [
         load
         for relays in RELAY_COUNTS
-        for load in asyncio.run(measure_relays(relays, seconds))
+        for load in run_to_end(measure_relays(relays, seconds))
     ]
     states = [measure_state(edits) for edits in REMEMBERED_EDITS]
     with_relays = [load for load in loads if load.relays]
--- a/benchmarks/slopes_node.py
+++ b/benchmarks/slopes_node.py
@@ -44,6 +44,7 @@
 )
 from peppershore_lab.hollow.operator import ScaleOperator
 from peppershore_lab.hollow.protocol import Restart
+from peppershore_lab.run import run_to_end
 
 CALLED_SERVICES = (1, 3, 8, 16)
 REAL_NODES = 3
@@ -316,7 +317,7 @@
 @click.option("--output", type=click.Path(path_type=Path), help="Where to write the JSON.")
 def main(seconds: float, output: Path | None) -> None:
     """Measure real nodes at several numbers of called services."""
-    sizes = [asyncio.run(measure_size(called, seconds)) for called in CALLED_SERVICES]
+    sizes = [run_to_end(measure_size(called, seconds)) for called in CALLED_SERVICES]
     write_result(summarise(sizes), output)
 
 
--- a/benchmarks/slopes_relay.py
+++ b/benchmarks/slopes_relay.py
@@ -33,6 +33,7 @@
 from peppershore_lab.hollow.layout import ChangePlan, FleetLayout, initial_edit
 from peppershore_lab.hollow.operator import ScaleOperator
 from peppershore_lab.hollow.protocol import HollowReport, Restart
+from peppershore_lab.run import run_to_end
 
 NODE_COUNTS = (310, 700, 1_400, 2_800)
 HOLLOW_PROCESSES = 4
@@ -257,7 +258,7 @@
 @click.option("--output", type=click.Path(path_type=Path), help="Where to write the JSON.")
 def main(seconds: float, nodes: tuple[int, ...], output: Path | None) -> None:
     """Measure one relay at several numbers of nodes."""
-    sizes = [asyncio.run(measure_size(count, seconds)) for count in nodes]
+    sizes = [run_to_end(measure_size(count, seconds)) for count in nodes]
     write_result(summarise(sizes, FleetLayout()), output)
 
 
