Acceptance: a held change says why in status; a stopped relay leaves no gap

Two scenarios on real processes: status names the route and the service waited for and the change goes out after its bound; three relays, one stopped as planned, and no proxy ever left its relay before it had another.

--- a/tests/acceptance/cluster.py
+++ b/tests/acceptance/cluster.py
@@ -32,6 +32,7 @@
 WAIT_SECONDS = 40.0
 STOP_SECONDS = 20.0
 POLL_SECONDS = 0.05
+HOLD_MILLISECONDS = 8_000
 COMMAND_MILLISECONDS = 20_000
 
 
@@ -193,6 +194,7 @@
                 "relay": member.name,
                 "zone": ZONE,
                 "freshness_milliseconds": 200,
+                "hold_milliseconds": HOLD_MILLISECONDS,
                 "replicas": replicas,
                 "relays": [_peer(each) | {"zone": ZONE} for each in others],
             }
--- a/tests/acceptance/planned_stop.feature
+++ b/tests/acceptance/planned_stop.feature
@@ -15,3 +15,12 @@
     When kassa-1 is stopped in a planned way while a call runs
     Then the call gets its whole answer
     And the process ends with code 0
+
+  Scenario: A relay is stopped and its proxies are handed over
+    Given a cluster of 1 replica and 3 relays
+    And 2 proxies of kassa and 0 proxies of kuitti
+    And callers that call kassa-1 all the time
+    When the relay of kassa-1 is stopped in a planned way
+    And an operator sets the timeout to 700
+    Then every proxy of kassa holds that version
+    And no proxy was ever without a relay
--- a/tests/acceptance/test_features.py
+++ b/tests/acceptance/test_features.py
@@ -287,6 +287,25 @@
             )
 
 
+@then("status says that a proxy of kassa waits for a ready endpoint of kuitti")
+def status_says_held(cluster: Cluster) -> None:
+    wanted = "route:kassa/desk waits for a ready endpoint of kuitti"
+    seen: list[str] = []
+
+    def is_said() -> bool:
+        seen[:] = [cluster.ok("status").output]
+        return wanted in seen[0]
+
+    wait_until(is_said, lambda: f"status never said it: {seen}")
+
+
+@then("no proxy was ever without a relay")
+def no_gap(cluster: Cluster) -> None:
+    for node in cluster.nodes.values():
+        assert len(node.events("relay_chosen")) >= 1
+        assert node.events("relay_left") == []
+
+
 @then("the operator's watch tells that it is in force")
 def watch_ends(cluster: Cluster, story: Story) -> None:
     watched = cluster.ok("watch", str(story.version), "--json").json["in_force"]
