--- a/src/peppershore_lab/claims_trial/trial.py
+++ b/src/peppershore_lab/claims_trial/trial.py
@@ -15,6 +15,7 @@
     audit,
     index_runs,
 )
+from peppershore_lab.calls.caller import OUTCOME_ANSWERED
 from peppershore_lab.claims_trial.faults import FaultMark, FaultSchedule
 from peppershore_lab.claims_trial.payouts import PayoutCaller, was_refused
 from peppershore_lab.fleet.bring_up import bring_up
@@ -57,6 +58,9 @@
     ``ran_but_unanswered`` keys ran once and no caller ever heard the answer;
     ``unknown_but_never_ran`` keys were told "unknown" to the last though no back
     end ran them: honest, yet a payout that a person must look into.
+    ``later_sends`` came after an answer of their key, ``later_answered`` heard it
+    again.  ``refused_after_run`` sends were refused as not run, for want of a claim,
+    after an earlier send of their key had run: the refusal speaks of its own send.
     """
 
     clean: bool
@@ -67,6 +71,9 @@
     kept_answers_given: int
     ran_but_unanswered: int
     unknown_but_never_ran: int
+    later_sends: int
+    later_answered: int
+    refused_after_run: int
     keys_run_twice: int
     longest_refusal_seconds: float
     faults: dict[str, int]
@@ -87,6 +94,9 @@
     kept_answers_given: int
     ran_but_unanswered: int
     unknown_but_never_ran: int
+    later_sends: int
+    later_answered: int
+    refused_after_run: int
     violations: int
     faults: int
     trials: tuple[TrialResult, ...]
@@ -105,6 +115,9 @@
         kept_answers_given=sum(trial.kept_answers_given for trial in trials),
         ran_but_unanswered=sum(trial.ran_but_unanswered for trial in trials),
         unknown_but_never_ran=sum(trial.unknown_but_never_ran for trial in trials),
+        later_sends=sum(trial.later_sends for trial in trials),
+        later_answered=sum(trial.later_answered for trial in trials),
+        refused_after_run=sum(trial.refused_after_run for trial in trials),
         violations=sum(trial.audit.violation_count for trial in trials),
         faults=sum(len(trial.marks) for trial in trials),
         trials=trials,
@@ -168,6 +181,7 @@
     by_key: dict[str, list[CallRecord]] = defaultdict(list)
     for call in calls:
         by_key[call.idempotency_key].append(call)
+    later = [call for sends in by_key.values() for call in _later_sends(sends)]
     refusals = [_seconds(call) for call in calls if was_refused(call)]
     faults: dict[str, int] = defaultdict(int)
     for mark in marks:
@@ -189,6 +203,9 @@
             for key, sends in by_key.items()
             if key not in runs.by_key and sends[-1].outcome == "unknown"
         ),
+        later_sends=len(later),
+        later_answered=sum(1 for call in later if call.outcome == OUTCOME_ANSWERED),
+        refused_after_run=sum(1 for call in calls if _refused_after_run(call, runs)),
         keys_run_twice=sum(1 for each in runs.by_key.values() if len(each) > 1),
         longest_refusal_seconds=round(max(refusals, default=0.0), 3),
         faults=dict(sorted(faults.items())),
@@ -207,8 +224,23 @@
     return [record for path in paths for record in reader.read(path)]
 
 
+def _later_sends(sends: list[CallRecord]) -> list[CallRecord]:
+    """Give the sends of one key that began after a send of it was answered."""
+    answered = [
+        send.ended_unix_seconds for send in sends if send.outcome == OUTCOME_ANSWERED
+    ]
+    first = min(answered, default=float("inf"))
+    return [send for send in sends if send.sent_unix_seconds > first]
+
+
+def _refused_after_run(call: CallRecord, runs: Runs) -> bool:
+    earlier = runs.by_key.get(call.idempotency_key, [])
+    began = any(run.unix_seconds < call.sent_unix_seconds for run in earlier)
+    return was_refused(call) and began
+
+
 def _answered(sends: list[CallRecord]) -> bool:
-    return any(send.outcome == "answered" for send in sends)
+    return any(send.outcome == OUTCOME_ANSWERED for send in sends)
 
 
 def _was_kept(call: CallRecord, runs: Runs) -> bool:
--- a/tests/claims/test_claims_trial.py
+++ b/tests/claims/test_claims_trial.py
@@ -87,3 +87,19 @@
     result = judged(tmp_path, [send("k1", "s1", "unknown")], [])
     assert result.clean
     assert result.unknown_but_never_ran == 1
+
+
+def test_the_judge_tells_refusals_of_a_key_that_had_run(tmp_path: Path):
+    sends = [send("k1", "s1", "broken"), send("k1", "s2", "not-run")]
+    sends[1] = msgspec.structs.replace(sends[1], sent_unix_seconds=2.0)
+    result = judged(tmp_path, sends, ran("r1", "k1", "s1"))
+    assert result.clean, "the second send itself did not run"
+    assert result.refused_after_run == 1
+
+
+def test_the_judge_counts_sends_after_an_answer(tmp_path: Path):
+    later = [send("k1", "s2", "answered", "r1"), send("k1", "s3", "unknown")]
+    later = [msgspec.structs.replace(each, sent_unix_seconds=3.0) for each in later]
+    sends = [send("k1", "s1", "answered", "r1"), *later]
+    result = judged(tmp_path, sends, ran("r1", "k1", "s1"))
+    assert (result.later_sends, result.later_answered) == (2, 1)
