--- a/src/peppershore_lab/simulator/cluster.py
+++ b/src/peppershore_lab/simulator/cluster.py
@@ -109,6 +109,12 @@
             if isinstance(process.core, OperatorCore):
                 process.core.is_active = active
 
+    def set_operators_watching(self, watching: bool) -> None:
+        """Let operators ask for the state again and again."""
+        for process in self.operators:
+            if isinstance(process.core, OperatorCore):
+                process.core.is_watching = watching
+
     def is_converged(self) -> bool:
         """Tell whether every node runs and holds the newest accepted version."""
         return all(self.holds_newest(process) for process in self.nodes)
--- a/src/peppershore_lab/simulator/command.py
+++ b/src/peppershore_lab/simulator/command.py
@@ -39,7 +39,7 @@
 @click.option("--first", default=1, show_default=True, help="The first seed.")
 @click.option("--profile", "profile_name", default="", help="Only this profile.")
 @click.option("--workers", default=1, show_default=True, help="Worker processes.")
-@click.option("--json", "json_file", default="", help="Write the summary there.")
+@click.option("--json", "json_file", default="", help="Add the summary to this file.")
 def simulate(
     seeds: int, first: int, profile_name: str, workers: int, json_file: str
 ) -> None:
@@ -61,10 +61,23 @@
     summary = summarize(results, seconds)
     click.echo(json.dumps(summary, indent=2))
     if json_file:
-        Path(json_file).write_text(json.dumps(summary, indent=2) + "\n")
+        add_to_file(Path(json_file), {"first_seed": first, **summary})
     sys.exit(1 if failures else 0)
 
 
+def add_to_file(target: Path, summary: dict[str, object]) -> None:
+    """Add one run to a file of runs, which need not exist yet."""
+    runs = json.loads(target.read_text())["runs"] if target.exists() else []
+    runs.append(summary)
+    totals = {
+        "seeds": sum(run["seeds"] for run in runs),
+        "failed": sum(run["failed"] for run in runs),
+        "steps": sum(run["steps"] for run in runs),
+        "wall_seconds": round(sum(run["wall_seconds"] for run in runs), 1),
+    }
+    target.write_text(json.dumps({"total": totals, "runs": runs}, indent=2) + "\n")
+
+
 def summarize(results: list[SeedResult], seconds: float) -> dict[str, object]:
     """Sum up the results, for each profile and for all."""
     names = sorted({result.profile for result in results})
--- a/src/peppershore_lab/simulator/operator.py
+++ b/src/peppershore_lab/simulator/operator.py
@@ -61,6 +61,7 @@
     ) -> None:
         """Work against the replicas at these addresses."""
         self.is_active = True
+        self.is_watching = False
         self._name = name
         self._replicas = replicas
         self._think_seconds = think_seconds
@@ -105,11 +106,17 @@
         if timer == ANSWER_TIMER:
             return self._give_up()
         if not self.is_active and self._edit is None:
-            return [self._think()]
+            return self._watch() if self.is_watching else [self._think()]
         if self._link is not None:
             return self._ask()
         return self._connect()
 
+    def _watch(self) -> list[Command]:
+        """Ask for the state; edits nothing."""
+        if self._link is None:
+            return self._connect()
+        return [self._send(StatusQuery()), self._think()]
+
     def _connect(self) -> list[Command]:
         self._link = self._numbers.take()
         address = self._leader or self._randomness.choice(self._replicas)
@@ -123,6 +130,8 @@
         message: Message
         if self._edit is not None:
             message = SubmitEdit(self._edit)
+        elif not self.is_active:
+            return self._watch()
         else:
             self._read_at_least = self._journal.read_began()
             message = TreeQuery()
