--- a/src/peppershore_lab/experiments/distribution_baselines.py
+++ b/src/peppershore_lab/experiments/distribution_baselines.py
@@ -167,8 +167,8 @@
                 self._send(writer, self._whole.frame)
             while request := await reader.read(READ_BYTES):
                 self._answer_poll(writer, request)
-        except OSError:
-            pass
+        except (OSError, asyncio.CancelledError):
+            pass  # an end of the link, or of the run
         finally:
             self._writers.discard(writer)
             writer.close()
--- a/src/peppershore_lab/fleet/fleet.py
+++ b/src/peppershore_lab/fleet/fleet.py
@@ -71,6 +71,7 @@
         shim of ``faulty_process`` and read their faults from ``fault_path``.
         """
         self._injected = injected
+        self._more_backends: tuple[BackendMember, ...] = ()
         self._block = AddressBlock()
         self._keeps = keep_folder is not None
         self.folder = keep_folder or Path(tempfile.mkdtemp(prefix="peppershore-lab-"))
@@ -152,6 +153,7 @@
 
     async def start_more_backends(self, members: tuple[BackendMember, ...]) -> None:
         """Start stand-in back ends that no node stands beside."""
+        self._more_backends += members
         for number, member in enumerate(members):
             self._start_backend(member, number)
         await self._wait_listening(members)
@@ -228,6 +230,7 @@
             layout.relays,
             layout.backends,
             layout.proxies,
+            self._more_backends,
         )
         return {member.name: member for group in groups for member in group}
 
