--- a/src/peppershore_lab/audit.py
+++ b/src/peppershore_lab/audit.py
@@ -7,17 +7,18 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from pathlib import Path
 
 import msgspec
 
 from peppershore_lab.journal import (
     CallRecord,
-    JournalReader,
     RunEnded,
     RunRecord,
     RunStarted,
+    read_calls,
+    read_runs,
 )
 
 ANSWERED = "answered"
@@ -86,7 +87,7 @@
     return Runs(started, frozenset(completed), dict(by_request), dict(by_key))
 
 
-def audit(calls: list[CallRecord], runs: Runs) -> AuditReport:
+def audit(calls: Sequence[CallRecord], runs: Runs) -> AuditReport:
     """Judge every call against the runs."""
     violations: list[Violation] = []
     for call in calls:
@@ -110,15 +111,7 @@
 
 def audit_folder(folder: Path) -> AuditReport:
     """Audit the journals of a fleet: ``caller-*.jsonl`` and ``backend-*.jsonl``."""
-    call_reader = JournalReader(CallRecord)
-    run_reader: JournalReader[RunRecord] = JournalReader(RunRecord)  # type: ignore[arg-type]
-    calls = [
-        call for path in sorted(folder.glob("caller-*")) for call in call_reader.read(path)
-    ]
-    records = [
-        run for path in sorted(folder.glob("backend-*")) for run in run_reader.read(path)
-    ]
-    return audit(calls, index_runs(records))
+    return audit(read_calls(folder), index_runs(read_runs(folder)))
 
 
 def _has_answer(call: CallRecord) -> bool:
@@ -155,7 +148,7 @@
     ]
 
 
-def _judge_repetition(calls: list[CallRecord], runs: Runs) -> list[Violation]:
+def _judge_repetition(calls: Sequence[CallRecord], runs: Runs) -> list[Violation]:
     violations: list[Violation] = []
     keys = {call.idempotency_key for call in calls if not call.repeatable}
     for key in sorted(keys - {""}):
--- a/src/peppershore_lab/demo.py
+++ b/src/peppershore_lab/demo.py
@@ -34,7 +34,7 @@
 )
 from peppershore_lab.fleet.fleet import Fleet
 from peppershore_lab.fleet.managed_process import ManagedProcess
-from peppershore_lab.journal import CallRecord, JournalReader
+from peppershore_lab.journal import read_calls
 from peppershore_lab.operator_client import Operator, control_bytes
 from peppershore_lab.reference import (
     HistoryIncomplete,
@@ -244,7 +244,7 @@
     """Count the moved route's answers by service, before and after the edit."""
     before: dict[str, int] = {}
     after: dict[str, int] = {}
-    for call in _calls(fleet):
+    for call in read_calls(fleet.folder / "journals"):
         if call.kind != MOVED_KIND or not call.service:
             continue
         if call.ended_unix_seconds < accepted:
@@ -254,12 +254,6 @@
     return before, after
 
 
-def _calls(fleet: Fleet) -> list[CallRecord]:
-    reader = JournalReader(CallRecord)
-    paths = sorted((fleet.folder / "journals").glob("caller-*"))
-    return [call for path in paths for call in reader.read(path)]
-
-
 def _latency(fleet: Fleet) -> LatencySummary:
     summaries: list[LatencySummary] = []
     for path in sorted(Path(fleet.folder).glob("caller-*.json")):
--- a/src/peppershore_lab/experiments/evidence.py
+++ b/src/peppershore_lab/experiments/evidence.py
@@ -15,15 +15,10 @@
 from peppershore_lab.experiments.edits import EditRecord
 from peppershore_lab.experiments.marks import FaultMark, Span
 from peppershore_lab.fleet.plan import FleetLayout
-from peppershore_lab.journal import CallRecord, JournalReader, RunRecord
+from peppershore_lab.journal import CallRecord, RunRecord
 from peppershore_lab.log_reader import read_log
 from peppershore_lab.reference import Reference
 
-CALLERS = "caller-*"
-BACKENDS = "backend-*"
-TWIN_CALLERS = "plain-caller-*"
-TWIN_BACKENDS = "plain-backend-*"
-
 
 class Evidence(msgspec.Struct, frozen=True, kw_only=True):
     """What a run is judged by; nothing here is a process's opinion of itself but
@@ -51,20 +46,6 @@
     )
 
 
-def read_calls(journals: Path, pattern: str) -> tuple[CallRecord, ...]:
-    """Give the records of all callers whose journals match a pattern."""
-    reader = JournalReader(CallRecord)
-    paths = sorted(journals.glob(f"{pattern}.jsonl"))
-    return tuple(record for path in paths for record in reader.read(path))
-
-
-def read_runs(journals: Path, pattern: str) -> tuple[RunRecord, ...]:
-    """Give the records of all back ends whose journals match a pattern."""
-    reader: JournalReader[RunRecord] = JournalReader(RunRecord)  # type: ignore[arg-type]
-    paths = sorted(journals.glob(f"{pattern}.jsonl"))
-    return tuple(record for path in paths for record in reader.read(path))
-
-
 def read_held(logs: Path, layout: FleetLayout) -> tuple[VersionHeld, ...]:
     """Give every version that each proxy took, proxy by proxy."""
     return tuple(versions_held(logs, [proxy.name for proxy in layout.proxies]))
--- a/src/peppershore_lab/experiments/outcome.py
+++ b/src/peppershore_lab/experiments/outcome.py
@@ -108,7 +108,7 @@
     """Judge the baseline's calls by the same journals' rules, for comparison."""
     if not facts.plain_calls:
         return ()
-    report = audit(list(facts.plain_calls), index_runs(facts.plain_runs))
+    report = audit(facts.plain_calls, index_runs(facts.plain_runs))
     return tuple(
         judge(
             promise,
--- a/src/peppershore_lab/experiments/promises.py
+++ b/src/peppershore_lab/experiments/promises.py
@@ -38,7 +38,7 @@
 
 def judge_promises(evidence: Evidence, arrivals: Sequence[Arrival]) -> list[Verdict]:
     """Give the verdict on every promise."""
-    report = audit(list(evidence.calls), index_runs(evidence.runs))
+    report = audit(evidence.calls, index_runs(evidence.runs))
     return [
         judge(NO_STEP_BACK, len(evidence.held), steps_back(evidence.held)),
         judge(CLOSED, len(evidence.held), evidence.reference.gaps),
--- a/src/peppershore_lab/experiments/runner.py
+++ b/src/peppershore_lab/experiments/runner.py
@@ -25,9 +25,7 @@
 from peppershore_lab.experiments.evidence import (
     Evidence,
     read_accepted,
-    read_calls,
     read_held,
-    read_runs,
     roles_of,
 )
 from peppershore_lab.experiments.injector import Injector
@@ -43,6 +41,12 @@
 from peppershore_lab.fleet.fleet import Fleet, FleetFailed
 from peppershore_lab.fleet.managed_process import ManagedProcess
 from peppershore_lab.fleet.tree_edit import creating_edit
+from peppershore_lab.journal import (
+    BACKEND_JOURNALS,
+    CALLER_JOURNALS,
+    read_calls,
+    read_runs,
+)
 from peppershore_lab.operator_client import Operator
 from peppershore_lab.reference import HistoryIncomplete, read_reference
 
@@ -240,8 +244,8 @@
             held=read_held(logs, layout),
             accepted=read_accepted(logs, layout),
             edits=tuple(each for group in self._operators for each in group.records),
-            calls=read_calls(journals, "caller-*"),
-            runs=read_runs(journals, "backend-*"),
+            calls=read_calls(journals),
+            runs=read_runs(journals),
             availability=Availability(roles_of(layout), marks, run),
         )
 
@@ -255,6 +259,6 @@
             bring_up_seconds=up.seconds,
             samples=tuple(self._sampler.samples),
             baselines=tuple(measures),
-            plain_calls=read_calls(journals, "plain-caller-*"),
-            plain_runs=read_runs(journals, "plain-backend-*"),
+            plain_calls=read_calls(journals, twin_name(CALLER_JOURNALS)),
+            plain_runs=read_runs(journals, twin_name(BACKEND_JOURNALS)),
         )
--- a/src/peppershore_lab/journal.py
+++ b/src/peppershore_lab/journal.py
@@ -12,6 +12,9 @@
 
 import msgspec
 
+CALLER_JOURNALS = "caller-*"
+BACKEND_JOURNALS = "backend-*"
+JOURNAL_SUFFIX = ".jsonl"
 _ENCODER = msgspec.json.Encoder()
 
 
@@ -102,3 +105,23 @@
             return []
         lines = path.read_bytes().split(b"\n")
         return [self._decoder.decode(line) for line in lines[:-1] if line]
+
+
+def read_calls(folder: Path, pattern: str = CALLER_JOURNALS) -> tuple[CallRecord, ...]:
+    """Give the records of all callers of a folder, journal by journal."""
+    reader = JournalReader(CallRecord)
+    return tuple(
+        record for path in _journals(folder, pattern) for record in reader.read(path)
+    )
+
+
+def read_runs(folder: Path, pattern: str = BACKEND_JOURNALS) -> tuple[RunRecord, ...]:
+    """Give the records of all back ends of a folder, journal by journal."""
+    reader: JournalReader[RunRecord] = JournalReader(RunRecord)  # type: ignore[arg-type]
+    return tuple(
+        record for path in _journals(folder, pattern) for record in reader.read(path)
+    )
+
+
+def _journals(folder: Path, pattern: str) -> list[Path]:
+    return sorted(folder.glob(f"{pattern}{JOURNAL_SUFFIX}"))
