--- /dev/null
+++ b/src/peppershore/process/node/data/back_end_pools.py
@@ -0,0 +1,58 @@
+"""Connections of this node to back ends, by address."""
+
+from __future__ import annotations
+
+from peppershore.connection.http_pool import ConnectionPool
+from peppershore.connection.messages import Endpoint
+
+
+class BackEndPools:
+    """A pool for each back end; those of lent slots follow the loan."""
+
+    def __init__(self) -> None:
+        """Start without pools."""
+        self._pools: dict[str, ConnectionPool] = {}
+        self._borrowed: dict[str, ConnectionPool] = {}
+
+    def pool(self, endpoint: Endpoint) -> ConnectionPool:
+        """Give the pool of a back end that has no authority over its connections."""
+        pool = self._pools.get(endpoint.address)
+        if pool is None:
+            pool = ConnectionPool(endpoint.address, endpoint.connections)
+            self._pools[endpoint.address] = pool
+        return pool
+
+    def borrowed(self, endpoint: Endpoint, allowance: int) -> ConnectionPool:
+        """Give connections to another node's back end, one a slot that it lends.
+
+        So the back end's connections are bounded over all nodes together.
+        """
+        pool = self.pool(endpoint)
+        self._borrowed[endpoint.owner_address] = pool
+        pool.limit(allowance)
+        return pool
+
+    def limit_borrowed(self, owner_address: str, allowance: int) -> None:
+        """A loan changed: close what is above it."""
+        pool = self._borrowed.get(owner_address)
+        if pool is not None:
+            pool.limit(allowance)
+
+    def keep_only(self, endpoints: tuple[Endpoint, ...]) -> None:
+        """Close the pools of back ends that are gone."""
+        addresses = {endpoint.address for endpoint in endpoints}
+        for address in [known for known in self._pools if known not in addresses]:
+            self._pools.pop(address).close()
+        owners = {endpoint.owner_address for endpoint in endpoints}
+        for owner in [known for known in self._borrowed if known not in owners]:
+            del self._borrowed[owner]
+
+    def trim(self, now: float) -> None:
+        """Close connections that were idle for long."""
+        for pool in self._pools.values():
+            pool.trim(now)
+
+    def close(self) -> None:
+        """Close idle connections now, used ones once their exchange is over."""
+        for pool in self._pools.values():
+            pool.close()
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -13,11 +13,11 @@
 from returns.result import Failure, Result, Success
 
 from peppershore.connection.http_head import HeaderList, RequestHead
-from peppershore.connection.http_pool import ConnectionPool
 from peppershore.connection.messages import Endpoint, KeptAnswer
 from peppershore.process.commands import Notice
 from peppershore.process.node.data import notices
 from peppershore.process.node.data.attempt import Attempt, AttemptRequest, AttemptSink
+from peppershore.process.node.data.back_end_pools import BackEndPools
 from peppershore.process.node.data.direct_attempt import DirectAttempt
 from peppershore.process.node.data.link_attempt import LinkAttempt
 from peppershore.process.node.data.own_backend import OwnBackend
@@ -96,15 +96,14 @@
         self._notice_sink = notice_sink
         self._random = random
         self._links = links
-        links.on_allowance = self._limit_borrowed
         self._audience = AudienceCheck()
         self._voucher = Voucher(settings.service)
         self._rates = CallerRates()
         self._admissions: dict[str, Admission] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._endpoints: dict[str, tuple[Endpoint, ...]] = {}
-        self._pools: dict[str, ConnectionPool] = {}
-        self._borrowed: dict[str, ConnectionPool] = {}
+        self._pools = BackEndPools()
+        links.on_allowance = self._pools.limit_borrowed
         self._waiting: dict[int, Call] = {}
         self._live: set[Call] = set()
         self._ticket_numbers = itertools.count(1)
@@ -147,21 +146,20 @@
         now = self.loop.time()
         for service, admission in self._admissions.items():
             self._feed(admission, service, now)
-        self._close_unused(endpoints)
+        self._pools.keep_only(endpoints)
+        self._links.keep_only(frozenset(endpoint.owner_address for endpoint in endpoints))
         self._start_all_waiting()
 
     def tick(self, now: float) -> None:
         """Do what is due every second or so."""
-        for pool in self._pools.values():
-            pool.trim(now)
+        self._pools.trim(now)
         self._links.renew(now)
 
     def close(self) -> None:
         """Cut what is left."""
         for call in list(self._live):
             call.caller_gone()
-        for pool in self._pools.values():
-            pool.close()
+        self._pools.close()
         if self._kick is not None:
             self._kick.cancel()
         for task in self._tasks:
@@ -249,11 +247,11 @@
         if self.own is not None and endpoint.node == self._settings.node:
             return self.own.attempt(request, sink)
         if not endpoint.owner_address:
-            return DirectAttempt(self._pool(endpoint), request, sink)
+            return DirectAttempt(self._pools.pool(endpoint), request, sink)
         if plan.hop == "direct":
             address = endpoint.owner_address
             if self._links.borrow(address, self.loop.time()):
-                pool = self._borrowed_pool(endpoint)
+                pool = self._pools.borrowed(endpoint, self._links.allowance(address))
                 return DirectAttempt(
                     pool, request, sink, lambda: self._links.give_back(address)
                 )
@@ -386,37 +384,6 @@
             self._budgets[service] = budget
         return budget
 
-    def _pool(self, endpoint: Endpoint) -> ConnectionPool:
-        pool = self._pools.get(endpoint.address)
-        if pool is None:
-            pool = ConnectionPool(endpoint.address, endpoint.connections)
-            self._pools[endpoint.address] = pool
-        return pool
-
-    def _borrowed_pool(self, endpoint: Endpoint) -> ConnectionPool:
-        """Give connections to another node's back end, one a slot that it lends.
-
-        So the back end's connections are bounded over all nodes together.
-        """
-        pool = self._pool(endpoint)
-        self._borrowed[endpoint.owner_address] = pool
-        pool.limit(self._links.allowance(endpoint.owner_address))
-        return pool
-
-    def _limit_borrowed(self, owner_address: str, connections: int) -> None:
-        pool = self._borrowed.get(owner_address)
-        if pool is not None:
-            pool.limit(connections)
-
-    def _close_unused(self, endpoints: tuple[Endpoint, ...]) -> None:
-        addresses = {endpoint.address for endpoint in endpoints}
-        for address in [known for known in self._pools if known not in addresses]:
-            self._pools.pop(address).close()
-        live = {endpoint.owner_address for endpoint in endpoints}
-        for address in [known for known in self._borrowed if known not in live]:
-            del self._borrowed[address]
-        self._links.keep_only(frozenset(endpoint.owner_address for endpoint in endpoints))
-
     def _start_all_waiting(self) -> None:
         for admission in list(self._admissions.values()):
             self._start_waiting(admission)
