Claims: the leader's bounds are in the log, so that settings that differ forget no claim

Found by reading: each replica took horizon and number of records from its own settings. One with a smaller table refused in its copy what the leader had granted, and granted it to another attempt once it led itself: a payout would run twice after a change of max_records on one replica and a failover. The test fails without the entry (key granted anew by the smaller replica) and passes with it.

--- a/src/peppershore/process/claims/core.py
+++ b/src/peppershore/process/claims/core.py
@@ -26,6 +26,7 @@
 )
 from peppershore.process.claims.client_core import REASON_FULL, REASON_NOT_LEADER
 from peppershore.process.claims.entries import (
+    BoundsSet,
     ClaimEntry,
     ClockAdvanced,
     CompletionEntry,
@@ -71,13 +72,13 @@
 
     def __init__(self, settings: ClaimsSettings, stored: StoredState) -> None:
         """Take up a stored state; nothing happens before ``Started``."""
-        table = ClaimTable(
+        self._bounds = BoundsSet(
             settings.horizon_seconds * MILLISECONDS,
             settings.max_records,
             settings.max_answer_megabytes * BYTES_PER_MEGABYTE,
         )
-        self._horizon_seconds = settings.horizon_seconds
-        self.machine = ClaimsMachine(table)
+        bounds = msgspec.structs.astuple(self._bounds)
+        self.machine = ClaimsMachine(ClaimTable(*bounds))
         super().__init__(_replica_settings(settings), stored, self.machine)
         self._identities: dict[LinkId, str] = {}
         self._waiting: dict[int, WaitingAsk] = {}
@@ -122,8 +123,9 @@
             self._answer(applied)
 
     def on_leadership_gained(self) -> None:
-        """Count the table's time from now on."""
+        """Count the table's time from now on; all replicas keep this one's bounds."""
         self._clock_proposed_at = self.now
+        self.propose(encode_entry(self._bounds))
 
     def on_leadership_lost(self) -> None:
         """What waits may commit or not: the nodes ask the next leader again."""
@@ -178,7 +180,8 @@
     def _message_of(self, request: int, answer: TableAnswer) -> Message:
         match answer:
             case Granted():
-                return ClaimGranted(request, self._horizon_seconds)
+                horizon = self.machine.table.bounds.horizon_milliseconds
+                return ClaimGranted(request, horizon // MILLISECONDS)
             case Taken():
                 return ClaimTaken(request, answer.answer)
             case TableFull():
--- a/src/peppershore/process/claims/entries.py
+++ b/src/peppershore/process/claims/entries.py
@@ -35,7 +35,15 @@
     milliseconds: int
 
 
-TableEntry = ClaimEntry | CompletionEntry | ReleaseEntry | ClockAdvanced
+class BoundsSet(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """What a leader's settings allow from here on, the same on every replica."""
+
+    horizon_milliseconds: int
+    max_records: int
+    max_answer_bytes: int
+
+
+TableEntry = ClaimEntry | CompletionEntry | ReleaseEntry | ClockAdvanced | BoundsSet
 
 
 class Granted(msgspec.Struct, frozen=True):
@@ -53,7 +61,7 @@
 
 
 class Noted(msgspec.Struct, frozen=True):
-    """A completion, release or clock entry took effect or changed nothing."""
+    """An entry that grants nothing took effect or changed nothing."""
 
 
 TableAnswer = Granted | Taken | TableFull | Noted
--- a/src/peppershore/process/claims/shell.py
+++ b/src/peppershore/process/claims/shell.py
@@ -30,7 +30,7 @@
     core = process.core
     gauge = process.metrics.gauge
     gauge("claims", "Claimed calls on record.", lambda: table.size)
-    gauge("claims_limit", "Records that the table takes.", lambda: table.max_records)
+    gauge("claims_limit", "Records that the table takes.", lambda: table.bounds.max_records)
     gauge("claims_answer_bytes", "Bytes of all kept answers.", lambda: table.answer_bytes)
     gauge(
         "claims_refused_full",
--- a/src/peppershore/process/claims/table.py
+++ b/src/peppershore/process/claims/table.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from peppershore.process.claims.entries import (
+    BoundsSet,
     ClaimEntry,
     ClockAdvanced,
     CompletionEntry,
@@ -46,6 +47,7 @@
 
     clock: int
     next_segment: int
+    bounds: BoundsSet
 
 
 class FirstFormatState(msgspec.Struct, frozen=True, array_like=True):
@@ -72,12 +74,10 @@
     ) -> None:
         """Keep each record for ``horizon_milliseconds`` of table time.
 
-        Replicas of a group must agree on all of these.
+        These bounds count until the log or a snapshot holds others.
         """
-        self.max_records = max_records
+        self.bounds = BoundsSet(horizon_milliseconds, max_records, max_answer_bytes)
         self.refused_full = 0
-        self._horizon = horizon_milliseconds
-        self._max_answer_bytes = max_answer_bytes
         self._segment_records = segment_records
         self._clock = 0
         self._answer_bytes = 0
@@ -110,13 +110,17 @@
                 self._release(entry)
             case ClockAdvanced():
                 self._advance(entry.milliseconds)
+            case BoundsSet():
+                self.bounds = entry
+                self._drop_answers_beyond_bound()
         return Noted()
 
     # --- snapshots -----------------------------------------------------------
 
     def begin_snapshot(self) -> Iterator[Piece]:
         """Give the pieces of the table as it is now, while entries go on."""
-        header = msgspec.msgpack.encode(TableHeader(self._clock, self._next_segment))
+        state = TableHeader(self._clock, self._next_segment, self.bounds)
+        header = msgspec.msgpack.encode(state)
         self._snapshot = TableSnapshot(header, list(self._segments.values()))
         return self._snapshot.pieces()
 
@@ -135,6 +139,7 @@
         header = _HEADER_DECODER.decode(next(pieces))
         self._clock = header.clock
         self._next_segment = header.next_segment
+        self.bounds = header.bounds
         for piece in pieces:
             self._add_segment(decode_segment(piece))
 
@@ -171,7 +176,7 @@
         return Taken(record.answer)
 
     def _grant(self, entry: ClaimEntry) -> TableAnswer:
-        if len(self._index) >= self.max_records:
+        if len(self._index) >= self.bounds.max_records:
             self.refused_full += 1
             return TableFull()
         self._add_record(entry.key, ClaimRecord(entry.attempt, self._clock))
@@ -201,7 +206,7 @@
 
     def _advance(self, milliseconds: int) -> None:
         self._clock += max(0, milliseconds)
-        oldest_kept = self._clock - self._horizon
+        oldest_kept = self._clock - self.bounds.horizon_milliseconds
         for segment in list(self._segments.values()):
             if segment.newest_claimed_at >= oldest_kept:
                 self._expire_part(segment, oldest_kept)
@@ -283,7 +288,7 @@
             self._dropping.clear()
 
     def _drop_answers_beyond_bound(self) -> None:
-        while self._answer_bytes > self._max_answer_bytes:
+        while self._answer_bytes > self.bounds.max_answer_bytes:
             if not self._dropping:
                 self._dropping = self._oldest_answered_keys()
             self._drop_answer(self._dropping.pop())
--- a/src/peppershore/process/settings.py
+++ b/src/peppershore/process/settings.py
@@ -125,7 +125,7 @@
 class ClaimsSettings(SettingsValue, frozen=True, kw_only=True):
     """A replica of a claims group: the record of calls that run at most once.
 
-    All replicas of a group must have the same horizon and bounds.
+    The leader's horizon and bounds count for all replicas of a group.
     """
 
     cluster: str
--- a/tests/claims/claims_cluster.py
+++ b/tests/claims/claims_cluster.py
@@ -39,8 +39,13 @@
     """Three claims replicas; nodes open links to them as clients."""
 
     def __init__(
-        self, seed: int, faults: Faults = NO_FAULTS, horizon_seconds: int = 3_600
+        self,
+        seed: int,
+        faults: Faults = NO_FAULTS,
+        horizon_seconds: int = 3_600,
+        max_records: dict[str, int] | None = None,
     ) -> None:
+        self._max_records = max_records or {}
         self._horizon = horizon_seconds
         self.nodes: list[Node] = []
         super().__init__(NAMES, seed, faults)
@@ -56,6 +61,7 @@
             join=join,
             snapshot_entries=15,
             horizon_seconds=self._horizon,
+            max_records=self._max_records.get(name, 1_000),
         )
 
     def _make_core(self, replica: Replica) -> Any:
--- a/tests/claims/test_claim_window.py
+++ b/tests/claims/test_claim_window.py
@@ -165,6 +165,23 @@
     assert node.outcome("pay-1", "n1/3") == WantGranted(30)
 
 
+@pytest.mark.parametrize("small", NAMES)
+def test_replica_with_other_bounds_forgets_no_claim_when_it_leads(small: str):
+    """Settings that differ between replicas must not make their tables differ."""
+    cluster = ClaimsCluster(3, max_records={small: 2})
+    cluster.run_until(lambda: cluster.leader() is not None)
+    node = Node(cluster, "n1")
+    outcomes = {key: node.outcome(key, "n1/1") for key in ("p-1", "p-2", "p-3", "p-4")}
+    granted = [key for key, outcome in outcomes.items() if outcome == GRANTED]
+    assert len(granted) == (2 if cluster.leader() == small else 4)
+    leader = cluster.leader()
+    assert leader is not None
+    cluster.crash(leader)
+    cluster.run_until(lambda: cluster.leader() is not None)
+    for key in granted:
+        assert node.outcome(key, "n1/2") == WantTaken(None)
+
+
 class Payouts:
     """Callers of the seeded trial: resend keys through any node; count the runs."""
 
