Lab: links of tests and the command line share their code; a test waits for the event it asserts

test_group_recovered failed once under load: it looked for peer_refused before the replicas had met. It now waits for the event and besides asserts that the old disk follows nobody. The check for another disk looks at any link to the replica, not only the one opened from here.

--- a/src/peppershore/process/consensus/membership_changes.py
+++ b/src/peppershore/process/consensus/membership_changes.py
@@ -105,7 +105,9 @@
         """Adding a member again only waits for it: the first answer may be lost."""
         if member.address != change.address:
             return f"{change.replica} is a member already, at {member.address}"
-        known = self._replica.peers.identity_of(change.replica)
+        peers = self._replica.peers
+        link = peers.link_to(change.replica)
+        known = None if link is None else peers.identity_on(link)
         if known is not None and known.identity != member.identity:
             return f"{change.replica} is a member with another disk; remove it first"
         return ""
--- a/src/peppershore_lab/peer_link.py
+++ b/src/peppershore_lab/peer_link.py
@@ -1,31 +1,25 @@
-"""One link to a process of the system, with what comes on it in a queue."""
+"""One link to a process of the system, for tests and benchmarks that speak its protocol."""
 
 from __future__ import annotations
 
-import asyncio
-
+from peppershore.command.client import LinkLost, OperatorLink
 from peppershore.connection.codec import encode_message
-from peppershore.connection.link import Link, open_link
+from peppershore.connection.link import open_link
 from peppershore.connection.messages import Message
 
 
 class PeerLink:
-    """An open link; use ``open``."""
+    """An open link without certificates; use ``open``."""
 
-    def __init__(self, link: Link) -> None:
-        """Begin to collect what comes."""
+    def __init__(self, link: OperatorLink) -> None:
+        """Speak on this link."""
         self._link = link
-        self._queue: asyncio.Queue[Message | None] = asyncio.Queue()
-        link.start(
-            on_message=lambda message, _size: self._queue.put_nowait(message),
-            on_closed=lambda _reason: self._queue.put_nowait(None),
-        )
 
     @classmethod
     async def open(cls, address: str) -> PeerLink | None:
-        """Connect without certificates; None if nobody accepts."""
+        """Connect; None if nobody accepts."""
         link = await open_link(address, None)
-        return None if isinstance(link, str) else cls(link)
+        return None if isinstance(link, str) else cls(OperatorLink(link))
 
     def send(self, message: Message) -> None:
         """Send one message."""
@@ -33,11 +27,8 @@
 
     async def receive(self, seconds: float) -> Message | None:
         """Give the next message; None when the link ends or nothing comes in time."""
-        try:
-            async with asyncio.timeout(seconds):
-                return await self._queue.get()
-        except TimeoutError:
-            return None
+        message = await self._link.receive(seconds)
+        return None if isinstance(message, LinkLost) else message
 
     def close(self) -> None:
         """End the link."""
--- a/src/peppershore_lab/replica_group.py
+++ b/src/peppershore_lab/replica_group.py
@@ -60,11 +60,11 @@
         founders = tuple(names)
         for name in founders:
             self._members[name] = self._member(name)
-        self._founders = tuple(
+        peers = tuple(
             PeerReplica(name=name, address=self.address(name)) for name in founders
         )
         for name in founders:
-            self._prepare(name, self._founders, join=False)
+            self._prepare(name, peers, join=False)
 
     async def __aenter__(self) -> ReplicaGroup:
         """Give the group."""
@@ -100,10 +100,10 @@
         known = names or tuple(self._members)
         return Operator(tuple(self.address(name) for name in known))
 
-    def add_blank(self, name: str, join: bool = True) -> None:
-        """Prepare a replica that waits to be added (or founds, if not ``join``)."""
+    def add_blank(self, name: str) -> None:
+        """Prepare a replica on another machine that waits to be added."""
         self._members[name] = self._member(name)
-        self._prepare(name, () if join else self._founders, join=join)
+        self._prepare(name, (), join=True)
 
     def prepare_to_join(self, name: str) -> None:
         """Let a known machine's next start wait to be added, with a blank disk."""
@@ -135,6 +135,14 @@
         lines = [json.loads(line) for line in text.splitlines() if line.startswith("{")]
         return [line for line in lines if line.get("event") == event]
 
+    async def wait_for_event(self, event: str, *names: str) -> None:
+        """Wait until one of these replicas has logged an event."""
+        deadline = time.monotonic() + START_SECONDS
+        while not any(self.events(name, event) for name in names):
+            if time.monotonic() > deadline:
+                raise GroupFailedError(f"none of {names} logged {event}")
+            await asyncio.sleep(POLL_SECONDS)
+
     # --- the group -----------------------------------------------------------
 
     async def ask(self, name: str, question: Message) -> Message | None:
--- a/tests/control/test_group_recovered.py
+++ b/tests/control/test_group_recovered.py
@@ -79,10 +79,12 @@
             repeated = await group.operator(kept).submit(_edit(25))
             assert repeated.unwrap() == backed_up
             await group.start(other)
-            await group.wait_for(other, lambda status: not status.leader)
+            await group.wait_for_event("peer_refused", kept, other)
             again = await group.operator(kept).submit(_edit(50))
             assert is_successful(again)
-            assert group.events(kept, "peer_refused") or group.events(other, "peer_refused")
+            refused = await group.status(other)
+            assert refused is not None
+            assert not refused.leader
 
             group.kill(other)
             group.prepare_to_join(other)
--- a/tests/control/test_replica_changes.py
+++ b/tests/control/test_replica_changes.py
@@ -114,7 +114,7 @@
         shutil.rmtree(group.data_folder(blank))
         await group.start(blank)
         await _accept(group, "two")
-        assert group.events(leader, "other_store_seen")
+        await group.wait_for_event("other_store_seen", leader)
         again = await group.operator().run("replica", "add", blank, group.address(blank))
         assert again.exit_code != 0
         assert "another disk" in str(again.output)
