--- /dev/null
+++ b/src/peppershore/process/node/data/call_entry.py
@@ -0,0 +1,99 @@
+"""The way in: what a request is, who may make it, and what goes on to a back end."""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from peppershore.connection.http_head import HeaderList, RequestHead
+from peppershore.process.settings import NodeSettings
+from peppershore.request.audience import AudienceCheck, Caller
+from peppershore.request.caller_rate import CallerRates
+from peppershore.request.classification import CallPlan, classify
+from peppershore.request.outcome import (
+    AUTHORIZATION_HEADER,
+    DEADLINE_HEADER,
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    STATUS_TOO_MANY_REQUESTS,
+    NotRun,
+)
+from peppershore.request.vouching import Voucher
+from peppershore.version.active import ActiveConfiguration
+
+MILLISECONDS = 1_000
+REPLACED_HEADERS = frozenset({DEADLINE_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER})
+
+
+class EntryPlan(msgspec.Struct, frozen=True):
+    """What a call is, and whose."""
+
+    plan: CallPlan
+    caller: Caller
+
+
+class CallEntry:
+    """Judges requests by the configuration; remembers tokens and callers' rates."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        """``settings`` name the back end that this node vouches for."""
+        self._backend_host = settings.backend.rpartition(":")[0]
+        self._audience = AudienceCheck()
+        self._voucher = Voucher(settings.service)
+        self._rates = CallerRates()
+
+    def plan(
+        self, configuration: ActiveConfiguration | None, head: RequestHead, now: float
+    ) -> Result[EntryPlan, NotRun]:
+        """Decide what a call is and whether its caller may make it."""
+        classified = classify(configuration, head, now)
+        if isinstance(classified, Failure) or configuration is None:
+            return classified.map(lambda plan: EntryPlan(plan, Caller("")))
+        plan = classified.unwrap()
+        checked = self._check_audience(plan, configuration, head)
+        if isinstance(checked, Failure):
+            return Failure(checked.failure())
+        caller = checked.unwrap()
+        rate = plan.settings.caller_rate_per_second
+        name = caller.name or head.peer_address
+        wait = self._rates.wait_seconds(f"{plan.service}/{plan.route}", name, rate, now)
+        if wait > 0.0:
+            advice = max(1, int(wait * MILLISECONDS))
+            return Failure(NotRun(STATUS_TOO_MANY_REQUESTS, "caller-rate", advice))
+        return Success(EntryPlan(plan, caller))
+
+    def forwarded_headers(
+        self,
+        configuration: ActiveConfiguration | None,
+        head: RequestHead,
+        request_id: bytes,
+    ) -> HeaderList:
+        """Give the header fields for the back end."""
+        headers = [field for field in head.headers if field[0] not in REPLACED_HEADERS]
+        headers.append((REQUEST_ID_HEADER, request_id))
+        if self._from_own_backend(head) and not head.header(AUTHORIZATION_HEADER):
+            self._vouch(configuration, headers)
+        return headers
+
+    def _check_audience(
+        self, plan: CallPlan, configuration: ActiveConfiguration, head: RequestHead
+    ) -> Result[Caller, NotRun]:
+        authorization = head.header(AUTHORIZATION_HEADER)
+        if not authorization and self._from_own_backend(head):
+            authorization = self._voucher.authorization(configuration, time.time())
+        return self._audience.check(
+            plan.settings, configuration.secrets, authorization, time.time()
+        )
+
+    def _vouch(
+        self, configuration: ActiveConfiguration | None, headers: HeaderList
+    ) -> None:
+        if configuration is not None:
+            token = self._voucher.authorization(configuration, time.time())
+            if token:
+                headers.append((AUTHORIZATION_HEADER, token))
+
+    def _from_own_backend(self, head: RequestHead) -> bool:
+        return bool(self._backend_host) and head.peer_address == self._backend_host
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -5,12 +5,11 @@
 import asyncio
 import itertools
 import secrets
-import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from peppershore.connection.http_head import HeaderList, RequestHead
 from peppershore.connection.messages import Endpoint, KeptAnswer
@@ -18,30 +17,23 @@
 from peppershore.process.node.data import notices
 from peppershore.process.node.data.attempt import Attempt, AttemptRequest, AttemptSink
 from peppershore.process.node.data.back_end_pools import BackEndPools
+from peppershore.process.node.data.call_entry import CallEntry, EntryPlan
 from peppershore.process.node.data.direct_attempt import DirectAttempt
 from peppershore.process.node.data.link_attempt import LinkAttempt
 from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.owner_links import OwnerLinks
 from peppershore.process.settings import NodeSettings
 from peppershore.request.admission import Admission, Decision, Dispatch, Waiting
-from peppershore.request.audience import AudienceCheck, Caller
-from peppershore.request.caller_rate import CallerRates
 from peppershore.request.claim import ClaimDenied, ClaimGranted, ClaimsClient
-from peppershore.request.classification import CallPlan, classify
+from peppershore.request.classification import CallPlan
 from peppershore.request.endpoint_state import Verdict
 from peppershore.request.outcome import (
-    AUTHORIZATION_HEADER,
-    DEADLINE_HEADER,
-    OUTCOME_HEADER,
-    REQUEST_ID_HEADER,
-    STATUS_TOO_MANY_REQUESTS,
     STATUS_UNAVAILABLE,
     Failed,
     NotRun,
 )
 from peppershore.request.picker import RandomSource
 from peppershore.request.retry_budget import RetryBudget, retry_delay
-from peppershore.request.vouching import Voucher
 from peppershore.request.waiting import Ticket
 from peppershore.version.active import ActiveConfiguration
 
@@ -54,18 +46,10 @@
 owner counts the slots, this bounds what may wait there."""
 
 MILLISECONDS = 1_000
-REPLACED_HEADERS = frozenset({DEADLINE_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER})
 
 ClaimSink = Callable[[str, Result[ClaimGranted, ClaimDenied]], None]
 
 
-class EntryPlan(msgspec.Struct, frozen=True):
-    """What a call is, and whose."""
-
-    plan: CallPlan
-    caller: Caller
-
-
 class CallCounts(msgspec.Struct):
     """Ends of calls since the start."""
 
@@ -96,9 +80,7 @@
         self._notice_sink = notice_sink
         self._random = random
         self._links = links
-        self._audience = AudienceCheck()
-        self._voucher = Voucher(settings.service)
-        self._rates = CallerRates()
+        self._entry = CallEntry(settings)
         self._admissions: dict[str, Admission] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._endpoints: dict[str, tuple[Endpoint, ...]] = {}
@@ -185,23 +167,11 @@
 
     def plan(self, head: RequestHead) -> Result[EntryPlan, NotRun]:
         """Decide what a call is and whether its caller may make it."""
-        configuration = self.configuration
-        now = self.loop.time()
-        classified = classify(configuration, head, now)
-        if isinstance(classified, Failure) or configuration is None:
-            return classified.map(lambda plan: EntryPlan(plan, Caller("")))
-        plan = classified.unwrap()
-        checked = self._check_audience(plan, configuration, head)
-        if isinstance(checked, Failure):
-            return Failure(checked.failure())
-        caller = checked.unwrap()
-        rate = plan.settings.caller_rate_per_second
-        name = caller.name or head.peer_address
-        wait = self._rates.wait_seconds(f"{plan.service}/{plan.route}", name, rate, now)
-        if wait > 0.0:
-            advice = max(1, int(wait * MILLISECONDS))
-            return Failure(NotRun(STATUS_TOO_MANY_REQUESTS, "caller-rate", advice))
-        return Success(EntryPlan(plan, caller))
+        return self._entry.plan(self.configuration, head, self.loop.time())
+
+    def forwarded_headers(self, head: RequestHead, request_id: bytes) -> HeaderList:
+        """Give the header fields for the back end."""
+        return self._entry.forwarded_headers(self.configuration, head, request_id)
 
     def ticket(self, plan: CallPlan, excluded: frozenset[str]) -> Ticket:
         """Give a place in line."""
@@ -268,14 +238,6 @@
         self.counts.retries += 1
         return delay
 
-    def forwarded_headers(self, head: RequestHead, request_id: bytes) -> HeaderList:
-        """Give the header fields for the back end."""
-        headers = [field for field in head.headers if field[0] not in REPLACED_HEADERS]
-        headers.append((REQUEST_ID_HEADER, request_id))
-        if self._from_own_backend(head) and not head.header(AUTHORIZATION_HEADER):
-            self._vouch(headers)
-        return headers
-
     def claim(self, key: str, attempt: str, seconds: float, sink: ClaimSink) -> None:
         """Claim a key; the sink hears of it later."""
         assert self.claims is not None
@@ -333,26 +295,6 @@
     ) -> None:
         sink(key, await claims.claim(key, attempt, seconds))
 
-    def _check_audience(
-        self, plan: CallPlan, configuration: ActiveConfiguration, head: RequestHead
-    ) -> Result[Caller, NotRun]:
-        authorization = head.header(AUTHORIZATION_HEADER)
-        if not authorization and self._from_own_backend(head):
-            authorization = self._voucher.authorization(configuration, time.time())
-        return self._audience.check(
-            plan.settings, configuration.secrets, authorization, time.time()
-        )
-
-    def _vouch(self, headers: HeaderList) -> None:
-        if self.configuration is not None:
-            token = self._voucher.authorization(self.configuration, time.time())
-            if token:
-                headers.append((AUTHORIZATION_HEADER, token))
-
-    def _from_own_backend(self, head: RequestHead) -> bool:
-        host = self._settings.backend.rpartition(":")[0]
-        return bool(host) and head.peer_address == host
-
     def _admission(self, service: str) -> Admission | None:
         admission = self._admissions.get(service)
         if admission is not None:
