Relay: the endpoints of a service go out ahead of the update that brings it

Cause: after an edit that let a route point at another service, a proxy held the route before it knew any endpoint of the service: calls were refused as not-run, nobody-ready, until other news came; under load an acceptance scenario met it. Ruled out: the hold for services with nobody ready (the relay's table had ready endpoints). Before: the playbook's node knew 0 of 2 endpoints at the swap and was never told; after: 2 of 2 at the swap. Endpoints of services new to a session go before its update, encoded once for a scope; a node whose set of services grew names its digest, so that what a version between dropped is sent again. Conclusion: config and endpoints must come in this order on one link.

--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -97,6 +97,7 @@
         self.known = KnownEndpoints()
         self._own = OwnEndpoint(settings, memory.incarnation, owner_address)
         self.sessions = RelaySessions(settings, LinkNumbers(), self._hello)
+        self._services: frozenset[str] = frozenset()
         self._pending: Snapshot | None = None
         self._pending_from: RelaySession | None = None
         self._token = 0
@@ -144,7 +145,9 @@
     def _started(self, event: events.Started) -> None:
         if not self.holder.holds_nothing:
             self._report(notices.VersionRestored(self.holder.snapshot.version))
-            self._out.append(ConfigurationSwapped(open_snapshot(self.holder.snapshot)))
+            active = open_snapshot(self.holder.snapshot)
+            self._services = frozenset(active.services)
+            self._out.append(ConfigurationSwapped(active))
         self._do(self.sessions.start(Randomness(event.seed), self._now))
 
     def _link_changed(self, event: events.LinkOpened | events.LinkClosed) -> None:
@@ -297,8 +300,7 @@
         resources = len(snapshot.resources)
         applied = notices.VersionApplied(snapshot.version, resources, snapshot.digest)
         self._report(applied)
-        if self.known.forget_services_but(frozenset(active.services)):
-            self._out.append(EndpointsSwapped(self.known.endpoints))
+        self._services_changed(frozenset(active.services))
         for session in self.sessions.all_answered():
             if session is origin:
                 session.agreed_digest = snapshot.digest
@@ -306,6 +308,20 @@
 
     # --- endpoints -------------------------------------------------------------
 
+    def _services_changed(self, services: frozenset[str]) -> None:
+        """Drop what is no longer needed; let the relay add what may be lacking.
+
+        The endpoints of new services come ahead of the update; they are dropped
+        when a version between, from another relay, doesn't hold those services.
+        """
+        if self.known.forget_services_but(services):
+            self._out.append(EndpointsSwapped(self.known.endpoints))
+        has_new = not services <= self._services
+        self._services = services
+        if has_new and self.sessions.active is not None:
+            held = EndpointsHeld(self.known.digest)
+            self._out.append(SendMessage(self.sessions.active.link, held))
+
     def _endpoints_packed(self, session: RelaySession, message: EndpointsPacked) -> None:
         unpacked = unpack_endpoints(message)
         if isinstance(unpacked, Failure):
@@ -314,10 +330,12 @@
         self._endpoints_changed(session, unpacked.unwrap())
 
     def _endpoints_changed(self, session: RelaySession, message: EndpointsChanged) -> None:
+        """Take what the relay in use says, and what comes ahead of a first update."""
         for endpoint in message.endpoints:
             if endpoint.node == self._settings.node and self._own.overtake(endpoint):
                 self._announce()
-        if session is self.sessions.active and self.known.take(message):
+        is_heeded = self.sessions.active in (None, session)
+        if is_heeded and self.known.take(message):
             self._out.append(EndpointsSwapped(self.known.endpoints))
 
     def _compare_endpoints(self, session: RelaySession, message: EndpointsHeld) -> None:
--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -87,9 +87,9 @@
         self.exchange = EndpointExchange(settings, numbers)
         catalog, table = self.follower.catalog, self.exchange.table
         self.holds = HoldBook(catalog, table, settings.hold_milliseconds / 1_000)
-        self.distributor = Distributor(catalog, self.holds)
-        self.departures = Departures(catalog)
         self._fanout = EndpointFanout(catalog, table)
+        self.distributor = Distributor(catalog, self.holds, self._fanout)
+        self.departures = Departures(catalog)
         self.nodes = NodeService(
             settings,
             distributor=self.distributor,
@@ -107,6 +107,7 @@
         self._pause_milliseconds = 0
         self._incarnation = 0
         self._reports = 0
+        self._report_soon = False
         self._now = 0.0
         self._out: list[Command] = []
 
@@ -259,8 +260,8 @@
             self._endpoints_changed()
         if self.rollout.is_holding:
             self._set_timer_once(HOLD_TIMER, HOLD_CHECK_SECONDS)
-        if self.nodes.progress_changed:
-            self.nodes.progress_changed = False
+        if self.nodes.progress_changed and not self._report_soon:
+            self._report_soon = True
             self._set_timer(PROGRESS_TIMER, PROGRESS_SECONDS)
 
     def _endpoints_changed(self) -> None:
@@ -330,6 +331,8 @@
         self._do(self.nodes.release_confirmed(self._now))
 
     def _report_progress(self) -> None:
+        self._report_soon = False
+        self.nodes.progress_changed = False
         self._set_timer(PROGRESS_TIMER, PROGRESS_IDLE_SECONDS)
         if self.source.link is None or not self.source.is_open:
             return
--- a/src/peppershore/process/relay/distribution.py
+++ b/src/peppershore/process/relay/distribution.py
@@ -16,6 +16,7 @@
 from peppershore.connection.messages import Current, UpdateApplied, UpdateOffered
 from peppershore.process.commands import Command, SendEncoded
 from peppershore.process.events import LinkId
+from peppershore.process.relay.endpoint_fanout import EndpointFanout
 from peppershore.process.relay.hold import HoldBook
 from peppershore.process.relay.packed_updates import PackedUpdates
 from peppershore.process.relay.session import NodeSession
@@ -28,8 +29,13 @@
 class Distributor:
     """All sessions of a relay and what each of them is to be sent."""
 
-    def __init__(self, catalog: ScopeCatalog, holds: HoldBook) -> None:
-        """Serve the scopes of a catalog, except while they are held."""
+    def __init__(
+        self, catalog: ScopeCatalog, holds: HoldBook, fanout: EndpointFanout
+    ) -> None:
+        """Serve the scopes of a catalog, except while they are held.
+
+        ``fanout`` sends the endpoints of services that come with an update.
+        """
         self.sessions: dict[LinkId, NodeSession] = {}
         self.sessions_by_scope: dict[Scope, dict[LinkId, NodeSession]] = {}
         self.behind: dict[LinkId, NodeSession] = {}
@@ -38,6 +44,7 @@
         self.packed_updates = PackedUpdates()
         self._catalog = catalog
         self._holds = holds
+        self._fanout = fanout
         self._idle_scopes: dict[Scope, float] = {}
         self._by_node: dict[str, NodeSession] = {}
         self._version: Version = 0
@@ -203,7 +210,9 @@
             payloads[key] = self._encode(update, age)
         session.answered = True
         session.outstanding_version = update.version
-        return [self._send(session, payloads[key])]
+        out = self._fanout.before_update(session, update)
+        out.append(self._send(session, payloads[key]))
+        return out
 
     def _must_wait(self, session: NodeSession) -> bool:
         return session.scope in self._holds.held and not session.holds_nothing
@@ -235,6 +244,8 @@
             return []
         session.answered = True
         session.current_told = version
+        if session.services_told is None:
+            self._fanout.told_all(session)
         return [self._send(session, encode_message(Current(version, age, session.digest)))]
 
     def _send(self, session: NodeSession, payload: bytes) -> Command:
--- a/src/peppershore/process/relay/endpoint_fanout.py
+++ b/src/peppershore/process/relay/endpoint_fanout.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from peppershore.connection.codec import encode_message
 from peppershore.connection.endpoint_packing import pack_endpoints
@@ -16,13 +17,25 @@
 from peppershore.process.events import LinkId
 from peppershore.process.relay.session import NodeSession
 from peppershore.version.catalog import ScopeCatalog
-from peppershore.version.model import Scope
+from peppershore.version.model import Scope, Update
+from peppershore.version.resource_codec import service_name
 
 FANOUT_TIMER = "endpoints.fanout"
 
 URGENT_STATES = frozenset((STATE_LEAVING, STATE_GONE))
 
 
+class NewServices(NamedTuple):
+    """Encoded endpoints of services that a scope's nodes come to hold.
+
+    ``digest`` is that of these endpoints at the time.
+    """
+
+    services: frozenset[str]
+    digest: int
+    payload: bytes
+
+
 class EndpointFanout:
     """Encodes endpoint messages for the nodes of a relay."""
 
@@ -32,10 +45,12 @@
         self._catalog = catalog
         self._table = table
         self._complete: dict[Scope, tuple[int, bytes]] = {}
+        self._of_new: dict[Scope, NewServices] = {}
 
     def forget_scope(self, scope: Scope) -> None:
         """Drop what is kept for a scope that no node of this relay has."""
         self._complete.pop(scope, None)
+        self._of_new.pop(scope, None)
 
     def digest_for(self, session: NodeSession) -> Command:
         """Give the message that tells a node which endpoints it should hold."""
@@ -56,6 +71,22 @@
             self._send(session, self._encode_complete(session.scope, digest, is_settled))
         ]
 
+    def before_update(self, session: NodeSession, update: Update) -> list[Command]:
+        """Send the endpoints of the services that a node comes to hold by an update.
+
+        They go first: a route must not begin before the endpoints of its target.
+        """
+        held = self._catalog.services_held(session.scope)
+        missing = _missing_services(held, session.services_told, update)
+        session.services_told = held
+        if not missing:
+            return []
+        return [self._send(session, self._encode_new(session.scope, missing))]
+
+    def told_all(self, session: NodeSession) -> None:
+        """Note that a node which is current compares its endpoints by itself."""
+        session.services_told = self._catalog.services_held(session.scope)
+
     def changes(
         self,
         changed: Iterable[Endpoint],
@@ -84,11 +115,30 @@
         self._complete[scope] = (key, payload)
         return payload
 
+    def _encode_new(self, scope: Scope, services: frozenset[str]) -> bytes:
+        digest = self._table.digest(services)
+        known = self._of_new.get(scope)
+        if known is None or (known.services, known.digest) != (services, digest):
+            shown = self._table.shown(sorted(services))
+            known = NewServices(services, digest, _encode(EndpointsChanged(shown)))
+            self._of_new[scope] = known
+        return known.payload
+
     def _send(self, session: NodeSession, payload: bytes) -> Command:
         self.bytes_sent += len(payload)
         return SendEncoded(session.link, payload)
 
 
+def _missing_services(
+    held: frozenset[str], told: frozenset[str] | None, update: Update
+) -> frozenset[str]:
+    """Services new to a node; for one that just came, all that its update names."""
+    if told is not None:
+        return held - told
+    named = frozenset(resource.name for resource in update.changed)
+    return frozenset(service for service in held if service_name(service) in named)
+
+
 def _encode(message: EndpointsChanged) -> bytes:
     return encode_message(pack_endpoints(message))
 
--- a/src/peppershore/process/relay/progress.py
+++ b/src/peppershore/process/relay/progress.py
@@ -11,7 +11,7 @@
 from peppershore.process.relay.distribution import Distributor
 from peppershore.process.relay.hold import HoldBook
 from peppershore.process.relay.session import NodeSession
-from peppershore.version.model import Version
+from peppershore.version.model import Scope, Version
 
 PROGRESS_TIMER = "relay.progress"
 PROGRESS_SECONDS = 0.01
@@ -66,13 +66,19 @@
     """
     if distributor.version == 0:
         return []
-    held = (distributor.sessions_of(scope)[:1] for scope in holds.held)
+    held = (_first_behind(distributor, scope) for scope in holds.held)
     sessions = {each.link: each for each in chain.from_iterable(held)}
     behind = (each for link, each in distributor.behind.items() if link not in sessions)
     sample = islice(chain(sessions.values(), behind), MAX_LAGGING_NODES)
     return [_lagging(session, distributor, holds) for session in sample]
 
 
+def _first_behind(distributor: Distributor, scope: Scope) -> list[NodeSession]:
+    """Give a node of the scope that waits, if there is one."""
+    sessions = distributor.sessions_of(scope)
+    return list(islice(filter(lambda each: each.link in distributor.behind, sessions), 1))
+
+
 def _lagging(
     session: NodeSession, distributor: Distributor, holds: HoldBook
 ) -> LaggingNode:
--- a/src/peppershore/process/relay/session.py
+++ b/src/peppershore/process/relay/session.py
@@ -39,6 +39,8 @@
     """The hello was answered by ``Current`` or ``UpdateOffered``."""
     endpoint: Endpoint | None = None
     """The back end as the node announced it last."""
+    services_told: frozenset[str] | None = None
+    """Services whose endpoints the node was told of; None while nobody knows."""
     is_leaving: bool = False
     """The node said that its back end is leaving: a planned stop."""
     is_vouched: bool = True
