Relay: progress is reported while it changes all the time; held scopes by a node that waits

And the sample of lagging nodes took a held scope's first session, which can be a new node that holds the newest version already.

--- a/tests/relay/test_relay_progress.py
+++ b/tests/relay/test_relay_progress.py
@@ -8,6 +8,7 @@
 from peppershore.connection.messages import NodeHello, ProgressReported
 from peppershore.process import events
 from peppershore.process.commands import SendMessage
+from peppershore.process.node.core import NodeMemory
 from peppershore.process.relay import notices
 from peppershore.process.relay.core import RelayCore
 from peppershore.process.relay.progress import MAX_LAGGING_NODES
@@ -125,3 +126,32 @@
     assert distributor.in_force() == held
     distributor.tree_changed(held + 9, [Scope("kassa", "pasila")])
     assert distributor.in_force() == held
+
+
+def test_progress_is_reported_also_while_it_changes_all_the_time() -> None:
+    site = Site()
+    site.network.run(10.0)
+    before = site.count_sent("r1", ProgressReported)
+    for index in range(200):
+        site.start_node(f"n{index}", "kuitti", seed=index)
+        site.network.run(0.005)
+    assert site.count_sent("r1", ProgressReported) - before >= 20
+
+
+def test_a_new_node_that_does_not_wait_is_not_named_for_a_held_scope() -> None:
+    site = Site(hold_milliseconds=60_000)
+    waiting = site.start_node("a", "kassa")
+    site.network.run(10.0)
+    former = NodeMemory(2, floor=1, snapshot=waiting.holder.snapshot)
+    home = site.relay_of("a")
+    site.edit((SetOverrides("/kassa/*/pay", Overrides(target="kuitti")),))
+    site.network.run(0.1)
+    site.network.kill("a")
+    for index in range(8):
+        site.start_node(f"n{index}", "kassa", seed=index)
+    site.network.run(0.5)
+    assert any(site.relay_of(f"n{index}") == home for index in range(8))
+    site.start_node("a", "kassa", former)
+    site.network.run(1.5)
+    assert site.relay_of("a") == home
+    assert [each.node for each in site.replica.reports[home].lagging] == ["a"]
