Calls: refusals for want of a back end or of time say when to come again

Cause: not-run with back-end-unreachable, owner-unreachable and deadline-passed came without retry-after, so a caller could only guess. Measured: the test of an unreachable back end asks for retry-after; tests/data_plane and tests/request pass. Conclusion: 1 s where nobody was reached, 100 ms where the caller's time was over.

--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -37,6 +37,7 @@
     Failed,
     NotRun,
     Unknown,
+    out_of_time,
     worse,
 )
 from peppershore.request.waiting import Ticket
@@ -334,7 +335,7 @@
         if self._begun:
             failed: Failed = Unknown(STATUS_GATEWAY_TIMEOUT, "deadline-passed")
         else:
-            refusal = NotRun(STATUS_UNAVAILABLE, "deadline-passed")
+            refusal = out_of_time()
             failed = worse(self._earlier, refusal)
         verdict: Verdict | None = "late" if self._begun else None
         if self._attempt is not None:
--- a/src/peppershore/process/node/data/direct_attempt.py
+++ b/src/peppershore/process/node/data/direct_attempt.py
@@ -14,9 +14,9 @@
     DEADLINE_HEADER,
     STATUS_BAD_GATEWAY,
     STATUS_BAD_REQUEST,
-    STATUS_UNAVAILABLE,
     NotRun,
     Unknown,
+    unreachable,
 )
 
 MAX_REUSE_AGE_SECONDS = 1.0
@@ -143,7 +143,7 @@
         if isinstance(outcome, str):
             if not self._cancelled:
                 self._over()
-                refusal = NotRun(STATUS_UNAVAILABLE, "back-end-unreachable", 0, True)
+                refusal = unreachable("back-end-unreachable")
                 self._sink.attempt_failed(refusal)
             return
         if self._cancelled:
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -23,10 +23,11 @@
 from peppershore.request.outcome import (
     STATUS_BAD_GATEWAY,
     STATUS_GATEWAY_TIMEOUT,
-    STATUS_UNAVAILABLE,
     Failed,
     NotRun,
     Unknown,
+    out_of_time,
+    unreachable,
 )
 
 NO_LENGTH = -1
@@ -102,7 +103,7 @@
     def link_refused(self) -> None:
         """There is no link: nothing was sent."""
         if not self._over:
-            refusal = NotRun(STATUS_UNAVAILABLE, "owner-unreachable", 0, True)
+            refusal = unreachable("owner-unreachable")
             self._end(refusal)
 
     # --- Attempt
@@ -187,7 +188,7 @@
         if self._started:
             self._end(Unknown(STATUS_BAD_GATEWAY, "owner-link-lost"))
         else:
-            self._end(NotRun(STATUS_UNAVAILABLE, "owner-unreachable", 0, True))
+            self._end(unreachable("owner-unreachable"))
 
     # --- inside
 
@@ -214,7 +215,7 @@
             )
         )
         if not self._started:
-            self._end(NotRun(STATUS_UNAVAILABLE, "owner-unreachable", 0, True))
+            self._end(unreachable("owner-unreachable"))
 
     def _answered(self, message: CallAnswered) -> None:
         if fields_unsafe(message.headers):
@@ -275,5 +276,5 @@
 def _at_deadline(failed: Failed) -> Failed:
     """Keep the owner's word on whether it ran; the cause is the deadline."""
     if isinstance(failed, NotRun):
-        return NotRun(STATUS_UNAVAILABLE, "deadline-passed")
+        return out_of_time()
     return Unknown(STATUS_GATEWAY_TIMEOUT, "deadline-passed")
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -19,6 +19,7 @@
     Failed,
     NotRun,
     Unknown,
+    out_of_time,
 )
 from peppershore.request.picker import RandomSource
 from peppershore.request.waiting import Ticket
@@ -304,7 +305,7 @@
         if begun:
             self._sink.attempt_failed(Unknown(STATUS_GATEWAY_TIMEOUT, "deadline-passed"))
         else:
-            self._sink.attempt_failed(NotRun(STATUS_UNAVAILABLE, "deadline-passed"))
+            self._sink.attempt_failed(out_of_time())
 
     def _end(self, verdict: Verdict | None) -> None:
         if self._done:
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -12,7 +12,11 @@
 
 from peppershore.connection.messages import Endpoint
 from peppershore.request.endpoint_state import EndpointState, Verdict
-from peppershore.request.outcome import STATUS_UNAVAILABLE, NotRun
+from peppershore.request.outcome import (
+    STATUS_UNAVAILABLE,
+    NotRun,
+    out_of_time,
+)
 from peppershore.request.picker import (
     Choice,
     Preference,
@@ -117,7 +121,7 @@
             reason = "nobody-ready"
             return NotRun(STATUS_UNAVAILABLE, reason, NOBODY_READY_RETRY_AFTER_MILLISECONDS)
         if ticket.deadline - now <= 0.0:
-            return NotRun(STATUS_UNAVAILABLE, "deadline-passed")
+            return out_of_time()
         if not self._must_wait(ticket):
             state = self._pick(ticket, now)
             if state is not None:
--- a/src/peppershore/request/outcome.py
+++ b/src/peppershore/request/outcome.py
@@ -16,6 +16,12 @@
 AUTHORIZATION_HEADER = b"authorization"
 RETRY_AFTER_HEADER = b"retry-after"
 
+UNREACHABLE_RETRY_AFTER_MILLISECONDS = 1_000
+"""Advice after a refusal because nobody could be reached."""
+
+DEADLINE_RETRY_AFTER_MILLISECONDS = 100
+"""Advice after a refusal because the caller's time was over before a start."""
+
 ANSWERED = b"answered"
 NOT_RUN = b"not-run"
 UNKNOWN = b"unknown"
@@ -53,6 +59,18 @@
 Failed = NotRun | Unknown
 
 
+def unreachable(reason: str) -> NotRun:
+    """Give the refusal of a call that reached nobody; others may be reached."""
+    advice = UNREACHABLE_RETRY_AFTER_MILLISECONDS
+    return NotRun(STATUS_UNAVAILABLE, reason, advice, retryable=True)
+
+
+def out_of_time() -> NotRun:
+    """Give the refusal of a call whose time was over before it was begun."""
+    advice = DEADLINE_RETRY_AFTER_MILLISECONDS
+    return NotRun(STATUS_UNAVAILABLE, "deadline-passed", advice)
+
+
 def worse(earlier: Failed | None, later: Failed) -> Failed:
     """Give what the caller must be told of several attempts: unknown outlives not run."""
     if isinstance(earlier, Unknown) and isinstance(later, NotRun):
--- a/tests/data_plane/test_call_outcomes.py
+++ b/tests/data_plane/test_call_outcomes.py
@@ -95,6 +95,7 @@
         answer = await call(address)
         assert (answer.status, answer.outcome) == (503, "not-run")
         assert answer.reason == "back-end-unreachable"
+        assert answer.headers["retry-after"] == "1"
         await node.plane.close()
 
     run(scene())
