--- a/benchmarks/capacity/scenarios.py
+++ b/benchmarks/capacity/scenarios.py
@@ -226,7 +226,7 @@
         "claims a second",
         "groups by rate",
         "groups by records",
-        "memory of a day's records, all groups",
+        "memory of a day's records, at one replica of each group",
     )
     return markdown_table(header, rows)
 
