--- a/benchmarks/capacity/convergence.py
+++ b/benchmarks/capacity/convergence.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 from benchmarks.capacity.measured import Measured
-from benchmarks.capacity.tables import markdown_table, milliseconds, number
-
-NOT_MEASURED = "Not measured yet."
+from benchmarks.capacity.tables import NOT_MEASURED, markdown_table, milliseconds, number
+from peppershore_lab.hollow.results import ScaleRun
 
 
 def today_table(measured: Measured) -> str:
@@ -68,15 +67,24 @@
     return markdown_table(header, rows)
 
 
-def bytes_table(measured: Measured) -> str:
-    """Give the scale run's bytes beside the least possible and the baseline."""
-    run = measured.scale
+def steady_table(run: ScaleRun | None) -> str:
+    """Give a scale run's steady changes: times and bytes, least possible, baseline."""
+    if run is None:
+        return NOT_MEASURED
     steady = run.phases[0]
     baseline = run.baseline
     assert baseline is not None
     each_change = steady.update_bytes / steady.changes
     idle = run.idle
+    reached = steady.convergence.per_change
     rows = [
+        (
+            "in force everywhere",
+            f"p50 {milliseconds(reached.p50)}, p99 {milliseconds(reached.p99)}",
+            f"{steady.changes} changes, {steady.convergence.missing} pairs missing;"
+            f" load {number(run.machine_load_before)} to"
+            f" {number(run.machine_load_after)}",
+        ),
         (
             "update bytes a change",
             number(each_change),
@@ -100,4 +108,4 @@
             "received and sent (ours to reach: 100)",
         ),
     ]
-    return markdown_table(("", "bytes", ""), rows)
+    return markdown_table(("", "figure", ""), rows)
--- a/benchmarks/capacity/measured.py
+++ b/benchmarks/capacity/measured.py
@@ -52,6 +52,7 @@
     command: CommandSlopes
     calls: CallPathResult
     scale: ScaleRun
+    smaller_scale: ScaleRun | None
     today: TodayResults | None
     batching: BatchingCurve
 
@@ -92,6 +93,10 @@
     return read(name, kind) if (RESULTS / name).exists() else None
 
 
+def _last_run(results: ScaleResults | None) -> ScaleRun | None:
+    return None if results is None else results.runs[-1]
+
+
 def read_measured() -> Measured:
     """Read all result files."""
     return Measured(
@@ -103,6 +108,7 @@
         command=read("slopes_command.json", CommandSlopes),
         calls=read("call_path.json", CallPathResult),
         scale=read("scale_run.json", ScaleResults).runs[-1],
+        smaller_scale=_last_run(read_if_there("scale_run_3000.json", ScaleResults)),
         today=read_if_there("convergence_today.json", TodayResults),
         batching=read("batching_curve.json", BatchingCurve),
     )
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -30,10 +30,12 @@
         "worst-hour": scenarios.worst_hour_table(measured),
         "zone-loss": scenarios.zone_loss_table(measured),
         "region-cut": scenarios.region_cut_table(measured),
-        "storms": scenarios.herds_table(measured),
+        "storms": scenarios.herds_table(measured.scale),
+        "smaller-storms": scenarios.herds_table(measured.smaller_scale),
         "today": convergence.today_table(measured),
         "batching": convergence.batching_table(measured),
-        "bytes": convergence.bytes_table(measured),
+        "steady": convergence.steady_table(measured.scale),
+        "smaller-steady": convergence.steady_table(measured.smaller_scale),
         "sources": sources_table(measured),
     }
 
--- a/benchmarks/capacity/scenarios.py
+++ b/benchmarks/capacity/scenarios.py
@@ -7,6 +7,7 @@
 from benchmarks.capacity import loads, sizes
 from benchmarks.capacity.measured import Measured
 from benchmarks.capacity.tables import (
+    NOT_MEASURED,
     markdown_table,
     megabytes,
     milliseconds,
@@ -15,13 +16,11 @@
 )
 from peppershore.process.claims.table import DEFAULT_MAX_RECORDS
 from peppershore.process.control.core import HISTORY_CAPACITY
-from peppershore_lab.hollow.results import RecoveryPhase
+from peppershore_lab.hollow.results import RecoveryPhase, ScaleRun
 
 HEADER = ("", "figure", "how")
 ZONE = "all nodes of a zone restart"
-HERD = "herd reconnects, nothing changed"
 HERD_BEHIND = "herd reconnects after missed changes"
-ALL_RESTART = "all nodes restart without memory"
 RELAY = "one relay is killed"
 
 
@@ -182,10 +181,11 @@
     return markdown_table(HEADER, rows)
 
 
-def herds_table(measured: Measured) -> str:
-    """Give the storms of the scale run."""
-    names = (HERD, HERD_BEHIND, ALL_RESTART, ZONE, RELAY)
-    found = [measured.scale.start, *(recovery(measured, name) for name in names)]
+def herds_table(run: ScaleRun | None) -> str:
+    """Give the storms of a scale run."""
+    if run is None:
+        return NOT_MEASURED
+    found = [run.start, *run.recoveries]
     rows = [
         (
             each.name,
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Sequence
 
 SIGNIFICANT_DIGITS = 3
+NOT_MEASURED = "Not measured yet."
 
 
 def number(value: float) -> str:
