--- a/src/peppershore/process/claims/client_core.py
+++ b/src/peppershore/process/claims/client_core.py
@@ -90,6 +90,7 @@
         self._group_heard_at = 0.0
         self._unavailable_since: float | None = None
         self._ticking = False
+        self._tick_due = 0.0
 
     @property
     def pending(self) -> int:
@@ -153,7 +154,7 @@
 
     def _ask(self, entry: Pending, now: float) -> list[commands.Command]:
         result = self._transmit(entry, now)
-        result += self._keep_ticking()
+        result += self._keep_ticking(now)
         if self._link is None:
             result += self._connect(now)
         return result
@@ -198,7 +199,7 @@
         if self.unavailable and not self.table:
             probe = ClaimReleased(next(self._probes), PROBE_KEY, PROBE_KEY)
             self.table.add_note(probe, now)
-            result += self._keep_ticking()
+            result += self._keep_ticking(now)
         for request in self.table.requests():
             entry = self.table.get(request)
             assert entry is not None
@@ -290,20 +291,23 @@
 
     # --- time ----------------------------------------------------------------
 
-    def _keep_ticking(self) -> list[commands.Command]:
+    def _keep_ticking(self, now: float) -> list[commands.Command]:
         if self._ticking:
             return []
         self._ticking = True
+        self._tick_due = now + TICK_SECONDS
         return [commands.SetTimer(STALL_TIMER, TICK_SECONDS)]
 
     def _tick(self, now: float) -> list[commands.Command]:
         """Expire wants; leave a silent replica; judge whether the group answers."""
         self._ticking = False
+        if now - self._tick_due >= STALL_SECONDS:
+            self._excuse_silence(now)
         result = self._expire(now)
         self.table.drop_old_notes(now)
         if not self.table and not self.unavailable:
             return result
-        result += self._keep_ticking()
+        result += self._keep_ticking(now)
         if self._link is not None and now - self._link_heard_at >= STALL_SECONDS:
             result.append(commands.CloseLink(self._link, "stalled"))
             result += self._fail_over("stalled", now)
@@ -311,6 +315,11 @@
             result += self._give_up_on_group("no answer from a quorum", now)
         return result + self._send_notes_again(now)
 
+    def _excuse_silence(self, now: float) -> None:
+        """This node itself was frozen: what came meanwhile is still to be read."""
+        self._link_heard_at = now
+        self._group_heard_at = now
+
     def _expire(self, now: float) -> list[commands.Command]:
         result: list[commands.Command] = []
         outcome = WantUnavailable("no claim before the deadline")
@@ -333,7 +342,7 @@
         if not self.unavailable:
             self._unavailable_since = now
             result.append(commands.Report(ClaimsGroupUnavailable(reason, wants)))
-            result += self._keep_ticking()
+            result += self._keep_ticking(now)
         return result
 
     def _give_up(
--- a/src/peppershore_lab/claims_trial/__main__.py
+++ b/src/peppershore_lab/claims_trial/__main__.py
@@ -45,7 +45,11 @@
         plan = TrialPlan(number, seconds, rate, edges_per_zone=edges_per_zone)
         folder = keep / str(number) if keep is not None else None
         trials.append(run_to_end(run_trial(plan, _show, folder)))
-    result = series_of(_command(), tuple(trials))
+    command = (
+        f"python -m peppershore_lab.claims_trial --seed {seed} --seeds {seeds} "
+        f"--seconds {seconds:g} --rate {rate:g} --edges-per-zone {edges_per_zone}"
+    )
+    result = series_of(command, tuple(trials))
     text = msgspec.json.format(msgspec.json.encode(result), indent=1).decode()
     if output is not None:
         output.write_text(text + "\n")
@@ -57,11 +61,5 @@
     click.echo(line, err=True)
 
 
-def _command() -> str:
-    arguments = [each for each in sys.argv[1:] if not each.endswith(".json")]
-    shown = [each for each in arguments if each != "--output"]
-    return " ".join(["python -m peppershore_lab.claims_trial", *shown])
-
-
 if __name__ == "__main__":
     main()
--- a/tests/claims/test_claim_client.py
+++ b/tests/claims/test_claim_client.py
@@ -189,3 +189,13 @@
         asked += 1
     assert 6 <= asked <= 12, "three rounds at least, none of them in a hurry"
     assert reports == 1
+
+
+def test_a_node_that_was_frozen_itself_does_not_blame_the_group():
+    core = opened_client()
+    core.step(TimerFired(STALL_TIMER), 0.1)
+    commands = core.step(TimerFired(STALL_TIMER), 1.9)  # frozen for 1.8 s
+    assert not core.unavailable
+    assert not any(isinstance(command, CloseLink) for command in commands)
+    granted = MessageReceived(1, ClaimGranted(1))  # came while it was frozen
+    assert core.step(granted, 1.9) == [FinishWant(1, WantGranted())]
