--- a/tests/lab/test_experiment_files.py
+++ b/tests/lab/test_experiment_files.py
@@ -35,6 +35,16 @@
     assert len(planned) >= len(experiment.faults)
 
 
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_each_experiment_has_its_page_in_the_list(path):
+    pages = path.parents[1] / "docs" / "experiments"
+    assert (
+        f"peppershore-lab run experiments/{path.name}"
+        in (pages / f"{path.stem}.md").read_text()
+    )
+    assert f"]({path.stem}.md)" in (pages / "README.md").read_text()
+
+
 def test_every_problem_of_a_file_is_told_at_once(tmp_path):
     path = tmp_path / "bad.toml"
     path.write_text(
