--- a/tests/data_plane/node_process.py
+++ b/tests/data_plane/node_process.py
@@ -1,4 +1,7 @@
-"""A data plane as a process of its own, until SIGTERM: prints its end's report."""
+"""A data plane as a process of its own, until SIGTERM: prints its end's report.
+
+It also stops when its standard input closes, so that a failed test leaves none.
+"""
 
 from __future__ import annotations
 
@@ -26,7 +29,9 @@
     )
     plane = DataPlane(settings, lambda notice: None, seed=7)
     stop = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_reader(sys.stdin.fileno(), stop.set)
     addresses = await plane.start()
     plane.use_endpoints((endpoint(backend),))
     plane.use_configuration(configuration())
@@ -34,6 +39,7 @@
         await asyncio.sleep(0.002)
     print(addresses.callers, flush=True)
     await stop.wait()
+    loop.remove_reader(sys.stdin.fileno())
     report = await plane.drained(bound_seconds)
     answered = plane.calls.counts.answered
     print(json.dumps(msgspec.to_builtins(report) | {"answered": answered}), flush=True)
--- a/tests/data_plane/test_listener_hand_over.py
+++ b/tests/data_plane/test_listener_hand_over.py
@@ -34,7 +34,7 @@
     ) -> NodeProcess:
         arguments = ("-m", "tests.data_plane.node_process", listen, backend, way, bound)
         process = await asyncio.create_subprocess_exec(
-            sys.executable, *arguments, stdout=PIPE
+            sys.executable, *arguments, stdin=PIPE, stdout=PIPE
         )
         assert process.stdout is not None
         return cls(process, (await process.stdout.readline()).decode().strip())
