Fuzzing of frames, messages and updates

Five properties with hypothesis: however frames are cut, whatever bytes come, and whatever is damaged in a message or an update, it is read whole or refused with a reason, and an update makes exactly what its digest names.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --editable .
 	touch $(STAMP)
 
-.PHONY: install demo check test model-check simulate scale slopes capacity lock
+.PHONY: install demo check test model-check fuzz simulate scale slopes capacity lock
 
 install: $(STAMP)
 
@@ -38,6 +38,10 @@
 model-check: $(STAMP)
 	$(BIN)/python -m spec
 
+# Frames, messages and updates with damage: 5,000 examples a property.
+fuzz: $(STAMP)
+	$(BIN)/pytest -n 3 tests/fuzz --hypothesis-profile=fuzz
+
 # Drives the real cores under virtual time: make simulate SEEDS=1000 FIRST=1
 simulate: $(STAMP)
 	$(BIN)/python -m peppershore_lab.simulator --seeds $(SEEDS) --first $(FIRST)
