Calls: what one back end sheds goes to another, where it may be repeated

Ruled out: the picker, which leaves a shedding back end alone but has to learn of it by calls. Now a call that may be repeated goes to another back end, within its attempts and the service's retry budget; what may run once, and a call to the only back end, gets the refusal as its answer, with its time to come again. In a chain each layer's budget bounds the attempts.

--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -193,6 +193,8 @@
 
     def answer_ended(self, trailers: HeaderList) -> None:
         """The answer is whole: give it first, then free the slot."""
+        if self._answer.status == STATUS_UNAVAILABLE and self._sheds_to_another():
+            return
         self._over = True
         self._answer.end(trailers)
         if self._claim:
@@ -206,21 +208,13 @@
 
     def attempt_failed(self, failed: Failed) -> None:
         """Try again where that is safe and within budget, else tell the caller."""
-        self._attempt = None
-        self._begun = False
-        if self._dispatch is not None:
-            self._excluded |= {self._dispatch.endpoint.node}
-        self._free_slot(verdict_of_failure(failed))
-        self._earlier = worse(self._earlier, failed)
-        if self._may_retry(failed):
-            delay = self._calls.retry_delay(
-                self.plan, self._attempts_made, self._loop.time()
-            )
-            if delay is not None:
-                self._answer.forget()
-                self._retry = self._loop.call_later(delay, self._try_again)
-                return
-        self._fail(self._earlier)
+        delay = self._retry_delay(failed)
+        self._leave_attempt(failed, verdict_of_failure(failed))
+        if delay is None:
+            assert self._earlier is not None
+            self._fail(self._earlier)
+        else:
+            self._retry_after(delay)
 
     def sending_paused(self) -> None:
         """The back end reads slowly."""
@@ -312,6 +306,45 @@
             return failed.retryable
         return self.plan.repeatable and failed.status != STATUS_GATEWAY_TIMEOUT
 
+    def _sheds_to_another(self) -> bool:
+        """Send a call that its back end refused for load to another one, if it may be.
+
+        Else the refusal is the back end's answer, and its caller gets that.
+        """
+        shed = Unknown(STATUS_UNAVAILABLE, "back-end-shed")
+        tried = self._excluded | self._own_try
+        if not self._calls.has_back_end_besides(self.plan, tried):
+            return False
+        delay = self._retry_delay(shed)
+        if delay is None:
+            return False
+        self._leave_attempt(shed, "shed")
+        self._retry_after(delay)
+        return True
+
+    @property
+    def _own_try(self) -> frozenset[str]:
+        """The node whose back end has the attempt under way."""
+        dispatch = self._dispatch
+        return frozenset() if dispatch is None else frozenset({dispatch.endpoint.node})
+
+    def _leave_attempt(self, failed: Failed, verdict: Verdict | None) -> None:
+        self._attempt = None
+        self._begun = False
+        self._excluded |= self._own_try
+        self._free_slot(verdict)
+        self._earlier = worse(self._earlier, failed)
+
+    def _retry_delay(self, failed: Failed) -> float | None:
+        """Give the wait before another attempt, taken from the budget; None for no."""
+        if not self._may_retry(failed):
+            return None
+        return self._calls.retry_delay(self.plan, self._attempts_made, self._loop.time())
+
+    def _retry_after(self, delay: float) -> None:
+        self._answer.forget()
+        self._retry = self._loop.call_later(delay, self._try_again)
+
     def _try_again(self) -> None:
         self._retry = None
         self._body.restart()
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -227,6 +227,11 @@
                 )
         return LinkAttempt(self._links, endpoint.owner_address, request, sink)
 
+    def has_back_end_besides(self, plan: CallPlan, nodes: frozenset[str]) -> bool:
+        """Whether a call can go to a back end that is none of these nodes'."""
+        admission = self._admission(plan.target)
+        return admission is not None and admission.has_besides(nodes)
+
     def retry_delay(self, plan: CallPlan, attempts_made: int, now: float) -> float | None:
         """Give the wait before another attempt, or None if there must be none."""
         delay = retry_delay(attempts_made, self._random)
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -86,6 +86,10 @@
         """Calls that hold a slot."""
         return sum(state.in_flight for state in self._states.values())
 
+    def has_besides(self, nodes: frozenset[str]) -> bool:
+        """Whether a ready back end is none of these nodes'."""
+        return any(node not in nodes for node in self._offered)
+
     def state(self, node: str) -> EndpointState | None:
         """Give what is known of one back end."""
         return self._states.get(node)
