Calls: a refusal passed on from deeper down is not tried again

Cause: in a chain every layer would have tried a 503 elsewhere that a node further on had already tried. An answer that names an outcome counts as passed on. Test: 3 back ends that pass a refusal on get 1 request.

--- a/src/peppershore/process/node/data/answer_relay.py
+++ b/src/peppershore/process/node/data/answer_relay.py
@@ -18,6 +18,7 @@
     REASON_HEADER,
     REQUEST_ID_HEADER,
     RETRY_AFTER_HEADER,
+    STATUS_UNAVAILABLE,
     UNKNOWN,
     Failed,
     NotRun,
@@ -61,6 +62,18 @@
         """Status of the answer, 0 before its head."""
         return self._head.status if self._head is not None else 0
 
+    @property
+    def is_shed(self) -> bool:
+        """Whether the back end itself refuses for load.
+
+        A refusal that names an outcome was passed on from a node further on, which
+        has tried what may be tried.
+        """
+        head = self._head
+        if head is None or head.status != STATUS_UNAVAILABLE:
+            return False
+        return all(name != OUTCOME_HEADER for name, _ in head.headers)
+
     def head(self, head: AnswerHead) -> None:
         """Take the head."""
         self._head = head
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -193,7 +193,7 @@
 
     def answer_ended(self, trailers: HeaderList) -> None:
         """The answer is whole: give it first, then free the slot."""
-        if self._answer.status == STATUS_UNAVAILABLE and self._sheds_to_another():
+        if self._answer.is_shed and self._sheds_to_another():
             return
         self._over = True
         self._answer.end(trailers)
--- a/tests/data_plane/test_shed_calls.py
+++ b/tests/data_plane/test_shed_calls.py
@@ -55,6 +55,28 @@
     run(scene())
 
 
+def test_refusal_passed_on_from_deeper_down_is_not_tried_again() -> None:
+    async def passed_on(request: Received, writer: asyncio.StreamWriter) -> None:
+        await request.body()
+        head = b"HTTP/1.1 503 No\r\npeppershore-outcome: not-run\r\ncontent-length: 0\r\n"
+        writer.write(head + b"\r\n")
+
+    async def scene() -> None:
+        backends = [ScriptedBackend(passed_on) for _ in range(3)]
+        node = Node()
+        address = await node.start(
+            *[endpoint(await each.start(), f"k{n}") for n, each in enumerate(backends)]
+        )
+        answer = await call(address)
+        assert answer.status == 503
+        assert sum(len(each.requests) for each in backends) == 1
+        await node.plane.close()
+        for each in backends:
+            each.stop()
+
+    run(scene())
+
+
 def test_only_back_end_that_sheds_is_not_asked_again_at_once() -> None:
     async def scene() -> None:
         busy = ScriptedBackend(_shed)
