Calls: a back end that sheds is passed over for a while, also in its own zone

Ruled out: the cost of a shedding back end, which is compared only within a zone. Now it is passed over for 50 ms, twice as long each time in a row up to 1 s; where all shed, or the service stays in its zone, it is used as before.

--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -31,6 +31,11 @@
 """What was seen counts less with time: one that is not picked any more for what it
 did once would never be seen to have recovered."""
 
+FIRST_SHED_PAUSE_SECONDS = 0.05
+MAX_SHED_PAUSE_SECONDS = 1.0
+"""One that refuses for load is passed over for so long, twice as long each time in a
+row: in its zone it may be the only one, and would draw every call by that."""
+
 FIRST_EJECTION_SECONDS = 1.0
 MAX_EJECTION_SECONDS = 30.0
 RAMP_FLOOR = 0.1
@@ -44,11 +49,13 @@
         "_ejections",
         "_failure_rate",
         "_latency",
+        "_sheds",
         "_last_seen",
         "consecutive_failures",
         "ejected_until",
         "endpoint",
         "in_flight",
+        "passed_over_until",
         "limit",
         "ramp_seconds",
         "ramp_started",
@@ -68,6 +75,8 @@
         self._latency = FIRST_LATENCY_SECONDS
         self._failure_rate = 0.0
         self._ejections = 0
+        self._sheds = 0
+        self.passed_over_until = 0.0
         self._last_seen = now
 
     def ramp(self, now: float) -> float:
@@ -89,6 +98,10 @@
         """Whether failures keep this back end out for now."""
         return now < self.ejected_until
 
+    def sheds(self, now: float) -> bool:
+        """Whether it refused for load a moment ago: others go first."""
+        return now < self.passed_over_until
+
     def cost(self, now: float) -> float:
         """Give the expected cost of one more call; lower is better."""
         fade = math.exp((self._last_seen - now) / FADE_SECONDS)
@@ -114,10 +127,13 @@
         self._observe_failure(verdict != "good", elapsed)
         if verdict == "failed":
             self.consecutive_failures += 1
+        if verdict == "shed":
+            self._pass_over(now)
         if verdict != "good":
             return
         self.consecutive_failures = 0
         self._ejections = 0
+        self._sheds = 0
         weight = _weight(elapsed, LATENCY_DECAY_SECONDS)
         peak = latency > self._latency
         self._latency += (latency - self._latency) * (max(weight, 0.3) if peak else weight)
@@ -131,6 +147,11 @@
         self.ramp_started = self.ejected_until
         return seconds
 
+    def _pass_over(self, now: float) -> None:
+        pause = min(MAX_SHED_PAUSE_SECONDS, FIRST_SHED_PAUSE_SECONDS * 2.0**self._sheds)
+        self._sheds = min(self._sheds + 1, 10)
+        self.passed_over_until = now + pause
+
     def _observe_failure(self, failed: bool, elapsed: float) -> None:
         weight = _weight(elapsed, FAILURE_DECAY_SECONDS)
         seen = 1.0 if failed else 0.0
--- a/src/peppershore/request/picker.py
+++ b/src/peppershore/request/picker.py
@@ -49,13 +49,14 @@
     usable = [state for state in states if state.free(now) and not state.ejected(now)]
     excluded = preference.excluded
     fresh = [state for state in usable if state.endpoint.node not in excluded]
-    candidates = fresh or usable
-    near = [state for state in candidates if state.endpoint.zone == preference.zone]
-    if near:
-        return choose(near, random, now)
-    if not candidates or not preference.spill_over:
-        return None
-    return choose(candidates, random, now)
+    willing = [state for state in fresh if not state.sheds(now)]
+    for candidates in (willing, fresh, usable):
+        near = [each for each in candidates if each.endpoint.zone == preference.zone]
+        if near:
+            return choose(near, random, now)
+        if candidates and preference.spill_over:
+            return choose(candidates, random, now)
+    return None
 
 
 def better_of_two(
