Consensus: one conversion of a role's settings to its replica's

Cause: control and claims each had the same 16 lines that turn their settings into those of the replica below; a new setting would have been added in one and missed in the other. consensus/settings.py has the one function, control/replica_settings.py is gone.

--- a/src/peppershore/process/claims/core.py
+++ b/src/peppershore/process/claims/core.py
@@ -44,7 +44,7 @@
 from peppershore.process.consensus.records import StoredState
 from peppershore.process.consensus.replica import ReplicaCore
 from peppershore.process.consensus.replica_statuses import replica_statuses
-from peppershore.process.consensus.settings import ConsensusSettings, ReplicaSettings
+from peppershore.process.consensus.settings import replica_settings
 from peppershore.process.events import LinkId
 from peppershore.process.settings import ClaimsSettings
 
@@ -79,7 +79,7 @@
         )
         bounds = msgspec.structs.astuple(self._bounds)
         self.machine = ClaimsMachine(ClaimTable(*bounds))
-        super().__init__(_replica_settings(settings), stored, self.machine)
+        super().__init__(replica_settings(settings), stored, self.machine)
         self._identities: dict[LinkId, str] = {}
         self._waiting: dict[int, WaitingAsk] = {}
         self._clock_proposed_at = 0.0
@@ -226,19 +226,3 @@
             return CompletionEntry(ask.key, ask.attempt, ask.answer)
         case ClaimReleased():
             return ReleaseEntry(ask.key, ask.attempt)
-
-
-def _replica_settings(settings: ClaimsSettings) -> ReplicaSettings:
-    consensus = ConsensusSettings(
-        replica=settings.replica,
-        heartbeat_seconds=settings.heartbeat_milliseconds / MILLISECONDS,
-        election_seconds=settings.election_milliseconds / MILLISECONDS,
-        kept_entries=settings.snapshot_entries,
-    )
-    return ReplicaSettings(
-        cluster=settings.cluster,
-        consensus=consensus,
-        replicas=settings.replicas,
-        join=settings.join,
-        snapshot_entries=settings.snapshot_entries,
-    )
--- a/src/peppershore/process/consensus/settings.py
+++ b/src/peppershore/process/consensus/settings.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
-from peppershore.process.settings import PeerReplica
+from peppershore.process.settings import ClaimsSettings, ControlSettings, PeerReplica
+
+MILLISECONDS_PER_SECOND = 1_000
 
 
 class ConsensusSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -31,3 +33,20 @@
     replicas: tuple[PeerReplica, ...]
     join: bool = False
     snapshot_entries: int = 2_000
+
+
+def replica_settings(settings: ControlSettings | ClaimsSettings) -> ReplicaSettings:
+    """Give what the replica below a role's core needs; times in seconds."""
+    consensus = ConsensusSettings(
+        replica=settings.replica,
+        heartbeat_seconds=settings.heartbeat_milliseconds / MILLISECONDS_PER_SECOND,
+        election_seconds=settings.election_milliseconds / MILLISECONDS_PER_SECOND,
+        kept_entries=settings.snapshot_entries,
+    )
+    return ReplicaSettings(
+        cluster=settings.cluster,
+        consensus=consensus,
+        replicas=settings.replicas,
+        join=settings.join,
+        snapshot_entries=settings.snapshot_entries,
+    )
--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -33,6 +33,7 @@
 from peppershore.process.consensus.records import StoredState
 from peppershore.process.consensus.replica import ReplicaCore
 from peppershore.process.consensus.replica_statuses import replica_statuses
+from peppershore.process.consensus.settings import replica_settings
 from peppershore.process.control import notices
 from peppershore.process.control.clock import ClockObserved, WallClock
 from peppershore.process.control.edit_intake import INTERNAL_LINK, EditIntake
@@ -40,7 +41,6 @@
 from peppershore.process.control.notices import edit_refused
 from peppershore.process.control.progress import ProgressTable
 from peppershore.process.control.redaction import edits_without_material, without_material
-from peppershore.process.control.replica_settings import replica_settings
 from peppershore.process.control.rotation import RotationBarrier
 from peppershore.process.control.state import (
     ControlCommand,
