Rotations wait for a verifier that fell silent, and such a one refuses nobody

Cause: the barrier forgot a node 8 s after its session ended and a rotation went on; a node that stood still for longer then refused members (403) for the new key. Ruled out: a register of verifiers in the log (an entry at each start of a node), a wait without end (a lost machine would stop every rotation). Change: a node not confirmed within 6 s answers 'not run' instead of refusing for an unknown key, and what waited in its sockets while it stood still confirms nothing; relays report nodes that left without a word for 120 s; status names every obstacle.

--- a/spec/catalog.py
+++ b/spec/catalog.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from spec import acceptance, claims, distribution, membership
+from spec import acceptance, claims, distribution, membership, rotation
 
 SPECIFICATIONS = (
     acceptance.SPECIFICATION,
@@ -10,4 +10,5 @@
     distribution.SPECIFICATION,
     distribution.WITH_DISK,
     claims.SPECIFICATION,
+    rotation.SPECIFICATION,
 )
--- a/src/peppershore/connection/messages.py
+++ b/src/peppershore/connection/messages.py
@@ -279,7 +279,8 @@
     ``incarnation`` names this life of the relay, without order; ``number`` counts
     its reports.  ``settled``: every node that the relay had in a former life, or
     before a pause, came back somewhere or counts as gone.  ``relays`` are this one
-    and those it hears.
+    and those it hears.  ``silent`` are nodes that left without a word and lack a
+    change, the furthest behind first: a bounded sample, for rotations of secrets.
     """
 
     relay: str
@@ -293,6 +294,7 @@
     settled: bool = True
     relays: tuple[str, ...] = ()
     number: int = 0
+    silent: tuple[LaggingNode, ...] = ()
 
 
 # --- consensus ---------------------------------------------------------------
--- a/src/peppershore/process/control/progress.py
+++ b/src/peppershore/process/control/progress.py
@@ -152,9 +152,5 @@
 
 
 def _same_progress(former: ProgressReported, report: ProgressReported) -> bool:
-    return (former.version, former.in_force, former.nodes, former.lagging) == (
-        report.version,
-        report.in_force,
-        report.nodes,
-        report.lagging,
-    )
+    names = ("version", "in_force", "nodes", "lagging", "silent")
+    return all(getattr(former, name) == getattr(report, name) for name in names)
--- a/src/peppershore/process/control/rotation.py
+++ b/src/peppershore/process/control/rotation.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from peppershore.connection.messages import ProgressReported
 from peppershore.process.commands import Notice
 from peppershore.process.control.progress import (
     RELAY_SILENT_SECONDS,
@@ -102,17 +103,20 @@
                 self._waiting[name] = _Waiting(revision, now)
 
     def _obstacle(self, secret: Secret, now: float) -> str:
-        """Why signers may not change yet; "" if they may."""
+        """Why signers may not change yet, every reason of it; "" if they may."""
         relays = self._progress.relays()
         if not relays:
             return "no relay reports"
+        found: list[str] = []
         if now - self._started_at < RELAY_SILENT_SECONDS:
-            return "this replica started a moment ago and may not know all relays"
+            found.append("this replica started a moment ago and may not know all relays")
         missing = [*self._progress.awaited(now), *self._progress.silent(now)]
         if missing:
-            return f"no report from relay {', '.join(missing)}"
-        behind = [relay for relay in relays if relay.in_force < secret.revision]
-        return "; ".join(_behind(relay, secret.revision) for relay in behind)
+            found.append(f"no report from relay {', '.join(missing)}")
+        revision = secret.revision
+        found += [_behind(each, revision) for each in relays if each.in_force < revision]
+        found += [_silent(each.report, revision) for each in relays]
+        return "; ".join(reason for reason in found if reason)
 
 
 def _behind(relay: RelayProgress, wanted: Version) -> str:
@@ -125,6 +129,15 @@
     return f"{reached}: {shown}" if shown else reached
 
 
+def _silent(report: ProgressReported, wanted: Version) -> str:
+    """Name the nodes that left a relay without a word and lack the key."""
+    nodes = [each for each in report.silent if each.version < wanted]
+    if not nodes:
+        return ""
+    shown = ", ".join(f"{each.node} ({each.reason})" for each in nodes[:SHOWN_NODES])
+    return f"relay {report.relay} has not seen again {shown}"
+
+
 def _next_generation(secret: Secret) -> int:
     later = [
         each.generation
--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 from returns.result import Failure
 
 from peppershore.connection.endpoint_packing import unpack_endpoints
@@ -63,6 +65,8 @@
 
 PERSIST_TIMER = "node.persist"
 PERSIST_RETRY_SECONDS = 1.0
+PAUSE_SECONDS = 3.0
+"""Without any event for this long the process can't have been running."""
 AGE_TOLERANCE_MILLISECONDS = 1
 """Ages are rounded up to whole milliseconds."""
 
@@ -102,16 +106,27 @@
         self._pending_from: RelaySession | None = None
         self._token = 0
         self._is_stopping = False
+        self._confirmed_at = -math.inf
         self._now = 0.0
         self._out: list[Command] = []
 
     def step(self, event: events.Event, now: float) -> list[Command]:
         """Take one event; give the commands it leads to."""
-        self._now = now
         self._out = []
+        self._note_pause(event, now)
+        self._now = now
         self._take(event)
         return self._out
 
+    @property
+    def confirmed_at(self) -> float:
+        """When a quorum confirmed what is held, monotonic; -inf for never.
+
+        Nothing that waited in a socket while the process stood still counts: it
+        tells its age as of when it was sent.
+        """
+        return self._confirmed_at
+
     @property
     def incarnation(self) -> int:
         """Number of this start; above that of every earlier one."""
@@ -142,6 +157,15 @@
             case _:
                 raise AssertionError(f"a node takes no {type(event).__name__}")
 
+    def _note_pause(self, event: events.Event, now: float) -> None:
+        """After a time without any event, begin anew with the relays."""
+        pause = now - self._now
+        if isinstance(event, events.Started) or pause < PAUSE_SECONDS:
+            return
+        self._now = now
+        self._report(notices.NodePaused(round(pause * 1_000)))
+        self._do(self.sessions.begin_anew(now))
+
     def _started(self, event: events.Started) -> None:
         if not self.holder.holds_nothing:
             self._report(notices.VersionRestored(self.holder.snapshot.version))
@@ -208,6 +232,8 @@
     def _heard_age(self, session: RelaySession, age_milliseconds: int) -> None:
         """Note an answer and its age; a candidate may become the relay in use."""
         self.sessions.heard(session, age_milliseconds, self._now)
+        confirmed_at = self._now - age_milliseconds / 1_000
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
         session.answered = True
         was_active = session is self.sessions.active
         self._do(self.sessions.settle(session, self._now))
--- a/src/peppershore/process/node/data/call_entry.py
+++ b/src/peppershore/process/node/data/call_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 
 import msgspec
@@ -9,7 +10,11 @@
 
 from peppershore.connection.http_head import HeaderList, RequestHead
 from peppershore.process.settings import NodeSettings
-from peppershore.request.audience import AudienceCheck, Caller
+from peppershore.request.audience import (
+    REFUSAL_FRESHNESS_SECONDS,
+    AudienceCheck,
+    Caller,
+)
 from peppershore.request.caller_rate import CallerRates
 from peppershore.request.classification import CallPlan, classify
 from peppershore.request.outcome import (
@@ -27,6 +32,22 @@
 REPLACED_HEADERS = frozenset({DEADLINE_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER})
 
 
+class Freshness:
+    """How long ago the configuration in use was confirmed; the shell keeps it so."""
+
+    def __init__(self) -> None:
+        """A node without control plane, as in tests, counts as confirmed."""
+        self._confirmed_at = math.inf
+
+    def confirmed(self, at: float) -> None:
+        """A quorum confirmed the configuration at this monotonic time."""
+        self._confirmed_at = at
+
+    def age_seconds(self, now: float) -> float:
+        """Give the seconds since the newest confirmation."""
+        return now - self._confirmed_at
+
+
 class EntryPlan(msgspec.Struct, frozen=True):
     """What a call is, and whose."""
 
@@ -37,8 +58,12 @@
 class CallEntry:
     """Judges requests by the configuration; remembers tokens and callers' rates."""
 
-    def __init__(self, settings: NodeSettings) -> None:
-        """``settings`` name the back end that this node vouches for."""
+    def __init__(self, settings: NodeSettings, freshness: Freshness) -> None:
+        """``settings`` name the back end that this node vouches for.
+
+        ``freshness`` tells whether the configuration is confirmed.
+        """
+        self._freshness = freshness
         self._backend_host = settings.backend.rpartition(":")[0]
         self._audience = AudienceCheck()
         self._voucher = Voucher(settings.service)
@@ -52,7 +77,7 @@
         if isinstance(classified, Failure) or configuration is None:
             return classified.map(lambda plan: EntryPlan(plan, Caller("")))
         plan = classified.unwrap()
-        checked = self._check_audience(plan, configuration, head)
+        checked = self._check_audience(plan, configuration, head, now)
         if isinstance(checked, Failure):
             return Failure(checked.failure())
         caller = checked.unwrap()
@@ -78,13 +103,21 @@
         return headers
 
     def _check_audience(
-        self, plan: CallPlan, configuration: ActiveConfiguration, head: RequestHead
+        self,
+        plan: CallPlan,
+        configuration: ActiveConfiguration,
+        head: RequestHead,
+        now: float,
     ) -> Result[Caller, NotRun]:
         authorization = head.header(AUTHORIZATION_HEADER)
         if not authorization and self._from_own_backend(head):
             authorization = self._voucher.authorization(configuration, time.time())
         return self._audience.check(
-            plan.settings, configuration.secrets, authorization, time.time()
+            plan.settings,
+            configuration.secrets,
+            authorization,
+            time.time(),
+            is_confirmed=self._freshness.age_seconds(now) <= REFUSAL_FRESHNESS_SECONDS,
         )
 
     def _vouch(
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -17,7 +17,7 @@
 from peppershore.process.node.data import notices
 from peppershore.process.node.data.attempt import Attempt, AttemptRequest, AttemptSink
 from peppershore.process.node.data.back_end_pools import BackEndPools
-from peppershore.process.node.data.call_entry import CallEntry, EntryPlan
+from peppershore.process.node.data.call_entry import CallEntry, EntryPlan, Freshness
 from peppershore.process.node.data.direct_attempt import DirectAttempt
 from peppershore.process.node.data.link_attempt import LinkAttempt
 from peppershore.process.node.data.own_backend import OwnBackend
@@ -80,7 +80,8 @@
         self._notice_sink = notice_sink
         self._random = random
         self._links = links
-        self._entry = CallEntry(settings)
+        self.freshness = Freshness()
+        self._entry = CallEntry(settings, self.freshness)
         self._admissions: dict[str, Admission] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._endpoints: dict[str, tuple[Endpoint, ...]] = {}
--- a/src/peppershore/process/node/notices.py
+++ b/src/peppershore/process/node/notices.py
@@ -29,6 +29,13 @@
     wait_milliseconds: int
 
 
+class NodePaused(Notice, frozen=True):
+    """The process stood still for so long; it begins anew with the relays."""
+
+    level: ClassVar[str] = "warning"
+    milliseconds: int
+
+
 class VersionApplied(Notice, frozen=True):
     """The node holds and uses this version, whose content has this digest."""
 
--- a/src/peppershore/process/node/relay_sessions.py
+++ b/src/peppershore/process/node/relay_sessions.py
@@ -189,6 +189,17 @@
         self._choice.failed(session.relay.name, now)
         return self._connect_after(self._choice.wait_seconds(self._randomness))
 
+    def begin_anew(self, now: float) -> list[Command]:
+        """The process stood still: drop every session and connect again at once."""
+        out: list[Command] = []
+        for session in (self.candidate, self.active):
+            if session is not None:
+                out.append(CloseLink(session.link, "paused"))
+                out.append(Report(notices.RelayLeft(session.relay.name, "paused")))
+        self.active = None
+        self.candidate = None
+        return [*out, *self.connect(now)] if out else out
+
     def watch(self, now: float) -> list[Command]:
         """Leave silent relays; look for a better one when there is reason to."""
         out: list[Command] = [SetTimer(WATCH_TIMER, WATCH_SECONDS)]
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -78,6 +78,11 @@
         self.handle(PersistSnapshot, self._persist)
         self.handle(DrainBackend, self._drain)
 
+    def dispatch(self, event: events.Event) -> None:
+        """Step the core; tell the data plane how recently it was confirmed."""
+        super().dispatch(event)
+        self._data_plane.calls.freshness.confirmed(self._node_core.confirmed_at)
+
     def _use_configuration(self, command: ConfigurationSwapped) -> None:
         self._data_plane.use_configuration(command.active)
 
--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -368,6 +368,7 @@
             self._reports,
             settled,
             heard,
+            now,
         )
 
     def _note_freshness(self) -> None:
--- a/src/peppershore/process/relay/progress.py
+++ b/src/peppershore/process/relay/progress.py
@@ -22,7 +22,10 @@
 
 
 class RelayLife(msgspec.Struct, frozen=True):
-    """What a report tells of the relay itself; see ``ProgressReported``."""
+    """What a report tells of the relay itself; see ``ProgressReported``.
+
+    ``at`` is the monotonic time of the report, in seconds.
+    """
 
     relay: str
     zone: str
@@ -30,6 +33,7 @@
     reports: int
     settled: bool
     relays: tuple[str, ...]
+    at: float
 
 
 def make_report(
@@ -40,7 +44,7 @@
     control_bytes: int,
 ) -> ProgressReported:
     """Give the report of this moment."""
-    away = departures.lagging()
+    away = departures.lagging(life.at)
     lagging = _lagging_nodes(distributor, holds)
     lagging += [_away(each) for each in away[: MAX_LAGGING_NODES - len(lagging)]]
     lowest_away = min((each.version for each in away), default=distributor.version)
@@ -56,6 +60,7 @@
         settled=life.settled,
         relays=life.relays,
         number=life.reports,
+        silent=tuple(_away(each) for each in departures.silent()[:MAX_LAGGING_NODES]),
     )
 
 
--- a/src/peppershore/request/audience.py
+++ b/src/peppershore/request/audience.py
@@ -15,7 +15,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from peppershore.request.outcome import STATUS_FORBIDDEN, NotRun
+from peppershore.request.outcome import STATUS_FORBIDDEN, STATUS_UNAVAILABLE, NotRun
 from peppershore.version.model import RouteSettings, SecretResource
 
 ALGORITHM = "HS256"
@@ -25,6 +25,13 @@
 MAX_REMEMBERED_TOKENS = 4_096
 CLOCK_LEEWAY_SECONDS = 5
 
+REFUSAL_FRESHNESS_SECONDS = 6.0
+"""A node whose configuration was confirmed longer ago than this may lack a key that
+signers use by now, so it can't tell a bad token from one it does not know.  Shorter
+than every time after which a rotation counts a silent node no more."""
+
+STALE_RETRY_AFTER_MILLISECONDS = 100
+
 
 class Caller(msgspec.Struct, frozen=True):
     """Who calls: ``name`` is the token's subject, empty for the public."""
@@ -52,8 +59,15 @@
         secrets: Mapping[str, SecretResource],
         authorization: bytes,
         now_unix: float,
+        *,
+        is_confirmed: bool = True,
     ) -> Result[Caller, NotRun]:
-        """Give the caller, or the refusal; ``now_unix`` is wall-clock seconds."""
+        """Give the caller, or the refusal; ``now_unix`` is wall-clock seconds.
+
+        ``is_confirmed``: the configuration was confirmed within
+        REFUSAL_FRESHNESS_SECONDS; if not, an unknown key is no reason for a
+        refusal that the caller would take as final.
+        """
         if PUBLIC in route.audience:
             return Success(Caller(PUBLIC))
         secret = secrets.get(route.verify_secret) if route.verify_secret else None
@@ -63,7 +77,7 @@
             return _refused("token-missing")
         verified = self._verify(secret, authorization[len(BEARER) :], now_unix)
         if verified is None:
-            return _refused("token-invalid")
+            return _refused("token-invalid") if is_confirmed else _not_judged()
         if verified.caller.audience not in route.audience:
             return _refused("audience-refused")
         return Success(verified.caller)
@@ -142,5 +156,10 @@
     )
 
 
+def _not_judged() -> Result[Caller, NotRun]:
+    advice = STALE_RETRY_AFTER_MILLISECONDS
+    return Failure(NotRun(STATUS_UNAVAILABLE, "configuration-not-confirmed", advice))
+
+
 def _refused(reason: str) -> Result[Caller, NotRun]:
     return Failure(NotRun(STATUS_FORBIDDEN, reason))
--- a/src/peppershore_lab/simulator/profiles.py
+++ b/src/peppershore_lab/simulator/profiles.py
@@ -274,6 +274,25 @@
         fault_seconds=40.0,
         awaits_report=True,
     ),
+    Profile(
+        "silent-verifiers",
+        "nodes stand still or are cut off for longer than any bound while keys rotate",
+        ClusterShape(nodes=6, think_seconds=0.4),
+        FaultPlan(
+            (
+                Fault.FREEZE_NODE,
+                Fault.FREEZE_NODE,
+                Fault.ISOLATE_NODE,
+                Fault.CUT_ONE_WAY,
+                Fault.CRASH_RELAY,
+                Fault.SEPARATE_RELAY_FROM_REPLICAS,
+                Fault.CRASH_REPLICA,
+            ),
+            2.0,
+            150.0,
+        ),
+        fault_seconds=160.0,
+    ),
     PayoutProfile(
         "payouts",
         "calls that may run once are sent again, late and elsewhere, while all fails",
--- a/src/peppershore_lab/simulator/run.py
+++ b/src/peppershore_lab/simulator/run.py
@@ -12,7 +12,10 @@
 from peppershore_lab.simulator.payout_run import PayoutRun
 from peppershore_lab.simulator.payout_site import PayoutSite
 from peppershore_lab.simulator.profiles import PayoutProfile, Profile
-from peppershore_lab.simulator.rotation_check import check_rotations
+from peppershore_lab.simulator.rotation_check import (
+    check_refusals,
+    check_rotations,
+)
 from peppershore_lab.simulator.violations import PromiseBrokenError, require
 
 CONVERGED = "after the faults every node soon holds the newest version"
@@ -164,6 +167,15 @@
         for name, core in undisturbed.items():
             self._cluster.checks.check_in_force(name, core)
         check_rotations(running, undisturbed)
+        self._check_refusals(running)
+
+    def _check_refusals(self, running: dict[str, NodeCore]) -> None:
+        """Whoever runs and is not standing still may refuse a token at this moment."""
+        processes = {process.name: process for process in self._cluster.nodes}
+        awake = {
+            name: core for name, core in running.items() if not processes[name].is_frozen
+        }
+        check_refusals(running, awake, lambda name: processes[name].clock.now)
 
     def _await_convergence(self, deadline: float) -> None:
         scheduler = self._cluster.scheduler
--- a/tests/control/test_progress_table.py
+++ b/tests/control/test_progress_table.py
@@ -4,7 +4,7 @@
 
 from tests.version.trees import edit_of
 
-from peppershore.connection.messages import ProgressReported
+from peppershore.connection.messages import LaggingNode, ProgressReported
 from peppershore.process.control.progress import (
     RELAY_FORGOTTEN_SECONDS,
     RELAY_SILENT_SECONDS,
@@ -31,7 +31,11 @@
         self._number = 0
 
     def report(
-        self, version: int, in_force: int | None = None, settled: bool = True
+        self,
+        version: int,
+        in_force: int | None = None,
+        settled: bool = True,
+        silent: tuple[LaggingNode, ...] = (),
     ) -> ProgressReported:
         self._number += 1
         in_force = version if in_force is None else in_force
@@ -47,6 +51,7 @@
             settled=settled,
             relays=self._hears,
             number=self._number,
+            silent=silent,
         )
 
 
@@ -153,3 +158,22 @@
     assert "started a moment ago" in barrier.descriptions(tree, 0.0)[0]
     table.take(second.report(5), 1.0, 1.0)
     assert len(barrier.due(tree, 1.0)) == 1
+
+
+def test_a_rotation_waits_for_a_silent_node_and_names_every_obstacle() -> None:
+    secret = edit_of(PutSecret("kassa", b"0" * 32), PutSecret("kassa", b"1" * 32))
+    tree = apply_edit(empty_tree("test"), secret, 5).unwrap().tree
+    table, first, second = ProgressTable(), Relay("r1"), Relay("r2")
+    barrier = RotationBarrier(table, 0.0)
+    silent = LaggingNode("kassa-2", "kassa", "pasila", 4, "its session ended")
+    table.take(first.report(5, silent=(silent,)), 0.0, 0.0)
+    (text,) = barrier.descriptions(tree, 0.0)
+    assert "this replica started a moment ago" in text
+    assert "no report from relay r2" in text
+    assert "kassa-2 (its session ended)" in text
+    table.take(second.report(5), 0.0, 0.0)
+    table.take(first.report(5, silent=(silent,)), 60.0, 60.0)
+    table.take(second.report(5), 60.0, 60.0)
+    assert barrier.due(tree, 60.0) == []
+    table.take(first.report(5), 61.0, 61.0)
+    assert len(barrier.due(tree, 61.0)) == 1
--- a/tests/node/test_node_core.py
+++ b/tests/node/test_node_core.py
@@ -254,3 +254,16 @@
     bench.receive(offer(1))
     bench.receive(EndpointsPacked(b"not packed"))
     assert bench.only(CloseLink).reason == "undecodable endpoints"
+
+
+def test_what_waited_in_a_socket_while_the_node_stood_still_confirms_nothing() -> None:
+    bench = Bench()
+    bench.receive(offer(1))
+    confirmed_at = bench.core.confirmed_at
+    assert confirmed_at > 0.0
+    bench.now += 60.0
+    out = bench.receive(Freshness(2, 0))
+    assert bench.core.confirmed_at == confirmed_at
+    closed = [each for each in out if isinstance(each, CloseLink)]
+    opened = [each for each in out if isinstance(each, OpenLink)]
+    assert (len(closed), len(opened)) == (1, 1)
--- a/tests/relay/test_relay_progress.py
+++ b/tests/relay/test_relay_progress.py
@@ -11,6 +11,7 @@
 from peppershore.process.node.core import NodeMemory
 from peppershore.process.relay import notices
 from peppershore.process.relay.core import RelayCore
+from peppershore.process.relay.departures import VERIFIER_SECONDS
 from peppershore.process.relay.progress import MAX_LAGGING_NODES
 from peppershore.process.settings import PeerReplica, RelaySettings
 from peppershore.version.model import Overrides, Scope, SetOverrides
@@ -155,3 +156,20 @@
     site.network.run(1.5)
     assert site.relay_of("a") == home
     assert [each.node for each in site.replica.reports[home].lagging] == ["a"]
+
+
+def test_a_node_cut_off_counts_for_rotations_long_after_it_is_out_of_what_is_in_force() -> (
+    None
+):
+    site = Site()
+    site.start_node("n1", "kassa")
+    site.network.run(10.0)
+    relay = site.relay_of("n1")
+    site.network.freeze("n1")
+    site.edit(timeout_change("kassa", "pay", 77))
+    site.network.run(25.0)
+    report = report_of(site, relay)
+    assert report.in_force == report.version
+    assert [each.node for each in report.silent] == ["n1"]
+    site.network.run(VERIFIER_SECONDS)
+    assert report_of(site, relay).silent == ()
--- a/tests/request/test_audience.py
+++ b/tests/request/test_audience.py
@@ -84,3 +84,14 @@
     rotated = {"site": SecretResource("site", (SecretGeneration(2, NEW),), 2)}
     checked = check.check(MEMBERS, rotated, f"Bearer {token}".encode(), NOW)
     assert checked.failure().reason == "token-invalid"
+
+
+def test_a_node_that_is_not_confirmed_leaves_an_unknown_key_to_others() -> None:
+    check = AudienceCheck()
+    secrets = {"site": _secret()}
+    unknown = f"Bearer {_signed(b'x' * 32)}".encode()
+    refusal = check.check(MEMBERS, secrets, unknown, NOW, is_confirmed=False).failure()
+    assert (refusal.status, refusal.reason) == (503, "configuration-not-confirmed")
+    assert refusal.retry_after_milliseconds > 0
+    known = f"Bearer {_signed()}".encode()
+    assert check.check(MEMBERS, secrets, known, NOW, is_confirmed=False).unwrap()
--- a/tests/simulator/test_simulator_mutants.py
+++ b/tests/simulator/test_simulator_mutants.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -108,6 +109,10 @@
     patch.setattr(RotationBarrier, "_obstacle", lambda self, secret, now: "")
 
 
+def refuse_although_stale(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(NodeCore, "confirmed_at", property(lambda self: math.inf))
+
+
 def forget_the_vote(patch: pytest.MonkeyPatch) -> None:
     def enter_term(self, term, voted_for):  # type: ignore[no-untyped-def]
         self.term, self.voted_for = term, voted_for
@@ -152,6 +157,7 @@
     pytest.param(count_any_word_as_current, "reports", checks.IN_EFFECT),
     pytest.param(report_nothing, "reports", run.REPORTED),
     pytest.param(promote_without_waiting, "reports", rotation_check.KEY_IS_KNOWN),
+    pytest.param(refuse_although_stale, "silent-verifiers", rotation_check.NOBODY_REFUSED),
     pytest.param(forget_the_vote, "disks", checks.ONE_LEADER),
     pytest.param(grant_before_the_quorum, "payouts", payout_calls.AT_MOST_ONCE),
     pytest.param(
