--- a/src/peppershore/command/serve.py
+++ b/src/peppershore/command/serve.py
@@ -20,11 +20,13 @@
 from peppershore.process.settings import (
     ClaimsSettings,
     ControlSettings,
+    HubSettings,
     NodeSettings,
     RelaySettings,
     SettingsValue,
 )
 from peppershore.process.settings_loader import load_settings
+from peppershore.process.settings_watch import SettingsWatch
 
 Kind = TypeVar("Kind", bound=SettingsValue)
 OnReady = Callable[[int], None]
@@ -86,6 +88,19 @@
     _run(lambda on_ready: run_control(settings, on_ready))
 
 
+@serve.command()
+@settings_option
+@settings_flags("hub")
+def hub(settings_path: Path | None, **arguments: Any) -> None:
+    """Run a hub: a control replica and a relay in one process."""
+    from peppershore.process.hub.shell import run_hub  # noqa: PLC0415
+
+    settings = _read("hub", HubSettings, settings_path, arguments)
+    _configure("hub", settings.host, settings.log_level, settings.cluster)
+    watch = _watch(HubSettings, settings_path, settings)
+    _run(lambda on_ready: run_hub(settings, on_ready, watch))
+
+
 @serve.command()
 @settings_option
 @settings_flags("relay")
@@ -107,7 +122,8 @@
 
     settings = _read("node", NodeSettings, settings_path, arguments)
     _configure("node", settings.node, settings.log_level, settings.cluster)
-    _run(lambda on_ready: run_node(settings, on_ready))
+    watch = _watch(NodeSettings, settings_path, settings)
+    _run(lambda on_ready: run_node(settings, on_ready, watch))
 
 
 @serve.command()
@@ -129,6 +145,13 @@
     return loaded.unwrap()
 
 
+def _watch(
+    kind: type[Kind], path: Path | None, current: Kind
+) -> SettingsWatch[Kind] | None:
+    """Follow the settings file of a process, if it has one."""
+    return None if path is None else SettingsWatch(kind, path, current)
+
+
 def _configure(role: str, process: str, level: str, cluster: str) -> None:
     configure_logging(LogIdentity(role, process), level)
     write_notice(ProcessStarting(cluster))
--- a/src/peppershore/command/settings_flags.py
+++ b/src/peppershore/command/settings_flags.py
@@ -47,7 +47,12 @@
         value = arguments.get(field.name)
         if value is None or value == ():
             continue
-        flags[field.name] = [_table(item) for item in value] if _is_list(field) else value
+        if _is_texts(field):
+            flags[field.name] = list(value)
+        elif _is_list(field):
+            flags[field.name] = [_table(item) for item in value]
+        else:
+            flags[field.name] = value
     return flags
 
 
@@ -58,7 +63,9 @@
             for part in msgspec.structs.fields(TlsFiles)
         ]
     flag = _flag(field.name)
-    if _is_nested(field):
+    if _is_texts(field):
+        return [click.option(flag, multiple=True, help=meaning)]
+    if _is_nested(field) or _is_table(field):
         return []
     if _is_list(field):
         form = _table_form(field)
@@ -95,6 +102,16 @@
     return typing.get_origin(field.type) is tuple
 
 
+def _is_texts(field: FieldInfo) -> bool:
+    return bool(field.type == tuple[str, ...])
+
+
+def _is_table(field: FieldInfo) -> bool:
+    """Tell an optional table of settings: it stands in a file only."""
+    kinds = [kind for kind in typing.get_args(field.type) if isinstance(kind, type)]
+    return any(issubclass(kind, SettingsValue) for kind in kinds) and not _is_list(field)
+
+
 def _is_nested(field: FieldInfo) -> bool:
     """Tell a list of tables that hold lists: it has no form on one line."""
     if not _is_list(field):
--- a/src/peppershore/connection/http_client.py
+++ b/src/peppershore/connection/http_client.py
@@ -1,12 +1,15 @@
 """HTTP/1.1 towards back ends: one connection, on h11, one exchange at a time.
 
 An answer is handed on only as far as it is well-formed; an answer that ends
-before its declared length, or that declares no length at all, is a failure.
+before its declared length is a failure, and one that declares no length unless the
+rules allow it; then a reset is no end.  A whole answer that names another request is passed
+over: the one that is waited for may follow it.
 """
 
 from __future__ import annotations
 
 import asyncio
+import re
 import select
 import socket
 from collections.abc import Callable
@@ -14,6 +17,7 @@
 
 import h11
 
+from peppershore.connection.answer_rules import FOREIGN, NO_RULES, AnswerRules
 from peppershore.connection.http_head import (
     MAX_HEAD_BYTES,
     AnswerHead,
@@ -29,6 +33,8 @@
 STATUS_NO_CONTENT = 204
 STATUS_NOT_MODIFIED = 304
 HTTP_1_1 = b"1.1"
+MAX_FOREIGN_ANSWERS = 3
+_KEPT = re.compile(rb"timeout=([0-9]{1,6})")
 
 
 class AnswerSink(Protocol):
@@ -70,6 +76,11 @@
         self._on_free: Callable[[ClientConnection], None] | None = None
         self._out: list[bytes] = []
         self._method = b""
+        self._rules = NO_RULES
+        self._foreign = 0
+        self._skipping = False
+        self.kept_seconds: float | None = None
+        """For how long the back end keeps the connection idle; None if it says nothing."""
         self._poll: select.poll | None = None
 
     # --- transport callbacks
@@ -134,9 +145,12 @@
         headers: HeaderList,
         sink: AnswerSink,
         on_free: Callable[[ClientConnection], None],
+        rules: AnswerRules = NO_RULES,
     ) -> bool:
         """Queue a request's head; ``on_free`` follows when the exchange is over.
 
+        An answer must keep ``rules``.
+
         False: this can't be sent as HTTP, and nothing was.
         """
         assert self._sink is None, "one exchange at a time"
@@ -150,6 +164,9 @@
         self._sink = sink
         self._on_free = on_free
         self._method = head.method
+        self._rules = rules
+        self._foreign = 0
+        self._skipping = False
         self.exchanges += 1
         return True
 
@@ -219,7 +236,9 @@
     def _take(self, event: object) -> None:
         sink = self._sink
         assert sink is not None
-        if isinstance(event, h11.Data):
+        if self._skipping:
+            self._skip(event)
+        elif isinstance(event, h11.Data):
             sink.answer_data(event.data)
         elif isinstance(event, h11.Response):
             self._take_head(event, sink)
@@ -230,6 +249,13 @@
 
     def _take_head(self, event: h11.Response, sink: AnswerSink) -> None:
         headers = received_headers(event.headers)
+        if self._rules.is_foreign(headers):
+            self._begin_skipping()
+            return
+        problem = self._rules.problem(event.status_code, headers)
+        if problem:
+            self._fail(problem)
+            return
         content_length: int | None = None
         chunked = False
         for name, value in headers:
@@ -237,8 +263,11 @@
                 content_length = int(value)
             elif name == b"transfer-encoding":
                 chunked = True
+            elif name == b"keep-alive":
+                self.kept_seconds = _kept_seconds(value)
         has_body = self._answer_has_body(event.status_code)
-        if has_body and not chunked and content_length is None:
+        is_framed = chunked or content_length is not None or not has_body
+        if not is_framed and not self._rules.unframed_answers:
             self._fail("answer without a length")
             return
         sink.answer_head(
@@ -251,6 +280,28 @@
             )
         )
 
+    def _begin_skipping(self) -> None:
+        """An answer to another request: only one that is whole can be passed over."""
+        self._foreign += 1
+        if self._foreign > MAX_FOREIGN_ANSWERS or self._http.our_state is not h11.DONE:
+            self._fail(FOREIGN)
+        else:
+            self._skipping = True
+
+    def _skip(self, event: object) -> None:
+        """Pass over the rest of a foreign answer, then read on from where it ends."""
+        if isinstance(event, h11.EndOfMessage):
+            rest = self._http.trailing_data[0]
+            if self._http.their_state is not h11.DONE:
+                self._fail(FOREIGN)
+                return
+            self._skipping = False
+            self._http = _awaiting_answer(self._method)
+            if rest:
+                self._http.receive_data(rest)
+        elif isinstance(event, h11.ConnectionClosed):
+            self._fail(FOREIGN)
+
     def _answer_has_body(self, status: int) -> bool:
         if status in (STATUS_NO_CONTENT, STATUS_NOT_MODIFIED):
             return False
@@ -284,3 +335,17 @@
             on_free(self)
         if sink is not None:
             sink.attempt_failed(reason)
+
+
+def _awaiting_answer(method: bytes) -> h11.Connection:
+    """Give a parser for the answer to a request that has been sent already."""
+    http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+    http.send(h11.Request(method=method, target=b"/", headers=[(b"host", b"-")]))
+    http.send(h11.EndOfMessage())
+    return http
+
+
+def _kept_seconds(value: bytes) -> float | None:
+    """Read "timeout=N" of a Keep-Alive field."""
+    found = _KEPT.search(value)
+    return None if found is None else float(found.group(1))
--- a/src/peppershore/connection/http_pool.py
+++ b/src/peppershore/connection/http_pool.py
@@ -8,7 +8,10 @@
 from peppershore.connection.http_client import ClientConnection
 
 CONNECT_TIMEOUT_SECONDS = 2.0
+BOUND_REACHED = "connection bound reached"
 IDLE_SECONDS = 20.0
+KEPT_MARGIN_SECONDS = 1.0
+"""A connection is used no more so long before its back end would close it."""
 
 ConnectOutcome = Callable[[ClientConnection | str], None]
 """Gets the new connection, or why there is none."""
@@ -38,12 +41,11 @@
         """
         while self._idle:
             connection = self._idle[-1]
-            if max_age_seconds is not None:
-                age = asyncio.get_running_loop().time() - connection.last_used
-                if age > max_age_seconds:
-                    return None
+            age = asyncio.get_running_loop().time() - connection.last_used
+            if max_age_seconds is not None and age > max_age_seconds:
+                return None
             self._idle.pop()
-            if connection.usable:
+            if connection.usable and age < _idle_bound(connection):
                 return connection
             self._discard(connection)
         return None
@@ -53,7 +55,7 @@
         if self.connections >= self.bound and self._idle:
             self._discard(self._idle.pop(0))
         if self.connections >= self.bound:
-            outcome("connection bound reached")
+            outcome(BOUND_REACHED)
             return
         task = asyncio.get_running_loop().create_task(self._connect(outcome))
         self._opening.add(task)
@@ -74,7 +76,7 @@
 
     def trim(self, now: float) -> None:
         """Close connections that were idle for long."""
-        while self._idle and now - self._idle[0].last_used > IDLE_SECONDS:
+        while self._idle and now - self._idle[0].last_used > _idle_bound(self._idle[0]):
             self._discard(self._idle.pop(0))
 
     def close(self) -> None:
@@ -110,3 +112,11 @@
     def _discard(self, connection: ClientConnection) -> None:
         self._open.discard(connection)
         connection.close()
+
+
+def _idle_bound(connection: ClientConnection) -> float:
+    """Give for how long a connection may rest: what its back end says, with a margin."""
+    kept = connection.kept_seconds
+    if kept is None:
+        return IDLE_SECONDS
+    return min(IDLE_SECONDS, max(0.0, kept - KEPT_MARGIN_SECONDS))
--- a/src/peppershore/connection/http_server.py
+++ b/src/peppershore/connection/http_server.py
@@ -1,7 +1,9 @@
 """HTTP/1.1 towards callers: one accepted connection, on h11.
 
-A connection carries one exchange at a time; requests that are pipelined wait
-unread until the answer before them is whole, so answers keep their order.
+Requests that a caller sends before the first is answered are begun at once, as long
+as all of them may be repeated; answers keep the order of the requests.  Any other
+request waits until the answers before it are whole: a caller sends again what stands
+behind an answer that closes the connection.
 No task is made for a call: everything runs in the protocol's callbacks.
 """
 
@@ -9,6 +11,7 @@
 
 import asyncio
 import socket
+from collections import deque
 from typing import Protocol
 
 import h11
@@ -17,48 +20,23 @@
 from peppershore.connection.http_head import (
     MAX_HEAD_BYTES,
     STATUS_BAD_REQUEST,
-    AnswerHead,
-    HeaderList,
     HeadProblem,
     RequestHead,
-    answer_event,
     check_request_head,
-    end_event,
     end_to_end_headers,
     received_headers,
 )
+from peppershore.connection.server_exchange import RequestSink, ServerExchange
+
+__all__ = ["RequestSink", "ServerConnection", "ServerExchange", "ServerOwner"]
 
 MAX_PIPELINED_BYTES = 64 * 1024
+MAX_AT_ONCE = 16
+"""Requests of one connection under way at once."""
+
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 IDLE_SECONDS = 75.0
 LINGER_SECONDS = 1.0
-HTTP_1_1 = b"1.1"
-
-
-class RequestSink(Protocol):
-    """Takes what follows a request's head.
-
-    What is at hand of the body comes before ``start``, so that a small request
-    leaves in one piece.
-    """
-
-    def start(self) -> None:
-        """Begin the call."""
-
-    def body_received(self, data: bytes) -> None:
-        """Take a piece of the request's body."""
-
-    def body_ended(self, trailers: HeaderList) -> None:
-        """The request is whole."""
-
-    def caller_gone(self) -> None:
-        """The caller left, or broke its request; nothing can be answered."""
-
-    def writing_paused(self) -> None:
-        """The caller reads slowly: give no more answer bytes for now."""
-
-    def writing_resumed(self) -> None:
-        """The caller caught up."""
 
 
 class ServerOwner(Protocol):
@@ -69,6 +47,9 @@
     def request_received(self, exchange: ServerExchange, head: RequestHead) -> RequestSink:
         """Make a call; its body and its start follow on the sink."""
 
+    def may_be_repeated(self, head: RequestHead) -> bool:
+        """Whether a request may be begun before those in front of it are answered."""
+
     def request_refused(self, problem: HeadProblem) -> bytes:
         """Count a malformed request; give the refusal's body."""
 
@@ -79,88 +60,26 @@
         """Forget a connection."""
 
 
-class ServerExchange:
-    """One request and its answer; writes after its end go nowhere."""
-
-    __slots__ = ("_connection", "head_sent")
-
-    def __init__(self, connection: ServerConnection) -> None:
-        """Bind to a connection until the answer is whole or given up."""
-        self._connection: ServerConnection | None = connection
-        self.head_sent = False
-
-    @property
-    def live(self) -> bool:
-        """Whether an answer can still reach the caller."""
-        return self._connection is not None
-
-    def send_continue(self) -> None:
-        """Tell a caller that waits for it to send its body."""
-        if self._connection is not None:
-            self._connection.send_continue()
-
-    def send_head(self, head: AnswerHead) -> None:
-        """Begin the answer."""
-        if self._connection is not None:
-            self.head_sent = True
-            self._connection.send_head(head)
-
-    def send_data(self, data: bytes) -> None:
-        """Give a piece of the answer's body."""
-        if self._connection is not None:
-            self._connection.send_data(data)
-
-    def flush(self) -> None:
-        """Write what was given so far."""
-        if self._connection is not None:
-            self._connection.flush()
-
-    def send_end(self, trailers: HeaderList) -> None:
-        """The answer is whole."""
-        connection = self._connection
-        self._connection = None
-        if connection is not None:
-            connection.send_end(trailers)
-
-    def abort(self) -> None:
-        """Cut the connection, so that the caller sees the answer is not whole."""
-        connection = self._connection
-        self._connection = None
-        if connection is not None:
-            connection.abort()
-
-    def pause_body(self) -> None:
-        """Stop reading the request's body."""
-        if self._connection is not None:
-            self._connection.pause_reading()
-
-    def resume_body(self) -> None:
-        """Go on reading the request's body."""
-        if self._connection is not None:
-            self._connection.resume_reading()
-
-    def detach(self) -> None:
-        """The connection is gone."""
-        self._connection = None
-
-
 class ServerConnection(asyncio.Protocol):
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    ``_exchanges`` are the requests without whole answer, in their order; ``_current``
+    is the one whose body is still being read, ``_held`` the bytes behind it.
+    """
 
     def __init__(self, owner: ServerOwner) -> None:
         """Hand requests to ``owner``."""
         self._owner = owner
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._transport: asyncio.Transport | None = None
-        self._exchange: ServerExchange | None = None
-        self._sink: RequestSink | None = None
+        self._exchanges: deque[ServerExchange] = deque()
+        self._current: ServerExchange | None = None
+        self._held = b""
         self._peer_address = ""
-        self._pipelined_bytes = 0
-        self._reading_paused = False
+        self._body_paused = False
+        self._ahead_paused = False
         self._discarding = False
-        self._out: list[bytes] = []
-        self._idle_since = 0.0
         self._working = False
+        self._idle_since = 0.0
 
     # --- transport callbacks
 
@@ -178,123 +97,83 @@
         self._owner.connection_opened(self)
 
     def data_received(self, data: bytes) -> None:
-        """Take received bytes through h11."""
+        """Take received bytes: of a body, or of requests to come."""
         if self._discarding:
             return
-        self._http.receive_data(data)
-        if self._exchange is not None and self._http.their_state is h11.DONE:
-            self._pipelined_bytes += len(data)
-            if self._pipelined_bytes > MAX_PIPELINED_BYTES:
-                self.pause_reading()
-            return
-        self._process()
+        self._working = True
+        if self._current is not None:
+            self._current.http.receive_data(data)
+            self._read_body(self._current)
+        else:
+            self._held += data
+        self._begin_requests()
+        self._working = False
+        self._write_answers()
 
     def eof_received(self) -> bool:
         """Treat a caller that closed its side as gone."""
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tell the call in flight that its caller is gone."""
+        """Tell the calls in flight that their caller is gone."""
         del exc
         self._transport = None
-        self._give_up_exchange()
+        self._give_up_exchanges()
         self._owner.connection_closed(self)
 
     def pause_writing(self) -> None:
         """Pass the caller's slowness on."""
-        if self._sink is not None:
-            self._sink.writing_paused()
+        if self._exchanges and self._exchanges[0].sink is not None:
+            self._exchanges[0].sink.writing_paused()
 
     def resume_writing(self) -> None:
         """The caller reads again."""
-        if self._sink is not None:
-            self._sink.writing_resumed()
-
-    # --- used by the exchange
-
-    def send_continue(self) -> None:
-        """Send 100 Continue if the caller waits for it."""
-        if self._http.they_are_waiting_for_100_continue:
-            response = h11.InformationalResponse(status_code=100, headers=[])
-            self._write(self._http.send(response))
-            self.flush()
-
-    def send_head(self, head: AnswerHead) -> None:
-        """Queue the answer's head."""
-        headers = head.headers.copy()
-        if head.content_length is not None:
-            headers.append((b"content-length", b"%d" % head.content_length))
-        elif head.has_body:
-            headers.append((b"transfer-encoding", b"chunked"))
-        request_unread = self._http.their_state is not h11.DONE
-        if request_unread or self._owner.draining:
-            headers.append((b"connection", b"close"))
-        try:
-            self._write(self._http.send(answer_event(head, headers)))
-        except h11.LocalProtocolError:
-            self._break_off()
+        if self._exchanges and self._exchanges[0].sink is not None:
+            self._exchanges[0].sink.writing_resumed()
 
-    def send_data(self, data: bytes) -> None:
-        """Queue a piece of the answer's body."""
-        try:
-            self._write(self._http.send(h11.Data(data=data)))
-        except h11.LocalProtocolError:
-            self._break_off()
-
-    def send_end(self, trailers: HeaderList) -> None:
-        """End the answer and go on to the next request, or close."""
-        if (self._http.their_http_version or b"") < HTTP_1_1:
-            trailers = []
-        try:
-            self._write(self._http.send(end_event(trailers)))
-        except h11.LocalProtocolError:
-            self._break_off()
-            return
-        self.flush()
-        self._exchange = None
-        self._sink = None
-        self._finish_cycle()
-
-    def _break_off(self) -> None:
-        """An answer that can't be sent as HTTP: let the caller see that it broke."""
-        self._out.clear()
-        if self._transport is not None:
-            self._transport.abort()
+    # --- used by exchanges
 
-    def abort(self) -> None:
-        """Drop the connection at once."""
-        self._exchange = None
-        self._sink = None
-        if self._transport is not None:
-            self._transport.abort()
+    def has_output(self, exchange: ServerExchange) -> None:
+        """Write what is queued, if it is this exchange's turn."""
+        if self._exchanges and self._exchanges[0] is exchange:
+            self._write_answers()
 
-    def flush(self) -> None:
-        """Write what is queued, in one piece."""
-        out = self._out
-        if not out:
-            return
-        self._out = []
-        if self._transport is not None:
-            self._transport.write(out[0] if len(out) == 1 else b"".join(out))
+    def answered(self, exchange: ServerExchange) -> None:
+        """An answer is whole."""
+        exchange.sink = None
+        self._write_answers()
 
-    def pause_reading(self) -> None:
-        """Stop reading from the caller."""
-        if self._transport is not None and not self._reading_paused:
-            self._reading_paused = True
-            self._transport.pause_reading()
+    def must_close_after(self, exchange: ServerExchange) -> bool:
+        """Whether this is the last request of a connection that is to end."""
+        if not self._owner.draining:
+            return False
+        return self._exchanges[-1] is exchange and not self._held
 
-    def resume_reading(self) -> None:
-        """Go on reading from the caller."""
-        if self._transport is not None and self._reading_paused:
-            self._reading_paused = False
-            self._transport.resume_reading()
+    def broken_off(self) -> None:
+        """Cut the connection: the caller sees that an answer is not whole."""
+        transport = self._transport
+        self._discarding = True
+        if transport is not None:
+            transport.abort()
+
+    def pause_body(self, exchange: ServerExchange) -> None:
+        """Read no more of a body for now."""
+        if exchange is self._current:
+            self._body_paused = True
+            self._apply_pauses()
+
+    def resume_body(self, exchange: ServerExchange) -> None:
+        """Go on reading a body."""
+        if exchange is self._current or self._current is None:
+            self._body_paused = False
+            self._apply_pauses()
 
     # --- used by the listener
 
     @property
     def busy(self) -> bool:
         """Whether a call is in flight or a request has begun to come in."""
-        return self._exchange is not None or bool(self._http.trailing_data[0])
+        return bool(self._exchanges) or bool(self._held)
 
     def idle_seconds(self, now: float) -> float:
         """Seconds without a call."""
@@ -305,80 +184,86 @@
         if self._transport is not None:
             self._transport.close()
 
-    # --- inside
+    # --- requests
 
-    def _process(self) -> None:
-        self._working = True
-        try:
-            while self._process_one():
-                pass
-        finally:
-            self._working = False
-        self.flush()
-
-    def _process_one(self) -> bool:
-        """Handle one h11 event; false when there is nothing more to do now."""
-        if self._discarding or self._transport is None:
+    def _begin_requests(self) -> None:
+        while self._held and self._may_begin() and self._begin_request():
+            pass
+        self._ahead_paused = len(self._held) > MAX_PIPELINED_BYTES
+        self._apply_pauses()
+
+    def _may_begin(self) -> bool:
+        if self._discarding or self._transport is None or self._current is not None:
+            return False
+        if not self._exchanges:
+            return True
+        last = self._exchanges[-1]
+        if last.http.their_state is not h11.DONE or len(self._exchanges) >= MAX_AT_ONCE:
             return False
-        if self._http.their_state is h11.IDLE and not self._head_ready():
+        return all(exchange.is_repeatable for exchange in self._exchanges)
+
+    def _begin_request(self) -> bool:
+        """Begin the next request; false if it is not whole enough or has to wait."""
+        checked = check_request_head(self._held)
+        if isinstance(checked, Failure):
+            self._refuse(checked.failure())
             return False
+        if not checked.unwrap():
+            return False
+        http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        http.receive_data(self._held)
         try:
-            return self._take_event(self._http.next_event())
+            event = http.next_event()
         except h11.RemoteProtocolError as problem:
             self._refuse(HeadProblem(problem.error_status_hint, "malformed-request"))
             return False
-
-    def _head_ready(self) -> bool:
-        received = self._http.trailing_data[0]
-        if not received:
+        if not isinstance(event, h11.Request):
             return False
-        checked = check_request_head(received)
-        if isinstance(checked, Failure):
-            self._refuse(checked.failure())
-            return False
-        return checked.unwrap()
-
-    def _take_event(self, event: object) -> bool:
-        if isinstance(event, h11.Request):
-            self._begin(event)
-            return self._http.their_state is not h11.DONE
-        if isinstance(event, h11.Data):
-            if self._sink is not None:
-                self._sink.body_received(event.data)
-            return True
-        if isinstance(event, h11.EndOfMessage):
-            if self._sink is not None:
-                self._sink.body_ended(received_headers(event.headers))
+        head = self._request_head(event, http)
+        is_repeatable = self._owner.may_be_repeated(head)
+        if self._exchanges and not is_repeatable:
             return False
-        return False
+        self._held = b""
+        self._begin(ServerExchange(self, http), head, is_repeatable)
+        return True
 
-    def _begin(self, event: h11.Request) -> None:
+    def _begin(
+        self, exchange: ServerExchange, head: RequestHead, is_repeatable: bool
+    ) -> None:
         """Start a call, with as much of its body as is already here."""
-        head = self._request_head(event)
-        pieces, end = self._body_at_hand()
-        exchange = ServerExchange(self)
-        self._exchange = exchange
-        self._pipelined_bytes = 0
-        sink = self._owner.request_received(exchange, head)
-        self._sink = sink
-        for piece in pieces:
-            sink.body_received(piece)
-        if end is not None:
-            sink.body_ended(received_headers(end.headers))
-        sink.start()
-
-    def _body_at_hand(self) -> tuple[list[bytes], h11.EndOfMessage | None]:
-        pieces: list[bytes] = []
-        while True:
-            event = self._http.next_event()
+        exchange.is_repeatable = is_repeatable
+        self._exchanges.append(exchange)
+        self._current = exchange
+        self._body_paused = False
+        exchange.sink = self._owner.request_received(exchange, head)
+        self._read_body(exchange)
+        if exchange.sink is not None:
+            exchange.sink.start()
+
+    def _read_body(self, exchange: ServerExchange) -> None:
+        """Hand on what is at hand of a request's body, up to its end."""
+        while self._current is exchange:
+            try:
+                event = exchange.http.next_event()
+            except h11.RemoteProtocolError as problem:
+                self._refuse(HeadProblem(problem.error_status_hint, "malformed-request"))
+                return
             if isinstance(event, h11.Data):
-                pieces.append(event.data)
+                if exchange.sink is not None:
+                    exchange.sink.body_received(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                return pieces, event
+                self._request_ended(exchange, event)
             else:
-                return pieces, None
+                return
+
+    def _request_ended(self, exchange: ServerExchange, event: h11.EndOfMessage) -> None:
+        self._current = None
+        self._body_paused = False
+        self._held = bytes(exchange.http.trailing_data[0])
+        if exchange.sink is not None:
+            exchange.sink.body_ended(received_headers(event.headers))
 
-    def _request_head(self, event: h11.Request) -> RequestHead:
+    def _request_head(self, event: h11.Request, http: h11.Connection) -> RequestHead:
         headers = received_headers(event.headers)
         content_length: int | None = 0
         declares_length = False
@@ -395,23 +280,52 @@
             content_length=content_length,
             declares_length=declares_length,
             peer_address=self._peer_address,
-            expects_continue=self._http.they_are_waiting_for_100_continue,
+            expects_continue=http.they_are_waiting_for_100_continue,
         )
 
-    def _finish_cycle(self) -> None:
-        if self._transport is None:
+    # --- answers
+
+    def _write_answers(self) -> None:
+        """Write the answers whose turn it is; go on to the next requests, or close."""
+        if self._working or self._transport is None:
             return
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
-            self._http.start_next_cycle()
-            self._idle_since = asyncio.get_running_loop().time()
-            self.resume_reading()
-            if not self._working and self._http.trailing_data[0]:
-                asyncio.get_running_loop().call_soon(self._process)
+        out: list[bytes] = []
+        last: ServerExchange | None = None
+        while self._exchanges:
+            exchange = self._exchanges[0]
+            out += exchange.output
+            exchange.output.clear()
+            if not exchange.ended:
+                break
+            last = self._exchanges.popleft()
+            if not last.may_be_followed:
+                break
+        if out:
+            self._transport.write(out[0] if len(out) == 1 else b"".join(out))
+        if last is not None:
+            self._after(last)
+
+    def _after(self, exchange: ServerExchange) -> None:
+        """An answer is written: the connection goes on, or ends with it."""
+        if not exchange.may_be_followed:
+            self._close_after(exchange)
             return
-        if self._http.their_state in (h11.SEND_BODY, h11.ERROR):
+        if not self._exchanges:
+            self._idle_since = asyncio.get_running_loop().time()
+        if self._held:
+            asyncio.get_running_loop().call_soon(self._go_on)
+
+    def _go_on(self) -> None:
+        if self._transport is not None and not self._discarding:
+            self.data_received(b"")
+
+    def _close_after(self, exchange: ServerExchange) -> None:
+        """Close; requests behind this answer are not answered: callers send them again."""
+        self._give_up_exchanges()
+        if exchange.http.their_state in (h11.SEND_BODY, h11.ERROR):
             self._linger()
-            return
-        self._transport.close()
+        elif self._transport is not None:
+            self._transport.close()
 
     def _linger(self) -> None:
         """Let the caller read the answer before the unread request resets it."""
@@ -419,20 +333,27 @@
         transport = self._transport
         if transport is None:
             return
-        self.resume_reading()
+        self._body_paused = False
+        self._ahead_paused = False
+        self._apply_pauses()
         if transport.can_write_eof():
             transport.write_eof()
         asyncio.get_running_loop().call_later(LINGER_SECONDS, transport.close)
 
     def _refuse(self, problem: HeadProblem) -> None:
-        """Answer a malformed request and close; what was begun is given up."""
-        exchange = self._exchange
-        self._give_up_exchange()
-        answering = exchange is not None and exchange.head_sent
-        outcome = b"not-run" if exchange is None else b"unknown"
-        if answering or self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            self.abort()
+        """Answer a malformed request and close; what was begun of it is given up.
+
+        Behind requests without answer it waits until those are answered.
+        """
+        current = self._current
+        if self._exchanges and current is None:
+            return
+        if current is not None and (len(self._exchanges) > 1 or current.head_sent):
+            self.broken_off()
             return
+        outcome = b"not-run" if current is None else b"unknown"
+        self._give_up_exchanges()
+        http = h11.Connection(h11.SERVER)
         body = self._owner.request_refused(problem)
         headers = [
             (b"content-length", b"%d" % len(body)),
@@ -441,22 +362,28 @@
             (b"connection", b"close"),
         ]
         status = problem.status or STATUS_BAD_REQUEST
-        self._write(self._http.send(h11.Response(status_code=status, headers=headers)))
-        self._write(self._http.send(h11.Data(data=body)))
-        self._write(self._http.send(h11.EndOfMessage()))
-        self.flush()
+        answer = http.send(h11.Response(status_code=status, headers=headers)) or b""
+        answer += http.send(h11.Data(data=body)) or b""
+        answer += http.send(h11.EndOfMessage()) or b""
+        if self._transport is not None:
+            self._transport.write(answer)
+        self._held = b""
         self._linger()
 
-    def _give_up_exchange(self) -> None:
-        exchange = self._exchange
-        sink = self._sink
-        self._exchange = None
-        self._sink = None
-        if exchange is not None:
-            exchange.detach()
-        if sink is not None:
-            sink.caller_gone()
-
-    def _write(self, data: bytes) -> None:
-        if data:
-            self._out.append(data)
+    def _give_up_exchanges(self) -> None:
+        exchanges = list(self._exchanges)
+        self._exchanges.clear()
+        self._current = None
+        for exchange in exchanges:
+            sink = exchange.detach()
+            if sink is not None:
+                sink.caller_gone()
+
+    def _apply_pauses(self) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if self._body_paused or self._ahead_paused:
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
--- a/src/peppershore/connection/messages.py
+++ b/src/peppershore/connection/messages.py
@@ -124,6 +124,20 @@
     version: Version
 
 
+class RelayListed(msgspec.Struct, frozen=True, array_like=True):
+    """A relay that nodes may use; ``zone`` is empty while it is not known."""
+
+    name: str
+    zone: str
+    address: str
+
+
+class RelaysListed(Message, frozen=True, tag=27):
+    """A relay tells its nodes which relays there are, itself included."""
+
+    relays: tuple[RelayListed, ...]
+
+
 # --- endpoints ---------------------------------------------------------------
 
 
@@ -133,7 +147,8 @@
     Ordered by (incarnation, sequence) of its owner: a higher pair replaces a
     lower one whatever link it came on.  ``state``: "warming", "ready",
     "leaving", "gone".  ``address`` is the back end ("IP:port");
-    ``owner_address`` its node's internal listener.
+    ``owner_address`` its node's internal listener.  ``warming_milliseconds`` is for
+    how much longer it was slow when it began to be ready; 0 where it does not say.
     """
 
     node: str
@@ -146,6 +161,7 @@
     owner_address: str
     slots: int
     connections: int
+    warming_milliseconds: int = 0
 
 
 class EndpointAnnounced(Message, frozen=True, tag=40):
@@ -178,6 +194,7 @@
     cluster: str
     relay: str
     incarnation: int
+    zone: str = ""
 
 
 class EndpointDigest(Message, frozen=True, tag=43):
@@ -444,6 +461,12 @@
     age_milliseconds: int
 
 
+class GroupDescribed(Message, frozen=True, tag=81):
+    """Answer to the hello of a replica that is no member: who the members are."""
+
+    members: tuple[ReplicaMember, ...]
+
+
 # --- operators ---------------------------------------------------------------
 
 
@@ -652,6 +675,18 @@
 """HTTP header fields: lower-case name, value; order kept."""
 
 
+UNBOUNDED_PATIENCE = -1
+"""Of ``CallStarted``: it may wait until its deadline."""
+
+
+class OwnerLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Calls at a back end and waiting for it, and its slots, as its own node counts."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
 class CallLinkHello(Message, frozen=True, tag=140):
     """First message of a node that will send calls to a back end's own node."""
 
@@ -664,7 +699,9 @@
     """A call for the receiver's back end; ``stream`` is never reused on a link.
 
     ``content_length`` -1 means a body of unknown length; ``data`` is its first
-    piece.  ``deadline_milliseconds`` is what remains.
+    piece.  ``deadline_milliseconds`` is what remains.  ``service`` is whose back end
+    is meant ("" for any); ``priority`` 0 goes first.  Without ``may_wait`` the call is
+    refused where no slot is free; else it waits for ``patience_milliseconds`` at most.
     """
 
     stream: int
@@ -679,6 +716,10 @@
     data: bytes
     ended: bool
     trailers: HeaderFields
+    service: str = ""
+    priority: int = 1
+    may_wait: bool = True
+    patience_milliseconds: int = UNBOUNDED_PATIENCE
 
 
 class CallBody(Message, frozen=True, tag=142):
@@ -715,6 +756,7 @@
     data: bytes
     ended: bool
     trailers: HeaderFields
+    load: OwnerLoad | None = None
 
 
 class CallAnswerBody(Message, frozen=True, tag=146):
@@ -727,13 +769,15 @@
 
 
 class CallNotRun(Message, frozen=True, tag=147):
-    """The back end's own node refused the call; the back end never saw it."""
+    """The call is not run: the back end never saw it, or refused it (``offered``)."""
 
     stream: int
     status: int
     reason: str
     retry_after_milliseconds: int
     retryable: bool
+    offered: bool = False
+    load: OwnerLoad | None = None
 
 
 class CallUnknown(Message, frozen=True, tag=148):
--- a/src/peppershore/process/consensus/greeting.py
+++ b/src/peppershore/process/consensus/greeting.py
@@ -54,6 +54,8 @@
         replica.peers.greeted(link, hello)
         if first and not replica.peers.opened_by_us(link):
             self.greet(link)
+        replica.joining.heard(hello.replica)
+        replica.joining.greeted(link, hello.replica, hello.identity)
         member = find_member(replica.consensus.membership, hello.replica)
         if member is not None and member.identity != hello.identity:
             replica.report(notices.OtherStoreSeen(replica.name, hello.replica))
--- a/src/peppershore/process/consensus/leadership.py
+++ b/src/peppershore/process/consensus/leadership.py
@@ -211,12 +211,15 @@
 
     def _current_peers(self) -> dict[str, PeerProgress]:
         own = self._core.settings.replica
-        names = [each.name for each in self._core.membership.members if each.name != own]
-        for name in names:
-            if name not in self._peers:
-                self._peers[name] = PeerProgress(name, self._core.log.last_index + 1)
-        if len(self._peers) != len(names):
-            self._peers = {name: self._peers[name] for name in names}
+        members = [each for each in self._core.membership.members if each.name != own]
+        for member in members:
+            known = self._peers.get(member.name)
+            if known is None or known.identity != member.identity:
+                self._peers[member.name] = PeerProgress(
+                    member.name, self._core.log.last_index + 1, member.identity
+                )
+        if len(self._peers) != len(members):
+            self._peers = {each.name: self._peers[each.name] for each in members}
         return self._peers
 
     def _advance_confirmed_round(self) -> None:
--- a/src/peppershore/process/consensus/membership_changes.py
+++ b/src/peppershore/process/consensus/membership_changes.py
@@ -76,7 +76,8 @@
             return
         if self._requests:
             self._advance(self._requests[0])
-        self._promote_caught_up()
+        if not self._replica.joining.keeps_itself:
+            self._promote_caught_up()
 
     def membership_committed(self) -> None:
         """Answer the requests that are done with this membership."""
--- a/src/peppershore/process/consensus/notices.py
+++ b/src/peppershore/process/consensus/notices.py
@@ -4,6 +4,7 @@
 
 from typing import ClassVar
 
+from peppershore.connection.messages import ReplicaMember
 from peppershore.process.commands import Notice
 
 
@@ -83,6 +84,13 @@
     replica: str
 
 
+class MembershipProposed(Notice, frozen=True):
+    """The leader of a group that keeps itself proposes these members."""
+
+    replica: str
+    members: tuple[ReplicaMember, ...]
+
+
 class MembershipChanged(Notice, frozen=True):
     """A membership was committed."""
 
--- a/src/peppershore/process/consensus/peer_progress.py
+++ b/src/peppershore/process/consensus/peer_progress.py
@@ -9,11 +9,16 @@
 
 
 class PeerProgress:
-    """Replication state of one peer, as its leader sees it."""
+    """Replication state of one peer, as its leader sees it.
 
-    def __init__(self, name: str, next_index: int) -> None:
+    ``identity`` is that of its store: another store under the same name holds
+    nothing of what this one acknowledged.
+    """
+
+    def __init__(self, name: str, next_index: int, identity: int = 0) -> None:
         """Begin by probing where the peer's log agrees, from ``next_index`` down."""
         self.name = name
+        self.identity = identity
         self.next_index = next_index
         self.match_index = 0
         self.answered_round = 0
--- a/src/peppershore/process/consensus/peers.py
+++ b/src/peppershore/process/consensus/peers.py
@@ -109,6 +109,11 @@
             return None
         return self._greeted.get(outgoing.link)
 
+    def greeted_peers(self) -> tuple[PeerIdentity, ...]:
+        """Who greeted on any open link; of two links to one name the newer counts."""
+        newest = {known.name: known for _, known in sorted(self._greeted.items())}
+        return tuple(newest.values())
+
     def send(self, name: str, message: Message) -> list[Command]:
         """Send on the link opened to the peer, else on one it opened, else drop."""
         link = self.link_to(name)
--- a/src/peppershore/process/consensus/replica.py
+++ b/src/peppershore/process/consensus/replica.py
@@ -12,6 +12,7 @@
     ElectNow,
     EntryKind,
     Goodbye,
+    GroupDescribed,
     LogEntry,
     Message,
     ReadIndexReply,
@@ -35,6 +36,7 @@
 from peppershore.process.consensus import notices, outputs
 from peppershore.process.consensus.core import Consensus
 from peppershore.process.consensus.greeting import Greeting
+from peppershore.process.consensus.joining import Joining
 from peppershore.process.consensus.membership import find_member, voters_of
 from peppershore.process.consensus.membership_changes import MembershipChanges
 from peppershore.process.consensus.peers import PeerIdentity, PeerLinks
@@ -88,6 +90,7 @@
         self._snapshotting = Snapshotting(self, machine)
         self._greeting = Greeting(self)
         self.changes = MembershipChanges(self)
+        self.joining = Joining(self)
 
     def step(self, event: events.Event, now: float) -> list[Command]:
         """Take one event; give what to do."""
@@ -155,6 +158,10 @@
         """Send to another replica, if it is reached."""
         self._commands += self.peers.send(name, message)
 
+    def greet_all(self) -> None:
+        """Say hello on every link to another replica."""
+        self._greeting.greet_again()
+
     def want_peers(self) -> None:
         """Keep links to all members, and to those that are about to be one."""
         wanted = {
@@ -163,6 +170,7 @@
         if self.consensus.group_id == 0 and not self.settings.join:
             wanted |= {each.name: each.address for each in self.settings.replicas}
         wanted |= self.changes.prospects()
+        wanted |= self.joining.wanted()
         wanted.pop(self.name, None)
         self._commands += self.peers.want(wanted)
         self._commands += self.peers.connect(self.now)
@@ -220,6 +228,7 @@
             self._greeting.found_if_possible()
         self.consensus.tick(self.now)
         self.changes.tick()
+        self.joining.tick()
         self.on_tick()
         self._exit_if_stopped()
 
@@ -259,8 +268,12 @@
             self._greeting.take(link, message)
             return
         peer = self.peers.identity_on(link)
+        if peer is not None:
+            self.joining.heard(peer.name)
         if peer is None:
             self.on_client_message(link, message)
+        elif isinstance(message, GroupDescribed):
+            self.joining.take_description(message)
         elif isinstance(message, _CONSENSUS_MESSAGES):
             self._take_consensus_message(peer, message)
         elif isinstance(message, ReadIndexRequest):
@@ -306,6 +319,7 @@
             self._reads.answer_ready()
         elif isinstance(output, outputs.LeadershipGained):
             self.report(notices.LeadershipStarted(self.name, output.term))
+            self.joining.leadership_gained()
             self.on_leadership_gained()
         elif isinstance(output, outputs.LeadershipLost):
             self.report(notices.LeadershipEnded(self.name, output.reason))
--- a/src/peppershore/process/consensus/settings.py
+++ b/src/peppershore/process/consensus/settings.py
@@ -26,13 +26,19 @@
 
 
 class ReplicaSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """What every replica needs, whatever its group replicates."""
+    """What every replica needs, whatever its group replicates.
+
+    With ``wanted_voters`` above 0 the group keeps its own membership: it takes in
+    whoever greets it, lets so many vote, and is found through ``seeds``.
+    """
 
     cluster: str
     consensus: ConsensusSettings
     replicas: tuple[PeerReplica, ...]
     join: bool = False
     snapshot_entries: int = 2_000
+    seeds: tuple[str, ...] = ()
+    wanted_voters: int = 0
 
 
 def replica_settings(settings: ControlSettings | ClaimsSettings) -> ReplicaSettings:
@@ -49,4 +55,6 @@
         replicas=settings.replicas,
         join=settings.join,
         snapshot_entries=settings.snapshot_entries,
+        seeds=getattr(settings, "seeds", ()),
+        wanted_voters=getattr(settings, "wanted_voters", 0),
     )
--- a/src/peppershore/process/control/change_ids.py
+++ b/src/peppershore/process/control/change_ids.py
@@ -43,8 +43,11 @@
 
 
 def may_have_run_before(edit: Edit, horizon_version: Version) -> bool:
-    """Whether an id that is not in the table may stand before its horizon."""
-    if horizon_version == 0:
+    """Whether an id that is not in the table may stand before its horizon.
+
+    A whole configuration can't run twice: the numbers of releases only rise.
+    """
+    if horizon_version == 0 or edit.release:
         return False
     seen = version_in(edit.change_id)
     if seen is not None:
--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -30,6 +30,7 @@
 )
 from peppershore.process import events
 from peppershore.process.commands import SetTimer
+from peppershore.process.consensus.joining import SeedsChanged
 from peppershore.process.consensus.records import StoredState
 from peppershore.process.consensus.replica import ReplicaCore
 from peppershore.process.consensus.replica_statuses import replica_statuses
@@ -41,6 +42,11 @@
 from peppershore.process.control.notices import edit_refused
 from peppershore.process.control.progress import ProgressTable
 from peppershore.process.control.redaction import edits_without_material, without_material
+from peppershore.process.control.releases import (
+    Releases,
+    ReleaseSubmitted,
+    ReleaseWanted,
+)
 from peppershore.process.control.rotation import RotationBarrier
 from peppershore.process.control.state import (
     ControlCommand,
@@ -94,13 +100,20 @@
         self._pending_reads: dict[int, PendingRead] = {}
         self._watchers: dict[LinkId, Version] = {}
         self._watch_timer_set = False
+        self._releases = Releases(self)
 
     # --- events --------------------------------------------------------------
 
     def on_event(self, event: events.Event) -> None:
-        """Take the shell's observation of the wall clock."""
+        """Take the shell's observation of the wall clock, and whole configurations."""
         if isinstance(event, ClockObserved):
             self._clock.observe(event, self.now)
+        elif isinstance(event, ReleaseSubmitted):
+            self._releases.submit(event)
+        elif isinstance(event, ReleaseWanted):
+            self._releases.want(event)
+        elif isinstance(event, SeedsChanged):
+            self.joining.use_seeds(event.seeds)
 
     def on_timer(self, timer: str) -> None:
         """Show the newest progress to watchers."""
@@ -110,6 +123,7 @@
 
     def on_tick(self) -> None:
         """Forget silent relays; let rotations go on whose barrier is passed."""
+        self._releases.tick()
         if self._rotation is None:
             self._rotation = RotationBarrier(self._progress, self.now)
         if self._progress.refresh(self.now):
@@ -168,8 +182,10 @@
             self.send(link, Refused("unexpected", type(message).__name__))
 
     def on_peer_message(self, peer: str, message: Message) -> None:
-        """Take what another replica heard of a relay."""
-        if isinstance(message, ProgressShared):
+        """Take what another replica heard of a relay, or an edit that it worked out."""
+        if isinstance(message, SubmitEdit):
+            self.submit_internally(message.edit)
+        elif isinstance(message, ProgressShared):
             age = message.age_milliseconds / MILLISECONDS_PER_SECOND
             if self._progress.take(message.report, self.now - age, self.now):
                 self._progress_changed()
@@ -197,6 +213,10 @@
             stamp = self._clock.unix_milliseconds(self.now)
             self._intake.submit(link, edit, stamp, self.next_index, self._propose)
 
+    def submit_internally(self, edit: Edit) -> None:
+        """Propose an edit of the group's own; whoever waits for it sees it applied."""
+        self._submit(INTERNAL_LINK, edit)
+
     def _answer_known(self, link: LinkId, outcome: EditOutcome) -> None:
         recorded = self.state.outcomes.find(outcome.change_id) is not None
         if not recorded and not isinstance(outcome, EditAccepted):
@@ -225,6 +245,8 @@
 
     def on_read(self, request: int, confirmed: bool) -> None:
         """Answer a read that a quorum confirmed; a failed one says who may know."""
+        if self._releases.take_read(request, confirmed):
+            return
         pending = self._pending_reads.pop(request, None)
         if pending is None:
             return
@@ -273,6 +295,8 @@
                 self._answer(link, EditAnswered(outcome))
         for command in self._followers.advance(edits):
             self.command(command)
+        if outcomes:
+            self._releases.applied(outcomes)
         self._progress_changed()
 
     def _report_outcomes(
@@ -293,6 +317,7 @@
         """The state jumped ahead: relays get the whole tree."""
         for command in self._followers.state_replaced():
             self.command(command)
+        self._releases.state_installed()
 
     def on_leadership_gained(self) -> None:
         """Judge edits on the newest tree from now on."""
--- a/src/peppershore/process/control/history.py
+++ b/src/peppershore/process/control/history.py
@@ -21,6 +21,7 @@
     nodes: dict[str, TreeNode | None]
     secrets: dict[str, Secret | None]
     zones: dict[str, Zone | None]
+    release: Version = 0
 
 
 class KeptEdit(msgspec.Struct, frozen=True, array_like=True):
@@ -70,6 +71,7 @@
         secrets = dict(current.secrets)
         zones = dict(current.zones)
         reached = current.version
+        release = current.release
         for kept in reversed(self._kept):
             if kept.version <= version:
                 break
@@ -77,7 +79,8 @@
             _put_back(secrets, kept.reversal.secrets)
             _put_back(zones, kept.reversal.zones)
             reached = kept.reversal.version
-        return Tree(current.cluster, reached, zones, nodes, secrets)
+            release = kept.reversal.release
+        return Tree(current.cluster, reached, zones, nodes, secrets, release)
 
     def all_kept(self) -> tuple[KeptEdit, ...]:
         """Everything kept, oldest first."""
@@ -95,6 +98,7 @@
         {path: before.nodes.get(path) for path in sorted(applied.changed_paths)},
         {name: before.secrets.get(name) for name in sorted(applied.changed_secrets)},
         {name: before.zones.get(name) for name in sorted(applied.changed_zones)},
+        before.release,
     )
 
 
--- a/src/peppershore/process/control/notices.py
+++ b/src/peppershore/process/control/notices.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import assert_never
+from typing import ClassVar, assert_never
 
 from peppershore.process.commands import Notice
 from peppershore.version.model import EditConflict, EditExpired, EditInvalid, Version
@@ -53,3 +53,25 @@
 
 def _describe(outcome: EditInvalid) -> list[str]:
     return [f"{each.subject}: {each.reason}" for each in outcome.problems]
+
+
+class ReleaseJudged(Notice, frozen=True):
+    """A whole configuration was taken, refused, or left undecided for now."""
+
+    replica: str
+    release: Version
+    base: Version
+    change_id: str
+    outcome: str
+    detail: str
+    waited_milliseconds: int
+
+
+class ReleaseShown(Notice, frozen=True):
+    """The newest configuration was read; ``release`` 0 with the reason if it was not."""
+
+    level: ClassVar[str] = "debug"
+    replica: str
+    release: Version
+    reason: str
+    waited_milliseconds: int
--- a/src/peppershore/process/endpoints/exchange.py
+++ b/src/peppershore/process/endpoints/exchange.py
@@ -21,6 +21,7 @@
     LeaseRenewed,
     Message,
     RelayHello,
+    RelayListed,
 )
 from peppershore.process.commands import (
     CloseLink,
@@ -44,7 +45,7 @@
 from peppershore.process.events import LinkId
 from peppershore.process.link_numbers import LinkNumbers
 from peppershore.process.randomness import Randomness
-from peppershore.process.settings import RelaySettings
+from peppershore.process.settings import PeerRelay, RelaySettings
 
 PEER_TIMER = "exchange.tick"
 
@@ -65,6 +66,7 @@
 
     name: str
     address: str
+    zone: str = ""
     link: LinkId | None = None
     is_open: bool = False
     view: VouchedNodes = field(default_factory=VouchedNodes)
@@ -96,7 +98,7 @@
         self._started_at = 0.0
         self._unvouched: dict[str, float] = {}
         self._peers = {
-            relay.name: Peer(relay.name, relay.address)
+            relay.name: Peer(relay.name, relay.address, relay.zone)
             for relay in settings.relays
             if relay.name != settings.relay
         }
@@ -109,6 +111,31 @@
         self._started_at = now
         return [*self._connect_missing(now), SetTimer(PEER_TIMER, DIGEST_SECONDS)]
 
+    def use_relays(self, relays: tuple[PeerRelay, ...], now: float) -> list[Command]:
+        """Exchange endpoints with exactly these relays from now on.
+
+        What a relay that is gone vouched for runs out with its lease.
+        """
+        wanted = {each.name: each for each in relays if each.name != self._settings.relay}
+        out: list[Command] = []
+        for name in [name for name in self._peers if name not in wanted]:
+            peer = self._peers.pop(name)
+            for node in peer.view.nodes:
+                self._note_unvouched(node, now)
+            if peer.link is not None:
+                self._by_link.pop(peer.link, None)
+                out.append(CloseLink(peer.link, "no longer a relay"))
+        for name, relay in wanted.items():
+            if name not in self._peers:
+                self._peers[name] = Peer(name, relay.address, relay.zone)
+        return [*out, *self._connect_missing(now)]
+
+    def listed(self) -> tuple[RelayListed, ...]:
+        """Give the other relays for nodes to choose from."""
+        return tuple(
+            RelayListed(peer.name, peer.zone, peer.address) for peer in self._peers.values()
+        )
+
     def owns(self, link: LinkId) -> bool:
         """Tell whether a link belongs to another relay."""
         return link in self._by_link
@@ -183,7 +210,10 @@
 
     def opened(self, link: LinkId) -> list[Command]:
         """Greet the relay at the other end of a link opened from here."""
-        hello = RelayHello(self._settings.cluster, self._settings.relay, self._incarnation)
+        settings = self._settings
+        hello = RelayHello(
+            settings.cluster, settings.relay, self._incarnation, settings.zone
+        )
         return [SendMessage(link, hello)]
 
     def lost(self, link: LinkId, reason: str, now: float) -> list[Command]:
@@ -211,6 +241,7 @@
             replies.extend(self._replace_link(peer, link))
         peer.is_open = True
         peer.failures = 0
+        peer.zone = hello.zone or peer.zone
         return [
             *replies,
             Report(RelayPeerConnected(peer.name)),
--- /dev/null
+++ b/src/peppershore/process/hub/shell.py
@@ -0,0 +1,131 @@
+"""Runs a hub: a control replica and its relay on one loop, and the operators' HTTP.
+
+The relay follows the replica beside it only.  When that replica is cut off, the
+relay's confirmations age and its nodes move to another hub.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from peppershore.process.consensus.joining import SeedsChanged
+from peppershore.process.consensus.replica_process import ReplicaPlace, ReplicaProcess
+from peppershore.process.control.clock import ClockObserved
+from peppershore.process.control.core import ControlCore
+from peppershore.process.control.releases import ReleaseAnswered
+from peppershore.process.http_service import HttpService
+from peppershore.process.hub.configuration_api import MAX_BODY_BYTES, ConfigurationApi
+from peppershore.process.hub.plan import HubPlan, plan_hub, relay_name
+from peppershore.process.link_security import LinkSecurity
+from peppershore.process.relay.core import RelayCore, RelaysChanged
+from peppershore.process.settings import HubSettings, PeerRelay
+from peppershore.process.settings_watch import SettingsWatch
+from peppershore.process.shell import Shell
+
+MEMBERS_SECONDS = 0.2
+"""How often the relay is told which hubs the group consists of."""
+
+CLOCK_SECONDS = 1.0
+NANOSECONDS_PER_MILLISECOND = 1_000_000
+
+
+class Hub:
+    """Both cores of one process, their shells and the interface for operators."""
+
+    def __init__(self, settings: HubSettings) -> None:
+        """Open the store; raises SystemExit if it is refused."""
+        self._settings = settings
+        self._plan = plan_hub(settings)
+        self._process = _control_process(self._plan)
+        security = LinkSecurity("relay", settings.relay_tls)
+        self._relay = Shell(
+            RelayCore(self._plan.relay),
+            self._process.metrics.notice,
+            security.client,
+            security.server,
+            security.authorize,
+        )
+        self._api = ConfigurationApi(self._process.shell.dispatch)
+        self._process.shell.handle(ReleaseAnswered, self._api.answered)
+        self._service = HttpService(self._api.answer, MAX_BODY_BYTES)
+        self._listed: tuple[PeerRelay, ...] = ()
+        self._timers: list[asyncio.TimerHandle] = []
+
+    async def serve(self, on_ready: Callable[[int], None] | None) -> None:
+        """Run until the planned stop."""
+        loop = asyncio.get_running_loop()
+        host, _, port = self._plan.relay.listen.rpartition(":")
+        await self._relay.listen(host, int(port))
+        bound = await self._service.start(self._settings.api_listen)
+        self._observe_clock()
+        self._relay.start()
+        loop.call_soon(self._watch_members)
+        await self._process.serve(lambda _port: on_ready(bound) if on_ready else None)
+        for timer in self._timers:
+            timer.cancel()
+        await self._service.close()
+        await self._relay.close()
+
+    def reload(self, settings: HubSettings) -> None:
+        """Take changed settings: the seeds."""
+        plan = plan_hub(settings)
+        self._process.shell.dispatch(SeedsChanged(plan.control.seeds))
+
+    def _watch_members(self) -> None:
+        """Tell the relay of the other hubs once the group has changed."""
+        members = self._process.core.consensus.membership.members
+        relays = tuple(
+            PeerRelay(
+                name=relay_name(member.address, self._settings),
+                zone="",
+                address=relay_name(member.address, self._settings),
+            )
+            for member in members
+        )
+        if relays != self._listed:
+            self._listed = relays
+            self._relay.dispatch(RelaysChanged(relays))
+        self._later(MEMBERS_SECONDS, self._watch_members)
+
+    def _observe_clock(self) -> None:
+        milliseconds = time.time_ns() // NANOSECONDS_PER_MILLISECOND
+        self._process.shell.dispatch(ClockObserved(milliseconds))
+        self._later(CLOCK_SECONDS, self._observe_clock)
+
+    def _later(self, seconds: float, action: Callable[[], None]) -> None:
+        handle = asyncio.get_running_loop().call_later(seconds, action)
+        self._timers = [timer for timer in self._timers if not timer.cancelled()][-4:]
+        self._timers.append(handle)
+
+
+def _control_process(plan: HubPlan) -> ReplicaProcess[ControlCore]:
+    settings = plan.control
+    place = ReplicaPlace(
+        role="control",
+        replica=settings.replica,
+        cluster=settings.cluster,
+        listen=settings.listen,
+        admin_listen=settings.admin_listen,
+        data_folder=settings.data_folder,
+        tls=settings.tls,
+    )
+    return ReplicaProcess(place, lambda stored: ControlCore(settings, stored))
+
+
+async def run_hub(
+    settings: HubSettings,
+    on_ready: Callable[[int], None] | None = None,
+    watch: SettingsWatch[HubSettings] | None = None,
+) -> None:
+    """Run a hub until its planned stop; tell ``on_ready`` the port for operators.
+
+    ``watch`` gives changed settings.  Raises SystemExit if the store is refused.
+    """
+    hub = Hub(settings)
+    if watch is not None:
+        watch.start(hub.reload)
+    await hub.serve(on_ready)
+    if watch is not None:
+        watch.stop()
--- a/src/peppershore/process/node/commands.py
+++ b/src/peppershore/process/node/commands.py
@@ -4,6 +4,7 @@
 
 from peppershore.connection.messages import Endpoint
 from peppershore.process.commands import Command, PersistRecords
+from peppershore.process.node.back_end_reports import BackEndView
 from peppershore.version.model import Snapshot
 from peppershore.version.snapshot import ActiveConfiguration
 
@@ -28,3 +29,9 @@
 
 class DrainBackend(Command, frozen=True):
     """Take no new work and finish what runs; answered by ``BackendDrained``."""
+
+
+class BackEndViewed(Command, frozen=True):
+    """The back end beside the node is like this from now on."""
+
+    view: BackEndView
--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -24,6 +24,7 @@
     NodeAlive,
     NodeHello,
     Refused,
+    RelaysListed,
     RetryAfter,
     UpdateApplied,
     UpdateOffered,
@@ -41,7 +42,9 @@
 )
 from peppershore.process.link_numbers import LinkNumbers
 from peppershore.process.node import notices
+from peppershore.process.node.back_end_reports import BackEndReports
 from peppershore.process.node.commands import (
+    BackEndViewed,
     ConfigurationSwapped,
     DrainBackend,
     EndpointsSwapped,
@@ -49,7 +52,14 @@
 )
 from peppershore.process.node.configuration import ConfigurationHolder
 from peppershore.process.node.endpoints import KnownEndpoints
-from peppershore.process.node.inputs import BackendDrained, BackendStateChanged
+from peppershore.process.node.inputs import (
+    BackendDrained,
+    BackEndLeft,
+    BackEndNotThere,
+    BackEndReported,
+    BackendStateChanged,
+    NodeSeedsChanged,
+)
 from peppershore.process.node.own_endpoint import OwnEndpoint
 from peppershore.process.node.refusals import BUSY, NOT_NEWER, UNCONFIRMED
 from peppershore.process.node.relay_sessions import (
@@ -59,7 +69,7 @@
     RelaySessions,
 )
 from peppershore.process.randomness import Randomness
-from peppershore.process.settings import NodeSettings
+from peppershore.process.settings import NodeSettings, PeerRelay
 from peppershore.version.model import Scope, Snapshot, Version
 from peppershore.version.snapshot import open_snapshot
 
@@ -101,6 +111,8 @@
         self.known = KnownEndpoints()
         self._own = OwnEndpoint(settings, memory.incarnation, owner_address)
         self.sessions = RelaySessions(settings, LinkNumbers(), self._hello)
+        silent_seconds = settings.back_end_silent_milliseconds / 1_000
+        self._reports = BackEndReports(settings.service, silent_seconds)
         self._services: frozenset[str] = frozenset()
         self._pending: Snapshot | None = None
         self._pending_from: RelaySession | None = None
@@ -154,6 +166,19 @@
                 self._started(event)
             case events.StopRequested():
                 self._stop()
+            case _:
+                self._from_back_end(event)
+
+    def _from_back_end(self, event: events.Event) -> None:
+        match event:
+            case BackEndReported():
+                self._viewed(self._reports.take(event.report, self._now))
+            case BackEndLeft():
+                self._viewed(self._reports.left(event.instance))
+            case BackEndNotThere():
+                self._viewed(self._reports.not_there(event.instance))
+            case NodeSeedsChanged():
+                self.sessions.use_seeds(event.relays)
             case _:
                 raise AssertionError(f"a node takes no {type(event).__name__}")
 
@@ -185,6 +210,7 @@
 
     def _timer(self, timer: str) -> None:
         if timer == WATCH_TIMER:
+            self._viewed(self._reports.tick(self._now))
             self._do(self.sessions.watch(self._now))
         elif timer == CONNECT_TIMER:
             self._do(self.sessions.connect(self._now))
@@ -220,6 +246,12 @@
                 self._endpoints_packed(session, message)
             case EndpointsHeld():
                 self._compare_endpoints(session, message)
+            case RelaysListed():
+                listed = tuple(
+                    PeerRelay(name=each.name, zone=each.zone, address=each.address)
+                    for each in message.relays
+                )
+                self._do(self.sessions.use_listed(listed, self._now))
             case RetryAfter():
                 self._do(self.sessions.deferred(session, message.milliseconds, self._now))
             case Goodbye():
@@ -369,6 +401,22 @@
         if message.digest != digest:
             self._out.append(SendMessage(session.link, EndpointsHeld(digest)))
 
+    def _viewed(self, changed: bool) -> None:
+        """The back end said something new of itself: tell its node and all others."""
+        if not changed:
+            return
+        view = self._reports.view
+        self._out.append(BackEndViewed(view))
+        self._report(notices.BackEndViewChanged(view.instance, view.state, view.slots))
+        if not self._is_stopping and self._own.take_view(view):
+            self._know_own_endpoint()
+            self._announce()
+
+    def _know_own_endpoint(self) -> None:
+        """The node's own calls heed it at once, not only when a relay repeats it."""
+        if self.known.take(EndpointsChanged((self._own.current,))):
+            self._out.append(EndpointsSwapped(self.known.endpoints))
+
     def _backend_state(self, state: str) -> None:
         if self._own.exists and self._own.change_state(state):
             self._announce()
--- a/src/peppershore/process/node/data/answer_relay.py
+++ b/src/peppershore/process/node/data/answer_relay.py
@@ -1,12 +1,16 @@
 """Gives a back end's answer to the caller: whole, or visibly broken off.
 
-A short answer of known length is held until it is whole, so that a broken one
-can still be told as such.  A long or chunked one is passed on as it comes; if it
-breaks off, the caller's connection is cut.
+A short answer is held until it is whole, so that a broken one can still be told as
+such, or tried again.  A long one, or one that comes slowly and does not say how long
+it is, is passed on as it comes; if it breaks off, the caller's connection is cut.
 """
 
 from __future__ import annotations
 
+import asyncio
+
+import msgspec
+
 from peppershore.connection.http_head import AnswerHead, HeaderList
 from peppershore.connection.http_server import ServerExchange
 from peppershore.connection.messages import KeptAnswer
@@ -14,19 +18,18 @@
 from peppershore.request.outcome import (
     ANSWERED,
     NOT_RUN,
-    OUTCOME_HEADER,
-    REASON_HEADER,
-    REQUEST_ID_HEADER,
-    RETRY_AFTER_HEADER,
     STATUS_UNAVAILABLE,
     UNKNOWN,
     Failed,
     NotRun,
 )
+from peppershore.request.wire_names import OWN_NAMES, WireNames, retry_after_value
 
 HOLD_ANSWER_BYTES = 64 * 1024
-MILLISECONDS = 1_000
-OWN_HEADERS = frozenset({OUTCOME_HEADER, REASON_HEADER, REQUEST_ID_HEADER})
+HOLD_SECONDS = 0.05
+"""An answer that does not say how long it is, is held for so long after it began."""
+
+FIRST_SERVER_ERROR = 500
 
 
 class AnswerRelay:
@@ -35,15 +38,27 @@
     __slots__ = (
         "_exchange",
         "_head",
+        "_held_bytes",
+        "_names",
         "_keep",
         "_kept",
         "_kept_bytes",
         "_pieces",
+        "_release",
         "_request_id",
     )
 
-    def __init__(self, exchange: ServerExchange, request_id: bytes, keep: bool) -> None:
+    def __init__(
+        self,
+        exchange: ServerExchange,
+        request_id: bytes,
+        keep: bool,
+        names: WireNames = OWN_NAMES,
+    ) -> None:
         """``keep``: also gather the answer, to be given again to a resend."""
+        self._names = names
+        self._release: asyncio.TimerHandle | None = None
+        self._held_bytes = 0
         self._exchange = exchange
         self._request_id = request_id
         self._keep = keep
@@ -72,12 +87,20 @@
         head = self._head
         if head is None or head.status != STATUS_UNAVAILABLE:
             return False
-        return all(name != OUTCOME_HEADER for name, _ in head.headers)
+        return all(name != self._names.outcome for name, _ in head.headers)
+
+    @property
+    def is_error(self) -> bool:
+        """Whether the back end itself failed, and the caller has seen nothing of it."""
+        head = self._head
+        if head is None or self.begun or head.status < FIRST_SERVER_ERROR:
+            return False
+        return all(name != self._names.outcome for name, _ in head.headers)
 
     def head(self, head: AnswerHead) -> None:
         """Take the head."""
         self._head = head
-        if not _held(head):
+        if head.has_body and (head.content_length or 0) > HOLD_ANSWER_BYTES:
             self._send_head(head)
 
     def data(self, data: bytes) -> None:
@@ -85,21 +108,34 @@
         self._keep_piece(data)
         if self.begun:
             self._exchange.send_data(data)
-        else:
-            self._pieces.append(data)
+            return
+        self._pieces.append(data)
+        self._held_bytes += len(data)
+        if self._held_bytes > HOLD_ANSWER_BYTES and self._head is not None:
+            self._send_head(self._head)
+            self._send_held()
 
     def flush(self) -> None:
         """Write what may be passed on so far."""
         if self.begun:
             self._exchange.flush()
+            return
+        head = self._head
+        is_open_ended = head is not None and head.has_body and head.content_length is None
+        if is_open_ended and self._release is None:
+            loop = asyncio.get_running_loop()
+            self._release = loop.call_later(HOLD_SECONDS, self._pass_on)
 
     def end(self, trailers: HeaderList) -> None:
         """The answer is whole."""
-        if not self.begun and self._head is not None:
-            self._send_head(self._head)
-            for piece in self._pieces:
-                self._exchange.send_data(piece)
-        self._exchange.send_end(_safe_trailers(trailers))
+        head = self._head
+        self._hold_no_more()
+        if not self.begun and head is not None:
+            if head.has_body and head.content_length is None and not trailers:
+                head = msgspec.structs.replace(head, content_length=self._held_bytes)
+            self._send_head(head)
+            self._send_held()
+        self._exchange.send_end(_safe_trailers(trailers, self._names))
 
     def kept(self) -> KeptAnswer | None:
         """Give the whole answer to keep, or None if it is too long."""
@@ -108,13 +144,15 @@
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in self._head.headers
-            if name not in OWN_HEADERS
+            if name not in self._names.own_fields
         )
         return KeptAnswer(self._head.status, headers, b"".join(self._kept))
 
     def forget(self) -> None:
         """Drop what came of an attempt that failed before the caller saw any."""
+        self._hold_no_more()
         self._head = None
+        self._held_bytes = 0
         self._pieces.clear()
         self._kept.clear()
         self._kept_bytes = 0
@@ -135,35 +173,60 @@
 
     def fail(self, failed: Failed) -> None:
         """Tell the caller how the call failed, or cut a begun answer."""
+        self._hold_no_more()
         if self.begun:
             self._exchange.abort()
             return
         outcome = NOT_RUN if isinstance(failed, NotRun) else UNKNOWN
         reason = failed.reason.encode()
+        names = self._names
         headers = [
-            (OUTCOME_HEADER, outcome),
-            (REASON_HEADER, reason),
+            (names.outcome, outcome),
+            (names.reason, reason),
             (b"content-type", b"text/plain"),
-            (REQUEST_ID_HEADER, self._request_id),
+            (names.request_id, self._request_id),
         ]
         if isinstance(failed, NotRun) and failed.retry_after_milliseconds > 0:
-            seconds = -(-failed.retry_after_milliseconds // MILLISECONDS)
-            headers.append((RETRY_AFTER_HEADER, b"%d" % seconds))
+            advice = retry_after_value(names, failed.retry_after_milliseconds)
+            headers.append((names.retry_after, advice))
         body = outcome + b": " + reason + b"\n"
         self._exchange.send_head(AnswerHead(failed.status, b"", headers, len(body)))
         self._exchange.send_data(body)
         self._exchange.send_end([])
 
     def _send_head(self, head: AnswerHead) -> None:
-        headers = [field for field in head.headers if field[0] not in OWN_HEADERS]
-        headers.append((OUTCOME_HEADER, ANSWERED))
-        headers.append((REQUEST_ID_HEADER, self._request_id))
+        own = self._names.own_fields
+        headers = [field for field in head.headers if field[0] not in own]
+        headers.append((self._names.outcome, ANSWERED))
+        headers.append((self._names.request_id, self._request_id))
         self._exchange.send_head(
             AnswerHead(
                 head.status, head.reason, headers, head.content_length, head.has_body
             )
         )
 
+    def give_up(self) -> None:
+        """Nobody waits for the answer any more."""
+        self._hold_no_more()
+
+    def _pass_on(self) -> None:
+        """An answer of unknown length comes slowly: the caller waits for what is there."""
+        self._release = None
+        if not self.begun and self._head is not None:
+            self._send_head(self._head)
+            self._send_held()
+            self._exchange.flush()
+
+    def _hold_no_more(self) -> None:
+        if self._release is not None:
+            self._release.cancel()
+            self._release = None
+
+    def _send_held(self) -> None:
+        for piece in self._pieces:
+            self._exchange.send_data(piece)
+        self._pieces.clear()
+
     def _keep_piece(self, data: bytes) -> None:
         if not self._keep or self._kept_bytes > MAX_KEPT_BODY_BYTES:
             return
@@ -178,17 +241,10 @@
         b"host",
         b"authorization",
         b"connection",
-        OUTCOME_HEADER,
-        REASON_HEADER,
     }
 )
 
 
-def _safe_trailers(trailers: HeaderList) -> HeaderList:
-    return [field for field in trailers if field[0] not in FORBIDDEN_TRAILERS]
-
-
-def _held(head: AnswerHead) -> bool:
-    if not head.has_body:
-        return True
-    return head.content_length is not None and head.content_length <= HOLD_ANSWER_BYTES
+def _safe_trailers(trailers: HeaderList, names: WireNames) -> HeaderList:
+    refused = FORBIDDEN_TRAILERS | names.own_fields
+    return [field for field in trailers if field[0] not in refused]
--- a/src/peppershore/process/node/data/attempt.py
+++ b/src/peppershore/process/node/data/attempt.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Protocol
 
 import msgspec
@@ -80,7 +81,9 @@
 
     ``headers`` are the end-to-end fields to send, without those of framing and
     deadline.  ``cancellable`` is false where the answer is wanted even if the
-    caller leaves.
+    caller leaves.  ``service`` is whose back end is meant ("" for any).  Without
+    ``may_wait`` it is refused at once where no slot is free; else it may wait for
+    one until ``start_by`` (monotonic seconds).
     """
 
     head: RequestHead
@@ -89,3 +92,7 @@
     repeatable: bool
     cancellable: bool
     deadline: float
+    service: str = ""
+    priority: int = 1
+    may_wait: bool = True
+    start_by: float = math.inf
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -9,6 +9,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import msgspec
 from returns.result import Failure, Result
 
 from peppershore.connection.http_head import AnswerHead, HeaderList, RequestHead
@@ -27,8 +28,13 @@
 )
 from peppershore.request.classification import CallPlan
 from peppershore.request.endpoint_state import Verdict
+from peppershore.request.next_attempt import (
+    AttemptTerms,
+    CallProgress,
+    GiveUp,
+    next_step,
+)
 from peppershore.request.outcome import (
-    REQUEST_ID_HEADER,
     STATUS_BAD_GATEWAY,
     STATUS_BAD_REQUEST,
     STATUS_BODY_TOO_LARGE,
@@ -51,13 +57,18 @@
 own node on whether it ran; after that its outcome is unknown."""
 
 
+SHED = Unknown(STATUS_UNAVAILABLE, "back-end-shed")
+FAILED = Unknown(STATUS_BAD_GATEWAY, "back-end-failed")
+"""What an answer of the back end's own counts as when another may do better."""
+
+
 class Call:
     """One call; a sink of its request and of its attempts."""
 
     __slots__ = (
         "_answer",
         "_attempt",
-        "_attempts_made",
+        "_progress",
         "_began_at",
         "_begun",
         "_body",
@@ -84,12 +95,12 @@
         self._exchange = exchange
         self._head = head
         self._loop = calls.loop
-        self._request_id = head.header(REQUEST_ID_HEADER) or calls.new_request_id()
-        self._answer = AnswerRelay(exchange, self._request_id, keep=False)
+        self._request_id = head.header(calls.names.request_id) or calls.new_request_id()
+        self._answer = AnswerRelay(exchange, self._request_id, False, calls.names)
         self._body = RequestBody()
         self._plan: CallPlan | None = None
         self._attempt: Attempt | None = None
-        self._attempts_made = 0
+        self._progress = CallProgress()
         self._began_at = 0.0
         self._begun = False
         self._claim = ""
@@ -193,7 +204,9 @@
 
     def answer_ended(self, trailers: HeaderList) -> None:
         """The answer is whole: give it first, then free the slot."""
-        if self._answer.is_shed and self._sheds_to_another():
+        if self._answer.is_shed and self._tries_another_after(SHED, "shed"):
+            return
+        if self._retries_error and self._tries_another_after(FAILED, "failed"):
             return
         self._over = True
         self._answer.end(trailers)
@@ -208,13 +221,11 @@
 
     def attempt_failed(self, failed: Failed) -> None:
         """Try again where that is safe and within budget, else tell the caller."""
-        delay = self._retry_delay(failed)
+        if self._tries_again_after(failed, verdict_of_failure(failed)):
+            return
         self._leave_attempt(failed, verdict_of_failure(failed))
-        if delay is None:
-            assert self._earlier is not None
-            self._fail(self._earlier)
-        else:
-            self._retry_after(delay)
+        assert self._earlier is not None
+        self._fail(self._earlier)
 
     def sending_paused(self) -> None:
         """The back end reads slowly."""
@@ -227,25 +238,34 @@
     # --- used by the calls
 
     def dispatched(self, dispatch: Dispatch) -> None:
-        """A slot was found: start an attempt."""
+        """A back end was chosen: start an attempt."""
         self._ticket = None
         self._dispatch = dispatch
-        self._attempts_made += 1
-        if self._attempts_made == 1:
+        if self._progress.tries == 0:
             self._calls.first_attempt(self.plan)
-        self._began_at = self._loop.time()
-        request = AttemptRequest(
-            self._head,
-            self._calls.forwarded_headers(self._head, self._request_id),
-            self.plan.call_class,
-            self.plan.repeatable,
-            not self._claim,
-            self.plan.deadline,
+        self._progress = msgspec.structs.replace(
+            self._progress, tries=self._progress.tries + 1
         )
-        attempt = self._calls.new_attempt(dispatch, self.plan, request, self)
+        self._began_at = self._loop.time()
+        attempt = self._calls.new_attempt(dispatch, self.plan, self._request(), self)
         self._attempt = attempt
         attempt.start()
 
+    def _request(self) -> AttemptRequest:
+        plan = self.plan
+        return AttemptRequest(
+            head=self._head,
+            headers=self._calls.forwarded_headers(self._head, self._request_id),
+            call_class=plan.call_class,
+            repeatable=plan.repeatable,
+            cancellable=not self._claim,
+            deadline=plan.deadline,
+            service=plan.target,
+            priority=plan.priority,
+            may_wait=self._progress.may_wait or not self._calls.looks_for_free_slots,
+            start_by=plan.start_by,
+        )
+
     def refused(self, refusal: NotRun) -> None:
         """The call lost its place in the queue."""
         self._ticket = None
@@ -270,7 +290,9 @@
             self._claim_denied(outcome.failure())
             return
         self._claim = key
-        self._answer = AnswerRelay(self._exchange, self._request_id, keep=True)
+        self._answer = AnswerRelay(
+            self._exchange, self._request_id, True, self._calls.names
+        )
         self._admit()
 
     def _claim_denied(self, denied: ClaimDenied) -> None:
@@ -297,30 +319,45 @@
             self._ticket = None
             self._fail(worse(self._earlier, decision))
 
-    def _may_retry(self, failed: Failed) -> bool:
-        if self._over or self._answer.begun or not self._body.replayable:
+    def _tries_again_after(self, failed: Failed, verdict: Verdict | None) -> bool:
+        """Make another attempt if that is safe, of use and within the budget."""
+        if self._over or self._answer.begun:
             return False
-        if self._attempts_made > self.plan.settings.retry_attempts:
+        self._progress = _counted(self._progress, failed)
+        step = next_step(self._progress, failed, self._terms())
+        if isinstance(step, GiveUp):
             return False
-        if isinstance(failed, NotRun):
-            return failed.retryable
-        return self.plan.repeatable and failed.status != STATUS_GATEWAY_TIMEOUT
+        delay = self._calls.retry_delay(
+            self.plan, self._progress.offers, self._loop.time(), step.costs_budget
+        )
+        if delay is None:
+            return False
+        self._leave_attempt(failed, verdict)
+        if not step.elsewhere:
+            self._excluded = frozenset()
+        self._progress = msgspec.structs.replace(self._progress, may_wait=step.may_wait)
+        self._retry_after(delay)
+        return True
 
-    def _sheds_to_another(self) -> bool:
-        """Send a call that its back end refused for load to another one, if it may be.
+    @property
+    def _retries_error(self) -> bool:
+        return self.plan.settings.retry_errors and self._answer.is_error
 
-        Else the refusal is the back end's answer, and its caller gets that.
-        """
-        shed = Unknown(STATUS_UNAVAILABLE, "back-end-shed")
+    def _tries_another_after(self, failed: Failed, verdict: Verdict | None) -> bool:
+        """Leave a whole answer for another back end's, if there is another one."""
         tried = self._excluded | self._own_try
         if not self._calls.has_back_end_besides(self.plan, tried):
             return False
-        delay = self._retry_delay(shed)
-        if delay is None:
-            return False
-        self._leave_attempt(shed, "shed")
-        self._retry_after(delay)
-        return True
+        return self._tries_again_after(failed, verdict)
+
+    def _terms(self) -> AttemptTerms:
+        tried = self._excluded | self._own_try
+        return AttemptTerms(
+            repeatable=self.plan.repeatable,
+            most_offers=self.plan.settings.retry_attempts + 1,
+            has_other=self._calls.has_back_end_besides(self.plan, tried),
+            replayable=self._body.replayable,
+        )
 
     @property
     def _own_try(self) -> frozenset[str]:
@@ -335,18 +372,18 @@
         self._free_slot(verdict)
         self._earlier = worse(self._earlier, failed)
 
-    def _retry_delay(self, failed: Failed) -> float | None:
-        """Give the wait before another attempt, taken from the budget; None for no."""
-        if not self._may_retry(failed):
-            return None
-        return self._calls.retry_delay(self.plan, self._attempts_made, self._loop.time())
-
     def _retry_after(self, delay: float) -> None:
         self._answer.forget()
-        self._retry = self._loop.call_later(delay, self._try_again)
+        if delay <= 0.0:
+            self._retry = None
+            self._loop.call_soon(self._try_again)
+        else:
+            self._retry = self._loop.call_later(delay, self._try_again)
 
     def _try_again(self) -> None:
         self._retry = None
+        if self._over:
+            return
         self._body.restart()
         self._admit()
 
@@ -402,6 +439,7 @@
         """The caller is gone: stop all work for it."""
         if self._claim and not self._begun and not isinstance(self._earlier, Unknown):
             self._calls.release_claim(self._claim, self._claim_attempt)
+        self._answer.give_up()
         if self._attempt is not None:
             self._attempt.cancel()
         self._finish(None)
@@ -425,3 +463,10 @@
         if dispatch is not None:
             latency = self._loop.time() - self._began_at
             self._calls.slot_freed(dispatch, self.plan, latency, verdict)
+
+
+def _counted(progress: CallProgress, failed: Failed) -> CallProgress:
+    """Count an attempt that a back end may have seen."""
+    if isinstance(failed, NotRun) and not failed.offered:
+        return progress
+    return msgspec.structs.replace(progress, offers=progress.offers + 1)
--- a/src/peppershore/process/node/data/call_entry.py
+++ b/src/peppershore/process/node/data/call_entry.py
@@ -19,17 +19,15 @@
 from peppershore.request.classification import CallPlan, classify
 from peppershore.request.outcome import (
     AUTHORIZATION_HEADER,
-    DEADLINE_HEADER,
-    OUTCOME_HEADER,
-    REQUEST_ID_HEADER,
     STATUS_TOO_MANY_REQUESTS,
     NotRun,
 )
+from peppershore.request.picker import RandomSource
 from peppershore.request.vouching import Voucher
+from peppershore.request.wire_names import WireNames
 from peppershore.version.active import ActiveConfiguration
 
 MILLISECONDS = 1_000
-REPLACED_HEADERS = frozenset({DEADLINE_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER})
 
 
 class Freshness:
@@ -58,11 +56,29 @@
 class CallEntry:
     """Judges requests by the configuration; remembers tokens and callers' rates."""
 
-    def __init__(self, settings: NodeSettings, freshness: Freshness) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        freshness: Freshness,
+        random: RandomSource,
+        names: WireNames,
+    ) -> None:
         """``settings`` name the back end that this node vouches for.
 
         ``freshness`` tells whether the configuration is confirmed.
         """
+        self._random = random
+        self._names = names
+        self._service = settings.service.encode("latin-1")
+        self._replaced = frozenset(
+            {
+                names.deadline,
+                names.outcome,
+                names.request_id,
+                names.caller,
+                names.expected_instance,
+            }
+        )
         self._freshness = freshness
         self._backend_host = settings.backend.rpartition(":")[0]
         self._audience = AudienceCheck()
@@ -73,7 +89,7 @@
         self, configuration: ActiveConfiguration | None, head: RequestHead, now: float
     ) -> Result[EntryPlan, NotRun]:
         """Decide what a call is and whether its caller may make it."""
-        classified = classify(configuration, head, now)
+        classified = classify(configuration, head, now, self._random, self._names)
         if isinstance(classified, Failure) or configuration is None:
             return classified.map(lambda plan: EntryPlan(plan, Caller("")))
         plan = classified.unwrap()
@@ -96,8 +112,10 @@
         request_id: bytes,
     ) -> HeaderList:
         """Give the header fields for the back end."""
-        headers = [field for field in head.headers if field[0] not in REPLACED_HEADERS]
-        headers.append((REQUEST_ID_HEADER, request_id))
+        headers = [field for field in head.headers if field[0] not in self._replaced]
+        headers.append((self._names.request_id, request_id))
+        if self._names.caller:
+            headers.append((self._names.caller, self._service))
         if self._from_own_backend(head) and not head.header(AUTHORIZATION_HEADER):
             self._vouch(configuration, headers)
         return headers
@@ -128,5 +146,9 @@
             if token:
                 headers.append((AUTHORIZATION_HEADER, token))
 
+    def is_inner(self, head: RequestHead) -> bool:
+        """Whether a call comes from the back end beside this node."""
+        return self._from_own_backend(head)
+
     def _from_own_backend(self, head: RequestHead) -> bool:
         return bool(self._backend_host) and head.peer_address == self._backend_host
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -12,20 +12,21 @@
 from returns.result import Result
 
 from peppershore.connection.http_head import HeaderList, RequestHead
-from peppershore.connection.messages import Endpoint, KeptAnswer
+from peppershore.connection.messages import Endpoint, KeptAnswer, OwnerLoad
 from peppershore.process.commands import Notice
 from peppershore.process.node.data import notices
 from peppershore.process.node.data.attempt import Attempt, AttemptRequest, AttemptSink
 from peppershore.process.node.data.back_end_pools import BackEndPools
 from peppershore.process.node.data.call_entry import CallEntry, EntryPlan, Freshness
-from peppershore.process.node.data.direct_attempt import DirectAttempt
+from peppershore.process.node.data.direct_attempt import BackEndTerms, DirectAttempt
 from peppershore.process.node.data.link_attempt import LinkAttempt
 from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.owner_links import OwnerLinks
+from peppershore.process.node.profile import retry_bound, wire_names
 from peppershore.process.settings import NodeSettings
 from peppershore.request.admission import Admission, Decision, Dispatch, Waiting
 from peppershore.request.claim import ClaimDenied, ClaimGranted, ClaimsClient
-from peppershore.request.classification import CallPlan
+from peppershore.request.classification import CallPlan, route_of
 from peppershore.request.endpoint_state import Verdict
 from peppershore.request.outcome import (
     STATUS_UNAVAILABLE,
@@ -34,6 +35,7 @@
 )
 from peppershore.request.picker import RandomSource
 from peppershore.request.retry_budget import RetryBudget, retry_delay
+from peppershore.request.shared_retries import RetryBound, SharedRetryBudget
 from peppershore.request.waiting import Ticket
 from peppershore.version.active import ActiveConfiguration
 
@@ -80,13 +82,19 @@
         self._notice_sink = notice_sink
         self._random = random
         self._links = links
+        self.names = wire_names(settings.headers)
         self.freshness = Freshness()
-        self._entry = CallEntry(settings, self.freshness)
+        self._entry = CallEntry(settings, self.freshness, random, self.names)
+        self._terms = BackEndTerms(self.names)
         self._admissions: dict[str, Admission] = {}
         self._budgets: dict[str, RetryBudget] = {}
+        self._shared_budgets: dict[str, SharedRetryBudget] = {}
         self._endpoints: dict[str, tuple[Endpoint, ...]] = {}
+        self._owners: dict[str, str] = {}
+        self._bound = retry_bound(settings.shared_retries)
         self._pools = BackEndPools()
         links.on_allowance = self._pools.limit_borrowed
+        links.on_load = self._load_heard
         self._waiting: dict[int, Call] = {}
         self._live: set[Call] = set()
         self._ticket_numbers = itertools.count(1)
@@ -100,6 +108,11 @@
         """Whether calls with an idempotency key go on without a claim."""
         return self.claims is None and self._settings.forward_unclaimed_keys
 
+    @property
+    def looks_for_free_slots(self) -> bool:
+        """Whether a call first asks each owner for a free slot before it waits for one."""
+        return self._settings.seek_free_slots
+
     @property
     def in_flight(self) -> int:
         """Calls not over."""
@@ -126,6 +139,7 @@
         for endpoint in endpoints:
             grouped.setdefault(endpoint.service, []).append(endpoint)
         self._endpoints = {name: tuple(found) for name, found in grouped.items()}
+        self._owners = {each.node: each.owner_address for each in endpoints}
         now = self.loop.time()
         for service, admission in self._admissions.items():
             self._feed(admission, service, now)
@@ -170,6 +184,12 @@
         """Decide what a call is and whether its caller may make it."""
         return self._entry.plan(self.configuration, head, self.loop.time())
 
+    def may_be_repeated(self, head: RequestHead) -> bool:
+        """Tell by the route of a request whether it may run more than once."""
+        active = self.configuration
+        route = None if active is None else route_of(active, head)
+        return route is not None and route.settings.repeatable
+
     def forwarded_headers(self, head: RequestHead, request_id: bytes) -> HeaderList:
         """Give the header fields for the back end."""
         return self._entry.forwarded_headers(self.configuration, head, request_id)
@@ -177,7 +197,9 @@
     def ticket(self, plan: CallPlan, excluded: frozenset[str]) -> Ticket:
         """Give a place in line."""
         number = next(self._ticket_numbers)
-        return Ticket(number, plan.call_class, plan.deadline, excluded)
+        return Ticket(
+            number, plan.call_class, plan.deadline, excluded, priority=plan.priority
+        )
 
     def offer(self, ticket: Ticket, plan: CallPlan, call: Call) -> Decision:
         """Ask for a slot; a call that waits hears ``dispatched`` or ``refused``."""
@@ -218,13 +240,18 @@
         if self.own is not None and endpoint.node == self._settings.node:
             return self.own.attempt(request, sink)
         if not endpoint.owner_address:
-            return DirectAttempt(self._pools.pool(endpoint), request, sink)
+            pool = self._pools.pool(endpoint)
+            return DirectAttempt(pool, request, sink, terms=self._terms)
         if plan.hop == "direct":
             address = endpoint.owner_address
             if self._links.borrow(address, self.loop.time()):
                 pool = self._pools.borrowed(endpoint, self._links.allowance(address))
                 return DirectAttempt(
-                    pool, request, sink, lambda: self._links.give_back(address)
+                    pool,
+                    request,
+                    sink,
+                    lambda: self._links.give_back(address),
+                    self._terms,
                 )
         return LinkAttempt(self._links, endpoint.owner_address, request, sink)
 
@@ -233,12 +260,17 @@
         admission = self._admission(plan.target)
         return admission is not None and admission.has_besides(nodes)
 
-    def retry_delay(self, plan: CallPlan, attempts_made: int, now: float) -> float | None:
-        """Give the wait before another attempt, or None if there must be none."""
-        delay = retry_delay(attempts_made, self._random)
+    def retry_delay(
+        self, plan: CallPlan, offers: int, now: float, costs_budget: bool
+    ) -> float | None:
+        """Give the wait before another attempt, or None if there must be none.
+
+        What no back end saw may be tried elsewhere at once.
+        """
+        delay = retry_delay(offers, self._random) if costs_budget else 0.0
         if now + delay >= plan.deadline:
             return None
-        if not self._budget(plan.target).spend():
+        if costs_budget and not self._spend(plan, now):
             self._notice_sink(notices.RetryBudgetSpent(plan.target))
             return None
         self.counts.retries += 1
@@ -263,7 +295,10 @@
 
     def first_attempt(self, plan: CallPlan) -> None:
         """Let a call's first attempt earn its share of a retry."""
-        self._budget(plan.target).earn(plan.settings.retry_budget_percent)
+        if self._bound is None:
+            self._budget(plan.target).earn(plan.settings.retry_budget_percent)
+        else:
+            self._shared_budget(plan.target, self._bound).called(self.loop.time())
 
     def answered(
         self, plan: CallPlan, status: int, request_id: bytes, since: float
@@ -325,6 +360,26 @@
         ]
         admission.use_endpoints(tuple(limited), now)
 
+    def _load_heard(self, address: str, load: OwnerLoad) -> None:
+        now = self.loop.time()
+        for node, owner_address in self._owners.items():
+            if owner_address == address:
+                for admission in self._admissions.values():
+                    admission.note_load(node, load, now)
+
+    def _spend(self, plan: CallPlan, now: float) -> bool:
+        if self._bound is None:
+            return self._budget(plan.target).spend()
+        nodes = len({each.node for found in self._endpoints.values() for each in found})
+        return self._shared_budget(plan.target, self._bound).spend(nodes, now)
+
+    def _shared_budget(self, service: str, bound: RetryBound) -> SharedRetryBudget:
+        budget = self._shared_budgets.get(service)
+        if budget is None:
+            budget = SharedRetryBudget(bound)
+            self._shared_budgets[service] = budget
+        return budget
+
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/src/peppershore/process/node/data/direct_attempt.py
+++ b/src/peppershore/process/node/data/direct_attempt.py
@@ -5,25 +5,46 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
+from peppershore.connection.answer_rules import NO_RULES, AnswerRules
 from peppershore.connection.http_client import ClientConnection
-from peppershore.connection.http_head import AnswerHead, HeaderList
-from peppershore.connection.http_pool import ConnectionPool
+from peppershore.connection.http_head import AnswerHead, HeaderList, first_value
+from peppershore.connection.http_pool import BOUND_REACHED, ConnectionPool
 from peppershore.process.node.data.attempt import AttemptRequest, AttemptSink
 from peppershore.request.deadline import remaining_milliseconds
 from peppershore.request.outcome import (
-    DEADLINE_HEADER,
     STATUS_BAD_GATEWAY,
     STATUS_BAD_REQUEST,
+    STATUS_MISDIRECTED,
+    STATUS_TOO_MANY_REQUESTS,
+    STATUS_UNAVAILABLE,
     NotRun,
     Unknown,
     unreachable,
 )
+from peppershore.request.wire_names import OWN_NAMES, WireNames
 
 MAX_REUSE_AGE_SECONDS = 1.0
 """A kept connection idle for longer may be closing; what may not be repeated
 takes a new one, since an attempt on a closing connection ends as unknown."""
 
 
+REFUSED_RETRY_AFTER_MILLISECONDS = 100
+REFUSALS = frozenset({STATUS_UNAVAILABLE, STATUS_TOO_MANY_REQUESTS, STATUS_MISDIRECTED})
+"""Statuses with which a back end can say that it has not begun a call."""
+
+
+class BackEndTerms(msgspec.Struct, frozen=True):
+    """How to speak with one back end: the names, and which life of it is meant."""
+
+    names: WireNames = OWN_NAMES
+    instance: bytes = b""
+
+
+OWN_TERMS = BackEndTerms()
+
+
 class DirectAttempt:
     """Connects if needed, sends the request, hands on the answer."""
 
@@ -32,8 +53,10 @@
         "_connection",
         "_on_over",
         "_pool",
+        "_refusal",
         "_request",
         "_sink",
+        "_terms",
         "begun",
     )
 
@@ -43,8 +66,11 @@
         request: AttemptRequest,
         sink: AttemptSink,
         on_over: Callable[[], None] | None = None,
+        terms: BackEndTerms = OWN_TERMS,
     ) -> None:
         """Nothing happens before ``start``; ``on_over`` is called once at the end."""
+        self._terms = terms
+        self._refusal: NotRun | None = None
         self._on_over = on_over
         self._pool = pool
         self._request = request
@@ -105,29 +131,40 @@
     # --- AnswerSink of the connection
 
     def answer_head(self, head: AnswerHead) -> None:
-        """Hand the answer's head on."""
-        self._sink.answer_head(head)
+        """Hand the answer's head on, unless it says that the call was not begun."""
+        self._refusal = self._refusal_in(head)
+        if self._refusal is None:
+            self._sink.answer_head(head)
 
     def answer_data(self, data: bytes) -> None:
         """Hand a piece of the answer's body on."""
-        self._sink.answer_data(data)
+        if self._refusal is None:
+            self._sink.answer_data(data)
 
     def answer_batch_ended(self) -> None:
         """Hand on that no more is at hand for now."""
-        self._sink.answer_batch_ended()
+        if self._refusal is None:
+            self._sink.answer_batch_ended()
 
     def answer_ended(self, trailers: HeaderList) -> None:
         """The answer is whole."""
         self._connection = None
         self._over()
-        self._sink.answer_ended(trailers)
+        if self._refusal is None:
+            self._sink.answer_ended(trailers)
+        else:
+            self._sink.attempt_failed(self._refusal)
 
     def attempt_failed(self, reason: str) -> None:
         """Request bytes were written and no whole answer came: unknown."""
         del reason
         self._connection = None
         self._over()
-        self._sink.attempt_failed(Unknown(STATUS_BAD_GATEWAY, "back-end-broke-off"))
+        if self._refusal is None:
+            failed = Unknown(STATUS_BAD_GATEWAY, "back-end-broke-off")
+            self._sink.attempt_failed(failed)
+        else:
+            self._sink.attempt_failed(self._refusal)
 
     def sending_paused(self) -> None:
         """Hand the back end's slowness on."""
@@ -143,14 +180,27 @@
         if isinstance(outcome, str):
             if not self._cancelled:
                 self._over()
-                refusal = unreachable("back-end-unreachable")
-                self._sink.attempt_failed(refusal)
+                is_full = outcome == BOUND_REACHED
+                reason = "no-connection-free" if is_full else "back-end-unreachable"
+                self._sink.attempt_failed(unreachable(reason))
             return
         if self._cancelled:
             self._pool.give_back(outcome)
             return
         self._begin(outcome)
 
+    def _refusal_in(self, head: AnswerHead) -> NotRun | None:
+        """Give the refusal that an answer is; only its own field proves one."""
+        names = self._terms.names
+        if head.status not in REFUSALS or not names.not_run:
+            return None
+        is_misdirected = head.status == STATUS_MISDIRECTED
+        if not is_misdirected and not first_value(head.headers, names.not_run):
+            return None
+        reason = "other-back-end" if is_misdirected else "back-end-refused"
+        advice = REFUSED_RETRY_AFTER_MILLISECONDS
+        return NotRun(STATUS_UNAVAILABLE, reason, advice, retryable=True, offered=True)
+
     def _over(self) -> None:
         on_over = self._on_over
         self._on_over = None
@@ -163,7 +213,10 @@
         headers = request.headers.copy()
         now = asyncio.get_running_loop().time()
         remaining = remaining_milliseconds(now, request.deadline)
-        headers.append((DEADLINE_HEADER, b"%d" % remaining))
+        names = self._terms.names
+        headers.append((names.deadline, b"%d" % remaining))
+        if names.expected_instance and self._terms.instance:
+            headers.append((names.expected_instance, self._terms.instance))
         length = request.head.content_length
         if length is None:
             headers.append((b"transfer-encoding", b"chunked"))
@@ -171,7 +224,8 @@
             headers.append((b"content-length", b"%d" % length))
         if not request.head.header(b"host"):
             headers.append((b"host", self._pool.address.encode("ascii")))
-        if not connection.begin(request.head, headers, self, self._pool.give_back):
+        rules = _rules(names, headers)
+        if not connection.begin(request.head, headers, self, self._pool.give_back, rules):
             self._connection = None
             self._pool.give_back(connection)
             self._over()
@@ -179,3 +233,12 @@
             return
         self.begun = True
         self._sink.attempt_begun()
+
+
+def _rules(names: WireNames, headers: HeaderList) -> AnswerRules:
+    """Give what the answer to a request with these fields must show."""
+    if not names.answers_carry_id and not names.signature and not names.unframed_answers:
+        return NO_RULES
+    id_name = names.request_id if names.answers_carry_id else b""
+    id_value = first_value(headers, id_name) if id_name else b""
+    return AnswerRules(id_name, id_value, names.signature, names.unframed_answers)
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import Protocol
 
 from peppershore.connection.call_link import CallLink, ReceiveWindow, SendWindow
 from peppershore.connection.http_head import AnswerHead, HeaderList, fields_unsafe
 from peppershore.connection.messages import (
+    UNBOUNDED_PATIENCE,
     CallAnswerBody,
     CallAnswered,
     CallBody,
@@ -17,6 +19,7 @@
     CallStarted,
     CallUnknown,
     Message,
+    OwnerLoad,
 )
 from peppershore.process.node.data.attempt import AttemptRequest, AttemptSink
 from peppershore.request.deadline import remaining_milliseconds
@@ -31,6 +34,7 @@
 )
 
 NO_LENGTH = -1
+MILLISECONDS = 1_000
 
 
 class CancellableWait(Protocol):
@@ -41,7 +45,10 @@
 
 
 class LinkSource(Protocol):
-    """Where links to owners come from."""
+    """Where links to owners come from, and who hears of owners' loads."""
+
+    def load_heard(self, address: str, load: OwnerLoad) -> None:
+        """An owner told how loaded its back end is."""
 
     def when_open(self, address: str, attempt: LinkAttempt) -> None:
         """Call ``attempt.link_open`` or ``attempt.link_refused``, at once if open."""
@@ -163,18 +170,21 @@
         """Take the owner's next message."""
         match message:
             case CallAnswered():
+                self._note_load(message.load)
                 self._answered(message)
             case CallAnswerBody():
                 self._more(message.data, message.ended, message.trailers)
             case CallCredit():
                 self._credited(message.octets)
             case CallNotRun():
+                self._note_load(message.load)
                 self._end(
                     NotRun(
                         message.status,
                         message.reason,
                         message.retry_after_milliseconds,
                         message.retryable,
+                        message.offered,
                     )
                 )
             case CallUnknown():
@@ -192,6 +202,10 @@
 
     # --- inside
 
+    def _note_load(self, load: OwnerLoad | None) -> None:
+        if load is not None:
+            self._links.load_heard(self._address, load)
+
     def _send_start(self, data: bytes) -> None:
         request = self._request
         head = request.head
@@ -212,6 +226,10 @@
                 data=data,
                 ended=self._ended,
                 trailers=self._trailers,
+                service=request.service,
+                priority=request.priority,
+                may_wait=request.may_wait,
+                patience_milliseconds=_patience(now, request.start_by),
             )
         )
         if not self._started:
@@ -273,6 +291,12 @@
             self._link.forget(self._stream)
 
 
+def _patience(now: float, start_by: float) -> int:
+    if start_by == math.inf:
+        return UNBOUNDED_PATIENCE
+    return max(0, int((start_by - now) * MILLISECONDS))
+
+
 def _at_deadline(failed: Failed) -> Failed:
     """Keep the owner's word on whether it ran; the cause is the deadline."""
     if isinstance(failed, NotRun):
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -1,15 +1,31 @@
-"""This node's own back end: the one authority over its slots and its drain."""
+"""This node's own back end: the one authority over its slots and its drain.
+
+Every call to it passes here, so what was acknowledged to the back end binds here: one
+that leaves gets no new call after a bound, and a call is meant for one life of it.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import itertools
+from collections.abc import Callable
+
+import msgspec
 
 from peppershore.connection.http_head import AnswerHead, HeaderList
 from peppershore.connection.http_pool import ConnectionPool
-from peppershore.connection.messages import Endpoint
+from peppershore.connection.messages import Endpoint, OwnerLoad
+from peppershore.process.node.back_end_reports import (
+    STATE_GONE,
+    STATE_READY,
+    BackEndView,
+)
 from peppershore.process.node.data.attempt import AttemptRequest, AttemptSink
-from peppershore.process.node.data.direct_attempt import DirectAttempt
+from peppershore.process.node.data.direct_attempt import (
+    OWN_TERMS,
+    BackEndTerms,
+    DirectAttempt,
+)
 from peppershore.process.node.data.verdicts import verdict_of_failure, verdict_of_status
 from peppershore.request.admission import Admission, Dispatch, Waiting
 from peppershore.request.endpoint_state import Verdict
@@ -23,10 +39,12 @@
 )
 from peppershore.request.picker import RandomSource
 from peppershore.request.waiting import Ticket
+from peppershore.request.wire_names import OWN_NAMES, WireNames
 from peppershore.version.model import ServiceSettings
 
 LEAVING_RETRY_AFTER_MILLISECONDS = 100
 KICK_SECONDS = 0.02
+NOT_THERE_REASONS = frozenset({"back-end-unreachable", "other-back-end"})
 
 
 class OwnBackend:
@@ -37,10 +55,16 @@
         endpoint: Endpoint,
         settings: ServiceSettings,
         random: RandomSource,
+        names: WireNames = OWN_NAMES,
     ) -> None:
         """Start with all slots free."""
         self.leaving = False
+        self.on_not_there: Callable[[str], None] = lambda instance: None
         self.slots = endpoint.slots
+        self._service = endpoint.service
+        self._names = names
+        self._instance = ""
+        self._refuse: asyncio.TimerHandle | None = None
         self._offered_slots = endpoint.slots
         self._lent = 0
         self.pool = ConnectionPool(endpoint.address, endpoint.connections)
@@ -57,9 +81,54 @@
         """Calls that hold a slot or wait for one here."""
         return self.admission.in_flight + self.admission.waiting
 
+    @property
+    def load(self) -> OwnerLoad:
+        """What other nodes are told of it."""
+        admission = self.admission
+        return OwnerLoad(admission.in_flight, admission.waiting, self.slots)
+
+    @property
+    def terms(self) -> BackEndTerms:
+        """How to speak with the present life of the back end."""
+        return BackEndTerms(self._names, self._instance.encode("latin-1"))
+
+    def use_view(self, view: BackEndView, leaving_bound_seconds: float) -> None:
+        """Take what the back end says of itself by heartbeats.
+
+        One that leaves takes what is on its way for the bound, and nothing after it.
+        """
+        if view.instance != self._instance:
+            self._instance = view.instance
+            self._stop_refusing_later()
+            self.leaving = False
+        if view.slots:
+            self._offered_slots = view.slots
+            self.slots = view.slots
+        self._apply_limit()
+        if view.state == STATE_READY:
+            self._stop_refusing_later()
+            self.leaving = False
+        elif view.state == STATE_GONE:
+            self.leave()
+        elif not self.leaving and self._refuse is None:
+            loop = asyncio.get_running_loop()
+            self._refuse = loop.call_later(leaving_bound_seconds, self.leave)
+
+    def leave(self) -> None:
+        """Give the back end no new call from now on; what it runs goes on."""
+        self._stop_refusing_later()
+        self.leaving = True
+        self.refuse_waiting()
+
+    def refuse_not_there(self, instance: str) -> None:
+        """Nobody answers at its address, or another life of it does."""
+        if instance == self._instance:
+            self.on_not_there(instance)
+
     def use_settings(self, settings: ServiceSettings) -> None:
         """Take new settings; the tree may lower the slots, not raise them."""
-        self.slots = min(self._offered_slots, settings.slots)
+        if not self._instance:
+            self.slots = min(self._offered_slots, settings.slots)
         self.admission.use_settings(settings)
         self._apply_limit()
 
@@ -82,16 +151,22 @@
         self, attempt: OwnAttempt, request: AttemptRequest
     ) -> Dispatch | NotRun | Ticket:
         """Give the slot, the refusal, or the place in the queue."""
+        advice = LEAVING_RETRY_AFTER_MILLISECONDS
+        if request.service and request.service != self._service:
+            return NotRun(STATUS_UNAVAILABLE, "other-service", advice, True)
         if self.leaving:
-            advice = LEAVING_RETRY_AFTER_MILLISECONDS
             return NotRun(STATUS_UNAVAILABLE, "back-end-leaving", advice, True)
         now = asyncio.get_running_loop().time()
-        ticket = Ticket(next(self._numbers), request.call_class, request.deadline)
+        ticket = Ticket(
+            next(self._numbers),
+            request.call_class,
+            request.deadline,
+            may_wait=request.may_wait,
+            priority=request.priority,
+        )
         decision = self.admission.offer(ticket, now)
         if isinstance(decision, NotRun):
-            return NotRun(
-                decision.status, decision.reason, decision.retry_after_milliseconds, True
-            )
+            return msgspec.structs.replace(decision, retryable=True)
         if isinstance(decision, Dispatch):
             return decision
         self._waiting[ticket.number] = attempt
@@ -134,8 +209,14 @@
         for attempt in list(self._waiting.values()):
             attempt.refused(refusal)
 
+    def _stop_refusing_later(self) -> None:
+        if self._refuse is not None:
+            self._refuse.cancel()
+            self._refuse = None
+
     def close(self) -> None:
         """Close idle connections."""
+        self._stop_refusing_later()
         if self._kick is not None:
             self._kick.cancel()
         self.pool.close()
@@ -173,6 +254,7 @@
         "_sink",
         "_started",
         "_status",
+        "_terms",
         "_ticket",
         "_timer",
     )
@@ -189,6 +271,7 @@
         self._ticket: Ticket | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._started = 0.0
+        self._terms = OWN_TERMS
         self._status = 0
         self._done = False
 
@@ -200,18 +283,26 @@
             self._sink.attempt_failed(admitted)
             return
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(self._request.deadline, self._expired)
         if isinstance(admitted, Ticket):
             self._ticket = admitted
+            until = min(self._request.deadline, self._request.start_by)
+            self._timer = loop.call_at(until, self._waited_enough)
             return
         self.admitted(admitted)
 
     def admitted(self, dispatch: Dispatch) -> None:
         """A slot is free: go to the back end."""
+        loop = asyncio.get_running_loop()
         self._ticket = None
         self._dispatch = dispatch
-        self._started = asyncio.get_running_loop().time()
-        self._direct = DirectAttempt(self._backend.pool, self._request, self)
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = loop.call_at(self._request.deadline, self._expired)
+        self._started = loop.time()
+        self._terms = self._backend.terms
+        self._direct = DirectAttempt(
+            self._backend.pool, self._request, self, terms=self._terms
+        )
         self._direct.start()
 
     def refused(self, refusal: NotRun) -> None:
@@ -286,6 +377,8 @@
     def attempt_failed(self, failed: Failed) -> None:
         """Free the slot, then hand the failure on."""
         self._end(verdict_of_failure(failed))
+        if failed.reason in NOT_THERE_REASONS:
+            self._backend.refuse_not_there(self._terms.instance.decode("latin-1"))
         self._sink.attempt_failed(failed)
 
     def sending_paused(self) -> None:
@@ -298,6 +391,18 @@
 
     # --- inside
 
+    def _waited_enough(self) -> None:
+        """No slot came free in time: it is better to say so than to wait on."""
+        ticket = self._ticket
+        assert ticket is not None
+        now = asyncio.get_running_loop().time()
+        if now >= self._request.deadline:
+            refusal = out_of_time()
+        else:
+            refusal = self._backend.admission.refusal_of_impatient(ticket, now)
+        self._end(None)
+        self._sink.attempt_failed(refusal)
+
     def _expired(self) -> None:
         """The deadline passed; what was not sent has not run."""
         begun = self._direct is not None and self._direct.begun
--- a/src/peppershore/process/node/data/owner_links.py
+++ b/src/peppershore/process/node/data/owner_links.py
@@ -13,6 +13,7 @@
     CallLinkHello,
     CallLinkProbe,
     Message,
+    OwnerLoad,
     SlotsLent,
     SlotsReturned,
 )
@@ -54,6 +55,7 @@
     ) -> None:
         """``hello`` introduces this node; ``guard`` judges what owners send."""
         self._guard = guard
+        self.on_load: Callable[[str, OwnerLoad], None] = lambda address, load: None
         self.on_allowance: Callable[[str, int], None] = lambda address, connections: None
         self._hello = hello
         self._tls = tls
@@ -69,6 +71,10 @@
         owner.waiting.append(attempt)
         self._open(address, owner)
 
+    def load_heard(self, address: str, load: OwnerLoad) -> None:
+        """An owner told how loaded its back end is."""
+        self.on_load(address, load)
+
     def borrow(self, address: str, now: float) -> bool:
         """Use one slot lent by the owner, if one is free; ask for more if not."""
         owner = self._owner(address)
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
+
+import msgspec
 
 from peppershore.connection.call_link import CallLink, ReceiveWindow, SendWindow
 from peppershore.connection.http_head import (
@@ -21,6 +24,7 @@
     CallStarted,
     CallUnknown,
     Message,
+    OwnerLoad,
 )
 from peppershore.process.node.data.attempt import AttemptRequest
 from peppershore.process.node.data.own_backend import OwnAttempt, OwnBackend
@@ -47,6 +51,7 @@
     __slots__ = (
         "_answer_head",
         "_attempt",
+        "_backend",
         "_begun",
         "_body",
         "_cancellable",
@@ -65,6 +70,7 @@
         self._stream = started.stream
         self._cancellable = started.cancellable
         self._attempt: OwnAttempt | None = None
+        self._backend: OwnBackend | None = None
         self._body = RequestBody()
         self._begun = False
         self._over = False
@@ -83,6 +89,7 @@
         if fields_unsafe(started.headers) or fields_unsafe(started.trailers):
             self.refuse(NotRun(STATUS_BAD_REQUEST, "malformed-fields"))
             return
+        self._backend = backend
         self._attempt = backend.attempt(_request(started), self)
         self._attempt.start()
 
@@ -142,7 +149,7 @@
         """Tell the peer how the call failed."""
         self._over = True
         if self._link is not None:
-            self._link.send(_failure_message(self._stream, failed))
+            self._link.send(_failure_message(self._stream, failed, self._load()))
         self._close()
 
     def sending_paused(self) -> None:
@@ -177,9 +184,13 @@
         if self._attempt is not None:
             self._attempt.cancel()
         if self._link is not None:
-            self._link.send(_failure_message(self._stream, self._cancelled()))
+            failed = self._cancelled()
+            self._link.send(_failure_message(self._stream, failed, self._load()))
         self._close()
 
+    def _load(self) -> OwnerLoad | None:
+        return None if self._backend is None else self._backend.load
+
     def _cancelled(self) -> Failed:
         """Tell a peer that asks at its deadline whether the back end had the call."""
         if self._begun:
@@ -189,11 +200,12 @@
     def _flush(self, ended: bool, trailers: HeaderList) -> None:
         data = b"".join(self._out)
         self._out.clear()
-        message: Message
+        message: CallAnswered | CallAnswerBody
         if self._answer_head is not None:
             message = _answer_message(
                 self._stream, self._answer_head, data, ended, trailers
             )
+            message = msgspec.structs.replace(message, load=self._load())
             self._answer_head = None
         elif data or ended:
             message = CallAnswerBody(self._stream, data, ended, trailers)
@@ -229,6 +241,7 @@
         content_length=length,
     )
     now = asyncio.get_running_loop().time()
+    patience = started.patience_milliseconds
     return AttemptRequest(
         head=head,
         headers=started.headers,
@@ -236,6 +249,10 @@
         repeatable=started.repeatable,
         cancellable=started.cancellable,
         deadline=now + started.deadline_milliseconds / MILLISECONDS,
+        service=started.service,
+        priority=started.priority,
+        may_wait=started.may_wait,
+        start_by=math.inf if patience < 0 else now + patience / MILLISECONDS,
     )
 
 
@@ -256,7 +273,7 @@
     )
 
 
-def _failure_message(stream: int, failed: Failed) -> Message:
+def _failure_message(stream: int, failed: Failed, load: OwnerLoad | None) -> Message:
     if isinstance(failed, NotRun):
         return CallNotRun(
             stream,
@@ -264,5 +281,7 @@
             failed.reason,
             failed.retry_after_milliseconds,
             failed.retryable,
+            failed.offered,
+            load,
         )
     return CallUnknown(stream, failed.status, failed.reason)
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -19,6 +19,7 @@
 )
 from peppershore.connection.messages import CallLinkHello, Endpoint
 from peppershore.process.commands import Notice
+from peppershore.process.node.back_end_reports import BackEndView
 from peppershore.process.node.data import notices
 from peppershore.process.node.data.backend_probe import STATE_READY, BackendProbe
 from peppershore.process.node.data.call import Call
@@ -31,6 +32,7 @@
 from peppershore.process.randomness import Randomness
 from peppershore.process.settings import NodeSettings
 from peppershore.request.claim import ClaimsClient
+from peppershore.request.wire_names import WireNames
 from peppershore.version.active import ActiveConfiguration
 from peppershore.version.model import ServiceSettings
 
@@ -95,7 +97,7 @@
         self.calls = Calls(settings, notice_sink, random, self._links)
         self._connections: set[ServerConnection] = set()
         self._listener = HttpListener(lambda: ServerConnection(self))
-        self._own = _own_backend(settings, random)
+        self._own = _own_backend(settings, random, self.calls.names)
         self.calls.own = self._own
         self._call_listener = CallListener(
             settings.cluster,
@@ -130,10 +132,22 @@
         """Record a claim before a call with an idempotency key is sent."""
         self.calls.claims = CheckedClaims(claims)
 
+    def use_back_end(self, view: BackEndView) -> None:
+        """Take what the back end says of itself by heartbeats."""
+        bound = self._settings.back_end_leaving_milliseconds / MILLISECONDS
+        if self._own is not None:
+            self._own.use_view(view, bound)
+
+    def on_back_end_not_there(self, callback: Callable[[str], None]) -> None:
+        """Tell ``callback`` which life of the back end does not answer."""
+        if self._own is not None:
+            self._own.on_not_there = callback
+
     def on_backend_state(self, callback: Callable[[str], None]) -> None:
         """Begin to watch the own back end; tell ``callback`` of its changes."""
         self._on_backend_state = callback
-        if self._settings.backend and self._probe is None:
+        is_reported = bool(self._settings.back_end_listen)
+        if self._settings.backend and not is_reported and self._probe is None:
             self._probe = BackendProbe(self._settings.backend, self._backend_changed)
             self._probe.start()
 
@@ -216,6 +230,10 @@
         """Make a call."""
         return Call(self.calls, exchange, head)
 
+    def may_be_repeated(self, head: RequestHead) -> bool:
+        """Tell by the route of a request whether it may run more than once."""
+        return self.calls.may_be_repeated(head)
+
     def request_refused(self, problem: HeadProblem) -> bytes:
         """Count a malformed request; give the refusal's body."""
         self._notice_sink(notices.MalformedRequest(problem.reason, problem.status))
@@ -250,7 +268,16 @@
         self._call_listener.take_back_expired(now)
         if self._own is not None:
             self._own.pool.trim(now)
-        self._close_idle(IDLE_SECONDS)
+        self._close_idle(self._idle_seconds)
+
+    @property
+    def _idle_seconds(self) -> float:
+        """For how long a caller's connection may rest, by the configuration."""
+        active = self.calls.configuration
+        settings = None if active is None else active.services.get(self._settings.service)
+        if settings is None:
+            return IDLE_SECONDS
+        return settings.idle_timeout_milliseconds / MILLISECONDS
 
     def _close_idle(self, seconds: float) -> None:
         now = self._loop.time()
@@ -299,7 +326,9 @@
         return report
 
 
-def _own_backend(settings: NodeSettings, random: Randomness) -> OwnBackend | None:
+def _own_backend(
+    settings: NodeSettings, random: Randomness, names: WireNames
+) -> OwnBackend | None:
     if not settings.backend:
         return None
     endpoint = Endpoint(
@@ -314,4 +343,7 @@
         slots=settings.slots,
         connections=settings.connections,
     )
-    return OwnBackend(endpoint, ServiceSettings(), random)
+    backend = OwnBackend(endpoint, ServiceSettings(), random, names)
+    if settings.back_end_listen:
+        backend.leave()
+    return backend
--- a/src/peppershore/process/node/inputs.py
+++ b/src/peppershore/process/node/inputs.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from peppershore.process.events import Event
+from peppershore.process.node.back_end_reports import BackEndReport
+from peppershore.process.settings import PeerRelay
 
 
 class BackendStateChanged(Event, frozen=True):
@@ -13,3 +15,27 @@
 
 class BackendDrained(Event, frozen=True):
     """The work in flight is finished, or its bound has passed."""
+
+
+class BackEndReported(Event, frozen=True):
+    """The back end sent a heartbeat."""
+
+    report: BackEndReport
+
+
+class BackEndLeft(Event, frozen=True):
+    """That life of the back end says that it ends."""
+
+    instance: str
+
+
+class BackEndNotThere(Event, frozen=True):
+    """Nothing answers at the back end's address, or another life of it does."""
+
+    instance: str
+
+
+class NodeSeedsChanged(Event, frozen=True):
+    """The settings name other relays to begin with."""
+
+    relays: tuple[PeerRelay, ...]
--- a/src/peppershore/process/node/notices.py
+++ b/src/peppershore/process/node/notices.py
@@ -29,6 +29,14 @@
     wait_milliseconds: int
 
 
+class BackEndViewChanged(Notice, frozen=True):
+    """The back end beside the node told something new of itself, or fell silent."""
+
+    instance: str
+    state: str
+    slots: int
+
+
 class NodePaused(Notice, frozen=True):
     """The process stood still for so long; it begins anew with the relays."""
 
--- a/src/peppershore/process/node/own_endpoint.py
+++ b/src/peppershore/process/node/own_endpoint.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from peppershore.connection.messages import Endpoint
-from peppershore.process.endpoints.table import STATE_LEAVING, STATE_WARMING
+from peppershore.process.endpoints.table import (
+    STATE_GONE,
+    STATE_LEAVING,
+    STATE_WARMING,
+)
+from peppershore.process.node.back_end_reports import NO_BACK_END, BackEndView
 from peppershore.process.settings import NodeSettings
 
 
@@ -19,6 +24,7 @@
         self._owner_address = owner_address
         self._sequence = 1
         self._state = STATE_WARMING
+        self._view = NO_BACK_END
 
     @property
     def exists(self) -> bool:
@@ -38,8 +44,9 @@
             state=self._state,
             address=settings.backend,
             owner_address=self._owner_address,
-            slots=settings.slots,
+            slots=self._view.slots or settings.slots,
             connections=settings.connections,
+            warming_milliseconds=self._view.warming_milliseconds,
         )
 
     def change_state(self, state: str) -> bool:
@@ -52,6 +59,20 @@
         self._sequence += 1
         return True
 
+    def take_view(self, view: BackEndView) -> bool:
+        """Take what the back end says of itself; a new life of it is ready again."""
+        before = self.current
+        if view.instance != self._view.instance and self._view.instance:
+            self.incarnation += 1
+            self._state = view.state
+        elif self._state != STATE_LEAVING or view.state == STATE_GONE:
+            self._state = view.state
+        self._view = view
+        if self.current == before:
+            return False
+        self._sequence += 1
+        return True
+
     def overtake(self, other: Endpoint) -> bool:
         """Go above what others believe of this node; tell whether that was needed.
 
--- /dev/null
+++ b/src/peppershore/process/node/profile.py
@@ -0,0 +1,45 @@
+"""What a node's settings say of names on the wire and of shared retries, as values."""
+
+from __future__ import annotations
+
+from peppershore.process.settings import HeaderSettings, SharedRetrySettings
+from peppershore.request.shared_retries import RetryBound
+from peppershore.request.wire_names import OWN_NAMES, WireNames
+
+PERCENT = 100
+MILLISECONDS = 1_000
+
+
+def wire_names(settings: HeaderSettings | None) -> WireNames:
+    """Give the names of the settings, in lower case; the product's own without any."""
+    if settings is None:
+        return OWN_NAMES
+    return WireNames(
+        request_id=_name(settings.request_id),
+        deadline=_name(settings.deadline),
+        outcome=_name(settings.outcome),
+        reason=_name(settings.reason),
+        signature=_name(settings.signature),
+        expected_instance=_name(settings.expected_instance),
+        not_run=_name(settings.not_run),
+        load=_name(settings.load),
+        caller=_name(settings.caller),
+        answers_carry_id=settings.answers_carry_id,
+        fractional_retry_after=settings.fractional_retry_after,
+        unframed_answers=settings.unframed_answers,
+    )
+
+
+def _name(text: str) -> bytes:
+    return text.lower().encode("latin-1")
+
+
+def retry_bound(settings: SharedRetrySettings | None) -> RetryBound | None:
+    """Give the bound that all nodes keep together, if there is one."""
+    if settings is None:
+        return None
+    return RetryBound(
+        ratio=settings.percent / PERCENT,
+        window_seconds=settings.window_milliseconds / MILLISECONDS,
+        slack=float(settings.slack),
+    )
--- a/src/peppershore/process/node/relay_choice.py
+++ b/src/peppershore/process/node/relay_choice.py
@@ -23,10 +23,28 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         """Rank the relays of the settings."""
-        self._ranked = rank_relays(settings.node, settings.zone, settings.relays)
+        self._settings = settings
+        self._seeds = settings.relays
+        self._listed: tuple[PeerRelay, ...] = ()
+        self._ranked = self._rank()
         self._avoid_until: dict[str, float] = {}
         self._failures = 0
 
+    def use_seeds(self, seeds: tuple[PeerRelay, ...]) -> None:
+        """The settings name other relays to begin with."""
+        self._seeds = seeds
+        self._ranked = self._rank()
+
+    def use_listed(self, listed: tuple[PeerRelay, ...]) -> None:
+        """A relay told of the relays there are; the seeds come after them."""
+        self._listed = listed
+        self._ranked = self._rank()
+
+    def is_in_own_zone(self, name: str) -> bool:
+        """Whether a relay is known to be in the node's zone."""
+        zone = self._settings.zone
+        return any(each.name == name and each.zone == zone for each in self._ranked)
+
     def next_relay(self, now: float, besides: str = "") -> PeerRelay | None:
         """Give the relay to try now; None if there is none besides one."""
         others = [relay for relay in self._ranked if relay.name != besides]
@@ -61,3 +79,13 @@
         return randomness.backoff_seconds(
             self._failures, BACKOFF_BASE_SECONDS, BACKOFF_CEILING_SECONDS
         )
+
+    def _rank(self) -> tuple[PeerRelay, ...]:
+        """Rank the relays listed, then seeds that are not among them."""
+        settings = self._settings
+        known = {relay.address for relay in self._listed}
+        seeds = [seed for seed in self._seeds if seed.address not in known]
+        return (
+            *rank_relays(settings.node, settings.zone, self._listed),
+            *rank_relays(settings.node, settings.zone, seeds),
+        )
--- a/src/peppershore/process/node/relay_sessions.py
+++ b/src/peppershore/process/node/relay_sessions.py
@@ -31,13 +31,8 @@
 WATCH_TIMER = "relay.watch"
 
 WATCH_SECONDS = 0.5
-SILENCE_SECONDS = 4.0
-"""A relay that says nothing for this long is left.  Twice its heartbeat, and with the
-watch and the move to another still below the 5 s within which a change is in force."""
-STALE_MILLISECONDS = 6_000
-"""A relay whose confirmation is older than this is left for a confirmed one."""
-REBALANCE_SECONDS = 60.0
-"""How often, on average, a node looks whether a relay that ranks higher is back."""
+RELAY_LISTED_SECONDS = 0.2
+"""A node that learns of a relay in its own zone moves there within this time."""
 
 
 @dataclass(slots=True)
@@ -56,14 +51,9 @@
     agreed_digest: Digest = 0
     """Digest that this relay knows the node to hold, by its own last answer."""
 
-    def is_silent(self, now: float) -> bool:
-        """Tell whether nothing was heard for too long."""
-        return now - self.last_heard > SILENCE_SECONDS
-
-    def is_stale(self, now: float) -> bool:
-        """Tell whether the relay's version was confirmed too long ago."""
-        since_heard = (now - self.last_heard) * 1_000
-        return self.age_milliseconds + since_heard > STALE_MILLISECONDS
+    def confirmed_age_milliseconds(self, now: float) -> float:
+        """Give how long ago the relay's version was confirmed."""
+        return self.age_milliseconds + (now - self.last_heard) * 1_000
 
 
 class RelaySessions:
@@ -78,7 +68,11 @@
         """Connect to nothing until ``start``."""
         self.active: RelaySession | None = None
         self.candidate: RelaySession | None = None
+        self._zone = settings.zone
         self._choice = RelayChoice(settings)
+        self._rebalance_seconds = settings.rebalance_milliseconds / 1_000
+        self._silence_seconds = settings.silence_milliseconds / 1_000
+        self._stale_milliseconds = settings.stale_milliseconds
         self._numbers = numbers
         self._make_hello = make_hello
         self._randomness = Randomness(0)
@@ -169,7 +163,7 @@
         if session is not self.candidate:
             return []
         old = self.active
-        if old is not None and not old.is_leaving and session.is_stale(now):
+        if old is not None and not old.is_leaving and self._is_stale(session, now):
             self.candidate = None
             self._choice.failed(session.relay.name, now)
             return [CloseLink(session.link, "stale")]
@@ -204,11 +198,11 @@
         """Leave silent relays; look for a better one when there is reason to."""
         out: list[Command] = [SetTimer(WATCH_TIMER, WATCH_SECONDS)]
         for session in (self.active, self.candidate):
-            if session is not None and session.is_silent(now):
+            if session is not None and self._is_silent(session, now):
                 out.extend(self.drop(session, "silent", now))
         if self.active is None or self.candidate is not None or self._connect_due:
             return out
-        if self.active.is_stale(now):
+        if self._is_stale(self.active, now):
             self._choice.failed(self.active.relay.name, now)
             out.extend(self._connect_after(self._choice.wait_seconds(self._randomness)))
         elif now >= self._rebalance_at:
@@ -217,6 +211,29 @@
             out.extend([] if better is None else self._open(better, now))
         return out
 
+    def use_seeds(self, seeds: tuple[PeerRelay, ...]) -> None:
+        """The settings name other relays to begin with."""
+        self._choice.use_seeds(seeds)
+
+    def use_listed(self, listed: tuple[PeerRelay, ...], now: float) -> list[Command]:
+        """A relay told of those there are; move to one in the own zone soon."""
+        self._choice.use_listed(listed)
+        active = self.active
+        if active is None or self._choice.is_in_own_zone(active.relay.name):
+            return []
+        if any(each.zone == self._zone for each in listed):
+            wait = self._randomness.below(RELAY_LISTED_SECONDS)
+            self._rebalance_at = min(self._rebalance_at, now + wait)
+        return []
+
+    def _is_silent(self, session: RelaySession, now: float) -> bool:
+        """Tell whether nothing was heard for too long."""
+        return now - session.last_heard > self._silence_seconds
+
+    def _is_stale(self, session: RelaySession, now: float) -> bool:
+        """Tell whether the relay's version was confirmed too long ago."""
+        return session.confirmed_age_milliseconds(now) > self._stale_milliseconds
+
     @property
     def _needs_relay(self) -> bool:
         """Whether there is no relay, or one that is about to end."""
@@ -232,5 +249,7 @@
         return [SetTimer(CONNECT_TIMER, seconds)]
 
     def _plan_rebalance(self, now: float) -> None:
-        wait = self._randomness.between(0.5 * REBALANCE_SECONDS, 1.5 * REBALANCE_SECONDS)
+        wait = self._randomness.between(
+            0.5 * self._rebalance_seconds, 1.5 * self._rebalance_seconds
+        )
         self._rebalance_at = now + wait
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -8,6 +8,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, ClassVar
 
+import msgspec
 from returns.result import Failure
 
 from peppershore.process import events
@@ -18,10 +19,13 @@
     CONFIGURATION_PATH,
     configuration_page,
 )
+from peppershore.process.http_service import HttpService
 from peppershore.process.link_security import LinkSecurity
 from peppershore.process.logging import LogIdentity
 from peppershore.process.metrics import ProcessMetrics
+from peppershore.process.node.back_end_api import MAX_BODY_BYTES, BackEndApi
 from peppershore.process.node.commands import (
+    BackEndViewed,
     ConfigurationSwapped,
     DrainBackend,
     EndpointsSwapped,
@@ -30,9 +34,16 @@
 from peppershore.process.node.core import NodeCore, NodeMemory
 from peppershore.process.node.data.gauges import add_call_gauges
 from peppershore.process.node.data_plane import DataPlane
-from peppershore.process.node.inputs import BackendDrained, BackendStateChanged
+from peppershore.process.node.inputs import (
+    BackendDrained,
+    BackEndNotThere,
+    BackendStateChanged,
+    NodeSeedsChanged,
+)
 from peppershore.process.node.storage import NodeRecord, NodeStorage
+from peppershore.process.seeds import seed_relays
 from peppershore.process.settings import NodeSettings
+from peppershore.process.settings_watch import SettingsWatch
 from peppershore.process.shell import NoticeSink, Shell
 from peppershore.process.signals import stop_on_signals
 
@@ -77,6 +88,7 @@
         self.handle(EndpointsSwapped, self._use_endpoints)
         self.handle(PersistSnapshot, self._persist)
         self.handle(DrainBackend, self._drain)
+        self.handle(BackEndViewed, self._use_back_end)
 
     def dispatch(self, event: events.Event) -> None:
         """Step the core; tell the data plane how recently it was confirmed."""
@@ -89,6 +101,9 @@
     def _use_endpoints(self, command: EndpointsSwapped) -> None:
         self._data_plane.use_endpoints(command.endpoints)
 
+    def _use_back_end(self, command: BackEndViewed) -> None:
+        self._data_plane.use_back_end(command.view)
+
     def _persist(self, command: PersistSnapshot) -> None:
         self._run(self._save(command))
 
@@ -141,10 +156,24 @@
     return NodeMemory(incarnation, record.floor, record.snapshot)
 
 
+def _with_seeds(settings: NodeSettings) -> NodeSettings:
+    """Let seeds stand in for relays."""
+    if not settings.seeds:
+        return settings
+    relays = seed_relays(settings.seeds, settings.relay_port)
+    return msgspec.structs.replace(settings, relays=relays)
+
+
 async def run_node(
-    settings: NodeSettings, on_ready: Callable[[int], None] | None = None
+    settings: NodeSettings,
+    on_ready: Callable[[int], None] | None = None,
+    watch: SettingsWatch[NodeSettings] | None = None,
 ) -> None:
-    """Run a node until its planned stop; tell ``on_ready`` the callers' port."""
+    """Run a node until its planned stop; tell ``on_ready`` the callers' port.
+
+    ``watch`` gives changed settings, of which the seeds are taken.
+    """
+    settings = _with_seeds(settings)
     metrics = ProcessMetrics(LogIdentity("node", settings.node))
     security = LinkSecurity("node", settings.tls)
     data_plane = DataPlane(
@@ -161,6 +190,16 @@
     core = NodeCore(settings, recall(settings, metrics.notice), addresses.internal)
     shell = NodeShell(settings, core, data_plane, metrics.notice, security)
     data_plane.on_backend_state(lambda state: shell.dispatch(BackendStateChanged(state)))
+    data_plane.on_back_end_not_there(
+        lambda instance: shell.dispatch(BackEndNotThere(instance))
+    )
+    reports = HttpService(BackEndApi(shell.dispatch).answer, MAX_BODY_BYTES)
+    if settings.back_end_listen:
+        await reports.start(settings.back_end_listen)
+    if watch is not None:
+        watch.start(
+            lambda changed: shell.dispatch(NodeSeedsChanged(_with_seeds(changed).relays))
+        )
     _add_gauges(metrics, core, shell)
     add_call_gauges(metrics, data_plane)
     security.start(metrics)
@@ -169,7 +208,7 @@
             settings.node, data_plane.calls.configuration
         )
     }
-    admin = AdminServer(metrics, lambda: _readiness(core), pages)
+    admin = AdminServer(metrics, lambda: _readiness(core, data_plane), pages)
     if settings.admin_listen:
         await admin.start(settings.admin_listen)
     stop_on_signals(shell)
@@ -184,6 +223,9 @@
         await claims.settle(CLAIMS_NOTED_SECONDS)
         await claims.close()
     await admin.close()
+    await reports.close()
+    if watch is not None:
+        watch.stop()
     security.close()
 
 
@@ -200,7 +242,9 @@
     metrics.gauge("endpoints", "Back ends known.", lambda: len(core.known.endpoints))
 
 
-def _readiness(core: NodeCore) -> Readiness:
+def _readiness(core: NodeCore, data_plane: DataPlane) -> Readiness:
+    if data_plane.draining:
+        return Readiness(False, "a planned stop is under way")
     if core.holder.holds_nothing:
         return Readiness(False, "no configuration is held yet")
     return Readiness(True)
--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -62,7 +62,7 @@
     SourceFollower,
 )
 from peppershore.process.relay.tree_follower import TreeChange, TreeFollower
-from peppershore.process.settings import RelaySettings
+from peppershore.process.settings import PeerRelay, RelaySettings
 
 HEARTBEAT_TIMER = "relay.heartbeat"
 FLUSH_TIMER = "relay.flush"
@@ -75,6 +75,12 @@
 """A link that has not said hello after this is closed."""
 
 
+class RelaysChanged(events.Event, frozen=True):
+    """These are the relays of the cluster from now on."""
+
+    relays: tuple[PeerRelay, ...]
+
+
 class RelayCore:
     """Decides everything a relay does; see ``process.core.Core``."""
 
@@ -144,6 +150,8 @@
                 self._started(event)
             case events.StopRequested():
                 self._stop()
+            case RelaysChanged():
+                self._do(self.exchange.use_relays(event.relays, self._now))
             case _:
                 raise AssertionError(f"a relay takes no {type(event).__name__}")
 
@@ -263,6 +271,7 @@
 
     def _after_event(self) -> None:
         """Do what several kinds of events can make due."""
+        self._do(self.nodes.list_relays())
         self._note_freshness()
         if self._pause_milliseconds:
             self._report(notices.ProcessPaused(self._pause_milliseconds))
--- a/src/peppershore/process/relay/hold.py
+++ b/src/peppershore/process/relay/hold.py
@@ -135,7 +135,8 @@
         for name, route in _targets(update.changed).items():
             target = route_target(route)
             is_known = released.targets.get(name) == target
-            if is_known or not route.settings.require_ready:
+            waits = route.settings.require_ready and not route.settings.splits
+            if is_known or not waits:
                 continue
             if not self._table.has_ready(target):
                 awaited.append(AwaitedTarget(name, target))
--- a/src/peppershore/process/relay/node_service.py
+++ b/src/peppershore/process/relay/node_service.py
@@ -14,6 +14,8 @@
     NodeAlive,
     NodeHello,
     Refused,
+    RelayListed,
+    RelaysListed,
     RetryAfter,
     UpdateApplied,
     UpdateRefused,
@@ -70,6 +72,7 @@
         self._fanout = fanout
         self._admission = TokenBucket(settings.hellos_per_second)
         self._was_settled = False
+        self._listed_last: RelaysListed | None = None
 
     @property
     def bytes_sent(self) -> int:
@@ -80,6 +83,16 @@
             + self.heartbeats.bytes_sent
         )
 
+    def list_relays(self) -> list[Command]:
+        """Tell every node of the relays there are, where they change with the cluster."""
+        if not self._settings.lists_relays:
+            return []
+        listed = self._listed()
+        if listed == self._listed_last:
+            return []
+        self._listed_last = listed
+        return [SendMessage(link, listed) for link in self._distributor.sessions]
+
     def first_message(self, link: LinkId, message: Message, now: float) -> list[Command]:
         """Take what a link says first: only a hello begins a session."""
         if not isinstance(message, NodeHello):
@@ -175,6 +188,8 @@
         self.heartbeats.add(session)
         self.progress_changed = True
         out: list[Command] = [Report(_connected(session))]
+        if self._settings.lists_relays:
+            out.append(SendMessage(link, self._listed()))
         if session.needs_confirmation:
             out += self._source.ask_confirmation(now)
         out += self.offer((session,), now)
@@ -182,6 +197,12 @@
             out += self.heartbeats.tell([session], self._source.age_milliseconds(now))
         return out
 
+    def _listed(self) -> RelaysListed:
+        settings = self._settings
+        own = RelayListed(settings.relay, settings.zone, settings.listen)
+        others = self._exchange.listed()
+        return RelaysListed(tuple(sorted((own, *others), key=lambda each: each.name)))
+
     def _defer(self, link: LinkId, hello: NodeHello, now: float) -> list[Command]:
         seconds = self._admission.retry_after_seconds()
         self.deferred_until = max(self.deferred_until, now + seconds)
--- a/src/peppershore/process/settings.py
+++ b/src/peppershore/process/settings.py
@@ -51,7 +51,8 @@
 
     ``replicas`` is the first membership, this replica included; once the log
     holds a membership, the log's counts.  ``join`` starts a replica that waits
-    to be added.
+    to be added.  With ``wanted_voters`` above 0 the group keeps its own membership:
+    a replica's name is its address, ``seeds`` are addresses where others may be.
     """
 
     cluster: str
@@ -65,12 +66,49 @@
     election_milliseconds: int = 400
     snapshot_entries: int = 2_000
     change_id_horizon: int = 20_000
+    seeds: tuple[str, ...] = ()
+    wanted_voters: int = 0
     log_level: str = "info"
     tls: TlsFiles | None = None
 
 
+class HubSettings(SettingsValue, frozen=True, kw_only=True):
+    """A hub: a control replica and a relay in one process.
+
+    ``host`` is this machine's IP number; ``replica_port`` and ``relay_port`` are the
+    same on every hub.  ``seeds`` are "IP:port" of some hubs; only the IP numbers
+    count.  ``first_start`` is true at the very first start of the cluster only: then
+    the seeds, equal everywhere, found the group.  The group keeps its membership
+    itself, so that it bears ``tolerated_losses`` at a time.  ``tls`` holds the files of
+    its control replica, ``relay_tls`` those of its relay: both or none.
+    """
+
+    cluster: str
+    host: str
+    zone: str
+    replica_port: int
+    relay_port: int
+    api_listen: str
+    data_folder: str
+    seeds: tuple[str, ...]
+    first_start: bool = False
+    tolerated_losses: int = 1
+    admin_listen: str = ""
+    heartbeat_milliseconds: int = 50
+    election_milliseconds: int = 400
+    freshness_milliseconds: int = 500
+    stale_after_milliseconds: int = 2_000
+    log_level: str = "info"
+    tls: TlsFiles | None = None
+    relay_tls: TlsFiles | None = None
+
+
 class RelaySettings(SettingsValue, frozen=True, kw_only=True):
-    """A relay."""
+    """A relay.
+
+    One that ``lists_relays`` tells its nodes which relays there are, so that nodes
+    need know only a few; its own address is then ``listen``.
+    """
 
     cluster: str
     relay: str
@@ -84,10 +122,39 @@
     stale_after_milliseconds: int = 6_000
     hellos_per_second: int = 3_000
     hold_milliseconds: int = 3_000
+    lists_relays: bool = False
     log_level: str = "info"
     tls: TlsFiles | None = None
 
 
+class HeaderSettings(SettingsValue, frozen=True, kw_only=True):
+    """Header fields under names of a deployment's own; see ``request.wire_names``."""
+
+    request_id: str
+    deadline: str
+    outcome: str = "peppershore-outcome"
+    reason: str = "peppershore-reason"
+    signature: str = ""
+    expected_instance: str = ""
+    not_run: str = ""
+    load: str = ""
+    caller: str = ""
+    answers_carry_id: bool = False
+    fractional_retry_after: bool = False
+    unframed_answers: bool = False
+
+
+class SharedRetrySettings(SettingsValue, frozen=True, kw_only=True):
+    """Repeats that all nodes together may make at a service's back ends.
+
+    In any window at most ``percent`` of the calls, plus ``slack``.
+    """
+
+    percent: int
+    window_milliseconds: int
+    slack: int
+
+
 class NodeSettings(SettingsValue, frozen=True, kw_only=True):
     """A node: the proxy beside one back end, or at the edge (no ``backend``).
 
@@ -96,6 +163,10 @@
     that are being left under ``previous_claims_groups`` for a horizon.
     ``forward_unclaimed_keys`` sends it on, where the back end
     itself is trusted to run each key once.
+    ``seeds`` are "IP:port" of hubs, of which the IP numbers count and ``relay_port`` is
+    the port; they stand in for ``relays``.  With ``back_end_listen`` the back end tells
+    of itself by heartbeats there, and is not probed.  With ``seek_free_slots`` a call
+    asks the owners for a free slot one after the other before it waits for one.
     ``take_over`` shares ``listen`` with a running node that is about to stop, from
     when this one holds a configuration.
     """
@@ -118,6 +189,17 @@
     forward_unclaimed_keys: bool = False
     take_over: bool = False
     stop_bound_milliseconds: int = 30_000
+    rebalance_milliseconds: int = 60_000
+    silence_milliseconds: int = 4_000
+    stale_milliseconds: int = 6_000
+    seeds: tuple[str, ...] = ()
+    relay_port: int = 0
+    back_end_listen: str = ""
+    back_end_silent_milliseconds: int = 8_000
+    back_end_leaving_milliseconds: int = 1_000
+    seek_free_slots: bool = False
+    headers: HeaderSettings | None = None
+    shared_retries: SharedRetrySettings | None = None
     log_level: str = "info"
     tls: TlsFiles | None = None
 
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -24,6 +24,8 @@
 election_milliseconds = 400        # silence after which a follower asks for votes
 snapshot_entries = 2000            # log entries between snapshots
 change_id_horizon = 20000          # changes whose outcome a resend still gets
+wanted_voters = 0                  # above 0: the group keeps its membership itself
+seeds = []                         # then: addresses where others may be
 log_level = "info"                 # debug, info, warning or error
 
 [[replicas]]                       # the first members, this one included
@@ -31,6 +33,26 @@
 address = "127.0.0.1:7001"
 """
 
+_HUB = """\
+# A hub: a control replica and a relay in one process, for sites of few machines.
+cluster = "refund-network"         # the same in every process of one cluster
+host = "127.0.0.1"                 # this machine's IP number
+zone = "pasila"                    # nodes of this zone come here first
+replica_port = 7001                # links of replicas; the same on every hub
+relay_port = 7101                  # links of nodes and relays; the same on every hub
+api_listen = "127.0.0.1:7801"      # GET and PUT /configuration for operators
+data_folder = "data/hub-1"         # on a disk of this machine
+seeds = ["127.0.0.1:7801"]         # IP numbers where hubs may be; ports do not count
+first_start = true                 # true only at the cluster's very first start
+tolerated_losses = 1               # machines that may be lost at once; 2n + 1 vote
+admin_listen = ""                  # /metrics, /healthz, /readyz; "" for none
+heartbeat_milliseconds = 50        # leader to followers
+election_milliseconds = 400        # silence after which a follower asks for votes
+freshness_milliseconds = 500       # between words to nodes of how fresh they are
+stale_after_milliseconds = 2000    # confirmation older than this: not ready
+log_level = "info"                 # debug, info, warning or error
+"""
+
 _RELAY = """\
 # A relay: follows a control replica and serves the nodes of its zone.
 cluster = "refund-network"         # the same in every process of one cluster
@@ -42,6 +64,7 @@
 freshness_milliseconds = 2000      # between confirmations by a quorum
 stale_after_milliseconds = 6000    # confirmation older than this: not ready
 hellos_per_second = 3000           # nodes admitted; others are told when to come back
+lists_relays = false               # true: tell nodes which relays there are
 hold_milliseconds = 3000           # a changed route waits this long for a ready back end
 log_level = "info"                 # debug, info, warning or error
 
@@ -69,15 +92,34 @@
 data_folder = "data/kassa-1"       # keeps the version floor; "" without a disk
 admin_listen = "127.0.0.1:7921"    # /metrics, /healthz, /readyz, /configuration
 stop_bound_milliseconds = 30000    # longest wait for calls in flight at a planned stop
+rebalance_milliseconds = 60000     # how often to look for a better relay
+silence_milliseconds = 4000        # a relay that says nothing for so long is left
+stale_milliseconds = 6000          # a relay not confirmed for so long is left
 take_over = false                  # listen beside a node that is about to stop
 forward_unclaimed_keys = false     # without claims: send keyed calls on all the same
 log_level = "info"                 # debug, info, warning or error
 
+seeds = []                         # IP:port of hubs, in place of relays
+relay_port = 0                     # with seeds: the port of relays on every hub
+back_end_listen = ""               # where the back end reports itself; "" probes it
+back_end_silent_milliseconds = 8000  # a back end that reports nothing so long is gone
+back_end_leaving_milliseconds = 1000  # calls a leaving back end is still given
+seek_free_slots = false            # ask owners for a free slot before waiting for one
+
 [[relays]]                         # relays to choose from
 name = "relay-1"
 zone = "pasila"
 address = "127.0.0.1:7101"
 
+# [headers]                        # names of header fields of your own
+# request_id = "x-call-id"         # see request/wire_names.py for all of them
+# deadline = "x-deadline-milliseconds"
+
+# [shared_retries]                 # repeats that all nodes together may make
+# percent = 20                     # of the calls in a window,
+# window_milliseconds = 10000
+# slack = 60                       # and so many more
+
 # [[claims]]                       # replicas of the claims group, if one runs
 # name = "claims-1"
 # address = "127.0.0.1:7501"
@@ -123,8 +165,16 @@
 author = "anna"                    # shown in the history; default: your login
 """
 
+_RELAY_TLS = """
+# [relay_tls]                      # the same for the relay inside a hub
+# certificate = "keys/RELAY.pem"
+# key = "keys/RELAY.pem"
+# authority = "keys/authority.crt"
+"""
+
 EXAMPLES: dict[str, str] = {
     "control": _CONTROL + _TLS,
+    "hub": _HUB + _TLS + _RELAY_TLS,
     "relay": _RELAY + _TLS,
     "node": _NODE + _TLS,
     "claims": _CLAIMS + _TLS,
@@ -132,7 +182,7 @@
 }
 """An example file for each kind of settings, by the role's name."""
 
-_MEANING = re.compile(r"^(?:# )?(?:\[\[)?(\w+)(?:\]\]| = .*?) +# (.*)$", re.MULTILINE)
+_MEANING = re.compile(r"^(?:# )?(?:\[{1,2})?(\w+)(?:\]{1,2}| = .*?) +# (.*)$", re.MULTILINE)
 
 
 def meanings(role: str) -> dict[str, str]:
--- a/src/peppershore/process/settings_loader.py
+++ b/src/peppershore/process/settings_loader.py
@@ -20,6 +20,7 @@
 from peppershore.process.settings import (
     ClaimsSettings,
     ControlSettings,
+    HubSettings,
     NodeSettings,
     OperatorSettings,
     RelaySettings,
@@ -30,6 +31,7 @@
 Kind = TypeVar("Kind", bound=SettingsValue)
 KINDS: dict[str, type[SettingsValue]] = {
     "control": ControlSettings,
+    "hub": HubSettings,
     "relay": RelaySettings,
     "node": NodeSettings,
     "claims": ClaimsSettings,
@@ -172,6 +174,8 @@
     problems: list[SettingProblem] = []
     if isinstance(settings, ControlSettings | ClaimsSettings):
         problems += _check_group(settings)
+    if isinstance(settings, HubSettings):
+        problems += _check_hub(settings)
     if isinstance(settings, RelaySettings):
         problems += _check_relay(settings)
     if isinstance(settings, NodeSettings):
@@ -209,8 +213,25 @@
     return problems
 
 
+def _check_hub(settings: HubSettings) -> list[SettingProblem]:
+    problems: list[SettingProblem] = []
+    if (settings.tls is None) != (settings.relay_tls is None):
+        reason = "is given without the other"
+        problems.append(SettingProblem("relay_tls", reason, "tls and relay_tls, or none"))
+    if settings.replica_port == settings.relay_port:
+        reason = "is that of replicas"
+        problems.append(SettingProblem("relay_port", reason, "a port of its own"))
+    if not settings.seeds:
+        problems.append(SettingProblem("seeds", "is empty", "at least one hub"))
+    return problems
+
+
 def _check_node(settings: NodeSettings) -> list[SettingProblem]:
-    problems = _check_names("relays", [peer.name for peer in settings.relays])
+    names = [peer.name for peer in settings.relays]
+    problems = _check_names("relays", names, empty=bool(settings.seeds))
+    if settings.seeds and not settings.relay_port:
+        reason = "is missing, but there are seeds"
+        problems.append(SettingProblem("relay_port", reason, "the port of relays"))
     problems += _check_claims(settings)
     if settings.backend and not settings.internal_listen:
         reason = "is empty, but there is a backend"
--- a/src/peppershore/process/settings_rules.py
+++ b/src/peppershore/process/settings_rules.py
@@ -17,6 +17,7 @@
 MAX_PORT = 65_535
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
 NAME_ALLOWED = "1 to 64 letters, digits, '_', '.' or '-', the first a letter or digit"
+FIELD_PATTERN = re.compile(r"[A-Za-z0-9-]{1,64}")
 ADDRESS_ALLOWED = "an IP number and a port, such as 127.0.0.1:7001 or [::1]:7001"
 
 
@@ -71,6 +72,20 @@
     return None
 
 
+def field_rule(value: object) -> Fault | None:
+    """Accept the name of a header field."""
+    if isinstance(value, str) and FIELD_PATTERN.fullmatch(value):
+        return None
+    return Fault("is no name of a header field", "letters, digits and '-'")
+
+
+def host_rule(value: object) -> Fault | None:
+    """Accept an IP number without a port."""
+    if isinstance(value, str) and _is_ip_number(value):
+        return None
+    return Fault("is no IP number", "an IP number, such as 10.1.0.7 or [::1]")
+
+
 def listen_rule(value: object) -> Fault | None:
     """Accept an address to listen on; port 0 takes a free port."""
     return address_rule(value, lowest_port=0)
@@ -120,6 +135,31 @@
     "key": folder_rule,
     "authority": folder_rule,
     "log_level": level_rule,
+    "back_end_listen": optional(listen_rule),
+    "back_end_silent_milliseconds": between(100, 600_000, "milliseconds"),
+    "back_end_leaving_milliseconds": between(0, 600_000, "milliseconds"),
+    "request_id": field_rule,
+    "deadline": field_rule,
+    "outcome": field_rule,
+    "reason": field_rule,
+    "signature": optional(field_rule),
+    "expected_instance": optional(field_rule),
+    "not_run": optional(field_rule),
+    "load": optional(field_rule),
+    "caller": optional(field_rule),
+    "percent": between(0, 100, "percent"),
+    "window_milliseconds": between(100, 3_600_000, "milliseconds"),
+    "slack": between(0, 1_000_000, "repeats"),
+    "host": host_rule,
+    "replica_port": between(1, MAX_PORT, "(a port)"),
+    "relay_port": between(0, MAX_PORT, "(a port)"),
+    "api_listen": listen_rule,
+    "seeds": peer_rule,
+    "tolerated_losses": between(0, 10, "replicas"),
+    "wanted_voters": between(0, 21, "replicas"),
+    "rebalance_milliseconds": between(100, 3_600_000, "milliseconds"),
+    "silence_milliseconds": between(50, 600_000, "milliseconds"),
+    "stale_milliseconds": between(50, 600_000, "milliseconds"),
     "heartbeat_milliseconds": between(5, 60_000, "milliseconds"),
     "election_milliseconds": between(20, 600_000, "milliseconds"),
     "snapshot_entries": between(1, 10_000_000, "entries"),
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -10,9 +10,10 @@
 
 import msgspec
 
-from peppershore.connection.messages import Endpoint
+from peppershore.connection.messages import Endpoint, OwnerLoad
 from peppershore.request.endpoint_state import EndpointState, Verdict
 from peppershore.request.outcome import (
+    BUSY,
     STATUS_UNAVAILABLE,
     NotRun,
     out_of_time,
@@ -24,7 +25,7 @@
     better_of_two,
     pick,
 )
-from peppershore.request.waiting import RANKS, Ticket, WaitingQueue
+from peppershore.request.waiting import Ticket, WaitingQueue
 from peppershore.version.model import ServiceSettings
 
 STATE_READY = "ready"
@@ -163,7 +164,7 @@
         """Give the waiting calls that can start now."""
         started: list[Dispatch] = []
         while len(self._queue):
-            ticket = self._queue.peek(self._ranks_allowed())
+            ticket = self._queue.peek(self._bulk_allowed())
             if ticket is None:
                 break
             state = self._pick(ticket, now)
@@ -179,7 +180,7 @@
 
     def _adopt(self, endpoint: Endpoint, now: float) -> EndpointState:
         state = self._states.get(endpoint.node)
-        ramp_seconds = self.settings.slow_start_milliseconds / 1_000
+        ramp_seconds = self._ramp_seconds(endpoint)
         if state is None or state.endpoint.incarnation != endpoint.incarnation:
             in_flight = state.in_flight if state is not None else 0
             state = EndpointState(endpoint, endpoint.slots, ramp_seconds, now)
@@ -193,21 +194,23 @@
         state.endpoint = endpoint
         return state
 
+    def _ramp_seconds(self, endpoint: Endpoint) -> float:
+        """What the back end says of its warming goes before the setting."""
+        milliseconds = endpoint.warming_milliseconds
+        return (milliseconds or self.settings.slow_start_milliseconds) / 1_000
+
     def _must_wait(self, ticket: Ticket) -> bool:
         """Whether a new call would overtake one that waits, or bulk has its share."""
         if ticket.call_class == "bulk" and not self._bulk_allowed():
             return True
         if not len(self._queue):
             return False
-        return self._queue.ahead_of(ticket.call_class, ticket.deadline) > 0
+        return self._queue.ahead_of(ticket.rank, ticket.deadline) > 0
 
     def _bulk_allowed(self) -> bool:
         slots = sum(state.limit for state in self._offered.values())
         return self._bulk_in_flight < max(1, int(slots * BULK_SHARE))
 
-    def _ranks_allowed(self) -> int:
-        return len(RANKS) if self._bulk_allowed() else len(RANKS) - 1
-
     def _pick(self, ticket: Ticket, now: float) -> EndpointState | None:
         return pick(
             self._offered.values(),
@@ -225,6 +228,8 @@
 
     def _enqueue(self, ticket: Ticket, now: float) -> Decision:
         wait = self._expected_wait(ticket, now)
+        if not ticket.may_wait:
+            return self._refusal(BUSY, wait - self._service_seconds(now), retryable=True)
         if wait > ticket.deadline - now:
             return self._refusal("deadline-too-short", wait)
         evicted: Ticket | None = None
@@ -250,7 +255,7 @@
         if not states:
             return 0.0
         rate = sum(state.slots(now) / state.latency_seconds for state in states)
-        ahead = self._queue.ahead_of(ticket.call_class, ticket.deadline)
+        ahead = self._queue.ahead_of(ticket.rank, ticket.deadline)
         return (ahead + 1) / rate + self._service_seconds(now)
 
     def _service_seconds(self, now: float) -> float:
@@ -264,10 +269,21 @@
             default=0.0,
         )
 
+    def refusal_of_impatient(self, ticket: Ticket, now: float) -> NotRun:
+        """Give what a call is told that may wait no longer for a slot."""
+        wait = self._expected_wait(ticket, now) - self._service_seconds(now)
+        return self._refusal("no-slot-in-time", wait)
+
+    def note_load(self, node: str, load: OwnerLoad, now: float) -> None:
+        """An owner told how loaded its back end is."""
+        state = self._states.get(node)
+        if state is not None:
+            state.note_load(load, now)
+
     @staticmethod
-    def _refusal(reason: str, wait: float) -> NotRun:
+    def _refusal(reason: str, wait: float, retryable: bool = False) -> NotRun:
         advice = max(MIN_RETRY_AFTER_MILLISECONDS, math.ceil(wait * 1_000))
-        return NotRun(STATUS_UNAVAILABLE, reason, advice)
+        return NotRun(STATUS_UNAVAILABLE, reason, advice, retryable)
 
     def _eject_outlier(self, state: EndpointState, now: float) -> float | None:
         """Eject a back end that keeps failing, unless too many are out already."""
@@ -284,4 +300,4 @@
 
 
 def _more_important(one: Ticket, other: Ticket) -> bool:
-    return RANKS[one.call_class] < RANKS[other.call_class]
+    return one.rank < other.rank
--- a/src/peppershore/request/classification.py
+++ b/src/peppershore/request/classification.py
@@ -2,28 +2,39 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 from returns.result import Failure, Result, Success
 
 from peppershore.connection.http_head import RequestHead
 from peppershore.request.deadline import call_deadline, parse_remaining
 from peppershore.request.outcome import (
-    DEADLINE_HEADER,
     IDEMPOTENCY_KEY_HEADER,
     STATUS_BODY_TOO_LARGE,
     STATUS_NOT_FOUND,
     STATUS_UNAVAILABLE,
     NotRun,
 )
+from peppershore.request.picker import RandomSource
+from peppershore.request.wire_names import OWN_NAMES, WireNames
 from peppershore.version.active import ActiveConfiguration
-from peppershore.version.model import CallClass, HopMode, RouteSettings
+from peppershore.version.model import CallClass, HopMode, RouteResource, RouteSettings
+from peppershore.version.splits import parse_splits
+
+MILLISECONDS = 1_000
+PATIENCE_SHARE = 0.25
+"""Part of a route's target latency for which a call may wait for a slot."""
+
+NO_CONFIGURATION_RETRY_AFTER_MILLISECONDS = 1_000
 
 
 class CallPlan(msgspec.Struct, frozen=True):
     """All that is decided about a call before it is admitted.
 
     ``deadline`` is monotonic seconds; ``key`` is the caller's idempotency key,
-    empty for what may be repeated.
+    empty for what may be repeated.  ``start_by`` is the monotonic time after which it
+    waits no more for a slot: an answer would come too late for its target latency.
     """
 
     service: str
@@ -35,38 +46,81 @@
     deadline: float
     settings: RouteSettings
     key: str = ""
+    priority: int = 1
+    start_by: float = math.inf
 
 
 def classify(
-    configuration: ActiveConfiguration | None, head: RequestHead, now: float
+    configuration: ActiveConfiguration | None,
+    head: RequestHead,
+    now: float,
+    random: RandomSource,
+    names: WireNames = OWN_NAMES,
 ) -> Result[CallPlan, NotRun]:
-    """Give the plan of a request, or why it can't be one."""
+    """Give the plan of a request, or why it can't be one.
+
+    ``random`` draws among the targets of a route that splits its calls.
+    """
     if configuration is None:
-        return Failure(NotRun(STATUS_UNAVAILABLE, "no-configuration", 1_000))
-    path = head.target.partition(b"?")[0].decode("latin-1")
-    found = configuration.match_route(path, head.method.decode("latin-1"))
+        advice = NO_CONFIGURATION_RETRY_AFTER_MILLISECONDS
+        return Failure(NotRun(STATUS_UNAVAILABLE, "no-configuration", advice))
+    found = route_of(configuration, head)
     if found is None:
         return Failure(NotRun(STATUS_NOT_FOUND, "no-route"))
     settings = found.settings
     length = head.content_length
     if length is not None and length > settings.max_body_bytes:
         return Failure(NotRun(STATUS_BODY_TOO_LARGE, "body-too-large"))
-    remaining = parse_remaining(head.header(DEADLINE_HEADER))
+    remaining = parse_remaining(head.header(names.deadline))
     return Success(
         CallPlan(
             service=found.service,
             route=found.route,
-            target=settings.target or found.service,
+            target=choose_target(found, random),
             call_class=settings.call_class,
             repeatable=settings.repeatable,
             hop=settings.hop,
             deadline=call_deadline(now, settings.timeout_milliseconds, remaining),
             settings=settings,
             key=_idempotency_key(settings, head),
+            priority=settings.priority,
+            start_by=_start_by(settings, now),
         )
     )
 
 
+def route_of(configuration: ActiveConfiguration, head: RequestHead) -> RouteResource | None:
+    """Give the route that a request matches."""
+    path = head.target.partition(b"?")[0].decode("latin-1")
+    method = head.method.decode("latin-1")
+    return configuration.match_route(path, method, host=host_of(head))
+
+
+def _start_by(settings: RouteSettings, now: float) -> float:
+    latency = settings.target_latency_milliseconds
+    return now + latency * PATIENCE_SHARE / MILLISECONDS if latency else math.inf
+
+
+def host_of(head: RequestHead) -> str:
+    """Give the host a request names, in lower case and without its port."""
+    host = head.header(b"host").decode("latin-1").lower()
+    return host.partition(":")[0] if host.count(":") == 1 else host
+
+
+def choose_target(route: RouteResource, random: RandomSource) -> str:
+    """Give the service that takes one call of a route, drawn by weight."""
+    settings = route.settings
+    if not settings.splits:
+        return settings.target or route.service
+    targets = parse_splits(settings.splits)
+    drawn = random.below(float(sum(target.weight for target in targets)))
+    for target in targets:
+        if drawn < target.weight:
+            return target.service
+        drawn -= target.weight
+    return targets[-1].service
+
+
 def _idempotency_key(settings: RouteSettings, head: RequestHead) -> str:
     """Give the caller's key where it counts: what may be repeated needs none."""
     if settings.repeatable:
--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -9,7 +9,7 @@
 import math
 from typing import Literal
 
-from peppershore.connection.messages import Endpoint
+from peppershore.connection.messages import Endpoint, OwnerLoad
 
 Verdict = Literal["good", "failed", "shed", "late"]
 """What an attempt says of its back end; "shed": alive, and refusing for load;
@@ -36,6 +36,12 @@
 """One that refuses for load is passed over for so long, twice as long each time in a
 row: in its zone it may be the only one, and would draw every call by that."""
 
+LOAD_SECONDS = 0.5
+"""What a back end's own node told of its load counts for so long."""
+
+FULL_SECONDS = 0.01
+"""A back end whose slots are all taken is passed over for so long."""
+
 FIRST_EJECTION_SECONDS = 1.0
 MAX_EJECTION_SECONDS = 30.0
 RAMP_FLOOR = 0.1
@@ -51,6 +57,8 @@
         "_latency",
         "_sheds",
         "_last_seen",
+        "_load_at",
+        "_others",
         "consecutive_failures",
         "ejected_until",
         "endpoint",
@@ -78,6 +86,8 @@
         self._sheds = 0
         self.passed_over_until = 0.0
         self._last_seen = now
+        self._others = 0
+        self._load_at = -LOAD_SECONDS
 
     def ramp(self, now: float) -> float:
         """Give the share of full load allowed now, between RAMP_FLOOR and 1."""
@@ -102,6 +112,13 @@
         """Whether it refused for load a moment ago: others go first."""
         return now < self.passed_over_until
 
+    def note_load(self, load: OwnerLoad, now: float) -> None:
+        """The back end's own node told how many calls it has, of all callers."""
+        self._others = max(0, load.running + load.waiting - self.in_flight)
+        self._load_at = now
+        if load.running >= load.slots:
+            self.passed_over_until = max(self.passed_over_until, now + FULL_SECONDS)
+
     def cost(self, now: float) -> float:
         """Give the expected cost of one more call; lower is better."""
         fade = math.exp((self._last_seen - now) / FADE_SECONDS)
@@ -109,7 +126,8 @@
         latency = self._latency
         if latency > FIRST_LATENCY_SECONDS:
             latency += (FIRST_LATENCY_SECONDS - latency) * (1.0 - fade)
-        return (self.in_flight + 1) * latency * failing / self.ramp(now)
+        others = self._others if now - self._load_at < LOAD_SECONDS else 0
+        return (self.in_flight + others + 1) * latency * failing / self.ramp(now)
 
     @property
     def latency_seconds(self) -> float:
--- /dev/null
+++ b/src/peppershore/request/next_attempt.py
@@ -0,0 +1,93 @@
+"""Whether a call is tried again after an attempt failed, where, and at whose cost.
+
+What a back end may have seen costs the retry budget and counts against the route's
+attempts; a refusal by a back end's own node costs nothing, since no back end saw the
+call.  What may run once goes on only after a refusal.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from peppershore.request.outcome import (
+    BUSY,
+    STATUS_GATEWAY_TIMEOUT,
+    Failed,
+    NotRun,
+)
+
+MAX_TRIES = 8
+"""Attempts of one call in all, those that no back end saw included."""
+
+
+class CallProgress(msgspec.Struct, frozen=True):
+    """How far a call is.
+
+    ``offers`` counts the back ends that may have seen it, ``tries`` all attempts;
+    ``may_wait``: the last attempt was allowed to wait for a slot.
+    """
+
+    offers: int = 0
+    tries: int = 0
+    may_wait: bool = False
+
+
+class AttemptTerms(msgspec.Struct, frozen=True):
+    """What decides besides the failure itself.
+
+    ``most_offers``: back ends that may see the call; ``has_other``: a ready back end
+    has not been tried; ``replayable``: the request can be sent again whole.
+    """
+
+    repeatable: bool
+    most_offers: int
+    has_other: bool
+    replayable: bool
+
+
+class TryAgain(msgspec.Struct, frozen=True):
+    """Make another attempt.
+
+    ``elsewhere``: at a back end not tried so far.  ``costs_budget``: take it from the
+    retry budget first, and give up if that is spent.
+    """
+
+    elsewhere: bool
+    may_wait: bool = False
+    costs_budget: bool = False
+
+
+class GiveUp(msgspec.Struct, frozen=True):
+    """Tell the caller of the failure."""
+
+
+NextStep = TryAgain | GiveUp
+GIVE_UP = GiveUp()
+
+
+def next_step(progress: CallProgress, failed: Failed, terms: AttemptTerms) -> NextStep:
+    """Decide after a failed attempt, which ``progress`` counts already."""
+    if not terms.replayable or progress.tries >= MAX_TRIES:
+        return GIVE_UP
+    if isinstance(failed, NotRun) and not failed.offered:
+        return _after_refusal(progress, failed, terms)
+    if progress.offers >= terms.most_offers:
+        return GIVE_UP
+    if isinstance(failed, NotRun):
+        may_repeat = failed.retryable and terms.has_other
+    else:
+        may_repeat = terms.repeatable and failed.status != STATUS_GATEWAY_TIMEOUT
+    if not may_repeat:
+        return GIVE_UP
+    return TryAgain(terms.has_other, progress.may_wait, costs_budget=True)
+
+
+def _after_refusal(progress: CallProgress, failed: NotRun, terms: AttemptTerms) -> NextStep:
+    """No back end saw the call: look for a free slot, then wait where it is shortest."""
+    if not failed.retryable:
+        return GIVE_UP
+    if terms.has_other:
+        return TryAgain(elsewhere=True, may_wait=progress.may_wait)
+    if failed.reason == BUSY and not progress.may_wait:
+        return TryAgain(elsewhere=False, may_wait=True)
+    return GIVE_UP
--- a/src/peppershore/request/outcome.py
+++ b/src/peppershore/request/outcome.py
@@ -22,6 +22,9 @@
 DEADLINE_RETRY_AFTER_MILLISECONDS = 100
 """Advice after a refusal because the caller's time was over before a start."""
 
+BUSY = "busy"
+"""Reason of a refusal because no slot is free at this moment."""
+
 ANSWERED = b"answered"
 NOT_RUN = b"not-run"
 UNKNOWN = b"unknown"
@@ -30,6 +33,7 @@
 STATUS_FORBIDDEN = 403
 STATUS_NOT_FOUND = 404
 STATUS_BODY_TOO_LARGE = 413
+STATUS_MISDIRECTED = 421
 STATUS_TOO_MANY_REQUESTS = 429
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
@@ -40,13 +44,15 @@
     """No back end began the call.
 
     ``reason`` is a stable word; ``retry_after_milliseconds`` 0 means: no advice.
-    ``retryable`` says whether another back end may do better at once.
+    ``retryable`` says whether another back end may do better at once.  ``offered``:
+    a back end was given the call and said that it did not begin it.
     """
 
     status: int
     reason: str
     retry_after_milliseconds: int = 0
     retryable: bool = False
+    offered: bool = False
 
 
 class Unknown(msgspec.Struct, frozen=True):
--- a/src/peppershore/request/waiting.py
+++ b/src/peppershore/request/waiting.py
@@ -1,4 +1,4 @@
-"""The bounded queue of calls that wait for a slot: by class, then deadline."""
+"""The bounded queue of calls that wait for a slot: by class, priority, deadline."""
 
 from __future__ import annotations
 
@@ -9,18 +9,33 @@
 from peppershore.version.model import CallClass
 
 RANKS: dict[CallClass, int] = {"critical": 0, "normal": 1, "bulk": 2}
+PRIORITIES = 101
+"""Priorities 0 to 100 within each class."""
+
+BULK_RANK = RANKS["bulk"] * PRIORITIES
+
 FAIRNESS_INTERVAL = 16
-"""Every so many calls the lowest waiting class goes first, so that it moves."""
+"""Every so many calls the last waiting rank goes first, so that it moves."""
 
 
 class Ticket(msgspec.Struct, eq=False):
-    """One call's place in the queue; ``excluded``: nodes that failed it before."""
+    """One call's place in the queue; ``excluded``: nodes that failed it before.
+
+    One that may not wait is refused where no slot is free.
+    """
 
     number: int
     call_class: CallClass
     deadline: float
     excluded: frozenset[str] = frozenset()
     waiting: bool = False
+    may_wait: bool = True
+    priority: int = 1
+
+    @property
+    def rank(self) -> int:
+        """What goes first, lowest first: by class, then by the route's priority."""
+        return RANKS[self.call_class] * PRIORITIES + min(self.priority, PRIORITIES - 1)
 
 
 class WaitingQueue:
@@ -28,7 +43,7 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self._heaps: tuple[list[tuple[float, int, Ticket]], ...] = ([], [], [])
+        self._heaps: dict[int, list[tuple[float, int, Ticket]]] = {}
         self._length = 0
         self._taken = 0
 
@@ -36,21 +51,21 @@
         """Tickets that wait."""
         return self._length
 
-    def ahead_of(self, call_class: CallClass, deadline: float) -> int:
+    def ahead_of(self, rank: int, deadline: float) -> int:
         """Give how many waiting tickets a new one would stand behind."""
-        rank = RANKS[call_class]
-        ahead = 0
-        for heap_rank, heap in enumerate(self._heaps[: rank + 1]):
-            for due, _, ticket in heap:
-                if ticket.waiting and (heap_rank < rank or due <= deadline):
-                    ahead += 1
-        return ahead
+        return sum(
+            1
+            for heap_rank, heap in self._heaps.items()
+            if heap_rank <= rank
+            for due, _, ticket in heap
+            if ticket.waiting and (heap_rank < rank or due <= deadline)
+        )
 
     def push(self, ticket: Ticket) -> None:
         """Add a ticket."""
         ticket.waiting = True
         self._length += 1
-        heap = self._heaps[RANKS[ticket.call_class]]
+        heap = self._heaps.setdefault(ticket.rank, [])
         heapq.heappush(heap, (ticket.deadline, ticket.number, ticket))
 
     def remove(self, ticket: Ticket) -> None:
@@ -58,13 +73,14 @@
         if ticket.waiting:
             ticket.waiting = False
             self._length -= 1
-            self._compact(self._heaps[RANKS[ticket.call_class]])
+            self._compact(self._heaps[ticket.rank])
 
-    def peek(self, allowed_ranks: int) -> Ticket | None:
-        """Give the next ticket among the ``allowed_ranks`` highest classes."""
-        order = range(min(allowed_ranks, len(self._heaps)))
-        ranks = reversed(order) if self._lowest_first() else order
+    def peek(self, with_bulk: bool = True) -> Ticket | None:
+        """Give the next ticket; without ``with_bulk`` those of that class stay."""
+        ranks = sorted(self._heaps, reverse=self._lowest_first())
         for rank in ranks:
+            if rank >= BULK_RANK and not with_bulk:
+                continue
             heap = self._heaps[rank]
             while heap and not heap[0][2].waiting:
                 heapq.heappop(heap)
@@ -75,7 +91,7 @@
     def due_by(self, moment: float) -> list[Ticket]:
         """Take out the tickets whose deadlines are not after ``moment``."""
         due: list[Ticket] = []
-        for heap in self._heaps:
+        for heap in self._heaps.values():
             while heap and (not heap[0][2].waiting or heap[0][0] <= moment):
                 ticket = heapq.heappop(heap)[2]
                 if ticket.waiting:
@@ -90,9 +106,9 @@
         self.remove(ticket)
 
     def least_important(self) -> Ticket | None:
-        """Give the ticket that gives way first: lowest class, latest deadline."""
-        for heap in reversed(self._heaps):
-            waiting = [entry for entry in heap if entry[2].waiting]
+        """Give the ticket that gives way first: last rank, latest deadline."""
+        for rank in sorted(self._heaps, reverse=True):
+            waiting = [entry for entry in self._heaps[rank] if entry[2].waiting]
             if waiting:
                 return max(waiting, key=lambda entry: entry[:2])[2]
         return None
--- a/src/peppershore/version/active.py
+++ b/src/peppershore/version/active.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import re
+from collections import defaultdict
 from collections.abc import Iterable
 
 from peppershore.version.model import (
+    ANY_METHOD,
     Digest,
     Resource,
     ResourceContent,
@@ -20,12 +22,14 @@
 )
 from peppershore.version.resource_codec import decode_resource
 
+ANY_HOST = ""
+_BY_HOST_ATTRIBUTE = "routes_by_host"
 DOT_SEGMENTS = (".", "..")
 _SUSPICIOUS = re.compile(r"/\.|[%\\]")
 ENCODED_SIGNS = (("%2e", "."), ("%2f", "/"), ("%5c", "\\"), ("%3b", ";"))
 
 
-class ActiveConfiguration(Value, frozen=True):
+class ActiveConfiguration(Value, frozen=True, dict=True):
     """All that one node holds, as its data plane uses it.
 
     ``services`` maps a name to its settings in the node's zone, ``secrets`` a
@@ -40,10 +44,12 @@
     secrets: dict[str, SecretResource]
 
     def match_route(
-        self, path: str, method: str, service: str = ""
+        self, path: str, method: str, service: str = "", host: str = ""
     ) -> RouteResource | None:
         """Give the route with the longest prefix of ``path`` that takes ``method``.
 
+        Routes of ``host`` alone go before those of every host.
+
         ``service`` narrows the search to one service's routes.  Between routes
         of equal prefix the hosted service's comes first, then by name.  A
         prefix ends at a segment: "/pay" takes "/pay/1" and not "/payout".  A path
@@ -52,13 +58,22 @@
         """
         if _has_dot_segment(path):
             return None
-        for route in self.routes:
+        for route in self._of_host(host):
             if service and route.service != service:
                 continue
-            if method in route.settings.methods and _covers(route, path):
+            if _takes(route, method) and _covers(route, path):
                 return route
         return None
 
+    def _of_host(self, host: str) -> tuple[RouteResource, ...]:
+        """Give the routes of a host, then those of every host, in matching order."""
+        by_host: dict[str, tuple[RouteResource, ...]] | None
+        by_host = self.__dict__.get(_BY_HOST_ATTRIBUTE)
+        if by_host is None:
+            by_host = _by_host(self.routes)
+            self.__dict__[_BY_HOST_ATTRIBUTE] = by_host
+        return by_host.get(host, by_host.get(ANY_HOST, ()))
+
     def allowed_methods(self, path: str, service: str = "") -> tuple[str, ...]:
         """Give the methods that some route takes on ``path``; none: no route."""
         if _has_dot_segment(path):
@@ -123,6 +138,25 @@
     return any(segment.partition(";")[0] in DOT_SEGMENTS for segment in segments)
 
 
+def _by_host(
+    routes: tuple[RouteResource, ...],
+) -> dict[str, tuple[RouteResource, ...]]:
+    """Sort routes by host; each host's list ends with the routes of every host."""
+    everywhere = tuple(each for each in routes if each.settings.host == ANY_HOST)
+    own: dict[str, list[RouteResource]] = defaultdict(list)
+    for route in routes:
+        if route.settings.host != ANY_HOST:
+            own[route.settings.host].append(route)
+    found = {host: (*listed, *everywhere) for host, listed in own.items()}
+    found[ANY_HOST] = everywhere
+    return found
+
+
+def _takes(route: RouteResource, method: str) -> bool:
+    methods = route.settings.methods
+    return method in methods or methods == (ANY_METHOD,)
+
+
 def _covers(route: RouteResource, path: str) -> bool:
     prefix = route.settings.path_prefix
     if not path.startswith(prefix):
--- a/src/peppershore/version/catalog.py
+++ b/src/peppershore/version/catalog.py
@@ -34,7 +34,7 @@
 from peppershore.version.scope_contents import HolderIndex, collect_contents
 from peppershore.version.scope_state import ScopeState
 from peppershore.version.tree import empty_tree
-from peppershore.version.tree_index import split_path
+from peppershore.version.tree_index import index_of, split_path
 
 
 class ScopeCatalog:
@@ -76,10 +76,11 @@
         """
         if tree.version < self._tree.version:
             raise AssertionError(f"{tree.version} is below {self._tree.version}")
+        former = self._tree
         self._tree = tree
         changed_groups = self._groups.refresh(tree, self._all_groups())
         changed_secrets = self._secrets.refresh(tree, self._secrets.names)
-        return self._put_together(changed_groups, changed_secrets)
+        return self._put_together(former, changed_groups, changed_secrets)
 
     def advance(self, applied: AppliedEdit) -> tuple[Scope, ...]:
         """Take the next edit; give the scopes in use whose digest changed."""
@@ -91,6 +92,7 @@
         Costs what one edit that touches the same costs.  The digests between
         the edits are not known afterwards: a holder of one gets full state.
         """
+        former = self._tree
         for applied in edits:
             if applied.tree.version <= self._tree.version:
                 raise AssertionError(
@@ -101,7 +103,7 @@
         secrets = frozenset().union(*(applied.changed_secrets for applied in edits))
         changed_groups = self._groups.refresh(self._tree, self._touched_groups(paths))
         changed_secrets = self._secrets.refresh(self._tree, secrets)
-        return self._put_together(changed_groups, changed_secrets)
+        return self._put_together(former, changed_groups, changed_secrets)
 
     def affected(self, applied: AppliedEdit) -> tuple[Scope, ...]:
         """Give the scopes in use whose digest the newest edit changed."""
@@ -177,11 +179,18 @@
         return {service: frozenset(names) for service, names in zones.items()}
 
     def _put_together(
-        self, changed_groups: set[GroupKey], changed_secrets: set[str]
+        self, former: Tree, changed_groups: set[GroupKey], changed_secrets: set[str]
     ) -> tuple[Scope, ...]:
-        """Put together the scopes that hold what changed; give those that differ."""
+        """Put together the scopes that hold what changed; give those that differ.
+
+        A scope that holds every service is also concerned by one that is new, which
+        nobody holds yet.
+        """
         affected = []
-        for scope in sorted(self._holders.holders_of(changed_groups, changed_secrets)):
+        concerned = self._holders.holders_of(changed_groups, changed_secrets)
+        if index_of(former).keys() != index_of(self._tree).keys():
+            concerned |= self._states.keys()
+        for scope in sorted(concerned):
             contents = collect_contents(self._tree, scope, self._groups, self._secrets)
             self._holders.set(scope, contents)
             if self._states[scope].replace(contents.entries, self.version):
--- a/src/peppershore/version/editor.py
+++ b/src/peppershore/version/editor.py
@@ -43,7 +43,11 @@
 class Editor:
     """Carries out the operations of one edit on copies of the tree's maps."""
 
-    def __init__(self, tree: Tree, change_id: str, version: Version) -> None:
+    def __init__(
+        self, tree: Tree, change_id: str, version: Version, release: Version = 0
+    ) -> None:
+        """``release`` 0 leaves the tree's release as it is."""
+        self._release = release or tree.release
         self.problems: list[Problem] = []
         self._before = tree
         self._version = version
@@ -63,6 +67,7 @@
             zones=self._zones,
             nodes=self._nodes,
             secrets=self._secrets,
+            release=self._release,
         )
         derive_index(self._before, after, self._paths)
         return AppliedEdit(
--- a/src/peppershore/version/encoded.py
+++ b/src/peppershore/version/encoded.py
@@ -35,6 +35,7 @@
     set_values,
 )
 from peppershore.version.resource_codec import encode_resource
+from peppershore.version.splits import split_services
 from peppershore.version.tree_index import index_of
 
 
@@ -51,6 +52,7 @@
     service: Entry
     routes: tuple[Entry, ...]
     calls: tuple[str, ...]
+    holds_every_service: bool
     targets: frozenset[str]
     sign_secret: str
     verify_secrets: frozenset[str]
@@ -93,7 +95,8 @@
             for route, settings in routes
         ),
         calls=service_settings.calls,
-        targets=frozenset(settings.target for _, settings in routes),
+        holds_every_service=service_settings.holds_every_service,
+        targets=frozenset().union(*(targets_of(settings) for _, settings in routes)),
         sign_secret=service_settings.sign_secret,
         verify_secrets=frozenset(
             settings.verify_secret for _, settings in routes if settings.verify_secret
@@ -107,6 +110,13 @@
     return _entry(content, known)
 
 
+def targets_of(settings: RouteSettings) -> frozenset[str]:
+    """Give the services that a route's calls go to."""
+    if settings.splits:
+        return split_services(settings.splits)
+    return frozenset({settings.target})
+
+
 def _entry(content: ResourceContent, known: KnownEntries) -> Entry:
     resource = encode_resource(content)
     entry = known.get(resource)
