--- a/src/peppershore/version/scope_contents.py
+++ b/src/peppershore/version/scope_contents.py
@@ -6,8 +6,9 @@
 from collections.abc import Iterable
 
 from peppershore.version.encoded import Entry, ServiceGroup
-from peppershore.version.model import Scope, Tree, Value
+from peppershore.version.model import ROOT_PATH, Scope, Tree, Value
 from peppershore.version.resource_tables import GroupKey, GroupTable, SecretTable
+from peppershore.version.tree_index import index_of
 
 
 class ScopeContents(Value, frozen=True):
@@ -26,24 +27,37 @@
 ) -> ScopeContents:
     """Put the resources of a scope together from the shared entries."""
     hosted = groups.get(tree, scope.service, scope.zone)
-    if hosted is None:
+    if hosted is None and not _everybody_holds_all(tree):
         return ScopeContents({}, frozenset({scope.service}), frozenset())
-    called = [_existing(tree, groups, name, scope.zone) for name in hosted.calls]
-    with_routes = [hosted, *called]
+    names = _called(tree, scope.service, hosted)
+    called = [_existing(tree, groups, name, scope.zone) for name in names]
+    with_routes = called if hosted is None else [hosted, *called]
     entries: dict[str, Entry] = {}
     for group in with_routes:
         for entry in group.entries:
             entries[entry.resource.name] = entry
-    services = {scope.service, *hosted.calls}
+    services = {scope.service, *names}
     targets = frozenset().union(*(group.targets for group in with_routes))
     for name in sorted(targets - services):
         target = _existing(tree, groups, name, scope.zone)
         entries[target.service.resource.name] = target.service
-    names = _secrets_of(hosted, with_routes)
-    for name in sorted(names):
+    secret_names = _secrets_of(hosted, with_routes)
+    for name in sorted(secret_names):
         secret = secrets.get(tree, name)
         entries[secret.resource.name] = secret
-    return ScopeContents(entries, frozenset(services | targets), names)
+    return ScopeContents(entries, frozenset(services | targets), secret_names)
+
+
+def _everybody_holds_all(tree: Tree) -> bool:
+    """Whether also the nodes of a service that is not in the tree hold all of it."""
+    return tree.nodes[ROOT_PATH].overrides.holds_every_service is True
+
+
+def _called(tree: Tree, service: str, hosted: ServiceGroup | None) -> tuple[str, ...]:
+    """Name the other services whose routes a node of a service holds."""
+    if hosted is None or hosted.holds_every_service:
+        return tuple(sorted(index_of(tree).keys() - {service}))
+    return hosted.calls
 
 
 def _existing(tree: Tree, groups: GroupTable, service: str, zone: str) -> ServiceGroup:
@@ -53,9 +67,11 @@
     return group
 
 
-def _secrets_of(hosted: ServiceGroup, groups: Iterable[ServiceGroup]) -> frozenset[str]:
+def _secrets_of(
+    hosted: ServiceGroup | None, groups: Iterable[ServiceGroup]
+) -> frozenset[str]:
     names = frozenset().union(*(group.verify_secrets for group in groups))
-    if hosted.sign_secret:
+    if hosted is not None and hosted.sign_secret:
         return names | {hosted.sign_secret}
     return names
 
--- a/src/peppershore/version/setting_rules.py
+++ b/src/peppershore/version/setting_rules.py
@@ -6,9 +6,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from peppershore.version.model import Overrides, Problem, Value
+from peppershore.version.model import ANY_METHOD, Overrides, Problem, Value
 from peppershore.version.path import NAME_RULE, Level, is_name
 from peppershore.version.resolve import set_values
+from peppershore.version.splits import SPLIT_RULE, are_splits
 
 MAXIMUM_PREFIX_CHARACTERS = 512
 MAXIMUM_METHODS = 16
@@ -24,6 +25,8 @@
 
 _METHOD_PATTERN = re.compile(r"[A-Z]{1,20}")
 _PREFIX_PATTERN = re.compile(r"/[A-Za-z0-9._~!$&'()*+,;=:@%/-]*")
+_HOST_PATTERN = re.compile(r"[a-z0-9]([a-z0-9._-]{0,251}[a-z0-9])?")
+_PROTOCOLS = ("h1",)
 _CLASSES = ("critical", "normal", "bulk")
 _AUDIENCES = ("public", "member", "internal")
 _HOPS = ("direct", "owner")
@@ -90,11 +93,15 @@
 
 
 def _are_methods(value: Any) -> bool:
-    return _is_list(
+    return value == (ANY_METHOD,) or _is_list(
         value, 1, MAXIMUM_METHODS, lambda each: bool(_METHOD_PATTERN.fullmatch(each))
     )
 
 
+def _is_host(value: Any) -> bool:
+    return value == "" or _HOST_PATTERN.fullmatch(value) is not None
+
+
 def _is_audience(value: Any) -> bool:
     return _is_list(value, 1, len(_AUDIENCES), lambda each: each in _AUDIENCES)
 
@@ -112,7 +119,7 @@
     "methods": SettingRule(
         ROUTES_ONLY,
         _are_methods,
-        f"1 to {MAXIMUM_METHODS} different HTTP methods in capitals",
+        f"1 to {MAXIMUM_METHODS} different HTTP methods in capitals, or * for all",
     ),
     "target": _name(BELOW_ROOT),
     "timeout_milliseconds": _whole_number(1, MAXIMUM_TIMEOUT_MILLISECONDS, ANYWHERE),
@@ -141,4 +148,20 @@
     "ejection_max_percent": _whole_number(0, 100, SERVICES),
     "sign_secret": _name_or_none(SERVICES),
     "spill_over": _truth(SERVICES),
+    "host": SettingRule(
+        ROUTES_ONLY, _is_host, "a host name in lower case without port, empty for all"
+    ),
+    "splits": SettingRule(ROUTES_ONLY, are_splits, SPLIT_RULE),
+    "priority": _whole_number(0, 100, ANYWHERE),
+    "target_latency_milliseconds": _whole_number(0, MAXIMUM_TIMEOUT_MILLISECONDS, ANYWHERE),
+    "retry_errors": _truth(ANYWHERE),
+    "holds_every_service": _truth(SERVICES),
+    "health_path": SettingRule(
+        SERVICES, lambda value: value == "" or _is_prefix(value), "a URL path, or empty"
+    ),
+    "backend_protocol": _one_of(_PROTOCOLS, SERVICES),
+    "backend_tls": _truth(SERVICES),
+    "max_header_bytes": _whole_number(256, 1 << 20, SERVICES),
+    "header_timeout_milliseconds": _whole_number(1, MAXIMUM_TIMEOUT_MILLISECONDS, SERVICES),
+    "idle_timeout_milliseconds": _whole_number(1, MAXIMUM_TIMEOUT_MILLISECONDS, SERVICES),
 }
--- a/src/peppershore/version/tree.py
+++ b/src/peppershore/version/tree.py
@@ -30,6 +30,8 @@
 ABSENT_REVISION: Version = 0
 MAXIMUM_OPERATIONS = 50_000
 MAXIMUM_TEXT_CHARACTERS = 4_096
+RELEASE_SUBJECT = "release"
+"""Stands in a conflict for the whole configuration that is in place."""
 
 __all__ = [
     "AppliedEdit",
@@ -59,7 +61,7 @@
     problems = _check_edit(edit)
     if problems:
         return Failure(EditInvalid(edit.change_id, tuple(problems)))
-    conflict = _find_conflict(tree, edit)
+    conflict = _find_release_conflict(tree, edit) or _find_conflict(tree, edit)
     if conflict is not None:
         return Failure(conflict)
     applied, problems = _carry_out(tree, edit, version)
@@ -94,9 +96,10 @@
 
 def _check_edit(edit: Edit) -> list[Problem]:
     problems = []
-    if not 1 <= len(edit.operations) <= MAXIMUM_OPERATIONS:
+    least = 0 if edit.release else 1
+    if not least <= len(edit.operations) <= MAXIMUM_OPERATIONS:
         reason = f"the edit has {len(edit.operations)} operations"
-        problems.append(Problem("edit", reason, f"1 to {MAXIMUM_OPERATIONS}"))
+        problems.append(Problem("edit", reason, f"{least} to {MAXIMUM_OPERATIONS}"))
     for name, text in (
         ("change id", edit.change_id),
         ("author", edit.author),
@@ -122,6 +125,20 @@
     return problems
 
 
+def _find_release_conflict(tree: Tree, edit: Edit) -> EditConflict | None:
+    """A whole configuration is taken on its base only, and its number must rise."""
+    if not edit.release:
+        return None
+    if edit.base_release == tree.release and edit.release > tree.release:
+        return None
+    return EditConflict(
+        change_id=edit.change_id,
+        subject=RELEASE_SUBJECT,
+        expected_revision=edit.base_release,
+        actual_revision=tree.release,
+    )
+
+
 def _find_conflict(tree: Tree, edit: Edit) -> EditConflict | None:
     for each in edit.expected:
         found = _find_subject(tree, each.subject)
@@ -150,7 +167,7 @@
 def _carry_out(
     tree: Tree, edit: Edit, version: Version
 ) -> tuple[AppliedEdit, list[Problem]]:
-    editor = Editor(tree, edit.change_id, version)
+    editor = Editor(tree, edit.change_id, version, edit.release)
     for operation in edit.operations:
         editor.apply(operation)
     return editor.finish(), editor.problems
--- a/src/peppershore/version/tree_index.py
+++ b/src/peppershore/version/tree_index.py
@@ -15,6 +15,7 @@
 
 from peppershore.version.model import ANY_ZONE, ROOT_PATH, Overrides, Tree, TreeNode, Value
 from peppershore.version.path import MAXIMUM_SEGMENTS, TreePath
+from peppershore.version.splits import are_splits, split_services
 
 _INDEX_ATTRIBUTE = "service_index"
 
@@ -23,13 +24,16 @@
     """What the nodes of one service say, over all zones.
 
     ``routes`` maps a zone (also "*") to the routes its nodes name;
-    ``references`` are the other services named by ``calls`` and ``target``.
+    ``references`` are the other services named by ``calls`` and ``target``;
+    ``diversions`` those that splits name: a call that is sent to another service
+    instead makes no chain of calls, so they may form cycles.
     """
 
     paths: frozenset[str]
     routes: dict[str, frozenset[str]]
     zones: frozenset[str]
     references: frozenset[str]
+    diversions: frozenset[str]
     secrets: frozenset[str]
 
 
@@ -82,6 +86,12 @@
     return frozenset(names)
 
 
+def diverted_services(overrides: Overrides) -> frozenset[str]:
+    """Give the services that one node's splits name."""
+    splits = overrides.splits
+    return split_services(splits) if are_splits(splits) else frozenset()
+
+
 def referenced_secrets(overrides: Overrides) -> frozenset[str]:
     """Give the secrets that one node names."""
     named = (overrides.verify_secret, overrides.sign_secret)
@@ -105,11 +115,13 @@
     routes: dict[str, set[str]] = defaultdict(set)
     zones: set[str] = set()
     references: set[str] = set()
+    diversions: set[str] = set()
     secrets: set[str] = set()
     for path in paths:
         parsed = split_path(path)
         overrides = nodes[path].overrides
         references |= referenced_services(service, overrides)
+        diversions |= diverted_services(overrides)
         secrets |= referenced_secrets(overrides)
         if parsed.zone not in ("", ANY_ZONE):
             zones.add(parsed.zone)
@@ -120,5 +132,6 @@
         routes={zone: frozenset(names) for zone, names in routes.items()},
         zones=frozenset(zones),
         references=frozenset(references),
+        diversions=frozenset(diversions),
         secrets=frozenset(secrets),
     )
--- a/src/peppershore/version/validation.py
+++ b/src/peppershore/version/validation.py
@@ -39,6 +39,7 @@
 from peppershore.version.tree_index import (
     ServiceBranch,
     ServiceIndex,
+    diverted_services,
     index_of,
     referenced_secrets,
     referenced_services,
@@ -48,7 +49,7 @@
 MAXIMUM_ZONES = 256
 MAXIMUM_SERVICES = 4_096
 MAXIMUM_SECRETS = 4_096
-MAXIMUM_ROUTES_OF_SERVICE = 256
+MAXIMUM_ROUTES_OF_SERVICE = 4_096
 MAXIMUM_GENERATIONS = 8
 MAXIMUM_MATERIAL_BYTES = 8_192
 MAXIMUM_PROBLEMS = 100
@@ -172,6 +173,7 @@
         if (
             name in services
             or not branch.references.isdisjoint(services)
+            or not branch.diversions.isdisjoint(services)
             or not branch.secrets.isdisjoint(secrets)
             or not branch.zones.isdisjoint(zones)
         ):
@@ -190,7 +192,8 @@
     if parsed.zone not in ("", ANY_ZONE) and parsed.zone not in tree.zones:
         reason = f"the zone {parsed.zone} is not declared"
         problems.append(Problem(path, reason, _some_of(tree.zones)))
-    for service in referenced_services(parsed.service, node.overrides):
+    named = referenced_services(parsed.service, node.overrides)
+    for service in named | diverted_services(node.overrides):
         if service_path(service) not in tree.nodes:
             reason = f"the service {service} does not exist"
             problems.append(Problem(path, reason, "a service of the tree"))
@@ -225,37 +228,41 @@
     tree: Tree, service: str, zone: str, branch: ServiceBranch
 ) -> list[Problem]:
     problems = []
-    holders: dict[tuple[str, str], str] = {}
+    holders: dict[tuple[str, str, str], str] = {}
     names = branch.routes[zone] | branch.routes.get(ANY_ZONE, frozenset())
     for route in sorted(names):
-        prefix, methods = _prefix_and_methods(tree, service, zone, route)
+        host, prefix, methods = _what_it_matches(tree, service, zone, route)
         here = route_path(service, zone, route)
         if not prefix:
             problems.append(Problem(here, "the route has no path_prefix", "set one"))
             continue
         for method in methods:
-            other = holders.setdefault((prefix, method), route)
+            other = holders.setdefault((host, prefix, method), route)
             if other != route:
-                reason = f"{method} {prefix} also belongs to the route {other}"
+                where = f"{host}{prefix}"
+                reason = f"{method} {where} also belongs to the route {other}"
                 problems.append(Problem(here, reason, "a prefix of its own"))
     return problems
 
 
-def _prefix_and_methods(
+def _what_it_matches(
     tree: Tree, service: str, zone: str, route: str
-) -> tuple[str, tuple[str, ...]]:
-    """Resolve the two settings that only routes have, which no parent gives."""
+) -> tuple[str, str, tuple[str, ...]]:
+    """Resolve the settings that only routes have, which no parent gives."""
+    host = ""
     prefix = ""
     methods: tuple[str, ...] = RouteSettings().methods
     for layer in (ANY_ZONE, zone):
         node = tree.nodes.get(route_path(service, layer, route))
         if node is None:
             continue
+        if node.overrides.host is not UNSET:
+            host = node.overrides.host
         if node.overrides.path_prefix is not UNSET:
             prefix = node.overrides.path_prefix
         if node.overrides.methods is not UNSET:
             methods = node.overrides.methods
-    return prefix, methods
+    return host, prefix, methods
 
 
 def _check_cycles(index: ServiceIndex, changed_paths: frozenset[str]) -> list[Problem]:
--- /dev/null
+++ b/src/peppershore/version/whole_configuration.py
@@ -0,0 +1,325 @@
+"""A whole configuration as operators send it: routes, services, limits, a number.
+
+It becomes the tree in one atomic edit: what most routes of a service share is set
+on the service and inherited, a route overrides what differs.  The way back gives
+the same configuration again, so that operators read what they sent.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Hashable, Iterable, Mapping
+from typing import Any, Literal
+
+import msgspec
+import xxhash
+from msgspec import UNSET, UnsetType
+from returns.result import Failure, Result, Success
+
+from peppershore.version.model import (
+    ANY_METHOD,
+    ANY_ZONE,
+    ROOT_PATH,
+    Edit,
+    Overrides,
+    Problem,
+    RouteSettings,
+    Tree,
+    TreeNode,
+    Value,
+    Version,
+)
+from peppershore.version.path import NAME_RULE, is_name, route_path, service_path
+from peppershore.version.resolve import (
+    resolve_route,
+    resolve_service,
+    routes_of,
+    services_of,
+)
+from peppershore.version.revert import revert_operations
+from peppershore.version.splits import WeightedTarget, format_split, parse_splits
+
+Runs = Literal["repeatable", "once"]
+"""How often a call of a route may run: any number of times, or at most once."""
+
+MAXIMUM_ROUTES = 20_000
+SHARED_SETTINGS = (
+    "timeout_milliseconds",
+    "target_latency_milliseconds",
+    "priority",
+    "retry_attempts",
+    "repeatable",
+)
+"""Settings of routes that stand on their service where most routes share them."""
+
+
+class SplitDefinition(Value, frozen=True):
+    """A service that takes a share of a route's calls, by weight."""
+
+    service: str
+    weight: int
+
+
+class RouteDefinition(Value, frozen=True, omit_defaults=True):
+    """A route: what it matches, where its calls go, and how they are treated.
+
+    One of ``service`` and ``split`` is given.  ``attempts`` is the largest number
+    of back ends that one call may be sent to.
+    """
+
+    host: str
+    path_prefix: str
+    runs: Runs
+    timeout_milliseconds: int
+    attempts: int
+    target_latency_milliseconds: int = 0
+    priority: int = 1
+    service: str | UnsetType = UNSET
+    split: tuple[SplitDefinition, ...] | UnsetType = UNSET
+
+
+class ServiceDefinition(Value, frozen=True):
+    """A service's back ends: their health path, connections and protocol."""
+
+    health_path: str = ""
+    connections: int = 130
+    protocol: str = "h1"
+    tls: bool = False
+
+
+class LimitsDefinition(Value, frozen=True):
+    """What a caller may send, and for how long it may take or rest."""
+
+    max_header_bytes: int = 32_768
+    max_body_bytes: int = 1_048_576
+    header_timeout_milliseconds: int = 10_000
+    idle_timeout_milliseconds: int = 75_000
+
+
+class WholeConfiguration(Value, frozen=True):
+    """Everything, under the operators' own rising number.
+
+    ``base`` is the number it was built on, 0 for the first.
+    """
+
+    version: Version
+    routes: dict[str, RouteDefinition]
+    services: dict[str, ServiceDefinition]
+    limits: LimitsDefinition = LimitsDefinition()
+    base: Version = 0
+
+
+_DECODER = msgspec.json.Decoder(WholeConfiguration)
+_ENCODER = msgspec.json.Encoder(order="sorted")
+
+
+def decode_configuration(body: bytes) -> Result[WholeConfiguration, Problem]:
+    """Read a configuration from JSON, or say why it is none."""
+    try:
+        return Success(_DECODER.decode(body))
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as problem:
+        return Failure(Problem("body", str(problem), "a whole configuration as JSON"))
+
+
+def encode_configuration(configuration: WholeConfiguration) -> bytes:
+    """Give a configuration as JSON, keys sorted."""
+    return _ENCODER.encode(configuration)
+
+
+def change_id_of(configuration: WholeConfiguration) -> str:
+    """Name a configuration by its number, its base and all of its content."""
+    digest = xxhash.xxh3_128_hexdigest(encode_configuration(configuration))
+    return f"release-{configuration.version}-{digest}"
+
+
+def find_problems(configuration: WholeConfiguration) -> tuple[Problem, ...]:
+    """Give what is wrong with a configuration taken alone; the tree's rules come later."""
+    problems: list[Problem] = []
+    if configuration.version <= configuration.base or configuration.base < 0:
+        allowed = f"above the base {configuration.base}"
+        problems.append(Problem("version", f"is {configuration.version}", allowed))
+    if len(configuration.routes) > MAXIMUM_ROUTES:
+        problems.append(Problem("routes", "too many", f"at most {MAXIMUM_ROUTES}"))
+    for name in (*configuration.routes, *configuration.services):
+        if not is_name(name):
+            problems.append(Problem(name, "is not a name", NAME_RULE))
+    for name, route in configuration.routes.items():
+        problems += _problems_of_route(name, route, configuration.services)
+    return tuple(problems)
+
+
+def edit_of(tree: Tree, configuration: WholeConfiguration) -> Edit:
+    """Give the edit that makes a tree say what a configuration says."""
+    wanted = _tree_of(tree, configuration)
+    return Edit(
+        change_id=change_id_of(configuration),
+        operations=revert_operations(tree, wanted),
+        release=configuration.version,
+        base_release=configuration.base,
+    )
+
+
+def configuration_of(tree: Tree) -> WholeConfiguration:
+    """Give the configuration that a tree says, for any zone."""
+    routes: dict[str, RouteDefinition] = {}
+    services: dict[str, ServiceDefinition] = {}
+    for service in services_of(tree):
+        settings = resolve_service(tree, service, ANY_ZONE).settings
+        services[service] = ServiceDefinition(
+            health_path=settings.health_path,
+            connections=settings.connections,
+            protocol=settings.backend_protocol,
+            tls=settings.backend_tls,
+        )
+        for route in routes_of(tree, service, ANY_ZONE):
+            resolved = resolve_route(tree, service, ANY_ZONE, route).settings
+            routes[route] = _definition_of(service, resolved)
+    return WholeConfiguration(
+        version=tree.release, routes=routes, services=services, limits=_limits_of(tree)
+    )
+
+
+def _problems_of_route(
+    name: str, route: RouteDefinition, services: Mapping[str, ServiceDefinition]
+) -> list[Problem]:
+    problems: list[Problem] = []
+    targets = _targets_of(route)
+    if not targets or (route.service is not UNSET and route.split is not UNSET):
+        problems.append(Problem(name, "has no target", "a service or a split, not both"))
+    elif sum(target.weight for target in targets) <= 0:
+        problems.append(Problem(name, "its weights sum to 0", "a weight above 0"))
+    for target in targets:
+        if target.service not in services:
+            problems.append(Problem(name, f"unknown service {target.service!r}"))
+    if route.timeout_milliseconds < 1:
+        problems.append(Problem(name, "has no time-out", "timeout_milliseconds above 0"))
+    if route.attempts < 1:
+        problems.append(Problem(name, "has no attempts", "attempts above 0"))
+    if not route.host:
+        problems.append(Problem(name, "has no host", "the host it answers to"))
+    return problems
+
+
+def _targets_of(route: RouteDefinition) -> tuple[WeightedTarget, ...]:
+    if route.split is not UNSET:
+        return tuple(WeightedTarget(each.service, each.weight) for each in route.split)
+    if route.service is not UNSET:
+        return (WeightedTarget(route.service, 1),)
+    return ()
+
+
+def _tree_of(tree: Tree, configuration: WholeConfiguration) -> Tree:
+    """Give a tree of the configuration, with the secrets and zones of the present one."""
+    nodes: dict[str, TreeNode] = {}
+    nodes[ROOT_PATH] = TreeNode(_root_overrides(configuration.limits))
+    routes = _routes_by_service(configuration.routes)
+    for service, definition in configuration.services.items():
+        own = routes.get(service, {})
+        shared = _shared_settings(own.values())
+        path = service_path(service)
+        nodes[path] = TreeNode(_service_overrides(definition, shared))
+        for name, overrides in own.items():
+            different = _without(overrides, shared)
+            nodes[route_path(service, ANY_ZONE, name)] = TreeNode(different)
+    return msgspec.structs.replace(tree, nodes=nodes)
+
+
+def _routes_by_service(
+    routes: Mapping[str, RouteDefinition],
+) -> dict[str, dict[str, dict[str, Any]]]:
+    """Give the overrides of routes by service: a route belongs to its first target."""
+    found: dict[str, dict[str, dict[str, Any]]] = {}
+    for name, route in routes.items():
+        service = _targets_of(route)[0].service
+        found.setdefault(service, {})[name] = _route_values(route)
+    return found
+
+
+def _route_values(route: RouteDefinition) -> dict[str, Any]:
+    values: dict[str, Any] = {
+        "host": route.host.lower(),
+        "path_prefix": route.path_prefix,
+        "methods": (ANY_METHOD,),
+        "timeout_milliseconds": route.timeout_milliseconds,
+        "target_latency_milliseconds": route.target_latency_milliseconds,
+        "priority": route.priority,
+        "retry_attempts": route.attempts - 1,
+        "repeatable": route.runs == "repeatable",
+    }
+    if route.split is not UNSET:
+        values["splits"] = tuple(format_split(target) for target in _targets_of(route))
+    return values
+
+
+def _shared_settings(routes: Iterable[Mapping[str, Any]]) -> dict[str, Any]:
+    """Give the most frequent value of each setting that routes may inherit."""
+    listed = list(routes)
+    shared: dict[str, Any] = {}
+    for name in SHARED_SETTINGS:
+        counts: Counter[Hashable] = Counter(values[name] for values in listed)
+        if counts:
+            shared[name] = max(counts, key=lambda value: (counts[value], repr(value)))
+    return shared
+
+
+def _without(values: Mapping[str, Any], shared: Mapping[str, Any]) -> Overrides:
+    different = {
+        name: value
+        for name, value in values.items()
+        if name not in shared or shared[name] != value
+    }
+    return Overrides(**different)
+
+
+def _service_overrides(definition: ServiceDefinition, shared: dict[str, Any]) -> Overrides:
+    return Overrides(
+        connections=definition.connections,
+        health_path=definition.health_path,
+        backend_protocol=definition.protocol,
+        backend_tls=definition.tls,
+        **shared,
+    )
+
+
+def _root_overrides(limits: LimitsDefinition) -> Overrides:
+    """What holds for every service: all nodes hold all of it, and callers are public."""
+    return Overrides(
+        audience=("public",),
+        hop="owner",
+        holds_every_service=True,
+        require_ready=False,
+        retry_errors=True,
+        slow_start_milliseconds=0,
+        max_body_bytes=limits.max_body_bytes,
+        max_header_bytes=limits.max_header_bytes,
+        header_timeout_milliseconds=limits.header_timeout_milliseconds,
+        idle_timeout_milliseconds=limits.idle_timeout_milliseconds,
+    )
+
+
+def _definition_of(service: str, settings: RouteSettings) -> RouteDefinition:
+    splits = tuple(
+        SplitDefinition(target.service, target.weight)
+        for target in parse_splits(settings.splits)
+    )
+    return RouteDefinition(
+        host=settings.host,
+        path_prefix=settings.path_prefix,
+        runs="repeatable" if settings.repeatable else "once",
+        timeout_milliseconds=settings.timeout_milliseconds,
+        attempts=settings.retry_attempts + 1,
+        target_latency_milliseconds=settings.target_latency_milliseconds,
+        priority=settings.priority,
+        service=UNSET if splits else (settings.target or service),
+        split=splits or UNSET,
+    )
+
+
+def _limits_of(tree: Tree) -> LimitsDefinition:
+    overrides = tree.nodes[ROOT_PATH].overrides
+    given = {
+        name: value
+        for name in LimitsDefinition.__struct_fields__
+        if (value := getattr(overrides, name)) is not UNSET
+    }
+    return LimitsDefinition(**given)
--- a/tests/command/test_input_decoders.py
+++ b/tests/command/test_input_decoders.py
@@ -52,6 +52,13 @@
         "repeatable": ("Yes", True),
         "require_ready": ("off", False),
         "spill_over": ("0", False),
+        "host": ("refund.example", "refund.example"),
+        "splits": ("kassa=1,kuitti=2", ("kassa=1", "kuitti=2")),
+        "retry_errors": ("on", True),
+        "holds_every_service": ("on", True),
+        "health_path": ("/health", "/health"),
+        "backend_protocol": ("h1", "h1"),
+        "backend_tls": ("no", False),
     }
     for name in OVERRIDE_NAMES:
         text, value = samples.get(name, ("12", 12))
--- a/tests/version/test_resolution.py
+++ b/tests/version/test_resolution.py
@@ -67,6 +67,11 @@
     caller_rate_per_second=1,
     verify_secret="member-key",
     max_body_bytes=1,
+    host="refund.example",
+    splits=("kuitti=9", "kassa=1"),
+    priority=2,
+    target_latency_milliseconds=1,
+    retry_errors=True,
 )
 EVERY_SERVICE_SETTING = Overrides(
     calls=("kuitti",),
@@ -78,6 +83,13 @@
     ejection_max_percent=1,
     sign_secret="member-key",
     spill_over=False,
+    holds_every_service=True,
+    health_path="/health",
+    backend_protocol="h1",
+    backend_tls=True,
+    max_header_bytes=300,
+    header_timeout_milliseconds=1,
+    idle_timeout_milliseconds=1,
 )
 
 
