--- a/src/peppershore/process/link_security.py
+++ b/src/peppershore/process/link_security.py
@@ -12,7 +12,6 @@
 from returns.result import Failure
 
 from peppershore.connection.authorization import Authorize, allow_all, authorizer
-from peppershore.connection.certificates import read_issued
 from peppershore.connection.identity import PeerIdentity, parse_identity
 from peppershore.connection.tls import (
     ReloadingContext,
@@ -105,6 +104,9 @@
 
 def _own_identity(paths: TlsPaths, role: str) -> PeerIdentity:
     """Read whose certificate the process has: it must be one of its role."""
+    # Imported where TLS is used: it takes a third of a process's start.
+    from peppershore.connection.certificates import read_issued  # noqa: PLC0415
+
     issued = read_issued(Path(paths.certificate))
     if isinstance(issued, Failure):
         raise UnusableCertificateError(issued.failure().reason)
--- a/src/peppershore/process/metrics.py
+++ b/src/peppershore/process/metrics.py
@@ -1,62 +1,84 @@
 """Metrics of one process in the Prometheus text format, by its client library.
 
 Every process has: notices counted by event and level, bytes sent and received
-on internal links, seconds since start, and gauges that its shell adds.  Gauges
-are read when the page is asked for, so that a core holds no metric objects.
+on internal links, seconds since start, and gauges that its shell adds.  Counts are
+plain numbers and gauges are read when the page is asked for, so that a core holds no
+metric objects and a process that nobody asks never loads the library.
 """
 
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
-from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4
+import msgspec
 
 from peppershore.process.commands import Notice
 from peppershore.process.logging import LogIdentity, event_name, write_notice
 
-METRICS_CONTENT_TYPE = CONTENT_TYPE_PLAIN_0_0_4
+if TYPE_CHECKING:
+    from prometheus_client.metrics_core import Metric
+
+METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 NAMESPACE = "peppershore"
 
 
+class _Gauge(msgspec.Struct, frozen=True):
+    name: str
+    meaning: str
+    read: Callable[[], float]
+
+
 class ProcessMetrics:
-    """The registry of one process; also its notice sink."""
+    """What one process counts; also its notice sink."""
 
     def __init__(self, identity: LogIdentity) -> None:
         """Start counting; ``identity`` labels the process's information metric."""
-        self._registry = CollectorRegistry()
+        self._identity = identity
         self._started = time.monotonic()
-        self._events = Counter(
-            "events",
-            "Log events by name.",
-            ["event"],
-            namespace=NAMESPACE,
-            registry=self._registry,
-        )
-        information = Gauge(
-            "process_information",
-            "Always 1; the labels say which process this is.",
-            ["role", "process"],
-            namespace=NAMESPACE,
-            registry=self._registry,
-        )
-        information.labels(identity.role, identity.process).set(1)
+        self._created = time.time()
+        self._events: Counter[str] = Counter()
+        self._gauges: list[_Gauge] = []
         self.gauge("uptime_seconds", "Seconds since the process started.", self._uptime)
 
     def notice(self, notice: Notice) -> None:
         """Count a notice and write its log line; a ``NoticeSink``."""
-        self._events.labels(event_name(type(notice))).inc()
+        self._events[event_name(type(notice))] += 1
         write_notice(notice)
 
     def gauge(self, name: str, meaning: str, read: Callable[[], float]) -> None:
         """Add ``peppershore_<name>``, read by ``read`` at each scrape."""
-        metric = Gauge(name, meaning, namespace=NAMESPACE, registry=self._registry)
-        metric.set_function(read)
+        self._gauges.append(_Gauge(f"{NAMESPACE}_{name}", meaning, read))
 
     def render(self) -> bytes:
         """Give the page in the Prometheus text format."""
-        return generate_latest(self._registry)
+        from prometheus_client import CollectorRegistry, generate_latest  # noqa: PLC0415
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
+
+    def collect(self) -> Iterator[Metric]:
+        """Give the metrics of this moment, as the library's registry asks for them."""
+        from prometheus_client import core  # noqa: PLC0415
+
+        counted = core.CounterMetricFamily(
+            f"{NAMESPACE}_events", "Log events by name.", labels=["event"]
+        )
+        for event, count in sorted(self._events.items()):
+            counted.add_metric([event], count, created=self._created)
+        yield counted
+        information = core.GaugeMetricFamily(
+            f"{NAMESPACE}_process_information",
+            "Always 1; the labels say which process this is.",
+            labels=["role", "process"],
+        )
+        information.add_metric([self._identity.role, self._identity.process], 1)
+        yield information
+        for gauge in self._gauges:
+            yield core.GaugeMetricFamily(gauge.name, gauge.meaning, value=gauge.read())
 
     def _uptime(self) -> float:
         return time.monotonic() - self._started
--- a/src/peppershore/request/audience.py
+++ b/src/peppershore/request/audience.py
@@ -11,7 +11,6 @@
 from collections.abc import Mapping
 from hashlib import sha256
 
-import jwt
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -106,6 +105,8 @@
         for held in secret.generations
         if held.generation == secret.signing_generation
     )
+    import jwt  # noqa: PLC0415 - it takes long to import, and few sites need tokens
+
     claims = {"aud": audience, "sub": subject, "exp": expires}
     return jwt.encode(claims, material, algorithm=ALGORITHM)
 
@@ -116,6 +117,8 @@
 
 
 def _decode(secret: SecretResource, token: bytes, now_unix: float) -> _Verified | None:
+    import jwt  # noqa: PLC0415 - it takes long to import, and few sites need tokens
+
     for key in reversed(secret.generations):
         try:
             claims = jwt.decode(
--- a/src/peppershore/version/active.py
+++ b/src/peppershore/version/active.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from peppershore.version.model import (
     ANY_METHOD,
@@ -23,12 +22,33 @@
 from peppershore.version.resource_codec import decode_resource
 
 ANY_HOST = ""
-_BY_HOST_ATTRIBUTE = "routes_by_host"
+_INDEX_ATTRIBUTE = "route_index"
 DOT_SEGMENTS = (".", "..")
 _SUSPICIOUS = re.compile(r"/\.|[%\\]")
 ENCODED_SIGNS = (("%2e", "."), ("%2f", "/"), ("%5c", "\\"), ("%3b", ";"))
 
 
+class RouteIndex:
+    """Routes by host and prefix, so that a match costs no walk over all of them."""
+
+    def __init__(self, routes: tuple[RouteResource, ...]) -> None:
+        """Index routes that are in matching order."""
+        self._by_host: dict[str, dict[str, list[RouteResource]]] = {}
+        for route in routes:
+            of_host = self._by_host.setdefault(route.settings.host, {})
+            of_host.setdefault(route.settings.path_prefix, []).append(route)
+
+    def candidates(self, host: str, path: str) -> Iterator[RouteResource]:
+        """Give the routes that cover a path: longest prefix first, own host first."""
+        hosts = (host, ANY_HOST) if host != ANY_HOST else (ANY_HOST,)
+        for each in hosts:
+            of_host = self._by_host.get(each)
+            if of_host is None:
+                continue
+            for prefix in _prefixes(path):
+                yield from of_host.get(prefix, ())
+
+
 class ActiveConfiguration(Value, frozen=True, dict=True):
     """All that one node holds, as its data plane uses it.
 
@@ -58,21 +78,20 @@
         """
         if _has_dot_segment(path):
             return None
-        for route in self._of_host(host):
+        for route in self._index.candidates(host, path):
             if service and route.service != service:
                 continue
-            if _takes(route, method) and _covers(route, path):
+            if _takes(route, method):
                 return route
         return None
 
-    def _of_host(self, host: str) -> tuple[RouteResource, ...]:
-        """Give the routes of a host, then those of every host, in matching order."""
-        by_host: dict[str, tuple[RouteResource, ...]] | None
-        by_host = self.__dict__.get(_BY_HOST_ATTRIBUTE)
-        if by_host is None:
-            by_host = _by_host(self.routes)
-            self.__dict__[_BY_HOST_ATTRIBUTE] = by_host
-        return by_host.get(host, by_host.get(ANY_HOST, ()))
+    @property
+    def _index(self) -> RouteIndex:
+        index: RouteIndex | None = self.__dict__.get(_INDEX_ATTRIBUTE)
+        if index is None:
+            index = RouteIndex(self.routes)
+            self.__dict__[_INDEX_ATTRIBUTE] = index
+        return index
 
     def allowed_methods(self, path: str, service: str = "") -> tuple[str, ...]:
         """Give the methods that some route takes on ``path``; none: no route."""
@@ -138,18 +157,17 @@
     return any(segment.partition(";")[0] in DOT_SEGMENTS for segment in segments)
 
 
-def _by_host(
-    routes: tuple[RouteResource, ...],
-) -> dict[str, tuple[RouteResource, ...]]:
-    """Sort routes by host; each host's list ends with the routes of every host."""
-    everywhere = tuple(each for each in routes if each.settings.host == ANY_HOST)
-    own: dict[str, list[RouteResource]] = defaultdict(list)
-    for route in routes:
-        if route.settings.host != ANY_HOST:
-            own[route.settings.host].append(route)
-    found = {host: (*listed, *everywhere) for host, listed in own.items()}
-    found[ANY_HOST] = everywhere
-    return found
+def _prefixes(path: str) -> Iterator[str]:
+    """Give every prefix of a path that ends at a segment, the longest first."""
+    plain = path.partition("?")[0]
+    yield plain
+    end = len(plain)
+    while (slash := plain.rfind("/", 0, end)) >= 0:
+        if slash + 1 != len(plain):
+            yield plain[: slash + 1]
+        if slash:
+            yield plain[:slash]
+        end = slash
 
 
 def _takes(route: RouteResource, method: str) -> bool:
--- /dev/null
+++ b/tests/consensus/self_kept_cluster.py
@@ -0,0 +1,144 @@
+"""Control replicas that found, find and keep their group themselves, in virtual time."""
+
+from __future__ import annotations
+
+import itertools
+
+import msgspec
+from tests.consensus.control_cluster import NO_FAULTS, ControlCluster, Faults, Replica
+
+from peppershore.process import commands, events
+from peppershore.process.control.releases import (
+    ReleaseAnswered,
+    ReleaseOutcome,
+    ReleaseRead,
+    ReleaseSubmitted,
+    ReleaseWanted,
+)
+from peppershore.process.settings import ControlSettings, PeerReplica
+from peppershore.version.whole_configuration import (
+    RouteDefinition,
+    ServiceDefinition,
+    WholeConfiguration,
+)
+
+
+def configuration(version: int, base: int = 0, timeout: int = 1_000) -> WholeConfiguration:
+    """Give a small configuration whose content shows in one time-out."""
+    route = RouteDefinition(
+        host="refund.example",
+        path_prefix="/pay/",
+        runs="once",
+        timeout_milliseconds=timeout,
+        attempts=2,
+        service="kassa",
+    )
+    return WholeConfiguration(
+        version=version,
+        routes={"pay": route},
+        services={"kassa": ServiceDefinition("/health")},
+        base=base,
+    )
+
+
+class SelfKeptCluster(ControlCluster):
+    """A group of ``voters``; the first three names are everybody's seeds."""
+
+    def __init__(
+        self,
+        names: tuple[str, ...],
+        seed: int = 1,
+        faults: Faults = NO_FAULTS,
+        voters: int = 3,
+    ) -> None:
+        self._seeds = names[:3]
+        self._voters = voters
+        self._numbers = itertools.count(1)
+        self.answers: dict[int, ReleaseOutcome | ReleaseRead] = {}
+        super().__init__(names, seed, faults)
+
+    def _settings(
+        self, name: str, founders: tuple[PeerReplica, ...], join: bool
+    ) -> ControlSettings:
+        settings = super()._settings(name, (), True)
+        founds = name in self._seeds and not join
+        return msgspec.structs.replace(
+            settings,
+            replicas=tuple(PeerReplica(name=each, address=each) for each in self._seeds)
+            if founds
+            else (),
+            join=not founds,
+            seeds=tuple(each for each in self._seeds if each != name),
+            wanted_voters=self._voters,
+        )
+
+    def restart_later(self, name: str) -> None:
+        """Start a machine again as the platform does: no longer the first start."""
+        replica = self.replicas[name]
+        replica.settings = self._settings(name, (), True)
+        self.start(name)
+
+    def use_seeds(self, names: tuple[str, ...]) -> None:
+        """What the settings of machines that start from now on name."""
+        self._seeds = names
+
+    def _carry_out(self, name: str, replica: Replica, command: commands.Command) -> None:
+        if isinstance(command, ReleaseAnswered):
+            self.answers[command.request] = command.outcome
+        else:
+            super()._carry_out(name, replica, command)
+
+    # --- operators -----------------------------------------------------------
+
+    def submit(self, name: str, wanted: WholeConfiguration) -> int:
+        """Hand a configuration to a replica; give the number of the question."""
+        number = next(self._numbers)
+        self.event(name, ReleaseSubmitted(number, wanted))
+        return number
+
+    def ask(self, name: str) -> int:
+        """Ask a replica for the newest configuration."""
+        number = next(self._numbers)
+        self.event(name, ReleaseWanted(number))
+        return number
+
+    def outcome(self, number: int) -> ReleaseOutcome | ReleaseRead:
+        """Wait for the answer to a question."""
+        self.run_until(lambda: number in self.answers)
+        return self.answers[number]
+
+    # --- what is seen --------------------------------------------------------
+
+    def voters(self) -> tuple[str, ...]:
+        """Give the voters as the leader knows them; none without a leader."""
+        leader = self.leader()
+        if leader is None:
+            return ()
+        members = self.core(leader).consensus.membership.members
+        return tuple(member.name for member in members if member.voter)
+
+    def members(self) -> tuple[str, ...]:
+        """Give all members as the leader knows them."""
+        leader = self.leader()
+        if leader is None:
+            return ()
+        members = self.core(leader).consensus.membership.members
+        return tuple(member.name for member in members)
+
+    def group_ids(self) -> set[int]:
+        """Give the groups that running replicas belong to."""
+        cores = [each.core for each in self.replicas.values() if each.core is not None]
+        return {core.consensus.group_id for core in cores} - {0}
+
+    def cut_off(self, name: str) -> None:
+        """Cut one replica off from all others, in silence."""
+        for other in self.replicas:
+            if other != name:
+                self.cut |= {(name, other), (other, name)}
+
+    def heal(self) -> None:
+        """Join all again."""
+        self.cut.clear()
+
+
+__all__ = ["SelfKeptCluster", "configuration", "events"]
--- /dev/null
+++ b/tests/request/test_next_attempt.py
@@ -0,0 +1,82 @@
+"""Whether a failed attempt is followed by another, and what that costs."""
+
+from __future__ import annotations
+
+import pytest
+
+from peppershore.request.next_attempt import (
+    GIVE_UP,
+    MAX_TRIES,
+    AttemptTerms,
+    CallProgress,
+    TryAgain,
+    next_step,
+)
+from peppershore.request.outcome import BUSY, Failed, NotRun, Unknown
+
+BUSY_OWNER = NotRun(503, BUSY, 50, retryable=True)
+LEAVING_OWNER = NotRun(503, "back-end-leaving", 100, retryable=True)
+FINAL_REFUSAL = NotRun(400, "malformed-fields")
+REFUSED_BY_BACK_END = NotRun(503, "back-end-refused", 100, retryable=True, offered=True)
+BROKEN_OFF = Unknown(502, "back-end-broke-off")
+TOO_LATE = Unknown(504, "deadline-passed")
+FREE = TryAgain(elsewhere=True)
+PAID = TryAgain(elsewhere=True, costs_budget=True)
+
+
+def terms(**changes: object) -> AttemptTerms:
+    values = {
+        "repeatable": True,
+        "most_offers": 2,
+        "has_other": True,
+        "replayable": True,
+    }
+    return AttemptTerms(**(values | changes))  # type: ignore[arg-type]
+
+
+ONCE = CallProgress(offers=1, tries=1)
+UNSEEN = CallProgress(offers=0, tries=1)
+CASES = {
+    "busy owner": (UNSEEN, BUSY_OWNER, terms(repeatable=False), FREE),
+    "leaving owner": (UNSEEN, LEAVING_OWNER, terms(repeatable=False), FREE),
+    "no other owner": (UNSEEN, LEAVING_OWNER, terms(has_other=False), GIVE_UP),
+    "all busy": (
+        UNSEEN,
+        BUSY_OWNER,
+        terms(has_other=False),
+        TryAgain(elsewhere=False, may_wait=True),
+    ),
+    "all busy, waited": (
+        CallProgress(0, 3, may_wait=True),
+        BUSY_OWNER,
+        terms(has_other=False),
+        GIVE_UP,
+    ),
+    "final refusal": (UNSEEN, FINAL_REFUSAL, terms(), GIVE_UP),
+    "too many tries": (CallProgress(0, MAX_TRIES), BUSY_OWNER, terms(), GIVE_UP),
+    "refused by back end": (ONCE, REFUSED_BY_BACK_END, terms(repeatable=False), PAID),
+    "refused, nobody else": (
+        ONCE,
+        REFUSED_BY_BACK_END,
+        terms(has_other=False),
+        GIVE_UP,
+    ),
+    "broken off": (ONCE, BROKEN_OFF, terms(), PAID),
+    "broken off, once only": (ONCE, BROKEN_OFF, terms(repeatable=False), GIVE_UP),
+    "broken off, the same": (
+        ONCE,
+        BROKEN_OFF,
+        terms(has_other=False),
+        TryAgain(elsewhere=False, costs_budget=True),
+    ),
+    "attempts used up": (CallProgress(2, 2), BROKEN_OFF, terms(), GIVE_UP),
+    "time used up": (ONCE, TOO_LATE, terms(), GIVE_UP),
+    "body gone": (ONCE, BROKEN_OFF, terms(replayable=False), GIVE_UP),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_next_step(name: str) -> None:
+    progress, failed, given, wanted = CASES[name]
+    assert isinstance(failed, Failed)
+    assert next_step(progress, failed, given) == wanted
--- /dev/null
+++ b/tests/version/test_whole_configuration.py
@@ -0,0 +1,191 @@
+"""Whole configurations: read, judged, made the tree, and read back as they were sent."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Failure
+
+from peppershore.version.catalog import ScopeCatalog
+from peppershore.version.model import EditConflict, Scope, Tree
+from peppershore.version.resolve import resolve_route
+from peppershore.version.snapshot import open_snapshot
+from peppershore.version.tree import apply_edit, empty_tree
+from peppershore.version.whole_configuration import (
+    WholeConfiguration,
+    change_id_of,
+    configuration_of,
+    decode_configuration,
+    edit_of,
+    encode_configuration,
+    find_problems,
+)
+
+
+def route(**changes: Any) -> dict[str, Any]:
+    values = {
+        "host": "refund.example",
+        "path_prefix": "/pay/",
+        "runs": "once",
+        "timeout_milliseconds": 2_500,
+        "target_latency_milliseconds": 800,
+        "priority": 1,
+        "service": "kassa",
+        "attempts": 2,
+    } | changes
+    return {name: value for name, value in values.items() if value is not None}
+
+
+def body(**changes: Any) -> dict[str, Any]:
+    return {
+        "version": 7,
+        "base": 0,
+        "routes": {"pay": route()},
+        "services": {
+            name: {"health_path": "/up", "connections": 9, "protocol": "h1", "tls": False}
+            for name in ("kassa", "kuitti")
+        },
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 1_000,
+            "header_timeout_milliseconds": 3_000,
+            "idle_timeout_milliseconds": 15_000,
+        },
+    } | changes
+
+
+def read(**changes: Any) -> WholeConfiguration:
+    return decode_configuration(json.dumps(body(**changes)).encode()).unwrap()
+
+
+def put(tree: Tree, wanted: WholeConfiguration) -> Tree:
+    assert not find_problems(wanted)
+    return apply_edit(tree, edit_of(tree, wanted), tree.version + 1).unwrap().tree
+
+
+SPLIT = [{"service": "kassa", "weight": 90}, {"service": "kuitti", "weight": 0}]
+
+routes = st.dictionaries(
+    st.sampled_from(["pay", "read", "check", "status", "ledger"]),
+    st.fixed_dictionaries(
+        {
+            "host": st.sampled_from(["a.example", "b.example"]),
+            "runs": st.sampled_from(["once", "repeatable"]),
+            "timeout_milliseconds": st.sampled_from([1, 500, 2_500]),
+            "priority": st.integers(0, 3),
+            "attempts": st.integers(1, 4),
+        },
+    ),
+)
+
+
+@given(st.lists(routes, min_size=1, max_size=5))
+def test_what_is_sent_is_read_back_and_reaches_the_nodes(
+    sent: list[dict[str, Any]],
+) -> None:
+    tree = empty_tree("mesh")
+    for number, listed in enumerate(sent, 1):
+        made = {
+            name: route(path_prefix=f"/{name}/", **values)
+            | ({"service": "kuitti"} if values["priority"] else {})
+            for name, values in listed.items()
+        }
+        wanted = read(version=number, base=number - 1, routes=made)
+        tree = put(tree, wanted)
+        assert configuration_of(tree) == msgspec.structs.replace(wanted, base=0)
+    catalog = ScopeCatalog()
+    catalog.load(tree)
+    for service in ("kassa", "kuitti", "unknown"):
+        active = open_snapshot(catalog.snapshot(Scope(service, "pasila")))
+        assert {each.route for each in active.routes} == set(sent[-1])
+
+
+def test_a_split_is_read_back_with_its_weights() -> None:
+    wanted = read(routes={"pay": route(service=None, split=SPLIT)})
+    tree = put(empty_tree("mesh"), wanted)
+    assert configuration_of(tree) == wanted
+    assert resolve_route(tree, "kassa", "*", "pay").settings.splits == (
+        "kassa=90",
+        "kuitti=0",
+    )
+
+
+def test_services_may_send_calls_to_each_other() -> None:
+    other = [{"service": "kuitti", "weight": 1}, {"service": "kassa", "weight": 1}]
+    both = {
+        "pay": route(service=None, split=SPLIT),
+        "read": route(path_prefix="/read/", service=None, split=other),
+    }
+    put(empty_tree("mesh"), read(routes=both))
+
+
+def test_what_most_routes_share_is_inherited_and_a_change_is_small() -> None:
+    many = {f"r{number}": route(path_prefix=f"/r{number}/") for number in range(50)}
+    tree = put(empty_tree("mesh"), read(routes=many))
+    assert tree.nodes["/kassa"].overrides.timeout_milliseconds == 2_500
+    assert tree.nodes["/kassa/*/r7"].overrides.timeout_milliseconds is msgspec.UNSET
+    many["r7"]["timeout_milliseconds"] = 77
+    edit = edit_of(tree, read(version=8, base=7, routes=many))
+    assert [operation.path for operation in edit.operations] == ["/kassa/*/r7"]  # type: ignore[union-attr]
+
+
+def test_the_same_content_is_an_edit_without_operations() -> None:
+    tree = put(empty_tree("mesh"), read())
+    again = edit_of(tree, read(version=9, base=7))
+    assert again.operations == ()
+    assert apply_edit(tree, again, 2).unwrap().tree.release == 9
+
+
+@pytest.mark.parametrize(("version", "base"), [(9, 6), (7, 6), (8, 9)])
+def test_another_base_is_a_conflict(version: int, base: int) -> None:
+    tree = put(empty_tree("mesh"), read())
+    edit = edit_of(tree, read(version=version, base=base))
+    refused = apply_edit(tree, edit, 2).failure()
+    assert isinstance(refused, EditConflict)
+    assert refused.actual_revision == 7
+
+
+INVALID = {
+    "unknown service": {"routes": {"pay": route(service="nobody")}},
+    "no weight": {
+        "routes": {
+            "pay": route(service=None, split=[{"service": "kassa", "weight": 0}]),
+        }
+    },
+    "no time-out": {"routes": {"pay": route(timeout_milliseconds=0)}},
+    "no attempts": {"routes": {"pay": route(attempts=0)}},
+    "no host": {"routes": {"pay": route(host="")}},
+    "no target": {"routes": {"pay": route(service=None)}},
+    "two targets": {"routes": {"pay": route(split=SPLIT)}},
+    "old version": {"version": 3, "base": 7},
+}
+
+
+@pytest.mark.parametrize("name", INVALID)
+def test_invalid_configurations_have_problems(name: str) -> None:
+    assert find_problems(read(**INVALID[name]))
+
+
+@pytest.mark.parametrize(
+    "text", [b"", b"{", b"[]", b"null", b'{"version":7}', b"\xff", b"[" * 5_000]
+)
+def test_unreadable_bodies_are_problems(text: bytes) -> None:
+    assert isinstance(decode_configuration(text), Failure)
+
+
+def test_a_body_cut_anywhere_is_a_problem() -> None:
+    whole = encode_configuration(read())
+    for end in range(len(whole)):
+        assert isinstance(decode_configuration(whole[:end]), Failure)
+
+
+def test_the_change_id_names_all_of_the_content() -> None:
+    first = change_id_of(read())
+    assert first == change_id_of(read())
+    assert first != change_id_of(read(base=1))
+    assert first != change_id_of(read(routes={"pay": route(priority=2)}))
