A node is back soon after its relays are reached again

Its relays were cut off; every one was tried in turn, each attempt for up to 2.1 s, with waits of up to 4 s between, so that it could be without a relay for 6 s after the cut had healed. Ruled out: an update that was sent and not taken (the log shows no session).

--- a/src/peppershore/connection/link.py
+++ b/src/peppershore/connection/link.py
@@ -19,7 +19,10 @@
 from peppershore.connection.messages import Message
 from peppershore.connection.tls_admission import TlsAdmission
 
-CONNECT_TIMEOUT_SECONDS = 3.0
+CONNECT_TIMEOUT_SECONDS = 1.0
+"""A machine that is cut off says nothing: a new attempt soon after it is back is worth
+more than an old one whose first packet was lost."""
+
 MAX_QUEUED_BYTES = 128 * 1024 * 1024
 FLUSH_SECONDS = 5.0
 """A closed link that has not sent what was queued by then is cut."""
--- a/src/peppershore/process/endpoints/exchange.py
+++ b/src/peppershore/process/endpoints/exchange.py
@@ -57,7 +57,7 @@
 RESUME_GRACE_SECONDS = 4.0
 """What is left of the lease, at least, when this relay goes on after a pause."""
 BACKOFF_BASE_SECONDS = 0.2
-BACKOFF_CEILING_SECONDS = 5.0
+BACKOFF_CEILING_SECONDS = 1.0
 
 
 @dataclass(slots=True)
--- a/src/peppershore/process/node/relay_choice.py
+++ b/src/peppershore/process/node/relay_choice.py
@@ -11,9 +11,6 @@
 from peppershore.process.settings import NodeSettings, PeerRelay
 
 BACKOFF_BASE_SECONDS = 0.1
-BACKOFF_CEILING_SECONDS = 4.0
-"""With the bound of a connection attempt still less than the lease of endpoints and
-the time for which relays wait for a node that is away (8 s each)."""
 AVOID_SECONDS = 10.0
 """How long a relay that failed or went stale is passed over."""
 
@@ -24,6 +21,7 @@
     def __init__(self, settings: NodeSettings) -> None:
         """Rank the relays of the settings."""
         self._settings = settings
+        self._ceiling_seconds = settings.reconnect_milliseconds / 1_000
         self._seeds = settings.relays
         self._listed: tuple[PeerRelay, ...] = ()
         self._ranked = self._rank()
@@ -77,7 +75,7 @@
     def wait_seconds(self, randomness: Randomness) -> float:
         """Give the wait before the next attempt, with full jitter."""
         return randomness.backoff_seconds(
-            self._failures, BACKOFF_BASE_SECONDS, BACKOFF_CEILING_SECONDS
+            self._failures, BACKOFF_BASE_SECONDS, self._ceiling_seconds
         )
 
     def _rank(self) -> tuple[PeerRelay, ...]:
--- a/src/peppershore/process/node/relay_sessions.py
+++ b/src/peppershore/process/node/relay_sessions.py
@@ -30,7 +30,10 @@
 CONNECT_TIMER = "relay.connect"
 WATCH_TIMER = "relay.watch"
 
-WATCH_SECONDS = 0.5
+WATCH_SECONDS = 0.25
+OPENING_SECONDS = 1.0
+"""A link that is not open by then is given up: its machine may be cut off."""
+
 RELAY_LISTED_SECONDS = 0.2
 """A node that learns of a relay in its own zone moves there within this time."""
 
@@ -228,7 +231,8 @@
 
     def _is_silent(self, session: RelaySession, now: float) -> bool:
         """Tell whether nothing was heard for too long."""
-        return now - session.last_heard > self._silence_seconds
+        bound = self._silence_seconds if session.is_open else OPENING_SECONDS
+        return now - session.last_heard > min(bound, self._silence_seconds)
 
     def _is_stale(self, session: RelaySession, now: float) -> bool:
         """Tell whether the relay's version was confirmed too long ago."""
--- a/src/peppershore/process/settings.py
+++ b/src/peppershore/process/settings.py
@@ -190,6 +190,7 @@
     take_over: bool = False
     stop_bound_milliseconds: int = 30_000
     rebalance_milliseconds: int = 60_000
+    reconnect_milliseconds: int = 4_000
     silence_milliseconds: int = 4_000
     stale_milliseconds: int = 6_000
     seeds: tuple[str, ...] = ()
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -93,6 +93,7 @@
 admin_listen = "127.0.0.1:7921"    # /metrics, /healthz, /readyz, /configuration
 stop_bound_milliseconds = 30000    # longest wait for calls in flight at a planned stop
 rebalance_milliseconds = 60000     # how often to look for a better relay
+reconnect_milliseconds = 4000      # longest wait before another relay is tried
 silence_milliseconds = 4000        # a relay that says nothing for so long is left
 stale_milliseconds = 6000          # a relay not confirmed for so long is left
 take_over = false                  # listen beside a node that is about to stop
--- a/src/peppershore/process/settings_rules.py
+++ b/src/peppershore/process/settings_rules.py
@@ -157,6 +157,7 @@
     "seeds": peer_rule,
     "tolerated_losses": between(0, 10, "replicas"),
     "wanted_voters": between(0, 21, "replicas"),
+    "reconnect_milliseconds": between(100, 4_000, "milliseconds"),
     "rebalance_milliseconds": between(100, 3_600_000, "milliseconds"),
     "silence_milliseconds": between(50, 600_000, "milliseconds"),
     "stale_milliseconds": between(50, 600_000, "milliseconds"),
--- a/tests/node/test_node_core.py
+++ b/tests/node/test_node_core.py
@@ -21,9 +21,16 @@
 )
 from peppershore.connection.update_packing import pack_update
 from peppershore.process import events
-from peppershore.process.commands import CloseLink, Command, OpenLink, SendMessage
+from peppershore.process.commands import (
+    CloseLink,
+    Command,
+    OpenLink,
+    SendMessage,
+    SetTimer,
+)
 from peppershore.process.node.commands import ConfigurationSwapped, PersistSnapshot
 from peppershore.process.node.core import NodeCore, NodeMemory
+from peppershore.process.node.relay_sessions import CONNECT_TIMER, WATCH_TIMER
 from peppershore.process.settings import NodeSettings, PeerRelay
 from peppershore.version.catalog import ScopeCatalog
 from peppershore.version.model import Edit, Overrides, Scope, SetOverrides, SetZone, Tree
@@ -74,7 +81,12 @@
 class Bench:
     """A node with its first link open and its hello sent."""
 
-    def __init__(self, data_folder: str = "", memory: NodeMemory | None = None) -> None:
+    def __init__(
+        self,
+        data_folder: str = "",
+        memory: NodeMemory | None = None,
+        reconnect_milliseconds: int = 4_000,
+    ) -> None:
         relays = tuple(
             PeerRelay(name=name, zone="pasila", address=name) for name in ("r1", "r2")
         )
@@ -86,6 +98,7 @@
             listen="",
             relays=relays,
             data_folder=data_folder,
+            reconnect_milliseconds=reconnect_milliseconds,
         )
         self.core = NodeCore(settings, memory or NodeMemory(1))
         self.now = 100.0
@@ -267,3 +280,18 @@
     closed = [each for each in out if isinstance(each, CloseLink)]
     opened = [each for each in out if isinstance(each, OpenLink)]
     assert (len(closed), len(opened)) == (1, 1)
+
+
+def test_after_a_long_cut_a_node_is_back_soon_after_its_relays_are_reached() -> None:
+    bench = Bench(reconnect_milliseconds=250)
+    bench.receive(offer(1))
+    waits: list[float] = []
+    for _ in range(60):
+        timers = [each for each in bench.out if isinstance(each, SetTimer)]
+        waits += [each.delay_seconds for each in timers if each.timer == CONNECT_TIMER]
+        bench.now += 0.25
+        bench.give(events.TimerFired(WATCH_TIMER))
+        if any(each.timer == CONNECT_TIMER for each in timers):
+            bench.give(events.TimerFired(CONNECT_TIMER))
+    assert len(waits) >= 8
+    assert max(waits) <= 0.25
