--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -35,6 +35,7 @@
     next_step,
 )
 from peppershore.request.outcome import (
+    BUSY,
     STATUS_BAD_GATEWAY,
     STATUS_BAD_REQUEST,
     STATUS_BODY_TOO_LARGE,
@@ -324,7 +325,7 @@
         if self._over or self._answer.begun:
             return False
         self._progress = _counted(self._progress, failed)
-        step = next_step(self._progress, failed, self._terms())
+        step = next_step(self._progress, failed, self._terms(failed.reason == BUSY))
         if isinstance(step, GiveUp):
             return False
         delay = self._calls.retry_delay(
@@ -350,12 +351,12 @@
             return False
         return self._tries_again_after(failed, verdict)
 
-    def _terms(self) -> AttemptTerms:
+    def _terms(self, for_free_slot: bool) -> AttemptTerms:
         tried = self._excluded | self._own_try
         return AttemptTerms(
             repeatable=self.plan.repeatable,
             most_offers=self.plan.settings.retry_attempts + 1,
-            has_other=self._calls.has_back_end_besides(self.plan, tried),
+            has_other=self._calls.has_back_end_besides(self.plan, tried, for_free_slot),
             replayable=self._body.replayable,
         )
 
--- a/src/peppershore/process/node/data/call_entry.py
+++ b/src/peppershore/process/node/data/call_entry.py
@@ -16,7 +16,7 @@
     Caller,
 )
 from peppershore.request.caller_rate import CallerRates
-from peppershore.request.classification import CallPlan, classify
+from peppershore.request.classification import CallPlan, classify, first_in_line
 from peppershore.request.outcome import (
     AUTHORIZATION_HEADER,
     STATUS_TOO_MANY_REQUESTS,
@@ -93,6 +93,8 @@
         if isinstance(classified, Failure) or configuration is None:
             return classified.map(lambda plan: EntryPlan(plan, Caller("")))
         plan = classified.unwrap()
+        if self._from_own_backend(head):
+            plan = first_in_line(plan, now)
         checked = self._check_audience(plan, configuration, head, now)
         if isinstance(checked, Failure):
             return Failure(checked.failure())
@@ -146,9 +148,5 @@
             if token:
                 headers.append((AUTHORIZATION_HEADER, token))
 
-    def is_inner(self, head: RequestHead) -> bool:
-        """Whether a call comes from the back end beside this node."""
-        return self._from_own_backend(head)
-
     def _from_own_backend(self, head: RequestHead) -> bool:
         return bool(self._backend_host) and head.peer_address == self._backend_host
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -255,10 +255,16 @@
                 )
         return LinkAttempt(self._links, endpoint.owner_address, request, sink)
 
-    def has_back_end_besides(self, plan: CallPlan, nodes: frozenset[str]) -> bool:
-        """Whether a call can go to a back end that is none of these nodes'."""
+    def has_back_end_besides(
+        self, plan: CallPlan, nodes: frozenset[str], for_free_slot: bool = False
+    ) -> bool:
+        """Whether a call can go to a back end that is none of these nodes'.
+
+        ``for_free_slot``: only one counts that may have a slot free now.
+        """
         admission = self._admission(plan.target)
-        return admission is not None and admission.has_besides(nodes)
+        now = self.loop.time() if for_free_slot else None
+        return admission is not None and admission.has_besides(nodes, now)
 
     def retry_delay(
         self, plan: CallPlan, offers: int, now: float, costs_budget: bool
--- a/src/peppershore/process/node/data/verdicts.py
+++ b/src/peppershore/process/node/data/verdicts.py
@@ -4,6 +4,7 @@
 
 from peppershore.request.endpoint_state import Verdict
 from peppershore.request.outcome import (
+    BUSY,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
     Failed,
@@ -21,7 +22,12 @@
 
 
 def verdict_of_failure(failed: Failed) -> Verdict | None:
-    """Judge by a failure: a refusal for load or a drain is no fault."""
+    """Judge by a failure: a refusal for load or a drain is no fault.
+
+    That no slot was free at one moment says nothing of the next.
+    """
+    if failed.reason == BUSY:
+        return None
     if not isinstance(failed, NotRun):
         return "late" if failed.status == STATUS_GATEWAY_TIMEOUT else "failed"
     return "failed" if failed.reason in UNREACHABLE_REASONS else "shed"
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -33,7 +33,7 @@
 """Share of all slots that bulk calls may hold, so that others find room."""
 
 MIN_RETRY_AFTER_MILLISECONDS = 100
-NOBODY_READY_RETRY_AFTER_MILLISECONDS = 1_000
+NOBODY_READY_RETRY_AFTER_MILLISECONDS = 250
 
 
 class Dispatch(msgspec.Struct, frozen=True):
@@ -87,9 +87,15 @@
         """Calls that hold a slot."""
         return sum(state.in_flight for state in self._states.values())
 
-    def has_besides(self, nodes: frozenset[str]) -> bool:
-        """Whether a ready back end is none of these nodes'."""
-        return any(node not in nodes for node in self._offered)
+    def has_besides(self, nodes: frozenset[str], now: float | None = None) -> bool:
+        """Whether a ready back end is none of these nodes'.
+
+        With ``now``, one that was full or refused for load a moment ago does not count.
+        """
+        return any(
+            node not in nodes and (now is None or not state.sheds(now))
+            for node, state in self._offered.items()
+        )
 
     def state(self, node: str) -> EndpointState | None:
         """Give what is known of one back end."""
@@ -278,7 +284,8 @@
         """An owner told how loaded its back end is."""
         state = self._states.get(node)
         if state is not None:
-            state.note_load(load, now)
+            is_far = state.endpoint.zone != self._zone
+            state.note_load(load, now, is_far)
 
     @staticmethod
     def _refusal(reason: str, wait: float, retryable: bool = False) -> NotRun:
--- a/src/peppershore/request/classification.py
+++ b/src/peppershore/request/classification.py
@@ -26,7 +26,10 @@
 PATIENCE_SHARE = 0.25
 """Part of a route's target latency for which a call may wait for a slot."""
 
-NO_CONFIGURATION_RETRY_AFTER_MILLISECONDS = 1_000
+INNER_PATIENCE_SHARE = 0.6
+"""Part of its time for which a call of a back end may wait for a slot."""
+
+NO_CONFIGURATION_RETRY_AFTER_MILLISECONDS = 250
 
 
 class CallPlan(msgspec.Struct, frozen=True):
@@ -101,6 +104,15 @@
     return now + latency * PATIENCE_SHARE / MILLISECONDS if latency else math.inf
 
 
+def first_in_line(plan: CallPlan, now: float) -> CallPlan:
+    """Let a call that a back end makes for one it is running go before new calls.
+
+    Refused, it would waste all the work done so far, so it also waits longer.
+    """
+    start_by = now + (plan.deadline - now) * INNER_PATIENCE_SHARE
+    return msgspec.structs.replace(plan, call_class="critical", start_by=start_by)
+
+
 def host_of(head: RequestHead) -> str:
     """Give the host a request names, in lower case and without its port."""
     host = head.header(b"host").decode("latin-1").lower()
--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -39,8 +39,10 @@
 LOAD_SECONDS = 0.5
 """What a back end's own node told of its load counts for so long."""
 
-FULL_SECONDS = 0.01
-"""A back end whose slots are all taken is passed over for so long."""
+FULL_SECONDS = 0.005
+FAR_FULL_SECONDS = 0.25
+"""A back end whose slots are all taken is passed over for so long, in the own zone and
+in another one."""
 
 FIRST_EJECTION_SECONDS = 1.0
 MAX_EJECTION_SECONDS = 30.0
@@ -112,12 +114,17 @@
         """Whether it refused for load a moment ago: others go first."""
         return now < self.passed_over_until
 
-    def note_load(self, load: OwnerLoad, now: float) -> None:
-        """The back end's own node told how many calls it has, of all callers."""
+    def note_load(self, load: OwnerLoad, now: float, is_far: bool) -> None:
+        """The back end's own node told how many calls it has, of all callers.
+
+        ``is_far``: it is in another zone, so that asking in vain costs bytes between
+        zones.
+        """
         self._others = max(0, load.running + load.waiting - self.in_flight)
         self._load_at = now
         if load.running >= load.slots:
-            self.passed_over_until = max(self.passed_over_until, now + FULL_SECONDS)
+            pause = FAR_FULL_SECONDS if is_far else FULL_SECONDS
+            self.passed_over_until = max(self.passed_over_until, now + pause)
 
     def cost(self, now: float) -> float:
         """Give the expected cost of one more call; lower is better."""
--- a/src/peppershore/request/outcome.py
+++ b/src/peppershore/request/outcome.py
@@ -16,7 +16,7 @@
 AUTHORIZATION_HEADER = b"authorization"
 RETRY_AFTER_HEADER = b"retry-after"
 
-UNREACHABLE_RETRY_AFTER_MILLISECONDS = 1_000
+UNREACHABLE_RETRY_AFTER_MILLISECONDS = 250
 """Advice after a refusal because nobody could be reached."""
 
 DEADLINE_RETRY_AFTER_MILLISECONDS = 100
--- a/tests/request/test_call_decisions.py
+++ b/tests/request/test_call_decisions.py
@@ -8,7 +8,7 @@
 from peppershore.connection.http_head import RequestHead
 from peppershore.process.randomness import Randomness
 from peppershore.request.caller_rate import CallerRates
-from peppershore.request.classification import classify
+from peppershore.request.classification import classify, first_in_line
 from peppershore.request.deadline import parse_remaining, remaining_milliseconds
 from peppershore.request.outcome import NotRun, Unknown, worse
 from peppershore.request.retry_budget import (
@@ -130,3 +130,12 @@
 def test_results_are_values() -> None:
     assert isinstance(classify(_configuration(), _head(), 0.0, RANDOM), Success)
     assert isinstance(classify(None, _head(), 0.0, RANDOM), Failure)
+
+
+def test_a_call_made_for_a_running_one_goes_first_and_waits_longer() -> None:
+    latency = _configuration(target_latency_milliseconds=100, timeout_milliseconds=600)
+    outer = classify(latency, _head(), 5.0, RANDOM).unwrap()
+    assert (outer.call_class, outer.start_by) == ("normal", pytest.approx(5.025))
+    inner = first_in_line(outer, 5.0)
+    assert (inner.call_class, inner.start_by) == ("critical", pytest.approx(5.36))
+    assert inner.deadline == outer.deadline
