--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -42,7 +42,7 @@
 )
 from peppershore.process.link_numbers import LinkNumbers
 from peppershore.process.node import notices
-from peppershore.process.node.back_end_reports import BackEndReports
+from peppershore.process.node.back_end_reports import STATE_READY, BackEndReports
 from peppershore.process.node.commands import (
     BackEndViewed,
     ConfigurationSwapped,
@@ -114,6 +114,7 @@
         silent_seconds = settings.back_end_silent_milliseconds / 1_000
         self._reports = BackEndReports(settings.service, silent_seconds)
         self._services: frozenset[str] = frozenset()
+        self._ready: dict[str, tuple[str, ...]] = {}
         self._pending: Snapshot | None = None
         self._pending_from: RelaySession | None = None
         self._token = 0
@@ -373,7 +374,7 @@
         when a version between, from another relay, doesn't hold those services.
         """
         if self.known.forget_services_but(services):
-            self._out.append(EndpointsSwapped(self.known.endpoints))
+            self._swap_endpoints()
         has_new = not services <= self._services
         self._services = services
         if has_new and self.sessions.active is not None:
@@ -394,13 +395,28 @@
                 self._announce()
         is_heeded = self.sessions.active in (None, session)
         if is_heeded and self.known.take(message):
-            self._out.append(EndpointsSwapped(self.known.endpoints))
+            self._swap_endpoints()
 
     def _compare_endpoints(self, session: RelaySession, message: EndpointsHeld) -> None:
         digest = self.known.digest
         if message.digest != digest:
             self._out.append(SendMessage(session.link, EndpointsHeld(digest)))
 
+    def _swap_endpoints(self) -> None:
+        """Let calls go by the endpoints known now; say of which services that is news."""
+        endpoints = self.known.endpoints
+        self._out.append(EndpointsSwapped(endpoints))
+        ready: dict[str, list[str]] = {}
+        for endpoint in endpoints:
+            of_service = ready.setdefault(endpoint.service, [])
+            if endpoint.state == STATE_READY:
+                of_service.append(endpoint.node)
+        for service in sorted(ready.keys() | self._ready.keys()):
+            nodes = tuple(sorted(ready.get(service, ())))
+            if nodes != self._ready.get(service):
+                self._report(notices.BackEndsKnown(service, nodes))
+        self._ready = {name: tuple(sorted(nodes)) for name, nodes in ready.items()}
+
     def _viewed(self, changed: bool) -> None:
         """The back end said something new of itself: tell its node and all others."""
         if not changed:
@@ -415,7 +431,7 @@
     def _know_own_endpoint(self) -> None:
         """The node's own calls heed it at once, not only when a relay repeats it."""
         if self.known.take(EndpointsChanged((self._own.current,))):
-            self._out.append(EndpointsSwapped(self.known.endpoints))
+            self._swap_endpoints()
 
     def _backend_state(self, state: str) -> None:
         if self._own.exists and self._own.change_state(state):
--- a/src/peppershore/process/node/notices.py
+++ b/src/peppershore/process/node/notices.py
@@ -37,6 +37,13 @@
     slots: int
 
 
+class BackEndsKnown(Notice, frozen=True):
+    """From now on calls of a service go to the back ends beside these nodes."""
+
+    service: str
+    ready: tuple[str, ...]
+
+
 class NodePaused(Notice, frozen=True):
     """The process stood still for so long; it begins anew with the relays."""
 
--- a/src/peppershore/request/classification.py
+++ b/src/peppershore/request/classification.py
@@ -26,7 +26,7 @@
 PATIENCE_SHARE = 0.25
 """Part of a route's target latency for which a call may wait for a slot."""
 
-INNER_PATIENCE_SHARE = 0.6
+INNER_PATIENCE_SHARE = 0.4
 """Part of its time for which a call of a back end may wait for a slot."""
 
 NO_CONFIGURATION_RETRY_AFTER_MILLISECONDS = 250
