--- a/src/peppershore/process/control/followers.py
+++ b/src/peppershore/process/control/followers.py
@@ -15,6 +15,9 @@
 from peppershore.version.model import Version
 
 MAX_EDITS_IN_MESSAGE = 200
+MAX_EDITS_TO_CATCH_UP = 50
+"""A relay that lacks more gets the whole tree: taking edits one by one costs it some
+milliseconds each, just when its nodes wait for it."""
 
 
 class Followers:
@@ -32,9 +35,11 @@
         self._sent[link] = max(after, version)
         if after >= version:
             return []
-        if after < self._state.history.base_version:
+        if after == 0 or after < self._state.history.base_version:
             return [SendMessage(link, TreeState(self._state.tree))]
         edits = self._state.history.edits_after(after)
+        if len(edits) > MAX_EDITS_TO_CATCH_UP:
+            return [SendMessage(link, TreeState(self._state.tree))]
         return [SendMessage(link, message) for message in _messages(edits)]
 
     def leave(self, link: LinkId) -> None:
