One log line for each call that was not answered, at both nodes it passed

Cause: on-call could not follow a request: failures were debug lines without their inputs, on standard error, and a slow reader could have held a process up. Now a call's line holds every attempt, what its choice went by and how old that was; the back end's node writes its own line under the same request id. A histogram counts calls by service, route, outcome and reason.

Ruled out: making standard output non-blocking, for the flag is shared with whoever else holds the file.

--- a/src/peppershore/command/serve.py
+++ b/src/peppershore/command/serve.py
@@ -28,6 +28,9 @@
 from peppershore.process.settings_loader import load_settings
 from peppershore.process.settings_watch import SettingsWatch
 
+ProcessSettings = (
+    ControlSettings | HubSettings | RelaySettings | NodeSettings | ClaimsSettings
+)
 Kind = TypeVar("Kind", bound=SettingsValue)
 OnReady = Callable[[int], None]
 Arguments = dict[str, Any]
@@ -84,7 +87,7 @@
     from peppershore.process.control.shell import run_control  # noqa: PLC0415
 
     settings = _read("control", ControlSettings, settings_path, arguments)
-    _configure("control", settings.replica, settings.log_level, settings.cluster)
+    _configure("control", settings.replica, settings)
     _run(lambda on_ready: run_control(settings, on_ready))
 
 
@@ -96,7 +99,7 @@
     from peppershore.process.hub.shell import run_hub  # noqa: PLC0415
 
     settings = _read("hub", HubSettings, settings_path, arguments)
-    _configure("hub", settings.host, settings.log_level, settings.cluster)
+    _configure("hub", settings.host, settings)
     watch = _watch(HubSettings, settings_path, settings)
     _run(lambda on_ready: run_hub(settings, on_ready, watch))
 
@@ -109,7 +112,7 @@
     from peppershore.process.relay.shell import run_relay  # noqa: PLC0415
 
     settings = _read("relay", RelaySettings, settings_path, arguments)
-    _configure("relay", settings.relay, settings.log_level, settings.cluster)
+    _configure("relay", settings.relay, settings)
     _run(lambda on_ready: run_relay(settings, on_ready))
 
 
@@ -121,7 +124,7 @@
     from peppershore.process.node.shell import run_node  # noqa: PLC0415
 
     settings = _read("node", NodeSettings, settings_path, arguments)
-    _configure("node", settings.node, settings.log_level, settings.cluster)
+    _configure("node", settings.node, settings)
     watch = _watch(NodeSettings, settings_path, settings)
     _run(lambda on_ready: run_node(settings, on_ready, watch))
 
@@ -134,7 +137,7 @@
     from peppershore.process.claims.shell import run_claims  # noqa: PLC0415
 
     settings = _read("claims", ClaimsSettings, settings_path, arguments)
-    _configure("claims", settings.replica, settings.log_level, settings.cluster)
+    _configure("claims", settings.replica, settings)
     _run(lambda on_ready: run_claims(settings, on_ready))
 
 
@@ -152,9 +155,9 @@
     return None if path is None else SettingsWatch(kind, path, current)
 
 
-def _configure(role: str, process: str, level: str, cluster: str) -> None:
-    configure_logging(LogIdentity(role, process), level)
-    write_notice(ProcessStarting(cluster))
+def _configure(role: str, process: str, settings: ProcessSettings) -> None:
+    configure_logging(LogIdentity(role, process), settings.log_level, settings.log_to)
+    write_notice(ProcessStarting(settings.cluster))
 
 
 class Announcer:
--- a/src/peppershore/process/logging.py
+++ b/src/peppershore/process/logging.py
@@ -1,6 +1,7 @@
-"""JSON lines on standard error, through ``absl.logging``.
+"""JSON lines on standard error or standard output, through ``absl.logging``.
 
-Each line is one object: ``time`` (Unix milliseconds), ``level``, ``event`` (a
+Each line is one object: ``time`` (Unix milliseconds), ``monotonic`` (seconds, of this
+machine), ``level``, ``event`` (a
 stable snake-case name), ``role`` and ``process``, then the event's own fields.
 Bytes never reach a line: key material is always bytes in this system.
 """
@@ -11,6 +12,7 @@
 import logging
 import re
 import sys
+import time
 import traceback
 from collections.abc import Callable
 
@@ -19,6 +21,12 @@
 from absl import logging as absl_logging
 
 from peppershore.process.commands import Notice
+from peppershore.process.log_output import (
+    CALL_LINES_BURST,
+    CALL_LINES_PER_SECOND,
+    BoundedOutput,
+    LineBudget,
+)
 from peppershore.process.public_value import public_struct
 
 LEVELS: dict[str, int] = {
@@ -29,6 +37,8 @@
 }
 """Names allowed for ``log_level`` and absl's number for each."""
 
+STANDARD_ERROR = "standard-error"
+STANDARD_OUTPUT = "standard-output"
 MILLISECONDS_PER_SECOND = 1_000
 _RECORD_FIELDS = "peppershore_fields"
 _WORD_START = re.compile(r"(?<=[a-z0-9])(?=[A-Z])")
@@ -49,20 +59,50 @@
     return _WORD_START.sub("_", notice_type.__name__).lower()
 
 
-def configure_logging(identity: LogIdentity, level: str) -> None:
+def configure_logging(
+    identity: LogIdentity, level: str, log_to: str = STANDARD_ERROR
+) -> None:
     """Send every log record of this process, also of libraries, out as JSON lines.
 
-    ``level`` is one of ``LEVELS``; settings are checked before they come here.
+    ``level`` is one of ``LEVELS``, ``log_to`` one of ``LOG_TARGETS``; settings are
+    checked before they come here.  On standard output lines are bounded and never
+    wait for their reader.
     """
     flags.FLAGS.mark_as_parsed()  # click reads the command line, not absl
     absl_logging.use_absl_handler()
     absl_logging.set_verbosity(LEVELS[level])
     handler = absl_logging.get_absl_handler()
-    handler.python_handler.stream = sys.stderr
-    handler.setFormatter(JsonLineFormatter(identity))
+    if log_to == STANDARD_OUTPUT:
+        root = logging.getLogger()
+        root.removeHandler(handler)
+        bounded = BoundedHandler(BoundedOutput(sys.stdout.fileno()))
+        bounded.setFormatter(JsonLineFormatter(identity))
+        root.addHandler(bounded)
+    else:
+        handler.python_handler.stream = sys.stderr
+        handler.setFormatter(JsonLineFormatter(identity))
     logging.captureWarnings(True)
 
 
+class BoundedHandler(logging.Handler):
+    """Hands lines to a bounded output; those of single calls are also counted."""
+
+    def __init__(self, output: BoundedOutput) -> None:
+        """Write to ``output``."""
+        super().__init__()
+        self._output = output
+        self._budget = LineBudget(CALL_LINES_PER_SECOND, CALL_LINES_BURST)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record, unless there are too many of its kind."""
+        notice = getattr(record, _RECORD_FIELDS, None)
+        is_call = bool(getattr(type(notice), "is_call", False))
+        if is_call and not self._budget.take(time.monotonic()):
+            self._output.drop_call()
+            return
+        self._output.write(self.format(record), is_call)
+
+
 def write_notice(notice: Notice) -> None:
     """Write one notice as a log line; a ``NoticeSink``."""
     name = event_name(type(notice))
@@ -90,6 +130,7 @@
         """Give the line without its line feed."""
         line: dict[str, object] = {
             "time": int(record.created * MILLISECONDS_PER_SECOND),
+            "monotonic": round(time.monotonic(), 3),
             "level": record.levelname.lower(),
             "role": self._identity.role,
             "process": self._identity.process,
--- a/src/peppershore/process/metrics.py
+++ b/src/peppershore/process/metrics.py
@@ -11,7 +11,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 
@@ -25,6 +25,13 @@
 NAMESPACE = "peppershore"
 
 
+class MetricSource(Protocol):
+    """Something that has metrics of its own."""
+
+    def collect(self) -> Iterator[Metric]:
+        """Give the metrics of this moment."""
+
+
 class _Gauge(msgspec.Struct, frozen=True):
     name: str
     meaning: str
@@ -41,6 +48,7 @@
         self._created = time.time()
         self._events: Counter[str] = Counter()
         self._gauges: list[_Gauge] = []
+        self._sources: list[MetricSource] = []
         self.gauge("uptime_seconds", "Seconds since the process started.", self._uptime)
 
     def notice(self, notice: Notice) -> None:
@@ -52,12 +60,17 @@
         """Add ``peppershore_<name>``, read by ``read`` at each scrape."""
         self._gauges.append(_Gauge(f"{NAMESPACE}_{name}", meaning, read))
 
+    def add_source(self, source: MetricSource) -> None:
+        """Show the metrics of ``source`` too."""
+        self._sources.append(source)
+
     def render(self) -> bytes:
         """Give the page in the Prometheus text format."""
         from prometheus_client import CollectorRegistry, generate_latest  # noqa: PLC0415
 
         registry = CollectorRegistry()
-        registry.register(self)
+        for source in (self, *self._sources):
+            registry.register(source)
         return generate_latest(registry)
 
     def collect(self) -> Iterator[Metric]:
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -16,9 +16,10 @@
 from peppershore.connection.http_server import ServerExchange
 from peppershore.process.node.data.answer_relay import AnswerRelay
 from peppershore.process.node.data.attempt import Attempt, AttemptRequest
+from peppershore.process.node.data.call_story import StoryBook
 from peppershore.process.node.data.request_body import RequestBody
 from peppershore.process.node.data.verdicts import verdict_of_failure, verdict_of_status
-from peppershore.request.admission import Dispatch
+from peppershore.request.admission import Dispatch, Waiting
 from peppershore.request.claim import (
     ClaimDenied,
     ClaimGranted,
@@ -58,6 +59,7 @@
 own node on whether it ran; after that its outcome is unknown."""
 
 
+NO_STORY = StoryBook(0.0)
 SHED = Unknown(STATUS_UNAVAILABLE, "back-end-shed")
 FAILED = Unknown(STATUS_BAD_GATEWAY, "back-end-failed")
 """What an answer of the back end's own counts as when another may do better."""
@@ -86,6 +88,7 @@
         "_plan",
         "_request_id",
         "_retry",
+        "_story",
         "_ticket",
         "_timer",
     )
@@ -111,6 +114,7 @@
         self._excluded: frozenset[str] = frozenset()
         self._over = False
         self._retry: asyncio.TimerHandle | None = None
+        self._story = NO_STORY
         self._ticket: Ticket | None = None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -125,6 +129,7 @@
     def start(self) -> None:
         """Decide what the call is, and admit or refuse it."""
         self._calls.begun(self)
+        self._story = StoryBook(self._loop.time())
         planned = self._calls.plan(self._head)
         if isinstance(planned, Failure):
             self._fail(planned.failure())
@@ -168,7 +173,7 @@
         """Cancel, unless the answer is to be kept for a resend."""
         if self._over or (self._claim and self._begun and self._body.ended):
             return
-        self._calls.abandoned()
+        self._calls.abandoned(self._plan, self._request_id, self._story)
         self._give_up()
 
     def writing_paused(self) -> None:
@@ -215,9 +220,7 @@
             self._calls.complete_claim(
                 self._claim, self._claim_attempt, self._answer.kept()
             )
-        self._calls.answered(
-            self.plan, self._answer.status, self._request_id, self._began_at
-        )
+        self._calls.answered(self.plan, self._answer.status, self._request_id, self._story)
         self._finish(verdict_of_status(self._answer.status))
 
     def attempt_failed(self, failed: Failed) -> None:
@@ -248,7 +251,10 @@
             self._progress, tries=self._progress.tries + 1
         )
         self._began_at = self._loop.time()
-        attempt = self._calls.new_attempt(dispatch, self.plan, self._request(), self)
+        request = self._request()
+        seen = self._calls.choice_seen(dispatch, self.plan, request.may_wait)
+        self._story.note_choice(self._began_at, dispatch.endpoint.node, seen)
+        attempt = self._calls.new_attempt(dispatch, self.plan, request, self)
         self._attempt = attempt
         attempt.start()
 
@@ -307,13 +313,17 @@
         else:
             self._over = True
             self._answer.give_kept(denied.answer, self._head.method == b"HEAD")
-            self._calls.answered(self.plan, denied.answer.status, self._request_id, 0.0)
+            self._calls.answered(
+                self.plan, denied.answer.status, self._request_id, self._story
+            )
             self._finish(None)
 
     def _admit(self) -> None:
         ticket = self._calls.ticket(self.plan, self._excluded)
         self._ticket = ticket
         decision = self._calls.offer(ticket, self.plan, self)
+        if isinstance(decision, Waiting):
+            self._story.note(self._loop.time(), "queued")
         if isinstance(decision, Dispatch):
             self.dispatched(decision)
         elif isinstance(decision, NotRun):
@@ -367,6 +377,8 @@
         return frozenset() if dispatch is None else frozenset({dispatch.endpoint.node})
 
     def _leave_attempt(self, failed: Failed, verdict: Verdict | None) -> None:
+        for node in self._own_try:
+            self._story.note_failure(self._loop.time(), node, failed)
         self._attempt = None
         self._begun = False
         self._excluded |= self._own_try
@@ -433,7 +445,7 @@
         self._answer.fail(failed)
         if self._claim and isinstance(failed, NotRun):
             self._calls.release_claim(self._claim, self._claim_attempt)
-        self._calls.failed(self._plan, failed, self._request_id)
+        self._calls.failed(self._plan, failed, self._request_id, self._story)
         self._finish(None)
 
     def _give_up(self) -> None:
--- a/src/peppershore/process/node/data/call_listener.py
+++ b/src/peppershore/process/node/data/call_listener.py
@@ -20,6 +20,7 @@
     SlotsLent,
     SlotsReturned,
 )
+from peppershore.process.node.data.call_log import CallLog
 from peppershore.process.node.data.link_guard import LinkGuard
 from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.served_stream import ServedStream
@@ -39,8 +40,11 @@
         longest_call_seconds: Callable[[], float],
         tls: ssl.SSLContext | None,
         guard: LinkGuard,
+        *,
+        log: CallLog,
     ) -> None:
         """``backend`` gives the authority, once the node has one."""
+        self._log = log
         self._guard = guard
         self._cluster = cluster
         self._backend = backend
@@ -92,7 +96,7 @@
         asyncio.get_running_loop().call_soon(call_link.start)
 
     def _started(self, link: CallLink, started: CallStarted) -> None:
-        stream = ServedStream(link, started)
+        stream = ServedStream(link, started, self._log)
         backend = self._backend()
         if backend is None:
             stream.refuse(NotRun(STATUS_UNAVAILABLE, "no-back-end", 0, True))
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import secrets
 from collections.abc import Callable
 from typing import TYPE_CHECKING
@@ -18,6 +19,15 @@
 from peppershore.process.node.data.attempt import Attempt, AttemptRequest, AttemptSink
 from peppershore.process.node.data.back_end_pools import BackEndPools
 from peppershore.process.node.data.call_entry import CallEntry, EntryPlan, Freshness
+from peppershore.process.node.data.call_figures import CallFigures
+from peppershore.process.node.data.call_log import CallLog
+from peppershore.process.node.data.call_story import (
+    CallEnd,
+    CallStory,
+    ChoiceSeen,
+    StoryBook,
+    failure_end,
+)
 from peppershore.process.node.data.direct_attempt import BackEndTerms, DirectAttempt
 from peppershore.process.node.data.link_attempt import LinkAttempt
 from peppershore.process.node.data.own_backend import OwnBackend
@@ -48,6 +58,8 @@
 owner counts the slots, this bounds what may wait there."""
 
 MILLISECONDS = 1_000
+NEVER_CONFIRMED = -1
+"""Shown for the age of a configuration that was never confirmed."""
 
 ClaimSink = Callable[[str, Result[ClaimGranted, ClaimDenied]], None]
 
@@ -78,8 +90,10 @@
         self.claims: ClaimsClient | None = None
         self.own: OwnBackend | None = None
         self.counts = CallCounts()
+        self.figures = CallFigures()
         self._settings = settings
         self._notice_sink = notice_sink
+        self.log = CallLog(notice_sink, settings.log_answered_every)
         self._random = random
         self._links = links
         self.names = wire_names(settings.headers)
@@ -307,36 +321,79 @@
             self._shared_budget(plan.target, self._bound).called(self.loop.time())
 
     def answered(
-        self, plan: CallPlan, status: int, request_id: bytes, since: float
+        self, plan: CallPlan, status: int, request_id: bytes, story: StoryBook
     ) -> None:
-        """Count an answered call."""
-        del plan, status, request_id, since
+        """Count an answered call; each so-many-th has its line."""
         self.counts.answered += 1
+        now = self.loop.time()
+        self.figures.ended(plan, "answered", "", now - story.began_at)
+        if self.log.takes_answered(request_id):
+            end = CallEnd("answered", "", status)
+            self._tell(plan, end, request_id, story)
 
-    def failed(self, plan: CallPlan | None, failed: Failed, request_id: bytes) -> None:
-        """Count a call that got no answer."""
-        not_run = isinstance(failed, NotRun)
-        if not_run:
+    def failed(
+        self, plan: CallPlan | None, failed: Failed, request_id: bytes, story: StoryBook
+    ) -> None:
+        """Count a call that got no answer, and write its line."""
+        end = failure_end(failed)
+        if isinstance(failed, NotRun):
             self.counts.not_run += 1
         else:
             self.counts.unknown += 1
-        self._notice_sink(
-            notices.CallFailedNotice(
-                service=plan.service if plan is not None else "",
-                route=plan.route if plan is not None else "",
-                outcome="not-run" if not_run else "unknown",
-                reason=failed.reason,
-                status=failed.status,
-                request_id=request_id.decode("latin-1"),
-            )
-        )
+        seconds = self.loop.time() - story.began_at
+        self.figures.ended(plan, end.outcome, end.reason, seconds)
+        self._tell(plan, end, request_id, story)
 
-    def abandoned(self) -> None:
-        """Count a call whose caller left."""
+    def abandoned(self, plan: CallPlan | None, request_id: bytes, story: StoryBook) -> None:
+        """Count a call whose caller left, and write its line."""
         self.counts.abandoned += 1
+        self.figures.ended(plan, "abandoned", "", self.loop.time() - story.began_at)
+        end = CallEnd("abandoned", "caller-left", 0)
+        self._tell(plan, end, request_id, story)
+
+    def choice_seen(self, dispatch: Dispatch, plan: CallPlan, may_wait: bool) -> ChoiceSeen:
+        """Give what the choice of a back end went by."""
+        now = self.loop.time()
+        state = self._admissions[plan.target].state(dispatch.endpoint.node)
+        if state is None:
+            return ChoiceSeen(0, 0, 0, may_wait)
+        return ChoiceSeen(
+            in_flight=state.in_flight,
+            load=state.others,
+            load_age_milliseconds=state.load_age_milliseconds(now),
+            may_wait=may_wait,
+        )
 
     # --- inside
 
+    def _tell(
+        self,
+        plan: CallPlan | None,
+        end: CallEnd,
+        request_id: bytes,
+        story: StoryBook,
+    ) -> None:
+        now = self.loop.time()
+        active = self.configuration
+        age = self.freshness.age_seconds(now)
+        self.log.write(
+            CallStory(
+                request_id=request_id.decode("latin-1"),
+                service="" if plan is None else plan.service,
+                route="" if plan is None else plan.route,
+                target="" if plan is None else plan.target,
+                version=0 if active is None else active.version,
+                configuration_age_milliseconds=(
+                    round(age * MILLISECONDS) if math.isfinite(age) else NEVER_CONFIRMED
+                ),
+                outcome=end.outcome,
+                reason=end.reason,
+                status=end.status,
+                milliseconds=story.milliseconds(now),
+                steps=story.steps,
+            )
+        )
+
     async def _claim(
         self, claims: ClaimsClient, key: str, attempt: str, seconds: float, sink: ClaimSink
     ) -> None:
--- a/src/peppershore/process/node/data/notices.py
+++ b/src/peppershore/process/node/data/notices.py
@@ -7,29 +7,6 @@
 from peppershore.process.commands import Notice
 
 
-class CallAnsweredNotice(Notice, frozen=True):
-    """A call ended with the back end's whole answer."""
-
-    level: ClassVar[str] = "debug"
-    service: str
-    route: str
-    status: int
-    request_id: str
-    milliseconds: float
-
-
-class CallFailedNotice(Notice, frozen=True):
-    """A call ended without an answer; ``outcome`` is "not-run" or "unknown"."""
-
-    level: ClassVar[str] = "debug"
-    service: str
-    route: str
-    outcome: str
-    reason: str
-    status: int
-    request_id: str
-
-
 class MalformedRequest(Notice, frozen=True):
     """A request that no two parsers surely read alike was refused."""
 
@@ -50,6 +27,7 @@
     """Calls of a service fail without a retry, as its budget is used up."""
 
     level: ClassVar[str] = "warning"
+    is_call: ClassVar[bool] = True
     service: str
 
 
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -14,13 +14,14 @@
 
 from peppershore.connection.http_head import AnswerHead, HeaderList
 from peppershore.connection.http_pool import ConnectionPool
-from peppershore.connection.messages import Endpoint, OwnerLoad
+from peppershore.connection.messages import Endpoint, HeaderFields, OwnerLoad
 from peppershore.process.node.back_end_reports import (
     STATE_GONE,
     STATE_READY,
     BackEndView,
 )
 from peppershore.process.node.data.attempt import AttemptRequest, AttemptSink
+from peppershore.process.node.data.call_story import ServedRecord
 from peppershore.process.node.data.direct_attempt import (
     OWN_TERMS,
     BackEndTerms,
@@ -92,6 +93,20 @@
         """How to speak with the present life of the back end."""
         return BackEndTerms(self._names, self._instance.encode("latin-1"))
 
+    def record(self, headers: HeaderFields) -> ServedRecord:
+        """Give what is known now that a peer's call comes."""
+        name = self._names.request_id
+        load = self.load
+        return ServedRecord(
+            request_id=next((value for field, value in headers if field == name), b""),
+            service=self._service,
+            instance=self._instance,
+            began_at=asyncio.get_running_loop().time(),
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
+        )
+
     def use_view(self, view: BackEndView, leaving_bound_seconds: float) -> None:
         """Take what the back end says of itself by heartbeats.
 
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -27,6 +27,13 @@
     OwnerLoad,
 )
 from peppershore.process.node.data.attempt import AttemptRequest
+from peppershore.process.node.data.call_log import CallLog
+from peppershore.process.node.data.call_story import (
+    CallEnd,
+    ServedRecord,
+    failure_end,
+    served_story,
+)
 from peppershore.process.node.data.own_backend import OwnAttempt, OwnBackend
 from peppershore.process.node.data.request_body import RequestBody
 from peppershore.request.outcome import (
@@ -56,16 +63,22 @@
         "_body",
         "_cancellable",
         "_link",
+        "_log",
         "_out",
         "_over",
         "_paused",
         "_receiving",
+        "_record",
         "_sending",
+        "_status",
         "_stream",
     )
 
-    def __init__(self, link: CallLink, started: CallStarted) -> None:
+    def __init__(self, link: CallLink, started: CallStarted, log: CallLog) -> None:
         """Bind to the stream; nothing happens before ``start``."""
+        self._log = log
+        self._record: ServedRecord | None = None
+        self._status = 0
         self._link: CallLink | None = link
         self._stream = started.stream
         self._cancellable = started.cancellable
@@ -90,6 +103,7 @@
             self.refuse(NotRun(STATUS_BAD_REQUEST, "malformed-fields"))
             return
         self._backend = backend
+        self._record = backend.record(started.headers)
         self._attempt = backend.attempt(_request(started), self)
         self._attempt.start()
 
@@ -130,6 +144,7 @@
     def answer_head(self, head: AnswerHead) -> None:
         """Keep the head until this batch ends: most answers are whole then."""
         self._answer_head = head
+        self._status = head.status
 
     def answer_data(self, data: bytes) -> None:
         """Queue a piece of the answer."""
@@ -144,6 +159,8 @@
         self._over = True
         self._flush(True, trailers)
         self._close()
+        if self._record is not None and self._log.takes_answered(self._record.request_id):
+            self._tell(CallEnd("answered", "", self._status))
 
     def attempt_failed(self, failed: Failed) -> None:
         """Tell the peer how the call failed."""
@@ -151,6 +168,7 @@
         if self._link is not None:
             self._link.send(_failure_message(self._stream, failed, self._load()))
         self._close()
+        self._tell(failure_end(failed))
 
     def sending_paused(self) -> None:
         """Give the peer no more credit."""
@@ -183,11 +201,17 @@
         self._over = True
         if self._attempt is not None:
             self._attempt.cancel()
+        failed = self._cancelled()
+        self._tell(failure_end(failed))
         if self._link is not None:
-            failed = self._cancelled()
             self._link.send(_failure_message(self._stream, failed, self._load()))
         self._close()
 
+    def _tell(self, end: CallEnd) -> None:
+        if self._record is not None:
+            now = asyncio.get_running_loop().time()
+            self._log.write(served_story(self._record, end, now))
+
     def _load(self) -> OwnerLoad | None:
         return None if self._backend is None else self._backend.load
 
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -105,6 +105,7 @@
             self._longest_call_seconds,
             server_tls,
             guard,
+            log=self.calls.log,
         )
         self._probe: BackendProbe | None = None
         self._on_backend_state: Callable[[str], None] | None = None
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -211,6 +211,9 @@
     admin = AdminServer(metrics, lambda: _readiness(core, data_plane), pages)
     if settings.admin_listen:
         await admin.start(settings.admin_listen)
+    extra_admin = AdminServer(metrics, lambda: _readiness(core, data_plane), pages)
+    if settings.metrics_listen:
+        await extra_admin.start(settings.metrics_listen)
     stop_on_signals(shell)
     shell.start()
     if on_ready is not None:
@@ -223,6 +226,7 @@
         await claims.settle(CLAIMS_NOTED_SECONDS)
         await claims.close()
     await admin.close()
+    await extra_admin.close()
     await reports.close()
     if watch is not None:
         watch.stop()
--- a/src/peppershore/process/settings.py
+++ b/src/peppershore/process/settings.py
@@ -8,6 +8,9 @@
 
 import msgspec
 
+LOG_TARGETS = ("standard-error", "standard-output")
+"""What ``log_to`` may be."""
+
 LOG_LEVELS = ("debug", "info", "warning", "error")
 """What ``log_level`` may be."""
 
@@ -69,6 +72,7 @@
     seeds: tuple[str, ...] = ()
     wanted_voters: int = 0
     log_level: str = "info"
+    log_to: str = "standard-error"
     tls: TlsFiles | None = None
 
 
@@ -99,6 +103,7 @@
     freshness_milliseconds: int = 500
     stale_after_milliseconds: int = 2_000
     log_level: str = "info"
+    log_to: str = "standard-error"
     tls: TlsFiles | None = None
     relay_tls: TlsFiles | None = None
 
@@ -124,6 +129,7 @@
     hold_milliseconds: int = 3_000
     lists_relays: bool = False
     log_level: str = "info"
+    log_to: str = "standard-error"
     tls: TlsFiles | None = None
 
 
@@ -167,6 +173,8 @@
     the port; they stand in for ``relays``.  With ``back_end_listen`` the back end tells
     of itself by heartbeats there, and is not probed.  With ``seek_free_slots`` a call
     asks the owners for a free slot one after the other before it waits for one.
+    Of answered calls each ``log_answered_every``-th has a log line (0: none), of
+    others every one.  ``metrics_listen`` is one more address for admin pages.
     ``take_over`` shares ``listen`` with a running node that is about to stop, from
     when this one holds a configuration.
     """
@@ -199,9 +207,12 @@
     back_end_silent_milliseconds: int = 8_000
     back_end_leaving_milliseconds: int = 1_000
     seek_free_slots: bool = False
+    log_answered_every: int = 0
+    metrics_listen: str = ""
     headers: HeaderSettings | None = None
     shared_retries: SharedRetrySettings | None = None
     log_level: str = "info"
+    log_to: str = "standard-error"
     tls: TlsFiles | None = None
 
 
@@ -225,6 +236,7 @@
     max_records: int = 500_000
     max_answer_megabytes: int = 64
     log_level: str = "info"
+    log_to: str = "standard-error"
     tls: TlsFiles | None = None
 
 
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -27,6 +27,7 @@
 wanted_voters = 0                  # above 0: the group keeps its membership itself
 seeds = []                         # then: addresses where others may be
 log_level = "info"                 # debug, info, warning or error
+log_to = "standard-error"          # or standard-output: bounded, never blocks
 
 [[replicas]]                       # the first members, this one included
 name = "control-1"
@@ -51,6 +52,7 @@
 freshness_milliseconds = 500       # between words to nodes of how fresh they are
 stale_after_milliseconds = 2000    # confirmation older than this: not ready
 log_level = "info"                 # debug, info, warning or error
+log_to = "standard-error"          # or standard-output: bounded, never blocks
 """
 
 _RELAY = """\
@@ -67,6 +69,7 @@
 lists_relays = false               # true: tell nodes which relays there are
 hold_milliseconds = 3000           # a changed route waits this long for a ready back end
 log_level = "info"                 # debug, info, warning or error
+log_to = "standard-error"          # or standard-output: bounded, never blocks
 
 [[replicas]]                       # every control replica
 name = "control-1"
@@ -99,12 +102,15 @@
 take_over = false                  # listen beside a node that is about to stop
 forward_unclaimed_keys = false     # without claims: send keyed calls on all the same
 log_level = "info"                 # debug, info, warning or error
+log_to = "standard-error"          # or standard-output: bounded, never blocks
 
 seeds = []                         # IP:port of hubs, in place of relays
 relay_port = 0                     # with seeds: the port of relays on every hub
 back_end_listen = ""               # where the back end reports itself; "" probes it
 back_end_silent_milliseconds = 8000  # a back end that reports nothing so long is gone
 back_end_leaving_milliseconds = 1000  # calls a leaving back end is still given
+log_answered_every = 0             # of answered calls each n-th is logged; 0: none
+metrics_listen = ""                # one more address for the admin pages
 seek_free_slots = false            # ask owners for a free slot before waiting for one
 
 [[relays]]                         # relays to choose from
@@ -153,6 +159,7 @@
 max_records = 500000               # keys remembered at most; more are refused
 max_answer_megabytes = 64          # kept answers in all; the oldest go first
 log_level = "info"                 # debug, info, warning or error
+log_to = "standard-error"          # or standard-output: bounded, never blocks
 
 [[replicas]]                       # the first members, this one included
 name = "claims-1"
--- a/src/peppershore/process/settings_rules.py
+++ b/src/peppershore/process/settings_rules.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from peppershore.process.settings import LOG_LEVELS
+from peppershore.process.settings import LOG_LEVELS, LOG_TARGETS
 from peppershore.version.path import NAME_RULE, is_name
 
 MAX_PORT = 65_535
@@ -59,6 +59,13 @@
     return Fault("is no log level", ", ".join(LOG_LEVELS))
 
 
+def log_target_rule(value: object) -> Fault | None:
+    """Accept where log lines go."""
+    if value in LOG_TARGETS:
+        return None
+    return Fault("is no place for log lines", ", ".join(LOG_TARGETS))
+
+
 def address_rule(value: object, *, lowest_port: int) -> Fault | None:
     """Accept "IP:port" with a port of at least ``lowest_port``."""
     allowed = f"{ADDRESS_ALLOWED}, port {lowest_port} to {MAX_PORT}"
@@ -135,6 +142,9 @@
     "key": folder_rule,
     "authority": folder_rule,
     "log_level": level_rule,
+    "log_to": log_target_rule,
+    "log_answered_every": between(0, 1_000_000, "calls"),
+    "metrics_listen": optional(listen_rule),
     "back_end_listen": optional(listen_rule),
     "back_end_silent_milliseconds": between(100, 600_000, "milliseconds"),
     "back_end_leaving_milliseconds": between(0, 600_000, "milliseconds"),
--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -126,6 +126,15 @@
             pause = FAR_FULL_SECONDS if is_far else FULL_SECONDS
             self.passed_over_until = max(self.passed_over_until, now + pause)
 
+    @property
+    def others(self) -> int:
+        """Calls of other nodes, as the back end's own node told last."""
+        return self._others
+
+    def load_age_milliseconds(self, now: float) -> int:
+        """Give how long ago its load was told; 0 before the first time."""
+        return round((now - self._load_at) * 1_000) if self._load_at > 0.0 else 0
+
     def cost(self, now: float) -> float:
         """Give the expected cost of one more call; lower is better."""
         fade = math.exp((self._last_seen - now) / FADE_SECONDS)
--- /dev/null
+++ b/tests/data_plane/test_call_stories.py
@@ -0,0 +1,146 @@
+"""A call is followed by its request id: a line at its caller's node and its owner's."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.data_plane.scripted_backend import Received, ScriptedBackend, answer_ok
+from tests.data_plane.stage import Caller, Node, call, endpoint, run, until
+
+from peppershore.process.node.data.call_log import CallLog
+from peppershore.process.node.data.call_story import CallStory, ServedStory
+from peppershore.process.node.data.calls import NEVER_CONFIRMED
+
+REQUEST_ID = "r-17"
+WITH_ID = {"x-request-id": REQUEST_ID}
+
+
+def stories(node: Node) -> list[CallStory]:
+    return [each for each in node.notices if isinstance(each, CallStory)]
+
+
+def served(node: Node) -> list[ServedStory]:
+    return [each for each in node.notices if isinstance(each, ServedStory)]
+
+
+async def hang_up(request: Received, writer: asyncio.StreamWriter) -> None:
+    await request.body()
+    writer.close()
+
+
+async def two_nodes(backend: ScriptedBackend, **changes: int) -> tuple[Node, Node, str]:
+    owner = Node("k1", await backend.start(), **changes)
+    await owner.start()
+    edge = Node("e1", **changes)
+    address = await edge.start(
+        endpoint(backend.address, owner_address=owner.addresses.internal)
+    )
+    return edge, owner, address
+
+
+def test_lost_call_has_a_line_at_both_nodes_under_its_id() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend(hang_up)
+        edge, owner, address = await two_nodes(backend)
+        answer = await call(address, method="POST", body=b"x", headers=WITH_ID)
+        story = stories(edge)[0]
+        assert story.request_id == REQUEST_ID
+        assert (story.outcome, story.status) == (answer.outcome, answer.status)
+        assert story.reason == answer.reason
+        assert story.version == 1
+        there = served(owner)[0]
+        assert there.request_id == REQUEST_ID
+        assert there.outcome == "unknown"
+        assert (there.running, there.slots) == (0, 20)
+        await edge.plane.close()
+        await owner.plane.close()
+        backend.stop()
+
+    run(scene())
+
+
+def test_each_attempt_is_a_step_with_what_its_choice_went_by() -> None:
+    async def scene() -> None:
+        edge = Node()
+        address = await edge.start(
+            endpoint("127.0.0.1:1", "k1"), endpoint("127.0.0.1:1", "k2")
+        )
+        answer = await call(address, headers=WITH_ID)
+        story = stories(edge)[0]
+        assert (story.outcome, story.reason) == ("not-run", answer.reason)
+        sent = [step.node for step in story.steps if step.step == "sent"]
+        refused = [step.node for step in story.steps if step.step == "refused"]
+        assert sent
+        assert refused == sent
+        assert story.steps[-1].reason == story.reason
+        assert [step.at_milliseconds for step in story.steps] == sorted(
+            step.at_milliseconds for step in story.steps
+        )
+        await edge.plane.close()
+
+    run(scene())
+
+
+def test_refusal_under_load_names_the_load_that_was_seen() -> None:
+    release = asyncio.Event()
+
+    async def wait(request: Received, writer: asyncio.StreamWriter) -> None:
+        await request.body()
+        await release.wait()
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+    async def scene() -> None:
+        backend = ScriptedBackend(wait)
+        edge, owner, address = await two_nodes(backend, slots=1)
+        busy = await Caller.connect(address)
+        busy.request()
+        await until(lambda: len(backend.requests) == 1)
+        impatient = {**WITH_ID, "peppershore-deadline-milliseconds": "150"}
+        answer = await call(address, headers=impatient)
+        assert answer.outcome == "not-run"
+        story = next(each for each in stories(edge) if each.request_id == REQUEST_ID)
+        assert story.reason == answer.reason
+        there = [each for each in served(owner) if each.request_id == REQUEST_ID]
+        assert [(each.running, each.slots) for each in there] == [(1, 1)]
+        release.set()
+        assert (await busy.answer()).status == 200
+        await edge.plane.close()
+        await owner.plane.close()
+        backend.stop()
+
+    run(scene())
+
+
+def test_unconfirmed_configuration_shows_no_age() -> None:
+    async def scene() -> None:
+        edge = Node()
+        address = await edge.start(endpoint("127.0.0.1:1", "k1"))
+        await call(address)
+        assert stories(edge)[0].configuration_age_milliseconds == NEVER_CONFIRMED
+        await edge.plane.close()
+
+    run(scene())
+
+
+def test_answered_calls_have_lines_only_where_asked_for() -> None:
+    async def scene(every: int, lines: int) -> None:
+        backend = ScriptedBackend(answer_ok)
+        edge, owner, address = await two_nodes(backend, log_answered_every=every)
+        await call(address, headers=WITH_ID)
+        await until(lambda: owner.plane.calls.own.in_flight == 0)  # type: ignore[union-attr]
+        assert len(stories(edge)) == lines
+        assert len(served(owner)) == lines
+        await edge.plane.close()
+        await owner.plane.close()
+        backend.stop()
+
+    run(scene(0, 0))
+    run(scene(1, 1))
+
+
+def test_every_node_takes_the_same_answered_calls() -> None:
+    one, other = CallLog(print, 10), CallLog(print, 10)
+    ids = [b"id-%d" % number for number in range(1_000)]
+    taken = [one.takes_answered(each) for each in ids]
+    assert taken == [other.takes_answered(each) for each in ids]
+    assert 50 < sum(taken) < 150
