What a node holds is confirmed only if relay and node agree on it

Cause: the specification of rotations was found broken as it stood: its mutants broke it, and so did the model with all guards, which no test had searched. Its trace was a fault of the code too: a node back after a long silence counted as confirmed from the relay's offer on, before it used what was offered, and from any heartbeat, also while the relay held an update back. In that time it refused tokens for good by keys of long ago.

Now an offer confirms once it is used, and a heartbeat only where the relay has said that the node holds what it should and nothing is under way. The model tells being heard from being confirmed, with a fourth mutant; the small specifications are searched whole in every run of the tests.

Ruled out: a larger age in heartbeats to nodes that are behind, by which they would leave a relay that is well.

--- a/spec/catalog.py
+++ b/spec/catalog.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from spec import acceptance, claims, distribution, membership, rotation
+from spec import acceptance, claims, distribution, membership, rotation, upkeep
 
 SPECIFICATIONS = (
     acceptance.SPECIFICATION,
@@ -11,4 +11,5 @@
     distribution.WITH_DISK,
     claims.SPECIFICATION,
     rotation.SPECIFICATION,
+    upkeep.SPECIFICATION,
 )
--- a/spec/rotation.py
+++ b/spec/rotation.py
@@ -1,8 +1,9 @@
 """Specification of rotating a secret: one signer, one verifier, and the barrier.
 
-The verifier may fall silent at any moment and go on at any moment.  While it is
-silent its confirmation ages; the barrier counts it until it was silent for so long
-that its configuration can't be confirmed any more.  Times are steps of a clock;
+The verifier may fall silent at any moment and be heard again at any moment.  What
+it holds is confirmed only while it is heard, and only if it is what should be held;
+else its confirmation ages.  The barrier counts a verifier that is heard, and one
+that is silent until its confirmation is surely over.  Times are steps of a clock;
 only their order matters: ``FRESH`` passes before ``FORGOTTEN``.
 """
 
@@ -28,17 +29,19 @@
 GUARD_BARRIER = "signers wait until every verifier that counts holds the new key"
 GUARD_FRESHNESS = "a verifier that is not confirmed refuses nobody for an unknown key"
 GUARD_ORDER = "a verifier counts until its confirmation is over"
+GUARD_AGREEMENT = "only what should be held is confirmed, not what is on its way"
 
 NOBODY_REFUSED = "no member is refused for a key that its signer may use"
 
 
 class State(NamedTuple):
-    """``silent``: steps for which the verifier was not heard; 0 while it is."""
+    """``age``: steps since what the verifier holds was confirmed."""
 
     put: bool
     verifier: int
     signer: int
-    silent: int
+    heard: bool
+    age: int
     refused: bool
 
 
@@ -51,7 +54,7 @@
         name="rotation",
         candidate=False,
         fields=State._fields,
-        initial=State(False, OLD, OLD, 0, False),
+        initial=State(False, OLD, OLD, True, 0, False),
         transitions=_Transitions(without),
         invariants={NOBODY_REFUSED: lambda state: not state["refused"]},
     )
@@ -68,27 +71,36 @@
         moves: Successors = []
         if not state.put:
             moves.append(("the new key is put", state._replace(put=True)))
-        if state.put and state.silent == 0:
-            moves.append(("the verifier takes the new key", state._replace(verifier=NEW)))
         if state.put and self._is_passed(state):
             moves.append(("signers are told to use it", state._replace(signer=NEW)))
-        if state.silent < FORGOTTEN:
-            older = state._replace(silent=state.silent + 1)
-            moves.append(("the verifier stays silent", older))
-        if state.silent:
-            moves.append(("the verifier is heard again", state._replace(silent=0)))
+        if state.age < FORGOTTEN:
+            older = state._replace(age=state.age + 1)
+            moves.append(("nothing is confirmed for a while", older))
+        if state.heard:
+            moves += self._heard(state)
+        else:
+            moves.append(("the verifier is heard again", state._replace(heard=True)))
         moves.append(("a member calls", self._call(state)))
         return moves
 
+    def _heard(self, state: State) -> Successors:
+        moves: Successors = [("the verifier falls silent", state._replace(heard=False))]
+        if state.put:
+            taken = state._replace(verifier=NEW, age=0)
+            moves.append(("the verifier takes the new key", taken))
+        is_current = state.verifier == NEW or not state.put
+        if is_current or self._without == GUARD_AGREEMENT:
+            moves.append(("what it holds is confirmed", state._replace(age=0)))
+        return moves
+
     def _is_passed(self, state: State) -> bool:
-        if self._without == GUARD_BARRIER:
+        if self._without == GUARD_BARRIER or state.verifier == NEW:
             return True
         counted = FRESH if self._without == GUARD_ORDER else FORGOTTEN
-        return state.verifier == NEW or state.silent >= counted
+        return not state.heard and state.age >= counted
 
     def _call(self, state: State) -> State:
-        """The verifier runs again before anybody has heard of it."""
-        may_refuse = state.silent <= FRESH or self._without == GUARD_FRESHNESS
+        may_refuse = state.age <= FRESH or self._without == GUARD_FRESHNESS
         return state._replace(
             refused=state.refused or (state.signer > state.verifier and may_refuse)
         )
@@ -96,12 +108,13 @@
 
 SPECIFICATION = Specification(
     name="rotation",
-    summary="a key is rotated while its verifier falls silent and goes on",
+    summary="a key is rotated while its verifier falls silent and is heard again",
     build=build,
     mutants=(
         Mutant(GUARD_BARRIER, NOBODY_REFUSED),
         Mutant(GUARD_FRESHNESS, NOBODY_REFUSED),
         Mutant(GUARD_ORDER, NOBODY_REFUSED),
+        Mutant(GUARD_AGREEMENT, NOBODY_REFUSED),
     ),
     max_states=1_000,
 )
--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -64,6 +64,7 @@
 from peppershore.process.node.refusals import BUSY, NOT_NEWER, UNCONFIRMED
 from peppershore.process.node.relay_sessions import (
     CONNECT_TIMER,
+    NOT_AGREED,
     WATCH_TIMER,
     RelaySession,
     RelaySessions,
@@ -117,6 +118,7 @@
         self._ready: dict[str, tuple[str, ...]] = {}
         self._pending: Snapshot | None = None
         self._pending_from: RelaySession | None = None
+        self._pending_confirmed_at = -math.inf
         self._token = 0
         self._is_stopping = False
         self._confirmed_at = -math.inf
@@ -236,11 +238,11 @@
             case Current():
                 session.agreed_digest = message.digest
                 self._heard_age(session, message.confirmed_age_milliseconds)
-                self._still_current(session, message.version)
+                self._still_current(session, message)
                 self._tell_held(session)
             case Freshness():
                 self._heard_age(session, message.confirmed_age_milliseconds)
-                self._still_current(session, message.version)
+                self._still_current(session, message)
                 alive = NodeAlive(self.holder.effective_version)
                 self._out.append(SendMessage(session.link, alive))
             case EndpointsPacked():
@@ -265,8 +267,6 @@
     def _heard_age(self, session: RelaySession, age_milliseconds: int) -> None:
         """Note an answer and its age; a candidate may become the relay in use."""
         self.sessions.heard(session, age_milliseconds, self._now)
-        confirmed_at = self._now - age_milliseconds / 1_000
-        self._confirmed_at = max(self._confirmed_at, confirmed_at)
         session.answered = True
         was_active = session is self.sessions.active
         self._do(self.sessions.settle(session, self._now))
@@ -279,9 +279,18 @@
             self._announce()
         self._out.append(SendMessage(session.link, EndpointsHeld(self.known.digest)))
 
-    def _still_current(self, session: RelaySession, version: Version) -> None:
+    def _still_current(self, session: RelaySession, message: Current | Freshness) -> None:
+        """Take a confirmation, unless the relay may mean something else than is held.
+
+        A relay may hold an update back from this node, or have one on its way.
+        """
         if self._pending is None and session.agreed_digest == self.holder.digest:
-            self.holder.still_current(version)
+            self.holder.still_current(message.version)
+            self._confirm(self._now - message.confirmed_age_milliseconds / 1_000)
+
+    def _confirm(self, at: float) -> None:
+        """What is held was the latest at this time (monotonic seconds)."""
+        self._confirmed_at = max(self._confirmed_at, at)
 
     def _offered(self, session: RelaySession, offer: UpdateOffered) -> None:
         held = self.holder.snapshot
@@ -302,6 +311,7 @@
             return
         self._pending = prepared.unwrap()
         self._pending_from = session
+        self._pending_confirmed_at = self._now - offer.confirmed_age_milliseconds / 1_000
         self._persist()
 
     def _is_acceptable(self, session: RelaySession, offer: UpdateOffered) -> bool:
@@ -319,6 +329,7 @@
             self._refuse(session, version, reason)
 
     def _refuse(self, session: RelaySession, version: Version, reason: str) -> None:
+        session.agreed_digest = NOT_AGREED
         self._report(notices.VersionRefused(version, reason))
         self._out.append(SendMessage(session.link, UpdateRefused(version, reason)))
 
@@ -354,6 +365,7 @@
         self._pending = None
         self._pending_from = None
         self.holder.use(snapshot)
+        self._confirm(self._pending_confirmed_at)
         active = open_snapshot(snapshot)
         self._out.append(ConfigurationSwapped(active))
         resources = len(snapshot.resources)
--- a/src/peppershore/process/node/relay_sessions.py
+++ b/src/peppershore/process/node/relay_sessions.py
@@ -34,6 +34,9 @@
 OPENING_SECONDS = 1.0
 """A link that is not open by then is given up: its machine may be cut off."""
 
+NOT_AGREED: Digest = 0
+"""Digest of nothing: the relay has not said that the node holds what it should."""
+
 RELAY_LISTED_SECONDS = 0.2
 """A node that learns of a relay in its own zone moves there within this time."""
 
@@ -51,7 +54,7 @@
     is_leaving: bool = False
     """The relay said goodbye: another one must answer before it ends."""
     age_milliseconds: int = 0
-    agreed_digest: Digest = 0
+    agreed_digest: Digest = NOT_AGREED
     """Digest that this relay knows the node to hold, by its own last answer."""
 
     def confirmed_age_milliseconds(self, now: float) -> float:
--- a/tests/node/test_node_core.py
+++ b/tests/node/test_node_core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TypeVar
 
 import pytest
@@ -282,6 +283,48 @@
     assert (len(closed), len(opened)) == (1, 1)
 
 
+def test_an_offer_confirms_nothing_before_it_is_used() -> None:
+    """Else a node back from a long silence refuses tokens by keys of long ago."""
+    bench = Bench(data_folder="data")
+    bench.receive(offer(1))
+    assert bench.core.confirmed_at == -math.inf
+    token = bench.only(PersistSnapshot).token
+    bench.now += 1.0
+    bench.receive(Freshness(1, 0))
+    assert bench.core.confirmed_at == -math.inf
+    bench.give(events.RecordsPersisted(token))
+    assert bench.core.confirmed_at == 100.0
+
+
+def test_heartbeats_confirm_only_what_relay_and_node_agree_on() -> None:
+    """The relay may hold an update back, and says so to nobody."""
+    held = Bench()
+    held.receive(offer(1))
+    memory = NodeMemory(2, floor=1, snapshot=held.core.holder.snapshot)
+    bench = Bench(memory=memory)
+    bench.receive(Freshness(1, 0))
+    assert bench.core.confirmed_at == -math.inf
+    bench.receive(Current(1, 0, digest_of(1)))
+    assert bench.core.confirmed_at == bench.now
+    bench.now += 1.0
+    bench.receive(Freshness(1, 250))
+    assert bench.core.confirmed_at == bench.now - 0.25
+
+
+def test_a_refused_offer_ends_the_agreement() -> None:
+    held = Bench()
+    held.receive(offer(1))
+    memory = NodeMemory(2, floor=3, snapshot=held.core.holder.snapshot)
+    bench = Bench(memory=memory)
+    bench.receive(Current(1, 0, digest_of(1)))
+    agreed_at = bench.core.confirmed_at
+    bench.now += 1.0
+    bench.receive(offer(2))
+    assert [each.reason for each in bench.sent(UpdateRefused)] == ["below-floor"]
+    bench.receive(Freshness(1, 0))
+    assert bench.core.confirmed_at == agreed_at
+
+
 def test_after_a_long_cut_a_node_is_back_soon_after_its_relays_are_reached() -> None:
     bench = Bench(reconnect_milliseconds=250)
     bench.receive(offer(1))
--- a/tests/spec/test_specifications.py
+++ b/tests/spec/test_specifications.py
@@ -4,7 +4,7 @@
 
 import pytest
 from spec.catalog import SPECIFICATIONS
-from spec.checking import find_counterexample
+from spec.checking import check, find_counterexample
 from spec.specification import Mutant, Specification
 
 MUTANTS = [
@@ -29,3 +29,19 @@
     covered = {mutant.breaks for each in SPECIFICATIONS for mutant in each.mutants}
     assert unchecked <= covered
     assert broken
+
+
+SMALL_STATES = 20_000
+"""Specifications up to this bound are searched whole in every run of the tests."""
+
+
+@pytest.mark.parametrize(
+    "specification",
+    [entry for entry in SPECIFICATIONS if entry.name in {"rotation", "upkeep"}],
+    ids=lambda entry: entry.name,
+)
+def test_small_specifications_hold_with_all_guards(specification: Specification) -> None:
+    """Mutants alone prove nothing: a model that is broken as it is breaks them all."""
+    result = check(specification)
+    assert result.passed
+    assert result.states <= SMALL_STATES
