--- /dev/null
+++ b/tests/command/test_log_commands.py
@@ -0,0 +1,117 @@
+"""``peppershore trace`` and ``peppershore logs`` on lines that a process wrote."""
+
+from __future__ import annotations
+
+import json
+import logging
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from peppershore.command.exit_codes import ExitCode
+from peppershore.command.main import main
+from peppershore.process.commands import Notice
+from peppershore.process.logging import JsonLineFormatter, LogIdentity, event_name
+from peppershore.process.node.data.call_story import CallStep, CallStory, ServedStory
+
+STORY = CallStory(
+    request_id="r-17",
+    service="kassa",
+    route="pay",
+    target="kassa",
+    version=12,
+    configuration_age_milliseconds=340,
+    outcome="not-run",
+    reason="no-free-slot",
+    status=503,
+    milliseconds=60,
+    steps=(
+        CallStep(1, "sent", "k1", in_flight=2, load=7, load_age_milliseconds=90),
+        CallStep(9, "refused", "k1", "no-free-slot", retry_after_milliseconds=400),
+    ),
+)
+SERVED = ServedStory(
+    request_id="r-17",
+    service="kassa",
+    instance="life-3",
+    outcome="not-run",
+    reason="no-free-slot",
+    status=503,
+    milliseconds=0,
+    running=8,
+    waiting=4,
+    slots=8,
+)
+
+
+def written(process: str, notice: Notice, at_milliseconds: int) -> str:
+    record = logging.LogRecord("x", logging.INFO, "", 0, "", (), None)
+    record.msg = event_name(type(notice))
+    record.created = 1_000 + at_milliseconds / 1_000
+    record.peppershore_fields = notice
+    return JsonLineFormatter(LogIdentity("node", process)).format(record)
+
+
+@pytest.fixture
+def files(tmp_path: Path) -> list[str]:
+    edge = tmp_path / "e1.log"
+    edge.write_text(f"ready\nhost-4 | {written('e1', STORY, 100)}\nnot a line {{\n")
+    owner = tmp_path / "k1.log"
+    owner.write_text(written("k1", SERVED, 45) + "\n")
+    return [str(edge), str(owner)]
+
+
+def test_trace_joins_the_lines_of_both_nodes_in_order(files: list[str]) -> None:
+    found = CliRunner().invoke(main, ["trace", "r-17", *files, "--json"])
+    assert found.exit_code == 0
+    lines = json.loads(found.output)["lines"]
+    assert [line["process"] for line in lines] == ["k1", "e1"]
+    assert lines[1]["steps"][0]["load"] == 7
+
+
+def test_trace_shows_each_step_with_its_inputs(files: list[str]) -> None:
+    output = CliRunner().invoke(main, ["trace", "r-17", *files]).output
+    rows = [row.split() for row in output.splitlines()[1:]]
+    assert [row[:3] for row in rows] == [
+        ["1", "e1", "sent"],
+        ["5", "k1", "served_story"],
+        ["9", "e1", "refused"],
+        ["60", "e1", "call_story"],
+    ]
+    assert "others told 7 90 ms ago" in output
+    assert "come back after 400 ms" in output
+    assert "running 8, waiting 4, slots 8" in output
+    assert "version 12, configuration_age_milliseconds 340" in output
+
+
+def test_trace_of_an_unknown_request_says_what_was_read(files: list[str]) -> None:
+    found = CliRunner().invoke(main, ["trace", "r-18", *files])
+    assert found.exit_code == ExitCode.NOT_FOUND
+    assert "2 log lines were read, 2 of others" in found.output
+
+
+def test_summary_counts_ends_and_events(files: list[str]) -> None:
+    found = CliRunner().invoke(main, ["logs", "summary", *files, "--json"])
+    assert found.exit_code == 0
+    told = json.loads(found.output)
+    assert (told["lines"], told["foreign"]) == (2, 2)
+    assert told["calls"] == [
+        {
+            "calls": 1,
+            "service": "kassa",
+            "route": "pay",
+            "outcome": "not-run",
+            "reason": "no-free-slot",
+            "example": "r-17",
+        }
+    ]
+    assert {each["event"] for each in told["events"]} == {"call_story", "served_story"}
+
+
+def test_summary_of_nothing_is_empty(tmp_path: Path) -> None:
+    empty = tmp_path / "empty.log"
+    empty.write_text("")
+    found = CliRunner().invoke(main, ["logs", "summary", str(empty)])
+    assert found.exit_code == 0
+    assert found.output.startswith("0 lines over 0.0 s")
