The token library is loaded with the first secrets, not with the first token

Cause: found while a walk of docs/OPERATIONS.md was played: the first token at a node took 318 ms, the import of the library, and held all other calls up.

--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -35,6 +35,7 @@
 from peppershore.process.node.profile import retry_bound, wire_names
 from peppershore.process.settings import NodeSettings
 from peppershore.request.admission import Admission, Decision, Dispatch, Waiting
+from peppershore.request.audience import load_token_library
 from peppershore.request.claim import ClaimDenied, ClaimGranted, ClaimsClient
 from peppershore.request.classification import CallPlan, route_of
 from peppershore.request.endpoint_state import Verdict
@@ -142,6 +143,8 @@
     def use_configuration(self, active: ActiveConfiguration) -> None:
         """Decide new calls by this configuration."""
         self.configuration = active
+        if active.secrets:
+            load_token_library()
         for service, admission in self._admissions.items():
             if service in active.services:
                 admission.use_settings(active.services[service])
--- a/src/peppershore/request/audience.py
+++ b/src/peppershore/request/audience.py
@@ -98,6 +98,11 @@
         return verified
 
 
+def load_token_library() -> None:
+    """Import it now, so that the first token does not hold all other calls up."""
+    import jwt  # noqa: F401, PLC0415 - it takes long to import, and few sites need tokens
+
+
 def sign_token(secret: SecretResource, audience: str, subject: str, expires: int) -> str:
     """Give a token signed with the secret's signing generation."""
     material = next(
--- a/tests/data_plane/test_call_outcomes.py
+++ b/tests/data_plane/test_call_outcomes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import sys
 import time
 
 import msgspec
@@ -17,6 +18,7 @@
     Caller,
     Node,
     call,
+    configuration,
     endpoint,
     run,
     until,
@@ -661,3 +663,20 @@
         backend.stop()
 
     run(scene())
+
+
+def test_token_library_is_loaded_before_the_first_token(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    secret = SecretResource("site", (SecretGeneration(1, b"k" * 32),), 1)
+
+    async def scene() -> None:
+        node = Node()
+        monkeypatch.delitem(sys.modules, "jwt", raising=False)
+        node.plane.use_configuration(configuration())
+        assert "jwt" not in sys.modules
+        node.plane.use_configuration(configuration(secrets={"site": secret}))
+        assert "jwt" in sys.modules
+        await node.plane.close()
+
+    run(scene())
