--- /dev/null
+++ b/tests/platform_adapter/test_adapter.py
@@ -0,0 +1,143 @@
+"""The adapter translates and nothing more, and what it makes are usable settings."""
+
+from __future__ import annotations
+
+import json
+import re
+import tomllib
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+from typing import Any
+
+import pytest
+from returns.result import Success
+
+from peppershore.process.settings import HubSettings, NodeSettings
+from peppershore.process.settings_loader import KINDS, parse_settings
+
+ROOT = Path(__file__).parents[2]
+PLATFORM_NAMES = re.compile(
+    r"[xX]-[pP]eppershore-|/-/rpc|/-/readiness|PEPPERSHORE_NODE_FILE|baseVersion|targetLatencyMs"
+    r"|concurrencySlots|seedNodes|firstStart|listenAddresses"
+)
+MAX_ADAPTER_LINES = 120
+LIST = re.compile(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}")
+VALUE = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
+FILLED: dict[str, Any] = {
+    "nodeName": "machine-1",
+    "service": "kassa",
+    "zone": "pasila",
+    "ipAddress": "10.4.0.6",
+    "applicationAddress": "10.4.0.6:9000",
+    "seedNodes": ["10.4.0.1:8400", "10.4.0.2:8400"],
+    "firstStart": "true",
+    "dataDirectory": "/data",
+    "internalPortRange": {"0": "8400", "1": "8401"},
+    "listenAddresses": {
+        "outbound": "10.4.0.6:8000",
+        "ready": "10.4.0.6:8001",
+        "controlPlane": "10.4.0.6:8002",
+    },
+    "faultTolerance": {"machines": "1"},
+    "bounds": {"retryBudgetSlack": "60"},
+}
+
+
+def fill(template: str, values: Mapping[str, Any]) -> str:
+    """Fill a template as the platform does, for the forms that ours use."""
+
+    def items(match: re.Match[str]) -> str:
+        each, found = match[2], values[match[1]]
+        last = len(found) - 1
+        return "".join(
+            each.replace("{{.}}", item).replace("{{,}}", ", " if place < last else "")
+            for place, item in enumerate(found)
+        )
+
+    def value(match: re.Match[str]) -> str:
+        found: Any = values
+        for name in match[1].split("."):
+            found = found[name]
+        return json.dumps(found) if match[2] else str(found)
+
+    return VALUE.sub(value, LIST.sub(items, template))
+
+
+def filled(role: str) -> str:
+    return fill((ROOT / "platform" / f"{role}.toml.template").read_text(), FILLED)
+
+
+@pytest.mark.parametrize("role", ["node", "hub"])
+def test_filled_template_is_usable_settings(role: str) -> None:
+    parsed = parse_settings(KINDS[role], filled(role), {})
+    assert isinstance(parsed, Success), parsed
+
+
+def test_node_gets_its_place_and_its_back_end() -> None:
+    settings = parse_settings(NodeSettings, filled("node"), {}).unwrap()
+    assert (settings.node, settings.service, settings.zone) == (
+        "machine-1",
+        "kassa",
+        "pasila",
+    )
+    assert settings.internal_listen == "10.4.0.6:8400"
+    assert settings.relay_port == 8_401
+    assert settings.log_to == "standard-output"
+
+
+def test_hub_and_nodes_meet_at_the_same_port() -> None:
+    hub = parse_settings(HubSettings, filled("hub"), {}).unwrap()
+    node = parse_settings(NodeSettings, filled("node"), {}).unwrap()
+    assert hub.relay_port == node.relay_port
+    assert hub.cluster == node.cluster
+    assert hub.tolerated_losses == 1
+    assert hub.log_to == "standard-output"
+
+
+def test_every_role_starts_a_command_and_has_its_template() -> None:
+    system = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    for name, role in system["roles"].items():
+        _, program, started = role["run"].split()
+        assert (ROOT / program).is_file()
+        assert started == name
+        assert started in KINDS
+        assert (ROOT / role["template"]).is_file()
+
+
+def test_run_time_libraries_are_those_of_the_lock() -> None:
+    locked = (ROOT / "requirements.lock").read_text()
+    for line in (ROOT / "deploy" / "requirements.txt").read_text().splitlines():
+        if not line.startswith("#"):
+            assert line in locked
+
+
+def sources() -> Iterator[Path]:
+    for folder in ("src", "spec"):
+        yield from (ROOT / folder).rglob("*.py")
+
+
+def test_nothing_else_knows_the_platforms_names() -> None:
+    knowing = [
+        str(path.relative_to(ROOT))
+        for path in sources()
+        if PLATFORM_NAMES.search(path.read_text())
+    ]
+    assert knowing == []
+
+
+def test_the_adapter_itself_is_found_by_that_search() -> None:
+    texts = [
+        (ROOT / "deploy" / "wire.toml").read_text(),
+        (ROOT / "platform" / "main.py").read_text(),
+        (ROOT / "platform" / "node.toml.template").read_text(),
+    ]
+    assert all(PLATFORM_NAMES.search(text) for text in texts)
+
+
+def test_the_adapter_is_small() -> None:
+    lines = sum(
+        len(path.read_text().splitlines())
+        for path in (ROOT / "platform").iterdir()
+        if path.is_file()
+    )
+    assert lines <= MAX_ADAPTER_LINES
