--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -2,27 +2,24 @@
 
 from __future__ import annotations
 
-import json
 import re
 import tomllib
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 from returns.result import Success
+from tests.platform_adapter.templates import ROOT, filled
 
 from peppershore.process.settings import HubSettings, NodeSettings
 from peppershore.process.settings_loader import KINDS, parse_settings
 
-ROOT = Path(__file__).parents[2]
 PLATFORM_NAMES = re.compile(
     r"[xX]-[pP]eppershore-|/-/rpc|/-/readiness|PEPPERSHORE_NODE_FILE|baseVersion|targetLatencyMs"
     r"|concurrencySlots|seedNodes|firstStart|listenAddresses"
 )
 MAX_ADAPTER_LINES = 120
-LIST = re.compile(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}")
-VALUE = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
 FILLED: dict[str, Any] = {
     "nodeName": "machine-1",
     "service": "kassa",
@@ -43,38 +40,14 @@
 }
 
 
-def fill(template: str, values: Mapping[str, Any]) -> str:
-    """Fill a template as the platform does, for the forms that ours use."""
-
-    def items(match: re.Match[str]) -> str:
-        each, found = match[2], values[match[1]]
-        last = len(found) - 1
-        return "".join(
-            each.replace("{{.}}", item).replace("{{,}}", ", " if place < last else "")
-            for place, item in enumerate(found)
-        )
-
-    def value(match: re.Match[str]) -> str:
-        found: Any = values
-        for name in match[1].split("."):
-            found = found[name]
-        return json.dumps(found) if match[2] else str(found)
-
-    return VALUE.sub(value, LIST.sub(items, template))
-
-
-def filled(role: str) -> str:
-    return fill((ROOT / "platform" / f"{role}.toml.template").read_text(), FILLED)
-
-
 @pytest.mark.parametrize("role", ["node", "hub"])
 def test_filled_template_is_usable_settings(role: str) -> None:
-    parsed = parse_settings(KINDS[role], filled(role), {})
+    parsed = parse_settings(KINDS[role], filled(role, FILLED), {})
     assert isinstance(parsed, Success), parsed
 
 
 def test_node_gets_its_place_and_its_back_end() -> None:
-    settings = parse_settings(NodeSettings, filled("node"), {}).unwrap()
+    settings = parse_settings(NodeSettings, filled("node", FILLED), {}).unwrap()
     assert (settings.node, settings.service, settings.zone) == (
         "machine-1",
         "kassa",
@@ -86,8 +59,8 @@
 
 
 def test_hub_and_nodes_meet_at_the_same_port() -> None:
-    hub = parse_settings(HubSettings, filled("hub"), {}).unwrap()
-    node = parse_settings(NodeSettings, filled("node"), {}).unwrap()
+    hub = parse_settings(HubSettings, filled("hub", FILLED), {}).unwrap()
+    node = parse_settings(NodeSettings, filled("node", FILLED), {}).unwrap()
     assert hub.relay_port == node.relay_port
     assert hub.cluster == node.cluster
     assert hub.tolerated_losses == 1
