First calls go before comebacks; hopeless waits are refused at once

Cause: at a service at its limit, calls waited by deadline, so a call that had been refused before went ahead of a new one; all were served late and none in time. A call also waited its whole patience where the queue could not clear in it, and the refusal came after a quarter of the target latency, too late to come again in good time. Change: a node learns the time that a route's callers give at first (a high quantile of what is left) and so tells a comeback; within a class and priority first calls go first, at both nodes. A call whose expected wait is 1.5 times its patience is refused at once; patience is a fifth of the target latency, not a quarter, and holds at the caller's node.

--- a/src/peppershore/process/node/data/attempt.py
+++ b/src/peppershore/process/node/data/attempt.py
@@ -96,3 +96,4 @@
     priority: int = 1
     may_wait: bool = True
     start_by: float = math.inf
+    is_comeback: bool = False
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -271,6 +271,7 @@
             priority=plan.priority,
             may_wait=self._progress.may_wait or not self._calls.looks_for_free_slots,
             start_by=plan.start_by,
+            is_comeback=plan.is_comeback,
         )
 
     def refused(self, refusal: NotRun) -> None:
--- a/src/peppershore/process/node/data/call_entry.py
+++ b/src/peppershore/process/node/data/call_entry.py
@@ -17,6 +17,7 @@
 )
 from peppershore.request.caller_rate import CallerRates
 from peppershore.request.classification import CallPlan, classify, first_in_line
+from peppershore.request.comebacks import UsualTimes
 from peppershore.request.outcome import (
     AUTHORIZATION_HEADER,
     STATUS_TOO_MANY_REQUESTS,
@@ -85,6 +86,12 @@
         self._audience = AudienceCheck()
         self._voucher = Voucher(settings.service)
         self._rates = CallerRates()
+        self._usual = UsualTimes()
+
+    def use_configuration(self, configuration: ActiveConfiguration) -> None:
+        """Forget what was learned of routes that are there no more."""
+        names = frozenset((each.service, each.route) for each in configuration.routes)
+        self._usual.keep_only(names)
 
     def plan(
         self,
@@ -100,7 +107,7 @@
         classified = classify(configuration, head, now, self._random, self._names)
         if isinstance(classified, Failure) or configuration is None:
             return classified.map(lambda plan: EntryPlan(plan, Caller("")))
-        plan = classified.unwrap()
+        plan = self._told_from_comebacks(classified.unwrap())
         if self._is_made_for_a_running_call(head, running):
             plan = first_in_line(plan, now)
         checked = self._check_audience(plan, configuration, head, now)
@@ -130,6 +137,11 @@
             self._vouch(configuration, headers)
         return headers
 
+    def _told_from_comebacks(self, plan: CallPlan) -> CallPlan:
+        """Tell a call that was refused before by the time it has left."""
+        is_comeback = self._usual.is_comeback(plan.service, plan.route, plan.remaining)
+        return msgspec.structs.replace(plan, is_comeback=True) if is_comeback else plan
+
     def _check_audience(
         self,
         plan: CallPlan,
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -148,6 +148,7 @@
     def use_configuration(self, active: ActiveConfiguration) -> None:
         """Decide new calls by this configuration."""
         self.configuration = active
+        self._entry.use_configuration(active)
         if active.secrets:
             load_token_library()
         for service, admission in self._admissions.items():
@@ -225,7 +226,13 @@
         """Give a place in line."""
         number = next(self._ticket_numbers)
         return Ticket(
-            number, plan.call_class, plan.deadline, excluded, priority=plan.priority
+            number,
+            plan.call_class,
+            plan.deadline,
+            excluded,
+            priority=plan.priority,
+            start_by=plan.start_by,
+            is_comeback=plan.is_comeback,
         )
 
     def offer(self, ticket: Ticket, plan: CallPlan, call: Call) -> Decision:
@@ -473,6 +480,10 @@
             self._waiting.pop(ticket.number).refused(
                 admission.refusal_of_hopeless(ticket, now)
             )
+        for ticket in admission.impatient(now):
+            self._waiting.pop(ticket.number).refused(
+                admission.refusal_of_impatient(ticket, now)
+            )
         for dispatch in admission.ready(self.loop.time()):
             call = self._waiting.pop(dispatch.ticket.number, None)
             if call is not None:
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -230,6 +230,7 @@
                 priority=request.priority,
                 may_wait=request.may_wait,
                 patience_milliseconds=_patience(now, request.start_by),
+                is_comeback=request.is_comeback,
             )
         )
         if not self._started:
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -183,6 +183,8 @@
             request.deadline,
             may_wait=request.may_wait,
             priority=request.priority,
+            start_by=request.start_by,
+            is_comeback=request.is_comeback,
         )
         decision = self.admission.offer(ticket, now)
         if isinstance(decision, NotRun):
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -14,6 +14,10 @@
 from peppershore.request.endpoint_state import EndpointState, Verdict
 from peppershore.request.outcome import (
     BUSY,
+    DEADLINE_TOO_SHORT,
+    DISPLACED,
+    NO_SLOT_IN_TIME,
+    QUEUE_FULL,
     STATUS_UNAVAILABLE,
     NotRun,
     out_of_time,
@@ -35,6 +39,10 @@
 MIN_RETRY_AFTER_MILLISECONDS = 100
 NOBODY_READY_RETRY_AFTER_MILLISECONDS = 250
 
+HOPE = 1.5
+"""A call is refused at once if the wait expected is so many times what it may wait: the
+times seen of a back end lean to the long ones."""
+
 
 class Dispatch(msgspec.Struct, frozen=True):
     """The ticket holds a slot of this back end until ``finished``."""
@@ -158,6 +166,10 @@
         state.observe(latency, verdict, now)
         return self._eject_outlier(state, now)
 
+    def impatient(self, now: float) -> list[Ticket]:
+        """Give up the waiting calls that would have had to start by now."""
+        return self._queue.impatient_by(now)
+
     def hopeless(self, now: float) -> list[Ticket]:
         """Give up the waiting calls whose time is too short for a back end's work.
 
@@ -237,23 +249,26 @@
         if not ticket.may_wait:
             return self._refusal(BUSY, wait - self._service_seconds(now), retryable=True)
         if wait > ticket.deadline - now:
-            return self._refusal("deadline-too-short", wait)
+            return self._refusal(DEADLINE_TOO_SHORT, wait)
+        until_slot = wait - self._service_seconds(now)
+        if until_slot > HOPE * (ticket.start_by - now):
+            return self._refusal(NO_SLOT_IN_TIME, until_slot)
         evicted: Ticket | None = None
         if len(self._queue) >= self.settings.queue_limit:
             evicted = self._queue.least_important()
             if evicted is None or not _more_important(ticket, evicted):
-                return self._refusal("queue-full", wait)
+                return self._refusal(QUEUE_FULL, wait)
             self._queue.remove(evicted)
         self._queue.push(ticket)
         return Waiting(evicted)
 
     def refusal_of_hopeless(self, ticket: Ticket, now: float) -> NotRun:
         """Give what a call is told whose time has become too short."""
-        return self._refusal("deadline-too-short", self._expected_wait(ticket, now))
+        return self._refusal(DEADLINE_TOO_SHORT, self._expected_wait(ticket, now))
 
     def refusal_of_evicted(self, ticket: Ticket, now: float) -> NotRun:
         """Give what a call is told that gave its place to a more important one."""
-        return self._refusal("displaced", self._expected_wait(ticket, now))
+        return self._refusal(DISPLACED, self._expected_wait(ticket, now))
 
     def _expected_wait(self, ticket: Ticket, now: float) -> float:
         """Give the seconds until this call's answer, from what was seen so far."""
@@ -278,7 +293,7 @@
     def refusal_of_impatient(self, ticket: Ticket, now: float) -> NotRun:
         """Give what a call is told that may wait no longer for a slot."""
         wait = self._expected_wait(ticket, now) - self._service_seconds(now)
-        return self._refusal("no-slot-in-time", wait)
+        return self._refusal(NO_SLOT_IN_TIME, wait)
 
     def note_load(self, node: str, load: OwnerLoad, now: float) -> None:
         """An owner told how loaded its back end is."""
--- a/src/peppershore/request/classification.py
+++ b/src/peppershore/request/classification.py
@@ -23,8 +23,10 @@
 from peppershore.version.splits import parse_splits
 
 MILLISECONDS = 1_000
-PATIENCE_SHARE = 0.25
-"""Part of a route's target latency for which a call may wait for a slot."""
+PATIENCE_SHARE = 0.2
+"""Part of a route's target latency for which a call may wait for a slot.  A caller that
+is refused within a quarter of it can still come again in good time; the rest is for the
+way there and back."""
 
 INNER_PATIENCE_SHARE = 0.4
 """Part of its time for which a call of a back end may wait for a slot."""
@@ -38,6 +40,8 @@
     ``deadline`` is monotonic seconds; ``key`` is the caller's idempotency key,
     empty for what may be repeated.  ``start_by`` is the monotonic time after which it
     waits no more for a slot: an answer would come too late for its target latency.
+    ``remaining`` is the time its caller gave it, in seconds; ``is_comeback``: it was
+    refused before.
     """
 
     service: str
@@ -51,6 +55,8 @@
     key: str = ""
     priority: int = 1
     start_by: float = math.inf
+    remaining: float | None = None
+    is_comeback: bool = False
 
 
 def classify(
@@ -88,6 +94,7 @@
             key=_idempotency_key(settings, head),
             priority=settings.priority,
             start_by=_start_by(settings, now),
+            remaining=remaining,
         )
     )
 
--- a/src/peppershore/request/outcome.py
+++ b/src/peppershore/request/outcome.py
@@ -25,6 +25,13 @@
 BUSY = "busy"
 """Reason of a refusal because no slot is free at this moment."""
 
+NO_SLOT_IN_TIME = "no-slot-in-time"
+"""Reason of a refusal because no slot comes free while the call may wait."""
+
+QUEUE_FULL = "queue-full"
+DISPLACED = "displaced"
+DEADLINE_TOO_SHORT = "deadline-too-short"
+
 ANSWERED = b"answered"
 NOT_RUN = b"not-run"
 UNKNOWN = b"unknown"
--- a/src/peppershore/request/waiting.py
+++ b/src/peppershore/request/waiting.py
@@ -1,8 +1,12 @@
-"""The bounded queue of calls that wait for a slot: by class, priority, deadline."""
+"""The bounded queue of calls that wait for a slot.
+
+By class, priority, whether they come for the first time, deadline.
+"""
 
 from __future__ import annotations
 
 import heapq
+import math
 
 import msgspec
 
@@ -12,7 +16,10 @@
 PRIORITIES = 101
 """Priorities 0 to 100 within each class."""
 
-BULK_RANK = RANKS["bulk"] * PRIORITIES
+RANKS_OF_CLASS = 2 * PRIORITIES
+"""First calls and comebacks of each priority."""
+
+BULK_RANK = RANKS["bulk"] * RANKS_OF_CLASS
 
 FAIRNESS_INTERVAL = 16
 """Every so many calls the last waiting rank goes first, so that it moves."""
@@ -21,7 +28,8 @@
 class Ticket(msgspec.Struct, eq=False):
     """One call's place in the queue; ``excluded``: nodes that failed it before.
 
-    One that may not wait is refused where no slot is free.
+    One that may not wait is refused where no slot is free; another one waits until
+    ``start_by`` (monotonic seconds).  ``is_comeback``: it was refused before.
     """
 
     number: int
@@ -31,11 +39,14 @@
     waiting: bool = False
     may_wait: bool = True
     priority: int = 1
+    start_by: float = math.inf
+    is_comeback: bool = False
 
     @property
     def rank(self) -> int:
-        """What goes first, lowest first: by class, then by the route's priority."""
-        return RANKS[self.call_class] * PRIORITIES + min(self.priority, PRIORITIES - 1)
+        """What goes first, lowest first: class, the route's priority, first calls."""
+        priority = min(self.priority, PRIORITIES - 1)
+        return RANKS[self.call_class] * RANKS_OF_CLASS + 2 * priority + self.is_comeback
 
 
 class WaitingQueue:
@@ -100,6 +111,18 @@
                     due.append(ticket)
         return due
 
+    def impatient_by(self, moment: float) -> list[Ticket]:
+        """Take out the tickets that would have had to start before ``moment``."""
+        impatient = [
+            ticket
+            for heap in self._heaps.values()
+            for _, _, ticket in heap
+            if ticket.waiting and ticket.start_by <= moment
+        ]
+        for ticket in impatient:
+            self.remove(ticket)
+        return impatient
+
     def taken(self, ticket: Ticket) -> None:
         """A ticket got its slot."""
         self._taken += 1
--- /dev/null
+++ b/tests/request/test_comebacks.py
@@ -0,0 +1,124 @@
+"""Comebacks: told from first calls, served after them, spread over time."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from peppershore.connection.messages import Endpoint
+from peppershore.process.randomness import Randomness
+from peppershore.request.admission import Admission, Dispatch, Waiting
+from peppershore.request.comebacks import (
+    UsualTime,
+    UsualTimes,
+)
+from peppershore.request.outcome import NO_SLOT_IN_TIME, NotRun
+from peppershore.request.waiting import Ticket
+from peppershore.version.model import ServiceSettings
+
+SLOTS = 4
+WORK_SECONDS = 0.1
+SETTINGS = ServiceSettings(slow_start_milliseconds=0)
+
+
+def test_a_call_with_less_time_than_usual_came_before() -> None:
+    usual = UsualTime()
+    assert not any(usual.is_comeback(time) for time in (4.0, 3.999, 4.0, 4.0))
+    assert usual.is_comeback(3.6)
+    assert not usual.is_comeback(3.998)
+
+
+@pytest.mark.parametrize("comebacks", [0, 1, 2])
+def test_neither_many_comebacks_nor_a_few_patient_callers_change_what_is_usual(
+    comebacks: int,
+) -> None:
+    usual = UsualTime()
+    times = [4.0] * 24 + [3.5] * 24 * comebacks + [8.0] * (1 + comebacks)
+    shuffled = [times[(each * 29) % len(times)] for each in range(len(times) * 3)]
+    for time in shuffled:
+        usual.is_comeback(time)
+    assert not usual.is_comeback(4.0)
+    assert usual.is_comeback(3.5)
+
+
+def test_callers_that_change_their_time_are_learned_again() -> None:
+    usual = UsualTime()
+    for _ in range(100):
+        usual.is_comeback(4.0)
+    assert usual.is_comeback(2.0)
+    for _ in range(100):
+        usual.is_comeback(2.0)
+    assert not usual.is_comeback(2.0)
+
+
+def test_each_route_has_its_own_and_a_route_that_is_gone_is_forgotten() -> None:
+    times = UsualTimes()
+    assert not times.is_comeback("kassa", "pay", 4.0)
+    assert not times.is_comeback("kassa", "ledger", 0.6)
+    assert times.is_comeback("kassa", "pay", 0.6)
+    assert not times.is_comeback("kassa", "pay", None)
+    times.keep_only(frozenset({("kassa", "ledger")}))
+    assert not times.is_comeback("kassa", "pay", 0.6)
+
+
+class Line:
+    """One back end whose slots are taken, and the calls that wait for it."""
+
+    def __init__(self) -> None:
+        endpoint = Endpoint("n1", "k", "a", 1, 1, "ready", "10.0.0.1:1", "", SLOTS, 130)
+        self.admission = Admission("k", SETTINGS, "a", Randomness(1))
+        self.admission.use_endpoints((endpoint,), 0.0)
+        self._numbers = itertools.count(1)
+        for _ in range(3):
+            held = [self._taken() for _ in range(SLOTS)]
+            for dispatch in held:
+                self.admission.finished(dispatch, WORK_SECONDS, "good", 0.0)
+        self.held = [self._taken() for _ in range(SLOTS)]
+
+    def offer(
+        self, *, is_comeback: bool = False, patience: float = 10.0, deadline: float = 10.0
+    ) -> Dispatch | Waiting | NotRun:
+        ticket = Ticket(
+            next(self._numbers),
+            "normal",
+            deadline,
+            start_by=patience,
+            is_comeback=is_comeback,
+        )
+        return self.admission.offer(ticket, 0.0)
+
+    def _taken(self) -> Dispatch:
+        dispatch = self.offer()
+        assert isinstance(dispatch, Dispatch)
+        return dispatch
+
+
+def test_a_first_call_goes_before_one_that_came_back_with_less_time_left() -> None:
+    line = Line()
+    assert isinstance(line.offer(is_comeback=True, deadline=3.0), Waiting)
+    assert isinstance(line.offer(deadline=4.0), Waiting)
+    line.admission.finished(line.held.pop(), WORK_SECONDS, "good", 0.0)
+    (started,) = line.admission.ready(0.0)
+    assert not started.ticket.is_comeback
+
+
+def test_a_call_is_refused_at_once_if_no_slot_comes_free_while_it_may_wait() -> None:
+    line = Line()
+    waiting = 0
+    while isinstance(outcome := line.offer(patience=WORK_SECONDS), Waiting):
+        waiting += 1
+    assert isinstance(outcome, NotRun)
+    assert outcome.reason == NO_SLOT_IN_TIME
+    assert SLOTS <= waiting <= 3 * SLOTS
+    assert outcome.retry_after_milliseconds >= 1_000 * WORK_SECONDS
+
+
+def test_a_waiting_call_is_given_up_when_it_may_wait_no_longer() -> None:
+    line = Line()
+    assert isinstance(line.offer(patience=0.05), Waiting)
+    assert isinstance(line.offer(), Waiting)
+    assert line.admission.impatient(0.04) == []
+    (given_up,) = line.admission.impatient(0.05)
+    assert given_up.start_by == 0.05
+    assert line.admission.waiting == 1
