--- a/src/peppershore/process/consensus/core.py
+++ b/src/peppershore/process/consensus/core.py
@@ -83,6 +83,7 @@
         self._following = Following(self)
         self._randomness = randomness
         self._election_due = 0.0
+        self._ticked_at = 0.0
         self._outputs: list[Output] = []
 
     # --- inputs --------------------------------------------------------------
@@ -112,7 +113,11 @@
 
     def tick(self, now: float) -> None:
         """Send a heartbeat as leader; campaign when no leader is heard of."""
+        stood_still = now - self._ticked_at > self.settings.election_seconds / 2
+        self._ticked_at = now
         if self.leadership is not None:
+            if stood_still:
+                self.leadership.asks_anew(now)
             if self.leadership.quorum_lost(now):
                 self.follow("", self.term, "no majority answers", now)
             else:
--- a/src/peppershore/process/consensus/leadership.py
+++ b/src/peppershore/process/consensus/leadership.py
@@ -51,6 +51,7 @@
         self._round_started: dict[int, float] = {}
         self._confirmed_round = 0
         self._confirmed_at = now
+        self._asked_anew_at = now
         self._peers: dict[str, PeerProgress] = {}
         self._reads: list[PendingRead] = []
         self._round_wanted = False
@@ -167,7 +168,15 @@
         """Check-quorum: whether no majority answered for an election timeout."""
         if self._alone():
             return False
-        return now >= self._confirmed_at + self._core.settings.election_seconds
+        since = max(self._confirmed_at, self._asked_anew_at)
+        return now >= since + self._core.settings.election_seconds
+
+    def asks_anew(self, now: float) -> None:
+        """This process stood still, so nobody was asked: count from now.
+
+        The lease is not lengthened by that.
+        """
+        self._asked_anew_at = now
 
     def read(self, request: int, now: float) -> None:
         """Confirm a read by the lease, or by a round that begins after it."""
--- a/src/peppershore/process/control/followers.py
+++ b/src/peppershore/process/control/followers.py
@@ -55,7 +55,9 @@
         first = edits[0].version
         last = edits[-1].version
         for link, sent in self._sent.items():
-            if sent < first:
+            if sent == 0 and len(edits) > 1:
+                commands.append(SendMessage(link, TreeState(self._state.tree)))
+            elif sent < first:
                 commands += [SendEncoded(link, payload) for payload in encoded]
             elif sent < last:
                 missing = tuple(edit for edit in edits if edit.version > sent)
