A planned stop uses the back end longer and lets it call on; refusals say better when

Change: others are told after 1 s; callers are accepted while the back end runs anything. A node without configuration says 0.6 s, not 0.25 s; a call refused twice for want of slots is told a moment at least 0.8 s away, spread by the rate of answers.

--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -40,6 +40,7 @@
     SendMessage,
     SetTimer,
 )
+from peppershore.process.endpoints.table import STATE_GONE, STATE_LEAVING
 from peppershore.process.link_numbers import LinkNumbers
 from peppershore.process.node import notices
 from peppershore.process.node.back_end_reports import STATE_READY, BackEndReports
@@ -76,6 +77,10 @@
 
 PERSIST_TIMER = "node.persist"
 PERSIST_RETRY_SECONDS = 1.0
+LEAVING_TIMER = "node.leaving"
+LEAVING_ANNOUNCED_SECONDS = 1.0
+"""After the begin of a planned stop others go on sending for so long: this node serves
+callers for some time in any case, and its back end would stand idle meanwhile."""
 PAUSE_SECONDS = 3.0
 """Without any event for this long the process can't have been running."""
 AGE_TOLERANCE_MILLISECONDS = 1
@@ -219,6 +224,8 @@
             self._do(self.sessions.connect(self._now))
         elif timer == PERSIST_TIMER:
             self._persist()
+        elif timer == LEAVING_TIMER:
+            self._backend_state(STATE_LEAVING)
         else:
             raise AssertionError(f"a node sets no timer {timer}")
 
@@ -465,11 +472,11 @@
             return
         self._is_stopping = True
         self._report(notices.NodeStopping(self._own.exists))
-        self._backend_state("leaving")
+        self._out.append(SetTimer(LEAVING_TIMER, LEAVING_ANNOUNCED_SECONDS))
         self._out.append(DrainBackend())
 
     def _drained(self) -> None:
-        self._backend_state("gone")
+        self._backend_state(STATE_GONE)
         self._out.append(Exit("stopped"))
 
     # --- helpers ---------------------------------------------------------------
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -443,6 +443,8 @@
 
     def _fail(self, failed: Failed) -> None:
         self._over = True
+        if isinstance(failed, NotRun) and self._plan is not None:
+            failed = self._calls.with_time_to_come_back(self._plan, failed)
         self._answer.fail(failed)
         if self._claim and isinstance(failed, NotRun):
             self._calls.release_claim(self._claim, self._claim_attempt)
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -38,8 +38,10 @@
 from peppershore.request.audience import load_token_library
 from peppershore.request.claim import ClaimDenied, ClaimGranted, ClaimsClient
 from peppershore.request.classification import CallPlan, route_of
+from peppershore.request.comebacks import ComebackPace
 from peppershore.request.endpoint_state import Verdict
 from peppershore.request.outcome import (
+    LOAD_REASONS,
     STATUS_UNAVAILABLE,
     Failed,
     NotRun,
@@ -108,6 +110,7 @@
         self._admissions: dict[str, Admission] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._shared_budgets: dict[str, SharedRetryBudget] = {}
+        self._comeback_paces: dict[str, ComebackPace] = {}
         self._endpoints: dict[str, tuple[Endpoint, ...]] = {}
         self._nodes: frozenset[str] = frozenset()
         self._nodes_behind: dict[str, list[str]] = {}
@@ -340,12 +343,22 @@
         else:
             self._shared_budget(plan.target, self._bound).called(self.loop.time())
 
+    def with_time_to_come_back(self, plan: CallPlan, refusal: NotRun) -> NotRun:
+        """Give a call refused twice for want of slots its place among the comebacks."""
+        if not plan.is_comeback or refusal.reason not in LOAD_REASONS:
+            return refusal
+        wait = refusal.retry_after_milliseconds / MILLISECONDS
+        seconds = self._comeback_pace(plan.target).book(wait, self.loop.time())
+        advice = math.ceil(seconds * MILLISECONDS)
+        return msgspec.structs.replace(refusal, retry_after_milliseconds=advice)
+
     def answered(
         self, plan: CallPlan, status: int, request_id: bytes, story: StoryBook
     ) -> None:
         """Count an answered call; each so-many-th has its line."""
         self.counts.answered += 1
         now = self.loop.time()
+        self._comeback_pace(plan.target).answered(now)
         self.figures.ended(plan, "answered", "", now - story.began_at)
         if self.log.takes_answered(request_id):
             end = CallEnd("answered", "", status)
@@ -461,6 +474,13 @@
             self._shared_budgets[service] = budget
         return budget
 
+    def _comeback_pace(self, service: str) -> ComebackPace:
+        pace = self._comeback_paces.get(service)
+        if pace is None:
+            pace = ComebackPace()
+            self._comeback_paces[service] = pace
+        return pace
+
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -188,6 +188,7 @@
         await asyncio.sleep(max(0.0, leaving_ends - self._loop.time()))
         if self._own is not None:
             self._own.leaving = True
+        await self._own_back_end_done(end)
         self._listener.close()
         while self._busy and self._loop.time() < end:
             self._close_idle(0.0)
@@ -195,6 +196,12 @@
         self._close_idle(0.0)
         return self._report_drain()
 
+    async def _own_back_end_done(self, end: float) -> None:
+        """Wait until the back end runs nothing: what it runs may call on through here."""
+        own = self._own
+        while own is not None and own.in_flight and self._loop.time() < end:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
     async def close(self) -> None:
         """Close listeners and connections at once."""
         if self._tick is not None:
--- a/src/peppershore/process/node/own_endpoint.py
+++ b/src/peppershore/process/node/own_endpoint.py
@@ -53,7 +53,7 @@
         """Take a new state; a leaving back end stays leaving until it is gone."""
         if state == self._state:
             return False
-        if self._state == STATE_LEAVING and state != "gone":
+        if self._state == STATE_LEAVING and state != STATE_GONE:
             return False
         self._state = state
         self._sequence += 1
--- a/src/peppershore/request/classification.py
+++ b/src/peppershore/request/classification.py
@@ -31,7 +31,8 @@
 INNER_PATIENCE_SHARE = 0.4
 """Part of its time for which a call of a back end may wait for a slot."""
 
-NO_CONFIGURATION_RETRY_AFTER_MILLISECONDS = 250
+NO_CONFIGURATION_RETRY_AFTER_MILLISECONDS = 600
+"""A node that has just started holds a configuration about a second later."""
 
 
 class CallPlan(msgspec.Struct, frozen=True):
--- a/src/peppershore/request/comebacks.py
+++ b/src/peppershore/request/comebacks.py
@@ -1,4 +1,4 @@
-"""Which calls are comebacks of refused ones.
+"""Which calls are comebacks of refused ones, and when the refused should come back.
 
 Under load a call that comes for the first time goes before one that was refused
 before: the first can still be answered within its target latency.  Served oldest first,
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 SAMPLES = 64
@@ -65,3 +66,54 @@
         """Forget routes that are there no more."""
         for gone in self._routes.keys() - routes:
             del self._routes[gone]
+
+
+RATE_DECAY_SECONDS = 2.0
+COMEBACK_LOAD = 0.5
+"""Comebacks are told to come again at this part of the rate of answers."""
+
+REFUSED_TWICE_SECONDS = 0.8
+"""A call that was refused twice is late in any case: let the overload pass."""
+
+MAX_ADVICE_SECONDS = 2.0
+
+
+class ComebackPace:
+    """Spreads over time the calls of one service that were refused more than once.
+
+    All told the same, they would come back together and be refused again.
+    """
+
+    __slots__ = ("_answers", "_next", "_seen_at")
+
+    def __init__(self) -> None:
+        """Begin without answers, so without a rate."""
+        self._answers = 0.0
+        self._seen_at = 0.0
+        self._next = 0.0
+
+    def answered(self, now: float) -> None:
+        """A call was answered."""
+        self._fade(now)
+        self._answers += 1.0
+
+    def book(self, wait: float, now: float) -> float:
+        """Give the seconds after which a call should come back once more.
+
+        ``wait``: seconds until a slot may be free for it, as far as is known.
+        """
+        self._fade(now)
+        self._next = max(self._next, now + max(wait, REFUSED_TWICE_SECONDS))
+        advice = self._next - now
+        if advice < MAX_ADVICE_SECONDS:
+            self._next += self._spacing_seconds
+        return min(advice, MAX_ADVICE_SECONDS)
+
+    @property
+    def _spacing_seconds(self) -> float:
+        rate = self._answers / RATE_DECAY_SECONDS
+        return 1.0 / (COMEBACK_LOAD * rate) if rate > 0.0 else 0.0
+
+    def _fade(self, now: float) -> None:
+        self._answers *= math.exp((self._seen_at - now) / RATE_DECAY_SECONDS)
+        self._seen_at = now
--- a/src/peppershore/request/outcome.py
+++ b/src/peppershore/request/outcome.py
@@ -32,6 +32,9 @@
 DISPLACED = "displaced"
 DEADLINE_TOO_SHORT = "deadline-too-short"
 
+LOAD_REASONS = frozenset({BUSY, NO_SLOT_IN_TIME, QUEUE_FULL, DISPLACED, DEADLINE_TOO_SHORT})
+"""Reasons of refusals for want of slots: the caller may come back for one."""
+
 ANSWERED = b"answered"
 NOT_RUN = b"not-run"
 UNKNOWN = b"unknown"
--- a/tests/data_plane/test_planned_stop.py
+++ b/tests/data_plane/test_planned_stop.py
@@ -105,3 +105,40 @@
         await node.plane.close()
 
     run(scene())
+
+
+def test_a_back_end_that_still_runs_a_call_can_make_its_own_until_it_is_done() -> None:
+    async def scene() -> None:
+        inner: list[str] = []
+        may_go_on = asyncio.Event()
+        other = ScriptedBackend()
+        other_endpoint = endpoint(await other.start(), node="k2")
+
+        async def calls_on(request: Received, writer: asyncio.StreamWriter) -> None:
+            await may_go_on.wait()
+            inner.append((await call(owner.addresses.callers)).body.decode())
+            await answer_ok(request, writer)
+
+        backend = ScriptedBackend(calls_on)
+        owner = Node("k1", await backend.start())
+        await owner.start(other_endpoint)
+        edge = Node()
+        address = await edge.start(
+            endpoint(backend.address, owner_address=owner.addresses.internal)
+        )
+        outer = await Caller.connect(address)
+        outer.request(method="POST", body=b"a")
+        await until(lambda: len(backend.requests) == 1)
+        drained = asyncio.create_task(owner.plane.drained(5.0))
+        await asyncio.sleep(2 * data_plane.LEAVING_SECONDS)
+        may_go_on.set()
+        assert (await outer.answer()).body == b"ok:a"
+        assert inner == ["ok:"]
+        assert (await drained).calls_cut == 0
+        assert not owner.plane.listening
+        for node in (owner, edge):
+            await node.plane.close()
+        for stopped in (backend, other):
+            stopped.stop()
+
+    run(scene())
--- a/tests/request/test_comebacks.py
+++ b/tests/request/test_comebacks.py
@@ -10,6 +10,9 @@
 from peppershore.process.randomness import Randomness
 from peppershore.request.admission import Admission, Dispatch, Waiting
 from peppershore.request.comebacks import (
+    MAX_ADVICE_SECONDS,
+    REFUSED_TWICE_SECONDS,
+    ComebackPace,
     UsualTime,
     UsualTimes,
 )
@@ -62,6 +65,27 @@
     assert not times.is_comeback("kassa", "pay", 0.6)
 
 
+def test_calls_refused_twice_are_told_moments_spread_by_the_rate_of_answers() -> None:
+    pace = ComebackPace()
+    for number in range(200):
+        pace.answered(number / 20)
+    advice = [pace.book(0.1, 10.0) for _ in range(6)]
+    assert advice[0] == pytest.approx(REFUSED_TWICE_SECONDS)
+    gaps = [later - earlier for earlier, later in itertools.pairwise(advice)]
+    assert all(0.05 < gap < 0.2 for gap in gaps)
+    assert pace.book(0.1, 12.0) == pytest.approx(REFUSED_TWICE_SECONDS)
+
+
+def test_advice_is_bounded_and_never_before_a_slot_is_likely() -> None:
+    pace = ComebackPace()
+    assert [pace.book(1.3, 1.0) for _ in range(3)] == pytest.approx([1.3] * 3)
+    pace.answered(1.0)
+    told = [pace.book(1.3, 1.0) for _ in range(100)]
+    assert all(1.3 - 1e-9 <= each <= MAX_ADVICE_SECONDS for each in told)
+    assert told[-1] == MAX_ADVICE_SECONDS
+    assert pace.book(0.1, 1.0 + 2 * MAX_ADVICE_SECONDS) < MAX_ADVICE_SECONDS
+
+
 class Line:
     """One back end whose slots are taken, and the calls that wait for it."""
 
