Work is estimated by route; who leaves is asked where nobody is ready

Change: an owner keeps a mean time for each route (its name travels with the call) and judges a call by its own; where nobody is ready, those that leave are asked, and their own nodes take or refuse.

--- a/src/peppershore/connection/messages.py
+++ b/src/peppershore/connection/messages.py
@@ -703,6 +703,7 @@
     is meant ("" for any); ``priority`` 0 goes first.  Without ``may_wait`` the call is
     refused where no slot is free; else it waits for ``patience_milliseconds`` at most.
     ``is_comeback``: it was refused before, and goes after those that were not.
+    ``route`` is the name of its route, by which its work is estimated.
     """
 
     stream: int
@@ -722,6 +723,7 @@
     may_wait: bool = True
     patience_milliseconds: int = UNBOUNDED_PATIENCE
     is_comeback: bool = False
+    route: str = ""
 
 
 class CallBody(Message, frozen=True, tag=142):
--- a/src/peppershore/process/node/data/attempt.py
+++ b/src/peppershore/process/node/data/attempt.py
@@ -83,7 +83,8 @@
     deadline.  ``cancellable`` is false where the answer is wanted even if the
     caller leaves.  ``service`` is whose back end is meant ("" for any).  Without
     ``may_wait`` it is refused at once where no slot is free; else it may wait for
-    one until ``start_by`` (monotonic seconds).
+    one until ``start_by`` (monotonic seconds).  ``is_comeback``: its caller was refused
+    before; ``route``: the name of its route, by which its work is estimated.
     """
 
     head: RequestHead
@@ -97,3 +98,4 @@
     may_wait: bool = True
     start_by: float = math.inf
     is_comeback: bool = False
+    route: str = ""
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -272,6 +272,7 @@
             may_wait=self._progress.may_wait or not self._calls.looks_for_free_slots,
             start_by=plan.start_by,
             is_comeback=plan.is_comeback,
+            route=plan.route,
         )
 
     def refused(self, refusal: NotRun) -> None:
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -236,6 +236,7 @@
             priority=plan.priority,
             start_by=plan.start_by,
             is_comeback=plan.is_comeback,
+            route=plan.route,
         )
 
     def offer(self, ticket: Ticket, plan: CallPlan, call: Call) -> Decision:
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -231,6 +231,7 @@
                 may_wait=request.may_wait,
                 patience_milliseconds=_patience(now, request.start_by),
                 is_comeback=request.is_comeback,
+                route=request.route,
             )
         )
         if not self._started:
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -185,6 +185,7 @@
             priority=request.priority,
             start_by=request.start_by,
             is_comeback=request.is_comeback,
+            route=request.route,
         )
         decision = self.admission.offer(ticket, now)
         if isinstance(decision, NotRun):
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -275,6 +275,7 @@
         may_wait=started.may_wait,
         start_by=math.inf if patience < 0 else now + patience / MILLISECONDS,
         is_comeback=started.is_comeback,
+        route=started.route,
     )
 
 
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -200,6 +200,7 @@
         """Wait until the back end runs nothing: what it runs may call on through here."""
         own = self._own
         while own is not None and own.in_flight and self._loop.time() < end:
+            self._close_idle(0.0)
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def close(self) -> None:
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -30,9 +30,11 @@
     pick,
 )
 from peppershore.request.waiting import Ticket, WaitingQueue
+from peppershore.request.work_times import WorkTimes
 from peppershore.version.model import ServiceSettings
 
 STATE_READY = "ready"
+STATE_LEAVING = "leaving"
 BULK_SHARE = 0.5
 """Share of all slots that bulk calls may hold, so that others find room."""
 
@@ -40,8 +42,8 @@
 NOBODY_READY_RETRY_AFTER_MILLISECONDS = 250
 
 HOPE = 1.5
-"""A call is refused at once if the wait expected is so many times what it may wait: the
-times seen of a back end lean to the long ones."""
+"""A call is refused at once if the wait expected is so many times what it may wait: it
+is only a mean, and what is ahead may be given up."""
 
 
 class Dispatch(msgspec.Struct, frozen=True):
@@ -84,6 +86,7 @@
         self._offered: dict[str, EndpointState] = {}
         self._queue = WaitingQueue()
         self._bulk_in_flight = 0
+        self._work = WorkTimes()
 
     @property
     def waiting(self) -> int:
@@ -116,13 +119,20 @@
             state.ramp_seconds = settings.slow_start_milliseconds / 1_000
 
     def use_endpoints(self, endpoints: tuple[Endpoint, ...], now: float) -> None:
-        """Replace the live back ends; what was seen of those that stay is kept."""
-        offered: dict[str, EndpointState] = {}
+        """Replace the live back ends; what was seen of those that stay is kept.
+
+        Where nobody is ready, those that leave are asked: their own nodes take calls
+        for as long as they may, and refuse them as not run after that.
+        """
+        ready: dict[str, EndpointState] = {}
+        leaving: dict[str, EndpointState] = {}
         for endpoint in endpoints:
             state = self._adopt(endpoint, now)
             if endpoint.state == STATE_READY:
-                offered[endpoint.node] = state
-        self._offered = offered
+                ready[endpoint.node] = state
+            elif endpoint.state == STATE_LEAVING and endpoint.owner_address:
+                leaving[endpoint.node] = state
+        self._offered = ready or leaving
         present = {endpoint.node for endpoint in endpoints}
         for node in [node for node in self._states if node not in present]:
             if self._states[node].in_flight == 0:
@@ -164,11 +174,13 @@
         if verdict is None:
             return None
         state.observe(latency, verdict, now)
+        if verdict == "good":
+            self._work.observe(dispatch.ticket.route, latency)
         return self._eject_outlier(state, now)
 
     def impatient(self, now: float) -> list[Ticket]:
         """Give up the waiting calls that would have had to start by now."""
-        return self._queue.impatient_by(now)
+        return self._queue.take_out(lambda ticket: ticket.start_by <= now)
 
     def hopeless(self, now: float) -> list[Ticket]:
         """Give up the waiting calls whose time is too short for a back end's work.
@@ -176,7 +188,9 @@
         Started, they would hold a slot and end at their deadline all the same:
         under overload, earliest deadline first would serve little else.
         """
-        return self._queue.due_by(now + self._service_seconds(now))
+        return self._queue.take_out(
+            lambda ticket: ticket.deadline <= now + self._work.of(ticket.route)
+        )
 
     def ready(self, now: float) -> list[Dispatch]:
         """Give the waiting calls that can start now."""
@@ -247,12 +261,11 @@
     def _enqueue(self, ticket: Ticket, now: float) -> Decision:
         wait = self._expected_wait(ticket, now)
         if not ticket.may_wait:
-            return self._refusal(BUSY, wait - self._service_seconds(now), retryable=True)
-        if wait > ticket.deadline - now:
+            return self._refusal(BUSY, wait, retryable=True)
+        if wait + self._work.of(ticket.route) > ticket.deadline - now:
             return self._refusal(DEADLINE_TOO_SHORT, wait)
-        until_slot = wait - self._service_seconds(now)
-        if until_slot > HOPE * (ticket.start_by - now):
-            return self._refusal(NO_SLOT_IN_TIME, until_slot)
+        if wait > HOPE * (ticket.start_by - now):
+            return self._refusal(NO_SLOT_IN_TIME, wait)
         evicted: Ticket | None = None
         if len(self._queue) >= self.settings.queue_limit:
             evicted = self._queue.least_important()
@@ -271,29 +284,17 @@
         return self._refusal(DISPLACED, self._expected_wait(ticket, now))
 
     def _expected_wait(self, ticket: Ticket, now: float) -> float:
-        """Give the seconds until this call's answer, from what was seen so far."""
+        """Give the seconds until a slot is free for this call, from what was seen."""
         states = [state for state in self._offered.values() if not state.ejected(now)]
-        if not states:
+        slots = sum(state.slots(now) for state in states)
+        if not slots:
             return 0.0
-        rate = sum(state.slots(now) / state.latency_seconds for state in states)
         ahead = self._queue.ahead_of(ticket.rank, ticket.deadline)
-        return (ahead + 1) / rate + self._service_seconds(now)
-
-    def _service_seconds(self, now: float) -> float:
-        """Give the shortest smoothed time of a call among the back ends in use."""
-        return min(
-            (
-                state.latency_seconds
-                for state in self._offered.values()
-                if not state.ejected(now)
-            ),
-            default=0.0,
-        )
+        return (ahead + 1) * self._work.of_all / slots
 
     def refusal_of_impatient(self, ticket: Ticket, now: float) -> NotRun:
         """Give what a call is told that may wait no longer for a slot."""
-        wait = self._expected_wait(ticket, now) - self._service_seconds(now)
-        return self._refusal(NO_SLOT_IN_TIME, wait)
+        return self._refusal(NO_SLOT_IN_TIME, self._expected_wait(ticket, now))
 
     def note_load(self, node: str, load: OwnerLoad, now: float) -> None:
         """An owner told how loaded its back end is."""
--- a/src/peppershore/request/waiting.py
+++ b/src/peppershore/request/waiting.py
@@ -7,6 +7,7 @@
 
 import heapq
 import math
+from collections.abc import Callable
 
 import msgspec
 
@@ -30,6 +31,7 @@
 
     One that may not wait is refused where no slot is free; another one waits until
     ``start_by`` (monotonic seconds).  ``is_comeback``: it was refused before.
+    ``route`` tells how long it is likely to run.
     """
 
     number: int
@@ -41,6 +43,7 @@
     priority: int = 1
     start_by: float = math.inf
     is_comeback: bool = False
+    route: str = ""
 
     @property
     def rank(self) -> int:
@@ -99,29 +102,17 @@
                 return heap[0][2]
         return None
 
-    def due_by(self, moment: float) -> list[Ticket]:
-        """Take out the tickets whose deadlines are not after ``moment``."""
-        due: list[Ticket] = []
-        for heap in self._heaps.values():
-            while heap and (not heap[0][2].waiting or heap[0][0] <= moment):
-                ticket = heapq.heappop(heap)[2]
-                if ticket.waiting:
-                    ticket.waiting = False
-                    self._length -= 1
-                    due.append(ticket)
-        return due
-
-    def impatient_by(self, moment: float) -> list[Ticket]:
-        """Take out the tickets that would have had to start before ``moment``."""
-        impatient = [
+    def take_out(self, is_out: Callable[[Ticket], bool]) -> list[Ticket]:
+        """Take out the waiting tickets for which ``is_out`` holds."""
+        out = [
             ticket
             for heap in self._heaps.values()
             for _, _, ticket in heap
-            if ticket.waiting and ticket.start_by <= moment
+            if ticket.waiting and is_out(ticket)
         ]
-        for ticket in impatient:
+        for ticket in out:
             self.remove(ticket)
-        return impatient
+        return out
 
     def taken(self, ticket: Ticket) -> None:
         """A ticket got its slot."""
