Relays that have just started find one another sooner and tell what they know

Their first relay had not yet reached two of the other relays (its first dial met a closed port, the next came with the 2 s digest), so it told them of few back ends; the next relay knew all, but a relay that is up for less than a lease answered no node that held any. Change: a dial that failed is repeated after its own wait, not at the next digest; a node that holds other endpoints is always sent those known, as additions until the relay's table is complete. Both tests fail without the change. Cost: after a relay's restart each of its nodes may be sent one list of its services.

--- a/src/peppershore/process/endpoints/exchange.py
+++ b/src/peppershore/process/endpoints/exchange.py
@@ -48,6 +48,7 @@
 from peppershore.process.settings import PeerRelay, RelaySettings
 
 PEER_TIMER = "exchange.tick"
+PEER_CONNECT_TIMER = "exchange.connect"
 
 DIGEST_SECONDS = 2.0
 LEASE_SECONDS = 8.0
@@ -228,7 +229,14 @@
             peer.failures, BACKOFF_BASE_SECONDS, BACKOFF_CEILING_SECONDS
         )
         peer.failures += 1
-        return [Report(RelayPeerLost(peer.name, reason))] if was_open else []
+        again = SetTimer(PEER_CONNECT_TIMER, self._next_retry_seconds(now))
+        return [Report(RelayPeerLost(peer.name, reason)), again] if was_open else [again]
+
+    def connect_again(self, now: float) -> list[Command]:
+        """Open the links whose wait is over; plan those that still wait."""
+        out = self._connect_missing(now)
+        wait = self._next_retry_seconds(now)
+        return [*out, SetTimer(PEER_CONNECT_TIMER, wait)] if wait else out
 
     def greeted(self, link: LinkId, hello: RelayHello, now: float) -> list[Command]:
         """Take another relay's greeting; answer it if it opened the link."""
@@ -328,6 +336,15 @@
             if peer.is_open and peer.link is not None
         ]
 
+    def _next_retry_seconds(self, now: float) -> float:
+        """Give the wait until the next link is due that is opened from here, or 0."""
+        waits = (
+            peer.retry_at - now
+            for peer in self._peers.values()
+            if self._settings.relay < peer.name and peer.link is None
+        )
+        return max(0.0, min(waits, default=0.0))
+
     def _connect_missing(self, now: float) -> list[Command]:
         out: list[Command] = []
         for peer in self._peers.values():
--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -27,7 +27,11 @@
     SendMessage,
     SetTimer,
 )
-from peppershore.process.endpoints.exchange import PEER_TIMER, EndpointExchange
+from peppershore.process.endpoints.exchange import (
+    PEER_CONNECT_TIMER,
+    PEER_TIMER,
+    EndpointExchange,
+)
 from peppershore.process.endpoints.table import STATE_READY
 from peppershore.process.link_numbers import LinkNumbers
 from peppershore.process.randomness import Randomness
@@ -214,6 +218,8 @@
             self._do(self.source.reconnect(self._now))
         elif timer == PEER_TIMER:
             self._peer_tick()
+        elif timer == PEER_CONNECT_TIMER:
+            self._do(self.exchange.connect_again(self._now))
         elif timer == HOLD_TIMER:
             self._do(self.rollout.release_held(self._now))
         elif timer == STOP_TIMER:
--- a/src/peppershore/process/relay/endpoint_fanout.py
+++ b/src/peppershore/process/relay/endpoint_fanout.py
@@ -65,8 +65,6 @@
         digest = self._table.digest(services)
         if held.digest == digest:
             return []
-        if held.digest and not is_settled:
-            return []
         return [
             self._send(session, self._encode_complete(session.scope, digest, is_settled))
         ]
--- /dev/null
+++ b/tests/relay/test_relay_just_started.py
@@ -0,0 +1,50 @@
+"""Relays that started a moment ago: they find one another and tell what they know."""
+
+from __future__ import annotations
+
+from tests.relay.site import RELAYS, Site
+
+from peppershore.process.endpoints.exchange import (
+    BACKOFF_CEILING_SECONDS,
+    DIGEST_SECONDS,
+    LEASE_SECONDS,
+)
+from peppershore.process.endpoints.notices import RelayPeerConnected
+
+NAMES = [relay.name for relay in RELAYS]
+
+
+def test_relays_that_start_together_find_one_another_before_the_next_digest() -> None:
+    assert BACKOFF_CEILING_SECONDS < DIGEST_SECONDS
+    site = Site()
+    for late in NAMES[1:]:
+        site.network.kill(late)
+    site.network.run(0.1)
+    for late in NAMES[1:]:
+        site.restart_relay(late)
+    site.network.run(BACKOFF_CEILING_SECONDS + 0.1)
+    for name in NAMES:
+        found = {each.relay for each in site.notices(name, RelayPeerConnected)}
+        assert found == set(NAMES) - {name}
+
+
+def test_a_node_learns_what_a_relay_knows_that_started_a_moment_ago() -> None:
+    site = Site()
+    watcher = site.start_node("w", "kuitti")
+    site.make_ready("w")
+    site.network.run(1.5)
+    first = site.relay_of("w")
+    for other in NAMES:
+        if other != first:
+            site.network.cut(first, other)
+    site.network.cut(first, "x")
+    site.start_node("x", "kuitti")
+    site.network.run(0.5)
+    site.make_ready("x")
+    site.network.run(1.0)
+    assert {each.node for each in watcher.known.endpoints} == {"w"}
+    site.network.kill(first)
+    site.network.run(2.0)
+    assert site.relay_of("w") not in {"", first}
+    assert {each.node for each in watcher.known.endpoints} == {"w", "x"}
+    assert LEASE_SECONDS > 1.5 + 0.5 + 1.0 + 2.0, "the relays are not settled yet"
