Retries of callers are called retries

The last changes named them "comebacks", which is no term of the field. Only names and words differ: module client_retries, is_client_retry, UsualDeadline, ClientRetryPace, with_paced_retry_after, WAIT_TOLERANCE.

--- a/src/peppershore/connection/messages.py
+++ b/src/peppershore/connection/messages.py
@@ -702,7 +702,7 @@
     piece.  ``deadline_milliseconds`` is what remains.  ``service`` is whose back end
     is meant ("" for any); ``priority`` 0 goes first.  Without ``may_wait`` the call is
     refused where no slot is free; else it waits for ``patience_milliseconds`` at most.
-    ``is_comeback``: it was refused before, and goes after those that were not.
+    ``is_client_retry``: it was refused before, and goes after those that were not.
     ``route`` is the name of its route, by which its work is estimated.
     """
 
@@ -722,7 +722,7 @@
     priority: int = 1
     may_wait: bool = True
     patience_milliseconds: int = UNBOUNDED_PATIENCE
-    is_comeback: bool = False
+    is_client_retry: bool = False
     route: str = ""
 
 
--- a/src/peppershore/process/node/data/attempt.py
+++ b/src/peppershore/process/node/data/attempt.py
@@ -83,7 +83,7 @@
     deadline.  ``cancellable`` is false where the answer is wanted even if the
     caller leaves.  ``service`` is whose back end is meant ("" for any).  Without
     ``may_wait`` it is refused at once where no slot is free; else it may wait for
-    one until ``start_by`` (monotonic seconds).  ``is_comeback``: its caller was refused
+    one until ``start_by`` (monotonic seconds).  ``is_client_retry``: its caller was refused
     before; ``route``: the name of its route, by which its work is estimated.
     """
 
@@ -97,5 +97,5 @@
     priority: int = 1
     may_wait: bool = True
     start_by: float = math.inf
-    is_comeback: bool = False
+    is_client_retry: bool = False
     route: str = ""
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -271,7 +271,7 @@
             priority=plan.priority,
             may_wait=self._progress.may_wait or not self._calls.looks_for_free_slots,
             start_by=plan.start_by,
-            is_comeback=plan.is_comeback,
+            is_client_retry=plan.is_client_retry,
             route=plan.route,
         )
 
@@ -445,7 +445,7 @@
     def _fail(self, failed: Failed) -> None:
         self._over = True
         if isinstance(failed, NotRun) and self._plan is not None:
-            failed = self._calls.with_time_to_come_back(self._plan, failed)
+            failed = self._calls.with_paced_retry_after(self._plan, failed)
         self._answer.fail(failed)
         if self._claim and isinstance(failed, NotRun):
             self._calls.release_claim(self._claim, self._claim_attempt)
--- a/src/peppershore/process/node/data/call_entry.py
+++ b/src/peppershore/process/node/data/call_entry.py
@@ -17,7 +17,7 @@
 )
 from peppershore.request.caller_rate import CallerRates
 from peppershore.request.classification import CallPlan, classify, first_in_line
-from peppershore.request.comebacks import UsualTimes
+from peppershore.request.client_retries import UsualDeadlines
 from peppershore.request.outcome import (
     AUTHORIZATION_HEADER,
     STATUS_TOO_MANY_REQUESTS,
@@ -86,7 +86,7 @@
         self._audience = AudienceCheck()
         self._voucher = Voucher(settings.service)
         self._rates = CallerRates()
-        self._usual = UsualTimes()
+        self._usual = UsualDeadlines()
 
     def use_configuration(self, configuration: ActiveConfiguration) -> None:
         """Forget what was learned of routes that are there no more."""
@@ -107,7 +107,7 @@
         classified = classify(configuration, head, now, self._random, self._names)
         if isinstance(classified, Failure) or configuration is None:
             return classified.map(lambda plan: EntryPlan(plan, Caller("")))
-        plan = self._told_from_comebacks(classified.unwrap())
+        plan = self._noting_client_retry(classified.unwrap())
         if self._is_made_for_a_running_call(head, running):
             plan = first_in_line(plan, now)
         checked = self._check_audience(plan, configuration, head, now)
@@ -137,10 +137,14 @@
             self._vouch(configuration, headers)
         return headers
 
-    def _told_from_comebacks(self, plan: CallPlan) -> CallPlan:
+    def _noting_client_retry(self, plan: CallPlan) -> CallPlan:
         """Tell a call that was refused before by the time it has left."""
-        is_comeback = self._usual.is_comeback(plan.service, plan.route, plan.remaining)
-        return msgspec.structs.replace(plan, is_comeback=True) if is_comeback else plan
+        is_client_retry = self._usual.is_client_retry(
+            plan.service, plan.route, plan.remaining
+        )
+        return (
+            msgspec.structs.replace(plan, is_client_retry=True) if is_client_retry else plan
+        )
 
     def _check_audience(
         self,
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -38,7 +38,7 @@
 from peppershore.request.audience import load_token_library
 from peppershore.request.claim import ClaimDenied, ClaimGranted, ClaimsClient
 from peppershore.request.classification import CallPlan, route_of
-from peppershore.request.comebacks import ComebackPace
+from peppershore.request.client_retries import ClientRetryPace
 from peppershore.request.endpoint_state import Verdict
 from peppershore.request.outcome import (
     LOAD_REASONS,
@@ -110,7 +110,7 @@
         self._admissions: dict[str, Admission] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._shared_budgets: dict[str, SharedRetryBudget] = {}
-        self._comeback_paces: dict[str, ComebackPace] = {}
+        self._retry_paces: dict[str, ClientRetryPace] = {}
         self._endpoints: dict[str, tuple[Endpoint, ...]] = {}
         self._nodes: frozenset[str] = frozenset()
         self._nodes_behind: dict[str, list[str]] = {}
@@ -235,7 +235,7 @@
             excluded,
             priority=plan.priority,
             start_by=plan.start_by,
-            is_comeback=plan.is_comeback,
+            is_client_retry=plan.is_client_retry,
             route=plan.route,
         )
 
@@ -344,12 +344,12 @@
         else:
             self._shared_budget(plan.target, self._bound).called(self.loop.time())
 
-    def with_time_to_come_back(self, plan: CallPlan, refusal: NotRun) -> NotRun:
-        """Give a call refused twice for want of slots its place among the comebacks."""
-        if not plan.is_comeback or refusal.reason not in LOAD_REASONS:
+    def with_paced_retry_after(self, plan: CallPlan, refusal: NotRun) -> NotRun:
+        """Give a call refused twice for want of slots its place among the retries."""
+        if not plan.is_client_retry or refusal.reason not in LOAD_REASONS:
             return refusal
         wait = refusal.retry_after_milliseconds / MILLISECONDS
-        seconds = self._comeback_pace(plan.target).book(wait, self.loop.time())
+        seconds = self._retry_pace(plan.target).book(wait, self.loop.time())
         advice = math.ceil(seconds * MILLISECONDS)
         return msgspec.structs.replace(refusal, retry_after_milliseconds=advice)
 
@@ -359,7 +359,7 @@
         """Count an answered call; each so-many-th has its line."""
         self.counts.answered += 1
         now = self.loop.time()
-        self._comeback_pace(plan.target).answered(now)
+        self._retry_pace(plan.target).answered(now)
         self.figures.ended(plan, "answered", "", now - story.began_at)
         if self.log.takes_answered(request_id):
             end = CallEnd("answered", "", status)
@@ -475,11 +475,11 @@
             self._shared_budgets[service] = budget
         return budget
 
-    def _comeback_pace(self, service: str) -> ComebackPace:
-        pace = self._comeback_paces.get(service)
+    def _retry_pace(self, service: str) -> ClientRetryPace:
+        pace = self._retry_paces.get(service)
         if pace is None:
-            pace = ComebackPace()
-            self._comeback_paces[service] = pace
+            pace = ClientRetryPace()
+            self._retry_paces[service] = pace
         return pace
 
     def _budget(self, service: str) -> RetryBudget:
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -230,7 +230,7 @@
                 priority=request.priority,
                 may_wait=request.may_wait,
                 patience_milliseconds=_patience(now, request.start_by),
-                is_comeback=request.is_comeback,
+                is_client_retry=request.is_client_retry,
                 route=request.route,
             )
         )
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -184,7 +184,7 @@
             may_wait=request.may_wait,
             priority=request.priority,
             start_by=request.start_by,
-            is_comeback=request.is_comeback,
+            is_client_retry=request.is_client_retry,
             route=request.route,
         )
         decision = self.admission.offer(ticket, now)
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -274,7 +274,7 @@
         priority=started.priority,
         may_wait=started.may_wait,
         start_by=math.inf if patience < 0 else now + patience / MILLISECONDS,
-        is_comeback=started.is_comeback,
+        is_client_retry=started.is_client_retry,
         route=started.route,
     )
 
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -41,7 +41,7 @@
 MIN_RETRY_AFTER_MILLISECONDS = 100
 NOBODY_READY_RETRY_AFTER_MILLISECONDS = 250
 
-HOPE = 1.5
+WAIT_TOLERANCE = 1.5
 """A call is refused at once if the wait expected is so many times what it may wait: it
 is only a mean, and what is ahead may be given up."""
 
@@ -264,7 +264,7 @@
             return self._refusal(BUSY, wait, retryable=True)
         if wait + self._work.of(ticket.route) > ticket.deadline - now:
             return self._refusal(DEADLINE_TOO_SHORT, wait)
-        if wait > HOPE * (ticket.start_by - now):
+        if wait > WAIT_TOLERANCE * (ticket.start_by - now):
             return self._refusal(NO_SLOT_IN_TIME, wait)
         evicted: Ticket | None = None
         if len(self._queue) >= self.settings.queue_limit:
--- a/src/peppershore/request/classification.py
+++ b/src/peppershore/request/classification.py
@@ -41,7 +41,7 @@
     ``deadline`` is monotonic seconds; ``key`` is the caller's idempotency key,
     empty for what may be repeated.  ``start_by`` is the monotonic time after which it
     waits no more for a slot: an answer would come too late for its target latency.
-    ``remaining`` is the time its caller gave it, in seconds; ``is_comeback``: it was
+    ``remaining`` is the time its caller gave it, in seconds; ``is_client_retry``: it was
     refused before.
     """
 
@@ -57,7 +57,7 @@
     priority: int = 1
     start_by: float = math.inf
     remaining: float | None = None
-    is_comeback: bool = False
+    is_client_retry: bool = False
 
 
 def classify(
--- a/src/peppershore/request/comebacks.py
+++ b/src/peppershore/request/client_retries.py
@@ -1,4 +1,4 @@
-"""Which calls are comebacks of refused ones, and when the refused should come back.
+"""Which calls are retries of refused ones, and when their callers should retry.
 
 Under load a call that comes for the first time goes before one that was refused
 before: the first can still be answered within its target latency.  Served oldest first,
@@ -17,14 +17,14 @@
 """Calls of a route after which its callers' usual time is worked out again."""
 
 USUAL_QUANTILE = 0.85
-"""The usual time is longer than that of most comebacks, of which there may be more than
+"""The usual time is longer than that of most retries, of which there may be more than
 first calls, and shorter than that of the few callers with more patience than others."""
 
-COMEBACK_SHARE = 0.98
+FIRST_SEND_SHARE = 0.98
 """A call with less than this part of the usual time left came before."""
 
 
-class UsualTime:
+class UsualDeadline:
     """The time that callers of one route give a call at first, in seconds."""
 
     __slots__ = ("_samples", "_seen", "_usual")
@@ -35,32 +35,32 @@
         self._seen = 0
         self._usual = 0.0
 
-    def is_comeback(self, remaining: float) -> bool:
+    def is_client_retry(self, remaining: float) -> bool:
         """Take the time that a call has left; tell whether it came before."""
         self._samples.append(remaining)
         if self._seen % RELEARN_EVERY == 0:
             self._usual = self._learned()
         self._seen += 1
-        return remaining < COMEBACK_SHARE * self._usual
+        return remaining < FIRST_SEND_SHARE * self._usual
 
     def _learned(self) -> float:
         ordered = sorted(self._samples)
         return ordered[int(USUAL_QUANTILE * (len(ordered) - 1))]
 
 
-class UsualTimes:
+class UsualDeadlines:
     """The usual time of each route's callers, by the names of service and route."""
 
     def __init__(self) -> None:
         """Begin without routes."""
-        self._routes: dict[tuple[str, str], UsualTime] = {}
+        self._routes: dict[tuple[str, str], UsualDeadline] = {}
 
-    def is_comeback(self, service: str, route: str, remaining: float | None) -> bool:
+    def is_client_retry(self, service: str, route: str, remaining: float | None) -> bool:
         """Take one call; without a deadline nothing is known of it."""
         if remaining is None:
             return False
-        usual = self._routes.setdefault((service, route), UsualTime())
-        return usual.is_comeback(remaining)
+        usual = self._routes.setdefault((service, route), UsualDeadline())
+        return usual.is_client_retry(remaining)
 
     def keep_only(self, routes: frozenset[tuple[str, str]]) -> None:
         """Forget routes that are there no more."""
@@ -69,8 +69,8 @@
 
 
 RATE_DECAY_SECONDS = 2.0
-COMEBACK_LOAD = 0.5
-"""Comebacks are told to come again at this part of the rate of answers."""
+RETRY_LOAD = 0.5
+"""Callers are told to retry at this part of the rate of answers."""
 
 REFUSED_TWICE_SECONDS = 0.8
 """A call that was refused twice is late in any case: let the overload pass."""
@@ -78,7 +78,7 @@
 MAX_ADVICE_SECONDS = 2.0
 
 
-class ComebackPace:
+class ClientRetryPace:
     """Spreads over time the calls of one service that were refused more than once.
 
     All told the same, they would come back together and be refused again.
@@ -112,7 +112,7 @@
     @property
     def _spacing_seconds(self) -> float:
         rate = self._answers / RATE_DECAY_SECONDS
-        return 1.0 / (COMEBACK_LOAD * rate) if rate > 0.0 else 0.0
+        return 1.0 / (RETRY_LOAD * rate) if rate > 0.0 else 0.0
 
     def _fade(self, now: float) -> None:
         self._answers *= math.exp((self._seen_at - now) / RATE_DECAY_SECONDS)
--- a/src/peppershore/request/waiting.py
+++ b/src/peppershore/request/waiting.py
@@ -18,7 +18,7 @@
 """Priorities 0 to 100 within each class."""
 
 RANKS_OF_CLASS = 2 * PRIORITIES
-"""First calls and comebacks of each priority."""
+"""First sends and retries of each priority."""
 
 BULK_RANK = RANKS["bulk"] * RANKS_OF_CLASS
 
@@ -30,7 +30,7 @@
     """One call's place in the queue; ``excluded``: nodes that failed it before.
 
     One that may not wait is refused where no slot is free; another one waits until
-    ``start_by`` (monotonic seconds).  ``is_comeback``: it was refused before.
+    ``start_by`` (monotonic seconds).  ``is_client_retry``: it was refused before.
     ``route`` tells how long it is likely to run.
     """
 
@@ -42,14 +42,14 @@
     may_wait: bool = True
     priority: int = 1
     start_by: float = math.inf
-    is_comeback: bool = False
+    is_client_retry: bool = False
     route: str = ""
 
     @property
     def rank(self) -> int:
         """What goes first, lowest first: class, the route's priority, first calls."""
         priority = min(self.priority, PRIORITIES - 1)
-        return RANKS[self.call_class] * RANKS_OF_CLASS + 2 * priority + self.is_comeback
+        return RANKS[self.call_class] * RANKS_OF_CLASS + 2 * priority + self.is_client_retry
 
 
 class WaitingQueue:
--- a/tests/request/test_comebacks.py
+++ b/tests/request/test_client_retries.py
@@ -1,4 +1,4 @@
-"""Comebacks: told from first calls, served after them, spread over time."""
+"""Retries of callers: told from first sends, served after them, spread over time."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 from peppershore.connection.messages import Endpoint
 from peppershore.process.randomness import Randomness
 from peppershore.request.admission import Admission, Dispatch, Waiting
-from peppershore.request.comebacks import (
+from peppershore.request.client_retries import (
     MAX_ADVICE_SECONDS,
     REFUSED_TWICE_SECONDS,
-    ComebackPace,
-    UsualTime,
-    UsualTimes,
+    ClientRetryPace,
+    UsualDeadline,
+    UsualDeadlines,
 )
 from peppershore.request.outcome import NO_SLOT_IN_TIME, NotRun
 from peppershore.request.waiting import Ticket
@@ -26,47 +26,47 @@
 
 
 def test_a_call_with_less_time_than_usual_came_before() -> None:
-    usual = UsualTime()
-    assert not any(usual.is_comeback(time) for time in (4.0, 3.999, 4.0, 4.0))
-    assert usual.is_comeback(3.6)
-    assert not usual.is_comeback(3.998)
+    usual = UsualDeadline()
+    assert not any(usual.is_client_retry(time) for time in (4.0, 3.999, 4.0, 4.0))
+    assert usual.is_client_retry(3.6)
+    assert not usual.is_client_retry(3.998)
 
 
-@pytest.mark.parametrize("comebacks", [0, 1, 2])
-def test_neither_many_comebacks_nor_a_few_patient_callers_change_what_is_usual(
-    comebacks: int,
+@pytest.mark.parametrize("retries", [0, 1, 2])
+def test_neither_many_retries_nor_a_few_patient_callers_change_what_is_usual(
+    retries: int,
 ) -> None:
-    usual = UsualTime()
-    times = [4.0] * 24 + [3.5] * 24 * comebacks + [8.0] * (1 + comebacks)
+    usual = UsualDeadline()
+    times = [4.0] * 24 + [3.5] * 24 * retries + [8.0] * (1 + retries)
     shuffled = [times[(each * 29) % len(times)] for each in range(len(times) * 3)]
     for time in shuffled:
-        usual.is_comeback(time)
-    assert not usual.is_comeback(4.0)
-    assert usual.is_comeback(3.5)
+        usual.is_client_retry(time)
+    assert not usual.is_client_retry(4.0)
+    assert usual.is_client_retry(3.5)
 
 
 def test_callers_that_change_their_time_are_learned_again() -> None:
-    usual = UsualTime()
+    usual = UsualDeadline()
     for _ in range(100):
-        usual.is_comeback(4.0)
-    assert usual.is_comeback(2.0)
+        usual.is_client_retry(4.0)
+    assert usual.is_client_retry(2.0)
     for _ in range(100):
-        usual.is_comeback(2.0)
-    assert not usual.is_comeback(2.0)
+        usual.is_client_retry(2.0)
+    assert not usual.is_client_retry(2.0)
 
 
 def test_each_route_has_its_own_and_a_route_that_is_gone_is_forgotten() -> None:
-    times = UsualTimes()
-    assert not times.is_comeback("kassa", "pay", 4.0)
-    assert not times.is_comeback("kassa", "ledger", 0.6)
-    assert times.is_comeback("kassa", "pay", 0.6)
-    assert not times.is_comeback("kassa", "pay", None)
+    times = UsualDeadlines()
+    assert not times.is_client_retry("kassa", "pay", 4.0)
+    assert not times.is_client_retry("kassa", "ledger", 0.6)
+    assert times.is_client_retry("kassa", "pay", 0.6)
+    assert not times.is_client_retry("kassa", "pay", None)
     times.keep_only(frozenset({("kassa", "ledger")}))
-    assert not times.is_comeback("kassa", "pay", 0.6)
+    assert not times.is_client_retry("kassa", "pay", 0.6)
 
 
 def test_calls_refused_twice_are_told_moments_spread_by_the_rate_of_answers() -> None:
-    pace = ComebackPace()
+    pace = ClientRetryPace()
     for number in range(200):
         pace.answered(number / 20)
     advice = [pace.book(0.1, 10.0) for _ in range(6)]
@@ -77,7 +77,7 @@
 
 
 def test_advice_is_bounded_and_never_before_a_slot_is_likely() -> None:
-    pace = ComebackPace()
+    pace = ClientRetryPace()
     assert [pace.book(1.3, 1.0) for _ in range(3)] == pytest.approx([1.3] * 3)
     pace.answered(1.0)
     told = [pace.book(1.3, 1.0) for _ in range(100)]
@@ -101,14 +101,18 @@
         self.held = [self._taken() for _ in range(SLOTS)]
 
     def offer(
-        self, *, is_comeback: bool = False, patience: float = 10.0, deadline: float = 10.0
+        self,
+        *,
+        is_client_retry: bool = False,
+        patience: float = 10.0,
+        deadline: float = 10.0,
     ) -> Dispatch | Waiting | NotRun:
         ticket = Ticket(
             next(self._numbers),
             "normal",
             deadline,
             start_by=patience,
-            is_comeback=is_comeback,
+            is_client_retry=is_client_retry,
         )
         return self.admission.offer(ticket, 0.0)
 
@@ -120,11 +124,11 @@
 
 def test_a_first_call_goes_before_one_that_came_back_with_less_time_left() -> None:
     line = Line()
-    assert isinstance(line.offer(is_comeback=True, deadline=3.0), Waiting)
+    assert isinstance(line.offer(is_client_retry=True, deadline=3.0), Waiting)
     assert isinstance(line.offer(deadline=4.0), Waiting)
     line.admission.finished(line.held.pop(), WORK_SECONDS, "good", 0.0)
     (started,) = line.admission.ready(0.0)
-    assert not started.ticket.is_comeback
+    assert not started.ticket.is_client_retry
 
 
 def test_a_call_is_refused_at_once_if_no_slot_comes_free_while_it_may_wait() -> None:
