--- a/tests/platform_adapter/stand_in.py
+++ b/tests/platform_adapter/stand_in.py
@@ -35,6 +35,8 @@
 NOT_EXECUTED = "x-peppershore-not-executed"
 EXPECTED_INSTANCE = "x-peppershore-expected-instance"
 MISDIRECTED = 421
+CALLING_PATH = "/calls-on"
+"""A request for which an upstream makes a call of its own."""
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -196,8 +198,18 @@
                     self._reply(MISDIRECTED, b"", {NOT_EXECUTED: "1"})
                     return
                 upstream.runs.append(self.headers.get(ATTEMPT_ID, ""))
+                if self.path == CALLING_PATH:
+                    self._call_on()
+                    return
                 self._reply(200, upstream.service.encode(), {SIGNATURE: upstream.instance})
 
+            def _call_on(self) -> None:
+                """Answer with what a call of its own is answered, made for this one."""
+                child = f"{self.headers[ATTEMPT_ID]}.1"
+                fields = {"host": self.headers["host"], ATTEMPT_ID: child}
+                inner = ask(machine.clients, "GET", "/x", headers=fields)
+                self._reply(inner.status, inner.body, {SIGNATURE: upstream.instance})
+
             def _reply(self, status: int, body: bytes, fields: dict[str, str]) -> None:
                 self.send_response(status)
                 fields[ATTEMPT_ID] = self.headers.get(ATTEMPT_ID, "")
--- a/tests/platform_adapter/test_stand_in.py
+++ b/tests/platform_adapter/test_stand_in.py
@@ -11,6 +11,7 @@
 import pytest
 from tests.platform_adapter.stand_in import (
     ATTEMPT_ID,
+    CALLING_PATH,
     SIGNATURE,
     Machine,
     Reply,
@@ -88,6 +89,15 @@
     assert answer.headers[ATTEMPT_ID] == "a-1"
 
 
+def test_upstream_calls_on_for_a_request_it_runs(site: Site) -> None:
+    headers = {"host": HOST, ATTEMPT_ID: "a-outer"}
+    answer = ask(site.nodes[2].clients, "GET", CALLING_PATH, headers=headers)
+    assert (answer.status, answer.body) == (200, b"kassa")
+    runs = [run for upstream in site.upstreams for run in upstream.runs]
+    assert runs.count("a-outer") == 1
+    assert runs.count("a-outer.1") == 1
+
+
 def test_unknown_host_has_no_route(site: Site) -> None:
     assert ask(site.nodes[0].clients, "GET", "/", headers={"host": "x"}).status == 404
 
