A planned stop leaves a fresh connection time for its request

Cause: the suite failed once beside a play: while callers are still accepted for what the back end runs, the drain closed every connection at rest each 20 ms, also one that had just been opened and whose request was on its way. Change: there a connection is closed only after a second at rest. The test now gives the connection 0.1 s before its request; so it fails every time without the change.

--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -42,6 +42,10 @@
 """For so long after ``begin_drain`` others may still send: they are answered."""
 
 DRAIN_POLL_SECONDS = 0.02
+FRESH_CONNECTION_SECONDS = 1.0
+"""While callers are still accepted, a connection is left this time for its request: one
+that was just opened looks idle, and closing it would cut the request on its way."""
+
 MILLISECONDS = 1_000
 LONGEST_CALL_SECONDS = 10.0
 """Assumed while no configuration tells the longest timeout."""
@@ -200,7 +204,7 @@
         """Wait until the back end runs nothing: what it runs may call on through here."""
         own = self._own
         while own is not None and own.in_flight and self._loop.time() < end:
-            self._close_idle(0.0)
+            self._close_idle(FRESH_CONNECTION_SECONDS)
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def close(self) -> None:
--- a/tests/data_plane/test_planned_stop.py
+++ b/tests/data_plane/test_planned_stop.py
@@ -10,6 +10,7 @@
 
 from peppershore.process.node import data_plane
 from peppershore.process.node.data.notices import DrainEnded
+from peppershore.process.node.data_plane import DRAIN_POLL_SECONDS
 
 
 @pytest.fixture(autouse=True)
@@ -17,6 +18,13 @@
     monkeypatch.setattr(data_plane, "LEAVING_SECONDS", 0.1)
 
 
+async def _beside(address: str, seconds: float) -> Caller:
+    """Open a connection and give the system time before a request is sent on it."""
+    caller = await Caller.connect(address)
+    await asyncio.sleep(seconds)
+    return caller
+
+
 async def _slow(request: Received, writer: asyncio.StreamWriter) -> None:
     await asyncio.sleep(0.3)
     await answer_ok(request, writer)
@@ -116,7 +124,9 @@
 
         async def calls_on(request: Received, writer: asyncio.StreamWriter) -> None:
             await may_go_on.wait()
-            inner.append((await call(owner.addresses.callers)).body.decode())
+            caller = await _beside(owner.addresses.callers, 5 * DRAIN_POLL_SECONDS)
+            caller.request()
+            inner.append((await caller.answer()).body.decode())
             await answer_ok(request, writer)
 
         backend = ScriptedBackend(calls_on)
