One place turns a replica's settings into its ReplicaPlace

The hub wrote the seven fields again that the control and the claims replica write; ReplicaPlace.of serves all three. Behaviour as it was: make test 1,430 passed.

--- a/src/peppershore/process/claims/shell.py
+++ b/src/peppershore/process/claims/shell.py
@@ -16,15 +16,7 @@
 
     Raises SystemExit if the store is refused.
     """
-    place = ReplicaPlace(
-        role="claims",
-        replica=settings.replica,
-        cluster=settings.cluster,
-        listen=settings.listen,
-        admin_listen=settings.admin_listen,
-        data_folder=settings.data_folder,
-        tls=settings.tls,
-    )
+    place = ReplicaPlace.of("claims", settings)
     process = ReplicaProcess(place, lambda stored: ClaimsCore(settings, stored))
     table = process.core.machine.table
     core = process.core
--- a/src/peppershore/process/consensus/replica_process.py
+++ b/src/peppershore/process/consensus/replica_process.py
@@ -17,7 +17,7 @@
 from peppershore.process.link_security import LinkSecurity
 from peppershore.process.logging import LogIdentity
 from peppershore.process.metrics import ProcessMetrics
-from peppershore.process.settings import TlsFiles
+from peppershore.process.settings import ClaimsSettings, ControlSettings, TlsFiles
 from peppershore.process.signals import stop_on_signals
 from peppershore.process.storage.opening import OpenedStore, open_store
 
@@ -46,6 +46,19 @@
     data_folder: str
     tls: TlsFiles | None
 
+    @classmethod
+    def of(cls, role: str, settings: ControlSettings | ClaimsSettings) -> ReplicaPlace:
+        """Take from a replica's settings what does not depend on its role."""
+        return cls(
+            role=role,
+            replica=settings.replica,
+            cluster=settings.cluster,
+            listen=settings.listen,
+            admin_listen=settings.admin_listen,
+            data_folder=settings.data_folder,
+            tls=settings.tls,
+        )
+
 
 class ReplicaProcess(Generic[ReplicaKind]):
     """Owns everything of one replica's process but what only its role knows."""
--- a/src/peppershore/process/control/shell.py
+++ b/src/peppershore/process/control/shell.py
@@ -29,15 +29,7 @@
 
     Raises SystemExit if the store is refused.
     """
-    place = ReplicaPlace(
-        role="control",
-        replica=settings.replica,
-        cluster=settings.cluster,
-        listen=settings.listen,
-        admin_listen=settings.admin_listen,
-        data_folder=settings.data_folder,
-        tls=settings.tls,
-    )
+    place = ReplicaPlace.of("control", settings)
     process = ReplicaProcess(place, lambda stored: ControlCore(settings, stored))
     state = process.core.state
     _add_gauges(process)
--- a/src/peppershore/process/hub/shell.py
+++ b/src/peppershore/process/hub/shell.py
@@ -102,15 +102,7 @@
 
 def _control_process(plan: HubPlan) -> ReplicaProcess[ControlCore]:
     settings = plan.control
-    place = ReplicaPlace(
-        role="control",
-        replica=settings.replica,
-        cluster=settings.cluster,
-        listen=settings.listen,
-        admin_listen=settings.admin_listen,
-        data_folder=settings.data_folder,
-        tls=settings.tls,
-    )
+    place = ReplicaPlace.of("control", settings)
     return ReplicaProcess(place, lambda stored: ControlCore(settings, stored))
 
 
