--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 JOBS ?= auto
 SEEDS ?= 200
 FIRST ?= 1
-KNOWN_RED := $(if $(CI),--known-red KNOWN-RED.txt)
+KNOWN_RED := $(if $(CI),--known-red=KNOWN-RED.txt)
 
 export PYTHONHASHSEED ?= 0
 
