A test of the node process takes an address of its own

Cause: it chose its ports by binding and closing them on 127.0.0.1; any connection of another test could take one before the node listened. run_node then ended with 'address already in use', nobody awaited it, and the test waited for 'ready' until its time limit. Shown by holding the port: TimeoutError after the whole bound. Ruled out: the planned stop (the node never started). Mend: an address block of its own, as fleets have; a node that ends before it is ready says why at once. The promises checked are the same.

--- a/tests/node/test_node_process.py
+++ b/tests/node/test_node_process.py
@@ -5,27 +5,37 @@
 import asyncio
 import os
 import signal
-import socket
 import ssl
+from collections.abc import Iterator
 from pathlib import Path
 
+import pytest
+
 from peppershore.connection import certificates
 from peppershore.connection.identity import SCHEME, parse_identity
 from peppershore.connection.tls import TlsPaths, client_context
 from peppershore.process.node.shell import run_node
 from peppershore.process.settings import NodeSettings, PeerRelay, TlsFiles
+from peppershore_lab.fleet.addresses import (
+    ADMIN_PORT,
+    HTTP_PORT,
+    INTERNAL_PORT,
+    LINK_PORT,
+    AddressBlock,
+)
 
-HOST = "127.0.0.1"
 BOUND_SECONDS = 20.0
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+@pytest.fixture
+def host() -> Iterator[str]:
+    """An address of this test's own: no other test's connection takes its ports."""
+    block = AddressBlock()
+    yield block.next_host()
+    block.close()
 
 
-def make_settings(folder: Path) -> NodeSettings:
+def make_settings(folder: Path, host: str) -> NodeSettings:
     authority = certificates.make_authority(folder).unwrap()
     identity = parse_identity(f"{SCHEME}site/node/kassa/pasila/kassa-1").unwrap()
     pem = str(certificates.issue(folder, authority, identity, days=1).unwrap())
@@ -34,10 +44,10 @@
         node="kassa-1",
         service="kassa",
         zone="pasila",
-        listen=f"{HOST}:0",
-        internal_listen=f"{HOST}:{free_port()}",
-        admin_listen=f"{HOST}:{free_port()}",
-        relays=(PeerRelay(name="r1", zone="pasila", address=f"{HOST}:{free_port()}"),),
+        listen=f"{host}:{HTTP_PORT}",
+        internal_listen=f"{host}:{INTERNAL_PORT}",
+        admin_listen=f"{host}:{ADMIN_PORT}",
+        relays=(PeerRelay(name="r1", zone="pasila", address=f"{host}:{LINK_PORT}"),),
         tls=TlsFiles(
             certificate=pem,
             key=pem,
@@ -66,17 +76,27 @@
     return secured.version() or ""
 
 
+async def ready_or_ended(ready: asyncio.Event, node: asyncio.Task[None]) -> None:
+    """Wait until the node serves; a node that ends before says why at once."""
+    waiting = asyncio.create_task(ready.wait())
+    await asyncio.wait((waiting, node), return_when=asyncio.FIRST_COMPLETED)
+    waiting.cancel()
+    if node.done():
+        node.result()
+    assert ready.is_set()
+
+
 def test_a_node_process_secures_calls_between_nodes_and_shows_their_figures(
-    tmp_path: Path,
+    tmp_path: Path, host: str
 ) -> None:
-    settings = make_settings(tmp_path)
+    settings = make_settings(tmp_path, host)
     assert settings.tls is not None
     files = TlsPaths(settings.tls.certificate, settings.tls.key, settings.tls.authority)
 
     async def check() -> None:
         ready = asyncio.Event()
         node = asyncio.create_task(run_node(settings, lambda _port: ready.set()))
-        await ready.wait()
+        await ready_or_ended(ready, node)
         assert await greet_internal(settings, client_context(files).context) == "TLSv1.3"
         shown = await read_metrics(settings.admin_listen)
         assert "calls_answered" in shown
