A group whose processes all died has a leader at once

Mend: the wait ends once everybody who may have led has said on a link of this life that it does not lead (hello); before the timeout votes only between equal logs.

--- a/spec/catalog.py
+++ b/spec/catalog.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from spec import acceptance, claims, distribution, membership, rotation, upkeep
+from spec import (
+    acceptance,
+    claims,
+    distribution,
+    former_leases,
+    membership,
+    rotation,
+    upkeep,
+)
 
 SPECIFICATIONS = (
     acceptance.SPECIFICATION,
@@ -12,4 +20,5 @@
     claims.SPECIFICATION,
     rotation.SPECIFICATION,
     upkeep.SPECIFICATION,
+    former_leases.SPECIFICATION,
 )
--- a/src/peppershore/connection/messages.py
+++ b/src/peppershore/connection/messages.py
@@ -361,13 +361,15 @@
 class ReplicaHello(Message, frozen=True, tag=70):
     """First message between two replicas, and its answer.
 
-    ``group_id`` 0 means that the store of the sender is blank.
+    ``group_id`` 0 means that the store of the sender is blank.  ``not_leading``: the
+    sender did not lead its group at that moment.
     """
 
     cluster: str
     replica: str
     identity: int
     group_id: int
+    not_leading: bool = False
 
 
 class VoteRequest(Message, frozen=True, tag=71):
--- a/src/peppershore/process/consensus/core.py
+++ b/src/peppershore/process/consensus/core.py
@@ -23,6 +23,7 @@
 from peppershore.process.consensus.durable_log import DurableLog, compaction_point
 from peppershore.process.consensus.election import Election, answer_vote_request
 from peppershore.process.consensus.following import Following
+from peppershore.process.consensus.former_leases import FormerLeases
 from peppershore.process.consensus.leadership import Leadership
 from peppershore.process.consensus.log import ReplicatedLog
 from peppershore.process.consensus.membership import (
@@ -58,6 +59,12 @@
 FIRST_INDEX = 1
 FIRST_TERM = 1
 
+NEVER = float("-inf")
+
+EARLY_ELECTION_SPREAD = 0.1
+"""Part of the election timeout over which those campaign at random who learned at the
+same moment that nobody leads."""
+
 
 class Consensus:
     """One replica's part in keeping one log equal on all replicas."""
@@ -75,7 +82,8 @@
         self.commit_index = 0 if stored.snapshot is None else stored.snapshot.index
         self.role = Role.FOLLOWER
         self.leader = ""
-        self.leader_heard_at = 0.0
+        self.leader_heard_at = NEVER
+        self.former_leases = FormerLeases(settings.election_seconds)
         self.leadership: Leadership | None = None
         self.election: Election | None = None
         self.durability = self.durable_log.durability
@@ -89,8 +97,8 @@
     # --- inputs --------------------------------------------------------------
 
     def start(self, now: float) -> None:
-        """Begin; votes are withheld for an election timeout, as a lease may count."""
-        self.leader_heard_at = now
+        """Begin; votes are withheld while a former leader's lease may count."""
+        self.former_leases.begin(now)
         self._postpone_election(now)
         if voters_of(self.membership) == (self.settings.replica,):
             self._election_due = now
@@ -142,6 +150,21 @@
             self._receive_from_member(name, message, now)
         self.flush(now)
 
+    def note_not_leading(self, name: str, now: float) -> float | None:
+        """A replica said that it does not lead.
+
+        Gives the seconds until the next ``tick`` should come, if that ended this
+        replica's wait for a former leader.
+        """
+        waited = self.awaits_former_leader(now)
+        self.former_leases.note_not_leading(name)
+        if not waited or self.awaits_former_leader(now) or self.leader:
+            return None
+        longest = EARLY_ELECTION_SPREAD * self.settings.election_seconds
+        seconds = self._randomness.between(0.0, longest)
+        self._election_due = now + seconds
+        return seconds
+
     def propose(self, payload: bytes) -> int | None:
         """Append a command; its index if this replica leads, else None.
 
@@ -236,6 +259,10 @@
         """The newest membership in the log, committed or not."""
         return self.memberships.current
 
+    def awaits_former_leader(self, now: float) -> bool:
+        """Whether a leader of before this replica's start may still hold a lease."""
+        return self.former_leases.may_count(self._others_that_may_have_led, now)
+
     @property
     def may_campaign(self) -> bool:
         """Whether this very store is a voter and can write."""
@@ -386,6 +413,12 @@
         if self.leadership is not None and self.term == term:
             self.leadership.own_log_durable(index)
 
+    @property
+    def _others_that_may_have_led(self) -> frozenset[str]:
+        memberships = (self.membership, self.memberships.before_current)
+        names = {member.name for each in memberships for member in each.members}
+        return frozenset(names - {self.settings.replica})
+
     def _is_member(self, name: str, identity: int) -> bool:
         member = find_member(self.membership, name)
         return member is not None and member.identity == identity
--- a/src/peppershore/process/consensus/election.py
+++ b/src/peppershore/process/consensus/election.py
@@ -69,7 +69,7 @@
     core: Consensus, name: str, request: VoteRequest, now: float
 ) -> None:
     """Grant or deny a vote or pre-vote to the replica of that name."""
-    if _leader_heard(core, now) and not request.transfer:
+    if not request.transfer and _must_wait(core, request, now):
         _deny(core, name, request)
         return
     if request.pre_vote:
@@ -91,6 +91,14 @@
     core.send_when_durable(name, VoteReply(request.term, True, True))
 
 
+def _must_wait(core: Consensus, request: VoteRequest, now: float) -> bool:
+    """Whether no vote may be given yet, as a leader may hold a lease."""
+    if _leader_heard(core, now):
+        return True
+    early = core.former_leases.started_lately(now)
+    return early and (request.last_term, request.last_index) != _end_of_log(core)
+
+
 def _leader_heard(core: Consensus, now: float) -> bool:
     """Whether a leader may still hold a lease that counts on this replica.
 
@@ -98,7 +106,8 @@
     """
     if core.leadership is not None:
         return core.leadership.lease_valid(now)
-    return now < core.leader_heard_at + core.settings.election_seconds
+    heard_lately = now < core.leader_heard_at + core.settings.election_seconds
+    return heard_lately or core.awaits_former_leader(now)
 
 
 def _may_vote_for(core: Consensus, name: str, request: VoteRequest) -> bool:
@@ -110,8 +119,11 @@
 
 
 def _log_is_current(core: Consensus, request: VoteRequest) -> bool:
-    own = (core.log.last_term, core.log.last_index)
-    return (request.last_term, request.last_index) >= own
+    return (request.last_term, request.last_index) >= _end_of_log(core)
+
+
+def _end_of_log(core: Consensus) -> tuple[int, int]:
+    return core.log.last_term, core.log.last_index
 
 
 def _deny(core: Consensus, name: str, request: VoteRequest) -> None:
--- a/src/peppershore/process/consensus/greeting.py
+++ b/src/peppershore/process/consensus/greeting.py
@@ -32,6 +32,7 @@
             replica.name,
             consensus.identity,
             consensus.group_id,
+            not_leading=consensus.leadership is None,
         )
         replica.send(link, hello)
 
@@ -59,6 +60,8 @@
         member = find_member(replica.consensus.membership, hello.replica)
         if member is not None and member.identity != hello.identity:
             replica.report(notices.OtherStoreSeen(replica.name, hello.replica))
+        if hello.not_leading:
+            replica.note_not_leading(hello)
         if first and replica.consensus.leadership is not None:
             replica.consensus.leadership.peer_restarted(hello.replica)
 
--- a/src/peppershore/process/consensus/membership.py
+++ b/src/peppershore/process/consensus/membership.py
@@ -78,6 +78,11 @@
         """The newest membership in the log, committed or not."""
         return self._points[-1].membership
 
+    @property
+    def before_current(self) -> Membership:
+        """The membership before the newest; the newest if none is known."""
+        return self._points[-2:][0].membership
+
     @property
     def current_index(self) -> int:
         """Index of the entry that holds the newest membership."""
--- a/src/peppershore/process/consensus/replica.py
+++ b/src/peppershore/process/consensus/replica.py
@@ -51,6 +51,9 @@
 from peppershore.process.randomness import Randomness
 
 TICK_TIMER = "consensus-tick"
+TIMER_MARGIN_SECONDS = 0.001
+"""A timer so much late surely finds due what it was set for."""
+
 FLUSH_TIMER = "consensus-flush"
 DISK_TIMER = "consensus-disk"
 STOP_TIMER = "consensus-stop"
@@ -162,6 +165,20 @@
         """Say hello on every link to another replica."""
         self._greeting.greet_again()
 
+    def note_not_leading(self, hello: ReplicaHello) -> None:
+        """Take another replica's word that it does not lead.
+
+        With a new store it speaks for the former one only where its name is its
+        address: there it can't stand beside a process that still leads.
+        """
+        member = find_member(self.consensus.membership, hello.replica)
+        is_member = member is not None and member.identity == hello.identity
+        if not is_member and not self.joining.keeps_itself:
+            return
+        seconds = self.consensus.note_not_leading(hello.replica, self.now)
+        if seconds is not None:
+            self.command(SetTimer(TICK_TIMER, seconds + TIMER_MARGIN_SECONDS))
+
     def want_peers(self) -> None:
         """Keep links to all members, and to those that are about to be one."""
         wanted = {
