A node without a relay passes over machines that say nothing sooner

Ruled out: backoff between dials (0.25 s at most by the settings). Mend: without any relay a link may take 0.2 s to open, doubling with each one given up in a row up to the former 1 s, and it is looked at every 0.1 s. Before: 2 of 24 tests of the node core failed; after: 24 passed.

--- a/src/peppershore/process/node/relay_sessions.py
+++ b/src/peppershore/process/node/relay_sessions.py
@@ -31,8 +31,12 @@
 WATCH_TIMER = "relay.watch"
 
 WATCH_SECONDS = 0.25
+WATCH_WITHOUT_RELAY_SECONDS = 0.1
 OPENING_SECONDS = 1.0
 """A link that is not open by then is given up: its machine may be cut off."""
+FIRST_OPENING_SECONDS = 0.2
+"""The same while there is no relay at all: another may be there at once.  It doubles
+with each link given up in a row, for relays that are far away."""
 
 NOT_AGREED: Digest = 0
 """Digest of nothing: the relay has not said that the node holds what it should."""
@@ -84,6 +88,7 @@
         self._randomness = Randomness(0)
         self._rebalance_at = 0.0
         self._connect_due = False
+        self._openings_given_up = 0
 
     def start(self, randomness: Randomness, now: float) -> list[Command]:
         """Open the first link."""
@@ -115,6 +120,7 @@
     def opened(self, session: RelaySession, now: float) -> list[Command]:
         """Say hello on a link that is open now."""
         session.is_open = True
+        self._openings_given_up = 0
         session.opened_at = now
         session.last_heard = now
         return [SendMessage(session.link, self._make_hello())]
@@ -202,10 +208,13 @@
 
     def watch(self, now: float) -> list[Command]:
         """Leave silent relays; look for a better one when there is reason to."""
-        out: list[Command] = [SetTimer(WATCH_TIMER, WATCH_SECONDS)]
+        out: list[Command] = []
         for session in (self.active, self.candidate):
             if session is not None and self._is_silent(session, now):
+                self._openings_given_up += 0 if session.is_open else 1
                 out.extend(self.drop(session, "silent", now))
+        wait = WATCH_SECONDS if self.active else WATCH_WITHOUT_RELAY_SECONDS
+        out.append(SetTimer(WATCH_TIMER, wait))
         if self.active is None or self.candidate is not None or self._connect_due:
             return out
         if self._is_stale(self.active, now):
@@ -234,9 +243,17 @@
 
     def _is_silent(self, session: RelaySession, now: float) -> bool:
         """Tell whether nothing was heard for too long."""
-        bound = self._silence_seconds if session.is_open else OPENING_SECONDS
+        bound = self._silence_seconds if session.is_open else self._opening_seconds
         return now - session.last_heard > min(bound, self._silence_seconds)
 
+    @property
+    def _opening_seconds(self) -> float:
+        """How long a link may take to open."""
+        if self.active is not None:
+            return OPENING_SECONDS
+        quick = FIRST_OPENING_SECONDS * 2**self._openings_given_up
+        return min(quick, OPENING_SECONDS)
+
     def _is_stale(self, session: RelaySession, now: float) -> bool:
         """Tell whether the relay's version was confirmed too long ago."""
         return session.confirmed_age_milliseconds(now) > self._stale_milliseconds
--- a/tests/node/test_node_core.py
+++ b/tests/node/test_node_core.py
@@ -338,3 +338,53 @@
             bench.give(events.TimerFired(CONNECT_TIMER))
     assert len(waits) >= 8
     assert max(waits) <= 0.25
+
+
+def without_relay() -> Bench:
+    """Give a node whose first relay is gone and which dials the other."""
+    bench = Bench(reconnect_milliseconds=250)
+    bench.give(events.LinkClosed(1, "connection refused"))
+    bench.give(events.TimerFired(CONNECT_TIMER))
+    assert bench.has(OpenLink)
+    return bench
+
+
+def watch_until_given_up(bench: Bench) -> float:
+    """Let time pass until a link that does not open is given up; give the seconds."""
+    began = bench.now
+    while not bench.has(CloseLink):
+        assert bench.now < began + 5.0
+        timers = [each for each in bench.out if isinstance(each, SetTimer)]
+        waits = [each.delay_seconds for each in timers if each.timer == WATCH_TIMER]
+        bench.now += waits[0] if waits else 0.05
+        bench.give(events.TimerFired(WATCH_TIMER))
+    return bench.now - began
+
+
+def test_without_a_relay_a_machine_that_says_nothing_is_soon_passed_over() -> None:
+    """A machine without power answers no dial; the next relay may be there."""
+    bench = without_relay()
+    assert watch_until_given_up(bench) <= 0.5
+    bench.give(events.TimerFired(CONNECT_TIMER))
+    assert bench.has(OpenLink)
+
+
+def test_relays_that_are_far_away_are_given_more_time_each_round() -> None:
+    bench = without_relay()
+    given = []
+    for _ in range(4):
+        given.append(watch_until_given_up(bench))
+        bench.give(events.TimerFired(CONNECT_TIMER))
+    assert given[0] < given[-1]
+    assert 0.9 <= given[-1] <= 1.5
+
+
+def test_with_a_relay_in_use_another_is_given_its_full_time() -> None:
+    bench = Bench()
+    bench.receive(offer(1))
+    bench.receive(Goodbye("stopping"))
+    bench.give(events.TimerFired(CONNECT_TIMER))
+    assert bench.has(OpenLink)
+    bench.now += 0.5
+    bench.give(events.TimerFired(WATCH_TIMER))
+    assert not bench.has(CloseLink)
