A relay whose newest confirmation is late asks every tenth of a second

Ruled out: the replica (it answered the next question within 3 ms). Mend: a relay that was never confirmed, or not for twice its usual time, asks ten times as often; one that is fresh asks as before (a test counts it).

--- a/src/peppershore/process/relay/source.py
+++ b/src/peppershore/process/relay/source.py
@@ -29,6 +29,10 @@
 RECONNECT_TIMER = "source.reconnect"
 
 CONFIRM_SECONDS = 0.5
+UNCONFIRMED_SECONDS = 0.1
+"""How often a relay asks whose newest confirmation is missing or late: a replica that
+knows no leader yet may know one a moment later."""
+LATE_SECONDS = 2 * CONFIRM_SECONDS
 SILENCE_SECONDS = 2.0
 """A replica that confirms nothing for this long is left for another."""
 CUT_OFF_SECONDS = 3.0
@@ -66,7 +70,7 @@
         """Begin with a replica chosen at random."""
         self._randomness = randomness
         self._next_replica = int(randomness.below(len(self._settings.replicas)))
-        return [*self._connect(now), SetTimer(CONFIRM_TIMER, CONFIRM_SECONDS)]
+        return [*self._connect(now), SetTimer(CONFIRM_TIMER, UNCONFIRMED_SECONDS)]
 
     def opened(self, after_version: Version, now: float) -> list[Command]:
         """Ask the replica for everything after a version."""
@@ -110,7 +114,7 @@
 
     def confirm_tick(self, now: float) -> list[Command]:
         """Ask again; leave a replica that has confirmed nothing for too long."""
-        again: list[Command] = [SetTimer(CONFIRM_TIMER, CONFIRM_SECONDS)]
+        again: list[Command] = [SetTimer(CONFIRM_TIMER, self._until_next(now))]
         if not self.is_open:
             return again
         if now - self._heard_at > SILENCE_SECONDS:
@@ -168,6 +172,12 @@
             return False
         return confirmed_elsewhere - self.confirmed_at >= CUT_OFF_LEAD_SECONDS
 
+    def _until_next(self, now: float) -> float:
+        """Give the seconds until a confirmation is asked for again."""
+        confirmed_at = self.confirmed_at
+        late = confirmed_at is None or now - confirmed_at > LATE_SECONDS
+        return UNCONFIRMED_SECONDS if late else CONFIRM_SECONDS
+
     def _connect(self, now: float) -> list[Command]:
         replicas = self._settings.replicas
         self._replica = replicas[self._next_replica % len(replicas)]
--- a/tests/relay/test_relay_just_started.py
+++ b/tests/relay/test_relay_just_started.py
@@ -4,12 +4,14 @@
 
 from tests.relay.site import RELAYS, Site
 
+from peppershore.connection.messages import ConfirmRequest
 from peppershore.process.endpoints.exchange import (
     BACKOFF_CEILING_SECONDS,
     DIGEST_SECONDS,
     LEASE_SECONDS,
 )
 from peppershore.process.endpoints.notices import RelayPeerConnected
+from peppershore.process.relay.source import CONFIRM_SECONDS, UNCONFIRMED_SECONDS
 
 NAMES = [relay.name for relay in RELAYS]
 
@@ -48,3 +50,22 @@
     assert site.relay_of("w") not in {"", first}
     assert {each.node for each in watcher.known.endpoints} == {"w", "x"}
     assert LEASE_SECONDS > 1.5 + 0.5 + 1.0 + 2.0, "the relays are not settled yet"
+
+
+def test_a_relay_is_fresh_soon_after_its_replica_can_confirm() -> None:
+    """Whoever starts beside an election asks before there is a leader to confirm."""
+    site = Site()
+    site.replica.has_quorum = False
+    site.restart_relay("r1")
+    site.network.run(0.73)
+    site.replica.has_quorum = True
+    site.network.run(2 * UNCONFIRMED_SECONDS)
+    assert site.relays["r1"].source.is_fresh(site.network.now)
+
+
+def test_a_relay_that_is_fresh_asks_no_more_often_than_ever() -> None:
+    site = Site()
+    site.network.run(1.0)
+    before = site.count_sent("r1", ConfirmRequest)
+    site.network.run(10 * CONFIRM_SECONDS)
+    assert site.count_sent("r1", ConfirmRequest) - before <= 11
