--- a/src/peppershore/process/node/relay_sessions.py
+++ b/src/peppershore/process/node/relay_sessions.py
@@ -251,7 +251,7 @@
         """How long a link may take to open."""
         if self.active is not None:
             return OPENING_SECONDS
-        quick = FIRST_OPENING_SECONDS * 2**self._openings_given_up
+        quick = FIRST_OPENING_SECONDS * float(2**self._openings_given_up)
         return min(quick, OPENING_SECONDS)
 
     def _is_stale(self, session: RelaySession, now: float) -> bool:
