Under load a request is no longer sent from owner to owner in vain

Mend: where every back end was known to be full a moment ago, the first send waits at once; once a call has waited to the end, or was refused at two that let it wait, no other is asked. Tests: the order of sends by what is known (failed before: the first asked in vain); four cases of the decision.

--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -247,8 +247,12 @@
         self._dispatch = dispatch
         if self._progress.tries == 0:
             self._calls.first_attempt(self.plan)
+        may_wait = self._progress.may_wait or self._calls.waits_at_once(self.plan)
         self._progress = msgspec.structs.replace(
-            self._progress, tries=self._progress.tries + 1
+            self._progress,
+            tries=self._progress.tries + 1,
+            waits=self._progress.waits + may_wait,
+            may_wait=may_wait,
         )
         self._began_at = self._loop.time()
         request = self._request()
@@ -370,6 +374,7 @@
             most_offers=self.plan.settings.retry_attempts + 1,
             has_other=self._calls.has_back_end_besides(self.plan, tried, for_free_slot),
             replayable=self._body.replayable,
+            has_patience=self._loop.time() < self.plan.start_by,
         )
 
     @property
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -40,7 +40,7 @@
 from peppershore.request.claim import ClaimDenied, ClaimGranted, ClaimsClient
 from peppershore.request.classification import CallPlan, route_of
 from peppershore.request.client_retries import ClientRetryPace
-from peppershore.request.endpoint_state import Verdict
+from peppershore.request.endpoint_state import EndpointState, Verdict
 from peppershore.request.outcome import (
     LOAD_REASONS,
     STATUS_UNAVAILABLE,
@@ -137,6 +137,12 @@
         """Whether a call first asks each owner for a free slot before it waits for one."""
         return self._settings.seek_free_slots
 
+    def waits_at_once(self, plan: CallPlan) -> bool:
+        """Whether to ask for a free slot first is in vain: all were taken a moment ago."""
+        if not self.looks_for_free_slots:
+            return False
+        return not self.has_back_end_besides(plan, frozenset(), for_free_slot=True)
+
     @property
     def in_flight(self) -> int:
         """Calls not over."""
@@ -386,10 +392,15 @@
         end = CallEnd("abandoned", "caller-left", 0)
         self._tell(plan, end, request_id, story)
 
+    def state_of(self, service: str, node: str) -> EndpointState | None:
+        """Give what this node has seen of one back end; None if nothing."""
+        admission = self._admissions.get(service)
+        return None if admission is None else admission.state(node)
+
     def choice_seen(self, dispatch: Dispatch, plan: CallPlan, may_wait: bool) -> ChoiceSeen:
         """Give what the choice of a back end went by."""
         now = self.loop.time()
-        state = self._admissions[plan.target].state(dispatch.endpoint.node)
+        state = self.state_of(plan.target, dispatch.endpoint.node)
         if state is None:
             return ChoiceSeen(0, 0, 0, may_wait)
         return ChoiceSeen(
--- a/src/peppershore/request/next_attempt.py
+++ b/src/peppershore/request/next_attempt.py
@@ -11,6 +11,7 @@
 
 from peppershore.request.outcome import (
     BUSY,
+    LOAD_REASONS,
     STATUS_GATEWAY_TIMEOUT,
     Failed,
     NotRun,
@@ -19,16 +20,21 @@
 MAX_TRIES = 8
 """Attempts of one call in all, those that no back end saw included."""
 
+MAX_WAITS = 2
+"""Attempts of one call that may wait for a slot.  Where each is refused for load, the
+next would be as well; the request would only cross the zones once more."""
+
 
 class CallProgress(msgspec.Struct, frozen=True):
     """How far a call is.
 
-    ``offers`` counts the back ends that may have seen it, ``tries`` all attempts;
-    ``may_wait``: the last attempt was allowed to wait for a slot.
+    ``offers`` counts the back ends that may have seen it, ``tries`` all attempts,
+    ``waits`` those that were allowed to wait for a slot; ``may_wait``: the last was.
     """
 
     offers: int = 0
     tries: int = 0
+    waits: int = 0
     may_wait: bool = False
 
 
@@ -36,13 +42,15 @@
     """What decides besides the failure itself.
 
     ``most_offers``: back ends that may see the call; ``has_other``: a ready back end
-    has not been tried; ``replayable``: the request can be sent again whole.
+    has not been tried; ``replayable``: the request can be sent again whole;
+    ``has_patience``: it is not yet too late to wait for a slot.
     """
 
     repeatable: bool
     most_offers: int
     has_other: bool
     replayable: bool
+    has_patience: bool = True
 
 
 class TryAgain(msgspec.Struct, frozen=True):
@@ -84,10 +92,17 @@
 
 def _after_refusal(progress: CallProgress, failed: NotRun, terms: AttemptTerms) -> NextStep:
     """No back end saw the call: look for a free slot, then wait where it is shortest."""
-    if not failed.retryable:
+    if not failed.retryable or _waited_in_vain(progress, failed, terms):
         return GIVE_UP
     if terms.has_other:
         return TryAgain(elsewhere=True, may_wait=progress.may_wait)
     if failed.reason == BUSY and not progress.may_wait:
         return TryAgain(elsewhere=False, may_wait=True)
     return GIVE_UP
+
+
+def _waited_in_vain(progress: CallProgress, failed: NotRun, terms: AttemptTerms) -> bool:
+    """Whether no back end would have a slot in time either."""
+    if not progress.may_wait or failed.reason not in LOAD_REASONS:
+        return False
+    return progress.waits >= MAX_WAITS or not terms.has_patience
--- a/tests/data_plane/test_call_stories.py
+++ b/tests/data_plane/test_call_stories.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from tests.data_plane.scripted_backend import Received, ScriptedBackend, answer_ok
 from tests.data_plane.stage import Caller, Node, call, endpoint, run, until
@@ -147,3 +148,28 @@
     taken = [one.takes_answered(each) for each in ids]
     assert taken == [other.takes_answered(each) for each in ids]
     assert 50 < sum(taken) < 150
+
+
+def test_where_all_are_known_to_be_full_a_call_waits_at_once() -> None:
+    """To ask for a free slot first would send each request twice under load."""
+
+    async def scene() -> None:
+        backend = ScriptedBackend(answer_ok)
+        edge, owner, address = await two_nodes(
+            backend, seek_free_slots=True, log_answered_every=1
+        )
+        await call(address, headers=WITH_ID)
+        state = edge.plane.calls.state_of("kassa", "k1")
+        assert state is not None
+        state.passed_over_until = math.inf
+        await call(address, headers=WITH_ID)
+        sent = [
+            [step.reason for step in story.steps if step.step == "sent"]
+            for story in stories(edge)
+        ]
+        assert sent == [[""], ["may wait"]]
+        await edge.plane.close()
+        await owner.plane.close()
+        backend.stop()
+
+    run(scene())
--- a/tests/request/test_next_attempt.py
+++ b/tests/request/test_next_attempt.py
@@ -7,14 +7,16 @@
 from peppershore.request.next_attempt import (
     GIVE_UP,
     MAX_TRIES,
+    MAX_WAITS,
     AttemptTerms,
     CallProgress,
     TryAgain,
     next_step,
 )
-from peppershore.request.outcome import BUSY, Failed, NotRun, Unknown
+from peppershore.request.outcome import BUSY, NO_SLOT_IN_TIME, Failed, NotRun, Unknown
 
 BUSY_OWNER = NotRun(503, BUSY, 50, retryable=True)
+FULL_OWNER = NotRun(503, NO_SLOT_IN_TIME, 100, retryable=True)
 LEAVING_OWNER = NotRun(503, "back-end-leaving", 100, retryable=True)
 FINAL_REFUSAL = NotRun(400, "malformed-fields")
 REFUSED_BY_BACK_END = NotRun(503, "back-end-refused", 100, retryable=True, offered=True)
@@ -52,6 +54,30 @@
         terms(has_other=False),
         GIVE_UP,
     ),
+    "no slot there, time left": (
+        CallProgress(0, 1, waits=1, may_wait=True),
+        FULL_OWNER,
+        terms(),
+        TryAgain(elsewhere=True, may_wait=True),
+    ),
+    "no slot there, waited to the end": (
+        CallProgress(0, 1, waits=1, may_wait=True),
+        FULL_OWNER,
+        terms(has_patience=False),
+        GIVE_UP,
+    ),
+    "no slot anywhere": (
+        CallProgress(0, 2, waits=MAX_WAITS, may_wait=True),
+        FULL_OWNER,
+        terms(),
+        GIVE_UP,
+    ),
+    "left while the call waited": (
+        CallProgress(0, 2, waits=MAX_WAITS, may_wait=True),
+        LEAVING_OWNER,
+        terms(has_patience=False),
+        TryAgain(elsewhere=True, may_wait=True),
+    ),
     "final refusal": (UNSEEN, FINAL_REFUSAL, terms(), GIVE_UP),
     "too many tries": (CallProgress(0, MAX_TRIES), BUSY_OWNER, terms(), GIVE_UP),
     "refused by back end": (ONCE, REFUSED_BY_BACK_END, terms(repeatable=False), PAID),
