A node that stops answers its callers until they come no more

Ruled out: cut calls (none), the relays (the other nodes were current). Mend: the listener stays until no caller came for 0.3 s, up to the bound of the stop. In the first half of the bound any call is taken as before; after it only one whose deadline lies before the end, so that the stop cuts none; others are refused at once as not run, with when to come back.

--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from returns.result import Result
+from returns.result import Failure, Result, Success
 
 from peppershore.connection.http_head import HeaderList, RequestHead
 from peppershore.connection.messages import Endpoint, KeptAnswer, OwnerLoad
@@ -63,6 +63,9 @@
 owner counts the slots, this bounds what may wait there."""
 
 MILLISECONDS = 1_000
+STOP_MARGIN_SECONDS = 0.2
+"""A call's deadline comes so long before the end of a planned stop."""
+
 NEVER_CONFIRMED = -1
 """Shown for the age of a configuration that was never confirmed."""
 
@@ -119,6 +122,8 @@
         self._pools = BackEndPools()
         links.on_allowance = self._pools.limit_borrowed
         links.on_load = self._load_heard
+        self._end = math.inf
+        self._any_call_until = math.inf
         self._waiting: dict[int, Call] = {}
         self._live: set[Call] = set()
         self._ticket_numbers = itertools.count(1)
@@ -220,7 +225,24 @@
     def plan(self, head: RequestHead) -> Result[EntryPlan, NotRun]:
         """Decide what a call is and whether its caller may make it."""
         running = NOTHING_RUNS if self.own is None else self.own.running
-        return self._entry.plan(self.configuration, head, self.loop.time(), running)
+        now = self.loop.time()
+        planned = self._entry.plan(self.configuration, head, now, running)
+        return planned.bind(lambda entry: self._in_time(entry, now))
+
+    def end_at(self, end: float, any_call_until: float) -> None:
+        """This node stops: from ``any_call_until`` on take only what is over by ``end``.
+
+        Both in monotonic seconds.  A call that is answered at its deadline at the latest
+        is never cut by the stop.
+        """
+        self._end = end - STOP_MARGIN_SECONDS
+        self._any_call_until = any_call_until
+
+    def _in_time(self, entry: EntryPlan, now: float) -> Result[EntryPlan, NotRun]:
+        """Refuse a call that the planned stop of this node might cut."""
+        if now < self._any_call_until or entry.plan.deadline <= self._end:
+            return Success(entry)
+        return Failure(NotRun(STATUS_UNAVAILABLE, "node-stopping", MILLISECONDS))
 
     def may_be_repeated(self, head: RequestHead) -> bool:
         """Tell by the route of a request whether it may run more than once."""
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -46,6 +46,13 @@
 """While callers are still accepted, a connection is left this time for its request: one
 that was just opened looks idle, and closing it would cut the request on its way."""
 
+CALLERS_QUIET_SECONDS = 0.3
+"""Callers have gone elsewhere once none came for so long."""
+
+ANY_CALL_SHARE = 0.5
+"""Part of a planned stop's bound in which any call is taken; after it only one that is
+over before the bound whatever happens."""
+
 MILLISECONDS = 1_000
 LONGEST_CALL_SECONDS = 10.0
 """Assumed while no configuration tells the longest timeout."""
@@ -116,6 +123,7 @@
         self._tick: asyncio.TimerHandle | None = None
         self._listening: asyncio.Task[None] | None = None
         self._drain_began = 0.0
+        self._caller_seen_at = 0.0
         self._calls_at_drain = 0
 
     # --- for the node's shell
@@ -188,11 +196,13 @@
         """Wait until nothing is in flight, or the bound; say what was waited for."""
         self.begin_drain()
         end = self._drain_began + bound_seconds
+        self.calls.end_at(end, self._drain_began + ANY_CALL_SHARE * bound_seconds)
         leaving_ends = min(end, self._drain_began + LEAVING_SECONDS)
         await asyncio.sleep(max(0.0, leaving_ends - self._loop.time()))
         if self._own is not None:
             self._own.leaving = True
         await self._own_back_end_done(end)
+        await self._callers_gone(end)
         self._listener.close()
         while self._busy and self._loop.time() < end:
             self._close_idle(0.0)
@@ -207,6 +217,12 @@
             self._close_idle(FRESH_CONNECTION_SECONDS)
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
+    async def _callers_gone(self, end: float) -> None:
+        """Wait until callers come no more: some may know no other node that is ready."""
+        while self._loop.time() < min(end, self._caller_seen_at + CALLERS_QUIET_SECONDS):
+            self._close_idle(FRESH_CONNECTION_SECONDS)
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
     async def close(self) -> None:
         """Close listeners and connections at once."""
         if self._tick is not None:
@@ -241,6 +257,7 @@
 
     def request_received(self, exchange: ServerExchange, head: RequestHead) -> RequestSink:
         """Make a call."""
+        self._caller_seen_at = self._loop.time()
         return Call(self.calls, exchange, head)
 
     def may_be_repeated(self, head: RequestHead) -> bool:
@@ -254,6 +271,7 @@
 
     def connection_opened(self, connection: ServerConnection) -> None:
         """Remember a caller's connection."""
+        self._caller_seen_at = self._loop.time()
         self._connections.add(connection)
 
     def connection_closed(self, connection: ServerConnection) -> None:
--- a/tests/data_plane/test_planned_stop.py
+++ b/tests/data_plane/test_planned_stop.py
@@ -152,3 +152,47 @@
             stopped.stop()
 
     run(scene())
+
+
+def test_callers_that_know_no_other_node_are_answered_until_they_come_no_more(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Where few nodes of a zone are ready, callers are not sent elsewhere."""
+    monkeypatch.setattr(data_plane, "CALLERS_QUIET_SECONDS", 2.0)
+
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        edge = Node()
+        address = await edge.start(endpoint(await backend.start()))
+        drained = asyncio.create_task(edge.plane.drained(30.0))
+        for _ in range(20):
+            assert (await call(address)).status == 200
+            await asyncio.sleep(data_plane.LEAVING_SECONDS / 4)
+        assert not drained.done()
+        assert (await drained).calls_cut == 0
+        assert not edge.plane.listening
+        await edge.plane.close()
+        backend.stop()
+
+    run(scene())
+
+
+@pytest.mark.parametrize(("ends_after", "status"), [(1.0, 503), (60.0, 200)])
+def test_a_call_that_the_end_might_cut_is_refused_as_not_run(
+    ends_after: float, status: int
+) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        edge = Node()
+        address = await edge.start(endpoint(await backend.start()))
+        now = asyncio.get_running_loop().time()
+        edge.plane.calls.end_at(now + ends_after, any_call_until=now)
+        answer = await call(address)
+        assert answer.status == status
+        assert len(backend.requests) == (1 if status == 200 else 0)
+        if status != 200:
+            assert (answer.outcome, answer.reason) == ("not-run", "node-stopping")
+        await edge.plane.close()
+        backend.stop()
+
+    run(scene())
