--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -374,7 +374,6 @@
             most_offers=self.plan.settings.retry_attempts + 1,
             has_other=self._calls.has_back_end_besides(self.plan, tried, for_free_slot),
             replayable=self._body.replayable,
-            has_patience=self._loop.time() < self.plan.start_by,
         )
 
     @property
--- a/src/peppershore/request/next_attempt.py
+++ b/src/peppershore/request/next_attempt.py
@@ -20,7 +20,7 @@
 MAX_TRIES = 8
 """Attempts of one call in all, those that no back end saw included."""
 
-MAX_WAITS = 2
+MAX_WAITS = 3
 """Attempts of one call that may wait for a slot.  Where each is refused for load, the
 next would be as well; the request would only cross the zones once more."""
 
@@ -42,15 +42,13 @@
     """What decides besides the failure itself.
 
     ``most_offers``: back ends that may see the call; ``has_other``: a ready back end
-    has not been tried; ``replayable``: the request can be sent again whole;
-    ``has_patience``: it is not yet too late to wait for a slot.
+    has not been tried; ``replayable``: the request can be sent again whole.
     """
 
     repeatable: bool
     most_offers: int
     has_other: bool
     replayable: bool
-    has_patience: bool = True
 
 
 class TryAgain(msgspec.Struct, frozen=True):
@@ -92,7 +90,7 @@
 
 def _after_refusal(progress: CallProgress, failed: NotRun, terms: AttemptTerms) -> NextStep:
     """No back end saw the call: look for a free slot, then wait where it is shortest."""
-    if not failed.retryable or _waited_in_vain(progress, failed, terms):
+    if not failed.retryable or _waited_in_vain(progress, failed):
         return GIVE_UP
     if terms.has_other:
         return TryAgain(elsewhere=True, may_wait=progress.may_wait)
@@ -101,8 +99,7 @@
     return GIVE_UP
 
 
-def _waited_in_vain(progress: CallProgress, failed: NotRun, terms: AttemptTerms) -> bool:
-    """Whether no back end would have a slot in time either."""
-    if not progress.may_wait or failed.reason not in LOAD_REASONS:
-        return False
-    return progress.waits >= MAX_WAITS or not terms.has_patience
+def _waited_in_vain(progress: CallProgress, failed: NotRun) -> bool:
+    """Whether enough back ends had no slot in time."""
+    is_load = progress.may_wait and failed.reason in LOAD_REASONS
+    return is_load and progress.waits >= MAX_WAITS
