A node takes its grace time and the shared retry bounds from its deployment

Mend: settings stop_grace_seconds (the stop ends half a second before it), ratio and window_seconds in place of percent and window_milliseconds; numbers may be fractions.

--- a/src/peppershore/process/node/profile.py
+++ b/src/peppershore/process/node/profile.py
@@ -6,9 +6,6 @@
 from peppershore.request.shared_retries import RetryBound
 from peppershore.request.wire_names import OWN_NAMES, WireNames
 
-PERCENT = 100
-MILLISECONDS = 1_000
-
 
 def wire_names(settings: HeaderSettings | None) -> WireNames:
     """Give the names of the settings, in lower case; the product's own without any."""
@@ -39,7 +36,7 @@
     if settings is None:
         return None
     return RetryBound(
-        ratio=settings.percent / PERCENT,
-        window_seconds=settings.window_milliseconds / MILLISECONDS,
+        ratio=settings.ratio,
+        window_seconds=settings.window_seconds,
         slack=float(settings.slack),
     )
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -50,6 +50,9 @@
 GONE_NOTICE_SECONDS = 0.1
 """Time for the last announcement to leave before the links are closed."""
 
+EXIT_SECONDS = 0.5
+"""What a process may need from the end of its drain until it is gone."""
+
 CLAIMS_NOTED_SECONDS = 2.0
 """Time for the last answers and releases to reach the claims group's disks."""
 
@@ -129,7 +132,7 @@
 
     async def _drain_backend(self) -> None:
         self._data_plane.begin_drain()
-        await self._data_plane.drained(self._settings.stop_bound_milliseconds / 1_000)
+        await self._data_plane.drained(stop_bound_seconds(self._settings))
         self.dispatch(BackendDrained())
 
     def _run(self, work: Coroutine[Any, Any, None]) -> None:
@@ -138,6 +141,13 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def stop_bound_seconds(settings: NodeSettings) -> float:
+    """Give how long a planned stop waits for calls at the most."""
+    if settings.stop_grace_seconds > 0.0:
+        return max(0.0, settings.stop_grace_seconds - EXIT_SECONDS)
+    return settings.stop_bound_milliseconds / 1_000
+
+
 def recall(settings: NodeSettings, notice_sink: NoticeSink) -> NodeMemory:
     """Read what the node held before, and count this start."""
     started_milliseconds = int(time.time() * 1_000)
--- a/src/peppershore/process/settings.py
+++ b/src/peppershore/process/settings.py
@@ -153,11 +153,11 @@
 class SharedRetrySettings(SettingsValue, frozen=True, kw_only=True):
     """Repeats that all nodes together may make at a service's back ends.
 
-    In any window at most ``percent`` of the calls, plus ``slack``.
+    In any window at most ``ratio`` of the calls (0 to 1), plus ``slack``.
     """
 
-    percent: int
-    window_milliseconds: int
+    ratio: float
+    window_seconds: float
     slack: int
 
 
@@ -174,7 +174,9 @@
     of itself by heartbeats there, and is not probed.  With ``seek_free_slots`` a call
     asks the owners for a free slot one after the other before it waits for one.
     Of answered calls each ``log_answered_every``-th has a log line (0: none), of
-    others every one.  ``metrics_listen`` is one more address for admin pages.
+    others every one.  A planned stop ends after ``stop_bound_milliseconds``, or, where
+    ``stop_grace_seconds`` is set, so that the process is gone by then: its supervisor
+    kills it at that time.  ``metrics_listen`` is one more address for admin pages.
     ``take_over`` shares ``listen`` with a running node that is about to stop, from
     when this one holds a configuration.
     """
@@ -197,6 +199,7 @@
     forward_unclaimed_keys: bool = False
     take_over: bool = False
     stop_bound_milliseconds: int = 30_000
+    stop_grace_seconds: float = 0.0
     rebalance_milliseconds: int = 60_000
     reconnect_milliseconds: int = 4_000
     silence_milliseconds: int = 4_000
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -95,6 +95,7 @@
 data_folder = "data/kassa-1"       # keeps the version floor; "" without a disk
 admin_listen = "127.0.0.1:7921"    # /metrics, /healthz, /readyz, /configuration
 stop_bound_milliseconds = 30000    # longest wait for calls in flight at a planned stop
+stop_grace_seconds = 0.0           # when a supervisor kills; above 0 it sets that bound
 rebalance_milliseconds = 60000     # how often to look for a better relay
 reconnect_milliseconds = 4000      # longest wait before another relay is tried
 silence_milliseconds = 4000        # a relay that says nothing for so long is left
@@ -123,8 +124,8 @@
 # deadline = "x-deadline-milliseconds"
 
 # [shared_retries]                 # repeats that all nodes together may make
-# percent = 20                     # of the calls in a window,
-# window_milliseconds = 10000
+# ratio = 0.2                      # so many of the calls in a window (0 to 1),
+# window_seconds = 10.0
 # slack = 60                       # and so many more
 
 # [[claims]]                       # replicas of the claims group, if one runs
--- a/src/peppershore/process/settings_loader.py
+++ b/src/peppershore/process/settings_loader.py
@@ -45,6 +45,7 @@
 _TYPE_WORDS: dict[Any, str] = {
     str: "text",
     int: "a whole number",
+    float: "a number",
     bool: "true or false",
     tuple[str, ...]: "a list of texts",
 }
@@ -128,6 +129,8 @@
             return self._read_table(nested, value, key)
         if field.type == tuple[str, ...]:
             return self._read_texts(field.name, value, key)
+        if field.type is float and type(value) is int:
+            value = float(value)
         if type(value) is not field.type:
             self._add(key, f"is {_value_words(value)}", _type_words(field.type))
             return None
--- a/src/peppershore/process/settings_rules.py
+++ b/src/peppershore/process/settings_rules.py
@@ -123,6 +123,17 @@
     return accept
 
 
+def amount(lowest: float, highest: float, unit: str) -> Rule:
+    """Accept numbers, whole or not, from ``lowest`` to ``highest``."""
+
+    def accept(value: object) -> Fault | None:
+        if isinstance(value, (int, float)) and lowest <= value <= highest:
+            return None
+        return Fault("is out of bounds", f"{lowest:g} to {highest:g} {unit}")
+
+    return accept
+
+
 FIELD_RULES: dict[str, Rule] = {
     "cluster": name_rule,
     "replica": name_rule,
@@ -157,8 +168,8 @@
     "not_run": optional(field_rule),
     "load": optional(field_rule),
     "caller": optional(field_rule),
-    "percent": between(0, 100, "percent"),
-    "window_milliseconds": between(100, 3_600_000, "milliseconds"),
+    "ratio": amount(0.0, 1.0, "of the calls"),
+    "window_seconds": amount(0.1, 3_600.0, "seconds"),
     "slack": between(0, 1_000_000, "repeats"),
     "host": host_rule,
     "replica_port": between(1, MAX_PORT, "(a port)"),
@@ -182,6 +193,7 @@
     "hold_milliseconds": between(0, 600_000, "milliseconds"),
     "slots": between(1, 100_000, "slots"),
     "connections": between(1, 100_000, "connections"),
+    "stop_grace_seconds": amount(0.0, 3_600.0, "seconds"),
     "stop_bound_milliseconds": between(0, 3_600_000, "milliseconds"),
     "timeout_milliseconds": between(1, 86_400_000, "milliseconds"),
     "horizon_seconds": between(1, 31_536_000, "seconds"),
--- a/tests/platform_adapter/stand_in.py
+++ b/tests/platform_adapter/stand_in.py
@@ -171,7 +171,12 @@
                 "controlPlane": self.control,
             },
             "faultTolerance": {"machines": "1"},
-            "bounds": {"retryBudgetSlack": "60"},
+            "bounds": {
+                "gracePeriodS": "6",
+                "retryBudgetRatio": "0.2",
+                "budgetWindowS": "10",
+                "retryBudgetSlack": "60",
+            },
         }
 
 
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -12,8 +12,11 @@
 from returns.result import Success
 from tests.platform_adapter.templates import ROOT, filled
 
+from peppershore.process.node.profile import retry_bound
+from peppershore.process.node.shell import stop_bound_seconds
 from peppershore.process.settings import HubSettings, NodeSettings
 from peppershore.process.settings_loader import KINDS, parse_settings
+from peppershore.request.shared_retries import RetryBound
 
 PLATFORM_NAMES = re.compile(
     r"[xX]-[pP]eppershore-|/-/rpc|/-/readiness|PEPPERSHORE_NODE_FILE|baseVersion|targetLatencyMs"
@@ -36,7 +39,12 @@
         "controlPlane": "10.4.0.6:8002",
     },
     "faultTolerance": {"machines": "1"},
-    "bounds": {"retryBudgetSlack": "60"},
+    "bounds": {
+        "gracePeriodS": "6",
+        "retryBudgetRatio": "0.2",
+        "budgetWindowS": "10",
+        "retryBudgetSlack": "60",
+    },
 }
 
 
@@ -58,6 +66,20 @@
     assert settings.log_to == "standard-output"
 
 
+def test_node_keeps_the_bounds_of_its_deployment() -> None:
+    other = FILLED | {
+        "bounds": {
+            "gracePeriodS": "2.5",
+            "retryBudgetRatio": "0.35",
+            "budgetWindowS": "7.5",
+            "retryBudgetSlack": "11",
+        }
+    }
+    settings = parse_settings(NodeSettings, filled("node", other), {}).unwrap()
+    assert retry_bound(settings.shared_retries) == RetryBound(0.35, 7.5, 11.0)
+    assert 1.5 <= stop_bound_seconds(settings) < 2.5
+
+
 def test_hub_and_nodes_meet_at_the_same_port() -> None:
     hub = parse_settings(HubSettings, filled("hub", FILLED), {}).unwrap()
     node = parse_settings(NodeSettings, filled("node", FILLED), {}).unwrap()
--- a/tests/settings/test_settings_loader.py
+++ b/tests/settings/test_settings_loader.py
@@ -189,3 +189,18 @@
     names = set(KINDS[role].__struct_fields__) - {"tls"}
     assert meanings(role).keys() >= names
     assert all(len(meanings(role)[name]) > 3 for name in names)
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"), [("6", 6.0), ("2.5", 2.5), ('"6"', None), ("nan", None)]
+)
+def test_a_number_may_be_whole_or_not(text: str, seconds: float | None) -> None:
+    example = EXAMPLES["node"].replace(
+        "stop_grace_seconds = 0.0", f"stop_grace_seconds = {text}"
+    )
+    parsed = parse_settings(NodeSettings, example, {})
+    if seconds is None:
+        (problem,) = parsed.failure()
+        assert problem.key == "stop_grace_seconds"
+    else:
+        assert parsed.unwrap().stop_grace_seconds == seconds
