--- a/tests/spec/test_specifications.py
+++ b/tests/spec/test_specifications.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from spec import former_leases
 from spec.catalog import SPECIFICATIONS
 from spec.checking import check, find_counterexample
 from spec.specification import Mutant, Specification
@@ -45,3 +46,9 @@
     result = check(specification)
     assert result.passed
     assert result.states <= SMALL_STATES
+
+
+def test_votes_after_a_restart_hold_with_all_guards() -> None:
+    result = check(former_leases.SPECIFICATION)
+    assert result.passed
+    assert result.exhaustive
