--- a/tests/spec/test_specifications.py
+++ b/tests/spec/test_specifications.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import pytest
-from spec import former_leases
 from spec.catalog import SPECIFICATIONS
 from spec.checking import check, find_counterexample
 from spec.specification import Mutant, Specification
 
+from spec import former_leases
+
 MUTANTS = [
     pytest.param(specification, mutant, id=f"{specification.name}: {mutant.guard}")
     for specification in SPECIFICATIONS
