--- a/benchmarks/call_model.py
+++ b/benchmarks/call_model.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import Endpoint
+from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.randomness import Randomness
 from peppershore.request.admission import Admission, Dispatch, Waiting
 from peppershore.request.endpoint_state import Verdict
--- a/benchmarks/call_path.py
+++ b/benchmarks/call_path.py
@@ -29,7 +29,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import Endpoint
+from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.node.data_plane import DataPlane
 from peppershore.process.settings import NodeSettings
 from peppershore.version.active import ActiveConfiguration
--- a/benchmarks/consensus_commit.py
+++ b/benchmarks/consensus_commit.py
@@ -33,7 +33,7 @@
     processor_seconds,
     write_result,
 )
-from peppershore.connection.messages import EditsCommitted, FollowRequest
+from peppershore.connection.messages.relay import EditsCommitted, FollowRequest
 from peppershore.version.model import Edit, EditAccepted, Overrides, SetOverrides
 from peppershore_lab.peer_link import PeerLink
 from peppershore_lab.replica_group import CLUSTER, ReplicaGroup, submit_on
--- a/benchmarks/slopes_claims.py
+++ b/benchmarks/slopes_claims.py
@@ -30,7 +30,7 @@
     resident_bytes,
     write_result,
 )
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.process.claims.client import ClaimClientShell
 from peppershore.process.claims.entries import (
     ClaimEntry,
--- a/benchmarks/update_bytes.py
+++ b/benchmarks/update_bytes.py
@@ -26,12 +26,8 @@
 from peppershore.connection.codec import encode_message
 from peppershore.connection.endpoint_packing import pack_endpoints
 from peppershore.connection.framing import encode_frame
-from peppershore.connection.messages import (
-    Endpoint,
-    EndpointsChanged,
-    UpdateApplied,
-    UpdateOffered,
-)
+from peppershore.connection.messages.endpoints import Endpoint, EndpointsChanged
+from peppershore.connection.messages.node import UpdateApplied, UpdateOffered
 from peppershore.connection.update_packing import pack_update
 from peppershore.version.catalog import ScopeCatalog
 from peppershore.version.editor import AppliedEdit
--- a/spec/claims.py
+++ b/spec/claims.py
@@ -20,7 +20,7 @@
 
 from minicheck import Protocol
 
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.process.claims.entries import (
     ClaimEntry,
     CompletionEntry,
--- a/spec/membership_values.py
+++ b/spec/membership_values.py
@@ -9,7 +9,7 @@
 from functools import cache
 from typing import NamedTuple
 
-from peppershore.connection.messages import Membership, ReplicaMember
+from peppershore.connection.messages.consensus import Membership, ReplicaMember
 from peppershore.process.consensus.membership import (
     quorum_size,
     voters_of,
--- a/spec/upkeep.py
+++ b/spec/upkeep.py
@@ -12,7 +12,7 @@
 
 from minicheck import Protocol
 
-from peppershore.connection.messages import Membership, ReplicaMember
+from peppershore.connection.messages.consensus import Membership, ReplicaMember
 from peppershore.process.consensus.membership import quorum_size, voters_of
 from peppershore.process.consensus.upkeep import (
     GroupView,
--- a/src/peppershore/command/client.py
+++ b/src/peppershore/command/client.py
@@ -18,7 +18,9 @@
 from peppershore.command.failures import Failed, refused, unreachable
 from peppershore.connection.codec import encode_message
 from peppershore.connection.link import Link, open_link
-from peppershore.connection.messages import Message, NotLeader, Refused, RetryAfter
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.operators import NotLeader
+from peppershore.connection.messages.session import Refused, RetryAfter
 
 Answer = TypeVar("Answer", bound=Message)
 
--- a/src/peppershore/command/edits.py
+++ b/src/peppershore/command/edits.py
@@ -13,7 +13,7 @@
 from peppershore.command.exit_codes import ExitCode
 from peppershore.command.failures import Failed, invalid
 from peppershore.command.values import format_assignments
-from peppershore.connection.messages import (
+from peppershore.connection.messages.operators import (
     EditAnswered,
     SubmitEdit,
     TreeAnswered,
--- a/src/peppershore/command/history.py
+++ b/src/peppershore/command/history.py
@@ -10,11 +10,8 @@
 from peppershore.command.client import ControlGroup, ask
 from peppershore.command.failures import Failed
 from peppershore.command.values import format_assignments
-from peppershore.connection.messages import (
-    CommittedEdit,
-    HistoryAnswered,
-    HistoryQuery,
-)
+from peppershore.connection.messages.operators import HistoryAnswered, HistoryQuery
+from peppershore.connection.messages.relay import CommittedEdit
 from peppershore.version.model import (
     EditAccepted,
     Operation,
--- a/src/peppershore/command/replica_commands.py
+++ b/src/peppershore/command/replica_commands.py
@@ -16,7 +16,7 @@
     read_status,
     replica_rows,
 )
-from peppershore.connection.messages import MembershipAnswered, MembershipChange
+from peppershore.connection.messages.operators import MembershipAnswered, MembershipChange
 
 ADD = "add"
 REMOVE = "remove"
--- a/src/peppershore/command/status_commands.py
+++ b/src/peppershore/command/status_commands.py
@@ -10,12 +10,12 @@
 from peppershore.command.failures import Failed
 from peppershore.command.options import OperatorContext, operator_options
 from peppershore.command.output import format_table, show_json
-from peppershore.connection.messages import (
-    LaggingNode,
+from peppershore.connection.messages.operators import (
     RelayStatus,
     StatusAnswered,
     StatusQuery,
 )
+from peppershore.connection.messages.relay import LaggingNode
 from peppershore.process.status_remarks import status_remarks
 
 LEADER_SECONDS = 2.0
--- a/src/peppershore/command/watch_output.py
+++ b/src/peppershore/command/watch_output.py
@@ -8,7 +8,8 @@
 
 from peppershore.command.output import show_json
 from peppershore.command.watching import WatchResult, WatchStep
-from peppershore.connection.messages import LaggingNode, RelayStatus, StatusAnswered
+from peppershore.connection.messages.operators import RelayStatus, StatusAnswered
+from peppershore.connection.messages.relay import LaggingNode
 from peppershore.process.status_remarks import is_silent
 from peppershore.version.model import Version
 
--- a/src/peppershore/command/watching.py
+++ b/src/peppershore/command/watching.py
@@ -12,7 +12,7 @@
 from peppershore.command.client import ControlGroup, stream
 from peppershore.command.exit_codes import ExitCode
 from peppershore.command.failures import Failed
-from peppershore.connection.messages import StatusAnswered, WatchRequest
+from peppershore.connection.messages.operators import StatusAnswered, WatchRequest
 from peppershore.version.model import Version
 
 MILLISECONDS_PER_SECOND = 1_000
--- a/src/peppershore/connection/authorization.py
+++ b/src/peppershore/connection/authorization.py
@@ -12,15 +12,11 @@
 from returns.result import Failure
 
 from peppershore.connection.identity import PeerIdentity, parse_identity
-from peppershore.connection.messages import (
-    CallLinkHello,
-    EndpointAnnounced,
-    FollowRequest,
-    Message,
-    NodeHello,
-    ProgressReported,
-    RelayHello,
-)
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.calls import CallLinkHello
+from peppershore.connection.messages.endpoints import EndpointAnnounced, RelayHello
+from peppershore.connection.messages.node import NodeHello
+from peppershore.connection.messages.relay import FollowRequest, ProgressReported
 
 Authorize = Callable[[str, Message], str]
 """Gives the reason why a peer (its identity's URI) may not send a message, or ""."""
--- a/src/peppershore/connection/call_link.py
+++ b/src/peppershore/connection/call_link.py
@@ -12,7 +12,8 @@
 
 from peppershore.connection.codec import encode_message
 from peppershore.connection.link import Link
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.calls import (
     CallAnswerBody,
     CallAnswered,
     CallBody,
@@ -21,7 +22,6 @@
     CallNotRun,
     CallStarted,
     CallUnknown,
-    Message,
 )
 
 NOT_AUTHORIZED = "not authorized"
--- a/src/peppershore/connection/codec.py
+++ b/src/peppershore/connection/codec.py
@@ -9,8 +9,17 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from peppershore.connection import messages
-from peppershore.connection.messages import Message
+from peppershore.connection.messages import (
+    calls,
+    claims,
+    consensus,
+    endpoints,
+    node,
+    operators,
+    relay,
+    session,
+)
+from peppershore.connection.messages.base import Message
 
 
 class UndecodableMessage(msgspec.Struct, frozen=True):
@@ -19,14 +28,18 @@
     reason: str
 
 
+_MODULES = (session, node, endpoints, relay, consensus, operators, claims, calls)
+
+
 def _message_types() -> list[type[Message]]:
-    found = [
+    found = {
         candidate
-        for candidate in vars(messages).values()
+        for module in _MODULES
+        for candidate in vars(module).values()
         if isinstance(candidate, type)
         and issubclass(candidate, Message)
         and candidate is not Message
-    ]
+    }
     return sorted(found, key=lambda candidate: int(candidate.__struct_config__.tag or 0))
 
 
--- a/src/peppershore/connection/endpoint_packing.py
+++ b/src/peppershore/connection/endpoint_packing.py
@@ -9,7 +9,11 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from peppershore.connection.messages import Endpoint, EndpointsChanged, EndpointsPacked
+from peppershore.connection.messages.endpoints import (
+    Endpoint,
+    EndpointsChanged,
+    EndpointsPacked,
+)
 from peppershore.connection.packing import DictionaryPacker, UnusablePacking
 
 DICTIONARY = (
--- a/src/peppershore/connection/link.py
+++ b/src/peppershore/connection/link.py
@@ -16,7 +16,7 @@
 
 from peppershore.connection.codec import decode_message
 from peppershore.connection.framing import HEADER_BYTES, FrameReader
-from peppershore.connection.messages import Message
+from peppershore.connection.messages.base import Message
 from peppershore.connection.tls_admission import TlsAdmission
 
 CONNECT_TIMEOUT_SECONDS = 1.0
--- /dev/null
+++ b/src/peppershore/connection/messages/base.py
@@ -0,0 +1,15 @@
+"""Base of the typed messages on the links between the system's own processes."""
+
+from __future__ import annotations
+
+import msgspec
+
+from peppershore.version.hidden import describe
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True):
+    """Base of every message."""
+
+    def __repr__(self) -> str:
+        """Show of bytes only how many there are."""
+        return describe(self)
--- /dev/null
+++ b/src/peppershore/connection/messages/calls.py
@@ -0,0 +1,168 @@
+"""Messages between the nodes on the way of a call."""
+
+from __future__ import annotations
+
+import msgspec
+
+from peppershore.connection.messages.base import Message
+
+HeaderFields = list[tuple[bytes, bytes]]
+"""HTTP header fields: lower-case name, value; order kept."""
+
+
+UNBOUNDED_PATIENCE = -1
+"""Of ``CallStarted``: it may wait until its deadline."""
+
+
+class OwnerLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Calls at a back end and waiting for it, and its slots, as its own node counts."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class CallLinkHello(Message, frozen=True, tag=140):
+    """First message of a node that will send calls to a back end's own node."""
+
+    cluster: str
+    node: str
+    incarnation: int
+
+
+class CallStarted(Message, frozen=True, tag=141):
+    """A call for the receiver's back end; ``stream`` is never reused on a link.
+
+    ``content_length`` -1 means a body of unknown length; ``data`` is its first
+    piece.  ``deadline_milliseconds`` is what remains.  ``service`` is whose back end
+    is meant ("" for any); ``priority`` 0 goes first.  Without ``may_wait`` the call is
+    refused where no slot is free; else it waits for ``patience_milliseconds`` at most.
+    ``is_client_retry``: it was refused before, and goes after those that were not.
+    ``route`` is the name of its route, by which its work is estimated.
+    """
+
+    stream: int
+    method: bytes
+    target: bytes
+    headers: HeaderFields
+    content_length: int
+    call_class: str
+    repeatable: bool
+    cancellable: bool
+    deadline_milliseconds: int
+    data: bytes
+    ended: bool
+    trailers: HeaderFields
+    service: str = ""
+    priority: int = 1
+    may_wait: bool = True
+    patience_milliseconds: int = UNBOUNDED_PATIENCE
+    is_client_retry: bool = False
+    route: str = ""
+
+
+class CallBody(Message, frozen=True, tag=142):
+    """More of a call's body."""
+
+    stream: int
+    data: bytes
+    ended: bool
+    trailers: HeaderFields
+
+
+class CallCancelled(Message, frozen=True, tag=143):
+    """The caller gave the call up; whatever comes of it is discarded."""
+
+    stream: int
+
+
+class CallCredit(Message, frozen=True, tag=144):
+    """The sender of this can take so many more body bytes on the stream."""
+
+    stream: int
+    octets: int
+
+
+class CallAnswered(Message, frozen=True, tag=145):
+    """The head of the back end's answer and the first piece of its body."""
+
+    stream: int
+    status: int
+    reason: bytes
+    headers: HeaderFields
+    content_length: int
+    has_body: bool
+    data: bytes
+    ended: bool
+    trailers: HeaderFields
+    load: OwnerLoad | None = None
+
+
+class CallAnswerBody(Message, frozen=True, tag=146):
+    """More of an answer's body."""
+
+    stream: int
+    data: bytes
+    ended: bool
+    trailers: HeaderFields
+
+
+class CallNotRun(Message, frozen=True, tag=147):
+    """The call is not run: the back end never saw it, or refused it (``offered``)."""
+
+    stream: int
+    status: int
+    reason: str
+    retry_after_milliseconds: int
+    retryable: bool
+    offered: bool = False
+    load: OwnerLoad | None = None
+
+
+class CallUnknown(Message, frozen=True, tag=148):
+    """The call was sent to the back end and no whole answer came."""
+
+    stream: int
+    status: int
+    reason: str
+
+
+class SlotsAsked(Message, frozen=True, tag=149):
+    """A node asks to hold this many slots of the receiver's back end itself.
+
+    ``number`` grows with every ask on a link.
+    """
+
+    number: int
+    wanted: int
+
+
+class SlotsLent(Message, frozen=True, tag=150):
+    """The receiver may have ``slots`` calls at the back end by the direct way.
+
+    Replaces the grant before.  ``number`` is that of the ask; the loan ends
+    ``lease_milliseconds`` after that ask was sent, unless asked for again.
+    """
+
+    number: int
+    slots: int
+    lease_milliseconds: int
+
+
+class SlotsReturned(Message, frozen=True, tag=151):
+    """Under grant ``number`` the node keeps no more than ``kept`` slots."""
+
+    number: int
+    kept: int
+
+
+class CallLinkProbe(Message, frozen=True, tag=152):
+    """Asks the back end's own node whether it is there: it answers at once."""
+
+    number: int
+
+
+class CallLinkAlive(Message, frozen=True, tag=153):
+    """The answer to a probe."""
+
+    number: int
--- a/src/peppershore/process/claims/client.py
+++ b/src/peppershore/process/claims/client.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from peppershore.connection.authorization import Authorize, allow_all
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.process import events
 from peppershore.process.claims.client_core import ClaimClientCore
 from peppershore.process.claims.wants import (
--- a/src/peppershore/process/claims/client_core.py
+++ b/src/peppershore/process/claims/client_core.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.claims import (
     ClaimCompleted,
     ClaimGranted,
     ClaimNoted,
--- a/src/peppershore/process/claims/core.py
+++ b/src/peppershore/process/claims/core.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from peppershore.connection.identity import parse_identity
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.claims import (
     ClaimCompleted,
     ClaimGranted,
     ClaimNoted,
@@ -17,13 +18,14 @@
     ClaimReleased,
     ClaimRequest,
     ClaimTaken,
+)
+from peppershore.connection.messages.operators import (
     MembershipChange,
-    Message,
     NotLeader,
-    Refused,
     StatusAnswered,
     StatusQuery,
 )
+from peppershore.connection.messages.session import Refused
 from peppershore.process.claims.client_core import REASON_FULL, REASON_NOT_LEADER
 from peppershore.process.claims.entries import (
     BoundsSet,
--- a/src/peppershore/process/claims/entries.py
+++ b/src/peppershore/process/claims/entries.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.messages.claims import KeptAnswer
 
 
 class ClaimEntry(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/src/peppershore/process/claims/pending.py
+++ b/src/peppershore/process/claims/pending.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.claims import (
     ClaimCompleted,
     ClaimReleased,
     ClaimRequest,
--- a/src/peppershore/process/claims/records.py
+++ b/src/peppershore/process/claims/records.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.process.consensus.records import SnapshotPart
 
 SEGMENT_RECORDS = 2_048
--- a/src/peppershore/process/claims/router.py
+++ b/src/peppershore/process/claims/router.py
@@ -8,7 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.process.claims.layout import ClaimsLayout
 from peppershore.request.claim import (
     ClaimDenied,
--- a/src/peppershore/process/claims/wants.py
+++ b/src/peppershore/process/claims/wants.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import DEFAULT_HORIZON_SECONDS, KeptAnswer
+from peppershore.connection.messages.claims import DEFAULT_HORIZON_SECONDS, KeptAnswer
 from peppershore.process import commands, events
 
 
--- a/src/peppershore/process/commands.py
+++ b/src/peppershore/process/commands.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import Message
+from peppershore.connection.messages.base import Message
 from peppershore.process.events import LinkId
 from peppershore.version.hidden import describe
 
--- a/src/peppershore/process/consensus/core.py
+++ b/src/peppershore/process/consensus/core.py
@@ -7,14 +7,14 @@
 
 from __future__ import annotations
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.consensus import (
     AppendReply,
     AppendRequest,
     ElectNow,
     EntryKind,
     LogEntry,
     Membership,
-    Message,
     SnapshotChunk,
     SnapshotReply,
     VoteReply,
--- a/src/peppershore/process/consensus/durable_log.py
+++ b/src/peppershore/process/consensus/durable_log.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from peppershore.connection.messages import EntryKind, LogEntry
+from peppershore.connection.messages.consensus import EntryKind, LogEntry
 from peppershore.process.consensus.durability import DurabilityQueue
 from peppershore.process.consensus.log import ReplicatedLog
 from peppershore.process.consensus.membership import (
--- a/src/peppershore/process/consensus/election.py
+++ b/src/peppershore/process/consensus/election.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from peppershore.connection.messages import VoteReply, VoteRequest
+from peppershore.connection.messages.consensus import VoteReply, VoteRequest
 from peppershore.process.consensus.membership import quorum_size, voters_of
 from peppershore.process.consensus.role import Role
 
--- a/src/peppershore/process/consensus/following.py
+++ b/src/peppershore/process/consensus/following.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.consensus import (
     AppendReply,
     AppendRequest,
     LogEntry,
--- a/src/peppershore/process/consensus/founding.py
+++ b/src/peppershore/process/consensus/founding.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import Membership, ReplicaMember
+from peppershore.connection.messages.consensus import Membership, ReplicaMember
 from peppershore.process.consensus.peers import PeerLinks
 from peppershore.process.settings import PeerReplica
 
--- a/src/peppershore/process/consensus/greeting.py
+++ b/src/peppershore/process/consensus/greeting.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from peppershore.connection.messages import Refused, ReplicaHello
+from peppershore.connection.messages.consensus import ReplicaHello
+from peppershore.connection.messages.session import Refused
 from peppershore.process.commands import CloseLink
 from peppershore.process.consensus import notices
 from peppershore.process.consensus.founding import Founding
--- a/src/peppershore/process/consensus/joining.py
+++ b/src/peppershore/process/consensus/joining.py
@@ -10,7 +10,7 @@
 
 from typing import TYPE_CHECKING
 
-from peppershore.connection.messages import GroupDescribed, Membership
+from peppershore.connection.messages.consensus import GroupDescribed, Membership
 from peppershore.process.consensus import notices
 from peppershore.process.consensus.membership import find_member
 from peppershore.process.consensus.upkeep import (
--- a/src/peppershore/process/consensus/leadership.py
+++ b/src/peppershore/process/consensus/leadership.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.consensus import (
     AppendReply,
     AppendRequest,
     ElectNow,
--- a/src/peppershore/process/consensus/log.py
+++ b/src/peppershore/process/consensus/log.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from peppershore.connection.messages import LogEntry
+from peppershore.connection.messages.consensus import LogEntry
 
 
 class ReplicatedLog:
--- a/src/peppershore/process/consensus/membership.py
+++ b/src/peppershore/process/consensus/membership.py
@@ -5,7 +5,7 @@
 import msgspec
 import xxhash
 
-from peppershore.connection.messages import Membership, ReplicaMember
+from peppershore.connection.messages.consensus import Membership, ReplicaMember
 
 EMPTY_MEMBERSHIP = Membership(())
 
--- a/src/peppershore/process/consensus/membership_changes.py
+++ b/src/peppershore/process/consensus/membership_changes.py
@@ -11,11 +11,8 @@
 
 import msgspec
 
-from peppershore.connection.messages import (
-    MembershipAnswered,
-    MembershipChange,
-    ReplicaMember,
-)
+from peppershore.connection.messages.consensus import ReplicaMember
+from peppershore.connection.messages.operators import MembershipAnswered, MembershipChange
 from peppershore.process.consensus.membership import (
     find_member,
     voters_of,
--- a/src/peppershore/process/consensus/notices.py
+++ b/src/peppershore/process/consensus/notices.py
@@ -4,7 +4,7 @@
 
 from typing import ClassVar
 
-from peppershore.connection.messages import ReplicaMember
+from peppershore.connection.messages.consensus import ReplicaMember
 from peppershore.process.commands import Notice
 
 
--- a/src/peppershore/process/consensus/outputs.py
+++ b/src/peppershore/process/consensus/outputs.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from peppershore.connection.messages import LogEntry, Message
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.consensus import LogEntry
 from peppershore.process.consensus.records import Record, StateSnapshot
 
 
--- a/src/peppershore/process/consensus/peers.py
+++ b/src/peppershore/process/consensus/peers.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from peppershore.connection.messages import Message, ReplicaHello
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.consensus import ReplicaHello
 from peppershore.process.commands import CloseLink, Command, OpenLink, SendMessage
 from peppershore.process.events import LinkId
 from peppershore.process.link_numbers import LinkNumbers
--- a/src/peppershore/process/consensus/records.py
+++ b/src/peppershore/process/consensus/records.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import LogEntry, Membership
+from peppershore.connection.messages.consensus import LogEntry, Membership
 from peppershore.process.commands import PersistRecords
 from peppershore.version.hidden import describe
 
--- a/src/peppershore/process/consensus/replica.py
+++ b/src/peppershore/process/consensus/replica.py
@@ -6,24 +6,23 @@
 
 from __future__ import annotations
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.consensus import (
     AppendReply,
     AppendRequest,
     ElectNow,
     EntryKind,
-    Goodbye,
     GroupDescribed,
     LogEntry,
-    Message,
     ReadIndexReply,
     ReadIndexRequest,
-    Refused,
     ReplicaHello,
     SnapshotChunk,
     SnapshotReply,
     VoteReply,
     VoteRequest,
 )
+from peppershore.connection.messages.session import Goodbye, Refused
 from peppershore.process import events
 from peppershore.process.commands import (
     Command,
--- a/src/peppershore/process/consensus/replica_hooks.py
+++ b/src/peppershore/process/consensus/replica_hooks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from peppershore.connection.messages import Message
+from peppershore.connection.messages.base import Message
 from peppershore.process import events
 from peppershore.process.events import LinkId
 
--- a/src/peppershore/process/consensus/replica_reads.py
+++ b/src/peppershore/process/consensus/replica_reads.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from peppershore.connection.messages import ReadIndexReply, ReadIndexRequest
+from peppershore.connection.messages.consensus import ReadIndexReply, ReadIndexRequest
 from peppershore.process.consensus.outputs import Output, ReadConfirmed, ReadFailed
 from peppershore.process.consensus.reads import ReadTable
 
--- a/src/peppershore/process/consensus/replica_statuses.py
+++ b/src/peppershore/process/consensus/replica_statuses.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from peppershore.connection.messages import ReplicaMember, ReplicaStatus
+from peppershore.connection.messages.consensus import ReplicaMember
+from peppershore.connection.messages.operators import ReplicaStatus
 
 if TYPE_CHECKING:
     from peppershore.process.consensus.replica import ReplicaCore
--- a/src/peppershore/process/consensus/upkeep.py
+++ b/src/peppershore/process/consensus/upkeep.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import Membership, ReplicaMember
+from peppershore.connection.messages.consensus import Membership, ReplicaMember
 from peppershore.process.consensus.membership import (
     find_member,
     quorum_size,
--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -5,22 +5,14 @@
 import msgspec
 
 from peppershore.connection.identity import parse_identity
-from peppershore.connection.messages import (
-    CommittedEdit,
-    ConfirmReply,
-    ConfirmRequest,
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.consensus import ProgressShared
+from peppershore.connection.messages.operators import (
     EditAnswered,
-    FollowRequest,
-    Goodbye,
     HistoryAnswered,
     HistoryQuery,
     MembershipChange,
-    Message,
     NotLeader,
-    ProgressReported,
-    ProgressShared,
-    Refused,
-    RetryAfter,
     StatusAnswered,
     StatusQuery,
     SubmitEdit,
@@ -28,6 +20,14 @@
     TreeQuery,
     WatchRequest,
 )
+from peppershore.connection.messages.relay import (
+    CommittedEdit,
+    ConfirmReply,
+    ConfirmRequest,
+    FollowRequest,
+    ProgressReported,
+)
+from peppershore.connection.messages.session import Goodbye, Refused, RetryAfter
 from peppershore.process import events
 from peppershore.process.commands import SetTimer
 from peppershore.process.consensus.joining import SeedsChanged
--- a/src/peppershore/process/control/followers.py
+++ b/src/peppershore/process/control/followers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from peppershore.connection.codec import encode_message
-from peppershore.connection.messages import (
+from peppershore.connection.messages.relay import (
     CommittedEdit,
     EditsCommitted,
     FollowRequest,
--- a/src/peppershore/process/control/history.py
+++ b/src/peppershore/process/control/history.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import CommittedEdit
+from peppershore.connection.messages.relay import CommittedEdit
 from peppershore.version.model import Edit, Secret, Tree, TreeNode, Version, Zone
 from peppershore.version.tree import AppliedEdit
 
--- a/src/peppershore/process/control/progress.py
+++ b/src/peppershore/process/control/progress.py
@@ -11,7 +11,8 @@
 
 import msgspec
 
-from peppershore.connection.messages import ProgressReported, RelayStatus
+from peppershore.connection.messages.operators import RelayStatus
+from peppershore.connection.messages.relay import ProgressReported
 from peppershore.version.model import Version
 
 RELAY_SILENT_SECONDS = 10.0
--- a/src/peppershore/process/control/recovery.py
+++ b/src/peppershore/process/control/recovery.py
@@ -13,7 +13,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from peppershore.connection.messages import EntryKind, Membership, ReplicaMember
+from peppershore.connection.messages.consensus import EntryKind, Membership, ReplicaMember
 from peppershore.process.consensus.membership import group_id_of
 from peppershore.process.consensus.records import (
     HardState,
--- a/src/peppershore/process/control/redaction.py
+++ b/src/peppershore/process/control/redaction.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import CommittedEdit
+from peppershore.connection.messages.relay import CommittedEdit
 from peppershore.version.model import Edit, PutSecret, Secret, Tree
 
 HIDDEN_MATERIAL = b"<hidden>"
--- a/src/peppershore/process/control/releases.py
+++ b/src/peppershore/process/control/releases.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import SubmitEdit
+from peppershore.connection.messages.operators import SubmitEdit
 from peppershore.process.commands import Command
 from peppershore.process.control import notices
 from peppershore.process.events import Event
--- a/src/peppershore/process/control/rotation.py
+++ b/src/peppershore/process/control/rotation.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import ProgressReported
+from peppershore.connection.messages.relay import ProgressReported
 from peppershore.process.commands import Notice
 from peppershore.process.control.progress import (
     RELAY_SILENT_SECONDS,
--- a/src/peppershore/process/control/shell.py
+++ b/src/peppershore/process/control/shell.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 
-from peppershore.connection.messages import StatusAnswered
+from peppershore.connection.messages.operators import StatusAnswered
 from peppershore.process.consensus.replica_process import ReplicaPlace, ReplicaProcess
 from peppershore.process.consensus.replica_shell import ReplicaShell
 from peppershore.process.control.clock import ClockObserved
--- a/src/peppershore/process/control/state.py
+++ b/src/peppershore/process/control/state.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import CommittedEdit
+from peppershore.connection.messages.relay import CommittedEdit
 from peppershore.process.control.history import History, KeptEdit
 from peppershore.process.control.outcomes import OutcomeTable, RecordedOutcome
 from peppershore.version.model import Edit, EditAccepted, EditOutcome, Tree, Version
--- a/src/peppershore/process/endpoints/exchange.py
+++ b/src/peppershore/process/endpoints/exchange.py
@@ -13,16 +13,16 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.endpoints import (
     Endpoint,
     EndpointBucketsWanted,
     EndpointDigest,
     EndpointsChanged,
     LeaseRenewed,
-    Message,
     RelayHello,
-    RelayListed,
 )
+from peppershore.connection.messages.node import RelayListed
 from peppershore.process.commands import (
     CloseLink,
     Command,
--- a/src/peppershore/process/endpoints/table.py
+++ b/src/peppershore/process/endpoints/table.py
@@ -11,7 +11,7 @@
 import msgspec
 import xxhash
 
-from peppershore.connection.messages import Endpoint
+from peppershore.connection.messages.endpoints import Endpoint
 
 STATE_WARMING = "warming"
 STATE_READY = "ready"
--- a/src/peppershore/process/events.py
+++ b/src/peppershore/process/events.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import Message
+from peppershore.connection.messages.base import Message
 
 LinkId = int
 """Names one link within a process.  Links a core opens are odd and chosen by
--- a/src/peppershore/process/node/commands.py
+++ b/src/peppershore/process/node/commands.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from peppershore.connection.messages import Endpoint
+from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.commands import Command, PersistRecords
 from peppershore.process.node.back_end_reports import BackEndView
 from peppershore.version.model import Snapshot
--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -12,24 +12,24 @@
 from returns.result import Failure
 
 from peppershore.connection.endpoint_packing import unpack_endpoints
-from peppershore.connection.messages import (
-    Current,
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.endpoints import (
     EndpointAnnounced,
     EndpointsChanged,
     EndpointsHeld,
     EndpointsPacked,
+)
+from peppershore.connection.messages.node import (
+    Current,
     Freshness,
-    Goodbye,
-    Message,
     NodeAlive,
     NodeHello,
-    Refused,
     RelaysListed,
-    RetryAfter,
     UpdateApplied,
     UpdateOffered,
     UpdateRefused,
 )
+from peppershore.connection.messages.session import Goodbye, Refused, RetryAfter
 from peppershore.connection.update_packing import unpack_update
 from peppershore.process import events
 from peppershore.process.commands import (
--- a/src/peppershore/process/node/data/answer_relay.py
+++ b/src/peppershore/process/node/data/answer_relay.py
@@ -13,7 +13,7 @@
 
 from peppershore.connection.http_head import AnswerHead, HeaderList
 from peppershore.connection.http_server import ServerExchange
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.request.claim import MAX_KEPT_BODY_BYTES
 from peppershore.request.outcome import (
     ANSWERED,
--- a/src/peppershore/process/node/data/back_end_pools.py
+++ b/src/peppershore/process/node/data/back_end_pools.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from peppershore.connection.http_pool import ConnectionPool
-from peppershore.connection.messages import Endpoint
+from peppershore.connection.messages.endpoints import Endpoint
 
 
 class BackEndPools:
--- a/src/peppershore/process/node/data/call_listener.py
+++ b/src/peppershore/process/node/data/call_listener.py
@@ -9,17 +9,17 @@
 
 from peppershore.connection.call_link import CallLink
 from peppershore.connection.link import Link, LinkListener
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.calls import (
     CallLinkAlive,
     CallLinkHello,
     CallLinkProbe,
     CallStarted,
-    Message,
-    Refused,
     SlotsAsked,
     SlotsLent,
     SlotsReturned,
 )
+from peppershore.connection.messages.session import Refused
 from peppershore.process.node.data.call_log import CallLog
 from peppershore.process.node.data.link_guard import LinkGuard
 from peppershore.process.node.data.own_backend import OwnBackend
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -14,7 +14,9 @@
 from returns.result import Failure, Result, Success
 
 from peppershore.connection.http_head import HeaderList, RequestHead
-from peppershore.connection.messages import Endpoint, KeptAnswer, OwnerLoad
+from peppershore.connection.messages.calls import OwnerLoad
+from peppershore.connection.messages.claims import KeptAnswer
+from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.commands import Notice
 from peppershore.process.node.data import notices
 from peppershore.process.node.data.attempt import Attempt, AttemptRequest, AttemptSink
--- a/src/peppershore/process/node/data/checked_claims.py
+++ b/src/peppershore/process/node/data/checked_claims.py
@@ -11,7 +11,7 @@
 
 from returns.result import Failure, Result
 
-from peppershore.connection.messages import DEFAULT_HORIZON_SECONDS, KeptAnswer
+from peppershore.connection.messages.claims import DEFAULT_HORIZON_SECONDS, KeptAnswer
 from peppershore.process.claims.keys import check_key
 from peppershore.request.claim import (
     ClaimDenied,
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -8,7 +8,8 @@
 
 from peppershore.connection.call_link import CallLink, ReceiveWindow, SendWindow
 from peppershore.connection.http_head import AnswerHead, HeaderList, fields_unsafe
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.calls import (
     UNBOUNDED_PATIENCE,
     CallAnswerBody,
     CallAnswered,
@@ -18,7 +19,6 @@
     CallNotRun,
     CallStarted,
     CallUnknown,
-    Message,
     OwnerLoad,
 )
 from peppershore.process.node.data.attempt import AttemptRequest, AttemptSink
--- a/src/peppershore/process/node/data/link_guard.py
+++ b/src/peppershore/process/node/data/link_guard.py
@@ -6,7 +6,8 @@
 
 from peppershore.connection.authorization import Authorize
 from peppershore.connection.link import Link
-from peppershore.connection.messages import CallLinkHello, Message
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.calls import CallLinkHello
 from peppershore.process.commands import Notice
 from peppershore.process.shell import MessageRefused
 
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -14,7 +14,8 @@
 
 from peppershore.connection.http_head import AnswerHead, HeaderList, first_value
 from peppershore.connection.http_pool import ConnectionPool
-from peppershore.connection.messages import Endpoint, HeaderFields, OwnerLoad
+from peppershore.connection.messages.calls import HeaderFields, OwnerLoad
+from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.node.back_end_reports import (
     STATE_GONE,
     STATE_READY,
--- a/src/peppershore/process/node/data/owner_links.py
+++ b/src/peppershore/process/node/data/owner_links.py
@@ -8,11 +8,11 @@
 
 from peppershore.connection.call_link import CallLink
 from peppershore.connection.link import open_link
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.calls import (
     CallLinkAlive,
     CallLinkHello,
     CallLinkProbe,
-    Message,
     OwnerLoad,
     SlotsLent,
     SlotsReturned,
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -12,7 +12,8 @@
     RequestHead,
     fields_unsafe,
 )
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.calls import (
     CallAnswerBody,
     CallAnswered,
     CallBody,
@@ -21,7 +22,6 @@
     CallNotRun,
     CallStarted,
     CallUnknown,
-    Message,
     OwnerLoad,
 )
 from peppershore.process.node.data.attempt import AttemptRequest
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -17,7 +17,8 @@
     ServerConnection,
     ServerExchange,
 )
-from peppershore.connection.messages import CallLinkHello, Endpoint
+from peppershore.connection.messages.calls import CallLinkHello
+from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.commands import Notice
 from peppershore.process.node.back_end_reports import BackEndView
 from peppershore.process.node.data import notices
--- a/src/peppershore/process/node/endpoints.py
+++ b/src/peppershore/process/node/endpoints.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 
-from peppershore.connection.messages import Endpoint, EndpointsChanged
+from peppershore.connection.messages.endpoints import Endpoint, EndpointsChanged
 from peppershore.process.endpoints.table import STATE_GONE, endpoints_digest, order_of
 
 MAX_REMEMBERED_GONE = 4_096
--- a/src/peppershore/process/node/own_endpoint.py
+++ b/src/peppershore/process/node/own_endpoint.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from peppershore.connection.messages import Endpoint
+from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.endpoints.table import (
     STATE_GONE,
     STATE_LEAVING,
--- a/src/peppershore/process/node/relay_sessions.py
+++ b/src/peppershore/process/node/relay_sessions.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from peppershore.connection.messages import NodeHello
+from peppershore.connection.messages.node import NodeHello
 from peppershore.process.commands import (
     CloseLink,
     Command,
--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -8,15 +8,10 @@
 
 from __future__ import annotations
 
-from peppershore.connection.messages import (
-    ConfirmReply,
-    EditsCommitted,
-    Goodbye,
-    Message,
-    Refused,
-    RelayHello,
-    TreeState,
-)
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.endpoints import RelayHello
+from peppershore.connection.messages.relay import ConfirmReply, EditsCommitted, TreeState
+from peppershore.connection.messages.session import Goodbye, Refused
 from peppershore.process import events
 from peppershore.process.commands import (
     CloseLink,
--- a/src/peppershore/process/relay/distribution.py
+++ b/src/peppershore/process/relay/distribution.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterable
 
 from peppershore.connection.codec import encode_message
-from peppershore.connection.messages import Current, UpdateApplied, UpdateOffered
+from peppershore.connection.messages.node import Current, UpdateApplied, UpdateOffered
 from peppershore.process.commands import Command, SendEncoded
 from peppershore.process.events import LinkId
 from peppershore.process.relay.endpoint_fanout import EndpointFanout
--- a/src/peppershore/process/relay/endpoint_fanout.py
+++ b/src/peppershore/process/relay/endpoint_fanout.py
@@ -11,7 +11,11 @@
 
 from peppershore.connection.codec import encode_message
 from peppershore.connection.endpoint_packing import pack_endpoints
-from peppershore.connection.messages import Endpoint, EndpointsChanged, EndpointsHeld
+from peppershore.connection.messages.endpoints import (
+    Endpoint,
+    EndpointsChanged,
+    EndpointsHeld,
+)
 from peppershore.process.commands import Command, SendEncoded
 from peppershore.process.endpoints.table import STATE_GONE, STATE_LEAVING, EndpointTable
 from peppershore.process.events import LinkId
--- a/src/peppershore/process/relay/heartbeats.py
+++ b/src/peppershore/process/relay/heartbeats.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from peppershore.connection.codec import encode_message
-from peppershore.connection.messages import Freshness
+from peppershore.connection.messages.node import Freshness
 from peppershore.process.commands import Command, SendEncoded
 from peppershore.process.events import LinkId
 from peppershore.process.relay.session import NodeSession
--- a/src/peppershore/process/relay/node_service.py
+++ b/src/peppershore/process/relay/node_service.py
@@ -5,21 +5,21 @@
 from collections.abc import Iterable
 
 from peppershore.connection.endpoint_packing import pack_endpoints
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.endpoints import (
     EndpointAnnounced,
     EndpointsChanged,
     EndpointsHeld,
-    Goodbye,
-    Message,
+)
+from peppershore.connection.messages.node import (
     NodeAlive,
     NodeHello,
-    Refused,
     RelayListed,
     RelaysListed,
-    RetryAfter,
     UpdateApplied,
     UpdateRefused,
 )
+from peppershore.connection.messages.session import Goodbye, Refused, RetryAfter
 from peppershore.process.commands import CloseLink, Command, Report, SendMessage
 from peppershore.process.endpoints.exchange import EndpointExchange
 from peppershore.process.endpoints.table import STATE_GONE, STATE_LEAVING
--- a/src/peppershore/process/relay/planned_stop.py
+++ b/src/peppershore/process/relay/planned_stop.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from peppershore.connection.messages import Goodbye
+from peppershore.connection.messages.session import Goodbye
 from peppershore.process.commands import Command, SendMessage
 from peppershore.process.events import LinkId
 
--- a/src/peppershore/process/relay/progress.py
+++ b/src/peppershore/process/relay/progress.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import LaggingNode, ProgressReported
+from peppershore.connection.messages.relay import LaggingNode, ProgressReported
 from peppershore.process.relay.departures import Departure, Departures
 from peppershore.process.relay.distribution import Distributor
 from peppershore.process.relay.hold import HoldBook
--- a/src/peppershore/process/relay/session.py
+++ b/src/peppershore/process/relay/session.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from peppershore.connection.messages import Endpoint
+from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.events import LinkId
 from peppershore.version.model import Digest, Scope, Version
 
--- a/src/peppershore/process/relay/source.py
+++ b/src/peppershore/process/relay/source.py
@@ -9,7 +9,11 @@
 
 import math
 
-from peppershore.connection.messages import ConfirmReply, ConfirmRequest, FollowRequest
+from peppershore.connection.messages.relay import (
+    ConfirmReply,
+    ConfirmRequest,
+    FollowRequest,
+)
 from peppershore.process.commands import (
     CloseLink,
     Command,
--- a/src/peppershore/process/relay/tree_follower.py
+++ b/src/peppershore/process/relay/tree_follower.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import CommittedEdit
+from peppershore.connection.messages.relay import CommittedEdit
 from peppershore.version.catalog import ScopeCatalog
 from peppershore.version.model import Scope, Tree, Version
 from peppershore.version.tree import empty_tree, replay_edit
--- a/src/peppershore/process/shell.py
+++ b/src/peppershore/process/shell.py
@@ -16,7 +16,8 @@
 from peppershore.connection.authorization import Authorize, allow_all
 from peppershore.connection.codec import encode_message
 from peppershore.connection.link import Link, LinkListener, open_link
-from peppershore.connection.messages import Message, Refused
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.session import Refused
 from peppershore.process import commands, events
 from peppershore.process.core import Core
 
--- a/src/peppershore/process/status_page.py
+++ b/src/peppershore/process/status_page.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import RelayStatus, StatusAnswered
+from peppershore.connection.messages.operators import RelayStatus, StatusAnswered
 from peppershore.process.admin_http import HTML, Page
 from peppershore.process.status_remarks import is_silent, status_remarks
 from peppershore.version.model import Tree, Version
--- a/src/peppershore/process/status_remarks.py
+++ b/src/peppershore/process/status_remarks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from peppershore.connection.messages import RelayStatus, StatusAnswered
+from peppershore.connection.messages.operators import RelayStatus, StatusAnswered
 from peppershore.process.control.progress import (
     MILLISECONDS_PER_SECOND,
     RELAY_SILENT_SECONDS,
--- a/src/peppershore/process/storage/opening.py
+++ b/src/peppershore/process/storage/opening.py
@@ -10,7 +10,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from peppershore.connection.messages import LogEntry
+from peppershore.connection.messages.consensus import LogEntry
 from peppershore.process.consensus.membership import decode_membership
 from peppershore.process.consensus.records import (
     HardState,
--- a/src/peppershore/process/storage/rows.py
+++ b/src/peppershore/process/storage/rows.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import EntryKind, LogEntry
+from peppershore.connection.messages.consensus import EntryKind, LogEntry
 from peppershore.process.consensus.membership import decode_membership, encode_membership
 from peppershore.process.consensus.records import (
     HardState,
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -10,7 +10,8 @@
 
 import msgspec
 
-from peppershore.connection.messages import Endpoint, OwnerLoad
+from peppershore.connection.messages.calls import OwnerLoad
+from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.request.endpoint_state import EndpointState, Verdict
 from peppershore.request.outcome import (
     BUSY,
--- a/src/peppershore/request/claim.py
+++ b/src/peppershore/request/claim.py
@@ -9,7 +9,7 @@
 from returns.result import Result
 
 from peppershore.connection.http_head import RequestHead
-from peppershore.connection.messages import DEFAULT_HORIZON_SECONDS, KeptAnswer
+from peppershore.connection.messages.claims import DEFAULT_HORIZON_SECONDS, KeptAnswer
 
 DIGEST_DIGITS = 16
 CLAIM_KEY_PARTS = 3
--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -9,7 +9,8 @@
 import math
 from typing import Literal
 
-from peppershore.connection.messages import Endpoint, OwnerLoad
+from peppershore.connection.messages.calls import OwnerLoad
+from peppershore.connection.messages.endpoints import Endpoint
 
 Verdict = Literal["good", "failed", "shed", "late"]
 """What an attempt says of its back end; "shed": alive, and refusing for load;
--- a/src/peppershore/request/slot_loans.py
+++ b/src/peppershore/request/slot_loans.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import SlotsAsked, SlotsLent, SlotsReturned
+from peppershore.connection.messages.calls import SlotsAsked, SlotsLent, SlotsReturned
 
 LEASE_SECONDS = 3.0
 RENEW_SECONDS = 1.0
--- a/src/peppershore_lab/claims_trial/faults.py
+++ b/src/peppershore_lab/claims_trial/faults.py
@@ -12,7 +12,7 @@
 from returns.result import Failure
 
 from peppershore.command.client import ControlGroup, ask
-from peppershore.connection.messages import MembershipAnswered, MembershipChange
+from peppershore.connection.messages.operators import MembershipAnswered, MembershipChange
 from peppershore.process.settings import PeerReplica
 from peppershore_lab.fleet.fleet import Fleet
 from peppershore_lab.fleet.members import Member, claims_settings, settings_text
--- a/src/peppershore_lab/experiments/distribution_baselines.py
+++ b/src/peppershore_lab/experiments/distribution_baselines.py
@@ -18,7 +18,8 @@
 
 from peppershore.connection.codec import decode_message, encode_message
 from peppershore.connection.framing import FrameReader, encode_frame
-from peppershore.connection.messages import Freshness, TreeState
+from peppershore.connection.messages.node import Freshness
+from peppershore.connection.messages.relay import TreeState
 from peppershore.version.model import Edit, Tree, Version
 from peppershore.version.tree import apply_edit
 from peppershore_lab.convergence import percentile
--- a/src/peppershore_lab/hollow/naive.py
+++ b/src/peppershore_lab/hollow/naive.py
@@ -16,7 +16,8 @@
 
 from peppershore.connection.codec import encode_message
 from peppershore.connection.link import Link, LinkListener, open_link
-from peppershore.connection.messages import Message, TreeState
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.relay import TreeState
 from peppershore.version.model import Overrides, SetOverrides, Tree, TreeNode
 from peppershore_lab.hollow.layout import FleetLayout, initial_edit
 
--- a/src/peppershore_lab/hollow/node.py
+++ b/src/peppershore_lab/hollow/node.py
@@ -5,7 +5,8 @@
 import time
 from collections.abc import Callable
 
-from peppershore.connection.messages import Current, Message
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.node import Current
 from peppershore.process import events
 from peppershore.process.commands import Notice, OpenLink
 from peppershore.process.node.commands import (
--- a/src/peppershore_lab/hollow/operator.py
+++ b/src/peppershore_lab/hollow/operator.py
@@ -8,7 +8,7 @@
 from returns.result import Failure
 
 from peppershore.command.client import ControlGroup, ask
-from peppershore.connection.messages import EditAnswered, SubmitEdit
+from peppershore.connection.messages.operators import EditAnswered, SubmitEdit
 from peppershore.process.settings import PeerReplica
 from peppershore.version.model import Edit, EditAccepted
 from peppershore_lab.hollow.layout import ChangePlan, PlannedChange
--- a/src/peppershore_lab/links/emulator.py
+++ b/src/peppershore_lab/links/emulator.py
@@ -18,7 +18,7 @@
 
 from peppershore.connection.codec import decode_message
 from peppershore.connection.framing import FrameReader, encode_frame
-from peppershore.connection.messages import ReplicaHello
+from peppershore.connection.messages.consensus import ReplicaHello
 from peppershore_lab.http_server import HttpAnswer, HttpRequest, start_server
 from peppershore_lab.links.model import (
     Direction,
--- a/src/peppershore_lab/operator_client.py
+++ b/src/peppershore_lab/operator_client.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from peppershore.command.client import ControlGroup, ask
-from peppershore.connection.messages import (
+from peppershore.connection.messages.operators import (
     EditAnswered,
     StatusAnswered,
     StatusQuery,
--- a/src/peppershore_lab/peer_link.py
+++ b/src/peppershore_lab/peer_link.py
@@ -5,7 +5,7 @@
 from peppershore.command.client import LinkLost, OperatorLink
 from peppershore.connection.codec import encode_message
 from peppershore.connection.link import open_link
-from peppershore.connection.messages import Message
+from peppershore.connection.messages.base import Message
 
 
 class PeerLink:
--- a/src/peppershore_lab/reference.py
+++ b/src/peppershore_lab/reference.py
@@ -12,11 +12,8 @@
 from returns.result import Result
 
 from peppershore.command.client import ControlGroup, ask
-from peppershore.connection.messages import (
-    CommittedEdit,
-    HistoryAnswered,
-    HistoryQuery,
-)
+from peppershore.connection.messages.operators import HistoryAnswered, HistoryQuery
+from peppershore.connection.messages.relay import CommittedEdit
 from peppershore.process.control.core import HISTORY_CAPACITY
 from peppershore.version.catalog import ScopeCatalog
 from peppershore.version.closure import find_gaps
--- a/src/peppershore_lab/replica_group.py
+++ b/src/peppershore_lab/replica_group.py
@@ -19,9 +19,9 @@
 import msgspec
 from returns.result import Failure
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.operators import (
     EditAnswered,
-    Message,
     ReplicaStatus,
     StatusAnswered,
     StatusQuery,
--- a/src/peppershore_lab/simulator/administrator.py
+++ b/src/peppershore_lab/simulator/administrator.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.operators import (
     MembershipAnswered,
     MembershipChange,
     NotLeader,
--- a/src/peppershore_lab/simulator/checks.py
+++ b/src/peppershore_lab/simulator/checks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from peppershore.connection.messages import StatusAnswered
+from peppershore.connection.messages.operators import StatusAnswered
 from peppershore.process.consensus.role import Role
 from peppershore.process.control.core import ControlCore
 from peppershore.process.node.core import NodeCore
--- a/src/peppershore_lab/simulator/operator.py
+++ b/src/peppershore_lab/simulator/operator.py
@@ -5,9 +5,9 @@
 from random import Random
 from typing import Protocol
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.operators import (
     EditAnswered,
-    Message,
     NotLeader,
     StatusAnswered,
     StatusQuery,
--- a/src/peppershore_lab/simulator/payout_node.py
+++ b/src/peppershore_lab/simulator/payout_node.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.process import events
 from peppershore.process.claims.client_core import ClaimClientCore
 from peppershore.process.claims.wants import (
--- a/src/peppershore_lab/simulator/roles.py
+++ b/src/peppershore_lab/simulator/roles.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import LogEntry
+from peppershore.connection.messages.consensus import LogEntry
 from peppershore.process import commands
 from peppershore.process.consensus.records import (
     InstallSnapshot,
--- a/tests/acceptance/test_features.py
+++ b/tests/acceptance/test_features.py
@@ -17,7 +17,7 @@
 from peppershore.command.exit_codes import ExitCode
 from peppershore.connection.codec import encode_message
 from peppershore.connection.link import Link, open_link
-from peppershore.connection.messages import SubmitEdit
+from peppershore.connection.messages.operators import SubmitEdit
 from peppershore.process.configuration_page import CONFIGURATION_PATH
 from peppershore.version.model import Edit, ExpectedRevision, Overrides, SetOverrides
 
--- a/tests/acceptance/test_hostile_bytes.py
+++ b/tests/acceptance/test_hostile_bytes.py
@@ -14,12 +14,10 @@
 
 from peppershore.connection.codec import MESSAGE_TYPES, encode_message
 from peppershore.connection.framing import encode_frame
-from peppershore.connection.messages import (
-    FollowRequest,
-    Message,
-    NodeHello,
-    RelayHello,
-)
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.endpoints import RelayHello
+from peppershore.connection.messages.node import NodeHello
+from peppershore.connection.messages.relay import FollowRequest
 from peppershore.version.model import Scope
 from peppershore_lab.fleet.addresses import (
     ADMIN_PORT,
--- a/tests/admin/test_status_page.py
+++ b/tests/admin/test_status_page.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from peppershore.connection.messages import (
-    LaggingNode,
+from peppershore.connection.messages.operators import (
     RelayStatus,
     ReplicaStatus,
     StatusAnswered,
 )
+from peppershore.connection.messages.relay import LaggingNode
 from peppershore.process.status_page import render_status, zone_progress
 from peppershore.version.model import (
     Overrides,
--- a/tests/claims/claims_cluster.py
+++ b/tests/claims/claims_cluster.py
@@ -12,7 +12,8 @@
 )
 from tests.consensus.invariants import Invariants
 
-from peppershore.connection.messages import KeptAnswer, Message
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.process import commands, events
 from peppershore.process.claims.client_core import ClaimClientCore
 from peppershore.process.claims.core import ClaimsCore
--- a/tests/claims/test_claim_client.py
+++ b/tests/claims/test_claim_client.py
@@ -1,6 +1,6 @@
 """Playbooks of the claims client: events in, commands out."""
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.claims import (
     ClaimCompleted,
     ClaimGranted,
     ClaimNoted,
--- a/tests/claims/test_claim_table.py
+++ b/tests/claims/test_claim_table.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.process.claims.entries import (
     ClaimEntry,
     ClockAdvanced,
--- a/tests/claims/test_claim_window.py
+++ b/tests/claims/test_claim_window.py
@@ -5,7 +5,7 @@
 import pytest
 from tests.claims.claims_cluster import NAMES, ClaimsCluster, Node
 
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.process.claims.client_core import PATIENCE_SECONDS
 from peppershore.process.claims.wants import (
     ClaimsGroupAvailable,
--- a/tests/claims/test_claimed_calls.py
+++ b/tests/claims/test_claimed_calls.py
@@ -22,7 +22,7 @@
 )
 
 from peppershore.connection.http_head import RequestHead
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.process.claims.entries import (
     ClaimEntry,
     CompletionEntry,
--- a/tests/claims/test_claims_authorization.py
+++ b/tests/claims/test_claims_authorization.py
@@ -4,7 +4,7 @@
 
 from peppershore.connection.authorization import authorizer
 from peppershore.connection.identity import PeerIdentity, format_identity
-from peppershore.connection.messages import (
+from peppershore.connection.messages.claims import (
     ClaimCompleted,
     ClaimGranted,
     ClaimNoted,
@@ -12,8 +12,8 @@
     ClaimReleased,
     ClaimRequest,
     ClaimTaken,
-    MembershipChange,
 )
+from peppershore.connection.messages.operators import MembershipChange
 
 NODE = PeerIdentity("refund", "node", "kassa-1", "kassa", "pasila")
 CLAIMS = PeerIdentity("refund", "claims", "claims-1")
--- a/tests/claims/test_claims_replacement.py
+++ b/tests/claims/test_claims_replacement.py
@@ -5,11 +5,11 @@
 import pytest
 from tests.claims.claims_cluster import NAMES, ClaimsCluster, Node
 
-from peppershore.connection.messages import (
-    KeptAnswer,
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.claims import KeptAnswer
+from peppershore.connection.messages.operators import (
     MembershipAnswered,
     MembershipChange,
-    Message,
     StatusAnswered,
     StatusQuery,
 )
--- a/tests/claims/test_table_snapshot.py
+++ b/tests/claims/test_table_snapshot.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from peppershore.connection.messages import KeptAnswer
+from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.process.claims.entries import (
     ClaimEntry,
     ClockAdvanced,
--- a/tests/command/test_client_retries.py
+++ b/tests/command/test_client_retries.py
@@ -13,17 +13,16 @@
 from peppershore.command.failures import Failed
 from peppershore.connection.codec import encode_message
 from peppershore.connection.link import Link, LinkListener
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.operators import (
     EditAnswered,
-    Message,
     NotLeader,
-    Refused,
-    RetryAfter,
     StatusQuery,
     SubmitEdit,
     TreeAnswered,
     TreeQuery,
 )
+from peppershore.connection.messages.session import Refused, RetryAfter
 from peppershore.version.model import Edit, EditAccepted, EditExpired, SetZone
 from peppershore.version.tree import empty_tree
 
--- a/tests/command/test_watch_output.py
+++ b/tests/command/test_watch_output.py
@@ -6,7 +6,8 @@
 
 from peppershore.command.watch_output import WatchLines
 from peppershore.command.watching import WatchStep
-from peppershore.connection.messages import LaggingNode, RelayStatus, StatusAnswered
+from peppershore.connection.messages.operators import RelayStatus, StatusAnswered
+from peppershore.connection.messages.relay import LaggingNode
 
 LAGGING = LaggingNode("kassa-1", "kassa", "pasila", 6, "version 7 was sent")
 RELAY = RelayStatus("r1", "pasila", 7, 6, 2, (LAGGING,), 100, 20)
--- a/tests/consensus/control_cluster.py
+++ b/tests/consensus/control_cluster.py
@@ -12,7 +12,8 @@
 from tests.consensus.memory_store import MemoryStore
 
 from peppershore.connection.codec import decode_message
-from peppershore.connection.messages import Message, ReplicaHello
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.consensus import ReplicaHello
 from peppershore.process import commands, events
 from peppershore.process.consensus.records import PersistLog, Record
 from peppershore.process.control.core import ControlCore
--- a/tests/consensus/invariants.py
+++ b/tests/consensus/invariants.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from peppershore.connection.messages import EntryKind
+from peppershore.connection.messages.consensus import EntryKind
 from peppershore.process.commands import Notice
 from peppershore.process.consensus.notices import LeadershipStarted
 from peppershore.process.control.core import ControlCore
--- a/tests/consensus/memory_store.py
+++ b/tests/consensus/memory_store.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from peppershore.connection.messages import LogEntry
+from peppershore.connection.messages.consensus import LogEntry
 from peppershore.process.consensus.records import (
     InstallSnapshot,
     Record,
--- a/tests/consensus/test_commit_notice.py
+++ b/tests/consensus/test_commit_notice.py
@@ -5,7 +5,8 @@
 import pytest
 from tests.consensus.control_cluster import ControlCluster
 
-from peppershore.connection.messages import EditAnswered, Message, SubmitEdit
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.operators import EditAnswered, SubmitEdit
 from peppershore.version.model import Edit, Overrides, SetOverrides
 
 NAMES = ("a", "b", "c", "d", "e")
--- a/tests/consensus/test_former_leases.py
+++ b/tests/consensus/test_former_leases.py
@@ -8,7 +8,7 @@
 from tests.consensus.control_cluster import ControlCluster
 from tests.consensus.self_kept_cluster import SelfKeptCluster
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.consensus import (
     EntryKind,
     LogEntry,
     Membership,
--- a/tests/consensus/workload.py
+++ b/tests/consensus/workload.py
@@ -4,18 +4,16 @@
 
 from tests.consensus.control_cluster import ControlCluster
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.operators import EditAnswered, NotLeader, SubmitEdit
+from peppershore.connection.messages.relay import (
     ConfirmReply,
     ConfirmRequest,
-    EditAnswered,
     EditsCommitted,
     FollowRequest,
-    Goodbye,
-    Message,
-    NotLeader,
-    SubmitEdit,
     TreeState,
 )
+from peppershore.connection.messages.session import Goodbye
 from peppershore.process.control.core import DISK_REFUSED
 from peppershore.version.model import (
     Edit,
--- a/tests/control/test_edit_notices.py
+++ b/tests/control/test_edit_notices.py
@@ -6,7 +6,8 @@
 
 from tests.consensus.control_cluster import ControlCluster
 
-from peppershore.connection.messages import Message, SubmitEdit
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.operators import SubmitEdit
 from peppershore.process.control.notices import EditAccepted, EditRefused
 from peppershore.version.model import (
     Edit,
--- a/tests/control/test_followers.py
+++ b/tests/control/test_followers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from peppershore.connection.codec import decode_message
-from peppershore.connection.messages import EditsCommitted, FollowRequest, TreeState
+from peppershore.connection.messages.relay import EditsCommitted, FollowRequest, TreeState
 from peppershore.process.commands import SendEncoded, SendMessage
 from peppershore.process.control.followers import MAX_EDITS_TO_CATCH_UP, Followers
 from peppershore.process.control.state import ControlState, EditAdmitted, encode_command
--- a/tests/control/test_followers_sent_away.py
+++ b/tests/control/test_followers_sent_away.py
@@ -5,7 +5,10 @@
 import pytest
 from tests.consensus.control_cluster import ControlCluster
 
-from peppershore.connection.messages import FollowRequest, Goodbye, Message, SubmitEdit
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.operators import SubmitEdit
+from peppershore.connection.messages.relay import FollowRequest
+from peppershore.connection.messages.session import Goodbye
 from peppershore.version.model import Edit, Overrides, SetOverrides
 
 CONFIRMATION_SECONDS = 2.0
--- a/tests/control/test_group_recovered.py
+++ b/tests/control/test_group_recovered.py
@@ -11,13 +11,8 @@
 from returns.result import Failure
 
 from peppershore.command.main import main
-from peppershore.connection.messages import (
-    EditsCommitted,
-    FollowRequest,
-    TreeAnswered,
-    TreeQuery,
-    TreeState,
-)
+from peppershore.connection.messages.operators import TreeAnswered, TreeQuery
+from peppershore.connection.messages.relay import EditsCommitted, FollowRequest, TreeState
 from peppershore.process.control.recovery import NothingToRecover, recover_store
 from peppershore.process.settings import ControlSettings, PeerReplica
 from peppershore.process.storage.opening import open_store
--- a/tests/control/test_progress_table.py
+++ b/tests/control/test_progress_table.py
@@ -4,7 +4,7 @@
 
 from tests.version.trees import edit_of
 
-from peppershore.connection.messages import LaggingNode, ProgressReported
+from peppershore.connection.messages.relay import LaggingNode, ProgressReported
 from peppershore.process.control.progress import (
     RELAY_FORGOTTEN_SECONDS,
     RELAY_SILENT_SECONDS,
--- a/tests/control/test_replica_changes.py
+++ b/tests/control/test_replica_changes.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.operators import (
     EditAnswered,
     NotLeader,
     SubmitEdit,
--- a/tests/data_plane/fake_owner.py
+++ b/tests/data_plane/fake_owner.py
@@ -7,7 +7,8 @@
 
 from peppershore.connection.codec import decode_message, encode_message
 from peppershore.connection.framing import FrameReader, encode_frame
-from peppershore.connection.messages import CallLinkAlive, CallLinkProbe, Message
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.calls import CallLinkAlive, CallLinkProbe
 
 Reply = Callable[[Message], Message | None]
 
--- a/tests/data_plane/stage.py
+++ b/tests/data_plane/stage.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from peppershore.connection.authorization import allow_all
-from peppershore.connection.messages import Endpoint
+from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.commands import Notice
 from peppershore.process.node.data_plane import DataPlane, ListenAddresses
 from peppershore.process.settings import NodeSettings
--- a/tests/data_plane/test_call_outcomes.py
+++ b/tests/data_plane/test_call_outcomes.py
@@ -24,13 +24,13 @@
     until,
 )
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.calls import (
     CallCancelled,
     CallNotRun,
     CallStarted,
     CallUnknown,
-    KeptAnswer,
 )
+from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.process.node import data_plane
 from peppershore.process.node.data import call as call_module
 from peppershore.request import deadline, slot_loans
--- a/tests/data_plane/test_call_path.py
+++ b/tests/data_plane/test_call_path.py
@@ -6,7 +6,8 @@
 from tests.data_plane.scripted_backend import ScriptedBackend
 from tests.data_plane.stage import Caller, Node, call, endpoint, run, until
 
-from peppershore.connection.messages import CallLinkHello, CallStarted, Message
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.calls import CallLinkHello, CallStarted
 
 
 def test_no_configuration_refuses_as_not_run() -> None:
--- a/tests/data_plane/test_hostile_peers.py
+++ b/tests/data_plane/test_hostile_peers.py
@@ -14,12 +14,12 @@
 
 from peppershore.connection.codec import decode_message, encode_message
 from peppershore.connection.framing import FrameReader, encode_frame
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.calls import (
     CallAnswered,
     CallNotRun,
     CallStarted,
     CallUnknown,
-    Message,
 )
 from peppershore.process.shell import MessageRefused
 
--- a/tests/data_plane/test_silent_owners.py
+++ b/tests/data_plane/test_silent_owners.py
@@ -8,7 +8,8 @@
 from tests.data_plane.scripted_backend import ScriptedBackend
 from tests.data_plane.stage import PUBLIC_ROUTE, Node, call, endpoint, run
 
-from peppershore.connection.messages import CallStarted, Message
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.calls import CallStarted
 from peppershore.process.node import data_plane
 from peppershore.process.node.data import owner_links
 
--- a/tests/endpoints/test_endpoint_table.py
+++ b/tests/endpoints/test_endpoint_table.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from peppershore.connection.messages import Endpoint, EndpointsChanged
+from peppershore.connection.messages.endpoints import Endpoint, EndpointsChanged
 from peppershore.process.endpoints.table import (
     TOMBSTONE_SECONDS,
     EndpointTable,
--- a/tests/fuzz/test_fuzzed_frames.py
+++ b/tests/fuzz/test_fuzzed_frames.py
@@ -8,19 +8,17 @@
 
 from peppershore.connection.codec import decode_message, encode_message
 from peppershore.connection.framing import FrameReader, encode_frame
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.claims import ClaimRequest
+from peppershore.connection.messages.consensus import (
     AppendReply,
     AppendRequest,
-    ClaimRequest,
     EntryKind,
-    Freshness,
-    Goodbye,
     LogEntry,
-    Message,
-    NodeAlive,
-    UpdateApplied,
     VoteRequest,
 )
+from peppershore.connection.messages.node import Freshness, NodeAlive, UpdateApplied
+from peppershore.connection.messages.session import Goodbye
 
 MAX_FRAME_BYTES = 64
 numbers = st.integers(0, 2**63 - 1)
--- a/tests/keys/test_keys.py
+++ b/tests/keys/test_keys.py
@@ -24,14 +24,11 @@
     parse_identity,
 )
 from peppershore.connection.link import Link, LinkListener, open_link
-from peppershore.connection.messages import (
-    ConfirmRequest,
-    FollowRequest,
-    Goodbye,
-    Message,
-    NodeHello,
-    StatusQuery,
-)
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.node import NodeHello
+from peppershore.connection.messages.operators import StatusQuery
+from peppershore.connection.messages.relay import ConfirmRequest, FollowRequest
+from peppershore.connection.messages.session import Goodbye
 from peppershore.connection.tls import TlsPaths, client_context, server_context
 from peppershore.version.model import Scope
 
--- a/tests/lab/experiment_evidence.py
+++ b/tests/lab/experiment_evidence.py
@@ -1,6 +1,6 @@
 """Evidence of a small made-up run, for the tests of its judges."""
 
-from peppershore.connection.messages import CommittedEdit
+from peppershore.connection.messages.relay import CommittedEdit
 from peppershore.version.model import Edit, Overrides, SetOverrides
 from peppershore_lab.convergence import VersionHeld
 from peppershore_lab.experiments.availability import Availability
--- a/tests/lab/test_lab_convergence.py
+++ b/tests/lab/test_lab_convergence.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from peppershore.connection.messages import CommittedEdit
+from peppershore.connection.messages.relay import CommittedEdit
 from peppershore.process.control.notices import EditAccepted
 from peppershore.process.logging import JsonLineFormatter, LogIdentity, event_name
 from peppershore.process.node.notices import VersionApplied, VersionRestored
--- a/tests/lab/test_lab_links.py
+++ b/tests/lab/test_lab_links.py
@@ -7,7 +7,7 @@
 
 from peppershore.connection.codec import encode_message
 from peppershore.connection.framing import FrameReader, encode_frame
-from peppershore.connection.messages import ReplicaHello
+from peppershore.connection.messages.consensus import ReplicaHello
 from peppershore_lab.fleet.addresses import AddressBlock
 from peppershore_lab.fleet.deployment import REFUND_NETWORK
 from peppershore_lab.fleet.plan import lay_out
--- a/tests/link/message_strategies.py
+++ b/tests/link/message_strategies.py
@@ -8,7 +8,7 @@
 import msgspec
 from hypothesis import strategies as st
 
-from peppershore.connection.messages import Message
+from peppershore.connection.messages.base import Message
 
 INTEGERS = st.one_of(st.integers(0, 50), st.integers(-(2**63), 2**64 - 1))
 NAMES = ("refund", "control-1", "claims-1", "relay-1", "kassa-1", "kassa", "pasila", "")
--- a/tests/link/test_decoders.py
+++ b/tests/link/test_decoders.py
@@ -15,7 +15,7 @@
     encode_message,
 )
 from peppershore.connection.framing import FrameReader, FrameTooLarge, encode_frame
-from peppershore.connection.messages import Message
+from peppershore.connection.messages.base import Message
 
 ALLOWED_BYTES = 1_000
 EXAMPLES = 30
--- a/tests/link/test_endpoint_packing.py
+++ b/tests/link/test_endpoint_packing.py
@@ -14,7 +14,11 @@
     pack_endpoints,
     unpack_endpoints,
 )
-from peppershore.connection.messages import Endpoint, EndpointsChanged, EndpointsPacked
+from peppershore.connection.messages.endpoints import (
+    Endpoint,
+    EndpointsChanged,
+    EndpointsPacked,
+)
 
 NAMES = st.text(max_size=20)
 COUNTS = st.integers(0, 2**53)
--- a/tests/link/test_link.py
+++ b/tests/link/test_link.py
@@ -11,7 +11,8 @@
 from peppershore.connection.codec import encode_message
 from peppershore.connection.framing import encode_frame
 from peppershore.connection.link import Link, LinkListener, open_link
-from peppershore.connection.messages import Goodbye, Message
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.session import Goodbye
 
 HOST = "127.0.0.1"
 BOUND_SECONDS = 20.0
--- a/tests/link/test_tls_admission.py
+++ b/tests/link/test_tls_admission.py
@@ -12,7 +12,8 @@
 from peppershore.connection.codec import encode_message
 from peppershore.connection.identity import SCHEME, parse_identity
 from peppershore.connection.link import Link, open_link
-from peppershore.connection.messages import Goodbye, Message
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.session import Goodbye
 from peppershore.connection.tls import TlsPaths, client_context, server_context
 from peppershore.connection.tls_admission import TlsAdmission
 
--- a/tests/logging/test_hidden_material.py
+++ b/tests/logging/test_hidden_material.py
@@ -12,7 +12,8 @@
 from hypothesis import strategies as st
 
 from peppershore.connection.codec import MESSAGE_TYPES
-from peppershore.connection.messages import CommittedEdit, Message
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.relay import CommittedEdit
 from peppershore.process.commands import Notice
 from peppershore.process.control.redaction import (
     edits_without_material,
--- a/tests/node/test_node_core.py
+++ b/tests/node/test_node_core.py
@@ -7,19 +7,18 @@
 
 import pytest
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.endpoints import EndpointsPacked
+from peppershore.connection.messages.node import (
     Current,
-    EndpointsPacked,
     Freshness,
-    Goodbye,
-    Message,
     NodeAlive,
     NodeHello,
-    RetryAfter,
     UpdateApplied,
     UpdateOffered,
     UpdateRefused,
 )
+from peppershore.connection.messages.session import Goodbye, RetryAfter
 from peppershore.connection.update_packing import pack_update
 from peppershore.process import events
 from peppershore.process.commands import (
--- a/tests/relay/scripted_replica.py
+++ b/tests/relay/scripted_replica.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.relay import (
     CommittedEdit,
     ConfirmReply,
     ConfirmRequest,
--- a/tests/relay/site.py
+++ b/tests/relay/site.py
@@ -13,7 +13,8 @@
 from tests.relay.virtual_network import VirtualNetwork
 
 from peppershore.connection.endpoint_packing import unpack_endpoints
-from peppershore.connection.messages import EndpointsPacked, Message
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.endpoints import EndpointsPacked
 from peppershore.process.commands import Notice
 from peppershore.process.node.core import NodeCore, NodeMemory
 from peppershore.process.node.inputs import BackendStateChanged
--- a/tests/relay/test_relay_crossing.py
+++ b/tests/relay/test_relay_crossing.py
@@ -9,12 +9,11 @@
 from tests.relay.scripted_replica import CLUSTER, timeout_change
 from tests.relay.site import Site
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.endpoints import Endpoint, EndpointAnnounced
+from peppershore.connection.messages.node import (
     Current,
-    Endpoint,
-    EndpointAnnounced,
     Freshness,
-    Message,
     NodeHello,
     UpdateApplied,
     UpdateOffered,
--- a/tests/relay/test_relay_endpoints.py
+++ b/tests/relay/test_relay_endpoints.py
@@ -4,7 +4,7 @@
 
 from tests.relay.site import Site
 
-from peppershore.connection.messages import EndpointsChanged
+from peppershore.connection.messages.endpoints import EndpointsChanged
 from peppershore.process import events
 from peppershore.process.node.core import LEAVING_ANNOUNCED_SECONDS, NodeMemory
 
--- a/tests/relay/test_relay_failures.py
+++ b/tests/relay/test_relay_failures.py
@@ -7,11 +7,7 @@
 from tests.relay.scripted_replica import CLUSTER, base_operations, timeout_change
 from tests.relay.site import Site
 
-from peppershore.connection.messages import (
-    NodeHello,
-    UpdateOffered,
-    UpdateRefused,
-)
+from peppershore.connection.messages.node import NodeHello, UpdateOffered, UpdateRefused
 from peppershore.process import events
 from peppershore.process.node.core import NodeCore, NodeMemory
 from peppershore.process.relay import notices
--- a/tests/relay/test_relay_fanout_pace.py
+++ b/tests/relay/test_relay_fanout_pace.py
@@ -6,7 +6,7 @@
 from tests.relay.site import Site
 
 from peppershore.connection.endpoint_packing import unpack_endpoints
-from peppershore.connection.messages import EndpointsPacked
+from peppershore.connection.messages.endpoints import EndpointsPacked
 from peppershore.process.node.core import NodeMemory
 from peppershore.process.relay.fanout_pace import (
     STORM_ENDPOINTS,
--- a/tests/relay/test_relay_herd.py
+++ b/tests/relay/test_relay_herd.py
@@ -9,16 +9,14 @@
 from tests.relay.scripted_replica import CLUSTER, base_operations, timeout_change
 
 from peppershore.connection.codec import decode_message
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.node import Current, NodeHello, UpdateOffered
+from peppershore.connection.messages.relay import (
     CommittedEdit,
     ConfirmReply,
-    Current,
     EditsCommitted,
-    Message,
-    NodeHello,
-    RetryAfter,
-    UpdateOffered,
 )
+from peppershore.connection.messages.session import RetryAfter
 from peppershore.process import events
 from peppershore.process.commands import CloseLink, Command, SendEncoded, SendMessage
 from peppershore.process.randomness import Randomness
--- a/tests/relay/test_relay_just_started.py
+++ b/tests/relay/test_relay_just_started.py
@@ -4,7 +4,7 @@
 
 from tests.relay.site import RELAYS, Site
 
-from peppershore.connection.messages import ConfirmRequest
+from peppershore.connection.messages.relay import ConfirmRequest
 from peppershore.process.endpoints.exchange import (
     BACKOFF_CEILING_SECONDS,
     DIGEST_SECONDS,
--- a/tests/relay/test_relay_progress.py
+++ b/tests/relay/test_relay_progress.py
@@ -5,7 +5,8 @@
 from tests.relay.scripted_replica import CLUSTER, timeout_change
 from tests.relay.site import Site
 
-from peppershore.connection.messages import NodeHello, ProgressReported
+from peppershore.connection.messages.node import NodeHello
+from peppershore.connection.messages.relay import ProgressReported
 from peppershore.process import events
 from peppershore.process.commands import SendMessage
 from peppershore.process.node.core import NodeMemory
--- a/tests/relay/virtual_network.py
+++ b/tests/relay/virtual_network.py
@@ -15,7 +15,7 @@
 
 from peppershore.connection.codec import decode_message, encode_message
 from peppershore.connection.framing import HEADER_BYTES
-from peppershore.connection.messages import Message
+from peppershore.connection.messages.base import Message
 from peppershore.process import commands, events
 from peppershore.process.core import Core
 
--- a/tests/request/test_admission.py
+++ b/tests/request/test_admission.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from peppershore.connection.messages import Endpoint
+from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.randomness import Randomness
 from peppershore.request.admission import Admission, Dispatch, Waiting
 from peppershore.request.endpoint_state import Verdict
--- a/tests/request/test_retries_of_callers.py
+++ b/tests/request/test_retries_of_callers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from peppershore.connection.messages import Endpoint
+from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.randomness import Randomness
 from peppershore.request.admission import Admission, Dispatch, Waiting
 from peppershore.request.client_retries import (
--- a/tests/request/test_shedding_back_ends.py
+++ b/tests/request/test_shedding_back_ends.py
@@ -4,7 +4,7 @@
 
 import random
 
-from peppershore.connection.messages import Endpoint
+from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.request.endpoint_state import (
     FIRST_SHED_PAUSE_SECONDS,
     MAX_SHED_PAUSE_SECONDS,
--- a/tests/request/test_slot_loans.py
+++ b/tests/request/test_slot_loans.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from peppershore.connection.messages import SlotsAsked, SlotsLent, SlotsReturned
+from peppershore.connection.messages.calls import SlotsAsked, SlotsLent, SlotsReturned
 from peppershore.request.slot_loans import LEASE_SECONDS, Borrower, Lender
 
 SLOTS = 8
--- a/tests/simulator/test_simulated_network.py
+++ b/tests/simulator/test_simulated_network.py
@@ -4,7 +4,7 @@
 
 from tests.simulator.toy_core import ToyMachine, ToySite
 
-from peppershore.connection.messages import Goodbye
+from peppershore.connection.messages.session import Goodbye
 from peppershore.process import commands, events
 
 SYNCED_SEED = 1
--- a/tests/simulator/test_simulator_mutants.py
+++ b/tests/simulator/test_simulator_mutants.py
@@ -9,7 +9,7 @@
 import pytest
 from returns.result import Success
 
-from peppershore.connection.messages import ClaimGranted, ClaimRequest
+from peppershore.connection.messages.claims import ClaimGranted, ClaimRequest
 from peppershore.process.claims.core import ClaimsCore
 from peppershore.process.claims.table import ClaimTable
 from peppershore.process.consensus.core import Consensus
--- a/tests/storage/test_disk_full.py
+++ b/tests/storage/test_disk_full.py
@@ -7,11 +7,9 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.operators import (
     EditAnswered,
-    EditsCommitted,
-    FollowRequest,
-    Message,
     NotLeader,
     StatusAnswered,
     StatusQuery,
@@ -19,6 +17,7 @@
     TreeAnswered,
     TreeQuery,
 )
+from peppershore.connection.messages.relay import EditsCommitted, FollowRequest
 from peppershore.process.commands import Notice
 from peppershore.process.consensus.notices import StorageRecovered, StorageRefused
 from peppershore.process.consensus.replica_shell import ReplicaShell
--- a/tests/storage/test_replica_killed.py
+++ b/tests/storage/test_replica_killed.py
@@ -13,7 +13,7 @@
 import msgspec
 import pytest
 
-from peppershore.connection.messages import (
+from peppershore.connection.messages.operators import (
     HistoryAnswered,
     HistoryQuery,
     SubmitEdit,
--- a/tests/storage/test_snapshot_parts.py
+++ b/tests/storage/test_snapshot_parts.py
@@ -6,7 +6,7 @@
 import pytest
 from returns.pipeline import is_successful
 
-from peppershore.connection.messages import EntryKind, LogEntry
+from peppershore.connection.messages.consensus import EntryKind, LogEntry
 from peppershore.process.consensus.membership import EMPTY_MEMBERSHIP, encode_membership
 from peppershore.process.consensus.records import (
     InstallSnapshot,
--- a/tests/storage/test_store_refusals.py
+++ b/tests/storage/test_store_refusals.py
@@ -9,7 +9,7 @@
 import pytest
 from returns.result import Failure
 
-from peppershore.connection.messages import EntryKind, LogEntry
+from peppershore.connection.messages.consensus import EntryKind, LogEntry
 from peppershore.process.consensus.membership import EMPTY_MEMBERSHIP
 from peppershore.process.consensus.records import (
     SaveEntries,
