The stand-in of the platform pipelines, races three operators and counts slots

Four tests more of the real processes through the adapter: eight pipelined requests are answered in their order; of three configurations on one base at three hubs one wins; all hubs killed at once hold what was taken and go on; of requests that outnumber all slots, those refused say when to come back and never ran, the others ran once, and no back end ran more than its slots.

--- a/tests/platform_adapter/stand_in.py
+++ b/tests/platform_adapter/stand_in.py
@@ -37,6 +37,9 @@
 MISDIRECTED = 421
 CALLING_PATH = "/calls-on"
 """A request for which an upstream makes a call of its own."""
+HELD_PATH = "/held"
+"""A request that an upstream answers only once it is told to."""
+SLOTS = 8
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -188,6 +191,9 @@
         self.instance = f"i-{machine.name}"
         self.state = "ready"
         self.runs: list[str] = []
+        self.running = 0
+        self.most_running = 0
+        self.may_answer = threading.Event()
         self._machine = machine
         self._sequence = 0
         self._lock = threading.Lock()
@@ -203,6 +209,8 @@
                     self._reply(MISDIRECTED, b"", {NOT_EXECUTED: "1"})
                     return
                 upstream.runs.append(self.headers.get(ATTEMPT_ID, ""))
+                if self.path == HELD_PATH:
+                    upstream.hold()
                 if self.path == CALLING_PATH:
                     self._call_on()
                     return
@@ -232,6 +240,15 @@
         for work in (self._server.serve_forever, self._beat):
             threading.Thread(target=work, daemon=True).start()
 
+    def hold(self) -> None:
+        """Run a request until all that are held may be answered."""
+        with self._lock:
+            self.running += 1
+            self.most_running = max(self.most_running, self.running)
+        self.may_answer.wait(CALL_SECONDS)
+        with self._lock:
+            self.running -= 1
+
     def report(self) -> int:
         """Send a heartbeat now; give the status of its acknowledgement."""
         with self._lock:
@@ -239,7 +256,8 @@
             body = {
                 "service": self.service,
                 "address": self._machine.application,
-                "slots": 8,
+                "slots": SLOTS,
+                "warming_milliseconds": 0,
                 "state": self.state,
                 "sequence": self._sequence,
             }
--- a/tests/platform_adapter/test_stand_in.py
+++ b/tests/platform_adapter/test_stand_in.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import shutil
+import socket
 import threading
 from collections.abc import Iterator
 from pathlib import Path
@@ -12,7 +13,9 @@
 from tests.platform_adapter.stand_in import (
     ATTEMPT_ID,
     CALLING_PATH,
+    HELD_PATH,
     SIGNATURE,
+    SLOTS,
     Machine,
     Reply,
     Site,
@@ -98,6 +101,58 @@
     assert runs.count("a-outer.1") == 1
 
 
+def test_pipelined_requests_are_answered_in_their_order(site: Site) -> None:
+    ids = [f"a-pipe-{number}" for number in range(8)]
+    sent = "".join(
+        f"GET /x HTTP/1.1\r\nhost: {HOST}\r\n{ATTEMPT_ID}: {each}\r\n\r\n" for each in ids
+    )
+    host, _, port = site.nodes[2].clients.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=15.0) as connection:
+        connection.sendall(sent.encode())
+        answers = connection.makefile("rb")
+        answered = []
+        for _ in ids:
+            fields = dict[bytes, bytes]()
+            assert answers.readline().startswith(b"HTTP/1.1 200")
+            while line := answers.readline().strip():
+                name, _, value = line.partition(b":")
+                fields[name.lower()] = value.strip()
+            answers.read(int(fields[b"content-length"]))
+            answered.append(fields[ATTEMPT_ID.encode()].decode())
+    assert answered == ids
+
+
+def test_what_finds_no_slot_is_refused_at_once_and_never_runs(site: Site) -> None:
+    holding = [each for each in site.upstreams if each.service == "kassa"]
+    count = len(holding) * SLOTS + 4
+    answers: dict[str, Reply] = {}
+
+    def send(request_id: str) -> None:
+        headers = {"host": HOST, ATTEMPT_ID: request_id}
+        answers[request_id] = ask(site.nodes[2].clients, "GET", HELD_PATH, None, headers)
+
+    senders = [
+        threading.Thread(target=send, args=(f"a-held-{number}",)) for number in range(count)
+    ]
+    for sender in senders:
+        sender.start()
+    until(
+        lambda: len(answers) + sum(each.running for each in holding) == count,
+        lambda: f"{answers} {site.nodes[2].output[-4_000:]}",
+    )
+    refused = dict(answers)
+    assert len(refused) >= 4
+    for each in holding:
+        each.may_answer.set()
+    for sender in senders:
+        sender.join()
+    ran = [run for each in holding for run in each.runs if run.startswith("a-held-")]
+    assert {each.status for each in refused.values()} == {503}
+    assert all(float(each.headers["retry-after"]) > 0 for each in refused.values())
+    assert sorted(ran) == sorted(answers.keys() - refused.keys())
+    assert max(each.most_running for each in holding) <= SLOTS
+
+
 def test_unknown_host_has_no_route(site: Site) -> None:
     assert ask(site.nodes[0].clients, "GET", "/", headers={"host": "x"}).status == 404
 
@@ -198,3 +253,34 @@
     node.start("kassa", site.seeds)
     site.upstreams[1].state = "ready"
     served(site, node, "kassa")
+
+
+def test_of_three_on_the_same_base_at_three_hubs_one_wins(site: Site) -> None:
+    base = newest(site, site.hubs[0])
+    answers: dict[int, Reply] = {}
+
+    def send(number: int) -> None:
+        sent = configuration(base + 1 + number, base)
+        answers[number] = site.replace(site.hubs[number], sent)
+
+    racing = [threading.Thread(target=send, args=(number,)) for number in range(3)]
+    for thread in racing:
+        thread.start()
+    for thread in racing:
+        thread.join()
+    assert sorted(answer.status for answer in answers.values()) == [200, 412, 412]
+    winner = next(each for each in answers.values() if each.status == 200)
+    assert {newest(site, hub) for hub in site.hubs} == {winner.json["version"]}
+
+
+def test_all_hubs_killed_at_once_hold_what_was_taken_and_go_on(site: Site) -> None:
+    base = newest(site, site.hubs[0])
+    assert site.replace(site.hubs[0], configuration(base + 1, base)).status == 200
+    for hub in site.hubs:
+        hub.kill()
+    for hub in site.hubs:
+        hub.start("", site.seeds)
+    assert {newest(site, hub) for hub in site.hubs} == {base + 1}
+    assert site.replace(site.hubs[2], configuration(base + 2, base + 1)).status == 200
+    for node in site.nodes:
+        served(site, node, "kassa")
