--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -121,7 +121,7 @@
         """
         if view.instance != self._instance:
             self._instance = view.instance
-            self._begin_life(view.warming_milliseconds)
+            self._begin_life()
             self._stop_refusing_later()
             self.leaving = False
         if view.slots:
@@ -137,12 +137,16 @@
             loop = asyncio.get_running_loop()
             self._refuse = loop.call_later(leaving_bound_seconds, self.leave)
 
-    def _begin_life(self, warming_milliseconds: int) -> None:
-        """Let another life of the back end warm up; calls under way keep their slots."""
+    def _begin_life(self) -> None:
+        """Offer all slots of another life; calls under way keep theirs.
+
+        It may still be slow, and callers' nodes send it less for that.  Here a slot that
+        is free is given: a call comes where it could not go to a warmer one.
+        """
         self._endpoint = msgspec.structs.replace(
             self._endpoint,
             incarnation=self._endpoint.incarnation + 1,
-            warming_milliseconds=warming_milliseconds,
+            warming_milliseconds=0,
         )
         now = asyncio.get_running_loop().time()
         self.admission.use_endpoints((self._endpoint,), now)
