A node that is cut off for long no longer fails on its dials' doubling bound

Found by reading the change once more: the bound of an opening was 0.2 s times two to the number of links given up in a row, capped only after the power was worked out. A node cut off from all relays for about 20 minutes (1,024 dials) would have ended with an OverflowError. Mend: the bound itself is kept and doubled up to 1 s, which is also simpler; times are as before. Test: 1,100 dials given up (before: OverflowError, 1 of 25 failed). After: 121 of 121 of tests/node and tests/relay pass.

--- a/src/peppershore/process/node/relay_sessions.py
+++ b/src/peppershore/process/node/relay_sessions.py
@@ -88,7 +88,7 @@
         self._randomness = Randomness(0)
         self._rebalance_at = 0.0
         self._connect_due = False
-        self._openings_given_up = 0
+        self._quick_opening_seconds = FIRST_OPENING_SECONDS
 
     def start(self, randomness: Randomness, now: float) -> list[Command]:
         """Open the first link."""
@@ -120,7 +120,7 @@
     def opened(self, session: RelaySession, now: float) -> list[Command]:
         """Say hello on a link that is open now."""
         session.is_open = True
-        self._openings_given_up = 0
+        self._quick_opening_seconds = FIRST_OPENING_SECONDS
         session.opened_at = now
         session.last_heard = now
         return [SendMessage(session.link, self._make_hello())]
@@ -211,7 +211,9 @@
         out: list[Command] = []
         for session in (self.active, self.candidate):
             if session is not None and self._is_silent(session, now):
-                self._openings_given_up += 0 if session.is_open else 1
+                if not session.is_open:
+                    doubled = 2.0 * self._quick_opening_seconds
+                    self._quick_opening_seconds = min(doubled, OPENING_SECONDS)
                 out.extend(self.drop(session, "silent", now))
         wait = WATCH_SECONDS if self.active else WATCH_WITHOUT_RELAY_SECONDS
         out.append(SetTimer(WATCH_TIMER, wait))
@@ -249,10 +251,7 @@
     @property
     def _opening_seconds(self) -> float:
         """How long a link may take to open."""
-        if self.active is not None:
-            return OPENING_SECONDS
-        quick = FIRST_OPENING_SECONDS * float(2**self._openings_given_up)
-        return min(quick, OPENING_SECONDS)
+        return self._quick_opening_seconds if self.active is None else OPENING_SECONDS
 
     def _is_stale(self, session: RelaySession, now: float) -> bool:
         """Tell whether the relay's version was confirmed too long ago."""
--- a/tests/node/test_node_core.py
+++ b/tests/node/test_node_core.py
@@ -387,3 +387,11 @@
     bench.now += 0.5
     bench.give(events.TimerFired(WATCH_TIMER))
     assert not bench.has(CloseLink)
+
+
+def test_a_node_that_is_cut_off_for_hours_goes_on_dialling() -> None:
+    bench = without_relay()
+    for _ in range(1_100):
+        watch_until_given_up(bench)
+        bench.give(events.TimerFired(CONNECT_TIMER))
+    assert bench.has(OpenLink)
