Routes whose large bodies run once: a third word, bodies kept as far as windows let them out

A body over 64 KiB could not be sent again after a refusal for want of a slot, though nothing had passed the refusing node. Now 'runs = once-streamed', the setting streamed_bodies, and a replay bound of the windows. Ruled out: the word as a synonym of 'once' (not read back as sent). Test: test_streamed_bodies.py, failed before (503 in place of 200).

--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -17,7 +17,10 @@
 from peppershore.process.node.data.answer_relay import AnswerRelay
 from peppershore.process.node.data.attempt import Attempt, AttemptRequest
 from peppershore.process.node.data.call_story import StoryBook
-from peppershore.process.node.data.request_body import RequestBody
+from peppershore.process.node.data.request_body import (
+    STREAMED_REPLAY_BYTES,
+    RequestBody,
+)
 from peppershore.process.node.data.verdicts import verdict_of_failure, verdict_of_status
 from peppershore.request.admission import Dispatch, Waiting
 from peppershore.request.claim import (
@@ -136,6 +139,8 @@
             return
         entry = planned.unwrap()
         self._plan = entry.plan
+        if entry.plan.settings.streamed_bodies:
+            self._body.replay_bytes = STREAMED_REPLAY_BYTES
         self._timer = self._loop.call_at(entry.plan.deadline, self._deadline_passed)
         if self._body.received > entry.plan.settings.max_body_bytes:
             self._body_too_large()
--- a/src/peppershore/process/node/data/request_body.py
+++ b/src/peppershore/process/node/data/request_body.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from peppershore.connection.call_link import STREAM_WINDOW_BYTES
 from peppershore.connection.http_head import HeaderList
 from peppershore.process.node.data.attempt import Attempt
 
@@ -11,14 +12,31 @@
 HOLD_BYTES = 64 * 1024
 """More than this is not read from the caller before it can be sent on."""
 
+LARGEST_READ_BYTES = 256 * 1024
+"""What asyncio's transports read from a socket at a time, at most."""
+
+STREAMED_REPLAY_BYTES = STREAM_WINDOW_BYTES + LARGEST_READ_BYTES
+"""A streamed body is kept up to this size: what may be on its way to the back end's own
+node before that node takes it, and one read from the caller more.  So a refusal for want
+of a slot never ends the call: nothing went past the refusing node."""
+
 
 class RequestBody:
     """The pieces of one body, and how far they were sent."""
 
-    __slots__ = ("_pieces", "_sent", "ended", "received", "replayable", "trailers")
+    __slots__ = (
+        "_pieces",
+        "_sent",
+        "ended",
+        "received",
+        "replay_bytes",
+        "replayable",
+        "trailers",
+    )
 
-    def __init__(self) -> None:
-        """Start empty."""
+    def __init__(self, replay_bytes: int = REPLAY_BYTES) -> None:
+        """Start empty; what goes beyond ``replay_bytes`` can't be sent again."""
+        self.replay_bytes = replay_bytes
         self._pieces: list[bytes] = []
         self._sent = 0
         self.received = 0
@@ -51,7 +69,7 @@
         for piece in self._pieces[self._sent :]:
             attempt.send_data(piece)
         self._sent = len(self._pieces)
-        if self.received > REPLAY_BYTES:
+        if self.received > self.replay_bytes:
             self.replayable = False
             self._pieces.clear()
             self._sent = 0
--- a/src/peppershore/version/model.py
+++ b/src/peppershore/version/model.py
@@ -80,6 +80,7 @@
     max_header_bytes: int | UnsetType = UNSET
     header_timeout_milliseconds: int | UnsetType = UNSET
     idle_timeout_milliseconds: int | UnsetType = UNSET
+    streamed_bodies: bool | UnsetType = UNSET
 
 
 class RouteSettings(Value, frozen=True):
@@ -89,7 +90,9 @@
     calls out over services by weight, in place of ``target``.  ``priority`` 0 is the
     most urgent.  ``target_latency_milliseconds`` 0 names no aim.  With
     ``retry_errors`` a call that may be repeated is tried elsewhere when a back end
-    itself fails (5xx).
+    itself fails (5xx).  With ``streamed_bodies`` a request's body may be large: it is
+    passed on as it comes, and kept for another attempt only as far as it goes out
+    before a back end takes it.
     """
 
     path_prefix: str = ""
@@ -111,6 +114,7 @@
     priority: int = 1
     target_latency_milliseconds: int = 0
     retry_errors: bool = False
+    streamed_bodies: bool = False
 
 
 class ServiceSettings(Value, frozen=True):
--- a/src/peppershore/version/setting_rules.py
+++ b/src/peppershore/version/setting_rules.py
@@ -155,6 +155,7 @@
     "priority": _whole_number(0, 100, ANYWHERE),
     "target_latency_milliseconds": _whole_number(0, MAXIMUM_TIMEOUT_MILLISECONDS, ANYWHERE),
     "retry_errors": _truth(ANYWHERE),
+    "streamed_bodies": _truth(ANYWHERE),
     "holds_every_service": _truth(SERVICES),
     "health_path": SettingRule(
         SERVICES, lambda value: value == "" or _is_prefix(value), "a URL path, or empty"
--- a/src/peppershore/version/whole_configuration.py
+++ b/src/peppershore/version/whole_configuration.py
@@ -39,8 +39,9 @@
 from peppershore.version.revert import revert_operations
 from peppershore.version.splits import WeightedTarget, format_split, parse_splits
 
-Runs = Literal["repeatable", "once"]
-"""How often a call of a route may run: any number of times, or at most once."""
+Runs = Literal["repeatable", "once", "once-streamed"]
+"""How often a call of a route may run: any number of times, or at most once; the last
+also says that bodies are large and are passed on as they come."""
 
 MAXIMUM_ROUTES = 20_000
 SHARED_SETTINGS = (
@@ -49,6 +50,7 @@
     "priority",
     "retry_attempts",
     "repeatable",
+    "streamed_bodies",
 )
 """Settings of routes that stand on their service where most routes share them."""
 
@@ -245,6 +247,7 @@
         "priority": route.priority,
         "retry_attempts": route.attempts - 1,
         "repeatable": route.runs == "repeatable",
+        "streamed_bodies": route.runs == "once-streamed",
     }
     if route.split is not UNSET:
         values["splits"] = tuple(format_split(target) for target in _targets_of(route))
@@ -305,7 +308,7 @@
     return RouteDefinition(
         host=settings.host,
         path_prefix=settings.path_prefix,
-        runs="repeatable" if settings.repeatable else "once",
+        runs=_runs_of(settings),
         timeout_milliseconds=settings.timeout_milliseconds,
         attempts=settings.retry_attempts + 1,
         target_latency_milliseconds=settings.target_latency_milliseconds,
@@ -315,6 +318,12 @@
     )
 
 
+def _runs_of(settings: RouteSettings) -> Runs:
+    if settings.repeatable:
+        return "repeatable"
+    return "once-streamed" if settings.streamed_bodies else "once"
+
+
 def _limits_of(tree: Tree) -> LimitsDefinition:
     overrides = tree.nodes[ROOT_PATH].overrides
     given = {
--- a/tests/command/test_input_decoders.py
+++ b/tests/command/test_input_decoders.py
@@ -55,6 +55,7 @@
         "host": ("refund.example", "refund.example"),
         "splits": ("kassa=1,kuitti=2", ("kassa=1", "kuitti=2")),
         "retry_errors": ("on", True),
+        "streamed_bodies": ("on", True),
         "holds_every_service": ("on", True),
         "health_path": ("/health", "/health"),
         "backend_protocol": ("h1", "h1"),
--- /dev/null
+++ b/tests/data_plane/test_streamed_bodies.py
@@ -0,0 +1,140 @@
+"""Large bodies that may run once: refused without a slot, they go elsewhere whole."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from tests.data_plane.fake_owner import FakeOwner
+from tests.data_plane.scripted_backend import ScriptedBackend
+from tests.data_plane.stage import (
+    PUBLIC_ROUTE,
+    Answer,
+    Caller,
+    Node,
+    call,
+    endpoint,
+    run,
+    until,
+)
+
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.calls import CallBody, CallNotRun, CallStarted
+from peppershore.process.node.data.request_body import (
+    REPLAY_BYTES,
+    STREAMED_REPLAY_BYTES,
+)
+from peppershore.request.outcome import BUSY
+from peppershore.version.model import RouteSettings
+
+ONCE = msgspec.structs.replace(
+    PUBLIC_ROUTE, hop="owner", repeatable=False, max_body_bytes=8_000_000
+)
+STREAMED = msgspec.structs.replace(ONCE, streamed_bodies=True)
+LARGE_BODY = b"x" * (3 * REPLAY_BYTES)
+LARGER_BODY = b"x" * (4 * STREAMED_REPLAY_BYTES)
+
+
+def _busy_after(body_bytes: int) -> FakeOwner:
+    """Refuses a call for want of a slot after it got this much of its body."""
+    received = 0
+
+    def reply(message: Message) -> Message | None:
+        nonlocal received
+        if isinstance(message, CallStarted | CallBody):
+            received += len(message.data)
+            if received >= body_bytes:
+                return CallNotRun(message.stream, 503, BUSY, 10, retryable=True)
+        return None
+
+    return FakeOwner(reply)
+
+
+async def _call_past_a_busy_owner(route: RouteSettings, backend: ScriptedBackend) -> Answer:
+    """The busy owner is in the caller's zone, so it is asked first."""
+    busy = _busy_after(len(LARGE_BODY))
+    willing = Node("k2", await backend.start())
+    await willing.start(route=route)
+    far = endpoint(backend.address, "k2", willing.addresses.internal)
+    edge = Node(seek_free_slots=True)
+    address = await edge.start(
+        endpoint("127.0.0.1:1", "k1", await busy.start()),
+        msgspec.structs.replace(far, zone="keilaniemi"),
+        route=route,
+    )
+    answer = await call(address, method="POST", body=LARGE_BODY)
+    assert any(isinstance(each, CallStarted) for each in busy.received)
+    await edge.plane.close()
+    await willing.plane.close()
+    backend.stop()
+    busy.stop()
+    return answer
+
+
+def test_a_streamed_body_goes_whole_to_another_back_end() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        answer = await _call_past_a_busy_owner(STREAMED, backend)
+        assert (answer.status, answer.body) == (200, b"ok:" + LARGE_BODY)
+        assert len(backend.requests) == 1
+
+    run(scene())
+
+
+def test_without_streaming_a_large_body_is_refused_as_not_run() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        answer = await _call_past_a_busy_owner(ONCE, backend)
+        assert (answer.status, answer.outcome) == (503, "not-run")
+        assert backend.requests == []
+
+    run(scene())
+
+
+def test_a_body_beyond_all_windows_is_passed_on_and_never_held_whole() -> None:
+    """The owner takes nothing, so the caller is read no further than the windows."""
+
+    async def scene() -> None:
+        owner = FakeOwner()
+        edge = Node()
+        address = await edge.start(
+            endpoint("127.0.0.1:1", "k1", await owner.start()), route=STREAMED
+        )
+        caller = await Caller.connect(address)
+        caller.request(method="POST", body=LARGER_BODY)
+        answer = await caller.answer("POST")
+        assert (answer.status, answer.reason) == (504, "deadline-passed")
+        taken = sum(
+            len(each.data)
+            for each in owner.received
+            if isinstance(each, CallStarted | CallBody)
+        )
+        assert taken <= STREAMED_REPLAY_BYTES
+        caller.close()
+        await edge.plane.close()
+        owner.stop()
+
+    run(scene())
+
+
+@pytest.mark.parametrize("route", [ONCE, STREAMED])
+def test_a_caller_that_breaks_off_its_body_frees_the_slot(route: RouteSettings) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        own = Node("k1", await backend.start())
+        address = await own.start(
+            endpoint(backend.address, "k1", "127.0.0.1:1"), route=route
+        )
+        caller = await Caller.connect(address)
+        caller.write(
+            b"POST / HTTP/1.1\r\nhost: kassa\r\ntransfer-encoding: chunked\r\n\r\n"
+        )
+        caller.write(b"5\r\nhello\r\n")
+        await until(lambda: own.plane.calls.in_flight == 1)
+        caller.close()
+        await until(lambda: own.plane.calls.in_flight == 0)
+        assert own.plane.calls.own is not None
+        assert own.plane.calls.own.in_flight == 0
+        await own.plane.close()
+        backend.stop()
+
+    run(scene())
--- a/tests/version/test_resolution.py
+++ b/tests/version/test_resolution.py
@@ -72,6 +72,7 @@
     priority=2,
     target_latency_milliseconds=1,
     retry_errors=True,
+    streamed_bodies=True,
 )
 EVERY_SERVICE_SETTING = Overrides(
     calls=("kuitti",),
--- a/tests/version/test_whole_configuration.py
+++ b/tests/version/test_whole_configuration.py
@@ -75,7 +75,7 @@
     st.fixed_dictionaries(
         {
             "host": st.sampled_from(["a.example", "b.example"]),
-            "runs": st.sampled_from(["once", "repeatable"]),
+            "runs": st.sampled_from(["once", "repeatable", "once-streamed"]),
             "timeout_milliseconds": st.sampled_from([1, 500, 2_500]),
             "priority": st.integers(0, 3),
             "attempts": st.integers(1, 4),
