A back end is chosen by the expected time until its answer; other zones are weighed

Now its own node tells how long it works on a call of the route; callers compare, and cross where that saves a fifth of the target latency. Also: 'there is another back end' and the choice share one condition, so that a refused call no longer goes round eight times. Ruled out: cost as calls in line times latency (a node sees a few calls a second of each back end, too few to know its pace).

--- a/src/peppershore/connection/messages/calls.py
+++ b/src/peppershore/connection/messages/calls.py
@@ -15,11 +15,16 @@
 
 
 class OwnerLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Calls at a back end and waiting for it, and its slots, as its own node counts."""
+    """Calls at a back end and waiting for it, and its slots, as its own node counts.
+
+    ``work_microseconds``: how long it works on a call of the route that this is told
+    for, as a mean over all callers; 0 if that is not known yet.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_microseconds: int = 0
 
 
 class CallLinkHello(Message, frozen=True, tag=140):
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -268,6 +268,7 @@
             start_by=plan.start_by,
             is_client_retry=plan.is_client_retry,
             route=plan.route,
+            crossing_seconds=plan.crossing_seconds,
         )
 
     def offer(self, ticket: Ticket, plan: CallPlan, call: Call) -> Decision:
@@ -276,6 +277,7 @@
         if admission is None:
             return NotRun(STATUS_UNAVAILABLE, "service-not-held", MILLISECONDS)
         now = self.loop.time()
+        self._note_own_load(admission, plan, now)
         decision = admission.offer(ticket, now)
         if isinstance(decision, Waiting):
             self._waiting[ticket.number] = call
@@ -327,13 +329,14 @@
     def has_back_end_besides(
         self, plan: CallPlan, nodes: frozenset[str], for_free_slot: bool = False
     ) -> bool:
-        """Whether a call can go to a back end that is none of these nodes'.
+        """Whether a call can go now to a back end that is none of these nodes'.
 
         ``for_free_slot``: only one counts that may have a slot free now.
         """
         admission = self._admission(plan.target)
-        now = self.loop.time() if for_free_slot else None
-        return admission is not None and admission.has_besides(nodes, now)
+        return admission is not None and admission.has_besides(
+            nodes, self.loop.time(), for_free_slot
+        )
 
     def retry_delay(
         self, plan: CallPlan, offers: int, now: float, costs_budget: bool
@@ -493,11 +496,17 @@
         ]
         admission.use_endpoints(tuple(limited), now)
 
-    def _load_heard(self, address: str, load: OwnerLoad) -> None:
+    def _load_heard(self, address: str, load: OwnerLoad, route: str) -> None:
         now = self.loop.time()
         for node in self._nodes_behind.get(address, ()):
             for admission in self._admissions.values():
-                admission.note_load(node, load, now)
+                admission.note_load(node, load, route, now)
+
+    def _note_own_load(self, admission: Admission, plan: CallPlan, now: float) -> None:
+        """Compare the own back end with others by what its node would tell them."""
+        if self.own is not None and plan.target == self.own.service:
+            load = self.own.load(plan.route)
+            admission.note_load(self._settings.node, load, plan.route, now)
 
     def _spend(self, plan: CallPlan, now: float) -> bool:
         if self._bound is None:
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -47,8 +47,8 @@
 class LinkSource(Protocol):
     """Where links to owners come from, and who hears of owners' loads."""
 
-    def load_heard(self, address: str, load: OwnerLoad) -> None:
-        """An owner told how loaded its back end is."""
+    def load_heard(self, address: str, load: OwnerLoad, route: str) -> None:
+        """An owner told how loaded its back end is, with a call of this route."""
 
     def when_open(self, address: str, attempt: LinkAttempt) -> None:
         """Call ``attempt.link_open`` or ``attempt.link_refused``, at once if open."""
@@ -204,7 +204,7 @@
 
     def _note_load(self, load: OwnerLoad | None) -> None:
         if load is not None:
-            self._links.load_heard(self._address, load)
+            self._links.load_heard(self._address, load, self._request.route)
 
     def _send_start(self, data: bytes) -> None:
         request = self._request
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -46,6 +46,7 @@
 from peppershore.version.model import ServiceSettings
 
 LEAVING_RETRY_AFTER_MILLISECONDS = 100
+MICROSECONDS = 1_000_000
 KICK_SECONDS = 0.02
 NOT_THERE_REASONS = frozenset({"back-end-unreachable", "other-back-end"})
 
@@ -66,7 +67,7 @@
         self.slots = endpoint.slots
         self.running = RunningCalls()
         self._endpoint = endpoint
-        self._service = endpoint.service
+        self.service = endpoint.service
         self._names = names
         self._instance = ""
         self._refuse: asyncio.TimerHandle | None = None
@@ -86,11 +87,11 @@
         """Calls that hold a slot or wait for one here."""
         return self.admission.in_flight + self.admission.waiting
 
-    @property
-    def load(self) -> OwnerLoad:
-        """What other nodes are told of it."""
+    def load(self, route: str) -> OwnerLoad:
+        """Give what other nodes are told of it with a call of this route."""
         admission = self.admission
-        return OwnerLoad(admission.in_flight, admission.waiting, self.slots)
+        work = round(admission.known_work(route) * MICROSECONDS)
+        return OwnerLoad(admission.in_flight, admission.waiting, self.slots, work)
 
     def request_id(self, request: AttemptRequest) -> bytes:
         """Give the id under which the back end is given a request."""
@@ -101,12 +102,12 @@
         """How to speak with the present life of the back end."""
         return BackEndTerms(self._names, self._instance.encode("latin-1"))
 
-    def record(self, headers: HeaderFields) -> ServedRecord:
-        """Give what is known now that a peer's call comes."""
-        load = self.load
+    def record(self, headers: HeaderFields, route: str) -> ServedRecord:
+        """Give what is known now that a peer's call of this route comes."""
+        load = self.load(route)
         return ServedRecord(
             request_id=first_value(headers, self._names.request_id),
-            service=self._service,
+            service=self.service,
             instance=self._instance,
             began_at=asyncio.get_running_loop().time(),
             running=load.running,
@@ -189,7 +190,7 @@
     ) -> Dispatch | NotRun | Ticket:
         """Give the slot, the refusal, or the place in the queue."""
         advice = LEAVING_RETRY_AFTER_MILLISECONDS
-        if request.service and request.service != self._service:
+        if request.service and request.service != self.service:
             return NotRun(STATUS_UNAVAILABLE, "other-service", advice, True)
         if self.leaving:
             return NotRun(STATUS_UNAVAILABLE, "back-end-leaving", advice, True)
--- a/src/peppershore/process/node/data/owner_links.py
+++ b/src/peppershore/process/node/data/owner_links.py
@@ -29,6 +29,10 @@
 taken as gone: what it was sent is unknown, and nothing more is sent to it."""
 
 
+LoadSink = Callable[[str, OwnerLoad, str], None]
+"""Hears of an owner's load: its address, the load, the route of the call it came with."""
+
+
 class _Owner:
     """One owner: its link if open, who waits for it, and the slots borrowed.
 
@@ -55,7 +59,7 @@
     ) -> None:
         """``hello`` introduces this node; ``guard`` judges what owners send."""
         self._guard = guard
-        self.on_load: Callable[[str, OwnerLoad], None] = lambda address, load: None
+        self.on_load: LoadSink = lambda address, load, route: None
         self.on_allowance: Callable[[str, int], None] = lambda address, connections: None
         self._hello = hello
         self._tls = tls
@@ -71,9 +75,9 @@
         owner.waiting.append(attempt)
         self._open(address, owner)
 
-    def load_heard(self, address: str, load: OwnerLoad) -> None:
-        """An owner told how loaded its back end is."""
-        self.on_load(address, load)
+    def load_heard(self, address: str, load: OwnerLoad, route: str) -> None:
+        """An owner told how loaded its back end is, with a call of this route."""
+        self.on_load(address, load, route)
 
     def borrow(self, address: str, now: float) -> bool:
         """Use one slot lent by the owner, if one is free; ask for more if not."""
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -67,6 +67,7 @@
         "_paused",
         "_receiving",
         "_record",
+        "_route",
         "_sending",
         "_status",
         "_stream",
@@ -79,6 +80,7 @@
         self._status = 0
         self._link: CallLink | None = link
         self._stream = started.stream
+        self._route = started.route
         self._cancellable = started.cancellable
         self._attempt: OwnAttempt | None = None
         self._backend: OwnBackend | None = None
@@ -101,7 +103,7 @@
             self.refuse(NotRun(STATUS_BAD_REQUEST, "malformed-fields"))
             return
         self._backend = backend
-        self._record = backend.record(started.headers)
+        self._record = backend.record(started.headers, started.route)
         self._attempt = backend.attempt(_request(started), self)
         self._attempt.start()
 
@@ -211,7 +213,7 @@
             self._log.write(served_story(self._record, end, now))
 
     def _load(self) -> OwnerLoad | None:
-        return None if self._backend is None else self._backend.load
+        return None if self._backend is None else self._backend.load(self._route)
 
     def _cancelled(self) -> Failed:
         """Tell a peer that asks at its deadline whether the back end had the call."""
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -39,6 +39,7 @@
 BULK_SHARE = 0.5
 """Share of all slots that bulk calls may hold, so that others find room."""
 
+MICROSECONDS = 1_000_000
 MIN_RETRY_AFTER_MILLISECONDS = 100
 NOBODY_READY_RETRY_AFTER_MILLISECONDS = 250
 
@@ -88,6 +89,7 @@
         self._queue = WaitingQueue()
         self._bulk_in_flight = 0
         self._work = WorkTimes()
+        self._told_work = WorkTimes()
 
     @property
     def waiting(self) -> int:
@@ -99,16 +101,26 @@
         """Calls that hold a slot."""
         return sum(state.in_flight for state in self._states.values())
 
-    def has_besides(self, nodes: frozenset[str], now: float | None = None) -> bool:
-        """Whether a ready back end is none of these nodes'.
+    def has_besides(
+        self, nodes: frozenset[str], now: float, for_free_slot: bool = False
+    ) -> bool:
+        """Whether a back end that is none of these nodes' can be given a call now.
 
-        With ``now``, one that was full or refused for load a moment ago does not count.
+        What counts is what ``pick`` would give; else a call goes round between those
+        that refused it.  ``for_free_slot``: one that was full or refused for load a
+        moment ago does not count.
         """
         return any(
-            node not in nodes and (now is None or not state.sheds(now))
+            node not in nodes
+            and state.takes_a_call(now)
+            and not (for_free_slot and state.sheds(now))
             for node, state in self._offered.items()
         )
 
+    def known_work(self, route: str) -> float:
+        """Give the mean seconds of a route's calls here; 0 where none was seen."""
+        return self._work.known(route)
+
     def state(self, node: str) -> EndpointState | None:
         """Give what is known of one back end."""
         return self._states.get(node)
@@ -253,12 +265,17 @@
     def _pick(self, ticket: Ticket, now: float) -> EndpointState | None:
         return pick(
             self._offered.values(),
-            Preference(self._zone, self.settings.spill_over, ticket.excluded),
+            self._preference(ticket),
             self._random,
             now,
             self._choose,
         )
 
+    def _preference(self, ticket: Ticket) -> Preference:
+        crossing_cost = ticket.crossing_seconds / self._told_work.of(ticket.route)
+        spill_over = self.settings.spill_over
+        return Preference(self._zone, spill_over, ticket.excluded, crossing_cost)
+
     def _dispatch(self, ticket: Ticket, state: EndpointState) -> Dispatch:
         state.in_flight += 1
         if ticket.call_class == "bulk":
@@ -303,12 +320,17 @@
         """Give what a call is told that may wait no longer for a slot."""
         return self._refusal(NO_SLOT_IN_TIME, self._expected_wait(ticket, now))
 
-    def note_load(self, node: str, load: OwnerLoad, now: float) -> None:
-        """An owner told how loaded its back end is."""
+    def note_load(self, node: str, load: OwnerLoad, route: str, now: float) -> None:
+        """An owner told how loaded its back end is, and its work for a route."""
         state = self._states.get(node)
-        if state is not None:
-            is_far = state.endpoint.zone != self._zone
-            state.note_load(load, now, is_far)
+        if state is None:
+            return
+        is_far = state.endpoint.zone != self._zone
+        state.note_load(load, now, is_far)
+        if load.work_microseconds:
+            seconds = load.work_microseconds / MICROSECONDS
+            self._told_work.observe(route, seconds)
+            state.note_pace(seconds / self._told_work.of(route))
 
     @staticmethod
     def _refusal(reason: str, wait: float, retryable: bool = False) -> NotRun:
--- a/src/peppershore/request/classification.py
+++ b/src/peppershore/request/classification.py
@@ -28,6 +28,11 @@
 is refused within a quarter of it can still come again in good time; the rest is for the
 way there and back."""
 
+CROSSING_SHARE = 0.2
+"""Part of a route's target latency by which an answer from another zone must be sooner to
+be worth the bytes between zones.  Work that is spread as here comes too late about 8 in
+100 times less often then; the price of a crossing is about as much of an answer."""
+
 INNER_PATIENCE_SHARE = 0.4
 """Part of its time for which a call of a back end may wait for a slot."""
 
@@ -42,7 +47,7 @@
     empty for what may be repeated.  ``start_by`` is the monotonic time after which it
     waits no more for a slot: an answer would come too late for its target latency.
     ``remaining`` is the time its caller gave it, in seconds; ``is_client_retry``: it was
-    refused before.
+    refused before.  ``crossing_seconds``: so much sooner must another zone answer.
     """
 
     service: str
@@ -58,6 +63,7 @@
     start_by: float = math.inf
     remaining: float | None = None
     is_client_retry: bool = False
+    crossing_seconds: float = math.inf
 
 
 def classify(
@@ -96,6 +102,7 @@
             priority=settings.priority,
             start_by=_start_by(settings, now),
             remaining=remaining,
+            crossing_seconds=_crossing_seconds(settings),
         )
     )
 
@@ -112,6 +119,11 @@
     return now + latency * PATIENCE_SHARE / MILLISECONDS if latency else math.inf
 
 
+def _crossing_seconds(settings: RouteSettings) -> float:
+    latency = settings.target_latency_milliseconds
+    return latency * CROSSING_SHARE / MILLISECONDS if latency else math.inf
+
+
 def first_in_line(plan: CallPlan, now: float) -> CallPlan:
     """Let a call that a back end makes for one it is running go before new calls.
 
--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -45,6 +45,14 @@
 """A back end whose slots are all taken is passed over for so long, in the own zone and
 in another one."""
 
+PACE_WEIGHT = 0.3
+"""Weight of what a back end's own node told last of its pace.  That is a mean over many
+calls already; it is smoothed since routes differ in which back ends take them."""
+
+CROWDING = 0.5
+"""How much more a call costs at a back end that has no slot left than at an idle one:
+some are slower when nearly full, and what is told of a free slot is old."""
+
 FIRST_EJECTION_SECONDS = 1.0
 MAX_EJECTION_SECONDS = 30.0
 RAMP_FLOOR = 0.1
@@ -62,6 +70,8 @@
         "_last_seen",
         "_load_at",
         "_others",
+        "_pace",
+        "_slots_told",
         "consecutive_failures",
         "ejected_until",
         "endpoint",
@@ -90,6 +100,8 @@
         self.passed_over_until = 0.0
         self._last_seen = now
         self._others = 0
+        self._pace = 1.0
+        self._slots_told = 0
         self._load_at = -LOAD_SECONDS
 
     def ramp(self, now: float) -> float:
@@ -107,6 +119,10 @@
         """Whether one more call may start."""
         return self.in_flight < self.limit and self.in_flight < self.slots(now)
 
+    def takes_a_call(self, now: float) -> bool:
+        """Whether a call may be sent to it now, as far as is known."""
+        return self.free(now) and not self.ejected(now)
+
     def ejected(self, now: float) -> bool:
         """Whether failures keep this back end out for now."""
         return now < self.ejected_until
@@ -123,10 +139,15 @@
         """
         self._others = max(0, load.running + load.waiting - self.in_flight)
         self._load_at = now
+        self._slots_told = load.slots
         if load.running >= load.slots:
             pause = FAR_FULL_SECONDS if is_far else FULL_SECONDS
             self.passed_over_until = max(self.passed_over_until, now + pause)
 
+    def note_pace(self, pace: float) -> None:
+        """The back end's own node told its work as a multiple of the usual for a route."""
+        self._pace += (pace - self._pace) * PACE_WEIGHT
+
     @property
     def others(self) -> int:
         """Calls of other nodes, as the back end's own node told last."""
@@ -137,14 +158,34 @@
         return round((now - self._load_at) * 1_000) if self._load_at > 0.0 else 0
 
     def cost(self, now: float) -> float:
-        """Give the expected cost of one more call; lower is better."""
+        """Give the expected cost of one more call; lower is better.
+
+        Where the back end's own node counts its slots, that is the time until an answer
+        as a multiple of the usual for the call's route; else seconds of work in line.
+        """
         fade = math.exp((self._last_seen - now) / FADE_SECONDS)
         failing = 1.0 + FAILURE_COST * (self._failure_rate * fade) ** 2
+        others = self._others if now - self._load_at < LOAD_SECONDS else 0
+        calls = self.in_flight + others
+        if self._slots_told or self.endpoint.owner_address:
+            expected = self._expected_pace(calls, fade)
+        else:
+            expected = (calls + 1) * self._expected_latency(fade)
+        return expected * failing / self.ramp(now)
+
+    def _expected_pace(self, calls: int, fade: float) -> float:
+        """Give the time until an answer, its wait included, in usual times."""
+        pace = 1.0 + (self._pace - 1.0) * fade
+        slots = self._slots_told or max(1, self.limit)
+        crowded = CROWDING * min(1.0, calls / slots) ** 2
+        wait = max(0, calls + 1 - slots) / slots
+        return pace * (1.0 + crowded + wait)
+
+    def _expected_latency(self, fade: float) -> float:
         latency = self._latency
         if latency > FIRST_LATENCY_SECONDS:
             latency += (FIRST_LATENCY_SECONDS - latency) * (1.0 - fade)
-        others = self._others if now - self._load_at < LOAD_SECONDS else 0
-        return (self.in_flight + others + 1) * latency * failing / self.ramp(now)
+        return latency
 
     @property
     def latency_seconds(self) -> float:
--- a/src/peppershore/request/waiting.py
+++ b/src/peppershore/request/waiting.py
@@ -31,7 +31,8 @@
 
     One that may not wait is refused where no slot is free; another one waits until
     ``start_by`` (monotonic seconds).  ``is_client_retry``: it was refused before.
-    ``route`` tells how long it is likely to run.
+    ``route`` tells how long it is likely to run.  A back end of another zone is worth the
+    way if it answers so much sooner than one nearby (``crossing_seconds``).
     """
 
     number: int
@@ -44,6 +45,7 @@
     start_by: float = math.inf
     is_client_retry: bool = False
     route: str = ""
+    crossing_seconds: float = math.inf
 
     @property
     def rank(self) -> int:
--- a/src/peppershore/request/work_times.py
+++ b/src/peppershore/request/work_times.py
@@ -42,6 +42,11 @@
             self._routes.clear()
         self._routes.setdefault(route, MeanTime()).observe(seconds)
 
+    def known(self, route: str) -> float:
+        """Give the mean seconds of a route's calls; 0 where none was seen."""
+        seen = self._routes.get(route)
+        return 0.0 if seen is None else seen.seconds
+
     def of(self, route: str) -> float:
         """Give the mean seconds of a route's calls; of all where it is unknown."""
         return self._routes.get(route, self._all).seconds
--- /dev/null
+++ b/tests/request/test_expected_time.py
@@ -0,0 +1,135 @@
+"""A back end is chosen by the time until its answer, other zones against the way."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections import Counter
+
+import pytest
+
+from peppershore.connection.messages.calls import OwnerLoad
+from peppershore.connection.messages.endpoints import Endpoint
+from peppershore.request.admission import Admission, Dispatch
+from peppershore.request.classification import CROSSING_SHARE
+from peppershore.request.waiting import Ticket
+from peppershore.version.model import ServiceSettings
+
+SLOTS = 10
+USUAL = 0.1
+TARGET_LATENCY = 0.4
+CROSSING = TARGET_LATENCY * CROSSING_SHARE
+SETTINGS = ServiceSettings(slow_start_milliseconds=0)
+
+
+class Generator:
+    """A seeded source of numbers."""
+
+    def __init__(self) -> None:
+        self._random = random.Random(5)
+
+    def below(self, limit: float) -> float:
+        return self._random.random() * limit
+
+
+def _endpoint(node: str, zone: str) -> Endpoint:
+    return Endpoint(
+        node=node,
+        service="kuitti",
+        zone=zone,
+        incarnation=1,
+        sequence=1,
+        state="ready",
+        address=node,
+        owner_address=f"{node}-owner",
+        slots=2 * SLOTS,
+        connections=130,
+    )
+
+
+class Desk:
+    """An admission in zone ``a`` that was told the pace of its back ends."""
+
+    def __init__(self, **zones: str) -> None:
+        self.admission = Admission("kuitti", SETTINGS, "a", Generator())
+        endpoints = tuple(_endpoint(node, zone) for node, zone in zones.items())
+        self.admission.use_endpoints(endpoints, 0.0)
+        self._numbers = itertools.count(1)
+
+    def told(self, **seconds: float) -> None:
+        """Their nodes tell the work of a call by turns, often enough to be believed."""
+        for _ in range(40):
+            for node, each in seconds.items():
+                load = OwnerLoad(0, 0, SLOTS, round(each * 1_000_000))
+                self.admission.note_load(node, load, "read", 0.0)
+
+    def chosen(self, crossing: float = CROSSING, now: float = 0.0) -> str:
+        ticket = Ticket(
+            next(self._numbers),
+            "normal",
+            now + 10.0,
+            route="read",
+            crossing_seconds=crossing,
+        )
+        decision = self.admission.offer(ticket, now)
+        assert isinstance(decision, Dispatch)
+        self.admission.finished(decision, USUAL, "good", now)
+        return decision.endpoint.node
+
+    def shares(self, calls: int = 200) -> Counter[str]:
+        return Counter(self.chosen() for _ in range(calls))
+
+
+def test_a_quicker_back_end_of_the_zone_takes_the_calls() -> None:
+    desk = Desk(slow="a", quick="a")
+    desk.told(quick=USUAL, slow=2 * USUAL)
+    assert desk.shares()["slow"] == 0
+
+
+def test_a_quicker_back_end_that_is_crowded_leaves_calls_to_others() -> None:
+    desk = Desk(slow="a", quick="a")
+    desk.told(quick=USUAL, slow=1.2 * USUAL)
+    state = desk.admission.state("quick")
+    assert state is not None
+    state.in_flight = SLOTS
+    assert desk.shares()["quick"] == 0
+
+
+def test_another_zone_answers_where_it_is_sooner_by_more_than_the_way_is_worth() -> None:
+    desk = Desk(near="a", far="b")
+    desk.told(far=USUAL, near=USUAL + 2 * CROSSING)
+    assert desk.shares()["near"] == 0
+
+
+@pytest.mark.parametrize("slower", [0.0, 0.5])
+def test_calls_stay_in_the_zone_for_less_than_that(slower: float) -> None:
+    desk = Desk(near="a", far="b")
+    desk.told(far=USUAL, near=USUAL + slower * CROSSING)
+    assert desk.shares()["far"] == 0
+
+
+def test_without_a_target_latency_calls_stay_in_the_zone() -> None:
+    desk = Desk(near="a", far="b")
+    desk.told(far=USUAL, near=5 * USUAL)
+    assert desk.chosen(crossing=float("inf")) == "near"
+
+
+def test_a_back_end_that_was_slow_is_tried_again_in_time() -> None:
+    desk = Desk(near="a", far="b")
+    desk.told(far=USUAL, near=4 * USUAL)
+    assert desk.chosen(now=0.1) == "far"
+    assert desk.chosen(now=60.0) == "near"
+
+
+def test_another_back_end_is_one_that_can_be_given_a_call() -> None:
+    """Else a call goes round between those that refused it."""
+    desk = Desk(asked="a", ejected="a")
+    state = desk.admission.state("ejected")
+    assert state is not None
+    asked = frozenset({"asked"})
+    assert desk.admission.has_besides(asked, 0.0)
+    state.eject(0.0)
+    assert not desk.admission.has_besides(asked, 0.5)
+    assert desk.admission.has_besides(asked, 1.5)
+    state.in_flight = state.limit
+    assert not desk.admission.has_besides(asked, 1.5)
