A large body goes to another node only when the back end takes the call

Now the head asks for the slot; the body follows the credit that the owner gives when its back end takes the call, and a large body crosses zones only where the own has no room. Test: test_streamed_bodies.py.

--- a/src/peppershore/connection/call_link.py
+++ b/src/peppershore/connection/call_link.py
@@ -160,9 +160,9 @@
 
     __slots__ = ("_left",)
 
-    def __init__(self) -> None:
-        """Start with a whole window."""
-        self._left = STREAM_WINDOW_BYTES
+    def __init__(self, octets: int = STREAM_WINDOW_BYTES) -> None:
+        """Start with a whole window, or with what is given."""
+        self._left = octets
 
     @property
     def open(self) -> bool:
--- a/src/peppershore/connection/messages/calls.py
+++ b/src/peppershore/connection/messages/calls.py
@@ -44,6 +44,8 @@
     refused where no slot is free; else it waits for ``patience_milliseconds`` at most.
     ``is_client_retry``: it was refused before, and goes after those that were not.
     ``route`` is the name of its route, by which its work is estimated.
+    ``body_on_credit``: its body follows only once the receiver has given credit, which
+    it does when the back end takes the call.
     """
 
     stream: int
@@ -64,6 +66,7 @@
     patience_milliseconds: int = UNBOUNDED_PATIENCE
     is_client_retry: bool = False
     route: str = ""
+    body_on_credit: bool = False
 
 
 class CallBody(Message, frozen=True, tag=142):
--- a/src/peppershore/process/node/data/attempt.py
+++ b/src/peppershore/process/node/data/attempt.py
@@ -85,6 +85,8 @@
     ``may_wait`` it is refused at once where no slot is free; else it may wait for
     one until ``start_by`` (monotonic seconds).  ``is_client_retry``: its caller was refused
     before; ``route``: the name of its route, by which its work is estimated.
+    ``body_on_credit``: another node is sent the body only when its back end takes the
+    call, so that a refusal costs no bytes between zones.
     """
 
     head: RequestHead
@@ -99,3 +101,4 @@
     start_by: float = math.inf
     is_client_retry: bool = False
     route: str = ""
+    body_on_credit: bool = False
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -282,6 +282,7 @@
             start_by=plan.start_by,
             is_client_retry=plan.is_client_retry,
             route=plan.route,
+            body_on_credit=plan.settings.streamed_bodies,
         )
 
     def refused(self, refusal: NotRun) -> None:
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -60,6 +60,7 @@
     __slots__ = (
         "_address",
         "_data",
+        "_end_sent",
         "_ended",
         "_link",
         "_links",
@@ -91,8 +92,9 @@
         self._paused = False
         self._data: list[bytes] = []
         self._ended = False
+        self._end_sent = False
         self._trailers: HeaderList = []
-        self._sending = SendWindow()
+        self._sending = SendWindow(0) if request.body_on_credit else SendWindow()
         self._receiving = ReceiveWindow()
 
     def start(self) -> None:
@@ -125,16 +127,15 @@
         self._trailers = trailers
 
     def flush(self) -> None:
-        """Send what is queued in one message."""
+        """Send what is queued in one message; a body only as far as there is credit."""
         if self._over or self._settling or self._link is None:
             return
-        data = b"".join(self._data)
-        self._data.clear()
-        if not self._started:
-            self._send_start(data)
-        elif data or self._ended:
-            self._link.send(CallBody(self._stream, data, self._ended, self._trailers))
-        self._sending.sent(len(data))
+        if not self._started and not self._sending.open:
+            self._send_start(b"", ended=self._ended and not self._data)
+        elif not self._started:
+            self._send_start(self._taken_data(), self._ended)
+        elif self._sending.open:
+            self._send_more()
         if not self._sending.open and not self._paused:
             self._paused = True
             self._sink.sending_paused()
@@ -164,6 +165,23 @@
         """Give the credit owed."""
         self._credit(self._receiving.resume())
 
+    # --- inside: sending
+
+    def _send_more(self) -> None:
+        data = self._taken_data()
+        if not data and (not self._ended or self._end_sent):
+            return
+        self._end_sent = self._ended
+        assert self._link is not None
+        self._link.send(CallBody(self._stream, data, self._ended, self._trailers))
+
+    def _taken_data(self) -> bytes:
+        """Take what is queued, to be sent now."""
+        data = b"".join(self._data)
+        self._data.clear()
+        self._sending.sent(len(data))
+        return data
+
     # --- StreamSink
 
     def stream_message(self, message: Message) -> None:
@@ -206,9 +224,10 @@
         if load is not None:
             self._links.load_heard(self._address, load, self._request.route)
 
-    def _send_start(self, data: bytes) -> None:
+    def _send_start(self, data: bytes, ended: bool) -> None:
         request = self._request
         head = request.head
+        self._end_sent = ended
         now = asyncio.get_running_loop().time()
         length = NO_LENGTH if head.content_length is None else head.content_length
         assert self._link is not None
@@ -224,7 +243,7 @@
                 cancellable=request.cancellable,
                 deadline_milliseconds=remaining_milliseconds(now, request.deadline),
                 data=data,
-                ended=self._ended,
+                ended=ended,
                 trailers=self._trailers,
                 service=request.service,
                 priority=request.priority,
@@ -232,6 +251,7 @@
                 patience_milliseconds=_patience(now, request.start_by),
                 is_client_retry=request.is_client_retry,
                 route=request.route,
+                body_on_credit=request.body_on_credit,
             )
         )
         if not self._started:
@@ -275,7 +295,10 @@
             self._link.send(CallCredit(self._stream, octets))
 
     def _credited(self, octets: int) -> None:
-        if self._sending.credited(octets) and self._paused:
+        if not self._sending.credited(octets):
+            return
+        self.flush()
+        if self._paused and self._sending.open:
             self._paused = False
             self._sink.sending_resumed()
 
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -5,7 +5,12 @@
 import asyncio
 import math
 
-from peppershore.connection.call_link import CallLink, ReceiveWindow, SendWindow
+from peppershore.connection.call_link import (
+    STREAM_WINDOW_BYTES,
+    CallLink,
+    ReceiveWindow,
+    SendWindow,
+)
 from peppershore.connection.http_head import (
     AnswerHead,
     HeaderList,
@@ -59,6 +64,7 @@
         "_backend",
         "_begun",
         "_body",
+        "_body_on_credit",
         "_cancellable",
         "_link",
         "_log",
@@ -82,6 +88,7 @@
         self._stream = started.stream
         self._route = started.route
         self._cancellable = started.cancellable
+        self._body_on_credit = started.body_on_credit
         self._attempt: OwnAttempt | None = None
         self._backend: OwnBackend | None = None
         self._body = RequestBody()
@@ -139,7 +146,8 @@
         self._begun = True
         assert self._attempt is not None
         self._body.send(self._attempt)
-        self._credit(self._receiving.resume())
+        first_credit = STREAM_WINDOW_BYTES if self._body_on_credit else 0
+        self._credit(first_credit + self._receiving.resume())
 
     def answer_head(self, head: AnswerHead) -> None:
         """Keep the head until this batch ends: most answers are whole then."""
--- a/src/peppershore/request/classification.py
+++ b/src/peppershore/request/classification.py
@@ -120,8 +120,14 @@
 
 
 def _crossing_seconds(settings: RouteSettings) -> float:
+    """Give what a way to another zone must save; a large body is never worth it.
+
+    It still goes there where the own zone has no room.
+    """
     latency = settings.target_latency_milliseconds
-    return latency * CROSSING_SHARE / MILLISECONDS if latency else math.inf
+    if not latency or settings.streamed_bodies:
+        return math.inf
+    return latency * CROSSING_SHARE / MILLISECONDS
 
 
 def first_in_line(plan: CallPlan, now: float) -> CallPlan:
