--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -42,8 +42,10 @@
 
 FULL_SECONDS = 0.005
 FAR_FULL_SECONDS = 0.25
-"""A back end whose slots are all taken is passed over for so long, in the own zone and
-in another one."""
+"""A back end whose slots are all taken is passed over for so long at least, in the own
+zone and in another one; longer if its queue takes longer."""
+
+MICROSECONDS = 1_000_000
 
 PACE_WEIGHT = 0.3
 """Weight of what a back end's own node told last of its pace.  That is a mean over many
@@ -141,7 +143,7 @@
         self._load_at = now
         self._slots_told = load.slots
         if load.running >= load.slots:
-            pause = FAR_FULL_SECONDS if is_far else FULL_SECONDS
+            pause = max(FAR_FULL_SECONDS if is_far else FULL_SECONDS, _queue_seconds(load))
             self.passed_over_until = max(self.passed_over_until, now + pause)
 
     def note_pace(self, pace: float) -> None:
@@ -234,6 +236,18 @@
         self._failure_rate += (seen - self._failure_rate) * weight
 
 
+def _queue_seconds(load: OwnerLoad) -> float:
+    """Give how long a full back end is likely to have no slot for one more call.
+
+    Those that wait there come first; then a slot is freed so many times in the time
+    that one call takes.
+    """
+    if not load.slots:
+        return 0.0
+    seconds = load.work_microseconds / MICROSECONDS
+    return min(LOAD_SECONDS, (load.waiting + 1) * seconds / load.slots)
+
+
 def _weight(elapsed: float, decay: float) -> float:
     """Give the weight of a new observation: at least 5 %, more after silence."""
     return max(0.05, 1.0 - math.exp(-elapsed / decay))
--- a/src/peppershore/request/next_attempt.py
+++ b/src/peppershore/request/next_attempt.py
@@ -20,6 +20,11 @@
 MAX_TRIES = 8
 """Attempts of one call in all, those that no back end saw included."""
 
+MAX_SEEKS = 2
+"""Back ends that a call asks for a free slot before it waits for one.  Where two that
+seemed free were full, what is known of the others is as old; with 41 back ends of which
+each node sees little, calls went round eight of them and were refused without a wait."""
+
 MAX_WAITS = 3
 """Attempts of one call that may wait for a slot.  Where each is refused for load, the
 next would be as well; the request would only cross the zones once more."""
@@ -92,9 +97,11 @@
     """No back end saw the call: look for a free slot, then wait where it is shortest."""
     if not failed.retryable or _waited_in_vain(progress, failed):
         return GIVE_UP
+    is_seeking = failed.reason == BUSY and not progress.may_wait
     if terms.has_other:
-        return TryAgain(elsewhere=True, may_wait=progress.may_wait)
-    if failed.reason == BUSY and not progress.may_wait:
+        may_wait = progress.may_wait or (is_seeking and progress.tries >= MAX_SEEKS)
+        return TryAgain(elsewhere=True, may_wait=may_wait)
+    if is_seeking:
         return TryAgain(elsewhere=False, may_wait=True)
     return GIVE_UP
 
--- a/tests/request/test_next_attempt.py
+++ b/tests/request/test_next_attempt.py
@@ -6,6 +6,7 @@
 
 from peppershore.request.next_attempt import (
     GIVE_UP,
+    MAX_SEEKS,
     MAX_TRIES,
     MAX_WAITS,
     AttemptTerms,
@@ -48,6 +49,12 @@
         terms(has_other=False),
         TryAgain(elsewhere=False, may_wait=True),
     ),
+    "two busy, others may be free": (
+        CallProgress(0, MAX_SEEKS),
+        BUSY_OWNER,
+        terms(),
+        TryAgain(elsewhere=True, may_wait=True),
+    ),
     "all busy, waited": (
         CallProgress(0, 3, may_wait=True),
         BUSY_OWNER,
