--- a/src/peppershore/version/model.py
+++ b/src/peppershore/version/model.py
@@ -377,10 +377,11 @@
 ResourceContent = RouteResource | ServiceResource | SecretResource
 
 
-class Resource(Value, frozen=True, array_like=True):
+class Resource(Value, frozen=True, array_like=True, dict=True):
     """An encoded resource; ``payload`` is MessagePack of a ``ResourceContent``.
 
-    Names: "service:S", "route:S/R", "secret:N".
+    Names: "service:S", "route:S/R", "secret:N".  Its content is kept beside it once it
+    was decoded (``decode_contents``).
     """
 
     name: str
