--- a/src/peppershore/connection/call_link.py
+++ b/src/peppershore/connection/call_link.py
@@ -14,6 +14,7 @@
 from peppershore.connection.link import Link
 from peppershore.connection.messages.base import Message
 from peppershore.connection.messages.calls import (
+    STREAM_WINDOW_BYTES,
     CallAnswerBody,
     CallAnswered,
     CallBody,
@@ -25,8 +26,6 @@
 )
 
 NOT_AUTHORIZED = "not authorized"
-STREAM_WINDOW_BYTES = 256 * 1024
-"""Body bytes that may be under way on one stream in one direction."""
 
 
 class StreamSink(Protocol):
--- a/src/peppershore/connection/messages/calls.py
+++ b/src/peppershore/connection/messages/calls.py
@@ -10,6 +10,9 @@
 """HTTP header fields: lower-case name, value; order kept."""
 
 
+STREAM_WINDOW_BYTES = 256 * 1024
+"""Body bytes that may be under way on one stream in one direction."""
+
 UNBOUNDED_PATIENCE = -1
 """Of ``CallStarted``: it may wait until its deadline."""
 
--- a/src/peppershore/process/node/data/request_body.py
+++ b/src/peppershore/process/node/data/request_body.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from peppershore.connection.call_link import STREAM_WINDOW_BYTES
 from peppershore.connection.http_head import HeaderList
+from peppershore.connection.messages.calls import STREAM_WINDOW_BYTES
 from peppershore.process.node.data.attempt import Attempt
 
 REPLAY_BYTES = 64 * 1024
--- a/src/peppershore/request/body_transfers.py
+++ b/src/peppershore/request/body_transfers.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from peppershore.connection.call_link import STREAM_WINDOW_BYTES
+from peppershore.connection.messages.calls import STREAM_WINDOW_BYTES
 
 BYTES_PER_MEGABIT = 125_000
 TYPICAL_BODY_BYTES = 64 * 1024
--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -119,7 +119,9 @@
 
     def free(self, now: float) -> bool:
         """Whether one more call may start."""
-        return self.in_flight < self.limit and self.in_flight < self.slots(now)
+        if self.in_flight >= self.limit:
+            return False
+        return self.ramp_seconds <= 0.0 or self.in_flight < self.slots(now)
 
     def takes_a_call(self, now: float) -> bool:
         """Whether a call may be sent to it now, as far as is known."""
--- a/tests/request/test_body_transfers.py
+++ b/tests/request/test_body_transfers.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from peppershore.connection.call_link import STREAM_WINDOW_BYTES, ReceiveWindow
+from peppershore.connection.call_link import ReceiveWindow
+from peppershore.connection.messages.calls import STREAM_WINDOW_BYTES
 from peppershore.request.body_transfers import (
     LEAST_TRANSFERS,
     LEAST_WINDOW_BYTES,
