Read again: one decoding a resource, one wait of an attempt, one way to a back end's pace

Cause, by what was found in the change: - a changed resource was decoded to be checked and again to be used; the cache stood above the decoder (active.py), so relays' own decoding of routes passed it by. It stands in decode_resource now.

--- a/src/peppershore/connection/call_link.py
+++ b/src/peppershore/connection/call_link.py
@@ -184,10 +184,10 @@
 
     __slots__ = ("_owed", "_paused", "_window")
 
-    def __init__(self, window: int = STREAM_WINDOW_BYTES) -> None:
-        """Start with nothing owed; a quarter of the window is owed before it is given."""
+    def __init__(self, window: int = STREAM_WINDOW_BYTES, owed: int = 0) -> None:
+        """Start with so much owed; credit is given for a quarter of the window or more."""
         self._window = window
-        self._owed = 0
+        self._owed = owed
         self._paused = False
 
     def taken(self, octets: int) -> int:
--- a/src/peppershore/connection/messages/calls.py
+++ b/src/peppershore/connection/messages/calls.py
@@ -13,6 +13,7 @@
 STREAM_WINDOW_BYTES = 256 * 1024
 """Body bytes that may be under way on one stream in one direction."""
 
+MICROSECONDS = 1_000_000
 UNBOUNDED_PATIENCE = -1
 """Of ``CallStarted``: it may wait until its deadline."""
 
@@ -29,6 +30,11 @@
     slots: int
     work_microseconds: int = 0
 
+    @property
+    def work_seconds(self) -> float:
+        """How long it works on a call of that route; 0 if that is not known yet."""
+        return self.work_microseconds / MICROSECONDS
+
 
 class CallLinkHello(Message, frozen=True, tag=140):
     """First message of a node that will send calls to a back end's own node."""
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -165,23 +165,6 @@
         """Give the credit owed."""
         self._credit(self._receiving.resume())
 
-    # --- inside: sending
-
-    def _send_more(self) -> None:
-        data = self._taken_data()
-        if not data and (not self._ended or self._end_sent):
-            return
-        self._end_sent = self._ended
-        assert self._link is not None
-        self._link.send(CallBody(self._stream, data, self._ended, self._trailers))
-
-    def _taken_data(self) -> bytes:
-        """Take what is queued, to be sent now."""
-        data = b"".join(self._data)
-        self._data.clear()
-        self._sending.sent(len(data))
-        return data
-
     # --- StreamSink
 
     def stream_message(self, message: Message) -> None:
@@ -257,6 +240,21 @@
         if not self._started:
             self._end(unreachable("owner-unreachable"))
 
+    def _send_more(self) -> None:
+        data = self._taken_data()
+        if not data and (not self._ended or self._end_sent):
+            return
+        self._end_sent = self._ended
+        assert self._link is not None
+        self._link.send(CallBody(self._stream, data, self._ended, self._trailers))
+
+    def _taken_data(self) -> bytes:
+        """Take what is queued, to be sent now."""
+        data = b"".join(self._data)
+        self._data.clear()
+        self._sending.sent(len(data))
+        return data
+
     def _answered(self, message: CallAnswered) -> None:
         if fields_unsafe(message.headers):
             self._refuse_answer()
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -15,7 +15,7 @@
 
 from peppershore.connection.http_head import AnswerHead, HeaderList, first_value
 from peppershore.connection.http_pool import ConnectionPool
-from peppershore.connection.messages.calls import HeaderFields, OwnerLoad
+from peppershore.connection.messages.calls import MICROSECONDS, HeaderFields, OwnerLoad
 from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.node.back_end_reports import (
     STATE_GONE,
@@ -54,7 +54,6 @@
 from peppershore.version.model import ServiceSettings
 
 LEAVING_RETRY_AFTER_MILLISECONDS = 100
-MICROSECONDS = 1_000_000
 MILLISECONDS = 1_000
 KICK_SECONDS = 0.02
 NOT_THERE_REASONS = frozenset({"back-end-unreachable", "other-back-end"})
@@ -115,17 +114,16 @@
         """How to speak with the present life of the back end."""
         return BackEndTerms(self._names, self._instance.encode("latin-1"))
 
-    def record(self, headers: HeaderFields, route: str) -> ServedRecord:
-        """Give what is known now that a peer's call of this route comes."""
-        load = self.load(route)
+    def record(self, headers: HeaderFields) -> ServedRecord:
+        """Give what is known now that a peer's call comes."""
         return ServedRecord(
             request_id=first_value(headers, self._names.request_id),
             service=self.service,
             instance=self._instance,
             began_at=asyncio.get_running_loop().time(),
-            running=load.running,
-            waiting=load.waiting,
-            slots=load.slots,
+            running=self.admission.in_flight,
+            waiting=self.admission.waiting,
+            slots=self.slots,
         )
 
     def use_view(self, view: BackEndView, leaving_bound_seconds: float) -> None:
@@ -351,27 +349,25 @@
 
     def start(self) -> None:
         """Ask for room for a large body, then for a slot."""
-        if not self._request.body_on_credit or self._backend.transfers.begin():
+        if not self._request.body_on_credit:
+            self._ask_for_slot()
+        elif self._backend.transfers.begin():
             self.transfer_begun()
-            return
-        if not self._request.may_wait:
+        elif self._request.may_wait:
+            self._backend.await_transfer(self)
+            self._wait()
+        else:
             self._done = True
             self._sink.attempt_failed(_no_room(BUSY))
-            return
-        self._backend.await_transfer(self)
-        until = min(self._request.deadline, self._request.start_by)
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_at(until, self._no_transfer_in_time)
 
     def transfer_begun(self) -> None:
-        """The body may come, if it is a large one: ask for a slot."""
+        """There is room for the large body: ask for a slot."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if self._request.body_on_credit:
-            self._transferring = True
-            loop = asyncio.get_running_loop()
-            self._transfer_timer = loop.call_later(MOST_SECONDS, self._transferred)
+        self._transferring = True
+        loop = asyncio.get_running_loop()
+        self._transfer_timer = loop.call_later(MOST_SECONDS, self._transferred)
         self._ask_for_slot()
 
     def _ask_for_slot(self) -> None:
@@ -379,14 +375,11 @@
         if isinstance(admitted, NotRun):
             self._end(None)
             self._sink.attempt_failed(admitted)
-            return
-        loop = asyncio.get_running_loop()
-        if isinstance(admitted, Ticket):
+        elif isinstance(admitted, Ticket):
             self._ticket = admitted
-            until = min(self._request.deadline, self._request.start_by)
-            self._timer = loop.call_at(until, self._waited_enough)
-            return
-        self.admitted(admitted)
+            self._wait()
+        else:
+            self.admitted(admitted)
 
     def admitted(self, dispatch: Dispatch) -> None:
         """A slot is free: go to the back end."""
@@ -500,23 +493,21 @@
             self._transferring = False
             self._backend.transfer_ended()
 
-    def _no_transfer_in_time(self) -> None:
-        """No room came free in time for a large body."""
-        self._end(None)
-        if asyncio.get_running_loop().time() >= self._request.deadline:
-            self._sink.attempt_failed(out_of_time())
-        else:
-            self._sink.attempt_failed(_no_room(NO_SLOT_IN_TIME))
+    def _wait(self) -> None:
+        """Wait for room or for a slot, for as long as the call may."""
+        until = min(self._request.deadline, self._request.start_by)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(until, self._waited_enough)
 
     def _waited_enough(self) -> None:
-        """No slot came free in time: it is better to say so than to wait on."""
-        ticket = self._ticket
-        assert ticket is not None
+        """Neither room nor a slot came in time: better to say so than to wait on."""
         now = asyncio.get_running_loop().time()
         if now >= self._request.deadline:
             refusal = out_of_time()
+        elif self._ticket is None:
+            refusal = _no_room(NO_SLOT_IN_TIME)
         else:
-            refusal = self._backend.admission.refusal_of_impatient(ticket, now)
+            refusal = self._backend.admission.refusal_of_impatient(self._ticket, now)
         self._end(None)
         self._sink.attempt_failed(refusal)
 
--- a/src/peppershore/process/node/data/request_body.py
+++ b/src/peppershore/process/node/data/request_body.py
@@ -34,9 +34,9 @@
         "trailers",
     )
 
-    def __init__(self, replay_bytes: int = REPLAY_BYTES) -> None:
+    def __init__(self) -> None:
         """Start empty; what goes beyond ``replay_bytes`` can't be sent again."""
-        self.replay_bytes = replay_bytes
+        self.replay_bytes = REPLAY_BYTES
         self._pieces: list[bytes] = []
         self._sent = 0
         self.received = 0
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -61,7 +61,6 @@
         "_begun",
         "_body",
         "_cancellable",
-        "_first_credit",
         "_link",
         "_log",
         "_out",
@@ -84,7 +83,6 @@
         self._stream = started.stream
         self._route = started.route
         self._cancellable = started.cancellable
-        self._first_credit = 0
         self._attempt: OwnAttempt | None = None
         self._backend: OwnBackend | None = None
         self._body = RequestBody()
@@ -107,9 +105,9 @@
             return
         self._backend = backend
         if started.body_on_credit:
-            self._first_credit = backend.transfers.window_bytes
-            self._receiving = ReceiveWindow(self._first_credit)
-        self._record = backend.record(started.headers, started.route)
+            window = backend.transfers.window_bytes
+            self._receiving = ReceiveWindow(window, owed=window)
+        self._record = backend.record(started.headers)
         self._attempt = backend.attempt(_request(started), self)
         self._attempt.start()
 
@@ -145,7 +143,7 @@
         self._begun = True
         assert self._attempt is not None
         self._body.send(self._attempt)
-        self._credit(self._first_credit + self._receiving.resume())
+        self._credit(self._receiving.resume())
 
     def answer_head(self, head: AnswerHead) -> None:
         """Keep the head until this batch ends: most answers are whole then."""
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -39,7 +39,6 @@
 BULK_SHARE = 0.5
 """Share of all slots that bulk calls may hold, so that others find room."""
 
-MICROSECONDS = 1_000_000
 MIN_RETRY_AFTER_MILLISECONDS = 100
 NOBODY_READY_RETRY_AFTER_MILLISECONDS = 250
 
@@ -331,10 +330,9 @@
             return
         is_far = state.endpoint.zone != self._zone
         state.note_load(load, now, is_far)
-        if load.work_microseconds:
-            seconds = load.work_microseconds / MICROSECONDS
-            self._told_work.observe(route, seconds)
-            state.note_pace(seconds / self._told_work.of(route))
+        if load.work_seconds:
+            self._told_work.observe(route, load.work_seconds)
+            state.note_pace(load.work_seconds / self._told_work.of(route))
 
     @staticmethod
     def _refusal(reason: str, wait: float, retryable: bool = False) -> NotRun:
--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -45,8 +45,6 @@
 """A back end whose slots are all taken is passed over for so long at least, in the own
 zone and in another one; longer if its queue takes longer."""
 
-MICROSECONDS = 1_000_000
-
 PACE_WEIGHT = 0.3
 """Weight of what a back end's own node told last of its pace.  That is a mean over many
 calls already; it is smoothed since routes differ in which back ends take them."""
@@ -246,8 +244,7 @@
     """
     if not load.slots:
         return 0.0
-    seconds = load.work_microseconds / MICROSECONDS
-    return min(LOAD_SECONDS, (load.waiting + 1) * seconds / load.slots)
+    return min(LOAD_SECONDS, (load.waiting + 1) * load.work_seconds / load.slots)
 
 
 def _weight(elapsed: float, decay: float) -> float:
--- a/src/peppershore/version/active.py
+++ b/src/peppershore/version/active.py
@@ -23,7 +23,6 @@
 
 ANY_HOST = ""
 _INDEX_ATTRIBUTE = "route_index"
-_CONTENT_ATTRIBUTE = "decoded_content"
 DOT_SEGMENTS = (".", "..")
 _SUSPICIOUS = re.compile(r"/\.|[%\\]")
 ENCODED_SIGNS = (("%2e", "."), ("%2f", "/"), ("%5c", "\\"), ("%3b", ";"))
@@ -129,23 +128,14 @@
 
 
 def decode_contents(resources: Iterable[Resource]) -> list[ResourceContent]:
-    """Decode resources that were checked before; one that fails is a broken invariant.
-
-    A snapshot shares what did not change with the one before it, so each resource is
-    decoded once, not at every version: a change costs by what changed.
-    """
-    return [_content_of(resource) for resource in resources]
-
-
-def _content_of(resource: Resource) -> ResourceContent:
-    known: ResourceContent | None = resource.__dict__.get(_CONTENT_ATTRIBUTE)
-    if known is not None:
-        return known
-    content = decode_resource(resource).value_or(None)
-    if content is None:
-        raise AssertionError(f"resource {resource.name} was taken in undecodable")
-    resource.__dict__[_CONTENT_ATTRIBUTE] = content
-    return content
+    """Decode resources that were checked before; one that fails is a broken invariant."""
+    contents = []
+    for resource in resources:
+        content = decode_resource(resource).value_or(None)
+        if content is None:
+            raise AssertionError(f"resource {resource.name} was taken in undecodable")
+        contents.append(content)
+    return contents
 
 
 def _match_order(hosted: str, route: RouteResource) -> tuple[int, bool, str, str]:
--- a/src/peppershore/version/model.py
+++ b/src/peppershore/version/model.py
@@ -381,7 +381,7 @@
     """An encoded resource; ``payload`` is MessagePack of a ``ResourceContent``.
 
     Names: "service:S", "route:S/R", "secret:N".  Its content is kept beside it once it
-    was decoded (``decode_contents``).
+    was decoded (``decode_resource``).
     """
 
     name: str
--- a/src/peppershore/version/resource_codec.py
+++ b/src/peppershore/version/resource_codec.py
@@ -26,6 +26,7 @@
 SERVICE_PREFIX = "service:"
 ROUTE_PREFIX = "route:"
 SECRET_PREFIX = "secret:"
+_CONTENT_ATTRIBUTE = "decoded_content"
 
 
 class _RouteSettingsRow(RouteSettings, frozen=True, array_like=True):
@@ -106,7 +107,14 @@
 
 
 def decode_resource(resource: Resource) -> Result[ResourceContent, Problem]:
-    """Give the content of a resource, or why its bytes are not what its name says."""
+    """Give the content of a resource, or why its bytes are not what its name says.
+
+    A resource is decoded once: a snapshot shares what did not change with the one before
+    it, so that a version costs by what changed.
+    """
+    known: ResourceContent | None = resource.__dict__.get(_CONTENT_ATTRIBUTE)
+    if known is not None:
+        return Success(known)
     try:
         row = _DECODER.decode(resource.payload)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
@@ -115,6 +123,7 @@
     if resource_name(content) != resource.name:
         reason = f"the payload is that of {resource_name(content)}"
         return Failure(Problem(resource.name, reason))
+    resource.__dict__[_CONTENT_ATTRIBUTE] = content
     return Success(content)
 
 
--- a/tests/data_plane/test_call_stories.py
+++ b/tests/data_plane/test_call_stories.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 
-from tests.data_plane.scripted_backend import Received, ScriptedBackend, answer_ok
+from tests.data_plane.scripted_backend import Received, Script, ScriptedBackend, answer_ok
 from tests.data_plane.stage import Caller, Node, call, endpoint, run, until
 
 from peppershore.process.node.data.call_log import CallLog
@@ -30,6 +30,17 @@
     writer.close()
 
 
+def answer_after(release: asyncio.Event) -> Script:
+    """Give the script of a back end that works on each call until it is released."""
+
+    async def wait(request: Received, writer: asyncio.StreamWriter) -> None:
+        await request.body()
+        await release.wait()
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+    return wait
+
+
 async def two_nodes(backend: ScriptedBackend, **changes: int) -> tuple[Node, Node, str]:
     owner = Node("k1", await backend.start(), **changes)
     await owner.start()
@@ -87,13 +98,8 @@
 def test_refusal_under_load_names_the_load_that_was_seen() -> None:
     release = asyncio.Event()
 
-    async def wait(request: Received, writer: asyncio.StreamWriter) -> None:
-        await request.body()
-        await release.wait()
-        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
-
     async def scene() -> None:
-        backend = ScriptedBackend(wait)
+        backend = ScriptedBackend(answer_after(release))
         edge, owner, address = await two_nodes(backend, slots=1)
         busy = await Caller.connect(address)
         busy.request()
@@ -118,13 +124,8 @@
 def test_a_slot_asked_for_in_vain_is_a_step_of_the_callers_line_alone() -> None:
     release = asyncio.Event()
 
-    async def wait(request: Received, writer: asyncio.StreamWriter) -> None:
-        await request.body()
-        await release.wait()
-        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
-
     async def scene() -> None:
-        backend = ScriptedBackend(wait)
+        backend = ScriptedBackend(answer_after(release))
         owner = Node("k1", await backend.start(), slots=1)
         await owner.start()
         edge = Node("e1", seek_free_slots=True)
--- a/tests/data_plane/test_streamed_bodies.py
+++ b/tests/data_plane/test_streamed_bodies.py
@@ -177,15 +177,21 @@
     return caller
 
 
+async def _node_with_two_stalled_bodies(
+    backend: ScriptedBackend, route: RouteSettings
+) -> tuple[Node, str, list[Caller]]:
+    """Give a node whose narrow link is taken by bodies that have not come whole."""
+    own = Node("k1", await backend.start(), link_megabits=NARROW_MEGABITS)
+    address = await own.start(endpoint(backend.address, "k1", "127.0.0.1:1"), route=route)
+    stalled = [await _half_a_body(address) for _ in range(2)]
+    await until(lambda: len(backend.requests) == 2)
+    return own, address, stalled
+
+
 def test_a_narrow_link_takes_two_bodies_and_others_when_those_are_in() -> None:
     async def scene() -> None:
         backend = ScriptedBackend()
-        own = Node("k1", await backend.start(), link_megabits=NARROW_MEGABITS)
-        address = await own.start(
-            endpoint(backend.address, "k1", "127.0.0.1:1"), route=STREAMED
-        )
-        stalled = [await _half_a_body(address) for _ in range(2)]
-        await until(lambda: len(backend.requests) == 2)
+        own, address, stalled = await _node_with_two_stalled_bodies(backend, STREAMED)
         waiting = await Caller.connect(address)
         waiting.request(method="POST", body=LARGE_BODY)
         await until(lambda: own.plane.calls.in_flight == 3)
@@ -210,12 +216,7 @@
 
     async def scene() -> None:
         backend = ScriptedBackend()
-        own = Node("k1", await backend.start(), link_megabits=NARROW_MEGABITS)
-        address = await own.start(
-            endpoint(backend.address, "k1", "127.0.0.1:1"), route=impatient
-        )
-        stalled = [await _half_a_body(address) for _ in range(2)]
-        await until(lambda: len(backend.requests) == 2)
+        own, address, stalled = await _node_with_two_stalled_bodies(backend, impatient)
         answer = await call(address, method="POST", body=LARGE_BODY)
         assert (answer.status, answer.outcome) == (503, "not-run")
         assert float(answer.headers["retry-after"]) > 0
@@ -238,12 +239,7 @@
 
     async def scene() -> None:
         backend = ScriptedBackend()
-        own = Node("k1", await backend.start(), link_megabits=NARROW_MEGABITS)
-        address = await own.start(
-            endpoint(backend.address, "k1", "127.0.0.1:1"), route=STREAMED
-        )
-        stalled = [await _half_a_body(address) for _ in range(2)]
-        await until(lambda: len(backend.requests) == 2)
+        own, address, stalled = await _node_with_two_stalled_bodies(backend, STREAMED)
         answer = await call(address, method="POST", body=LARGE_BODY)
         assert answer.status == 200
         for caller in stalled:
