A process of the fleet starts with figures it can't use as given

Names, addresses and a file that is no TOML still end a process, and an operator's own files stay strict. Generated figures (zero, fraction, 1e308, 10**400, none, no to thirty seeds) found an OverflowError of whole numbers beyond a float.

--- a/src/peppershore/command/serve.py
+++ b/src/peppershore/command/serve.py
@@ -25,7 +25,12 @@
     RelaySettings,
     SettingsValue,
 )
-from peppershore.process.settings_loader import load_settings
+from peppershore.process.settings_loader import (
+    AdjustedSettings,
+    SettingAdjustment,
+    load_adjusted_settings,
+    load_settings,
+)
 from peppershore.process.settings_watch import SettingsWatch
 
 ProcessSettings = (
@@ -42,6 +47,14 @@
     help="The process's settings file (TOML); flags go before it.",
 )
 
+adjust_option = click.option(
+    "--adjust",
+    "adjusts",
+    is_flag=True,
+    help="Where a setting can't be used, take the nearest value that can, and warn: "
+    "for a file that a platform fills with figures of its own.",
+)
+
 
 class ProcessStarting(Notice, frozen=True):
     """The settings are read and the process begins."""
@@ -49,6 +62,15 @@
     cluster: str
 
 
+class SettingAdjusted(Notice, frozen=True):
+    """A setting could not be used as the platform gave it."""
+
+    level = "warning"
+    key: str
+    given: str
+    used: str
+
+
 class ProcessReady(Notice, frozen=True):
     """The process accepts links or calls on ``port``."""
 
@@ -93,14 +115,17 @@
 
 @serve.command()
 @settings_option
+@adjust_option
 @settings_flags("hub")
-def hub(settings_path: Path | None, **arguments: Any) -> None:
+def hub(settings_path: Path | None, adjusts: bool, **arguments: Any) -> None:
     """Run a hub: a control replica and a relay in one process."""
     from peppershore.process.hub.shell import run_hub  # noqa: PLC0415
 
-    settings = _read("hub", HubSettings, settings_path, arguments)
-    _configure("hub", settings.host, settings)
-    watch = _watch(HubSettings, settings_path, settings)
+    read = _read_adjusted if adjusts else _read_as_given
+    found = read("hub", HubSettings, settings_path, arguments)
+    settings = found.settings
+    _configure("hub", settings.host, settings, found.adjustments)
+    watch = _watch(HubSettings, settings_path, settings, adjusts)
     _run(lambda on_ready: run_hub(settings, on_ready, watch))
 
 
@@ -118,14 +143,17 @@
 
 @serve.command()
 @settings_option
+@adjust_option
 @settings_flags("node")
-def node(settings_path: Path | None, **arguments: Any) -> None:
+def node(settings_path: Path | None, adjusts: bool, **arguments: Any) -> None:
     """Run a node: the proxy beside a back end, or at the edge."""
     from peppershore.process.node.shell import run_node  # noqa: PLC0415
 
-    settings = _read("node", NodeSettings, settings_path, arguments)
-    _configure("node", settings.node, settings)
-    watch = _watch(NodeSettings, settings_path, settings)
+    read = _read_adjusted if adjusts else _read_as_given
+    found = read("node", NodeSettings, settings_path, arguments)
+    settings = found.settings
+    _configure("node", settings.node, settings, found.adjustments)
+    watch = _watch(NodeSettings, settings_path, settings, adjusts)
     _run(lambda on_ready: run_node(settings, on_ready, watch))
 
 
@@ -148,16 +176,38 @@
     return loaded.unwrap()
 
 
+def _read_as_given(
+    role: str, kind: type[Kind], path: Path | None, arguments: Arguments
+) -> AdjustedSettings[Kind]:
+    return AdjustedSettings(_read(role, kind, path, arguments), ())
+
+
+def _read_adjusted(
+    role: str, kind: type[Kind], path: Path | None, arguments: Arguments
+) -> AdjustedSettings[Kind]:
+    loaded = load_adjusted_settings(kind, path, collect_flags(kind, arguments))
+    if isinstance(loaded, Failure):
+        stop_with(settings_failed(role, path, loaded.failure()), as_json=False)
+    return loaded.unwrap()
+
+
 def _watch(
-    kind: type[Kind], path: Path | None, current: Kind
+    kind: type[Kind], path: Path | None, current: Kind, adjusts: bool
 ) -> SettingsWatch[Kind] | None:
     """Follow the settings file of a process, if it has one."""
-    return None if path is None else SettingsWatch(kind, path, current)
+    return None if path is None else SettingsWatch(kind, path, current, adjusts)
 
 
-def _configure(role: str, process: str, settings: ProcessSettings) -> None:
+def _configure(
+    role: str,
+    process: str,
+    settings: ProcessSettings,
+    adjustments: tuple[SettingAdjustment, ...] = (),
+) -> None:
     configure_logging(LogIdentity(role, process), settings.log_level, settings.log_to)
     write_notice(ProcessStarting(settings.cluster))
+    for each in adjustments:
+        write_notice(SettingAdjusted(each.key, each.given, each.used))
 
 
 class Announcer:
--- a/src/peppershore/process/node/profile.py
+++ b/src/peppershore/process/node/profile.py
@@ -38,5 +38,5 @@
     return RetryBound(
         ratio=settings.ratio,
         window_seconds=settings.window_seconds,
-        slack=float(settings.slack),
+        slack=settings.slack,
     )
--- a/src/peppershore/process/settings_loader.py
+++ b/src/peppershore/process/settings_loader.py
@@ -2,16 +2,21 @@
 
 A flag goes before the file.  Each problem names the key, the reason and what
 is allowed.  Nothing is raised for bad input.
+
+Settings that a person wrote are taken as they are or refused.  Those that a platform
+filled from figures of its own may be adjusted: a process that refuses them would end at
+every start, on every machine.
 """
 
 from __future__ import annotations
 
+import math
 import tomllib
 import types
 import typing
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any, Generic, TypeVar
 
 import msgspec
 from msgspec.structs import FieldInfo
@@ -26,7 +31,7 @@
     RelaySettings,
     SettingsValue,
 )
-from peppershore.process.settings_rules import FIELD_RULES
+from peppershore.process.settings_rules import FIELD_RULES, NumberRule
 
 Kind = TypeVar("Kind", bound=SettingsValue)
 KINDS: dict[str, type[SettingsValue]] = {
@@ -41,6 +46,11 @@
 
 MIN_HEARTBEATS_PER_ELECTION = 3
 MAX_FILE_BYTES = 4 * 1024 * 1024
+SEED_KEYS = ("seeds", "relays")
+WAITS_FOR_SEEDS = "nothing: the process waits until its settings name some"
+MAX_SHOWN = 200
+"""Characters of a value in a message: more tell nothing."""
+
 WHOLE_FILE = "(file)"
 _TYPE_WORDS: dict[Any, str] = {
     str: "text",
@@ -62,49 +72,95 @@
 Problems = tuple[SettingProblem, ...]
 
 
+class SettingAdjustment(msgspec.Struct, frozen=True):
+    """A setting that could not be used as given, and what stands in its place."""
+
+    key: str
+    given: str
+    used: str
+
+
+class AdjustedSettings(msgspec.Struct, Generic[Kind], frozen=True):
+    """Settings to start with, and where they differ from what was given."""
+
+    settings: Kind
+    adjustments: tuple[SettingAdjustment, ...]
+
+
 def load_settings(
     kind: type[Kind], path: Path | None, flags: Mapping[str, Any]
 ) -> Result[Kind, Problems]:
     """Read the file, if any, put the flags over it, and check the whole."""
-    if path is None:
-        return parse_settings(kind, "", flags)
-    try:
-        content = path.read_bytes()
-    except OSError as problem:
-        reason = f"cannot be read: {problem.strerror or type(problem).__name__}"
-        return _failure(WHOLE_FILE, reason, "a readable TOML file")
-    if len(content) > MAX_FILE_BYTES:
-        return _failure(WHOLE_FILE, "is too large", f"up to {MAX_FILE_BYTES} bytes")
-    try:
-        text = content.decode()
-    except UnicodeDecodeError:
-        return _failure(WHOLE_FILE, "is not text", "UTF-8")
-    return parse_settings(kind, text, flags)
+    return _read_text(path).bind(lambda text: parse_settings(kind, text, flags))
+
+
+def load_adjusted_settings(
+    kind: type[Kind], path: Path | None, flags: Mapping[str, Any]
+) -> Result[AdjustedSettings[Kind], Problems]:
+    """Like ``load_settings``, but use the nearest value where one can't be used."""
+    return _read_text(path).bind(lambda text: adjust_settings(kind, text, flags))
 
 
 def parse_settings(
     kind: type[Kind], text: str, flags: Mapping[str, Any]
 ) -> Result[Kind, Problems]:
     """Check settings given as TOML text, with flags over them."""
+    read = _parse(kind, text, flags, _Reader(adjusts=False))
+    return read.map(lambda found: found.settings)
+
+
+def adjust_settings(
+    kind: type[Kind], text: str, flags: Mapping[str, Any]
+) -> Result[AdjustedSettings[Kind], Problems]:
+    """Read settings given as TOML text; only what has no nearest value is a problem."""
+    return _parse(kind, text, flags, _Reader(adjusts=True))
+
+
+def _parse(
+    kind: type[Kind], text: str, flags: Mapping[str, Any], reader: _Reader
+) -> Result[AdjustedSettings[Kind], Problems]:
     try:
         table = tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError, ValueError) as problem:
         return _failure(WHOLE_FILE, f"is not TOML: {problem}", "a TOML document")
-    merged = _merge(table, flags)
-    reader = _Reader()
-    values = reader.read_struct(kind, merged, prefix="")
+    values = reader.read_struct(kind, _merge(table, flags), prefix="")
     if reader.problems:
         return Failure(tuple(reader.problems))
     settings = kind(**values)
-    problems = _cross_checks(settings)
-    return Failure(problems) if problems else Success(settings)
+    problems = [each for each in _cross_checks(settings) if not reader.takes(each)]
+    if problems:
+        return Failure(tuple(problems))
+    return Success(AdjustedSettings(settings, tuple(reader.adjustments)))
+
+
+def _read_text(path: Path | None) -> Result[str, Problems]:
+    """Give the text of a settings file; the empty text where there is none."""
+    if path is None:
+        return Success("")
+    try:
+        content = path.read_bytes()
+    except OSError as problem:
+        reason = f"cannot be read: {problem.strerror or type(problem).__name__}"
+        return _failure(WHOLE_FILE, reason, "a readable TOML file")
+    if len(content) > MAX_FILE_BYTES:
+        return _failure(WHOLE_FILE, "is too large", f"up to {MAX_FILE_BYTES} bytes")
+    try:
+        return Success(content.decode())
+    except UnicodeDecodeError:
+        return _failure(WHOLE_FILE, "is not text", "UTF-8")
 
 
 class _Reader:
-    """Walks a table along a settings type and collects every problem."""
+    """Walks a table along a settings type and collects every problem.
 
-    def __init__(self) -> None:
+    One that ``adjusts`` takes the nearest value that can be used, or the default, and
+    notes it as an adjustment.
+    """
+
+    def __init__(self, adjusts: bool) -> None:
         self.problems: list[SettingProblem] = []
+        self.adjustments: list[SettingAdjustment] = []
+        self._adjusts = adjusts
 
     def read_struct(
         self, kind: type[SettingsValue], table: Mapping[str, Any], prefix: str
@@ -112,15 +168,45 @@
         """Give the checked values of one table."""
         fields = {field.name: field for field in msgspec.structs.fields(kind)}
         for key in sorted(table.keys() - fields.keys()):
-            self._add(prefix + key, "is no setting here", "one of " + ", ".join(fields))
+            if self._adjusts:
+                self._adjusted(prefix + key, table[key], "nothing: no setting here")
+            else:
+                self._add(prefix + key, "is no setting here", "one of " + ", ".join(fields))
         values: dict[str, Any] = {}
         for name, field in fields.items():
             if name in table:
-                values[name] = self._read_field(field, table[name], prefix + name)
+                values[name] = self._read_or_adjust(field, table[name], prefix + name)
             elif field.required:
                 self._add(prefix + name, "is missing", _type_words(field.type))
         return values
 
+    def _read_or_adjust(self, field: FieldInfo, value: Any, key: str) -> Any:
+        """Give the value of a field; the nearest one or the default if that is allowed."""
+        if not self._adjusts:
+            return self._read_field(field, value, key)
+        used = _nearest_number(field, value)
+        if used is not None:
+            if used != value:
+                self._adjusted(key, value, used)
+            return used
+        known = len(self.problems)
+        read = self._read_field(field, value, key)
+        if field.required or len(self.problems) == known:
+            return read
+        del self.problems[known:]
+        self._adjusted(key, value, field.default)
+        return field.default
+
+    def takes(self, problem: SettingProblem) -> bool:
+        """Whether to start all the same: changed settings may still name seeds."""
+        if not self._adjusts or problem.key not in SEED_KEYS:
+            return False
+        self.adjustments.append(SettingAdjustment(problem.key, "nothing", WAITS_FOR_SEEDS))
+        return True
+
+    def _adjusted(self, key: str, given: Any, used: Any) -> None:
+        self.adjustments.append(SettingAdjustment(key, _shown(given), _shown(used)))
+
     def _read_field(self, field: FieldInfo, value: Any, key: str) -> Any:
         nested = _nested_type(field.type)
         if nested is not None and typing.get_origin(field.type) is tuple:
@@ -130,7 +216,7 @@
         if field.type == tuple[str, ...]:
             return self._read_texts(field.name, value, key)
         if field.type is float and type(value) is int:
-            value = float(value)
+            value = _as_float(value)
         if type(value) is not field.type:
             self._add(key, f"is {_value_words(value)}", _type_words(field.type))
             return None
@@ -166,7 +252,7 @@
         rule = FIELD_RULES.get(name)
         fault = rule(value) if rule is not None else None
         if fault is not None:
-            self._add(key, f"{value!r} {fault.reason}", fault.allowed)
+            self._add(key, f"{_shown(value)} {fault.reason}", fault.allowed)
 
     def _add(self, key: str, reason: str, allowed: str) -> None:
         self.problems.append(SettingProblem(key, reason, allowed))
@@ -292,6 +378,28 @@
     return merged
 
 
+def _nearest_number(field: FieldInfo, value: Any) -> float | None:
+    """Give the usable number next to a number; None where either is something else."""
+    rule = FIELD_RULES.get(field.name)
+    if field.type not in (int, float) or type(value) not in (int, float):
+        return None
+    return rule.nearest(value) if isinstance(rule, NumberRule) else None
+
+
+def _as_float(value: int) -> float:
+    """Give a whole number as a float; infinity beyond what a float holds."""
+    try:
+        return float(value)
+    except OverflowError:
+        return math.inf if value > 0 else -math.inf
+
+
+def _shown(value: Any) -> str:
+    """Give a value as text, cut where it is long."""
+    text = repr(value)
+    return text if len(text) <= MAX_SHOWN else text[:MAX_SHOWN] + "..."
+
+
 def _nested_type(annotation: Any) -> type[SettingsValue] | None:
     """Give the settings type inside ``tuple[X, ...]`` or ``X | None``, if any."""
     candidates = typing.get_args(annotation) or (annotation,)
--- a/src/peppershore/process/settings_rules.py
+++ b/src/peppershore/process/settings_rules.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import ipaddress
+import math
 import re
 from collections.abc import Callable
 
@@ -112,26 +113,38 @@
     return accept
 
 
-def between(lowest: int, highest: int, unit: str) -> Rule:
-    """Accept whole numbers from ``lowest`` to ``highest``."""
+class NumberRule(msgspec.Struct, frozen=True):
+    """Accepts numbers from ``lowest`` to ``highest``; whole ones only if ``is_whole``."""
 
-    def accept(value: object) -> Fault | None:
-        if isinstance(value, int) and lowest <= value <= highest:
+    lowest: float
+    highest: float
+    unit: str
+    is_whole: bool
+
+    def __call__(self, value: object) -> Fault | None:
+        """Give what is wrong with a value, if anything is."""
+        kinds = int if self.is_whole else (int, float)
+        if isinstance(value, kinds) and self.lowest <= value <= self.highest:
             return None
-        return Fault("is out of bounds", f"{lowest} to {highest} {unit}".rstrip())
+        allowed = f"{self.lowest:.12g} to {self.highest:.12g} {self.unit}"
+        return Fault("is out of bounds", allowed.rstrip())
 
-    return accept
+    def nearest(self, value: float) -> float:
+        """Give the number next to ``value`` that is accepted; the lowest for no number."""
+        if isinstance(value, float) and math.isnan(value):
+            return self.lowest
+        within = min(max(value, self.lowest), self.highest)
+        return round(within) if self.is_whole else float(within)
 
 
-def amount(lowest: float, highest: float, unit: str) -> Rule:
-    """Accept numbers, whole or not, from ``lowest`` to ``highest``."""
+def between(lowest: int, highest: int, unit: str) -> Rule:
+    """Accept whole numbers from ``lowest`` to ``highest``."""
+    return NumberRule(lowest, highest, unit, is_whole=True)
 
-    def accept(value: object) -> Fault | None:
-        if isinstance(value, (int, float)) and lowest <= value <= highest:
-            return None
-        return Fault("is out of bounds", f"{lowest:g} to {highest:g} {unit}")
 
-    return accept
+def amount(lowest: float, highest: float, unit: str) -> Rule:
+    """Accept numbers, whole or not, from ``lowest`` to ``highest``."""
+    return NumberRule(lowest, highest, unit, is_whole=False)
 
 
 FIELD_RULES: dict[str, Rule] = {
@@ -170,7 +183,7 @@
     "caller": optional(field_rule),
     "ratio": amount(0.0, 1.0, "of the calls"),
     "window_seconds": amount(0.1, 3_600.0, "seconds"),
-    "slack": between(0, 1_000_000, "repeats"),
+    "slack": amount(0.0, 1_000_000.0, "repeats"),
     "host": host_rule,
     "replica_port": between(1, MAX_PORT, "(a port)"),
     "relay_port": between(0, MAX_PORT, "(a port)"),
--- a/src/peppershore/process/settings_watch.py
+++ b/src/peppershore/process/settings_watch.py
@@ -12,12 +12,16 @@
 from pathlib import Path
 from typing import ClassVar, Generic, TypeVar
 
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from peppershore.process.commands import Notice
 from peppershore.process.logging import write_notice
 from peppershore.process.settings import SettingsValue
-from peppershore.process.settings_loader import load_settings
+from peppershore.process.settings_loader import (
+    Problems,
+    load_adjusted_settings,
+    load_settings,
+)
 
 LOOK_SECONDS = 0.5
 
@@ -41,9 +45,12 @@
 class SettingsWatch(Generic[Kind]):
     """Looks at one settings file and hands on what it says now."""
 
-    def __init__(self, kind: type[Kind], path: Path, current: Kind) -> None:
-        """``current`` is what the process started with."""
+    def __init__(
+        self, kind: type[Kind], path: Path, current: Kind, adjusts: bool = False
+    ) -> None:
+        """``current`` is what the process started with, adjusted if it ``adjusts``."""
         self._kind = kind
+        self._adjusts = adjusts
         self._path = path
         self._current = current
         self._seen = self._stamp()
@@ -65,7 +72,7 @@
     def look(self, cause: str) -> None:
         """Read the file again and hand it on if it says something else."""
         self._seen = self._stamp()
-        loaded = load_settings(self._kind, self._path, {})
+        loaded = self._load()
         if isinstance(loaded, Failure):
             problem = loaded.failure()[0]
             write_notice(SettingsReloadFailed(cause, f"{problem.key} {problem.reason}"))
@@ -78,6 +85,12 @@
         self._use(settings)
         write_notice(SettingsReloaded(cause))
 
+    def _load(self) -> Result[Kind, Problems]:
+        if not self._adjusts:
+            return load_settings(self._kind, self._path, {})
+        adjusted = load_adjusted_settings(self._kind, self._path, {})
+        return adjusted.map(lambda found: found.settings)
+
     def _look_at_file(self) -> None:
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(LOOK_SECONDS, self._look_at_file)
--- a/tests/platform_adapter/templates.py
+++ b/tests/platform_adapter/templates.py
@@ -9,15 +9,19 @@
 from typing import Any
 
 ROOT = Path(__file__).parents[2]
-LIST = re.compile(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}")
+SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}")
 VALUE = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
 
 
 def fill(template: str, values: Mapping[str, Any]) -> str:
     """Fill one template."""
 
-    def items(match: re.Match[str]) -> str:
-        each, found = match[2], values[match[1]]
+    def section(match: re.Match[str]) -> str:
+        each, found = match[2], look_up(values, match[1])
+        if found is None or found is False:
+            return ""
+        if not isinstance(found, list):
+            return each
         last = len(found) - 1
         return "".join(
             each.replace("{{.}}", item).replace("{{,}}", ", " if place < last else "")
@@ -25,12 +29,22 @@
         )
 
     def value(match: re.Match[str]) -> str:
-        found: Any = values
-        for name in match[1].split("."):
-            found = found[name]
-        return json.dumps(found) if match[2] else str(found)
-
-    return VALUE.sub(value, LIST.sub(items, template))
+        found = look_up(values, match[1])
+        if match[2]:
+            return json.dumps(found)
+        return "" if found is None else str(found)
+
+    return VALUE.sub(value, SECTION.sub(section, template))
+
+
+def look_up(values: Mapping[str, Any], path: str) -> Any:
+    """Give the value at a path with dots; None where there is none."""
+    found: Any = values
+    for name in path.split("."):
+        if not isinstance(found, Mapping) or name not in found:
+            return None
+        found = found[name]
+    return found
 
 
 def filled(role: str, values: Mapping[str, Any]) -> str:
