--- a/src/peppershore/connection/packing.py
+++ b/src/peppershore/connection/packing.py
@@ -14,6 +14,15 @@
 PIECE_BYTES = 65_536
 COMPRESSION_LEVEL = 9
 
+BLOCK_LEVEL = 1
+"""Of blocks: names of routes are random, so that more effort saves little."""
+
+BLOCK_FROM_BYTES = 512
+"""Below it a block is left as it is: packing would save less than its own frame."""
+
+BLOCK_MARK = zstandard.FRAME_HEADER
+"""First bytes of a packed block; a MessagePack list or map never begins with them."""
+
 
 class UnusablePacking(msgspec.Struct, frozen=True):
     """Bytes are not packed as they should be; ``reason`` says where it goes wrong."""
@@ -61,3 +70,17 @@
         except zstandard.ZstdError as problem:
             return Failure(UnusablePacking(str(problem)))
         return Success(b"".join(pieces))
+
+
+def pack_block(content: bytes) -> bytes:
+    """Pack MessagePack of this program's own if that is worth it."""
+    if len(content) < BLOCK_FROM_BYTES:
+        return content
+    return zstandard.ZstdCompressor(level=BLOCK_LEVEL).compress(content)
+
+
+def unpack_block(block: bytes) -> bytes:
+    """Give what ``pack_block`` was given; the block must be this program's own."""
+    if not block.startswith(BLOCK_MARK):
+        return block
+    return zstandard.ZstdDecompressor().decompress(block)
--- a/src/peppershore/process/control/state.py
+++ b/src/peppershore/process/control/state.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from peppershore.connection.messages.relay import CommittedEdit
+from peppershore.connection.packing import pack_block, unpack_block
 from peppershore.process.control.history import History, KeptEdit
 from peppershore.process.control.outcomes import OutcomeTable, RecordedOutcome
 from peppershore.version.model import Edit, EditAccepted, EditOutcome, Tree, Version
@@ -42,13 +43,13 @@
 
 
 def encode_command(command: ControlCommand) -> bytes:
-    """Payload of a log entry."""
-    return _ENCODER.encode(command)
+    """Payload of a log entry: it crosses to every replica, so a long one is packed."""
+    return pack_block(_ENCODER.encode(command))
 
 
 def decode_command(payload: bytes) -> ControlCommand:
-    """Command of a log entry that this program wrote."""
-    return _COMMANDS.decode(payload)
+    """Command of a log entry that this program wrote, packed or not."""
+    return _COMMANDS.decode(unpack_block(payload))
 
 
 class ControlState:
@@ -95,11 +96,11 @@
             self.history.base_version,
             self.history.all_kept(),
         )
-        return _ENCODER.encode(image)
+        return pack_block(_ENCODER.encode(image))
 
     def restore(self, state: bytes) -> None:
         """Replace the whole state by an encoded one."""
-        image = _IMAGES.decode(state)
+        image = _IMAGES.decode(unpack_block(state))
         self.tree = image.tree
         self.outcomes.restore(image.horizon_version, image.outcomes)
         self.history.restore(image.base_version, image.history)
