Progress goes to the leader and comes back as a table

Now followers tell the leader, at once while changes are few, twice a second and relay while they go on, every 3 s while nothing changes; the leader tells its table every 2 s, every 4 s while it stays as it is. A follower now knows other relays by a table up to 4 s old, so a new leader lets every relay report to it before a rotation goes on (test fails without). The token bucket of hellos serves here too.

--- a/src/peppershore/connection/messages/consensus.py
+++ b/src/peppershore/connection/messages/consensus.py
@@ -151,7 +151,7 @@
 
 
 class ProgressShared(Message, frozen=True, tag=80):
-    """A replica passes a relay's report on to the other replicas."""
+    """A replica passes a relay's report on to the leader."""
 
     report: ProgressReported
     age_milliseconds: int
@@ -161,3 +161,9 @@
     """Answer to the hello of a replica that is no member: who the members are."""
 
     members: tuple[ReplicaMember, ...]
+
+
+class ProgressTableShared(Message, frozen=True, tag=82):
+    """The leader tells what it knows of all relays; of each, only a few nodes by name."""
+
+    shared: tuple[ProgressShared, ...]
--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -6,7 +6,10 @@
 
 from peppershore.connection.identity import parse_identity
 from peppershore.connection.messages.base import Message
-from peppershore.connection.messages.consensus import ProgressShared
+from peppershore.connection.messages.consensus import (
+    ProgressShared,
+    ProgressTableShared,
+)
 from peppershore.connection.messages.operators import (
     EditAnswered,
     HistoryAnswered,
@@ -41,6 +44,7 @@
 from peppershore.process.control.followers import Followers
 from peppershore.process.control.notices import edit_refused
 from peppershore.process.control.progress import ProgressTable
+from peppershore.process.control.progress_sharing import ProgressSharing
 from peppershore.process.control.redaction import edits_without_material, without_material
 from peppershore.process.control.releases import (
     Releases,
@@ -94,6 +98,7 @@
         self._intake = EditIntake(self.state)
         self._followers = Followers(self.state)
         self._progress = ProgressTable()
+        self._sharing = ProgressSharing(self._progress)
         self._rotation: RotationBarrier | None = None
         self._clock = WallClock()
         self._identities: dict[LinkId, str] = {}
@@ -128,6 +133,7 @@
             self._rotation = RotationBarrier(self._progress, self.now)
         if self._progress.refresh(self.now):
             self._progress_changed()
+        self._share_progress()
         if not self.leads or self.stopping:
             return
         for notice in self._rotation.overdue(self.state.tree, self.now):
@@ -186,9 +192,11 @@
         if isinstance(message, SubmitEdit):
             self.submit_internally(message.edit)
         elif isinstance(message, ProgressShared):
-            age = message.age_milliseconds / MILLISECONDS_PER_SECOND
-            if self._progress.take(message.report, self.now - age, self.now):
-                self._progress_changed()
+            self._take_shared(message)
+        elif isinstance(message, ProgressTableShared) and peer == self.consensus.leader:
+            for each in message.shared:
+                if not self._sharing.hears(each.report.relay, self.now):
+                    self._take_shared(each)
 
     def _allowed(self, link: LinkId, message: Message) -> bool:
         identity = self._identities.get(link, "")
@@ -320,7 +328,9 @@
         self._releases.state_installed()
 
     def on_leadership_gained(self) -> None:
-        """Judge edits on the newest tree from now on."""
+        """Judge edits on the newest tree, and rotations on new reports, from now on."""
+        if self._rotation is not None:
+            self._rotation.restart(self.now)
         self._intake.begin()
 
     def on_leadership_lost(self) -> None:
@@ -346,12 +356,29 @@
     # --- progress and status -------------------------------------------------
 
     def _take_progress(self, report: ProgressReported) -> None:
-        shared = ProgressShared(report, 0)
-        for member in self.consensus.membership.members:
-            if member.name != self.name:
-                self.send_to_peer(member.name, shared)
+        self._sharing.heard(report, self.now)
         if self._progress.take(report, self.now, self.now):
             self._progress_changed()
+        self._share_progress()
+
+    def _take_shared(self, shared: ProgressShared) -> None:
+        reported_at = self.now - shared.age_milliseconds / MILLISECONDS_PER_SECOND
+        if self._progress.take(shared.report, reported_at, self.now):
+            self._progress_changed()
+
+    def _share_progress(self) -> None:
+        """Tell the leader what is due; a leader tells the other replicas."""
+        if self.consensus.leadership is None:
+            leader = self.consensus.leader
+            for shared in self._sharing.for_leader(leader, self.now):
+                self.send_to_peer(leader, shared)
+            return
+        table = self._sharing.for_followers(self.now)
+        if table is None:
+            return
+        for member in self.consensus.membership.members:
+            if member.name != self.name:
+                self.send_to_peer(member.name, table)
 
     def _progress_changed(self) -> None:
         if self._watchers and not self._watch_timer_set:
--- a/src/peppershore/process/control/progress.py
+++ b/src/peppershore/process/control/progress.py
@@ -59,7 +59,7 @@
         former = self._in_force if known is None else known.in_force
         counted = _counts_for(report, former)
         self._relays[report.relay] = RelayProgress(report, reported_at, counted)
-        changed = known is None or not _same_progress(known.report, report)
+        changed = known is None or not same_progress(known.report, report)
         return self._count(now) or changed
 
     def refresh(self, now: float) -> bool:
@@ -152,6 +152,7 @@
     )
 
 
-def _same_progress(former: ProgressReported, report: ProgressReported) -> bool:
+def same_progress(former: ProgressReported, report: ProgressReported) -> bool:
+    """Whether two reports of a relay say the same of its nodes."""
     names = ("version", "in_force", "nodes", "lagging", "silent")
     return all(getattr(former, name) == getattr(report, name) for name in names)
--- a/src/peppershore/process/control/rotation.py
+++ b/src/peppershore/process/control/rotation.py
@@ -55,6 +55,13 @@
         self._started_at = started_at
         self._waiting: dict[str, _Waiting] = {}
 
+    def restart(self, now: float) -> None:
+        """This replica leads from now on: every relay must have time to report to it.
+
+        A follower knows other replicas' relays by the former leader's last table only.
+        """
+        self._started_at = now
+
     def due(self, tree: Tree, now: float) -> list[Edit]:
         """Promotions whose barrier is passed."""
         self._note_waiting(tree, now)
--- a/src/peppershore/process/relay/node_service.py
+++ b/src/peppershore/process/relay/node_service.py
@@ -26,7 +26,6 @@
 from peppershore.process.events import LinkId
 from peppershore.process.node.refusals import UNCONFIRMED
 from peppershore.process.relay import notices
-from peppershore.process.relay.admission import TokenBucket
 from peppershore.process.relay.departures import Departures
 from peppershore.process.relay.distribution import Distributor
 from peppershore.process.relay.endpoint_fanout import EndpointFanout
@@ -34,6 +33,7 @@
 from peppershore.process.relay.session import NodeSession
 from peppershore.process.relay.source import SourceFollower
 from peppershore.process.settings import RelaySettings
+from peppershore.process.token_bucket import TokenBucket
 from peppershore.version.model import Version
 
 CUT_OFF = "cut off from the control replicas"
--- a/src/peppershore/process/token_bucket.py
+++ b/src/peppershore/process/token_bucket.py
@@ -1,4 +1,4 @@
-"""Admission of hellos by a token bucket, so that a storm can't swamp a relay."""
+"""A token bucket: so many a second and a small burst, so that a storm can't swamp."""
 
 from __future__ import annotations
 
@@ -7,17 +7,17 @@
 
 
 class TokenBucket:
-    """Admits ``rate`` hellos a second and a small burst.
+    """Admits ``rate`` a second, such as hellos, and a burst of ``capacity``.
 
     Hellos that are not admitted are told to come back when the bucket will
     have worked through those told before them, so that the deferred ones
     come back spread out.
     """
 
-    def __init__(self, rate: float) -> None:
-        """Start full."""
+    def __init__(self, rate: float, capacity: float = 0.0) -> None:
+        """Start full; the capacity is a short time's worth unless it is given."""
         self._rate = rate
-        self._capacity = max(1.0, rate * BURST_SECONDS)
+        self._capacity = capacity or max(1.0, rate * BURST_SECONDS)
         self._tokens = self._capacity
         self._filled_at: float | None = None
         self._deferred = 0.0
--- /dev/null
+++ b/tests/control/test_progress_sharing.py
@@ -0,0 +1,152 @@
+"""Progress goes to the leader and comes back as a table: no message for each pair."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from tests.consensus.control_cluster import ControlCluster, Replica
+
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.consensus import ProgressShared, ProgressTableShared
+from peppershore.connection.messages.relay import ProgressReported
+from peppershore.process.control.progress import ProgressTable
+from peppershore.process.control.progress_sharing import (
+    KEPT_SECONDS,
+    SHARE_BURST,
+    SHARES_PER_SECOND,
+    TABLE_KEPT_SECONDS,
+    ProgressSharing,
+)
+
+PROGRESS_MESSAGES = (ProgressShared, ProgressTableShared)
+
+
+class CountingCluster(ControlCluster):
+    """Counts what replicas tell one another of progress."""
+
+    def __init__(self, size: int) -> None:
+        self.messages = 0
+        self._numbers: Counter[str] = Counter()
+        names = tuple(f"c{number:02}" for number in range(size))
+        self._names = names
+        super().__init__(names, seed=1)
+        self._reports: dict[str, int | None] = {}
+
+    def _send(self, name: str, replica: Replica, link: int, message: Message) -> None:
+        if isinstance(message, PROGRESS_MESSAGES):
+            self.messages += 1
+        super()._send(name, replica, link, message)
+
+    def reports(self, in_force: int) -> None:
+        """Have one relay at each replica report."""
+        for name in self._names:
+            if self.replicas[name].core is None:
+                continue
+            link = self._reports.get(name)
+            if link is None:
+                link = self._reports[name] = self.connect(name, lambda _message: None)
+            assert link is not None
+            self._numbers[name] += 1
+            self.send(name, link, report(name, in_force, self._numbers[name]))
+
+    def quiet(self, seconds: int) -> None:
+        """Let every relay say each second that nothing changed."""
+        for _ in range(seconds):
+            self.reports(0)
+            self.run(1.0)
+
+
+def report(relay: str, in_force: int, number: int) -> ProgressReported:
+    return ProgressReported(
+        relay=relay,
+        zone="pasila",
+        version=in_force,
+        in_force=in_force,
+        nodes=3,
+        lagging=(),
+        control_bytes=number,
+        incarnation=1,
+        relays=(relay,),
+        number=number,
+    )
+
+
+def elected(size: int) -> CountingCluster:
+    cluster = CountingCluster(size)
+    cluster.run_until(lambda: cluster.leader() is not None)
+    return cluster
+
+
+def messages_of_a_quiet_group(size: int) -> int:
+    cluster = elected(size)
+    cluster.quiet(5)
+    before = cluster.messages
+    cluster.quiet(60)
+    return cluster.messages - before
+
+
+def test_messages_of_a_quiet_group_grow_with_its_replicas_not_with_their_pairs() -> None:
+    few, many = messages_of_a_quiet_group(3), messages_of_a_quiet_group(12)
+    assert many <= 11 / 2 * few * 1.1
+    assert many <= 11 * (60 / KEPT_SECONDS + 60 / TABLE_KEPT_SECONDS) * 1.2
+
+
+def test_a_storm_of_changes_is_passed_on_at_a_bounded_rate() -> None:
+    cluster = elected(3)
+    cluster.quiet(5)
+    before = cluster.messages
+    for change in range(1, 1_001):
+        cluster.reports(change)
+        cluster.run(0.01)
+    to_leader = 2 * (SHARE_BURST + 10 * SHARES_PER_SECOND + 1)
+    tables = 2 * (10 / 2 + 1)
+    assert cluster.messages - before <= to_leader + tables
+
+
+def test_one_change_is_known_at_the_leader_at_once_and_elsewhere_soon() -> None:
+    cluster = elected(5)
+    cluster.quiet(5)
+    leader = cluster.leader()
+    assert leader is not None
+    cluster.reports(7)
+    cluster.run(0.01)
+    shown = {each.relay: each.in_force for each in cluster.core(leader).status().relays}
+    assert shown == dict.fromkeys(shown, 7)
+    assert len(shown) == 5
+    cluster.run(4.2)
+    for name in cluster.replicas:
+        relays = cluster.core(name).status().relays
+        assert [each.in_force for each in relays] == [7] * 5
+
+
+def test_a_new_leader_hears_all_reports_at_once() -> None:
+    cluster = elected(5)
+    cluster.quiet(5)
+    former = cluster.leader()
+    assert former is not None
+    cluster.crash(former)
+    cluster.reports(9)
+    cluster.run_until(lambda: cluster.leader() not in (None, former))
+    cluster.run(0.2)
+    leader = cluster.leader()
+    assert leader is not None
+    shown = {each.relay: each.in_force for each in cluster.core(leader).status().relays}
+    assert {name: shown[name] for name in shown if name != former} == dict.fromkeys(
+        set(cluster.replicas) - {former}, 9
+    )
+
+
+def test_a_follower_prefers_what_its_own_relays_say_to_the_table() -> None:
+    sharing = ProgressSharing(ProgressTable())
+    sharing.heard(report("r1", 4, 1), 10.0)
+    assert sharing.hears("r1", 10.5)
+    assert not sharing.hears("r2", 10.5)
+    assert not sharing.hears("r1", 10.0 + KEPT_SECONDS)
+
+
+@pytest.mark.parametrize("leader", ["", "c1"])
+def test_nothing_is_passed_on_while_nobody_leads(leader: str) -> None:
+    sharing = ProgressSharing(ProgressTable())
+    sharing.heard(report("r1", 4, 1), 10.0)
+    assert len(sharing.for_leader(leader, 10.0)) == bool(leader)
--- a/tests/control/test_progress_table.py
+++ b/tests/control/test_progress_table.py
@@ -177,3 +177,18 @@
     assert barrier.due(tree, 60.0) == []
     table.take(first.report(5), 61.0, 61.0)
     assert len(barrier.due(tree, 61.0)) == 1
+
+
+def test_a_new_leader_lets_every_relay_report_before_a_rotation_goes_on() -> None:
+    secret = edit_of(PutSecret("kassa", b"0" * 32), PutSecret("kassa", b"1" * 32))
+    tree = apply_edit(empty_tree("test"), secret, 5).unwrap().tree
+    table, first, second = ProgressTable(), Relay("r1"), Relay("r2")
+    barrier = RotationBarrier(table, 0.0)
+    for at in (0.0, 59.0):
+        table.take(first.report(5), at, at)
+        table.take(second.report(5), at, at)
+    barrier.restart(60.0)
+    assert barrier.due(tree, 60.0) == []
+    table.take(first.report(5), 60.0 + RELAY_SILENT_SECONDS, 70.0)
+    table.take(second.report(5), 60.0 + RELAY_SILENT_SECONDS, 70.0)
+    assert len(barrier.due(tree, 60.0 + RELAY_SILENT_SECONDS)) == 1
--- a/tests/relay/test_relay_herd.py
+++ b/tests/relay/test_relay_herd.py
@@ -20,9 +20,9 @@
 from peppershore.process import events
 from peppershore.process.commands import CloseLink, Command, SendEncoded, SendMessage
 from peppershore.process.randomness import Randomness
-from peppershore.process.relay.admission import MAX_RETRY_SECONDS, TokenBucket
 from peppershore.process.relay.core import RelayCore
 from peppershore.process.settings import PeerReplica, RelaySettings
+from peppershore.process.token_bucket import MAX_RETRY_SECONDS, TokenBucket
 from peppershore.version.model import Digest, Edit, Scope, Version
 
 NODES = 9_000
