A relay's digest is one number until it differs

Now one number for all nodes, buckets where the receiver finds it differs or the link is new, and the relays heard when they change or after 8 s: at most 32 bytes while nothing changes (test; it fails before with buckets in every digest).

--- a/src/peppershore/connection/messages/endpoints.py
+++ b/src/peppershore/connection/messages/endpoints.py
@@ -6,6 +6,9 @@
 
 from peppershore.connection.messages.base import Message
 
+NEVER_CONFIRMED_MILLISECONDS = 2**31 - 1
+"""In place of the age of a relay's confirmation: there was none yet."""
+
 WARMING_NOT_TOLD = -1
 """In place of a back end's warming: it does not say."""
 
@@ -67,16 +70,23 @@
 
 
 class EndpointDigest(Message, frozen=True, tag=43):
-    """Anti-entropy: digest of the endpoints the sender vouches for, by buckets.
+    """Anti-entropy: digest of the endpoints the sender vouches for.
 
-    Nodes fall into buckets by name.  ``hears`` names the relays the sender has
-    heard within the lease.  ``confirmed_age_milliseconds`` says how long ago a
-    quorum confirmed the sender's version; the default stands for never.
+    ``total`` is that of all; ``buckets``, into which nodes fall by name, come where the
+    receiver asked for them or the link is new.  ``hears`` names the relays the sender
+    has heard within the lease; None: as it said before.
+    ``confirmed_age_milliseconds`` says how long ago a quorum confirmed the sender's
+    version; the default stands for never.
     """
 
-    buckets: tuple[int, ...]
-    hears: tuple[str, ...] = ()
-    confirmed_age_milliseconds: int = 2**31 - 1
+    total: int
+    buckets: tuple[int, ...] = ()
+    hears: tuple[str, ...] | None = None
+    confirmed_age_milliseconds: int = NEVER_CONFIRMED_MILLISECONDS
+
+
+class EndpointDigestWanted(Message, frozen=True, tag=48):
+    """Anti-entropy: the total differs; send the digest with its buckets."""
 
 
 class EndpointBucketsWanted(Message, frozen=True, tag=44):
--- a/src/peppershore/process/endpoints/exchange.py
+++ b/src/peppershore/process/endpoints/exchange.py
@@ -1,10 +1,10 @@
 """How relays keep one another's endpoint tables alike.
 
 Every relay vouches for the endpoints of its own sessions, and only for those,
-to all other relays.  A change is sent at once; a digest in buckets, sent with
-every heartbeat, renews the lease of all the sender's endpoints and finds what
-was missed.  Endpoints nobody vouches for are hidden after a lease, unless it is
-this relay that is cut off.
+to all other relays.  A change is sent at once; a digest, sent with every
+heartbeat, renews the lease of all the sender's endpoints and finds what was missed:
+one number for all, then, where that differs, one for each bucket.  Endpoints nobody
+vouches for are hidden after a lease, unless it is this relay that is cut off.
 """
 
 from __future__ import annotations
@@ -15,9 +15,11 @@
 
 from peppershore.connection.messages.base import Message
 from peppershore.connection.messages.endpoints import (
+    NEVER_CONFIRMED_MILLISECONDS,
     Endpoint,
     EndpointBucketsWanted,
     EndpointDigest,
+    EndpointDigestWanted,
     EndpointsChanged,
     LeaseRenewed,
     RelayHello,
@@ -51,6 +53,8 @@
 PEER_CONNECT_TIMER = "exchange.connect"
 
 DIGEST_SECONDS = 2.0
+HEARS_SECONDS = 8.0
+"""Which relays are heard is told when it changes, and again after so long."""
 LEASE_SECONDS = 8.0
 """How long endpoints stay shown without anybody vouching for them."""
 STEADY_AGE_SECONDS = 1.5
@@ -73,6 +77,9 @@
     view: VouchedNodes = field(default_factory=VouchedNodes)
     lease_until: float = 0.0
     hears: frozenset[str] = frozenset()
+    told_heard: tuple[str, ...] | None = None
+    """The relays that this one said it hears, on this link; None: nothing yet."""
+    told_heard_at: float = 0.0
     confirmed_at: float = -math.inf
     """When a quorum confirmed its version, by this relay's clock."""
     steady_since: float = math.inf
@@ -250,10 +257,11 @@
         peer.is_open = True
         peer.failures = 0
         peer.zone = hello.zone or peer.zone
+        peer.told_heard = None
         return [
             *replies,
             Report(RelayPeerConnected(peer.name)),
-            SendMessage(link, self._digest(now)),
+            SendMessage(link, self._digest(peer, now, with_buckets=True)),
         ]
 
     def received(self, link: LinkId, message: Message, now: float) -> list[Command]:
@@ -266,6 +274,9 @@
                 self._take_endpoints(peer, message, now)
             case EndpointDigest():
                 return self._compare(peer, message, now)
+            case EndpointDigestWanted():
+                digest = self._digest(peer, now, with_buckets=True)
+                return [SendMessage(link, digest)]
             case EndpointBucketsWanted():
                 return self._send_buckets(link, message.buckets)
             case LeaseRenewed():
@@ -276,7 +287,11 @@
 
     def tick(self, now: float, is_confirmed: bool) -> list[Command]:
         """Send the digest, expire what is due, connect again."""
-        out: list[Command] = list(self._to_peers(self._digest(now)))
+        out: list[Command] = [
+            SendMessage(peer.link, self._digest(peer, now))
+            for peer in self._peers.values()
+            if peer.is_open and peer.link is not None
+        ]
         if is_confirmed:
             out.extend(self._expire(now))
         self.table.drop_old_tombstones(now)
@@ -322,12 +337,28 @@
             for other in self._peers.values()
         )
 
-    def _digest(self, now: float) -> EndpointDigest:
-        heard = tuple(peer.name for peer in self._peers.values() if now <= peer.lease_until)
+    def _digest(self, peer: Peer, now: float, with_buckets: bool = False) -> EndpointDigest:
+        return EndpointDigest(
+            self.own.total,
+            self.own.buckets if with_buckets else (),
+            self._news_of_heard(peer, now),
+            self._confirmed_age_milliseconds(now),
+        )
+
+    def _confirmed_age_milliseconds(self, now: float) -> int:
         if self.confirmed_at is None:
-            return EndpointDigest(self.own.buckets, heard)
-        age = math.ceil((now - self.confirmed_at) * 1_000)
-        return EndpointDigest(self.own.buckets, heard, age)
+            return NEVER_CONFIRMED_MILLISECONDS
+        return math.ceil((now - self.confirmed_at) * 1_000)
+
+    def _news_of_heard(self, peer: Peer, now: float) -> tuple[str, ...] | None:
+        """Give the relays heard where the peer should be told of them."""
+        heard = tuple(each.name for each in self._peers.values() if now <= each.lease_until)
+        is_known = heard == peer.told_heard and now - peer.told_heard_at < HEARS_SECONDS
+        if is_known:
+            return None
+        peer.told_heard = heard
+        peer.told_heard_at = now
+        return heard
 
     def _to_peers(self, message: Message) -> list[Command]:
         return [
@@ -378,18 +409,21 @@
                 self._vouched_again(endpoint.node)
 
     def _compare(self, peer: Peer, message: EndpointDigest, now: float) -> list[Command]:
-        peer.hears = frozenset(message.hears)
+        if message.hears is not None:
+            peer.hears = frozenset(message.hears)
         age = message.confirmed_age_milliseconds / 1_000
         peer.confirmed_at = now - age
         if age > STEADY_AGE_SECONDS:
             peer.steady_since = math.inf
         else:
             peer.steady_since = min(peer.steady_since, peer.confirmed_at)
-        differing = peer.view.differing_buckets(message.buckets)
-        if not differing:
+        if peer.view.total == message.total:
             peer.lease_until = now + LEASE_SECONDS
             return []
         assert peer.link is not None
+        if not message.buckets:
+            return [SendMessage(peer.link, EndpointDigestWanted())]
+        differing = peer.view.differing_buckets(message.buckets)
         return [SendMessage(peer.link, EndpointBucketsWanted(differing))]
 
     def _send_buckets(self, link: LinkId, buckets: tuple[int, ...]) -> list[Command]:
--- a/src/peppershore/process/endpoints/vouched.py
+++ b/src/peppershore/process/endpoints/vouched.py
@@ -1,7 +1,7 @@
 """The set of nodes one relay vouches for, with a digest in buckets.
 
-Two relays compare the buckets and exchange only those that differ.  Adding and
-removing a node costs the same whatever the size of the set.
+Two relays compare the digest of all, then the buckets, and exchange only those that
+differ.  Adding and removing a node costs the same whatever the size of the set.
 """
 
 from __future__ import annotations
@@ -32,6 +32,8 @@
         """Start empty."""
         self._orders: dict[str, Order] = {}
         self._buckets = [0] * BUCKET_COUNT
+        self.total = 0
+        """Digest of all nodes: equal where every bucket is."""
 
     def __contains__(self, node: object) -> bool:
         """Tell whether the node is vouched for."""
@@ -58,16 +60,21 @@
             return
         self.remove(node)
         self._orders[node] = order
-        self._buckets[bucket_of(node)] ^= _mark(node, order)
+        self._toggle(node, order)
 
     def remove(self, node: str) -> bool:
         """Stop vouching for a node; tell whether it was vouched for."""
         order = self._orders.pop(node, None)
         if order is None:
             return False
-        self._buckets[bucket_of(node)] ^= _mark(node, order)
+        self._toggle(node, order)
         return True
 
+    def _toggle(self, node: str, order: Order) -> None:
+        mark = _mark(node, order)
+        self._buckets[bucket_of(node)] ^= mark
+        self.total ^= mark
+
     def in_buckets(self, buckets: Iterable[int]) -> tuple[str, ...]:
         """Give the nodes that fall into these buckets."""
         wanted = frozenset(buckets)
--- a/src/peppershore/process/relay/source.py
+++ b/src/peppershore/process/relay/source.py
@@ -9,6 +9,7 @@
 
 import math
 
+from peppershore.connection.messages.endpoints import NEVER_CONFIRMED_MILLISECONDS
 from peppershore.connection.messages.relay import (
     ConfirmReply,
     ConfirmRequest,
@@ -46,8 +47,6 @@
 """So much newer must another relay's confirmation be."""
 BACKOFF_BASE_SECONDS = 0.1
 BACKOFF_CEILING_SECONDS = 3.0
-NEVER_CONFIRMED_MILLISECONDS = 2**31 - 1
-"""The age told while nothing was ever confirmed."""
 MAX_REQUESTS_IN_FLIGHT = 64
 
 
--- a/tests/relay/test_relay_endpoints.py
+++ b/tests/relay/test_relay_endpoints.py
@@ -4,7 +4,8 @@
 
 from tests.relay.site import Site
 
-from peppershore.connection.messages.endpoints import EndpointsChanged
+from peppershore.connection.codec import encode_message
+from peppershore.connection.messages.endpoints import EndpointDigest, EndpointsChanged
 from peppershore.process import events
 from peppershore.process.node.core import LEAVING_ANNOUNCED_SECONDS, NodeMemory
 
@@ -147,3 +148,19 @@
     site.network.run(60.0)
     for relay in site.relays:
         assert site.shown(relay, "kuitti") == set(names)
+
+
+def test_a_digest_is_one_number_while_nothing_differs() -> None:
+    site = Site()
+    for index in range(40):
+        site.start_node(f"n{index}", "kuitti", seed=index)
+    site.network.run(20.0)
+    sent = site.network.processes["r1"].sent
+    before = len(sent)
+    site.network.run(60.0)
+    digests = [each for each in sent[before:] if isinstance(each, EndpointDigest)]
+    assert len(digests) >= 20
+    assert not any(each.buckets for each in digests)
+    assert sum(each.hears is not None for each in digests) <= len(digests) / 3
+    plain = [encode_message(each) for each in digests if each.hears is None]
+    assert max(map(len, plain)) <= 32
