Where asks for a free slot are in vain, calls wait in line at once

What a node knows of 41 owners from a few calls a second is too old to skip the asks. Now four refusals in a row have calls of that service wait at once for 0.25 s; then one asks again. Also: objects made at start are left out of collections, which are seldomer.

--- a/src/peppershore/command/serve.py
+++ b/src/peppershore/command/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import sys
 from collections.abc import Callable, Coroutine
 from pathlib import Path
@@ -40,6 +41,10 @@
 OnReady = Callable[[int], None]
 Arguments = dict[str, Any]
 
+COLLECT_AFTER = (20_000, 20, 20)
+"""Objects made since the last collection of cycles, by generation.  A call leaves few
+cycles behind, and each collection walks what the process holds."""
+
 settings_option = click.option(
     "--settings",
     "settings_path",
@@ -99,6 +104,7 @@
     Exit codes: 0 stopped as planned, 2 wrong command line, 3 settings or store
     refused, 11 an address, file or folder can't be used.
     """
+    gc.disable()
 
 
 @serve.command()
@@ -227,6 +233,7 @@
 def _run(work: Callable[[OnReady], Coroutine[Any, Any, None]]) -> None:
     """Run a process to its planned stop; one that can't start says why."""
     announcer = Announcer()
+    _collect_seldom()
     try:
         asyncio.run(work(announcer))
     except OSError as problem:
@@ -237,6 +244,13 @@
     write_notice(ProcessStopped())
 
 
+def _collect_seldom() -> None:
+    """Leave what was imported out of every collection, and collect seldom from now on."""
+    gc.freeze()
+    gc.set_threshold(*COLLECT_AFTER)
+    gc.enable()
+
+
 def _reason(problem: OSError) -> str:
     reason = problem.strerror or str(problem)
     return f"{reason}: {problem.filename}" if problem.filename else reason
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -203,6 +203,8 @@
 
     def answer_head(self, head: AnswerHead) -> None:
         """The answer begins."""
+        if self._seeks:
+            self._calls.asked_for_slot(self.plan, was_granted=True)
         self._answer.head(head)
 
     def answer_data(self, data: bytes) -> None:
@@ -230,6 +232,8 @@
 
     def attempt_failed(self, failed: Failed) -> None:
         """Try again where that is safe and within budget, else tell the caller."""
+        if failed.reason == BUSY and self._seeks:
+            self._calls.asked_for_slot(self.plan, was_granted=False)
         if self._tries_again_after(failed, verdict_of_failure(failed)):
             return
         self._leave_attempt(failed, verdict_of_failure(failed))
@@ -382,6 +386,11 @@
             replayable=self._body.replayable,
         )
 
+    @property
+    def _seeks(self) -> bool:
+        """Whether the attempt under way asks for a slot that is free now."""
+        return self._calls.looks_for_free_slots and not self._progress.may_wait
+
     @property
     def _own_try(self) -> frozenset[str]:
         """The node whose back end has the attempt under way."""
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -145,11 +145,22 @@
         return self._settings.seek_free_slots
 
     def waits_at_once(self, plan: CallPlan) -> bool:
-        """Whether to ask for a free slot first is in vain: all were taken a moment ago."""
+        """Whether to ask for a free slot first is in vain, by what asks came to."""
         admission = self._admission(plan.target)
         if admission is None or not self.looks_for_free_slots:
             return False
-        return admission.all_shed(self.loop.time())
+        now = self.loop.time()
+        return admission.seeking.is_in_vain(now) or admission.all_shed(now)
+
+    def asked_for_slot(self, plan: CallPlan, was_granted: bool) -> None:
+        """A call that may not wait asked a back end's own node for a free slot."""
+        admission = self._admission(plan.target)
+        if admission is None:
+            return
+        if was_granted:
+            admission.seeking.granted()
+        else:
+            admission.seeking.refused(self.loop.time())
 
     @property
     def in_flight(self) -> int:
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -30,6 +30,7 @@
     better_of_two,
     pick,
 )
+from peppershore.request.seeking import SlotSeeking
 from peppershore.request.waiting import Ticket, WaitingQueue
 from peppershore.request.work_times import WorkTimes
 from peppershore.version.model import ServiceSettings
@@ -86,6 +87,7 @@
         self._states: dict[str, EndpointState] = {}
         self._offered: dict[str, EndpointState] = {}
         self._queue = WaitingQueue()
+        self.seeking = SlotSeeking()
         self._bulk_in_flight = 0
         self._work = WorkTimes()
         self._told_work = WorkTimes()
--- a/tests/data_plane/test_call_stories.py
+++ b/tests/data_plane/test_call_stories.py
@@ -12,6 +12,7 @@
 from peppershore.process.node.data.call_story import CallStory, ServedStory
 from peppershore.process.node.data.calls import NEVER_CONFIRMED
 from peppershore.request.outcome import BUSY
+from peppershore.request.seeking import ASKS_IN_VAIN
 
 REQUEST_ID = "r-17"
 WITH_ID = {"x-request-id": REQUEST_ID}
@@ -211,3 +212,28 @@
         backend.stop()
 
     run(scene())
+
+
+def test_after_some_asks_in_vain_a_call_waits_at_once() -> None:
+    """Asks at the few back ends that look free are refused as well in a shortage."""
+
+    async def scene() -> None:
+        backend = ScriptedBackend(answer_ok)
+        edge, owner, address = await two_nodes(
+            backend, seek_free_slots=True, log_answered_every=1
+        )
+        await call(address, headers=WITH_ID)
+        seeking = edge.plane.calls._admissions["kassa"].seeking  # noqa: SLF001
+        for _ in range(ASKS_IN_VAIN):
+            seeking.refused(math.inf)
+        await call(address, headers=WITH_ID)
+        sent = [
+            [step.reason for step in story.steps if step.step == "sent"]
+            for story in stories(edge)
+        ]
+        assert sent == [[""], ["may wait"]]
+        await edge.plane.close()
+        await owner.plane.close()
+        backend.stop()
+
+    run(scene())
