--- a/src/peppershore/request/picker.py
+++ b/src/peppershore/request/picker.py
@@ -10,7 +10,7 @@
 
 import math
 from collections.abc import Callable, Iterable, Sequence
-from typing import Protocol
+from typing import NewType, Protocol
 
 import msgspec
 
@@ -39,6 +39,12 @@
     crossing_cost: float = math.inf
 
 
+ByZone = NewType("ByZone", tuple[list[EndpointState], list[EndpointState]])
+"""Back ends of the own zone and of the others."""
+
+NEAR, FAR = 0, 1
+"""Their places in ``ByZone``."""
+
 Choice = Callable[[Sequence[EndpointState], RandomSource, float], EndpointState]
 """Chooses among candidates, at least one, by what was seen until now (seconds)."""
 
@@ -51,27 +57,54 @@
     choose: Choice,
 ) -> EndpointState | None:
     """Give the back end for one call, or None if none has room now."""
-    usable = [state for state in states if state.takes_a_call(now)]
-    excluded = preference.excluded
-    fresh = [state for state in usable if state.endpoint.node not in excluded]
-    willing = [state for state in fresh if not state.sheds(now)]
-    for candidates in (willing, fresh, usable):
-        chosen = _of_zones(candidates, preference, random, now, choose)
-        if chosen is not None:
-            return chosen
-    return None
+    willing, shedding, failed = _with_room(states, preference, now)
+    chosen = _of_zones(willing, preference, random, now, choose)
+    if chosen is None and (shedding[NEAR] or shedding[FAR]):
+        fresh = _both(willing, shedding)
+        chosen = _of_zones(fresh, preference, random, now, choose)
+    if chosen is None and (failed[NEAR] or failed[FAR]):
+        usable = _both(_both(willing, shedding), failed)
+        chosen = _of_zones(usable, preference, random, now, choose)
+    return chosen
+
+
+def _with_room(
+    states: Iterable[EndpointState], preference: Preference, now: float
+) -> tuple[ByZone, ByZone, ByZone]:
+    """Give the willing ones, those that shed, and those that failed this call before.
+
+    One pass that looks at fields: it runs once a call over all back ends of a service.
+    """
+    zone, excluded = preference.zone, preference.excluded
+    willing, shedding, failed = ByZone(([], [])), ByZone(([], [])), ByZone(([], []))
+    for state in states:
+        if state.in_flight >= state.limit or now < state.ejected_until:
+            continue
+        if state.ramp_seconds > 0.0 and not state.free(now):
+            continue
+        place = NEAR if state.endpoint.zone == zone else FAR
+        if excluded and state.endpoint.node in excluded:
+            failed[place].append(state)
+        elif now < state.passed_over_until:
+            shedding[place].append(state)
+        else:
+            willing[place].append(state)
+    return willing, shedding, failed
+
+
+def _both(one: ByZone, other: ByZone) -> ByZone:
+    return ByZone((one[NEAR] + other[NEAR], one[FAR] + other[FAR]))
 
 
 def _of_zones(
-    candidates: Sequence[EndpointState],
+    candidates: ByZone,
     preference: Preference,
     random: RandomSource,
     now: float,
     choose: Choice,
 ) -> EndpointState | None:
     """Choose in the own zone, unless another zone's costs less by more than the way."""
-    near = [each for each in candidates if each.endpoint.zone == preference.zone]
-    far = [each for each in candidates if each.endpoint.zone != preference.zone]
+    near, far = candidates
     nearest = choose(near, random, now) if near else None
     if not far or not preference.spill_over:
         return nearest
