--- a/src/peppershore/process/claims/node_claims.py
+++ b/src/peppershore/process/claims/node_claims.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
-from peppershore.process.claims.client import ClaimClientShell
-from peppershore.process.claims.client_core import ClaimClientCore
 from peppershore.process.claims.layout import layout_of
-from peppershore.process.claims.router import ClaimsRouter
 from peppershore.process.link_security import LinkSecurity
 from peppershore.process.metrics import ProcessMetrics
 from peppershore.process.settings import NodeSettings
 
+if TYPE_CHECKING:
+    from peppershore.process.claims.client_core import ClaimClientCore
+    from peppershore.process.claims.router import ClaimsRouter
+
 
 def node_claims(
     settings: NodeSettings, metrics: ProcessMetrics, security: LinkSecurity
@@ -21,6 +23,10 @@
     if layout is None:
         _add_gauges(metrics, [])
         return None
+    # Most nodes have no claims group: what is never used is not loaded at their start.
+    from peppershore.process.claims.client import ClaimClientShell  # noqa: PLC0415
+    from peppershore.process.claims.router import ClaimsRouter  # noqa: PLC0415
+
     clients = {
         name: ClaimClientShell(
             tuple(replica.address for replica in group.replicas),
