An edit costs hubs by the routes it touched

Cause: every edit made each hub index all nodes of the service, resolve and encode all its routes again; the hub that is given a configuration also compared all nodes by their set values. A route made from the same nodes of the tree is taken as it was; the index of a service is changed where nodes changed, unless a name may have lost its last use; equal nodes are not looked into. What stays whole: decoding, problems and identity of the configuration (3 ms) and the check that no two routes match the same. The index by changes is that of the whole tree (Hypothesis); one route edited resolves one (test fails before).

--- a/src/peppershore/version/encoded.py
+++ b/src/peppershore/version/encoded.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 from peppershore.version.digest import resource_digest
@@ -22,6 +23,7 @@
     ServiceResource,
     ServiceSettings,
     Tree,
+    TreeNode,
     Value,
 )
 from peppershore.version.path import route_path
@@ -46,11 +48,28 @@
     digest: Digest
 
 
+RouteNodes = tuple[TreeNode | None, TreeNode | None]
+"""The nodes of a route for every zone and for one of them."""
+
+
+class EncodedRoute(Value, frozen=True):
+    """A route as it was encoded, and the nodes of the tree that it was made from."""
+
+    nodes: RouteNodes
+    entry: Entry
+    targets: frozenset[str]
+    verify_secret: str
+
+
 class ServiceGroup(Value, frozen=True):
-    """A service and its routes in a zone, encoded, and the names they use."""
+    """A service and its routes in a zone, encoded, and the names they use.
+
+    ``inherited`` is what all its routes inherit.
+    """
 
     service: Entry
-    routes: tuple[Entry, ...]
+    routes: dict[str, EncodedRoute]
+    inherited: dict[str, Any]
     calls: tuple[str, ...]
     holds_every_service: bool
     targets: frozenset[str]
@@ -60,11 +79,11 @@
     @property
     def entries(self) -> tuple[Entry, ...]:
         """The service and its routes."""
-        return (self.service, *self.routes)
+        return (self.service, *(each.entry for each in self.routes.values()))
 
 
-KnownEntries = dict[Resource, Entry]
-"""Entries that are used again for a resource of the same name and bytes."""
+FormerGroups = Sequence[ServiceGroup]
+"""Groups of the same service, whose entries are used again for equal resources."""
 
 
 def overrides_in_zone(tree: Tree, service: str, zone: str) -> bool:
@@ -74,40 +93,77 @@
 
 
 def encode_group(
-    tree: Tree, service: str, zone: str, known: KnownEntries
+    tree: Tree, service: str, zone: str, former: FormerGroups
 ) -> ServiceGroup | None:
     """Resolve and encode a service and its routes; None if there is no such service.
 
-    New entries are added to ``known``.
+    A route that was made from the same nodes before is taken as it was, so that a
+    change costs by the routes it touched.
     """
     if service not in index_of(tree):
         return None
     inherited = _inherited_values(tree, service, zone)
     service_settings = _service_settings(inherited)
-    routes = [
-        (route, _route_settings(tree, service, zone, route, inherited))
-        for route in routes_of(tree, service, zone)
-    ]
+    alike = [each for each in former if each.inherited == inherited]
+    routes: dict[str, EncodedRoute] = {}
+    everywhere, here = route_path(service, ANY_ZONE, ""), route_path(service, zone, "")
+    for route in routes_of(tree, service, zone):
+        nodes = (tree.nodes.get(everywhere + route), tree.nodes.get(here + route))
+        routes[route] = _made_from(nodes, route, alike) or _encode_route(
+            RouteName(service, route), nodes, inherited, former
+        )
+    content = ServiceResource(service, service_settings)
     return ServiceGroup(
-        service=_entry(ServiceResource(service, service_settings), known),
-        routes=tuple(
-            _entry(RouteResource(service, route, settings), known)
-            for route, settings in routes
-        ),
+        service=_entry(content, [each.service for each in former]),
+        routes=routes,
+        inherited=inherited,
         calls=service_settings.calls,
         holds_every_service=service_settings.holds_every_service,
-        targets=frozenset().union(*(targets_of(settings) for _, settings in routes)),
+        targets=frozenset().union(*{each.targets for each in routes.values()}),
         sign_secret=service_settings.sign_secret,
         verify_secrets=frozenset(
-            settings.verify_secret for _, settings in routes if settings.verify_secret
+            each.verify_secret for each in routes.values() if each.verify_secret
         ),
     )
 
 
-def encode_secret(name: str, secret: Secret, known: KnownEntries) -> Entry:
+def encode_secret(name: str, secret: Secret, former: Entry | None) -> Entry:
     """Encode a secret with all its generations."""
     content = SecretResource(name, secret.generations, secret.signing_generation)
-    return _entry(content, known)
+    return _entry(content, [former] if former is not None else [])
+
+
+class RouteName(Value, frozen=True):
+    """A route by its service and its own name."""
+
+    service: str
+    route: str
+
+
+def _made_from(nodes: RouteNodes, route: str, former: FormerGroups) -> EncodedRoute | None:
+    """Give the route that was made from the very same nodes, if there is one."""
+    for group in former:
+        known = group.routes.get(route)
+        if known and known.nodes[0] is nodes[0] and known.nodes[1] is nodes[1]:
+            return known
+    return None
+
+
+def _encode_route(
+    name: RouteName,
+    nodes: RouteNodes,
+    inherited: dict[str, Any],
+    former: FormerGroups,
+) -> EncodedRoute:
+    known = [each.routes[name.route] for each in former if name.route in each.routes]
+    settings = _route_settings(name.service, nodes, inherited)
+    content = RouteResource(name.service, name.route, settings)
+    return EncodedRoute(
+        nodes=nodes,
+        entry=_entry(content, [each.entry for each in known]),
+        targets=targets_of(settings),
+        verify_secret=settings.verify_secret,
+    )
 
 
 def targets_of(settings: RouteSettings) -> frozenset[str]:
@@ -117,13 +173,13 @@
     return frozenset({settings.target})
 
 
-def _entry(content: ResourceContent, known: KnownEntries) -> Entry:
+def _entry(content: ResourceContent, former: Iterable[Entry]) -> Entry:
+    """Encode a content; give the former entry of the same bytes if there is one."""
     resource = encode_resource(content)
-    entry = known.get(resource)
-    if entry is None:
-        entry = Entry(resource, resource_digest(resource))
-        known[resource] = entry
-    return entry
+    for entry in former:
+        if entry.resource == resource:
+            return entry
+    return Entry(resource, resource_digest(resource))
 
 
 def _inherited_values(tree: Tree, service: str, zone: str) -> dict[str, Any]:
@@ -145,11 +201,10 @@
 
 
 def _route_settings(
-    tree: Tree, service: str, zone: str, route: str, inherited: dict[str, Any]
+    service: str, nodes: Iterable[TreeNode | None], inherited: dict[str, Any]
 ) -> RouteSettings:
     overlaid = dict(inherited)
-    for layer in (ANY_ZONE, zone):
-        node = tree.nodes.get(route_path(service, layer, route))
+    for node in nodes:
         if node is not None:
             overlaid.update(set_values(node.overrides))
     values = route_defaults(service)
--- a/src/peppershore/version/resource_tables.py
+++ b/src/peppershore/version/resource_tables.py
@@ -8,10 +8,11 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
+from operator import is_
 
 from peppershore.version.encoded import (
     Entry,
-    KnownEntries,
+    FormerGroups,
     ServiceGroup,
     encode_group,
     encode_secret,
@@ -47,8 +48,8 @@
         """Give a group, encoding it the first time."""
         groups = self._groups[service]
         if zone not in groups:
-            known = _known_entries(groups)
-            groups[zone] = _encode_in_zone(tree, service, zone, groups, known)
+            former = _distinct(groups)
+            groups[zone] = _encode_in_zone(tree, service, zone, groups, former)
         return groups[zone]
 
     def refresh(self, tree: Tree, touched: TouchedZones) -> set[GroupKey]:
@@ -65,11 +66,11 @@
         self, tree: Tree, service: str, stale: frozenset[str]
     ) -> set[GroupKey]:
         former = self._groups[service]
-        known = _known_entries(former)
         groups = {zone: group for zone, group in former.items() if zone not in stale}
         changed = set()
         for zone in stale:
             if zone not in groups:
+                known = [*_distinct(former), *_distinct(groups)]
                 groups[zone] = _encode_in_zone(tree, service, zone, groups, known)
             if _is_same(former[zone], groups[zone]):
                 groups[zone] = former[zone]
@@ -94,7 +95,7 @@
         """Give a secret of the tree, encoding it the first time."""
         entry = self._entries.get(name)
         if entry is None:
-            entry = encode_secret(name, tree.secrets[name], {})
+            entry = encode_secret(name, tree.secrets[name], None)
             self._entries[name] = entry
         return entry
 
@@ -106,31 +107,27 @@
             if former is None:
                 continue
             if name in tree.secrets:
-                known = {former.resource: former}
-                self._entries[name] = encode_secret(name, tree.secrets[name], known)
+                self._entries[name] = encode_secret(name, tree.secrets[name], former)
             if self._entries.get(name) is not former:
                 changed.add(name)
         return changed
 
 
 def _encode_in_zone(
-    tree: Tree, service: str, zone: str, groups: _GroupsByZone, known: KnownEntries
+    tree: Tree, service: str, zone: str, groups: _GroupsByZone, former: FormerGroups
 ) -> ServiceGroup | None:
     """Encode a group, or take that of any zone if the zone overrides nothing."""
     if zone == ANY_ZONE or overrides_in_zone(tree, service, zone):
-        return encode_group(tree, service, zone, known)
+        return encode_group(tree, service, zone, former)
     if ANY_ZONE not in groups:
-        groups[ANY_ZONE] = encode_group(tree, service, ANY_ZONE, known)
+        groups[ANY_ZONE] = encode_group(tree, service, ANY_ZONE, former)
     return groups[ANY_ZONE]
 
 
-def _known_entries(groups: _GroupsByZone) -> KnownEntries:
-    return {
-        entry.resource: entry
-        for group in groups.values()
-        if group is not None
-        for entry in group.entries
-    }
+def _distinct(groups: _GroupsByZone) -> list[ServiceGroup]:
+    """Give the groups of a service; most zones share one."""
+    found = {id(group): group for group in groups.values() if group is not None}
+    return list(found.values())
 
 
 def _is_same(former: ServiceGroup | None, now: ServiceGroup | None) -> bool:
@@ -139,7 +136,5 @@
         return former is now
     if former is now:
         return True
-    if len(former.entries) != len(now.entries):
-        return False
-    pairs = zip(former.entries, now.entries, strict=True)
-    return all(one is other for one, other in pairs)
+    one, other = former.entries, now.entries
+    return len(one) == len(other) and all(map(is_, one, other))
--- a/src/peppershore/version/revert.py
+++ b/src/peppershore/version/revert.py
@@ -70,18 +70,19 @@
 
 def _node_operations(current: Tree, older: Tree) -> list[Operation]:
     removed = _topmost(current.nodes.keys() - older.nodes)
-    gone = {path for path in current.nodes if _is_below(path, removed)}
+    gone = {path for path in current.nodes if _is_below(path, removed)} if removed else ()
     operations: list[Operation] = [RemoveNode(path) for path in sorted(removed)]
     for path, node in sorted(older.nodes.items()):
         known = None if path in gone else current.nodes.get(path)
         if known is None:
             operations.append(SetOverrides(path, node.overrides))
             continue
+        if known.overrides == node.overrides:
+            continue
         surplus = set_values(known.overrides).keys() - set_values(node.overrides)
         if surplus:
             operations.append(UnsetOverrides(path, tuple(sorted(surplus))))
-        if known.overrides != node.overrides:
-            operations.append(SetOverrides(path, node.overrides))
+        operations.append(SetOverrides(path, node.overrides))
     return operations
 
 
--- a/src/peppershore/version/tree_index.py
+++ b/src/peppershore/version/tree_index.py
@@ -64,11 +64,15 @@
     for service, changed in by_service.items():
         branch = index.get(service)
         known = branch.paths if branch is not None else frozenset()
-        kept = frozenset(path for path in known | changed if path in after.nodes)
-        if kept:
-            index[service] = _build_branch(service, kept, after.nodes)
-        else:
+        gone = frozenset(path for path in changed if path not in after.nodes)
+        kept = (known | changed) - gone
+        if not kept:
             index.pop(service, None)
+            continue
+        was = {path: before.nodes[path] for path in changed if path in before.nodes}
+        now = {path: after.nodes[path] for path in changed - gone}
+        derived = None if branch is None else _changed_branch(service, branch, was, now)
+        index[service] = derived or _build_branch(service, kept, after.nodes)
     after.__dict__[_INDEX_ATTRIBUTE] = index
     return index
 
@@ -109,6 +113,40 @@
     }
 
 
+def _changed_branch(
+    service: str,
+    former: ServiceBranch,
+    was: dict[str, TreeNode],
+    now: dict[str, TreeNode],
+) -> ServiceBranch | None:
+    """Give a branch after some of its nodes changed, at the cost of those alone.
+
+    None where a name or zone that the changed nodes no longer use may be used by none:
+    only a walk over all nodes tells.
+    """
+    then = _build_branch(service, frozenset(was), was)
+    here = _build_branch(service, frozenset(now), now)
+    if not (
+        then.references <= here.references
+        and then.diversions <= here.diversions
+        and then.secrets <= here.secrets
+        and then.zones <= here.zones
+    ):
+        return None
+    routes = dict(former.routes)
+    for zone in then.routes.keys() | here.routes.keys():
+        names = routes.get(zone, frozenset()) - then.routes.get(zone, frozenset())
+        routes[zone] = names | here.routes.get(zone, frozenset())
+    return ServiceBranch(
+        paths=(former.paths - then.paths) | here.paths,
+        routes={zone: names for zone, names in routes.items() if names},
+        zones=former.zones | here.zones,
+        references=former.references | here.references,
+        diversions=former.diversions | here.diversions,
+        secrets=former.secrets | here.secrets,
+    )
+
+
 def _build_branch(
     service: str, paths: frozenset[str], nodes: dict[str, TreeNode]
 ) -> ServiceBranch:
