Operators who watch at a follower are told at once; why calls failed, by a command

Cause: while nodes come, reports use up their burst, and a follower hears the leader's table every 2 s only. A follower at which operators watch now asks the leader, which tells it of each change at once; a relay's reports go on four times a second. 2. 'peppershore logs causes' tells failed calls by cause, second and last node from the lines of all nodes; an answer of 500 or above of a back end's own has its line now. 3.

--- a/src/peppershore/command/logs_command.py
+++ b/src/peppershore/command/logs_command.py
@@ -9,10 +9,16 @@
 import msgspec
 
 from peppershore.command.log_files import LogFiles, LogLine, read_logs
+from peppershore.command.lost_calls import CALL_EVENT, lost_calls
 from peppershore.command.output import show_json, show_table
 
-CALL_EVENT = "call_story"
 CALL_HEADER = ("calls", "service", "route", "outcome", "reason", "an example")
+CAUSE_HEADER = ("calls", "cause", "target", "reason", "an example")
+SECOND_HEADER = ("second", "cause", "calls")
+NODE_HEADER = ("last node", "cause", "calls")
+SHOWN_NODES = 20
+"""Nodes with most failed calls that people are shown; --json has all."""
+
 EVENT_HEADER = ("lines", "level", "event", "processes")
 MILLISECONDS = 1_000
 
@@ -68,6 +74,21 @@
     show_table(EVENT_HEADER, [msgspec.structs.astuple(each) for each in found.events])
 
 
+@logs.command()
+@click.argument("files", nargs=-1, required=True, type=click.File("r", errors="replace"))
+@click.option("--json", "as_json", is_flag=True, help="One JSON object as output.")
+def causes(files: tuple[TextIO, ...], as_json: bool) -> None:
+    """Tell why calls failed, by cause, second and back end, from FILES of all nodes."""
+    found = lost_calls(read_logs(files).lines)
+    if as_json:
+        show_json(found)
+        return
+    click.echo(f"{found.calls} calls failed")
+    show_table(CAUSE_HEADER, [msgspec.structs.astuple(each) for each in found.by_cause])
+    show_table(SECOND_HEADER, found.by_second)
+    show_table(NODE_HEADER, found.by_node[:SHOWN_NODES])
+
+
 def summarize(files: LogFiles) -> Summary:
     """Count the lines by what they tell."""
     times = [line.time for line in files.lines] or [0]
--- /dev/null
+++ b/src/peppershore/command/lost_calls.py
@@ -0,0 +1,139 @@
+"""Why calls failed, worked out from the lines of all nodes of a time.
+
+A caller's node writes a line for each call that it did not answer with success; the node
+beside a back end writes how full it was when a call came.  Together they tell a refusal
+at the limit of all back ends from one that another back end could have spared.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+
+import msgspec
+
+from peppershore.command.log_files import LogLine
+from peppershore.request.outcome import LOAD_REASONS
+
+CALL_EVENT = "call_story"
+SERVED_EVENT = "served_story"
+MILLISECONDS = 1_000
+LEAST_FAILURE = 500
+
+FREE_WITHIN_SECONDS = 1
+"""A slot counts as free elsewhere if an owner told of one in the same second."""
+
+AT_CAPACITY = "refused at capacity"
+FREE_ELSEWHERE = "refused with a slot free elsewhere"
+NO_CONFIGURATION = "node without configuration"
+NODE_STOPPING = "node stopping"
+NOBODY_READY = "no back end known"
+BACK_END_FAILED = "back end failed"
+CONNECTION_LOST = "node or connection lost"
+WAITED_TOO_LONG = "waited too long"
+LATE_RUN = "late by a long run"
+CALLER_LEFT = "caller left"
+OTHER = "other"
+
+_CAUSES: dict[str, str] = {
+    "no-configuration": NO_CONFIGURATION,
+    "service-not-held": NO_CONFIGURATION,
+    "configuration-not-confirmed": NO_CONFIGURATION,
+    "no-route": NO_CONFIGURATION,
+    "node-stopping": NODE_STOPPING,
+    "back-end-leaving": NODE_STOPPING,
+    "nobody-ready": NOBODY_READY,
+    "no-back-end": NOBODY_READY,
+    "back-end-failed": BACK_END_FAILED,
+    "back-end-broke-off": BACK_END_FAILED,
+    "back-end-shed": BACK_END_FAILED,
+    "back-end-refused": BACK_END_FAILED,
+    "malformed-answer": BACK_END_FAILED,
+    "owner-link-lost": CONNECTION_LOST,
+    "owner-unreachable": CONNECTION_LOST,
+    "back-end-unreachable": CONNECTION_LOST,
+    "other-back-end": CONNECTION_LOST,
+    "caller-left": CALLER_LEFT,
+}
+
+
+class LostCalls(msgspec.Struct, frozen=True):
+    """Calls that failed alike; ``example`` is the request id of one of them."""
+
+    calls: int
+    cause: str
+    target: str
+    reason: str
+    example: str
+
+
+class LostTables(msgspec.Struct, frozen=True):
+    """All failed calls, by cause and target, by second, and by last node tried."""
+
+    calls: int
+    by_cause: tuple[LostCalls, ...]
+    by_second: tuple[tuple[int, str, int], ...]
+    by_node: tuple[tuple[str, str, int], ...]
+
+
+def lost_calls(lines: Iterable[LogLine]) -> LostTables:
+    """Work out the cause of each call that failed."""
+    stories: list[LogLine] = []
+    free: set[tuple[str, int]] = set()
+    for line in lines:
+        if line.event == CALL_EVENT and _is_failure(line):
+            stories.append(line)
+        elif line.event == SERVED_EVENT and _tells_free_slot(line):
+            free.add((line.service, _second(line)))
+    first = min((_second(story) for story in stories), default=0)
+    by_cause: Counter[tuple[str, str, str]] = Counter()
+    by_second: Counter[tuple[int, str]] = Counter()
+    by_node: Counter[tuple[str, str]] = Counter()
+    examples: dict[tuple[str, str, str], str] = {}
+    for story in stories:
+        target = str(story.fields.get("target", ""))
+        cause = _cause(story, target, free)
+        kind = (cause, target, story.reason or f"status-{story.status}")
+        by_cause[kind] += 1
+        examples.setdefault(kind, story.request_id)
+        by_second[_second(story) - first, cause] += 1
+        by_node[_last_node(story), cause] += 1
+    return LostTables(
+        calls=len(stories),
+        by_cause=tuple(
+            LostCalls(count, *kind, example=examples[kind])
+            for kind, count in by_cause.most_common()
+        ),
+        by_second=tuple((*kind, by_second[kind]) for kind in sorted(by_second)),
+        by_node=tuple((*kind, count) for kind, count in by_node.most_common()),
+    )
+
+
+def _is_failure(line: LogLine) -> bool:
+    return line.outcome != "answered" or line.status >= LEAST_FAILURE
+
+
+def _tells_free_slot(line: LogLine) -> bool:
+    running, slots = line.fields.get("running"), line.fields.get("slots")
+    return isinstance(running, int) and isinstance(slots, int) and running < slots
+
+
+def _second(line: LogLine) -> int:
+    return line.time // (MILLISECONDS * FREE_WITHIN_SECONDS)
+
+
+def _cause(story: LogLine, target: str, free: set[tuple[str, int]]) -> str:
+    if story.outcome == "answered":
+        return BACK_END_FAILED
+    if story.reason in LOAD_REASONS:
+        is_free = (target, _second(story)) in free
+        return FREE_ELSEWHERE if is_free else AT_CAPACITY
+    if story.reason == "deadline-passed":
+        return LATE_RUN if story.outcome == "unknown" else WAITED_TOO_LONG
+    return _CAUSES.get(story.reason, OTHER)
+
+
+def _last_node(story: LogLine) -> str:
+    """Give the node that was tried last; "" where none was."""
+    tried = [step.node for step in story.steps if step.node]
+    return tried[-1] if tried else ""
--- a/src/peppershore/connection/messages/consensus.py
+++ b/src/peppershore/connection/messages/consensus.py
@@ -167,3 +167,7 @@
     """The leader tells what it knows of all relays; of each, only a few nodes by name."""
 
     shared: tuple[ProgressShared, ...]
+
+
+class ProgressWanted(Message, frozen=True, tag=83):
+    """A replica at which operators watch asks the leader to be told of changes soon."""
--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -9,6 +9,7 @@
 from peppershore.connection.messages.consensus import (
     ProgressShared,
     ProgressTableShared,
+    ProgressWanted,
 )
 from peppershore.connection.messages.operators import (
     EditAnswered,
@@ -182,6 +183,7 @@
         elif isinstance(message, WatchRequest):
             self._watchers[link] = message.version
             self._progress_changed()
+            self._share_progress()
         elif isinstance(message, MembershipChange):
             self._change_membership(link, message)
         else:
@@ -197,6 +199,9 @@
             for each in message.shared:
                 if not self._sharing.hears(each.report.relay, self.now):
                     self._take_shared(each)
+        elif isinstance(message, ProgressWanted):
+            self._sharing.wanted(peer, self.now)
+            self._share_progress()
 
     def _allowed(self, link: LinkId, message: Message) -> bool:
         identity = self._identities.get(link, "")
@@ -365,6 +370,7 @@
         reported_at = self.now - shared.age_milliseconds / MILLISECONDS_PER_SECOND
         if self._progress.take(shared.report, reported_at, self.now):
             self._progress_changed()
+        self._share_with_watchers()
 
     def _share_progress(self) -> None:
         """Tell the leader what is due; a leader tells the other replicas."""
@@ -372,7 +378,10 @@
             leader = self.consensus.leader
             for shared in self._sharing.for_leader(leader, self.now):
                 self.send_to_peer(leader, shared)
+            if leader and self._watchers and self._sharing.asks_leader(self.now):
+                self.send_to_peer(leader, ProgressWanted())
             return
+        self._share_with_watchers()
         table = self._sharing.for_followers(self.now)
         if table is None:
             return
@@ -380,6 +389,14 @@
             if member.name != self.name:
                 self.send_to_peer(member.name, table)
 
+    def _share_with_watchers(self) -> None:
+        """Let replicas at which operators watch hear of changes at once."""
+        found = None if not self.leads else self._sharing.for_watchers(self.now)
+        if found is not None:
+            names, table = found
+            for name in names:
+                self.send_to_peer(name, table)
+
     def _progress_changed(self) -> None:
         if self._watchers and not self._watch_timer_set:
             self._watch_timer_set = True
--- a/src/peppershore/process/control/progress_sharing.py
+++ b/src/peppershore/process/control/progress_sharing.py
@@ -19,7 +19,7 @@
 )
 from peppershore.process.token_bucket import TokenBucket
 
-SHARES_PER_SECOND = 2.0
+SHARES_PER_SECOND = 4.0
 """A relay whose progress changes all the time has so many reports passed on."""
 
 SHARE_BURST = 6.0
@@ -35,6 +35,12 @@
 TABLE_KEPT_SECONDS = 4.0
 """It tells one that stays as it is so often."""
 
+WANTED_SECONDS = 2.0
+"""A replica at which operators watch asks the leader so often."""
+
+WATCHED_SECONDS = 3 * WANTED_SECONDS
+"""For so long after it asked, a replica is told of every change at once."""
+
 SHOWN_NODES = 3
 """Nodes of each kind that the table names of a relay; its own replica knows more."""
 
@@ -68,6 +74,9 @@
         self._told_leader = ""
         self._table_told: tuple[ProgressReported, ...] = ()
         self._table_told_at = 0.0
+        self._wanted_by: dict[str, float] = {}
+        self._watchers_told: tuple[ProgressReported, ...] = ()
+        self._asked_at = -WANTED_SECONDS
 
     def heard(self, report: ProgressReported, now: float) -> None:
         """A relay reported to this replica itself."""
@@ -107,6 +116,32 @@
             return None
         self._table_told = reports
         self._table_told_at = now
+        return self._shared_table(now)
+
+    def asks_leader(self, now: float) -> bool:
+        """Whether this replica, at which operators watch, should ask the leader again."""
+        if now - self._asked_at < WANTED_SECONDS:
+            return False
+        self._asked_at = now
+        return True
+
+    def wanted(self, replica: str, now: float) -> None:
+        """Operators watch at another replica, which asks to be told of changes soon."""
+        self._wanted_by[replica] = now + WATCHED_SECONDS
+        self._watchers_told = ()
+
+    def for_watchers(self, now: float) -> tuple[list[str], ProgressTableShared] | None:
+        """Give the table, and to whom, if replicas where operators watch lack changes."""
+        reports = tuple(each.report for each in self._table.relays())
+        if not self._wanted_by or not _table_changed(self._watchers_told, reports):
+            return None
+        self._watchers_told = reports
+        until = self._wanted_by
+        self._wanted_by = {name: until[name] for name in until if now < until[name]}
+        return list(self._wanted_by), self._shared_table(now)
+
+    def _shared_table(self, now: float) -> ProgressTableShared:
+        relays = self._table.relays()
         return ProgressTableShared(tuple(_for_table(each, now) for each in relays))
 
     @staticmethod
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -68,6 +68,9 @@
 STOP_MARGIN_SECONDS = 0.2
 """A call's deadline comes so long before the end of a planned stop."""
 
+LEAST_FAILURE = 500
+"""An answer of the back end's with this status or above failed its caller."""
+
 NEVER_CONFIRMED = -1
 """Shown for the age of a configuration that was never confirmed."""
 
@@ -402,12 +405,12 @@
     def answered(
         self, plan: CallPlan, status: int, request_id: bytes, story: StoryBook
     ) -> None:
-        """Count an answered call; each so-many-th has its line."""
+        """Count an answered call; each so-many-th has its line, each failure its own."""
         self.counts.answered += 1
         now = self.loop.time()
         self._retry_paces[plan.target].answered(now)
         self.figures.ended(plan, "answered", "", now - story.began_at)
-        if self.log.takes_answered(request_id):
+        if status >= LEAST_FAILURE or self.log.takes_answered(request_id):
             end = CallEnd("answered", "", status)
             self._tell(plan, end, request_id, story)
 
--- a/tests/command/test_log_commands.py
+++ b/tests/command/test_log_commands.py
@@ -6,6 +6,7 @@
 import logging
 from pathlib import Path
 
+import msgspec
 import pytest
 from click.testing import CliRunner
 
@@ -115,3 +116,44 @@
     found = CliRunner().invoke(main, ["logs", "summary", str(empty)])
     assert found.exit_code == 0
     assert found.output.startswith("0 lines over 0.0 s")
+
+
+def lost(
+    request_id: str, reason: str, outcome: str = "not-run", status: int = 503
+) -> CallStory:
+    return msgspec.structs.replace(
+        STORY, request_id=request_id, reason=reason, outcome=outcome, status=status
+    )
+
+
+def test_causes_of_failed_calls_by_the_lines_of_all_nodes(tmp_path: Path) -> None:
+    free = msgspec.structs.replace(SERVED, request_id="other", running=3)
+    lines = [
+        written("e1", lost("r-1", "no-slot-in-time"), 100),
+        written("k1", SERVED, 100),
+        written("e1", lost("r-2", "no-slot-in-time"), 1_100),
+        written("k2", free, 1_300),
+        written("e2", lost("r-3", "no-configuration"), 2_000),
+        written("e2", lost("r-4", "deadline-passed", "unknown", 504), 2_000),
+        written("e2", lost("r-5", "owner-link-lost", "unknown", 502), 2_000),
+        written("e2", lost("r-6", "", "answered", 500), 2_000),
+        written("e2", lost("r-7", "", "answered", 200), 2_000),
+    ]
+    file = tmp_path / "all.log"
+    file.write_text("\n".join(lines))
+    shown = CliRunner().invoke(main, ["logs", "causes", str(file), "--json"])
+    found = json.loads(shown.output)
+    assert found["calls"] == 6
+    assert {each["example"]: each["cause"] for each in found["by_cause"]} == {
+        "r-1": "refused at capacity",
+        "r-2": "refused with a slot free elsewhere",
+        "r-3": "node without configuration",
+        "r-4": "late by a long run",
+        "r-5": "node or connection lost",
+        "r-6": "back end failed",
+    }
+    assert found["by_second"][0] == [0, "refused at capacity", 1]
+    assert sum(count for _, _, count in found["by_second"]) == 6
+    assert found["by_node"][0][0] == "k1"
+    table = CliRunner().invoke(main, ["logs", "causes", str(file)])
+    assert "6 calls failed" in table.output
