--- a/benchmarks/choice_cost.py
+++ b/benchmarks/choice_cost.py
@@ -92,7 +92,7 @@
     for number in range(CALLS):
         now = number / 100_000
         if number % 100 == 0:
-            for each in range(len(BACK_ENDS) and SLOTS):
+            for each in range(SLOTS):
                 load = OwnerLoad(SLOTS, 20, SLOTS, 0.2)
                 admission.note_load(f"node-{each}", load, "read", now)
         admission.all_shed(now)
