--- a/src/peppershore/command/lost_calls.py
+++ b/src/peppershore/command/lost_calls.py
@@ -26,6 +26,7 @@
 AT_CAPACITY = "refused at capacity"
 FREE_ELSEWHERE = "refused with a slot free elsewhere"
 NO_CONFIGURATION = "node without configuration"
+NO_ROUTE = "no such route"
 NODE_STOPPING = "node stopping"
 NOBODY_READY = "no back end known"
 BACK_END_FAILED = "back end failed"
@@ -39,7 +40,7 @@
     "no-configuration": NO_CONFIGURATION,
     "service-not-held": NO_CONFIGURATION,
     "configuration-not-confirmed": NO_CONFIGURATION,
-    "no-route": NO_CONFIGURATION,
+    "no-route": NO_ROUTE,
     "node-stopping": NODE_STOPPING,
     "back-end-leaving": NODE_STOPPING,
     "nobody-ready": NOBODY_READY,
--- a/src/peppershore/command/serve.py
+++ b/src/peppershore/command/serve.py
@@ -41,7 +41,7 @@
 OnReady = Callable[[int], None]
 Arguments = dict[str, Any]
 
-COLLECT_AFTER = (20_000, 20, 20)
+COLLECT_AFTER = (5_000, 20, 20)
 """Objects made since the last collection of cycles, by generation.  A call leaves few
 cycles behind, and each collection walks what the process holds."""
 
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -335,7 +335,9 @@
             self._finish(None)
 
     def _admit(self) -> None:
-        ticket = self._calls.ticket(self.plan, self._excluded)
+        ticket = self._calls.ticket(
+            self.plan, self._excluded, self._progress.tries_another_zone
+        )
         self._ticket = ticket
         decision = self._calls.offer(ticket, self.plan, self)
         if isinstance(decision, Waiting):
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -271,8 +271,10 @@
         """Give the header fields for the back end."""
         return self._entry.forwarded_headers(self.configuration, head, request_id)
 
-    def ticket(self, plan: CallPlan, excluded: frozenset[str]) -> Ticket:
-        """Give a place in line."""
+    def ticket(
+        self, plan: CallPlan, excluded: frozenset[str], tries_another_zone: bool = False
+    ) -> Ticket:
+        """Give a place in line; a large body asks another zone only if it has to."""
         number = next(self._ticket_numbers)
         return Ticket(
             number,
@@ -284,6 +286,7 @@
             is_client_retry=plan.is_client_retry,
             route=plan.route,
             crossing_seconds=plan.crossing_seconds,
+            prefers_far=tries_another_zone and not plan.settings.streamed_bodies,
         )
 
     def offer(self, ticket: Ticket, plan: CallPlan, call: Call) -> Decision:
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -279,7 +279,9 @@
     def _preference(self, ticket: Ticket) -> Preference:
         crossing_cost = ticket.crossing_seconds / self._told_work.of(ticket.route)
         spill_over = self.settings.spill_over
-        return Preference(self._zone, spill_over, ticket.excluded, crossing_cost)
+        return Preference(
+            self._zone, spill_over, ticket.excluded, crossing_cost, ticket.prefers_far
+        )
 
     def _dispatch(self, ticket: Ticket, state: EndpointState) -> Dispatch:
         state.in_flight += 1
--- a/src/peppershore/request/next_attempt.py
+++ b/src/peppershore/request/next_attempt.py
@@ -20,10 +20,14 @@
 MAX_TRIES = 8
 """Attempts of one call in all, those that no back end saw included."""
 
-MAX_SEEKS = 2
-"""Back ends that a call asks for a free slot before it waits for one.  Where two that
-seemed free were full, what is known of the others is as old; with 41 back ends of which
-each node sees little, calls went round eight of them and were refused without a wait."""
+NEAR_SEEKS = 2
+"""Back ends that a call asks for a free slot, the near ones first.  Where two that seemed
+free were full, what is known of the others near by is as old."""
+
+MAX_SEEKS = NEAR_SEEKS + 1
+"""Back ends that a call asks before it waits: the last one is of another zone, where slots
+may be free all the while.  With 41 back ends of which each node sees little, calls went
+round eight of them and were refused without a wait."""
 
 MAX_WAITS = 3
 """Attempts of one call that may wait for a slot.  Where each is refused for load, the
@@ -42,6 +46,11 @@
     waits: int = 0
     may_wait: bool = False
 
+    @property
+    def tries_another_zone(self) -> bool:
+        """Whether the next one to be asked should be of another zone."""
+        return self.tries == NEAR_SEEKS and not self.may_wait
+
 
 class AttemptTerms(msgspec.Struct, frozen=True):
     """What decides besides the failure itself.
--- a/src/peppershore/request/picker.py
+++ b/src/peppershore/request/picker.py
@@ -30,13 +30,15 @@
     Back ends in ``zone`` go first; others take what does not fit there if
     ``spill_over``.  ``excluded`` names the nodes that failed this call before;
     they are taken only when nobody else is there.  A back end of another zone is taken
-    before one in ``zone`` if it costs less by more than ``crossing_cost``.
+    before one in ``zone`` if it costs less by more than ``crossing_cost``, and before all
+    of them if the call ``prefers_far``.
     """
 
     zone: str
     spill_over: bool
     excluded: frozenset[str]
     crossing_cost: float = math.inf
+    prefers_far: bool = False
 
 
 ByZone = NewType("ByZone", tuple[list[EndpointState], list[EndpointState]])
@@ -105,6 +107,8 @@
 ) -> EndpointState | None:
     """Choose in the own zone, unless another zone's costs less by more than the way."""
     near, far = candidates
+    if preference.prefers_far and preference.spill_over and far:
+        return choose(far, random, now)
     nearest = choose(near, random, now) if near else None
     if not far or not preference.spill_over:
         return nearest
--- a/src/peppershore/request/waiting.py
+++ b/src/peppershore/request/waiting.py
@@ -31,6 +31,7 @@
 
     One that may not wait is refused where no slot is free; another one waits until
     ``start_by`` (monotonic seconds).  ``is_client_retry``: it was refused before.
+    ``prefers_far``: back ends near by had no slot, so one of another zone is asked.
     ``route`` tells how long it is likely to run.  A back end of another zone is worth the
     way if it answers so much sooner than one nearby (``crossing_seconds``).
     """
@@ -46,6 +47,7 @@
     is_client_retry: bool = False
     route: str = ""
     crossing_seconds: float = math.inf
+    prefers_far: bool = False
 
     @property
     def rank(self) -> int:
--- a/tests/request/test_expected_time.py
+++ b/tests/request/test_expected_time.py
@@ -63,13 +63,16 @@
                 load = OwnerLoad(0, 0, SLOTS, round(each * 1_000_000))
                 self.admission.note_load(node, load, "read", 0.0)
 
-    def chosen(self, crossing: float = CROSSING, now: float = 0.0) -> str:
+    def chosen(
+        self, crossing: float = CROSSING, now: float = 0.0, prefers_far: bool = False
+    ) -> str:
         ticket = Ticket(
             next(self._numbers),
             "normal",
             now + 10.0,
             route="read",
             crossing_seconds=crossing,
+            prefers_far=prefers_far,
         )
         decision = self.admission.offer(ticket, now)
         assert isinstance(decision, Dispatch)
@@ -133,3 +136,10 @@
     assert desk.admission.has_besides(asked, 1.5)
     state.in_flight = state.limit
     assert not desk.admission.has_besides(asked, 1.5)
+
+
+def test_a_call_that_found_its_zone_full_asks_another_zone() -> None:
+    desk = Desk(near="a", far="b")
+    assert desk.chosen() == "near"
+    assert desk.chosen(prefers_far=True) == "far"
+    assert Desk(near="a", other="a").chosen(prefers_far=True) in {"near", "other"}
--- a/tests/request/test_next_attempt.py
+++ b/tests/request/test_next_attempt.py
@@ -113,3 +113,9 @@
     progress, failed, given, wanted = CASES[name]
     assert isinstance(failed, Failed)
     assert next_step(progress, failed, given) == wanted
+
+
+def test_the_last_one_to_be_asked_for_a_slot_is_of_another_zone() -> None:
+    asked = [CallProgress(tries=tries).tries_another_zone for tries in range(MAX_SEEKS + 1)]
+    assert asked == [tries == MAX_SEEKS - 1 for tries in range(MAX_SEEKS + 1)]
+    assert not CallProgress(tries=MAX_SEEKS - 1, may_wait=True).tries_another_zone
