How long nodes waited for each version, and for what, by a command

Cause: lines told when a version was acknowledged, reached a relay and was used by a node, but nothing put them together, so a relay that is behind, a node without a relay and a slow way could not be told apart. Change: peppershore logs versions FILE... gives p50, p99 and the last wait of each version and the waits beyond a bound with their parts.

--- a/src/peppershore/command/logs_command.py
+++ b/src/peppershore/command/logs_command.py
@@ -11,6 +11,7 @@
 from peppershore.command.log_files import LogFiles, LogLine, read_logs
 from peppershore.command.lost_calls import CALL_EVENT, lost_calls
 from peppershore.command.output import show_json, show_table
+from peppershore.command.version_times import NodeWait, VersionWaits, version_times
 
 CALL_HEADER = ("calls", "service", "route", "outcome", "reason", "an example")
 CAUSE_HEADER = ("calls", "cause", "target", "reason", "an example")
@@ -19,6 +20,23 @@
 SHOWN_NODES = 20
 """Nodes with most failed calls that people are shown; --json has all."""
 
+VERSION_HEADER = ("version", "nodes", "p50 ms", "p99 ms", "last ms", "last node", "cause")
+LATE_HEADER = (
+    "version",
+    "node",
+    "relay",
+    "ms",
+    "used",
+    "relay behind ms",
+    "without relay ms",
+    "on the way ms",
+)
+SHOWN_LATE = 40
+"""Late waits that people are shown, the longest first; --json has all."""
+
+DEFAULT_BOUND_MILLISECONDS = 2_000
+"""Later than this counts as late: a deployment's own bound goes under --bound."""
+
 EVENT_HEADER = ("lines", "level", "event", "processes")
 MILLISECONDS = 1_000
 
@@ -89,6 +107,48 @@
     show_table(NODE_HEADER, found.by_node[:SHOWN_NODES])
 
 
+@logs.command()
+@click.argument("files", nargs=-1, required=True, type=click.File("r", errors="replace"))
+@click.option(
+    "--bound",
+    type=click.IntRange(min=1),
+    default=DEFAULT_BOUND_MILLISECONDS,
+    show_default=True,
+    help="Milliseconds after which a node's wait counts as late.",
+)
+@click.option("--json", "as_json", is_flag=True, help="One JSON object as output.")
+def versions(files: tuple[TextIO, ...], bound: int, as_json: bool) -> None:
+    """Tell how long nodes waited for each version, and for what.
+
+    FILES are those of all hubs (or replicas and relays) and nodes of a time.
+    """
+    found = version_times(read_logs(files).lines, bound)
+    if as_json:
+        show_json({"versions": found})
+        return
+    late = [(each.version, wait) for each in found for wait in each.late]
+    late.sort(key=lambda row: row[1].milliseconds, reverse=True)
+    click.echo(f"{len(found)} versions, {len(late)} waits beyond {bound} ms")
+    show_table(VERSION_HEADER, [_version_row(each) for each in found])
+    show_table(LATE_HEADER, [_late_row(*each) for each in late[:SHOWN_LATE]])
+
+
+def _version_row(waits: VersionWaits) -> tuple[object, ...]:
+    return (
+        waits.version,
+        waits.nodes,
+        waits.half_milliseconds,
+        waits.nearly_all_milliseconds,
+        waits.last.milliseconds,
+        waits.last.node,
+        waits.last.cause,
+    )
+
+
+def _late_row(version: int, wait: NodeWait) -> tuple[object, ...]:
+    return (version, *msgspec.structs.astuple(wait))
+
+
 def summarize(files: LogFiles) -> Summary:
     """Count the lines by what they tell."""
     times = [line.time for line in files.lines] or [0]
--- a/tests/command/test_log_commands.py
+++ b/tests/command/test_log_commands.py
@@ -13,8 +13,11 @@
 from peppershore.command.exit_codes import ExitCode
 from peppershore.command.main import main
 from peppershore.process.commands import Notice
+from peppershore.process.control.notices import EditAccepted, ReleaseJudged
 from peppershore.process.logging import JsonLineFormatter, LogIdentity, event_name
 from peppershore.process.node.data.call_story import CallStep, CallStory, ServedStory
+from peppershore.process.node.notices import RelayChosen, RelayLeft, VersionApplied
+from peppershore.process.relay.notices import TreeAdvanced
 
 STORY = CallStory(
     request_id="r-17",
@@ -157,3 +160,80 @@
     assert found["by_node"][0][0] == "k1"
     table = CliRunner().invoke(main, ["logs", "causes", str(file)])
     assert "6 calls failed" in table.output
+
+
+def line(role: str, process: str, notice: Notice, at_milliseconds: int) -> str:
+    record = logging.LogRecord("x", logging.INFO, "", 0, "", (), None)
+    record.msg = event_name(type(notice))
+    record.created = 1_000 + at_milliseconds / 1_000
+    record.peppershore_fields = notice
+    return JsonLineFormatter(LogIdentity(role, process)).format(record)
+
+
+def judged(release: int, outcome: str) -> ReleaseJudged:
+    return ReleaseJudged("h1", release, release - 1, f"c{release}", outcome, "", 4)
+
+
+VERSION_LINES = [
+    line("node", "quick", VersionApplied(1, 5), 10),
+    line("node", "behind", VersionApplied(1, 5), 10),
+    line("node", "moving", VersionApplied(1, 5), 10),
+    line("node", "silent", VersionApplied(1, 5), 10),
+    line("node", "killed", VersionApplied(1, 5), 10),
+    line("node", "quick", RelayChosen("10.0.0.1:77"), 20),
+    line("node", "behind", RelayChosen("10.0.0.2:77"), 20),
+    line("node", "moving", RelayChosen("10.0.0.2:77"), 20),
+    line("node", "silent", RelayChosen("10.0.0.1:77"), 20),
+    line("node", "killed", RelayChosen("10.0.0.1:77"), 20),
+    line("hub", "10.0.0.1", EditAccepted(2, "c2", "", "10.0.0.1"), 100),
+    line("hub", "10.0.0.1", TreeAdvanced(2, 1, 1), 101),
+    line("node", "quick", VersionApplied(2, 5), 103),
+    line("node", "moving", RelayLeft("10.0.0.2:77", "silent"), 150),
+    line("hub", "10.0.0.3", judged(2, "undecided"), 105),
+    line("hub", "10.0.0.3", judged(2, "taken"), 110),
+    line("node", "killed", RelayLeft("10.0.0.1:77", "moved"), 200),
+    line("node", "moving", RelayChosen("10.0.0.1:77"), 1_100),
+    line("node", "moving", VersionApplied(2, 5), 1_120),
+    line("hub", "10.0.0.2", TreeAdvanced(2, 1, 1), 3_000),
+    line("node", "behind", VersionApplied(2, 5), 3_010),
+    line("node", "silent", RelayLeft("10.0.0.1:77", "silent"), 4_110),
+]
+
+
+def test_versions_tell_how_long_nodes_waited_and_for_what(tmp_path: Path) -> None:
+    log = tmp_path / "all.log"
+    log.write_text("\n".join(VERSION_LINES) + "\n")
+    shown = CliRunner().invoke(main, ["logs", "versions", str(log), "--json"])
+    (version,) = json.loads(shown.output)["versions"]
+    assert version["version"] == 2
+    assert version["acknowledged_at"] == 1_000_110
+    assert version["nodes"] == 4, "a node that was gone before the bound does not count"
+    assert version["half_milliseconds"] == 2_900
+    assert version["last"]["node"] == "silent"
+    late = {wait["node"]: wait for wait in version["late"]}
+    assert set(late) == {"behind", "silent"}
+    assert late["behind"]["relay_behind"] == 2_890
+    assert late["behind"]["on_the_way"] == 10
+    assert late["silent"]["used"] is False
+    assert late["silent"]["milliseconds"] == 4_000
+
+
+def test_versions_name_the_time_without_a_relay(tmp_path: Path) -> None:
+    log = tmp_path / "all.log"
+    log.write_text("\n".join(VERSION_LINES) + "\n")
+    shown = CliRunner().invoke(
+        main, ["logs", "versions", str(log), "--bound", "500", "--json"]
+    )
+    (version,) = json.loads(shown.output)["versions"]
+    moving = next(wait for wait in version["late"] if wait["node"] == "moving")
+    assert moving["milliseconds"] == 1_010
+    assert moving["without_relay"] == 950
+    assert moving["on_the_way"] == 60, "its relay had the version before its operator knew"
+
+
+def test_versions_are_shown_as_tables(tmp_path: Path) -> None:
+    log = tmp_path / "all.log"
+    log.write_text("\n".join(VERSION_LINES) + "\n")
+    shown = CliRunner().invoke(main, ["logs", "versions", str(log)])
+    assert "1 versions, 2 waits beyond 2000 ms" in shown.output
+    assert "relay behind" in shown.output
