Links and kept connections end when their other end falls silent

Cause: replicas, relays and pools had no sign of life on their connections; a replica sent its entries into a dead link for as long as it ran. Change: unacknowledged bytes for 2 s end a link; probes each second, two unanswered, end a link or a connection to a back end at rest. Back ends get no bound on unacknowledged bytes: one that reads slowly is no silence. Ruled out: a ping of our own on each link (messages and state for what the system does); the bound on back ends too (a body read slowly would be cut after it).

--- a/src/peppershore/connection/http_client.py
+++ b/src/peppershore/connection/http_client.py
@@ -28,6 +28,7 @@
     end_to_end_headers,
     received_headers,
 )
+from peppershore.connection.silence import probe_at_rest
 
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 STATUS_NO_CONTENT = 204
@@ -93,6 +94,7 @@
         raw = transport.get_extra_info("socket")
         if raw is not None:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            probe_at_rest(raw)
             self._poll = select.poll()
             self._poll.register(raw.fileno(), select.POLLIN)
 
--- a/src/peppershore/connection/link.py
+++ b/src/peppershore/connection/link.py
@@ -17,6 +17,7 @@
 from peppershore.connection.codec import decode_message
 from peppershore.connection.framing import HEADER_BYTES, FrameReader
 from peppershore.connection.messages.base import Message
+from peppershore.connection.silence import end_when_silent
 from peppershore.connection.tls_admission import TlsAdmission
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -58,6 +59,7 @@
         raw = transport.get_extra_info("socket")
         if raw is not None:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            end_when_silent(raw)
         self._on_open(self)
 
     def data_received(self, data: bytes) -> None:
