--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,9 @@
 JOBS ?= auto
 SEEDS ?= 200
 FIRST ?= 1
+SEED ?= 1
+SECONDS ?= 20
+NODES ?= 4
 KNOWN_RED := $(if $(CI),--known-red=KNOWN-RED.txt)
 
 export PYTHONHASHSEED ?= 0
@@ -16,7 +19,7 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --editable .
 	touch $(STAMP)
 
-.PHONY: install demo check test model-check fuzz simulate scale slopes capacity lock
+.PHONY: install demo check test model-check fuzz simulate soak scale slopes capacity lock
 
 install: $(STAMP)
 
@@ -46,6 +49,11 @@
 simulate: $(STAMP)
 	$(BIN)/python -m peppershore_lab.simulator --seeds $(SEEDS) --first $(FIRST)
 
+# Real hubs and nodes under load and faults: make soak SEED=1 SEEDS=50 SECONDS=20 NODES=4
+soak: $(STAMP)
+	$(BIN)/peppershore-lab soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS) \
+		--nodes $(NODES) --keep soak-found
+
 # The scale run: real replicas and relays, hollow nodes (minutes, 12 cores).
 scale: $(STAMP)
 	$(BIN)/python -m benchmarks.scale_run --output results/scale_run.json
--- a/src/peppershore_lab/calls/client.py
+++ b/src/peppershore_lab/calls/client.py
@@ -81,7 +81,9 @@
         self._protocol = h11.Connection(h11.CLIENT)
 
     def _encoded(self, request: ClientRequest) -> bytes:
-        headers = [("host", self.address), *request.headers]
+        names = {name for name, _ in request.headers}
+        headers = [] if "host" in names else [("host", self.address)]
+        headers += request.headers
         if request.body:
             headers.append(("content-length", str(len(request.body))))
         head = h11.Request(method=request.method, target=request.path, headers=headers)
--- a/src/peppershore_lab/main.py
+++ b/src/peppershore_lab/main.py
@@ -20,6 +20,7 @@
 from peppershore_lab.links.emulator import run_emulator
 from peppershore_lab.links.model import EmulatorSettings
 from peppershore_lab.run import run_to_end
+from peppershore_lab.soak.command import soak
 from peppershore_lab.standin.backend import Backend, BackendIdentity, run_backend
 from peppershore_lab.standin.behaviour import Behaviour
 
@@ -95,7 +96,7 @@
     sys.exit(0 if result.clean else 1)
 
 
-for _command in (run, report, compare):
+for _command in (run, report, compare, soak):
     main.add_command(_command)
 
 
--- /dev/null
+++ b/src/peppershore_lab/soak/back_end.py
@@ -0,0 +1,128 @@
+"""A back end beside a node: reports itself, runs requests, and notes each run."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from random import Random
+
+import msgspec
+
+from peppershore_lab.calls.client import (
+    CallBroken,
+    ClientAnswer,
+    ClientConnection,
+    ClientRequest,
+)
+from peppershore_lab.http_server import HttpAnswer, HttpRequest, start_server
+from peppershore_lab.soak import settings
+from peppershore_lab.soak.observations import (
+    STATUS_OK,
+    LeavingAcknowledged,
+    Record,
+    RunBegan,
+)
+
+SLOTS = 8
+HEARTBEAT_SECONDS = 0.3
+REPORT_SECONDS = 1.0
+MISDIRECTED = 421
+SHORTEST_WORK_SECONDS, LONGEST_WORK_SECONDS = 0.002, 0.3
+READY, DRAINING = "ready", "draining"
+
+
+class SoakBackEnd:
+    """One back end, and its reports to the node beside it."""
+
+    def __init__(
+        self, node: str, host: str, service: str, record: Record, seed: int
+    ) -> None:
+        """Nothing happens before ``start``."""
+        self._node = node
+        self._host = host
+        self._service = service
+        self._record = record
+        self._random = Random(seed)
+        self._instance = f"{node}-1"
+        self._lives = 1
+        self._state = READY
+        self._sequence = 0
+        self._reports = ClientConnection(f"{host}:{settings.BACK_END_PORT}")
+        self._reporting = asyncio.Lock()
+        self._server: asyncio.Server | None = None
+        self._beats: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen, and report from now on."""
+        self._server, _ = await start_server(
+            self._host, settings.APPLICATION_PORT, self._answer
+        )
+        self._beats = asyncio.create_task(self._beat())
+
+    async def stop(self) -> None:
+        """Report no more and listen no more."""
+        if self._beats is not None:
+            self._beats.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._beats
+        if self._server is not None:
+            self._server.close()
+        self._reports.close()
+
+    async def leave_for(self, seconds: float) -> None:
+        """Say that it leaves; come back as another life after a while."""
+        self._state = DRAINING
+        acknowledged_at = None
+        if await self._report():
+            acknowledged_at = time.monotonic()
+        await asyncio.sleep(seconds)
+        if acknowledged_at is not None:
+            left = LeavingAcknowledged(self._node, acknowledged_at, time.monotonic())
+            self._record.leavings.append(left)
+        self._lives += 1
+        self._instance = f"{self._node}-{self._lives}"
+        self._state = READY
+
+    async def _beat(self) -> None:
+        while True:
+            await self._report()
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def _report(self) -> bool:
+        """Send one heartbeat; tell whether it was acknowledged."""
+        async with self._reporting:
+            self._sequence += 1
+            body = {
+                "service": self._service,
+                "address": f"{self._host}:{settings.APPLICATION_PORT}",
+                "slots": SLOTS,
+                "warming_milliseconds": 0,
+                "state": self._state,
+                "sequence": self._sequence,
+            }
+            path = f"/back-ends/{self._instance}/heartbeat"
+            request = ClientRequest("POST", path, (), msgspec.json.encode(body))
+            try:
+                async with asyncio.timeout(REPORT_SECONDS):
+                    answer: ClientAnswer | CallBroken = await self._reports.call(request)
+            except TimeoutError:
+                return False
+            return isinstance(answer, ClientAnswer) and answer.status == STATUS_OK
+
+    async def _answer(self, request: HttpRequest) -> HttpAnswer:
+        name = request.headers.get(settings.REQUEST_ID, "")
+        expected = request.headers.get(settings.EXPECTED_INSTANCE, self._instance)
+        own = ((settings.REQUEST_ID, name),)
+        if expected != self._instance:
+            return HttpAnswer(MISDIRECTED, b"", (*own, (settings.NOT_RUN, "1")))
+        self._record.runs.append(RunBegan(name, self._node, time.monotonic()))
+        work = self._random.uniform(SHORTEST_WORK_SECONDS, LONGEST_WORK_SECONDS)
+        await asyncio.sleep(work * self._random.random())
+        signed = (*own, (settings.SIGNATURE, self._instance))
+        return HttpAnswer(STATUS_OK, answer_body(name, len(request.body)), signed)
+
+
+def answer_body(request: str, body_bytes: int) -> bytes:
+    """Give the body that answers a request: it names it, and is long enough to tear."""
+    return f"{request}:{body_bytes};".encode() * 40
--- /dev/null
+++ b/src/peppershore_lab/soak/configurations.py
@@ -0,0 +1,74 @@
+"""The configurations that a soak's operators send, and their digests."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import msgspec
+import xxhash
+
+HOST = "soak.example"
+SERVICES = ("kassa", "kuitti")
+ONCE_PREFIX, READ_PREFIX = "/once/", "/read/"
+ROUTE_MILLISECONDS = 2_000
+TARGET_MILLISECONDS = 500
+ATTEMPTS = 3
+OTHER_ROUTES = 200
+"""Routes that nobody asks for: a version has some size."""
+
+Configuration = dict[str, Any]
+
+
+def marker_prefix(version: int) -> str:
+    """Give the prefix of the route that only this version has."""
+    return f"/v{version}/"
+
+
+def configuration(version: int, base: int, author: str) -> Configuration:
+    """Give a valid configuration; ``author`` makes it differ from one of equal number."""
+    routes = {
+        "once": _route(ONCE_PREFIX, "once"),
+        "read": _route(READ_PREFIX, "repeatable"),
+        f"marker-{version}": _route(marker_prefix(version), "repeatable"),
+        f"by-{author}": _route(f"/by-{author}/", "repeatable"),
+    }
+    for number in range(OTHER_ROUTES):
+        routes[f"other-{number}"] = _route(f"/other-{number}/", "repeatable")
+    services: dict[str, Any] = {service: {} for service in SERVICES}
+    return {"version": version, "base": base, "routes": routes, "services": services}
+
+
+def spoiled(whole: Configuration, random: Random) -> Configuration:
+    """Make a configuration invalid in one of the ways that operators err."""
+    route = dict(whole["routes"]["read"])
+    route.update(
+        random.choice(
+            (
+                {"service": "nobody"},
+                {"timeout_milliseconds": 0},
+                {"attempts": 0},
+                {"host": ""},
+            )
+        )
+    )
+    return {**whole, "routes": {**whole["routes"], "read": route}}
+
+
+def content_digest(whole: Configuration) -> str:
+    """Name a configuration by its number and the routes it has."""
+    routes = whole["routes"]
+    content = msgspec.json.encode((whole["version"], sorted(routes)))
+    return xxhash.xxh3_64_hexdigest(content)
+
+
+def _route(prefix: str, runs: str) -> dict[str, Any]:
+    return {
+        "host": HOST,
+        "path_prefix": prefix,
+        "runs": runs,
+        "timeout_milliseconds": ROUTE_MILLISECONDS,
+        "attempts": ATTEMPTS,
+        "target_latency_milliseconds": TARGET_MILLISECONDS,
+        "service": SERVICES[0],
+    }
--- /dev/null
+++ b/src/peppershore_lab/soak/runner.py
@@ -0,0 +1,207 @@
+"""Runs one soak: start, load and faults, calm, and the verdict."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import time
+from pathlib import Path
+
+import msgspec
+
+from peppershore_lab.calls.client import ClientAnswer, ClientConnection, ClientRequest
+from peppershore_lab.soak import settings
+from peppershore_lab.soak.back_end import SoakBackEnd
+from peppershore_lab.soak.callers import Callers
+from peppershore_lab.soak.checks import Violation, find_violations
+from peppershore_lab.soak.configurations import SERVICES
+from peppershore_lab.soak.faults import draw_faults
+from peppershore_lab.soak.injector import Injector
+from peppershore_lab.soak.machines import Machine, Site
+from peppershore_lab.soak.observations import STATUS_OK, Record
+from peppershore_lab.soak.operators import Operators
+
+START_SECONDS = 60.0
+CALM_SECONDS = 60.0
+"""After the faults everything has so long to be back, on a machine however loaded."""
+
+POLL_SECONDS = 0.1
+HANG_UP_SECONDS = 0.2
+"""Back ends see the connections of ended nodes close within this time."""
+
+READY_PATH = "/readyz"
+
+
+class SoakPlan(msgspec.Struct, frozen=True):
+    """What a soak does; ``connections`` are those of callers at each node."""
+
+    seed: int
+    seconds: float = 20.0
+    hubs: int = 3
+    nodes: int = 4
+    connections: int = 4
+
+
+class SoakResult(msgspec.Struct, frozen=True):
+    """The verdict of a soak, with how much was seen; ``kinds`` counts faults."""
+
+    seed: int
+    seconds: float
+    requests: int
+    answered: int
+    refused: int
+    broken: int
+    runs: int
+    changes: int
+    acknowledged: int
+    reads: int
+    probes: int
+    kinds: dict[str, int]
+    violations: tuple[Violation, ...]
+
+    @property
+    def clean(self) -> bool:
+        """Whether every promise held."""
+        return not self.violations
+
+
+class Soak:
+    """One soak in a folder of its own, which keeps the logs."""
+
+    def __init__(self, plan: SoakPlan, folder: Path) -> None:
+        """Nothing starts before ``run``."""
+        self._plan = plan
+        self._record = Record()
+        self._site = Site(folder, plan.hubs, plan.nodes, plan.seed)
+        self._operators = Operators(self._site, self._record, plan.seed)
+        numbers = itertools.count(1)
+        self._callers = {
+            node.name: Callers(node, self._record, plan.seed + place, numbers)
+            for place, node in enumerate(self._site.nodes)
+        }
+        self._back_ends: dict[str, SoakBackEnd] = {}
+
+    async def run(self) -> SoakResult:
+        """Run to the end; whatever happens, no process stays."""
+        try:
+            await self._start()
+            await self._play()
+            await self._calm_down()
+        finally:
+            self._site.stop()
+            await asyncio.sleep(HANG_UP_SECONDS)
+            for back_end in self._back_ends.values():
+                await back_end.stop()
+        for machine in self._site.machines:
+            machine.note_broken_invariants(self._record)
+        return self._result()
+
+    async def _start(self) -> None:
+        for place, node in enumerate(self._site.nodes):
+            node.service = SERVICES[place % len(SERVICES)] if place else SERVICES[0]
+        self._site.start()
+        for place, node in enumerate(self._site.nodes):
+            seed = self._plan.seed + place
+            back_end = SoakBackEnd(node.name, node.host, node.service, self._record, seed)
+            await back_end.start()
+            self._back_ends[node.name] = back_end
+        async with asyncio.timeout(START_SECONDS):
+            await self._operators.send_first()
+            for node in self._site.nodes:
+                await self._until_served(node)
+
+    async def _play(self) -> None:
+        """Load and faults; the load goes on until the last fault is over."""
+        faults = draw_faults(
+            self._plan.seed,
+            self._plan.seconds,
+            tuple(hub.name for hub in self._site.hubs),
+            tuple(node.name for node in self._site.nodes),
+        )
+        work = [
+            asyncio.create_task(self._operators.run()),
+            asyncio.create_task(self._watch_processes()),
+            *(
+                asyncio.create_task(
+                    callers.run(self._plan.connections, lambda: self._operators.newest)
+                )
+                for callers in self._callers.values()
+            ),
+        ]
+        try:
+            await Injector(self._site, self._back_ends, self._record).run(faults)
+        finally:
+            for task in work:
+                task.cancel()
+            for task in work:
+                with contextlib.suppress(asyncio.CancelledError):
+                    await task
+
+    async def _calm_down(self) -> None:
+        """Everything must come back, with the last change in force at every node."""
+        waiting = {machine.name: machine for machine in self._site.machines}
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CALM_SECONDS):
+                await self._operators.settle()
+                for hub in self._site.hubs:
+                    await self._until_read(hub)
+                    del waiting[hub.name]
+                for node in self._site.nodes:
+                    await self._until_served(node)
+                    await self._until_ready(node)
+                    del waiting[node.name]
+        self._record.unready.extend(waiting)
+
+    async def _until_read(self, hub: Machine) -> None:
+        while await self._operators.read(hub) < self._operators.newest:  # noqa: ASYNC110
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _until_served(self, node: Machine) -> None:
+        callers = self._callers[node.name]
+        while await callers.probe(self._operators.newest) != STATUS_OK:  # noqa: ASYNC110
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _until_ready(self, node: Machine) -> None:
+        address = f"{node.host}:{settings.READY_PORT}"
+        while True:
+            connection = ClientConnection(address)
+            answer = await connection.call(ClientRequest("GET", READY_PATH, ()))
+            connection.close()
+            if isinstance(answer, ClientAnswer) and answer.status == STATUS_OK:
+                return
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _watch_processes(self) -> None:
+        while True:
+            for machine in self._site.machines:
+                machine.note_end(self._record)
+            await asyncio.sleep(POLL_SECONDS)
+
+    def _result(self) -> SoakResult:
+        record = self._record
+        kinds: dict[str, int] = {}
+        for each in record.disturbances:
+            kinds[each.kind] = kinds.get(each.kind, 0) + 1
+        return SoakResult(
+            seed=self._plan.seed,
+            seconds=self._plan.seconds,
+            requests=len(record.requests),
+            answered=sum(each.status == STATUS_OK for each in record.requests),
+            refused=sum(each.status > STATUS_OK for each in record.requests),
+            broken=sum(each.status == 0 for each in record.requests),
+            runs=len(record.runs),
+            changes=len(record.changes),
+            acknowledged=sum(each.status == STATUS_OK for each in record.changes),
+            reads=len(record.reads),
+            probes=len(record.probes),
+            kinds=kinds,
+            violations=find_violations(record),
+        )
+
+
+async def run_soak(plan: SoakPlan, folder: Path) -> tuple[SoakResult, float]:
+    """Run one soak with its logs in ``folder``; give the verdict and the seconds taken."""
+    begun = time.monotonic()
+    result = await Soak(plan, folder).run()
+    return result, time.monotonic() - begun
--- /dev/null
+++ b/src/peppershore_lab/soak/settings.py
@@ -0,0 +1,80 @@
+"""The settings files of a soak's hubs and nodes, in the product's own words."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+ZONE = "pasila"
+REPLICA_PORT, RELAY_PORT, OPERATOR_PORT = 8_400, 8_401, 8_402
+CALLER_PORT, INTERNAL_PORT, READY_PORT, BACK_END_PORT = 8_000, 8_403, 8_001, 8_002
+APPLICATION_PORT = 9_000
+TOLERATED_LOSSES = 1
+
+REQUEST_ID = "x-soak-request"
+DEADLINE = "x-soak-deadline-milliseconds"
+SIGNATURE = "x-soak-signature"
+EXPECTED_INSTANCE = "x-soak-expected-instance"
+NOT_RUN = "x-soak-not-run"
+STOP_GRACE_SECONDS = 6.0
+
+
+def hub_settings(host: str, folder: str, seeds: Sequence[str], first_start: bool) -> str:
+    """Give the file of a hub; ``seeds`` are hosts of hubs."""
+    return f"""\
+cluster = "soak"
+host = "{host}"
+zone = "{ZONE}"
+replica_port = {REPLICA_PORT}
+relay_port = {RELAY_PORT}
+api_listen = "{host}:{OPERATOR_PORT}"
+data_folder = "{folder}"
+seeds = {_addresses(seeds)}
+first_start = {str(first_start).lower()}
+tolerated_losses = {TOLERATED_LOSSES}
+heartbeat_milliseconds = 100
+election_milliseconds = 500
+log_to = "standard-output"
+"""
+
+
+def node_settings(node: str, host: str, service: str, seeds: Sequence[str]) -> str:
+    """Give the file of a node beside a back end that reports itself."""
+    return f"""\
+cluster = "soak"
+node = "{node}"
+service = "{service}"
+zone = "{ZONE}"
+listen = "{host}:{CALLER_PORT}"
+internal_listen = "{host}:{INTERNAL_PORT}"
+admin_listen = "{host}:{READY_PORT}"
+back_end_listen = "{host}:{BACK_END_PORT}"
+backend = "{host}:{APPLICATION_PORT}"
+relays = []
+seeds = {_addresses(seeds)}
+relay_port = {RELAY_PORT}
+stop_grace_seconds = {STOP_GRACE_SECONDS}
+rebalance_milliseconds = 3000
+reconnect_milliseconds = 250
+silence_milliseconds = 1600
+stale_milliseconds = 2000
+seek_free_slots = true
+log_to = "standard-output"
+
+[headers]
+request_id = "{REQUEST_ID}"
+deadline = "{DEADLINE}"
+signature = "{SIGNATURE}"
+expected_instance = "{EXPECTED_INSTANCE}"
+not_run = "{NOT_RUN}"
+answers_carry_id = true
+fractional_retry_after = true
+
+[shared_retries]
+ratio = 0.2
+window_seconds = 10.0
+slack = 60
+"""
+
+
+def _addresses(hosts: Sequence[str]) -> str:
+    return "[" + ", ".join(f'"{host}:{REPLICA_PORT}"' for host in hosts) + "]"
--- /dev/null
+++ b/tests/soak/test_soak_checks.py
@@ -0,0 +1,136 @@
+"""Every check of the soak bites: a record that breaks one promise is found by it alone."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from peppershore_lab.soak.checks import find_violations
+from peppershore_lab.soak.observations import (
+    ChangeAnswered,
+    ConfigurationRead,
+    Disturbance,
+    LeavingAcknowledged,
+    MarkerProbed,
+    ProcessEnded,
+    Record,
+    RequestEnded,
+    RunBegan,
+)
+
+ANSWERED = RequestEnded(
+    request="s-1",
+    node="node-1",
+    once=True,
+    sent_at=10.0,
+    ended_at=10.2,
+    status=200,
+    whole=True,
+    sent=False,
+)
+REFUSED = msgspec.structs.replace(ANSWERED, status=503, whole=False)
+CUT = msgspec.structs.replace(ANSWERED, status=0, whole=False, sent=True, ended_at=11.0)
+RUN = RunBegan("s-1", "node-2", 10.1)
+TAKEN = ChangeAnswered(version=3, base=1, digest="d3", valid=True, at=20.0, status=200)
+READ = ConfigurationRead(version=3, digest="d3", asked_at=21.0)
+SERVED = MarkerProbed("node-1", 1, version=3, sent_at=22.0, ended_at=22.1, status=200)
+STOP = Disturbance("stop", "node-1", 9.0, 12.0, planned=True)
+KILL = Disturbance("kill", "hub-2", 5.0, 8.0, planned=False)
+
+
+def clean() -> Record:
+    """Give a record of everything once, as it should be."""
+    return Record(
+        requests=[ANSWERED], runs=[RUN], changes=[TAKEN], reads=[READ], probes=[SERVED]
+    )
+
+
+def changed(**lists: list[object]) -> Record:
+    return msgspec.structs.replace(clean(), **lists)
+
+
+BROKEN = {
+    "whole-answers": changed(
+        requests=[msgspec.structs.replace(ANSWERED, whole=False)],
+    ),
+    "at-most-once": changed(runs=[RUN, msgspec.structs.replace(RUN, node="node-3")]),
+    "not-run-is-true": changed(requests=[REFUSED]),
+    "planned-stop": changed(requests=[CUT], disturbances=[STOP]),
+    "leaving-back-end": changed(
+        runs=[msgspec.structs.replace(RUN, at=34.0)],
+        leavings=[LeavingAcknowledged("node-2", at=30.0, until=35.0)],
+    ),
+    "invalid-taken": changed(changes=[msgspec.structs.replace(TAKEN, valid=False)]),
+    "one-winner": changed(
+        changes=[TAKEN, msgspec.structs.replace(TAKEN, digest="other")],
+    ),
+    "acknowledged-refused": changed(
+        changes=[TAKEN, msgspec.structs.replace(TAKEN, at=20.5, status=412)],
+    ),
+    "older-read": changed(
+        changes=[msgspec.structs.replace(TAKEN, version=1, base=0, digest="d1"), TAKEN],
+        reads=[ConfigurationRead(version=1, digest="d1", asked_at=21.0)],
+    ),
+    "other-read": changed(reads=[msgspec.structs.replace(READ, digest="else")]),
+    "node-went-back": changed(
+        probes=[
+            SERVED,
+            MarkerProbed("node-1", 1, 2, sent_at=22.2, ended_at=22.3, status=200),
+            SERVED,
+        ]
+    ),
+    "not-back": changed(unready=["node-1"]),
+    "not-in-force": changed(probes=[msgspec.structs.replace(SERVED, status=404)]),
+    "process-ended": changed(ends=[ProcessEnded("hub-1", "exit status 1", 3.0)]),
+}
+
+
+def test_a_record_as_it_should_be_breaks_nothing() -> None:
+    assert find_violations(clean()) == ()
+
+
+@pytest.mark.parametrize("promise", BROKEN)
+def test_a_broken_promise_is_found(promise: str) -> None:
+    assert {each.promise for each in find_violations(BROKEN[promise])} == {promise}
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        pytest.param(
+            changed(
+                requests=[CUT],
+                disturbances=[STOP, msgspec.structs.replace(KILL, ended_at=9.0)],
+            ),
+            id="a-kill-elsewhere-may-have-cut-it",
+        ),
+        pytest.param(
+            changed(
+                requests=[msgspec.structs.replace(CUT, ended_at=10.1)],
+                runs=[],
+                disturbances=[STOP],
+            ),
+            id="it-crossed-the-close",
+        ),
+        pytest.param(changed(requests=[CUT], disturbances=[KILL]), id="no-stop"),
+        pytest.param(
+            changed(
+                probes=[
+                    SERVED,
+                    MarkerProbed("node-1", 2, 2, sent_at=23.0, ended_at=23.1, status=200),
+                    msgspec.structs.replace(SERVED, life=2, sent_at=24.0, ended_at=24.1),
+                ]
+            ),
+            id="another-life",
+        ),
+        pytest.param(
+            changed(
+                runs=[msgspec.structs.replace(RUN, at=31.0)],
+                leavings=[LeavingAcknowledged("node-2", at=30.0, until=35.0)],
+            ),
+            id="on-its-way-to-a-leaving-back-end",
+        ),
+    ],
+)
+def test_what_is_excused_breaks_nothing(record: Record) -> None:
+    assert find_violations(record) == ()
