--- a/src/peppershore_lab/soak/operators.py
+++ b/src/peppershore_lab/soak/operators.py
@@ -33,6 +33,9 @@
 RACE_SHARE, SPOILED_SHARE, REPEAT_SHARE = 0.15, 0.1, 0.1
 LONGEST_STEP = 4
 PATH = "/configuration"
+NO_ANSWER = 0
+"""Also noted before the first send: what is on its way when the load ends may be taken."""
+
 CLEAR = frozenset({STATUS_OK, 400, 409, 412, 413, 422})
 
 
@@ -117,10 +120,11 @@
 
     async def _send_until_clear(self, whole: Configuration, *, valid: bool) -> int:
         body = msgspec.json.encode(whole)
+        self._note(whole, valid, NO_ANSWER)
         while True:
             hub = self._random.choice(self._site.hubs)
             answer = await _send(hub, "PUT", body)
-            status = 0 if answer is None else answer.status
+            status = NO_ANSWER if answer is None else answer.status
             self._note(whole, valid, status)
             if status in CLEAR:
                 return status
