A narrow link takes in as few bodies of other nodes as of its own callers

Cause: the owner's bound on large bodies at a time read a field of the request that a call from another node did not carry over, so only the node's own callers were bounded; nearly all bodies come over other nodes. Ruled out: the window a body is given (it is the link's 0.03 s for both). Measured: with two stalled bodies of another node a third is begun before (the test fails), waits now.

--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -234,6 +234,11 @@
         """An attempt waits for room no more."""
         self._awaiting_transfer.pop(attempt, None)
 
+    @property
+    def awaiting_transfer(self) -> tuple[OwnAttempt, ...]:
+        """The attempts that wait for room on the link, the oldest first."""
+        return tuple(self._awaiting_transfer)
+
     def transfer_ended(self) -> None:
         """A large body is in or given up: the next one may come."""
         self.transfers.end()
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -287,6 +287,7 @@
         start_by=math.inf if patience < 0 else now + patience / MILLISECONDS,
         is_client_retry=started.is_client_retry,
         route=started.route,
+        body_on_credit=started.body_on_credit,
     )
 
 
--- a/tests/data_plane/test_streamed_bodies.py
+++ b/tests/data_plane/test_streamed_bodies.py
@@ -257,6 +257,35 @@
     run(scene())
 
 
+def test_a_narrow_link_takes_two_bodies_of_other_nodes_too() -> None:
+    """Nearly all bodies come over other nodes; only the node's own callers were bounded."""
+
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        owner = Node("k1", await backend.start(), link_megabits=NARROW_MEGABITS)
+        await owner.start(route=STREAMED)
+        edge = Node()
+        address = await edge.start(
+            endpoint(backend.address, "k1", owner.addresses.internal), route=STREAMED
+        )
+        own = owner.plane.calls.own
+        assert own is not None
+        callers = [await _half_a_body(address) for _ in range(3)]
+        await until(lambda: len(own.awaiting_transfer) == 1)
+        assert own.transfers.running == 2
+        for caller in callers:
+            caller.write(b"world")
+            assert (await caller.answer("POST")).body == b"ok:helloworld"
+            caller.close()
+        await until(lambda: own.in_flight == 0)
+        assert own.transfers.running == 0
+        await edge.plane.close()
+        await owner.plane.close()
+        backend.stop()
+
+    run(scene())
+
+
 def test_a_body_that_finds_no_room_in_time_is_refused_as_not_run() -> None:
     impatient = msgspec.structs.replace(STREAMED, target_latency_milliseconds=200)
 
