Room on a narrow link goes to the newest first call, then to those refused before

Hypothesis: where more large bodies come than the link carries, who waited longest is late once its body is in; the newest first call is not.

--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -243,10 +243,20 @@
         """A large body is in or given up: the next one may come."""
         self.transfers.end()
         while self._awaiting_transfer and self.transfers.begin():
-            attempt = next(iter(self._awaiting_transfer))
+            attempt = self._next_transfer()
             del self._awaiting_transfer[attempt]
             attempt.transfer_begun()
 
+    def _next_transfer(self) -> OwnAttempt:
+        """Give the newest first call; one that was refused before if there is no other.
+
+        More come than the link carries only under overload: whoever waited longest would
+        then be late by the time its body is in, and so would each after it.
+        """
+        waiting = self.awaiting_transfer
+        first_calls = [attempt for attempt in waiting if not attempt.is_client_retry]
+        return (first_calls or waiting)[-1]
+
     def withdraw(self, ticket: Ticket) -> None:
         """A waiting attempt was given up."""
         self._waiting.pop(ticket.number, None)
@@ -352,6 +362,11 @@
         self._transferring = False
         self._transfer_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def is_client_retry(self) -> bool:
+        """Whether the caller was refused before."""
+        return self._request.is_client_retry
+
     def start(self) -> None:
         """Ask for room for a large body, then for a slot."""
         if not self._request.body_on_credit:
--- a/tests/data_plane/test_own_back_end.py
+++ b/tests/data_plane/test_own_back_end.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 from tests.data_plane.stage import endpoint, run
 
+from peppershore.connection.http_head import RequestHead
 from peppershore.connection.messages.endpoints import WARMING_NOT_TOLD
 from peppershore.process.node.back_end_reports import STATE_READY, BackEndView
-from peppershore.process.node.data.own_backend import OwnBackend
+from peppershore.process.node.data.attempt import AttemptRequest
+from peppershore.process.node.data.own_backend import OwnAttempt, OwnBackend
 from peppershore.process.randomness import Randomness
+from peppershore.request.body_transfers import BodyTransfers
 from peppershore.version.model import ServiceSettings
 
 SLOTS = 10
@@ -55,5 +59,50 @@
     run(scene())
 
 
+class SilentSink:
+    """Hears what becomes of an attempt, and does nothing."""
+
+    def __getattr__(self, name: str) -> Callable[..., None]:
+        return lambda *_: None
+
+
+def _upload(own: OwnBackend, *, is_client_retry: bool) -> OwnAttempt:
+    """Start an attempt with a large body."""
+    request = AttemptRequest(
+        head=RequestHead(b"POST", b"/", [], 10),
+        headers=[],
+        call_class="bulk",
+        repeatable=False,
+        cancellable=True,
+        deadline=now() + 60.0,
+        is_client_retry=is_client_retry,
+        body_on_credit=True,
+    )
+    attempt = own.attempt(request, SilentSink())
+    attempt.start()
+    return attempt
+
+
+def test_room_on_the_link_goes_to_the_newest_first_call_and_then_to_retries() -> None:
+    async def scene() -> None:
+        known = endpoint("127.0.0.1:1", slots=SLOTS)
+        transfers = BodyTransfers(link_megabits=1.0)
+        own = OwnBackend(known, ServiceSettings(), Randomness(1), transfers=transfers)
+        begun: list[OwnAttempt] = []
+        under_way = [_upload(own, is_client_retry=False) for _ in range(2)]
+        older = _upload(own, is_client_retry=False)
+        retry = _upload(own, is_client_retry=True)
+        newer = _upload(own, is_client_retry=False)
+        for expected in (newer, older, retry):
+            before = set(own.awaiting_transfer)
+            under_way.pop(0).send_end([])
+            begun += before - set(own.awaiting_transfer)
+            assert begun[-1] is expected
+            under_way.append(expected)
+        own.close()
+
+    run(scene())
+
+
 def now() -> float:
     return asyncio.get_running_loop().time()
