--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -192,19 +192,30 @@
         if state is not None:
             state.ramp_started = asyncio.get_running_loop().time()
 
-    def attempt(self, request: AttemptRequest, sink: AttemptSink) -> OwnAttempt:
-        """Give an attempt to be started."""
-        return OwnAttempt(self, request, sink)
+    def attempt(
+        self,
+        request: AttemptRequest,
+        sink: AttemptSink,
+        want_body: Callable[[], None] | None = None,
+    ) -> OwnAttempt:
+        """Give an attempt to be started.
+
+        ``want_body`` asks for a large body ahead of a slot; ``body_is_in`` answers it.
+        """
+        return OwnAttempt(self, request, sink, want_body)
+
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether a call would be given a slot at once."""
+        return self.admission.in_flight < max(0, self.slots - self._lent)
 
     def admit(
         self, attempt: OwnAttempt, request: AttemptRequest
     ) -> Dispatch | NotRun | Ticket:
         """Give the slot, the refusal, or the place in the queue."""
-        advice = LEAVING_RETRY_AFTER_MILLISECONDS
-        if request.service and request.service != self.service:
-            return NotRun(STATUS_UNAVAILABLE, "other-service", advice, True)
-        if self.leaving:
-            return NotRun(STATUS_UNAVAILABLE, "back-end-leaving", advice, True)
+        refusal = self.refusal_of(request)
+        if refusal is not None:
+            return refusal
         now = asyncio.get_running_loop().time()
         ticket = Ticket(
             next(self._numbers),
@@ -226,6 +237,15 @@
         self._kick_later()
         return ticket
 
+    def refusal_of(self, request: AttemptRequest) -> NotRun | None:
+        """Give why the back end takes no such call now, whatever its load."""
+        advice = LEAVING_RETRY_AFTER_MILLISECONDS
+        if request.service and request.service != self.service:
+            return NotRun(STATUS_UNAVAILABLE, "other-service", advice, True)
+        if self.leaving:
+            return NotRun(STATUS_UNAVAILABLE, "back-end-leaving", advice, True)
+        return None
+
     def await_transfer(self, attempt: OwnAttempt) -> None:
         """Let an attempt with a large body wait until there is room on the link."""
         self._awaiting_transfer[attempt] = None
@@ -342,12 +362,18 @@
         "_timer",
         "_transfer_timer",
         "_transferring",
+        "_want_body",
     )
 
     def __init__(
-        self, backend: OwnBackend, request: AttemptRequest, sink: AttemptSink
+        self,
+        backend: OwnBackend,
+        request: AttemptRequest,
+        sink: AttemptSink,
+        want_body: Callable[[], None] | None = None,
     ) -> None:
         """Nothing happens before ``start``."""
+        self._want_body = want_body
         self._backend = backend
         self._request = request
         self._sink = sink
@@ -371,23 +397,55 @@
         """Ask for room for a large body, then for a slot."""
         if not self._request.body_on_credit:
             self._ask_for_slot()
-        elif self._backend.transfers.begin():
+            return
+        self._started = asyncio.get_running_loop().time()
+        refusal = self._backend.refusal_of(self._request)
+        if refusal is None and self._may_take_body and self._backend.transfers.begin():
             self.transfer_begun()
-        elif self._request.may_wait:
+        elif refusal is None and self._request.may_wait:
             self._backend.await_transfer(self)
             self._wait()
         else:
             self._done = True
-            self._sink.attempt_failed(_no_room(BUSY))
+            self._sink.attempt_failed(refusal or _no_room(BUSY))
+
+    @property
+    def _may_take_body(self) -> bool:
+        """Whether to take a body in: not for a mere question after a free slot in vain."""
+        return self._request.may_wait or self._backend.has_free_slot
 
     def transfer_begun(self) -> None:
-        """There is room for the large body: ask for a slot."""
+        """There is room for the large body: take it in, or ask for a slot at once.
+
+        A body that is taken in ahead holds no slot while it comes, half of the time that
+        an upload would hold one; other calls find more of them free.
+        """
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         self._transferring = True
         loop = asyncio.get_running_loop()
         self._transfer_timer = loop.call_later(MOST_SECONDS, self._transferred)
+        if self._want_body is None:
+            self._ask_for_slot()
+            return
+        self._timer = loop.call_at(self._request.deadline, self._waited_enough)
+        self._want_body()
+
+    def body_is_in(self) -> None:
+        """The body is here: ask for a slot, with as much patience as for the room.
+
+        To refuse it soon would waste what the link carried for it.
+        """
+        if self._done or self._ticket is not None or self._dispatch is not None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        now = asyncio.get_running_loop().time()
+        patience = self._request.start_by - self._started
+        self._request = msgspec.structs.replace(
+            self._request, may_wait=True, start_by=now + patience
+        )
         self._ask_for_slot()
 
     def _ask_for_slot(self) -> None:
--- a/tests/data_plane/test_streamed_bodies.py
+++ b/tests/data_plane/test_streamed_bodies.py
@@ -213,6 +213,59 @@
     run(scene())
 
 
+def test_a_body_that_is_on_its_way_holds_no_slot() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        owner = Node("k1", await backend.start(), slots=1)
+        await owner.start(route=STREAMED)
+        edge = Node()
+        address = await edge.start(
+            endpoint(backend.address, "k1", owner.addresses.internal), route=STREAMED
+        )
+        stalled = await _half_a_body(address)
+        own = owner.plane.calls.own
+        assert own is not None
+        await until(lambda: own.transfers.running == 1)
+        answer = await call(address, method="POST", body=b"hello")
+        assert (answer.status, answer.body) == (200, b"ok:hello")
+        assert len(backend.requests) == 1
+        stalled.write(b"world")
+        assert (await stalled.answer("POST")).body == b"ok:helloworld"
+        stalled.close()
+        await until(lambda: own.in_flight == 0)
+        await edge.plane.close()
+        await owner.plane.close()
+        backend.stop()
+
+    run(scene())
+
+
+def test_a_body_that_is_on_its_way_to_a_back_end_that_leaves_is_refused() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        owner = Node("k1", await backend.start())
+        await owner.start(route=STREAMED)
+        edge = Node()
+        address = await edge.start(
+            endpoint(backend.address, "k1", owner.addresses.internal), route=STREAMED
+        )
+        stalled = await _half_a_body(address)
+        own = owner.plane.calls.own
+        assert own is not None
+        await until(lambda: own.transfers.running == 1)
+        own.leave()
+        stalled.write(b"world")
+        answer = await stalled.answer("POST")
+        assert (answer.status, answer.outcome) == (503, "not-run")
+        assert backend.requests == []
+        stalled.close()
+        await edge.plane.close()
+        await owner.plane.close()
+        backend.stop()
+
+    run(scene())
+
+
 NARROW_MEGABITS = 1.0
 
 
