--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -33,6 +33,7 @@
 )
 from peppershore.process.node.data.direct_attempt import BackEndTerms, DirectAttempt
 from peppershore.process.node.data.link_attempt import LinkAttempt
+from peppershore.process.node.data.own_attempt import OwnAttempt
 from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.owner_links import OwnerLinks
 from peppershore.process.node.profile import retry_bound, wire_names
@@ -327,7 +328,7 @@
         """Choose the way: own back end, direct under a loan, or through the owner."""
         endpoint = dispatch.endpoint
         if self.own is not None and endpoint.node == self._settings.node:
-            return self.own.attempt(request, sink)
+            return OwnAttempt(self.own, request, sink)
         if not endpoint.owner_address:
             pool = self._pools.pool(endpoint)
             return DirectAttempt(pool, request, sink, terms=self._terms)
--- /dev/null
+++ b/src/peppershore/process/node/data/own_attempt.py
@@ -0,0 +1,313 @@
+"""An attempt at this node's own back end: room for a large body, a slot, then the call."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+
+import msgspec
+
+from peppershore.connection.http_head import AnswerHead, HeaderList
+from peppershore.process.node.data.attempt import AttemptRequest, AttemptSink
+from peppershore.process.node.data.direct_attempt import OWN_TERMS, DirectAttempt
+from peppershore.process.node.data.own_backend import OwnBackend
+from peppershore.process.node.data.verdicts import verdict_of_failure, verdict_of_status
+from peppershore.request.admission import Dispatch
+from peppershore.request.body_transfers import MOST_SECONDS, TRANSFER_SECONDS
+from peppershore.request.endpoint_state import Verdict
+from peppershore.request.outcome import (
+    BUSY,
+    NO_SLOT_IN_TIME,
+    STATUS_GATEWAY_TIMEOUT,
+    STATUS_UNAVAILABLE,
+    Failed,
+    NotRun,
+    Unknown,
+    out_of_time,
+)
+from peppershore.request.waiting import Ticket
+
+MILLISECONDS = 1_000
+NOT_THERE_REASONS = frozenset({"back-end-unreachable", "other-back-end"})
+
+
+class OwnAttempt:
+    """Waits for room and for a slot, then goes to the back end directly.
+
+    ``want_body`` asks for a large body ahead of a slot; ``body_is_in`` answers it.
+    """
+
+    __slots__ = (
+        "_backend",
+        "_direct",
+        "_dispatch",
+        "_done",
+        "_request",
+        "_sink",
+        "_started",
+        "_status",
+        "_terms",
+        "_ticket",
+        "_timer",
+        "_transfer_timer",
+        "_transferring",
+        "_want_body",
+    )
+
+    def __init__(
+        self,
+        backend: OwnBackend,
+        request: AttemptRequest,
+        sink: AttemptSink,
+        want_body: Callable[[], None] | None = None,
+    ) -> None:
+        """Nothing happens before ``start``."""
+        self._want_body = want_body
+        self._backend = backend
+        self._request = request
+        self._sink = sink
+        self._direct: DirectAttempt | None = None
+        self._dispatch: Dispatch | None = None
+        self._ticket: Ticket | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._started = 0.0
+        self._terms = OWN_TERMS
+        self._status = 0
+        self._done = False
+        self._transferring = False
+        self._transfer_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def is_client_retry(self) -> bool:
+        """Whether the caller was refused before."""
+        return self._request.is_client_retry
+
+    def start(self) -> None:
+        """Ask for room for a large body, then for a slot."""
+        if not self._request.body_on_credit:
+            self._ask_for_slot()
+            return
+        self._started = asyncio.get_running_loop().time()
+        refusal = self._backend.refusal_of(self._request)
+        if refusal is None and self._may_take_body and self._backend.transfers.begin():
+            self.transfer_begun()
+        elif refusal is None and self._request.may_wait:
+            self._backend.await_transfer(self)
+            self._wait()
+        else:
+            self._done = True
+            self._sink.attempt_failed(refusal or _no_room(BUSY))
+
+    @property
+    def _may_take_body(self) -> bool:
+        """Whether to take a body in: not for a mere question after a free slot in vain."""
+        return self._request.may_wait or self._backend.has_free_slot
+
+    def transfer_begun(self) -> None:
+        """There is room for the large body: take it in, or ask for a slot at once.
+
+        A body that is taken in ahead holds no slot while it comes, half of the time that
+        an upload would hold one; other calls find more of them free.
+        """
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._transferring = True
+        loop = asyncio.get_running_loop()
+        self._transfer_timer = loop.call_later(MOST_SECONDS, self._transferred)
+        if self._want_body is None:
+            self._ask_for_slot()
+            return
+        self._timer = loop.call_at(self._request.deadline, self._waited_enough)
+        self._want_body()
+
+    def body_is_in(self) -> None:
+        """The body is here: ask for a slot, with as much patience as for the room.
+
+        To refuse it soon would waste what the link carried for it.
+        """
+        if self._done or self._ticket is not None or self._dispatch is not None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        now = asyncio.get_running_loop().time()
+        patience = self._request.start_by - self._started
+        self._request = msgspec.structs.replace(
+            self._request, may_wait=True, start_by=now + patience
+        )
+        self._ask_for_slot()
+
+    def _ask_for_slot(self) -> None:
+        admitted = self._backend.admit(self, self._request)
+        if isinstance(admitted, NotRun):
+            self._end(None)
+            self._sink.attempt_failed(admitted)
+        elif isinstance(admitted, Ticket):
+            self._ticket = admitted
+            self._wait()
+        else:
+            self.admitted(admitted)
+
+    def admitted(self, dispatch: Dispatch) -> None:
+        """A slot is free: go to the back end."""
+        loop = asyncio.get_running_loop()
+        self._ticket = None
+        self._dispatch = dispatch
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = loop.call_at(self._request.deadline, self._expired)
+        self._started = loop.time()
+        self._backend.running.began(self._backend.request_id(self._request))
+        self._terms = self._backend.terms
+        self._direct = DirectAttempt(
+            self._backend.pool, self._request, self, terms=self._terms
+        )
+        self._direct.start()
+
+    def refused(self, refusal: NotRun) -> None:
+        """A waiting attempt is refused."""
+        self._end(None)
+        self._sink.attempt_failed(refusal)
+
+    # --- Attempt
+
+    def send_data(self, data: bytes) -> None:
+        """Queue a piece of the request's body."""
+        if self._direct is not None:
+            self._direct.send_data(data)
+
+    def send_end(self, trailers: HeaderList) -> None:
+        """Queue the request's end."""
+        if self._direct is not None:
+            self._direct.send_end(trailers)
+        self._transferred()
+
+    def flush(self) -> None:
+        """Send what is queued."""
+        if self._direct is not None:
+            self._direct.flush()
+
+    def cancel(self) -> None:
+        """Give the attempt up and free its slot."""
+        if self._done:
+            return
+        direct = self._direct
+        if direct is not None:
+            direct.cancel()
+        self._end(None)
+
+    def settle(self) -> bool:
+        """Nobody else knows more about this attempt."""
+        return False
+
+    def pause_answer(self) -> None:
+        """Take no more answer bytes for now."""
+        if self._direct is not None:
+            self._direct.pause_answer()
+
+    def resume_answer(self) -> None:
+        """Go on taking answer bytes."""
+        if self._direct is not None:
+            self._direct.resume_answer()
+
+    # --- AttemptSink of the direct attempt
+
+    def attempt_begun(self) -> None:
+        """Connected: the body may follow."""
+        self._sink.attempt_begun()
+
+    def answer_head(self, head: AnswerHead) -> None:
+        """Hand the answer's head on."""
+        self._status = head.status
+        self._sink.answer_head(head)
+
+    def answer_data(self, data: bytes) -> None:
+        """Hand a piece of the answer's body on."""
+        self._sink.answer_data(data)
+
+    def answer_batch_ended(self) -> None:
+        """Hand on that no more is at hand for now."""
+        self._sink.answer_batch_ended()
+
+    def answer_ended(self, trailers: HeaderList) -> None:
+        """Hand the answer's end on, then free the slot."""
+        self._sink.answer_ended(trailers)
+        self._end(verdict_of_status(self._status))
+
+    def attempt_failed(self, failed: Failed) -> None:
+        """Free the slot, then hand the failure on."""
+        self._end(verdict_of_failure(failed))
+        if failed.reason in NOT_THERE_REASONS:
+            self._backend.refuse_not_there(self._terms.instance.decode("latin-1"))
+        self._sink.attempt_failed(failed)
+
+    def sending_paused(self) -> None:
+        """Hand the back end's slowness on."""
+        self._sink.sending_paused()
+
+    def sending_resumed(self) -> None:
+        """The back end reads again."""
+        self._sink.sending_resumed()
+
+    # --- inside
+
+    def _transferred(self) -> None:
+        """The body is in, given up, or has had its time."""
+        if self._transfer_timer is not None:
+            self._transfer_timer.cancel()
+            self._transfer_timer = None
+        if self._transferring:
+            self._transferring = False
+            self._backend.transfer_ended()
+
+    def _wait(self) -> None:
+        """Wait for room or for a slot, for as long as the call may."""
+        until = min(self._request.deadline, self._request.start_by)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(until, self._waited_enough)
+
+    def _waited_enough(self) -> None:
+        """Neither room nor a slot came in time: better to say so than to wait on."""
+        now = asyncio.get_running_loop().time()
+        if now >= self._request.deadline:
+            refusal = out_of_time()
+        elif self._ticket is None:
+            refusal = _no_room(NO_SLOT_IN_TIME)
+        else:
+            refusal = self._backend.admission.refusal_of_impatient(self._ticket, now)
+        self._end(None)
+        self._sink.attempt_failed(refusal)
+
+    def _expired(self) -> None:
+        """The deadline passed; what was not sent has not run."""
+        begun = self._direct is not None and self._direct.begun
+        self.cancel()
+        if begun:
+            self._sink.attempt_failed(Unknown(STATUS_GATEWAY_TIMEOUT, "deadline-passed"))
+        else:
+            self._sink.attempt_failed(out_of_time())
+
+    def _end(self, verdict: Verdict | None) -> None:
+        if self._done:
+            return
+        self._done = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._backend.give_up_transfer(self)
+        self._transferred()
+        if self._ticket is not None:
+            self._backend.withdraw(self._ticket)
+            self._ticket = None
+        dispatch = self._dispatch
+        self._dispatch = None
+        if dispatch is not None:
+            latency = asyncio.get_running_loop().time() - self._started
+            self._backend.running.ended(self._backend.request_id(self._request))
+            self._backend.finished(dispatch, latency, verdict)
+
+
+def _no_room(reason: str) -> NotRun:
+    """Give the refusal of a large body that finds the link full of others."""
+    advice = math.ceil(TRANSFER_SECONDS * MILLISECONDS)
+    return NotRun(STATUS_UNAVAILABLE, reason, advice, retryable=True)
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -32,7 +32,8 @@
     failure_end,
     served_story,
 )
-from peppershore.process.node.data.own_backend import OwnAttempt, OwnBackend
+from peppershore.process.node.data.own_attempt import OwnAttempt
+from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.request_body import RequestBody
 from peppershore.request.outcome import (
     BUSY,
@@ -114,7 +115,7 @@
             self._receiving = ReceiveWindow(window, owed=window)
         self._record = backend.record(started.headers)
         want_body = self._take_body_ahead if started.body_on_credit else None
-        self._attempt = backend.attempt(_request(started), self, want_body)
+        self._attempt = OwnAttempt(backend, _request(started), self, want_body)
         self._attempt.start()
 
     def refuse(self, refusal: NotRun) -> None:
--- a/tests/data_plane/test_own_back_end.py
+++ b/tests/data_plane/test_own_back_end.py
@@ -12,7 +12,8 @@
 from peppershore.connection.messages.endpoints import WARMING_NOT_TOLD
 from peppershore.process.node.back_end_reports import STATE_READY, BackEndView
 from peppershore.process.node.data.attempt import AttemptRequest
-from peppershore.process.node.data.own_backend import OwnAttempt, OwnBackend
+from peppershore.process.node.data.own_attempt import OwnAttempt
+from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.randomness import Randomness
 from peppershore.request.body_transfers import BodyTransfers
 from peppershore.version.model import ServiceSettings
@@ -78,7 +79,7 @@
         is_client_retry=is_client_retry,
         body_on_credit=True,
     )
-    attempt = own.attempt(request, SilentSink())
+    attempt = OwnAttempt(own, request, SilentSink())
     attempt.start()
     return attempt
 
--- a/tests/data_plane/test_streamed_bodies.py
+++ b/tests/data_plane/test_streamed_bodies.py
@@ -24,7 +24,7 @@
     CallNotRun,
     CallStarted,
 )
-from peppershore.process.node.data import own_backend
+from peppershore.process.node.data import own_attempt
 from peppershore.process.node.data.request_body import (
     REPLAY_BYTES,
     STREAMED_REPLAY_BYTES,
@@ -363,7 +363,7 @@
 def test_a_body_that_stalls_keeps_others_out_for_a_bounded_time(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(own_backend, "MOST_SECONDS", 0.05)
+    monkeypatch.setattr(own_attempt, "MOST_SECONDS", 0.05)
 
     async def scene() -> None:
         backend = ScriptedBackend()
