--- a/src/peppershore_lab/soak/callers.py
+++ b/src/peppershore_lab/soak/callers.py
@@ -20,6 +20,7 @@
     HOST,
     ONCE_PREFIX,
     READ_PREFIX,
+    UPLOAD_PREFIX,
     marker_prefix,
 )
 from peppershore_lab.soak.machines import Machine
@@ -74,7 +75,7 @@
         length = LARGE_BODY_BYTES if is_large else SMALL_BODY_BYTES
         name = f"s-{next(self._numbers)}"
         body = b"x" * length if once else b""
-        prefix = ONCE_PREFIX if once else READ_PREFIX
+        prefix = UPLOAD_PREFIX if is_large else ONCE_PREFIX if once else READ_PREFIX
         request = _request("POST" if once else "GET", f"{prefix}{name}", name, body)
         sent_at = time.monotonic()
         outcome = await _answer(connection, request)
--- a/src/peppershore_lab/soak/configurations.py
+++ b/src/peppershore_lab/soak/configurations.py
@@ -10,7 +10,7 @@
 
 HOST = "soak.example"
 SERVICES = ("kassa", "kuitti")
-ONCE_PREFIX, READ_PREFIX = "/once/", "/read/"
+ONCE_PREFIX, READ_PREFIX, UPLOAD_PREFIX = "/once/", "/read/", "/upload/"
 ROUTE_MILLISECONDS = 2_000
 TARGET_MILLISECONDS = 500
 ATTEMPTS = 3
@@ -30,6 +30,7 @@
     routes = {
         "once": _route(ONCE_PREFIX, "once"),
         "read": _route(READ_PREFIX, "repeatable"),
+        "upload": _route(UPLOAD_PREFIX, "once-streamed"),
         f"marker-{version}": _route(marker_prefix(version), "repeatable"),
         f"by-{author}": _route(f"/by-{author}/", "repeatable"),
     }
--- a/src/peppershore_lab/soak/settings.py
+++ b/src/peppershore_lab/soak/settings.py
@@ -16,6 +16,8 @@
 EXPECTED_INSTANCE = "x-soak-expected-instance"
 NOT_RUN = "x-soak-not-run"
 STOP_GRACE_SECONDS = 6.0
+LINK_MEGABITS = 4.0
+"""Narrow enough that a node takes in two large bodies at a time."""
 
 
 def hub_settings(host: str, folder: str, seeds: Sequence[str], first_start: bool) -> str:
@@ -53,6 +55,7 @@
 seeds = {_addresses(seeds)}
 relay_port = {RELAY_PORT}
 stop_grace_seconds = {STOP_GRACE_SECONDS}
+link_megabits = {LINK_MEGABITS}
 rebalance_milliseconds = 3000
 reconnect_milliseconds = 250
 silence_milliseconds = 1600
