No more bodies are held without a slot than there are slots

Cause: read again: with a wide link there is room for any number of bodies, and each came in ahead of its slot, up to 512 KB; a burst at a busy back end would have been held in its node's memory. Change: beyond as many as there are slots a call asks for its slot first, as before.

--- a/src/peppershore/process/node/data/own_attempt.py
+++ b/src/peppershore/process/node/data/own_attempt.py
@@ -116,9 +116,10 @@
         self._transferring = True
         loop = asyncio.get_running_loop()
         self._transfer_timer = loop.call_later(MOST_SECONDS, self._transferred)
-        if self._want_body is None:
+        if self._want_body is None or not self._backend.may_take_body_ahead:
             self._ask_for_slot()
             return
+        self._backend.hold_body(self)
         self._timer = loop.call_at(self._request.deadline, self._waited_enough)
         self._want_body()
 
@@ -152,6 +153,7 @@
     def admitted(self, dispatch: Dispatch) -> None:
         """A slot is free: go to the back end."""
         loop = asyncio.get_running_loop()
+        self._backend.release_body(self)
         self._ticket = None
         self._dispatch = dispatch
         if self._timer is not None:
@@ -295,6 +297,7 @@
         if self._timer is not None:
             self._timer.cancel()
         self._backend.give_up_transfer(self)
+        self._backend.release_body(self)
         self._transferred()
         if self._ticket is not None:
             self._backend.withdraw(self._ticket)
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -81,6 +81,7 @@
         self.running = RunningCalls()
         self.transfers = transfers or BodyTransfers()
         self._awaiting_transfer: dict[WaitingAttempt, None] = {}
+        self._bodies_ahead: set[WaitingAttempt] = set()
         self._endpoint = endpoint
         self.service = endpoint.service
         self._names = names
@@ -246,6 +247,23 @@
         """An attempt waits for room no more."""
         self._awaiting_transfer.pop(attempt, None)
 
+    @property
+    def may_take_body_ahead(self) -> bool:
+        """Whether one more body may be held here without a slot.
+
+        As many as there are slots keep these busy; each is held up to 512 KB, and a
+        burst of them must not fill the machine's memory.
+        """
+        return len(self._bodies_ahead) < self.slots
+
+    def hold_body(self, attempt: WaitingAttempt) -> None:
+        """An attempt without a slot has its body sent here."""
+        self._bodies_ahead.add(attempt)
+
+    def release_body(self, attempt: WaitingAttempt) -> None:
+        """An attempt has its slot, or is over."""
+        self._bodies_ahead.discard(attempt)
+
     @property
     def awaiting_transfer(self) -> tuple[WaitingAttempt, ...]:
         """The attempts that wait for room on the link, the oldest first."""
--- a/tests/data_plane/test_streamed_bodies.py
+++ b/tests/data_plane/test_streamed_bodies.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 import pytest
 from tests.data_plane.fake_owner import FakeOwner
@@ -216,12 +218,7 @@
 def test_a_body_that_is_on_its_way_holds_no_slot() -> None:
     async def scene() -> None:
         backend = ScriptedBackend()
-        owner = Node("k1", await backend.start(), slots=1)
-        await owner.start(route=STREAMED)
-        edge = Node()
-        address = await edge.start(
-            endpoint(backend.address, "k1", owner.addresses.internal), route=STREAMED
-        )
+        owner, edge, address = await _owner_and_edge(backend, slots=1)
         stalled = await _half_a_body(address)
         own = owner.plane.calls.own
         assert own is not None
@@ -240,15 +237,34 @@
     run(scene())
 
 
+def test_no_more_bodies_are_held_without_a_slot_than_there_are_slots() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        owner, edge, address = await _owner_and_edge(backend, slots=1)
+        own = owner.plane.calls.own
+        assert own is not None
+        callers = [await _half_a_body(address)]
+        await until(lambda: not own.may_take_body_ahead)
+        assert backend.requests == []
+        callers.append(await _half_a_body(address))
+        await until(lambda: len(backend.requests) == 1)
+        for caller in reversed(callers):
+            caller.write(b"world")
+            assert (await caller.answer("POST")).body == b"ok:helloworld"
+            caller.close()
+        await until(lambda: own.in_flight == 0)
+        assert own.may_take_body_ahead
+        await edge.plane.close()
+        await owner.plane.close()
+        backend.stop()
+
+    run(scene())
+
+
 def test_a_body_that_is_on_its_way_to_a_back_end_that_leaves_is_refused() -> None:
     async def scene() -> None:
         backend = ScriptedBackend()
-        owner = Node("k1", await backend.start())
-        await owner.start(route=STREAMED)
-        edge = Node()
-        address = await edge.start(
-            endpoint(backend.address, "k1", owner.addresses.internal), route=STREAMED
-        )
+        owner, edge, address = await _owner_and_edge(backend)
         stalled = await _half_a_body(address)
         own = owner.plane.calls.own
         assert own is not None
@@ -269,6 +285,19 @@
 NARROW_MEGABITS = 1.0
 
 
+async def _owner_and_edge(
+    backend: ScriptedBackend, **changes: Any
+) -> tuple[Node, Node, str]:
+    """Give the node beside a back end, another one, and its address for callers."""
+    owner = Node("k1", await backend.start(), **changes)
+    await owner.start(route=STREAMED)
+    edge = Node()
+    address = await edge.start(
+        endpoint(backend.address, "k1", owner.addresses.internal), route=STREAMED
+    )
+    return owner, edge, address
+
+
 async def _half_a_body(address: str) -> Caller:
     """Begin a large request and stall in the middle of its body."""
     caller = await Caller.connect(address)
@@ -315,12 +344,7 @@
 
     async def scene() -> None:
         backend = ScriptedBackend()
-        owner = Node("k1", await backend.start(), link_megabits=NARROW_MEGABITS)
-        await owner.start(route=STREAMED)
-        edge = Node()
-        address = await edge.start(
-            endpoint(backend.address, "k1", owner.addresses.internal), route=STREAMED
-        )
+        owner, edge, address = await _owner_and_edge(backend, link_megabits=NARROW_MEGABITS)
         own = owner.plane.calls.own
         assert own is not None
         callers = [await _half_a_body(address) for _ in range(3)]
