--- a/src/peppershore/process/node/data/own_attempt.py
+++ b/src/peppershore/process/node/data/own_attempt.py
@@ -4,9 +4,6 @@
 
 import asyncio
 import math
-from collections.abc import Callable
-
-import msgspec
 
 from peppershore.connection.http_head import AnswerHead, HeaderList
 from peppershore.process.node.data.attempt import AttemptRequest, AttemptSink
@@ -33,10 +30,7 @@
 
 
 class OwnAttempt:
-    """Waits for room and for a slot, then goes to the back end directly.
-
-    ``want_body`` asks for a large body ahead of a slot; ``body_is_in`` answers it.
-    """
+    """Waits for room and for a slot, then goes to the back end directly."""
 
     __slots__ = (
         "_backend",
@@ -52,7 +46,6 @@
         "_timer",
         "_transfer_timer",
         "_transferring",
-        "_want_body",
     )
 
     def __init__(
@@ -60,10 +53,8 @@
         backend: OwnBackend,
         request: AttemptRequest,
         sink: AttemptSink,
-        want_body: Callable[[], None] | None = None,
     ) -> None:
         """Nothing happens before ``start``."""
-        self._want_body = want_body
         self._backend = backend
         self._request = request
         self._sink = sink
@@ -87,56 +78,23 @@
         """Ask for room for a large body, then for a slot."""
         if not self._request.body_on_credit:
             self._ask_for_slot()
-            return
-        self._started = asyncio.get_running_loop().time()
-        refusal = self._backend.refusal_of(self._request)
-        if refusal is None and self._may_take_body and self._backend.transfers.begin():
+        elif self._backend.transfers.begin():
             self.transfer_begun()
-        elif refusal is None and self._request.may_wait:
+        elif self._request.may_wait:
             self._backend.await_transfer(self)
             self._wait()
         else:
             self._done = True
-            self._sink.attempt_failed(refusal or _no_room(BUSY))
-
-    @property
-    def _may_take_body(self) -> bool:
-        """Whether to take a body in: not for a mere question after a free slot in vain."""
-        return self._request.may_wait or self._backend.has_free_slot
+            self._sink.attempt_failed(_no_room(BUSY))
 
     def transfer_begun(self) -> None:
-        """There is room for the large body: take it in, or ask for a slot at once.
-
-        A body that is taken in ahead holds no slot while it comes, half of the time that
-        an upload would hold one; other calls find more of them free.
-        """
+        """There is room for the large body: ask for a slot."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         self._transferring = True
         loop = asyncio.get_running_loop()
         self._transfer_timer = loop.call_later(MOST_SECONDS, self._transferred)
-        if self._want_body is None or not self._backend.may_take_body_ahead:
-            self._ask_for_slot()
-            return
-        self._backend.hold_body(self)
-        self._timer = loop.call_at(self._request.deadline, self._waited_enough)
-        self._want_body()
-
-    def body_is_in(self) -> None:
-        """The body is here: ask for a slot, with as much patience as for the room.
-
-        To refuse it soon would waste what the link carried for it.
-        """
-        if self._done or self._ticket is not None or self._dispatch is not None:
-            return
-        if self._timer is not None:
-            self._timer.cancel()
-        now = asyncio.get_running_loop().time()
-        patience = self._request.start_by - self._started
-        self._request = msgspec.structs.replace(
-            self._request, may_wait=True, start_by=now + patience
-        )
         self._ask_for_slot()
 
     def _ask_for_slot(self) -> None:
@@ -153,7 +111,6 @@
     def admitted(self, dispatch: Dispatch) -> None:
         """A slot is free: go to the back end."""
         loop = asyncio.get_running_loop()
-        self._backend.release_body(self)
         self._ticket = None
         self._dispatch = dispatch
         if self._timer is not None:
@@ -297,7 +254,6 @@
         if self._timer is not None:
             self._timer.cancel()
         self._backend.give_up_transfer(self)
-        self._backend.release_body(self)
         self._transferred()
         if self._ticket is not None:
             self._backend.withdraw(self._ticket)
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -81,7 +81,6 @@
         self.running = RunningCalls()
         self.transfers = transfers or BodyTransfers()
         self._awaiting_transfer: dict[WaitingAttempt, None] = {}
-        self._bodies_ahead: set[WaitingAttempt] = set()
         self._endpoint = endpoint
         self.service = endpoint.service
         self._names = names
@@ -197,18 +196,15 @@
         if state is not None:
             state.ramp_started = asyncio.get_running_loop().time()
 
-    @property
-    def has_free_slot(self) -> bool:
-        """Whether a call would be given a slot at once."""
-        return self.admission.in_flight < max(0, self.slots - self._lent)
-
     def admit(
         self, attempt: WaitingAttempt, request: AttemptRequest
     ) -> Dispatch | NotRun | Ticket:
         """Give the slot, the refusal, or the place in the queue."""
-        refusal = self.refusal_of(request)
-        if refusal is not None:
-            return refusal
+        advice = LEAVING_RETRY_AFTER_MILLISECONDS
+        if request.service and request.service != self.service:
+            return NotRun(STATUS_UNAVAILABLE, "other-service", advice, True)
+        if self.leaving:
+            return NotRun(STATUS_UNAVAILABLE, "back-end-leaving", advice, True)
         now = asyncio.get_running_loop().time()
         ticket = Ticket(
             next(self._numbers),
@@ -230,15 +226,6 @@
         self._kick_later()
         return ticket
 
-    def refusal_of(self, request: AttemptRequest) -> NotRun | None:
-        """Give why the back end takes no such call now, whatever its load."""
-        advice = LEAVING_RETRY_AFTER_MILLISECONDS
-        if request.service and request.service != self.service:
-            return NotRun(STATUS_UNAVAILABLE, "other-service", advice, True)
-        if self.leaving:
-            return NotRun(STATUS_UNAVAILABLE, "back-end-leaving", advice, True)
-        return None
-
     def await_transfer(self, attempt: WaitingAttempt) -> None:
         """Let an attempt with a large body wait until there is room on the link."""
         self._awaiting_transfer[attempt] = None
@@ -247,23 +234,6 @@
         """An attempt waits for room no more."""
         self._awaiting_transfer.pop(attempt, None)
 
-    @property
-    def may_take_body_ahead(self) -> bool:
-        """Whether one more body may be held here without a slot.
-
-        As many as there are slots keep these busy; each is held up to 512 KB, and a
-        burst of them must not fill the machine's memory.
-        """
-        return len(self._bodies_ahead) < self.slots
-
-    def hold_body(self, attempt: WaitingAttempt) -> None:
-        """An attempt without a slot has its body sent here."""
-        self._bodies_ahead.add(attempt)
-
-    def release_body(self, attempt: WaitingAttempt) -> None:
-        """An attempt has its slot, or is over."""
-        self._bodies_ahead.discard(attempt)
-
     @property
     def awaiting_transfer(self) -> tuple[WaitingAttempt, ...]:
         """The attempts that wait for room on the link, the oldest first."""
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -48,9 +48,6 @@
 from peppershore.version.model import CallClass
 
 NO_LENGTH = -1
-MOST_AHEAD_BYTES = 512 * 1024
-"""So much of a body is held here before it has a slot; what its caller's node keeps."""
-
 MILLISECONDS = 1_000
 CLASSES: dict[str, CallClass] = {name: name for name in RANKS}
 
@@ -59,7 +56,6 @@
     """Takes a peer's call to the back end and its answer back to the peer."""
 
     __slots__ = (
-        "_ahead",
         "_answer_head",
         "_attempt",
         "_backend",
@@ -91,7 +87,6 @@
         self._attempt: OwnAttempt | None = None
         self._backend: OwnBackend | None = None
         self._body = RequestBody()
-        self._ahead = False
         self._begun = False
         self._over = False
         self._paused = False
@@ -114,8 +109,7 @@
             window = backend.transfers.window_bytes
             self._receiving = ReceiveWindow(window, owed=window)
         self._record = backend.record(started.headers)
-        want_body = self._take_body_ahead if started.body_on_credit else None
-        self._attempt = OwnAttempt(backend, _request(started), self, want_body)
+        self._attempt = OwnAttempt(backend, _request(started), self)
         self._attempt.start()
 
     def refuse(self, refusal: NotRun) -> None:
@@ -207,24 +201,9 @@
             self._body.end(message.trailers)
         if self._begun and self._attempt is not None:
             self._body.send(self._attempt)
-        elif not self._ahead or self._body.received >= MOST_AHEAD_BYTES:
+        else:
             self._receiving.pause()
         self._credit(self._receiving.taken(len(message.data)))
-        self._ask_for_slot_if_in()
-
-    def _take_body_ahead(self) -> None:
-        """There is room on the link: have the body sent before a slot is free."""
-        self._ahead = True
-        self._credit(self._receiving.resume())
-        self._ask_for_slot_if_in()
-
-    def _ask_for_slot_if_in(self) -> None:
-        """Ask once the body is whole, or as much of it here as is held."""
-        if not self._ahead or self._begun or self._attempt is None:
-            return
-        if self._body.ended or self._body.received >= MOST_AHEAD_BYTES:
-            self._ahead = False
-            self._attempt.body_is_in()
 
     def _cancel(self) -> None:
         if self._over:
