The test of early signals begins with the system's own default

Change: the tried program first restores the default, and is then asked as before: as strict, and the same whoever starts it.

--- a/tests/command/test_early_signals.py
+++ b/tests/command/test_early_signals.py
@@ -14,6 +14,7 @@
 
 PROGRAM = """
 import signal, sys, types
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
 class Told(types.ModuleType):
     def __getattr__(self, name):
         print(signal.getsignal(signal.SIGHUP).name, flush=True)
