Lines name a request that is sent again, and the end of a back end's process

A call that breaks off at the back end's own node now waits until that node has asked the address for a connection: refused, the process has ended (back_end_ended, with the fingerprints of what ran there); taken, it has not. Stories carry the fingerprint. No decision goes by it yet.

--- a/src/peppershore/connection/messages/calls.py
+++ b/src/peppershore/connection/messages/calls.py
@@ -54,7 +54,7 @@
     ``is_client_retry``: it was refused before, and goes after those that were not.
     ``route`` is the name of its route, by which its work is estimated.
     ``body_on_credit``: its body follows only once the receiver has given credit, which
-    it does when the back end takes the call.
+    it does when the back end takes the call.  ``identity``: see ``request.fingerprint``.
     """
 
     stream: int
@@ -76,6 +76,7 @@
     is_client_retry: bool = False
     route: str = ""
     body_on_credit: bool = False
+    identity: bytes = b""
 
 
 class CallBody(Message, frozen=True, tag=142):
--- a/src/peppershore/process/node/data/attempt.py
+++ b/src/peppershore/process/node/data/attempt.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from peppershore.connection.http_head import AnswerHead, HeaderList, RequestHead
+from peppershore.request.fingerprint import Fingerprint
 from peppershore.request.outcome import Failed
 from peppershore.version.model import CallClass
 
@@ -86,7 +87,8 @@
     one until ``start_by`` (monotonic seconds).  ``is_client_retry``: its caller was refused
     before; ``route``: the name of its route, by which its work is estimated.
     ``body_on_credit``: another node is sent the body only when its back end takes the
-    call, so that a refusal costs no bytes between zones.
+    call, so that a refusal costs no bytes between zones.  ``fingerprint`` grows with the
+    body.
     """
 
     head: RequestHead
@@ -102,3 +104,4 @@
     is_client_retry: bool = False
     route: str = ""
     body_on_credit: bool = False
+    fingerprint: Fingerprint = msgspec.field(default_factory=Fingerprint)
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -32,6 +32,7 @@
 )
 from peppershore.request.classification import CallPlan
 from peppershore.request.endpoint_state import Verdict
+from peppershore.request.fingerprint import Fingerprint, identity_of
 from peppershore.request.next_attempt import (
     AttemptTerms,
     CallProgress,
@@ -62,7 +63,7 @@
 own node on whether it ran; after that its outcome is unknown."""
 
 
-NO_STORY = StoryBook(0.0)
+NO_STORY = StoryBook(0.0, Fingerprint())
 SHED = Unknown(STATUS_UNAVAILABLE, "back-end-shed")
 FAILED = Unknown(STATUS_BAD_GATEWAY, "back-end-failed")
 """What an answer of the back end's own counts as when another may do better."""
@@ -132,13 +133,14 @@
     def start(self) -> None:
         """Decide what the call is, and admit or refuse it."""
         self._calls.begun(self)
-        self._story = StoryBook(self._loop.time())
+        self._story = StoryBook(self._loop.time(), self._body.fingerprint)
         planned = self._calls.plan(self._head)
         if isinstance(planned, Failure):
             self._fail(planned.failure())
             return
         entry = planned.unwrap()
         self._plan = entry.plan
+        self._body.fingerprint.identity = identity_of(self._head, entry.caller.name)
         if entry.plan.settings.streamed_bodies:
             self._body.replay_bytes = STREAMED_REPLAY_BYTES
         self._timer = self._loop.call_at(entry.plan.deadline, self._deadline_passed)
@@ -287,6 +289,7 @@
             is_client_retry=plan.is_client_retry,
             route=plan.route,
             body_on_credit=plan.settings.streamed_bodies,
+            fingerprint=self._body.fingerprint,
         )
 
     def refused(self, refusal: NotRun) -> None:
--- a/src/peppershore/process/node/data/call_story.py
+++ b/src/peppershore/process/node/data/call_story.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from peppershore.process.commands import Notice
+from peppershore.request.fingerprint import Fingerprint
 from peppershore.request.outcome import Failed, NotRun
 from peppershore.version.model import Version
 
@@ -48,6 +49,7 @@
     """A call ended at its caller's node; ``version`` chose the route.
 
     The configuration's age is -1 where it was never confirmed to be the latest.
+    ``fingerprint`` is the same for a request that is sent again.
     """
 
     level: ClassVar[str] = "info"
@@ -63,6 +65,7 @@
     status: int
     milliseconds: int
     steps: tuple[CallStep, ...]
+    fingerprint: str = ""
 
 
 class ServedStory(Notice, frozen=True):
@@ -83,6 +86,7 @@
     running: int
     waiting: int
     slots: int
+    fingerprint: str = ""
 
 
 class ServedRecord(msgspec.Struct, frozen=True):
@@ -95,6 +99,7 @@
     running: int
     waiting: int
     slots: int
+    fingerprint: Fingerprint
 
 
 def served_story(record: ServedRecord, end: CallEnd, now: float) -> ServedStory:
@@ -110,6 +115,7 @@
         running=record.running,
         waiting=record.waiting,
         slots=record.slots,
+        fingerprint=record.fingerprint.name,
     )
 
 
@@ -122,11 +128,12 @@
 class StoryBook:
     """Collects the steps of one call."""
 
-    __slots__ = ("_steps", "began_at")
+    __slots__ = ("_steps", "began_at", "fingerprint")
 
-    def __init__(self, began_at: float) -> None:
+    def __init__(self, began_at: float, fingerprint: Fingerprint) -> None:
         """Begin when the request was read (monotonic seconds)."""
         self.began_at = began_at
+        self.fingerprint = fingerprint
         self._steps: list[CallStep] = []
 
     @property
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -483,6 +483,7 @@
                 status=end.status,
                 milliseconds=story.milliseconds(now),
                 steps=story.steps,
+                fingerprint=story.fingerprint.name,
             )
         )
 
--- /dev/null
+++ b/src/peppershore/process/node/data/crash_watch.py
@@ -0,0 +1,107 @@
+"""Whether the back end's process ended, or only a connection to it.
+
+Where a call breaks off, its back end is asked for a connection: a process that is there
+takes one, one that has ended refuses.  Until that is known the call waits for its outcome.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from secrets import token_hex
+
+import msgspec
+
+from peppershore.request.fingerprint import Fingerprint
+
+PROBE_SECONDS = 0.25
+"""An address of this machine answers within a millisecond; one that does not says nothing.
+The calls that broke off wait for no longer, a small part of their target latency."""
+
+Tell = Callable[[bool], None]
+"""Hears whether the process has ended."""
+
+
+class Suspect(msgspec.Struct, frozen=True):
+    """A request that ran when its back end ended: its head's digest, and its own."""
+
+    identity: bytes
+    key: bytes
+
+
+class CrashWatch:
+    """Looks after calls that break off at one back end."""
+
+    def __init__(self, node: str, address: str) -> None:
+        """Watch the process at ``address`` ("IP:port"), beside this node."""
+        self.on_ended: Callable[[str, tuple[Suspect, ...]], None] = lambda life, under: None
+        """Told of a life that ended without a word, and of what ran there."""
+        self.life = ""
+        self._address = address
+        self._unnamed_lives = (f"{node}-{token_hex(4)}-{n}" for n in itertools.count(1))
+        self._is_leaving = False
+        self._has_ended = False
+        self._broken: list[tuple[Fingerprint, Tell]] = []
+        self._probe: asyncio.Task[None] | None = None
+
+    def begin_life(self, life: str) -> None:
+        """Another life of the back end is there; it may have no name."""
+        self.life = life
+        self._is_leaving = False
+        self._has_ended = False
+
+    def says_it_leaves(self) -> None:
+        """Its end is planned from now on, and says nothing of what runs there."""
+        self._is_leaving = True
+
+    def broke_off(self, life: str, fingerprint: Fingerprint, tell: Tell) -> None:
+        """A call of that life broke off; ``tell`` hears whether the process ended."""
+        if life != self.life:
+            tell(False)
+            return
+        self._broken.append((fingerprint, tell))
+        if self._has_ended:
+            self._conclude(has_ended=True)
+        elif self._probe is None:
+            loop = asyncio.get_running_loop()
+            self._probe = loop.create_task(self._ask(life))
+
+    def close(self) -> None:
+        """Ask no more."""
+        if self._probe is not None:
+            self._probe.cancel()
+            self._probe = None
+
+    async def _ask(self, life: str) -> None:
+        has_ended = await _refuses(self._address)
+        self._probe = None
+        self._has_ended = has_ended and life == self.life
+        self._conclude(has_ended)
+
+    def _conclude(self, has_ended: bool) -> None:
+        broken, self._broken = self._broken, []
+        if has_ended and not self._is_leaving:
+            self.on_ended(self.life or next(self._unnamed_lives), _suspects(broken))
+        for _, tell in broken:
+            tell(has_ended)
+
+
+def _suspects(broken: list[tuple[Fingerprint, Tell]]) -> tuple[Suspect, ...]:
+    """Give the requests whose bodies were in: another one can't be known again."""
+    known = (each for each, _ in broken if each.is_known and each.identity)
+    return tuple(Suspect(each.identity, each.key) for each in known)
+
+
+async def _refuses(address: str) -> bool:
+    """Whether nobody listens there; no answer says nothing."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(PROBE_SECONDS):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
--- a/src/peppershore/process/node/data/direct_attempt.py
+++ b/src/peppershore/process/node/data/direct_attempt.py
@@ -14,6 +14,7 @@
 from peppershore.process.node.data.attempt import AttemptRequest, AttemptSink
 from peppershore.request.deadline import remaining_milliseconds
 from peppershore.request.outcome import (
+    BROKE_OFF,
     STATUS_BAD_GATEWAY,
     STATUS_BAD_REQUEST,
     STATUS_MISDIRECTED,
@@ -161,7 +162,7 @@
         self._connection = None
         self._over()
         if self._refusal is None:
-            failed = Unknown(STATUS_BAD_GATEWAY, "back-end-broke-off")
+            failed = Unknown(STATUS_BAD_GATEWAY, BROKE_OFF)
             self._sink.attempt_failed(failed)
         else:
             self._sink.attempt_failed(self._refusal)
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -233,6 +233,7 @@
                 is_client_retry=request.is_client_retry,
                 route=request.route,
                 body_on_credit=request.body_on_credit,
+                identity=request.fingerprint.identity,
             )
         )
         if not self._started:
--- a/src/peppershore/process/node/data/notices.py
+++ b/src/peppershore/process/node/data/notices.py
@@ -37,6 +37,15 @@
     state: str
 
 
+class BackEndEnded(Notice, frozen=True):
+    """This node's own back end ended without a word; ``under`` names what ran there."""
+
+    level: ClassVar[str] = "warning"
+    service: str
+    instance: str
+    under: tuple[str, ...]
+
+
 class DrainEnded(Notice, frozen=True):
     """The planned stop of calls is over; what was waited for, and what was left."""
 
--- a/src/peppershore/process/node/data/own_attempt.py
+++ b/src/peppershore/process/node/data/own_attempt.py
@@ -14,8 +14,11 @@
 from peppershore.request.body_transfers import MOST_SECONDS, TRANSFER_SECONDS
 from peppershore.request.endpoint_state import Verdict
 from peppershore.request.outcome import (
+    BACK_END_ENDED,
+    BROKE_OFF,
     BUSY,
     NO_SLOT_IN_TIME,
+    STATUS_BAD_GATEWAY,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
     Failed,
@@ -33,6 +36,7 @@
     """Waits for room and for a slot, then goes to the back end directly."""
 
     __slots__ = (
+        "_awaits_word_of_end",
         "_backend",
         "_direct",
         "_dispatch",
@@ -67,6 +71,7 @@
         self._status = 0
         self._done = False
         self._transferring = False
+        self._awaits_word_of_end = False
         self._transfer_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -149,6 +154,7 @@
 
     def cancel(self) -> None:
         """Give the attempt up and free its slot."""
+        self._awaits_word_of_end = False
         if self._done:
             return
         direct = self._direct
@@ -198,8 +204,13 @@
         """Free the slot, then hand the failure on."""
         self._end(verdict_of_failure(failed))
         if failed.reason in NOT_THERE_REASONS:
-            self._backend.refuse_not_there(self._terms.instance.decode("latin-1"))
-        self._sink.attempt_failed(failed)
+            self._backend.refuse_not_there(self._instance)
+        if failed.reason == BROKE_OFF:
+            self._awaits_word_of_end = True
+            crashes = self._backend.crashes
+            crashes.broke_off(self._instance, self._request.fingerprint, self._broke_off)
+        else:
+            self._sink.attempt_failed(failed)
 
     def sending_paused(self) -> None:
         """Hand the back end's slowness on."""
@@ -211,6 +222,19 @@
 
     # --- inside
 
+    @property
+    def _instance(self) -> str:
+        """The life of the back end that the call was sent to."""
+        return self._terms.instance.decode("latin-1")
+
+    def _broke_off(self, has_ended: bool) -> None:
+        """It is known whether the back end's process ended under the call."""
+        if not self._awaits_word_of_end:
+            return
+        self._awaits_word_of_end = False
+        reason = BACK_END_ENDED if has_ended else BROKE_OFF
+        self._sink.attempt_failed(Unknown(STATUS_BAD_GATEWAY, reason))
+
     def _transferred(self) -> None:
         """The body is in, given up, or has had its time."""
         if self._transfer_timer is not None:
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -19,11 +19,13 @@
 from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.node.back_end_reports import (
     STATE_GONE,
+    STATE_LEAVING,
     STATE_READY,
     BackEndView,
 )
 from peppershore.process.node.data.attempt import AttemptRequest
 from peppershore.process.node.data.call_story import ServedRecord
+from peppershore.process.node.data.crash_watch import CrashWatch
 from peppershore.process.node.data.direct_attempt import (
     BackEndTerms,
 )
@@ -32,6 +34,7 @@
     BodyTransfers,
 )
 from peppershore.request.endpoint_state import Verdict
+from peppershore.request.fingerprint import Fingerprint
 from peppershore.request.outcome import (
     STATUS_UNAVAILABLE,
     NotRun,
@@ -79,6 +82,7 @@
         self.on_not_there: Callable[[str], None] = lambda instance: None
         self.slots = endpoint.slots
         self.running = RunningCalls()
+        self.crashes = CrashWatch(endpoint.node, endpoint.address)
         self.transfers = transfers or BodyTransfers()
         self._awaiting_transfer: dict[WaitingAttempt, None] = {}
         self._endpoint = endpoint
@@ -118,7 +122,7 @@
         """How to speak with the present life of the back end."""
         return BackEndTerms(self._names, self._instance.encode("latin-1"))
 
-    def record(self, headers: HeaderFields) -> ServedRecord:
+    def record(self, headers: HeaderFields, fingerprint: Fingerprint) -> ServedRecord:
         """Give what is known now that a peer's call comes."""
         return ServedRecord(
             request_id=first_value(headers, self._names.request_id),
@@ -128,6 +132,7 @@
             running=self.admission.in_flight,
             waiting=self.admission.waiting,
             slots=self.slots,
+            fingerprint=fingerprint,
         )
 
     def use_view(self, view: BackEndView, leaving_bound_seconds: float) -> None:
@@ -137,6 +142,7 @@
         """
         if view.instance != self._instance:
             self._instance = view.instance
+            self.crashes.begin_life(view.instance)
             self._begin_life()
             self._stop_refusing_later()
             self.leaving = False
@@ -144,6 +150,8 @@
             self._offered_slots = view.slots
             self.slots = view.slots
         self._apply_limit()
+        if view.state == STATE_LEAVING:
+            self.crashes.says_it_leaves()
         if view.state == STATE_READY:
             self._stop_refusing_later()
             self.leaving = False
@@ -192,6 +200,7 @@
 
     def start_ramp(self) -> None:
         """The back end has come up: give it its calls little by little."""
+        self.crashes.begin_life(self._instance)
         state = self.admission.state(self._node)
         if state is not None:
             state.ramp_started = asyncio.get_running_loop().time()
@@ -299,6 +308,7 @@
 
     def close(self) -> None:
         """Close idle connections."""
+        self.crashes.close()
         self._stop_refusing_later()
         if self._kick is not None:
             self._kick.cancel()
--- a/src/peppershore/process/node/data/request_body.py
+++ b/src/peppershore/process/node/data/request_body.py
@@ -5,6 +5,7 @@
 from peppershore.connection.http_head import HeaderList
 from peppershore.connection.messages.calls import STREAM_WINDOW_BYTES
 from peppershore.process.node.data.attempt import Attempt
+from peppershore.request.fingerprint import Fingerprint
 
 REPLAY_BYTES = 64 * 1024
 """A body up to this size is kept, so that a retry can send it again."""
@@ -28,6 +29,7 @@
         "_pieces",
         "_sent",
         "ended",
+        "fingerprint",
         "received",
         "replay_bytes",
         "replayable",
@@ -37,6 +39,7 @@
     def __init__(self) -> None:
         """Start empty; what goes beyond ``replay_bytes`` can't be sent again."""
         self.replay_bytes = REPLAY_BYTES
+        self.fingerprint = Fingerprint()
         self._pieces: list[bytes] = []
         self._sent = 0
         self.received = 0
@@ -52,11 +55,13 @@
     def add(self, data: bytes) -> None:
         """Take a piece from the caller."""
         self._pieces.append(data)
+        self.fingerprint.add(data)
         self.received += len(data)
 
     def end(self, trailers: HeaderList) -> None:
         """The caller sent it all."""
         self.ended = True
+        self.fingerprint.end()
         self.trailers = trailers
 
     def restart(self) -> None:
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -35,6 +35,7 @@
 from peppershore.process.node.data.own_attempt import OwnAttempt
 from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.request_body import RequestBody
+from peppershore.request.fingerprint import Fingerprint
 from peppershore.request.outcome import (
     BUSY,
     STATUS_BAD_REQUEST,
@@ -82,11 +83,12 @@
         self._status = 0
         self._link: CallLink | None = link
         self._stream = started.stream
+        self._body = RequestBody()
+        self._body.fingerprint.identity = started.identity
         self._route = started.route
         self._cancellable = started.cancellable
         self._attempt: OwnAttempt | None = None
         self._backend: OwnBackend | None = None
-        self._body = RequestBody()
         self._begun = False
         self._over = False
         self._paused = False
@@ -108,8 +110,8 @@
         if started.body_on_credit:
             window = backend.transfers.window_bytes
             self._receiving = ReceiveWindow(window, owed=window)
-        self._record = backend.record(started.headers)
-        self._attempt = OwnAttempt(backend, _request(started), self)
+        self._record = backend.record(started.headers, self._body.fingerprint)
+        self._attempt = OwnAttempt(backend, _request(started, self._body.fingerprint), self)
         self._attempt.start()
 
     def refuse(self, refusal: NotRun) -> None:
@@ -265,7 +267,7 @@
             self._link.forget(self._stream)
 
 
-def _request(started: CallStarted) -> AttemptRequest:
+def _request(started: CallStarted, fingerprint: Fingerprint) -> AttemptRequest:
     length = None if started.content_length == NO_LENGTH else started.content_length
     head = RequestHead(
         method=started.method,
@@ -289,6 +291,7 @@
         is_client_retry=started.is_client_retry,
         route=started.route,
         body_on_credit=started.body_on_credit,
+        fingerprint=fingerprint,
     )
 
 
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -27,6 +27,7 @@
 from peppershore.process.node.data.call_listener import CallListener
 from peppershore.process.node.data.calls import Calls
 from peppershore.process.node.data.checked_claims import CheckedClaims
+from peppershore.process.node.data.crash_watch import Suspect
 from peppershore.process.node.data.link_guard import LinkGuard
 from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.owner_links import OwnerLinks
@@ -112,6 +113,8 @@
         self._listener = HttpListener(lambda: ServerConnection(self))
         self._own = _own_backend(settings, random, self.calls.names)
         self.calls.own = self._own
+        if self._own is not None:
+            self._own.crashes.on_ended = self._back_end_ended
         self._call_listener = CallListener(
             settings.cluster,
             lambda: self._own,
@@ -327,6 +330,10 @@
         if self._on_backend_state is not None:
             self._on_backend_state(state)
 
+    def _back_end_ended(self, life: str, under: tuple[Suspect, ...]) -> None:
+        keys = tuple(each.key.hex() for each in under)
+        self._notice_sink(notices.BackEndEnded(self._settings.service, life, keys))
+
     def _longest_call_seconds(self) -> float:
         """Bound on a call begun directly by another node at the own back end."""
         active = self.calls.configuration
--- a/src/peppershore/request/outcome.py
+++ b/src/peppershore/request/outcome.py
@@ -28,6 +28,12 @@
 NO_SLOT_IN_TIME = "no-slot-in-time"
 """Reason of a refusal because no slot comes free while the call may wait."""
 
+BROKE_OFF = "back-end-broke-off"
+"""Reason of an outcome that is not known: the connection ended under the call."""
+
+BACK_END_ENDED = "back-end-ended"
+"""Reason of an outcome that is not known: the back end's process ended under the call."""
+
 QUEUE_FULL = "queue-full"
 DISPLACED = "displaced"
 DEADLINE_TOO_SHORT = "deadline-too-short"
