--- a/src/peppershore_lab/soak/back_end.py
+++ b/src/peppershore_lab/soak/back_end.py
@@ -15,11 +15,12 @@
     ClientConnection,
     ClientRequest,
 )
-from peppershore_lab.http_server import HttpAnswer, HttpRequest, start_server
+from peppershore_lab.http_server import HttpAnswer, HttpRequest, ServerConnection
 from peppershore_lab.soak import settings
 from peppershore_lab.soak.observations import (
     STATUS_OK,
     LeavingAcknowledged,
+    PoisonRan,
     Record,
     RunBegan,
 )
@@ -29,6 +30,12 @@
 REPORT_SECONDS = 1.0
 MISDIRECTED = 421
 SHORTEST_WORK_SECONDS, LONGEST_WORK_SECONDS = 0.002, 0.3
+SHORTEST_DOWN_SECONDS, LONGEST_DOWN_SECONDS = 0.8, 2.0
+"""A back end that ended is back after so long, as another life."""
+
+POISON = "poison"
+"""In the path of a request: the back end that begins to run it ends."""
+
 READY, DRAINING = "ready", "draining"
 
 
@@ -52,16 +59,18 @@
         self._reporting = asyncio.Lock()
         self._server: asyncio.Server | None = None
         self._beats: asyncio.Task[None] | None = None
+        self._callers: set[asyncio.StreamWriter] = set()
+        self._return: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Listen, and report from now on."""
-        self._server, _ = await start_server(
-            self._host, settings.APPLICATION_PORT, self._answer
-        )
+        await self._listen()
         self._beats = asyncio.create_task(self._beat())
 
     async def stop(self) -> None:
         """Report no more and listen no more."""
+        if self._return is not None:
+            self._return.cancel()
         if self._beats is not None:
             self._beats.cancel()
             with contextlib.suppress(asyncio.CancelledError):
@@ -80,13 +89,47 @@
         if acknowledged_at is not None:
             left = LeavingAcknowledged(self._node, acknowledged_at, time.monotonic())
             self._record.leavings.append(left)
+        self._begin_life()
+
+    def _begin_life(self) -> None:
         self._lives += 1
         self._instance = f"{self._node}-{self._lives}"
         self._state = READY
 
+    async def _listen(self) -> None:
+        self._server = await asyncio.start_server(
+            self._serve, self._host, settings.APPLICATION_PORT
+        )
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._callers.add(writer)
+        try:
+            await ServerConnection(reader, writer, self._answer).serve()
+        finally:
+            self._callers.discard(writer)
+
+    def _end(self) -> None:
+        """End as a process does: nobody listens, and every connection is reset."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in self._callers:
+            writer.transport.abort()
+        if self._return is None or self._return.done():
+            self._return = asyncio.create_task(self._come_back())
+
+    async def _come_back(self) -> None:
+        down = self._random.uniform(SHORTEST_DOWN_SECONDS, LONGEST_DOWN_SECONDS)
+        await asyncio.sleep(down)
+        self._begin_life()
+        await self._listen()
+
     async def _beat(self) -> None:
         while True:
-            await self._report()
+            if self._server is not None:
+                await self._report()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def _report(self) -> bool:
@@ -116,6 +159,10 @@
         own = ((settings.REQUEST_ID, name),)
         if expected != self._instance:
             return HttpAnswer(MISDIRECTED, b"", (*own, (settings.NOT_RUN, "1")))
+        if POISON in request.target:
+            ran = PoisonRan(request.target, self._node, time.monotonic())
+            self._record.poison.append(ran)
+            self._end()
         self._record.runs.append(RunBegan(name, self._node, time.monotonic()))
         work = self._random.uniform(SHORTEST_WORK_SECONDS, LONGEST_WORK_SECONDS)
         await asyncio.sleep(work * self._random.random())
--- a/src/peppershore_lab/soak/callers.py
+++ b/src/peppershore_lab/soak/callers.py
@@ -85,6 +85,9 @@
             and outcome.body == answer_body(name, len(body))
         )
         sent = isinstance(outcome, CallBroken) and outcome.sent
+        reason = ""
+        if isinstance(outcome, ClientAnswer):
+            reason = outcome.headers.get(settings.REASON, "")
         ended = RequestEnded(
             request=name,
             node=self._node.name,
@@ -94,11 +97,19 @@
             status=status,
             whole=whole,
             sent=sent,
+            reason=reason,
         )
         self._record.requests.append(ended)
         if status == 0:
             await asyncio.sleep(UNREACHED_PAUSE_SECONDS)
 
+    async def send_poison(self, path: str) -> None:
+        """Send once more what ends the back end that runs it."""
+        connection = ClientConnection(f"{self._node.host}:{settings.CALLER_PORT}")
+        request = _request("GET", path, f"poison-{next(self._numbers)}", b"")
+        await _answer(connection, request)
+        connection.close()
+
     async def _probe(self, newest: Callable[[], int]) -> None:
         """Ask for the route of the newest version and of the one before, in turn."""
         before = 0
--- a/src/peppershore_lab/soak/checks.py
+++ b/src/peppershore_lab/soak/checks.py
@@ -28,6 +28,12 @@
 CROSSING_SECONDS = 0.5
 """A close that crosses a request is seen within this time."""
 
+SPREAD_SECONDS = 3.0
+"""So long after a third back end ended under a request every node knows of it."""
+
+MOST_ENDS_AFTER = 3
+QUARANTINED = "quarantined"
+
 CHANGE_REFUSALS = frozenset({400, 409, 412, 413, 422})
 
 
@@ -173,6 +179,25 @@
             yield Violation("not-in-force", detail, probe.ended_at)
 
 
+def poison_is_held(record: Record) -> Iterator[Violation]:
+    """A request under which three back ends ended is given to hardly any other."""
+    ends: defaultdict[str, list[float]] = defaultdict(list)
+    for run in record.poison:
+        ends[run.path].append(run.at)
+    for path, times in ends.items():
+        times.sort()
+        after = [at for at in times if at > times[min(2, len(times) - 1)] + SPREAD_SECONDS]
+        if len(after) > MOST_ENDS_AFTER:
+            yield Violation("poison-held", f"{path} ended {len(times)} in all", after[-1])
+
+
+def only_poison_is_held(record: Record) -> Iterator[Violation]:
+    """Whatever else ran where a back end ended is not taken for the cause."""
+    for request in record.requests:
+        if request.reason == QUARANTINED:
+            yield Violation("only-poison-held", request.request, request.ended_at)
+
+
 def processes_do_not_end(record: Record) -> Iterator[Violation]:
     """No process ends by itself."""
     for end in record.ends:
@@ -190,6 +215,8 @@
     reads_are_never_older,
     nodes_never_go_back,
     newest_is_in_force_at_the_end,
+    poison_is_held,
+    only_poison_is_held,
     processes_do_not_end,
 )
 
--- a/src/peppershore_lab/soak/command.py
+++ b/src/peppershore_lab/soak/command.py
@@ -19,6 +19,7 @@
 
 MOST_HUBS = 7
 MOST_CONNECTIONS = 100
+MOST_POISON = 20
 SHOWN_VIOLATIONS = 10
 
 
@@ -41,6 +42,13 @@
     show_default=True,
     help="Callers' connections at each node.",
 )
+@click.option(
+    "--poison",
+    type=click.IntRange(0, MOST_POISON),
+    default=2,
+    show_default=True,
+    help="Requests that end whichever back end runs them, and come again.",
+)
 @click.option(
     "--keep",
     type=click.Path(path_type=Path, file_okay=False),
@@ -55,6 +63,7 @@
     hubs: int,
     nodes: int,
     connections: int,
+    poison: int,
     keep: Path | None,
     as_json: bool,
 ) -> None:
@@ -66,7 +75,7 @@
     if keep is not None:
         keep.mkdir(parents=True, exist_ok=True)
     plans = [
-        SoakPlan(each, seconds, hubs, nodes, connections)
+        SoakPlan(each, seconds, hubs, nodes, connections, poison)
         for each in range(seed, seed + seeds)
     ]
     results = run_to_end(_run_all(plans, keep, as_json))
@@ -107,6 +116,7 @@
         f"seed {result.seed}: {verdict}; {seconds:.0f} s, "
         f"{sum(result.kinds.values())} faults, {result.requests} requests "
         f"({result.answered} answered, {result.refused} refused, {result.broken} cut), "
+        f"{result.poison} back ends ended, "
         f"{result.acknowledged} of {result.changes} changes taken"
     )
     for violation in result.violations[:SHOWN_VIOLATIONS]:
--- a/src/peppershore_lab/soak/observations.py
+++ b/src/peppershore_lab/soak/observations.py
@@ -16,6 +16,7 @@
 
     ``once``: it may run at most once.  ``whole``: the answer is this request's own, to
     the last byte.  ``sent``: bytes of it left on a connection that was open.
+    ``reason`` is the node's, for an answer of its own.
     """
 
     request: str
@@ -26,6 +27,7 @@
     status: int
     whole: bool
     sent: bool
+    reason: str = ""
 
 
 class RunBegan(msgspec.Struct, frozen=True):
@@ -36,6 +38,14 @@
     at: float
 
 
+class PoisonRan(msgspec.Struct, frozen=True):
+    """A back end began to work on a request that ends whoever runs it, and ended."""
+
+    path: str
+    node: str
+    at: float
+
+
 class LeavingAcknowledged(msgspec.Struct, frozen=True):
     """A node took its back end's word that it leaves; ``until`` is when it was back."""
 
@@ -97,6 +107,7 @@
 
     requests: list[RequestEnded] = []
     runs: list[RunBegan] = []
+    poison: list[PoisonRan] = []
     leavings: list[LeavingAcknowledged] = []
     changes: list[ChangeAnswered] = []
     reads: list[ConfigurationRead] = []
--- a/src/peppershore_lab/soak/runner.py
+++ b/src/peppershore_lab/soak/runner.py
@@ -21,6 +21,7 @@
 from peppershore_lab.soak.machines import Machine, Site
 from peppershore_lab.soak.observations import STATUS_OK, Record
 from peppershore_lab.soak.operators import Operators
+from peppershore_lab.soak.poison import PoisonCallers
 
 START_SECONDS = 60.0
 CALM_SECONDS = 60.0
@@ -34,13 +35,19 @@
 
 
 class SoakPlan(msgspec.Struct, frozen=True):
-    """What a soak does; ``connections`` are those of callers at each node."""
+    """What a soak does; ``connections`` are those of callers at each node.
+
+    ``poison``: so many requests end whichever back end runs them, and come again.
+    Without ``strikes`` nothing else happens.
+    """
 
     seed: int
     seconds: float = 20.0
     hubs: int = 3
     nodes: int = 4
     connections: int = 4
+    poison: int = 0
+    strikes: bool = True
 
 
 class SoakResult(msgspec.Struct, frozen=True):
@@ -57,6 +64,7 @@
     acknowledged: int
     reads: int
     probes: int
+    poison: int
     kinds: dict[str, int]
     violations: tuple[Violation, ...]
 
@@ -113,15 +121,12 @@
 
     async def _play(self) -> None:
         """Load and faults; the load goes on until the last fault is over."""
-        faults = draw_faults(
-            self._plan.seed,
-            self._plan.seconds,
-            tuple(hub.name for hub in self._site.hubs),
-            tuple(node.name for node in self._site.nodes),
-        )
+        callers = tuple(self._callers.values())
+        poison = PoisonCallers(callers, self._plan.poison, self._plan.seed)
         work = [
             asyncio.create_task(self._operators.run()),
             asyncio.create_task(self._watch_processes()),
+            asyncio.create_task(poison.run(self._plan.seconds)),
             *(
                 asyncio.create_task(
                     callers.run(self._plan.connections, lambda: self._operators.newest)
@@ -130,7 +135,7 @@
             ),
         ]
         try:
-            await Injector(self._site, self._back_ends, self._record).run(faults)
+            await self._strike()
         finally:
             for task in work:
                 task.cancel()
@@ -138,6 +143,19 @@
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
 
+    async def _strike(self) -> None:
+        """Bring the faults about; without any, let the load go on for as long."""
+        if not self._plan.strikes:
+            await asyncio.sleep(self._plan.seconds)
+            return
+        faults = draw_faults(
+            self._plan.seed,
+            self._plan.seconds,
+            tuple(hub.name for hub in self._site.hubs),
+            tuple(node.name for node in self._site.nodes),
+        )
+        await Injector(self._site, self._back_ends, self._record).run(faults)
+
     async def _calm_down(self) -> None:
         """Everything must come back, with the last change in force at every node."""
         waiting = {machine.name: machine for machine in self._site.machines}
@@ -195,6 +213,7 @@
             acknowledged=sum(each.status == STATUS_OK for each in record.changes),
             reads=len(record.reads),
             probes=len(record.probes),
+            poison=len(record.poison),
             kinds=kinds,
             violations=find_violations(record),
         )
--- a/src/peppershore_lab/soak/settings.py
+++ b/src/peppershore_lab/soak/settings.py
@@ -15,6 +15,7 @@
 SIGNATURE = "x-soak-signature"
 EXPECTED_INSTANCE = "x-soak-expected-instance"
 NOT_RUN = "x-soak-not-run"
+REASON = "peppershore-reason"
 STOP_GRACE_SECONDS = 6.0
 LINK_MEGABITS = 4.0
 """Narrow enough that a node takes in two large bodies at a time."""
--- a/tests/soak/test_soak_checks.py
+++ b/tests/soak/test_soak_checks.py
@@ -12,6 +12,7 @@
     Disturbance,
     LeavingAcknowledged,
     MarkerProbed,
+    PoisonRan,
     ProcessEnded,
     Record,
     RequestEnded,
@@ -81,6 +82,15 @@
     ),
     "not-back": changed(unready=["node-1"]),
     "not-in-force": changed(probes=[msgspec.structs.replace(SERVED, status=404)]),
+    "poison-held": changed(
+        poison=[
+            PoisonRan("/read/poison-1", "node-1", at)
+            for at in (1.0, 1.1, 2.0, 5.1, 6.0, 7.0, 8.0)
+        ],
+    ),
+    "only-poison-held": changed(
+        requests=[msgspec.structs.replace(REFUSED, request="s-9", reason="quarantined")],
+    ),
     "process-ended": changed(ends=[ProcessEnded("hub-1", "exit status 1", 3.0)]),
 }
 
@@ -113,6 +123,15 @@
             id="it-crossed-the-close",
         ),
         pytest.param(changed(requests=[CUT], disturbances=[KILL]), id="no-stop"),
+        pytest.param(
+            changed(
+                poison=[
+                    PoisonRan("/read/poison-1", "node-1", at)
+                    for at in (1.0, 1.1, 2.0, 2.1, 4.9, 6.0, 7.0, 8.0)
+                ]
+            ),
+            id="poison-was-on-its-way",
+        ),
         pytest.param(
             changed(
                 probes=[
