Tests of the quarantine, and a digest of all that relays know of it

A record of one end that was lost between two relays was never sent again: the digest covered two ends and more, and two relays with one end each stayed apart.

--- a/src/peppershore/connection/messages/crashes.py
+++ b/src/peppershore/connection/messages/crashes.py
@@ -35,6 +35,6 @@
 
 
 class CrashesDigest(Message, frozen=True, tag=161):
-    """Anti-entropy between relays: digest of what each node is told."""
+    """Anti-entropy between relays: digest of all that the sender knows."""
 
     digest: int
--- a/src/peppershore/process/quarantine/sharing.py
+++ b/src/peppershore/process/quarantine/sharing.py
@@ -72,7 +72,7 @@
         """Tell a relay that knows something else what is known here."""
         if message.digest == self.table.digest():
             return []
-        return [SendMessage(link, CrashesTold(self.table.notable(now)))]
+        return [SendMessage(link, CrashesTold(self.table.records(now)))]
 
     def tick(self, relays: Iterable[LinkId], now: float) -> list[Command]:
         """Forget what is old, and let the other relays compare."""
--- a/src/peppershore/request/quarantine.py
+++ b/src/peppershore/request/quarantine.py
@@ -187,13 +187,12 @@
         return None if entry is None else _record(key, entry, now)
 
     def digest(self) -> int:
-        """Digest of what every node must know: equal where two processes agree."""
-        notable = sorted(
+        """Digest of all that is known: equal where two processes agree."""
+        known = sorted(
             (key, each.generation, sorted(each.lives))
             for key, each in self._entries.items()
-            if each.is_notable
         )
-        return xxhash.xxh3_64_intdigest(repr(notable).encode())
+        return xxhash.xxh3_64_intdigest(repr(known).encode())
 
     # --- inside
 
--- /dev/null
+++ b/tests/data_plane/test_quarantined_requests.py
@@ -0,0 +1,226 @@
+"""Requests under which back ends ended: refused, run alone, cleared, never run twice."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+from tests.data_plane.scripted_backend import Received, ScriptedBackend, answer_ok
+from tests.data_plane.stage import (
+    PUBLIC_ROUTE,
+    Caller,
+    Node,
+    call,
+    endpoint,
+    run,
+    until,
+)
+from tests.data_plane.test_back_end_ends import ended, ends_on
+
+from peppershore.connection.http_head import RequestHead
+from peppershore.connection.messages.crashes import CrashRecord
+from peppershore.request.fingerprint import Fingerprint, identity_of
+
+MARKED = "/marked"
+ONCE = msgspec.structs.replace(PUBLIC_ROUTE, repeatable=False)
+
+
+def record(target: str = MARKED, ends: int = 3, body: bytes = b"") -> CrashRecord:
+    method = b"POST" if body else b"GET"
+    head = RequestHead(method, target.encode(), [(b"host", b"kassa")], len(body))
+    fingerprint = Fingerprint(identity_of(head, ""))
+    fingerprint.add(body)
+    fingerprint.end()
+    lives = tuple(f"life-{number}" for number in range(ends))
+    return CrashRecord(fingerprint.identity, fingerprint.key, 0, lives, 0)
+
+
+class Pair:
+    """A caller's node and the node beside a back end."""
+
+    def __init__(self) -> None:
+        self.backend = ScriptedBackend()
+        self.callers = ""
+
+    async def start(self, **changes: object) -> None:
+        self.owner = Node("k1", await self.backend.start())
+        await self.owner.start(**changes)
+        self.edge = Node()
+        there = endpoint(self.backend.address, owner_address=self.owner.addresses.internal)
+        self.callers = await self.edge.start(there, **changes)
+
+    def heed(self, told: CrashRecord, *nodes: Node) -> None:
+        for node in nodes or (self.edge, self.owner):
+            node.plane.calls.quarantine.use((told,))
+
+    async def close(self) -> None:
+        await self.edge.plane.close()
+        await self.owner.plane.close()
+        self.backend.stop()
+
+
+def test_a_held_request_is_refused_at_once_as_not_run_and_others_are_not() -> None:
+    async def scene() -> None:
+        pair = Pair()
+        await pair.start()
+        pair.heed(record())
+        answer = await call(pair.callers, MARKED)
+        assert (answer.status, answer.outcome) == (503, "not-run")
+        assert answer.reason == "quarantined"
+        assert int(answer.headers["retry-after"]) == 60
+        assert pair.backend.requests == []
+        assert (await call(pair.callers, "/other")).status == 200
+        await pair.close()
+
+    run(scene())
+
+
+def test_the_back_ends_own_node_refuses_what_the_callers_node_does_not_know_of() -> None:
+    async def scene() -> None:
+        pair = Pair()
+        await pair.start()
+        pair.heed(record(), pair.owner)
+        answer = await call(pair.callers, MARKED)
+        assert answer.reason == "quarantined"
+        assert pair.backend.requests == []
+        await pair.close()
+
+    run(scene())
+
+
+def test_a_request_is_told_by_its_body_which_is_waited_for() -> None:
+    async def scene() -> None:
+        pair = Pair()
+        await pair.start()
+        pair.heed(record(body=b"poison"))
+        caller = await Caller.connect(pair.callers)
+        head = f"POST {MARKED} HTTP/1.1\r\nhost: kassa\r\ncontent-length: 6\r\n\r\n"
+        caller.write(head.encode())
+        await asyncio.sleep(0.02)
+        assert pair.backend.requests == []
+        caller.write(b"poison")
+        assert (await caller.answer("POST")).reason == "quarantined"
+        other = await call(pair.callers, MARKED, method="POST", body=b"harmless")
+        assert (other.status, other.body) == (200, b"ok:harmless")
+        await pair.close()
+
+    run(scene())
+
+
+def test_a_caller_that_waits_to_be_asked_for_its_body_is_asked() -> None:
+    async def scene() -> None:
+        pair = Pair()
+        await pair.start()
+        pair.heed(record(body=b"poison"))
+        caller = await Caller.connect(pair.callers)
+        head = f"POST {MARKED} HTTP/1.1\r\nhost: kassa\r\ncontent-length: 6\r\n"
+        caller.write(f"{head}expect: 100-continue\r\n\r\n".encode())
+        assert (await caller.reader.readline()).startswith(b"HTTP/1.1 100")
+        await caller.reader.readline()
+        caller.write(b"poison")
+        assert (await caller.answer("POST")).reason == "quarantined"
+        await pair.close()
+
+    run(scene())
+
+
+def test_of_two_suspects_one_runs_at_a_time_and_others_run_beside() -> None:
+    async def scene() -> None:
+        pair = Pair()
+        release = asyncio.Event()
+
+        async def hold(request: Received, writer: asyncio.StreamWriter) -> None:
+            if request.target == "/first":
+                await release.wait()
+            await answer_ok(request, writer)
+
+        pair.backend.script = hold
+        await pair.start()
+        for target in ("/first", "/second"):
+            pair.heed(record(target, ends=2))
+        first = await Caller.connect(pair.callers)
+        first.request("/first")
+        await until(lambda: len(pair.backend.requests) == 1)
+        second = await call(pair.callers, "/second")
+        assert (second.status, second.reason) == (503, "suspect-waits")
+        assert (await call(pair.callers, "/other")).status == 200
+        release.set()
+        assert (await first.answer()).status == 200
+        assert (await call(pair.callers, "/second")).status == 200
+        await pair.close()
+
+    run(scene())
+
+
+def test_a_good_end_clears_a_suspect() -> None:
+    async def scene() -> None:
+        pair = Pair()
+        await pair.start()
+        cleared: list[bytes] = []
+        pair.owner.plane.calls.quarantine.on_cleared = cleared.append
+        suspect = record(ends=2)
+        pair.heed(suspect)
+        assert (await call(pair.callers, MARKED)).status == 200
+        assert cleared == [suspect.key]
+        await pair.close()
+
+    run(scene())
+
+
+def test_what_this_life_answered_before_is_not_suspected() -> None:
+    async def scene() -> None:
+        pair = Pair()
+        await pair.start()
+        assert (await call(pair.callers, MARKED)).status == 200
+        ends_on(MARKED, pair.backend)
+        await call(pair.callers, MARKED)
+        await until(lambda: bool(ended(pair.owner)))
+        assert ended(pair.owner)[0].under == ()
+        await pair.close()
+
+    run(scene())
+
+
+@pytest.mark.parametrize(("known", "sent"), [(0, 2), (2, 1)])
+def test_after_two_ends_a_request_is_sent_to_no_other_back_end(
+    known: int, sent: int
+) -> None:
+    async def scene() -> None:
+        backends = [ScriptedBackend() for _ in range(3)]
+        owners = [Node(f"k{i}", await each.start()) for i, each in enumerate(backends)]
+        for owner, backend in zip(owners, backends, strict=True):
+            ends_on(MARKED, backend)
+            await owner.start()
+        edge = Node()
+        endpoints = [
+            endpoint(each.address, f"k{i}", owners[i].addresses.internal)
+            for i, each in enumerate(backends)
+        ]
+        callers = await edge.start(*endpoints)
+        if known:
+            edge.plane.calls.quarantine.use((record(ends=known),))
+        answer = await call(callers, MARKED)
+        assert (answer.status, answer.outcome) == (502, "unknown")
+        assert answer.reason == "back-end-ended"
+        assert sum(len(each.requests) for each in backends) == sent
+        for node in (edge, *owners):
+            await node.plane.close()
+
+    run(scene())
+
+
+def test_what_may_run_once_is_unknown_after_an_end_and_then_refused_when_held() -> None:
+    async def scene() -> None:
+        pair = Pair()
+        ends_on(MARKED, pair.backend)
+        await pair.start(route=ONCE)
+        answer = await call(pair.callers, MARKED, method="POST", body=b"pay")
+        assert (answer.status, answer.outcome) == (502, "unknown")
+        assert len(pair.backend.requests) == 1
+        pair.heed(record(body=b"pay"))
+        again = await call(pair.callers, MARKED, method="POST", body=b"pay")
+        assert (again.status, again.outcome) == (503, "not-run")
+        await pair.close()
+
+    run(scene())
--- /dev/null
+++ b/tests/request/test_quarantine.py
@@ -0,0 +1,130 @@
+"""Who is suspected, who is held, for how long, and that all processes come to agree."""
+
+from __future__ import annotations
+
+from itertools import permutations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peppershore.connection.messages.crashes import CrashRecord
+from peppershore.request.quarantine import (
+    HOLD_SECONDS,
+    KEEP_SECONDS,
+    LONGEST_HOLD_SECONDS,
+    MOST_ENTRIES,
+    MOST_LIVES,
+    Quarantine,
+    Suspect,
+    hold_seconds,
+)
+from peppershore.request.recent_keys import MOST_RECENT, RecentKeys
+
+KEY = b"key-of-request"
+REQUEST = Suspect(b"head", KEY)
+
+
+def after(ends: int, at: float = 0.0) -> Quarantine:
+    table = Quarantine()
+    for number in range(ends):
+        table.ended(REQUEST, f"life-{number}", at)
+    return table
+
+
+def test_one_end_says_nothing_two_run_alone_three_are_held() -> None:
+    standings = [after(ends).standing(KEY, 1.0) for ends in range(4)]
+    assert standings == ["clear", "clear", "suspect", "held"]
+
+
+def test_one_life_counts_once_however_often_it_is_told() -> None:
+    table = Quarantine()
+    for _ in range(5):
+        table.ended(REQUEST, "life-0", 1.0)
+    assert table.ends(KEY) == 1
+
+
+def test_a_good_end_clears_and_what_was_told_before_it_does_not_come_back() -> None:
+    table = after(3)
+    late = table.record(KEY, 0.0)
+    assert late is not None
+    cleared = table.cleared(KEY, 1.0)
+    assert cleared is not None
+    assert not table.merge(late, 2.0)
+    assert table.standing(KEY, 2.0) == "clear"
+    assert table.cleared(KEY, 3.0) is None
+
+
+def test_a_hold_ends_with_one_run_alone_and_doubles_with_the_next_end() -> None:
+    table = after(3)
+    assert table.hold_left_seconds(KEY, 1.0) == HOLD_SECONDS - 1.0
+    assert table.standing(KEY, HOLD_SECONDS) == "suspect"
+    table.ended(REQUEST, "life-of-trial", HOLD_SECONDS + 1.0)
+    assert table.standing(KEY, HOLD_SECONDS + 2.0) == "held"
+    assert table.hold_left_seconds(KEY, HOLD_SECONDS + 1.0) == 2 * HOLD_SECONDS
+    assert hold_seconds(MOST_LIVES) == LONGEST_HOLD_SECONDS
+
+
+def test_what_nobody_comes_again_with_is_forgotten() -> None:
+    table = after(2)
+    table.forget_old(KEEP_SECONDS - 1.0)
+    assert len(table) == 1
+    table.forget_old(KEEP_SECONDS)
+    assert len(table) == 0
+    assert not table.concerns(REQUEST.identity)
+
+
+def test_a_held_request_is_not_pushed_out_by_suspects() -> None:
+    table = after(3)
+    for number in range(2 * MOST_ENTRIES):
+        table.ended(Suspect(b"h", b"k-%d" % number), "life-x", 1.0 + number)
+    assert len(table) == MOST_ENTRIES
+    assert table.standing(KEY, 1.0) == "held"
+
+
+def test_only_a_head_of_a_suspect_concerns() -> None:
+    assert not after(1).concerns(REQUEST.identity)
+    table = after(2)
+    assert table.concerns(REQUEST.identity)
+    assert not table.concerns(b"another head")
+    table.cleared(KEY, 1.0)
+    assert not table.concerns(REQUEST.identity)
+
+
+def test_an_old_record_is_not_taken() -> None:
+    table = after(2)
+    record = table.record(KEY, KEEP_SECONDS + 1.0)
+    assert record is not None
+    assert not Quarantine().merge(record, 0.0)
+
+
+RECORDS = st.lists(
+    st.builds(
+        CrashRecord,
+        identity=st.just(b"head"),
+        key=st.sampled_from([b"k1", b"k2"]),
+        generation=st.integers(0, 2),
+        lives=st.lists(st.sampled_from("abcdef"), max_size=4, unique=True).map(tuple),
+        age_milliseconds=st.just(0),
+    ),
+    max_size=4,
+)
+
+
+@given(RECORDS)
+def test_whatever_the_order_and_however_often_all_agree(records: list[CrashRecord]) -> None:
+    digests = set()
+    for order in permutations(records):
+        table = Quarantine()
+        for record in (*order, *order):
+            table.merge(record, 5.0)
+        digests.add(table.digest())
+    assert len(digests) == 1
+
+
+def test_recent_keys_are_bounded_and_keep_the_newest() -> None:
+    recent = RecentKeys()
+    for number in range(5 * MOST_RECENT):
+        recent.add(b"%d" % number)
+    assert b"%d" % (5 * MOST_RECENT - 1) in recent
+    assert b"%d" % (4 * MOST_RECENT) in recent
+    assert b"0" not in recent
