--- a/src/peppershore/process/quarantine/sharing.py
+++ b/src/peppershore/process/quarantine/sharing.py
@@ -75,9 +75,10 @@
         return [SendMessage(link, CrashesTold(self.table.records(now)))]
 
     def tick(self, relays: Iterable[LinkId], now: float) -> list[Command]:
-        """Forget what is old, and let the other relays compare."""
-        if not len(self.table):
-            return []
+        """Forget what is old, and let the other relays compare.
+
+        One that knows of nothing says so too: whoever knows more tells it.
+        """
         self.table.forget_old(now)
         payload = encode_message(CrashesDigest(self.table.digest()))
         return [SendEncoded(link, payload) for link in relays]
