A held request outlives all processes, and operators see it and let it go

Hubs write what two back ends or more ended under to a file of their folder (aside, synced, renamed, folder synced: the code of the node's file, now shared), one write at a time on a thread of its own. GET /quarantine and POST /quarantine/FINGERPRINT/release at a hub's api_listen and a relay's admin_listen; peppershore quarantine list and release.

--- a/src/peppershore/command/admin_client.py
+++ b/src/peppershore/command/admin_client.py
@@ -14,10 +14,17 @@
 RECEIVE_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
 _OK = 200
+_NOT_FOUND = 404
 
 
-async def fetch(address: str, path: str, timeout_seconds: float) -> Result[bytes, Failed]:
-    """GET one page; any answer but 200 is a failure."""
+async def fetch(
+    address: str,
+    path: str,
+    timeout_seconds: float,
+    method: str = "GET",
+    missing: Failed | None = None,
+) -> Result[bytes, Failed]:
+    """Ask for one page; any answer but 200 is a failure, 404 that of ``missing``."""
     host, _, port = address.rpartition(":")
     if not port.isascii() or not port.isdigit():
         return Failure(usage(f"{address!r} is no address", "give IP:port"))
@@ -25,19 +32,31 @@
         async with asyncio.timeout(timeout_seconds):
             reader, writer = await asyncio.open_connection(host.strip("[]"), int(port))
             try:
-                return await _get(reader, writer, address, path)
+                status, body = await _ask(reader, writer, method, address, path)
             finally:
                 writer.close()
     except (OSError, TimeoutError, ValueError, h11.RemoteProtocolError) as problem:
         return Failure(_unreachable(address, connection_problem(problem)))
+    if status == _NOT_FOUND and missing is not None:
+        return Failure(missing)
+    if len(body) > MAX_BODY_BYTES:
+        return Failure(_unreachable(address, f"more than {MAX_BODY_BYTES} bytes"))
+    if status != _OK:
+        return Failure(_unreachable(address, f"status {status} for {path}"))
+    return Success(body)
 
 
-async def _get(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, address: str, path: str
-) -> Result[bytes, Failed]:
+async def _ask(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    method: str,
+    address: str,
+    path: str,
+) -> tuple[int, bytes]:
+    """Give status and body; a body that is too large is read no further."""
     connection = h11.Connection(h11.CLIENT)
     headers = [("host", address), ("connection", "close")]
-    head = connection.send(h11.Request(method="GET", target=path, headers=headers))
+    head = connection.send(h11.Request(method=method, target=path, headers=headers))
     writer.write((head or b"") + (connection.send(h11.EndOfMessage()) or b""))
     status = 0
     body = bytearray()
@@ -52,10 +71,8 @@
         elif isinstance(event, h11.EndOfMessage):
             break
         if len(body) > MAX_BODY_BYTES:
-            return Failure(_unreachable(address, f"more than {MAX_BODY_BYTES} bytes"))
-    if status != _OK:
-        return Failure(_unreachable(address, f"status {status} for {path}"))
-    return Success(bytes(body))
+            break
+    return status, bytes(body)
 
 
 def _unreachable(address: str, reason: str) -> Failed:
--- a/src/peppershore/command/main.py
+++ b/src/peppershore/command/main.py
@@ -17,6 +17,7 @@
         "explain": f"{PACKAGE}.explain_command:explain",
         "keys": f"{PACKAGE}.key_commands:keys",
         "logs": f"{PACKAGE}.logs_command:logs",
+        "quarantine": f"{PACKAGE}.quarantine_commands:quarantine",
         "replica": f"{PACKAGE}.replica_commands:replica",
         "secret": f"{PACKAGE}.secret_commands:secret",
         "serve": f"{PACKAGE}.serve:serve",
--- /dev/null
+++ b/src/peppershore/command/quarantine_commands.py
@@ -0,0 +1,110 @@
+"""``peppershore quarantine``: requests that end back ends, and letting one go."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeVar
+
+import click
+import msgspec
+from returns.result import Failure
+
+from peppershore.command.admin_client import fetch
+from peppershore.command.failures import not_found
+from peppershore.command.options import MAX_TIMEOUT_SECONDS, MIN_TIMEOUT_SECONDS, Seconds
+from peppershore.command.output import show_json, show_table, stop_with
+from peppershore.process.quarantine.api import (
+    RELEASE,
+    ROOT,
+    QuarantinedRequest,
+    QuarantineList,
+    ReleasedRequest,
+)
+
+HEADER = ("FINGERPRINT", "STANDING", "ENDS", "LAST END", "HELD FOR", "LIVES")
+MILLISECONDS = 1_000
+Answer = TypeVar("Answer")
+Command = Callable[..., None]
+
+
+def _address_options(command: Command) -> Command:
+    """Add what both commands need to reach a hub or relay."""
+    at = click.option(
+        "--at",
+        "address",
+        metavar="IP:PORT",
+        required=True,
+        help="A hub's api_listen, or the admin_listen of a relay; any will do.",
+    )
+    timeout = click.option(
+        "--timeout",
+        type=Seconds(MIN_TIMEOUT_SECONDS, MAX_TIMEOUT_SECONDS),
+        default=10.0,
+        show_default=True,
+        help="Seconds to wait.",
+    )
+    as_json = click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+    return at(timeout(as_json(command)))
+
+
+@click.group()
+def quarantine() -> None:
+    """See which requests end the back ends that run them, and let one go."""
+
+
+@quarantine.command(name="list")
+@_address_options
+def list_(address: str, timeout: float, as_json: bool) -> None:
+    """List requests under which two back ends or more ended.
+
+    A suspect runs alone; one that is held is refused as not run.  LIVES are those of the
+    back ends that ended; `back_end_ended` and `call_story` lines name the fingerprint.
+    """
+    listed = _asked(address, f"/{ROOT}", "GET", QuarantineList, timeout, as_json=as_json)
+    if as_json:
+        show_json(listed)
+        return
+    show_table(HEADER, [_row(each) for each in listed.requests])
+
+
+@quarantine.command()
+@click.argument("fingerprint")
+@_address_options
+def release(fingerprint: str, address: str, timeout: float, as_json: bool) -> None:
+    """Let the request FINGERPRINT run again, everywhere, as if nothing had ended."""
+    path = f"/{ROOT}/{fingerprint}/{RELEASE}"
+    released = _asked(address, path, "POST", ReleasedRequest, timeout, as_json=as_json)
+    if as_json:
+        show_json(released)
+    else:
+        click.echo(f"{released.fingerprint} may run again")
+
+
+def _asked(
+    address: str,
+    path: str,
+    method: str,
+    kind: type[Answer],
+    timeout: float,
+    *,
+    as_json: bool,
+) -> Answer:
+    missing = not_found(
+        f"{path} at {address}", "see `peppershore quarantine list` at a hub or relay"
+    )
+    fetched = asyncio.run(fetch(address, path, timeout, method, missing))
+    if isinstance(fetched, Failure):
+        stop_with(fetched.failure(), as_json)
+    return msgspec.json.decode(fetched.unwrap(), type=kind)
+
+
+def _row(request: QuarantinedRequest) -> tuple[str, ...]:
+    return (
+        request.fingerprint,
+        request.standing,
+        str(len(request.lives)),
+        f"{request.last_end_milliseconds_ago / MILLISECONDS:.1f} s ago",
+        f"{request.hold_milliseconds / MILLISECONDS:.0f} s",
+        ",".join(request.lives),
+    )
--- a/src/peppershore/process/admin_http.py
+++ b/src/peppershore/process/admin_http.py
@@ -1,6 +1,6 @@
 """The admin listener of a process: metrics, health, readiness and pages.
 
-Read-only: ``GET /metrics``, ``/healthz`` (the loop turns), ``/readyz`` (200 only if
+``GET /metrics``, ``/healthz`` (the loop turns), ``/readyz`` (200 only if
 the role's own condition holds, else 503 with the reason), and the role's pages.
 """
 
@@ -13,6 +13,7 @@
 from peppershore.process.http_service import (
     JSON,
     PLAIN_TEXT,
+    Answerer,
     HttpService,
     ServiceAnswer,
     ServiceRequest,
@@ -56,8 +57,13 @@
         metrics: ProcessMetrics,
         readiness: Callable[[], Readiness],
         pages: Mapping[str, PageSource] | None = None,
+        services: Mapping[str, Answerer] | None = None,
     ) -> None:
-        """Serve the standard pages and ``pages`` (by path, such as "/status")."""
+        """Serve the standard pages, ``pages`` (by path, such as "/status") and services.
+
+        ``services``, by the first part of the path, answer whatever method it is.
+        """
+        self._services = dict(services or {})
         self._pages: dict[str, PageSource] = {
             "/metrics": lambda _query: Page(metrics.render(), METRICS_CONTENT_TYPE),
             "/healthz": lambda _query: Page(b"ok\n", PLAIN_TEXT),
@@ -75,6 +81,9 @@
         await self._service.close()
 
     async def _answer(self, request: ServiceRequest) -> ServiceAnswer:
+        service = self._services.get(request.path.strip("/").partition("/")[0])
+        if service is not None:
+            return await service(request)
         page = self._page_for(request)
         return ServiceAnswer(page.status, page.body, page.content_type)
 
--- a/src/peppershore/process/hub/shell.py
+++ b/src/peppershore/process/hub/shell.py
@@ -15,11 +15,15 @@
 from peppershore.process.control.clock import ClockObserved
 from peppershore.process.control.core import ControlCore
 from peppershore.process.control.releases import ReleaseAnswered
-from peppershore.process.http_service import HttpService
+from peppershore.process.http_service import HttpService, ServiceAnswer, ServiceRequest
 from peppershore.process.hub.configuration_api import MAX_BODY_BYTES, ConfigurationApi
 from peppershore.process.hub.plan import HubPlan, plan_hub, relay_name
 from peppershore.process.link_security import LinkSecurity
+from peppershore.process.quarantine.api import ROOT as QUARANTINE
+from peppershore.process.quarantine.sharing import PersistQuarantine
+from peppershore.process.quarantine.storage import QuarantineKeeper
 from peppershore.process.relay.core import RelayCore, RelaysChanged
+from peppershore.process.relay.shell import quarantine_api
 from peppershore.process.settings import HubSettings, PeerRelay
 from peppershore.process.settings_watch import SettingsWatch
 from peppershore.process.shell import Shell
@@ -40,16 +44,21 @@
         self._plan = plan_hub(settings)
         self._process = _control_process(self._plan)
         security = LinkSecurity("relay", settings.relay_tls)
+        notice_sink = self._process.metrics.notice
+        self._keeper = QuarantineKeeper(settings.data_folder, settings.cluster, notice_sink)
+        core = RelayCore(self._plan.relay, self._keeper.load(), keeps_quarantine=True)
         self._relay = Shell(
-            RelayCore(self._plan.relay),
+            core,
             self._process.metrics.notice,
             security.client,
             security.server,
             security.authorize,
         )
+        self._relay.handle(PersistQuarantine, self._keep_quarantine)
+        self._quarantine_api = quarantine_api(core, self._relay)
         self._api = ConfigurationApi(self._process.shell.dispatch)
         self._process.shell.handle(ReleaseAnswered, self._api.answered)
-        self._service = HttpService(self._api.answer, MAX_BODY_BYTES)
+        self._service = HttpService(self._answer, MAX_BODY_BYTES)
         self._listed: tuple[PeerRelay, ...] = ()
         self._timers: list[asyncio.TimerHandle] = []
 
@@ -67,6 +76,16 @@
             timer.cancel()
         await self._service.close()
         await self._relay.close()
+        await self._keeper.close()
+
+    async def _answer(self, request: ServiceRequest) -> ServiceAnswer:
+        """Answer operators: about the quarantine, else about configurations."""
+        if request.path.strip("/").partition("/")[0] == QUARANTINE:
+            return await self._quarantine_api.answer(request)
+        return await self._api.answer(request)
+
+    def _keep_quarantine(self, command: PersistQuarantine) -> None:
+        self._keeper.keep(command.records)
 
     def reload(self, settings: HubSettings) -> None:
         """Take changed settings: the seeds."""
--- a/src/peppershore/process/quarantine/sharing.py
+++ b/src/peppershore/process/quarantine/sharing.py
@@ -39,13 +39,14 @@
 class QuarantineSharing:
     """The quarantine of a relay."""
 
-    def __init__(
-        self, remembered: tuple[CrashRecord, ...], is_kept: bool, now: float = 0.0
-    ) -> None:
-        """Begin with what was on disk; where ``is_kept``, have changes written there."""
+    def __init__(self, is_kept: bool) -> None:
+        """Know of nothing; where ``is_kept``, have changes written to disk."""
         self.table = Quarantine()
         self._is_kept = is_kept
-        for record in remembered:
+
+    def remember(self, records: tuple[CrashRecord, ...], now: float) -> None:
+        """Begin with what was on disk."""
+        for record in records:
             self.table.merge(record, now)
 
     def welcome_node(self, link: LinkId, now: float) -> list[Command]:
--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -111,7 +111,8 @@
         self.source = SourceFollower(settings, numbers)
         self.exchange = EndpointExchange(settings, numbers)
         catalog, table = self.follower.catalog, self.exchange.table
-        self.quarantine = QuarantineSharing(remembered, keeps_quarantine)
+        self.quarantine = QuarantineSharing(keeps_quarantine)
+        self._remembered = remembered
         self.holds = HoldBook(catalog, table, settings.hold_milliseconds / 1_000)
         self._fanout = EndpointFanout(catalog, table)
         self.distributor = Distributor(catalog, self.holds, self._fanout)
@@ -179,6 +180,7 @@
 
     def _started(self, event: events.Started) -> None:
         randomness = Randomness(event.seed)
+        self.quarantine.remember(self._remembered, self._now)
         self._incarnation = int(randomness.below(2**53))
         self._do(self.source.start(randomness, self._now))
         self._do(self.exchange.start(randomness, self._incarnation, self._now))
--- a/src/peppershore/process/relay/shell.py
+++ b/src/peppershore/process/relay/shell.py
@@ -8,7 +8,9 @@
 from peppershore.process.link_security import LinkSecurity
 from peppershore.process.logging import LogIdentity
 from peppershore.process.metrics import ProcessMetrics
-from peppershore.process.relay.core import RelayCore
+from peppershore.process.quarantine.api import ROOT as QUARANTINE
+from peppershore.process.quarantine.api import QuarantineApi
+from peppershore.process.relay.core import RelayCore, RequestReleased
 from peppershore.process.settings import RelaySettings
 from peppershore.process.shell import Shell
 from peppershore.process.signals import stop_on_signals
@@ -26,7 +28,8 @@
     )
     _add_gauges(metrics, core, shell)
     security.start(metrics)
-    admin = AdminServer(metrics, lambda: _readiness(core))
+    services = {QUARANTINE: quarantine_api(core, shell).answer}
+    admin = AdminServer(metrics, lambda: _readiness(core), services=services)
     if settings.admin_listen:
         await admin.start(settings.admin_listen)
     host, _, port = settings.listen.rpartition(":")
@@ -41,6 +44,15 @@
     security.close()
 
 
+def quarantine_api(core: RelayCore, shell: Shell) -> QuarantineApi:
+    """Let operators see the quarantine of a relay, and let requests go there."""
+
+    def release(key: bytes) -> None:
+        shell.dispatch(RequestReleased(key))
+
+    return QuarantineApi(core.quarantine.table, lambda: shell.now, release)
+
+
 def _readiness(core: RelayCore) -> Readiness:
     if core.distributor.version == 0:
         return Readiness(False, "no configuration was had from a control replica yet")
--- /dev/null
+++ b/src/peppershore/process/storage/whole_file.py
@@ -0,0 +1,101 @@
+"""One value in one file, replaced as a whole.
+
+Written aside, synced, then renamed over the former file, and the folder synced, so that
+after a crash the file is the former or the new one, whole.  A file that is damaged or of
+a newer format is refused with the reason.
+"""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Generic, TypeVar
+
+import msgspec
+import xxhash
+from returns.result import Failure, Result, Success
+
+Value = TypeVar("Value")
+
+FORMAT_NUMBER = 1
+_CHECKSUM_BYTES = 8
+
+
+class UnusableFile(msgspec.Struct, frozen=True):
+    """The stored file can't be used; ``advice`` says what to do."""
+
+    path: str
+    reason: str
+    advice: str
+
+
+class WholeFile(Generic[Value]):
+    """Reads and replaces one file."""
+
+    def __init__(self, path: Path, kind: type[Value], owner: str, without: str) -> None:
+        """Keep a value of ``kind`` at ``path``, whose folder is made if it is not there.
+
+        ``owner`` says in the file whose it is; ``without``, to operators, what follows
+        if a damaged one is removed.
+        """
+        self._path = path
+        self._magic = f"peppershore {owner} ".encode()
+        self._owner = owner
+        self._without = without
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(kind)
+
+    def load(self) -> Result[Value | None, UnusableFile]:
+        """Give what is stored, None if nothing is, or why it can't be used."""
+        try:
+            content = self._path.read_bytes()
+        except FileNotFoundError:
+            return Success(None)
+        except OSError as problem:
+            return self._unusable(str(problem), "make the file readable")
+        return self._decode(content)
+
+    def save(self, value: Value) -> None:
+        """Replace the file and sync it; raises ``OSError`` if the disk refuses."""
+        body = self._encoder.encode(value)
+        checksum = xxhash.xxh3_64_digest(body)
+        header = self._magic + bytes([FORMAT_NUMBER])
+        self._path.parent.mkdir(parents=True, exist_ok=True)
+        aside = self._path.with_suffix(".new")
+        with aside.open("wb") as file:
+            os.fchmod(file.fileno(), 0o600)
+            file.write(header + checksum + body)
+            file.flush()
+            os.fsync(file.fileno())
+        aside.rename(self._path)
+        self._sync_folder()
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._path.parent, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def _decode(self, content: bytes) -> Result[Value | None, UnusableFile]:
+        magic = self._magic
+        body_start = len(magic) + 1 + _CHECKSUM_BYTES
+        if not content.startswith(magic) or len(content) < body_start:
+            return self._damaged(f"it is not a {self._owner}'s file")
+        format_number = content[len(magic)]
+        if format_number != FORMAT_NUMBER:
+            reason = f"format {format_number}, this release reads {FORMAT_NUMBER}"
+            return self._unusable(reason, "start a release that reads this format")
+        body = content[body_start:]
+        if xxhash.xxh3_64_digest(body) != content[len(magic) + 1 : body_start]:
+            return self._damaged("its checksum is wrong")
+        try:
+            return Success(self._decoder.decode(body))
+        except msgspec.DecodeError as problem:
+            return self._damaged(str(problem))
+
+    def _damaged(self, reason: str) -> Result[Value | None, UnusableFile]:
+        return self._unusable(reason, f"remove the file; {self._without}")
+
+    def _unusable(self, reason: str, advice: str) -> Result[Value | None, UnusableFile]:
+        return Failure(UnusableFile(str(self._path), reason, advice))
--- a/tests/soak/test_poison_requests.py
+++ b/tests/soak/test_poison_requests.py
@@ -13,11 +13,21 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 
-from peppershore_lab.soak.runner import SoakPlan, run_soak
+from peppershore.command.main import main
+from peppershore_lab.soak.runner import (
+    POLL_SECONDS,
+    START_SECONDS,
+    Soak,
+    SoakPlan,
+    run_soak,
+)
+from peppershore_lab.soak.settings import OPERATOR_PORT
 
 pytestmark = pytest.mark.xdist_group("soak")
 
@@ -28,3 +38,43 @@
     assert result.poison >= 3
     assert result.answered > 0
     assert result.violations == ()
+
+
+class KilledWhole(Soak):
+    """All processes are killed at once while a request is held, and start again."""
+
+    ENDS_BEFORE = 3
+    AFTER_SECONDS = 6.0
+    listed: list[dict[str, object]]
+
+    async def _strike(self) -> None:
+        async with asyncio.timeout(START_SECONDS):
+            while len(self._record.poison) < self.ENDS_BEFORE:  # noqa: ASYNC110
+                await asyncio.sleep(POLL_SECONDS)
+        await asyncio.sleep(1.0)
+        for machine in self._site.machines:
+            machine.busy = True
+            machine.process.kill()
+        for machine in self._site.machines:
+            machine.process.start()
+            machine.busy = False
+        async with asyncio.timeout(START_SECONDS):
+            for node in self._site.nodes:
+                await self._until_served(node)
+        self.listed = await asyncio.to_thread(self._list)
+        await asyncio.sleep(self.AFTER_SECONDS)
+
+    def _list(self) -> list[dict[str, object]]:
+        hub = f"{self._site.hubs[1].host}:{OPERATOR_PORT}"
+        arguments = ["quarantine", "list", "--at", hub, "--json"]
+        return json.loads(CliRunner().invoke(main, arguments).stdout)["requests"]
+
+
+def test_a_held_request_is_held_after_all_processes_died(tmp_path: Path) -> None:
+    plan = SoakPlan(seed=30, nodes=5, poison=1)
+    soak = KilledWhole(plan, tmp_path)
+    result = asyncio.run(soak.run())
+    assert result.poison == KilledWhole.ENDS_BEFORE
+    assert result.violations == ()
+    held = [each for each in soak.listed if each["standing"] == "held"]
+    assert len(held) == 1
