All decisions go by a clock that counts the time a machine was suspended

The steady clock of asyncio's loop stands still while a machine is suspended, so no lease, loan, age or silence aged there while the others' did. The simulator suspends machines; what came on different links is then read in any order. Not shown on a machine that is really suspended: this one can't be.

--- a/src/peppershore/command/serve.py
+++ b/src/peppershore/command/serve.py
@@ -16,6 +16,7 @@
 from peppershore.command.output import show_json, stop_with
 from peppershore.command.settings_flags import collect_flags, settings_flags
 from peppershore.command.settings_output import settings_failed
+from peppershore.process.boot_clock import BootClockLoop
 from peppershore.process.commands import Notice
 from peppershore.process.logging import LogIdentity, configure_logging, write_notice
 from peppershore.process.settings import (
@@ -235,7 +236,8 @@
     announcer = Announcer()
     _collect_seldom()
     try:
-        asyncio.run(work(announcer))
+        with asyncio.Runner(loop_factory=BootClockLoop) as runner:
+            runner.run(work(announcer))
     except OSError as problem:
         if announcer.is_ready:
             raise
--- a/src/peppershore/process/logging.py
+++ b/src/peppershore/process/logging.py
@@ -12,7 +12,6 @@
 import logging
 import re
 import sys
-import time
 import traceback
 from collections.abc import Callable
 
@@ -20,6 +19,7 @@
 from absl import flags
 from absl import logging as absl_logging
 
+from peppershore.process.boot_clock import boot_seconds
 from peppershore.process.commands import Notice
 from peppershore.process.log_output import (
     CALL_LINES_BURST,
@@ -97,7 +97,7 @@
         """Write one record, unless there are too many of its kind."""
         notice = getattr(record, _RECORD_FIELDS, None)
         is_call = bool(getattr(type(notice), "is_call", False))
-        if is_call and not self._budget.take(time.monotonic()):
+        if is_call and not self._budget.take(boot_seconds()):
             self._output.drop_call()
             return
         self._output.write(self.format(record), is_call)
@@ -130,7 +130,7 @@
         """Give the line without its line feed."""
         line: dict[str, object] = {
             "time": int(record.created * MILLISECONDS_PER_SECOND),
-            "monotonic": round(time.monotonic(), 3),
+            "monotonic": round(boot_seconds(), 3),
             "level": record.levelname.lower(),
             "role": self._identity.role,
             "process": self._identity.process,
--- a/src/peppershore_lab/simulator/fault_actions.py
+++ b/src/peppershore_lab/simulator/fault_actions.py
@@ -66,6 +66,10 @@
             Fault.LOSE_REPLICA: lambda: self._lose_replica(nothing),
             Fault.LOSE_SECOND_REPLICA: self._lose_second_replica,
             Fault.STOP_NODE: self._stop_node,
+            Fault.SUSPEND_REPLICA: lambda: self._suspend(self._one(cluster.replicas)),
+            Fault.SUSPEND_LEADER: lambda: self._suspend(cluster.leader_or_any()),
+            Fault.SUSPEND_RELAY: lambda: self._suspend(self._one(cluster.relays)),
+            Fault.SUSPEND_NODE: lambda: self._suspend(self._one(cluster.nodes)),
         }
 
     def bring_about(self, kind: Fault) -> Effect:
@@ -92,6 +96,10 @@
         victim.freeze()
         return Effect((victim,), victim.thaw)
 
+    def _suspend(self, victim: SimulatedProcess) -> Effect:
+        victim.suspend()
+        return Effect((victim,), victim.wake)
+
     def _isolate(self, victim: SimulatedProcess) -> Effect:
         return self._separate(victim, self._cluster.processes)
 
--- a/src/peppershore_lab/simulator/fault_kinds.py
+++ b/src/peppershore_lab/simulator/fault_kinds.py
@@ -36,6 +36,10 @@
     LOSE_REPLICA = "a replica loses its disk and is replaced"
     LOSE_SECOND_REPLICA = "a replica is replaced, and right after another loses its disk"
     STOP_NODE = "a node is stopped as planned"
+    SUSPEND_REPLICA = "a replica's machine is suspended"
+    SUSPEND_LEADER = "the leader's machine is suspended"
+    SUSPEND_RELAY = "a relay's machine is suspended"
+    SUSPEND_NODE = "a node's machine is suspended"
 
 
 @dataclass(frozen=True)
--- a/src/peppershore_lab/simulator/faults.py
+++ b/src/peppershore_lab/simulator/faults.py
@@ -39,7 +39,7 @@
             process.disk_fails = False
             process.disk_slowness = 1.0
             if process.is_frozen:
-                process.thaw()
+                process.wake()
             if not process.is_running:
                 process.start()
         self._cluster.trace.note(self._cluster.scheduler.now, "all faults end")
--- a/src/peppershore_lab/simulator/process.py
+++ b/src/peppershore_lab/simulator/process.py
@@ -18,6 +18,8 @@
 ACCEPTED_LINK_STEP = 2
 SYNCED_UNTOLD_SHARE = 0.5
 """Chance that a write was synced when the process died before it was told."""
+CLOCK_TOLERANCE_SECONDS = 1e-6
+"""What rounding makes of a timer's time; earlier than that it is not due yet."""
 SYNC_SECONDS = 0.002
 """Typical time of one synced write; single ones take up to ten times as long."""
 
@@ -46,6 +48,17 @@
         ...
 
 
+NO_LINK = 0
+"""In place of the link of what is due by time."""
+
+
+class _Waiting(NamedTuple):
+    """What waits until a process goes on, and the link it came on."""
+
+    link: events.LinkId
+    action: Callable[[], None]
+
+
 class Life(NamedTuple):
     """One run of the process on a machine, from its start to its end."""
 
@@ -104,7 +117,7 @@
         self._trace = trace
         self.life = Life(name, 0)
         self._timers: dict[str, _PendingTimer] = {}
-        self._waiting: list[Callable[[], None]] = []
+        self._waiting: list[_Waiting] = []
         self._accepted = itertools.count(FIRST_ACCEPTED_LINK, ACCEPTED_LINK_STEP)
         self._unwritten: list[commands.PersistRecords] = []
         self._being_written: list[commands.PersistRecords] = []
@@ -163,8 +176,19 @@
         self.is_frozen = False
         waiting = self._waiting
         self._waiting = []
-        for action in waiting:
-            action()
+        for each in waiting:
+            each.action()
+
+    def suspend(self) -> None:
+        """The whole machine stands still, its steady clock perhaps as well."""
+        self.clock.suspend()
+        self.freeze()
+
+    def wake(self) -> None:
+        """The machine goes on: of several links any may be read first."""
+        self.clock.resume()
+        self._waiting = _in_any_order(self._waiting, self._randomness)
+        self.thaw()
 
     def jump_clock(self, seconds: float) -> None:
         """Set the monotonic clock ahead; timers that are due by now fire."""
@@ -178,15 +202,19 @@
         """Step the core, now or once it is no longer frozen."""
         life = self.life
         if self.is_frozen:
-            self._waiting.append(lambda: self._step(event, life))
+            self._wait(event, life)
         else:
             self._step(event, life)
 
+    def _wait(self, event: events.Event, life: Life) -> None:
+        link = getattr(event, "link", NO_LINK)
+        self._waiting.append(_Waiting(link, lambda: self._step(event, life)))
+
     def _step(self, event: events.Event, life: Life) -> None:
         if self.core is None or life != self.life:
             return
         if self.is_frozen:
-            self._waiting.append(lambda: self._step(event, life))
+            self._wait(event, life)
             return
         out = self.core.step(event, self.clock.now)
         self._trace.stepped(self, event, out)
@@ -232,7 +260,10 @@
 
     def _due(self, name: str, timer: _PendingTimer) -> None:
         if self.is_frozen:
-            self._waiting.append(lambda: self._due(name, timer))
+            self._waiting.append(_Waiting(NO_LINK, lambda: self._due(name, timer)))
+            return
+        if timer.due - self.clock.now > CLOCK_TOLERANCE_SECONDS:
+            self._plan(name, timer)
             return
         if self._timers.get(name) is timer:
             del self._timers[name]
@@ -287,3 +318,13 @@
             return
         self.role.write(command)
         self.take(events.RecordsPersisted(command.token))
+
+
+def _in_any_order(waiting: list[_Waiting], randomness: Random) -> list[_Waiting]:
+    """Mix what came on different links; on one link the order stays."""
+    by_link: dict[events.LinkId, list[_Waiting]] = {}
+    for each in reversed(waiting):
+        by_link.setdefault(each.link, []).append(each)
+    links = [each.link for each in waiting]
+    randomness.shuffle(links)
+    return [by_link[link].pop() for link in links]
--- a/src/peppershore_lab/simulator/profiles.py
+++ b/src/peppershore_lab/simulator/profiles.py
@@ -70,6 +70,13 @@
     Fault.STOP_NODE,
 )
 """Not in "mixed", so that its seeds stay what they were."""
+SUSPENSIONS = (
+    Fault.SUSPEND_REPLICA,
+    Fault.SUSPEND_LEADER,
+    Fault.SUSPEND_RELAY,
+    Fault.SUSPEND_NODE,
+)
+"""Only in "suspended": the seeds of "mixed" and "everything" stay what they were."""
 
 
 @dataclass(frozen=True)
@@ -103,13 +110,32 @@
         "mixed",
         "every fault, one after the other and together",
         ClusterShape(),
-        FaultPlan(tuple(kind for kind in Fault if kind not in LATER_KINDS), 0.5, 4.0),
+        FaultPlan(
+            tuple(kind for kind in Fault if kind not in LATER_KINDS + SUSPENSIONS), 0.5, 4.0
+        ),
     ),
     Profile(
         "everything",
         "every fault, alone, together and again at the moment it ends",
         ClusterShape(has_administrator=True),
-        FaultPlan(tuple(Fault), 0.3, 4.0, repeat_share=0.3),
+        FaultPlan(
+            tuple(kind for kind in Fault if kind not in SUSPENSIONS),
+            0.3,
+            4.0,
+            repeat_share=0.3,
+        ),
+    ),
+    Profile(
+        "suspended",
+        "machines are suspended for seconds while operators race and versions flow",
+        ClusterShape(operators=3, think_seconds=0.1),
+        FaultPlan((*SUSPENSIONS, Fault.RESET_LINKS), 0.4, 6.0),
+    ),
+    Profile(
+        "suspended-leader",
+        "the leader's machine is suspended while many operators read and write",
+        ClusterShape(operators=8, nodes=2, think_seconds=0.05),
+        FaultPlan((Fault.SUSPEND_LEADER, Fault.RESET_LINKS), 0.8, 3.0),
     ),
     Profile(
         "control",
--- a/tests/simulator/test_simulated_promises.py
+++ b/tests/simulator/test_simulated_promises.py
@@ -10,7 +10,12 @@
 from peppershore_lab.simulator.run import run_seed
 
 SEEDS_A_PROFILE = 12
-SEEDS_OF_LONG_PROFILES = {"catch-up": 5, "reports": 6, "silent-verifiers": 3}
+SEEDS_OF_LONG_PROFILES = {
+    "catch-up": 5,
+    "reports": 6,
+    "silent-verifiers": 3,
+    "suspended-leader": 3,
+}
 """These take some seconds a seed; ``make simulate`` runs more of them."""
 
 
--- a/tests/simulator/test_simulator_mutants.py
+++ b/tests/simulator/test_simulator_mutants.py
@@ -30,6 +30,7 @@
     rotation_check,
     run,
 )
+from peppershore_lab.simulator.host_clock import HostClock
 from peppershore_lab.simulator.profiles import profile_named
 from peppershore_lab.simulator.run import run_seed
 
@@ -176,3 +177,17 @@
     drop(monkeypatch)
     results = (run_seed(profile, seed) for seed in range(1, SEEDS_FOR_A_MUTANT + 1))
     assert any(result.promise == promise for result in results)
+
+
+STALE_LEASE_SEED = 21
+
+
+def test_a_clock_that_stands_still_while_suspended_is_found_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A leader that wakes reads by a lease that another leader has overtaken."""
+    profile = profile_named("suspended-leader")
+    assert profile is not None
+    assert run_seed(profile, STALE_LEASE_SEED).passed
+    monkeypatch.setattr(HostClock, "counts_suspension", False)
+    assert run_seed(profile, STALE_LEASE_SEED).promise == checks.READ_CURRENT
