--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -13,7 +13,7 @@
 
 from peppershore.connection.endpoint_packing import unpack_endpoints
 from peppershore.connection.messages.base import Message
-from peppershore.connection.messages.crashes import CrashesTold, CrashRecord
+from peppershore.connection.messages.crashes import CrashesTold
 from peppershore.connection.messages.endpoints import (
     EndpointAnnounced,
     EndpointsChanged,
@@ -51,7 +51,6 @@
     DrainBackend,
     EndpointsSwapped,
     PersistSnapshot,
-    QuarantineChanged,
 )
 from peppershore.process.node.configuration import ConfigurationHolder
 from peppershore.process.node.endpoints import KnownEndpoints
@@ -66,6 +65,7 @@
     SuspectEndedWell,
 )
 from peppershore.process.node.own_endpoint import OwnEndpoint
+from peppershore.process.node.quarantine import NodeQuarantine
 from peppershore.process.node.refusals import BUSY, NOT_NEWER, UNCONFIRMED
 from peppershore.process.node.relay_sessions import (
     CONNECT_TIMER,
@@ -74,10 +74,8 @@
     RelaySession,
     RelaySessions,
 )
-from peppershore.process.quarantine.notices import notices_of
 from peppershore.process.randomness import Randomness
 from peppershore.process.settings import NodeSettings, PeerRelay
-from peppershore.request.quarantine import Quarantine
 from peppershore.version.model import Scope, Snapshot, Version
 from peppershore.version.snapshot import open_snapshot
 
@@ -121,7 +119,7 @@
         self._has_disk = bool(settings.data_folder)
         self.holder = ConfigurationHolder(scope, memory.floor, memory.snapshot)
         self.known = KnownEndpoints()
-        self.quarantine = Quarantine()
+        self.quarantine = NodeQuarantine()
         self._own = OwnEndpoint(settings, memory.incarnation, owner_address)
         self.sessions = RelaySessions(settings, LinkNumbers(), self._hello)
         silent_seconds = settings.back_end_silent_milliseconds / 1_000
@@ -182,7 +180,9 @@
             case events.StopRequested():
                 self._stop()
             case BackEndEnded() | SuspectEndedWell():
-                self._learned_beside(event)
+                active = self.sessions.active
+                relay = None if active is None else active.link
+                self._do(self.quarantine.learned(event, relay, self._now))
             case _:
                 self._from_back_end(event)
 
@@ -228,7 +228,7 @@
     def _timer(self, timer: str) -> None:
         if timer == WATCH_TIMER:
             self._viewed(self._reports.tick(self._now))
-            self.quarantine.forget_old(self._now)
+            self.quarantine.table.forget_old(self._now)
             self._do(self.sessions.watch(self._now))
         elif timer == CONNECT_TIMER:
             self._do(self.sessions.connect(self._now))
@@ -273,7 +273,7 @@
                 )
                 self._do(self.sessions.use_listed(listed, self._now))
             case CrashesTold():
-                self._crashes_told(message)
+                self._do(self.quarantine.told(message, self._now))
             case RetryAfter():
                 self._do(self.sessions.deferred(session, message.milliseconds, self._now))
             case Goodbye():
@@ -297,9 +297,7 @@
         if self._own.exists:
             self._announce()
         self._out.append(SendMessage(session.link, EndpointsHeld(self.known.digest)))
-        if len(self.quarantine):
-            records = self.quarantine.records(self._now)
-            self._out.append(SendMessage(session.link, CrashesTold(records)))
+        self._do(self.quarantine.introduce(session.link, self._now))
 
     def _still_current(self, session: RelaySession, message: Current | Freshness) -> None:
         """Take a confirmation, unless the relay may mean something else than is held.
@@ -480,33 +478,6 @@
         self._out.append(SendMessage(active.link, EndpointAnnounced(endpoint)))
         self._report(notices.OwnEndpointAnnounced(endpoint.state, endpoint.sequence))
 
-    # --- requests that end back ends --------------------------------------------
-
-    def _learned_beside(self, event: BackEndEnded | SuspectEndedWell) -> None:
-        """Tell the relay what the back end beside this node showed of some requests."""
-        if isinstance(event, BackEndEnded):
-            records = tuple(
-                self.quarantine.ended(suspect, event.life, self._now)
-                for suspect in event.under
-            )
-        else:
-            cleared = self.quarantine.cleared(event.key, self._now)
-            records = () if cleared is None else (cleared,)
-        self._heed(records)
-        if records and self.sessions.active is not None:
-            self._out.append(SendMessage(self.sessions.active.link, CrashesTold(records)))
-
-    def _crashes_told(self, message: CrashesTold) -> None:
-        merge = self.quarantine.merge
-        self._heed(tuple(each for each in message.records if merge(each, self._now)))
-
-    def _heed(self, records: tuple[CrashRecord, ...]) -> None:
-        if not records:
-            return
-        self._out.append(QuarantineChanged(records))
-        for notice in notices_of(records):
-            self._report(notice)
-
     # --- planned stop ----------------------------------------------------------
 
     def _stop(self) -> None:
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -14,6 +14,7 @@
 
 from peppershore.connection.http_head import AnswerHead, HeaderList, RequestHead
 from peppershore.connection.http_server import ServerExchange
+from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.process.node.data.answer_relay import AnswerRelay
 from peppershore.process.node.data.attempt import Attempt, AttemptRequest
 from peppershore.process.node.data.call_story import StoryBook
@@ -21,14 +22,18 @@
     STREAMED_REPLAY_BYTES,
     RequestBody,
 )
-from peppershore.process.node.data.verdicts import verdict_of_failure, verdict_of_status
+from peppershore.process.node.data.verdicts import (
+    FAILED,
+    SHED,
+    verdict_of_failure,
+    verdict_of_status,
+)
 from peppershore.request.admission import Dispatch, Waiting
 from peppershore.request.claim import (
     ClaimDenied,
     ClaimGranted,
-    ClaimKeyRefused,
-    ClaimUnavailable,
     claim_key,
+    denied_as,
 )
 from peppershore.request.classification import CallPlan
 from peppershore.request.endpoint_state import Verdict
@@ -37,13 +42,11 @@
     AttemptTerms,
     CallProgress,
     GiveUp,
+    counted,
     next_step,
 )
 from peppershore.request.outcome import (
-    BACK_END_ENDED,
     BUSY,
-    STATUS_BAD_GATEWAY,
-    STATUS_BAD_REQUEST,
     STATUS_BODY_TOO_LARGE,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
@@ -58,16 +61,12 @@
 if TYPE_CHECKING:
     from peppershore.process.node.data.calls import Calls
 
-CLAIM_RETRY_AFTER_MILLISECONDS = 1_000
 VERDICT_SECONDS = 0.025
 """For so long after its deadline a call may wait for the word of the back end's
 own node on whether it ran; after that its outcome is unknown."""
 
 
 NO_STORY = StoryBook(0.0, Fingerprint())
-SHED = Unknown(STATUS_UNAVAILABLE, "back-end-shed")
-FAILED = Unknown(STATUS_BAD_GATEWAY, "back-end-failed")
-"""What an answer of the back end's own counts as when another may do better."""
 
 
 class Call:
@@ -163,7 +162,7 @@
         self._awaits_body = False
         if not self.plan.key or self._calls.forwards_unclaimed_keys:
             self._admit()
-        elif self._calls.claims is None:
+        elif self._calls.claims.client is None:
             self._fail(NotRun(STATUS_UNAVAILABLE, "no-claims-group"))
         else:
             self._claim_first(claim_key(self._head, self.plan.key, self._caller))
@@ -244,7 +243,7 @@
         self._over = True
         self._answer.end(trailers)
         if self._claim:
-            self._calls.complete_claim(
+            self._calls.claims.complete(
                 self._claim, self._claim_attempt, self._answer.kept()
             )
         self._calls.answered(self.plan, self._answer.status, self._request_id, self._story)
@@ -322,12 +321,12 @@
         self._claim_attempt = self._calls.new_attempt_name()
         self._exchange.pause_body()
         seconds = self.plan.deadline - self._loop.time()
-        self._calls.claim(key, self._claim_attempt, seconds, self._claimed)
+        self._calls.claims.claim(key, self._claim_attempt, seconds, self._claimed)
 
     def _claimed(self, key: str, outcome: Result[ClaimGranted, ClaimDenied]) -> None:
         if self._over:
             if not isinstance(outcome, Failure):
-                self._calls.release_claim(key, self._claim_attempt)
+                self._calls.claims.release(key, self._claim_attempt)
             return
         self._exchange.resume_body()
         if isinstance(outcome, Failure):
@@ -340,20 +339,14 @@
         self._admit()
 
     def _claim_denied(self, denied: ClaimDenied) -> None:
-        if isinstance(denied, ClaimKeyRefused):
-            self._fail(NotRun(STATUS_BAD_REQUEST, "idempotency-key-refused"))
-        elif isinstance(denied, ClaimUnavailable):
-            advice = CLAIM_RETRY_AFTER_MILLISECONDS
-            self._fail(NotRun(STATUS_UNAVAILABLE, "claim-unavailable", advice))
-        elif denied.answer is None:
-            self._fail(Unknown(STATUS_BAD_GATEWAY, "claimed-before"))
-        else:
-            self._over = True
-            self._answer.give_kept(denied.answer, self._head.method == b"HEAD")
-            self._calls.answered(
-                self.plan, denied.answer.status, self._request_id, self._story
-            )
-            self._finish(None)
+        outcome = denied_as(denied)
+        if not isinstance(outcome, KeptAnswer):
+            self._fail(outcome)
+            return
+        self._over = True
+        self._answer.give_kept(outcome, self._head.method == b"HEAD")
+        self._calls.answered(self.plan, outcome.status, self._request_id, self._story)
+        self._finish(None)
 
     def _admit(self) -> None:
         refusal = self._calls.quarantine.refusal(self._body.fingerprint)
@@ -377,7 +370,7 @@
         """Make another attempt if that is safe, of use and within the budget."""
         if self._over or self._answer.begun:
             return False
-        self._progress = _counted(self._progress, failed)
+        self._progress = counted(self._progress, failed)
         step = next_step(self._progress, failed, self._terms(failed.reason == BUSY))
         if isinstance(step, GiveUp):
             return False
@@ -495,14 +488,14 @@
             failed = self._calls.with_paced_retry_after(self._plan, failed)
         self._answer.fail(failed)
         if self._claim and isinstance(failed, NotRun):
-            self._calls.release_claim(self._claim, self._claim_attempt)
+            self._calls.claims.release(self._claim, self._claim_attempt)
         self._calls.failed(self._plan, failed, self._request_id, self._story)
         self._finish(None)
 
     def _give_up(self) -> None:
         """The caller is gone: stop all work for it."""
         if self._claim and not self._begun and not isinstance(self._earlier, Unknown):
-            self._calls.release_claim(self._claim, self._claim_attempt)
+            self._calls.claims.release(self._claim, self._claim_attempt)
         self._answer.give_up()
         if self._attempt is not None:
             self._attempt.cancel()
@@ -527,13 +520,3 @@
         if dispatch is not None:
             latency = self._loop.time() - self._began_at
             self._calls.slot_freed(dispatch, self.plan, latency, verdict)
-
-
-def _counted(progress: CallProgress, failed: Failed) -> CallProgress:
-    """Count an attempt that a back end may have seen, and one that it ended under."""
-    if isinstance(failed, NotRun) and not failed.offered:
-        return progress
-    has_ended = failed.reason == BACK_END_ENDED
-    return msgspec.structs.replace(
-        progress, offers=progress.offers + 1, ends=progress.ends + has_ended
-    )
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -15,7 +15,6 @@
 
 from peppershore.connection.http_head import HeaderList, RequestHead
 from peppershore.connection.messages.calls import OwnerLoad
-from peppershore.connection.messages.claims import KeptAnswer
 from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.commands import Notice
 from peppershore.process.node.data import notices
@@ -31,6 +30,7 @@
     StoryBook,
     failure_end,
 )
+from peppershore.process.node.data.claim_desk import ClaimDesk
 from peppershore.process.node.data.direct_attempt import BackEndTerms, DirectAttempt
 from peppershore.process.node.data.link_attempt import LinkAttempt
 from peppershore.process.node.data.own_attempt import OwnAttempt
@@ -41,7 +41,6 @@
 from peppershore.process.settings import NodeSettings
 from peppershore.request.admission import Admission, Decision, Dispatch, Waiting
 from peppershore.request.audience import load_token_library
-from peppershore.request.claim import ClaimDenied, ClaimGranted, ClaimsClient
 from peppershore.request.classification import CallPlan, route_of
 from peppershore.request.client_retries import ClientRetryPace
 from peppershore.request.endpoint_state import EndpointState, Verdict
@@ -79,8 +78,6 @@
 NOTHING_RUNS = RunningCalls()
 """What runs beside a node without a back end."""
 
-ClaimSink = Callable[[str, Result[ClaimGranted, ClaimDenied]], None]
-
 
 class CallCounts(msgspec.Struct):
     """Ends of calls since the start."""
@@ -106,7 +103,7 @@
         self.loop = asyncio.get_running_loop()
         self.quarantine = QuarantineGate(self.loop.time)
         self.configuration: ActiveConfiguration | None = None
-        self.claims: ClaimsClient | None = None
+        self.claims = ClaimDesk()
         self.own: OwnBackend | None = None
         self.counts = CallCounts()
         self.figures = CallFigures()
@@ -138,12 +135,11 @@
         self._id_prefix = secrets.token_hex(6).encode()
         self._id_numbers = itertools.count(1)
         self._kick: asyncio.TimerHandle | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
 
     @property
     def forwards_unclaimed_keys(self) -> bool:
         """Whether calls with an idempotency key go on without a claim."""
-        return self.claims is None and self._settings.forward_unclaimed_keys
+        return self.claims.client is None and self._settings.forward_unclaimed_keys
 
     @property
     def looks_for_free_slots(self) -> bool:
@@ -222,8 +218,7 @@
         self._pools.close()
         if self._kick is not None:
             self._kick.cancel()
-        for task in self._tasks:
-            task.cancel()
+        self.claims.close()
 
     # --- used by a call
 
@@ -376,23 +371,6 @@
         self.counts.retries += 1
         return delay
 
-    def claim(self, key: str, attempt: str, seconds: float, sink: ClaimSink) -> None:
-        """Claim a key; the sink hears of it later."""
-        assert self.claims is not None
-        task = self.loop.create_task(self._claim(self.claims, key, attempt, seconds, sink))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    def complete_claim(self, key: str, attempt: str, answer: KeptAnswer | None) -> None:
-        """Keep the answer of a claimed call."""
-        if self.claims is not None:
-            self.claims.complete(key, attempt, answer)
-
-    def release_claim(self, key: str, attempt: str) -> None:
-        """Give back the claim of a call that has not run."""
-        if self.claims is not None:
-            self.claims.release(key, attempt)
-
     def first_attempt(self, plan: CallPlan) -> None:
         """Let a call's first attempt earn its share of a retry."""
         if self._bound is None:
@@ -490,11 +468,6 @@
             )
         )
 
-    async def _claim(
-        self, claims: ClaimsClient, key: str, attempt: str, seconds: float, sink: ClaimSink
-    ) -> None:
-        sink(key, await claims.claim(key, attempt, seconds))
-
     def _admission(self, service: str) -> Admission | None:
         admission = self._admissions.get(service)
         if admission is not None:
--- a/src/peppershore/process/node/data/verdicts.py
+++ b/src/peppershore/process/node/data/verdicts.py
@@ -5,14 +5,20 @@
 from peppershore.request.endpoint_state import Verdict
 from peppershore.request.outcome import (
     BUSY,
+    STATUS_BAD_GATEWAY,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
     Failed,
     NotRun,
+    Unknown,
 )
 
 FIRST_SERVER_ERROR = 500
 
+SHED = Unknown(STATUS_UNAVAILABLE, "back-end-shed")
+FAILED = Unknown(STATUS_BAD_GATEWAY, "back-end-failed")
+"""What an answer of the back end's own counts as when another may do better."""
+
 
 def verdict_of_status(status: int) -> Verdict:
     """Judge by the status of a whole answer."""
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -151,7 +151,7 @@
 
     def use_claims(self, claims: ClaimsClient) -> None:
         """Record a claim before a call with an idempotency key is sent."""
-        self.calls.claims = CheckedClaims(claims)
+        self.calls.claims.client = CheckedClaims(claims)
 
     def use_back_end(self, view: BackEndView) -> None:
         """Take what the back end says of itself by heartbeats."""
--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -34,7 +34,7 @@
 )
 from peppershore.process.endpoints.table import STATE_READY
 from peppershore.process.link_numbers import LinkNumbers
-from peppershore.process.quarantine.sharing import QuarantineSharing, SpreadTo
+from peppershore.process.quarantine.sharing import QuarantineSharing
 from peppershore.process.randomness import Randomness
 from peppershore.process.relay import notices
 from peppershore.process.relay.departures import Departures
@@ -111,11 +111,13 @@
         self.source = SourceFollower(settings, numbers)
         self.exchange = EndpointExchange(settings, numbers)
         catalog, table = self.follower.catalog, self.exchange.table
-        self.quarantine = QuarantineSharing(keeps_quarantine)
         self._remembered = remembered
         self.holds = HoldBook(catalog, table, settings.hold_milliseconds / 1_000)
         self._fanout = EndpointFanout(catalog, table)
         self.distributor = Distributor(catalog, self.holds, self._fanout)
+        self.quarantine = QuarantineSharing(
+            self.exchange, self.distributor.sessions, keeps_quarantine
+        )
         self.departures = Departures(catalog)
         self.nodes = NodeService(
             settings,
@@ -172,7 +174,7 @@
             case events.StopRequested():
                 self._stop()
             case RequestReleased():
-                self._do(self.quarantine.release(event.key, self._spread, self._now))
+                self._do(self.quarantine.release(event.key, self._now))
             case RelaysChanged():
                 self._do(self.exchange.use_relays(event.relays, self._now))
             case _:
@@ -208,7 +210,7 @@
         link, message = event.link, event.message
         session = self.distributor.sessions.get(link)
         if isinstance(message, CrashesTold | CrashesDigest):
-            self._on_crashes(link, message, session is not None)
+            self._do(self.quarantine.received(link, message, self._now))
         elif session is not None:
             self._do(self.nodes.received(session, message, self._now))
         elif link == self.source.link:
@@ -235,23 +237,6 @@
                 self._do(self.quarantine.welcome_node(link, self._now))
             self._do(welcome)
 
-    def _on_crashes(
-        self, link: events.LinkId, message: CrashesTold | CrashesDigest, is_node: bool
-    ) -> None:
-        """Take what a node or another relay knows of requests that end back ends."""
-        if isinstance(message, CrashesDigest):
-            self._do(self.quarantine.compared(link, message, self._now))
-        elif is_node:
-            self._do(self.quarantine.told(message, self._spread, self._now))
-        elif self.exchange.owns(link):
-            to_nodes = SpreadTo((), self.distributor.sessions)
-            self._do(self.quarantine.told(message, to_nodes, self._now))
-
-    @property
-    def _spread(self) -> SpreadTo:
-        """Whom news of requests that end back ends go to."""
-        return SpreadTo(self.exchange.open_links, self.distributor.sessions)
-
     def _timer(self, timer: str) -> None:
         if timer == HEARTBEAT_TIMER:
             self._do(self.nodes.heartbeat(self._now))
@@ -304,7 +289,7 @@
 
     def _peer_tick(self) -> None:
         self._do(self.exchange.tick(self._now, self.source.is_fresh(self._now)))
-        self._do(self.quarantine.tick(self.exchange.open_links, self._now))
+        self._do(self.quarantine.tick(self._now))
         for scope in self.distributor.drop_idle_scopes(self._now):
             self._fanout.forget_scope(scope)
         for link, opened_at in list(self._unnamed_links.items()):
--- a/src/peppershore/request/claim.py
+++ b/src/peppershore/request/claim.py
@@ -10,9 +10,20 @@
 
 from peppershore.connection.http_head import RequestHead
 from peppershore.connection.messages.claims import DEFAULT_HORIZON_SECONDS, KeptAnswer
+from peppershore.request.outcome import (
+    STATUS_BAD_GATEWAY,
+    STATUS_BAD_REQUEST,
+    STATUS_UNAVAILABLE,
+    Failed,
+    NotRun,
+    Unknown,
+)
 
 DIGEST_DIGITS = 16
 CLAIM_KEY_PARTS = 3
+CLAIM_RETRY_AFTER_MILLISECONDS = 1_000
+"""Advice where no claim could be recorded: an election of the group takes no longer."""
+
 MAX_KEPT_BODY_BYTES = 64 * 1024
 """A longer answer is not kept: a resend is told that the outcome is not known."""
 
@@ -62,6 +73,18 @@
         """Give the claim back: this attempt was proven not to have run."""
 
 
+def denied_as(denied: ClaimDenied) -> Failed | KeptAnswer:
+    """Give what the caller of a call without a claim gets: a failure or a kept answer."""
+    if isinstance(denied, ClaimKeyRefused):
+        return NotRun(STATUS_BAD_REQUEST, "idempotency-key-refused")
+    if isinstance(denied, ClaimUnavailable):
+        advice = CLAIM_RETRY_AFTER_MILLISECONDS
+        return NotRun(STATUS_UNAVAILABLE, "claim-unavailable", advice)
+    if denied.answer is None:
+        return Unknown(STATUS_BAD_GATEWAY, "claimed-before")
+    return denied.answer
+
+
 def callers_key(key: str) -> str:
     """Give the part of a claim's key that the caller chose."""
     return key.split("/", CLAIM_KEY_PARTS - 1)[-1]
--- a/src/peppershore/request/next_attempt.py
+++ b/src/peppershore/request/next_attempt.py
@@ -95,6 +95,16 @@
 GIVE_UP = GiveUp()
 
 
+def counted(progress: CallProgress, failed: Failed) -> CallProgress:
+    """Count an attempt that a back end may have seen, and one that it ended under."""
+    if isinstance(failed, NotRun) and not failed.offered:
+        return progress
+    has_ended = failed.reason == BACK_END_ENDED
+    return msgspec.structs.replace(
+        progress, offers=progress.offers + 1, ends=progress.ends + has_ended
+    )
+
+
 def next_step(progress: CallProgress, failed: Failed, terms: AttemptTerms) -> NextStep:
     """Decide after a failed attempt, which ``progress`` counts already."""
     if not terms.replayable or progress.tries >= MAX_TRIES:
--- a/tests/relay/test_relay_quarantine.py
+++ b/tests/relay/test_relay_quarantine.py
@@ -34,7 +34,7 @@
 
 def standings(site: Site) -> set[str]:
     now = site.network.now
-    return {core.quarantine.standing(KEY, now) for core in site.nodes.values()}
+    return {core.quarantine.table.standing(KEY, now) for core in site.nodes.values()}
 
 
 def test_ends_seen_by_three_nodes_hold_a_request_at_all() -> None:
@@ -86,7 +86,7 @@
     site.network.run(1.0)
     late = site.start_node("late", "kuitti", seed=9)
     site.network.run(1.0)
-    assert late.quarantine.standing(KEY, site.network.now) == "held"
+    assert late.quarantine.table.standing(KEY, site.network.now) == "held"
     received = [type(each) for each in site.network.processes["late"].received]
     assert received.index(CrashesTold) < received.index(UpdateOffered)
 
@@ -134,4 +134,6 @@
     site.network.run(SPREAD_SECONDS)
     nodes: list[NodeCore] = list(site.nodes.values())
     now = site.network.now
-    assert {each.quarantine.standing(BYSTANDER.key, now) for each in nodes} == {"clear"}
+    assert {each.quarantine.table.standing(BYSTANDER.key, now) for each in nodes} == {
+        "clear"
+    }
