--- a/tests/soak/test_poison_requests.py
+++ b/tests/soak/test_poison_requests.py
@@ -78,3 +78,11 @@
     assert result.violations == ()
     held = [each for each in soak.listed if each["standing"] == "held"]
     assert len(held) == 1
+
+
+def test_nothing_else_is_held_while_everything_else_fails_too(tmp_path: Path) -> None:
+    """The seed on which a back end ended while it was leaving, and came back."""
+    plan = SoakPlan(seed=5006, seconds=12.0, nodes=6, poison=2)
+    result, _ = asyncio.run(run_soak(plan, tmp_path))
+    assert result.poison >= 3
+    assert result.violations == ()
