What breaks off together at an ended back end is told together

In a soak 78 lines back_end_ended told of 30 ends: each call that broke off after the first had its own. They are gathered for one turn of the loop. An answer that comes once another life is there says nothing of that life.

--- a/src/peppershore/process/node/data/crash_watch.py
+++ b/src/peppershore/process/node/data/crash_watch.py
@@ -56,9 +56,7 @@
             tell(False)
             return
         self._broken.append((fingerprint, tell))
-        if self._has_ended:
-            self._conclude(has_ended=True)
-        elif self._probe is None:
+        if self._probe is None:
             loop = asyncio.get_running_loop()
             self._probe = loop.create_task(self._ask(life))
 
@@ -74,10 +72,11 @@
             self._probe = None
 
     async def _ask(self, life: str) -> None:
-        has_ended = await _refuses(self._address)
+        """Ask, or go by the answer of before; what breaks off together is told together."""
+        has_ended = self._has_ended or await _refuses(self._address)
         self._probe = None
         self._has_ended = has_ended and life == self.life
-        self._conclude(has_ended)
+        self._conclude(self._has_ended)
 
     def _conclude(self, has_ended: bool) -> None:
         broken, self._broken = self._broken, []
