Twins merged: one status of failure, one program of the lab, one reading of settings

LEAST_FAILURE stood in two modules beside FIRST_SERVER_ERROR in two more; four modules of the lab named the program; serve ended two readings alike. The leader works out who is to be told of progress only where somebody watches.

--- a/src/peppershore/command/lost_calls.py
+++ b/src/peppershore/command/lost_calls.py
@@ -13,12 +13,11 @@
 import msgspec
 
 from peppershore.command.log_files import LogLine
-from peppershore.request.outcome import LOAD_REASONS
+from peppershore.request.outcome import FIRST_SERVER_ERROR, LOAD_REASONS
 
 CALL_EVENT = "call_story"
 SERVED_EVENT = "served_story"
 MILLISECONDS = 1_000
-LEAST_FAILURE = 500
 
 FREE_WITHIN_SECONDS = 1
 """A slot counts as free elsewhere if an owner told of one in the same second."""
@@ -111,7 +110,7 @@
 
 
 def _is_failure(line: LogLine) -> bool:
-    return line.outcome != "answered" or line.status >= LEAST_FAILURE
+    return line.outcome != "answered" or line.status >= FIRST_SERVER_ERROR
 
 
 def _tells_free_slot(line: LogLine) -> bool:
--- a/src/peppershore/command/serve.py
+++ b/src/peppershore/command/serve.py
@@ -10,7 +10,7 @@
 from typing import Any, TypeVar
 
 import click
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from peppershore.command.exit_codes import ExitCode
 from peppershore.command.output import show_json, stop_with
@@ -29,6 +29,7 @@
 )
 from peppershore.process.settings_loader import (
     AdjustedSettings,
+    Problems,
     SettingAdjustment,
     load_adjusted_settings,
     load_settings,
@@ -39,6 +40,7 @@
     ControlSettings | HubSettings | RelaySettings | NodeSettings | ClaimsSettings
 )
 Kind = TypeVar("Kind", bound=SettingsValue)
+Read = TypeVar("Read")
 OnReady = Callable[[int], None]
 Arguments = dict[str, Any]
 
@@ -178,6 +180,11 @@
 
 def _read(role: str, kind: type[Kind], path: Path | None, arguments: Arguments) -> Kind:
     loaded = load_settings(kind, path, collect_flags(kind, arguments))
+    return _usable(role, path, loaded)
+
+
+def _usable(role: str, path: Path | None, loaded: Result[Read, Problems]) -> Read:
+    """Give what was read; settings that can't be used end the command with the reasons."""
     if isinstance(loaded, Failure):
         stop_with(settings_failed(role, path, loaded.failure()), as_json=False)
     return loaded.unwrap()
@@ -193,9 +200,7 @@
     role: str, kind: type[Kind], path: Path | None, arguments: Arguments
 ) -> AdjustedSettings[Kind]:
     loaded = load_adjusted_settings(kind, path, collect_flags(kind, arguments))
-    if isinstance(loaded, Failure):
-        stop_with(settings_failed(role, path, loaded.failure()), as_json=False)
-    return loaded.unwrap()
+    return _usable(role, path, loaded)
 
 
 def _watch(
--- a/src/peppershore/process/control/progress_sharing.py
+++ b/src/peppershore/process/control/progress_sharing.py
@@ -132,8 +132,10 @@
 
     def for_watchers(self, now: float) -> tuple[list[str], ProgressTableShared] | None:
         """Give the table, and to whom, if replicas where operators watch lack changes."""
+        if not self._wanted_by:
+            return None
         reports = tuple(each.report for each in self._table.relays())
-        if not self._wanted_by or not _table_changed(self._watchers_told, reports):
+        if not _table_changed(self._watchers_told, reports):
             return None
         self._watchers_told = reports
         until = self._wanted_by
--- a/src/peppershore/process/node/data/answer_relay.py
+++ b/src/peppershore/process/node/data/answer_relay.py
@@ -17,6 +17,7 @@
 from peppershore.request.claim import MAX_KEPT_BODY_BYTES
 from peppershore.request.outcome import (
     ANSWERED,
+    FIRST_SERVER_ERROR,
     NOT_RUN,
     STATUS_UNAVAILABLE,
     UNKNOWN,
@@ -29,8 +30,6 @@
 HOLD_SECONDS = 0.05
 """An answer that does not say how long it is, is held for so long after it began."""
 
-FIRST_SERVER_ERROR = 500
-
 
 class AnswerRelay:
     """One answer on its way to one caller."""
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -45,6 +45,7 @@
 from peppershore.request.client_retries import ClientRetryPace
 from peppershore.request.endpoint_state import EndpointState, Verdict
 from peppershore.request.outcome import (
+    FIRST_SERVER_ERROR,
     LOAD_REASONS,
     STATUS_UNAVAILABLE,
     Failed,
@@ -69,9 +70,6 @@
 STOP_MARGIN_SECONDS = 0.2
 """A call's deadline comes so long before the end of a planned stop."""
 
-LEAST_FAILURE = 500
-"""An answer of the back end's with this status or above failed its caller."""
-
 NEVER_CONFIRMED = -1
 """Shown for the age of a configuration that was never confirmed."""
 
@@ -395,7 +393,7 @@
         now = self.loop.time()
         self._retry_paces[plan.target].answered(now)
         self.figures.ended(plan, "answered", "", now - story.began_at)
-        if status >= LEAST_FAILURE or self.log.takes_answered(request_id):
+        if status >= FIRST_SERVER_ERROR or self.log.takes_answered(request_id):
             end = CallEnd("answered", "", status)
             self._tell(plan, end, request_id, story)
 
--- a/src/peppershore/process/node/data/verdicts.py
+++ b/src/peppershore/process/node/data/verdicts.py
@@ -5,6 +5,7 @@
 from peppershore.request.endpoint_state import Verdict
 from peppershore.request.outcome import (
     BUSY,
+    FIRST_SERVER_ERROR,
     QUARANTINED,
     RUNS_ALONE,
     STATUS_BAD_GATEWAY,
@@ -15,8 +16,6 @@
     Unknown,
 )
 
-FIRST_SERVER_ERROR = 500
-
 SHED = Unknown(STATUS_UNAVAILABLE, "back-end-shed")
 FAILED = Unknown(STATUS_BAD_GATEWAY, "back-end-failed")
 """What an answer of the back end's own counts as when another may do better."""
--- a/src/peppershore/request/outcome.py
+++ b/src/peppershore/request/outcome.py
@@ -51,6 +51,9 @@
 NOT_RUN = b"not-run"
 UNKNOWN = b"unknown"
 
+FIRST_SERVER_ERROR = 500
+"""An answer of a back end's with this status or above failed its caller."""
+
 STATUS_BAD_REQUEST = 400
 STATUS_FORBIDDEN = 403
 STATUS_NOT_FOUND = 404
--- a/src/peppershore_lab/hollow/cluster.py
+++ b/src/peppershore_lab/hollow/cluster.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import shutil
-import sys
 import tempfile
 from pathlib import Path
 from types import TracebackType
@@ -25,8 +24,7 @@
     settings_text,
 )
 from peppershore_lab.hollow.layout import FleetLayout, zone_name
-
-PROGRAM = Path(sys.executable).with_name("peppershore")
+from peppershore_lab.program import PROGRAM
 
 
 class ProcessCost(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/peppershore_lab/operator_client.py
+++ b/src/peppershore_lab/operator_client.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import time
-from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -19,8 +17,8 @@
     SubmitEdit,
 )
 from peppershore.version.model import Edit, EditOutcome, Version
+from peppershore_lab.program import PROGRAM
 
-PROGRAM = Path(sys.executable).parent / "peppershore"
 ASK_SECONDS = 10.0
 POLL_SECONDS = 0.05
 
--- a/src/peppershore_lab/replica_group.py
+++ b/src/peppershore_lab/replica_group.py
@@ -9,7 +9,6 @@
 import asyncio
 import json
 import shutil
-import sys
 import time
 from collections.abc import Callable, Iterable
 from pathlib import Path
@@ -35,8 +34,8 @@
 from peppershore_lab.fleet.readiness import wait_listening
 from peppershore_lab.operator_client import Operator
 from peppershore_lab.peer_link import PeerLink
+from peppershore_lab.program import PROGRAM
 
-PROGRAM = Path(sys.executable).parent / "peppershore"
 CLUSTER = "replica-group"
 START_SECONDS = 15.0
 ANSWER_SECONDS = 5.0
--- a/src/peppershore_lab/soak/machines.py
+++ b/src/peppershore_lab/soak/machines.py
@@ -4,7 +4,6 @@
 
 import shutil
 import signal
-import sys
 import time
 from collections.abc import Sequence
 from pathlib import Path
@@ -12,10 +11,10 @@
 
 from peppershore_lab.fleet.addresses import AddressBlock
 from peppershore_lab.fleet.managed_process import ManagedProcess
+from peppershore_lab.program import PROGRAM
 from peppershore_lab.soak import settings
 from peppershore_lab.soak.observations import ProcessEnded, Record
 
-PROGRAM = Path(sys.executable).parent / "peppershore"
 HUB, NODE = "hub", "node"
 SEEDS = 2
 BROKEN_INVARIANT = "Traceback (most recent call last)"
