--- a/src/peppershore_lab/soak/back_end.py
+++ b/src/peppershore_lab/soak/back_end.py
@@ -61,8 +61,7 @@
         self._beats: asyncio.Task[None] | None = None
         self._callers: set[asyncio.StreamWriter] = set()
         self._return: asyncio.Task[None] | None = None
-        self._ended_life = 0
-        self._ended_at = 0.0
+        self._ended_at: dict[int, float] = {}
 
     async def start(self) -> None:
         """Listen, and report from now on."""
@@ -92,9 +91,9 @@
         if await self._report():
             acknowledged_at = time.monotonic()
         await asyncio.sleep(seconds)
-        has_ended = self._ended_life == life
+        has_ended = life in self._ended_at
         if acknowledged_at is not None:
-            until = self._ended_at if has_ended else time.monotonic()
+            until = self._ended_at.get(life, time.monotonic())
             left = LeavingAcknowledged(self._node, acknowledged_at, until)
             self._record.leavings.append(left)
         if not has_ended:
@@ -121,8 +120,7 @@
 
     def _end(self) -> None:
         """End as a process does: nobody listens, and every connection is reset."""
-        self._ended_life = self._lives
-        self._ended_at = time.monotonic()
+        self._ended_at.setdefault(self._lives, time.monotonic())
         if self._server is not None:
             self._server.close()
             self._server = None
