--- a/src/peppershore/command/logs_command.py
+++ b/src/peppershore/command/logs_command.py
@@ -8,6 +8,7 @@
 import click
 import msgspec
 
+from peppershore.command.link_loads import BusyLink, KindLoad, link_loads
 from peppershore.command.log_files import LogFiles, LogLine, read_logs
 from peppershore.command.lost_calls import CALL_EVENT, lost_calls
 from peppershore.command.output import show_json, show_table
@@ -37,6 +38,20 @@
 DEFAULT_BOUND_MILLISECONDS = 2_000
 """Later than this counts as late: a deployment's own bound goes under --bound."""
 
+KIND_HEADER = ("direction", "kind", "bytes a second", "% of the link", "% at worst")
+BUSY_HEADER = (
+    "time",
+    "process",
+    "direction",
+    "% of the link",
+    "most of it",
+    "%",
+    "round trip ms",
+)
+SHOWN_BUSY = 20
+"""Busiest intervals that people are shown; --json has all."""
+
+PERCENT = 100.0
 EVENT_HEADER = ("lines", "level", "event", "processes")
 MILLISECONDS = 1_000
 
@@ -133,6 +148,56 @@
     show_table(LATE_HEADER, [_late_row(*each) for each in late[:SHOWN_LATE]])
 
 
+@logs.command()
+@click.argument("files", nargs=-1, required=True, type=click.File("r", errors="replace"))
+@click.option(
+    "--role",
+    type=click.Choice(["node", "hub"]),
+    default="node",
+    show_default=True,
+    help="Whose links.",
+)
+@click.option("--json", "as_json", is_flag=True, help="One JSON object as output.")
+def links(files: tuple[TextIO, ...], role: str, as_json: bool) -> None:
+    """Tell what filled the links, by kind of message, and the busiest moments.
+
+    Processes write the lines for it with ``link_report_milliseconds`` above 0.
+    """
+    found = link_loads(read_logs(files).lines, role)
+    if as_json:
+        show_json(found)
+        return
+    click.echo(f"{found.lines} lines of links")
+    show_table(KIND_HEADER, [_kind_row(each) for each in found.by_kind])
+    show_table(BUSY_HEADER, [_busy_row(each) for each in found.busiest[:SHOWN_BUSY]])
+
+
+def _kind_row(load: KindLoad) -> tuple[object, ...]:
+    return (
+        load.direction,
+        load.kind,
+        load.bytes_a_second,
+        _percent(load.share),
+        _percent(load.worst_share),
+    )
+
+
+def _busy_row(busy: BusyLink) -> tuple[object, ...]:
+    return (
+        busy.time,
+        busy.process,
+        busy.direction,
+        _percent(busy.share),
+        busy.kind,
+        _percent(busy.kind_share),
+        busy.round_trip_milliseconds,
+    )
+
+
+def _percent(share: float) -> str:
+    return f"{share * PERCENT:.1f}"
+
+
 def _version_row(waits: VersionWaits) -> tuple[object, ...]:
     return (
         waits.version,
--- a/src/peppershore/connection/call_link.py
+++ b/src/peppershore/connection/call_link.py
@@ -24,6 +24,7 @@
     CallStarted,
     CallUnknown,
 )
+from peppershore.connection.traffic import TRAFFIC
 
 NOT_AUTHORIZED = "not authorized"
 
@@ -49,6 +50,8 @@
     | CallUnknown
 )
 
+MessageWithBody = CallStarted | CallBody | CallAnswered | CallAnswerBody
+
 
 class CallLink:
     """The streams of one link."""
@@ -102,7 +105,10 @@
 
     def send(self, message: Message) -> bool:
         """Queue a message; false if it surely never leaves this process."""
-        return self.alive and self._link.send(encode_message(message)) > 0
+        is_sent = self.alive and self._link.send(encode_message(message)) > 0
+        if is_sent and isinstance(message, MessageWithBody) and message.data:
+            TRAFFIC.note_body_sent(_tag(message), len(message.data))
+        return is_sent
 
     def close(self) -> None:
         """Send what is queued, then close."""
@@ -119,6 +125,8 @@
     def _received(self, message: Message, size: int) -> None:
         del size
         self.received += 1
+        if isinstance(message, MessageWithBody) and message.data:
+            TRAFFIC.note_body_received(_tag(message), len(message.data))
         if not self._allows(self._link, message):
             self._end(NOT_AUTHORIZED)
         elif isinstance(message, CallStarted):
@@ -154,6 +162,10 @@
             sink.stream_lost(reason)
 
 
+def _tag(message: Message) -> int:
+    return int(message.__struct_config__.tag or 0)
+
+
 class SendWindow:
     """Credit left for sending body bytes on one stream."""
 
--- a/src/peppershore/connection/codec.py
+++ b/src/peppershore/connection/codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from functools import reduce
 from operator import or_
 from typing import Any
@@ -45,11 +46,21 @@
 
 
 MESSAGE_TYPES: tuple[type[Message], ...] = tuple(_message_types())
+_WORD_START = re.compile(r"(?<=[a-z0-9])(?=[A-Z])")
+_NAMES = {
+    candidate.__struct_config__.tag: _WORD_START.sub("_", candidate.__name__).lower()
+    for candidate in MESSAGE_TYPES
+}
 _ANY_MESSAGE: Any = reduce(or_, MESSAGE_TYPES)
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(_ANY_MESSAGE)
 
 
+def kind_name(kind: int | str) -> str:
+    """Give the name of a message's tag, in snake case; a name is given as it is."""
+    return _NAMES.get(kind, str(kind))
+
+
 def encode_message(message: Message) -> bytes:
     """Give the payload of one message, without the frame header."""
     return _ENCODER.encode(message)
--- a/src/peppershore/connection/http_server.py
+++ b/src/peppershore/connection/http_server.py
@@ -27,6 +27,7 @@
     received_headers,
 )
 from peppershore.connection.server_exchange import RequestSink, ServerExchange
+from peppershore.connection.traffic import CALLERS, TRAFFIC
 
 __all__ = ["RequestSink", "ServerConnection", "ServerExchange", "ServerOwner"]
 
@@ -98,6 +99,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Take received bytes: of a body, or of requests to come."""
+        if data:
+            TRAFFIC.note_received(CALLERS, len(data))
         if self._discarding:
             return
         self._working = True
@@ -301,7 +304,9 @@
             if not last.may_be_followed:
                 break
         if out:
-            self._transport.write(out[0] if len(out) == 1 else b"".join(out))
+            data = out[0] if len(out) == 1 else b"".join(out)
+            TRAFFIC.note_sent(CALLERS, len(data))
+            self._transport.write(data)
         if last is not None:
             self._after(last)
 
--- a/src/peppershore/connection/link.py
+++ b/src/peppershore/connection/link.py
@@ -19,6 +19,7 @@
 from peppershore.connection.messages.base import Message
 from peppershore.connection.silence import end_when_silent
 from peppershore.connection.tls_admission import TlsAdmission
+from peppershore.connection.traffic import TRAFFIC, message_tag
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 """A machine that is cut off says nothing: a new attempt soon after it is back is worth
@@ -100,7 +101,9 @@
             self._abort("peer does not read")
             return 0
         transport.writelines((len(payload).to_bytes(HEADER_BYTES, "big"), payload))
-        return len(payload) + HEADER_BYTES
+        octets = len(payload) + HEADER_BYTES
+        TRAFFIC.note_sent(message_tag(payload), octets)
+        return octets
 
     def close(self) -> None:
         """Send what is queued, then close; the owner hears nothing more.
@@ -126,11 +129,13 @@
     def _hand_on(self, payload: bytes) -> None:
         if self._on_message is None:
             return
+        octets = len(payload) + HEADER_BYTES
+        TRAFFIC.note_received(message_tag(payload), octets)
         decoded = decode_message(payload)
         if isinstance(decoded, Failure):
             self._abort(decoded.failure().reason)
             return
-        self._on_message(decoded.unwrap(), len(payload) + HEADER_BYTES)
+        self._on_message(decoded.unwrap(), octets)
 
     def _abort(self, reason: str) -> None:
         if self._transport is not None:
--- a/src/peppershore/process/hub/shell.py
+++ b/src/peppershore/process/hub/shell.py
@@ -18,6 +18,7 @@
 from peppershore.process.http_service import HttpService, ServiceAnswer, ServiceRequest
 from peppershore.process.hub.configuration_api import MAX_BODY_BYTES, ConfigurationApi
 from peppershore.process.hub.plan import HubPlan, plan_hub, relay_name
+from peppershore.process.link_report import LinkReporter, TrafficFigures
 from peppershore.process.link_security import LinkSecurity
 from peppershore.process.quarantine.api import ROOT as QUARANTINE
 from peppershore.process.quarantine.sharing import PersistQuarantine
@@ -59,6 +60,8 @@
         self._api = ConfigurationApi(self._process.shell.dispatch)
         self._process.shell.handle(ReleaseAnswered, self._api.answered)
         self._service = HttpService(self._answer, MAX_BODY_BYTES)
+        self._reporter = LinkReporter(0.0, settings.link_report_milliseconds, notice_sink)
+        self._process.metrics.add_source(TrafficFigures())
         self._listed: tuple[PeerRelay, ...] = ()
         self._timers: list[asyncio.TimerHandle] = []
 
@@ -69,11 +72,13 @@
         await self._relay.listen(host, int(port))
         bound = await self._service.start(self._settings.api_listen)
         self._observe_clock()
+        self._reporter.start()
         self._relay.start()
         loop.call_soon(self._watch_members)
         await self._process.serve(lambda _port: on_ready(bound) if on_ready else None)
         for timer in self._timers:
             timer.cancel()
+        self._reporter.stop()
         await self._service.close()
         await self._relay.close()
         await self._keeper.close()
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -21,9 +21,11 @@
     CallUnknown,
     OwnerLoad,
 )
+from peppershore.connection.traffic import TRAFFIC
 from peppershore.process.node.data.attempt import AttemptRequest, AttemptSink
 from peppershore.request.deadline import remaining_milliseconds
 from peppershore.request.outcome import (
+    BUSY,
     STATUS_BAD_GATEWAY,
     STATUS_GATEWAY_TIMEOUT,
     Failed,
@@ -69,6 +71,7 @@
         "_receiving",
         "_request",
         "_sending",
+        "_sent_at",
         "_settling",
         "_sink",
         "_started",
@@ -96,6 +99,7 @@
         self._trailers: HeaderList = []
         self._sending = SendWindow(0) if request.body_on_credit else SendWindow()
         self._receiving = ReceiveWindow()
+        self._sent_at = 0.0
 
     def start(self) -> None:
         """Ask for the link to the owner."""
@@ -177,6 +181,7 @@
                 self._credited(message.octets)
             case CallNotRun():
                 self._note_load(message.load)
+                self._note_round_trip(message.reason)
                 self._end(
                     NotRun(
                         message.status,
@@ -205,11 +210,17 @@
         if load is not None:
             self._links.load_heard(self._address, load, self._request.route)
 
+    def _note_round_trip(self, reason: str) -> None:
+        """The owner refuses at once a call that asks for a free slot: time the way."""
+        if reason == BUSY and not self._request.may_wait:
+            TRAFFIC.note_round_trip(asyncio.get_running_loop().time() - self._sent_at)
+
     def _send_start(self, data: bytes) -> None:
         request = self._request
         head = request.head
         self._end_sent = self._is_all_taken
         now = asyncio.get_running_loop().time()
+        self._sent_at = now
         length = NO_LENGTH if head.content_length is None else head.content_length
         assert self._link is not None
         self._started = self._link.send(
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -20,6 +20,7 @@
     configuration_page,
 )
 from peppershore.process.http_service import HttpService
+from peppershore.process.link_report import LinkReporter, TrafficFigures
 from peppershore.process.link_security import LinkSecurity
 from peppershore.process.logging import LogIdentity
 from peppershore.process.metrics import ProcessMetrics
@@ -225,6 +226,7 @@
         )
     _add_gauges(metrics, core, shell)
     add_call_gauges(metrics, data_plane)
+    reporter = _start_reporter(settings, metrics)
     security.start(metrics)
     pages = {
         CONFIGURATION_PATH: lambda _query: configuration_page(
@@ -242,6 +244,7 @@
     if on_ready is not None:
         on_ready(addresses.callers_port)
     await shell.stopped.wait()
+    reporter.stop()
     await asyncio.sleep(GONE_NOTICE_SECONDS)
     await shell.close()
     await data_plane.close()
@@ -256,6 +259,16 @@
     security.close()
 
 
+def _start_reporter(settings: NodeSettings, metrics: ProcessMetrics) -> LinkReporter:
+    """Tell of the links' bytes, by metrics and where it is set by lines."""
+    metrics.add_source(TrafficFigures())
+    reporter = LinkReporter(
+        settings.link_megabits, settings.link_report_milliseconds, metrics.notice
+    )
+    reporter.start()
+    return reporter
+
+
 def _add_gauges(metrics: ProcessMetrics, core: NodeCore, shell: Shell) -> None:
     metrics.gauge("bytes_sent", "Bytes sent on links.", lambda: shell.bytes_sent)
     metrics.gauge(
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -51,6 +51,7 @@
 election_milliseconds = 400        # silence after which a follower asks for votes
 freshness_milliseconds = 500       # between words to nodes of how fresh they are
 stale_after_milliseconds = 2000    # confirmation older than this: not ready
+link_report_milliseconds = 0       # how often a line tells of its bytes; 0: never
 log_level = "info"                 # debug, info, warning or error
 log_to = "standard-error"          # or standard-output: bounded, never blocks
 """
@@ -97,6 +98,7 @@
 stop_bound_milliseconds = 30000    # longest wait for calls in flight at a planned stop
 stop_grace_seconds = 0.0           # when a supervisor kills; above 0 it sets that bound
 link_megabits = 0.0                # what the machine's link carries; 0: wide enough
+link_report_milliseconds = 0       # how often a line tells of its bytes; 0: never
 rebalance_milliseconds = 60000     # how often to look for a better relay
 reconnect_milliseconds = 4000      # longest wait before another relay is tried
 silence_milliseconds = 4000        # a relay that says nothing for so long is left
--- a/src/peppershore/process/settings_rules.py
+++ b/src/peppershore/process/settings_rules.py
@@ -207,6 +207,7 @@
     "slots": between(1, 100_000, "slots"),
     "connections": between(1, 100_000, "connections"),
     "link_megabits": amount(0.0, 1_000_000.0, "megabits a second"),
+    "link_report_milliseconds": between(0, 3_600_000, "milliseconds"),
     "stop_grace_seconds": amount(0.0, 3_600.0, "seconds"),
     "stop_bound_milliseconds": between(0, 3_600_000, "milliseconds"),
     "timeout_milliseconds": between(1, 86_400_000, "milliseconds"),
--- a/tests/command/test_log_commands.py
+++ b/tests/command/test_log_commands.py
@@ -14,6 +14,7 @@
 from peppershore.command.main import main
 from peppershore.process.commands import Notice
 from peppershore.process.control.notices import EditAccepted, ReleaseJudged
+from peppershore.process.link_report import LinkTraffic
 from peppershore.process.logging import JsonLineFormatter, LogIdentity, event_name
 from peppershore.process.node.data.call_story import CallStep, CallStory, ServedStory
 from peppershore.process.node.notices import RelayChosen, RelayLeft, VersionApplied
@@ -237,3 +238,45 @@
     shown = CliRunner().invoke(main, ["logs", "versions", str(log)])
     assert "1 versions, 2 waits beyond 2000 ms" in shown.output
     assert "relay behind" in shown.output
+
+
+LINKS = (
+    LinkTraffic(1_000, 1.0, 2, 90, {"bodies": 100_000, "call_started": 25_000}, {}),
+    LinkTraffic(1_000, 1.0, 0, 0, {"bodies": 25_000}, {"callers": 12_500}),
+)
+
+
+@pytest.fixture
+def link_file(tmp_path: Path) -> str:
+    lines = [written("e1", line, 1_000 * at) for at, line in enumerate(LINKS, 1)]
+    (tmp_path / "e1.log").write_text("\n".join(lines) + "\n")
+    return str(tmp_path / "e1.log")
+
+
+def test_logs_links_tells_what_filled_them(link_file: str) -> None:
+    found = CliRunner().invoke(main, ["logs", "links", link_file, "--json"])
+    assert found.exit_code == 0
+    loads = json.loads(found.output)
+    assert loads["lines"] == 2
+    assert loads["by_kind"][0] == {
+        "direction": "sent",
+        "kind": "bodies",
+        "bytes_a_second": 62_500,
+        "share": 0.5,
+        "worst_share": 0.8,
+    }
+    busiest = loads["busiest"][0]
+    assert (busiest["share"], busiest["kind"]) == (1.0, "bodies")
+    assert busiest["round_trip_milliseconds"] == 90
+
+
+def test_logs_links_shows_people_shares_of_the_links_rate(link_file: str) -> None:
+    output = CliRunner().invoke(main, ["logs", "links", link_file]).output
+    rows = [row.split() for row in output.splitlines()]
+    assert ["sent", "bodies", "62500", "50.0", "80.0"] in rows
+
+
+def test_logs_links_without_such_lines_shows_nothing(files: list[str]) -> None:
+    found = CliRunner().invoke(main, ["logs", "links", *files])
+    assert found.exit_code == 0
+    assert found.output.startswith("0 lines of links")
