A back end's lives are told apart by the moment of their birth; its words are checked

Cause: reports counted by the name alone, each above the one before: a back end that started again under its own name was not heard until its count passed the old one (30 s after 19 heartbeats), and after a word of its end it stayed leaving for good. A state that is none of those named counted as ready; a warming of 1e300 ms was taken and could not be encoded; a name outside ASCII ended the call. Change: a life is a name and a birth; kept connections, loans, quarantine and calls under way go by it; relays tell a node that started anew of the latest birth. Heartbeats tell the version of the software, and endpoints carry both. The one expectation that changed (test_a_heartbeat_becomes_an_event) now asks for the version as well.

--- a/src/peppershore/connection/http_pool.py
+++ b/src/peppershore/connection/http_pool.py
@@ -79,13 +79,17 @@
         while self._idle and now - self._idle[0].last_used > _idle_bound(self._idle[0]):
             self._discard(self._idle.pop(0))
 
-    def close(self) -> None:
-        """Close idle connections now and used ones once their exchange is over."""
-        self._closed = True
+    def close_idle(self) -> None:
+        """Close the connections that rest: their other end is known to be gone."""
         for connection in self._idle:
             self._discard(connection)
         self._idle.clear()
 
+    def close(self) -> None:
+        """Close idle connections now and used ones once their exchange is over."""
+        self._closed = True
+        self.close_idle()
+
     async def _connect(self, outcome: ConnectOutcome) -> None:
         task = asyncio.current_task()
         assert task is not None
--- a/src/peppershore/connection/messages/endpoints.py
+++ b/src/peppershore/connection/messages/endpoints.py
@@ -20,7 +20,8 @@
     lower one whatever link it came on.  ``state``: "warming", "ready",
     "leaving", "gone".  ``address`` is the back end ("IP:port");
     ``owner_address`` its node's internal listener.  ``warming_milliseconds`` is for
-    how much longer it was slow when it began to be ready.
+    how much longer it was slow when it began to be ready.  ``version`` is that of its
+    software, "" untold; ``born`` is when its life began (Unix milliseconds, 0 untold).
     """
 
     node: str
@@ -34,6 +35,8 @@
     slots: int
     connections: int
     warming_milliseconds: int = WARMING_NOT_TOLD
+    version: str = ""
+    born: int = 0
 
 
 class EndpointAnnounced(Message, frozen=True, tag=40):
--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -60,6 +60,7 @@
     BackEndLeft,
     BackEndNotThere,
     BackEndReported,
+    BackEndReportRefused,
     BackendStateChanged,
     NodeSeedsChanged,
     SuspectEndedWell,
@@ -87,6 +88,12 @@
 callers for some time in any case, and its back end would stand idle meanwhile."""
 PAUSE_SECONDS = 3.0
 """Without any event for this long the process can't have been running."""
+REFUSAL_LINE_SECONDS = 10.0
+"""Between two lines on reports that can't be used; the first has one at once."""
+
+MOST_REASON = 200
+"""Characters of such a reason in a line."""
+
 AGE_TOLERANCE_MILLISECONDS = 1
 """Ages are rounded up to whole milliseconds."""
 
@@ -131,6 +138,8 @@
         self._pending_confirmed_at = -math.inf
         self._token = 0
         self._is_stopping = False
+        self._refused_reports = 0
+        self._refusal_told_at = -math.inf
         self._confirmed_at = -math.inf
         self._now = 0.0
         self._out: list[Command] = []
@@ -191,14 +200,25 @@
             case BackEndReported():
                 self._viewed(self._reports.take(event.report, self._now))
             case BackEndLeft():
-                self._viewed(self._reports.left(event.instance))
+                self._viewed(self._reports.left(event.instance, event.born))
+            case BackEndReportRefused():
+                self._refused_report(event)
             case BackEndNotThere():
-                self._viewed(self._reports.not_there(event.instance))
+                self._viewed(self._reports.not_there(event.life))
             case NodeSeedsChanged():
                 self.sessions.use_seeds(event.relays)
             case _:
                 raise AssertionError(f"a node takes no {type(event).__name__}")
 
+    def _refused_report(self, event: BackEndReportRefused) -> None:
+        """Say so, but not for each: whoever sends them may go on for long."""
+        self._refused_reports += 1
+        if self._now >= self._refusal_told_at + REFUSAL_LINE_SECONDS:
+            reason = event.reason[:MOST_REASON]
+            count = self._refused_reports
+            self._report(notices.BackEndReportNotUsed(reason, count))
+            self._refusal_told_at = self._now
+
     def _note_pause(self, event: events.Event, now: float) -> None:
         """After a time without any event, begin anew with the relays."""
         pause = now - self._now
@@ -423,8 +443,10 @@
     def _endpoints_changed(self, session: RelaySession, message: EndpointsChanged) -> None:
         """Take what the relay in use says, and what comes ahead of a first update."""
         for endpoint in message.endpoints:
-            if endpoint.node == self._settings.node and self._own.overtake(endpoint):
-                self._announce()
+            if endpoint.node == self._settings.node:
+                self._viewed(self._reports.overtaken(endpoint.born))
+                if self._own.overtake(endpoint):
+                    self._announce()
         is_heeded = self.sessions.active in (None, session)
         if is_heeded and self.known.take(message):
             self._swap_endpoints()
--- a/src/peppershore/process/node/data/direct_attempt.py
+++ b/src/peppershore/process/node/data/direct_attempt.py
@@ -37,10 +37,14 @@
 
 
 class BackEndTerms(msgspec.Struct, frozen=True):
-    """How to speak with one back end: the names, and which life of it is meant."""
+    """How to speak with one back end: the names, and which life of it is meant.
+
+    ``instance`` is how the back end knows itself, ``life`` what no other life has.
+    """
 
     names: WireNames = OWN_NAMES
     instance: bytes = b""
+    life: str = ""
 
 
 OWN_TERMS = BackEndTerms()
--- a/src/peppershore/process/node/data/own_attempt.py
+++ b/src/peppershore/process/node/data/own_attempt.py
@@ -275,11 +275,11 @@
         """Free the slot, then hand the failure on."""
         self._end(verdict_of_failure(failed))
         if failed.reason in NOT_THERE_REASONS:
-            self._backend.refuse_not_there(self._instance)
+            self._backend.refuse_not_there(self._terms.life)
         if failed.reason == BROKE_OFF:
             self._awaits_word_of_end = True
             crashes = self._backend.crashes
-            crashes.broke_off(self._instance, self._request.fingerprint, self._broke_off)
+            crashes.broke_off(self._terms.life, self._request.fingerprint, self._broke_off)
         else:
             self._sink.attempt_failed(failed)
 
@@ -293,11 +293,6 @@
 
     # --- inside
 
-    @property
-    def _instance(self) -> str:
-        """The life of the back end that the call was sent to."""
-        return self._terms.instance.decode("latin-1")
-
     def _broke_off(self, has_ended: bool) -> None:
         """It is known whether the back end's process ended under the call."""
         if not self._awaits_word_of_end:
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -18,10 +18,12 @@
 from peppershore.connection.messages.calls import MICROSECONDS, HeaderFields, OwnerLoad
 from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.node.back_end_reports import (
+    NO_LIFE,
     STATE_GONE,
     STATE_LEAVING,
     STATE_READY,
     BackEndView,
+    Life,
 )
 from peppershore.process.node.data.attempt import AttemptRequest
 from peppershore.process.node.data.call_story import ServedRecord
@@ -83,7 +85,7 @@
     ) -> None:
         """Start with all slots free; ``transfers`` bounds large bodies on their way."""
         self.leaving = False
-        self.on_not_there: Callable[[str], None] = lambda instance: None
+        self.on_not_there: Callable[[str], None] = lambda life: None
         self.slots = endpoint.slots
         self.running = RunningCalls()
         self.crashes = CrashWatch(endpoint.node, endpoint.address)
@@ -94,7 +96,7 @@
         self._endpoint = endpoint
         self.service = endpoint.service
         self._names = names
-        self._instance = ""
+        self._life = NO_LIFE
         self._refuse: asyncio.TimerHandle | None = None
         self._offered_slots = endpoint.slots
         self._lent = 0
@@ -107,6 +109,11 @@
         self._waiting: dict[int, WaitingAttempt] = {}
         self._kick: asyncio.TimerHandle | None = None
 
+    @property
+    def life(self) -> Life:
+        """The life that calls are meant for now."""
+        return self._life
+
     @property
     def in_flight(self) -> int:
         """Calls that hold a slot or wait for one here."""
@@ -130,14 +137,15 @@
     @property
     def terms(self) -> BackEndTerms:
         """How to speak with the present life of the back end."""
-        return BackEndTerms(self._names, self._instance.encode("latin-1"))
+        life = self._life
+        return BackEndTerms(self._names, life.instance.encode("latin-1"), life.name)
 
     def record(self, headers: HeaderFields, fingerprint: Fingerprint) -> ServedRecord:
         """Give what is known now that a peer's call comes."""
         return ServedRecord(
             request_id=first_value(headers, self._names.request_id),
             service=self.service,
-            instance=self._instance,
+            instance=self._life.instance,
             began_at=asyncio.get_running_loop().time(),
             running=self.admission.in_flight,
             waiting=self.admission.waiting,
@@ -150,9 +158,9 @@
 
         One that leaves takes what is on its way for the bound, and nothing after it.
         """
-        if view.instance != self._instance:
-            self._instance = view.instance
-            self.crashes.begin_life(view.instance)
+        if view.life != self._life:
+            self._life = view.life
+            self.crashes.begin_life(view.life.name)
             self._begin_life()
             self._stop_refusing_later()
             self.leaving = False
@@ -184,6 +192,7 @@
         )
         now = asyncio.get_running_loop().time()
         self.admission.use_endpoints((self._endpoint,), now)
+        self.pool.close_idle()
 
     def leave(self) -> None:
         """Give the back end no new call from now on; what it runs goes on."""
@@ -196,14 +205,14 @@
         self.crashes.ended_well(fingerprint)
         self.quarantine.ended_well(fingerprint)
 
-    def refuse_not_there(self, instance: str) -> None:
+    def refuse_not_there(self, life: str) -> None:
         """Nobody answers at its address, or another life of it does."""
-        if instance == self._instance:
-            self.on_not_there(instance)
+        if life == self._life.name:
+            self.on_not_there(life)
 
     def use_settings(self, settings: ServiceSettings) -> None:
         """Take new settings; the tree may lower the slots, not raise them."""
-        if not self._instance:
+        if not self._life.instance:
             self.slots = min(self._offered_slots, settings.slots)
         self.admission.use_settings(settings)
         self._apply_limit()
@@ -215,7 +224,7 @@
 
     def start_ramp(self) -> None:
         """The back end has come up: give it its calls little by little."""
-        self.crashes.begin_life(self._instance)
+        self.crashes.begin_life(self._life.name)
         state = self.admission.state(self._node)
         if state is not None:
             state.ramp_started = asyncio.get_running_loop().time()
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -20,7 +20,7 @@
 from peppershore.connection.messages.calls import CallLinkHello
 from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.commands import Notice
-from peppershore.process.node.back_end_reports import BackEndView
+from peppershore.process.node.back_end_reports import NO_LIFE, BackEndView
 from peppershore.process.node.data import notices
 from peppershore.process.node.data.backend_probe import STATE_READY, BackendProbe
 from peppershore.process.node.data.call import Call
@@ -156,8 +156,12 @@
     def use_back_end(self, view: BackEndView) -> None:
         """Take what the back end says of itself by heartbeats."""
         bound = self._settings.back_end_leaving_milliseconds / MILLISECONDS
-        if self._own is not None:
-            self._own.use_view(view, bound)
+        if self._own is None:
+            return
+        had_other_life = self._own.life not in (NO_LIFE, view.life)
+        self._own.use_view(view, bound)
+        if had_other_life:
+            self._call_listener.lend_no_more()
 
     def on_back_end_not_there(self, callback: Callable[[str], None]) -> None:
         """Tell ``callback`` which life of the back end does not answer."""
--- a/src/peppershore/process/node/inputs.py
+++ b/src/peppershore/process/node/inputs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from peppershore.process.events import Event
-from peppershore.process.node.back_end_reports import BackEndReport
+from peppershore.process.node.back_end_reports import BORN_NOT_TOLD, BackEndReport
 from peppershore.process.settings import PeerRelay
 from peppershore.request.quarantine import Suspect
 
@@ -28,12 +28,19 @@
     """That life of the back end says that it ends."""
 
     instance: str
+    born: int = BORN_NOT_TOLD
+
+
+class BackEndReportRefused(Event, frozen=True):
+    """What came as a word of the back end is none that can be used."""
+
+    reason: str
 
 
 class BackEndNotThere(Event, frozen=True):
     """Nothing answers at the back end's address, or another life of it does."""
 
-    instance: str
+    life: str
 
 
 class BackEndEnded(Event, frozen=True):
--- a/src/peppershore/process/node/notices.py
+++ b/src/peppershore/process/node/notices.py
@@ -37,6 +37,14 @@
     slots: int
 
 
+class BackEndReportNotUsed(Notice, frozen=True):
+    """What came as a word of the back end can't be read; ``count`` since the start."""
+
+    level: ClassVar[str] = "warning"
+    reason: str
+    count: int
+
+
 class BackEndsKnown(Notice, frozen=True):
     """From now on calls of a service go to the back ends beside these nodes."""
 
--- a/src/peppershore/process/node/own_endpoint.py
+++ b/src/peppershore/process/node/own_endpoint.py
@@ -47,6 +47,8 @@
             slots=self._view.slots or settings.slots,
             connections=settings.connections,
             warming_milliseconds=self._view.warming_milliseconds,
+            version=self._view.version,
+            born=self._view.born,
         )
 
     def change_state(self, state: str) -> bool:
@@ -62,7 +64,7 @@
     def take_view(self, view: BackEndView) -> bool:
         """Take what the back end says of itself; a new life of it is ready again."""
         before = self.current
-        if view.instance != self._view.instance and self._view.instance:
+        if view.life != self._view.life and self._view.instance:
             self.incarnation += 1
             self._state = view.state
         elif self._state != STATE_LEAVING or view.state == STATE_GONE:
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -40,6 +40,7 @@
     BackendDrained,
     BackEndEnded,
     BackEndNotThere,
+    BackEndReportRefused,
     BackendStateChanged,
     NodeSeedsChanged,
     SuspectEndedWell,
@@ -208,16 +209,14 @@
     core = NodeCore(settings, recall(settings, metrics.notice), addresses.internal)
     shell = NodeShell(settings, core, data_plane, metrics.notice, security)
     data_plane.on_backend_state(lambda state: shell.dispatch(BackendStateChanged(state)))
-    data_plane.on_back_end_not_there(
-        lambda instance: shell.dispatch(BackEndNotThere(instance))
-    )
+    data_plane.on_back_end_not_there(lambda life: shell.dispatch(BackEndNotThere(life)))
     data_plane.on_back_end_ended = lambda life, under: shell.dispatch(
         BackEndEnded(life, under)
     )
     data_plane.calls.quarantine.on_cleared = lambda key: shell.dispatch(
         SuspectEndedWell(key)
     )
-    reports = HttpService(BackEndApi(shell.dispatch).answer, MAX_BODY_BYTES)
+    reports = HttpService(_back_end_api(shell).answer, MAX_BODY_BYTES)
     if settings.back_end_listen:
         await reports.start(settings.back_end_listen)
     if watch is not None:
@@ -259,6 +258,12 @@
     security.close()
 
 
+def _back_end_api(shell: Shell) -> BackEndApi:
+    return BackEndApi(
+        shell.dispatch, lambda reason: shell.dispatch(BackEndReportRefused(reason))
+    )
+
+
 def _start_reporter(settings: NodeSettings, metrics: ProcessMetrics) -> LinkReporter:
     """Tell of the links' bytes, by metrics and where it is set by lines."""
     metrics.add_source(TrafficFigures())
--- a/tests/node/test_back_end_reports.py
+++ b/tests/node/test_back_end_reports.py
@@ -90,7 +90,7 @@
 
 def test_a_heartbeat_becomes_an_event() -> None:
     status, seen = ask("/back-ends/i1/heartbeat", msgspec.json.encode(GOOD))
-    wanted = BackEndReport("i1", "kassa", "10.0.0.1:80", 18, True, 4, 0)
+    wanted = BackEndReport("i1", "kassa", "10.0.0.1:80", 18, True, 4, 0, 0, "v1")
     assert (status, seen) == (200, [BackEndReported(wanted)])
     assert ask("/back-ends/i1/gone", b"") == (200, [BackEndLeft("i1")])
 
