--- a/src/peppershore/command/admin_client.py
+++ b/src/peppershore/command/admin_client.py
@@ -23,8 +23,13 @@
     timeout_seconds: float,
     method: str = "GET",
     missing: Failed | None = None,
+    *,
+    content: bytes = b"",
 ) -> Result[bytes, Failed]:
-    """Ask for one page; any answer but 200 is a failure, 404 that of ``missing``."""
+    """Ask for one page; any answer but 200 is a failure, 404 that of ``missing``.
+
+    ``content`` is the request's body.
+    """
     host, _, port = address.rpartition(":")
     if not port.isascii() or not port.isdigit():
         return Failure(usage(f"{address!r} is no address", "give IP:port"))
@@ -32,7 +37,8 @@
         async with asyncio.timeout(timeout_seconds):
             reader, writer = await asyncio.open_connection(host.strip("[]"), int(port))
             try:
-                status, body = await _ask(reader, writer, method, address, path)
+                question = _question(method, address, path, content)
+                status, body = await _ask(reader, writer, question)
             finally:
                 writer.close()
     except (OSError, TimeoutError, ValueError, h11.RemoteProtocolError) as problem:
@@ -49,15 +55,11 @@
 async def _ask(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
-    method: str,
-    address: str,
-    path: str,
+    question: tuple[h11.Event, ...],
 ) -> tuple[int, bytes]:
     """Give status and body; a body that is too large is read no further."""
     connection = h11.Connection(h11.CLIENT)
-    headers = [("host", address), ("connection", "close")]
-    head = connection.send(h11.Request(method=method, target=path, headers=headers))
-    writer.write((head or b"") + (connection.send(h11.EndOfMessage()) or b""))
+    writer.write(b"".join(connection.send(event) or b"" for event in question))
     status = 0
     body = bytearray()
     while True:
@@ -75,6 +77,18 @@
     return status, bytes(body)
 
 
+def _question(
+    method: str, address: str, path: str, content: bytes
+) -> tuple[h11.Event, ...]:
+    headers = [("host", address), ("connection", "close")]
+    if content:
+        headers.append(("content-length", str(len(content))))
+    request = h11.Request(method=method, target=path, headers=headers)
+    if not content:
+        return (request, h11.EndOfMessage())
+    return (request, h11.Data(data=content), h11.EndOfMessage())
+
+
 def _unreachable(address: str, reason: str) -> Failed:
     return Failed(
         code=ExitCode.UNREACHABLE,
--- a/src/peppershore/command/main.py
+++ b/src/peppershore/command/main.py
@@ -18,6 +18,7 @@
         "keys": f"{PACKAGE}.key_commands:keys",
         "logs": f"{PACKAGE}.logs_command:logs",
         "quarantine": f"{PACKAGE}.quarantine_commands:quarantine",
+        "rollout": f"{PACKAGE}.rollout_commands:rollout",
         "replica": f"{PACKAGE}.replica_commands:replica",
         "secret": f"{PACKAGE}.secret_commands:secret",
         "serve": f"{PACKAGE}.serve:serve",
--- /dev/null
+++ b/src/peppershore/command/rollout_commands.py
@@ -0,0 +1,157 @@
+"""``peppershore rollout``: bring a new version of a service in, or take it back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeVar
+
+import click
+import msgspec
+from returns.result import Failure
+
+from peppershore.command.admin_client import fetch
+from peppershore.command.failures import not_found
+from peppershore.command.options import MAX_TIMEOUT_SECONDS, MIN_TIMEOUT_SECONDS, Seconds
+from peppershore.command.output import show_json, show_table, stop_with
+from peppershore.process.control.rollout_orders import RolloutOrder
+from peppershore.process.hub.rollout_api import (
+    ABORT,
+    ROOT,
+    STATUS,
+    RouteFigures,
+    StatusBody,
+)
+
+HEADER = ("ROUTE", "NEW", "FAILED", "OLD", "FAILED", "AGAINST IT")
+PERCENT = 100.0
+Answer = TypeVar("Answer")
+Command = Callable[..., None]
+
+
+def _address_options(command: Command) -> Command:
+    """Add what all commands need to reach a hub."""
+    at = click.option(
+        "--at",
+        "address",
+        metavar="IP:PORT",
+        required=True,
+        help="A hub's api_listen; any will do.",
+    )
+    timeout = click.option(
+        "--timeout",
+        type=Seconds(MIN_TIMEOUT_SECONDS, MAX_TIMEOUT_SECONDS),
+        default=10.0,
+        show_default=True,
+        help="Seconds to wait.",
+    )
+    as_json = click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+    return at(timeout(as_json(command)))
+
+
+@click.group()
+def rollout() -> None:
+    """Bring a new version of a service's software in by share, and watch it."""
+
+
+@rollout.command()
+@click.argument("service")
+@click.argument("version")
+@click.option(
+    "--within",
+    "seconds",
+    type=click.FloatRange(min=0.1),
+    required=True,
+    help="Seconds within which all calls are to go to the new version.",
+)
+@_address_options
+def start(
+    *,
+    service: str,
+    version: str,
+    seconds: float,
+    address: str,
+    timeout: float,
+    as_json: bool,
+) -> None:
+    """Move the calls of SERVICE to back ends that run VERSION.
+
+    They have to be started beside the old ones.  The same order again is acknowledged
+    again.
+    """
+    order = RolloutOrder(service, version, seconds)
+    _asked(
+        address,
+        f"/{ROOT}",
+        "POST",
+        timeout,
+        as_json=as_json,
+        body=msgspec.json.encode(order),
+    )
+    if as_json:
+        show_json(order)
+    else:
+        click.echo(f"{service} moves to {version} within {seconds:g} s")
+
+
+@rollout.command()
+@click.argument("service")
+@_address_options
+def status(service: str, address: str, timeout: float, as_json: bool) -> None:
+    """Show how far the latest roll-out of SERVICE is, and what it waits for.
+
+    The leader knows all figures; other hubs know those of their own zone.
+    """
+    found = _asked(address, f"/{ROOT}/{service}/{STATUS}", "GET", timeout, as_json=as_json)
+    shown = msgspec.json.decode(found, type=StatusBody)
+    if as_json:
+        show_json(shown)
+        return
+    click.echo(
+        f"{service} to {shown.target_version}: {shown.state}, "
+        f"{shown.share * PERCENT:.1f}% of the calls, "
+        f"{shown.elapsed_seconds:.1f} of {shown.duration_seconds:.1f} s"
+    )
+    click.echo(f"{shown.calls} of {shown.all_calls} calls went to it")
+    show_table(HEADER, [_row(each) for each in shown.routes])
+    if shown.waits_for:
+        click.echo(f"waits: {shown.waits_for}")
+
+
+@rollout.command()
+@click.argument("service")
+@_address_options
+def abort(service: str, address: str, timeout: float, as_json: bool) -> None:
+    """Take the roll-out of SERVICE back: nothing more goes to the new version."""
+    _asked(address, f"/{ROOT}/{service}/{ABORT}", "POST", timeout, as_json=as_json)
+    if as_json:
+        show_json({"service": service})
+    else:
+        click.echo(f"{service} goes back to the version before")
+
+
+def _asked(
+    address: str,
+    path: str,
+    method: str,
+    timeout: float,
+    *,
+    as_json: bool,
+    body: bytes = b"",
+) -> bytes:
+    missing = not_found(f"{path} at {address}", "there was no roll-out of that service")
+    fetched = asyncio.run(fetch(address, path, timeout, method, missing, content=body))
+    if isinstance(fetched, Failure):
+        stop_with(fetched.failure(), as_json)
+    return fetched.unwrap()
+
+
+def _row(route: RouteFigures) -> tuple[str, ...]:
+    return (
+        route.route or "all",
+        str(route.new.calls),
+        str(route.new.failed),
+        str(route.old.calls),
+        str(route.old.failed),
+        route.reason or "-",
+    )
--- a/src/peppershore/command/values.py
+++ b/src/peppershore/command/values.py
@@ -10,8 +10,13 @@
 
 from peppershore.version.model import Overrides, Problem
 from peppershore.version.resolve import set_values
+from peppershore.version.rollout import ROLLOUT_FIELDS, without_rollout
+
+OVERRIDE_NAMES: tuple[str, ...] = tuple(
+    name for name in Overrides.__struct_fields__ if name not in ROLLOUT_FIELDS
+)
+"""The settings that operators give; those of roll-outs are the control group's own."""
 
-OVERRIDE_NAMES: tuple[str, ...] = Overrides.__struct_fields__
 LIST_SEPARATOR = ","
 _TRUE_WORDS = frozenset({"true", "yes", "on", "1"})
 _FALSE_WORDS = frozenset({"false", "no", "off", "0"})
@@ -42,7 +47,7 @@
 
 def format_assignments(overrides: Overrides) -> tuple[str, ...]:
     """Give overrides as the KEY=VALUE arguments that would set them."""
-    values = set_values(overrides)
+    values = set_values(without_rollout(overrides))
     return tuple(f"{name}={_format_value(value)}" for name, value in values.items())
 
 
--- a/src/peppershore/connection/authorization.py
+++ b/src/peppershore/connection/authorization.py
@@ -17,6 +17,7 @@
 from peppershore.connection.messages.endpoints import EndpointAnnounced, RelayHello
 from peppershore.connection.messages.node import NodeHello
 from peppershore.connection.messages.relay import FollowRequest, ProgressReported
+from peppershore.connection.messages.rollouts import EvidenceTold
 
 Authorize = Callable[[str, Message], str]
 """Gives the reason why a peer (its identity's URI) may not send a message, or ""."""
@@ -31,8 +32,9 @@
 
 SENDER_TAGS: dict[str, frozenset[int]] = {
     "control": frozenset({51, 52, 54}) | CONSENSUS_TAGS | OPERATOR_TAGS,
-    "relay": frozenset({21, 22, 25, 41, 42, 43, 44, 45, 46, 47, 50, 53, 55}) | CRASH_TAGS,
-    "node": frozenset({20, 23, 24, 26, 40, 46}) | CLAIM_ASK_TAGS | CALL_TAGS | {160},
+    "relay": frozenset({21, 22, 25, 41, 42, 43, 44, 45, 46, 47, 50, 53, 55, 56})
+    | CRASH_TAGS,
+    "node": frozenset({20, 23, 24, 26, 28, 40, 46}) | CLAIM_ASK_TAGS | CALL_TAGS | {160},
     "claims": frozenset({92, 98, 101}) | CONSENSUS_TAGS | CLAIM_ANSWER_TAGS,
     "operator": OPERATOR_TAGS,
 }
@@ -92,6 +94,9 @@
     if isinstance(message, EndpointAnnounced):
         yield message.endpoint.node, peer.name, "the node"
         yield message.endpoint.service, peer.service, "the service"
+    if isinstance(message, EvidenceTold):
+        yield message.evidence.node, peer.name, "the node"
+        yield message.evidence.service, peer.service, "the service"
     if isinstance(message, FollowRequest | RelayHello):
         yield message.cluster, peer.cluster, "the cluster"
     if isinstance(message, FollowRequest | RelayHello | ProgressReported):
--- a/src/peppershore/connection/codec.py
+++ b/src/peppershore/connection/codec.py
@@ -19,6 +19,7 @@
     node,
     operators,
     relay,
+    rollouts,
     session,
 )
 from peppershore.connection.messages.base import Message
@@ -30,7 +31,9 @@
     reason: str
 
 
-_MODULES = (session, node, endpoints, relay, consensus, operators, claims, calls, crashes)
+_MODULES = (
+    session, node, endpoints, relay, rollouts, consensus, operators, claims, calls, crashes
+)  # fmt: skip
 
 
 def _message_types() -> list[type[Message]]:
--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -31,6 +31,7 @@
     FollowRequest,
     ProgressReported,
 )
+from peppershore.connection.messages.rollouts import EvidencePassed, EvidenceShared
 from peppershore.connection.messages.session import Goodbye, Refused, RetryAfter
 from peppershore.process import events
 from peppershore.process.commands import SetTimer
@@ -52,6 +53,13 @@
     ReleaseSubmitted,
     ReleaseWanted,
 )
+from peppershore.process.control.rollout_orders import (
+    RolloutAborted,
+    RolloutOrdered,
+    RolloutOrders,
+    RolloutWanted,
+)
+from peppershore.process.control.rollouts import Rollouts
 from peppershore.process.control.rotation import RotationBarrier
 from peppershore.process.control.state import (
     ControlCommand,
@@ -60,7 +68,15 @@
 )
 from peppershore.process.events import LinkId
 from peppershore.process.settings import ControlSettings
-from peppershore.version.model import Edit, EditAccepted, EditOutcome, Version
+from peppershore.version.model import (
+    Edit,
+    EditAccepted,
+    EditInvalid,
+    EditOutcome,
+    Problem,
+    Version,
+)
+from peppershore.version.rollout import touches_rollout
 
 WATCH_TIMER = "control-watch"
 WATCH_SECONDS = 0.005
@@ -77,7 +93,11 @@
 
 DISK_REFUSED = "the disk refuses writes"
 
-_RELAY_MESSAGES = (FollowRequest, ConfirmRequest, ProgressReported)
+NOT_YOURS = Problem(
+    "rollout", "is the control group's own", "an order, see `peppershore rollout`"
+)
+
+_RELAY_MESSAGES = (FollowRequest, ConfirmRequest, ProgressReported, EvidenceShared)
 
 
 class PendingRead(msgspec.Struct, frozen=True):
@@ -107,6 +127,8 @@
         self._watchers: dict[LinkId, Version] = {}
         self._watch_timer_set = False
         self._releases = Releases(self)
+        self.rollouts = Rollouts(self, settings.rollout_exposure_share)
+        self._rollout_orders = RolloutOrders(self)
 
     # --- events --------------------------------------------------------------
 
@@ -118,6 +140,8 @@
             self._releases.submit(event)
         elif isinstance(event, ReleaseWanted):
             self._releases.want(event)
+        elif isinstance(event, RolloutOrdered | RolloutAborted | RolloutWanted):
+            self._rollout_orders.ask(event)
         elif isinstance(event, SeedsChanged):
             self.joining.use_seeds(event.seeds)
 
@@ -130,11 +154,13 @@
     def on_tick(self) -> None:
         """Forget silent relays; let rotations go on whose barrier is passed."""
         self._releases.tick()
+        self._rollout_orders.tick()
         if self._rotation is None:
             self._rotation = RotationBarrier(self._progress, self.now)
         if self._progress.refresh(self.now):
             self._progress_changed()
         self._share_progress()
+        self.rollouts.tick()
         if not self.leads or self.stopping:
             return
         for notice in self._rotation.overdue(self.state.tree, self.now):
@@ -176,6 +202,8 @@
             self._ask_read(link, message)
         elif isinstance(message, ProgressReported):
             self._take_progress(message)
+        elif isinstance(message, EvidenceShared):
+            self.rollouts.take(message.evidence)
         elif isinstance(message, HistoryQuery):
             self.send(link, self._history(message))
         elif isinstance(message, StatusQuery):
@@ -193,6 +221,8 @@
         """Take what another replica heard of a relay, or an edit that it worked out."""
         if isinstance(message, SubmitEdit):
             self.submit_internally(message.edit)
+        elif isinstance(message, EvidencePassed):
+            self.rollouts.take(message.evidence)
         elif isinstance(message, ProgressShared):
             self._take_shared(message)
         elif isinstance(message, ProgressTableShared) and peer == self.consensus.leader:
@@ -217,6 +247,9 @@
         if not self.leads or self.stopping:
             self._answer(link, NotLeader(self.leader_address))
             return
+        if link != INTERNAL_LINK and touches_rollout(edit.operations):
+            self._answer(link, EditAnswered(EditInvalid(edit.change_id, (NOT_YOURS,))))
+            return
         known = self._intake.known_outcome(edit)
         if known is not None:
             self._answer_known(link, known)
@@ -260,6 +293,8 @@
         """Answer a read that a quorum confirmed; a failed one says who may know."""
         if self._releases.take_read(request, confirmed):
             return
+        if self._rollout_orders.take_read(request, confirmed):
+            return
         pending = self._pending_reads.pop(request, None)
         if pending is None:
             return
@@ -310,6 +345,7 @@
             self.command(command)
         if outcomes:
             self._releases.applied(outcomes)
+            self._rollout_orders.applied(outcomes)
         self._progress_changed()
 
     def _report_outcomes(
@@ -337,6 +373,7 @@
         if self._rotation is not None:
             self._rotation.restart(self.now)
         self._intake.begin()
+        self.rollouts.leadership_gained()
 
     def on_leadership_lost(self) -> None:
         """Edits under way may commit: who waits asks again with the same change id."""
@@ -360,6 +397,16 @@
 
     # --- progress and status -------------------------------------------------
 
+    @property
+    def in_force(self) -> Version:
+        """The version that all nodes hold, as far as their relays told."""
+        return self._progress.in_force
+
+    @property
+    def unix_milliseconds(self) -> int:
+        """The wall clock, for people and for what outlives a start."""
+        return self._clock.unix_milliseconds(self.now)
+
     def _take_progress(self, report: ProgressReported) -> None:
         self._sharing.heard(report, self.now)
         if self._progress.take(report, self.now, self.now):
--- a/src/peppershore/process/control/notices.py
+++ b/src/peppershore/process/control/notices.py
@@ -75,3 +75,32 @@
     release: Version
     reason: str
     waited_milliseconds: int
+
+
+class RolloutJudged(Notice, frozen=True):
+    """An operator's order about a roll-out was taken, refused, or left undecided."""
+
+    replica: str
+    service: str
+    version: str
+    outcome: str
+    detail: str
+
+
+class RolloutDecided(Notice, frozen=True):
+    """The leader takes the next step of a roll-out, or ends it.
+
+    ``share`` is that of before, in parts of 10,000; ``calls`` ran at the new version's
+    ``back_ends`` since the order, of ``all_calls``; ``routes`` has the figures of both.
+    """
+
+    service: str
+    version: str
+    decision: str
+    share: int
+    reason: str
+    elapsed_milliseconds: int
+    back_ends: int
+    calls: int
+    all_calls: int
+    routes: tuple[str, ...]
--- a/src/peppershore/process/hub/plan.py
+++ b/src/peppershore/process/hub/plan.py
@@ -46,6 +46,7 @@
         election_milliseconds=settings.election_milliseconds,
         seeds=tuple(seed for seed in seeds if seed != address),
         wanted_voters=2 * settings.tolerated_losses + 1,
+        rollout_exposure_share=settings.rollout_exposure_share,
         tls=settings.tls,
     )
     relay_address = relay_name(address, settings)
--- /dev/null
+++ b/src/peppershore/process/hub/rollout_api.py
@@ -0,0 +1,204 @@
+"""The operators' HTTP interface to roll-outs.
+
+``POST /rollouts`` orders one: 200 taken (now or before), 409 another one of that service
+is under way, 400 it can't be carried out, 503 undecided (send it again).
+``GET /rollouts/SERVICE`` gives the latest one, confirmed by a quorum: 200, 404 if there was
+none, or 503.  ``POST /rollouts/SERVICE/abort`` takes one back.
+``GET /rollouts/SERVICE/status`` tells what it has come to, as this hub knows it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable
+
+import msgspec
+
+from peppershore.process.control.core import ControlCore
+from peppershore.process.control.rollout_orders import (
+    RolloutAborted,
+    RolloutAnswered,
+    RolloutOrder,
+    RolloutOrdered,
+    RolloutOutcome,
+    RolloutRead,
+    RolloutRefused,
+    RolloutTaken,
+    RolloutUndecided,
+    RolloutUnderWay,
+    RolloutUnknown,
+    RolloutWanted,
+)
+from peppershore.process.control.version_comparison import RouteComparison, VersionCounts
+from peppershore.process.events import Event
+from peppershore.process.http_service import JSON, ServiceAnswer, ServiceRequest
+from peppershore.version.model import RolloutState
+from peppershore.version.rollout import ALL_CALLS, rollout_of
+
+ROOT = "rollouts"
+ABORT = "abort"
+STATUS = "status"
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+METHOD_NOT_ALLOWED = 405
+CONFLICT = 409
+UNAVAILABLE = 503
+RETRY_SECONDS = "0.2"
+
+
+class StateBody(msgspec.Struct, frozen=True):
+    """The latest roll-out of a service."""
+
+    state: RolloutState
+    target_version: str
+
+
+class VersionFigures(msgspec.Struct, frozen=True):
+    """Calls of one route at back ends of one version, and how many failed."""
+
+    calls: int
+    failed: int
+
+
+class RouteFigures(msgspec.Struct, frozen=True):
+    """Both versions on a route ("" over all), and what speaks against the new one."""
+
+    route: str
+    new: VersionFigures
+    old: VersionFigures
+    reason: str
+
+
+class StatusBody(msgspec.Struct, frozen=True):
+    """What a roll-out has come to, as one hub knows it.
+
+    ``share`` of the calls goes to the new version (0 to 1); ``calls`` of ``all_calls``
+    ran there since the order.  Only the leader knows all figures and what it waits for.
+    """
+
+    service: str
+    target_version: str
+    state: RolloutState
+    share: float
+    elapsed_seconds: float
+    duration_seconds: float
+    calls: int
+    all_calls: int
+    routes: tuple[RouteFigures, ...]
+    waits_for: str
+    is_leader: bool
+
+
+class RolloutError(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Why an order was not taken, or nothing can be told."""
+
+    error: str
+    allowed: str = ""
+
+
+class RolloutApi:
+    """Turns requests into events of the control core, and its answers into HTTP."""
+
+    def __init__(self, dispatch: Callable[[Event], None], core: ControlCore) -> None:
+        """Hand events to the core with ``dispatch``."""
+        self._dispatch = dispatch
+        self._core = core
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[RolloutOutcome]] = {}
+
+    def answered(self, command: RolloutAnswered) -> None:
+        """Take an answer of the core."""
+        waiting = self._waiting.pop(command.request, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(command.outcome)
+
+    async def answer(self, request: ServiceRequest) -> ServiceAnswer:
+        """Answer one HTTP request."""
+        number = next(self._numbers)
+        match request.path.strip("/").split("/"):
+            case [root] if root == ROOT:
+                if request.method not in ("POST", "PUT"):
+                    return _error(METHOD_NOT_ALLOWED, "POST an order")
+                return await self._order(number, request.body)
+            case [root, service] if root == ROOT:
+                if request.method != "GET":
+                    return _error(METHOD_NOT_ALLOWED, "GET")
+                return await self._ask(number, RolloutWanted(number, service))
+            case [root, service, what] if root == ROOT and what == ABORT:
+                if request.method != "POST":
+                    return _error(METHOD_NOT_ALLOWED, "POST")
+                return await self._ask(number, RolloutAborted(number, service))
+            case [root, service, what] if root == ROOT and what == STATUS:
+                return self._status(service)
+            case _:
+                return _error(NOT_FOUND, f"/{ROOT}, /{ROOT}/SERVICE[/{STATUS}|/{ABORT}]")
+
+    async def _order(self, number: int, body: bytes) -> ServiceAnswer:
+        try:
+            order = msgspec.json.decode(body, type=RolloutOrder)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
+            return _error(BAD_REQUEST, str(problem))
+        return await self._ask(number, RolloutOrdered(number, order))
+
+    async def _ask(self, number: int, event: Event) -> ServiceAnswer:
+        future: asyncio.Future[RolloutOutcome]
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        self._dispatch(event)
+        return _answer_of(await future)
+
+    def _status(self, service: str) -> ServiceAnswer:
+        core = self._core
+        rollout = rollout_of(core.state.tree, service)
+        if rollout is None:
+            return _error(NOT_FOUND, f"no roll-out of {service}")
+        comparison = core.rollouts.comparison(rollout)
+        body = StatusBody(
+            service=service,
+            target_version=rollout.version,
+            state=rollout.state,
+            share=rollout.share / ALL_CALLS,
+            elapsed_seconds=round(core.rollouts.elapsed(rollout), 1),
+            duration_seconds=rollout.seconds,
+            calls=comparison.calls,
+            all_calls=comparison.all_calls,
+            routes=tuple(_route(each) for each in comparison.routes),
+            waits_for=core.rollouts.describe(rollout),
+            is_leader=core.leads,
+        )
+        return ServiceAnswer(OK, msgspec.json.encode(body), JSON)
+
+
+def _route(compared: RouteComparison) -> RouteFigures:
+    new, old = _figures(compared.new), _figures(compared.old)
+    return RouteFigures(compared.route, new, old, compared.reason)
+
+
+def _figures(counts: VersionCounts) -> VersionFigures:
+    return VersionFigures(counts.calls, counts.failed)
+
+
+def _answer_of(outcome: RolloutOutcome) -> ServiceAnswer:
+    match outcome:
+        case RolloutTaken():
+            return ServiceAnswer(OK, b"{}", JSON)
+        case RolloutRead(rollout=rollout):
+            body = StateBody(rollout.state, rollout.version)
+            return ServiceAnswer(OK, msgspec.json.encode(body), JSON)
+        case RolloutUnderWay(target_version=version):
+            return _error(CONFLICT, f"that of {version} is under way")
+        case RolloutRefused(problem=problem):
+            error = RolloutError(f"{problem.subject} {problem.reason}", problem.allowed)
+            return ServiceAnswer(BAD_REQUEST, msgspec.json.encode(error), JSON)
+        case RolloutUnknown():
+            return _error(NOT_FOUND, "no roll-out of that service")
+        case RolloutUndecided(reason=reason):
+            fields = (("retry-after", RETRY_SECONDS),)
+            undecided = msgspec.json.encode(RolloutError(reason))
+            return ServiceAnswer(UNAVAILABLE, undecided, JSON, fields)
+
+
+def _error(status: int, reason: str) -> ServiceAnswer:
+    return ServiceAnswer(status, msgspec.json.encode(RolloutError(reason)), JSON)
--- a/src/peppershore/process/hub/shell.py
+++ b/src/peppershore/process/hub/shell.py
@@ -15,9 +15,12 @@
 from peppershore.process.control.clock import ClockObserved
 from peppershore.process.control.core import ControlCore
 from peppershore.process.control.releases import ReleaseAnswered
+from peppershore.process.control.rollout_orders import RolloutAnswered
 from peppershore.process.http_service import HttpService, ServiceAnswer, ServiceRequest
 from peppershore.process.hub.configuration_api import MAX_BODY_BYTES, ConfigurationApi
 from peppershore.process.hub.plan import HubPlan, plan_hub, relay_name
+from peppershore.process.hub.rollout_api import ROOT as ROLLOUTS
+from peppershore.process.hub.rollout_api import RolloutApi
 from peppershore.process.link_report import LinkReporter, TrafficFigures
 from peppershore.process.link_security import LinkSecurity
 from peppershore.process.quarantine.api import ROOT as QUARANTINE
@@ -59,6 +62,8 @@
         self._quarantine_api = quarantine_api(core, self._relay)
         self._api = ConfigurationApi(self._process.shell.dispatch)
         self._process.shell.handle(ReleaseAnswered, self._api.answered)
+        self._rollout_api = RolloutApi(self._process.shell.dispatch, self._process.core)
+        self._process.shell.handle(RolloutAnswered, self._rollout_api.answered)
         self._service = HttpService(self._answer, MAX_BODY_BYTES)
         self._reporter = LinkReporter(0.0, settings.link_report_milliseconds, notice_sink)
         self._process.metrics.add_source(TrafficFigures())
@@ -84,9 +89,12 @@
         await self._keeper.close()
 
     async def _answer(self, request: ServiceRequest) -> ServiceAnswer:
-        """Answer operators: about the quarantine, else about configurations."""
-        if request.path.strip("/").partition("/")[0] == QUARANTINE:
+        """Answer operators: about the quarantine, roll-outs, else configurations."""
+        subject = request.path.strip("/").partition("/")[0]
+        if subject == QUARANTINE:
             return await self._quarantine_api.answer(request)
+        if subject == ROLLOUTS:
+            return await self._rollout_api.answer(request)
         return await self._api.answer(request)
 
     def _keep_quarantine(self, command: PersistQuarantine) -> None:
--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -30,6 +30,7 @@
     UpdateOffered,
     UpdateRefused,
 )
+from peppershore.connection.messages.rollouts import BackEndEvidence, EvidenceTold
 from peppershore.connection.messages.session import Goodbye, Refused, RetryAfter
 from peppershore.connection.update_packing import unpack_update
 from peppershore.process import events
@@ -62,6 +63,7 @@
     BackEndReported,
     BackEndReportRefused,
     BackendStateChanged,
+    EvidenceGathered,
     NodeSeedsChanged,
     SuspectEndedWell,
 )
@@ -138,6 +140,7 @@
         self._pending_confirmed_at = -math.inf
         self._token = 0
         self._is_stopping = False
+        self._evidence_number = 0
         self._refused_reports = 0
         self._refusal_told_at = -math.inf
         self._confirmed_at = -math.inf
@@ -205,11 +208,30 @@
                 self._refused_report(event)
             case BackEndNotThere():
                 self._viewed(self._reports.not_there(event.life))
+            case EvidenceGathered():
+                self._tell_evidence(event)
             case NodeSeedsChanged():
                 self.sessions.use_seeds(event.relays)
             case _:
                 raise AssertionError(f"a node takes no {type(event).__name__}")
 
+    def _tell_evidence(self, event: EvidenceGathered) -> None:
+        """Tell the relay in use; what it misses the next word tells as well."""
+        active = self.sessions.active
+        if active is None:
+            return
+        self._evidence_number += 1
+        evidence = BackEndEvidence(
+            node=self._settings.node,
+            service=self._settings.service,
+            version=self._reports.view.version,
+            began_milliseconds=event.began_milliseconds,
+            incarnation=self._own.incarnation,
+            number=self._evidence_number,
+            routes=event.routes,
+        )
+        self._out.append(SendMessage(active.link, EvidenceTold(evidence)))
+
     def _refused_report(self, event: BackEndReportRefused) -> None:
         """Say so, but not for each: whoever sends them may go on for long."""
         self._refused_reports += 1
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -162,7 +162,7 @@
         if admission is None or not self.looks_for_free_slots:
             return False
         now = self.loop.time()
-        return admission.seeking.is_in_vain(now) or admission.all_shed(now)
+        return admission.seeking.is_in_vain(now) or admission.all_shed(now, plan.lane)
 
     def asked_for_slot(self, plan: CallPlan, was_granted: bool) -> None:
         """A call that may not wait asked a back end's own node for a free slot."""
@@ -253,7 +253,16 @@
         running = NOTHING_RUNS if self.own is None else self.own.running
         now = self.loop.time()
         planned = self._entry.plan(self.configuration, head, now, running)
-        return planned.bind(lambda entry: self._in_time(entry, now))
+        return planned.bind(lambda entry: self._in_time(entry, now)).map(self._drawn)
+
+    def _drawn(self, entry: EntryPlan) -> EntryPlan:
+        """Draw the version of the target's software, where one is rolled out."""
+        admission = self._admission(entry.plan.target)
+        lane = "any" if admission is None else admission.draw_lane()
+        if lane == "any":
+            return entry
+        plan = msgspec.structs.replace(entry.plan, lane=lane)
+        return msgspec.structs.replace(entry, plan=plan)
 
     def end_at(self, end: float, any_call_until: float) -> None:
         """This node stops: from ``any_call_until`` on take only what is over by ``end``.
@@ -296,6 +305,7 @@
             route=plan.route,
             crossing_seconds=plan.crossing_seconds,
             prefers_far=tries_another_zone and not plan.settings.streamed_bodies,
+            lane=plan.lane,
         )
 
     def offer(self, ticket: Ticket, plan: CallPlan, call: Call) -> Decision:
@@ -362,7 +372,7 @@
         """
         admission = self._admission(plan.target)
         return admission is not None and admission.has_besides(
-            nodes, self.loop.time(), for_free_slot
+            nodes, self.loop.time(), for_free_slot, plan.lane
         )
 
     def retry_delay(
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -45,12 +45,14 @@
 )
 from peppershore.request.picker import RandomSource
 from peppershore.request.running_calls import RunningCalls
+from peppershore.request.version_evidence import VersionEvidence
 from peppershore.request.waiting import Ticket
 from peppershore.request.wire_names import OWN_NAMES, WireNames
 from peppershore.version.model import ServiceSettings
 
 LEAVING_RETRY_AFTER_MILLISECONDS = 100
 KICK_SECONDS = 0.02
+MILLISECONDS = 1_000
 
 
 class WaitingAttempt(Protocol):
@@ -91,6 +93,8 @@
         self.crashes = CrashWatch(endpoint.node, endpoint.address)
         self.quarantine = quarantine or QuarantineGate(asyncio.get_running_loop().time)
         self.transfers = transfers or BodyTransfers()
+        self.evidence = VersionEvidence()
+        self._warm_at = 0.0
         self._ahead = BodiesAhead()
         self._awaiting_transfer: dict[WaitingAttempt, None] = {}
         self._endpoint = endpoint
@@ -164,6 +168,9 @@
             self._begin_life()
             self._stop_refusing_later()
             self.leaving = False
+            now = asyncio.get_running_loop().time()
+            self._warm_at = now + max(0, view.warming_milliseconds) / MILLISECONDS
+            self.evidence.begin(self.evidence.began_milliseconds)
         if view.slots:
             self._offered_slots = view.slots
             self.slots = view.slots
@@ -212,6 +219,7 @@
 
     def use_settings(self, settings: ServiceSettings) -> None:
         """Take new settings; the tree may lower the slots, not raise them."""
+        self.evidence.use_settings(settings)
         if not self._life.instance:
             self.slots = min(self._offered_slots, settings.slots)
         self.admission.use_settings(settings)
@@ -315,6 +323,8 @@
     def finished(self, dispatch: Dispatch, latency: float, verdict: Verdict | None) -> None:
         """Free a slot and give it to the next."""
         now = asyncio.get_running_loop().time()
+        route, is_warm = dispatch.ticket.route, now >= self._warm_at
+        self.evidence.note(route, latency, verdict, is_warm)
         self.admission.finished(dispatch, latency, verdict, now)
         self.start_waiting()
 
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -19,6 +19,7 @@
 )
 from peppershore.connection.messages.calls import CallLinkHello
 from peppershore.connection.messages.endpoints import Endpoint
+from peppershore.connection.messages.rollouts import RouteEvidence
 from peppershore.process.commands import Notice
 from peppershore.process.node.back_end_reports import NO_LIFE, BackEndView
 from peppershore.process.node.data import notices
@@ -35,6 +36,7 @@
 from peppershore.request.body_transfers import BodyTransfers
 from peppershore.request.claim import ClaimsClient
 from peppershore.request.quarantine import Suspect
+from peppershore.request.version_evidence import VersionEvidence
 from peppershore.version.active import ActiveConfiguration
 from peppershore.version.model import ServiceSettings
 
@@ -104,6 +106,10 @@
             lambda life, under: None
         )
         """Told of a life of the own back end that ended, and of what ran there."""
+        self.on_evidence: Callable[[int, tuple[RouteEvidence, ...]], None] = (
+            lambda began, routes: None
+        )
+        """Told what the own back end showed since a roll-out of its service began."""
         self._settings = settings
         self._notice_sink = notice_sink
         self._loop = asyncio.get_running_loop()
@@ -311,8 +317,14 @@
         self._call_listener.take_back_expired(now)
         if self._own is not None:
             self._own.pool.trim(now)
+            self._tell_evidence(self._own.evidence)
         self._close_idle(self._idle_seconds)
 
+    def _tell_evidence(self, evidence: VersionEvidence) -> None:
+        routes = evidence.take_news()
+        if routes is not None and evidence.began_milliseconds:
+            self.on_evidence(evidence.began_milliseconds, routes)
+
     @property
     def _idle_seconds(self) -> float:
         """For how long a caller's connection may rest, by the configuration."""
--- a/src/peppershore/process/node/inputs.py
+++ b/src/peppershore/process/node/inputs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from peppershore.connection.messages.rollouts import RouteEvidence
 from peppershore.process.events import Event
 from peppershore.process.node.back_end_reports import BORN_NOT_TOLD, BackEndReport
 from peppershore.process.settings import PeerRelay
@@ -56,6 +57,13 @@
     key: bytes
 
 
+class EvidenceGathered(Event, frozen=True):
+    """What the back end showed since the roll-out of that moment began."""
+
+    began_milliseconds: int
+    routes: tuple[RouteEvidence, ...]
+
+
 class NodeSeedsChanged(Event, frozen=True):
     """The settings name other relays to begin with."""
 
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -42,6 +42,7 @@
     BackEndNotThere,
     BackEndReportRefused,
     BackendStateChanged,
+    EvidenceGathered,
     NodeSeedsChanged,
     SuspectEndedWell,
 )
@@ -213,6 +214,9 @@
     data_plane.on_back_end_ended = lambda life, under: shell.dispatch(
         BackEndEnded(life, under)
     )
+    data_plane.on_evidence = lambda began, routes: shell.dispatch(
+        EvidenceGathered(began, routes)
+    )
     data_plane.calls.quarantine.on_cleared = lambda key: shell.dispatch(
         SuspectEndedWell(key)
     )
--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -16,6 +16,7 @@
 )
 from peppershore.connection.messages.endpoints import RelayHello
 from peppershore.connection.messages.relay import ConfirmReply, EditsCommitted, TreeState
+from peppershore.connection.messages.rollouts import EvidenceShared, EvidenceTold
 from peppershore.connection.messages.session import Goodbye, Refused
 from peppershore.process import events
 from peppershore.process.commands import (
@@ -211,6 +212,8 @@
         session = self.distributor.sessions.get(link)
         if isinstance(message, CrashesTold | CrashesDigest):
             self._do(self.quarantine.received(link, message, self._now))
+        elif session is not None and isinstance(message, EvidenceTold):
+            self._pass_on(session.node, message)
         elif session is not None:
             self._do(self.nodes.received(session, message, self._now))
         elif link == self.source.link:
@@ -222,6 +225,13 @@
         else:
             self._first_message(link, message)
 
+    def _pass_on(self, node: str, message: EvidenceTold) -> None:
+        """Let the replica hear what a node saw of its own back end."""
+        if message.evidence.node == node and self.source.is_open:
+            assert self.source.link is not None
+            told = EvidenceShared(message.evidence)
+            self._out.append(SendMessage(self.source.link, told))
+
     def _first_message(self, link: events.LinkId, message: Message) -> None:
         if self._unnamed_links.pop(link, None) is None:
             return
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -26,6 +26,7 @@
 change_id_horizon = 20000          # changes whose outcome a resend still gets
 wanted_voters = 0                  # above 0: the group keeps its membership itself
 seeds = []                         # then: addresses where others may be
+rollout_exposure_share = 0.1       # part of a service's calls a bad version may get
 log_level = "info"                 # debug, info, warning or error
 log_to = "standard-error"          # or standard-output: bounded, never blocks
 
@@ -52,6 +53,7 @@
 freshness_milliseconds = 500       # between words to nodes of how fresh they are
 stale_after_milliseconds = 2000    # confirmation older than this: not ready
 link_report_milliseconds = 0       # how often a line tells of its bytes; 0: never
+rollout_exposure_share = 0.1       # part of a service's calls a bad version may get
 log_level = "info"                 # debug, info, warning or error
 log_to = "standard-error"          # or standard-output: bounded, never blocks
 """
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -31,6 +31,7 @@
     pick,
 )
 from peppershore.request.seeking import SlotSeeking
+from peppershore.request.version_lanes import Lane, draw_lane, split_lanes
 from peppershore.request.waiting import Ticket, WaitingQueue
 from peppershore.request.work_times import WorkTimes
 from peppershore.version.model import ServiceSettings
@@ -92,6 +93,8 @@
         self._home = home
         self._states: dict[str, EndpointState] = {}
         self._offered: dict[str, EndpointState] = {}
+        self._lanes: dict[Lane, tuple[dict[str, EndpointState], ...]] = {}
+        self._split_lanes()
         self._queue = WaitingQueue()
         self.seeking = SlotSeeking()
         self._bulk_in_flight = 0
@@ -108,8 +111,16 @@
         """Calls that hold a slot."""
         return sum(state.in_flight for state in self._states.values())
 
+    def draw_lane(self) -> Lane:
+        """Draw for one call which version of the service's software is to take it."""
+        return draw_lane(self.settings, self._random)
+
     def has_besides(
-        self, nodes: frozenset[str], now: float, for_free_slot: bool = False
+        self,
+        nodes: frozenset[str],
+        now: float,
+        for_free_slot: bool = False,
+        lane: Lane = "any",
     ) -> bool:
         """Whether a back end that is none of these nodes' can be given a call now.
 
@@ -121,12 +132,14 @@
             node not in nodes
             and state.takes_a_call(now)
             and not (for_free_slot and state.sheds(now))
-            for node, state in self._offered.items()
+            for group in self._lanes[lane]
+            for node, state in group.items()
         )
 
-    def all_shed(self, now: float) -> bool:
+    def all_shed(self, now: float, lane: Lane = "any") -> bool:
         """Whether every back end was full or refused for load a moment ago."""
-        return all(state.sheds(now) for state in self._offered.values())
+        groups = self._lanes[lane]
+        return all(state.sheds(now) for group in groups for state in group.values())
 
     def known_work(self, route: str) -> float:
         """Give the mean seconds of a route's calls here; 0 where none was seen."""
@@ -139,6 +152,7 @@
     def use_settings(self, settings: ServiceSettings) -> None:
         """Take new settings; calls in flight keep their slots."""
         self.settings = settings
+        self._split_lanes()
         for state in self._states.values():
             state.ramp_seconds = self._ramp_seconds(state.endpoint)
 
@@ -157,6 +171,7 @@
             elif endpoint.state == STATE_LEAVING and endpoint.owner_address:
                 leaving[endpoint.node] = state
         self._offered = ready or leaving
+        self._split_lanes()
         present = {endpoint.node for endpoint in endpoints}
         for node in [node for node in self._states if node not in present]:
             if self._states[node].in_flight == 0:
@@ -170,7 +185,7 @@
 
     def offer(self, ticket: Ticket, now: float) -> Decision:
         """Decide on a new call."""
-        if not self._offered:
+        if not any(self._lanes[ticket.lane]):
             reason = "nobody-ready"
             return NotRun(STATUS_UNAVAILABLE, reason, NOBODY_READY_RETRY_AFTER_MILLISECONDS)
         if ticket.deadline - now <= 0.0:
@@ -274,13 +289,16 @@
         return self._bulk_in_flight < max(1, int(slots * BULK_SHARE))
 
     def _pick(self, ticket: Ticket, now: float) -> EndpointState | None:
-        return pick(
-            self._offered.values(),
-            self._preference(ticket),
-            self._random,
-            now,
-            self._choose,
-        )
+        preference = self._preference(ticket)
+        for group in self._lanes[ticket.lane]:
+            state = pick(group.values(), preference, self._random, now, self._choose)
+            if state is not None:
+                return state
+        return None
+
+    def _split_lanes(self) -> None:
+        versions = {node: state.endpoint.version for node, state in self._offered.items()}
+        self._lanes = split_lanes(self._offered, versions, self.settings)
 
     def _preference(self, ticket: Ticket) -> Preference:
         crossing_cost = ticket.crossing_seconds / self._told_work.of(ticket.route)
--- a/src/peppershore/request/classification.py
+++ b/src/peppershore/request/classification.py
@@ -17,6 +17,7 @@
     NotRun,
 )
 from peppershore.request.picker import RandomSource
+from peppershore.request.version_lanes import Lane
 from peppershore.request.wire_names import OWN_NAMES, WireNames
 from peppershore.version.active import ActiveConfiguration
 from peppershore.version.model import CallClass, HopMode, RouteResource, RouteSettings
@@ -49,6 +50,7 @@
     waits no more for a slot: an answer would come too late for its target latency.
     ``remaining`` is the time its caller gave it, in seconds; ``is_client_retry``: it was
     refused before.  ``crossing_seconds``: so much sooner must another zone answer.
+    ``lane``: the version of the target's software that it was drawn for.
     """
 
     service: str
@@ -65,6 +67,7 @@
     remaining: float | None = None
     is_client_retry: bool = False
     crossing_seconds: float = math.inf
+    lane: Lane = "any"
 
 
 def classify(
--- a/src/peppershore/request/waiting.py
+++ b/src/peppershore/request/waiting.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from peppershore.request.version_lanes import Lane
 from peppershore.version.model import CallClass
 
 RANKS: dict[CallClass, int] = {"critical": 0, "normal": 1, "bulk": 2}
@@ -33,7 +34,8 @@
     ``start_by`` (monotonic seconds).  ``is_client_retry``: it was refused before.
     ``prefers_far``: back ends near by had no slot, so one of another zone is asked.
     ``route`` tells how long it is likely to run.  A back end of another zone is worth the
-    way if it answers so much sooner than one nearby (``crossing_seconds``).
+    way if it answers so much sooner than one nearby (``crossing_seconds``).  ``lane``
+    tells the version of the service's software that the call was drawn for.
     """
 
     number: int
@@ -48,6 +50,7 @@
     route: str = ""
     crossing_seconds: float = math.inf
     prefers_far: bool = False
+    lane: Lane = "any"
 
     @property
     def rank(self) -> int:
--- a/src/peppershore/version/model.py
+++ b/src/peppershore/version/model.py
@@ -32,6 +32,8 @@
 CallClass = Literal["critical", "normal", "bulk"]
 Audience = Literal["public", "member", "internal"]
 HopMode = Literal["direct", "owner"]
+RolloutState = Literal["", "running", "completed", "rolled_back"]
+"""Of the latest roll-out of a service; "" before the first."""
 
 
 class Value(msgspec.Struct, frozen=True):
@@ -81,6 +83,11 @@
     header_timeout_milliseconds: int | UnsetType = UNSET
     idle_timeout_milliseconds: int | UnsetType = UNSET
     streamed_bodies: bool | UnsetType = UNSET
+    rollout_version: str | UnsetType = UNSET
+    rollout_state: RolloutState | UnsetType = UNSET
+    rollout_share: int | UnsetType = UNSET
+    rollout_began_milliseconds: int | UnsetType = UNSET
+    rollout_milliseconds: int | UnsetType = UNSET
 
 
 class RouteSettings(Value, frozen=True):
@@ -123,6 +130,11 @@
     The nodes of a service that ``holds_every_service`` hold all services of the
     tree and their routes.  The last three bound what a caller of the service's
     nodes may send and how long it may take or rest.
+
+    The ``rollout_`` settings are the group's own, no operator's: the software version
+    that the latest roll-out brings in, how far that is, which part of the calls goes to
+    it (of ``version.rollout.ALL_CALLS``), when it was ordered (Unix milliseconds) and
+    within what time it is to be done.
     """
 
     calls: tuple[str, ...] = ()
@@ -141,6 +153,11 @@
     max_header_bytes: int = 32_768
     header_timeout_milliseconds: int = 10_000
     idle_timeout_milliseconds: int = 75_000
+    rollout_version: str = ""
+    rollout_state: RolloutState = ""
+    rollout_share: int = 0
+    rollout_began_milliseconds: int = 0
+    rollout_milliseconds: int = 0
 
 
 class SecretGeneration(Value, frozen=True):
--- a/src/peppershore/version/revert.py
+++ b/src/peppershore/version/revert.py
@@ -21,6 +21,7 @@
     UnsetOverrides,
 )
 from peppershore.version.resolve import set_values
+from peppershore.version.rollout import without_rollout
 
 GENERATIONS_BEFORE_SIGNING = 1
 
@@ -74,15 +75,17 @@
     operations: list[Operation] = [RemoveNode(path) for path in sorted(removed)]
     for path, node in sorted(older.nodes.items()):
         known = None if path in gone else current.nodes.get(path)
+        wanted = without_rollout(node.overrides)
         if known is None:
-            operations.append(SetOverrides(path, node.overrides))
+            operations.append(SetOverrides(path, wanted))
             continue
-        if known.overrides == node.overrides:
+        present = without_rollout(known.overrides)
+        if present == wanted:
             continue
-        surplus = set_values(known.overrides).keys() - set_values(node.overrides)
+        surplus = set_values(present).keys() - set_values(wanted)
         if surplus:
             operations.append(UnsetOverrides(path, tuple(sorted(surplus))))
-        operations.append(SetOverrides(path, node.overrides))
+        operations.append(SetOverrides(path, wanted))
     return operations
 
 
--- a/src/peppershore/version/setting_rules.py
+++ b/src/peppershore/version/setting_rules.py
@@ -21,6 +21,7 @@
 BELOW_ROOT = frozenset({Level.SERVICE, Level.ZONE, Level.ROUTE})
 ROUTES_ONLY = frozenset({Level.ROUTE})
 SERVICES = frozenset({Level.ROOT, Level.SERVICE, Level.ZONE})
+SERVICE_ONLY = frozenset({Level.SERVICE})
 SERVICES_BELOW_ROOT = frozenset({Level.SERVICE, Level.ZONE})
 
 _METHOD_PATTERN = re.compile(r"[A-Z]{1,20}")
@@ -29,6 +30,9 @@
 _PROTOCOLS = ("h1",)
 _CLASSES = ("critical", "normal", "bulk")
 _AUDIENCES = ("public", "member", "internal")
+_ROLLOUT_STATES = ("running", "completed", "rolled_back")
+_SOFTWARE_VERSION_PATTERN = re.compile(r"[!-~]{1,64}")
+SOFTWARE_VERSION_RULE = "1 to 64 visible characters"
 _HOPS = ("direct", "owner")
 
 
@@ -92,6 +96,10 @@
     return _PREFIX_PATTERN.fullmatch(value) is not None
 
 
+def _is_software_version(value: Any) -> bool:
+    return isinstance(value, str) and bool(_SOFTWARE_VERSION_PATTERN.fullmatch(value))
+
+
 def _are_methods(value: Any) -> bool:
     return value == (ANY_METHOD,) or _is_list(
         value, 1, MAXIMUM_METHODS, lambda each: bool(_METHOD_PATTERN.fullmatch(each))
@@ -165,4 +173,11 @@
     "max_header_bytes": _whole_number(256, 1 << 20, SERVICES),
     "header_timeout_milliseconds": _whole_number(1, MAXIMUM_TIMEOUT_MILLISECONDS, SERVICES),
     "idle_timeout_milliseconds": _whole_number(1, MAXIMUM_TIMEOUT_MILLISECONDS, SERVICES),
+    "rollout_version": SettingRule(
+        SERVICE_ONLY, _is_software_version, SOFTWARE_VERSION_RULE
+    ),
+    "rollout_state": _one_of(_ROLLOUT_STATES, SERVICE_ONLY),
+    "rollout_share": _whole_number(0, 10_000, SERVICE_ONLY),
+    "rollout_began_milliseconds": _whole_number(0, 2**62, SERVICE_ONLY),
+    "rollout_milliseconds": _whole_number(0, 2**31, SERVICE_ONLY),
 }
--- /dev/null
+++ b/tests/rollouts/test_rollout_verdicts.py
@@ -0,0 +1,167 @@
+"""Verdicts on new versions: error rates over seeds, and each rule alone."""
+
+from __future__ import annotations
+
+import pytest
+from benchmarks.rollout_verdicts import VERSIONS, run_rollout
+
+from peppershore.connection.messages.rollouts import BackEndEvidence, RouteEvidence
+from peppershore.process.control.rollout_rules import (
+    HALF,
+    Complete,
+    Move,
+    RollBack,
+    RolloutView,
+    Wait,
+    decide,
+)
+from peppershore.process.control.version_comparison import Comparison, compare
+from peppershore.request.version_evidence import (
+    BUCKETS,
+    VersionEvidence,
+    bucket_of,
+)
+from peppershore.version.model import ServiceSettings
+from peppershore.version.rollout import ALL_CALLS, Rollout
+
+SEEDS = range(30)
+CLEARLY_BAD = (
+    "fails 20 in 100",
+    "fails 50 in 100",
+    "5 times slower",
+    "fails 50 in 100 after 5 s",
+    "5 times slower after 5 s",
+    "fails 50 in 100 on one route",
+    "5 times slower on one route",
+)
+
+
+@pytest.mark.parametrize("name", CLEARLY_BAD)
+def test_a_version_that_is_clearly_bad_is_never_completed(name: str) -> None:
+    ends = [run_rollout(VERSIONS[name], seed).end for seed in SEEDS]
+    assert ends == ["rolled back"] * len(SEEDS)
+
+
+def test_a_good_version_is_completed_in_time_beside_faulty_machines() -> None:
+    runs = [run_rollout(VERSIONS["good"], seed) for seed in SEEDS]
+    completed = [run for run in runs if run.end == "completed"]
+    assert len(completed) >= len(SEEDS) - 1
+    assert all(run.seconds <= 15.0 for run in completed)
+
+
+@pytest.mark.parametrize("name", ["fails 50 in 100", "5 times slower"])
+def test_a_version_bad_from_the_start_gets_no_more_than_it_may(name: str) -> None:
+    assert all(run_rollout(VERSIONS[name], seed).keeps_bound for seed in SEEDS)
+
+
+def _view(share: int, elapsed: float, comparison: Comparison, step: float) -> RolloutView:
+    rollout = Rollout("kassa", "v2", "running", share, 1, 12_000)
+    return RolloutView(rollout, elapsed, step, -1.0, comparison)
+
+
+def _evidence(node: str, version: str, calls: int, failed: int) -> BackEndEvidence:
+    times = (20, calls)
+    route = RouteEvidence("pay", calls, failed, times)
+    return BackEndEvidence(node, "kassa", version, 1, 1, 1, (route,))
+
+
+def _seen(new_failed: int = 0, calls: int = 60) -> Comparison:
+    old = [_evidence(f"o{n}", "v1", 100, 0) for n in range(4)]
+    new = [_evidence(f"n{n}", "v2", calls, new_failed) for n in range(4)]
+    return compare([*old, *new], "v2")
+
+
+def test_a_good_one_moves_by_half_and_all_and_is_completed_when_it_is_quiet() -> None:
+    good = _seen()
+    assert good.is_passed
+    assert isinstance(decide(_view(1_000, 3.0, good, 3.0)), Wait)
+    assert decide(_view(1_000, 7.0, good, 7.0)) == Move(HALF, _any(good))
+    assert isinstance(decide(_view(HALF, 7.5, good, 0.5)), Wait)
+    assert isinstance(decide(_view(HALF, 8.0, good, 1.0)), Move)
+    assert isinstance(decide(_view(ALL_CALLS, 9.0, good, 1.0)), Wait)
+    assert isinstance(decide(_view(ALL_CALLS, 11.0, good, 3.0)), Complete)
+
+
+def _any(comparison: Comparison) -> str:
+    return f"{comparison.calls} calls show nothing against it"
+
+
+@pytest.mark.parametrize("share", [1_000, HALF, ALL_CALLS])
+def test_a_bad_one_is_taken_back_at_any_step(share: int) -> None:
+    assert isinstance(decide(_view(share, 7.0, _seen(20), 0.1)), RollBack)
+
+
+def test_too_few_calls_take_it_back_in_good_time() -> None:
+    few = _seen(calls=3)
+    assert isinstance(decide(_view(1_000, 8.0, few, 8.0)), Wait)
+    assert isinstance(decide(_view(1_000, 8.5, few, 8.5)), RollBack)
+
+
+def test_one_failing_machine_condemns_no_version() -> None:
+    old = [_evidence(f"o{n}", "v1", 100, 0) for n in range(4)]
+    new = [_evidence(f"n{n}", "v2", 60, 40 if n == 0 else 0) for n in range(4)]
+    assert compare([*old, *new], "v2").reason == ""
+
+
+def test_faults_that_strike_both_versions_condemn_neither() -> None:
+    old = [_evidence(f"o{n}", "v1", 100, 30) for n in range(4)]
+    new = [_evidence(f"n{n}", "v2", 60, 18) for n in range(4)]
+    assert compare([*old, *new], "v2").reason == ""
+
+
+def test_nothing_seen_is_no_verdict() -> None:
+    nothing = compare((), "v2")
+    assert (nothing.reason, nothing.is_passed, nothing.calls) == ("", False, 0)
+
+
+# --- what a node counts
+
+
+def _running(began: int = 5) -> ServiceSettings:
+    return ServiceSettings(
+        rollout_version="v2", rollout_state="running", rollout_began_milliseconds=began
+    )
+
+
+def test_without_a_roll_out_nothing_is_counted() -> None:
+    evidence = VersionEvidence()
+    evidence.note("pay", 0.1, "good", True)
+    assert evidence.take_news() is None
+
+
+def test_counts_grow_and_are_told_when_they_did() -> None:
+    evidence = VersionEvidence()
+    evidence.use_settings(_running())
+    evidence.take_news()
+    evidence.note("pay", 0.1, "good", True)
+    evidence.note("pay", 0.1, "failed", True)
+    evidence.note("pay", 0.1, "shed", True)
+    evidence.note("pay", 0.1, None, True)
+    (told,) = evidence.take_news() or ()
+    assert (told.route, told.calls, told.failed) == ("pay", 2, 1)
+    assert told.times == (bucket_of(0.1), 2)
+    assert evidence.take_news() is None
+
+
+def test_the_time_of_one_that_warms_up_says_nothing() -> None:
+    evidence = VersionEvidence()
+    evidence.use_settings(_running())
+    evidence.note("pay", 9.0, "good", is_warm=False)
+    (told,) = evidence.take_news() or ()
+    assert (told.calls, told.times) == (1, ())
+
+
+def test_another_roll_out_begins_at_nothing() -> None:
+    evidence = VersionEvidence()
+    evidence.use_settings(_running(5))
+    evidence.note("pay", 0.1, "good", True)
+    evidence.use_settings(_running(6))
+    assert evidence.take_news() == ()
+    assert evidence.began_milliseconds == 6
+
+
+def test_times_twice_as_long_lie_three_buckets_apart() -> None:
+    for seconds in (0.01, 0.1, 1.0):
+        assert bucket_of(2 * seconds) - bucket_of(seconds) in (3, 4)
+    assert bucket_of(0.0) == 0
+    assert bucket_of(1e9) == BUCKETS - 1
--- a/tests/version/test_resolution.py
+++ b/tests/version/test_resolution.py
@@ -91,6 +91,11 @@
     max_header_bytes=300,
     header_timeout_milliseconds=1,
     idle_timeout_milliseconds=1,
+    rollout_version="v2",
+    rollout_state="running",
+    rollout_share=800,
+    rollout_began_milliseconds=1,
+    rollout_milliseconds=1,
 )
 
 
