Drain, exposure and the time to apply reach the settings

Cause: three bounds of a deployment stood as fixed figures in code (1 s of calls for a back end that leaves, 2 s until a change is used). Change: drain_milliseconds of nodes, apply_milliseconds and rollout_exposure_share of hubs, checked, fractions allowed, filled by the templates; the same figures as before on all deployments that are known (2,000 ms each), others get half of their own. Tests: test_adapter.py.

--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -127,7 +127,9 @@
         self._watchers: dict[LinkId, Version] = {}
         self._watch_timer_set = False
         self._releases = Releases(self)
-        self.rollouts = Rollouts(self, settings.rollout_exposure_share)
+        self.rollouts = Rollouts(
+            self, settings.rollout_exposure_share, settings.apply_milliseconds
+        )
         self._rollout_orders = RolloutOrders(self)
 
     # --- events --------------------------------------------------------------
--- a/src/peppershore/process/control/rollout_rules.py
+++ b/src/peppershore/process/control/rollout_rules.py
@@ -39,17 +39,14 @@
 QUIET_SECONDS = 2.0
 """After all nodes know that no call goes to the old version, until its last are over."""
 
-APPLY_SECONDS = 1.0
-"""A step that some node has not confirmed by then counts as known: a node that is down
-confirms nothing.  Nodes use a change after 0.1 to 0.3 s; what one of them still sends to
-a back end that has ended is refused by its machine, and goes elsewhere as not run."""
-
 
 class RolloutView(msgspec.Struct, frozen=True):
     """All that a decision goes by; times in seconds.
 
     ``elapsed`` since the order, ``since_step`` since the present share was taken,
-    ``known_for`` since all nodes confirmed it (below 0: they have not).
+    ``known_for`` since all nodes confirmed it (below 0: they have not).  After
+    ``apply_seconds`` it counts as known all the same: a node that is down confirms
+    nothing.
     """
 
     rollout: Rollout
@@ -57,11 +54,12 @@
     since_step: float
     known_for: float
     comparison: Comparison
+    apply_seconds: float = 1.0
 
     @property
     def quiet_for(self) -> float:
         """For how long the present share has held everywhere."""
-        return max(self.known_for, self.since_step - APPLY_SECONDS)
+        return max(self.known_for, self.since_step - self.apply_seconds)
 
 
 class Wait(msgspec.Struct, frozen=True):
--- a/src/peppershore/process/control/rollouts.py
+++ b/src/peppershore/process/control/rollouts.py
@@ -49,6 +49,11 @@
 SETTLING_SECONDS = 1.0
 """A leader decides nothing before that: nodes tell their evidence twice a second."""
 
+APPLY_SHARE = 0.5
+"""A step counts as known after half of the time within which nodes use a change: they do
+after 0.1 to 0.3 s of 2.  What one that is later sends to a back end that has ended is
+refused by its machine, and goes elsewhere as not run."""
+
 MOST_BACK_ENDS = 20_000
 MILLISECONDS = 1_000
 
@@ -70,8 +75,14 @@
 class Rollouts:
     """The roll-outs of one replica."""
 
-    def __init__(self, replica: ControlCore, exposure_share: float) -> None:
-        """``exposure_share``: part of a service's calls that a bad version may get."""
+    def __init__(
+        self, replica: ControlCore, exposure_share: float, apply_milliseconds: float
+    ) -> None:
+        """``exposure_share``: part of a service's calls that a bad version may get.
+
+        Nodes use a change within ``apply_milliseconds``.
+        """
+        self._apply_seconds = apply_milliseconds * APPLY_SHARE / MILLISECONDS
         self.first_share = first_share(exposure_share)
         self._replica = replica
         self._evidence: dict[str, BackEndEvidence] = {}
@@ -183,6 +194,7 @@
             since_step=now - step.seen_at,
             known_for=known_for,
             comparison=self.comparison(step.rollout),
+            apply_seconds=self._apply_seconds,
         )
 
     def _carry_out(self, rollout: Rollout, view: RolloutView, decision: Decision) -> None:
--- a/src/peppershore/process/hub/plan.py
+++ b/src/peppershore/process/hub/plan.py
@@ -47,6 +47,7 @@
         seeds=tuple(seed for seed in seeds if seed != address),
         wanted_voters=2 * settings.tolerated_losses + 1,
         rollout_exposure_share=settings.rollout_exposure_share,
+        apply_milliseconds=settings.apply_milliseconds,
         tls=settings.tls,
     )
     relay_address = relay_name(address, settings)
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -164,7 +164,7 @@
 
     def use_back_end(self, view: BackEndView) -> None:
         """Take what the back end says of itself by heartbeats."""
-        bound = self._settings.back_end_leaving_milliseconds / MILLISECONDS
+        bound = leaving_bound_seconds(self._settings)
         if self._own is None:
             return
         had_other_life = self._own.life not in (NO_LIFE, view.life)
@@ -391,6 +391,17 @@
         return report
 
 
+def leaving_bound_seconds(settings: NodeSettings) -> float:
+    """Give for how long a back end that leaves is given calls after its word.
+
+    The other half of what it serves on for is left to what is on its way there.
+    """
+    milliseconds = float(settings.back_end_leaving_milliseconds)
+    if settings.drain_milliseconds > 0.0:
+        milliseconds = min(milliseconds, settings.drain_milliseconds / 2.0)
+    return milliseconds / MILLISECONDS
+
+
 def _own_backend(
     settings: NodeSettings, random: Randomness, calls: Calls
 ) -> OwnBackend | None:
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -27,6 +27,7 @@
 wanted_voters = 0                  # above 0: the group keeps its membership itself
 seeds = []                         # then: addresses where others may be
 rollout_exposure_share = 0.1       # part of a service's calls a bad version may get
+apply_milliseconds = 2000.0        # nodes use a change within this time
 log_level = "info"                 # debug, info, warning or error
 log_to = "standard-error"          # or standard-output: bounded, never blocks
 
@@ -54,6 +55,7 @@
 stale_after_milliseconds = 2000    # confirmation older than this: not ready
 link_report_milliseconds = 0       # how often a line tells of its bytes; 0: never
 rollout_exposure_share = 0.1       # part of a service's calls a bad version may get
+apply_milliseconds = 2000.0        # nodes use a change within this time
 log_level = "info"                 # debug, info, warning or error
 log_to = "standard-error"          # or standard-output: bounded, never blocks
 """
@@ -115,6 +117,7 @@
 back_end_listen = ""               # where the back end reports itself; "" probes it
 back_end_silent_milliseconds = 8000  # a back end that reports nothing so long is gone
 back_end_leaving_milliseconds = 1000  # calls a leaving back end is still given
+drain_milliseconds = 0.0           # how long a leaving one serves on; 0: not told
 log_answered_every = 0             # of answered calls each n-th is logged; 0: none
 metrics_listen = ""                # one more address for the admin pages
 seek_free_slots = false            # ask owners for a free slot before waiting for one
--- a/src/peppershore/process/settings_rules.py
+++ b/src/peppershore/process/settings_rules.py
@@ -190,6 +190,8 @@
     "api_listen": listen_rule,
     "seeds": peer_rule,
     "tolerated_losses": between(0, 10, "replicas"),
+    "apply_milliseconds": amount(10.0, 600_000.0, "milliseconds"),
+    "drain_milliseconds": amount(0.0, 600_000.0, "milliseconds"),
     "rollout_exposure_share": amount(0.001, 1.0, "of a service's calls"),
     "wanted_voters": between(0, 21, "replicas"),
     "reconnect_milliseconds": between(100, 4_000, "milliseconds"),
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -12,6 +12,8 @@
 from returns.result import Success
 from tests.platform_adapter.templates import ROOT, filled
 
+from peppershore.process.hub.plan import plan_hub
+from peppershore.process.node.data_plane import leaving_bound_seconds
 from peppershore.process.node.profile import retry_bound
 from peppershore.process.node.shell import stop_bound_seconds
 from peppershore.process.settings import HubSettings, NodeSettings
@@ -49,6 +51,14 @@
 }
 
 
+BOUNDS = {
+    "gracePeriodS": "2.5",
+    "retryBudgetRatio": "0.35",
+    "budgetWindowS": "7.5",
+    "retryBudgetSlack": "11",
+}
+
+
 @pytest.mark.parametrize("role", ["node", "hub"])
 def test_filled_template_is_usable_settings(role: str) -> None:
     parsed = parse_settings(KINDS[role], filled(role, FILLED), {})
@@ -68,20 +78,31 @@
 
 
 def test_node_keeps_the_bounds_of_its_deployment() -> None:
-    other = FILLED | {
-        "limits": {"linkBandwidthMbps": "1000.0"},
-        "bounds": {
-            "gracePeriodS": "2.5",
-            "retryBudgetRatio": "0.35",
-            "budgetWindowS": "7.5",
-            "retryBudgetSlack": "11",
-        },
-    }
+    other = FILLED | {"limits": {"linkBandwidthMbps": "1000.0"}, "bounds": BOUNDS}
     settings = parse_settings(NodeSettings, filled("node", other), {}).unwrap()
     assert retry_bound(settings.shared_retries) == RetryBound(0.35, 7.5, 11.0)
     assert 1.5 <= stop_bound_seconds(settings) < 2.5
 
 
+@pytest.mark.parametrize(
+    ("drain", "seconds"), [("2000", 1.0), ("500", 0.25), ("1333.33", 0.666665)]
+)
+def test_a_leaving_back_end_is_given_calls_for_half_of_what_it_serves_on(
+    drain: str, seconds: float
+) -> None:
+    other = FILLED | {"bounds": BOUNDS | {"drainMs": drain}}
+    settings = parse_settings(NodeSettings, filled("node", other), {}).unwrap()
+    assert leaving_bound_seconds(settings) == pytest.approx(seconds)
+
+
+def test_a_hub_keeps_the_bounds_of_its_deployment() -> None:
+    other = FILLED | {"bounds": {"exposureShare": "0.25", "configurationApplyMs": "1500.5"}}
+    settings = parse_settings(HubSettings, filled("hub", other), {}).unwrap()
+    control = plan_hub(settings).control
+    assert control.rollout_exposure_share == 0.25
+    assert control.apply_milliseconds == 1_500.5
+
+
 def test_hub_and_nodes_meet_at_the_same_port() -> None:
     hub = parse_settings(HubSettings, filled("hub", FILLED), {}).unwrap()
     node = parse_settings(NodeSettings, filled("node", FILLED), {}).unwrap()
