--- a/src/peppershore/command/quarantine_commands.py
+++ b/src/peppershore/command/quarantine_commands.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from typing import TypeVar
 
 import click
 import msgspec
 from returns.result import Failure
 
+from peppershore.command.address_options import address_options
 from peppershore.command.admin_client import fetch
 from peppershore.command.failures import not_found
-from peppershore.command.options import MAX_TIMEOUT_SECONDS, MIN_TIMEOUT_SECONDS, Seconds
 from peppershore.command.output import show_json, show_table, stop_with
 from peppershore.process.quarantine.api import (
     RELEASE,
@@ -24,28 +23,8 @@
 
 HEADER = ("FINGERPRINT", "STANDING", "ENDS", "LAST END", "HELD FOR", "LIVES")
 MILLISECONDS = 1_000
+ADDRESSES = "A hub's api_listen, or the admin_listen of a relay"
 Answer = TypeVar("Answer")
-Command = Callable[..., None]
-
-
-def _address_options(command: Command) -> Command:
-    """Add what both commands need to reach a hub or relay."""
-    at = click.option(
-        "--at",
-        "address",
-        metavar="IP:PORT",
-        required=True,
-        help="A hub's api_listen, or the admin_listen of a relay; any will do.",
-    )
-    timeout = click.option(
-        "--timeout",
-        type=Seconds(MIN_TIMEOUT_SECONDS, MAX_TIMEOUT_SECONDS),
-        default=10.0,
-        show_default=True,
-        help="Seconds to wait.",
-    )
-    as_json = click.option("--json", "as_json", is_flag=True, help="One JSON object.")
-    return at(timeout(as_json(command)))
 
 
 @click.group()
@@ -54,7 +33,7 @@
 
 
 @quarantine.command(name="list")
-@_address_options
+@address_options(ADDRESSES)
 def list_(address: str, timeout: float, as_json: bool) -> None:
     """List requests under which two back ends or more ended.
 
@@ -70,7 +49,7 @@
 
 @quarantine.command()
 @click.argument("fingerprint")
-@_address_options
+@address_options(ADDRESSES)
 def release(fingerprint: str, address: str, timeout: float, as_json: bool) -> None:
     """Let the request FINGERPRINT run again, everywhere, as if nothing had ended."""
     path = f"/{ROOT}/{fingerprint}/{RELEASE}"
--- a/src/peppershore/command/rollout_commands.py
+++ b/src/peppershore/command/rollout_commands.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from typing import TypeVar
 
 import click
 import msgspec
 from returns.result import Failure
 
+from peppershore.command.address_options import address_options
 from peppershore.command.admin_client import fetch
 from peppershore.command.failures import not_found
-from peppershore.command.options import MAX_TIMEOUT_SECONDS, MIN_TIMEOUT_SECONDS, Seconds
 from peppershore.command.output import show_json, show_table, stop_with
 from peppershore.process.control.rollout_orders import RolloutOrder
 from peppershore.process.hub.rollout_api import (
@@ -25,28 +23,7 @@
 
 HEADER = ("ROUTE", "NEW", "FAILED", "OLD", "FAILED", "AGAINST IT")
 PERCENT = 100.0
-Answer = TypeVar("Answer")
-Command = Callable[..., None]
-
-
-def _address_options(command: Command) -> Command:
-    """Add what all commands need to reach a hub."""
-    at = click.option(
-        "--at",
-        "address",
-        metavar="IP:PORT",
-        required=True,
-        help="A hub's api_listen; any will do.",
-    )
-    timeout = click.option(
-        "--timeout",
-        type=Seconds(MIN_TIMEOUT_SECONDS, MAX_TIMEOUT_SECONDS),
-        default=10.0,
-        show_default=True,
-        help="Seconds to wait.",
-    )
-    as_json = click.option("--json", "as_json", is_flag=True, help="One JSON object.")
-    return at(timeout(as_json(command)))
+ADDRESSES = "A hub's api_listen"
 
 
 @click.group()
@@ -64,7 +41,7 @@
     required=True,
     help="Seconds within which all calls are to go to the new version.",
 )
-@_address_options
+@address_options(ADDRESSES)
 def start(
     *,
     service: str,
@@ -96,7 +73,7 @@
 
 @rollout.command()
 @click.argument("service")
-@_address_options
+@address_options(ADDRESSES)
 def status(service: str, address: str, timeout: float, as_json: bool) -> None:
     """Show how far the latest roll-out of SERVICE is, and what it waits for.
 
@@ -120,7 +97,7 @@
 
 @rollout.command()
 @click.argument("service")
-@_address_options
+@address_options(ADDRESSES)
 def abort(service: str, address: str, timeout: float, as_json: bool) -> None:
     """Take the roll-out of SERVICE back: nothing more goes to the new version."""
     _asked(address, f"/{ROOT}/{service}/{ABORT}", "POST", timeout, as_json=as_json)
--- a/tests/data_plane/fake_owner.py
+++ b/tests/data_plane/fake_owner.py
@@ -10,9 +10,11 @@
 from peppershore.connection.head_packing import HeadUnpacker
 from peppershore.connection.messages.base import Message
 from peppershore.connection.messages.calls import (
+    CallBody,
     CallLinkAlive,
     CallLinkProbe,
     CallPacked,
+    CallStarted,
 )
 
 Reply = Callable[[Message], Message | None]
@@ -33,6 +35,15 @@
         host, port = self._server.sockets[0].getsockname()
         return f"{host}:{port}"
 
+    @property
+    def body_bytes(self) -> int:
+        """How much of bodies it was sent."""
+        return sum(
+            len(each.data)
+            for each in self.received
+            if isinstance(each, CallStarted | CallBody)
+        )
+
     def stop(self) -> None:
         if self._server is not None:
             self._server.close()
--- a/tests/data_plane/test_bodies_on_narrow_links.py
+++ b/tests/data_plane/test_bodies_on_narrow_links.py
@@ -20,7 +20,6 @@
 
 from peppershore.connection.messages.base import Message
 from peppershore.connection.messages.calls import (
-    CallBody,
     CallCredit,
     CallNotRun,
     CallStarted,
@@ -39,14 +38,6 @@
     return None
 
 
-def _body_bytes(owner: FakeOwner) -> int:
-    return sum(
-        len(each.data)
-        for each in owner.received
-        if isinstance(each, CallStarted | CallBody)
-    )
-
-
 async def _asked_in_vain(link_megabits: float, body: bytes) -> tuple[int, bool]:
     """Give the body bytes that an owner got which refused, and whether it was asked."""
     owner = FakeOwner(_refusing)
@@ -59,7 +50,7 @@
     was_asked = any(isinstance(each, CallStarted) for each in owner.received)
     await edge.plane.close()
     owner.stop()
-    return _body_bytes(owner), was_asked
+    return owner.body_bytes, was_asked
 
 
 def test_a_refusal_costs_no_byte_of_the_body() -> None:
@@ -201,9 +192,9 @@
         )
         caller = await Caller.connect(address)
         caller.request(method="POST", body=BODY)
-        await until(lambda: _body_bytes(owner) == 1_000)
+        await until(lambda: owner.body_bytes == 1_000)
         await asyncio.sleep(0.05)
-        assert _body_bytes(owner) == 1_000
+        assert owner.body_bytes == 1_000
         caller.close()
         await edge.plane.close()
         owner.stop()
--- a/tests/data_plane/test_streamed_bodies.py
+++ b/tests/data_plane/test_streamed_bodies.py
@@ -57,15 +57,6 @@
     return FakeOwner(reply)
 
 
-def _body_bytes(owner: FakeOwner) -> int:
-    """Give how much of bodies an owner was sent."""
-    return sum(
-        len(each.data)
-        for each in owner.received
-        if isinstance(each, CallStarted | CallBody)
-    )
-
-
 async def _call_past_a_busy_owner(route: RouteSettings, backend: ScriptedBackend) -> Answer:
     """The busy owner is in the caller's zone, so it is asked first."""
     busy = _busy_after(0 if route.streamed_bodies else len(LARGE_BODY))
@@ -80,7 +71,7 @@
     )
     answer = await call(address, method="POST", body=LARGE_BODY)
     assert any(isinstance(each, CallStarted) for each in busy.received)
-    assert not route.streamed_bodies or _body_bytes(busy) == 0
+    assert not route.streamed_bodies or busy.body_bytes == 0
     await edge.plane.close()
     await willing.plane.close()
     backend.stop()
@@ -142,7 +133,7 @@
         caller.request(method="POST", body=LARGER_BODY)
         answer = await caller.answer("POST")
         assert (answer.status, answer.reason) == (504, "deadline-passed")
-        assert _body_bytes(owner) == 0
+        assert owner.body_bytes == 0
         caller.close()
         await edge.plane.close()
         owner.stop()
@@ -183,7 +174,7 @@
         caller.request(method="POST", body=LARGE_BODY)
         answer = await caller.answer("POST")
         assert (answer.status, answer.reason) == (504, "deadline-passed")
-        assert _body_bytes(owner) == CREDIT_BYTES
+        assert owner.body_bytes == CREDIT_BYTES
         caller.close()
         await edge.plane.close()
         owner.stop()
