The soak's back ends come back under their old names and send words that can't be read

Half of the back ends keep one name for all their lives, with their births; one heartbeat in ten is followed by a word that can't be read. Two checks: a life that begins in calm gets calls within 5 s; such a word is never acknowledged.

--- a/src/peppershore_lab/soak/back_end.py
+++ b/src/peppershore_lab/soak/back_end.py
@@ -20,9 +20,11 @@
 from peppershore_lab.soak.observations import (
     STATUS_OK,
     LeavingAcknowledged,
+    LifeSeen,
     PoisonRan,
     Record,
     RunBegan,
+    WordAnswered,
 )
 
 SLOTS = 8
@@ -33,6 +35,24 @@
 SHORTEST_DOWN_SECONDS, LONGEST_DOWN_SECONDS = 0.8, 2.0
 """A back end that ended is back after so long, as another life."""
 
+MILLISECONDS = 1_000
+KEEPS_NAME = 0.5
+"""Share of back ends whose lives have one name; each of the others names every life."""
+
+UNREADABLE = 0.1
+"""Share of heartbeats after which a word follows that can't be read."""
+
+UNREADABLE_WORDS = (
+    b"",
+    b"{",
+    b"\xff\xfe",
+    b"[" * 20_000,
+    b'{"service": 1}',
+    b'{"service": "s", "address": "a", "slots": 1e99, "state": "ready", "sequence": 1}',
+    b'{"service": "s", "address": "a", "slots": 1, "state": "asleep", "sequence": 1}',
+    b'{"service": "s", "address": "a", "slots": 1, "state": "ready", "sequence": -1}',
+)
+
 POISON = "poison"
 """In the path of a request: the back end that begins to run it ends."""
 
@@ -52,6 +72,10 @@
         self._record = record
         self._random = Random(seed)
         self._instance = f"{node}-1"
+        self._keeps_name = Random(f"{seed}/name").random() < KEEPS_NAME
+        self._words = Random(f"{seed}/words")
+        self._born_at = 0.0
+        self._born = 0
         self._lives = 1
         self._state = READY
         self._sequence = 0
@@ -64,12 +88,15 @@
         self._ended_at: dict[int, float] = {}
 
     async def start(self) -> None:
-        """Listen, and report from now on."""
+        """Listen, and report from now on; callers may not be there yet."""
+        self._note_birth()
+        self._born_at = 0.0
         await self._listen()
         self._beats = asyncio.create_task(self._beat())
 
     async def stop(self) -> None:
         """Report no more and listen no more."""
+        self._note_end()
         if self._return is not None:
             self._return.cancel()
         if self._beats is not None:
@@ -86,6 +113,7 @@
         One that ends meanwhile has left, and comes back by itself.
         """
         self._state = DRAINING
+        self._note_end()
         life = self._lives
         acknowledged_at = None
         if await self._report():
@@ -100,9 +128,24 @@
             self._begin_life()
 
     def _begin_life(self) -> None:
+        """Begin another life: under a name of its own, or under the old one."""
         self._lives += 1
-        self._instance = f"{self._node}-{self._lives}"
         self._state = READY
+        self._note_birth()
+        if self._keeps_name:
+            self._sequence = 0
+        else:
+            self._instance = f"{self._node}-{self._lives}"
+
+    def _note_birth(self) -> None:
+        self._born_at = time.monotonic()
+        self._born = max(self._born + 1, round(time.time() * MILLISECONDS))
+
+    def _note_end(self) -> None:
+        if self._born_at:
+            life = LifeSeen(self._node, self._born_at, time.monotonic())
+            self._record.lives.append(life)
+            self._born_at = 0.0
 
     async def _listen(self) -> None:
         self._server = await asyncio.start_server(
@@ -121,6 +164,7 @@
     def _end(self) -> None:
         """End as a process does: nobody listens, and every connection is reset."""
         self._ended_at.setdefault(self._lives, time.monotonic())
+        self._note_end()
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -139,8 +183,19 @@
         while True:
             if self._server is not None:
                 await self._report()
+            if self._words.random() < UNREADABLE:
+                await self._send_unreadable()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    async def _send_unreadable(self) -> None:
+        """Send a word that names no back end to use; note what it is answered."""
+        body = self._words.choice(UNREADABLE_WORDS)
+        async with self._reporting:
+            answer = await self._ask(body)
+        if answer is not None:
+            word = WordAnswered(self._node, time.monotonic(), answer.status)
+            self._record.words.append(word)
+
     async def _report(self) -> bool:
         """Send one heartbeat; tell whether it was acknowledged."""
         async with self._reporting:
@@ -152,15 +207,21 @@
                 "warming_milliseconds": 0,
                 "state": self._state,
                 "sequence": self._sequence,
+                "born": self._born,
             }
-            path = f"/back-ends/{self._instance}/heartbeat"
-            request = ClientRequest("POST", path, (), msgspec.json.encode(body))
-            try:
-                async with asyncio.timeout(REPORT_SECONDS):
-                    answer: ClientAnswer | CallBroken = await self._reports.call(request)
-            except TimeoutError:
-                return False
-            return isinstance(answer, ClientAnswer) and answer.status == STATUS_OK
+            answer = await self._ask(msgspec.json.encode(body))
+            return answer is not None and answer.status == STATUS_OK
+
+    async def _ask(self, body: bytes) -> ClientAnswer | None:
+        """Send one word to the node; None if no answer came."""
+        path = f"/back-ends/{self._instance}/heartbeat"
+        request = ClientRequest("POST", path, (), body)
+        try:
+            async with asyncio.timeout(REPORT_SECONDS):
+                answer: ClientAnswer | CallBroken = await self._reports.call(request)
+        except TimeoutError:
+            return None
+        return answer if isinstance(answer, ClientAnswer) else None
 
     async def _answer(self, request: HttpRequest) -> HttpAnswer:
         name = request.headers.get(settings.REQUEST_ID, "")
--- a/src/peppershore_lab/soak/checks.py
+++ b/src/peppershore_lab/soak/checks.py
@@ -31,6 +31,9 @@
 SPREAD_SECONDS = 3.0
 """So long after a third back end ended under a request every node knows of it."""
 
+USED_SECONDS = 5.0
+"""A life that begins in calm is reported within 0.3 s and known within a second."""
+
 MOST_ENDS_AFTER = 3
 QUARANTINED = "quarantined"
 
@@ -61,6 +64,25 @@
             yield Violation("whole-answers", request.request, request.ended_at)
 
 
+def lives_are_used(record: Record) -> Iterator[Violation]:
+    """A back end that came up gets calls soon, whatever it was called before."""
+    for life in record.lives:
+        end = life.began_at + USED_SECONDS
+        if life.ended_at < end or _was_disturbed(record, life.began_at, end):
+            continue
+        if not any(
+            run.node == life.node and life.began_at <= run.at <= end for run in record.runs
+        ):
+            yield Violation("lives-are-used", life.node, end)
+
+
+def unreadable_words_are_refused(record: Record) -> Iterator[Violation]:
+    """What can't be read is never acknowledged."""
+    for word in record.words:
+        if word.status == STATUS_OK:
+            yield Violation("unreadable-words", word.node, word.at)
+
+
 def runs_at_most_once(record: Record) -> Iterator[Violation]:
     """What may run once is run by one back end at most."""
     once = {request.request for request in record.requests if request.once}
@@ -217,6 +239,8 @@
     newest_is_in_force_at_the_end,
     poison_is_held,
     only_poison_is_held,
+    lives_are_used,
+    unreadable_words_are_refused,
     processes_do_not_end,
 )
 
@@ -225,6 +249,13 @@
     return (change for change in record.changes if change.status == STATUS_OK)
 
 
+def _was_disturbed(record: Record, begin: float, end: float) -> bool:
+    return any(
+        each.begun_at <= end and each.ended_at + CALM_SECONDS >= begin
+        for each in record.disturbances
+    )
+
+
 def _stops_in_a_planned_way(record: Record, request: RequestEnded) -> bool:
     return any(
         each.planned
--- a/src/peppershore_lab/soak/observations.py
+++ b/src/peppershore_lab/soak/observations.py
@@ -54,6 +54,22 @@
     until: float
 
 
+class LifeSeen(msgspec.Struct, frozen=True):
+    """One life of a back end, from when it listened until it ended or said it leaves."""
+
+    node: str
+    began_at: float
+    ended_at: float
+
+
+class WordAnswered(msgspec.Struct, frozen=True):
+    """A node's answer to a word of its back end that can't be read."""
+
+    node: str
+    at: float
+    status: int
+
+
 class ChangeAnswered(msgspec.Struct, frozen=True):
     """An answer to a configuration that was sent; ``status`` 0: none came."""
 
@@ -109,6 +125,8 @@
     runs: list[RunBegan] = []
     poison: list[PoisonRan] = []
     leavings: list[LeavingAcknowledged] = []
+    lives: list[LifeSeen] = []
+    words: list[WordAnswered] = []
     changes: list[ChangeAnswered] = []
     reads: list[ConfigurationRead] = []
     probes: list[MarkerProbed] = []
--- a/tests/soak/test_soak_checks.py
+++ b/tests/soak/test_soak_checks.py
@@ -11,12 +11,14 @@
     ConfigurationRead,
     Disturbance,
     LeavingAcknowledged,
+    LifeSeen,
     MarkerProbed,
     PoisonRan,
     ProcessEnded,
     Record,
     RequestEnded,
     RunBegan,
+    WordAnswered,
 )
 
 ANSWERED = RequestEnded(
@@ -91,6 +93,8 @@
     "only-poison-held": changed(
         requests=[msgspec.structs.replace(REFUSED, request="s-9", reason="quarantined")],
     ),
+    "lives-are-used": changed(lives=[LifeSeen("node-3", 30.0, 40.0)]),
+    "unreadable-words": changed(words=[WordAnswered("node-1", 8.0, 200)]),
     "process-ended": changed(ends=[ProcessEnded("hub-1", "exit status 1", 3.0)]),
 }
 
@@ -123,6 +127,20 @@
             id="it-crossed-the-close",
         ),
         pytest.param(changed(requests=[CUT], disturbances=[KILL]), id="no-stop"),
+        pytest.param(
+            changed(lives=[LifeSeen("node-2", 9.0, 40.0), LifeSeen("node-3", 30.0, 34.9)]),
+            id="a-life-that-is-used-and-one-that-was-short",
+        ),
+        pytest.param(
+            changed(
+                lives=[LifeSeen("node-3", 10.0, 40.0)],
+                disturbances=[msgspec.structs.replace(KILL, ended_at=12.0)],
+            ),
+            id="a-fault-may-have-kept-calls-away",
+        ),
+        pytest.param(
+            changed(words=[WordAnswered("node-1", 8.0, 400)]), id="a-word-refused"
+        ),
         pytest.param(
             changed(
                 poison=[
