--- a/src/peppershore_lab/soak/checks.py
+++ b/src/peppershore_lab/soak/checks.py
@@ -15,6 +15,7 @@
     STATUS_NOT_FOUND,
     STATUS_OK,
     ChangeAnswered,
+    LifeSeen,
     Record,
     RequestEnded,
 )
@@ -31,8 +32,8 @@
 SPREAD_SECONDS = 3.0
 """So long after a third back end ended under a request every node knows of it."""
 
-USED_SECONDS = 5.0
-"""A life that begins in calm is reported within 0.3 s and known within a second."""
+USED_SECONDS = 3.0
+"""A life is reported within 0.3 s, and callers beside it call it from then on."""
 
 MOST_ENDS_AFTER = 3
 QUARANTINED = "quarantined"
@@ -68,7 +69,7 @@
     """A back end that came up gets calls soon, whatever it was called before."""
     for life in record.lives:
         end = life.began_at + USED_SECONDS
-        if life.ended_at < end or _was_disturbed(record, life.began_at, end):
+        if life.ended_at < end or _was_disturbed(record, life, end):
             continue
         if not any(
             run.node == life.node and life.began_at <= run.at <= end for run in record.runs
@@ -249,9 +250,12 @@
     return (change for change in record.changes if change.status == STATUS_OK)
 
 
-def _was_disturbed(record: Record, begin: float, end: float) -> bool:
+def _was_disturbed(record: Record, life: LifeSeen, end: float) -> bool:
+    """Whether the node beside a back end was: its own callers need no other machine."""
     return any(
-        each.begun_at <= end and each.ended_at + CALM_SECONDS >= begin
+        each.machine == life.node
+        and each.begun_at <= end
+        and each.ended_at + CALM_SECONDS >= life.began_at
         for each in record.disturbances
     )
 
--- a/tests/soak/test_soak_checks.py
+++ b/tests/soak/test_soak_checks.py
@@ -128,13 +128,15 @@
         ),
         pytest.param(changed(requests=[CUT], disturbances=[KILL]), id="no-stop"),
         pytest.param(
-            changed(lives=[LifeSeen("node-2", 9.0, 40.0), LifeSeen("node-3", 30.0, 34.9)]),
+            changed(lives=[LifeSeen("node-2", 9.0, 40.0), LifeSeen("node-3", 30.0, 32.9)]),
             id="a-life-that-is-used-and-one-that-was-short",
         ),
         pytest.param(
             changed(
                 lives=[LifeSeen("node-3", 10.0, 40.0)],
-                disturbances=[msgspec.structs.replace(KILL, ended_at=12.0)],
+                disturbances=[
+                    msgspec.structs.replace(KILL, machine="node-3", ended_at=12.0)
+                ],
             ),
             id="a-fault-may-have-kept-calls-away",
         ),
