The first call of an idle service under roll-out does not end the leader

Found by reading the change again. Cause: of three or more back ends of the new version the one with most failures is left out (the first, without failures); if it alone had a call and no old one had any, the busiest route was looked for among none, a ValueError in the leader's tick, and in that of each leader after it. The test failed with it before (ValueError) and passes with the default; 47 tests of verdicts and orders pass.

--- a/src/peppershore/process/control/version_comparison.py
+++ b/src/peppershore/process/control/version_comparison.py
@@ -118,8 +118,9 @@
         """What speaks most against the new version, over all and on its busiest route."""
         if not self.calls:
             return 0.0
-        busiest = max(self.routes[:-1], key=lambda each: each.new.calls)
-        return max(self.routes[-1].doubt, busiest.doubt)
+        *by_route, over_all = self.routes
+        busiest = max(by_route, key=lambda each: each.new.calls, default=over_all)
+        return max(over_all.doubt, busiest.doubt)
 
     @property
     def is_passed(self) -> bool:
--- a/tests/rollouts/test_rollout_verdicts.py
+++ b/tests/rollouts/test_rollout_verdicts.py
@@ -114,6 +114,20 @@
     assert (nothing.reason, nothing.is_passed, nothing.calls) == ("", False, 0)
 
 
+def test_the_first_call_of_an_idle_service_is_no_verdict() -> None:
+    """Found by reading: a leader would have ended at the first call of an idle service.
+
+    How it came about: of three back ends the one with most failures is left out, and
+    without failures that is the first; it alone had a call, and no old one had any.
+    Cause: the busiest route was looked for among none.
+    """
+    called = _evidence("n0", "v2", 1, 0)
+    idle = [BackEndEvidence(f"n{n}", "kassa", "v2", 1, 1, 1, ()) for n in (1, 2)]
+    first = compare([called, *idle], "v2")
+    assert (first.calls, first.reason, first.is_passed) == (1, "", False)
+    assert isinstance(decide(_view(1_000, 7.0, first, 7.0)), Wait)
+
+
 # --- what a node counts
 
 
