--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -261,6 +261,13 @@
             stamp = self._clock.unix_milliseconds(self.now)
             self._intake.submit(link, edit, stamp, self.next_index, self._propose)
 
+    def submit_to_leader(self, edit: Edit) -> None:
+        """Have the leader propose an edit of the group's own, wherever it is."""
+        if self.leads:
+            self.submit_internally(edit)
+        else:
+            self.send_to_peer(self.consensus.leader, SubmitEdit(edit))
+
     def submit_internally(self, edit: Edit) -> None:
         """Propose an edit of the group's own; whoever waits for it sees it applied."""
         self._submit(INTERNAL_LINK, edit)
--- a/src/peppershore/process/control/releases.py
+++ b/src/peppershore/process/control/releases.py
@@ -12,7 +12,6 @@
 
 import msgspec
 
-from peppershore.connection.messages.operators import SubmitEdit
 from peppershore.process.commands import Command
 from peppershore.process.control import notices
 from peppershore.process.events import Event
@@ -231,11 +230,7 @@
         question.sent_at = replica.now
         if replica.state.tree.release != question.configuration.base:
             return
-        edit = edit_of(replica.state.tree, question.configuration)
-        if replica.leads:
-            replica.submit_internally(edit)
-        else:
-            replica.send_to_peer(replica.consensus.leader, SubmitEdit(edit))
+        replica.submit_to_leader(edit_of(replica.state.tree, question.configuration))
 
     def _answer_known(self, request: int, question: _Question) -> bool:
         """Answer from the table of outcomes; False if it has none."""
--- a/src/peppershore/process/control/rollout_orders.py
+++ b/src/peppershore/process/control/rollout_orders.py
@@ -13,7 +13,6 @@
 
 import msgspec
 
-from peppershore.connection.messages.operators import SubmitEdit
 from peppershore.process.commands import Command
 from peppershore.process.control import notices
 from peppershore.process.control.releases import (
@@ -257,13 +256,9 @@
 
     def _propose(self, question: _Question, edit: Edit) -> None:
         """Have the leader propose the edit, again and again: it is taken once."""
-        replica = self._replica
         question.edit = edit
-        question.sent_at = replica.now
-        if replica.leads:
-            replica.submit_internally(edit)
-        else:
-            replica.send_to_peer(replica.consensus.leader, SubmitEdit(edit))
+        question.sent_at = self._replica.now
+        self._replica.submit_to_leader(edit)
 
     def _answer(self, request: int, outcome: RolloutOutcome) -> None:
         question = self._questions.pop(request)
