logs versions: a wait is told by the relay in use at each moment

Cause: the wait for a version was split by the relay in use at its end, so the time at a relay that lacked the version and was left counted as on the way.

--- a/src/peppershore/command/version_times.py
+++ b/src/peppershore/command/version_times.py
@@ -35,10 +35,11 @@
 class NodeWait(msgspec.Struct, frozen=True):
     """How long one node waited for a version, and for what; times in milliseconds.
 
-    ``relay_behind`` is until the relay that it used then had the version,
-    ``without_relay`` the part of the rest in which it had none, ``on_the_way`` what is
-    left: the link and the node itself.  ``used`` is false for a node that wrote lines
-    past the bound and did not use the version by its last one.
+    ``relay_behind`` is the time in which the relay in use at that moment lacked the
+    version, ``without_relay`` that in which there was none, ``on_the_way`` what is left:
+    the link and the node itself.  ``relay`` is the one in use at the end.  ``used`` is
+    false for a node that wrote lines past the bound and did not use the version by its
+    last one.
     """
 
     node: str
@@ -96,22 +97,15 @@
         """Tell whether this relay is the one in use by the lines so far."""
         return bool(self.relays) and self.relays[-1][1] == relay
 
-    def relay_at(self, at: int) -> str:
-        """Give the relay in use at a time; "" for none."""
-        chosen = ""
-        for since, relay in self.relays:
-            if since > at:
-                break
-            chosen = relay
-        return chosen
-
-    def without_relay(self, begin: int, end: int) -> int:
-        """Give the milliseconds between two times in which there was no relay."""
-        changes = [(begin, self.relay_at(begin))]
+    def relays_between(self, begin: int, end: int) -> list[tuple[int, int, str]]:
+        """Give the relays in use one after the other: from, until, name ("": none)."""
+        before = [relay for at, relay in self.relays if at <= begin]
+        changes = [(begin, before[-1] if before else "")]
         changes += [change for change in self.relays if begin < change[0] < end]
         ends = [at for at, _ in changes[1:]] + [end]
-        spans = zip(changes, ends, strict=True)
-        return sum(until - at for (at, relay), until in spans if not relay)
+        return [
+            (at, until, relay) for (at, relay), until in zip(changes, ends, strict=True)
+        ]
 
 
 class _Story:
@@ -200,18 +194,24 @@
 def _wait(story: _Story, life: _Life, version: int, since: int) -> NodeWait:
     used_at = life.used_at(version)
     end = max(since, life.last_line_at if used_at is None else used_at)
-    relay = life.relay_at(end)
-    reached = story.relay_reached(relay, version, since) if relay else since
-    had_at = end if reached is None else min(max(reached, since), end)
-    without = life.without_relay(had_at, end)
+    behind, without, on_the_way = 0, 0, 0
+    relay = ""
+    for begin, until, relay in life.relays_between(since, end):
+        if not relay:
+            without += until - begin
+            continue
+        reached = story.relay_reached(relay, version, since)
+        had_at = until if reached is None else min(max(reached, begin), until)
+        behind += had_at - begin
+        on_the_way += until - had_at
     return NodeWait(
         node=life.node,
         relay=relay,
         milliseconds=end - since,
         used=used_at is not None,
-        relay_behind=had_at - since,
+        relay_behind=behind,
         without_relay=without,
-        on_the_way=end - had_at - without,
+        on_the_way=on_the_way,
     )
 
 
