Confirmations are told by the node's own clock and name what they confirm

Cause: a relay told its age as of the sending and the node counted from the arrival, so what a message waited on its way was lost; a heartbeat confirmed what the node held also while the relay had more for it; and after a change of relay beside an update the two never agreed again. Class: evidence that is worth less than it is taken for. Now the node tells its clock, the relay answers by it, and a word names the content that it is about, so no state of agreement is kept. The specification: naming replaces agreement and the hello's digest; that an older word does not answer an outstanding update breaks no invariant any more (searched for all four), so it is a rule of economy and no mutant.

--- a/benchmarks/update_bytes.py
+++ b/benchmarks/update_bytes.py
@@ -43,7 +43,8 @@
 )
 
 IDEAL_LEVEL = 3
-CONFIRMED_AGE_MILLISECONDS = 250
+CONFIRMED_AT_MILLISECONDS = 86_400_250
+"""By the clock of a node whose machine has run for a day."""
 CALLED_SERVICES = 4
 ENDPOINT_COUNTS = (1, 2, 10, 116)
 START_MILLISECONDS = 1_764_000_000_000
@@ -103,7 +104,7 @@
         packed = pack_update(update)
         self._seconds += time.perf_counter() - started
         self._packings += 1
-        offer = UpdateOffered(packed, CONFIRMED_AGE_MILLISECONDS)
+        offer = UpdateOffered(packed, CONFIRMED_AT_MILLISECONDS)
         answer = UpdateApplied(update.version, update.digest)
         self._updates += receivers
         self._bytes += receivers * len(encode_frame(encode_message(offer)))
--- a/spec/distribution.py
+++ b/spec/distribution.py
@@ -41,9 +41,7 @@
 GUARD_CONFIRMED = "a node without memory waits for a confirmation asked after its hello"
 GUARD_SYNCED = "a node with a disk syncs a version before it uses it"
 GUARD_DIGEST = "a node checks the digest of what it put together"
-GUARD_AGREED = "a relay's word counts only for the content it agreed on"
-GUARD_HELLO = "an answer to a hello counts for the content named in that hello"
-GUARD_OUTSTANDING = "an older word of the node does not answer an outstanding update"
+GUARD_NAMED = "a relay's word counts only for the content that it names"
 GUARD_SAID_SO = "a node that skipped a change counts as current once it has said so"
 
 NO_STEP_BACK = "the node never goes back to an older version"
@@ -61,12 +59,15 @@
 
 
 class ToNode(NamedTuple):
-    """A message on its way to the node: an update if ``update`` is set."""
+    """A message on its way to the node: an update if ``update`` is set.
+
+    Else a word (``Current``, ``Freshness``) on the content that the node is believed to
+    hold: that it is right up to the version.
+    """
 
     version: Version
     update: Update | None = None
-    is_answer: bool = False
-    """``Current``, which answers a hello, not ``Freshness``."""
+    content: Version = NOTHING
 
 
 class ToRelay(NamedTuple):
@@ -85,8 +86,6 @@
     believed_content: Version = NOTHING
     required: Version = READY
     outstanding: Version = NOTHING
-    hello_content: Version = NOTHING
-    agreed_content: Version = NOTHING
     answered: bool = False
     to_node: ToNode | None = None
     to_relay: ToRelay | None = None
@@ -276,7 +275,6 @@
             believed_effective=holding.effective,
             believed_content=holding.content,
             required=UNASKED if forgetful and self._has(GUARD_CONFIRMED) else READY,
-            hello_content=holding.content,
         )
         return [
             (f"the node connects to relay {relay}", _with_session(state, relay, session))
@@ -294,7 +292,7 @@
         word = session.to_relay
         assert word is not None
         believed = max(session.believed_effective, word.effective)
-        is_older = word.effective < session.outstanding and self._has(GUARD_OUTSTANDING)
+        is_older = word.effective < session.outstanding
         if word.is_refusal:
             heard = session._replace(to_relay=None, outstanding=0, believed_content=0)
         elif is_older:
@@ -336,7 +334,8 @@
     ) -> Successors:
         if session.answered:
             return []
-        told = session._replace(to_node=ToNode(version, is_answer=True))
+        content = session.believed_content
+        told = session._replace(to_node=ToNode(version, content=content))
         after = _with_session(state, relay, told)
         return [(f"relay {relay} answers that nothing changed up to {version}", after)]
 
@@ -345,7 +344,8 @@
         current = same_content(session.believed_content, version)
         if not current or session.outstanding or version <= session.believed_effective:
             return []
-        told = session._replace(to_node=ToNode(version))
+        content = session.believed_content
+        told = session._replace(to_node=ToNode(version, content=content))
         after = _with_session(state, relay, told)
         return [(f"relay {relay} says that version {version} is in effect", after)]
 
@@ -400,26 +400,22 @@
         self, state: State, relay: int, session: Session, message: ToNode
     ) -> State:
         holding = state.holding
-        agreed = session.agreed_content
-        if message.is_answer:
-            by_hello = self._has(GUARD_HELLO)
-            agreed = session.hello_content if by_hello else holding.content
-        agrees = same_content(agreed, holding.content) or not self._has(GUARD_AGREED)
+        is_named = same_content(message.content, holding.content)
+        agrees = is_named or not self._has(GUARD_NAMED)
         if state.pending is None and holding.content != NOTHING and agrees:
             effective = max(holding.effective, message.version)
             holding = Holding(holding.content, effective, effective)
         word = session.to_relay
         if word is None or not word.is_refusal:
             word = ToRelay(holding.effective, holding.content)
-        session = session._replace(agreed_content=agreed, to_relay=word)
+        session = session._replace(to_relay=word)
         return _with_session(state, relay, session)._replace(holding=holding)
 
     def _use(self, state: State, pending: Pending) -> State:
         version = pending.version
         effective = max(state.holding.effective, version)
         sessions = tuple(
-            self._told(session, relay, pending, effective)
-            for relay, session in enumerate(state.sessions)
+            self._told(session, pending, effective) for session in state.sessions
         )
         return state._replace(
             sessions=sessions,
@@ -428,15 +424,10 @@
             went_back=state.went_back or version < state.highest,
         )
 
-    def _told(
-        self, session: Session, relay: int, pending: Pending, effective: Version
-    ) -> Session:
-        is_origin = relay == pending.relay
+    def _told(self, session: Session, pending: Pending, effective: Version) -> Session:
         if session.phase != OPEN or not session.answered:
             return session
-        agreed = pending.version if is_origin else session.agreed_content
-        word = ToRelay(effective, pending.version)
-        return session._replace(agreed_content=agreed, to_relay=word)
+        return session._replace(to_relay=ToRelay(effective, pending.version))
 
     def _node_moves(self, state: State) -> Successors:
         successors: Successors = []
@@ -473,9 +464,7 @@
         Mutant(GUARD_NEWER, NO_STEP_BACK),
         Mutant(GUARD_CONFIRMED, NO_STEP_BACK),
         Mutant(GUARD_DIGEST, WHOLE),
-        Mutant(GUARD_AGREED, IN_EFFECT),
-        Mutant(GUARD_HELLO, IN_EFFECT),
-        Mutant(GUARD_OUTSTANDING, IN_EFFECT),
+        Mutant(GUARD_NAMED, IN_EFFECT),
         Mutant(GUARD_SAID_SO, REPORTED),
     ),
     max_states=600_000,
@@ -488,8 +477,7 @@
     mutants=(
         Mutant(GUARD_NEWER, NO_STEP_BACK),
         Mutant(GUARD_SYNCED, NO_STEP_BACK),
-        Mutant(GUARD_AGREED, IN_EFFECT),
-        Mutant(GUARD_OUTSTANDING, IN_EFFECT),
+        Mutant(GUARD_NAMED, IN_EFFECT),
         Mutant(GUARD_SAID_SO, REPORTED),
     ),
     max_states=600_000,
--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -72,7 +72,6 @@
 from peppershore.process.node.refusals import BUSY, NOT_NEWER, UNCONFIRMED
 from peppershore.process.node.relay_sessions import (
     CONNECT_TIMER,
-    NOT_AGREED,
     WATCH_TIMER,
     RelaySession,
     RelaySessions,
@@ -96,8 +95,9 @@
 MOST_REASON = 200
 """Characters of such a reason in a line."""
 
-AGE_TOLERANCE_MILLISECONDS = 1
-"""Ages are rounded up to whole milliseconds."""
+MILLISECONDS = 1_000
+ROUNDING_MILLISECONDS = 1
+"""Times go over the wire as whole milliseconds, rounded down."""
 
 
 class NodeMemory:
@@ -137,7 +137,7 @@
         self._ready: dict[str, tuple[str, ...]] = {}
         self._pending: Snapshot | None = None
         self._pending_from: RelaySession | None = None
-        self._pending_confirmed_at = -math.inf
+        self._pending_confirmed_at: int | None = None
         self._token = 0
         self._is_stopping = False
         self._evidence_number = 0
@@ -289,21 +289,19 @@
     # --- the relay -------------------------------------------------------------
 
     def _from_relay(self, session: RelaySession, message: Message) -> None:
-        self.sessions.heard(session, None, self._now)
+        self.sessions.heard(session, self._now)
         match message:
             case UpdateOffered():
-                self._heard_age(session, message.confirmed_age_milliseconds)
+                self._answered(session, message)
                 self._offered(session, message)
             case Current():
-                session.agreed_digest = message.digest
-                self._heard_age(session, message.confirmed_age_milliseconds)
-                self._still_current(session, message)
+                self._answered(session, message)
+                self._still_current(message)
                 self._tell_held(session)
             case Freshness():
-                self._heard_age(session, message.confirmed_age_milliseconds)
-                self._still_current(session, message)
-                alive = NodeAlive(self.holder.effective_version)
-                self._out.append(SendMessage(session.link, alive))
+                self._answered(session, message)
+                self._still_current(message)
+                self._say_alive(session)
             case EndpointsPacked():
                 self._endpoints_packed(session, message)
             case EndpointsHeld():
@@ -325,9 +323,11 @@
             case _:
                 self._do(self.sessions.drop(session, "unexpected message", self._now))
 
-    def _heard_age(self, session: RelaySession, age_milliseconds: int) -> None:
-        """Note an answer and its age; a candidate may become the relay in use."""
-        self.sessions.heard(session, age_milliseconds, self._now)
+    def _answered(
+        self, session: RelaySession, message: UpdateOffered | Current | Freshness
+    ) -> None:
+        """Note an answer and its confirmation; a candidate may become the relay in use."""
+        session.confirmed(message.confirmed_at_milliseconds)
         session.answered = True
         was_active = session is self.sessions.active
         self._do(self.sessions.settle(session, self._now))
@@ -341,18 +341,28 @@
         self._out.append(SendMessage(session.link, EndpointsHeld(self.known.digest)))
         self._do(self.quarantine.introduce(session.link, self._now))
 
-    def _still_current(self, session: RelaySession, message: Current | Freshness) -> None:
-        """Take a confirmation, unless the relay may mean something else than is held.
+    def _say_alive(self, session: RelaySession) -> None:
+        alive = NodeAlive(self.holder.effective_version, self._clock_milliseconds)
+        self._out.append(SendMessage(session.link, alive))
+
+    @property
+    def _clock_milliseconds(self) -> int:
+        """What this node's clock shows, never ahead of it."""
+        return math.floor(self._now * MILLISECONDS)
+
+    def _still_current(self, message: Current | Freshness) -> None:
+        """Take a confirmation of what is held, which the relay names by its digest.
 
-        A relay may hold an update back from this node, or have one on its way.
+        It names nothing while it holds an update back or has one on its way.
         """
-        if self._pending is None and session.agreed_digest == self.holder.digest:
+        if self._pending is None and message.digest == self.holder.digest:
             self.holder.still_current(message.version)
-            self._confirm(self._now - message.confirmed_age_milliseconds / 1_000)
+            self._confirm(message.confirmed_at_milliseconds)
 
-    def _confirm(self, at: float) -> None:
-        """What is held was the latest at this time (monotonic seconds)."""
-        self._confirmed_at = max(self._confirmed_at, at)
+    def _confirm(self, at_milliseconds: int | None) -> None:
+        """What is held was the latest at this time of the node's clock."""
+        if at_milliseconds is not None and not self.holder.holds_nothing:
+            self._confirmed_at = max(self._confirmed_at, at_milliseconds / MILLISECONDS)
 
     def _offered(self, session: RelaySession, offer: UpdateOffered) -> None:
         held = self.holder.snapshot
@@ -373,16 +383,18 @@
             return
         self._pending = prepared.unwrap()
         self._pending_from = session
-        self._pending_confirmed_at = self._now - offer.confirmed_age_milliseconds / 1_000
+        self._pending_confirmed_at = offer.confirmed_at_milliseconds
         self._persist()
 
     def _is_acceptable(self, session: RelaySession, offer: UpdateOffered) -> bool:
         """Take what was confirmed after the hello, unless there is a floor to go by."""
         if self.holder.floor > 0:
             return True
-        since_hello = (self._now - session.opened_at) * 1_000
-        age = offer.confirmed_age_milliseconds
-        return age <= since_hello + AGE_TOLERANCE_MILLISECONDS
+        confirmed_at = offer.confirmed_at_milliseconds
+        if confirmed_at is None:
+            return False
+        hello_at = math.floor(session.opened_at * MILLISECONDS)
+        return confirmed_at >= hello_at - ROUNDING_MILLISECONDS
 
     def _answer_refusal(self, session: RelaySession, version: Version, reason: str) -> None:
         if reason == NOT_NEWER:
@@ -391,7 +403,6 @@
             self._refuse(session, version, reason)
 
     def _refuse(self, session: RelaySession, version: Version, reason: str) -> None:
-        session.agreed_digest = NOT_AGREED
         self._report(notices.VersionRefused(version, reason))
         self._out.append(SendMessage(session.link, UpdateRefused(version, reason)))
 
@@ -422,7 +433,7 @@
         self._out.append(SetTimer(PERSIST_TIMER, PERSIST_RETRY_SECONDS))
 
     def _use_pending(self) -> None:
-        snapshot, origin = self._pending, self._pending_from
+        snapshot = self._pending
         assert snapshot is not None
         self._pending = None
         self._pending_from = None
@@ -435,8 +446,6 @@
         self._report(applied)
         self._services_changed(frozenset(active.services))
         for session in self.sessions.all_answered():
-            if session is origin:
-                session.agreed_digest = snapshot.digest
             self._tell_held(session)
 
     # --- endpoints -------------------------------------------------------------
@@ -548,6 +557,7 @@
             version=holder.effective_version,
             digest=holder.digest,
             floor=holder.floor,
+            sent_at_milliseconds=self._clock_milliseconds,
         )
 
     def _do(self, commands: list[Command]) -> None:
--- a/src/peppershore/process/node/relay_sessions.py
+++ b/src/peppershore/process/node/relay_sessions.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -25,8 +26,8 @@
 from peppershore.process.node.relay_choice import RelayChoice
 from peppershore.process.randomness import Randomness
 from peppershore.process.settings import NodeSettings, PeerRelay
-from peppershore.version.model import Digest
 
+MILLISECONDS = 1_000
 CONNECT_TIMER = "relay.connect"
 WATCH_TIMER = "relay.watch"
 
@@ -38,9 +39,6 @@
 """The same while there is no relay at all: another may be there at once.  It doubles
 with each link given up in a row, for relays that are far away."""
 
-NOT_AGREED: Digest = 0
-"""Digest of nothing: the relay has not said that the node holds what it should."""
-
 RELAY_LISTED_SECONDS = 0.2
 """A node that learns of a relay in its own zone moves there within this time."""
 
@@ -57,13 +55,13 @@
     answered: bool = False
     is_leaving: bool = False
     """The relay said goodbye: another one must answer before it ends."""
-    age_milliseconds: int = 0
-    agreed_digest: Digest = NOT_AGREED
-    """Digest that this relay knows the node to hold, by its own last answer."""
+    confirmed_at: float = -math.inf
+    """When a quorum confirmed the relay's version, by this node's clock."""
 
-    def confirmed_age_milliseconds(self, now: float) -> float:
-        """Give how long ago the relay's version was confirmed."""
-        return self.age_milliseconds + (now - self.last_heard) * 1_000
+    def confirmed(self, at_milliseconds: int | None) -> None:
+        """Note what the relay says of its newest confirmation."""
+        if at_milliseconds is not None:
+            self.confirmed_at = max(self.confirmed_at, at_milliseconds / MILLISECONDS)
 
 
 class RelaySessions:
@@ -82,7 +80,7 @@
         self._choice = RelayChoice(settings)
         self._rebalance_seconds = settings.rebalance_milliseconds / 1_000
         self._silence_seconds = settings.silence_milliseconds / 1_000
-        self._stale_milliseconds = settings.stale_milliseconds
+        self._stale_seconds = settings.stale_milliseconds / MILLISECONDS
         self._numbers = numbers
         self._make_hello = make_hello
         self._randomness = Randomness(0)
@@ -162,13 +160,9 @@
         )
         return [close, Report(notice), *self._connect_after(wait)]
 
-    def heard(
-        self, session: RelaySession, age_milliseconds: int | None, now: float
-    ) -> None:
-        """Note that a relay spoke, and how old its confirmation is."""
+    def heard(self, session: RelaySession, now: float) -> None:
+        """Note that a relay spoke."""
         session.last_heard = now
-        if age_milliseconds is not None:
-            session.age_milliseconds = age_milliseconds
 
     def settle(self, session: RelaySession, now: float) -> list[Command]:
         """Decide, after a relay's answer, whether the candidate takes over."""
@@ -255,7 +249,7 @@
 
     def _is_stale(self, session: RelaySession, now: float) -> bool:
         """Tell whether the relay's version was confirmed too long ago."""
-        return session.confirmed_age_milliseconds(now) > self._stale_milliseconds
+        return now - session.confirmed_at > self._stale_seconds
 
     @property
     def _needs_relay(self) -> bool:
--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -77,6 +77,9 @@
 HOLD_CHECK_SECONDS = 0.1
 PAUSE_SECONDS = 3.0
 """Without any event for this long the process can't have been running."""
+CLOCKS_SECONDS = 0.5
+"""After so long without any event, many times the wait between two heartbeats, this
+clock may have gone on without its nodes': theirs are told anew first."""
 HELLO_SECONDS = 10.0
 """A link that has not said hello after this is closed."""
 
@@ -265,7 +268,7 @@
         elif timer == STOP_TIMER:
             self._continue_stop()
         elif timer == FLUSH_TIMER:
-            self._do(self.rollout.flush(self._now))
+            self._do(self.rollout.flush())
         elif timer == FANOUT_TIMER:
             self._endpoints_due()
         elif timer == PROGRESS_TIMER:
@@ -311,7 +314,10 @@
         """Notice that this process did not run, for instance while it was stopped."""
         pause = now - self._now
         is_started = bool(self._timers_set)
-        if not is_started or pause < PAUSE_SECONDS:
+        if not is_started or pause < CLOCKS_SECONDS:
+            return
+        self.nodes.clocks_unknown()
+        if pause < PAUSE_SECONDS:
             return
         self.nodes.resumed(pause, now)
         self._pause_milliseconds = round(pause * 1_000)
@@ -366,7 +372,7 @@
                 self._edits(message)
             case ConfirmReply():
                 self.source.confirmed(message, self.follower.version, self._now)
-                self._do(self.nodes.release_confirmed(self._now))
+                self._do(self.nodes.release_confirmed())
             case TreeState():
                 change = self.follower.load(message.tree)
                 if change is not None:
@@ -394,8 +400,8 @@
             seconds = self._settings.batching_milliseconds / 1_000
             self._set_timer_once(FLUSH_TIMER, seconds)
         else:
-            self._do(self.rollout.flush(self._now))
-        self._do(self.nodes.release_confirmed(self._now))
+            self._do(self.rollout.flush())
+        self._do(self.nodes.release_confirmed())
 
     def _report_progress(self) -> None:
         self._report_soon = False
--- a/src/peppershore/process/relay/distribution.py
+++ b/src/peppershore/process/relay/distribution.py
@@ -13,7 +13,12 @@
 from collections.abc import Iterable
 
 from peppershore.connection.codec import encode_message
-from peppershore.connection.messages.node import Current, UpdateApplied, UpdateOffered
+from peppershore.connection.messages.node import (
+    Current,
+    Freshness,
+    UpdateApplied,
+    UpdateOffered,
+)
 from peppershore.process.commands import Command, SendEncoded
 from peppershore.process.events import LinkId
 from peppershore.process.relay.endpoint_fanout import EndpointFanout
@@ -21,7 +26,7 @@
 from peppershore.process.relay.packed_updates import PackedUpdates
 from peppershore.process.relay.session import NodeSession
 from peppershore.version.catalog import ScopeCatalog
-from peppershore.version.model import Digest, Scope, Update, Version
+from peppershore.version.model import Digest, Scope, Version
 
 IDLE_SCOPE_SECONDS = 600.0
 
@@ -129,16 +134,18 @@
         """Give the sessions whose hello could not be answered so far."""
         return [session for session in self.behind.values() if not session.answered]
 
-    def offer_all(self, sessions: Iterable[NodeSession], age: int) -> list[Command]:
-        """Send to each of these sessions what it needs; equal bytes are shared.
+    def offer_all(
+        self, sessions: Iterable[NodeSession], confirmed_at: float | None
+    ) -> list[Command]:
+        """Send to each of these sessions what it needs; equal updates are packed once.
 
-        ``age`` is that of the confirmation, in milliseconds.
+        ``confirmed_at``: when a quorum confirmed the version, monotonic seconds.
         """
-        payloads: dict[tuple[Scope, Digest], bytes] = {}
+        packed: dict[tuple[Scope, Digest], bytes] = {}
         out: list[Command] = []
         for session in sessions:
             if self._may_be_sent(session):
-                out.extend(self._offer(session, age, payloads))
+                out.extend(self._offer(session, confirmed_at, packed))
         return out
 
     def applied(self, session: NodeSession, message: UpdateApplied) -> bool:
@@ -188,6 +195,12 @@
             return session.version
         return max(session.version, self._version)
 
+    def freshness(self, session: NodeSession, confirmed_at: float | None) -> Freshness:
+        """Give the heartbeat of a session; it confirms nothing to a node that is behind."""
+        digest = 0 if session.behind_since else session.digest
+        version = self.effective_version(session)
+        return Freshness(version, session.confirmed_at(confirmed_at), digest)
+
     def _may_be_sent(self, session: NodeSession) -> bool:
         if session.outstanding_version or session.needs_confirmation:
             return False
@@ -196,30 +209,28 @@
     def _offer(
         self,
         session: NodeSession,
-        age: int,
-        payloads: dict[tuple[Scope, Digest], bytes],
+        confirmed_at: float | None,
+        packed: dict[tuple[Scope, Digest], bytes],
     ) -> list[Command]:
         scope = session.scope
         update = self._catalog.update_since(scope, session.version, session.digest)
         if update is None:
-            return self._answer_current(session, age)
+            return self._answer_current(session, confirmed_at)
         if update.version <= session.version or self._must_wait(session):
             return []
         key = (scope, session.digest)
-        if key not in payloads:
-            payloads[key] = self._encode(update, age)
+        if key not in packed:
+            packed[key] = self.packed_updates.packed(update)
         session.answered = True
         session.outstanding_version = update.version
         out = self._fanout.before_update(session, update)
-        out.append(self._send(session, payloads[key]))
+        offer = UpdateOffered(packed[key], session.confirmed_at(confirmed_at))
+        out.append(self._send(session, encode_message(offer)))
         return out
 
     def _must_wait(self, session: NodeSession) -> bool:
         return session.scope in self._holds.held and not session.holds_nothing
 
-    def _encode(self, update: Update, age: int) -> bytes:
-        return encode_message(UpdateOffered(self.packed_updates.packed(update), age))
-
     def _is_current(self, session: NodeSession) -> bool:
         """Tell whether the node holds all that this relay knows, by its own word.
 
@@ -232,7 +243,9 @@
             return False
         return session.version >= self._catalog.changed_at(session.scope)
 
-    def _answer_current(self, session: NodeSession, age: int) -> list[Command]:
+    def _answer_current(
+        self, session: NodeSession, confirmed_at: float | None
+    ) -> list[Command]:
         """Tell a node that lacks nothing; it counts as current once it agrees."""
         is_current = self._is_current(session)
         version = max(session.version, self._version)
@@ -246,7 +259,8 @@
         session.current_told = version
         if session.services_told is None:
             self._fanout.told_all(session)
-        return [self._send(session, encode_message(Current(version, age, session.digest)))]
+        current = Current(version, session.confirmed_at(confirmed_at), session.digest)
+        return [self._send(session, encode_message(current))]
 
     def _send(self, session: NodeSession, payload: bytes) -> Command:
         self.bytes_sent += len(payload)
--- a/src/peppershore/process/relay/heartbeats.py
+++ b/src/peppershore/process/relay/heartbeats.py
@@ -13,7 +13,6 @@
 from peppershore.process.commands import Command, SendEncoded
 from peppershore.process.events import LinkId
 from peppershore.process.relay.session import NodeSession
-from peppershore.version.model import Version
 
 SLOTS = 16
 SILENT_PERIODS = 3
@@ -26,12 +25,12 @@
     def __init__(
         self,
         period_seconds: float,
-        effective_version: Callable[[NodeSession], Version],
+        freshness: Callable[[NodeSession, float | None], Freshness],
     ) -> None:
-        """Tell each session its ``effective_version`` once a period."""
+        """Tell each session its ``freshness`` once a period."""
         self.bytes_sent = 0
         self._period_seconds = period_seconds
-        self._effective_version = effective_version
+        self._freshness = freshness
         self._slots: list[dict[LinkId, NodeSession]] = [{} for _ in range(SLOTS)]
         self._slot = 0
 
@@ -58,16 +57,13 @@
             (silent if session.last_heard < silent_before else alive).append(session)
         return alive, silent
 
-    def tell(self, sessions: list[NodeSession], age_milliseconds: int) -> list[Command]:
-        """Send each of these sessions its heartbeat; equal bytes are shared."""
-        payloads: dict[Version, bytes] = {}
+    def tell(
+        self, sessions: list[NodeSession], confirmed_at: float | None
+    ) -> list[Command]:
+        """Send each of these sessions its heartbeat, by its own clock."""
         out: list[Command] = []
         for session in sessions:
-            version = self._effective_version(session)
-            payload = payloads.get(version)
-            if payload is None:
-                payload = encode_message(Freshness(version, age_milliseconds))
-                payloads[version] = payload
+            payload = encode_message(self._freshness(session, confirmed_at))
             self.bytes_sent += len(payload)
             out.append(SendEncoded(session.link, payload))
         return out
--- a/src/peppershore/process/relay/node_service.py
+++ b/src/peppershore/process/relay/node_service.py
@@ -30,6 +30,7 @@
 from peppershore.process.relay.distribution import Distributor
 from peppershore.process.relay.endpoint_fanout import EndpointFanout
 from peppershore.process.relay.heartbeats import Heartbeats
+from peppershore.process.relay.node_clock import NodeClock
 from peppershore.process.relay.session import NodeSession
 from peppershore.process.relay.source import SourceFollower
 from peppershore.process.settings import RelaySettings
@@ -62,7 +63,7 @@
         self.deferred_until = 0.0
         """When the last node that was told to come back later is due (monotonic)."""
         self.heartbeats = Heartbeats(
-            settings.freshness_milliseconds / 1_000, distributor.effective_version
+            settings.freshness_milliseconds / 1_000, distributor.freshness
         )
         self._settings = settings
         self._distributor = distributor
@@ -109,9 +110,10 @@
         out = self._vouch_again(session, now)
         match message:
             case NodeAlive():
+                session.clock = NodeClock(message.sent_at_milliseconds, now)
                 self._alive(session, message.version)
             case UpdateApplied():
-                out += self._applied(session, message, now)
+                out += self._applied(session, message)
             case UpdateRefused():
                 out += self._refused(session, message, now)
             case EndpointAnnounced():
@@ -131,21 +133,21 @@
             return []
         return [Report(notices.NodeDisconnected(session.node, reason))]
 
-    def offer(self, sessions: Iterable[NodeSession], now: float) -> list[Command]:
+    def offer(self, sessions: Iterable[NodeSession]) -> list[Command]:
         """Send these sessions what they need."""
-        return self._distributor.offer_all(sessions, self._source.age_milliseconds(now))
+        return self._distributor.offer_all(sessions, self._source.confirmed_at)
 
-    def release_confirmed(self, now: float) -> list[Command]:
+    def release_confirmed(self) -> list[Command]:
         """Serve the nodes that waited for a confirmation after their hello."""
         confirmed_at = self._source.confirmed_at
         if confirmed_at is None or not self._distributor.unconfirmed:
             return []
-        return self.offer(self._distributor.confirm(confirmed_at), now)
+        return self.offer(self._distributor.confirm(confirmed_at))
 
     def heartbeat(self, now: float) -> list[Command]:
         """Tell the sessions whose turn it is how fresh their version is."""
         alive, silent = self.heartbeats.next_slot(now)
-        out = self.heartbeats.tell(alive, self._source.age_milliseconds(now))
+        out = self.heartbeats.tell(alive, self._source.confirmed_at)
         for session in silent:
             out += self.closed(session.link, "silent", now)
             out.append(CloseLink(session.link, "silent"))
@@ -175,10 +177,16 @@
         sessions = self._distributor.sessions.values()
         for session in sessions:
             session.is_vouched = False
+            session.clock = None
         nodes = [session.node for session in sessions]
         self._exchange.resumed(nodes, pause_seconds, now)
         self._was_settled = False
 
+    def clocks_unknown(self) -> None:
+        """Tell no node of confirmations before its clock is heard again."""
+        for session in self._distributor.sessions.values():
+            session.clock = None
+
     # --- hello -----------------------------------------------------------------
 
     def _welcome(self, link: LinkId, hello: NodeHello, now: float) -> list[Command]:
@@ -192,9 +200,9 @@
             out.append(SendMessage(link, self._listed()))
         if session.needs_confirmation:
             out += self._source.ask_confirmation(now)
-        out += self.offer((session,), now)
+        out += self.offer((session,))
         if not session.answered:
-            out += self.heartbeats.tell([session], self._source.age_milliseconds(now))
+            out += self.heartbeats.tell([session], self._source.confirmed_at)
         return out
 
     def _listed(self) -> RelaysListed:
@@ -227,12 +235,10 @@
         if not session.behind_since:
             session.version = max(session.version, version)
 
-    def _applied(
-        self, session: NodeSession, message: UpdateApplied, now: float
-    ) -> list[Command]:
+    def _applied(self, session: NodeSession, message: UpdateApplied) -> list[Command]:
         self.progress_changed = True
         is_more_due = self._distributor.applied(session, message)
-        return self.offer((session,), now) if is_more_due else []
+        return self.offer((session,)) if is_more_due else []
 
     def _refused(
         self, session: NodeSession, message: UpdateRefused, now: float
@@ -241,7 +247,7 @@
         notice = notices.UpdateRejected(session.node, message.version, message.reason)
         out: list[Command] = [Report(notice)]
         if self._distributor.refused(session, message.version, is_unconfirmed, now):
-            out += self.offer((session,), now)
+            out += self.offer((session,))
         elif is_unconfirmed:
             out += self._source.ask_confirmation(now)
         return out
@@ -303,6 +309,7 @@
         floor=hello.floor,
         hello_at=now,
         last_heard=now,
+        clock=NodeClock(hello.sent_at_milliseconds, now),
         needs_confirmation=hello.version == 0 and hello.floor == 0,
     )
 
--- a/src/peppershore/process/relay/rollout.py
+++ b/src/peppershore/process/relay/rollout.py
@@ -41,14 +41,14 @@
             out.append(Report(notice))
         return out
 
-    def flush(self, now: float) -> list[Command]:
+    def flush(self) -> list[Command]:
         """Send what is not held, and answer hellos that had to wait for a tree."""
         scopes = sorted(self._unsent)
         self._unsent = set()
         out: list[Command] = []
         for scope in scopes:
-            out += self._nodes.offer(self._distributor.sessions_of(scope), now)
-        return out + self._nodes.offer(self._distributor.unanswered(), now)
+            out += self._nodes.offer(self._distributor.sessions_of(scope))
+        return out + self._nodes.offer(self._distributor.unanswered())
 
     def release_held(self, now: float) -> list[Command]:
         """Send the scopes whose targets are ready or whose bound has passed."""
@@ -56,7 +56,7 @@
         for released in self._holds.due(now):
             out.append(Report(_released(released)))
             sessions = self._distributor.sessions_of(released.held.scope)
-            out += self._nodes.offer(sessions, now)
+            out += self._nodes.offer(sessions)
         return out
 
 
--- a/src/peppershore/process/relay/session.py
+++ b/src/peppershore/process/relay/session.py
@@ -6,6 +6,7 @@
 
 from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.events import LinkId
+from peppershore.process.relay.node_clock import NodeClock
 from peppershore.version.model import Digest, Scope, Version
 
 
@@ -27,6 +28,8 @@
     floor: Version
     hello_at: float
     last_heard: float
+    clock: NodeClock | None
+    """The node's clock by its last word; None while it can't be trusted."""
     needs_confirmation: bool
     """Holds nothing and has no floor: takes only what was confirmed after its hello."""
     outstanding_version: Version = 0
@@ -51,6 +54,10 @@
         """Tell whether the node has no configuration at all."""
         return self.version == 0
 
+    def confirmed_at(self, relay_time: float | None) -> int | None:
+        """Give a time of the relay by the node's clock, if that is known."""
+        return None if self.clock is None else self.clock.at(relay_time)
+
     @property
     def lowest_acceptable(self) -> Version:
         """The version below which nothing may be offered."""
--- a/src/peppershore_lab/experiments/distribution_baselines.py
+++ b/src/peppershore_lab/experiments/distribution_baselines.py
@@ -179,7 +179,7 @@
         if held < self._whole.tree.version:
             self._send(writer, self._whole.frame)
         else:
-            self._send(writer, encode_frame(encode_message(Freshness(held, 0))))
+            self._send(writer, encode_frame(encode_message(Freshness(held, 0, 0))))
 
     def _send(self, writer: asyncio.StreamWriter, frame: bytes) -> None:
         self._bytes += len(frame)
--- a/src/peppershore_lab/simulator/run.py
+++ b/src/peppershore_lab/simulator/run.py
@@ -167,6 +167,9 @@
         for name, core in undisturbed.items():
             self._cluster.checks.check_in_force(name, core)
         check_rotations(running, undisturbed)
+        for process in self._cluster.nodes:
+            if process.name in running:
+                self._cluster.answered.check_confirmed(process, scheduler.now)
         self._check_refusals(running)
 
     def _check_refusals(self, running: dict[str, NodeCore]) -> None:
--- a/tests/acceptance/test_hostile_bytes.py
+++ b/tests/acceptance/test_hostile_bytes.py
@@ -31,7 +31,7 @@
 GARBAGE_PIECES = 40
 SEND_SECONDS = 5.0
 HELLOS: tuple[Message, ...] = (
-    NodeHello("refund", "stranger", 1, Scope("kassa", ZONE), 0, 0, 0),
+    NodeHello("refund", "stranger", 1, Scope("kassa", ZONE), 0, 0, 0, 0),
     RelayHello("refund", "relay-9", 1),
     FollowRequest("refund", "relay-9", ZONE, 0),
 )
--- a/tests/keys/test_keys.py
+++ b/tests/keys/test_keys.py
@@ -179,7 +179,7 @@
 
 
 def hello(node: str, service: str) -> NodeHello:
-    return NodeHello("refund", node, 1, Scope(service, "pasila"), 0, 0, 0)
+    return NodeHello("refund", node, 1, Scope(service, "pasila"), 0, 0, 0, 0)
 
 
 @pytest.mark.parametrize(
--- a/tests/node/test_node_core.py
+++ b/tests/node/test_node_core.py
@@ -37,7 +37,8 @@
 from peppershore.version.tree import apply_edit, empty_tree
 
 SCOPE = Scope("kassa", "pasila")
-NEVER_MILLISECONDS = 2**31 - 1
+START_MILLISECONDS = 100_000
+"""What the node's clock shows at its start."""
 CommandType = TypeVar("CommandType", bound=Command)
 MessageType = TypeVar("MessageType", bound=Message)
 
@@ -59,7 +60,9 @@
 TREES = trees(4)
 
 
-def offer(version: int, base: int = 0, age: int = 0) -> UpdateOffered:
+def offer(
+    version: int, base: int = 0, confirmed_at: int | None = START_MILLISECONDS
+) -> UpdateOffered:
     """Give the offer from version ``base`` (0: full state) to ``version``."""
     catalog = ScopeCatalog()
     catalog.load(TREES[max(base, 1) - 1])
@@ -68,7 +71,7 @@
         catalog.load(TREES[version - 1])
     update = catalog.update_since(SCOPE, base, digest)
     assert update is not None
-    return UpdateOffered(pack_update(update), age)
+    return UpdateOffered(pack_update(update), confirmed_at)
 
 
 def digest_of(version: int) -> int:
@@ -101,7 +104,7 @@
             reconnect_milliseconds=reconnect_milliseconds,
         )
         self.core = NodeCore(settings, memory or NodeMemory(1))
-        self.now = 100.0
+        self.now = START_MILLISECONDS / 1_000
         self.out = self.core.step(events.Started(1), self.now)
         self.open_candidate()
 
@@ -144,18 +147,18 @@
 def test_a_node_without_memory_refuses_what_was_confirmed_before_its_hello() -> None:
     bench = Bench()
     bench.now += 0.5
-    bench.receive(offer(1, age=700))
+    bench.receive(offer(1, confirmed_at=START_MILLISECONDS - 200))
     assert [each.reason for each in bench.sent(UpdateRefused)] == ["unconfirmed"]
     assert bench.core.holder.holds_nothing
-    bench.receive(offer(1, age=400))
+    bench.receive(offer(1, confirmed_at=START_MILLISECONDS + 100))
     assert bench.sent(UpdateApplied) == [UpdateApplied(1, digest_of(1))]
 
 
 def test_a_node_with_a_floor_takes_unconfirmed_versions_at_or_above_it() -> None:
     bench = Bench(memory=NodeMemory(1, floor=2))
-    bench.receive(offer(1, age=NEVER_MILLISECONDS))
+    bench.receive(offer(1, confirmed_at=None))
     assert [each.reason for each in bench.sent(UpdateRefused)] == ["below-floor"]
-    bench.receive(offer(2, age=NEVER_MILLISECONDS))
+    bench.receive(offer(2, confirmed_at=None))
     assert bench.core.holder.snapshot.version == 2
 
 
@@ -204,9 +207,11 @@
 def test_a_heartbeat_raises_the_version_in_effect_and_is_answered() -> None:
     bench = Bench()
     bench.receive(offer(1))
-    bench.receive(Freshness(9, 100))
+    bench.now += 0.25
+    bench.receive(Freshness(9, START_MILLISECONDS + 100, digest_of(1)))
     assert bench.core.holder.effective_version == 9
-    assert bench.sent(NodeAlive) == [NodeAlive(9)]
+    assert bench.core.confirmed_at == 100.1
+    assert bench.sent(NodeAlive) == [NodeAlive(9, START_MILLISECONDS + 250)]
 
 
 def test_a_heartbeat_raises_nothing_while_a_version_is_being_stored() -> None:
@@ -215,7 +220,7 @@
     bench.give(events.RecordsPersisted(bench.only(PersistSnapshot).token))
     bench.receive(offer(2, base=1))
     token = bench.only(PersistSnapshot).token
-    bench.receive(Freshness(9, 0))
+    bench.receive(Freshness(9, START_MILLISECONDS, digest_of(1)))
     assert bench.core.holder.effective_version == 1
     bench.give(events.RecordsPersisted(token))
     assert bench.core.holder.effective_version == 2
@@ -236,7 +241,7 @@
     bench = Bench(memory=NodeMemory(2, floor=2, snapshot=stored))
     (hello,) = bench.sent(NodeHello)
     assert (hello.version, hello.digest, hello.floor) == (2, digest_of(2), 2)
-    bench.receive(Current(5, 0, digest_of(2)))
+    bench.receive(Current(5, START_MILLISECONDS, digest_of(2)))
     assert bench.core.holder.effective_version == 5
 
 
@@ -247,10 +252,10 @@
     bench.give(events.TimerFired("relay.connect"))
     other = bench.open_candidate()
     bench.receive(offer(3, base=2))
-    bench.receive(Current(4, 0, digest_of(2)), other)
+    bench.receive(Current(4, START_MILLISECONDS, digest_of(2)), other)
     assert bench.core.holder.effective_version == 3
     assert bench.sent(UpdateApplied) == [UpdateApplied(3, digest_of(3))]
-    bench.receive(Freshness(4, 0), other)
+    bench.receive(Freshness(4, START_MILLISECONDS, digest_of(2)), other)
     assert bench.core.holder.effective_version == 3
 
 
@@ -258,7 +263,7 @@
     first = Bench()
     first.receive(offer(2))
     bench = Bench(memory=NodeMemory(2, floor=2, snapshot=first.core.holder.snapshot))
-    bench.receive(Current(4, 0, digest_of(2)))
+    bench.receive(Current(4, START_MILLISECONDS, digest_of(2)))
     assert bench.sent(UpdateApplied) == [UpdateApplied(4, digest_of(2))]
 
 
@@ -275,7 +280,7 @@
     confirmed_at = bench.core.confirmed_at
     assert confirmed_at > 0.0
     bench.now += 60.0
-    out = bench.receive(Freshness(2, 0))
+    out = bench.receive(Freshness(2, START_MILLISECONDS + 60_000, digest_of(1)))
     assert bench.core.confirmed_at == confirmed_at
     closed = [each for each in out if isinstance(each, CloseLink)]
     opened = [each for each in out if isinstance(each, OpenLink)]
@@ -289,7 +294,7 @@
     assert bench.core.confirmed_at == -math.inf
     token = bench.only(PersistSnapshot).token
     bench.now += 1.0
-    bench.receive(Freshness(1, 0))
+    bench.receive(Freshness(1, START_MILLISECONDS + 900, digest_of(1)))
     assert bench.core.confirmed_at == -math.inf
     bench.give(events.RecordsPersisted(token))
     assert bench.core.confirmed_at == 100.0
@@ -301,26 +306,38 @@
     held.receive(offer(1))
     memory = NodeMemory(2, floor=1, snapshot=held.core.holder.snapshot)
     bench = Bench(memory=memory)
-    bench.receive(Freshness(1, 0))
+    bench.receive(Freshness(1, START_MILLISECONDS, 0))
     assert bench.core.confirmed_at == -math.inf
-    bench.receive(Current(1, 0, digest_of(1)))
+    bench.receive(Freshness(1, START_MILLISECONDS, digest_of(2)))
+    assert bench.core.confirmed_at == -math.inf
+    bench.receive(Current(1, START_MILLISECONDS, digest_of(1)))
     assert bench.core.confirmed_at == bench.now
     bench.now += 1.0
-    bench.receive(Freshness(1, 250))
+    bench.receive(Freshness(1, START_MILLISECONDS + 750, digest_of(1)))
     assert bench.core.confirmed_at == bench.now - 0.25
 
 
+def test_what_a_heartbeat_waited_on_its_way_is_not_counted_as_fresh() -> None:
+    bench = Bench()
+    bench.receive(offer(1))
+    bench.now += 1.2
+    bench.receive(Freshness(1, START_MILLISECONDS + 300, digest_of(1)))
+    assert bench.core.confirmed_at == 100.3
+    bench.receive(Freshness(1, None, digest_of(1)))
+    assert bench.core.confirmed_at == 100.3
+
+
 def test_a_refused_offer_ends_the_agreement() -> None:
     held = Bench()
     held.receive(offer(1))
     memory = NodeMemory(2, floor=3, snapshot=held.core.holder.snapshot)
     bench = Bench(memory=memory)
-    bench.receive(Current(1, 0, digest_of(1)))
+    bench.receive(Current(1, START_MILLISECONDS, digest_of(1)))
     agreed_at = bench.core.confirmed_at
     bench.now += 1.0
     bench.receive(offer(2))
     assert [each.reason for each in bench.sent(UpdateRefused)] == ["below-floor"]
-    bench.receive(Freshness(1, 0))
+    bench.receive(Freshness(1, START_MILLISECONDS + 900, 0))
     assert bench.core.confirmed_at == agreed_at
 
 
--- a/tests/relay/test_relay_crossing.py
+++ b/tests/relay/test_relay_crossing.py
@@ -67,7 +67,7 @@
 
     def hello(self, version: Version, digest: Digest) -> None:
         self.site.network.give(RELAY, events.LinkOpened(LINK, "x"))
-        self.give(NodeHello(CLUSTER, "x", 1, SCOPE, version, digest, version))
+        self.give(NodeHello(CLUSTER, "x", 1, SCOPE, version, digest, version, 0))
 
     def sent(self, kind: type[Message]) -> list[Message]:
         sent = self.site.network.processes[RELAY].sent
--- a/tests/relay/test_relay_failures.py
+++ b/tests/relay/test_relay_failures.py
@@ -318,7 +318,7 @@
     site = Site()
     site.network.run(1.0)
     relay = site.network.processes["r1"]
-    hello = NodeHello(CLUSTER, "x", 1, Scope("kassa", "pasila"), 1, 12_345, 1)
+    hello = NodeHello(CLUSTER, "x", 1, Scope("kassa", "pasila"), 1, 12_345, 1, 0)
     site.network.give("r1", events.LinkOpened(1_000, "x"))
     site.network.give("r1", events.MessageReceived(1_000, hello))
     site.network.run(1.0)
--- a/tests/relay/test_relay_herd.py
+++ b/tests/relay/test_relay_herd.py
@@ -90,7 +90,7 @@
         for number in range(NODES):
             scope = SCOPES[number % len(SCOPES)]
             hello = NodeHello(
-                CLUSTER, f"n{number}", 1, scope, version, digests[scope], version
+                CLUSTER, f"n{number}", 1, scope, version, digests[scope], version, 0
             )
             link = 2 * number + 2
             done += self.core.step(events.LinkOpened(link, "x"), NOW)
--- a/tests/relay/test_relay_progress.py
+++ b/tests/relay/test_relay_progress.py
@@ -111,7 +111,7 @@
     relay.step(events.Started(1), 0.0)
     relay.step(events.LinkOpened(1, "replica"), 0.0)
     relay.step(events.LinkOpened(2, "x"), 0.0)
-    hello = NodeHello(CLUSTER, "x", 1, Scope("kassa", "pasila"), 0, 0, 0)
+    hello = NodeHello(CLUSTER, "x", 1, Scope("kassa", "pasila"), 0, 0, 0, 0)
     relay.step(events.MessageReceived(2, hello), 0.0)
     commands = relay.step(events.TimerFired("relay.progress"), 1.0)
     (report,) = [each.message for each in commands if isinstance(each, SendMessage)]
--- a/tests/simulator/test_simulator_mutants.py
+++ b/tests/simulator/test_simulator_mutants.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from peppershore.connection.messages.claims import ClaimGranted, ClaimRequest
+from peppershore.connection.messages.node import Freshness
 from peppershore.process.claims.core import ClaimsCore
 from peppershore.process.claims.table import ClaimTable
 from peppershore.process.consensus.core import Consensus
@@ -29,6 +30,7 @@
     payout_calls,
     rotation_check,
     run,
+    timeliness,
 )
 from peppershore_lab.simulator.host_clock import HostClock
 from peppershore_lab.simulator.profiles import profile_named
@@ -97,6 +99,30 @@
     patch.setattr(Distributor, "applied", applied)
 
 
+def take_and_count_any_word(patch: pytest.MonkeyPatch) -> None:
+    def still_current(self, message):  # type: ignore[no-untyped-def]
+        self.holder.still_current(message.version)
+
+    count_any_word_as_current(patch)
+    patch.setattr(NodeCore, "_still_current", still_current)
+
+
+def confirm_what_is_behind(patch: pytest.MonkeyPatch) -> None:
+    def freshness(self, session, confirmed_at):  # type: ignore[no-untyped-def]
+        at = session.confirmed_at(confirmed_at)
+        return Freshness(self.effective_version(session), at, session.digest)
+
+    patch.setattr(Distributor, "freshness", freshness)
+
+
+def count_the_way_as_fresh(patch: pytest.MonkeyPatch) -> None:
+    def confirm(self, at_milliseconds):  # type: ignore[no-untyped-def]
+        if at_milliseconds is not None and not self.holder.holds_nothing:
+            self._confirmed_at = self._now
+
+    patch.setattr(NodeCore, "_confirm", confirm)
+
+
 def report_nothing(patch: pytest.MonkeyPatch) -> None:
     make_report = relay_core.make_report
 
@@ -111,7 +137,7 @@
 
 
 def refuse_although_stale(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(NodeCore, "confirmed_at", property(lambda self: math.inf))
+    patch.setattr(rotation_check, "REFUSAL_FRESHNESS_SECONDS", math.inf)
 
 
 def forget_the_vote(patch: pytest.MonkeyPatch) -> None:
@@ -155,7 +181,10 @@
     pytest.param(serve_forgetful_nodes_unconfirmed, "memory", checks.NO_STEP_BACK),
     pytest.param(apply_in_part, "distribution", checks.WHOLE),
     pytest.param(report_all_in_force, "reports", checks.IN_FORCE),
-    pytest.param(count_any_word_as_current, "reports", checks.IN_EFFECT),
+    pytest.param(count_any_word_as_current, "reports", checks.IN_FORCE),
+    pytest.param(take_and_count_any_word, "reports", checks.IN_EFFECT),
+    pytest.param(confirm_what_is_behind, "reports", timeliness.CONFIRMED),
+    pytest.param(count_the_way_as_fresh, "distribution", timeliness.CONFIRMED),
     pytest.param(report_nothing, "reports", run.REPORTED),
     pytest.param(promote_without_waiting, "reports", rotation_check.KEY_IS_KNOWN),
     pytest.param(refuse_although_stale, "silent-verifiers", rotation_check.NOBODY_REFUSED),
