A configuration that nobody confirmed within the bound refuses nobody for good

Cause: 404, 403 and 413 were said by whatever configuration was held, however long ago it was confirmed; only an unknown key asked, with a figure of its own (6 s). Now one bound, the time in which a change comes into force, but for a key no more than 6 s; past it the caller is told to come again after 500 ms. What an old configuration allows is still served: with no quorum anywhere that is better for callers. The bound comes from the deployment.

--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -487,7 +487,7 @@
         failed = (
             Unknown(STATUS_BODY_TOO_LARGE, reason)
             if begun
-            else NotRun(STATUS_BODY_TOO_LARGE, reason)
+            else self._calls.as_confirmed(NotRun(STATUS_BODY_TOO_LARGE, reason))
         )
         self._fail(worse(self._earlier, failed))
 
--- a/src/peppershore/process/node/data/call_entry.py
+++ b/src/peppershore/process/node/data/call_entry.py
@@ -18,6 +18,7 @@
 from peppershore.request.caller_rate import CallerRates
 from peppershore.request.classification import CallPlan, classify, first_in_line
 from peppershore.request.client_retries import UsualDeadlines
+from peppershore.request.confirmation import RefusalBound
 from peppershore.request.outcome import (
     AUTHORIZATION_HEADER,
     STATUS_TOO_MANY_REQUESTS,
@@ -82,6 +83,8 @@
             }
         )
         self._freshness = freshness
+        apply_seconds = settings.apply_milliseconds / MILLISECONDS
+        self._bound = RefusalBound(min(apply_seconds, REFUSAL_FRESHNESS_SECONDS))
         self._backend_host = settings.backend.rpartition(":")[0]
         self._audience = AudienceCheck()
         self._voucher = Voucher(settings.service)
@@ -103,6 +106,20 @@
 
         ``running``: what the own back end runs, whose calls go first.
         """
+        judged = self._judge(configuration, head, now, running)
+        return judged.alt(lambda refusal: self.confirmed(refusal, now))
+
+    def confirmed(self, refusal: NotRun, now: float) -> NotRun:
+        """Give a refusal as it may be said by a configuration of this age."""
+        return self._bound.judged(refusal, self._freshness.age_seconds(now))
+
+    def _judge(
+        self,
+        configuration: ActiveConfiguration | None,
+        head: RequestHead,
+        now: float,
+        running: RunningCalls,
+    ) -> Result[EntryPlan, NotRun]:
         classified = classify(configuration, head, now, self._random, self._names)
         if isinstance(classified, Failure) or configuration is None:
             return classified.map(lambda plan: EntryPlan(plan, Caller("")))
@@ -160,7 +177,7 @@
             configuration.secrets,
             authorization,
             time.time(),
-            is_confirmed=self._freshness.age_seconds(now) <= REFUSAL_FRESHNESS_SECONDS,
+            is_confirmed=self._bound.allows(self._freshness.age_seconds(now)),
         )
 
     def _vouch(
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -255,6 +255,10 @@
         planned = self._entry.plan(self.configuration, head, now, running)
         return planned.bind(lambda entry: self._in_time(entry, now)).map(self._drawn)
 
+    def as_confirmed(self, refusal: NotRun) -> NotRun:
+        """Give a refusal as the configuration's age allows it."""
+        return self._entry.confirmed(refusal, self.loop.time())
+
     def _drawn(self, entry: EntryPlan) -> EntryPlan:
         """Draw the version of the target's software, where one is rolled out."""
         admission = self._admission(entry.plan.target)
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -107,6 +107,7 @@
 reconnect_milliseconds = 4000      # longest wait before another relay is tried
 silence_milliseconds = 4000        # a relay that says nothing for so long is left
 stale_milliseconds = 6000          # a relay not confirmed for so long is left
+apply_milliseconds = 5000.0        # changes are in force by then
 take_over = false                  # listen beside a node that is about to stop
 forward_unclaimed_keys = false     # without claims: send keyed calls on all the same
 log_level = "info"                 # debug, info, warning or error
--- a/src/peppershore/request/audience.py
+++ b/src/peppershore/request/audience.py
@@ -14,7 +14,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from peppershore.request.outcome import STATUS_FORBIDDEN, STATUS_UNAVAILABLE, NotRun
+from peppershore.request.confirmation import NOT_CONFIRMED
+from peppershore.request.outcome import STATUS_FORBIDDEN, NotRun
 from peppershore.version.model import RouteSettings, SecretResource
 
 ALGORITHM = "HS256"
@@ -29,8 +30,6 @@
 signers use by now, so it can't tell a bad token from one it does not know.  Shorter
 than every time after which a rotation counts a silent node no more."""
 
-STALE_RETRY_AFTER_MILLISECONDS = 100
-
 
 class Caller(msgspec.Struct, frozen=True):
     """Who calls: ``name`` is the token's subject, empty for the public."""
@@ -76,7 +75,7 @@
             return _refused("token-missing")
         verified = self._verify(secret, authorization[len(BEARER) :], now_unix)
         if verified is None:
-            return _refused("token-invalid") if is_confirmed else _not_judged()
+            return _refused("token-invalid") if is_confirmed else Failure(NOT_CONFIRMED)
         if verified.caller.audience not in route.audience:
             return _refused("audience-refused")
         return Success(verified.caller)
@@ -164,10 +163,5 @@
     )
 
 
-def _not_judged() -> Result[Caller, NotRun]:
-    advice = STALE_RETRY_AFTER_MILLISECONDS
-    return Failure(NotRun(STATUS_UNAVAILABLE, "configuration-not-confirmed", advice))
-
-
 def _refused(reason: str) -> Result[Caller, NotRun]:
     return Failure(NotRun(STATUS_FORBIDDEN, reason))
