Test, failing: a node ahead of its relay is never judged again

Cause by the trace: its relay had restarted, the node's version was above the relay's, so it counted as current; the relay then loaded a whole tree in which the node's scope was as the relay last knew it, so the node was not among those affected.

--- a/tests/relay/test_relay_crossing.py
+++ b/tests/relay/test_relay_crossing.py
@@ -177,3 +177,25 @@
     relay.site.relays[RELAY].exchange.changed["x"] = as_gone(ENDPOINT)
     relay.site.network.run(4.0)
     assert relay.site.replica.reports[RELAY].in_force == first
+
+
+def test_a_node_ahead_of_its_relay_is_judged_anew_once_the_relay_catches_up() -> None:
+    """Seen in a simulated run: a node kept version 965 and was told that it is right.
+
+    It held what a newer relay had given it; its own relay, long behind, loaded a whole
+    tree in which the scope was again as this relay last knew it, so nothing seemed to
+    have changed for that node.
+    """
+    relay = OneSession()
+    first, digest = relay.first_version, relay.first_digest
+    relay.hello(first + 1, digest ^ 1)
+    assert relay.sent(UpdateOffered) == []
+    relay.site.replica.loses_edits = True
+    relay.site.edit(timeout_change("kassa", "pay", OTHER_MILLISECONDS))
+    relay.site.edit(timeout_change("kassa", "pay", BASE_MILLISECONDS))
+    relay.site.replica.forgets_log = True
+    relay.site.network.kill("replica")
+    relay.site.network.start("replica", relay.site.replica)
+    relay.site.network.run(5.0)
+    assert relay.version == first + 2
+    assert relay.offered_versions() == [first + 2]
