--- a/tests/relay/test_relay_crossing.py
+++ b/tests/relay/test_relay_crossing.py
@@ -180,22 +180,23 @@
 
 
 def test_a_node_ahead_of_its_relay_is_judged_anew_once_the_relay_catches_up() -> None:
-    """Seen in a simulated run: a node kept version 965 and was told that it is right.
+    """Seen in a simulated run: a node kept version 965 and was told that 1079 is in effect.
 
-    It held what a newer relay had given it; its own relay, long behind, loaded a whole
-    tree in which the scope was again as this relay last knew it, so nothing seemed to
-    have changed for that node.
+    It held what another relay had given it; its own, far behind, counted it as current
+    for being ahead, and then loaded a whole tree in which the scope was again as this
+    relay last knew it, so nothing seemed to have changed for that node.
     """
     relay = OneSession()
-    first, digest = relay.first_version, relay.first_digest
-    relay.hello(first + 1, digest ^ 1)
-    assert relay.sent(UpdateOffered) == []
+    held, digest = relay.first_version, relay.first_digest
+    relay.hello(held, digest)
     relay.site.replica.loses_edits = True
-    relay.site.edit(timeout_change("kassa", "pay", OTHER_MILLISECONDS))
-    relay.site.edit(timeout_change("kassa", "pay", BASE_MILLISECONDS))
+    relay.edit(OTHER_MILLISECONDS)
+    relay.give(UpdateApplied(held + 1, digest ^ 1))
+    relay.edit(BASE_MILLISECONDS)
+    assert relay.version == held
     relay.site.replica.forgets_log = True
     relay.site.network.kill("replica")
     relay.site.network.start("replica", relay.site.replica)
-    relay.site.network.run(5.0)
-    assert relay.version == first + 2
-    assert relay.offered_versions() == [first + 2]
+    relay.site.network.run(3.0)
+    assert relay.version == held + 2
+    assert relay.offered_versions() == [held + 2]
