A node that was ahead of its relay is judged anew when the tree changes

Cause: a version above the relay's own made a node count as current, and only scopes whose content differs from what the relay last knew were looked at again. A scope that changed and changed back, loaded as a whole tree, left the node with what was between, told that it is in effect, until the scope's next change. Class: what was not judged counts as good.

--- a/src/peppershore/process/relay/distribution.py
+++ b/src/peppershore/process/relay/distribution.py
@@ -50,6 +50,8 @@
         self._catalog = catalog
         self._holds = holds
         self._fanout = fanout
+        self._ahead: dict[LinkId, NodeSession] = {}
+        """Those that hold a later version than this relay, from another one."""
         self._idle_scopes: dict[Scope, float] = {}
         self._by_node: dict[str, NodeSession] = {}
         self._version: Version = 0
@@ -59,15 +61,21 @@
         """Version of the tree that is distributed."""
         return self._version
 
-    def tree_changed(self, version: Version, affected: Iterable[Scope]) -> None:
-        """Note a new tree version and which scopes differ from before.
+    def tree_changed(self, version: Version, affected: Iterable[Scope]) -> frozenset[Scope]:
+        """Note a new tree version; give the scopes that may need an update.
 
-        Edits may have come together: what a scope lacks may be any since the last.
+        Edits may have come together: what a scope lacks may be any since the last.  A
+        scope that is as this relay last knew it may have changed and changed back: a
+        node that was ahead may hold what was between.
         """
         for scope in affected:
             for session in self.sessions_of(scope):
                 self._mark_behind(session, self._version + 1)
+        ahead = list(self._ahead.values())
+        for session in ahead:
+            self._mark_behind(session, self._version + 1)
         self._version = version
+        return frozenset(affected).union(session.scope for session in ahead)
 
     def sessions_of(self, scope: Scope) -> tuple[NodeSession, ...]:
         """The sessions of one scope."""
@@ -95,6 +103,7 @@
         if session is None:
             return None
         self.behind.pop(link, None)
+        self._ahead.pop(link, None)
         self.unconfirmed.pop(link, None)
         if self._by_node.get(session.node) is session:
             del self._by_node[session.node]
@@ -270,7 +279,10 @@
         if session.behind_since == 0:
             session.behind_since = version
         self.behind[session.link] = session
+        self._ahead.pop(session.link, None)
 
     def _mark_current(self, session: NodeSession) -> None:
         session.behind_since = 0
         self.behind.pop(session.link, None)
+        if session.version > self._version:
+            self._ahead[session.link] = session
--- a/src/peppershore/process/relay/rollout.py
+++ b/src/peppershore/process/relay/rollout.py
@@ -30,8 +30,7 @@
 
     def tree_changed(self, change: TreeChange, now: float) -> list[Command]:
         """Note a change; nothing is sent before ``flush``."""
-        self._distributor.tree_changed(change.version, change.affected)
-        self._unsent |= change.affected
+        self._unsent |= self._distributor.tree_changed(change.version, change.affected)
         out: list[Command] = []
         for held in self._holds.changed(sorted(change.affected), now):
             scope, first = held.scope, held.awaited[0]
--- a/tests/simulator/test_kept_seeds.py
+++ b/tests/simulator/test_kept_seeds.py
@@ -13,6 +13,7 @@
     ("control", 122, "edits taken in one step counted from the last one on"),
     ("losses", 1012, "the same, while a scope was held"),
     ("five", 1042, "the simulated disk took a later write after a refused one"),
+    ("silent-verifiers", 5036, "a node ahead of its relay counted as current for good"),
     ("reports", 36, "the check passed over what a later version went back to"),
 )
 
