--- a/tests/simulator/test_relays_without_quorum.py
+++ b/tests/simulator/test_relays_without_quorum.py
@@ -101,3 +101,16 @@
     cluster = calm_cluster(seed)
     cut_hubs(cluster, {1 + seed % 5})
     look_on(cluster, CUT_SECONDS)
+
+
+@pytest.mark.parametrize("seed", range(31, 41))
+def test_a_fresh_relay_that_cannot_be_reached_beside_it_costs_no_more_than_the_bound(
+    seed: int,
+) -> None:
+    cluster = calm_cluster(seed)
+    for node in cluster.nodes:
+        cluster.network.cut(node.name, "r1")
+        cluster.network.cut("r1", node.name)
+    cluster.scheduler.run_until(cluster.scheduler.now + CALM_SECONDS)
+    cut_hubs(cluster, {2, 4})
+    look_on(cluster, CUT_SECONDS)
