A relay answers a hello at once, ahead of an update, and is waited for longer each round

Cause, found by reading the change again: since relays that are tried get half a second to answer, one whose answer is a whole configuration (100 KB are 0.8 s at 1 Mbit/s) would have been left before it came, and the patience never grew, as an open link reset it. Both tests fail before (2 of 2).

--- a/src/peppershore/process/node/relay_sessions.py
+++ b/src/peppershore/process/node/relay_sessions.py
@@ -37,15 +37,18 @@
 WATCH_TIMER = "relay.watch"
 
 WATCH_SECONDS = 0.25
+"""How often relays are looked at."""
 WATCH_WITHOUT_RELAY_SECONDS = 0.1
+"""The same while there is no relay, or only a stale one."""
 OPENING_SECONDS = 1.0
 """A link that is not open by then is given up: its machine may be cut off."""
 FIRST_OPENING_SECONDS = 0.2
 """The same while there is no relay at all, or only a stale one: another may be there at
 once.  It doubles with each link given up in a row, for relays that are far away."""
-FIRST_ANSWER_SECONDS = 0.5
-"""A relay that is tried while there is no other of use answers by then: it may send a
-whole configuration over a link of few megabits."""
+ANSWER_SHARE = 2.5
+"""A relay that is tried while there is no other of use answers within so many times what
+a link may take to open: half a second at first.  Its answer is short but may wait behind
+bodies on a full link, so each in vain doubles it, up to two seconds and a half."""
 STALE_SHARE = 0.6
 """Part of the time in which changes come into force after which a relay counts as stale.
 With both relays of a zone without quorum and a bound of 2 s (simulator, 8 seeds) a node
@@ -143,7 +146,6 @@
     def opened(self, session: RelaySession, now: float) -> list[Command]:
         """Say hello on a link that is open now."""
         session.is_open = True
-        self._quick_opening_seconds = FIRST_OPENING_SECONDS
         session.opened_at = now
         session.last_heard = now
         return [SendMessage(session.link, self._make_hello())]
@@ -200,6 +202,7 @@
                 return self._reject(session, reason, now)
         self.active = session
         self.candidate = None
+        self._quick_opening_seconds = FIRST_OPENING_SECONDS
         self._choice.succeeded(session.relay.name)
         out: list[Command] = [Report(notices.RelayChosen(session.relay.name))]
         if old is not None:
@@ -309,11 +312,9 @@
 
     def _until_next_watch(self, now: float) -> float:
         """Give the seconds to the next look: at the latest when a relay grows stale."""
-        if self.active is None:
+        if self.active is None or self._is_stale(self.active, now):
             return WATCH_WITHOUT_RELAY_SECONDS
         fresh_for = self.active.confirmed_at + self._stale_seconds - now
-        if fresh_for < 0.0:
-            return WATCH_SECONDS
         return min(WATCH_SECONDS, fresh_for + ROUNDING_SECONDS)
 
     def _is_silent(self, session: RelaySession, now: float) -> bool:
@@ -327,9 +328,8 @@
         """Give how long a link may take to open, or a relay to answer the hello."""
         if self.active is not None and not self._is_stale(self.active, now):
             return self._silence_seconds if session.is_open else OPENING_SECONDS
-        if session.is_open:
-            return max(FIRST_ANSWER_SECONDS, self._quick_opening_seconds)
-        return self._quick_opening_seconds
+        share = ANSWER_SHARE if session.is_open else 1.0
+        return share * self._quick_opening_seconds
 
     def _is_stale(self, session: RelaySession, now: float) -> bool:
         """Tell whether the relay's version was confirmed too long ago."""
--- a/src/peppershore/process/relay/node_service.py
+++ b/src/peppershore/process/relay/node_service.py
@@ -194,6 +194,9 @@
     # --- hello -----------------------------------------------------------------
 
     def _welcome(self, link: LinkId, hello: NodeHello, now: float) -> list[Command]:
+        """Answer at once: a whole configuration takes a second on a link of 1 Mbit/s,
+        and a node leaves a relay that says nothing for half of that.
+        """
         session = _session(link, hello, now)
         self._distributor.add(session)
         self._departures.came_back(hello.node)
@@ -204,10 +207,10 @@
             out.append(SendMessage(link, self._listed()))
         if session.needs_confirmation:
             out += self._source.ask_confirmation(now)
-        out += self.offer((session,))
-        if not session.answered:
+        answer = self.offer((session,))
+        if session.outstanding_version or not session.answered:
             out += self.heartbeats.tell([session], self._source.confirmed_at)
-        return out
+        return out + answer
 
     def _listed(self) -> RelaysListed:
         settings = self._settings
--- a/tests/node/test_node_core.py
+++ b/tests/node/test_node_core.py
@@ -37,6 +37,8 @@
 from peppershore.version.tree import apply_edit, empty_tree
 
 SCOPE = Scope("kassa", "pasila")
+LONGEST_ANSWER_SECONDS = 1.6
+"""What waits on a full link of 1 Mbit/s: 200 KB."""
 START_MILLISECONDS = 100_000
 """What the node's clock shows at its start."""
 CommandType = TypeVar("CommandType", bound=Command)
@@ -395,6 +397,17 @@
     assert 0.9 <= given[-1] <= 1.5
 
 
+def test_relays_whose_answers_wait_on_a_full_link_are_given_more_time_each_round() -> None:
+    bench = without_relay()
+    given: list[float] = []
+    for _ in range(4):
+        bench.open_candidate()
+        given.append(watch_until_given_up(bench))
+        bench.give(events.TimerFired(CONNECT_TIMER))
+    assert given[0] <= 0.7
+    assert given[-1] >= LONGEST_ANSWER_SECONDS
+
+
 def test_with_a_relay_in_use_another_is_given_its_full_time() -> None:
     bench = Bench()
     bench.receive(offer(1))
--- a/tests/relay/test_relay_crossing.py
+++ b/tests/relay/test_relay_crossing.py
@@ -200,3 +200,14 @@
     relay.site.network.run(3.0)
     assert relay.version == held + 2
     assert relay.offered_versions() == [held + 2]
+
+
+def test_a_hello_is_answered_at_once_ahead_of_an_update() -> None:
+    """The update may take a second on a narrow link; a silent relay would be left."""
+    relay = OneSession()
+    first, digest = relay.first_version, relay.first_digest
+    relay.edit(OTHER_MILLISECONDS)
+    relay.hello(first, digest)
+    sent = relay.site.network.processes[RELAY].sent
+    kinds = [type(each) for each in sent if isinstance(each, Freshness | UpdateOffered)]
+    assert kinds[-2:] == [Freshness, UpdateOffered]
--- a/tests/relay/test_relay_herd.py
+++ b/tests/relay/test_relay_herd.py
@@ -10,7 +10,12 @@
 
 from peppershore.connection.codec import decode_message
 from peppershore.connection.messages.base import Message
-from peppershore.connection.messages.node import Current, NodeHello, UpdateOffered
+from peppershore.connection.messages.node import (
+    Current,
+    Freshness,
+    NodeHello,
+    UpdateOffered,
+)
 from peppershore.connection.messages.relay import (
     CommittedEdit,
     ConfirmReply,
@@ -123,7 +128,8 @@
     relay = LoneRelay(hellos_per_second=4 * NODES)
     answers = messages(relay.herd(1, relay.first_digests))
     kinds = Counter(type(each) for each in answers)
-    assert kinds == {UpdateOffered: NODES // 2, Current: NODES // 2}
+    behind = NODES // 2
+    assert kinds == {Freshness: behind, UpdateOffered: behind, Current: NODES - behind}
     updates = relay.core.distributor.packed_updates
     assert updates.packed_count == 1
     assert updates.held_bytes < 1_000
