Heartbeats and confirmations of a hub follow from the bound on changes too

Cause: a deployment with a shorter bound than 2 s would have had nodes look for a fresher relay before the next heartbeat: 0.5 s was a figure of the template. Now a quarter of the bound at the most, asked twice in that time. At 2 s and above nothing differs.

--- a/src/peppershore/process/hub/plan.py
+++ b/src/peppershore/process/hub/plan.py
@@ -16,6 +16,12 @@
     RelaySettings,
 )
 
+HEARTBEAT_SHARE = 0.25
+"""Part of the time in which changes come into force between two heartbeats to a node: it
+looks for another relay after three fifths, and must have heard of a confirmation twice."""
+LEAST_HEARTBEAT_MILLISECONDS = 20
+"""The least that a relay's settings allow."""
+
 
 class HubPlan(msgspec.Struct, frozen=True):
     """The settings of the two parts of a hub."""
@@ -58,7 +64,7 @@
         listen=relay_address,
         replicas=(PeerReplica(name=address, address=address),),
         relays=(),
-        freshness_milliseconds=settings.freshness_milliseconds,
+        freshness_milliseconds=_heartbeat_milliseconds(settings),
         stale_after_milliseconds=settings.stale_after_milliseconds,
         hold_milliseconds=0,
         lists_relays=True,
@@ -67,6 +73,12 @@
     return HubPlan(control, relay)
 
 
+def _heartbeat_milliseconds(settings: HubSettings) -> int:
+    """Give the time between heartbeats: no longer than the bound on changes bears."""
+    most = int(HEARTBEAT_SHARE * settings.apply_milliseconds)
+    return min(settings.freshness_milliseconds, max(LEAST_HEARTBEAT_MILLISECONDS, most))
+
+
 def relay_name(replica_address: str, settings: HubSettings) -> str:
     """Give the address of the relay beside a replica, which is its name too."""
     host = replica_address.rpartition(":")[0]
--- a/src/peppershore/process/relay/source.py
+++ b/src/peppershore/process/relay/source.py
@@ -34,9 +34,9 @@
 RECONNECT_TIMER = "source.reconnect"
 
 CONFIRM_SECONDS = 0.25
-"""How often a relay asks: with a heartbeat each half second a node's confirmation is
-then 0.75 s old at the most while all is well, which is half of when it looks for another
-relay at a bound of 2 s."""
+"""How often a relay asks, and at least twice between two heartbeats: with a heartbeat each
+half second a node's confirmation is then 0.75 s old at the most while all is well, and it
+looks for another relay at 1.2 s, where the bound on changes is 2 s."""
 UNCONFIRMED_SECONDS = 0.1
 """How often a relay asks whose newest confirmation is missing or late: a replica that
 knows no leader yet may know one a moment later."""
@@ -62,6 +62,8 @@
         self.is_open = False
         self.confirmed_at: float | None = None
         self._settings = settings
+        heartbeat_seconds = settings.freshness_milliseconds / 1_000
+        self._confirm_seconds = min(CONFIRM_SECONDS, 0.5 * heartbeat_seconds)
         self._numbers = numbers
         self._randomness = Randomness(0)
         self._next_replica = 0
@@ -182,7 +184,8 @@
         """Give the seconds until a confirmation is asked for again."""
         confirmed_at = self.confirmed_at
         late = confirmed_at is None or now - confirmed_at > LATE_SECONDS
-        return UNCONFIRMED_SECONDS if late else CONFIRM_SECONDS
+        usual = self._confirm_seconds
+        return min(UNCONFIRMED_SECONDS, usual) if late else usual
 
     def _connect(self, now: float) -> list[Command]:
         replicas = self._settings.replicas
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -103,6 +103,20 @@
     assert control.apply_milliseconds == 1_500.5
 
 
+@pytest.mark.parametrize(
+    ("apply", "heartbeat"), [("2000", 500), ("800", 200), ("9000", 500), ("20", 20)]
+)
+def test_heartbeats_come_often_enough_for_the_bound_on_changes(
+    apply: str, heartbeat: int
+) -> None:
+    values = FILLED | {"bounds": FILLED["bounds"] | {"configurationApplyMs": apply}}
+    hub = parse_settings(HubSettings, filled("hub", values), {}).unwrap()
+    assert plan_hub(hub).relay.freshness_milliseconds == heartbeat
+    node = parse_settings(NodeSettings, filled("node", values), {}).unwrap()
+    assert node.apply_milliseconds == float(apply)
+    assert node.stale_milliseconds == 0, "derived from the bound"
+
+
 def test_hub_and_nodes_meet_at_the_same_port() -> None:
     hub = parse_settings(HubSettings, filled("hub", FILLED), {}).unwrap()
     node = parse_settings(NodeSettings, filled("node", FILLED), {}).unwrap()
