Calls no longer know the call: admissions and repeats are modules of their own

Cause: call and calls named each other's types, and calls.py (580 lines) held the admissions of all services, the retry budgets and the log as well; decisions on tenants, links and pace would have gone into it. Moved without a change of behaviour: service_admissions.py (290 lines: who gets a back end, who waits), call_repeats.py (92: budgets and the pace of callers' retries); calls.py is left with 321 lines and knows a call by a protocol of one method.

--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 
 import msgspec
 from returns.result import Failure, Result
@@ -18,6 +17,7 @@
 from peppershore.process.node.data.answer_relay import AnswerRelay
 from peppershore.process.node.data.attempt import Attempt, AttemptRequest
 from peppershore.process.node.data.call_story import StoryBook
+from peppershore.process.node.data.calls import Calls
 from peppershore.process.node.data.request_body import (
     STREAMED_REPLAY_BYTES,
     RequestBody,
@@ -58,9 +58,6 @@
 )
 from peppershore.request.waiting import Ticket
 
-if TYPE_CHECKING:
-    from peppershore.process.node.data.calls import Calls
-
 VERDICT_SECONDS = 0.025
 """For so long after its deadline a call may wait for the word of the back end's
 own node on whether it ran; after that its outcome is unknown."""
@@ -223,7 +220,7 @@
     def answer_head(self, head: AnswerHead) -> None:
         """The answer begins."""
         if self._seeks:
-            self._calls.asked_for_slot(self.plan, was_granted=True)
+            self._calls.admissions.asked_for_slot(self.plan, was_granted=True)
         self._answer.head(head)
 
     def answer_data(self, data: bytes) -> None:
@@ -252,7 +249,7 @@
     def attempt_failed(self, failed: Failed) -> None:
         """Try again where that is safe and within budget, else tell the caller."""
         if failed.reason == BUSY and self._seeks:
-            self._calls.asked_for_slot(self.plan, was_granted=False)
+            self._calls.admissions.asked_for_slot(self.plan, was_granted=False)
         if self._tries_again_after(failed, verdict_of_failure(failed)):
             return
         self._leave_attempt(failed, verdict_of_failure(failed))
@@ -274,8 +271,10 @@
         self._ticket = None
         self._dispatch = dispatch
         if self._progress.tries == 0:
-            self._calls.first_attempt(self.plan)
-        may_wait = self._progress.may_wait or self._calls.waits_at_once(self.plan)
+            self._calls.repeats.first_attempt(self.plan, self._loop.time())
+        may_wait = self._progress.may_wait or self._calls.admissions.waits_at_once(
+            self.plan
+        )
         self._progress = msgspec.structs.replace(
             self._progress,
             tries=self._progress.tries + 1,
@@ -284,7 +283,7 @@
         )
         self._began_at = self._loop.time()
         request = self._request()
-        seen = self._calls.choice_seen(dispatch, self.plan, request.may_wait)
+        seen = self._calls.admissions.choice_seen(dispatch, self.plan, request.may_wait)
         self._story.note_choice(self._began_at, dispatch.endpoint.node, seen)
         attempt = self._calls.new_attempt(dispatch, self.plan, request, self)
         self._attempt = attempt
@@ -301,7 +300,8 @@
             deadline=plan.deadline,
             service=plan.target,
             priority=plan.priority,
-            may_wait=self._progress.may_wait or not self._calls.looks_for_free_slots,
+            may_wait=self._progress.may_wait
+            or not self._calls.admissions.looks_for_free_slots,
             start_by=plan.start_by,
             is_client_retry=plan.is_client_retry,
             route=plan.route,
@@ -362,11 +362,11 @@
         if refusal is not None:
             self._fail(worse(self._earlier, refusal))
             return
-        ticket = self._calls.ticket(
+        ticket = self._calls.admissions.ticket(
             self.plan, self._excluded, self._progress.tries_another_zone
         )
         self._ticket = ticket
-        decision = self._calls.offer(ticket, self.plan, self)
+        decision = self._calls.admissions.offer(ticket, self.plan, self)
         if isinstance(decision, Waiting):
             self._story.note(self._loop.time(), "queued")
         if isinstance(decision, Dispatch):
@@ -383,7 +383,7 @@
         step = next_step(self._progress, failed, self._terms(failed.reason == BUSY))
         if isinstance(step, GiveUp):
             return False
-        delay = self._calls.retry_delay(
+        delay = self._calls.repeats.delay(
             self.plan, self._progress.offers, self._loop.time(), step.costs_budget
         )
         if delay is None:
@@ -402,7 +402,7 @@
     def _tries_another_after(self, failed: Failed, verdict: Verdict | None) -> bool:
         """Leave a whole answer for another back end's, if there is another one."""
         tried = self._excluded | self._own_try
-        if not self._calls.has_back_end_besides(self.plan, tried):
+        if not self._calls.admissions.has_back_end_besides(self.plan, tried):
             return False
         return self._tries_again_after(failed, verdict)
 
@@ -411,7 +411,9 @@
         return AttemptTerms(
             repeatable=self.plan.repeatable,
             most_offers=self.plan.settings.retry_attempts + 1,
-            has_other=self._calls.has_back_end_besides(self.plan, tried, for_free_slot),
+            has_other=self._calls.admissions.has_back_end_besides(
+                self.plan, tried, for_free_slot
+            ),
             replayable=self._body.replayable,
             known_ends=self._calls.quarantine.ends(self._body.fingerprint),
         )
@@ -419,7 +421,7 @@
     @property
     def _seeks(self) -> bool:
         """Whether the attempt under way asks for a slot that is free now."""
-        return self._calls.looks_for_free_slots and not self._progress.may_wait
+        return self._calls.admissions.looks_for_free_slots and not self._progress.may_wait
 
     @property
     def _own_try(self) -> frozenset[str]:
@@ -494,7 +496,8 @@
     def _fail(self, failed: Failed) -> None:
         self._over = True
         if isinstance(failed, NotRun) and self._plan is not None:
-            failed = self._calls.with_paced_retry_after(self._plan, failed)
+            now = self._loop.time()
+            failed = self._calls.repeats.with_paced_retry_after(self._plan, failed, now)
         self._answer.fail(failed)
         if self._claim and isinstance(failed, NotRun):
             self._calls.claims.release(self._claim, self._claim_attempt)
@@ -518,7 +521,7 @@
         if self._retry is not None:
             self._retry.cancel()
         if self._ticket is not None:
-            self._calls.withdraw(self._ticket, self.plan)
+            self._calls.admissions.withdraw(self._ticket, self.plan)
             self._ticket = None
         self._free_slot(verdict)
         self._calls.over(self)
@@ -528,4 +531,4 @@
         self._dispatch = None
         if dispatch is not None:
             latency = self._loop.time() - self._began_at
-            self._calls.slot_freed(dispatch, self.plan, latency, verdict)
+            self._calls.admissions.slot_freed(dispatch, self.plan, latency, verdict)
--- /dev/null
+++ b/src/peppershore/process/node/data/call_repeats.py
@@ -0,0 +1,92 @@
+"""How often the calls of a node may be tried again, and when their callers come back."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Callable
+
+import msgspec
+
+from peppershore.process.commands import Notice
+from peppershore.process.node.data import notices
+from peppershore.request.classification import CallPlan
+from peppershore.request.client_retries import ClientRetryPace
+from peppershore.request.outcome import LOAD_REASONS, NotRun
+from peppershore.request.picker import RandomSource
+from peppershore.request.retry_budget import RetryBudget, retry_delay
+from peppershore.request.shared_retries import RetryBound, SharedRetryBudget
+
+MILLISECONDS = 1_000
+
+
+class CallRepeats:
+    """Retry budgets and the pace of callers' retries, by target service."""
+
+    def __init__(
+        self,
+        bound: RetryBound | None,
+        notice_sink: Callable[[Notice], None],
+        random: RandomSource,
+    ) -> None:
+        """``bound`` is what all nodes keep together; without it each keeps its own."""
+        self.nodes = 0
+        """Nodes with a back end, which share the bound."""
+        self.count = 0
+        """Attempts after a call's first, since the start."""
+        self._bound = bound
+        self._notice_sink = notice_sink
+        self._random = random
+        self._budgets: defaultdict[str, RetryBudget] = defaultdict(RetryBudget)
+        self._shared_budgets: dict[str, SharedRetryBudget] = {}
+        self._retry_paces: defaultdict[str, ClientRetryPace] = defaultdict(ClientRetryPace)
+
+    def delay(
+        self, plan: CallPlan, offers: int, now: float, costs_budget: bool
+    ) -> float | None:
+        """Give the wait before another attempt, or None if there must be none.
+
+        What no back end saw may be tried elsewhere at once.
+        """
+        delay = retry_delay(offers, self._random) if costs_budget else 0.0
+        if now + delay >= plan.deadline:
+            return None
+        if costs_budget and not self._spend(plan, now):
+            self._notice_sink(notices.RetryBudgetSpent(plan.target))
+            return None
+        self.count += 1
+        return delay
+
+    def first_attempt(self, plan: CallPlan, now: float) -> None:
+        """Let a call's first attempt earn its share of a retry."""
+        if self._bound is None:
+            self._budgets[plan.target].earn(plan.settings.retry_budget_percent)
+        else:
+            self._shared_budget(plan.target, self._bound).called(now)
+
+    def with_paced_retry_after(self, plan: CallPlan, refusal: NotRun, now: float) -> NotRun:
+        """Give a call refused twice for want of slots its place among the retries."""
+        if not plan.is_client_retry or refusal.reason not in LOAD_REASONS:
+            return refusal
+        wait = refusal.retry_after_milliseconds / MILLISECONDS
+        seconds = self._retry_paces[plan.target].book(wait, now)
+        advice = math.ceil(seconds * MILLISECONDS)
+        return msgspec.structs.replace(refusal, retry_after_milliseconds=advice)
+
+    def answered(self, plan: CallPlan, now: float) -> None:
+        """A call was answered: callers may come back at this rate."""
+        self._retry_paces[plan.target].answered(now)
+
+    # --- inside
+
+    def _spend(self, plan: CallPlan, now: float) -> bool:
+        if self._bound is None:
+            return self._budgets[plan.target].spend()
+        return self._shared_budget(plan.target, self._bound).spend(self.nodes, now)
+
+    def _shared_budget(self, service: str, bound: RetryBound) -> SharedRetryBudget:
+        budget = self._shared_budgets.get(service)
+        if budget is None:
+            budget = SharedRetryBudget(bound)
+            self._shared_budgets[service] = budget
+        return budget
--- a/src/peppershore/process/node/data/gauges.py
+++ b/src/peppershore/process/node/data/gauges.py
@@ -14,9 +14,13 @@
     metrics.gauge("calls_not_run", "Calls refused, proven not run.", lambda: counts.not_run)
     metrics.gauge("calls_unknown", "Calls sent, without answer.", lambda: counts.unknown)
     metrics.gauge("calls_abandoned", "Calls whose caller left.", lambda: counts.abandoned)
-    metrics.gauge("call_retries", "Attempts after the first.", lambda: counts.retries)
+    metrics.gauge(
+        "call_retries", "Attempts after the first.", lambda: plane.calls.repeats.count
+    )
     metrics.gauge("calls_in_flight", "Calls not over.", lambda: plane.calls.in_flight)
     metrics.gauge(
-        "calls_waiting", "Calls waiting for a slot here.", lambda: plane.calls.waiting
+        "calls_waiting",
+        "Calls waiting for a slot here.",
+        lambda: plane.calls.admissions.waiting,
     )
     metrics.gauge("slots_lent", "Slots that other nodes may use.", lambda: plane.lent_slots)
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -123,7 +123,7 @@
         self._connections: set[ServerConnection] = set()
         self._listener = HttpListener(lambda: ServerConnection(self))
         self._own = _own_backend(settings, random, self.calls)
-        self.calls.own = self._own
+        self.calls.use_own_back_end(self._own)
         if self._own is not None:
             self._own.crashes.on_ended = self._back_end_ended
         self._call_listener = CallListener(
--- a/tests/data_plane/test_call_stories.py
+++ b/tests/data_plane/test_call_stories.py
@@ -198,7 +198,7 @@
             backend, seek_free_slots=True, log_answered_every=1
         )
         await call(address, headers=WITH_ID)
-        state = edge.plane.calls.state_of("kassa", "k1")
+        state = edge.plane.calls.admissions.state_of("kassa", "k1")
         assert state is not None
         state.passed_over_until = math.inf
         await call(address, headers=WITH_ID)
@@ -223,7 +223,7 @@
             backend, seek_free_slots=True, log_answered_every=1
         )
         await call(address, headers=WITH_ID)
-        seeking = edge.plane.calls._admissions["kassa"].seeking  # noqa: SLF001
+        seeking = edge.plane.calls.admissions._admissions["kassa"].seeking  # noqa: SLF001
         for _ in range(ASKS_IN_VAIN):
             seeking.refused(math.inf)
         await call(address, headers=WITH_ID)
--- a/tests/data_plane/test_quarantined_requests.py
+++ b/tests/data_plane/test_quarantined_requests.py
@@ -167,7 +167,7 @@
         running.end()
         pair.owner.plane.calls.quarantine.began(running)
         assert (await call(pair.callers, MARKED)).status == 503
-        state = pair.edge.plane.calls.state_of("kassa", "k1")
+        state = pair.edge.plane.calls.admissions.state_of("kassa", "k1")
         assert state is not None
         assert state.consecutive_failures == 0
         assert state.passed_over_until == 0.0
--- a/tests/data_plane/test_shed_calls.py
+++ b/tests/data_plane/test_shed_calls.py
@@ -27,7 +27,7 @@
         answers = [await call(address) for _ in range(CALLS)]
         assert {answer.status for answer in answers} == {200}
         assert 1 <= len(busy.requests) <= CALLS // 3
-        assert node.plane.calls.counts.retries == len(busy.requests)
+        assert node.plane.calls.repeats.count == len(busy.requests)
         await node.plane.close()
         busy.stop()
         idle.stop()
