Interfaces of tenants, quotas, large answers and pace: types, messages, settings

Agreed before the parts are built: Tenant and TenantResource, large_answers and keyless of routes, the tenant on a call's way, what an owner tells of pace and link, four messages for grants of quotas, settings. Nothing decides by them yet.

--- a/src/peppershore/connection/codec.py
+++ b/src/peppershore/connection/codec.py
@@ -18,6 +18,7 @@
     endpoints,
     node,
     operators,
+    quotas,
     relay,
     rollouts,
     session,
@@ -32,7 +33,8 @@
 
 
 _MODULES = (
-    session, node, endpoints, relay, rollouts, consensus, operators, claims, calls, crashes
+    session, node, endpoints, relay, rollouts, consensus, operators, claims, calls, crashes,
+    quotas,
 )  # fmt: skip
 
 
--- a/src/peppershore/connection/messages/calls.py
+++ b/src/peppershore/connection/messages/calls.py
@@ -23,12 +23,19 @@
 
     ``work_microseconds``: how long it works on a call of the route that this is told
     for, as a mean over all callers; 0 if that is not known yet.
+    ``pace_percent``: how long work takes at the back end's machine now, 100 as usual, as
+    the back end said ``pace_age_milliseconds`` ago (-1: never).
+    ``link_wait_milliseconds``: for how long one more large answer would wait for the
+    link of the back end's node, and be on its way.
     """
 
     running: int
     waiting: int
     slots: int
     work_microseconds: int = 0
+    pace_percent: int = 100
+    pace_age_milliseconds: int = -1
+    link_wait_milliseconds: int = 0
 
     @property
     def work_seconds(self) -> float:
@@ -56,6 +63,8 @@
     ``body_on_credit``: its body follows only once the receiver has given credit, which
     it does when the back end takes the call; where it ``takes_room``, the receiver takes
     in only a few of those at a time.  ``identity``: see ``request.fingerprint``.
+    ``tenant``: on whose behalf it is made; "" where there are none.  ``answer_is_large``:
+    its answer takes room on the link of the back end's node.
     """
 
     stream: int
@@ -79,6 +88,8 @@
     body_on_credit: bool = False
     identity: bytes = b""
     takes_room: bool = True
+    tenant: str = ""
+    answer_is_large: bool = False
 
 
 class CallBody(Message, frozen=True, tag=142):
--- /dev/null
+++ b/src/peppershore/connection/messages/quotas.py
@@ -0,0 +1,66 @@
+"""Messages by which calls of tenants that have a limit are granted.
+
+Grants go down from the leader to relays and on to nodes, in answer to asks.  What was
+granted and not used ends by itself: a grant counts for a bounded time from the moment at
+which it was asked for, by the clock of whoever asked.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from peppershore.connection.messages.base import Message
+
+
+class TenantAsk(msgspec.Struct, frozen=True, array_like=True):
+    """So many calls of one tenant are wanted."""
+
+    tenant: str
+    calls: int
+
+
+class TenantGrant(msgspec.Struct, frozen=True, array_like=True):
+    """So many calls of one tenant may be made.
+
+    ``wait_milliseconds``: where fewer were granted than asked for, the limit gives one
+    more after so long; 0 where nothing is missing.
+    """
+
+    tenant: str
+    calls: int
+    wait_milliseconds: int = 0
+
+
+class QuotaAsked(Message, frozen=True, tag=170):
+    """A node asks its relay, or a relay the group; ``number`` grows on a link."""
+
+    number: int
+    asks: tuple[TenantAsk, ...]
+
+
+class QuotaGranted(Message, frozen=True, tag=171):
+    """The answer to the ask of that number.
+
+    The grants end ``lease_milliseconds`` after that ask was sent.  ``is_known`` is false
+    where nobody can prove a turn to grant: nothing is granted then.
+    """
+
+    number: int
+    grants: tuple[TenantGrant, ...]
+    lease_milliseconds: int
+    is_known: bool = True
+
+
+class QuotaForwarded(Message, frozen=True, tag=172):
+    """A replica passes an ask of a relay that follows it on to the leader."""
+
+    relay: str
+    number: int
+    asks: tuple[TenantAsk, ...]
+
+
+class QuotaReturned(Message, frozen=True, tag=173):
+    """The leader's answer to a forwarded ask, for that relay."""
+
+    relay: str
+    granted: QuotaGranted
--- a/src/peppershore/process/node/data/attempt.py
+++ b/src/peppershore/process/node/data/attempt.py
@@ -89,7 +89,8 @@
     ``body_on_credit``: another node is sent the body only when its back end takes the
     call, so that a refusal costs no bytes; where it ``takes_room`` it may be large, and
     the back end's own node takes in only a few of those at a time.  ``fingerprint`` grows
-    with the body.
+    with the body.  ``tenant``: on whose behalf, "" where there are none;
+    ``answer_is_large``: it takes room on the link of the back end's node.
     """
 
     head: RequestHead
@@ -106,4 +107,6 @@
     route: str = ""
     body_on_credit: bool = False
     takes_room: bool = True
+    tenant: str = ""
+    answer_is_large: bool = False
     fingerprint: Fingerprint = msgspec.field(default_factory=Fingerprint)
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -307,6 +307,8 @@
             route=plan.route,
             body_on_credit=self._body_waits_for_credit,
             takes_room=plan.settings.streamed_bodies,
+            tenant=plan.tenant,
+            answer_is_large=plan.settings.large_answers,
             fingerprint=self._body.fingerprint,
         )
 
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -246,6 +246,8 @@
                 body_on_credit=request.body_on_credit,
                 identity=request.fingerprint.identity,
                 takes_room=request.takes_room,
+                tenant=request.tenant,
+                answer_is_large=request.answer_is_large,
             )
         )
         if not self._started:
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -254,6 +254,7 @@
             start_by=request.start_by,
             is_client_retry=request.is_client_retry,
             route=request.route,
+            tenant=request.tenant,
         )
         decision = self.admission.offer(ticket, now)
         if isinstance(decision, NotRun):
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -302,6 +302,8 @@
         route=started.route,
         body_on_credit=started.body_on_credit,
         takes_room=started.takes_room,
+        tenant=started.tenant,
+        answer_is_large=started.answer_is_large,
         fingerprint=fingerprint,
     )
 
--- a/src/peppershore/process/node/data/service_admissions.py
+++ b/src/peppershore/process/node/data/service_admissions.py
@@ -148,6 +148,7 @@
             crossing_seconds=plan.crossing_seconds,
             prefers_far=tries_another_zone and not plan.settings.streamed_bodies,
             lane=plan.lane,
+            tenant=plan.tenant,
         )
 
     def offer(self, ticket: Ticket, plan: CallPlan, call: WaitingCall) -> Decision:
--- a/src/peppershore/process/node/profile.py
+++ b/src/peppershore/process/node/profile.py
@@ -21,6 +21,7 @@
         not_run=_name(settings.not_run),
         load=_name(settings.load),
         caller=_name(settings.caller),
+        tenant=_name(settings.tenant),
         answers_carry_id=settings.answers_carry_id,
         fractional_retry_after=settings.fractional_retry_after,
         unframed_answers=settings.unframed_answers,
--- /dev/null
+++ b/src/peppershore/process/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of tenants, counted over all nodes."""
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -12,6 +12,13 @@
 # authority = "keys/authority.crt"
 """
 
+_QUOTAS = """
+# [quotas]                         # count limits of tenants over all nodes together
+# window_seconds = 5.0             # in any window (rate x window + burst),
+# overshoot = 0.1                  # so much more of it (0 to 1),
+# slack = 20.0                     # and so many more calls
+"""
+
 _CONTROL = """\
 # A control replica: keeps the accepted changes and serves operators and relays.
 cluster = "refund-network"         # the same in every process of one cluster
@@ -122,6 +129,8 @@
 log_answered_every = 0             # of answered calls each n-th is logged; 0: none
 metrics_listen = ""                # one more address for the admin pages
 seek_free_slots = false            # ask owners for a free slot before waiting for one
+revocation_milliseconds = 5000.0   # a key that was taken away is of no use by then
+fail_closed = false                # true: an older configuration admits nobody by a key
 
 [[relays]]                         # relays to choose from
 name = "relay-1"
@@ -191,10 +200,10 @@
 """
 
 EXAMPLES: dict[str, str] = {
-    "control": _CONTROL + _TLS,
-    "hub": _HUB + _TLS + _RELAY_TLS,
-    "relay": _RELAY + _TLS,
-    "node": _NODE + _TLS,
+    "control": _CONTROL + _QUOTAS + _TLS,
+    "hub": _HUB + _QUOTAS + _TLS + _RELAY_TLS,
+    "relay": _RELAY + _QUOTAS + _TLS,
+    "node": _NODE + _QUOTAS + _TLS,
     "claims": _CLAIMS + _TLS,
     "operator": _OPERATOR + _TLS,
 }
--- /dev/null
+++ b/src/peppershore/request/back_ends/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of back ends: their own word, their pace, their links."""
--- a/src/peppershore/request/classification.py
+++ b/src/peppershore/request/classification.py
@@ -51,6 +51,8 @@
     ``remaining`` is the time its caller gave it, in seconds; ``is_client_retry``: it was
     refused before.  ``crossing_seconds``: so much sooner must another zone answer.
     ``lane``: the version of the target's software that it was drawn for.
+    ``tenant``: on whose behalf it is made, "" where there are none; ``is_counted``: it
+    comes with that tenant's key, so its limit counts it.
     """
 
     service: str
@@ -68,6 +70,8 @@
     is_client_retry: bool = False
     crossing_seconds: float = math.inf
     lane: Lane = "any"
+    tenant: str = ""
+    is_counted: bool = False
 
 
 def classify(
--- a/src/peppershore/request/waiting.py
+++ b/src/peppershore/request/waiting.py
@@ -35,7 +35,8 @@
     ``prefers_far``: back ends near by had no slot, so one of another zone is asked.
     ``route`` tells how long it is likely to run.  A back end of another zone is worth the
     way if it answers so much sooner than one nearby (``crossing_seconds``).  ``lane``
-    tells the version of the service's software that the call was drawn for.
+    tells the version of the service's software that the call was drawn for, ``tenant`` on
+    whose behalf it is made ("" where there are none).
     """
 
     number: int
@@ -51,6 +52,7 @@
     crossing_seconds: float = math.inf
     prefers_far: bool = False
     lane: Lane = "any"
+    tenant: str = ""
 
     @property
     def rank(self) -> int:
--- a/src/peppershore/request/wire_names.py
+++ b/src/peppershore/request/wire_names.py
@@ -17,9 +17,9 @@
     ``signature`` stands on every success of a back end.  ``expected_instance``
     says which back end a call is meant for.  ``not_run`` stands on a back end's
     refusals of what it has not begun; ``load`` tells its running and waiting calls
-    and its slots; ``caller`` names the service that a call comes from.  With
-    ``unframed_answers`` an answer without length, which ends with its connection,
-    counts as whole.
+    and its slots; ``caller`` names the service that a call comes from, ``tenant`` on
+    whose behalf it is made.  With ``unframed_answers`` an answer without length, which
+    ends with its connection, counts as whole.
     """
 
     request_id: bytes = b"x-request-id"
@@ -32,6 +32,7 @@
     not_run: bytes = b""
     load: bytes = b""
     caller: bytes = b""
+    tenant: bytes = b""
     answers_carry_id: bool = False
     fractional_retry_after: bool = False
     unframed_answers: bool = False
--- a/src/peppershore/version/active.py
+++ b/src/peppershore/version/active.py
@@ -14,6 +14,7 @@
     Scope,
     SecretResource,
     ServiceSettings,
+    TenantResource,
     Value,
     Version,
 )
@@ -84,6 +85,7 @@
 
     ``services`` maps a name to its settings in the node's zone, ``secrets`` a
     name to its generations; ``routes`` is in the order in which they match.
+    ``tenants`` maps a name to what is held of it.
     """
 
     scope: Scope
@@ -92,6 +94,7 @@
     routes: tuple[RouteResource, ...]
     services: dict[str, ServiceSettings]
     secrets: dict[str, SecretResource]
+    tenants: dict[str, TenantResource] = {}
 
     def match_route(
         self, path: str, method: str, service: str = "", host: str = ""
--- a/src/peppershore/version/model.py
+++ b/src/peppershore/version/model.py
@@ -88,6 +88,8 @@
     rollout_share: int | UnsetType = UNSET
     rollout_began_milliseconds: int | UnsetType = UNSET
     rollout_milliseconds: int | UnsetType = UNSET
+    large_answers: bool | UnsetType = UNSET
+    keyless: bool | UnsetType = UNSET
 
 
 class RouteSettings(Value, frozen=True):
@@ -99,7 +101,9 @@
     ``retry_errors`` a call that may be repeated is tried elsewhere when a back end
     itself fails (5xx).  With ``streamed_bodies`` a request's body may be large: it is
     passed on as it comes, and kept for another attempt only as far as it goes out
-    before a back end takes it.
+    before a back end takes it.  With ``large_answers`` answers are so large that the
+    link of the back end's node bounds how many are given at a time.  Where the tree has
+    tenants, a call carries a tenant's key unless its route is ``keyless``.
     """
 
     path_prefix: str = ""
@@ -122,6 +126,8 @@
     target_latency_milliseconds: int = 0
     retry_errors: bool = False
     streamed_bodies: bool = False
+    large_answers: bool = False
+    keyless: bool = False
 
 
 class ServiceSettings(Value, frozen=True):
@@ -194,6 +200,27 @@
     change_id: str = ""
 
 
+class Tenant(Value, frozen=True):
+    """Callers who share keys and a limit; what is unset is inherited from the root.
+
+    ``keys`` are key material: they leave the control group in a configuration that an
+    operator reads back, and nowhere else.  ``rate_per_second`` calls a second and
+    ``burst`` on top are admitted over all nodes together, 0 for no limit.  ``priority``
+    goes before that of a route; unset, the route's counts.
+    """
+
+    keys: tuple[str, ...]
+    rate_per_second: float | UnsetType = UNSET
+    burst: float | UnsetType = UNSET
+    priority: int | UnsetType = UNSET
+    revision: Version = 0
+    change_id: str = ""
+
+    def __repr__(self) -> str:
+        """Keep key material out of logs and tracebacks."""
+        return f"Tenant(keys=<{len(self.keys)} hidden>, revision={self.revision})"
+
+
 class Zone(Value, frozen=True):
     """A zone and the region it belongs to."""
 
@@ -219,6 +246,7 @@
     nodes: dict[str, TreeNode]
     secrets: dict[str, Secret]
     release: Version = 0
+    tenants: dict[str, Tenant] = {}
 
 
 class SetOverrides(Value, frozen=True, tag="set"):
@@ -391,14 +419,27 @@
     signing_generation: int
 
 
-ResourceContent = RouteResource | ServiceResource | SecretResource
+class TenantResource(Value, frozen=True, array_like=True, tag=4):
+    """A tenant as a node holds it: no key, only the digest of each.
+
+    ``rate_per_second`` 0 stands for no limit, ``priority`` None for the route's.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...]
+    rate_per_second: float = 0.0
+    burst: float = 0.0
+    priority: int | None = None
+
+
+ResourceContent = RouteResource | ServiceResource | SecretResource | TenantResource
 
 
 class Resource(Value, frozen=True, array_like=True, dict=True):
     """An encoded resource; ``payload`` is MessagePack of a ``ResourceContent``.
 
-    Names: "service:S", "route:S/R", "secret:N".  Its content is kept beside it once it
-    was decoded (``decode_resource``).
+    Names: "service:S", "route:S/R", "secret:N", "tenant:N".  Its content is kept beside
+    it once it was decoded (``decode_resource``).
     """
 
     name: str
--- a/src/peppershore/version/resource_codec.py
+++ b/src/peppershore/version/resource_codec.py
@@ -20,12 +20,14 @@
     SecretResource,
     ServiceResource,
     ServiceSettings,
+    TenantResource,
     Value,
 )
 
 SERVICE_PREFIX = "service:"
 ROUTE_PREFIX = "route:"
 SECRET_PREFIX = "secret:"
+TENANT_PREFIX = "tenant:"
 _CONTENT_ATTRIBUTE = "decoded_content"
 
 
@@ -61,7 +63,10 @@
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(_RouteRow | _ServiceRow | _SecretRow)
+_Row = _RouteRow | _ServiceRow | _SecretRow | TenantResource
+"""What stands on the wire; a tenant is a row as it is."""
+
+_DECODER = msgspec.msgpack.Decoder(_Row)
 
 
 def service_name(service: str) -> str:
@@ -79,17 +84,24 @@
     return f"{SECRET_PREFIX}{secret}"
 
 
+def tenant_name(tenant: str) -> str:
+    """Give the name of a tenant's resource."""
+    return f"{TENANT_PREFIX}{tenant}"
+
+
 def resource_name(content: ResourceContent) -> str:
     """Give the name that a resource of this content must have."""
     if isinstance(content, RouteResource):
         return route_name(content.service, content.route)
     if isinstance(content, ServiceResource):
         return service_name(content.service)
+    if isinstance(content, TenantResource):
+        return tenant_name(content.name)
     return secret_name(content.name)
 
 
 def encode_resource(content: ResourceContent) -> Resource:
-    """Give the named bytes of a route, service or secret."""
+    """Give the named bytes of a route, service, secret or tenant."""
     return Resource(resource_name(content), _ENCODER.encode(_row(content)))
 
 
@@ -127,29 +139,35 @@
     return Success(content)
 
 
-def _row(content: ResourceContent) -> _RouteRow | _ServiceRow | _SecretRow:
+def _row(content: ResourceContent) -> _Row:
     if isinstance(content, RouteResource):
         route_row = _RouteSettingsRow(*msgspec.structs.astuple(content.settings))
         return _RouteRow(content.service, content.route, route_row)
     if isinstance(content, ServiceResource):
         service_row = _ServiceSettingsRow(*msgspec.structs.astuple(content.settings))
         return _ServiceRow(content.service, service_row)
+    if isinstance(content, TenantResource):
+        return content
     return _SecretRow(content.name, content.generations, content.signing_generation)
 
 
-def _row_name(row: _RouteRow | _ServiceRow | _SecretRow) -> str:
+def _row_name(row: _Row) -> str:
     if isinstance(row, _RouteRow):
         return route_name(row.service, row.route)
     if isinstance(row, _ServiceRow):
         return service_name(row.service)
+    if isinstance(row, TenantResource):
+        return tenant_name(row.name)
     return secret_name(row.name)
 
 
-def _content(row: _RouteRow | _ServiceRow | _SecretRow) -> ResourceContent:
+def _content(row: _Row) -> ResourceContent:
     if isinstance(row, _RouteRow):
         route_settings = RouteSettings(*msgspec.structs.astuple(row.settings))
         return RouteResource(row.service, row.route, route_settings)
     if isinstance(row, _ServiceRow):
         service_settings = ServiceSettings(*msgspec.structs.astuple(row.settings))
         return ServiceResource(row.service, service_settings)
+    if isinstance(row, TenantResource):
+        return row
     return SecretResource(row.name, row.generations, row.signing_generation)
--- a/src/peppershore/version/setting_rules.py
+++ b/src/peppershore/version/setting_rules.py
@@ -164,6 +164,8 @@
     "target_latency_milliseconds": _whole_number(0, MAXIMUM_TIMEOUT_MILLISECONDS, ANYWHERE),
     "retry_errors": _truth(ANYWHERE),
     "streamed_bodies": _truth(ANYWHERE),
+    "large_answers": _truth(ANYWHERE),
+    "keyless": _truth(ANYWHERE),
     "holds_every_service": _truth(SERVICES),
     "health_path": SettingRule(
         SERVICES, lambda value: value == "" or _is_prefix(value), "a URL path, or empty"
--- a/tests/command/test_input_decoders.py
+++ b/tests/command/test_input_decoders.py
@@ -56,6 +56,8 @@
         "splits": ("kassa=1,kuitti=2", ("kassa=1", "kuitti=2")),
         "retry_errors": ("on", True),
         "streamed_bodies": ("on", True),
+        "large_answers": ("on", True),
+        "keyless": ("on", True),
         "holds_every_service": ("on", True),
         "health_path": ("/health", "/health"),
         "backend_protocol": ("h1", "h1"),
--- a/tests/version/test_resolution.py
+++ b/tests/version/test_resolution.py
@@ -73,6 +73,8 @@
     target_latency_milliseconds=1,
     retry_errors=True,
     streamed_bodies=True,
+    large_answers=True,
+    keyless=True,
 )
 EVERY_SERVICE_SETTING = Overrides(
     calls=("kuitti",),
