Soak: callers have tenants, keys and limits; back ends tell whom they ran for

Five tenants (one asks for many times its limit), keys that last and keys of one version, a stranger's key, configurations in which two tenants share a key. Three checks: the name that back ends are told is true and the key is kept from them, no window holds more than the limit allows, nobody is starved; each bites on a record made for it.

--- a/src/peppershore_lab/soak/back_end.py
+++ b/src/peppershore_lab/soak/back_end.py
@@ -26,6 +26,7 @@
     RunBegan,
     WordAnswered,
 )
+from peppershore_lab.soak.tenants import AUTHORIZATION, TENANT_FIELD
 
 SLOTS = 8
 HEARTBEAT_SECONDS = 0.3
@@ -233,12 +234,22 @@
             ran = PoisonRan(request.target, self._node, time.monotonic())
             self._record.poison.append(ran)
             self._end()
-        self._record.runs.append(RunBegan(name, self._node, time.monotonic()))
+        self._note_run(name, request)
         work = self._random.uniform(SHORTEST_WORK_SECONDS, LONGEST_WORK_SECONDS)
         await asyncio.sleep(work * self._random.random())
         signed = (*own, (settings.SIGNATURE, self._instance))
         return HttpAnswer(STATUS_OK, answer_body(name, len(request.body)), signed)
 
+    def _note_run(self, name: str, request: HttpRequest) -> None:
+        ran = RunBegan(
+            name,
+            self._node,
+            time.monotonic(),
+            tenant=request.headers.get(TENANT_FIELD, ""),
+            has_key=AUTHORIZATION in request.headers,
+        )
+        self._record.runs.append(ran)
+
 
 def answer_body(request: str, body_bytes: int) -> bytes:
     """Give the body that answers a request: it names it, and is long enough to tear."""
--- a/src/peppershore_lab/soak/callers.py
+++ b/src/peppershore_lab/soak/callers.py
@@ -25,6 +25,7 @@
 )
 from peppershore_lab.soak.machines import Machine
 from peppershore_lab.soak.observations import MarkerProbed, Record, RequestEnded
+from peppershore_lab.soak.tenants import TENANTS, authorization, draw_key, lasting_key
 
 ONCE_SHARE = 0.5
 LARGE_SHARE = 0.1
@@ -56,27 +57,32 @@
         """Send until cancelled; ``newest`` gives the version that probes ask for."""
         async with asyncio.TaskGroup() as group:
             for number in range(connections):
-                group.create_task(self._call(Random(self._seed * 1_000 + number)))
+                random = Random(self._seed * 1_000 + number)
+                group.create_task(self._call(random, newest))
             group.create_task(self._probe(newest))
 
-    async def _call(self, random: Random) -> None:
+    async def _call(self, random: Random, newest: Callable[[], int]) -> None:
         connection = ClientConnection(f"{self._node.host}:{settings.CALLER_PORT}")
         try:
             while True:
-                await self._send_one(connection, random)
+                await self._send_one(connection, random, newest())
                 pause = random.uniform(SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS)
                 await asyncio.sleep(pause)
         finally:
             connection.close()
 
-    async def _send_one(self, connection: ClientConnection, random: Random) -> None:
+    async def _send_one(
+        self, connection: ClientConnection, random: Random, newest: int
+    ) -> None:
         once = random.random() < ONCE_SHARE
         is_large = once and random.random() < LARGE_SHARE
         length = LARGE_BODY_BYTES if is_large else SMALL_BODY_BYTES
         name = f"s-{next(self._numbers)}"
         body = b"x" * length if once else b""
         prefix = UPLOAD_PREFIX if is_large else ONCE_PREFIX if once else READ_PREFIX
-        request = _request("POST" if once else "GET", f"{prefix}{name}", name, body)
+        used = draw_key(random, newest)
+        method = "POST" if once else "GET"
+        request = _request(method, f"{prefix}{name}", name, body, used.key)
         sent_at = time.monotonic()
         outcome = await _answer(connection, request)
         status = 0 if isinstance(outcome, CallBroken) else outcome.status
@@ -98,6 +104,7 @@
             whole=whole,
             sent=sent,
             reason=reason,
+            tenant=used.tenant,
         )
         self._record.requests.append(ended)
         if status == 0:
@@ -106,7 +113,8 @@
     async def send_poison(self, path: str) -> None:
         """Send once more what ends the back end that runs it."""
         connection = ClientConnection(f"{self._node.host}:{settings.CALLER_PORT}")
-        request = _request("GET", path, f"poison-{next(self._numbers)}", b"")
+        name = f"poison-{next(self._numbers)}"
+        request = _request("GET", path, name, b"", lasting_key(TENANTS[0].name))
         await _answer(connection, request)
         connection.close()
 
@@ -153,10 +161,13 @@
         return CallBroken(GAVE_UP, sent=False)
 
 
-def _request(method: str, path: str, name: str, body: bytes) -> ClientRequest:
+def _request(
+    method: str, path: str, name: str, body: bytes, key: str = ""
+) -> ClientRequest:
     headers = (
         ("host", HOST),
         (settings.REQUEST_ID, name),
         (settings.DEADLINE, str(DEADLINE_MILLISECONDS)),
+        *((authorization(key),) if key else ()),
     )
     return ClientRequest(method, path, headers, body)
--- a/src/peppershore_lab/soak/checks.py
+++ b/src/peppershore_lab/soak/checks.py
@@ -8,8 +8,6 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 
-import msgspec
-
 from peppershore_lab.soak.observations import (
     REFUSALS,
     STATUS_NOT_FOUND,
@@ -18,7 +16,9 @@
     LifeSeen,
     Record,
     RequestEnded,
+    Violation,
 )
+from peppershore_lab.soak.tenant_checks import TENANT_CHECKS
 
 LEAVING_SECONDS = 3.0
 """A node gives a leaving back end calls for 1 s; what was on its way comes after that."""
@@ -41,14 +41,6 @@
 CHANGE_REFUSALS = frozenset({400, 409, 412, 413, 422})
 
 
-class Violation(msgspec.Struct, frozen=True):
-    """A promise that was broken: which, by what, and when (monotonic seconds)."""
-
-    promise: str
-    detail: str
-    at: float
-
-
 Check = Callable[[Record], Iterator[Violation]]
 
 
@@ -243,6 +235,7 @@
     lives_are_used,
     unreadable_words_are_refused,
     processes_do_not_end,
+    *TENANT_CHECKS,
 )
 
 
--- a/src/peppershore_lab/soak/configurations.py
+++ b/src/peppershore_lab/soak/configurations.py
@@ -8,6 +8,8 @@
 import msgspec
 import xxhash
 
+from peppershore_lab.soak.tenants import definitions
+
 HOST = "soak.example"
 SERVICES = ("kassa", "kuitti")
 ONCE_PREFIX, READ_PREFIX, UPLOAD_PREFIX = "/once/", "/read/", "/upload/"
@@ -17,6 +19,9 @@
 OTHER_ROUTES = 200
 """Routes that nobody asks for: a version has some size."""
 
+SHARED_KEY_SHARE = 0.2
+"""Part of the invalid configurations in which two tenants share a key."""
+
 Configuration = dict[str, Any]
 
 
@@ -31,17 +36,25 @@
         "once": _route(ONCE_PREFIX, "once"),
         "read": _route(READ_PREFIX, "repeatable"),
         "upload": _route(UPLOAD_PREFIX, "once-streamed"),
-        f"marker-{version}": _route(marker_prefix(version), "repeatable"),
+        f"marker-{version}": _public(_route(marker_prefix(version), "repeatable")),
         f"by-{author}": _route(f"/by-{author}/", "repeatable"),
     }
     for number in range(OTHER_ROUTES):
         routes[f"other-{number}"] = _route(f"/other-{number}/", "repeatable")
     services: dict[str, Any] = {service: {} for service in SERVICES}
-    return {"version": version, "base": base, "routes": routes, "services": services}
+    return {
+        "version": version,
+        "base": base,
+        "routes": routes,
+        "services": services,
+        "tenants": definitions(version),
+    }
 
 
 def spoiled(whole: Configuration, random: Random) -> Configuration:
     """Make a configuration invalid in one of the ways that operators err."""
+    if random.random() < SHARED_KEY_SHARE:
+        return _with_a_shared_key(whole)
     route = dict(whole["routes"]["read"])
     route.update(
         random.choice(
@@ -56,6 +69,13 @@
     return {**whole, "routes": {**whole["routes"], "read": route}}
 
 
+def _with_a_shared_key(whole: Configuration) -> Configuration:
+    tenants = dict(whole["tenants"])
+    one, other, *_ = tenants
+    tenants[other] = {**tenants[other], "keys": tenants[one]["keys"]}
+    return {**whole, "tenants": tenants}
+
+
 def content_digest(whole: Configuration) -> str:
     """Name a configuration by its number and the routes it has."""
     routes = whole["routes"]
@@ -63,6 +83,11 @@
     return xxhash.xxh3_64_hexdigest(content)
 
 
+def _public(route: dict[str, Any]) -> dict[str, Any]:
+    """Let callers without a key use a route."""
+    return {**route, "public": True}
+
+
 def _route(prefix: str, runs: str) -> dict[str, Any]:
     return {
         "host": HOST,
--- a/src/peppershore_lab/soak/observations.py
+++ b/src/peppershore_lab/soak/observations.py
@@ -16,7 +16,8 @@
 
     ``once``: it may run at most once.  ``whole``: the answer is this request's own, to
     the last byte.  ``sent``: bytes of it left on a connection that was open.
-    ``reason`` is the node's, for an answer of its own.
+    ``reason`` is the node's, for an answer of its own.  ``tenant`` holds the key that it
+    came with, "" where nobody ever did; None on routes without key.
     """
 
     request: str
@@ -28,14 +29,17 @@
     whole: bool
     sent: bool
     reason: str = ""
+    tenant: str | None = None
 
 
 class RunBegan(msgspec.Struct, frozen=True):
-    """A back end began to work on a request."""
+    """A back end began to work on a request; ``tenant`` and ``has_key`` as it was told."""
 
     request: str
     node: str
     at: float
+    tenant: str = ""
+    has_key: bool = False
 
 
 class PoisonRan(msgspec.Struct, frozen=True):
@@ -118,6 +122,14 @@
     at: float
 
 
+class Violation(msgspec.Struct, frozen=True):
+    """A promise that was broken: which, by what, and when (monotonic seconds)."""
+
+    promise: str
+    detail: str
+    at: float
+
+
 class Record(msgspec.Struct):
     """All that was seen in one soak; ``unready`` are machines not back at its end."""
 
--- a/src/peppershore_lab/soak/runner.py
+++ b/src/peppershore_lab/soak/runner.py
@@ -14,12 +14,12 @@
 from peppershore_lab.soak import settings
 from peppershore_lab.soak.back_end import SoakBackEnd
 from peppershore_lab.soak.callers import Callers
-from peppershore_lab.soak.checks import Violation, find_violations
+from peppershore_lab.soak.checks import find_violations
 from peppershore_lab.soak.configurations import SERVICES
 from peppershore_lab.soak.faults import draw_faults
 from peppershore_lab.soak.injector import Injector
 from peppershore_lab.soak.machines import Machine, Site
-from peppershore_lab.soak.observations import STATUS_OK, Record
+from peppershore_lab.soak.observations import STATUS_OK, Record, Violation
 from peppershore_lab.soak.operators import Operators
 from peppershore_lab.soak.poison import PoisonCallers
 
--- a/src/peppershore_lab/soak/settings.py
+++ b/src/peppershore_lab/soak/settings.py
@@ -4,6 +4,13 @@
 
 from collections.abc import Sequence
 
+from peppershore_lab.soak.tenants import (
+    OVERSHOOT,
+    SLACK,
+    TENANT_FIELD,
+    WINDOW_SECONDS,
+)
+
 ZONE = "pasila"
 REPLICA_PORT, RELAY_PORT, OPERATOR_PORT = 8_400, 8_401, 8_402
 CALLER_PORT, INTERNAL_PORT, READY_PORT, BACK_END_PORT = 8_000, 8_403, 8_001, 8_002
@@ -21,6 +28,14 @@
 """Narrow enough that a node takes in two large bodies at a time."""
 
 
+QUOTAS = f"""
+[quotas]
+window_seconds = {WINDOW_SECONDS}
+overshoot = {OVERSHOOT}
+slack = {SLACK}
+"""
+
+
 def hub_settings(host: str, folder: str, seeds: Sequence[str], first_start: bool) -> str:
     """Give the file of a hub; ``seeds`` are hosts of hubs."""
     return f"""\
@@ -37,7 +52,7 @@
 heartbeat_milliseconds = 100
 election_milliseconds = 500
 log_to = "standard-output"
-"""
+{QUOTAS}"""
 
 
 def node_settings(node: str, host: str, service: str, seeds: Sequence[str]) -> str:
@@ -70,6 +85,7 @@
 signature = "{SIGNATURE}"
 expected_instance = "{EXPECTED_INSTANCE}"
 not_run = "{NOT_RUN}"
+tenant = "{TENANT_FIELD}"
 answers_carry_id = true
 fractional_retry_after = true
 
@@ -77,7 +93,7 @@
 ratio = 0.2
 window_seconds = 10.0
 slack = 60
-"""
+{QUOTAS}"""
 
 
 def _addresses(hosts: Sequence[str]) -> str:
--- a/tests/soak/test_soak_checks.py
+++ b/tests/soak/test_soak_checks.py
@@ -52,6 +52,21 @@
     return msgspec.structs.replace(clean(), **lists)
 
 
+def _of(tenant: str, number: int) -> RequestEnded:
+    return msgspec.structs.replace(
+        ANSWERED, request=f"t-{number}", tenant=tenant, sent_at=10.0 + number * 0.05
+    )
+
+
+def _run_of(tenant: str, number: int) -> RunBegan:
+    at = 10.0 + number * 0.05
+    return RunBegan(f"t-{number}", "node-2", at, tenant)
+
+
+def _refused(request: RequestEnded) -> RequestEnded:
+    return msgspec.structs.replace(request, status=503, whole=False)
+
+
 BROKEN = {
     "whole-answers": changed(
         requests=[msgspec.structs.replace(ANSWERED, whole=False)],
@@ -93,6 +108,23 @@
     "only-poison-held": changed(
         requests=[msgspec.structs.replace(REFUSED, request="s-9", reason="quarantined")],
     ),
+    "tenant-is-true": changed(
+        requests=[msgspec.structs.replace(ANSWERED, tenant="small")],
+        runs=[msgspec.structs.replace(RUN, tenant="large")],
+    ),
+    "stranger-ran": changed(requests=[msgspec.structs.replace(ANSWERED, tenant="")]),
+    "key-kept-back": changed(runs=[msgspec.structs.replace(RUN, has_key=True)]),
+    "limit-holds": changed(
+        requests=[_of("tiny", number) for number in range(60)],
+        runs=[_run_of("tiny", number) for number in range(60)],
+    ),
+    "nobody-starved": changed(
+        requests=[
+            *(_of("large", number) for number in range(100)),
+            *(_refused(_of("small", number)) for number in range(100, 160)),
+        ],
+        runs=[_run_of("large", number) for number in range(100)],
+    ),
     "lives-are-used": changed(lives=[LifeSeen("node-3", 30.0, 40.0)]),
     "unreadable-words": changed(words=[WordAnswered("node-1", 8.0, 200)]),
     "process-ended": changed(ends=[ProcessEnded("hub-1", "exit status 1", 3.0)]),
