Large answers wait at their node for their turn on the link

Of routes with large answers, where the link's rate is known: the node that puts an answer on its link asks for room first and refuses at once what can't be through in time (link-full, not run); the answer is read whole into bounded memory, so the back end's slot is free while it waits; callers' nodes choose by the link's wait that owners tell, and refuse where all are full.

Weighed besides: a connection of its own for large bodies (small answers still share the link's queue with it, so pacing is needed all the same), and smaller socket buffers alone (bounded by connection, not by link: 72 peers).

--- a/src/peppershore/connection/messages/calls.py
+++ b/src/peppershore/connection/messages/calls.py
@@ -64,7 +64,8 @@
     it does when the back end takes the call; where it ``takes_room``, the receiver takes
     in only a few of those at a time.  ``identity``: see ``request.fingerprint``.
     ``tenant``: on whose behalf it is made; "" where there are none.  ``answer_is_large``:
-    its answer takes room on the link of the back end's node.
+    its answer takes room on the link of the back end's node, and should be through within
+    ``due_milliseconds``; ``answer_window`` bytes of it may be under way (0: the usual).
     """
 
     stream: int
@@ -90,6 +91,8 @@
     takes_room: bool = True
     tenant: str = ""
     answer_is_large: bool = False
+    due_milliseconds: int = 0
+    answer_window: int = 0
 
 
 class CallBody(Message, frozen=True, tag=142):
--- a/src/peppershore/connection/traffic.py
+++ b/src/peppershore/connection/traffic.py
@@ -51,6 +51,7 @@
         """Begin at nothing."""
         self.sent: Tallies = {}
         self.received: Tallies = {}
+        self.octets_sent = 0
         self._round_trips = RoundTrips()
 
     def note_round_trip(self, seconds: float) -> None:
@@ -66,6 +67,7 @@
 
     def note_sent(self, kind: Kind, octets: int) -> None:
         """Count one message, or a piece of a stream, that was handed to the system."""
+        self.octets_sent += octets
         _note(self.sent, kind, octets)
 
     def note_received(self, kind: Kind, octets: int) -> None:
--- a/src/peppershore/process/node/data/attempt.py
+++ b/src/peppershore/process/node/data/attempt.py
@@ -90,7 +90,9 @@
     call, so that a refusal costs no bytes; where it ``takes_room`` it may be large, and
     the back end's own node takes in only a few of those at a time.  ``fingerprint`` grows
     with the body.  ``tenant``: on whose behalf, "" where there are none;
-    ``answer_is_large``: it takes room on the link of the back end's node.
+    ``answer_is_large``: it takes room on the link of the back end's node, and should be
+    through by ``due`` (monotonic seconds); ``answer_window`` bytes may be under way
+    (0: the usual number).
     """
 
     head: RequestHead
@@ -109,4 +111,6 @@
     takes_room: bool = True
     tenant: str = ""
     answer_is_large: bool = False
+    due: float = math.inf
+    answer_window: int = 0
     fingerprint: Fingerprint = msgspec.field(default_factory=Fingerprint)
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -309,6 +309,8 @@
             takes_room=plan.settings.streamed_bodies,
             tenant=plan.tenant,
             answer_is_large=plan.settings.large_answers,
+            due=plan.due,
+            answer_window=self._calls.answer_window(plan),
             fingerprint=self._body.fingerprint,
         )
 
--- a/src/peppershore/process/node/data/call_repeats.py
+++ b/src/peppershore/process/node/data/call_repeats.py
@@ -12,7 +12,7 @@
 from peppershore.process.node.data import notices
 from peppershore.request.classification import CallPlan
 from peppershore.request.client_retries import ClientRetryPace
-from peppershore.request.outcome import LOAD_REASONS, NotRun
+from peppershore.request.outcome import ROOM_REASONS, NotRun
 from peppershore.request.picker import RandomSource
 from peppershore.request.retry_budget import RetryBudget, retry_delay
 from peppershore.request.shared_retries import RetryBound, SharedRetryBudget
@@ -65,8 +65,8 @@
             self._shared_budget(plan.target, self._bound).called(now)
 
     def with_paced_retry_after(self, plan: CallPlan, refusal: NotRun, now: float) -> NotRun:
-        """Give a call refused twice for want of slots its place among the retries."""
-        if not plan.is_client_retry or refusal.reason not in LOAD_REASONS:
+        """Give a call refused twice for want of room its place among the retries."""
+        if not plan.is_client_retry or refusal.reason not in ROOM_REASONS:
             return refusal
         wait = refusal.retry_after_milliseconds / MILLISECONDS
         seconds = self._retry_paces[plan.target].book(wait, now)
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -29,10 +29,12 @@
 )
 from peppershore.process.node.data.claim_desk import ClaimDesk
 from peppershore.process.node.data.direct_attempt import BackEndTerms, DirectAttempt
+from peppershore.process.node.data.large_answers import LargeAnswers
 from peppershore.process.node.data.link_attempt import LinkAttempt
 from peppershore.process.node.data.own_attempt import OwnAttempt
 from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.owner_links import OwnerLinks
+from peppershore.process.node.data.paced_answer import LargeTerms, PacedAnswer
 from peppershore.process.node.data.quarantine_gate import QuarantineGate
 from peppershore.process.node.data.service_admissions import ServiceAdmissions
 from peppershore.process.node.profile import retry_bound, wire_names
@@ -95,6 +97,9 @@
         self.configuration: ActiveConfiguration | None = None
         self.claims = ClaimDesk()
         self.own: OwnBackend | None = None
+        self.large_answers: LargeAnswers | None = None
+        if settings.link_megabits > 0.0:
+            self.large_answers = LargeAnswers(settings.link_megabits)
         self.counts = CallCounts()
         self.figures = CallFigures()
         self._settings = settings
@@ -170,6 +175,8 @@
             call.caller_gone()
         self._pools.close()
         self.admissions.close()
+        if self.large_answers is not None:
+            self.large_answers.close()
         self.claims.close()
 
     # --- used by a call
@@ -238,6 +245,18 @@
         self, dispatch: Dispatch, plan: CallPlan, request: AttemptRequest, sink: AttemptSink
     ) -> Attempt:
         """Choose the way: own back end, direct under a loan, or through the owner."""
+        desk = self.large_answers
+        if desk is None or not request.answer_is_large:
+            return self._way(dispatch, plan, request, sink)
+        work = self.admissions.told_work(plan)
+        terms = LargeTerms(plan.route, request.due, work, elsewhere=False)
+        return PacedAnswer(
+            desk, terms, sink, lambda paced: self._way(dispatch, plan, request, paced)
+        )
+
+    def _way(
+        self, dispatch: Dispatch, plan: CallPlan, request: AttemptRequest, sink: AttemptSink
+    ) -> Attempt:
         endpoint = dispatch.endpoint
         if self.own is not None and endpoint.node == self._settings.node:
             return OwnAttempt(self.own, request, sink)
@@ -257,6 +276,12 @@
                 )
         return LinkAttempt(self._links, endpoint.owner_address, request, sink)
 
+    def answer_window(self, plan: CallPlan) -> int:
+        """Bytes of a large answer that may be on their way here; 0: the usual number."""
+        if self.large_answers is None or not plan.settings.large_answers:
+            return 0
+        return self.large_answers.window_bytes
+
     def answered(
         self, plan: CallPlan, status: int, request_id: bytes, story: StoryBook
     ) -> None:
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -10,6 +10,7 @@
 from peppershore.connection.http_head import AnswerHead, HeaderList, fields_unsafe
 from peppershore.connection.messages.base import Message
 from peppershore.connection.messages.calls import (
+    STREAM_WINDOW_BYTES,
     UNBOUNDED_PATIENCE,
     CallAnswerBody,
     CallAnswered,
@@ -98,7 +99,7 @@
         self._end_sent = False
         self._trailers: HeaderList = []
         self._sending = SendWindow(0) if request.body_on_credit else SendWindow()
-        self._receiving = ReceiveWindow()
+        self._receiving = ReceiveWindow(request.answer_window or STREAM_WINDOW_BYTES)
         self._sent_at = 0.0
 
     def start(self) -> None:
@@ -248,6 +249,8 @@
                 takes_room=request.takes_room,
                 tenant=request.tenant,
                 answer_is_large=request.answer_is_large,
+                due_milliseconds=_due(now, request),
+                answer_window=request.answer_window,
             )
         )
         if not self._started:
@@ -344,6 +347,10 @@
     return max(0, int((start_by - now) * MILLISECONDS))
 
 
+def _due(now: float, request: AttemptRequest) -> int:
+    return remaining_milliseconds(now, request.due) if request.answer_is_large else 0
+
+
 def _at_deadline(failed: Failed) -> Failed:
     """Keep the owner's word on whether it ran; the cause is the deadline."""
     if isinstance(failed, NotRun):
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -31,6 +31,7 @@
 from peppershore.process.node.data.direct_attempt import (
     BackEndTerms,
 )
+from peppershore.process.node.data.large_answers import LargeAnswers
 from peppershore.process.node.data.quarantine_gate import QuarantineGate
 from peppershore.request.admission import Admission, Dispatch, Waiting
 from peppershore.request.bodies_ahead import BodiesAhead
@@ -84,8 +85,13 @@
         *,
         transfers: BodyTransfers | None = None,
         quarantine: QuarantineGate | None = None,
+        large_answers: LargeAnswers | None = None,
     ) -> None:
-        """Start with all slots free; ``transfers`` bounds large bodies on their way."""
+        """Start with all slots free; ``transfers`` bounds large bodies on their way.
+
+        ``large_answers`` go out by this node's link; None: it is wide enough.
+        """
+        self.large_answers = large_answers
         self.leaving = False
         self.on_not_there: Callable[[str], None] = lambda life: None
         self.slots = endpoint.slots
@@ -132,7 +138,11 @@
         admission = self.admission
         work = round(admission.known_work(route) * MICROSECONDS)
         running = admission.in_flight + self._ahead.coming
-        return OwnerLoad(running, admission.waiting, self.slots, work)
+        desk = self.large_answers
+        wait = 0 if desk is None else desk.wait_milliseconds
+        return OwnerLoad(
+            running, admission.waiting, self.slots, work, link_wait_milliseconds=wait
+        )
 
     def request_id(self, request: AttemptRequest) -> bytes:
         """Give the id under which the back end is given a request."""
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -14,6 +14,7 @@
 )
 from peppershore.connection.messages.base import Message
 from peppershore.connection.messages.calls import (
+    STREAM_WINDOW_BYTES,
     CallAnswerBody,
     CallAnswered,
     CallBody,
@@ -24,7 +25,7 @@
     CallUnknown,
     OwnerLoad,
 )
-from peppershore.process.node.data.attempt import AttemptRequest
+from peppershore.process.node.data.attempt import Attempt, AttemptRequest, AttemptSink
 from peppershore.process.node.data.call_log import CallLog
 from peppershore.process.node.data.call_story import (
     CallEnd,
@@ -34,6 +35,7 @@
 )
 from peppershore.process.node.data.own_attempt import OwnAttempt
 from peppershore.process.node.data.own_backend import OwnBackend
+from peppershore.process.node.data.paced_answer import LargeTerms, PacedAnswer
 from peppershore.process.node.data.request_body import RequestBody
 from peppershore.request.fingerprint import Fingerprint
 from peppershore.request.outcome import (
@@ -68,6 +70,7 @@
         "_log",
         "_out",
         "_over",
+        "_own",
         "_paused",
         "_receiving",
         "_record",
@@ -88,7 +91,8 @@
         self._body.fingerprint.identity = started.identity
         self._route = started.route
         self._cancellable = started.cancellable
-        self._attempt: OwnAttempt | None = None
+        self._attempt: Attempt | None = None
+        self._own: OwnAttempt | None = None
         self._backend: OwnBackend | None = None
         self._begun = False
         self._fetches = False
@@ -96,7 +100,7 @@
         self._paused = False
         self._answer_head: AnswerHead | None = None
         self._out: list[bytes] = []
-        self._sending = SendWindow()
+        self._sending = SendWindow(started.answer_window or STREAM_WINDOW_BYTES)
         self._receiving = ReceiveWindow()
 
     def start(self, backend: OwnBackend, started: CallStarted) -> None:
@@ -114,9 +118,23 @@
             self._receiving = ReceiveWindow(window, owed=window)
         self._record = backend.record(started.headers, self._body.fingerprint)
         request = _request(started, self._body.fingerprint)
-        self._attempt = OwnAttempt(backend, request, self, self._fetch_body)
+        self._attempt = self._new_attempt(backend, request)
         self._attempt.start()
 
+    def _new_attempt(self, backend: OwnBackend, request: AttemptRequest) -> Attempt:
+        """Give the attempt; a large answer waits in it for its turn on the link."""
+
+        def own(sink: AttemptSink) -> OwnAttempt:
+            self._own = OwnAttempt(backend, request, sink, self._fetch_body)
+            return self._own
+
+        desk = backend.large_answers
+        if desk is None or not request.answer_is_large:
+            return own(self)
+        work = backend.admission.known_work(request.route)
+        terms = LargeTerms(request.route, request.due, work, elsewhere=True)
+        return PacedAnswer(desk, terms, self, own)
+
     def refuse(self, refusal: NotRun) -> None:
         """Refuse the call before it is begun."""
         self.attempt_failed(refusal)
@@ -206,8 +224,8 @@
             self._body.end(message.trailers)
         if self._begun and self._attempt is not None:
             self._body.send(self._attempt)
-        elif self._attempt is not None and message.ended:
-            self._attempt.body_is_in()
+        elif self._own is not None and message.ended:
+            self._own.body_is_in()
         elif not self._fetches:
             self._receiving.pause()
         self._credit(self._receiving.taken(len(message.data)))
@@ -304,6 +322,7 @@
         takes_room=started.takes_room,
         tenant=started.tenant,
         answer_is_large=started.answer_is_large,
+        due=now + started.due_milliseconds / MILLISECONDS,
         fingerprint=fingerprint,
     )
 
--- a/src/peppershore/process/node/data/service_admissions.py
+++ b/src/peppershore/process/node/data/service_admissions.py
@@ -149,6 +149,8 @@
             prefers_far=tries_another_zone and not plan.settings.streamed_bodies,
             lane=plan.lane,
             tenant=plan.tenant,
+            answer_is_large=plan.settings.large_answers,
+            due=plan.due,
         )
 
     def offer(self, ticket: Ticket, plan: CallPlan, call: WaitingCall) -> Decision:
@@ -195,6 +197,11 @@
             nodes, self._loop.time(), for_free_slot, plan.lane
         )
 
+    def told_work(self, plan: CallPlan) -> float:
+        """Give the mean seconds of a route's work by what owners told; 0: unknown."""
+        admission = self._admission(plan.target)
+        return 0.0 if admission is None else admission.told_work(plan.route)
+
     def state_of(self, service: str, node: str) -> EndpointState | None:
         """Give what this node has seen of one back end; None if nothing."""
         admission = self._admissions.get(service)
--- a/src/peppershore/process/node/data/verdicts.py
+++ b/src/peppershore/process/node/data/verdicts.py
@@ -6,6 +6,7 @@
 from peppershore.request.outcome import (
     BUSY,
     FIRST_SERVER_ERROR,
+    LINK_FULL,
     QUARANTINED,
     RUNS_ALONE,
     STATUS_BAD_GATEWAY,
@@ -31,8 +32,8 @@
 def verdict_of_failure(failed: Failed) -> Verdict | None:
     """Judge by a failure: a refusal for load or a drain is no fault.
 
-    That no slot was free at one moment says nothing of the next, and what is held for its
-    own sake nothing of the back end.
+    That no slot or no room was free at one moment says nothing of the next, and what is
+    held for its own sake nothing of the back end.
     """
     if failed.reason in SAYS_NOTHING:
         return None
@@ -41,5 +42,5 @@
     return "failed" if failed.reason in UNREACHABLE_REASONS else "shed"
 
 
-SAYS_NOTHING = frozenset({BUSY, QUARANTINED, RUNS_ALONE})
+SAYS_NOTHING = frozenset({BUSY, LINK_FULL, QUARANTINED, RUNS_ALONE})
 UNREACHABLE_REASONS = frozenset({"back-end-unreachable", "owner-unreachable"})
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 
 import msgspec
 
@@ -17,6 +18,7 @@
     BUSY,
     DEADLINE_TOO_SHORT,
     DISPLACED,
+    LINK_FULL,
     NO_SLOT_IN_TIME,
     QUEUE_FULL,
     STATUS_UNAVAILABLE,
@@ -29,6 +31,7 @@
     RandomSource,
     better_of_two,
     pick,
+    wider_link_of_two,
 )
 from peppershore.request.seeking import SlotSeeking
 from peppershore.request.version_lanes import Lane, draw_lane, split_lanes
@@ -145,6 +148,10 @@
         """Give the mean seconds of a route's calls here; 0 where none was seen."""
         return self._work.known(route)
 
+    def told_work(self, route: str) -> float:
+        """Give the mean seconds of a route's calls as owners told; 0: unknown."""
+        return self._told_work.known(route)
+
     def state(self, node: str) -> EndpointState | None:
         """Give what is known of one back end."""
         return self._states.get(node)
@@ -190,6 +197,8 @@
             return NotRun(STATUS_UNAVAILABLE, reason, NOBODY_READY_RETRY_AFTER_MILLISECONDS)
         if ticket.deadline - now <= 0.0:
             return out_of_time()
+        if ticket.answer_is_large and self._links_are_full(ticket, now):
+            return self._refusal(LINK_FULL, self._link_lateness(ticket, now))
         if not self._must_wait(ticket):
             state = self._pick(ticket, now)
             if state is not None:
@@ -291,11 +300,42 @@
     def _pick(self, ticket: Ticket, now: float) -> EndpointState | None:
         preference = self._preference(ticket)
         for group in self._lanes[ticket.lane]:
-            state = pick(group.values(), preference, self._random, now, self._choose)
+            if ticket.answer_is_large:
+                state = self._pick_by_link(group.values(), ticket, now)
+            else:
+                state = pick(group.values(), preference, self._random, now, self._choose)
             if state is not None:
                 return state
         return None
 
+    def _pick_by_link(
+        self, states: Iterable[EndpointState], ticket: Ticket, now: float
+    ) -> EndpointState | None:
+        """Choose for a large answer among those whose link has room for it.
+
+        Where none has, one that waited goes to any: their own nodes decide, and it does
+        not keep back those behind it.
+        """
+        known = list(states)
+        roomy = [state for state in known if state.has_link_room(now, ticket.due)]
+        preference = self._preference(ticket)
+        return pick(roomy or known, preference, self._random, now, wider_link_of_two)
+
+    def _links_are_full(self, ticket: Ticket, now: float) -> bool:
+        """Whether every owner told a moment ago that its link has no room."""
+        groups = self._lanes[ticket.lane]
+        return not any(
+            state.has_link_room(now, ticket.due)
+            for group in groups
+            for state in group.values()
+        )
+
+    def _link_lateness(self, ticket: Ticket, now: float) -> float:
+        """Give how many seconds too late its answer would be through at best."""
+        groups = self._lanes[ticket.lane]
+        waits = [state.link_wait(now) for group in groups for state in group.values()]
+        return max(0.0, now + min(waits, default=0.0) - ticket.due)
+
     def _split_lanes(self) -> None:
         versions = {node: state.endpoint.version for node, state in self._offered.items()}
         self._lanes = split_lanes(self._offered, versions, self.settings)
--- a/src/peppershore/request/classification.py
+++ b/src/peppershore/request/classification.py
@@ -52,7 +52,8 @@
     refused before.  ``crossing_seconds``: so much sooner must another zone answer.
     ``lane``: the version of the target's software that it was drawn for.
     ``tenant``: on whose behalf it is made, "" where there are none; ``is_counted``: it
-    comes with that tenant's key, so its limit counts it.
+    comes with that tenant's key, so its limit counts it.  ``due``: the monotonic time by
+    which its answer should be through.
     """
 
     service: str
@@ -72,6 +73,7 @@
     lane: Lane = "any"
     tenant: str = ""
     is_counted: bool = False
+    due: float = math.inf
 
 
 def classify(
@@ -96,6 +98,7 @@
     if length is not None and length > settings.max_body_bytes:
         return Failure(NotRun(STATUS_BODY_TOO_LARGE, "body-too-large"))
     remaining = parse_remaining(head.header(names.deadline))
+    deadline = call_deadline(now, settings.timeout_milliseconds, remaining)
     return Success(
         CallPlan(
             service=found.service,
@@ -104,13 +107,14 @@
             call_class=settings.call_class,
             repeatable=settings.repeatable,
             hop=settings.hop,
-            deadline=call_deadline(now, settings.timeout_milliseconds, remaining),
+            deadline=deadline,
             settings=settings,
             key=_idempotency_key(settings, head),
             priority=settings.priority,
             start_by=_start_by(settings, now),
             remaining=remaining,
             crossing_seconds=_crossing_seconds(settings),
+            due=_due(settings, now, deadline),
         )
     )
 
@@ -127,6 +131,11 @@
     return now + latency * PATIENCE_SHARE / MILLISECONDS if latency else math.inf
 
 
+def _due(settings: RouteSettings, now: float, deadline: float) -> float:
+    latency = settings.target_latency_milliseconds
+    return min(deadline, now + latency / MILLISECONDS) if latency else deadline
+
+
 def _crossing_seconds(settings: RouteSettings) -> float:
     """Give what a way to another zone must save; a large body is never worth it.
 
--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -68,6 +68,7 @@
         "_latency",
         "_sheds",
         "_last_seen",
+        "_link_wait",
         "_load_at",
         "_others",
         "_pace",
@@ -102,6 +103,7 @@
         self._others = 0
         self._pace = 1.0
         self._slots_told = 0
+        self._link_wait = 0.0
         self._load_at = -LOAD_SECONDS
 
     def ramp(self, now: float) -> float:
@@ -142,6 +144,7 @@
         self._others = max(0, load.running + load.waiting - self.in_flight)
         self._load_at = now
         self._slots_told = load.slots
+        self._link_wait = load.link_wait_milliseconds / 1_000
         if load.running >= load.slots:
             pause = max(FAR_FULL_SECONDS if is_far else FULL_SECONDS, _queue_seconds(load))
             self.passed_over_until = max(self.passed_over_until, now + pause)
@@ -150,6 +153,18 @@
         """The back end's own node told its work as a multiple of the usual for a route."""
         self._pace += (pace - self._pace) * PACE_WEIGHT
 
+    def link_wait(self, now: float) -> float:
+        """Give for how many seconds one more large answer would wait for its link.
+
+        What its own node told last gets less as the link carries on; 0 once it is old.
+        """
+        age = now - self._load_at
+        return max(0.0, self._link_wait - age) if age < LOAD_SECONDS else 0.0
+
+    def has_link_room(self, now: float, due: float) -> bool:
+        """Whether one more large answer would be through by ``due``, as far as is known."""
+        return now + self.link_wait(now) <= due
+
     @property
     def has_free_slot(self) -> bool:
         """Whether a slot was free by what its own node told last."""
--- a/src/peppershore/request/outcome.py
+++ b/src/peppershore/request/outcome.py
@@ -40,6 +40,9 @@
 RUNS_ALONE = "suspect-waits"
 """Reason of a refusal: another request that is suspected as well runs there."""
 
+LINK_FULL = "link-full"
+"""Reason of a refusal because the link carries no more large answers in time."""
+
 QUEUE_FULL = "queue-full"
 DISPLACED = "displaced"
 DEADLINE_TOO_SHORT = "deadline-too-short"
@@ -47,6 +50,9 @@
 LOAD_REASONS = frozenset({BUSY, NO_SLOT_IN_TIME, QUEUE_FULL, DISPLACED, DEADLINE_TOO_SHORT})
 """Reasons of refusals for want of slots: the caller may come back for one."""
 
+ROOM_REASONS = LOAD_REASONS | {LINK_FULL}
+"""Reasons of refusals for want of slots or of room on a link."""
+
 ANSWERED = b"answered"
 NOT_RUN = b"not-run"
 UNKNOWN = b"unknown"
--- a/src/peppershore/request/picker.py
+++ b/src/peppershore/request/picker.py
@@ -145,10 +145,28 @@
     candidates: Sequence[EndpointState], random: RandomSource, now: float
 ) -> EndpointState:
     """Give the cheaper of two candidates drawn at random."""
+    one, other = _two_of(candidates, random)
+    if one is other:
+        return one
+    return one if one.cost(now) <= other.cost(now) else other
+
+
+def wider_link_of_two(
+    candidates: Sequence[EndpointState], random: RandomSource, now: float
+) -> EndpointState:
+    """Give that of two drawn at random whose link is free sooner; else the cheaper one."""
+    one, other = _two_of(candidates, random)
+    first = (one.link_wait(now), one.cost(now))
+    return one if first <= (other.link_wait(now), other.cost(now)) else other
+
+
+def _two_of(
+    candidates: Sequence[EndpointState], random: RandomSource
+) -> tuple[EndpointState, EndpointState]:
+    """Draw two candidates; twice the same where there is only one."""
     count = len(candidates)
     if count == 1:
-        return candidates[0]
+        return candidates[0], candidates[0]
     first = int(random.below(count))
     second = (first + 1 + int(random.below(count - 1))) % count
-    one, other = candidates[first], candidates[second]
-    return one if one.cost(now) <= other.cost(now) else other
+    return candidates[first], candidates[second]
--- a/src/peppershore/request/waiting.py
+++ b/src/peppershore/request/waiting.py
@@ -36,7 +36,8 @@
     ``route`` tells how long it is likely to run.  A back end of another zone is worth the
     way if it answers so much sooner than one nearby (``crossing_seconds``).  ``lane``
     tells the version of the service's software that the call was drawn for, ``tenant`` on
-    whose behalf it is made ("" where there are none).
+    whose behalf it is made ("" where there are none).  Where the ``answer_is_large`` it
+    takes room on a link, and should be through by ``due`` (monotonic seconds).
     """
 
     number: int
@@ -53,6 +54,8 @@
     prefers_far: bool = False
     lane: Lane = "any"
     tenant: str = ""
+    answer_is_large: bool = False
+    due: float = math.inf
 
     @property
     def rank(self) -> int:
