Bodies in packed heads are moved out of no tally they weren't counted in

logs links showed negative bytes a second for call_started and call_answered: a body that came inside a packed message was counted with that message, and then taken from the kind of the head inside it. The new test fails without the change (tallies below 0).

--- a/src/peppershore/connection/call_link.py
+++ b/src/peppershore/connection/call_link.py
@@ -144,9 +144,12 @@
         self._lose_streams(reason)
 
     def _received(self, message: Message, size: int) -> None:
-        del size
+        """Take a message of so many bytes on the link; 0: it came inside a packed one.
+
+        A body that was packed counts with the packed message that carried it.
+        """
         self.received += 1
-        if isinstance(message, MessageWithBody) and message.data:
+        if size and isinstance(message, MessageWithBody) and message.data:
             TRAFFIC.note_body_received(_tag(message), len(message.data))
         if not self._allows(self._link, message):
             self._end(NOT_AUTHORIZED)
--- a/tests/link/test_head_packing.py
+++ b/tests/link/test_head_packing.py
@@ -75,7 +75,7 @@
     assert is_worth_it(link_megabits) == worth
 
 
-async def _linked(packs: bool) -> tuple[CallLink, list[Message], list[str], LinkListener]:
+async def linked(packs: bool) -> tuple[CallLink, list[Message], list[str], LinkListener]:
     """Give a link, the calls that its other end heard, and why that ended."""
     heard: list[Message] = []
     ends: list[str] = []
@@ -109,7 +109,7 @@
 @pytest.mark.parametrize("packs", [False, True])
 def test_the_other_end_reads_heads_packed_or_not(packs: bool) -> None:
     async def scene() -> None:
-        link, heard, _, listener = await _linked(packs)
+        link, heard, _, listener = await linked(packs)
         sent = [head(number) for number in range(1, 30)]
         for each in sent:
             assert link.send(each)
@@ -131,7 +131,7 @@
 @pytest.mark.parametrize("packed", [b"\xff" * 40, _twice()])
 def test_a_bad_piece_ends_the_link(packed: bytes) -> None:
     async def scene() -> None:
-        link, heard, ends, listener = await _linked(packs=False)
+        link, heard, ends, listener = await linked(packs=False)
         link.send(CallPacked(packed))
         async with asyncio.timeout(20):
             while not ends:  # noqa: ASYNC110
--- a/tests/link/test_traffic.py
+++ b/tests/link/test_traffic.py
@@ -2,13 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
+
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from tests.link.test_head_packing import head, linked
 
+from peppershore.connection import call_link as call_link_module
+from peppershore.connection import link as link_module
 from peppershore.connection.codec import MESSAGE_TYPES, encode_message, kind_name
 from peppershore.connection.messages.base import Message
-from peppershore.connection.messages.calls import CallBody, CallCancelled, CallLinkProbe
+from peppershore.connection.messages.calls import (
+    CallBody,
+    CallCancelled,
+    CallLinkProbe,
+    CallPacked,
+)
 from peppershore.connection.traffic import BODIES, UNKNOWN, Traffic, message_tag
 
 
@@ -44,6 +55,33 @@
     assert not traffic.received
 
 
+def test_a_body_inside_a_packed_head_is_moved_out_of_no_other_tally(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its bytes were counted with the packed message: taken from the head's kind, they
+    left that kind with less than nothing."""
+    traffic = Traffic()
+    monkeypatch.setattr(link_module, "TRAFFIC", traffic)
+    monkeypatch.setattr(call_link_module, "TRAFFIC", traffic)
+
+    async def scene() -> None:
+        link, heard, _, listener = await linked(packs=True)
+        started = msgspec.structs.replace(head(1), data=b"x" * 300, content_length=300)
+        link.send(started)
+        async with asyncio.timeout(20):
+            while not heard:  # noqa: ASYNC110
+                await asyncio.sleep(0.002)
+        assert heard == [started]
+        link.close()
+        await listener.close()
+
+    asyncio.run(scene())
+    for tallies in (traffic.sent, traffic.received):
+        assert all(tally.octets >= 0 for tally in tallies.values())
+        packed = tallies[CallPacked.__struct_config__.tag or 0]
+        assert packed.octets == sum(tally.octets for tally in tallies.values())
+
+
 def test_round_trips_are_given_once() -> None:
     traffic = Traffic()
     traffic.note_round_trip(0.2)
