--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -63,6 +63,11 @@
 own node on whether it ran; after that its outcome is unknown."""
 
 
+OVERTIME_SECONDS = 5.0
+"""For so long after its deadline a large answer that has begun may go on: one cut midway
+was sent in vain, and a caller that wants it no more closes its connection."""
+
+
 NO_STORY = StoryBook(0.0, Fingerprint())
 
 
@@ -86,6 +91,7 @@
         "_exchange",
         "_excluded",
         "_head",
+        "_is_overtime",
         "_loop",
         "_over",
         "_plan",
@@ -101,6 +107,7 @@
         self._calls = calls
         self._exchange = exchange
         self._head = head
+        self._is_overtime = False
         self._loop = calls.loop
         self._request_id = head.header(calls.names.request_id) or calls.new_request_id()
         self._answer = AnswerRelay(exchange, self._request_id, False, calls.names)
@@ -458,7 +465,18 @@
         self._admit()
 
     def _deadline_passed(self) -> None:
-        """End the call, once the back end's own node has said whether it ran."""
+        """End the call, once the back end's own node has said whether it ran.
+
+        A large answer that has begun is given whole, for as long as its caller waits.
+        """
+        if (
+            self._answer.begun
+            and self.plan.settings.large_answers
+            and not self._is_overtime
+        ):
+            self._is_overtime = True
+            self._timer = self._loop.call_later(OVERTIME_SECONDS, self._deadline_passed)
+            return
         attempt = self._attempt
         asked = (
             attempt is not None
