--- a/src/peppershore/process/node/data/large_answers.py
+++ b/src/peppershore/process/node/data/large_answers.py
@@ -35,6 +35,23 @@
 """The rate of small messages is looked at so often at most."""
 
 
+class Timer(Protocol):
+    """What is due later."""
+
+    def cancel(self) -> None:
+        """Let it not happen."""
+
+
+class Timers(Protocol):
+    """The part of a loop that is used here."""
+
+    def time(self) -> float:
+        """Give monotonic seconds."""
+
+    def call_later(self, delay: float, callback: Callable[[], None]) -> Timer:
+        """Call back after so many seconds."""
+
+
 class LargeSender(Protocol):
     """One large answer that waits for its turn."""
 
@@ -49,10 +66,13 @@
     """All large answers that leave by this node's link."""
 
     def __init__(
-        self, link_megabits: float, octets_sent: Callable[[], int] | None = None
+        self,
+        link_megabits: float,
+        octets_sent: Callable[[], int] | None = None,
+        timers: Timers | None = None,
     ) -> None:
         """``octets_sent`` gives all bytes that this node ever sent."""
-        self._loop = asyncio.get_running_loop()
+        self._loop = timers or asyncio.get_running_loop()
         self._octets_sent = octets_sent or _all_octets_sent
         now = self._loop.time()
         self._room = LinkRoom(link_megabits)
@@ -60,7 +80,7 @@
         self._most_held = int(self._room.rate * HELD_SECONDS)
         self._senders: dict[int, LargeSender] = {}
         self._held_back: set[LargeSender] = set()
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: Timer | None = None
         self._is_sending = False
         self._seen = self._octets_sent()
         self._large = 0
--- /dev/null
+++ b/tests/data_plane/test_large_answers_share_links.py
@@ -0,0 +1,163 @@
+"""Beside large answers a small message waits no longer than the bound, on any link.
+
+Virtual time; the link's queue stands for the buffers of the system and of the network.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+from benchmarks.call_model import Clock
+from benchmarks.link_model import Pipe
+
+from peppershore.process.node.data.large_answers import LargeAnswers
+from peppershore.request.back_ends.link_room import (
+    LINK_QUEUE_SECONDS,
+    PIECE_SECONDS,
+    Transfer,
+)
+from peppershore.request.outcome import LINK_FULL, NotRun
+
+RATES = (1.0, 3.9, 6.0)
+SMALL_BYTES = 100
+
+
+class _Cancelled:
+    def __init__(self) -> None:
+        self.is_set = False
+
+    def cancel(self) -> None:
+        self.is_set = True
+
+
+class Wire:
+    """A machine's link, a clock, and all that the machine sent."""
+
+    def __init__(self, megabits: float) -> None:
+        self.clock = Clock()
+        self.link = Pipe(self.clock, megabits)
+        self.waits: list[float] = []
+        self.desk = LargeAnswers(megabits, lambda: self.link.octets, self)
+
+    def time(self) -> float:
+        return self.clock.now
+
+    def call_later(self, delay: float, callback: Callable[[], None]) -> _Cancelled:
+        timer = _Cancelled()
+        self.clock.after(delay, lambda: None if timer.is_set else callback())
+        return timer
+
+    def send_small(self, every: float, until: float) -> None:
+        """Send a small message again and again; note what it waits."""
+        self.waits.append(self.link.backlog_seconds)
+        self.link.carry(SMALL_BYTES, lambda: None)
+        if self.clock.now + every < until:
+            self.clock.after(every, lambda: self.send_small(every, until))
+
+
+class Sender:
+    """A large answer that is here whole."""
+
+    def __init__(self, wire: Wire, octets: int, due: float) -> None:
+        self.wire = wire
+        self.left = octets
+        self.through_at = 0.0
+        self.reads_on = 0
+        offered = wire.desk.offer("frames", due, 0.0, self)
+        self.refusal = offered if isinstance(offered, NotRun) else None
+        self.transfer: Transfer | None = None
+        if isinstance(offered, Transfer):
+            self.transfer = offered
+            wire.desk.room.sized(offered, octets)
+            wire.desk.came(offered, octets)
+            wire.desk.kick()
+
+    def send_some(self, octets: int) -> None:
+        assert self.transfer is not None
+        octets = min(octets, self.left)
+        self.left -= octets
+        self.wire.desk.went(self.transfer, octets)
+        self.wire.link.carry(octets, self._arrived)
+        if not self.left:
+            self.wire.desk.over(self.transfer, is_whole=True)
+
+    def read_on(self) -> None:
+        self.reads_on += 1
+
+    def _arrived(self) -> None:
+        if not self.left and not self.through_at:
+            self.through_at = self.wire.clock.now
+
+
+@pytest.mark.parametrize("megabits", RATES)
+def test_a_small_message_waits_no_longer_than_the_bound(megabits: float) -> None:
+    wire = Wire(megabits)
+    senders = [Sender(wire, 90_000, 60.0) for _ in range(6)]
+    wire.send_small(0.0073, 5.0)
+    wire.clock.run(60.0)
+    assert all(sender.through_at for sender in senders)
+    assert max(wire.waits) <= LINK_QUEUE_SECONDS + PIECE_SECONDS
+
+
+@pytest.mark.parametrize("megabits", RATES)
+def test_they_go_one_after_the_other_and_keep_the_link_busy(megabits: float) -> None:
+    wire = Wire(megabits)
+    senders = [Sender(wire, 90_000, 60.0) for _ in range(5)]
+    wire.clock.run(60.0)
+    ends = [sender.through_at for sender in senders]
+    assert ends == sorted(ends)
+    one = 90_000 / wire.desk.room.rate
+    for earlier, later in zip(ends, ends[1:], strict=False):
+        assert later - earlier == pytest.approx(one, rel=0.1)
+
+
+@pytest.mark.parametrize("megabits", RATES)
+def test_small_messages_go_on_while_they_alone_fill_the_link(megabits: float) -> None:
+    """Large answers still move, at the share that is kept for them."""
+    wire = Wire(megabits)
+    every = SMALL_BYTES / (wire.desk.room.rate * 0.9)
+    sender = Sender(wire, 30_000, 600.0)
+    wire.send_small(every, 60.0)
+    wire.clock.run(60.0)
+    assert sender.through_at
+
+
+def test_a_refusal_tells_when_there_may_be_room() -> None:
+    wire = Wire(6.0)
+    senders = [Sender(wire, 90_000, 0.5) for _ in range(20)]
+    refused = [sender.refusal for sender in senders if sender.refusal is not None]
+    assert 10 <= len(refused) < 20
+    assert {refusal.reason for refusal in refused} == {LINK_FULL}
+    assert all(refusal.retryable for refusal in refused)
+    assert all(refusal.retry_after_milliseconds >= 100 for refusal in refused)
+
+
+def test_what_may_be_held_is_bounded_but_each_may_hold_a_little() -> None:
+    wire = Wire(6.0)
+    senders = [Sender(wire, 200_000, 60.0) for _ in range(5)]
+    last = senders[-1]
+    assert last.transfer is not None
+    assert not wire.desk.may_hold_more(last.transfer)
+    wire.desk.hold_back(last)
+    little = wire.desk.offer("frames", 60.0, 0.0, last)
+    assert isinstance(little, Transfer)
+    assert wire.desk.may_hold_more(little)
+    wire.clock.run(60.0)
+    assert last.reads_on == 1
+
+
+def test_the_window_of_an_answer_shrinks_with_those_under_way() -> None:
+    wire = Wire(6.0)
+    alone = wire.desk.window_bytes
+    Sender(wire, 90_000, 60.0)
+    assert wire.desk.window_bytes == pytest.approx(alone / 2, rel=0.01)
+
+
+def test_the_told_wait_is_what_is_promised() -> None:
+    wire = Wire(6.0)
+    assert wire.desk.wait_milliseconds == 0
+    transfer = Sender(wire, 90_000, 60.0).transfer
+    assert transfer is not None
+    expected = (transfer.left + wire.desk.room.size_of("frames")) / wire.desk.room.rate
+    assert wire.desk.wait_milliseconds == pytest.approx(expected * 1_000, rel=0.1)
