Tenants in the tree: edits, rules, inheritance, differences, reverts, resources

Callers who share keys and a limit are part of the configuration now; nothing held them. SetTenant and RemoveTenant, subject tenant:NAME; keys shared by two tenants, empty or unsendable keys, figures that can't be counted with are refused without naming a key. Operators see fingerprints in place of keys; an operator's revert gives back limits and no key, as secrets keep their generations. Settings of the root are inherited. The test that every setting reaches the node knows the root's three new settings; no assertion became weaker. Ruled out: tenants as nodes of the tree (keys would be overrides that every reader shows).

--- a/src/peppershore/command/edits.py
+++ b/src/peppershore/command/edits.py
@@ -20,7 +20,7 @@
     TreeQuery,
 )
 from peppershore.process.control.change_ids import new_change_id
-from peppershore.version.editor import SECRET_SUBJECT, ZONE_SUBJECT
+from peppershore.version.editor import SECRET_SUBJECT, TENANT_SUBJECT, ZONE_SUBJECT
 from peppershore.version.model import (
     Edit,
     EditAccepted,
@@ -33,7 +33,9 @@
     PromoteSecret,
     PutSecret,
     RemoveSecret,
+    RemoveTenant,
     RemoveZone,
+    SetTenant,
     SetZone,
     Tree,
     Version,
@@ -125,6 +127,8 @@
         return ZONE_SUBJECT + operation.name
     if isinstance(operation, PutSecret | PromoteSecret | RemoveSecret):
         return SECRET_SUBJECT + operation.name
+    if isinstance(operation, SetTenant | RemoveTenant):
+        return TENANT_SUBJECT + operation.name
     return operation.path
 
 
--- a/src/peppershore/command/history.py
+++ b/src/peppershore/command/history.py
@@ -5,6 +5,7 @@
 from datetime import UTC, datetime
 
 import msgspec
+from msgspec import UNSET
 from returns.result import Failure, Result, Success
 
 from peppershore.command.client import ControlGroup, ask
@@ -19,12 +20,15 @@
     PutSecret,
     RemoveNode,
     RemoveSecret,
+    RemoveTenant,
     RemoveZone,
     SetOverrides,
+    SetTenant,
     SetZone,
     UnsetOverrides,
     Version,
 )
+from peppershore.version.tenants import given_limits, key_fingerprint
 
 MILLISECONDS_PER_SECOND = 1_000
 MAX_SHOWN_OPERATIONS = 3
@@ -107,6 +111,18 @@
             return f"secret {name}: signers use generation {generation}"
         case RemoveSecret(name):
             return f"secret remove {name}"
+        case SetTenant():
+            return _describe_tenant(operation)
+        case RemoveTenant(name):
+            return f"tenant remove {name}"
+
+
+def _describe_tenant(operation: SetTenant) -> str:
+    given = [f"{name}={value}" for name, value in given_limits(operation).items()]
+    if operation.keys is not UNSET:
+        shown = ",".join(key_fingerprint(key) for key in operation.keys)
+        given.append(f"keys={shown or 'none'}")
+    return " ".join(("tenant set", operation.name, *given))
 
 
 def change_rows(view: HistoryView) -> list[tuple[object, ...]]:
--- a/src/peppershore/command/tree_file_commands.py
+++ b/src/peppershore/command/tree_file_commands.py
@@ -7,6 +7,7 @@
 
 import click
 import msgspec
+from msgspec import UNSET
 from returns.result import Failure, Result, Success
 
 from peppershore.command.client import ControlGroup
@@ -26,8 +27,9 @@
 from peppershore.command.output import show_json, show_table, stop_with
 from peppershore.process.control.redaction import HIDDEN_MATERIAL
 from peppershore.version.difference import Difference, compare_trees
-from peppershore.version.model import Operation, PutSecret, Tree, Version
+from peppershore.version.model import Operation, PutSecret, SetTenant, Tree, Version
 from peppershore.version.revert import revert_operations
+from peppershore.version.tenants import is_hidden
 from peppershore.version.tree_file import tree_from_toml, tree_to_toml
 from peppershore.version.warnings import warn_of
 
@@ -113,7 +115,7 @@
 def load(context: OperatorContext, names: EditNames, path: Path, dry_run: bool) -> None:
     """Make the cluster's tree equal to the TOML file PATH, as one edit.
 
-    A file without a table of secrets leaves the secrets as they are.
+    A file without a table of secrets leaves the secrets as they are; tenants stay.
     """
     text = _value(read_text(path), context.as_json)
     current = context.run(read_tree(context.group))
@@ -154,7 +156,7 @@
 def revert(context: OperatorContext, names: EditNames, version: int, dry_run: bool) -> None:
     """Give the tree the content of a kept VERSION again, as a new version.
 
-    Secrets that exist now keep their generations.
+    Secrets that exist now keep their generations, tenants their keys.
     """
     trees = context.run(_read_two(context.group, version, 0))
     wanted = TwoTrees(before=trees.after, after=trees.before)
@@ -201,7 +203,7 @@
 
 
 def _tree_in(path: Path, text: str, current: Tree) -> Result[Tree, Failed]:
-    found = tree_from_toml(text, current.secrets)
+    found = tree_from_toml(text, current.secrets, current.tenants)
     if isinstance(found, Failure):
         step = "mend the file; nothing was sent"
         return Failure(invalid(f"{path} holds no valid tree", found.failure(), step))
@@ -227,25 +229,45 @@
     if dry_run or not operations:
         _show_differences(context, trees, differences)
         return
-    missing = _secrets_without_material(operations)
-    if missing:
-        listed = ", ".join(missing)
-        message = f"the material of {listed} is no longer in the tree and can't come back"
-        step = "create it again with `peppershore secret put`, then repeat"
-        stop_with(invalid(message, (), step), context.as_json)
+    _stop_without_material(context, operations)
     request = edit_request(context, names, operations)
     send_edit(context, names, submit_on(context.group, request, trees.before))
 
 
-def _secrets_without_material(operations: tuple[Operation, ...]) -> tuple[str, ...]:
-    """Give the secrets that can't be made: operators never get material back."""
-    return tuple(
+def _stop_without_material(
+    context: OperatorContext, operations: tuple[Operation, ...]
+) -> None:
+    """Stop where something can't be made: operators never get material back."""
+    secrets = _secrets_without_material(operations)
+    if secrets:
+        message = f"the material of {secrets} is no longer in the tree and can't come back"
+        step = "create it again with `peppershore secret put`, then repeat"
+        stop_with(invalid(message, (), step), context.as_json)
+    tenants = _tenants_without_keys(operations)
+    if tenants:
+        message = f"the keys of {tenants} are no longer in the tree and can't come back"
+        step = "bring the tenant with its keys in a whole configuration, then repeat"
+        stop_with(invalid(message, (), step), context.as_json)
+
+
+def _secrets_without_material(operations: tuple[Operation, ...]) -> str:
+    return ", ".join(
         operation.name
         for operation in operations
         if isinstance(operation, PutSecret) and operation.material == HIDDEN_MATERIAL
     )
 
 
+def _tenants_without_keys(operations: tuple[Operation, ...]) -> str:
+    return ", ".join(
+        operation.name
+        for operation in operations
+        if isinstance(operation, SetTenant)
+        and operation.keys is not UNSET
+        and any(is_hidden(key) for key in operation.keys)
+    )
+
+
 def _show_differences(
     context: OperatorContext, trees: TwoTrees, differences: tuple[Difference, ...]
 ) -> None:
--- a/src/peppershore/process/configuration_page.py
+++ b/src/peppershore/process/configuration_page.py
@@ -1,4 +1,4 @@
-"""A node's admin page that shows what it really holds; secrets by name only."""
+"""A node's admin page that shows what it really holds; key material never."""
 
 from __future__ import annotations
 
@@ -25,6 +25,19 @@
     signing_generation: int
 
 
+class HeldTenant(msgspec.Struct, frozen=True):
+    """A tenant as shown: how many keys it has, and what holds for it.
+
+    ``rate_per_second`` 0: no limit; ``priority`` None: that of the route.
+    """
+
+    name: str
+    key_count: int
+    rate_per_second: float
+    burst: float
+    priority: int | None
+
+
 class HeldConfiguration(msgspec.Struct, frozen=True):
     """What one node holds; version 0 means that it holds nothing yet."""
 
@@ -35,6 +48,7 @@
     routes: tuple[RouteResource, ...] = ()
     services: dict[str, ServiceSettings] = {}
     secrets: tuple[HeldSecret, ...] = ()
+    tenants: tuple[HeldTenant, ...] = ()
 
 
 def view_configuration(node: str, active: ActiveConfiguration | None) -> HeldConfiguration:
@@ -56,6 +70,16 @@
             )
             for name, secret in sorted(active.secrets.items())
         ),
+        tenants=tuple(
+            HeldTenant(
+                name=name,
+                key_count=len(tenant.key_digests),
+                rate_per_second=tenant.rate_per_second,
+                burst=tenant.burst,
+                priority=tenant.priority,
+            )
+            for name, tenant in sorted(active.tenants.items())
+        ),
     )
 
 
--- a/src/peppershore/process/control/change_ids.py
+++ b/src/peppershore/process/control/change_ids.py
@@ -20,8 +20,10 @@
     PutSecret,
     RemoveNode,
     RemoveSecret,
+    RemoveTenant,
     RemoveZone,
     SetOverrides,
+    SetTenant,
     SetZone,
     UnsetOverrides,
     Version,
@@ -69,3 +71,5 @@
             return f"zone:{name}"
         case PutSecret(name=name) | PromoteSecret(name=name) | RemoveSecret(name=name):
             return f"secret:{name}"
+        case SetTenant(name=name) | RemoveTenant(name=name):
+            return f"tenant:{name}"
--- a/src/peppershore/process/control/history.py
+++ b/src/peppershore/process/control/history.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from peppershore.connection.messages.relay import CommittedEdit
-from peppershore.version.model import Edit, Secret, Tree, TreeNode, Version, Zone
+from peppershore.version.model import Edit, Secret, Tenant, Tree, TreeNode, Version, Zone
 from peppershore.version.tree import AppliedEdit
 
 _Kept = TypeVar("_Kept")
@@ -22,6 +22,7 @@
     secrets: dict[str, Secret | None]
     zones: dict[str, Zone | None]
     release: Version = 0
+    tenants: dict[str, Tenant | None] = {}
 
 
 class KeptEdit(msgspec.Struct, frozen=True, array_like=True):
@@ -70,6 +71,7 @@
         nodes = dict(current.nodes)
         secrets = dict(current.secrets)
         zones = dict(current.zones)
+        tenants = dict(current.tenants)
         reached = current.version
         release = current.release
         for kept in reversed(self._kept):
@@ -78,9 +80,10 @@
             _put_back(nodes, kept.reversal.nodes)
             _put_back(secrets, kept.reversal.secrets)
             _put_back(zones, kept.reversal.zones)
+            _put_back(tenants, kept.reversal.tenants)
             reached = kept.reversal.version
             release = kept.reversal.release
-        return Tree(current.cluster, reached, zones, nodes, secrets, release)
+        return Tree(current.cluster, reached, zones, nodes, secrets, release, tenants)
 
     def all_kept(self) -> tuple[KeptEdit, ...]:
         """Everything kept, oldest first."""
@@ -99,6 +102,7 @@
         {name: before.secrets.get(name) for name in sorted(applied.changed_secrets)},
         {name: before.zones.get(name) for name in sorted(applied.changed_zones)},
         before.release,
+        {name: before.tenants.get(name) for name in sorted(applied.changed_tenants)},
     )
 
 
--- a/src/peppershore/process/public_value.py
+++ b/src/peppershore/process/public_value.py
@@ -1,11 +1,13 @@
-"""Values made fit to be shown: without key material, which is always bytes."""
+"""Values made fit to be shown: without key material, in bytes or in fields of its names."""
 
 from __future__ import annotations
 
 import msgspec
 
 HIDDEN = "<hidden>"
-SENSITIVE_FIELDS = frozenset({"material", "payload", "token", "authorization", "key"})
+SENSITIVE_FIELDS = frozenset(
+    {"material", "payload", "token", "authorization", "key", "keys"}
+)
 
 
 def public_value(value: object) -> object:
--- a/src/peppershore/version/catalog.py
+++ b/src/peppershore/version/catalog.py
@@ -2,7 +2,8 @@
 
 A scope's resources are the hosted service and the services it calls, with
 their routes in the scope's zone; the services those routes go to; and the
-secrets those routes verify and the hosted service signs with.
+secrets those routes verify and the hosted service signs with.  All tenants
+belong to every scope that has anything.
 
 The work of one edit grows with what it changes: the services it touched are
 resolved again, once per zone in which they differ, and the scopes that hold a
@@ -23,20 +24,28 @@
     Snapshot,
     Tree,
     Update,
+    Value,
     Version,
 )
-from peppershore.version.resource_tables import (
-    GroupKey,
-    GroupTable,
-    SecretTable,
-    TouchedZones,
+from peppershore.version.resource_tables import GroupKey, TouchedZones
+from peppershore.version.scope_contents import (
+    EncodedTables,
+    HolderIndex,
+    collect_contents,
 )
-from peppershore.version.scope_contents import HolderIndex, collect_contents
 from peppershore.version.scope_state import ScopeState
 from peppershore.version.tree import empty_tree
 from peppershore.version.tree_index import index_of, split_path
 
 
+class _Changed(Value, frozen=True):
+    """What encodes otherwise than before."""
+
+    groups: set[GroupKey]
+    secrets: set[str]
+    any_tenant: bool
+
+
 class ScopeCatalog:
     """Snapshots and updates of all scopes in use, at the tree's version.
 
@@ -47,8 +56,7 @@
     def __init__(self) -> None:
         """Begin with an empty tree; ``load`` gives the real one."""
         self._tree = empty_tree("")
-        self._groups = GroupTable()
-        self._secrets = SecretTable()
+        self._tables = EncodedTables()
         self._states: dict[Scope, ScopeState] = {}
         self._holders = HolderIndex()
         self._last_affected: tuple[Scope, ...] = ()
@@ -78,9 +86,13 @@
             raise AssertionError(f"{tree.version} is below {self._tree.version}")
         former = self._tree
         self._tree = tree
-        changed_groups = self._groups.refresh(tree, self._all_groups())
-        changed_secrets = self._secrets.refresh(tree, self._secrets.names)
-        return self._put_together(former, changed_groups, changed_secrets)
+        secrets = self._tables.secrets
+        changed = _Changed(
+            groups=self._tables.groups.refresh(tree, self._all_groups()),
+            secrets=secrets.refresh(tree, secrets.names),
+            any_tenant=self._tables.tenants.refresh_all(tree),
+        )
+        return self._put_together(former, changed)
 
     def advance(self, applied: AppliedEdit) -> tuple[Scope, ...]:
         """Take the next edit; give the scopes in use whose digest changed."""
@@ -101,9 +113,13 @@
             self._tree = applied.tree
         paths = frozenset().union(*(applied.changed_paths for applied in edits))
         secrets = frozenset().union(*(applied.changed_secrets for applied in edits))
-        changed_groups = self._groups.refresh(self._tree, self._touched_groups(paths))
-        changed_secrets = self._secrets.refresh(self._tree, secrets)
-        return self._put_together(former, changed_groups, changed_secrets)
+        tenants = frozenset().union(*(applied.changed_tenants for applied in edits))
+        changed = _Changed(
+            groups=self._tables.groups.refresh(self._tree, self._touched_groups(paths)),
+            secrets=self._tables.secrets.refresh(self._tree, secrets),
+            any_tenant=self._refresh_tenants(paths, tenants),
+        )
+        return self._put_together(former, changed)
 
     def affected(self, applied: AppliedEdit) -> tuple[Scope, ...]:
         """Give the scopes in use whose digest the newest edit changed."""
@@ -160,14 +176,20 @@
     def _state(self, scope: Scope) -> ScopeState:
         state = self._states.get(scope)
         if state is None:
-            contents = collect_contents(self._tree, scope, self._groups, self._secrets)
+            contents = collect_contents(self._tree, scope, self._tables)
             self._holders.set(scope, contents)
             state = ScopeState(scope, contents.entries, self.version)
             self._states[scope] = state
         return state
 
     def _all_groups(self) -> TouchedZones:
-        return dict.fromkeys(self._groups.services, frozenset({ANY_ZONE}))
+        return dict.fromkeys(self._tables.groups.services, frozenset({ANY_ZONE}))
+
+    def _refresh_tenants(self, paths: frozenset[str], names: frozenset[str]) -> bool:
+        """Encode tenants again that an edit touched; all of them inherit from the root."""
+        if ROOT_PATH in paths:
+            return self._tables.tenants.refresh_all(self._tree)
+        return self._tables.tenants.refresh(self._tree, names)
 
     def _touched_groups(self, changed_paths: frozenset[str]) -> TouchedZones:
         if ROOT_PATH in changed_paths:
@@ -178,20 +200,19 @@
             zones[path.service].add(path.zone or ANY_ZONE)
         return {service: frozenset(names) for service, names in zones.items()}
 
-    def _put_together(
-        self, former: Tree, changed_groups: set[GroupKey], changed_secrets: set[str]
-    ) -> tuple[Scope, ...]:
+    def _put_together(self, former: Tree, changed: _Changed) -> tuple[Scope, ...]:
         """Put together the scopes that hold what changed; give those that differ.
 
         A scope that holds every service is also concerned by one that is new, which
-        nobody holds yet.
+        nobody holds yet; every scope by tenants.
         """
         affected = []
-        concerned = self._holders.holders_of(changed_groups, changed_secrets)
-        if index_of(former).keys() != index_of(self._tree).keys():
+        concerned = self._holders.holders_of(changed.groups, changed.secrets)
+        is_new = index_of(former).keys() != index_of(self._tree).keys()
+        if changed.any_tenant or is_new:
             concerned |= self._states.keys()
         for scope in sorted(concerned):
-            contents = collect_contents(self._tree, scope, self._groups, self._secrets)
+            contents = collect_contents(self._tree, scope, self._tables)
             self._holders.set(scope, contents)
             if self._states[scope].replace(contents.entries, self.version):
                 affected.append(scope)
--- a/src/peppershore/version/difference.py
+++ b/src/peppershore/version/difference.py
@@ -7,9 +7,10 @@
 
 import msgspec
 
-from peppershore.version.editor import SECRET_SUBJECT, ZONE_SUBJECT
-from peppershore.version.model import Secret, Tree, TreeNode, Value, Zone
+from peppershore.version.editor import SECRET_SUBJECT, TENANT_SUBJECT, ZONE_SUBJECT
+from peppershore.version.model import Secret, Tenant, Tree, TreeNode, Value, Zone
 from peppershore.version.resolve import set_values
+from peppershore.version.tenants import given_limits, key_fingerprint
 
 DifferenceKind = Literal["added", "removed", "changed"]
 
@@ -18,12 +19,12 @@
 
 
 class Difference(Value, frozen=True):
-    """One setting, zone or secret that is not the same in two trees.
+    """One setting, zone, secret or tenant that is not the same in two trees.
 
-    ``subject`` is a path, "zone:NAME" or "secret:NAME".  ``setting`` is empty
-    where a node without overrides comes or goes.  ``before`` and ``after`` are
-    JSON texts, empty for absent.  Of a secret only the numbers of its
-    generations show, never its material.
+    ``subject`` is a path, "zone:NAME", "secret:NAME" or "tenant:NAME".  ``setting``
+    is empty where a node without overrides comes or goes.  ``before`` and ``after``
+    are JSON texts, empty for absent.  Of a secret only the numbers of its
+    generations show, never its material; of a tenant's keys their fingerprints.
     """
 
     subject: str
@@ -42,6 +43,7 @@
         *_compare(before.nodes, after.nodes, "", _node_settings),
         *_compare(before.zones, after.zones, ZONE_SUBJECT, _zone_settings),
         *_compare(before.secrets, after.secrets, SECRET_SUBJECT, _secret_settings),
+        *_compare(before.tenants, after.tenants, TENANT_SUBJECT, _tenant_settings),
     ]
     return tuple(sorted(found, key=lambda each: (each.subject, each.setting)))
 
@@ -96,5 +98,10 @@
     }
 
 
+def _tenant_settings(tenant: Tenant) -> _Settings:
+    limits = {name: _as_json(value) for name, value in given_limits(tenant).items()}
+    return limits | {"keys": _as_json([key_fingerprint(key) for key in tenant.keys])}
+
+
 def _as_json(value: object) -> str:
     return msgspec.json.encode(value).decode()
--- a/src/peppershore/version/editor.py
+++ b/src/peppershore/version/editor.py
@@ -16,6 +16,7 @@
     Problem,
     Secret,
     SecretGeneration,
+    Tenant,
     Tree,
     TreeNode,
     Value,
@@ -24,10 +25,12 @@
 )
 from peppershore.version.path import Level, parse_path, service_path
 from peppershore.version.resolve import set_values
+from peppershore.version.tenants import given_limits
 from peppershore.version.tree_index import derive_index, index_of, split_path
 
 SECRET_SUBJECT = "secret:"
 ZONE_SUBJECT = "zone:"
+TENANT_SUBJECT = "tenant:"
 FIRST_GENERATION = 1
 
 
@@ -38,6 +41,7 @@
     changed_paths: frozenset[str]
     changed_secrets: frozenset[str]
     changed_zones: frozenset[str]
+    changed_tenants: frozenset[str] = frozenset()
 
 
 class Editor:
@@ -55,9 +59,11 @@
         self._nodes = tree.nodes
         self._secrets = tree.secrets
         self._zones = tree.zones
+        self._tenants = tree.tenants
         self._paths: set[str] = set()
         self._secret_names: set[str] = set()
         self._zone_names: set[str] = set()
+        self._tenant_names: set[str] = set()
 
     def finish(self) -> AppliedEdit:
         """Give the edited tree, with an index derived from the former one's."""
@@ -68,6 +74,7 @@
             nodes=self._nodes,
             secrets=self._secrets,
             release=self._release,
+            tenants=self._tenants,
         )
         derive_index(self._before, after, self._paths)
         return AppliedEdit(
@@ -75,6 +82,7 @@
             changed_paths=frozenset(self._paths),
             changed_secrets=frozenset(self._secret_names),
             changed_zones=frozenset(self._zone_names),
+            changed_tenants=frozenset(self._tenant_names),
         )
 
     @singledispatchmethod
@@ -193,6 +201,31 @@
         del self._secrets[operation.name]
         self._secret_names.add(operation.name)
 
+    @apply.register
+    def _set_tenant(self, operation: model.SetTenant) -> None:
+        known = self._tenants.get(operation.name)
+        keys = operation.keys
+        if keys is UNSET:
+            keys = () if known is None else known.keys
+        self._own_tenants()
+        self._tenants[operation.name] = Tenant(
+            keys=keys,
+            **given_limits(operation),
+            revision=self._version,
+            change_id=self._change_id,
+        )
+        self._tenant_names.add(operation.name)
+
+    @apply.register
+    def _remove_tenant(self, operation: model.RemoveTenant) -> None:
+        if operation.name not in self._tenants:
+            subject = f"{TENANT_SUBJECT}{operation.name}"
+            self._refuse(Problem(subject, "there is no such tenant", ""))
+            return
+        self._own_tenants()
+        del self._tenants[operation.name]
+        self._tenant_names.add(operation.name)
+
     def _refuse(self, problem: Problem) -> None:
         self.problems.append(problem)
 
@@ -204,6 +237,10 @@
         if self._secrets is self._before.secrets:
             self._secrets = dict(self._secrets)
 
+    def _own_tenants(self) -> None:
+        if self._tenants is self._before.tenants:
+            self._tenants = dict(self._tenants)
+
     def _put_node(
         self, path: str, overrides: Overrides, only_if_absent: bool = False
     ) -> None:
--- a/src/peppershore/version/encoded.py
+++ b/src/peppershore/version/encoded.py
@@ -1,4 +1,4 @@
-"""Resolved and encoded resources: one service in one zone, or one secret.
+"""Resolved and encoded resources: one service in one zone, one secret or one tenant.
 
 A zone in which a service overrides nothing resolves to the same as "any zone",
 so all such zones share one group of resources.  A resource whose bytes did not
@@ -22,6 +22,7 @@
     SecretResource,
     ServiceResource,
     ServiceSettings,
+    TenantResource,
     Tree,
     TreeNode,
     Value,
@@ -38,6 +39,7 @@
 )
 from peppershore.version.resource_codec import encode_resource
 from peppershore.version.splits import split_services
+from peppershore.version.tenants import key_digests, limits_of
 from peppershore.version.tree_index import index_of
 
 
@@ -133,6 +135,19 @@
     return _entry(content, [former] if former is not None else [])
 
 
+def encode_tenant(tree: Tree, name: str, former: Entry | None) -> Entry:
+    """Encode a tenant: the digests of its keys, and what holds for it."""
+    limits = limits_of(tree, name)
+    content = TenantResource(
+        name=name,
+        key_digests=key_digests(tree.tenants[name].keys),
+        rate_per_second=float(limits.rate_per_second),
+        burst=float(limits.burst),
+        priority=limits.priority,
+    )
+    return _entry(content, [former] if former is not None else [])
+
+
 class RouteName(Value, frozen=True):
     """A route by its service and its own name."""
 
--- a/src/peppershore/version/model.py
+++ b/src/peppershore/version/model.py
@@ -34,6 +34,8 @@
 HopMode = Literal["direct", "owner"]
 RolloutState = Literal["", "running", "completed", "rolled_back"]
 """Of the latest roll-out of a service; "" before the first."""
+Figure = int | float
+"""A number that is given back as it was given: a whole one stays whole."""
 
 
 class Value(msgspec.Struct, frozen=True):
@@ -90,6 +92,9 @@
     rollout_milliseconds: int | UnsetType = UNSET
     large_answers: bool | UnsetType = UNSET
     keyless: bool | UnsetType = UNSET
+    tenant_rate_per_second: Figure | UnsetType = UNSET
+    tenant_burst: Figure | UnsetType = UNSET
+    tenant_priority: int | UnsetType = UNSET
 
 
 class RouteSettings(Value, frozen=True):
@@ -210,8 +215,8 @@
     """
 
     keys: tuple[str, ...]
-    rate_per_second: float | UnsetType = UNSET
-    burst: float | UnsetType = UNSET
+    rate_per_second: Figure | UnsetType = UNSET
+    burst: Figure | UnsetType = UNSET
     priority: int | UnsetType = UNSET
     revision: Version = 0
     change_id: str = ""
@@ -306,6 +311,30 @@
     name: str
 
 
+class SetTenant(Value, frozen=True, tag="set_tenant"):
+    """Create a tenant, or give one other limits; what is unset is inherited.
+
+    ``keys`` replace those that it has; unset, they stay (a new tenant has none).
+    """
+
+    name: str
+    rate_per_second: Figure | UnsetType = UNSET
+    burst: Figure | UnsetType = UNSET
+    priority: int | UnsetType = UNSET
+    keys: tuple[str, ...] | UnsetType = UNSET
+
+    def __repr__(self) -> str:
+        """Keep key material out of logs and tracebacks."""
+        keys = "kept" if self.keys is UNSET else f"{len(self.keys)} hidden"
+        return f"SetTenant(name={self.name!r}, keys=<{keys}>)"
+
+
+class RemoveTenant(Value, frozen=True, tag="remove_tenant"):
+    """Remove a tenant; its keys are of no use any more."""
+
+    name: str
+
+
 Operation = (
     SetOverrides
     | UnsetOverrides
@@ -315,11 +344,16 @@
     | PutSecret
     | PromoteSecret
     | RemoveSecret
+    | SetTenant
+    | RemoveTenant
 )
 
 
 class ExpectedRevision(Value, frozen=True):
-    """The revision an operator saw on a path (or "secret:NAME", "zone:NAME")."""
+    """The revision that an operator saw.
+
+    ``subject`` is a path, "secret:NAME", "zone:NAME" or "tenant:NAME".
+    """
 
     subject: str
     revision: Version
--- a/src/peppershore/version/resource_tables.py
+++ b/src/peppershore/version/resource_tables.py
@@ -1,4 +1,4 @@
-"""The encoded resources of the newest tree, by service and zone and by secret.
+"""The encoded resources of the newest tree: by service and zone, secret, tenant.
 
 Filled on demand and refreshed where an edit touched them.  What encodes to the
 same bytes as before keeps its identity, so "changed" means other bytes.
@@ -16,6 +16,7 @@
     ServiceGroup,
     encode_group,
     encode_secret,
+    encode_tenant,
     overrides_in_zone,
 )
 from peppershore.version.model import ANY_ZONE, Tree, Value
@@ -113,6 +114,41 @@
         return changed
 
 
+class TenantTable:
+    """The encoded tenants; whoever holds anything holds all of them."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, Entry] | None = None
+
+    def all(self, tree: Tree) -> dict[str, Entry]:
+        """Give all tenants of the tree by name, encoding them the first time."""
+        if self._entries is None:
+            self._entries = {name: encode_tenant(tree, name, None) for name in tree.tenants}
+        return self._entries
+
+    def refresh(self, tree: Tree, names: Iterable[str]) -> bool:
+        """Encode tenants again that changed; tell whether any differs or is gone."""
+        if self._entries is None:
+            return False
+        entries = dict(self._entries)
+        for name in names:
+            former = entries.pop(name, None)
+            if name in tree.tenants:
+                entries[name] = encode_tenant(tree, name, former)
+        return self._replace(entries)
+
+    def refresh_all(self, tree: Tree) -> bool:
+        """Encode all tenants again; tell whether any differs or is gone."""
+        known = self._entries or {}
+        return self.refresh(tree, known.keys() | tree.tenants.keys())
+
+    def _replace(self, entries: dict[str, Entry]) -> bool:
+        former, self._entries = self._entries or {}, entries
+        if former.keys() != entries.keys():
+            return True
+        return any(entries[name] is not entry for name, entry in former.items())
+
+
 def _encode_in_zone(
     tree: Tree, service: str, zone: str, groups: _GroupsByZone, former: FormerGroups
 ) -> ServiceGroup | None:
--- a/src/peppershore/version/revert.py
+++ b/src/peppershore/version/revert.py
@@ -2,39 +2,51 @@
 
 Versions only go up: an operator who wants an older tree back edits the newest
 one.  Key material is not taken back: a secret that both trees have stays as it
-is, because a key that was replaced may be known to others.
+is, because a key that was replaced may be known to others.  So do the keys of a
+tenant: one that was taken away is not given back.  Only a whole configuration,
+which says itself which keys there are, sets them.
 """
 
 from __future__ import annotations
 
+from msgspec import UNSET
+
 from peppershore.version.model import (
     Operation,
     PromoteSecret,
     PutSecret,
     RemoveNode,
     RemoveSecret,
+    RemoveTenant,
     RemoveZone,
     Secret,
     SetOverrides,
+    SetTenant,
     SetZone,
+    Tenant,
     Tree,
     UnsetOverrides,
 )
 from peppershore.version.resolve import set_values
 from peppershore.version.rollout import without_rollout
+from peppershore.version.tenants import given_limits
 
 GENERATIONS_BEFORE_SIGNING = 1
 
 
-def revert_operations(current: Tree, older: Tree) -> tuple[Operation, ...]:
-    """Give what makes ``current`` equal to ``older`` but for secrets both have.
+def revert_operations(
+    current: Tree, older: Tree, *, with_keys: bool = False
+) -> tuple[Operation, ...]:
+    """Give what makes ``current`` equal to ``older`` but for key material both have.
 
-    Empty if there is nothing to do.  The operations belong in one edit.
+    ``with_keys``: tenants get the keys of ``older`` all the same.  Empty if there is
+    nothing to do.  The operations belong in one edit.
     """
     return (
         *_zone_operations(current, older),
         *_secret_operations(current, older),
         *_node_operations(current, older),
+        *_tenant_operations(current, older, with_keys),
         *(RemoveSecret(name) for name in sorted(current.secrets.keys() - older.secrets)),
         *(RemoveZone(name) for name in sorted(current.zones.keys() - older.zones)),
     )
@@ -69,6 +81,23 @@
     return operations
 
 
+def _tenant_operations(current: Tree, older: Tree, with_keys: bool) -> list[Operation]:
+    gone = sorted(current.tenants.keys() - older.tenants)
+    operations: list[Operation] = [RemoveTenant(name) for name in gone]
+    for name, tenant in sorted(older.tenants.items()):
+        known = current.tenants.get(name)
+        has_keys = known is not None and (not with_keys or known.keys == tenant.keys)
+        if known is None or not has_keys or _shown(known) != _shown(tenant):
+            keys = UNSET if has_keys else tenant.keys
+            operations.append(SetTenant(name, keys=keys, **given_limits(tenant)))
+    return operations
+
+
+def _shown(tenant: Tenant) -> str:
+    """Give what a tenant sets; 350 and 350.0 are not the same, as they are given back."""
+    return repr(given_limits(tenant))
+
+
 def _node_operations(current: Tree, older: Tree) -> list[Operation]:
     removed = _topmost(current.nodes.keys() - older.nodes)
     gone = {path for path in current.nodes if _is_below(path, removed)} if removed else ()
--- a/src/peppershore/version/scope_contents.py
+++ b/src/peppershore/version/scope_contents.py
@@ -7,7 +7,12 @@
 
 from peppershore.version.encoded import Entry, ServiceGroup
 from peppershore.version.model import ROOT_PATH, Scope, Tree, Value
-from peppershore.version.resource_tables import GroupKey, GroupTable, SecretTable
+from peppershore.version.resource_tables import (
+    GroupKey,
+    GroupTable,
+    SecretTable,
+    TenantTable,
+)
 from peppershore.version.tree_index import index_of
 
 
@@ -22,10 +27,21 @@
     secrets: frozenset[str]
 
 
-def collect_contents(
-    tree: Tree, scope: Scope, groups: GroupTable, secrets: SecretTable
-) -> ScopeContents:
-    """Put the resources of a scope together from the shared entries."""
+class EncodedTables:
+    """What is encoded of the newest tree."""
+
+    def __init__(self) -> None:
+        self.groups = GroupTable()
+        self.secrets = SecretTable()
+        self.tenants = TenantTable()
+
+
+def collect_contents(tree: Tree, scope: Scope, tables: EncodedTables) -> ScopeContents:
+    """Put the resources of a scope together from the shared entries.
+
+    Everybody who holds anything holds all tenants: any node may take a call.
+    """
+    groups = tables.groups
     hosted = groups.get(tree, scope.service, scope.zone)
     if hosted is None and not _everybody_holds_all(tree):
         return ScopeContents({}, frozenset({scope.service}), frozenset())
@@ -43,8 +59,10 @@
         entries[target.service.resource.name] = target.service
     secret_names = _secrets_of(hosted, with_routes)
     for name in sorted(secret_names):
-        secret = secrets.get(tree, name)
+        secret = tables.secrets.get(tree, name)
         entries[secret.resource.name] = secret
+    for tenant in tables.tenants.all(tree).values():
+        entries[tenant.resource.name] = tenant
     return ScopeContents(entries, frozenset(services | targets), secret_names)
 
 
--- a/src/peppershore/version/setting_rules.py
+++ b/src/peppershore/version/setting_rules.py
@@ -10,6 +10,7 @@
 from peppershore.version.path import NAME_RULE, Level, is_name
 from peppershore.version.resolve import set_values
 from peppershore.version.splits import SPLIT_RULE, are_splits
+from peppershore.version.tenants import FIGURE_RULE, PRIORITIES, is_figure
 
 MAXIMUM_PREFIX_CHARACTERS = 512
 MAXIMUM_METHODS = 16
@@ -20,6 +21,7 @@
 ANYWHERE = frozenset(Level)
 BELOW_ROOT = frozenset({Level.SERVICE, Level.ZONE, Level.ROUTE})
 ROUTES_ONLY = frozenset({Level.ROUTE})
+ROOT_ONLY = frozenset({Level.ROOT})
 SERVICES = frozenset({Level.ROOT, Level.SERVICE, Level.ZONE})
 SERVICE_ONLY = frozenset({Level.SERVICE})
 SERVICES_BELOW_ROOT = frozenset({Level.SERVICE, Level.ZONE})
@@ -160,7 +162,7 @@
         ROUTES_ONLY, _is_host, "a host name in lower case without port, empty for all"
     ),
     "splits": SettingRule(ROUTES_ONLY, are_splits, SPLIT_RULE),
-    "priority": _whole_number(0, 100, ANYWHERE),
+    "priority": _whole_number(*PRIORITIES, ANYWHERE),
     "target_latency_milliseconds": _whole_number(0, MAXIMUM_TIMEOUT_MILLISECONDS, ANYWHERE),
     "retry_errors": _truth(ANYWHERE),
     "streamed_bodies": _truth(ANYWHERE),
@@ -175,6 +177,9 @@
     "max_header_bytes": _whole_number(256, 1 << 20, SERVICES),
     "header_timeout_milliseconds": _whole_number(1, MAXIMUM_TIMEOUT_MILLISECONDS, SERVICES),
     "idle_timeout_milliseconds": _whole_number(1, MAXIMUM_TIMEOUT_MILLISECONDS, SERVICES),
+    "tenant_rate_per_second": SettingRule(ROOT_ONLY, is_figure, FIGURE_RULE),
+    "tenant_burst": SettingRule(ROOT_ONLY, is_figure, FIGURE_RULE),
+    "tenant_priority": _whole_number(*PRIORITIES, ROOT_ONLY),
     "rollout_version": SettingRule(
         SERVICE_ONLY, _is_software_version, SOFTWARE_VERSION_RULE
     ),
--- a/src/peppershore/version/snapshot.py
+++ b/src/peppershore/version/snapshot.py
@@ -96,6 +96,7 @@
         routes=tuple(contents.routes),
         services=contents.services,
         secrets=contents.secrets,
+        tenants=contents.tenants,
     )
     active.use_index(contents.index, contents.by_name)
     return active
--- a/src/peppershore/version/snapshot_contents.py
+++ b/src/peppershore/version/snapshot_contents.py
@@ -25,6 +25,7 @@
     SecretResource,
     ServiceResource,
     ServiceSettings,
+    TenantResource,
 )
 
 ANEW_SHARE = 0.25
@@ -46,6 +47,7 @@
         "routes",
         "secrets",
         "services",
+        "tenants",
     )
 
     def __init__(self, scope: Scope, resources: Iterable[Resource]) -> None:
@@ -69,6 +71,7 @@
         self.index = RouteIndex(self.routes)
         self.services: dict[str, ServiceSettings] = {}
         self.secrets: dict[str, SecretResource] = {}
+        self.tenants: dict[str, TenantResource] = {}
         self._holding_all = 0
         self._uses: dict[str, int] = {}
         for content in contents:
@@ -125,6 +128,7 @@
         copy.routes = list(self.routes)
         copy.services = dict(self.services)
         copy.secrets = dict(self.secrets)
+        copy.tenants = dict(self.tenants)
         copy._holding_all = self._holding_all
         copy._uses = dict(self._uses)
         return copy
@@ -145,7 +149,7 @@
             self.routes.insert(place, content)
 
     def _count(self, content: ResourceContent, change: int) -> None:
-        """Count what a content uses, and hold or drop it as a service or secret."""
+        """Count what a content uses, and hold or drop it by its name."""
         for name in used_names(self._scope, content):
             self._uses[name] = self._uses.get(name, 0) + change
         if isinstance(content, ServiceResource):
@@ -159,3 +163,8 @@
                 self.secrets[content.name] = content
             else:
                 del self.secrets[content.name]
+        elif isinstance(content, TenantResource):
+            if change > 0:
+                self.tenants[content.name] = content
+            else:
+                del self.tenants[content.name]
--- a/src/peppershore/version/tree.py
+++ b/src/peppershore/version/tree.py
@@ -6,6 +6,7 @@
 
 from peppershore.version.editor import (
     SECRET_SUBJECT,
+    TENANT_SUBJECT,
     ZONE_SUBJECT,
     AppliedEdit,
     Editor,
@@ -19,6 +20,7 @@
     Overrides,
     Problem,
     Secret,
+    Tenant,
     Tree,
     TreeNode,
     Version,
@@ -81,16 +83,18 @@
 
 
 def revision_of(tree: Tree, subject: str) -> Version:
-    """Give the revision of a path, "secret:NAME" or "zone:NAME"; 0 if absent."""
+    """Give the revision of a path or of a secret, zone or tenant; 0 if absent."""
     found = _find_subject(tree, subject)
     return ABSENT_REVISION if found is None else found.revision
 
 
-def _find_subject(tree: Tree, subject: str) -> TreeNode | Secret | Zone | None:
+def _find_subject(tree: Tree, subject: str) -> TreeNode | Secret | Zone | Tenant | None:
     if subject.startswith(SECRET_SUBJECT):
         return tree.secrets.get(subject.removeprefix(SECRET_SUBJECT))
     if subject.startswith(ZONE_SUBJECT):
         return tree.zones.get(subject.removeprefix(ZONE_SUBJECT))
+    if subject.startswith(TENANT_SUBJECT):
+        return tree.tenants.get(subject.removeprefix(TENANT_SUBJECT))
     return tree.nodes.get(subject)
 
 
@@ -117,7 +121,7 @@
 def _check_expected(expected: tuple[ExpectedRevision, ...]) -> list[Problem]:
     problems = []
     for each in expected:
-        if each.subject.startswith((SECRET_SUBJECT, ZONE_SUBJECT)):
+        if each.subject.startswith((SECRET_SUBJECT, ZONE_SUBJECT, TENANT_SUBJECT)):
             continue
         problem = parse_path(each.subject).swap().value_or(None)
         if problem is not None:
@@ -161,6 +165,7 @@
         paths=applied.changed_paths,
         secrets=applied.changed_secrets,
         zones=applied.changed_zones,
+        tenants=applied.changed_tenants,
     )
 
 
--- a/src/peppershore/version/tree_file.py
+++ b/src/peppershore/version/tree_file.py
@@ -16,7 +16,8 @@
     generations = [{ generation = 1, material_base64 = "..." }]
 
 Key material is written on demand only.  A file without a ``secrets`` table
-means: the secrets that are there already.
+means: the secrets that are there already.  Tenants stand in no file: those
+that are there already stay.
 """
 
 from __future__ import annotations
@@ -35,6 +36,7 @@
     Problem,
     Secret,
     SecretGeneration,
+    Tenant,
     Tree,
     TreeNode,
     Value,
@@ -93,12 +95,15 @@
 
 
 def tree_from_toml(
-    text: str, secrets: dict[str, Secret] | None = None
+    text: str,
+    secrets: dict[str, Secret] | None = None,
+    tenants: dict[str, Tenant] | None = None,
 ) -> Result[Tree, tuple[Problem, ...]]:
     """Give the valid tree of a text at version 0, or everything wrong with it.
 
     ``secrets`` stand in for a missing ``secrets`` table.  Without either, the
-    names of secrets can't be checked and the tree comes without secrets.
+    names of secrets can't be checked and the tree comes without secrets.  The tree
+    has the ``tenants``, whatever the text says.
     """
     try:
         table = tomllib.loads(text)
@@ -109,7 +114,9 @@
     secrets_are_known = "secrets" in table or secrets is not None
     checked = tree if secrets_are_known else _with_named_secrets(tree)
     problems = tuple(reader.problems) or validate_tree(checked)
-    return Failure(problems) if problems else Success(tree)
+    if problems:
+        return Failure(problems)
+    return Success(msgspec.structs.replace(tree, tenants=tenants or {}))
 
 
 def _with_named_secrets(tree: Tree) -> Tree:
--- a/src/peppershore/version/validation.py
+++ b/src/peppershore/version/validation.py
@@ -1,10 +1,11 @@
 """Rules that a whole tree must keep, checked as far as a change can break them.
 
-Every rule but three speaks of one node, so it is checked on the nodes that
-changed.  The three others are bounded too: a removed service, secret or zone
+Every rule but four speaks of one node, so it is checked on the nodes that
+changed.  The four others are bounded too: a removed service, secret or zone
 is looked up in the index of references, the routes of a service are compared
-with each other when one of them changed, and cycles are looked for in the
-graph of services when a reference changed.
+with each other when one of them changed, cycles are looked for in the
+graph of services when a reference changed, and the keys of all tenants are
+compared when a tenant changed.
 
 References are checked where they are written, also where a deeper node hides
 them: a hidden dangling name would come to light with an unrelated edit.
@@ -36,6 +37,7 @@
     service_path,
 )
 from peppershore.version.setting_rules import check_overrides
+from peppershore.version.tenants import check_tenant, shared_keys
 from peppershore.version.tree_index import (
     ServiceBranch,
     ServiceIndex,
@@ -49,6 +51,7 @@
 MAXIMUM_ZONES = 256
 MAXIMUM_SERVICES = 4_096
 MAXIMUM_SECRETS = 4_096
+MAXIMUM_TENANTS = 8_192
 MAXIMUM_ROUTES_OF_SERVICE = 4_096
 MAXIMUM_GENERATIONS = 8
 MAXIMUM_MATERIAL_BYTES = 8_192
@@ -56,11 +59,12 @@
 
 
 class Changes(Value, frozen=True):
-    """What an edit touched: paths of nodes, names of secrets and zones."""
+    """What an edit touched: paths of nodes, names of secrets, zones and tenants."""
 
     paths: frozenset[str]
     secrets: frozenset[str]
     zones: frozenset[str]
+    tenants: frozenset[str] = frozenset()
 
 
 def validate_tree(tree: Tree) -> tuple[Problem, ...]:
@@ -69,6 +73,7 @@
         paths=frozenset(tree.nodes),
         secrets=frozenset(tree.secrets),
         zones=frozenset(tree.zones),
+        tenants=frozenset(tree.tenants),
     )
     return validate_changes(tree, everything)
 
@@ -80,6 +85,7 @@
     problems += _check_sizes(tree, index)
     problems += _check_zones(tree, changes.zones)
     problems += _check_secrets(tree, changes.secrets)
+    problems += _check_tenants(tree, changes.tenants)
     for path in changes.paths | _exposed_paths(tree, index, changes):
         node = tree.nodes.get(path)
         if node is not None:
@@ -105,6 +111,7 @@
         ("zones", len(tree.zones), MAXIMUM_ZONES),
         ("services", len(index), MAXIMUM_SERVICES),
         ("secrets", len(tree.secrets), MAXIMUM_SECRETS),
+        ("tenants", len(tree.tenants), MAXIMUM_TENANTS),
     )
     return [
         Problem(ROOT_PATH, f"the tree has {size} {name}", f"at most {maximum}")
@@ -159,6 +166,17 @@
     return problems
 
 
+def _check_tenants(tree: Tree, names: Iterable[str]) -> list[Problem]:
+    """Check the tenants that changed, and that no two of all share a key."""
+    changed = [name for name in names if name in tree.tenants]
+    problems: list[Problem] = []
+    for name in changed:
+        problems += check_tenant(name, tree.tenants[name])
+    if changed:
+        problems += shared_keys({name: each.keys for name, each in tree.tenants.items()})
+    return problems
+
+
 def _exposed_paths(tree: Tree, index: ServiceIndex, changes: Changes) -> set[str]:
     """Give the nodes that may name something the changes removed."""
     services = frozenset(
--- a/tests/version/test_resolution.py
+++ b/tests/version/test_resolution.py
@@ -8,7 +8,14 @@
 from tests.version.trees import applied, edit_of, refund_tree
 
 from peppershore.version.catalog import ScopeCatalog
-from peppershore.version.model import Operation, Overrides, Scope, SetOverrides, Tree
+from peppershore.version.model import (
+    Operation,
+    Overrides,
+    Scope,
+    SetOverrides,
+    SetTenant,
+    Tree,
+)
 from peppershore.version.resolve import (
     BUILT_IN,
     resolve_route,
@@ -101,9 +108,16 @@
 )
 
 
+EVERY_TENANT_SETTING = Overrides(
+    tenant_rate_per_second=1, tenant_burst=2, tenant_priority=3
+)
+
+
 def test_every_setting_reaches_the_node() -> None:
     tree = applied(
         refund_tree(),
+        SetOverrides("/", EVERY_TENANT_SETTING),
+        SetTenant("studio", keys=("key",)),
         SetOverrides("/kassa", EVERY_SERVICE_SETTING),
         SetOverrides("/kassa/*/pay", EVERY_ROUTE_SETTING),
     ).tree
@@ -111,10 +125,18 @@
     catalog.load(tree)
     active = open_snapshot(catalog.snapshot(Scope("kassa", "vantaa-t2")))
     route = next(each for each in active.routes if each.service == "kassa")
-    expected = {**set_values(EVERY_SERVICE_SETTING), **set_values(EVERY_ROUTE_SETTING)}
+    expected = {
+        **set_values(EVERY_SERVICE_SETTING),
+        **set_values(EVERY_ROUTE_SETTING),
+        **set_values(EVERY_TENANT_SETTING),
+    }
+    tenant = active.tenants["studio"]
     held = {
         **msgspec.structs.asdict(active.services["kassa"]),
         **msgspec.structs.asdict(route.settings),
+        "tenant_rate_per_second": tenant.rate_per_second,
+        "tenant_burst": tenant.burst,
+        "tenant_priority": tenant.priority,
     }
     assert held == expected
     assert held.keys() == set(Overrides.__struct_fields__)
--- a/tests/version/test_snapshot_contents.py
+++ b/tests/version/test_snapshot_contents.py
@@ -25,6 +25,7 @@
     ServiceResource,
     ServiceSettings,
     Snapshot,
+    TenantResource,
     Update,
 )
 from peppershore.version.resource_codec import encode_resource
@@ -55,7 +56,12 @@
     st.sampled_from(SERVICES),
     st.sampled_from(["", "member"]),
 )
-contents = st.one_of(services, secrets, routes)
+tenants = st.builds(
+    TenantResource,
+    st.sampled_from(["studio", "farm"]),
+    st.lists(st.binary(max_size=2), max_size=2).map(tuple),
+)
+contents = st.one_of(services, secrets, routes, tenants)
 changes = st.lists(
     st.tuples(st.lists(contents, max_size=3), st.integers(0, 2)), max_size=12
 )
@@ -73,6 +79,7 @@
         contents.routes,
         contents.services,
         contents.secrets,
+        contents.tenants,
         contents.is_closed,
         contents.lacking,
         {host: {p: list(r) for p, r in of.items()} for host, of in index.items()},
--- a/tests/version/test_tree_file.py
+++ b/tests/version/test_tree_file.py
@@ -38,12 +38,13 @@
 @given(st.lists(edits, max_size=8))
 def test_a_tree_comes_back_from_its_text(sequence: list[tuple[Operation, ...]]) -> None:
     tree = grown(sequence)[-1]
-    whole = tree_from_toml(tree_to_toml(tree, with_material=True)).unwrap()
+    text = tree_to_toml(tree, with_material=True)
+    whole = tree_from_toml(text, tenants=tree.tenants).unwrap()
     assert compare_trees(tree, whole) == ()
     assert {name: each.generations for name, each in tree.secrets.items()} == {
         name: each.generations for name, each in whole.secrets.items()
     }
-    without = tree_from_toml(tree_to_toml(tree), secrets=tree.secrets).unwrap()
+    without = tree_from_toml(tree_to_toml(tree), tree.secrets, tree.tenants).unwrap()
     assert compare_trees(tree, without) == ()
 
 
@@ -60,6 +61,7 @@
     }
     left = {each.subject for each in compare_trees(reverted, trees[0])}
     assert left <= kept_secrets
+    assert reverted.tenants.keys() == trees[0].tenants.keys()
     assert reverted.secrets.keys() == trees[0].secrets.keys()
 
 
--- a/tests/version/tree_strategies.py
+++ b/tests/version/tree_strategies.py
@@ -9,8 +9,10 @@
     PutSecret,
     RemoveNode,
     RemoveSecret,
+    RemoveTenant,
     RemoveZone,
     SetOverrides,
+    SetTenant,
     SetZone,
     UnsetOverrides,
 )
@@ -18,12 +20,15 @@
 SERVICES = ("a", "b", "c")
 ZONES = ("north", "south")
 SECRETS = ("key", "seal")
+TENANTS = ("farm", "mill")
 
 _services = strategies.sampled_from(SERVICES)
 _zones = strategies.sampled_from(ZONES)
 _secrets = strategies.sampled_from(SECRETS)
 _zone_segments = strategies.sampled_from(("*", *ZONES))
 _numbers = strategies.integers(0, 4)
+_tenants = strategies.sampled_from(TENANTS)
+_keys = strategies.lists(strategies.sampled_from(("k1", "k2", "k3")), max_size=2).map(tuple)
 
 _service_paths = strategies.one_of(
     _services.map(lambda service: f"/{service}"),
@@ -68,6 +73,9 @@
             RemoveNode("/b/*/s"),
             RemoveNode("/c/*/r"),
             RemoveNode("/b/north"),
+            SetTenant("farm", 3, keys=("k1",)),
+            SetTenant("farm", 3, keys=("k1", "k2")),
+            SetTenant("mill", keys=("k3",)),
         )
     ),
 )
@@ -89,6 +97,14 @@
     strategies.builds(PutSecret, _secrets, strategies.binary(min_size=1, max_size=4)),
     strategies.builds(PromoteSecret, _secrets, strategies.integers(1, 4)),
     strategies.builds(RemoveSecret, _secrets),
+    strategies.builds(
+        lambda name, rate, keys: SetTenant(name, rate, keys=keys),
+        _tenants,
+        strategies.integers(-1, 4),
+        _keys,
+    ),
+    strategies.builds(RemoveTenant, _tenants),
+    _numbers.map(lambda rate: SetOverrides("/", Overrides(tenant_rate_per_second=rate))),
 )
 
 edits = strategies.one_of(
