Whole configurations hold tenants, public routes and calls with large answers

Each configuration with the kind of calls with large answers was refused with 400. A configuration with keys is named by a digest that can't be worked back from; others keep their names.

--- a/src/peppershore/version/whole_configuration.py
+++ b/src/peppershore/version/whole_configuration.py
@@ -1,12 +1,14 @@
-"""A whole configuration as operators send it: routes, services, limits, a number.
+"""A whole configuration as operators send it: routes, services, tenants, a number.
 
 It becomes the tree in one atomic edit: what most routes of a service share is set
 on the service and inherited, a route overrides what differs.  The way back gives
-the same configuration again, so that operators read what they sent.
+the same configuration again, so that operators read what they sent.  That holds the keys of
+tenants, which are the operators' own: nothing but that answer shows them.
 """
 
 from __future__ import annotations
 
+import hashlib
 from collections import Counter
 from collections.abc import Hashable, Iterable, Mapping
 from typing import Any, Literal
@@ -31,6 +33,8 @@
 )
 from peppershore.version.path import NAME_RULE, is_name, route_path, service_path
 from peppershore.version.resolve import (
+    BUILT_IN,
+    ResolvedRoute,
     resolve_route,
     resolve_service,
     routes_of,
@@ -38,10 +42,25 @@
 )
 from peppershore.version.revert import revert_operations
 from peppershore.version.splits import WeightedTarget, format_split, parse_splits
+from peppershore.version.tenant_definitions import (
+    TenantDefinition,
+    as_tenants,
+    definitions_of,
+    problems_of_tenants,
+)
+
+Runs = Literal["repeatable", "repeatable-large", "once", "once-streamed"]
+"""How often a call of a route may run: any number of times, or at most once.
+
+"repeatable-large" also says that answers are large, "once-streamed" that bodies are, and
+are passed on as they come.
+"""
+
+ID_BYTES = 16
+"""Bytes of the digest that names a configuration."""
 
-Runs = Literal["repeatable", "once", "once-streamed"]
-"""How often a call of a route may run: any number of times, or at most once; the last
-also says that bodies are large and are passed on as they come."""
+LARGE_ANSWERS: Runs = "repeatable-large"
+REPEATABLE: tuple[Runs, ...] = ("repeatable", LARGE_ANSWERS)
 
 MAXIMUM_ROUTES = 20_000
 SHARED_SETTINGS = (
@@ -51,6 +70,8 @@
     "retry_attempts",
     "repeatable",
     "streamed_bodies",
+    "large_answers",
+    "keyless",
 )
 """Settings of routes that stand on their service where most routes share them."""
 
@@ -66,7 +87,8 @@
     """A route: what it matches, where its calls go, and how they are treated.
 
     One of ``service`` and ``split`` is given.  ``attempts`` is the largest number
-    of back ends that one call may be sent to.
+    of back ends that one call may be sent to.  Where there are tenants, calls carry a
+    key of one, unless the route is ``public``.
     """
 
     host: str
@@ -78,6 +100,7 @@
     priority: int = 1
     service: str | UnsetType = UNSET
     split: tuple[SplitDefinition, ...] | UnsetType = UNSET
+    public: bool | UnsetType = UNSET
 
 
 class ServiceDefinition(Value, frozen=True):
@@ -101,7 +124,8 @@
 class WholeConfiguration(Value, frozen=True):
     """Everything, under the operators' own rising number.
 
-    ``base`` is the number it was built on, 0 for the first.
+    ``base`` is the number it was built on, 0 for the first.  Without ``tenants``, or with
+    none among them, nobody shows a key.
     """
 
     version: Version
@@ -109,6 +133,7 @@
     services: dict[str, ServiceDefinition]
     limits: LimitsDefinition = LimitsDefinition()
     base: Version = 0
+    tenants: dict[str, TenantDefinition] | UnsetType = UNSET
 
 
 _DECODER = msgspec.json.Decoder(WholeConfiguration)
@@ -129,8 +154,15 @@
 
 
 def change_id_of(configuration: WholeConfiguration) -> str:
-    """Name a configuration by its number, its base and all of its content."""
-    digest = xxhash.xxh3_128_hexdigest(encode_configuration(configuration))
+    """Name a configuration by its number, its base and all of its content.
+
+    One that holds keys is named by a digest that nobody can work back from.
+    """
+    encoded = encode_configuration(configuration)
+    if configuration.tenants:
+        digest = hashlib.blake2b(encoded, digest_size=ID_BYTES).hexdigest()
+    else:
+        digest = xxhash.xxh3_128_hexdigest(encoded)
     return f"release-{configuration.version}-{digest}"
 
 
@@ -147,6 +179,7 @@
             problems.append(Problem(name, "is not a name", NAME_RULE))
     for name, route in configuration.routes.items():
         problems += _problems_of_route(name, route, configuration.services)
+    problems += problems_of_tenants(_tenants_of(configuration))
     return tuple(problems)
 
 
@@ -155,7 +188,7 @@
     wanted = _tree_of(tree, configuration)
     return Edit(
         change_id=change_id_of(configuration),
-        operations=revert_operations(tree, wanted),
+        operations=revert_operations(tree, wanted, with_keys=True),
         release=configuration.version,
         base_release=configuration.base,
     )
@@ -174,10 +207,14 @@
             tls=settings.backend_tls,
         )
         for route in routes_of(tree, service, ANY_ZONE):
-            resolved = resolve_route(tree, service, ANY_ZONE, route).settings
-            routes[route] = _definition_of(service, resolved)
+            resolved = resolve_route(tree, service, ANY_ZONE, route)
+            routes[route] = _definition_of(resolved)
     return WholeConfiguration(
-        version=tree.release, routes=routes, services=services, limits=_limits_of(tree)
+        version=tree.release,
+        routes=routes,
+        services=services,
+        limits=_limits_of(tree),
+        tenants=definitions_of(tree) or UNSET,
     )
 
 
@@ -223,7 +260,8 @@
         for name, overrides in own.items():
             different = _without(overrides, shared)
             nodes[route_path(service, ANY_ZONE, name)] = TreeNode(different)
-    return msgspec.structs.replace(tree, nodes=nodes)
+    tenants = as_tenants(_tenants_of(configuration))
+    return msgspec.structs.replace(tree, nodes=nodes, tenants=tenants)
 
 
 def _routes_by_service(
@@ -246,21 +284,25 @@
         "target_latency_milliseconds": route.target_latency_milliseconds,
         "priority": route.priority,
         "retry_attempts": route.attempts - 1,
-        "repeatable": route.runs == "repeatable",
+        "repeatable": route.runs in REPEATABLE,
         "streamed_bodies": route.runs == "once-streamed",
     }
+    if route.runs == LARGE_ANSWERS:
+        values["large_answers"] = True
+    if route.public is not UNSET:
+        values["keyless"] = route.public
     if route.split is not UNSET:
         values["splits"] = tuple(format_split(target) for target in _targets_of(route))
     return values
 
 
 def _shared_settings(routes: Iterable[Mapping[str, Any]]) -> dict[str, Any]:
-    """Give the most frequent value of each setting that routes may inherit."""
+    """Give the most frequent value of each setting that all routes give."""
     listed = list(routes)
     shared: dict[str, Any] = {}
     for name in SHARED_SETTINGS:
-        counts: Counter[Hashable] = Counter(values[name] for values in listed)
-        if counts:
+        if listed and all(name in values for values in listed):
+            counts: Counter[Hashable] = Counter(values[name] for values in listed)
             shared[name] = max(counts, key=lambda value: (counts[value], repr(value)))
     return shared
 
@@ -300,7 +342,8 @@
     )
 
 
-def _definition_of(service: str, settings: RouteSettings) -> RouteDefinition:
+def _definition_of(resolved: ResolvedRoute) -> RouteDefinition:
+    settings = resolved.settings
     splits = tuple(
         SplitDefinition(target.service, target.weight)
         for target in parse_splits(settings.splits)
@@ -313,14 +356,25 @@
         attempts=settings.retry_attempts + 1,
         target_latency_milliseconds=settings.target_latency_milliseconds,
         priority=settings.priority,
-        service=UNSET if splits else (settings.target or service),
+        service=UNSET if splits else (settings.target or resolved.service),
         split=splits or UNSET,
+        public=settings.keyless if _is_given(resolved, "keyless") else UNSET,
+    )
+
+
+def _is_given(resolved: ResolvedRoute, setting: str) -> bool:
+    return any(
+        origin.name == setting and origin.path != BUILT_IN for origin in resolved.origins
     )
 
 
+def _tenants_of(configuration: WholeConfiguration) -> dict[str, TenantDefinition]:
+    return {} if configuration.tenants is UNSET else configuration.tenants
+
+
 def _runs_of(settings: RouteSettings) -> Runs:
     if settings.repeatable:
-        return "repeatable"
+        return "repeatable-large" if settings.large_answers else "repeatable"
     return "once-streamed" if settings.streamed_bodies else "once"
 
 
--- /dev/null
+++ b/tests/logging/test_hidden_keys.py
@@ -0,0 +1,161 @@
+"""No text that people or logs get holds a tenant's key."""
+
+from __future__ import annotations
+
+import json
+import logging
+import traceback
+from collections.abc import Iterator
+
+import msgspec
+import pytest
+from tests.consensus.self_kept_cluster import SelfKeptCluster, configuration
+
+from peppershore.command.history import describe
+from peppershore.command.tree_output import view_tree
+from peppershore.connection.messages.operators import StatusAnswered, TreeAnswered
+from peppershore.connection.messages.relay import CommittedEdit
+from peppershore.process.commands import Notice
+from peppershore.process.configuration_page import configuration_page
+from peppershore.process.control.redaction import (
+    edits_without_material,
+    without_material,
+)
+from peppershore.process.control.releases import (
+    ReleaseInvalid,
+    ReleaseRead,
+    ReleaseSubmitted,
+    ReleaseTaken,
+)
+from peppershore.process.logging import JsonLineFormatter, LogIdentity
+from peppershore.process.status_page import render_status
+from peppershore.version.catalog import ScopeCatalog
+from peppershore.version.difference import compare_trees
+from peppershore.version.model import Edit, Scope, SetTenant, Tree
+from peppershore.version.resource_codec import decode_resource
+from peppershore.version.snapshot import open_snapshot
+from peppershore.version.tenant_definitions import TenantDefinition
+from peppershore.version.tenants import key_digest, key_fingerprint
+from peppershore.version.tree import apply_edit, empty_tree
+from peppershore.version.tree_file import tree_to_toml
+from peppershore.version.whole_configuration import (
+    WholeConfiguration,
+    edit_of,
+    encode_configuration,
+    find_problems,
+)
+
+KEY = "open-sesame-5d41402abc"
+OTHER_KEY = "let-me-in-7b52009b64"
+
+
+def keyed(
+    *keys: str, version: int = 1, base: int = 0, **more: object
+) -> WholeConfiguration:
+    """Give a small configuration with a tenant that has these keys."""
+    tenants = {"studio": TenantDefinition(keys, 350, 100)} | more
+    return msgspec.structs.replace(configuration(version, base), tenants=tenants)
+
+
+def two_trees() -> tuple[Tree, Tree, Edit]:
+    empty = empty_tree("mesh")
+    first = edit_of(empty, keyed(KEY))
+    before = apply_edit(empty, first, 1).unwrap().tree
+    second = edit_of(before, keyed(KEY, OTHER_KEY, version=2, base=1))
+    return before, apply_edit(before, second, 2).unwrap().tree, second
+
+
+def assert_hidden(text: str) -> None:
+    for key in (KEY, OTHER_KEY):
+        assert key not in text
+        assert key_digest(key.encode()).hex() not in text
+
+
+class Seen(Notice, frozen=True):
+    value: object
+
+
+def log_line(value: object) -> str:
+    record = logging.LogRecord("absl", logging.INFO, "f", 1, "e", None, None)
+    record.peppershore_fields = Seen(value)
+    return JsonLineFormatter(LogIdentity("control", "c1")).format(record)
+
+
+def texts() -> Iterator[tuple[str, str]]:
+    before, after, edit = two_trees()
+    shown = without_material(after)
+    seen_edit = edits_without_material((CommittedEdit(2, edit),))[0].edit
+    catalog = ScopeCatalog()
+    catalog.load(after)
+    active = open_snapshot(catalog.snapshot(Scope("kassa", "pasila")))
+    status = StatusAnswered("mesh", "c1", "c1", 2, 2, (), (), ())
+    wrong = keyed(KEY, other=TenantDefinition((KEY, ""), -1))
+    yield "tree answer", msgspec.json.encode(TreeAnswered(shown)).decode()
+    yield "history answer", msgspec.json.encode(seen_edit).decode()
+    yield "history line", "".join(map(describe, seen_edit.operations))
+    yield "history line of an open edit", "".join(map(describe, edit.operations))
+    yield "difference", repr(compare_trees(before, after))
+    yield "difference of hidden trees", repr(compare_trees(shown, after))
+    yield "tree view", msgspec.json.encode(view_tree(after)).decode()
+    yield "tree file", tree_to_toml(after, with_material=True)
+    yield "status page", render_status(status, after)
+    yield "node's page", configuration_page("n1", active).body.decode()
+    yield "problems", repr(find_problems(wrong))
+    yield "edit", repr(edit)
+    yield "tree", repr(after)
+    yield "held", repr(active)
+    yield "resources", repr([decode_resource(each) for each in resources(catalog)])
+    yield "configuration", repr(wrong)
+    yield "submitted", repr(ReleaseSubmitted(1, wrong))
+    yield "read", repr(ReleaseRead(wrong))
+    for value in (edit, after, wrong, active):
+        yield f"log line of {type(value).__name__}", log_line(value)
+        yield f"traceback of {type(value).__name__}", traceback_of(value)
+
+
+def resources(catalog: ScopeCatalog) -> list[object]:
+    return list(catalog.snapshot(Scope("kassa", "pasila")).resources.values())
+
+
+def traceback_of(value: object) -> str:
+    try:
+        raise AssertionError(f"broken by {value}")
+    except AssertionError:
+        return traceback.format_exc()
+
+
+@pytest.mark.parametrize("text", [pytest.param(text, id=name) for name, text in texts()])
+def test_no_text_holds_a_key(text: str) -> None:
+    assert text
+    assert_hidden(text)
+
+
+def test_a_changed_key_is_seen_by_its_fingerprint() -> None:
+    before, after, edit = two_trees()
+    hidden = compare_trees(without_material(before), without_material(after))
+    assert hidden == compare_trees(before, after)
+    assert [each.subject for each in hidden] == ["tenant:studio"]
+    assert key_fingerprint(OTHER_KEY) in hidden[0].after
+    assert key_fingerprint(OTHER_KEY) in "".join(map(describe, edit.operations))
+    assert "keys" not in describe(SetTenant("studio", 5)), "kept keys are not told"
+
+
+def test_the_operators_read_their_keys_back() -> None:
+    assert KEY.encode() in encode_configuration(keyed(KEY))
+
+
+def test_a_group_takes_keys_gives_them_back_and_logs_none() -> None:
+    cluster = SelfKeptCluster(("a", "b", "c"))
+    cluster.run_until(lambda: cluster.leader() is not None)
+    assert isinstance(cluster.outcome(cluster.submit("b", keyed(KEY))), ReleaseTaken)
+    shared = keyed(KEY, version=2, base=1, other=TenantDefinition((KEY,)))
+    refused = cluster.outcome(cluster.submit("c", shared))
+    assert isinstance(refused, ReleaseInvalid)
+    assert "shares a key" in refused.problems[0].reason
+    read = cluster.outcome(cluster.ask("c"))
+    assert isinstance(read, ReleaseRead)
+    assert read.configuration == msgspec.structs.replace(keyed(KEY), base=0)
+    noticed = [each for name in "abc" for each in cluster.replicas[name].notices]
+    assert any("Release" in type(notice).__name__ for notice in noticed)
+    for notice in noticed:
+        assert_hidden(repr(notice) + json.dumps(log_line(notice)))
