--- a/tests/platform_adapter/templates.py
+++ b/tests/platform_adapter/templates.py
@@ -10,6 +10,7 @@
 
 ROOT = Path(__file__).parents[2]
 SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}")
+INVERTED = re.compile(r"\{\{\^([\w.]+)\}\}(.*?)\{\{/\1\}\}")
 VALUE = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
 
 
@@ -17,7 +18,7 @@
     """Fill one template."""
 
     def section(match: re.Match[str]) -> str:
-        each, found = match[2], look_up(values, match[1])
+        each, found = fill_sections(match[2]), look_up(values, match[1])
         if found is None or found is False:
             return ""
         if not isinstance(found, list):
@@ -28,13 +29,20 @@
             for place, item in enumerate(found)
         )
 
+    def otherwise(match: re.Match[str]) -> str:
+        found = look_up(values, match[1])
+        return match[2] if found is None or found is False else ""
+
+    def fill_sections(text: str) -> str:
+        return INVERTED.sub(otherwise, SECTION.sub(section, text))
+
     def value(match: re.Match[str]) -> str:
         found = look_up(values, match[1])
         if match[2]:
             return json.dumps(found)
         return "" if found is None else str(found)
 
-    return VALUE.sub(value, SECTION.sub(section, template))
+    return VALUE.sub(value, fill_sections(template))
 
 
 def look_up(values: Mapping[str, Any], path: str) -> Any:
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -16,12 +16,12 @@
 from peppershore.process.node.data_plane import leaving_bound_seconds
 from peppershore.process.node.profile import retry_bound
 from peppershore.process.node.shell import stop_bound_seconds
-from peppershore.process.settings import HubSettings, NodeSettings
+from peppershore.process.settings import HubSettings, NodeSettings, QuotaSettings
 from peppershore.process.settings_loader import KINDS, parse_settings
 from peppershore.request.shared_retries import RetryBound
 
 PLATFORM_NAMES = re.compile(
-    r"[xX]-[pP]eppershore-|/-/rpc|/-/readiness|PEPPERSHORE_NODE_FILE|baseVersion|targetLatencyMs"
+    r"[xX]-[pP]eppershore-|/-/rpc|/-/readiness|PEPPERSHORE_NODE_FILE|baseVersion|targetLatencyMs|apiKeys|ratePerS"
     r"|concurrencySlots|seedNodes|firstStart|listenAddresses"
 )
 MAX_ADAPTER_LINES = 120
@@ -117,6 +117,42 @@
     assert node.stale_milliseconds == 0, "derived from the bound"
 
 
+def with_bounds(**bounds: Any) -> dict[str, Any]:
+    return FILLED | {"bounds": FILLED["bounds"] | bounds}
+
+
+def test_limits_of_tenants_are_counted_where_the_deployment_bounds_them() -> None:
+    values = with_bounds(quotaWindowS="5", quotaOvershoot="0.1", quotaSlack="20")
+    wanted = QuotaSettings(window_seconds=5.0, overshoot=0.1, slack=20.0)
+    node = parse_settings(NodeSettings, filled("node", values), {}).unwrap()
+    plan = plan_hub(parse_settings(HubSettings, filled("hub", values), {}).unwrap())
+    assert node.quotas == plan.control.quotas == plan.relay.quotas == wanted
+
+
+@pytest.mark.parametrize("given", [None, False, 0])
+def test_a_bound_of_none_is_none(given: Any) -> None:
+    values = with_bounds(quotaWindowS="5", quotaOvershoot=given, quotaSlack=given)
+    node = parse_settings(NodeSettings, filled("node", values), {}).unwrap()
+    assert node.quotas == QuotaSettings(window_seconds=5.0, overshoot=0.0, slack=0.0)
+
+
+def test_limits_are_not_counted_elsewhere() -> None:
+    node = parse_settings(NodeSettings, filled("node", FILLED), {}).unwrap()
+    plan = plan_hub(parse_settings(HubSettings, filled("hub", FILLED), {}).unwrap())
+    assert node.quotas is plan.control.quotas is plan.relay.quotas is None
+    assert (node.revocation_milliseconds, node.fail_closed) == (5_000.0, False)
+
+
+@pytest.mark.parametrize("closed", [False, True])
+def test_a_node_keeps_the_bounds_on_keys(closed: bool) -> None:
+    values = with_bounds(revocationMs="1500", failClosed=closed)
+    node = parse_settings(NodeSettings, filled("node", values), {}).unwrap()
+    assert node.revocation_milliseconds == 1_500.0
+    assert node.fail_closed is closed
+    assert node.headers is not None
+    assert node.headers.tenant == "X-Peppershore-Tenant"
+
+
 def test_hub_and_nodes_meet_at_the_same_port() -> None:
     hub = parse_settings(HubSettings, filled("hub", FILLED), {}).unwrap()
     node = parse_settings(NodeSettings, filled("node", FILLED), {}).unwrap()
--- a/tests/platform_adapter/test_odd_figures.py
+++ b/tests/platform_adapter/test_odd_figures.py
@@ -27,6 +27,10 @@
         "retryBudgetRatio",
         "budgetWindowS",
         "retryBudgetSlack",
+        "quotaWindowS",
+        "quotaOvershoot",
+        "quotaSlack",
+        "revocationMs",
     ),
 }
 """The numbers that the templates take, by their table."""
--- a/tests/settings/test_settings_loader.py
+++ b/tests/settings/test_settings_loader.py
@@ -10,7 +10,12 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
-from peppershore.process.settings import ControlSettings, NodeSettings, RelaySettings
+from peppershore.process.settings import (
+    ControlSettings,
+    NodeSettings,
+    QuotaSettings,
+    RelaySettings,
+)
 from peppershore.process.settings_examples import EXAMPLES, meanings
 from peppershore.process.settings_loader import (
     KINDS,
@@ -204,3 +209,38 @@
         assert problem.key == "stop_grace_seconds"
     else:
         assert parsed.unwrap().stop_grace_seconds == seconds
+
+
+QUOTAS = {"window_seconds": 5, "overshoot": 0.1, "slack": 20}
+
+
+@pytest.mark.parametrize("role", ["control", "hub", "relay", "node"])
+def test_quotas_are_given_to_every_role_that_counts(role: str) -> None:
+    parsed = parse_settings(KINDS[role], EXAMPLES[role], {"quotas": QUOTAS})
+    assert parsed.unwrap().quotas == QuotaSettings(  # type: ignore[attr-defined]
+        window_seconds=5.0, overshoot=0.1, slack=20.0
+    )
+    assert parse_settings(KINDS[role], EXAMPLES[role], {}).unwrap().quotas is None  # type: ignore[attr-defined]
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("window_seconds", 0),
+        ("window_seconds", -5),
+        ("overshoot", -0.1),
+        ("overshoot", 1.1),
+        ("slack", -1),
+        ("slack", float("nan")),
+    ],
+)
+def test_quotas_out_of_range_are_named(key: str, value: float) -> None:
+    problems = problems_of(CONTROL, {"quotas": QUOTAS | {key: value}})
+    assert [problem.key for problem in problems] == [f"quotas.{key}"]
+
+
+@pytest.mark.parametrize("value", [0, -1, 10**9])
+def test_the_bound_on_revoked_keys_has_a_range(value: int) -> None:
+    flags = {"revocation_milliseconds": value}
+    problems = parse_settings(NodeSettings, EXAMPLES["node"], flags).failure()
+    assert [problem.key for problem in problems] == ["revocation_milliseconds"]
