Who calls: a key names its tenant, at the node that takes the call

A core in request/tenants reads and judges keys by the digests of the configuration; the call's plan carries the tenant, whether its limit counts it, and the tenant's priority. Calls that back ends make carry the tenant of the running call they are made for.

--- a/src/peppershore/process/node/data/answer_relay.py
+++ b/src/peppershore/process/node/data/answer_relay.py
@@ -19,6 +19,7 @@
     ANSWERED,
     FIRST_SERVER_ERROR,
     NOT_RUN,
+    STATUS_UNAUTHORIZED,
     STATUS_UNAVAILABLE,
     UNKNOWN,
     Failed,
@@ -30,6 +31,9 @@
 HOLD_SECONDS = 0.05
 """An answer that does not say how long it is, is held for so long after it began."""
 
+KEY_WANTED = (b"www-authenticate", b"Bearer")
+"""Tells a caller that is refused with 401 how to show its key (RFC 9110, 11.6.1)."""
+
 
 class AnswerRelay:
     """One answer on its way to one caller."""
@@ -188,6 +192,8 @@
         if isinstance(failed, NotRun) and failed.retry_after_milliseconds > 0:
             advice = retry_after_value(names, failed.retry_after_milliseconds)
             headers.append((names.retry_after, advice))
+        if failed.status == STATUS_UNAUTHORIZED:
+            headers.append(KEY_WANTED)
         body = outcome + b": " + reason + b"\n"
         self._exchange.send_head(AnswerHead(failed.status, b"", headers, len(body)))
         self._exchange.send_data(body)
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -56,6 +56,7 @@
     out_of_time,
     worse,
 )
+from peppershore.request.tenants.callers import NOBODY
 from peppershore.request.waiting import Ticket
 
 VERDICT_SECONDS = 0.025
@@ -94,6 +95,7 @@
         "_story",
         "_ticket",
         "_timer",
+        "_whose",
     )
 
     def __init__(self, calls: Calls, exchange: ServerExchange, head: RequestHead) -> None:
@@ -122,6 +124,7 @@
         self._story = NO_STORY
         self._ticket: Ticket | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._whose = NOBODY
 
     @property
     def plan(self) -> CallPlan:
@@ -141,11 +144,12 @@
             return
         entry = planned.unwrap()
         self._plan = entry.plan
-        self._body.fingerprint.identity = identity_of(self._head, entry.caller.name)
+        self._whose = entry.whose
+        self._body.fingerprint.identity = identity_of(self._head, entry.caller_name)
         if entry.plan.settings.streamed_bodies:
             self._body.replay_bytes = STREAMED_REPLAY_BYTES
         self._timer = self._loop.call_at(entry.plan.deadline, self._deadline_passed)
-        self._caller = entry.caller.name
+        self._caller = entry.caller_name
         if self._body.received > entry.plan.settings.max_body_bytes:
             self._body_too_large()
         elif self._calls.quarantine.awaits_body(self._body.fingerprint):
@@ -184,7 +188,7 @@
 
     def body_ended(self, trailers: HeaderList) -> None:
         """The request is whole."""
-        self._body.end(trailers)
+        self._body.end(self._calls.forwarded_trailers(trailers))
         if self._awaits_body and not self._over:
             self._proceed()
         elif self._begun and self._attempt is not None:
@@ -270,6 +274,8 @@
         """A back end was chosen: start an attempt."""
         self._ticket = None
         self._dispatch = dispatch
+        if self._is_refused_by_key():
+            return
         if self._progress.tries == 0:
             self._calls.repeats.first_attempt(self.plan, self._loop.time())
         may_wait = self._progress.may_wait or self._calls.admissions.waits_at_once(
@@ -293,7 +299,7 @@
         plan = self.plan
         return AttemptRequest(
             head=self._head,
-            headers=self._calls.forwarded_headers(self._head, self._request_id),
+            headers=self._calls.forwarded_headers(self._head, self._request_id, plan),
             call_class=plan.call_class,
             repeatable=plan.repeatable,
             cancellable=not self._claim,
@@ -302,7 +308,7 @@
             priority=plan.priority,
             may_wait=self._progress.may_wait
             or not self._calls.admissions.looks_for_free_slots,
-            start_by=plan.start_by,
+            start_by=self._calls.start_by(plan, self._whose),
             is_client_retry=plan.is_client_retry,
             route=plan.route,
             body_on_credit=self._body_waits_for_credit,
@@ -325,8 +331,21 @@
         self._ticket = None
         self._fail(worse(self._earlier, refusal))
 
+    def configuration_changed(self) -> None:
+        """Wait no longer with a key that is of no use any more."""
+        if not self._over and self._attempt is None:
+            self._is_refused_by_key()
+
     # --- inside
 
+    def _is_refused_by_key(self) -> bool:
+        """Refuse the call if its key became of no use while it waited."""
+        refusal = self._calls.refusal_of_key(self._whose)
+        if refusal is None:
+            return False
+        self._fail(worse(self._earlier, refusal))
+        return True
+
     def _claim_first(self, key: str) -> None:
         # Never the request id: a caller that sends the call again may repeat that.
         self._claim_attempt = self._calls.new_attempt_name()
@@ -450,7 +469,7 @@
 
     def _try_again(self) -> None:
         self._retry = None
-        if self._over:
+        if self._over or self._is_refused_by_key():
             return
         self._body.restart()
         self._admit()
--- a/src/peppershore/process/node/data/call_entry.py
+++ b/src/peppershore/process/node/data/call_entry.py
@@ -25,7 +25,15 @@
     NotRun,
 )
 from peppershore.request.picker import RandomSource
-from peppershore.request.running_calls import RunningCalls
+from peppershore.request.running_calls import RunningCalls, may_be_child
+from peppershore.request.tenants.callers import (
+    NO_PARENT,
+    NOBODY,
+    KeyTerms,
+    OnBehalf,
+    Parentage,
+    TenantCallers,
+)
 from peppershore.request.vouching import Voucher
 from peppershore.request.wire_names import WireNames
 from peppershore.version.active import ActiveConfiguration
@@ -50,10 +58,16 @@
 
 
 class EntryPlan(msgspec.Struct, frozen=True):
-    """What a call is, and whose."""
+    """What a call is, who calls, and on whose behalf."""
 
     plan: CallPlan
     caller: Caller
+    whose: OnBehalf = NOBODY
+
+    @property
+    def caller_name(self) -> str:
+        """Who calls: a token's subject or a tenant; empty for the public."""
+        return self.caller.name or self.whose.tenant
 
 
 class CallEntry:
@@ -79,12 +93,20 @@
                 names.outcome,
                 names.request_id,
                 names.caller,
+                names.tenant,
                 names.expected_instance,
             }
         )
         self._freshness = freshness
         apply_seconds = settings.apply_milliseconds / MILLISECONDS
         self._bound = RefusalBound(min(apply_seconds, REFUSAL_FRESHNESS_SECONDS))
+        self._tenants = TenantCallers(
+            KeyTerms(
+                apply_seconds,
+                settings.revocation_milliseconds / MILLISECONDS,
+                settings.fail_closed,
+            )
+        )
         self._backend_host = settings.backend.rpartition(":")[0]
         self._audience = AudienceCheck()
         self._voucher = Voucher(settings.service)
@@ -92,7 +114,8 @@
         self._usual = UsualDeadlines()
 
     def use_configuration(self, configuration: ActiveConfiguration) -> None:
-        """Forget what was learned of routes that are there no more."""
+        """Judge by its tenants; forget what was learned of routes there are no more."""
+        self._tenants.keys.use(configuration.tenants)
         self._usual.keep_only(configuration.holds_route)
 
     def plan(
@@ -124,7 +147,14 @@
         if isinstance(classified, Failure) or configuration is None:
             return classified.map(lambda plan: EntryPlan(plan, Caller("")))
         plan = self._noting_client_retry(classified.unwrap())
-        if self._is_made_for_a_running_call(head, running):
+        parentage = self._parentage(head, running)
+        age = self._freshness.age_seconds(now)
+        judged = self._tenants.judge(plan.settings, head.headers, parentage, age)
+        if isinstance(judged, Failure):
+            return Failure(judged.failure())
+        whose = judged.unwrap()
+        plan = self._on_behalf(plan, whose)
+        if parentage.tenant is not None:
             plan = first_in_line(plan, now)
         checked = self._check_audience(plan, configuration, head, now)
         if isinstance(checked, Failure):
@@ -136,16 +166,37 @@
         if wait > 0.0:
             advice = max(1, int(wait * MILLISECONDS))
             return Failure(NotRun(STATUS_TOO_MANY_REQUESTS, "caller-rate", advice))
-        return Success(EntryPlan(plan, caller))
+        return Success(EntryPlan(plan, caller, whose))
+
+    def refusal_of_key(self, whose: OnBehalf, now: float) -> NotRun | None:
+        """Give why a call that waited may not go on with its key, if it may not."""
+        refusal = self._tenants.refusal(whose, self._freshness.age_seconds(now))
+        return None if refusal is None else self.confirmed(refusal, now)
+
+    def start_by(self, plan: CallPlan, whose: OnBehalf, now: float) -> float:
+        """Give until when a call may wait at a node that does not know its key."""
+        wait = self._tenants.longest_wait(whose, self._freshness.age_seconds(now))
+        return min(plan.start_by, now + wait)
+
+    def forwarded_trailers(self, trailers: HeaderList) -> HeaderList:
+        """Give the trailer fields for the back end: nothing that a head may not say."""
+        unwanted = {self._names.tenant}
+        if self._tenants.keys.in_force:
+            unwanted.add(AUTHORIZATION_HEADER)
+        return [field for field in trailers if field[0] not in unwanted]
 
     def forwarded_headers(
         self,
         configuration: ActiveConfiguration | None,
         head: RequestHead,
         request_id: bytes,
+        plan: CallPlan,
     ) -> HeaderList:
         """Give the header fields for the back end."""
         headers = [field for field in head.headers if field[0] not in self._replaced]
+        headers = self._tenants.without_keys(plan.settings, headers)
+        if self._names.tenant and plan.tenant:
+            headers.append((self._names.tenant, plan.tenant.encode()))
         headers.append((self._names.request_id, request_id))
         if self._names.caller:
             headers.append((self._names.caller, self._service))
@@ -188,10 +239,33 @@
             if token:
                 headers.append((AUTHORIZATION_HEADER, token))
 
-    def _is_made_for_a_running_call(self, head: RequestHead, running: RunningCalls) -> bool:
-        """Callers beside the back end share its address: the id tells them apart."""
+    def _on_behalf(self, plan: CallPlan, whose: OnBehalf) -> CallPlan:
+        """Give the plan of a call that is made on behalf of a tenant.
+
+        Where there are tenants, each call goes through the back end's own node: it must
+        know on whose behalf the back end then calls on.
+        """
+        if not self._tenants.keys.in_force:
+            return plan
+        return msgspec.structs.replace(
+            plan,
+            tenant=whose.tenant,
+            is_counted=bool(whose.digest),
+            priority=plan.priority if whose.priority is None else whose.priority,
+            hop="owner",
+        )
+
+    def _parentage(self, head: RequestHead, running: RunningCalls) -> Parentage:
+        """Callers beside the back end share its address: the id tells them apart.
+
+        So does a key, where there are tenants: a back end shows none.
+        """
+        if not self._from_own_backend(head):
+            return NO_PARENT
+        if self._tenants.keys.in_force and head.header(AUTHORIZATION_HEADER):
+            return NO_PARENT
         request_id = head.header(self._names.request_id)
-        return self._from_own_backend(head) and running.includes_parent_of(request_id)
+        return Parentage(running.tenant_of_parent(request_id), may_be_child(request_id))
 
     def _from_own_backend(self, head: RequestHead) -> bool:
         return bool(self._backend_host) and head.peer_address == self._backend_host
--- a/src/peppershore/process/node/data/call_story.py
+++ b/src/peppershore/process/node/data/call_story.py
@@ -49,7 +49,8 @@
     """A call ended at its caller's node; ``version`` chose the route.
 
     The configuration's age is -1 where it was never confirmed to be the latest.
-    ``fingerprint`` is the same for a request that is sent again.
+    ``fingerprint`` is the same for a request that is sent again; ``tenant`` on whose
+    behalf it was made, "" where there is none or none is known.
     """
 
     level: ClassVar[str] = "info"
@@ -66,6 +67,7 @@
     milliseconds: int
     steps: tuple[CallStep, ...]
     fingerprint: str = ""
+    tenant: str = ""
 
 
 class ServedStory(Notice, frozen=True):
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -50,6 +50,7 @@
 )
 from peppershore.request.picker import RandomSource
 from peppershore.request.running_calls import RunningCalls
+from peppershore.request.tenants.callers import OnBehalf
 from peppershore.version.active import ActiveConfiguration
 
 MILLISECONDS = 1_000
@@ -69,6 +70,9 @@
     def caller_gone(self) -> None:
         """Give the call up."""
 
+    def configuration_changed(self) -> None:
+        """Wait no longer with a key that is of no use any more."""
+
 
 class CallCounts(msgspec.Struct):
     """Ends of calls since the start."""
@@ -147,6 +151,8 @@
         """Decide new calls by this configuration."""
         self.configuration = active
         self._entry.use_configuration(active)
+        for call in list(self._live):
+            call.configuration_changed()
         if active.secrets:
             load_token_library()
         self.admissions.use_services(active.services)
@@ -201,6 +207,14 @@
         """Give a refusal as the configuration's age allows it."""
         return self._entry.confirmed(refusal, self.loop.time())
 
+    def refusal_of_key(self, whose: OnBehalf) -> NotRun | None:
+        """Give why a call that waited may not go on with its key, if it may not."""
+        return self._entry.refusal_of_key(whose, self.loop.time())
+
+    def start_by(self, plan: CallPlan, whose: OnBehalf) -> float:
+        """Give until when a call may wait at a node that does not know its key."""
+        return self._entry.start_by(plan, whose, self.loop.time())
+
     def _drawn(self, entry: EntryPlan) -> EntryPlan:
         """Draw the version of the target's software, where one is rolled out."""
         lane = self.admissions.draw_lane(entry.plan.target)
@@ -230,9 +244,15 @@
         route = None if active is None else route_of(active, head)
         return route is not None and route.settings.repeatable
 
-    def forwarded_headers(self, head: RequestHead, request_id: bytes) -> HeaderList:
+    def forwarded_headers(
+        self, head: RequestHead, request_id: bytes, plan: CallPlan
+    ) -> HeaderList:
         """Give the header fields for the back end."""
-        return self._entry.forwarded_headers(self.configuration, head, request_id)
+        return self._entry.forwarded_headers(self.configuration, head, request_id, plan)
+
+    def forwarded_trailers(self, trailers: HeaderList) -> HeaderList:
+        """Give the trailer fields for the back end."""
+        return self._entry.forwarded_trailers(trailers) if trailers else trailers
 
     def new_attempt(
         self, dispatch: Dispatch, plan: CallPlan, request: AttemptRequest, sink: AttemptSink
@@ -317,5 +337,6 @@
                 milliseconds=story.milliseconds(now),
                 steps=story.steps,
                 fingerprint=story.fingerprint.name,
+                tenant="" if plan is None else plan.tenant,
             )
         )
--- a/src/peppershore/process/node/data/own_attempt.py
+++ b/src/peppershore/process/node/data/own_attempt.py
@@ -189,7 +189,8 @@
         self._timer = loop.call_at(self._request.deadline, self._expired)
         self._started = loop.time()
         self._is_running = True
-        self._backend.running.began(self._backend.request_id(self._request))
+        request_id = self._backend.request_id(self._request)
+        self._backend.running.began(request_id, self._request.tenant)
         self._backend.quarantine.began(self._request.fingerprint)
         self._terms = self._backend.terms
         self._direct = DirectAttempt(
--- a/src/peppershore/request/confirmation.py
+++ b/src/peppershore/request/confirmation.py
@@ -13,11 +13,14 @@
     STATUS_BODY_TOO_LARGE,
     STATUS_FORBIDDEN,
     STATUS_NOT_FOUND,
+    STATUS_UNAUTHORIZED,
     STATUS_UNAVAILABLE,
     NotRun,
 )
 
-FINAL_STATUSES = frozenset((STATUS_FORBIDDEN, STATUS_NOT_FOUND, STATUS_BODY_TOO_LARGE))
+FINAL_STATUSES = frozenset(
+    (STATUS_UNAUTHORIZED, STATUS_FORBIDDEN, STATUS_NOT_FOUND, STATUS_BODY_TOO_LARGE)
+)
 RETRY_AFTER_MILLISECONDS = 500
 """A node without confirmations finds a relay that has them within about this time."""
 NOT_CONFIRMED = NotRun(
--- a/src/peppershore/request/outcome.py
+++ b/src/peppershore/request/outcome.py
@@ -55,6 +55,7 @@
 """An answer of a back end's with this status or above failed its caller."""
 
 STATUS_BAD_REQUEST = 400
+STATUS_UNAUTHORIZED = 401
 STATUS_FORBIDDEN = 403
 STATUS_NOT_FOUND = 404
 STATUS_BODY_TOO_LARGE = 413
--- /dev/null
+++ b/src/peppershore/request/tenants/callers.py
@@ -0,0 +1,170 @@
+"""On whose behalf a call is made, and what its key is worth as time goes by.
+
+A caller shows its tenant's key.  A back end shows none for the calls that it makes: they
+are made on behalf of the tenant whose call it runs.
+"""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from peppershore.connection.http_head import HeaderList
+from peppershore.request.audience import PUBLIC
+from peppershore.request.confirmation import RETRY_AFTER_MILLISECONDS
+from peppershore.request.outcome import (
+    AUTHORIZATION_HEADER,
+    STATUS_UNAUTHORIZED,
+    STATUS_UNAVAILABLE,
+    NotRun,
+)
+from peppershore.request.tenants.keys import TenantKeys, shown_key, shows_key
+from peppershore.version.model import RouteSettings
+from peppershore.version.tenants import key_digest
+
+OWNER_PATIENCE_SHARE = 0.5
+"""Part of the time in which a change comes into force for which a call with a key may
+wait at a back end's own node, which holds no key.  The other part is for the change to
+come to the node that sent it on."""
+
+NO_KEY = NotRun(STATUS_UNAUTHORIZED, "no-key")
+UNKNOWN_KEY = NotRun(STATUS_UNAUTHORIZED, "unknown-key")
+KEY_CHANGED = NotRun(STATUS_UNAVAILABLE, "key-changed-hands", RETRY_AFTER_MILLISECONDS)
+"""Another tenant holds the key by now, or none needs one: it is judged anew."""
+
+KEYS_NOT_CONFIRMED = NotRun(
+    STATUS_UNAVAILABLE, "keys-not-confirmed", RETRY_AFTER_MILLISECONDS
+)
+PARENT_NOT_KNOWN = NotRun(STATUS_UNAVAILABLE, "parent-not-known")
+"""A back end calls on for a call that this node knows nothing of (any more).  That is no
+final refusal, for no key is missing; and nobody waits for what comes of it."""
+
+
+class OnBehalf(msgspec.Struct, frozen=True):
+    """On whose behalf a call is made; ``tenant`` "" where there is none.
+
+    ``priority`` None leaves it to the route.  ``digest`` is that of the key which the
+    caller showed, empty for a call that a back end makes.
+    """
+
+    tenant: str = ""
+    priority: int | None = None
+    digest: bytes = b""
+
+    def __repr__(self) -> str:
+        """Keep the digest out of logs and tracebacks."""
+        return f"OnBehalf(tenant={self.tenant!r}, priority={self.priority})"
+
+
+NOBODY = OnBehalf()
+
+
+class Parentage(msgspec.Struct, frozen=True):
+    """Whether a call is one of the own back end's, made for a call that it runs.
+
+    ``tenant`` is that of the running call; None where the call belongs to none.
+    ``may_be_child``: by its address and the form of its id it might.
+    """
+
+    tenant: str | None = None
+    may_be_child: bool = False
+
+
+NO_PARENT = Parentage()
+
+
+class KeyTerms(msgspec.Struct, frozen=True):
+    """For how long keys are of use to a node that hears of no confirmation.
+
+    A change is in force within ``apply_seconds``.  With ``fails_closed`` a configuration
+    confirmed longer than ``revocation_seconds`` ago admits nobody by a key.
+    """
+
+    apply_seconds: float
+    revocation_seconds: float
+    fails_closed: bool
+
+    def allow(self, age_seconds: float) -> bool:
+        """Whether a configuration confirmed so long ago admits callers by keys."""
+        return not self.fails_closed or age_seconds <= self.revocation_seconds
+
+    def longest_wait(self, age_seconds: float) -> float:
+        """Give the seconds for which a call with a key may wait out of sight."""
+        wait = self.apply_seconds * OWNER_PATIENCE_SHARE
+        if not self.fails_closed:
+            return wait
+        return max(0.0, min(wait, self.revocation_seconds - age_seconds))
+
+
+class TenantCallers:
+    """Judges keys by the tenants of the configuration in use."""
+
+    def __init__(self, terms: KeyTerms) -> None:
+        """Start without tenants: nobody is asked for a key."""
+        self.keys = TenantKeys()
+        self._terms = terms
+
+    def asks_for_key(self, route: RouteSettings) -> bool:
+        """Whether a route's calls come with a key.
+
+        One that asks for a signed token can't ask for a key too: one field holds both.
+        """
+        return self.keys.in_force and not route.keyless and PUBLIC in route.audience
+
+    def judge(
+        self,
+        route: RouteSettings,
+        headers: HeaderList,
+        parentage: Parentage,
+        age_seconds: float,
+    ) -> Result[OnBehalf, NotRun]:
+        """Give on whose behalf a call is made, or why it is not taken.
+
+        ``age_seconds``: how long ago the configuration was confirmed.
+        """
+        if parentage.tenant is not None:
+            return Success(self._of_running_call(parentage.tenant))
+        if not self.asks_for_key(route):
+            return Success(NOBODY)
+        key = shown_key(headers)
+        if not key:
+            return Failure(PARENT_NOT_KNOWN if parentage.may_be_child else NO_KEY)
+        digest = key_digest(key)
+        holder = self.keys.holder(digest)
+        if holder is None:
+            return Failure(UNKNOWN_KEY)
+        if not self._terms.allow(age_seconds):
+            return Failure(KEYS_NOT_CONFIRMED)
+        return Success(OnBehalf(holder.name, holder.priority, digest))
+
+    def refusal(self, whose: OnBehalf, age_seconds: float) -> NotRun | None:
+        """Give why a call that waited may not go on; None: its key is as it was."""
+        if not whose.digest:
+            return None
+        holder = self.keys.holder(whose.digest)
+        if holder is None and self.keys.in_force:
+            return UNKNOWN_KEY
+        if holder is None or holder.name != whose.tenant:
+            return KEY_CHANGED
+        return None if self._terms.allow(age_seconds) else KEYS_NOT_CONFIRMED
+
+    def longest_wait(self, whose: OnBehalf, age_seconds: float) -> float:
+        """Give the seconds for which a call may wait where its key is not known."""
+        return self._terms.longest_wait(age_seconds) if whose.digest else math.inf
+
+    def without_keys(self, route: RouteSettings, headers: HeaderList) -> HeaderList:
+        """Give the fields that a back end may see: no key, known or not."""
+        if not self.keys.in_force or PUBLIC not in route.audience:
+            return headers
+        return [
+            (name, value)
+            for name, value in headers
+            if name != AUTHORIZATION_HEADER or (route.keyless and not shows_key(value))
+        ]
+
+    def _of_running_call(self, tenant: str) -> OnBehalf:
+        """A tenant that was taken away keeps its name on what its calls still need."""
+        held = self.keys.tenant(tenant)
+        return OnBehalf(tenant, None if held is None else held.priority)
--- /dev/null
+++ b/src/peppershore/request/tenants/keys.py
@@ -0,0 +1,73 @@
+"""The tenants of a configuration by the digests of their keys."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from peppershore.connection.http_head import HeaderList
+from peppershore.request.outcome import AUTHORIZATION_HEADER
+from peppershore.version.model import TenantResource
+
+KEY_SCHEME = b"bearer"
+MAX_KEY_BYTES = 1024
+"""A longer one is no key: nobody's digest is worked out over what a caller makes up."""
+
+
+def shows_key(value: bytes) -> bool:
+    """Whether an authorization field's value may hold a key, of whatever form."""
+    return value[: len(KEY_SCHEME)].lower() == KEY_SCHEME
+
+
+def shown_key(headers: HeaderList) -> bytes:
+    """Give the key that a caller shows; empty without one that is well formed.
+
+    Two fields are no key: the node and a back end might each take another one.
+    """
+    values = [value for name, value in headers if name == AUTHORIZATION_HEADER]
+    if len(values) != 1:
+        return b""
+    scheme, _, rest = values[0].partition(b" ")
+    key = rest.strip(b" \t")
+    is_key = scheme.lower() == KEY_SCHEME and len(key) <= MAX_KEY_BYTES
+    return key if is_key and not any(space in key for space in (b" ", b"\t")) else b""
+
+
+class TenantKeys:
+    """Finds a tenant by the digest of a key.
+
+    A digest of a guess says nothing of the digests near it, so how long the look-up
+    takes tells a caller nothing of the keys that there are.
+    """
+
+    def __init__(self) -> None:
+        """Start without tenants."""
+        self._tenants: Mapping[str, TenantResource] = {}
+        self._holders: dict[bytes, TenantResource] = {}
+
+    @property
+    def in_force(self) -> bool:
+        """Whether there are tenants at all."""
+        return bool(self._tenants)
+
+    def use(self, tenants: Mapping[str, TenantResource]) -> None:
+        """Take the tenants of another configuration, by what differs."""
+        former = self._tenants
+        if tenants is former:
+            return
+        self._tenants = tenants
+        gone = [held for name, held in former.items() if tenants.get(name) != held]
+        came = [held for name, held in tenants.items() if former.get(name) != held]
+        for tenant in gone:
+            for digest in tenant.key_digests:
+                self._holders.pop(digest, None)
+        for tenant in came:
+            for digest in tenant.key_digests:
+                self._holders[digest] = tenant
+
+    def holder(self, digest: bytes) -> TenantResource | None:
+        """Give the tenant that holds the key of this digest."""
+        return self._holders.get(digest)
+
+    def tenant(self, name: str) -> TenantResource | None:
+        """Give a tenant by its name."""
+        return self._tenants.get(name)
--- a/tests/data_plane/stage.py
+++ b/tests/data_plane/stage.py
@@ -21,6 +21,7 @@
     Scope,
     SecretResource,
     ServiceSettings,
+    TenantResource,
 )
 
 SERVICE = "kassa"
@@ -51,14 +52,17 @@
     route: RouteSettings = PUBLIC_ROUTE,
     service: ServiceSettings = QUICK_SERVICE,
     secrets: dict[str, SecretResource] | None = None,
+    tenants: dict[str, TenantResource] | None = None,
+    others: tuple[RouteResource, ...] = (),
 ) -> ActiveConfiguration:
     return ActiveConfiguration(
         scope=Scope("edge", "pasila"),
         version=1,
         digest=1,
-        routes=(RouteResource(SERVICE, "all", route),),
+        routes=(*others, RouteResource(SERVICE, "all", route)),
         services={SERVICE: service},
         secrets=secrets or {},
+        tenants=tenants or {},
     )
 
 
