--- a/src/peppershore/command/lost_calls.py
+++ b/src/peppershore/command/lost_calls.py
@@ -26,6 +26,7 @@
 FREE_ELSEWHERE = "refused with a slot free elsewhere"
 NO_CONFIGURATION = "node without configuration"
 NO_ROUTE = "no such route"
+NO_KNOWN_KEY = "no key of a tenant"
 NODE_STOPPING = "node stopping"
 NOBODY_READY = "no back end known"
 BACK_END_FAILED = "back end failed"
@@ -39,7 +40,11 @@
     "no-configuration": NO_CONFIGURATION,
     "service-not-held": NO_CONFIGURATION,
     "configuration-not-confirmed": NO_CONFIGURATION,
+    "keys-not-confirmed": NO_CONFIGURATION,
     "no-route": NO_ROUTE,
+    "no-key": NO_KNOWN_KEY,
+    "unknown-key": NO_KNOWN_KEY,
+    "key-changed-hands": NO_KNOWN_KEY,
     "node-stopping": NODE_STOPPING,
     "back-end-leaving": NODE_STOPPING,
     "nobody-ready": NOBODY_READY,
@@ -53,6 +58,7 @@
     "owner-unreachable": CONNECTION_LOST,
     "back-end-unreachable": CONNECTION_LOST,
     "other-back-end": CONNECTION_LOST,
+    "parent-not-known": CONNECTION_LOST,
     "caller-left": CALLER_LEFT,
 }
 
--- /dev/null
+++ b/tests/data_plane/test_tenants.py
@@ -0,0 +1,459 @@
+"""Keys and tenants' names on every way a call may go.
+
+Patterns: a caller who forges a name, in a head or behind a body; calls sent before the
+first is answered; a key that goes while its call waits; back ends that call on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import msgspec
+import pytest
+from tests.data_plane.fake_owner import FakeOwner
+from tests.data_plane.scripted_backend import Received, ScriptedBackend, answer_ok
+from tests.data_plane.stage import (
+    PUBLIC_ROUTE,
+    SERVICE,
+    Answer,
+    Caller,
+    Node,
+    call,
+    configuration,
+    endpoint,
+    run,
+    until,
+)
+
+from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.calls import CallNotRun, CallStarted
+from peppershore.process.settings import HeaderSettings
+from peppershore.version.model import RouteResource, TenantResource
+from peppershore.version.tenants import key_digest
+
+HEADERS = HeaderSettings(
+    request_id="x-request-id",
+    deadline="peppershore-deadline-milliseconds",
+    tenant="x-tenant",
+)
+ANNA_KEY, BOB_KEY = "key-of-anna", "key-of-bob"
+ANNA = TenantResource("anna", (key_digest(ANNA_KEY.encode()),), priority=0)
+BOB = TenantResource("bob", (key_digest(BOB_KEY.encode()),))
+BOTH = {"anna": ANNA, "bob": BOB}
+OPEN = msgspec.structs.replace(PUBLIC_ROUTE, path_prefix="/open", keyless=True)
+STREAMED = msgspec.structs.replace(PUBLIC_ROUTE, path_prefix="/up", streamed_bodies=True)
+OTHERS = (
+    RouteResource(SERVICE, "open", OPEN),
+    RouteResource(SERVICE, "streamed", STREAMED),
+)
+
+
+def showing(key: str, **fields: str) -> dict[str, str]:
+    return {"authorization": f"Bearer {key}", **fields}
+
+
+class Stage:
+    """A back end, the node beside it, and a node that callers use."""
+
+    def __init__(self, backend: ScriptedBackend, way: str, **changes: Any) -> None:
+        self.backend = backend
+        self.way = way
+        self.changes = changes
+        self.nodes: list[Node] = []
+
+    async def start(self, slots: int = 20) -> str:
+        address = await self.backend.start()
+        changes = {"headers": HEADERS, "log_answered_every": 1, **self.changes}
+        started = {"tenants": BOTH, "others": OTHERS}
+        own = Node("k1", address, slots, **changes)
+        self.nodes = [own]
+        if self.way == "own":
+            return await own.start(endpoint(address, slots=slots), **started)
+        edge = Node("e1", **changes)
+        self.nodes.append(edge)
+        await own.start(**started)
+        owner = own.addresses.internal if self.way == "owner" else ""
+        target = endpoint(address, owner_address=owner, slots=slots)
+        return await edge.start(target, **started)
+
+    @property
+    def entry(self) -> Node:
+        return self.nodes[-1]
+
+    def use(self, tenants: dict[str, TenantResource]) -> None:
+        for node in self.nodes:
+            node.plane.use_configuration(configuration(tenants=tenants, others=OTHERS))
+
+    async def stop(self) -> None:
+        for node in self.nodes:
+            await node.plane.close()
+        self.backend.stop()
+
+
+WAYS = ("own", "owner", "direct")
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_the_back_end_sees_the_name_and_no_key(way: str) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        stage = Stage(backend, way)
+        address = await stage.start()
+        headers = showing(BOB_KEY, **{"x-tenant": "anna", "X-Tenant": "anna", "x-a": "1"})
+        answer = await call(address, "/a", headers=headers)
+        assert answer.status == 200
+        sent = backend.requests[0]
+        assert sent.head.lower().count(b"x-tenant:") == 1
+        assert (sent.headers["x-tenant"], sent.headers["x-a"]) == ("bob", "1")
+        assert BOB_KEY.encode() not in sent.head
+        await stage.stop()
+
+    run(scene())
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_a_streamed_body_brings_neither_key_nor_name(way: str) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend(_read_to_the_end)
+        stage = Stage(backend, way)
+        caller = await Caller.connect(await stage.start())
+        head = showing(BOB_KEY, **{"transfer-encoding": "chunked", "x-tenant": "anna"})
+        caller.request("/up/x", method="PUT", headers=head)
+        trailers = f"x-tenant: anna\r\nauthorization: Bearer {ANNA_KEY}\r\nx-sum: 9\r\n"
+        caller.write(b"5\r\nhello\r\n0\r\n" + trailers.encode() + b"\r\n")
+        assert (await caller.answer("PUT")).body == b"ok:hello"
+        sent = backend.requests[0]
+        assert sent.headers["x-tenant"] == "bob"
+        everything = sent.head + _after_body(backend)
+        assert b"x-sum: 9" in everything
+        assert b"anna" not in everything
+        assert b"key-of" not in everything
+        caller.close()
+        await stage.stop()
+
+    run(scene())
+
+
+async def _read_to_the_end(request: Received, writer: asyncio.StreamWriter) -> None:
+    body, rest = b"", b""
+    while size := int(await request.reader.readline(), 16):
+        body += await request.reader.readexactly(size)
+        await request.reader.readline()
+    while (line := await request.reader.readline()) != b"\r\n":
+        rest += line
+    request.lines.append(rest.decode())
+    writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % (len(body) + 3))
+    writer.write(b"ok:" + body)
+
+
+def _after_body(backend: ScriptedBackend) -> bytes:
+    return backend.requests[0].lines[-1].encode()
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_calls_sent_ahead_have_their_own_tenants_each(way: str) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        stage = Stage(backend, way)
+        caller = await Caller.connect(await stage.start())
+        shown = (ANNA_KEY, BOB_KEY, "key-of-nobody", ANNA_KEY)
+        for number, key in enumerate(shown):
+            caller.request(f"/{number}", headers=showing(key))
+        statuses = [(await caller.answer()).status for _ in shown]
+        assert statuses == [200, 200, 401, 200]
+        served = {each.target: each.headers["x-tenant"] for each in backend.requests}
+        assert served == {"/0": "anna", "/1": "bob", "/3": "anna"}
+        caller.close()
+        await stage.stop()
+
+    run(scene())
+
+
+@pytest.mark.parametrize(
+    ("headers", "reason"),
+    [
+        ({}, "no-key"),
+        ({"x-tenant": "anna"}, "no-key"),
+        ({"authorization": "Basic key-of-anna"}, "no-key"),
+        (showing("key-of-nobody"), "unknown-key"),
+    ],
+)
+def test_who_has_no_key_is_told_so_and_no_key_is_written(
+    headers: dict[str, str], reason: str
+) -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        stage = Stage(backend, "owner")
+        address = await stage.start()
+        answer = await call(address, headers=headers)
+        assert (answer.status, answer.outcome, answer.reason) == (401, "not-run", reason)
+        assert answer.headers["www-authenticate"] == "Bearer"
+        assert backend.requests == []
+        await call(address, headers=showing(ANNA_KEY))
+        line = _lines(stage.entry)[0]
+        assert (line["status"], line["reason"], line["version"]) == (401, reason, 1)
+        assert _lines(stage.entry)[1]["tenant"] == "anna"
+        _assert_keys_are_nowhere(stage)
+        await stage.stop()
+
+    run(scene())
+
+
+def _lines(node: Node) -> list[dict[str, Any]]:
+    return [msgspec.structs.asdict(each) for each in node.notices if each.is_call]
+
+
+def _assert_keys_are_nowhere(stage: Stage) -> None:
+    for node in stage.nodes:
+        written = repr(node.notices)
+        assert "key-of" not in written
+        for tenant in BOTH.values():
+            assert tenant.key_digests[0].hex() not in written
+            assert repr(tenant.key_digests[0]) not in written
+
+
+def test_a_keyless_route_shows_no_key_and_no_tenant() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        stage = Stage(backend, "owner")
+        address = await stage.start()
+        headers = showing(ANNA_KEY, **{"x-tenant": "anna"})
+        assert (await call(address, "/open/x", headers=headers)).status == 200
+        assert (await call(address, "/open/x")).status == 200
+        for sent in backend.requests:
+            assert "x-tenant" not in sent.headers
+            assert "authorization" not in sent.headers
+        await stage.stop()
+
+    run(scene())
+
+
+def test_an_owner_is_told_the_tenant_and_its_priority() -> None:
+    owner = FakeOwner()
+
+    async def scene() -> None:
+        edge = Node(headers=HEADERS, apply_milliseconds=2_000.0)
+        address = await edge.start(
+            endpoint("127.0.0.1:1", owner_address=await owner.start()), tenants=BOTH
+        )
+        callers = [await Caller.connect(address) for _ in BOTH]
+        for caller, key in zip(callers, (ANNA_KEY, BOB_KEY), strict=True):
+            caller.request(headers=showing(key))
+        await until(lambda: len(_started(owner)) == len(BOTH))
+        told = {each.tenant: each.priority for each in _started(owner)}
+        assert told == {"anna": 0, "bob": PUBLIC_ROUTE.priority}
+        for started in _started(owner):
+            assert (b"x-tenant", started.tenant.encode()) in started.headers
+            assert 0 <= started.patience_milliseconds <= 1_000
+        for caller in callers:
+            caller.close()
+        await edge.plane.close()
+        owner.stop()
+
+    run(scene())
+
+
+def _started(owner: FakeOwner) -> list[CallStarted]:
+    return [each for each in owner.received if isinstance(each, CallStarted)]
+
+
+class Held:
+    """A back end that answers a path only when it is let go."""
+
+    def __init__(self, path: str) -> None:
+        self.path = path
+        self.let_go = asyncio.Event()
+
+    async def script(self, request: Received, writer: asyncio.StreamWriter) -> None:
+        if request.target == self.path:
+            await self.let_go.wait()
+        await answer_ok(request, writer)
+
+
+def test_a_key_that_goes_while_its_call_waits_in_line() -> None:
+    async def scene() -> None:
+        held = Held("/first")
+        backend = ScriptedBackend(held.script)
+        stage = Stage(backend, "direct")
+        address = await stage.start(slots=1)
+        first, second, third = [await Caller.connect(address) for _ in range(3)]
+        first.request("/first", headers=showing(ANNA_KEY))
+        await until(lambda: len(backend.requests) == 1)
+        second.request("/second", headers=showing(BOB_KEY))
+        third.request("/third", headers=showing(ANNA_KEY))
+        await until(lambda: stage.entry.plane.calls.admissions.waiting == 2)
+        stage.use({"anna": ANNA})
+        answer = await second.answer()
+        assert (answer.status, answer.reason) == (401, "unknown-key")
+        held.let_go.set()
+        assert (await first.answer()).status == 200
+        assert (await third.answer()).status == 200
+        assert [each.target for each in backend.requests] == ["/first", "/third"]
+        assert stage.entry.plane.calls.in_flight == 0
+        await stage.stop()
+
+    run(scene())
+
+
+def test_a_key_that_goes_while_its_call_runs_cuts_nothing() -> None:
+    async def scene() -> None:
+        held = Held("/first")
+        backend = ScriptedBackend(held.script)
+        stage = Stage(backend, "owner")
+        caller = await Caller.connect(await stage.start())
+        caller.request("/first", headers=showing(BOB_KEY))
+        await until(lambda: len(backend.requests) == 1)
+        stage.use({"anna": ANNA})
+        held.let_go.set()
+        assert (await caller.answer()).status == 200
+        caller.request("/again", headers=showing(BOB_KEY))
+        assert (await caller.answer()).status == 401
+        caller.close()
+        await stage.stop()
+
+    run(scene())
+
+
+def test_a_key_that_goes_before_another_try() -> None:
+    stopped = asyncio.Event()
+
+    def busy(message: Message) -> Message | None:
+        if not isinstance(message, CallStarted):
+            return None
+        edge.plane.use_configuration(configuration(tenants={"anna": ANNA}))
+        stopped.set()
+        return CallNotRun(message.stream, 503, "back-end-leaving", 100, retryable=True)
+
+    owners = [FakeOwner(busy), FakeOwner(busy)]
+    edge: Node
+
+    async def scene() -> None:
+        nonlocal edge
+        edge = Node(headers=HEADERS)
+        addresses = [await owner.start() for owner in owners]
+        address = await edge.start(
+            *(
+                endpoint("127.0.0.1:1", f"k{number}", owner_address=owner)
+                for number, owner in enumerate(addresses)
+            ),
+            tenants=BOTH,
+        )
+        answer = await call(address, headers=showing(BOB_KEY))
+        assert stopped.is_set()
+        assert (answer.status, answer.reason) == (401, "unknown-key")
+        assert sum(len(_started(owner)) for owner in owners) == 1
+        await edge.plane.close()
+        for owner in owners:
+            owner.stop()
+
+    run(scene())
+
+
+class CallingOn:
+    """A back end that calls on through its own node before it answers."""
+
+    def __init__(self, **headers: str) -> None:
+        self.outbound = ""
+        self.headers = headers
+        self.answers: list[Answer] = []
+
+    async def script(self, request: Received, writer: asyncio.StreamWriter) -> None:
+        if request.target == "/outer":
+            made = f"{request.headers['x-request-id']}.1"
+            headers = {"x-request-id": made, **self.headers}
+            answer = await call(self.outbound, "/inner", headers=headers)
+            self.answers.append(answer)
+        await answer_ok(request, writer)
+
+
+@pytest.mark.parametrize("way", ["own", "owner"])
+@pytest.mark.parametrize("hop", ["direct", "owner"])
+def test_a_back_end_calls_on_for_the_tenant_of_the_call_it_runs(way: str, hop: str) -> None:
+    """By whatever way its route names: its own node must know whose call it runs."""
+
+    async def scene() -> None:
+        calling = CallingOn(**{"x-tenant": "anna"})
+        backend = ScriptedBackend(calling.script)
+        stage = Stage(backend, way)
+        address = await stage.start()
+        route = msgspec.structs.replace(PUBLIC_ROUTE, hop=hop)
+        own = stage.nodes[0]
+        own.plane.use_endpoints((endpoint(backend.address),))
+        for node in stage.nodes:
+            node.plane.use_configuration(configuration(route, tenants=BOTH))
+        calling.outbound = own.addresses.callers
+        headers = showing(BOB_KEY, **{"x-request-id": "aa"})
+        assert (await call(address, "/outer", headers=headers)).status == 200
+        assert [each.status for each in calling.answers] == [200]
+        served = [(each.target, each.headers["x-tenant"]) for each in backend.requests]
+        assert served == [("/outer", "bob"), ("/inner", "bob")]
+        await stage.stop()
+
+    run(scene())
+
+
+def test_a_call_for_one_that_runs_no_more_is_not_run() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        stage = Stage(backend, "own")
+        address = await stage.start()
+        await call(address, headers=showing(BOB_KEY, **{"x-request-id": "aa"}))
+        answer = await call(address, headers={"x-request-id": "aa.1"})
+        assert (answer.status, answer.outcome) == (503, "not-run")
+        assert answer.reason == "parent-not-known"
+        beside = await call(address, headers={"x-request-id": "bb"})
+        assert (beside.status, beside.reason) == (401, "no-key")
+        assert len(backend.requests) == 1
+        await stage.stop()
+
+    run(scene())
+
+
+def test_what_no_tenant_holds_is_refused_once_there_are_tenants() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        stage = Stage(backend, "owner")
+        address = await stage.start()
+        stage.use({})
+        free = await call(address, headers=showing(ANNA_KEY, **{"x-tenant": "anna"}))
+        assert free.status == 200
+        assert "x-tenant" not in backend.requests[0].headers
+        assert backend.requests[0].headers["authorization"] == f"Bearer {ANNA_KEY}"
+        stage.use(BOTH)
+        assert (await call(address)).status == 401
+        assert (await call(address, headers=showing(ANNA_KEY))).status == 200
+        await stage.stop()
+
+    run(scene())
+
+
+def test_a_node_that_hears_nothing_puts_off_what_would_be_final() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        stage = Stage(backend, "own")
+        address = await stage.start()
+        loop = asyncio.get_running_loop()
+        stage.entry.plane.calls.freshness.confirmed(loop.time() - 60.0)
+        unknown = await call(address, headers=showing("key-of-nobody"))
+        assert (unknown.status, unknown.reason) == (503, "configuration-not-confirmed")
+        assert (await call(address, headers=showing(ANNA_KEY))).status == 200
+        await stage.stop()
+
+    run(scene())
+
+
+def test_a_node_that_hears_nothing_admits_nobody_where_it_fails_closed() -> None:
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        stage = Stage(backend, "own", fail_closed=True)
+        address = await stage.start()
+        loop = asyncio.get_running_loop()
+        stage.entry.plane.calls.freshness.confirmed(loop.time() - 60.0)
+        answer = await call(address, headers=showing(ANNA_KEY))
+        assert (answer.status, answer.reason) == (503, "keys-not-confirmed")
+        assert (await call(address, "/open/x")).status == 200
+        assert [each.target for each in backend.requests] == ["/open/x"]
+        await stage.stop()
+
+    run(scene())
