Quotas: calls of tenants with a limit are granted by the leader, down to the nodes

The leader keeps a bucket for each tenant, empty at the start of its leadership, and grants whole calls only while its lease holds; relays and nodes hold them for one lease. A relay that the leader told so gives a few calls before it asks for them and settles them with its next ask: most nodes are answered at once and one message asks for many calls.

--- a/src/peppershore/connection/authorization.py
+++ b/src/peppershore/connection/authorization.py
@@ -29,12 +29,19 @@
 CLAIM_ANSWER_TAGS = frozenset({121, 122, 123, 126})
 CALL_TAGS = frozenset(range(140, 160))
 CRASH_TAGS = frozenset(range(160, 170))
+QUOTA_ASK_TAG, QUOTA_ANSWER_TAG = 170, 171
+QUOTA_PEER_TAGS = frozenset({172, 173})
+GROUP_TAGS = CONSENSUS_TAGS | QUOTA_PEER_TAGS
+"""What passes only between the replicas of one group."""
 
 SENDER_TAGS: dict[str, frozenset[int]] = {
-    "control": frozenset({51, 52, 54}) | CONSENSUS_TAGS | OPERATOR_TAGS,
+    "control": frozenset({51, 52, 54, QUOTA_ANSWER_TAG}) | GROUP_TAGS | OPERATOR_TAGS,
     "relay": frozenset({21, 22, 25, 41, 42, 43, 44, 45, 46, 47, 50, 53, 55, 56})
-    | CRASH_TAGS,
-    "node": frozenset({20, 23, 24, 26, 28, 40, 46}) | CLAIM_ASK_TAGS | CALL_TAGS | {160},
+    | CRASH_TAGS
+    | {QUOTA_ASK_TAG, QUOTA_ANSWER_TAG},
+    "node": frozenset({20, 23, 24, 26, 28, 40, 46, 160, QUOTA_ASK_TAG})
+    | CLAIM_ASK_TAGS
+    | CALL_TAGS,
     "claims": frozenset({92, 98, 101}) | CONSENSUS_TAGS | CLAIM_ANSWER_TAGS,
     "operator": OPERATOR_TAGS,
 }
@@ -70,7 +77,7 @@
     tag = int(message.__struct_config__.tag or 0)
     if tag not in SESSION_TAGS | SENDER_TAGS[peer.role]:
         return f"a {peer.role} may not send {type(message).__name__}"
-    if tag in CONSENSUS_TAGS and peer.role != own.role:
+    if tag in GROUP_TAGS and peer.role != own.role:
         return f"a {peer.role} has no vote in a group of {own.role} replicas"
     return _impersonation(peer, message)
 
--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -24,6 +24,11 @@
     TreeQuery,
     WatchRequest,
 )
+from peppershore.connection.messages.quotas import (
+    QuotaAsked,
+    QuotaForwarded,
+    QuotaReturned,
+)
 from peppershore.connection.messages.relay import (
     CommittedEdit,
     ConfirmReply,
@@ -47,6 +52,7 @@
 from peppershore.process.control.notices import edit_refused
 from peppershore.process.control.progress import ProgressTable
 from peppershore.process.control.progress_sharing import ProgressSharing
+from peppershore.process.control.quota_desk import QuotaDesk
 from peppershore.process.control.redaction import edits_without_material, without_material
 from peppershore.process.control.releases import (
     Releases,
@@ -97,7 +103,13 @@
     "rollout", "is the control group's own", "an order, see `peppershore rollout`"
 )
 
-_RELAY_MESSAGES = (FollowRequest, ConfirmRequest, ProgressReported, EvidenceShared)
+_RELAY_MESSAGES = (
+    FollowRequest,
+    ConfirmRequest,
+    ProgressReported,
+    EvidenceShared,
+    QuotaAsked,
+)
 
 
 class PendingRead(msgspec.Struct, frozen=True):
@@ -118,6 +130,7 @@
         super().__init__(replica_settings(settings), stored, self.state)
         self._intake = EditIntake(self.state)
         self._followers = Followers(self.state)
+        self._quotas = QuotaDesk(self, settings.quotas)
         self._progress = ProgressTable()
         self._sharing = ProgressSharing(self._progress)
         self._rotation: RotationBarrier | None = None
@@ -179,6 +192,7 @@
         self._identities.pop(link, None)
         self._watchers.pop(link, None)
         self._followers.leave(link)
+        self._quotas.closed(link)
 
     def may_be_replica(self, link: LinkId, name: str) -> bool:
         """Whether the certificate on this link is that replica's."""
@@ -206,6 +220,8 @@
             self._take_progress(message)
         elif isinstance(message, EvidenceShared):
             self.rollouts.take(message.evidence)
+        elif isinstance(message, QuotaAsked):
+            self._quotas.asked(link, message)
         elif isinstance(message, HistoryQuery):
             self.send(link, self._history(message))
         elif isinstance(message, StatusQuery):
@@ -234,6 +250,8 @@
         elif isinstance(message, ProgressWanted):
             self._sharing.wanted(peer, self.now)
             self._share_progress()
+        elif isinstance(message, QuotaForwarded | QuotaReturned):
+            self._quotas.take(peer, message)
 
     def _allowed(self, link: LinkId, message: Message) -> bool:
         identity = self._identities.get(link, "")
@@ -289,6 +307,7 @@
         if request.cluster != self.settings.cluster:
             self.send(link, Refused("other-cluster", self.settings.cluster))
             return
+        self._quotas.followed(link, request.relay)
         for command in self._followers.follow(link, request):
             self.command(command)
 
@@ -343,6 +362,7 @@
 
     def on_applied(self) -> None:
         """Answer outcomes and send accepted edits to relays."""
+        self._quotas.tree_changed()
         edits = self.state.take_new_edits()
         outcomes = self.state.take_new_outcomes()
         if self.consensus.leadership is not None:
@@ -375,6 +395,7 @@
         """The state jumped ahead: relays get the whole tree."""
         for command in self._followers.state_replaced():
             self.command(command)
+        self._quotas.tree_changed()
         self._releases.state_installed()
 
     def on_leadership_gained(self) -> None:
@@ -382,10 +403,12 @@
         if self._rotation is not None:
             self._rotation.restart(self.now)
         self._intake.begin()
+        self._quotas.leadership_gained()
         self.rollouts.leadership_gained()
 
     def on_leadership_lost(self) -> None:
         """Edits under way may commit: who waits asks again with the same change id."""
+        self._quotas.leadership_lost()
         for link in self._intake.end():
             self._answer(link, NotLeader(self.leader_address, undecided=True))
 
--- a/src/peppershore/process/hub/plan.py
+++ b/src/peppershore/process/hub/plan.py
@@ -54,6 +54,7 @@
         wanted_voters=2 * settings.tolerated_losses + 1,
         rollout_exposure_share=settings.rollout_exposure_share,
         apply_milliseconds=settings.apply_milliseconds,
+        quotas=settings.quotas,
         tls=settings.tls,
     )
     relay_address = relay_name(address, settings)
@@ -68,6 +69,7 @@
         stale_after_milliseconds=settings.stale_after_milliseconds,
         hold_milliseconds=0,
         lists_relays=True,
+        quotas=settings.quotas,
         tls=settings.relay_tls,
     )
     return HubPlan(control, relay)
--- a/src/peppershore/process/node/commands.py
+++ b/src/peppershore/process/node/commands.py
@@ -4,6 +4,7 @@
 
 from peppershore.connection.messages.crashes import CrashRecord
 from peppershore.connection.messages.endpoints import Endpoint
+from peppershore.connection.messages.quotas import QuotaGranted
 from peppershore.process.commands import Command, PersistRecords
 from peppershore.process.node.back_end_reports import BackEndView
 from peppershore.version.model import Snapshot
@@ -28,6 +29,12 @@
     records: tuple[CrashRecord, ...]
 
 
+class QuotaAnswered(Command, frozen=True):
+    """The relay in use answered an ask for grants."""
+
+    granted: QuotaGranted
+
+
 class PersistSnapshot(PersistRecords, frozen=True):
     """Write a snapshot, whose version is the new floor, to disk and sync it."""
 
--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -30,6 +30,7 @@
     UpdateOffered,
     UpdateRefused,
 )
+from peppershore.connection.messages.quotas import QuotaAsked, QuotaGranted
 from peppershore.connection.messages.rollouts import BackEndEvidence, EvidenceTold
 from peppershore.connection.messages.session import Goodbye, Refused, RetryAfter
 from peppershore.connection.update_packing import unpack_update
@@ -52,6 +53,7 @@
     DrainBackend,
     EndpointsSwapped,
     PersistSnapshot,
+    QuotaAnswered,
 )
 from peppershore.process.node.configuration import ConfigurationHolder
 from peppershore.process.node.endpoints import KnownEndpoints
@@ -65,6 +67,7 @@
     BackendStateChanged,
     EvidenceGathered,
     NodeSeedsChanged,
+    QuotaWanted,
     SuspectEndedWell,
 )
 from peppershore.process.node.own_endpoint import OwnEndpoint
@@ -195,6 +198,8 @@
                 active = self.sessions.active
                 relay = None if active is None else active.link
                 self._do(self.quarantine.learned(event, relay, self._now))
+            case QuotaWanted():
+                self._ask_quota(event.ask)
             case _:
                 self._from_back_end(event)
 
@@ -232,6 +237,11 @@
         )
         self._out.append(SendMessage(active.link, EvidenceTold(evidence)))
 
+    def _ask_quota(self, ask: QuotaAsked) -> None:
+        """Ask the relay in use; without one the ask is made again a moment later."""
+        if self.sessions.active is not None:
+            self._out.append(SendMessage(self.sessions.active.link, ask))
+
     def _refused_report(self, event: BackEndReportRefused) -> None:
         """Say so, but not for each: whoever sends them may go on for long."""
         self._refused_reports += 1
@@ -314,6 +324,8 @@
                 self._do(self.sessions.use_listed(listed, self._now))
             case CrashesTold():
                 self._do(self.quarantine.told(message, self._now))
+            case QuotaGranted():
+                self._out.append(QuotaAnswered(message))
             case RetryAfter():
                 self._do(self.sessions.deferred(session, message.milliseconds, self._now))
             case Goodbye():
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -155,8 +155,22 @@
             self._proceed()
 
     def _proceed(self) -> None:
-        """Admit the call, after a claim on its key where it has one."""
+        """Go on once the limit of the call's tenant allows it."""
         self._awaits_body = False
+        self._calls.quotas.take(self.plan, self._quota_decided)
+
+    def _quota_decided(self, refusal: NotRun | None) -> bool:
+        """Take the decision on the tenant's limit; a call that is over needs none."""
+        if self._over:
+            return False
+        if refusal is None:
+            self._claim_or_admit()
+        else:
+            self._fail(refusal)
+        return True
+
+    def _claim_or_admit(self) -> None:
+        """Admit the call, after a claim on its key where it has one."""
         if not self.plan.key or self._calls.forwards_unclaimed_keys:
             self._admit()
         elif self._calls.claims.client is None:
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -34,6 +34,7 @@
 from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.owner_links import OwnerLinks
 from peppershore.process.node.data.quarantine_gate import QuarantineGate
+from peppershore.process.node.data.quota_gate import QuotaGate
 from peppershore.process.node.data.service_admissions import ServiceAdmissions
 from peppershore.process.node.profile import retry_bound, wire_names
 from peppershore.process.settings import NodeSettings
@@ -92,6 +93,7 @@
         """Start without configuration and without endpoints."""
         self.loop = asyncio.get_running_loop()
         self.quarantine = QuarantineGate(self.loop.time)
+        self.quotas = QuotaGate(settings.quotas, self.loop, random)
         self.configuration: ActiveConfiguration | None = None
         self.claims = ClaimDesk()
         self.own: OwnBackend | None = None
@@ -150,6 +152,7 @@
         if active.secrets:
             load_token_library()
         self.admissions.use_services(active.services)
+        self.quotas.use_configuration(active)
 
     def use_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
         """Replace the live endpoints."""
@@ -169,6 +172,7 @@
         for call in list(self._live):
             call.caller_gone()
         self._pools.close()
+        self.quotas.close()
         self.admissions.close()
         self.claims.close()
 
--- /dev/null
+++ b/src/peppershore/process/node/data/quota_gate.py
@@ -0,0 +1,169 @@
+"""Lets a node's calls of tenants with a limit run as they are granted."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+
+from peppershore.connection.messages.quotas import QuotaAsked, QuotaGranted
+from peppershore.process.quotas.node_grants import (
+    Decision,
+    Denied,
+    Granted,
+    NodeGrants,
+    Waiter,
+)
+from peppershore.process.quotas.turns import Turns
+from peppershore.process.settings import QuotaSettings
+from peppershore.request.classification import CallPlan
+from peppershore.request.outcome import (
+    STATUS_TOO_MANY_REQUESTS,
+    STATUS_UNAVAILABLE,
+    NotRun,
+)
+from peppershore.request.picker import RandomSource
+from peppershore.version.active import ActiveConfiguration
+
+MILLISECONDS = 1_000
+
+WAIT_SHARE = 0.6
+"""Part of the time in which a call may wait for a slot, that it may wait for a grant."""
+
+LONGEST_WAIT_SECONDS = 1.0
+"""Nobody answers for about so long while a leader is elected; no call waits longer."""
+
+OVER_LIMIT = "over-limit"
+"""Reason of a refusal because the tenant's limit is used up."""
+
+LIMIT_NOT_KNOWN = "limit-not-known"
+"""Reason of a refusal because nobody who may grant calls answered in time."""
+
+NOT_KNOWN_MILLISECONDS = 300
+"""Advice after that: another relay is found or another leader elected soon."""
+
+LEAST_TIMER_SECONDS = 0.001
+"""A shorter one could fire, by rounding, before what it is set for is due."""
+
+Decided = Callable[[NotRun | None], bool]
+"""Told of a refusal or, by None, that the call may run; gives whether it does."""
+
+
+class QuotaGate:
+    """Asks for grants, and decides the calls that wait for one."""
+
+    def __init__(
+        self,
+        quotas: QuotaSettings | None,
+        loop: asyncio.AbstractEventLoop,
+        random: RandomSource,
+    ) -> None:
+        """Without ``quotas`` every call passes and nothing is asked."""
+        self.on_ask: Callable[[QuotaAsked], None] = lambda ask: None
+        """Sends an ask to the relay in use, if there is one."""
+        self._loop = loop
+        self._random = random
+        self._grants = None if quotas is None else NodeGrants(quotas)
+        self._limited: frozenset[str] = frozenset()
+        self._turns: dict[str, Turns] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def use_configuration(self, active: ActiveConfiguration) -> None:
+        """Count the calls of these tenants from now on."""
+        if self._grants is None:
+            return
+        tenants = active.tenants.items()
+        limited = [name for name, each in tenants if each.rate_per_second > 0.0]
+        self._limited = frozenset(limited)
+        self._grants.keep_only(self._limited)
+        for tenant in self._turns.keys() - self._limited:
+            del self._turns[tenant]
+
+    def take(self, plan: CallPlan, decided: Decided) -> None:
+        """Let a call run or refuse it, at once or as soon as that is known.
+
+        Asked for once a call, before it is first sent: its repeats are the same call.
+        """
+        if self._grants is None or not plan.is_counted or plan.tenant not in self._limited:
+            decided(None)
+            return
+        now = self._loop.time()
+        waiter = Waiter(decided, _wait_until(plan, now))
+        decision = self._grants.take(plan.tenant, waiter, now)
+        if decision is None:
+            self._ask(now)
+        else:
+            self._tell([(waiter, decision, plan.tenant)], now)
+
+    def answered(self, message: QuotaGranted) -> None:
+        """The relay answered an ask."""
+        if self._grants is None:
+            return
+        now = self._loop.time()
+        self._tell(self._grants.answered(message, now), now)
+        self._ask(now)
+
+    def close(self) -> None:
+        """Ask for nothing more."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    # --- inside
+
+    def _ask(self, now: float) -> None:
+        assert self._grants is not None
+        ask = self._grants.due_ask(now)
+        if ask is not None:
+            self.on_ask(ask)
+        self._set_timer(now)
+
+    def _set_timer(self, now: float) -> None:
+        assert self._grants is not None
+        due_at = self._grants.next_due(now)
+        if self._timer is not None:
+            if due_at is not None and self._timer.when() <= due_at:
+                return
+            self._timer.cancel()
+            self._timer = None
+        if due_at is not None:
+            at = max(due_at, now + LEAST_TIMER_SECONDS)
+            self._timer = self._loop.call_at(at, self._on_timer)
+
+    def _on_timer(self) -> None:
+        assert self._grants is not None
+        self._timer = None
+        now = self._loop.time()
+        self._tell(self._grants.expired(now), now)
+        self._ask(now)
+
+    def _tell(self, decisions: list[tuple[Waiter, Decision, str]], now: float) -> None:
+        """Tell calls; a grant that a call no longer needs goes to the next one."""
+        assert self._grants is not None
+        while decisions:
+            waiter, decision, tenant = decisions.pop(0)
+            turns = self._turns.setdefault(tenant, Turns())
+            if isinstance(decision, Granted):
+                if waiter.call(None):
+                    turns.granted(now)
+                else:
+                    decisions += self._grants.put_back(tenant)
+            elif isinstance(decision, Denied):
+                seconds = turns.book(decision.wait_seconds, self._random.below(1.0), now)
+                waiter.call(_over_limit(seconds))
+            else:
+                waiter.call(_not_known())
+
+
+def _wait_until(plan: CallPlan, now: float) -> float:
+    patience = WAIT_SHARE * (plan.start_by - now)
+    return min(now + min(patience, LONGEST_WAIT_SECONDS), plan.deadline)
+
+
+def _over_limit(seconds: float) -> NotRun:
+    advice = math.ceil(seconds * MILLISECONDS)
+    return NotRun(STATUS_TOO_MANY_REQUESTS, OVER_LIMIT, advice)
+
+
+def _not_known() -> NotRun:
+    advice = NOT_KNOWN_MILLISECONDS
+    return NotRun(STATUS_UNAVAILABLE, LIMIT_NOT_KNOWN, advice, retryable=True)
--- a/src/peppershore/process/node/inputs.py
+++ b/src/peppershore/process/node/inputs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from peppershore.connection.messages.quotas import QuotaAsked
 from peppershore.connection.messages.rollouts import RouteEvidence
 from peppershore.process.events import Event
 from peppershore.process.node.back_end_reports import BORN_NOT_TOLD, BackEndReport
@@ -64,6 +65,12 @@
     routes: tuple[RouteEvidence, ...]
 
 
+class QuotaWanted(Event, frozen=True):
+    """Calls of tenants wait for grants."""
+
+    ask: QuotaAsked
+
+
 class NodeSeedsChanged(Event, frozen=True):
     """The settings name other relays to begin with."""
 
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -32,6 +32,7 @@
     EndpointsSwapped,
     PersistSnapshot,
     QuarantineChanged,
+    QuotaAnswered,
 )
 from peppershore.process.node.core import NodeCore, NodeMemory
 from peppershore.process.node.data.gauges import add_call_gauges
@@ -44,6 +45,7 @@
     BackendStateChanged,
     EvidenceGathered,
     NodeSeedsChanged,
+    QuotaWanted,
     SuspectEndedWell,
 )
 from peppershore.process.node.storage import NodeRecord, NodeStorage
@@ -99,6 +101,8 @@
         self.handle(DrainBackend, self._drain)
         self.handle(BackEndViewed, self._use_back_end)
         self.handle(QuarantineChanged, self._use_quarantine)
+        self.handle(QuotaAnswered, self._use_grants)
+        data_plane.calls.quotas.on_ask = lambda ask: self.dispatch(QuotaWanted(ask))
 
     def dispatch(self, event: events.Event) -> None:
         """Step the core; tell the data plane how recently it was confirmed."""
@@ -117,6 +121,9 @@
     def _use_quarantine(self, command: QuarantineChanged) -> None:
         self._data_plane.calls.quarantine.use(command.records)
 
+    def _use_grants(self, command: QuotaAnswered) -> None:
+        self._data_plane.calls.quotas.answered(command.granted)
+
     def _persist(self, command: PersistSnapshot) -> None:
         self._run(self._save(command))
 
--- a/src/peppershore/process/relay/core.py
+++ b/src/peppershore/process/relay/core.py
@@ -15,6 +15,7 @@
     CrashRecord,
 )
 from peppershore.connection.messages.endpoints import RelayHello
+from peppershore.connection.messages.quotas import QuotaAsked, QuotaGranted
 from peppershore.connection.messages.relay import ConfirmReply, EditsCommitted, TreeState
 from peppershore.connection.messages.rollouts import EvidenceShared, EvidenceTold
 from peppershore.connection.messages.session import Goodbye, Refused
@@ -36,6 +37,7 @@
 from peppershore.process.endpoints.table import STATE_READY
 from peppershore.process.link_numbers import LinkNumbers
 from peppershore.process.quarantine.sharing import QuarantineSharing
+from peppershore.process.quotas.relay_pool import QUOTA_TIMER, RelayPool
 from peppershore.process.randomness import Randomness
 from peppershore.process.relay import notices
 from peppershore.process.relay.departures import Departures
@@ -123,6 +125,7 @@
             self.exchange, self.distributor.sessions, keeps_quarantine
         )
         self.departures = Departures(catalog)
+        self.quotas = RelayPool(settings.quotas)
         self.nodes = NodeService(
             settings,
             distributor=self.distributor,
@@ -188,6 +191,7 @@
         randomness = Randomness(event.seed)
         self.quarantine.remember(self._remembered, self._now)
         self._incarnation = int(randomness.below(2**53))
+        self.quotas.life = self._incarnation
         self._do(self.source.start(randomness, self._now))
         self._do(self.exchange.start(randomness, self._incarnation, self._now))
         self._set_timer(HEARTBEAT_TIMER, self.nodes.heartbeats.slot_seconds)
@@ -209,6 +213,7 @@
             self._do(self.exchange.lost(event.link, event.reason, self._now))
         else:
             self._do(self.nodes.closed(event.link, event.reason, self._now))
+            self.quotas.link_closed(event.link)
 
     def _message(self, event: events.MessageReceived) -> None:
         link, message = event.link, event.message
@@ -217,6 +222,9 @@
             self._do(self.quarantine.received(link, message, self._now))
         elif session is not None and isinstance(message, EvidenceTold):
             self._pass_on(session.node, message)
+        elif session is not None and isinstance(message, QuotaAsked):
+            asked = self.quotas.node_asked(link, message, self.source.open_link, self._now)
+            self._do(asked)
         elif session is not None:
             self._do(self.nodes.received(session, message, self._now))
         elif link == self.source.link:
@@ -271,6 +279,8 @@
             self._do(self.rollout.flush())
         elif timer == FANOUT_TIMER:
             self._endpoints_due()
+        elif timer == QUOTA_TIMER:
+            self._do(self.quotas.timer(self.source.open_link, self._now))
         elif timer == PROGRESS_TIMER:
             self._report_progress()
         else:
@@ -378,6 +388,9 @@
                 if change is not None:
                     self._report(notices.TreeLoaded(change.version))
                     self._tree_changed(change)
+            case QuotaGranted():
+                link = self.source.open_link
+                self._do(self.quotas.granted(message, link, self._now))
             case Refused() | Goodbye():
                 self._do(self.source.leave(message.reason))
             case _:
--- a/src/peppershore/process/relay/source.py
+++ b/src/peppershore/process/relay/source.py
@@ -74,6 +74,11 @@
         self._waiting: list[tuple[float, Version]] = []
         self._heard_at = 0.0
 
+    @property
+    def open_link(self) -> LinkId | None:
+        """The link to the replica, once it is open."""
+        return self.link if self.is_open else None
+
     def start(self, randomness: Randomness, now: float) -> list[Command]:
         """Begin with a replica chosen at random."""
         self._randomness = randomness
