--- /dev/null
+++ b/tests/data_plane/test_quota_gate.py
@@ -0,0 +1,158 @@
+"""Calls of tenants with a limit: run as granted, refused beyond, never held for long."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from tests.data_plane.stage import PUBLIC_ROUTE
+
+from peppershore.connection.messages.quotas import QuotaAsked, QuotaGranted, TenantGrant
+from peppershore.process.node.data.quota_gate import QuotaGate
+from peppershore.process.randomness import Randomness
+from peppershore.process.settings import QuotaSettings
+from peppershore.request.classification import CallPlan
+from peppershore.request.outcome import NotRun
+from peppershore.version.active import ActiveConfiguration
+from peppershore.version.model import Scope, TenantResource
+
+QUOTAS = QuotaSettings(window_seconds=5.0, overshoot=0.1, slack=20.0)
+LIMITED = TenantResource("studio", (), 40.0, 40.0)
+FREE = TenantResource("free", ())
+SHORT_SECONDS = 0.02
+LONG_SECONDS = 60.0
+
+
+class Stage:
+    """A gate, what it asked, and what its calls were told."""
+
+    def __init__(self, quotas: QuotaSettings | None = QUOTAS) -> None:
+        loop = asyncio.get_running_loop()
+        self.now = loop.time
+        self.gate = QuotaGate(quotas, loop, Randomness(1))
+        self.asks: list[QuotaAsked] = []
+        self.told: list[NotRun | None] = []
+        self.gate.on_ask = self.asks.append
+        tenants = {each.name: each for each in (LIMITED, FREE)}
+        scope = Scope("edge", "pasila")
+        self.gate.use_configuration(ActiveConfiguration(scope, 1, 1, (), {}, {}, tenants))
+
+    def take(self, tenant: str = "studio", *, patience: float = LONG_SECONDS) -> None:
+        self.gate.take(self.plan(tenant, patience=patience), self.decided)
+
+    def decided(self, refusal: NotRun | None) -> bool:
+        self.told.append(refusal)
+        return True
+
+    def plan(
+        self, tenant: str, *, is_counted: bool = True, patience: float = LONG_SECONDS
+    ) -> CallPlan:
+        return CallPlan(
+            service="kassa",
+            route="all",
+            target="kassa",
+            call_class="default",
+            repeatable=True,
+            hop="owner",
+            deadline=self.now() + LONG_SECONDS,
+            settings=PUBLIC_ROUTE,
+            start_by=self.now() + patience,
+            tenant=tenant,
+            is_counted=is_counted,
+        )
+
+    def answer(self, calls: int, wait: int = 0) -> None:
+        ask = self.asks[-1]
+        grants = tuple(TenantGrant(each.tenant, calls, wait) for each in ask.asks)
+        self.gate.answered(QuotaGranted(ask.number, grants, 400))
+
+
+def play(scene: Callable[[Stage], None], quotas: QuotaSettings | None = QUOTAS) -> None:
+    async def begin() -> None:
+        stage = Stage(quotas)
+        scene(stage)
+        stage.gate.close()
+
+    asyncio.run(begin())
+
+
+def test_without_the_setting_no_call_waits_and_nothing_is_asked() -> None:
+    def scene(stage: Stage) -> None:
+        stage.take()
+        assert (stage.told, stage.asks) == ([None], [])
+
+    play(scene, quotas=None)
+
+
+def test_calls_that_no_limit_counts_take_no_grant() -> None:
+    def scene(stage: Stage) -> None:
+        stage.take("free")
+        stage.take("")
+        stage.gate.take(stage.plan("studio", is_counted=False), stage.decided)
+        assert (stage.told, stage.asks) == ([None, None, None], [])
+
+    play(scene)
+
+
+def test_a_counted_call_runs_when_it_is_granted() -> None:
+    def scene(stage: Stage) -> None:
+        stage.take()
+        assert stage.told == []
+        stage.answer(1)
+        assert stage.told == [None]
+
+    play(scene)
+
+
+def test_beyond_the_limit_a_call_is_refused_at_once_with_advice() -> None:
+    def scene(stage: Stage) -> None:
+        stage.take()
+        stage.answer(0, wait=700)
+        stage.take()
+        assert len(stage.asks) == 1
+        for refusal in stage.told:
+            assert refusal is not None
+            assert (refusal.status, refusal.reason) == (429, "over-limit")
+            assert 600 <= refusal.retry_after_milliseconds <= 5_000
+
+    play(scene)
+
+
+def test_a_grant_of_a_call_that_is_over_goes_to_the_next() -> None:
+    def scene(stage: Stage) -> None:
+        stage.gate.take(stage.plan("studio"), lambda refusal: False)
+        stage.take()
+        stage.answer(1)
+        assert stage.told == [None]
+
+    play(scene)
+
+
+def test_a_call_that_nobody_answers_is_refused_as_retryable() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        stage.take(patience=SHORT_SECONDS)
+        async with asyncio.timeout(LONG_SECONDS):
+            while not stage.told:  # noqa: ASYNC110
+                await asyncio.sleep(0.005)
+        (refusal,) = stage.told
+        assert refusal is not None
+        assert (refusal.status, refusal.reason) == (503, "limit-not-known")
+        assert refusal.retryable
+        assert refusal.retry_after_milliseconds > 0
+        stage.gate.close()
+
+    asyncio.run(scene())
+
+
+def test_a_tenant_whose_limit_is_lifted_is_counted_no_more() -> None:
+    def scene(stage: Stage) -> None:
+        lifted = msgspec.structs.replace(LIMITED, rate_per_second=0.0)
+        scope = Scope("edge", "pasila")
+        changed = ActiveConfiguration(scope, 2, 2, (), {}, {}, {"studio": lifted})
+        stage.gate.use_configuration(changed)
+        stage.take()
+        assert (stage.told, stage.asks) == ([None], [])
+
+    play(scene)
