--- a/src/peppershore/process/quotas/relay_pool.py
+++ b/src/peppershore/process/quotas/relay_pool.py
@@ -27,10 +27,10 @@
 QUOTA_TIMER = "relay.quotas"
 MILLISECONDS = 1_000
 
-GAP_SECONDS = 0.005
+GAP_SECONDS = 0.01
 """Between two asks: what waits meanwhile goes along with the next."""
 
-SETTLE_SECONDS = 0.05
+SETTLE_SECONDS = 0.1
 """Calls given ahead wait so long at the most until they are asked for."""
 
 OVERDUE_SECONDS = 0.2
@@ -40,7 +40,7 @@
 NOBODY_SECONDS = 0.05
 """After the word that nobody can grant, the next ask waits so long."""
 
-LEAST_DENIED_SECONDS = 0.025
+LEAST_DENIED_SECONDS = 0.05
 """A tenant at its limit is asked for no more often: the bucket keeps what fills it."""
 
 LEAST_TIMER_SECONDS = 0.001
--- a/tests/quotas/test_quota_bound.py
+++ b/tests/quotas/test_quota_bound.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import pytest
-from tests.quotas.world import (
+
+from peppershore.process.quotas.limits import Limit
+from peppershore_lab.quota_world import (
     QUOTAS,
     World,
     assert_within,
@@ -14,8 +16,6 @@
     fullest_window,
 )
 
-from peppershore.process.quotas.limits import Limit
-
 LARGE = Limit(rate=350.0, burst=350.0)
 MIDDLE = Limit(rate=40.0, burst=40.0)
 SMALL = Limit(rate=2.0, burst=2.0)
--- a/tests/quotas/test_quota_group.py
+++ b/tests/quotas/test_quota_group.py
@@ -6,7 +6,6 @@
 
 import msgspec
 from tests.consensus.control_cluster import ControlCluster
-from tests.quotas.world import QUOTAS, bound_of, fullest_window
 
 from peppershore.connection.messages.base import Message
 from peppershore.connection.messages.quotas import QuotaAsked, QuotaGranted, TenantAsk
@@ -14,6 +13,7 @@
 from peppershore.process.quotas.limits import Limit
 from peppershore.process.settings import ControlSettings, PeerReplica
 from peppershore.version.model import Tenant, Tree
+from peppershore_lab.quota_world import QUOTAS, bound_of, fullest_window
 
 NAMES = ("a", "b", "c")
 LIMIT = Limit(rate=100.0, burst=50.0)
