Quotas: a tenant that is forgotten with an ask open stops no node or relay

Found by reading: the next look at overdue asks named a tenant whose line was gone (KeyError at a node, shown by a test that failed before; at a relay not reached in a test). Relays are forgotten after a window and 5 s instead of 30 s: what they gave lies before every window.

--- a/src/peppershore/process/quotas/decider.py
+++ b/src/peppershore/process/quotas/decider.py
@@ -21,8 +21,9 @@
 AHEAD_SECONDS = 1.0
 """What a relay was told it may give ahead counts for so long after the ask."""
 
-FORGOTTEN_SECONDS = 30.0
-"""A relay that asked nothing for so long has no part in what is given ahead."""
+FORGOTTEN_SECONDS = 5.0
+"""A relay that asked nothing for a window and so long has no part in what is given ahead:
+what it was told of has ended, and what it gave lies before every window to come."""
 
 NO_TENANT_MILLISECONDS = 250
 """A node that asks for a tenant that is none any more hears of that within it."""
@@ -122,11 +123,9 @@
         if now - self._looked_at < AHEAD_SECONDS:
             return
         self._looked_at = now
-        old = [
-            name
-            for name, each in self._askers.items()
-            if now - each.last_at > FORGOTTEN_SECONDS
-        ]
+        silence = self._quotas.window_seconds + FORGOTTEN_SECONDS
+        last = {name: each.last_at for name, each in self._askers.items()}
+        old = [name for name, last_at in last.items() if now - last_at > silence]
         for name in old:
             del self._askers[name]
         self._epoch += bool(old)
--- a/src/peppershore/process/quotas/node_grants.py
+++ b/src/peppershore/process/quotas/node_grants.py
@@ -137,7 +137,7 @@
         if now < self._asked_at + GAP_SECONDS:
             return None
         wanted: dict[str, int] = {}
-        for tenant in sorted(self._due):
+        for tenant in sorted(self._due & self._lines.keys()):
             line = self._lines[tenant]
             soon = line.demand.expected(FORECAST_SECONDS, now)
             calls = len(line.waiting) + soon - line.lots.calls
--- a/src/peppershore/process/quotas/relay_pool.py
+++ b/src/peppershore/process/quotas/relay_pool.py
@@ -180,6 +180,7 @@
         """Give when the next ask is due, and what it is for if it is due now."""
         wanted: dict[str, int] = {}
         due_at = math.inf
+        self._due &= self._lines.keys()
         for tenant in list(self._due):
             line = self._lines[tenant]
             calls = line.wanted(now) - self._asks.under_way(tenant)
--- a/tests/quotas/test_quota_parts.py
+++ b/tests/quotas/test_quota_parts.py
@@ -144,7 +144,8 @@
     second = epoch(START + 2.0, "r2/1")
     deciding.use_limits({"studio": Limit(1.0, 1.0)}, START + 3.0)
     third = epoch(START + 3.0)
-    fourth = epoch(START + FORGOTTEN_SECONDS + 4.0)
+    silence = QUOTAS.window_seconds + FORGOTTEN_SECONDS
+    fourth = epoch(START + silence + 4.0)
     assert len({first, second, third, fourth}) == 4
     assert Decider(QUOTAS, 4, START).answer("r1/1", 1, ONE, START).epoch > fourth
 
@@ -289,9 +290,27 @@
     assert sent(pool.timer(SOURCE, START + 0.07), SOURCE)
 
 
+def test_a_tenant_of_which_nobody_asks_any_more_is_forgotten_with_its_ask_open() -> None:
+    pool = RelayPool(QUOTAS)
+    assert sent(asked_by(pool, 1, START), SOURCE)
+    pool.link_closed(NODE)
+    pool.timer(SOURCE, START + 10.0)
+    pool.timer(SOURCE, START + 30.0)
+    assert sent(asked_by(pool, 1, START + 31.0), SOURCE)
+
+
 # --- the node
 
 
+def test_a_tenant_taken_away_is_forgotten_with_its_ask_open() -> None:
+    grants = NodeGrants(QUOTAS)
+    grants.take("studio", Waiter("only", START + 0.1), START)
+    assert grants.due_ask(START) is not None
+    grants.expired(START + 0.1)
+    grants.keep_only(frozenset())
+    assert grants.due_ask(START + 0.2) is None
+
+
 def node_with(calls: int, lease_milliseconds: int = 400) -> NodeGrants:
     grants = NodeGrants(QUOTAS)
     grants.take("studio", Waiter("first", START + 1.0), START)
