--- a/src/peppershore/process/quotas/limits.py
+++ b/src/peppershore/process/quotas/limits.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from peppershore.version.model import Tenant, Tree
+from peppershore.version.model import Tree
+from peppershore.version.tenants import limits_of
 
 
 class Limit(msgspec.Struct, frozen=True):
@@ -15,13 +16,10 @@
 
 
 def tenant_limits(tree: Tree) -> dict[str, Limit]:
-    """Give the limit of each tenant by its name."""
-    return {name: _limit_of(tenant) for name, tenant in tree.tenants.items()}
+    """Give the limit of each tenant by its name, what is inherited included."""
+    return {name: _limit_of(tree, name) for name in tree.tenants}
 
 
-def _limit_of(tenant: Tenant) -> Limit:
-    rate, burst = tenant.rate_per_second, tenant.burst
-    return Limit(
-        0.0 if isinstance(rate, msgspec.UnsetType) else rate,
-        0.0 if isinstance(burst, msgspec.UnsetType) else burst,
-    )
+def _limit_of(tree: Tree, name: str) -> Limit:
+    limits = limits_of(tree, name)
+    return Limit(float(limits.rate_per_second), float(limits.burst))
