--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -56,6 +56,7 @@
     out_of_time,
     worse,
 )
+from peppershore.request.tenants.callers import NOBODY
 from peppershore.request.waiting import Ticket
 
 VERDICT_SECONDS = 0.025
@@ -63,6 +64,11 @@
 own node on whether it ran; after that its outcome is unknown."""
 
 
+OVERTIME_SECONDS = 5.0
+"""For so long after its deadline a large answer that has begun may go on: one cut midway
+was sent in vain, and a caller that wants it no more closes its connection."""
+
+
 NO_STORY = StoryBook(0.0, Fingerprint())
 
 
@@ -86,6 +92,7 @@
         "_exchange",
         "_excluded",
         "_head",
+        "_is_overtime",
         "_loop",
         "_over",
         "_plan",
@@ -94,6 +101,7 @@
         "_story",
         "_ticket",
         "_timer",
+        "_whose",
     )
 
     def __init__(self, calls: Calls, exchange: ServerExchange, head: RequestHead) -> None:
@@ -101,6 +109,7 @@
         self._calls = calls
         self._exchange = exchange
         self._head = head
+        self._is_overtime = False
         self._loop = calls.loop
         self._request_id = head.header(calls.names.request_id) or calls.new_request_id()
         self._answer = AnswerRelay(exchange, self._request_id, False, calls.names)
@@ -122,6 +131,7 @@
         self._story = NO_STORY
         self._ticket: Ticket | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._whose = NOBODY
 
     @property
     def plan(self) -> CallPlan:
@@ -141,11 +151,12 @@
             return
         entry = planned.unwrap()
         self._plan = entry.plan
-        self._body.fingerprint.identity = identity_of(self._head, entry.caller.name)
+        self._whose = entry.whose
+        self._body.fingerprint.identity = identity_of(self._head, entry.caller_name)
         if entry.plan.settings.streamed_bodies:
             self._body.replay_bytes = STREAMED_REPLAY_BYTES
         self._timer = self._loop.call_at(entry.plan.deadline, self._deadline_passed)
-        self._caller = entry.caller.name
+        self._caller = entry.caller_name
         if self._body.received > entry.plan.settings.max_body_bytes:
             self._body_too_large()
         elif self._calls.quarantine.awaits_body(self._body.fingerprint):
@@ -155,8 +166,22 @@
             self._proceed()
 
     def _proceed(self) -> None:
-        """Admit the call, after a claim on its key where it has one."""
+        """Go on once the limit of the call's tenant allows it."""
         self._awaits_body = False
+        self._calls.quotas.take(self.plan, self._quota_decided)
+
+    def _quota_decided(self, refusal: NotRun | None) -> bool:
+        """Take the decision on the tenant's limit; a call that is over needs none."""
+        if self._over:
+            return False
+        if refusal is None:
+            self._claim_or_admit()
+        else:
+            self._fail(refusal)
+        return True
+
+    def _claim_or_admit(self) -> None:
+        """Admit the call, after a claim on its key where it has one."""
         if not self.plan.key or self._calls.forwards_unclaimed_keys:
             self._admit()
         elif self._calls.claims.client is None:
@@ -184,7 +209,7 @@
 
     def body_ended(self, trailers: HeaderList) -> None:
         """The request is whole."""
-        self._body.end(trailers)
+        self._body.end(self._calls.forwarded_trailers(trailers))
         if self._awaits_body and not self._over:
             self._proceed()
         elif self._begun and self._attempt is not None:
@@ -270,6 +295,8 @@
         """A back end was chosen: start an attempt."""
         self._ticket = None
         self._dispatch = dispatch
+        if self._is_refused_by_key():
+            return
         if self._progress.tries == 0:
             self._calls.repeats.first_attempt(self.plan, self._loop.time())
         may_wait = self._progress.may_wait or self._calls.admissions.waits_at_once(
@@ -293,7 +320,7 @@
         plan = self.plan
         return AttemptRequest(
             head=self._head,
-            headers=self._calls.forwarded_headers(self._head, self._request_id),
+            headers=self._calls.forwarded_headers(self._head, self._request_id, plan),
             call_class=plan.call_class,
             repeatable=plan.repeatable,
             cancellable=not self._claim,
@@ -302,13 +329,15 @@
             priority=plan.priority,
             may_wait=self._progress.may_wait
             or not self._calls.admissions.looks_for_free_slots,
-            start_by=plan.start_by,
+            start_by=self._calls.start_by(plan, self._whose),
             is_client_retry=plan.is_client_retry,
             route=plan.route,
             body_on_credit=self._body_waits_for_credit,
             takes_room=plan.settings.streamed_bodies,
             tenant=plan.tenant,
             answer_is_large=plan.settings.large_answers,
+            due=plan.due,
+            answer_window=self._calls.answer_window(plan),
             fingerprint=self._body.fingerprint,
         )
 
@@ -325,8 +354,21 @@
         self._ticket = None
         self._fail(worse(self._earlier, refusal))
 
+    def configuration_changed(self) -> None:
+        """Wait no longer with a key that is of no use any more."""
+        if not self._over and self._attempt is None:
+            self._is_refused_by_key()
+
     # --- inside
 
+    def _is_refused_by_key(self) -> bool:
+        """Refuse the call if its key became of no use while it waited."""
+        refusal = self._calls.refusal_of_key(self._whose)
+        if refusal is None:
+            return False
+        self._fail(worse(self._earlier, refusal))
+        return True
+
     def _claim_first(self, key: str) -> None:
         # Never the request id: a caller that sends the call again may repeat that.
         self._claim_attempt = self._calls.new_attempt_name()
@@ -450,13 +492,24 @@
 
     def _try_again(self) -> None:
         self._retry = None
-        if self._over:
+        if self._over or self._is_refused_by_key():
             return
         self._body.restart()
         self._admit()
 
     def _deadline_passed(self) -> None:
-        """End the call, once the back end's own node has said whether it ran."""
+        """End the call, once the back end's own node has said whether it ran.
+
+        A large answer that has begun is given whole, for as long as its caller waits.
+        """
+        if (
+            self._answer.begun
+            and self.plan.settings.large_answers
+            and not self._is_overtime
+        ):
+            self._is_overtime = True
+            self._timer = self._loop.call_later(OVERTIME_SECONDS, self._deadline_passed)
+            return
         attempt = self._attempt
         asked = (
             attempt is not None
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -29,11 +29,14 @@
 )
 from peppershore.process.node.data.claim_desk import ClaimDesk
 from peppershore.process.node.data.direct_attempt import BackEndTerms, DirectAttempt
+from peppershore.process.node.data.large_answers import LargeAnswers
 from peppershore.process.node.data.link_attempt import LinkAttempt
 from peppershore.process.node.data.own_attempt import OwnAttempt
 from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.owner_links import OwnerLinks
+from peppershore.process.node.data.paced_answer import LargeTerms, PacedAnswer
 from peppershore.process.node.data.quarantine_gate import QuarantineGate
+from peppershore.process.node.data.quota_gate import QuotaGate
 from peppershore.process.node.data.service_admissions import ServiceAdmissions
 from peppershore.process.node.profile import retry_bound, wire_names
 from peppershore.process.settings import NodeSettings
@@ -50,6 +53,7 @@
 )
 from peppershore.request.picker import RandomSource
 from peppershore.request.running_calls import RunningCalls
+from peppershore.request.tenants.callers import OnBehalf
 from peppershore.version.active import ActiveConfiguration
 
 MILLISECONDS = 1_000
@@ -69,6 +73,9 @@
     def caller_gone(self) -> None:
         """Give the call up."""
 
+    def configuration_changed(self) -> None:
+        """Wait no longer with a key that is of no use any more."""
+
 
 class CallCounts(msgspec.Struct):
     """Ends of calls since the start."""
@@ -92,9 +99,13 @@
         """Start without configuration and without endpoints."""
         self.loop = asyncio.get_running_loop()
         self.quarantine = QuarantineGate(self.loop.time)
+        self.quotas = QuotaGate(settings.quotas, self.loop, random)
         self.configuration: ActiveConfiguration | None = None
         self.claims = ClaimDesk()
         self.own: OwnBackend | None = None
+        self.large_answers: LargeAnswers | None = None
+        if settings.link_megabits > 0.0:
+            self.large_answers = LargeAnswers(settings.link_megabits)
         self.counts = CallCounts()
         self.figures = CallFigures()
         self._settings = settings
@@ -147,9 +158,12 @@
         """Decide new calls by this configuration."""
         self.configuration = active
         self._entry.use_configuration(active)
+        for call in list(self._live):
+            call.configuration_changed()
         if active.secrets:
             load_token_library()
         self.admissions.use_services(active.services)
+        self.quotas.use_configuration(active)
 
     def use_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
         """Replace the live endpoints."""
@@ -169,7 +183,10 @@
         for call in list(self._live):
             call.caller_gone()
         self._pools.close()
+        self.quotas.close()
         self.admissions.close()
+        if self.large_answers is not None:
+            self.large_answers.close()
         self.claims.close()
 
     # --- used by a call
@@ -201,6 +218,14 @@
         """Give a refusal as the configuration's age allows it."""
         return self._entry.confirmed(refusal, self.loop.time())
 
+    def refusal_of_key(self, whose: OnBehalf) -> NotRun | None:
+        """Give why a call that waited may not go on with its key, if it may not."""
+        return self._entry.refusal_of_key(whose, self.loop.time())
+
+    def start_by(self, plan: CallPlan, whose: OnBehalf) -> float:
+        """Give until when a call may wait at a node that does not know its key."""
+        return self._entry.start_by(plan, whose, self.loop.time())
+
     def _drawn(self, entry: EntryPlan) -> EntryPlan:
         """Draw the version of the target's software, where one is rolled out."""
         lane = self.admissions.draw_lane(entry.plan.target)
@@ -230,14 +255,32 @@
         route = None if active is None else route_of(active, head)
         return route is not None and route.settings.repeatable
 
-    def forwarded_headers(self, head: RequestHead, request_id: bytes) -> HeaderList:
+    def forwarded_headers(
+        self, head: RequestHead, request_id: bytes, plan: CallPlan
+    ) -> HeaderList:
         """Give the header fields for the back end."""
-        return self._entry.forwarded_headers(self.configuration, head, request_id)
+        return self._entry.forwarded_headers(self.configuration, head, request_id, plan)
+
+    def forwarded_trailers(self, trailers: HeaderList) -> HeaderList:
+        """Give the trailer fields for the back end."""
+        return self._entry.forwarded_trailers(trailers) if trailers else trailers
 
     def new_attempt(
         self, dispatch: Dispatch, plan: CallPlan, request: AttemptRequest, sink: AttemptSink
     ) -> Attempt:
         """Choose the way: own back end, direct under a loan, or through the owner."""
+        desk = self.large_answers
+        if desk is None or not request.answer_is_large:
+            return self._way(dispatch, plan, request, sink)
+        work = self.admissions.told_work(plan)
+        terms = LargeTerms(plan.route, request.due, work, elsewhere=False)
+        return PacedAnswer(
+            desk, terms, sink, lambda paced: self._way(dispatch, plan, request, paced)
+        )
+
+    def _way(
+        self, dispatch: Dispatch, plan: CallPlan, request: AttemptRequest, sink: AttemptSink
+    ) -> Attempt:
         endpoint = dispatch.endpoint
         if self.own is not None and endpoint.node == self._settings.node:
             return OwnAttempt(self.own, request, sink)
@@ -257,6 +300,12 @@
                 )
         return LinkAttempt(self._links, endpoint.owner_address, request, sink)
 
+    def answer_window(self, plan: CallPlan) -> int:
+        """Bytes of a large answer that may be on their way here; 0: the usual number."""
+        if self.large_answers is None or not plan.settings.large_answers:
+            return 0
+        return self.large_answers.window_bytes
+
     def answered(
         self, plan: CallPlan, status: int, request_id: bytes, story: StoryBook
     ) -> None:
@@ -317,5 +366,6 @@
                 milliseconds=story.milliseconds(now),
                 steps=story.steps,
                 fingerprint=story.fingerprint.name,
+                tenant="" if plan is None else plan.tenant,
             )
         )
--- /dev/null
+++ b/src/peppershore/process/quotas/limits.py
@@ -0,0 +1,25 @@
+"""The limits that a tree sets for its tenants."""
+
+from __future__ import annotations
+
+import msgspec
+
+from peppershore.version.model import Tree
+from peppershore.version.tenants import limits_of
+
+
+class Limit(msgspec.Struct, frozen=True):
+    """``rate`` calls a second and ``burst`` on top; a rate of 0 is no limit."""
+
+    rate: float
+    burst: float
+
+
+def tenant_limits(tree: Tree) -> dict[str, Limit]:
+    """Give the limit of each tenant by its name, what is inherited included."""
+    return {name: _limit_of(tree, name) for name in tree.tenants}
+
+
+def _limit_of(tree: Tree, name: str) -> Limit:
+    limits = limits_of(tree, name)
+    return Limit(float(limits.rate_per_second), float(limits.burst))
