Slots follow what a back end tells, and a slow machine sends calls on

Cause: the pace of its machine and the work it has were told with each answer and read by nobody. The back end's own node reads both, tells callers' nodes the true figures, keeps slots back that unknown work takes (one is left; none where its queue is long too), learns its work without the pace, and refuses at once a call that may still go elsewhere while the machine is slow. Callers' nodes pass one over that is told to be slow for as long as that is believed, and choose by learned speed times the pace, which fades to the usual within 0.6 s. The word is believed for 3 s of slowness in a row; after that the machine is of that speed.

--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -253,7 +253,7 @@
                     request,
                     sink,
                     lambda: self._links.give_back(address),
-                    self._terms,
+                    terms=self._terms,
                 )
         return LinkAttempt(self._links, endpoint.owner_address, request, sink)
 
--- a/src/peppershore/process/node/data/direct_attempt.py
+++ b/src/peppershore/process/node/data/direct_attempt.py
@@ -56,6 +56,7 @@
     __slots__ = (
         "_cancelled",
         "_connection",
+        "_on_load",
         "_on_over",
         "_pool",
         "_refusal",
@@ -71,9 +72,16 @@
         request: AttemptRequest,
         sink: AttemptSink,
         on_over: Callable[[], None] | None = None,
+        *,
         terms: BackEndTerms = OWN_TERMS,
+        on_load: Callable[[bytes], None] | None = None,
     ) -> None:
-        """Nothing happens before ``start``; ``on_over`` is called once at the end."""
+        """Nothing happens before ``start``; ``on_over`` is called once at the end.
+
+        ``on_load`` is given what the back end says of its load with each answer, a
+        refusal of its own too.
+        """
+        self._on_load = on_load
         self._terms = terms
         self._refusal: NotRun | None = None
         self._on_over = on_over
@@ -137,6 +145,9 @@
 
     def answer_head(self, head: AnswerHead) -> None:
         """Hand the answer's head on, unless it says that the call was not begun."""
+        load = self._terms.names.load
+        if load and self._on_load is not None:
+            self._on_load(first_value(head.headers, load))
         self._refusal = self._refusal_in(head)
         if self._refusal is None:
             self._sink.answer_head(head)
--- a/src/peppershore/process/node/data/own_attempt.py
+++ b/src/peppershore/process/node/data/own_attempt.py
@@ -193,7 +193,11 @@
         self._backend.quarantine.began(self._request.fingerprint)
         self._terms = self._backend.terms
         self._direct = DirectAttempt(
-            self._backend.pool, self._request, self, terms=self._terms
+            self._backend.pool,
+            self._request,
+            self,
+            terms=self._terms,
+            on_load=self._heard,
         )
         self._direct.start()
 
@@ -250,6 +254,10 @@
         """Connected: the body may follow."""
         self._sink.attempt_begun()
 
+    def _heard(self, told: bytes) -> None:
+        """Note what the life that has this call says of its load."""
+        self._backend.heard(told, self._terms.life)
+
     def answer_head(self, head: AnswerHead) -> None:
         """Hand the answer's head on."""
         self._status = head.status
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -9,7 +9,6 @@
 import asyncio
 import itertools
 from collections.abc import Callable
-from typing import Protocol
 
 import msgspec
 
@@ -28,21 +27,17 @@
 from peppershore.process.node.data.attempt import AttemptRequest
 from peppershore.process.node.data.call_story import ServedRecord
 from peppershore.process.node.data.crash_watch import CrashWatch
-from peppershore.process.node.data.direct_attempt import (
-    BackEndTerms,
-)
+from peppershore.process.node.data.direct_attempt import BackEndTerms
 from peppershore.process.node.data.quarantine_gate import QuarantineGate
+from peppershore.process.node.data.waiting_attempt import WaitingAttempt
 from peppershore.request.admission import Admission, Dispatch, Waiting
+from peppershore.request.back_ends.own_report import OwnReport
+from peppershore.request.back_ends.told_load import read_load
 from peppershore.request.bodies_ahead import BodiesAhead
-from peppershore.request.body_transfers import (
-    BodyTransfers,
-)
+from peppershore.request.body_transfers import BodyTransfers
 from peppershore.request.endpoint_state import Verdict
 from peppershore.request.fingerprint import Fingerprint
-from peppershore.request.outcome import (
-    STATUS_UNAVAILABLE,
-    NotRun,
-)
+from peppershore.request.outcome import BUSY, STATUS_UNAVAILABLE, NotRun
 from peppershore.request.picker import RandomSource
 from peppershore.request.running_calls import RunningCalls
 from peppershore.request.version_evidence import VersionEvidence
@@ -51,27 +46,11 @@
 from peppershore.version.model import ServiceSettings
 
 LEAVING_RETRY_AFTER_MILLISECONDS = 100
+SLOW_RETRY_AFTER_MILLISECONDS = 100
 KICK_SECONDS = 0.02
 MILLISECONDS = 1_000
 
 
-class WaitingAttempt(Protocol):
-    """An attempt that waits here for room on the link, or for a slot."""
-
-    @property
-    def is_client_retry(self) -> bool:
-        """Whether the caller was refused before."""
-
-    def transfer_begun(self) -> None:
-        """There is room on the link for its body."""
-
-    def admitted(self, dispatch: Dispatch) -> None:
-        """A slot is free: go to the back end."""
-
-    def refused(self, refusal: NotRun) -> None:
-        """It waits no longer."""
-
-
 class OwnBackend:
     """Admits every call to the back end beside this node."""
 
@@ -94,6 +73,9 @@
         self.quarantine = quarantine or QuarantineGate(asyncio.get_running_loop().time)
         self.transfers = transfers or BodyTransfers()
         self.evidence = VersionEvidence()
+        self.report = OwnReport()
+        self.sent_on = 0
+        """Calls refused since the machine was slow, so that they go elsewhere."""
         self._warm_at = 0.0
         self._ahead = BodiesAhead()
         self._awaiting_transfer: dict[WaitingAttempt, None] = {}
@@ -127,12 +109,28 @@
     def load(self, route: str) -> OwnerLoad:
         """Give what other nodes are told of it with a call of this route.
 
-        A call whose body is on its way counts as running: its slot is spoken for.
+        A call whose body is on its way counts as running: its slot is spoken for.  So
+        does what the back end says it has and this node knows nothing of.
         """
-        admission = self.admission
-        work = round(admission.known_work(route) * MICROSECONDS)
-        running = admission.in_flight + self._ahead.coming
-        return OwnerLoad(running, admission.waiting, self.slots, work)
+        admission, report = self.admission, self.report
+        now = asyncio.get_running_loop().time()
+        work = report.usual_work(route) or admission.known_work(route)
+        running = admission.in_flight + self._ahead.coming + report.taken(self.slots, now)
+        return OwnerLoad(
+            running,
+            admission.waiting,
+            self.slots,
+            round(work * MICROSECONDS),
+            pace_percent=report.pace_percent,
+            pace_age_milliseconds=report.pace_age_milliseconds(now),
+        )
+
+    def heard(self, told: bytes, life: str) -> None:
+        """Take what the back end said of its load with an answer."""
+        load = read_load(told)
+        if load is not None and life == self._life.name:
+            now = asyncio.get_running_loop().time()
+            self.report.heard(load, self.admission.in_flight + self._lent, now)
 
     def request_id(self, request: AttemptRequest) -> bytes:
         """Give the id under which the back end is given a request."""
@@ -198,6 +196,7 @@
             warming_milliseconds=0,
         )
         now = asyncio.get_running_loop().time()
+        self.report = OwnReport()
         self.admission.use_endpoints((self._endpoint,), now)
         self.pool.close_idle()
 
@@ -245,6 +244,7 @@
         if refusal is not None:
             return refusal
         now = asyncio.get_running_loop().time()
+        self._set_limit(now)
         ticket = Ticket(
             next(self._numbers),
             request.call_class,
@@ -283,6 +283,10 @@
             return NotRun(STATUS_UNAVAILABLE, "other-service", advice, True)
         if self.leaving:
             return NotRun(STATUS_UNAVAILABLE, "back-end-leaving", advice, True)
+        now = asyncio.get_running_loop().time()
+        if not request.may_wait and self.report.is_slow(now):
+            self.sent_on += 1
+            return NotRun(STATUS_UNAVAILABLE, BUSY, SLOW_RETRY_AFTER_MILLISECONDS, True)
         return None
 
     def await_transfer(self, attempt: WaitingAttempt) -> None:
@@ -326,6 +330,8 @@
         now = asyncio.get_running_loop().time()
         route, is_warm = dispatch.ticket.route, now >= self._warm_at
         self.evidence.note(route, latency, verdict, is_warm)
+        if verdict == "good":
+            self.report.ended(route, latency, now)
         self.admission.finished(dispatch, latency, verdict, now)
         self.start_waiting()
 
@@ -334,6 +340,7 @@
         if not self.admission.waiting:
             return
         now = asyncio.get_running_loop().time()
+        self._set_limit(now)
         for ticket in self.admission.hopeless(now):
             given_up = self._waiting.pop(ticket.number)
             given_up.refused(self.admission.refusal_of_hopeless(ticket, now))
@@ -367,9 +374,14 @@
         self.pool.close()
 
     def _apply_limit(self) -> None:
-        self.admission.set_limit(self._node, max(0, self.slots - self._lent))
+        self._set_limit(asyncio.get_running_loop().time())
         self.start_waiting()
 
+    def _set_limit(self, now: float) -> None:
+        """Offer the slots that are neither lent nor taken by unknown work."""
+        kept_back = self._lent + self.report.taken(self.slots, now)
+        self.admission.set_limit(self._node, max(0, self.slots - kept_back))
+
     def _refuse_evicted(self, decision: Waiting, now: float) -> None:
         if decision.evicted is None:
             return
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -365,7 +365,7 @@
         state.note_load(load, now, is_far)
         if load.work_seconds:
             self._told_work.observe(route, load.work_seconds)
-            state.note_pace(load.work_seconds / self._told_work.of(route))
+            state.speed.learn(load.work_seconds / self._told_work.of(route))
 
     @staticmethod
     def _refusal(reason: str, wait: float, retryable: bool = False) -> NotRun:
--- a/src/peppershore/request/back_ends/own_report.py
+++ b/src/peppershore/request/back_ends/own_report.py
@@ -6,26 +6,25 @@
 
 from __future__ import annotations
 
-from peppershore.request.back_ends.told_load import (
-    PACE_NOT_TOLD,
+from collections import deque
+
+from peppershore.request.back_ends.pace import (
+    LONGEST_SPELL_SECONDS,
+    SLOW_PERCENT,
     USUAL_PERCENT,
-    ToldLoad,
+    slow_seconds,
 )
+from peppershore.request.back_ends.told_load import PACE_NOT_TOLD, ToldLoad
+from peppershore.request.work_times import WorkTimes
 
 COUNT_SECONDS = 0.5
 """Work that the node doesn't know is believed for so long after it was told."""
 
-PACE_SECONDS = 0.6
-"""A pace is believed for so long, less from moment to moment: what shares a machine
-comes and goes many times a second, and an answer tells it as it was at its end."""
-
-SLOW_PERCENT = 150
-"""A machine is slow from here on.  Back ends of one service differ as much in speed all
-the time, and calls are shared out by that; sending one on costs a way there and back."""
+LONG_QUEUE_FACTOR = 2
+"""So many times its slots of unknown work mean that as much waits there as runs."""
 
-LONGEST_SPELL_SECONDS = 3.0
-"""A machine that is said to be slow for longer is of that speed, or it is said wrongly:
-calls are sent on no more, and what its work takes shows how many it gets."""
+KEPT_PACES = 32
+"""Paces kept to tell what a call's work would have taken as usual."""
 
 NEVER_MILLISECONDS = -1
 MILLISECONDS = 1_000
@@ -34,16 +33,16 @@
 class OwnReport:
     """The figures of one life of a back end, with their ages."""
 
-    __slots__ = ("_excess", "_heard_at", "_pace", "_pace_at", "_slow_since", "_unknown")
+    __slots__ = ("_excess", "_heard_at", "_paces", "_slow_since", "_unknown", "_work")
 
     def __init__(self) -> None:
         """Begin without figures."""
         self._excess = 0
         self._unknown = 0
         self._heard_at = 0.0
-        self._pace = PACE_NOT_TOLD
-        self._pace_at = 0.0
-        self._slow_since = 0.0
+        self._paces: deque[tuple[float, int]] = deque(maxlen=KEPT_PACES)
+        self._slow_since: float | None = None
+        self._work = WorkTimes()
 
     def heard(self, told: ToldLoad, known: int, now: float) -> None:
         """Take what an answer told while the node knew of ``known`` calls there.
@@ -58,41 +57,59 @@
         if told.pace_percent != PACE_NOT_TOLD:
             self._take_pace(told.pace_percent, now)
 
-    def unknown(self, now: float) -> int:
-        """Give how many calls run or wait there of which the node knows nothing."""
-        return self._unknown if now - self._heard_at < COUNT_SECONDS else 0
+    def taken(self, slots: int, now: float) -> int:
+        """Give how many slots are taken by work of which the node knows nothing.
 
-    def pace_percent(self, now: float) -> int:
-        """Give how long work is likely to take now; 100 as usual, or not known."""
-        if self._pace == PACE_NOT_TOLD:
-            return USUAL_PERCENT
-        return pace_after(self._pace, now - self._pace_at)
+        One is left, since a back end that says too much would be given nothing for that;
+        none where its queue is long too: what it can't queue it may never answer.
+        """
+        if now - self._heard_at >= COUNT_SECONDS:
+            return 0
+        if self._unknown >= LONG_QUEUE_FACTOR * slots:
+            return slots
+        return min(self._unknown, slots - 1)
 
-    def told_pace(self) -> int:
-        """Give the pace as it was told last; 100 if it never was."""
-        return self._pace or USUAL_PERCENT
+    @property
+    def pace_percent(self) -> int:
+        """How long work takes, as it was told last; 100 as usual, or not known.
+
+        It is 100 too for a machine that has been slow for long: its work shows that.
+        """
+        return self._paces[-1][1] if self._paces else USUAL_PERCENT
 
     def pace_age_milliseconds(self, now: float) -> int:
-        """Give how long ago it was told; -1 if it never was."""
-        if self._pace == PACE_NOT_TOLD:
+        """Give how long ago the pace was told; -1 if it never was."""
+        if not self._paces:
             return NEVER_MILLISECONDS
-        return round((now - self._pace_at) * MILLISECONDS)
+        return round((now - self._paces[-1][0]) * MILLISECONDS)
 
     def is_slow(self, now: float) -> bool:
         """Whether the machine is slow for a while, and a call is better off elsewhere."""
-        if self.pace_percent(now) < SLOW_PERCENT:
+        if not self._paces:
             return False
-        return now - self._slow_since < LONGEST_SPELL_SECONDS
+        told_at, percent = self._paces[-1]
+        return slow_seconds(percent, now - told_at) > 0.0
 
-    def _take_pace(self, percent: int, now: float) -> None:
-        was_slow = self._pace >= SLOW_PERCENT
-        if percent >= SLOW_PERCENT and not was_slow:
-            self._slow_since = now
-        self._pace = percent
-        self._pace_at = now
+    def ended(self, route: str, seconds: float, now: float) -> None:
+        """Learn from a call that was answered now what its work takes as usual."""
+        if self._paces:
+            pace = self._mean_pace(now - seconds)
+            self._work.observe(route, seconds * USUAL_PERCENT / pace)
+
+    def usual_work(self, route: str) -> float:
+        """Give the mean seconds of a route's calls at the usual pace; 0 if not known."""
+        return self._work.known(route)
 
+    def _mean_pace(self, since: float) -> float:
+        """Give the mean of what was told since then; the last one told if nothing was."""
+        told = [percent for at, percent in self._paces if at >= since]
+        return sum(told) / len(told) if told else self.pace_percent
 
-def pace_after(percent: int, age: float) -> int:
-    """Give what a pace that was told ``age`` seconds ago says of now: it fades to 100."""
-    share = max(0.0, 1.0 - max(0.0, age) / PACE_SECONDS)
-    return round(USUAL_PERCENT + (percent - USUAL_PERCENT) * share)
+    def _take_pace(self, percent: int, now: float) -> None:
+        if percent < SLOW_PERCENT:
+            self._slow_since = None
+        elif self._slow_since is None:
+            self._slow_since = now
+        elif now - self._slow_since >= LONGEST_SPELL_SECONDS:
+            percent = USUAL_PERCENT
+        self._paces.append((now, percent))
--- a/src/peppershore/request/back_ends/told_load.py
+++ b/src/peppershore/request/back_ends/told_load.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-USUAL_PERCENT: Final = 100
 PACE_NOT_TOLD: Final = 0
 
 MOST_FIELD_BYTES = 64
--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -11,6 +11,7 @@
 
 from peppershore.connection.messages.calls import OwnerLoad
 from peppershore.connection.messages.endpoints import Endpoint
+from peppershore.request.back_ends.speed import Speed
 
 Verdict = Literal["good", "failed", "shed", "late"]
 """What an attempt says of its back end; "shed": alive, and refusing for load;
@@ -45,10 +46,6 @@
 """A back end whose slots are all taken is passed over for so long at least, in the own
 zone and in another one; longer if its queue takes longer."""
 
-PACE_WEIGHT = 0.3
-"""Weight of what a back end's own node told last of its pace.  That is a mean over many
-calls already; it is smoothed since routes differ in which back ends take them."""
-
 CROWDING = 0.5
 """How much more a call costs at a back end that has no slot left than at an idle one:
 some are slower when nearly full, and what is told of a free slot is old."""
@@ -70,7 +67,6 @@
         "_last_seen",
         "_load_at",
         "_others",
-        "_pace",
         "_slots_told",
         "consecutive_failures",
         "ejected_until",
@@ -80,6 +76,7 @@
         "limit",
         "ramp_seconds",
         "ramp_started",
+        "speed",
     )
 
     def __init__(
@@ -100,7 +97,7 @@
         self.passed_over_until = 0.0
         self._last_seen = now
         self._others = 0
-        self._pace = 1.0
+        self.speed = Speed()
         self._slots_told = 0
         self._load_at = -LOAD_SECONDS
 
@@ -145,10 +142,10 @@
         if load.running >= load.slots:
             pause = max(FAR_FULL_SECONDS if is_far else FULL_SECONDS, _queue_seconds(load))
             self.passed_over_until = max(self.passed_over_until, now + pause)
-
-    def note_pace(self, pace: float) -> None:
-        """The back end's own node told its work as a multiple of the usual for a route."""
-        self._pace += (pace - self._pace) * PACE_WEIGHT
+        self.speed.told_pace(load.pace_percent, load.pace_age_milliseconds, now)
+        slow = self.speed.slow_seconds(now)
+        if slow > 0.0:
+            self.passed_over_until = max(self.passed_over_until, now + slow)
 
     @property
     def has_free_slot(self) -> bool:
@@ -175,14 +172,14 @@
         others = self._others if now - self._load_at < LOAD_SECONDS else 0
         calls = self.in_flight + others
         if self._slots_told or self.endpoint.owner_address:
-            expected = self._expected_pace(calls, fade)
+            expected = self._expected_multiple(calls, now, fade)
         else:
             expected = (calls + 1) * self._expected_latency(fade)
         return expected * failing / self.ramp(now)
 
-    def _expected_pace(self, calls: int, fade: float) -> float:
+    def _expected_multiple(self, calls: int, now: float, fade: float) -> float:
         """Give the time until an answer, its wait included, in usual times."""
-        pace = 1.0 + (self._pace - 1.0) * fade
+        pace = self.speed.expected(now, fade)
         slots = self._slots_told or max(1, self.limit)
         crowded = CROWDING * min(1.0, calls / slots) ** 2
         wait = max(0, calls + 1 - slots) / slots
