Lines tell the pace at each choice, and logs late why an answer was late

A choice names the pace, its age and whose word it is; the back end's node tells how long a call waited there and the machine's mean pace while it ran. Of waits the page checks no figure, as of other measured times.

--- a/benchmarks/uneven_back_ends.py
+++ b/benchmarks/uneven_back_ends.py
@@ -116,7 +116,18 @@
 class Call:
     """One call; over once it is answered or refused for good."""
 
-    __slots__ = ("came", "is_hedged", "nested", "node", "over", "tried", "tries", "work")
+    __slots__ = (
+        "came",
+        "is_granted",
+        "is_hedged",
+        "nested",
+        "node",
+        "over",
+        "runs",
+        "tried",
+        "tries",
+        "work",
+    )
 
     def __init__(self, node: Node, came: float, work: float, nested: float) -> None:
         self.node = node
@@ -127,6 +138,8 @@
         self.tried: frozenset[str] = frozenset()
         self.over = False
         self.is_hedged = False
+        self.is_granted = False
+        self.runs: list[Run] = []
 
 
 class Run:
@@ -250,6 +263,8 @@
         run.began = now
         self.runs += 1
         self.begun_slow += self.pace(now) > 1.0
+        if self.model.way.asks_two:
+            self.model.clock.after(HOP_SECONDS, lambda: run.call.node.granted(run))
         seconds = self._seconds(run.call.work) + run.call.nested
         self.model.clock.after(seconds, lambda: self._ended(run))
 
@@ -322,11 +337,12 @@
     def send(self, call: Call) -> None:
         """Ask one owner, or two at once."""
         asks = 2 if self.model.way.asks_two and call.tries == 0 else 1
-        runs = [run for run in (self._ask(call) for _ in range(asks)) if run is not None]
-        if not runs:
+        for _ in range(asks):
+            self._ask(call)
+        if not call.runs:
             self.model.end(call, False)
 
-    def _ask(self, call: Call) -> Run | None:
+    def _ask(self, call: Call) -> None:
         now = self.model.clock.now
         if self.home is not None:
             self.note(self.home, self.home.load())
@@ -343,8 +359,9 @@
         )
         decision = self.admission.offer(ticket, now)
         if not isinstance(decision, Dispatch):
-            return None
+            return
         run = Run(call, decision, may_wait)
+        call.runs.append(run)
         call.tried |= {decision.endpoint.node}
         owner = self.model.by_name[decision.endpoint.node]
         is_home = owner is self.home
@@ -352,37 +369,64 @@
         self.model.clock.after(0.0 if is_home else HOP_SECONDS, lambda: owner.receive(run))
         if self.model.way.hedges and not call.is_hedged:
             self.model.clock.after(HEDGE_SECONDS, lambda: self._hedge(call))
-        return run
 
     def refused(self, run: Run, load: OwnerLoad) -> None:
         """Go on elsewhere, then wait."""
         now = self.model.clock.now
         self.note(self.model.by_name[run.dispatch.endpoint.node], load)
-        self.admission.finished(run.dispatch, 0.0, None, now)
-        if run.call.over:
+        call = run.call
+        if run not in call.runs:
             return
+        call.runs.remove(run)
+        self.admission.finished(run.dispatch, 0.0, None, now)
         if not run.may_wait:
             self.admission.seeking.refused(now)
-        is_late = now >= run.call.came + PATIENCE_SECONDS
-        if run.may_wait and (is_late or run.call.tries >= MAX_TRIES):
-            self.model.end(run.call, False)
-        elif not self.model.way.asks_two or run.call.tries >= 2:
-            self.send(run.call)
+        if call.runs:
+            return
+        is_late = now >= call.came + PATIENCE_SECONDS
+        if run.may_wait and (is_late or call.tries >= MAX_TRIES):
+            self.model.end(call, False)
+        else:
+            self.send(call)
+
+    def granted(self, run: Run) -> None:
+        """The first free owner is taken; the other ask is cancelled."""
+        if run.call.is_granted:
+            self._cancel(run)
+        else:
+            run.call.is_granted = True
+
+    def _cancel(self, run: Run) -> None:
+        """Give one attempt up: its owner hears a hop later."""
+        if run not in run.call.runs:
+            return
+        run.call.runs.remove(run)
+        owner = self.model.by_name[run.dispatch.endpoint.node]
+        self.admission.finished(run.dispatch, 0.0, None, self.model.clock.now)
+        self.model.messages += 1
+        self.model.clock.after(HOP_SECONDS, lambda: owner.cancel(run))
 
     def answered(self, run: Run, load: OwnerLoad) -> None:
         """The first answer counts; what else runs for it is cancelled."""
         now = self.model.clock.now
         self.note(self.model.by_name[run.dispatch.endpoint.node], load)
+        if run not in run.call.runs:
+            return
+        run.call.runs.remove(run)
         self.admission.finished(run.dispatch, now - run.began, "good", now)
         if not run.may_wait:
             self.admission.seeking.granted()
-        if not run.call.over:
-            self.model.end(run.call, True)
+        for other in list(run.call.runs):
+            self._cancel(other)
+        self.model.end(run.call, True)
 
     def _hedge(self, call: Call) -> None:
         model = self.model
         if call.over or call.is_hedged or model.hedges >= HEDGE_SHARE * model.calls:
             return
+        now = model.clock.now
+        if self.admission.seeking.is_in_vain(now) or self.admission.all_shed(now):
+            return
         call.is_hedged = True
         model.hedges += 1
         self._ask(call)
--- a/src/peppershore/command/logs_command.py
+++ b/src/peppershore/command/logs_command.py
@@ -8,6 +8,7 @@
 import click
 import msgspec
 
+from peppershore.command.late_calls import late_calls
 from peppershore.command.link_loads import BusyLink, KindLoad, link_loads
 from peppershore.command.log_files import LogFiles, LogLine, read_logs
 from peppershore.command.lost_calls import CALL_EVENT, lost_calls
@@ -15,6 +16,7 @@
 from peppershore.command.version_times import NodeWait, VersionWaits, version_times
 
 CALL_HEADER = ("calls", "service", "route", "outcome", "reason", "an example")
+LATE_CALLS_HEADER = ("calls", "cause", "target", "example")
 CAUSE_HEADER = ("calls", "cause", "target", "reason", "an example")
 SECOND_HEADER = ("second", "cause", "calls")
 NODE_HEADER = ("last node", "cause", "calls")
@@ -122,6 +124,30 @@
     show_table(NODE_HEADER, found.by_node[:SHOWN_NODES])
 
 
+@logs.command()
+@click.argument("files", nargs=-1, required=True, type=click.File("r", errors="replace"))
+@click.option(
+    "--beyond",
+    type=click.IntRange(min=1),
+    required=True,
+    help="Milliseconds after which an answer counts as late.",
+)
+@click.option("--json", "as_json", is_flag=True, help="One JSON object as output.")
+def late(files: tuple[TextIO, ...], beyond: int, as_json: bool) -> None:
+    """Tell why answers were late, from FILES of all nodes.
+
+    Nodes write lines of answered calls with ``log_answered_every`` above 0.
+    """
+    found = late_calls(read_logs(files).lines, beyond)
+    if as_json:
+        show_json(found)
+        return
+    click.echo(f"{found.late} of {found.answered} answered calls took over {beyond} ms")
+    show_table(
+        LATE_CALLS_HEADER, [msgspec.structs.astuple(each) for each in found.by_cause]
+    )
+
+
 @logs.command()
 @click.argument("files", nargs=-1, required=True, type=click.File("r", errors="replace"))
 @click.option(
--- a/src/peppershore/command/trace_command.py
+++ b/src/peppershore/command/trace_command.py
@@ -68,13 +68,25 @@
     if step.step != "sent":
         advice = step.retry_after_milliseconds
         return f"come back after {advice} ms" if advice else ""
-    return (
+    seen = (
         f"own calls there {step.in_flight}, others told {step.load} "
         f"{step.load_age_milliseconds} ms ago"
     )
+    if not step.pace_source:
+        return seen
+    pace, age = step.pace_percent, step.pace_age_milliseconds
+    return f"{seen}, pace {pace} % {age} ms ago ({step.pace_source})"
 
 
 def _inputs(line: LogLine) -> str:
-    shown = ("version", "configuration_age_milliseconds", "running", "waiting", "slots")
+    shown = (
+        "version",
+        "configuration_age_milliseconds",
+        "running",
+        "waiting",
+        "slots",
+        "waited_milliseconds",
+        "pace_percent",
+    )
     parts = [f"{name} {line.fields[name]}" for name in shown if name in line.fields]
     return ", ".join([f"status {line.status}", *parts])
--- a/src/peppershore/process/node/data/call_story.py
+++ b/src/peppershore/process/node/data/call_story.py
@@ -24,7 +24,10 @@
 
     ``at_milliseconds`` counts from when the request was read.  ``in_flight`` and
     ``load`` are what the choice of ``node`` went by: this node's own calls there, and
-    how many others its owner told of, ``load_age_milliseconds`` ago.
+    how many others its owner told of, ``load_age_milliseconds`` ago.  ``pace_percent`` is
+    how long work took at its machine (100 as usual; 0: never told) as the back end said
+    ``pace_age_milliseconds`` ago; ``pace_source``: "own" where it is the node's own back
+    end, else "told" by its node.
     """
 
     at_milliseconds: int
@@ -35,6 +38,9 @@
     load: int = 0
     load_age_milliseconds: int = 0
     retry_after_milliseconds: int = 0
+    pace_percent: int = 0
+    pace_age_milliseconds: int = 0
+    pace_source: str = ""
 
 
 class CallEnd(msgspec.Struct, frozen=True):
@@ -72,6 +78,9 @@
     """A peer's call ended at the back end's own node.
 
     ``running``, ``waiting`` and ``slots`` are the back end's when the call came.
+    ``waited_milliseconds`` is until it had a slot (-1: it never had one).
+    ``pace_percent`` is how long work took at the machine while it ran, 100 as usual, as a
+    mean of what the back end said; 0 where it said nothing.
     """
 
     level: ClassVar[str] = "info"
@@ -87,6 +96,18 @@
     waiting: int
     slots: int
     fingerprint: str = ""
+    waited_milliseconds: int = -1
+    pace_percent: int = 0
+
+
+class ServedRun(msgspec.Struct, frozen=True):
+    """How a peer's call ran: see ``ServedStory``."""
+
+    waited_milliseconds: int = -1
+    pace_percent: int = 0
+
+
+NEVER_RAN = ServedRun()
 
 
 class ServedRecord(msgspec.Struct, frozen=True):
@@ -102,7 +123,9 @@
     fingerprint: Fingerprint
 
 
-def served_story(record: ServedRecord, end: CallEnd, now: float) -> ServedStory:
+def served_story(
+    record: ServedRecord, end: CallEnd, now: float, run: ServedRun = NEVER_RAN
+) -> ServedStory:
     """Give the line of a peer's call that ended now (monotonic seconds)."""
     return ServedStory(
         request_id=record.request_id.decode("latin-1"),
@@ -116,6 +139,8 @@
         waiting=record.waiting,
         slots=record.slots,
         fingerprint=record.fingerprint.name,
+        waited_milliseconds=run.waited_milliseconds,
+        pace_percent=run.pace_percent,
     )
 
 
@@ -162,6 +187,9 @@
                     in_flight=seen.in_flight,
                     load=seen.load,
                     load_age_milliseconds=seen.load_age_milliseconds,
+                    pace_percent=seen.pace_percent,
+                    pace_age_milliseconds=seen.pace_age_milliseconds,
+                    pace_source=seen.pace_source,
                 )
             )
 
@@ -188,3 +216,6 @@
     load: int
     load_age_milliseconds: int
     may_wait: bool
+    pace_percent: int = 0
+    pace_age_milliseconds: int = 0
+    pace_source: str = ""
--- a/src/peppershore/process/node/data/gauges.py
+++ b/src/peppershore/process/node/data/gauges.py
@@ -24,3 +24,13 @@
         lambda: plane.calls.admissions.waiting,
     )
     metrics.gauge("slots_lent", "Slots that other nodes may use.", lambda: plane.lent_slots)
+    metrics.gauge(
+        "calls_sent_on",
+        "Calls refused since the back end's machine was slow, to go elsewhere.",
+        lambda: 0 if plane.calls.own is None else plane.calls.own.sent_on,
+    )
+    metrics.gauge(
+        "back_end_pace_percent",
+        "How long work takes at the back end's machine, as it told last; 100 as usual.",
+        lambda: 100 if plane.calls.own is None else plane.calls.own.report.pace_percent,
+    )
--- a/src/peppershore/process/node/data/own_attempt.py
+++ b/src/peppershore/process/node/data/own_attempt.py
@@ -10,6 +10,7 @@
 
 from peppershore.connection.http_head import AnswerHead, HeaderList
 from peppershore.process.node.data.attempt import AttemptRequest, AttemptSink
+from peppershore.process.node.data.call_story import NEVER_RAN, ServedRun
 from peppershore.process.node.data.direct_attempt import OWN_TERMS, DirectAttempt
 from peppershore.process.node.data.own_backend import OwnBackend
 from peppershore.process.node.data.verdicts import verdict_of_failure, verdict_of_status
@@ -98,6 +99,13 @@
         """Whether the caller was refused before."""
         return self._request.is_client_retry
 
+    def run(self, came_at: float) -> ServedRun:
+        """Give how it ran so far, for a call that came then (monotonic seconds)."""
+        if self._direct is None:
+            return NEVER_RAN
+        waited = round((self._started - came_at) * MILLISECONDS)
+        return ServedRun(waited, self._backend.report.mean_pace_percent(self._started))
+
     def start(self) -> None:
         """Ask for room for a large body, or for a body to come first, then for a slot."""
         if self._fetches_first and self._backend.begin_body(self._request):
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -27,6 +27,7 @@
 from peppershore.process.node.data.attempt import AttemptRequest
 from peppershore.process.node.data.call_log import CallLog
 from peppershore.process.node.data.call_story import (
+    NEVER_RAN,
     CallEnd,
     ServedRecord,
     failure_end,
@@ -232,7 +233,9 @@
     def _tell(self, end: CallEnd) -> None:
         if self._record is not None:
             now = asyncio.get_running_loop().time()
-            self._log.write(served_story(self._record, end, now))
+            began = self._record.began_at
+            run = NEVER_RAN if self._attempt is None else self._attempt.run(began)
+            self._log.write(served_story(self._record, end, now, run))
 
     def _load(self) -> OwnerLoad | None:
         return None if self._backend is None else self._backend.load(self._route)
--- a/src/peppershore/process/node/data/service_admissions.py
+++ b/src/peppershore/process/node/data/service_admissions.py
@@ -206,12 +206,22 @@
         state = self.state_of(plan.target, dispatch.endpoint.node)
         if state is None:
             return ChoiceSeen(0, 0, 0, may_wait)
-        return ChoiceSeen(
+        seen = ChoiceSeen(
             in_flight=state.in_flight,
             load=state.others,
             load_age_milliseconds=state.load_age_milliseconds(now),
             may_wait=may_wait,
         )
+        age = state.speed.pace_age_milliseconds(now)
+        if age < 0:
+            return seen
+        is_own = dispatch.endpoint.node == self._settings.node
+        return msgspec.structs.replace(
+            seen,
+            pace_percent=state.speed.pace_percent,
+            pace_age_milliseconds=age,
+            pace_source="own" if is_own else "told",
+        )
 
     # --- inside
 
--- a/src/peppershore/request/back_ends/own_report.py
+++ b/src/peppershore/request/back_ends/own_report.py
@@ -96,6 +96,10 @@
             pace = self._mean_pace(now - seconds)
             self._work.observe(route, seconds * USUAL_PERCENT / pace)
 
+    def mean_pace_percent(self, since: float) -> int:
+        """Give the mean pace of what ran since then; 0 if it was never told."""
+        return round(self._mean_pace(since)) if self._paces else PACE_NOT_TOLD
+
     def usual_work(self, route: str) -> float:
         """Give the mean seconds of a route's calls at the usual pace; 0 if not known."""
         return self._work.known(route)
--- a/tests/operations_pages/test_walks.py
+++ b/tests/operations_pages/test_walks.py
@@ -25,6 +25,7 @@
         "milliseconds",
         "at_milliseconds",
         "load_age_milliseconds",
+        "waited_milliseconds",
         "configuration_age_milliseconds",
     }
 )
