--- a/benchmarks/uneven_back_ends.py
+++ b/benchmarks/uneven_back_ends.py
@@ -91,13 +91,15 @@
     ``tells``: owners tell callers' nodes the pace, and their work without it;
     ``sends_on``: an owner refuses while its machine is slow what may go elsewhere;
     ``spreads``: it tells all nodes when its pace changes; ``asks_two``: two owners are
-    asked, the first free one is taken; ``hedges``: a late call is sent once more.
+    asked, the first free one is taken; ``home_first``: a call at the node beside a back end
+    runs there while a slot is free; ``hedges``: a late call is sent once more.
     """
 
     tells: bool = False
     sends_on: bool = False
     spreads: bool = False
     asks_two: bool = False
+    home_first: bool = True
     hedges: bool = False
 
 
@@ -107,6 +109,7 @@
     "sent-on": Way(tells=True, sends_on=True),
     "spread": Way(tells=True, spreads=True),
     "sent-on-spread": Way(tells=True, sends_on=True, spreads=True),
+    "sent-on-no-home": Way(tells=True, sends_on=True, home_first=False),
     "two-asked": Way(tells=True, asks_two=True),
     "sent-on-two-asked": Way(tells=True, sends_on=True, asks_two=True),
     "sent-on-hedged": Way(tells=True, sends_on=True, hedges=True),
@@ -321,7 +324,7 @@
             SETTINGS,
             "a",
             Randomness(1_000 + number),
-            home=home.name if home else "",
+            home=home.name if home and model.way.home_first else "",
         )
         limited = [
             msgspec.structs.replace(owner.endpoint, slots=SLOTS * OWNER_LIMIT_FACTOR)
@@ -379,7 +382,7 @@
             return
         call.runs.remove(run)
         self.admission.finished(run.dispatch, 0.0, None, now)
-        if not run.may_wait:
+        if not run.may_wait and load.running >= load.slots:
             self.admission.seeking.refused(now)
         if call.runs:
             return
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -47,6 +47,7 @@
 )
 from peppershore.request.outcome import (
     BUSY,
+    SEEK_ON,
     STATUS_BODY_TOO_LARGE,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
@@ -382,7 +383,7 @@
         if self._over or self._answer.begun:
             return False
         self._progress = counted(self._progress, failed)
-        step = next_step(self._progress, failed, self._terms(failed.reason == BUSY))
+        step = next_step(self._progress, failed, self._terms(failed.reason in SEEK_ON))
         if isinstance(step, GiveUp):
             return False
         delay = self._calls.repeats.delay(
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -25,7 +25,7 @@
 from peppershore.process.node.data.attempt import AttemptRequest, AttemptSink
 from peppershore.request.deadline import remaining_milliseconds
 from peppershore.request.outcome import (
-    BUSY,
+    SEEK_ON,
     STATUS_BAD_GATEWAY,
     STATUS_GATEWAY_TIMEOUT,
     Failed,
@@ -212,7 +212,7 @@
 
     def _note_round_trip(self, reason: str) -> None:
         """The owner refuses at once a call that asks for a free slot: time the way."""
-        if reason == BUSY and not self._request.may_wait:
+        if reason in SEEK_ON and not self._request.may_wait:
             TRAFFIC.note_round_trip(asyncio.get_running_loop().time() - self._sent_at)
 
     def _send_start(self, data: bytes) -> None:
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -37,7 +37,7 @@
 from peppershore.request.body_transfers import BodyTransfers
 from peppershore.request.endpoint_state import Verdict
 from peppershore.request.fingerprint import Fingerprint
-from peppershore.request.outcome import BUSY, STATUS_UNAVAILABLE, NotRun
+from peppershore.request.outcome import SLOW_NOW, STATUS_UNAVAILABLE, NotRun
 from peppershore.request.picker import RandomSource
 from peppershore.request.running_calls import RunningCalls
 from peppershore.request.version_evidence import VersionEvidence
@@ -286,7 +286,7 @@
         now = asyncio.get_running_loop().time()
         if not request.may_wait and self.report.is_slow(now):
             self.sent_on += 1
-            return NotRun(STATUS_UNAVAILABLE, BUSY, SLOW_RETRY_AFTER_MILLISECONDS, True)
+            return NotRun(STATUS_UNAVAILABLE, SLOW_NOW, SLOW_RETRY_AFTER_MILLISECONDS, True)
         return None
 
     def await_transfer(self, attempt: WaitingAttempt) -> None:
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -38,7 +38,7 @@
 from peppershore.process.node.data.request_body import RequestBody
 from peppershore.request.fingerprint import Fingerprint
 from peppershore.request.outcome import (
-    BUSY,
+    SEEK_ON,
     STATUS_BAD_REQUEST,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
@@ -183,7 +183,7 @@
         if self._link is not None:
             self._link.send(_failure_message(self._stream, failed, self._load()))
         self._close()
-        if failed.reason != BUSY:
+        if failed.reason not in SEEK_ON:
             self._tell(failure_end(failed))
 
     def sending_paused(self) -> None:
--- a/src/peppershore/process/node/data/verdicts.py
+++ b/src/peppershore/process/node/data/verdicts.py
@@ -4,10 +4,10 @@
 
 from peppershore.request.endpoint_state import Verdict
 from peppershore.request.outcome import (
-    BUSY,
     FIRST_SERVER_ERROR,
     QUARANTINED,
     RUNS_ALONE,
+    SEEK_ON,
     STATUS_BAD_GATEWAY,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
@@ -41,5 +41,5 @@
     return "failed" if failed.reason in UNREACHABLE_REASONS else "shed"
 
 
-SAYS_NOTHING = frozenset({BUSY, QUARANTINED, RUNS_ALONE})
+SAYS_NOTHING = SEEK_ON | {QUARANTINED, RUNS_ALONE}
 UNREACHABLE_REASONS = frozenset({"back-end-unreachable", "owner-unreachable"})
--- a/src/peppershore/request/next_attempt.py
+++ b/src/peppershore/request/next_attempt.py
@@ -11,8 +11,8 @@
 
 from peppershore.request.outcome import (
     BACK_END_ENDED,
-    BUSY,
     LOAD_REASONS,
+    SEEK_ON,
     STATUS_GATEWAY_TIMEOUT,
     Failed,
     NotRun,
@@ -128,7 +128,7 @@
     """No back end saw the call: look for a free slot, then wait where it is shortest."""
     if not failed.retryable or _waited_in_vain(progress, failed):
         return GIVE_UP
-    is_seeking = failed.reason == BUSY and not progress.may_wait
+    is_seeking = failed.reason in SEEK_ON and not progress.may_wait
     if terms.has_other:
         may_wait = progress.may_wait or (is_seeking and progress.tries >= MAX_SEEKS)
         return TryAgain(elsewhere=True, may_wait=may_wait)
--- a/src/peppershore/request/outcome.py
+++ b/src/peppershore/request/outcome.py
@@ -25,6 +25,12 @@
 BUSY = "busy"
 """Reason of a refusal because no slot is free at this moment."""
 
+SLOW_NOW = "slow-now"
+"""Reason of a refusal because the back end's machine is slow at this moment."""
+
+SEEK_ON = frozenset({BUSY, SLOW_NOW})
+"""Reasons of refusals to calls that may not wait: the next back end is asked."""
+
 NO_SLOT_IN_TIME = "no-slot-in-time"
 """Reason of a refusal because no slot comes free while the call may wait."""
 
@@ -44,7 +50,7 @@
 DISPLACED = "displaced"
 DEADLINE_TOO_SHORT = "deadline-too-short"
 
-LOAD_REASONS = frozenset({BUSY, NO_SLOT_IN_TIME, QUEUE_FULL, DISPLACED, DEADLINE_TOO_SHORT})
+LOAD_REASONS = SEEK_ON | {NO_SLOT_IN_TIME, QUEUE_FULL, DISPLACED, DEADLINE_TOO_SHORT}
 """Reasons of refusals for want of slots: the caller may come back for one."""
 
 ANSWERED = b"answered"
--- a/tests/data_plane/test_told_loads.py
+++ b/tests/data_plane/test_told_loads.py
@@ -26,7 +26,7 @@
 from peppershore.process.settings import HeaderSettings
 from peppershore.request.back_ends.own_report import COUNT_SECONDS
 from peppershore.request.back_ends.pace import PACE_SECONDS
-from peppershore.request.outcome import BUSY, NotRun
+from peppershore.request.outcome import SLOW_NOW, NotRun
 from peppershore.request.wire_names import WireNames
 from peppershore.version.model import ServiceSettings
 
@@ -183,7 +183,7 @@
         _hears(own, b"0,0,5,250")
         refusal = own.admit(SilentAttempt(), _request(may_wait=False))
         assert isinstance(refusal, NotRun)
-        assert (refusal.reason, refusal.retryable) == (BUSY, True)
+        assert (refusal.reason, refusal.retryable) == (SLOW_NOW, True)
         assert not isinstance(own.admit(SilentAttempt(), _request(may_wait=True)), NotRun)
         _hears(own, b"1,0,5,100")
         assert not isinstance(own.admit(SilentAttempt(), _request(may_wait=False)), NotRun)
--- a/tests/request/test_next_attempt.py
+++ b/tests/request/test_next_attempt.py
@@ -14,9 +14,17 @@
     TryAgain,
     next_step,
 )
-from peppershore.request.outcome import BUSY, NO_SLOT_IN_TIME, Failed, NotRun, Unknown
+from peppershore.request.outcome import (
+    BUSY,
+    NO_SLOT_IN_TIME,
+    SLOW_NOW,
+    Failed,
+    NotRun,
+    Unknown,
+)
 
 BUSY_OWNER = NotRun(503, BUSY, 50, retryable=True)
+SLOW_OWNER = NotRun(503, SLOW_NOW, 50, retryable=True)
 FULL_OWNER = NotRun(503, NO_SLOT_IN_TIME, 100, retryable=True)
 LEAVING_OWNER = NotRun(503, "back-end-leaving", 100, retryable=True)
 FINAL_REFUSAL = NotRun(400, "malformed-fields")
@@ -41,6 +49,13 @@
 UNSEEN = CallProgress(offers=0, tries=1)
 CASES = {
     "busy owner": (UNSEEN, BUSY_OWNER, terms(repeatable=False), FREE),
+    "slow owner": (UNSEEN, SLOW_OWNER, terms(repeatable=False), FREE),
+    "the only owner is slow": (
+        UNSEEN,
+        SLOW_OWNER,
+        terms(has_other=False),
+        TryAgain(elsewhere=False, may_wait=True),
+    ),
     "leaving owner": (UNSEEN, LEAVING_OWNER, terms(repeatable=False), FREE),
     "no other owner": (UNSEEN, LEAVING_OWNER, terms(has_other=False), GIVE_UP),
     "all busy": (
