A machine is slow against its own usual pace

The median of the last 64 figures is the machine's usual now, which stays in what its work takes; it also stands for the rule on long spells and for machines that say too much all the time.

--- a/benchmarks/uneven_back_ends.py
+++ b/benchmarks/uneven_back_ends.py
@@ -91,14 +91,16 @@
     ``tells``: owners tell callers' nodes the pace, and their work without it;
     ``sends_on``: an owner refuses while its machine is slow what may go elsewhere;
     ``spreads``: it tells all nodes when its pace changes; ``asks_two``: two owners are
-    asked, the first free one is taken; ``home_first``: a call at the node beside a back end
-    runs there while a slot is free; ``hedges``: a late call is sent once more.
+    asked, the first free one is taken; ``waits``: at so many owners one after the other,
+    sharing its patience; ``home_first``: a call at the node beside a back end runs there
+    while a slot is free; ``hedges``: a late call is sent once more.
     """
 
     tells: bool = False
     sends_on: bool = False
     spreads: bool = False
     asks_two: bool = False
+    waits: int = 1
     home_first: bool = True
     hedges: bool = False
 
@@ -110,6 +112,9 @@
     "spread": Way(tells=True, spreads=True),
     "sent-on-spread": Way(tells=True, sends_on=True, spreads=True),
     "sent-on-no-home": Way(tells=True, sends_on=True, home_first=False),
+    "two-waits": Way(waits=2),
+    "three-waits": Way(waits=3),
+    "sent-on-two-waits": Way(tells=True, sends_on=True, waits=2),
     "two-asked": Way(tells=True, asks_two=True),
     "sent-on-two-asked": Way(tells=True, sends_on=True, asks_two=True),
     "sent-on-hedged": Way(tells=True, sends_on=True, hedges=True),
@@ -129,6 +134,7 @@
         "runs",
         "tried",
         "tries",
+        "waits",
         "work",
     )
 
@@ -143,17 +149,28 @@
         self.is_hedged = False
         self.is_granted = False
         self.runs: list[Run] = []
+        self.waits = 0
 
 
 class Run:
     """One attempt of a call at one owner."""
 
-    __slots__ = ("began", "call", "dispatch", "may_wait", "over", "owned", "ticket")
+    __slots__ = (
+        "began",
+        "call",
+        "dispatch",
+        "may_wait",
+        "over",
+        "owned",
+        "start_by",
+        "ticket",
+    )
 
     def __init__(self, call: Call, dispatch: Dispatch, may_wait: bool) -> None:
         self.call = call
         self.dispatch = dispatch
         self.may_wait = may_wait
+        self.start_by = call.came + PATIENCE_SECONDS
         self.owned: Dispatch | None = None
         self.ticket: Ticket | None = None
         self.began = 0.0
@@ -221,7 +238,7 @@
             "normal",
             run.call.came + DEADLINE_SECONDS,
             may_wait=run.may_wait,
-            start_by=run.call.came + PATIENCE_SECONDS,
+            start_by=run.start_by,
             route=ROUTE,
         )
         decision = self.admission.offer(ticket, now)
@@ -290,7 +307,7 @@
         run.over = True
         now = self.model.clock.now
         running = self.admission.in_flight
-        told = ToldLoad(running, 0, SLOTS, round(100 * self.pace(now)))
+        told = ToldLoad(running, 0, SLOTS, round(100 * self.speed * self.pace(now)))
         self.report.heard(told, running, now)
         self.report.ended(ROUTE, now - run.began, now)
         assert run.owned is not None
@@ -364,6 +381,11 @@
         if not isinstance(decision, Dispatch):
             return
         run = Run(call, decision, may_wait)
+        if may_wait:
+            call.waits += 1
+            waits = self.model.way.waits
+            part = min(1.0, call.waits / waits)
+            run.start_by = max(now, call.came + PATIENCE_SECONDS * part)
         call.runs.append(run)
         call.tried |= {decision.endpoint.node}
         owner = self.model.by_name[decision.endpoint.node]
--- a/src/peppershore/request/back_ends/own_report.py
+++ b/src/peppershore/request/back_ends/own_report.py
@@ -6,14 +6,10 @@
 
 from __future__ import annotations
 
+import statistics
 from collections import deque
 
-from peppershore.request.back_ends.pace import (
-    LONGEST_SPELL_SECONDS,
-    SLOW_PERCENT,
-    USUAL_PERCENT,
-    slow_seconds,
-)
+from peppershore.request.back_ends.pace import KEPT_PACES, USUAL_PERCENT, slow_seconds
 from peppershore.request.back_ends.told_load import PACE_NOT_TOLD, ToldLoad
 from peppershore.request.work_times import WorkTimes
 
@@ -23,9 +19,6 @@
 LONG_QUEUE_FACTOR = 2
 """So many times its slots of unknown work mean that as much waits there as runs."""
 
-KEPT_PACES = 32
-"""Paces kept to tell what a call's work would have taken as usual."""
-
 NEVER_MILLISECONDS = -1
 MILLISECONDS = 1_000
 
@@ -33,7 +26,7 @@
 class OwnReport:
     """The figures of one life of a back end, with their ages."""
 
-    __slots__ = ("_excess", "_heard_at", "_paces", "_slow_since", "_unknown", "_work")
+    __slots__ = ("_excess", "_heard_at", "_paces", "_told", "_unknown", "_work")
 
     def __init__(self) -> None:
         """Begin without figures."""
@@ -41,7 +34,7 @@
         self._unknown = 0
         self._heard_at = 0.0
         self._paces: deque[tuple[float, int]] = deque(maxlen=KEPT_PACES)
-        self._slow_since: float | None = None
+        self._told: deque[int] = deque(maxlen=KEPT_PACES)
         self._work = WorkTimes()
 
     def heard(self, told: ToldLoad, known: int, now: float) -> None:
@@ -71,9 +64,10 @@
 
     @property
     def pace_percent(self) -> int:
-        """How long work takes, as it was told last; 100 as usual, or not known.
+        """How long work takes, as it was told last; 100 as usual for this machine.
 
-        It is 100 too for a machine that has been slow for long: its work shows that.
+        Some tell a figure that holds the machine's fixed speed too.  What it usually
+        tells shows in what its work takes, and counts as usual here.
         """
         return self._paces[-1][1] if self._paces else USUAL_PERCENT
 
@@ -110,10 +104,6 @@
         return sum(told) / len(told) if told else self.pace_percent
 
     def _take_pace(self, percent: int, now: float) -> None:
-        if percent < SLOW_PERCENT:
-            self._slow_since = None
-        elif self._slow_since is None:
-            self._slow_since = now
-        elif now - self._slow_since >= LONGEST_SPELL_SECONDS:
-            percent = USUAL_PERCENT
-        self._paces.append((now, percent))
+        self._told.append(percent)
+        usual = statistics.median_low(self._told)
+        self._paces.append((now, round(USUAL_PERCENT * percent / usual)))
--- a/src/peppershore/request/back_ends/pace.py
+++ b/src/peppershore/request/back_ends/pace.py
@@ -11,12 +11,12 @@
 comes and goes many times a second, and an answer tells it as it was at its end."""
 
 SLOW_PERCENT = 150
-"""A machine is slow from here on.  Back ends of one service differ as much in speed all
-the time, and calls are shared out by that; sending one on costs a way there and back."""
+"""A machine is slow from here on, against its own usual.  Back ends of one service differ
+as much in speed all the time; sending a call on costs a way there and back."""
 
-LONGEST_SPELL_SECONDS = 3.0
-"""A machine that is said to be slow for longer is of that speed, or it is said wrongly:
-calls are sent on no more, and what its work takes shows how many it gets."""
+KEPT_PACES = 64
+"""Figures by whose median a machine's usual pace is known: a few seconds of answers, so
+that a slow moment is less than half of them, and one that stays slow soon is usual."""
 
 
 def pace_after(percent: int, age: float) -> float:
--- a/tests/back_ends/test_own_report.py
+++ b/tests/back_ends/test_own_report.py
@@ -6,7 +6,7 @@
 
 from peppershore.request.back_ends.own_report import COUNT_SECONDS, OwnReport
 from peppershore.request.back_ends.pace import (
-    LONGEST_SPELL_SECONDS,
+    KEPT_PACES,
     PACE_SECONDS,
     pace_after,
     slow_seconds,
@@ -71,25 +71,39 @@
     assert report.pace_age_milliseconds(1.2) == 200
 
 
-def test_a_machine_is_slow_while_it_says_so() -> None:
+def _usual(report: OwnReport, percent: int = 100, now: float = 0.5) -> None:
+    """Tell the usual pace of a machine often enough to be known."""
+    for _ in range(KEPT_PACES):
+        report.heard(ToldLoad(1, 0, 5, percent), 1, now)
+
+
+@pytest.mark.parametrize("usual", [50, 100, 150])
+def test_a_machine_is_slow_while_it_says_more_than_usual(usual: int) -> None:
+    """What a machine usually tells is its fixed speed, which its work shows."""
     report = OwnReport()
-    report.heard(ToldLoad(1, 0, 5, 250), 1, 1.0)
+    _usual(report, usual)
+    assert not report.is_slow(0.5)
+    report.heard(ToldLoad(1, 0, 5, usual * 5 // 2), 1, 1.0)
+    assert report.pace_percent == 250
     assert report.is_slow(1.1)
-    report.heard(ToldLoad(1, 0, 5, 100), 1, 1.2)
+    report.heard(ToldLoad(1, 0, 5, usual), 1, 1.2)
     assert not report.is_slow(1.2)
 
 
 def test_one_that_says_so_all_the_time_is_of_that_speed() -> None:
     report = OwnReport()
-    moments = [1.0 + 0.1 * step for step in range(int(LONGEST_SPELL_SECONDS / 0.1) + 2)]
-    for now in moments:
-        report.heard(ToldLoad(1, 0, 5, 250), 1, now)
-        assert report.is_slow(now) == (now - 1.0 < LONGEST_SPELL_SECONDS)
+    _usual(report)
+    slow = 0
+    for _ in range(KEPT_PACES):
+        report.heard(ToldLoad(1, 0, 5, 250), 1, 1.0)
+        slow += report.is_slow(1.0)
+    assert KEPT_PACES // 2 <= slow <= KEPT_PACES // 2 + 1
     assert report.pace_percent == 100
 
 
-def test_work_is_told_without_the_pace_of_the_machine() -> None:
+def test_work_is_told_without_the_pace_of_the_moment() -> None:
     report = OwnReport()
+    _usual(report)
     for _ in range(3):
         report.heard(ToldLoad(1, 0, 5, 250), 1, 1.0)
         report.ended("read", 0.25, 1.0)
--- a/tests/data_plane/test_told_loads.py
+++ b/tests/data_plane/test_told_loads.py
@@ -88,6 +88,7 @@
 def test_the_field_is_read_and_passed_on() -> None:
     async def scene() -> None:
         async with Pair(tells("1,0,5,250")) as pair:
+            _hears(pair.own, b"1,0,5,100", times=3)
             answer = await pair.call()
             assert answer.headers[LOAD] == "1,0,5,250"
             assert pair.own.report.pace_percent == 250
@@ -134,6 +135,7 @@
 
     async def scene() -> None:
         async with Pair(tells("1,0,5,250"), seek_free_slots=True) as pair:
+            _hears(pair.own, b"1,0,5,100", times=3)
             assert (await pair.call()).status == 200
             pair.edge.plane.calls.admissions.state_of("kassa", "k1").passed_over_until = 0.0  # type: ignore[union-attr]
             assert (await pair.call()).status == 200
@@ -172,14 +174,15 @@
     )
 
 
-def _hears(own: OwnBackend, figures: bytes) -> None:
-    for _ in range(2):
+def _hears(own: OwnBackend, figures: bytes, times: int = 2) -> None:
+    for _ in range(times):
         own.heard(figures, own.life.name)
 
 
 def test_calls_that_may_go_elsewhere_are_refused_while_the_machine_is_slow() -> None:
     async def scene() -> None:
         own = _own()
+        _hears(own, b"0,0,5,100", times=3)
         _hears(own, b"0,0,5,250")
         refusal = own.admit(SilentAttempt(), _request(may_wait=False))
         assert isinstance(refusal, NotRun)
@@ -246,6 +249,7 @@
 def test_figures_fade_within_the_time_for_which_a_pace_lasts() -> None:
     async def scene() -> None:
         own = _own()
+        _hears(own, b"0,0,5,100", times=3)
         _hears(own, b"0,0,5,250")
         await asyncio.sleep(PACE_SECONDS)
         assert not isinstance(own.admit(SilentAttempt(), _request(may_wait=False)), NotRun)
