--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -57,6 +57,7 @@
     out_of_time,
     worse,
 )
+from peppershore.request.shared_patience import may_wait_on, wait_until
 from peppershore.request.waiting import Ticket
 
 VERDICT_SECONDS = 0.025
@@ -303,7 +304,12 @@
             priority=plan.priority,
             may_wait=self._progress.may_wait
             or not self._calls.admissions.looks_for_free_slots,
-            start_by=plan.start_by,
+            start_by=wait_until(
+                self._began_at,
+                plan.start_by,
+                max(1, self._progress.waits),
+                self._calls.admissions.most_waits(plan),
+            ),
             is_client_retry=plan.is_client_retry,
             route=plan.route,
             body_on_credit=self._body_waits_for_credit,
@@ -419,6 +425,12 @@
             ),
             replayable=self._body.replayable,
             known_ends=self._calls.quarantine.ends(self._body.fingerprint),
+            may_wait_on=may_wait_on(
+                self._loop.time(),
+                self.plan.start_by,
+                self._progress.waits,
+                self._calls.admissions.most_waits(self.plan),
+            ),
         )
 
     @property
--- a/src/peppershore/process/node/data/service_admissions.py
+++ b/src/peppershore/process/node/data/service_admissions.py
@@ -113,6 +113,12 @@
         """Whether a call first asks each owner for a free slot before it waits for one."""
         return self._settings.seek_free_slots
 
+    def most_waits(self, plan: CallPlan) -> int:
+        """Give at how many owners a call may wait; a large body is awaited at one."""
+        if plan.settings.streamed_bodies or not self.looks_for_free_slots:
+            return 1
+        return self._settings.waits_at_owners
+
     def waits_at_once(self, plan: CallPlan) -> bool:
         """Whether to ask for a free slot first is in vain, by what asks came to."""
         admission = self._admission(plan.target)
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -129,6 +129,7 @@
 log_answered_every = 0             # of answered calls each n-th is logged; 0: none
 metrics_listen = ""                # one more address for the admin pages
 seek_free_slots = false            # ask owners for a free slot before waiting for one
+waits_at_owners = 1                # where a call waits, one by one, sharing its patience
 revocation_milliseconds = 5000.0   # a key that was taken away is of no use by then
 fail_closed = false                # true: an older configuration admits nobody by a key
 
--- a/src/peppershore/process/settings_rules.py
+++ b/src/peppershore/process/settings_rules.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from peppershore.process.settings import LOG_LEVELS, LOG_TARGETS
+from peppershore.request.next_attempt import MAX_WAITS
 from peppershore.version.path import NAME_RULE, is_name
 
 MAX_PORT = 65_535
@@ -168,6 +169,7 @@
     "log_level": level_rule,
     "log_to": log_target_rule,
     "log_answered_every": between(0, 1_000_000, "calls"),
+    "waits_at_owners": between(1, MAX_WAITS, "owners"),
     "metrics_listen": optional(listen_rule),
     "back_end_listen": optional(listen_rule),
     "back_end_silent_milliseconds": between(100, 600_000, "milliseconds"),
--- a/src/peppershore/request/next_attempt.py
+++ b/src/peppershore/request/next_attempt.py
@@ -12,6 +12,7 @@
 from peppershore.request.outcome import (
     BACK_END_ENDED,
     LOAD_REASONS,
+    NO_SLOT_IN_TIME,
     SEEK_ON,
     STATUS_GATEWAY_TIMEOUT,
     Failed,
@@ -66,6 +67,7 @@
     ``most_offers``: back ends that may see the call; ``has_other``: a ready back end
     has not been tried; ``replayable``: the request can be sent again whole.
     ``known_ends``: back ends that ended under it in other tries, as far as is known.
+    ``may_wait_on``: one that waited in vain has time and leave to wait elsewhere.
     """
 
     repeatable: bool
@@ -73,6 +75,7 @@
     has_other: bool
     replayable: bool
     known_ends: int = 0
+    may_wait_on: bool = False
 
 
 class TryAgain(msgspec.Struct, frozen=True):
@@ -126,6 +129,8 @@
 
 def _after_refusal(progress: CallProgress, failed: NotRun, terms: AttemptTerms) -> NextStep:
     """No back end saw the call: look for a free slot, then wait where it is shortest."""
+    if _waits_on(progress, failed, terms):
+        return TryAgain(elsewhere=True, may_wait=True)
     if not failed.retryable or _waited_in_vain(progress, failed):
         return GIVE_UP
     is_seeking = failed.reason in SEEK_ON and not progress.may_wait
@@ -137,6 +142,12 @@
     return GIVE_UP
 
 
+def _waits_on(progress: CallProgress, failed: NotRun, terms: AttemptTerms) -> bool:
+    """Whether a call whose part of its patience is over waits at another back end."""
+    is_over = progress.may_wait and failed.reason == NO_SLOT_IN_TIME
+    return is_over and terms.may_wait_on and terms.has_other
+
+
 def _waited_in_vain(progress: CallProgress, failed: NotRun) -> bool:
     """Whether enough back ends had no slot in time."""
     is_load = progress.may_wait and failed.reason in LOAD_REASONS
--- a/tests/request/test_next_attempt.py
+++ b/tests/request/test_next_attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from peppershore.request.next_attempt import (
@@ -56,6 +57,24 @@
         terms(has_other=False),
         TryAgain(elsewhere=False, may_wait=True),
     ),
+    "waited in vain at one, may at another": (
+        CallProgress(0, 3, waits=1, may_wait=True),
+        msgspec.structs.replace(FULL_OWNER, retryable=False),
+        terms(may_wait_on=True, repeatable=False),
+        TryAgain(elsewhere=True, may_wait=True),
+    ),
+    "waited in vain, nobody else": (
+        CallProgress(0, 3, waits=1, may_wait=True),
+        msgspec.structs.replace(FULL_OWNER, retryable=False),
+        terms(may_wait_on=True, has_other=False),
+        GIVE_UP,
+    ),
+    "waited in vain as often as it may": (
+        CallProgress(0, 3, waits=1, may_wait=True),
+        msgspec.structs.replace(FULL_OWNER, retryable=False),
+        terms(),
+        GIVE_UP,
+    ),
     "leaving owner": (UNSEEN, LEAVING_OWNER, terms(repeatable=False), FREE),
     "no other owner": (UNSEEN, LEAVING_OWNER, terms(has_other=False), GIVE_UP),
     "all busy": (
