--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -47,6 +47,7 @@
 )
 from peppershore.request.outcome import (
     BUSY,
+    SEEK_ON,
     STATUS_BODY_TOO_LARGE,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
@@ -56,6 +57,7 @@
     out_of_time,
     worse,
 )
+from peppershore.request.shared_patience import may_wait_on, wait_until
 from peppershore.request.tenants.callers import NOBODY
 from peppershore.request.waiting import Ticket
 
@@ -329,7 +331,12 @@
             priority=plan.priority,
             may_wait=self._progress.may_wait
             or not self._calls.admissions.looks_for_free_slots,
-            start_by=self._calls.start_by(plan, self._whose),
+            start_by=wait_until(
+                self._began_at,
+                self._calls.start_by(plan, self._whose),
+                max(1, self._progress.waits),
+                self._calls.admissions.most_waits(plan),
+            ),
             is_client_retry=plan.is_client_retry,
             route=plan.route,
             body_on_credit=self._body_waits_for_credit,
@@ -424,7 +431,7 @@
         if self._over or self._answer.begun:
             return False
         self._progress = counted(self._progress, failed)
-        step = next_step(self._progress, failed, self._terms(failed.reason == BUSY))
+        step = next_step(self._progress, failed, self._terms(failed.reason in SEEK_ON))
         if isinstance(step, GiveUp):
             return False
         delay = self._calls.repeats.delay(
@@ -460,6 +467,12 @@
             ),
             replayable=self._body.replayable,
             known_ends=self._calls.quarantine.ends(self._body.fingerprint),
+            may_wait_on=may_wait_on(
+                self._loop.time(),
+                self.plan.start_by,
+                self._progress.waits,
+                self._calls.admissions.most_waits(self.plan),
+            ),
         )
 
     @property
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -28,6 +28,7 @@
 from peppershore.process.node.data.attempt import Attempt, AttemptRequest, AttemptSink
 from peppershore.process.node.data.call_log import CallLog
 from peppershore.process.node.data.call_story import (
+    NEVER_RAN,
     CallEnd,
     ServedRecord,
     failure_end,
@@ -39,7 +40,7 @@
 from peppershore.process.node.data.request_body import RequestBody
 from peppershore.request.fingerprint import Fingerprint
 from peppershore.request.outcome import (
-    BUSY,
+    SEEK_ON,
     STATUS_BAD_REQUEST,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
@@ -200,7 +201,7 @@
         if self._link is not None:
             self._link.send(_failure_message(self._stream, failed, self._load()))
         self._close()
-        if failed.reason != BUSY:
+        if failed.reason not in SEEK_ON:
             self._tell(failure_end(failed))
 
     def sending_paused(self) -> None:
@@ -250,7 +251,9 @@
     def _tell(self, end: CallEnd) -> None:
         if self._record is not None:
             now = asyncio.get_running_loop().time()
-            self._log.write(served_story(self._record, end, now))
+            began = self._record.began_at
+            run = NEVER_RAN if self._own is None else self._own.run(began)
+            self._log.write(served_story(self._record, end, now, run))
 
     def _load(self) -> OwnerLoad | None:
         return None if self._backend is None else self._backend.load(self._route)
--- a/src/peppershore/process/node/data/service_admissions.py
+++ b/src/peppershore/process/node/data/service_admissions.py
@@ -113,6 +113,12 @@
         """Whether a call first asks each owner for a free slot before it waits for one."""
         return self._settings.seek_free_slots
 
+    def most_waits(self, plan: CallPlan) -> int:
+        """Give at how many owners a call may wait; a large body is awaited at one."""
+        if plan.settings.streamed_bodies or not self.looks_for_free_slots:
+            return 1
+        return self._settings.waits_at_owners
+
     def waits_at_once(self, plan: CallPlan) -> bool:
         """Whether to ask for a free slot first is in vain, by what asks came to."""
         admission = self._admission(plan.target)
@@ -213,12 +219,22 @@
         state = self.state_of(plan.target, dispatch.endpoint.node)
         if state is None:
             return ChoiceSeen(0, 0, 0, may_wait)
-        return ChoiceSeen(
+        seen = ChoiceSeen(
             in_flight=state.in_flight,
             load=state.others,
             load_age_milliseconds=state.load_age_milliseconds(now),
             may_wait=may_wait,
         )
+        age = state.speed.pace_age_milliseconds(now)
+        if age < 0:
+            return seen
+        is_own = dispatch.endpoint.node == self._settings.node
+        return msgspec.structs.replace(
+            seen,
+            pace_percent=state.speed.pace_percent,
+            pace_age_milliseconds=age,
+            pace_source="own" if is_own else "told",
+        )
 
     # --- inside
 
--- a/src/peppershore/process/node/data/verdicts.py
+++ b/src/peppershore/process/node/data/verdicts.py
@@ -4,11 +4,11 @@
 
 from peppershore.request.endpoint_state import Verdict
 from peppershore.request.outcome import (
-    BUSY,
     FIRST_SERVER_ERROR,
     LINK_FULL,
     QUARANTINED,
     RUNS_ALONE,
+    SEEK_ON,
     STATUS_BAD_GATEWAY,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
@@ -42,5 +42,5 @@
     return "failed" if failed.reason in UNREACHABLE_REASONS else "shed"
 
 
-SAYS_NOTHING = frozenset({BUSY, LINK_FULL, QUARANTINED, RUNS_ALONE})
+SAYS_NOTHING = SEEK_ON | {LINK_FULL, QUARANTINED, RUNS_ALONE}
 UNREACHABLE_REASONS = frozenset({"back-end-unreachable", "owner-unreachable"})
--- /dev/null
+++ b/tests/back_ends/test_own_report.py
@@ -0,0 +1,133 @@
+"""The figures of the own back end count for a while, and only so far."""
+
+from __future__ import annotations
+
+import pytest
+
+from peppershore.request.back_ends.own_report import COUNT_SECONDS, OwnReport
+from peppershore.request.back_ends.pace import (
+    KEPT_PACES,
+    PACE_SECONDS,
+    pace_after,
+    slow_seconds,
+)
+from peppershore.request.back_ends.told_load import ToldLoad
+
+
+def test_work_that_the_node_does_not_know_counts_once_two_figures_hold_it() -> None:
+    report = OwnReport()
+    report.heard(ToldLoad(4, 2, 5), 1, 1.0)
+    assert report.taken(5, 1.0) == 0
+    report.heard(ToldLoad(4, 0, 5), 1, 1.1)
+    assert report.taken(5, 1.1) == 3
+
+
+def test_answers_read_in_another_order_make_no_unknown_work() -> None:
+    report = OwnReport()
+    report.heard(ToldLoad(3, 0, 5), 3, 1.0)
+    report.heard(ToldLoad(4, 0, 5), 3, 1.0)
+    report.heard(ToldLoad(2, 0, 5), 2, 1.1)
+    assert report.taken(5, 1.1) == 0
+
+
+def test_one_slot_is_left_until_the_queue_is_long_too() -> None:
+    """One that says too much is heard again; one that is full is given nothing."""
+    report = OwnReport()
+    for told, expected in (((5, 4, 5), 4), ((5, 5, 5), 5)):
+        for _ in range(2):
+            report.heard(ToldLoad(*told), 0, 1.0)
+        assert report.taken(5, 1.0) == expected
+
+
+def test_fewer_calls_than_the_node_knows_change_nothing() -> None:
+    report = OwnReport()
+    for _ in range(2):
+        report.heard(ToldLoad(0, 0, 5), 4, 1.0)
+    assert report.taken(5, 1.0) == 0
+
+
+def test_what_was_told_long_ago_counts_no_more() -> None:
+    report = OwnReport()
+    for _ in range(2):
+        report.heard(ToldLoad(5, 5, 5, 250), 0, 1.0)
+    later = 1.0 + max(COUNT_SECONDS, PACE_SECONDS)
+    assert report.taken(5, later) == 0
+    assert not report.is_slow(later)
+    assert report.pace_age_milliseconds(later) == round((later - 1.0) * 1_000)
+
+
+def test_without_a_pace_the_machine_is_as_usual() -> None:
+    report = OwnReport()
+    report.heard(ToldLoad(1, 0, 5), 1, 1.0)
+    assert report.pace_percent == 100
+    assert report.pace_age_milliseconds(1.0) == -1
+    assert not report.is_slow(1.0)
+
+
+def test_a_figure_without_pace_leaves_the_one_before_with_its_age() -> None:
+    report = OwnReport()
+    report.heard(ToldLoad(1, 0, 5, 250), 1, 1.0)
+    report.heard(ToldLoad(1, 0, 5), 1, 1.2)
+    assert report.pace_age_milliseconds(1.2) == 200
+
+
+def _usual(report: OwnReport, percent: int = 100, now: float = 0.5) -> None:
+    """Tell the usual pace of a machine often enough to be known."""
+    for _ in range(KEPT_PACES):
+        report.heard(ToldLoad(1, 0, 5, percent), 1, now)
+
+
+@pytest.mark.parametrize("usual", [50, 100, 150])
+def test_a_machine_is_slow_while_it_says_more_than_usual(usual: int) -> None:
+    """What a machine usually tells is its fixed speed, which its work shows."""
+    report = OwnReport()
+    _usual(report, usual)
+    assert not report.is_slow(0.5)
+    report.heard(ToldLoad(1, 0, 5, usual * 5 // 2), 1, 1.0)
+    assert report.pace_percent == 250
+    assert report.is_slow(1.1)
+    report.heard(ToldLoad(1, 0, 5, usual), 1, 1.2)
+    assert not report.is_slow(1.2)
+
+
+def test_one_that_says_so_all_the_time_is_of_that_speed() -> None:
+    report = OwnReport()
+    _usual(report)
+    slow = 0
+    for _ in range(KEPT_PACES):
+        report.heard(ToldLoad(1, 0, 5, 250), 1, 1.0)
+        slow += report.is_slow(1.0)
+    assert KEPT_PACES // 2 <= slow <= KEPT_PACES // 2 + 1
+    assert report.pace_percent == 100
+
+
+def test_work_is_told_without_the_pace_of_the_moment() -> None:
+    report = OwnReport()
+    _usual(report)
+    for _ in range(3):
+        report.heard(ToldLoad(1, 0, 5, 250), 1, 1.0)
+        report.ended("read", 0.25, 1.0)
+    assert report.usual_work("read") == pytest.approx(0.1)
+    assert report.usual_work("write") == 0.0
+
+
+def test_without_a_pace_nothing_is_learned_of_work() -> None:
+    report = OwnReport()
+    report.heard(ToldLoad(1, 0, 5), 1, 1.0)
+    report.ended("read", 0.25, 1.0)
+    assert report.usual_work("read") == 0.0
+
+
+@pytest.mark.parametrize(
+    ("age", "expected"), [(0.0, 250), (0.3, 175), (0.6, 100), (9, 100)]
+)
+def test_a_pace_fades_to_the_usual_one(age: float, expected: int) -> None:
+    assert pace_after(250, age) == expected
+
+
+def test_a_machine_is_taken_to_be_slow_while_its_pace_is_believed() -> None:
+    assert slow_seconds(149, 0.0) == 0.0
+    remaining = slow_seconds(250, 0.0)
+    assert 0.0 < remaining < PACE_SECONDS
+    assert slow_seconds(250, remaining) == 0.0
+    assert pace_after(250, remaining) == pytest.approx(150)
