peppershore tenant: limits and keys are changed by those who see no keys

Operators by command never see a key, so an edit that gives all keys of a tenant can't come from them. ChangeTenantKeys adds keys and drops others by fingerprint; limits stay. SetTenant is as it was.

Keys are read from a file or standard input. A key given in place of a fingerprint or a file is refused and not repeated in the message; the group refuses it as well. Weighed: SetTenant with hidden marks in place of kept keys (then what stands in a hidden key's place would be a value that can be set); two fields more on SetTenant (then each change of a key would send the limits again).

Ruled out by a test that failed first: a field named add went into log lines in plain, since lines hide fields by name; it is named keys, and views name theirs fingerprints.

--- a/src/peppershore/command/edit_file.py
+++ b/src/peppershore/command/edit_file.py
@@ -1,8 +1,9 @@
 """Reads several operations from a TOML file, to be sent as one atomic edit.
 
 The file holds ``[[operations]]`` tables.  Each has ``type`` ("set", "unset",
-"remove", "set_zone", "remove_zone" or "remove_secret") and the fields of that
-operation.  Key material never stands in a file of edits.
+"remove", "set_zone", "remove_zone", "remove_secret", "set_tenant" or "remove_tenant")
+and the fields of that operation.  Key material never stands in a file of edits: a tenant
+keeps the keys it has.
 """
 
 from __future__ import annotations
@@ -21,8 +22,10 @@
     Problem,
     RemoveNode,
     RemoveSecret,
+    RemoveTenant,
     RemoveZone,
     SetOverrides,
+    SetTenant,
     SetZone,
     UnsetOverrides,
 )
@@ -30,9 +33,21 @@
 MAX_FILE_BYTES = 64 * 1024 * 1024
 FILE_KEYS = ("operations", "comment")
 FileOperation = (
-    SetOverrides | UnsetOverrides | RemoveNode | SetZone | RemoveZone | RemoveSecret
+    SetOverrides
+    | UnsetOverrides
+    | RemoveNode
+    | SetZone
+    | RemoveZone
+    | RemoveSecret
+    | SetTenant
+    | RemoveTenant
 )
-TYPES = "set, unset, remove, set_zone, remove_zone, remove_secret"
+TYPES = (
+    "set, unset, remove, set_zone, remove_zone, remove_secret, set_tenant, remove_tenant"
+)
+MATERIAL_FIELDS = frozenset({"keys"})
+"""Fields of operations that never stand in a file."""
+
 NEXT_STEP = "mend the file; `peppershore tree edit --help` shows its form"
 
 
@@ -100,7 +115,8 @@
     item: dict[str, Any], operation: Operation, position: int, problems: list[Problem]
 ) -> None:
     """Refuse keys that the operation does not have."""
-    known = ("type", *operation.__struct_fields__)
+    fields = operation.__struct_fields__
+    known = ("type", *(name for name in fields if name not in MATERIAL_FIELDS))
     for key in sorted(item.keys() - set(known)):
         subject = f"operations[{position}].{key}"
         problems.append(Problem(subject, "is no field here", ", ".join(known)))
--- a/src/peppershore/command/edit_options.py
+++ b/src/peppershore/command/edit_options.py
@@ -44,8 +44,8 @@
         multiple=True,
         metavar="[SUBJECT=]N",
         help="Revision that what is edited must have (0: must not exist).  SUBJECT is "
-        "a path, zone:NAME or secret:NAME, needed when there are several.  Taken from "
-        "the tree just read if absent.",
+        "a path, zone:NAME, secret:NAME or tenant:NAME, needed when there are several.  "
+        "Taken from the tree just read if absent.",
     )
     @click.option("--comment", default="", help="Why, for the history.")
     @click.option("--watch", is_flag=True, help="Wait until it is in force everywhere.")
--- a/src/peppershore/command/edits.py
+++ b/src/peppershore/command/edits.py
@@ -22,6 +22,7 @@
 from peppershore.process.control.change_ids import new_change_id
 from peppershore.version.editor import SECRET_SUBJECT, TENANT_SUBJECT, ZONE_SUBJECT
 from peppershore.version.model import (
+    ChangeTenantKeys,
     Edit,
     EditAccepted,
     EditConflict,
@@ -127,7 +128,7 @@
         return ZONE_SUBJECT + operation.name
     if isinstance(operation, PutSecret | PromoteSecret | RemoveSecret):
         return SECRET_SUBJECT + operation.name
-    if isinstance(operation, SetTenant | RemoveTenant):
+    if isinstance(operation, SetTenant | ChangeTenantKeys | RemoveTenant):
         return TENANT_SUBJECT + operation.name
     return operation.path
 
--- a/src/peppershore/command/history.py
+++ b/src/peppershore/command/history.py
@@ -14,6 +14,7 @@
 from peppershore.connection.messages.operators import HistoryAnswered, HistoryQuery
 from peppershore.connection.messages.relay import CommittedEdit
 from peppershore.version.model import (
+    ChangeTenantKeys,
     EditAccepted,
     Operation,
     PromoteSecret,
@@ -113,6 +114,10 @@
             return f"secret remove {name}"
         case SetTenant():
             return _describe_tenant(operation)
+        case ChangeTenantKeys(name, keys, drop):
+            added = (f"+{key_fingerprint(key)}" for key in keys)
+            dropped = (f"-{fingerprint}" for fingerprint in drop)
+            return " ".join(("tenant keys", name, *added, *dropped))
         case RemoveTenant(name):
             return f"tenant remove {name}"
 
--- /dev/null
+++ b/src/peppershore/command/tenant_keys.py
@@ -0,0 +1,65 @@
+"""Keys and fingerprints as operators give them; no message holds what was given."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from returns.result import Failure, Result, Success
+
+from peppershore.command.failures import Failed, usage
+from peppershore.version.tenants import (
+    MAXIMUM_KEY_BYTES,
+    MAXIMUM_KEYS_OF_TENANT,
+    is_fingerprint,
+)
+
+STANDARD_INPUT = "-"
+MAXIMUM_FILE_BYTES = MAXIMUM_KEYS_OF_TENANT * (MAXIMUM_KEY_BYTES + 2)
+"""As many keys as a tenant may have, with a line's end each."""
+
+
+def read_keys(sources: tuple[str, ...]) -> Result[tuple[str, ...], Failed]:
+    """Read a key from each line of each file; "-" is standard input."""
+    keys: list[str] = []
+    for number, source in enumerate(sources, 1):
+        found = _keys_in(source, f"file {number} of --add-key")
+        if isinstance(found, Failure):
+            return Failure(found.failure())
+        keys += found.unwrap()
+    return Success(tuple(keys))
+
+
+def fingerprints(given: tuple[str, ...]) -> Result[tuple[str, ...], Failed]:
+    """Check that these are fingerprints: a key given in their place goes no further."""
+    if not all(map(is_fingerprint, given)):
+        message = "--drop-key takes a fingerprint, such as sha256:01234567, and no key"
+        step = "`peppershore tenant show` has the fingerprints"
+        return Failure(usage(message, step))
+    return Success(given)
+
+
+def _keys_in(source: str, what: str) -> Result[list[str], Failed]:
+    step = "give a readable file of text with a key in each line"
+    try:
+        content = _read_bytes(source)
+    except OSError as problem:
+        return Failure(usage(f"{what} can't be read: {problem.strerror}", step))
+    if len(content) > MAXIMUM_FILE_BYTES:
+        return Failure(usage(f"{what} is larger than {MAXIMUM_FILE_BYTES} bytes", step))
+    try:
+        text = content.decode()
+    except UnicodeDecodeError:
+        return Failure(usage(f"{what} is not UTF-8 text", step))
+    keys = [line.removesuffix("\r") for line in text.split("\n")]
+    keys = [key for key in keys if key]
+    if not keys:
+        return Failure(usage(f"{what} holds no key", step))
+    return Success(keys)
+
+
+def _read_bytes(source: str) -> bytes:
+    if source == STANDARD_INPUT:
+        return sys.stdin.buffer.read(MAXIMUM_FILE_BYTES + 1)
+    with Path(source).open("rb") as file:
+        return file.read(MAXIMUM_FILE_BYTES + 1)
--- a/src/peppershore/command/tree_commands.py
+++ b/src/peppershore/command/tree_commands.py
@@ -11,7 +11,12 @@
 from peppershore.command.lazy_group import LazyGroup
 from peppershore.command.options import OperatorContext, operator_options
 from peppershore.command.output import show_json, show_table, stop_with
-from peppershore.command.tree_output import node_rows, view_tree
+from peppershore.command.tree_output import (
+    TENANT_HEADER,
+    node_rows,
+    tenant_rows,
+    view_tree,
+)
 from peppershore.command.values import OVERRIDE_NAMES, read_assignments
 from peppershore.version.model import (
     ROOT_PATH,
@@ -68,6 +73,9 @@
     click.echo()
     zones = [(item.name, item.region, item.revision) for item in view.zones]
     show_table(("ZONE", "REGION", "REVISION"), zones)
+    if view.tenants:
+        click.echo()
+        show_table(TENANT_HEADER, tenant_rows(view.tenants))
 
 
 @tree.command()
--- a/src/peppershore/command/tree_file_commands.py
+++ b/src/peppershore/command/tree_file_commands.py
@@ -156,7 +156,9 @@
 def revert(context: OperatorContext, names: EditNames, version: int, dry_run: bool) -> None:
     """Give the tree the content of a kept VERSION again, as a new version.
 
-    Secrets that exist now keep their generations, tenants their keys.
+    Secrets that exist now keep their generations.  Tenants get the limits of that
+    version and keep the keys they have now; one that is gone can't come back without
+    its keys, and then nothing changes.
     """
     trees = context.run(_read_two(context.group, version, 0))
     wanted = TwoTrees(before=trees.after, after=trees.before)
@@ -176,7 +178,7 @@
     comment = "why"
     [[operations]]
     type = "set"                # set, unset, remove, set_zone, remove_zone,
-    path = "/kassa/*/pay"       # remove_secret
+    path = "/kassa/*/pay"       # remove_secret, set_tenant, remove_tenant
     [operations.overrides]
     timeout_milliseconds = 3000
     [[operations]]
@@ -246,7 +248,7 @@
     tenants = _tenants_without_keys(operations)
     if tenants:
         message = f"the keys of {tenants} are no longer in the tree and can't come back"
-        step = "bring the tenant with its keys in a whole configuration, then repeat"
+        step = "give it keys with `peppershore tenant set NAME --add-key`, then repeat"
         stop_with(invalid(message, (), step), context.as_json)
 
 
--- a/src/peppershore/command/tree_output.py
+++ b/src/peppershore/command/tree_output.py
@@ -1,11 +1,13 @@
-"""How trees are shown; secrets only by name, generations and revision."""
+"""How trees are shown; no key material: secrets by name, generations and revision,
+tenants' keys by fingerprint."""
 
 from __future__ import annotations
 
 import msgspec
 
-from peppershore.version.model import ROOT_PATH, Secret, Tree, Version
+from peppershore.version.model import ROOT_PATH, Secret, Tenant, Tree, Version
 from peppershore.version.resolve import set_values
+from peppershore.version.tenants import LIMIT_NAMES, given_limits, key_fingerprint
 
 
 class NodeView(msgspec.Struct, frozen=True):
@@ -34,6 +36,15 @@
     rotating: bool
 
 
+class TenantView(msgspec.Struct, frozen=True):
+    """A tenant as shown: what it sets itself, and the fingerprints of its keys."""
+
+    name: str
+    limits: dict[str, object]
+    fingerprints: tuple[str, ...]
+    revision: Version
+
+
 class TreeView(msgspec.Struct, frozen=True):
     """A tree as shown."""
 
@@ -42,6 +53,7 @@
     zones: tuple[ZoneView, ...]
     nodes: tuple[NodeView, ...]
     secrets: tuple[SecretView, ...]
+    tenants: tuple[TenantView, ...] = ()
 
 
 def view_tree(tree: Tree, below: str = ROOT_PATH) -> TreeView:
@@ -61,6 +73,9 @@
         secrets=tuple(
             view_secret(name, secret) for name, secret in sorted(tree.secrets.items())
         ),
+        tenants=tuple(
+            view_tenant(name, tenant) for name, tenant in sorted(tree.tenants.items())
+        ),
     )
 
 
@@ -75,11 +90,37 @@
     )
 
 
+def view_tenant(name: str, tenant: Tenant) -> TenantView:
+    """Give the shown form of a tenant."""
+    return TenantView(
+        name=name,
+        limits=given_limits(tenant),
+        fingerprints=tuple(key_fingerprint(key) for key in tenant.keys),
+        revision=tenant.revision,
+    )
+
+
 def is_within(path: str, below: str) -> bool:
     """Tell whether ``path`` is ``below`` or lies under it."""
     return below in (ROOT_PATH, path) or path.startswith(below + "/")
 
 
+TENANT_HEADER = ("TENANT", "RATE", "BURST", "PRIORITY", "KEYS", "REVISION")
+
+
+def tenant_rows(tenants: tuple[TenantView, ...]) -> list[tuple[object, ...]]:
+    """Give a row for each tenant, with what it sets itself; the rest is inherited."""
+    return [
+        (
+            item.name,
+            *(item.limits.get(name, "") for name in LIMIT_NAMES),
+            item.fingerprints,
+            item.revision,
+        )
+        for item in tenants
+    ]
+
+
 def node_rows(view: TreeView) -> list[tuple[object, ...]]:
     """Give a row for each override: path, revision, setting, value."""
     rows: list[tuple[object, ...]] = []
--- a/src/peppershore/process/control/change_ids.py
+++ b/src/peppershore/process/control/change_ids.py
@@ -14,6 +14,7 @@
 import re
 
 from peppershore.version.model import (
+    ChangeTenantKeys,
     Edit,
     Operation,
     PromoteSecret,
@@ -71,5 +72,5 @@
             return f"zone:{name}"
         case PutSecret(name=name) | PromoteSecret(name=name) | RemoveSecret(name=name):
             return f"secret:{name}"
-        case SetTenant(name=name) | RemoveTenant(name=name):
+        case SetTenant(name=name) | ChangeTenantKeys(name=name) | RemoveTenant(name=name):
             return f"tenant:{name}"
--- a/src/peppershore/process/control/redaction.py
+++ b/src/peppershore/process/control/redaction.py
@@ -7,6 +7,7 @@
 
 from peppershore.connection.messages.relay import CommittedEdit
 from peppershore.version.model import (
+    ChangeTenantKeys,
     Edit,
     Operation,
     PutSecret,
@@ -52,6 +53,6 @@
 def _hide_in_operation(operation: Operation) -> Operation:
     if isinstance(operation, PutSecret):
         return PutSecret(operation.name, HIDDEN_MATERIAL)
-    if isinstance(operation, SetTenant) and operation.keys is not UNSET:
+    if isinstance(operation, SetTenant | ChangeTenantKeys) and operation.keys is not UNSET:
         return msgspec.structs.replace(operation, keys=hidden_keys(operation.keys))
     return operation
--- a/src/peppershore/version/editor.py
+++ b/src/peppershore/version/editor.py
@@ -7,6 +7,7 @@
 
 import msgspec
 from msgspec import UNSET
+from returns.result import Failure
 
 from peppershore.version import model
 from peppershore.version.model import (
@@ -25,6 +26,7 @@
 )
 from peppershore.version.path import Level, parse_path, service_path
 from peppershore.version.resolve import set_values
+from peppershore.version.tenant_keys import change_keys
 from peppershore.version.tenants import given_limits
 from peppershore.version.tree_index import derive_index, index_of, split_path
 
@@ -216,6 +218,27 @@
         )
         self._tenant_names.add(operation.name)
 
+    @apply.register
+    def _change_tenant_keys(self, operation: model.ChangeTenantKeys) -> None:
+        subject = f"{TENANT_SUBJECT}{operation.name}"
+        known = self._tenants.get(operation.name)
+        if known is None:
+            self._refuse(Problem(subject, "there is no such tenant", ""))
+            return
+        changed = change_keys(known.keys, operation.keys, operation.drop)
+        if isinstance(changed, Failure):
+            for reason in changed.failure():
+                self._refuse(Problem(subject, reason, ""))
+            return
+        self._own_tenants()
+        self._tenants[operation.name] = msgspec.structs.replace(
+            known,
+            keys=changed.unwrap(),
+            revision=self._version,
+            change_id=self._change_id,
+        )
+        self._tenant_names.add(operation.name)
+
     @apply.register
     def _remove_tenant(self, operation: model.RemoveTenant) -> None:
         if operation.name not in self._tenants:
--- a/src/peppershore/version/model.py
+++ b/src/peppershore/version/model.py
@@ -329,6 +329,25 @@
         return f"SetTenant(name={self.name!r}, keys=<{keys}>)"
 
 
+class ChangeTenantKeys(Value, frozen=True, tag="change_tenant_keys"):
+    """Give a tenant further keys and take others away; its limits stay.
+
+    ``keys`` are those to add.  ``drop`` are fingerprints: those who change keys see no
+    more of them.
+    """
+
+    name: str
+    keys: tuple[str, ...] = ()
+    drop: tuple[str, ...] = ()
+
+    def __repr__(self) -> str:
+        """Keep key material out of logs and tracebacks."""
+        return (
+            f"ChangeTenantKeys(name={self.name!r}, keys=<{len(self.keys)} hidden>, "
+            f"drop=<{len(self.drop)}>)"
+        )
+
+
 class RemoveTenant(Value, frozen=True, tag="remove_tenant"):
     """Remove a tenant; its keys are of no use any more."""
 
@@ -345,6 +364,7 @@
     | PromoteSecret
     | RemoveSecret
     | SetTenant
+    | ChangeTenantKeys
     | RemoveTenant
 )
 
--- a/src/peppershore/version/tenants.py
+++ b/src/peppershore/version/tenants.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import math
+import re
 from collections.abc import Iterable, Mapping
 from typing import Any, Protocol
 
@@ -22,6 +23,7 @@
     Value,
 )
 from peppershore.version.path import NAME_RULE, is_name
+from peppershore.version.resolve import BUILT_IN, Origin
 
 MAXIMUM_KEYS_OF_TENANT = 1_024
 MAXIMUM_KEY_BYTES = 4_096
@@ -38,6 +40,8 @@
 FINGERPRINT_SIGNS = 8
 """Hexadecimal signs of a key's digest that people are shown to tell keys apart."""
 
+FINGERPRINT_FORM = re.compile(rf"sha256:[0-9a-f]{{{FINGERPRINT_SIGNS}}}", re.ASCII)
+
 HIDDEN_MARK = "\0"
 """Begins what stands in a key's place where operators see a tree.  No key holds such a
 sign, so that it can't be taken for a key, nor be set as one."""
@@ -83,6 +87,9 @@
 }
 """Settings of the root that tenants inherit, by the name of what they give."""
 
+LIMIT_NAMES = tuple(_ROOT_NAMES)
+"""What a tenant may set, or else inherits."""
+
 
 def key_digest(key: bytes) -> bytes:
     """Give the digest (SHA-256, 32 bytes) by which nodes know a key."""
@@ -101,6 +108,11 @@
     return f"sha256:{key_digest(key.encode()).hex()[:FINGERPRINT_SIGNS]}"
 
 
+def is_fingerprint(text: str) -> bool:
+    """Whether this has the form of a key's fingerprint, so that no key is taken for one."""
+    return FINGERPRINT_FORM.fullmatch(text) is not None
+
+
 def is_hidden(key: str) -> bool:
     """Whether this stands in the place of a key that was hidden."""
     return key.startswith(HIDDEN_MARK)
@@ -129,6 +141,22 @@
     return TenantLimits(**{**found, **given_limits(tenant)})
 
 
+def limit_origins(tree: Tree, name: str) -> tuple[Origin, ...]:
+    """Give what holds for a tenant, and whether the tenant, the root or none sets it."""
+    limits = limits_of(tree, name)
+    own = given_limits(tree.tenants[name])
+    root = tree.nodes[ROOT_PATH].overrides
+    origins: list[Origin] = []
+    for limit, setting in _ROOT_NAMES.items():
+        path = BUILT_IN
+        if limit in own:
+            path = f"tenant:{name}"
+        elif getattr(root, setting) is not UNSET:
+            path = ROOT_PATH
+        origins.append(Origin(limit, getattr(limits, limit), path))
+    return tuple(origins)
+
+
 def is_figure(value: Any) -> bool:
     """Whether a value is a rate or a burst that can be counted with."""
     if type(value) not in (int, float):
--- a/tests/control/test_tenants_in_the_log.py
+++ b/tests/control/test_tenants_in_the_log.py
@@ -11,7 +11,15 @@
 from peppershore.connection.packing import pack_block, unpack_block
 from peppershore.process.control.change_ids import may_have_run_before
 from peppershore.process.control.state import ControlState, EditAdmitted, encode_command
-from peppershore.version.model import Edit, ExpectedRevision, RemoveTenant, SetTenant
+from peppershore.version.model import (
+    ChangeTenantKeys,
+    Edit,
+    ExpectedRevision,
+    Operation,
+    RemoveTenant,
+    SetTenant,
+)
+from peppershore.version.tenants import key_fingerprint
 
 STUDIO = SetTenant("studio", 350, 0.5, keys=("studio-key",))
 EDITS = (
@@ -54,6 +62,15 @@
         assert oldest.tenants == {}
 
 
+def test_changed_keys_come_back_and_history_leads_back_to_the_former_ones() -> None:
+    edits = (*EDITS[:2], Edit("keys", (KEYS_CHANGED,)))
+    for state in (state_after(edits), restored(state_after(edits).snapshot())):
+        assert state.tree.tenants["studio"].keys == ("next-key",)
+        older = state.history.tree_at(state.tree, 2)
+        assert older is not None
+        assert older.tenants["studio"].keys == ("studio-key",)
+
+
 def older_form(encoded: bytes) -> bytes:
     """Give a snapshot as software that knew no tenants wrote it."""
     image: list[Any] = msgspec.msgpack.decode(unpack_block(encoded))
@@ -74,8 +91,11 @@
     assert again.tree.tenants.keys() == {"studio", "farm"}
 
 
-@pytest.mark.parametrize("operation", [STUDIO, RemoveTenant("farm")])
-def test_operations_come_back_from_the_log(operation: SetTenant | RemoveTenant) -> None:
+KEYS_CHANGED = ChangeTenantKeys("studio", ("next-key",), (key_fingerprint("studio-key"),))
+
+
+@pytest.mark.parametrize("operation", [STUDIO, KEYS_CHANGED, RemoveTenant("farm")])
+def test_operations_come_back_from_the_log(operation: Operation) -> None:
     edit = Edit("id", (operation,))
     payload = msgspec.msgpack.encode(edit)
     assert msgspec.msgpack.decode(payload, type=Edit) == edit
@@ -83,5 +103,6 @@
 
 def test_a_tenant_s_expected_revision_keeps_an_old_edit_from_running_twice() -> None:
     seen = (ExpectedRevision("tenant:studio", 5),)
-    assert not may_have_run_before(Edit("id", (STUDIO,), seen), horizon_version=9)
+    for operation in (STUDIO, KEYS_CHANGED):
+        assert not may_have_run_before(Edit("id", (operation,), seen), horizon_version=9)
     assert may_have_run_before(Edit("id", (RemoveTenant("farm"),), seen), horizon_version=9)
--- a/tests/version/test_tenants.py
+++ b/tests/version/test_tenants.py
@@ -4,8 +4,10 @@
 
 import hashlib
 import math
+import re
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -15,6 +17,7 @@
 from peppershore.version.catalog import ScopeCatalog
 from peppershore.version.difference import Difference, compare_trees
 from peppershore.version.model import (
+    ChangeTenantKeys,
     Edit,
     EditConflict,
     ExpectedRevision,
@@ -30,6 +33,7 @@
 )
 from peppershore.version.revert import revert_operations
 from peppershore.version.snapshot import apply_update, empty_snapshot, open_snapshot
+from peppershore.version.tenant_keys import change_keys
 from peppershore.version.tenants import (
     HIDDEN_MARK,
     MAXIMUM_KEY_BYTES,
@@ -37,6 +41,7 @@
     hidden_keys,
     key_digest,
     key_fingerprint,
+    limit_origins,
     limits_of,
     shared_keys,
 )
@@ -104,6 +109,63 @@
     assert renamed.tree.tenants.keys() == {"mill"}
 
 
+FIRST, SECOND = (key_fingerprint(key) for key in STUDIO.keys or ())
+
+
+def test_keys_rotate_by_those_who_see_fingerprints_only() -> None:
+    tree = tree_of(STUDIO, FARM)
+    both = applied(tree, ChangeTenantKeys("studio", keys=("studio-key-three",))).tree
+    assert both.tenants["studio"].keys == (*STUDIO.keys, "studio-key-three")
+    assert both.tenants["studio"].revision == both.version
+    assert limits_of(both, "studio") == limits_of(tree, "studio"), "limits stay"
+    last = applied(both, ChangeTenantKeys("studio", drop=(FIRST, SECOND))).tree
+    assert last.tenants["studio"].keys == ("studio-key-three",)
+    none = applied(last, ChangeTenantKeys("farm", drop=(key_fingerprint("farm-key"),)))
+    assert none.tree.tenants["farm"].keys == ()
+
+
+UNFIT: dict[str, tuple[ChangeTenantKeys, str]] = {
+    "no tenant": (ChangeTenantKeys("nobody", ("k",)), "there is no such tenant"),
+    "held": (ChangeTenantKeys("studio", ("studio-key-one",)), f"has the key .* {FIRST}"),
+    "given twice": (ChangeTenantKeys("studio", ("k", "k")), "has the key"),
+    "not held": (ChangeTenantKeys("studio", (), ("sha256:00000000",)), "has no key"),
+    "no fingerprint": (ChangeTenantKeys("studio", (), ("studio-key-one",)), "is no finge"),
+    "another's": (ChangeTenantKeys("studio", ("farm-key",)), "shares a key"),
+    "empty": (ChangeTenantKeys("studio", ("",)), "key 3 is empty"),
+    "hidden": (ChangeTenantKeys("studio", hidden_keys(["k"])), "control character"),
+}
+
+
+@pytest.mark.parametrize("case", UNFIT)
+def test_keys_that_do_not_fit_change_nothing_and_are_not_shown(case: str) -> None:
+    operation, expected = UNFIT[case]
+    subject, reason = refused(tree_of(STUDIO, FARM), operation)
+    assert subject == f"tenant:{operation.name}"
+    assert re.search(expected, reason)
+    for key in ("studio-key", "farm-key"):
+        assert key not in reason
+
+
+def test_two_keys_of_one_fingerprint_are_not_told_apart() -> None:
+    held = ("key", *hidden_keys(["key"]))
+    drop = (key_fingerprint("key"),)
+    (reason,) = change_keys(held, (), drop).failure()
+    assert "has 2 keys" in reason
+
+
+def test_each_limit_tells_who_sets_it() -> None:
+    root = SetOverrides("/", Overrides(tenant_rate_per_second=7, tenant_priority=3))
+    tree = tree_of(root, SetTenant("studio", rate_per_second=0), FARM)
+    assert [(each.value, each.path) for each in limit_origins(tree, "studio")] == [
+        (0, "tenant:studio"),
+        (0, "built-in"),
+        (3, "/"),
+    ]
+    for name in ("studio", "farm"):
+        values = {each.name: each.value for each in limit_origins(tree, name)}
+        assert values == msgspec.structs.asdict(limits_of(tree, name))
+
+
 # --- rules -------------------------------------------------------------------
 
 WRONG: dict[str, tuple[SetTenant, str]] = {
--- a/tests/version/tree_strategies.py
+++ b/tests/version/tree_strategies.py
@@ -3,6 +3,7 @@
 from hypothesis import strategies
 
 from peppershore.version.model import (
+    ChangeTenantKeys,
     Operation,
     Overrides,
     PromoteSecret,
@@ -16,6 +17,7 @@
     SetZone,
     UnsetOverrides,
 )
+from peppershore.version.tenants import key_fingerprint
 
 SERVICES = ("a", "b", "c")
 ZONES = ("north", "south")
@@ -103,6 +105,12 @@
         strategies.integers(-1, 4),
         _keys,
     ),
+    strategies.builds(
+        ChangeTenantKeys,
+        _tenants,
+        _keys,
+        _keys.map(lambda keys: tuple(map(key_fingerprint, keys))),
+    ),
     strategies.builds(RemoveTenant, _tenants),
     _numbers.map(lambda rate: SetOverrides("/", Overrides(tenant_rate_per_second=rate))),
 )
