The status page counts tenants; tests that no text of them holds a key

explain names tenant explain. The tests of hidden keys now read changed keys (edit, history, log line, refusal), the command's own messages, tables and explanations.

--- a/src/peppershore/command/explain_command.py
+++ b/src/peppershore/command/explain_command.py
@@ -69,7 +69,10 @@
     admin_address: str | None,
     version: int,
 ) -> None:
-    """Show each effective setting of ROUTE of SERVICE in ZONE, and its origin."""
+    """Show each effective setting of ROUTE of SERVICE in ZONE, and its origin.
+
+    `peppershore tenant explain` does the same for a tenant's limits and priority.
+    """
     tree = context.run(read_tree(context.group, version))
     explained = explain_route(tree, service, zone, route)
     if isinstance(explained, Failure):
--- a/src/peppershore/process/status_page.py
+++ b/src/peppershore/process/status_page.py
@@ -1,7 +1,8 @@
 """The status page of a control replica: read-only HTML without outside assets.
 
-Shows the tree (secrets by name only), the version in force in each zone, who
-lags and why, the replicas and the relays.  The browser reloads it by itself.
+Shows the tree (secrets by name only, of tenants how many there are), the version
+in force in each zone, who lags and why, the replicas and the relays.
+The browser reloads it by itself.
 """
 
 from __future__ import annotations
@@ -75,7 +76,7 @@
     """Give the page's HTML; every text from outside is escaped."""
     title = f"{status.cluster}: version {status.version}"
     sections = (
-        _summary(status),
+        _summary(status, tree),
         _section(
             "Zones", ("Zone", "In force", "Relays", "Nodes", "Lagging"), _zones(status)
         ),
@@ -115,11 +116,13 @@
     )
 
 
-def _summary(status: StatusAnswered) -> str:
+def _summary(status: StatusAnswered, tree: Tree) -> str:
     lines = [
         f"In force everywhere: version {status.in_force}.",
         f"Leader: {status.leader or 'unknown'}.  Answered by {status.replica}.",
     ]
+    if tree.tenants:
+        lines.append(f"Tenants: {len(tree.tenants)}.")
     summary = "".join(f"<p>{escape(line)}</p>" for line in lines)
     remarks = "".join(f"<li>{escape(line)}</li>" for line in status_remarks(status))
     return f'{summary}<ul class="behind">{remarks}</ul>' if remarks else summary
--- a/tests/logging/test_hidden_keys.py
+++ b/tests/logging/test_hidden_keys.py
@@ -12,7 +12,9 @@
 from tests.consensus.self_kept_cluster import SelfKeptCluster, configuration
 
 from peppershore.command.history import describe
-from peppershore.command.tree_output import view_tree
+from peppershore.command.tenant_commands import explain_tenant
+from peppershore.command.tenant_keys import fingerprints, read_keys
+from peppershore.command.tree_output import tenant_rows, view_tree
 from peppershore.connection.messages.operators import StatusAnswered, TreeAnswered
 from peppershore.connection.messages.relay import CommittedEdit
 from peppershore.process.commands import Notice
@@ -31,10 +33,11 @@
 from peppershore.process.status_page import render_status
 from peppershore.version.catalog import ScopeCatalog
 from peppershore.version.difference import compare_trees
-from peppershore.version.model import Edit, Scope, SetTenant, Tree
+from peppershore.version.model import ChangeTenantKeys, Edit, Scope, SetTenant, Tree
 from peppershore.version.resource_codec import decode_resource
 from peppershore.version.snapshot import open_snapshot
 from peppershore.version.tenant_definitions import TenantDefinition
+from peppershore.version.tenant_keys import change_keys
 from peppershore.version.tenants import key_digest, key_fingerprint
 from peppershore.version.tree import apply_edit, empty_tree
 from peppershore.version.tree_file import tree_to_toml
@@ -94,6 +97,21 @@
     yield "history answer", msgspec.json.encode(seen_edit).decode()
     yield "history line", "".join(map(describe, seen_edit.operations))
     yield "history line of an open edit", "".join(map(describe, edit.operations))
+    change = ChangeTenantKeys("studio", (OTHER_KEY,), (key_fingerprint(KEY),))
+    of_keys = Edit("id", (change,))
+    seen_change = edits_without_material((CommittedEdit(2, of_keys),))[0].edit
+    yield "changed keys", repr(of_keys)
+    yield "history answer of changed keys", msgspec.json.encode(seen_change).decode()
+    yield (
+        "history line of changed keys",
+        describe(change) + describe(*seen_change.operations),
+    )
+    yield "log line of changed keys", log_line(of_keys)
+    yield "refused keys", repr(change_keys((KEY,), (KEY, KEY), (OTHER_KEY,)))
+    yield "fingerprints asked for", repr(fingerprints((KEY,)))
+    yield "file that is none", repr(read_keys((KEY,)))
+    yield "explained", msgspec.json.encode(explain_tenant(after, "studio")).decode()
+    yield "table of tenants", repr(tenant_rows(view_tree(after).tenants))
     yield "difference", repr(compare_trees(before, after))
     yield "difference of hidden trees", repr(compare_trees(shown, after))
     yield "tree view", msgspec.json.encode(view_tree(after)).decode()
@@ -140,6 +158,21 @@
     assert "keys" not in describe(SetTenant("studio", 5)), "kept keys are not told"
 
 
+def test_changed_keys_are_told_by_fingerprints() -> None:
+    change = ChangeTenantKeys("studio", (OTHER_KEY,), (key_fingerprint(KEY),))
+    told = f"tenant keys studio +{key_fingerprint(OTHER_KEY)} -{key_fingerprint(KEY)}"
+    assert describe(change) == told
+    hidden = edits_without_material((CommittedEdit(2, Edit("id", (change,))),))[0]
+    assert describe(*hidden.edit.operations) == told
+
+
+def test_the_status_page_counts_tenants() -> None:
+    _, after, _ = two_trees()
+    status = StatusAnswered("mesh", "c1", "c1", 2, 2, (), (), ())
+    assert "Tenants: 1." in render_status(status, after)
+    assert "Tenants" not in render_status(status, empty_tree("mesh"))
+
+
 def test_the_operators_read_their_keys_back() -> None:
     assert KEY.encode() in encode_configuration(keyed(KEY))
 
