Calls with a wrong key have at most ten lines a second for each reason; causes tell what decided

Each refused key wrote a line of its own: a caller with a wrong key took all of the 100 lines of calls a second that a process may write, and other calls had none. Now no-key, unknown-key and configuration-not-confirmed have ten lines a second each at a node with tenants, and the next line says for how many others it stands (lines_left_out). Calls that name a tenant, other reasons and nodes without tenants are as before, but for the new field. Every call still counts in peppershore_call_seconds. What is left out after the last line of a flood stands only in that metric until the next such call.

logs causes gives the versions that decided and for how long they were unconfirmed at worst, counts calls without a line, and names a full link.

--- a/src/peppershore/command/logs_command.py
+++ b/src/peppershore/command/logs_command.py
@@ -10,12 +10,21 @@
 
 from peppershore.command.link_loads import BusyLink, KindLoad, link_loads
 from peppershore.command.log_files import LogFiles, LogLine, read_logs
-from peppershore.command.lost_calls import CALL_EVENT, lost_calls
+from peppershore.command.lost_calls import CALL_EVENT, calls_of, lost_calls
 from peppershore.command.output import show_json, show_table
 from peppershore.command.version_times import NodeWait, VersionWaits, version_times
 
 CALL_HEADER = ("calls", "service", "route", "outcome", "reason", "an example")
-CAUSE_HEADER = ("calls", "cause", "target", "reason", "an example")
+CAUSE_HEADER = (
+    "calls",
+    "cause",
+    "target",
+    "reason",
+    "an example",
+    "from version",
+    "to version",
+    "unconfirmed ms",
+)
 SECOND_HEADER = ("second", "cause", "calls")
 NODE_HEADER = ("last node", "cause", "calls")
 SHOWN_NODES = 20
@@ -57,7 +66,7 @@
 
 
 class CallEnds(msgspec.Struct, frozen=True):
-    """Logged calls that ended alike; ``example`` is the last one's request id."""
+    """Calls that ended alike; ``example`` is the last logged one's request id."""
 
     calls: int
     service: str
@@ -111,7 +120,12 @@
 @click.argument("files", nargs=-1, required=True, type=click.File("r", errors="replace"))
 @click.option("--json", "as_json", is_flag=True, help="One JSON object as output.")
 def causes(files: tuple[TextIO, ...], as_json: bool) -> None:
-    """Tell why calls failed, by cause, second and back end, from FILES of all nodes."""
+    """Tell why calls failed, by cause, second and back end, from FILES of all nodes.
+
+    With the versions that nodes went by, and for how long one of them had not heard a
+    confirmation of its version (-1: never).  Calls without a line of their own count
+    with the next line of their kind.
+    """
     found = lost_calls(read_logs(files).lines)
     if as_json:
         show_json(found)
@@ -234,7 +248,7 @@
         if line.event != CALL_EVENT:
             continue
         kind = (line.service, line.route, line.outcome, line.reason)
-        counts[kind] += 1
+        counts[kind] += calls_of(line)
         examples[kind] = line.request_id
     return tuple(
         CallEnds(count, *kind, example=examples[kind])
--- a/src/peppershore/command/lost_calls.py
+++ b/src/peppershore/command/lost_calls.py
@@ -13,11 +13,13 @@
 import msgspec
 
 from peppershore.command.log_files import LogLine
-from peppershore.request.outcome import FIRST_SERVER_ERROR, LOAD_REASONS
+from peppershore.request.outcome import FIRST_SERVER_ERROR, LINK_FULL, LOAD_REASONS
 
 CALL_EVENT = "call_story"
 SERVED_EVENT = "served_story"
 MILLISECONDS = 1_000
+NEVER_CONFIRMED = -1
+"""The age, in lines of calls, of a configuration that was never confirmed."""
 
 FREE_WITHIN_SECONDS = 1
 """A slot counts as free elsewhere if an owner told of one in the same second."""
@@ -27,6 +29,7 @@
 NO_CONFIGURATION = "node without configuration"
 NO_ROUTE = "no such route"
 NO_KNOWN_KEY = "no key of a tenant"
+LINK_WITHOUT_ROOM = "no room on a link"
 NODE_STOPPING = "node stopping"
 NOBODY_READY = "no back end known"
 BACK_END_FAILED = "back end failed"
@@ -45,6 +48,7 @@
     "no-key": NO_KNOWN_KEY,
     "unknown-key": NO_KNOWN_KEY,
     "key-changed-hands": NO_KNOWN_KEY,
+    LINK_FULL: LINK_WITHOUT_ROOM,
     "node-stopping": NODE_STOPPING,
     "back-end-leaving": NODE_STOPPING,
     "nobody-ready": NOBODY_READY,
@@ -64,13 +68,20 @@
 
 
 class LostCalls(msgspec.Struct, frozen=True):
-    """Calls that failed alike; ``example`` is the request id of one of them."""
+    """Calls that failed alike; ``example`` is the request id of one of them.
+
+    The nodes' versions when they did, and for how long one of them had heard no
+    confirmation at worst (-1: never); 0, 0 and 0 where the lines do not tell.
+    """
 
     calls: int
     cause: str
     target: str
     reason: str
     example: str
+    lowest_version: int = 0
+    highest_version: int = 0
+    unconfirmed_milliseconds: int = 0
 
 
 class LostTables(msgspec.Struct, frozen=True):
@@ -96,18 +107,21 @@
     by_second: Counter[tuple[int, str]] = Counter()
     by_node: Counter[tuple[str, str]] = Counter()
     examples: dict[tuple[str, str, str], str] = {}
+    decided_by: dict[tuple[str, str, str], _DecidedBy] = {}
     for story in stories:
         target = str(story.fields.get("target", ""))
         cause = _cause(story, target, free)
         kind = (cause, target, story.reason or f"status-{story.status}")
-        by_cause[kind] += 1
+        count = calls_of(story)
+        by_cause[kind] += count
+        decided_by.setdefault(kind, _DecidedBy()).add(story)
         examples.setdefault(kind, story.request_id)
-        by_second[_second(story) - first, cause] += 1
-        by_node[_last_node(story), cause] += 1
+        by_second[_second(story) - first, cause] += count
+        by_node[_last_node(story), cause] += count
     return LostTables(
-        calls=len(stories),
+        calls=by_cause.total(),
         by_cause=tuple(
-            LostCalls(count, *kind, example=examples[kind])
+            LostCalls(count, *kind, examples[kind], *decided_by[kind].shown())
             for kind, count in by_cause.most_common()
         ),
         by_second=tuple((*kind, by_second[kind]) for kind in sorted(by_second)),
@@ -115,6 +129,37 @@
     )
 
 
+def calls_of(story: LogLine) -> int:
+    """Give of how many calls a line tells: its own, and those that have none."""
+    left_out = story.fields.get("lines_left_out")
+    return 1 + (left_out if isinstance(left_out, int) else 0)
+
+
+class _DecidedBy:
+    """By which configurations calls that failed alike were judged."""
+
+    def __init__(self) -> None:
+        self._versions: list[int] = []
+        self._ages: list[int] = []
+
+    def add(self, story: LogLine) -> None:
+        """Take in what a line tells."""
+        version = story.fields.get("version")
+        age = story.fields.get("configuration_age_milliseconds")
+        if isinstance(version, int):
+            self._versions.append(version)
+        if isinstance(age, int):
+            self._ages.append(age)
+
+    def shown(self) -> tuple[int, int, int]:
+        """Give the lowest and the highest version, and the worst age."""
+        lowest = min(self._versions, default=0)
+        highest = max(self._versions, default=0)
+        is_never = NEVER_CONFIRMED in self._ages
+        worst = NEVER_CONFIRMED if is_never else max(self._ages, default=0)
+        return lowest, highest, worst
+
+
 def _is_failure(line: LogLine) -> bool:
     return line.outcome != "answered" or line.status >= FIRST_SERVER_ERROR
 
--- a/src/peppershore/process/node/data/call_entry.py
+++ b/src/peppershore/process/node/data/call_entry.py
@@ -168,6 +168,11 @@
             return Failure(NotRun(STATUS_TOO_MANY_REQUESTS, "caller-rate", advice))
         return Success(EntryPlan(plan, caller, whose))
 
+    @property
+    def asks_for_keys(self) -> bool:
+        """Whether there are tenants, whose calls come with a key."""
+        return self._tenants.keys.in_force
+
     def refusal_of_key(self, whose: OnBehalf, now: float) -> NotRun | None:
         """Give why a call that waited may not go on with its key, if it may not."""
         refusal = self._tenants.refusal(whose, self._freshness.age_seconds(now))
--- a/src/peppershore/process/node/data/call_story.py
+++ b/src/peppershore/process/node/data/call_story.py
@@ -50,7 +50,8 @@
 
     The configuration's age is -1 where it was never confirmed to be the latest.
     ``fingerprint`` is the same for a request that is sent again; ``tenant`` on whose
-    behalf it was made, "" where there is none or none is known.
+    behalf it was made, "" where there is none or none is known.  Of calls without a good
+    key only some have a line; ``lines_left_out`` others were refused alike before it.
     """
 
     level: ClassVar[str] = "info"
@@ -68,6 +69,7 @@
     steps: tuple[CallStep, ...]
     fingerprint: str = ""
     tenant: str = ""
+    lines_left_out: int = 0
 
 
 class ServedStory(Notice, frozen=True):
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -36,6 +36,7 @@
 from peppershore.process.node.data.owner_links import OwnerLinks
 from peppershore.process.node.data.paced_answer import LargeTerms, PacedAnswer
 from peppershore.process.node.data.quarantine_gate import QuarantineGate
+from peppershore.process.node.data.refusal_lines import RefusalLines
 from peppershore.process.node.data.service_admissions import ServiceAdmissions
 from peppershore.process.node.profile import retry_bound, wire_names
 from peppershore.process.settings import NodeSettings
@@ -108,6 +109,7 @@
         self.figures = CallFigures()
         self._settings = settings
         self.log = CallLog(notice_sink, settings.log_answered_every)
+        self._refusal_lines = RefusalLines()
         self._links = links
         self.names = wire_names(settings.headers)
         self.freshness = Freshness()
@@ -344,6 +346,11 @@
         story: StoryBook,
     ) -> None:
         now = self.loop.time()
+        left_out: int | None = 0
+        if plan is None and self._entry.asks_for_keys:
+            left_out = self._refusal_lines.take(end.reason, now)
+        if left_out is None:
+            return
         active = self.configuration
         age = self.freshness.age_seconds(now)
         self.log.write(
@@ -363,5 +370,6 @@
                 steps=story.steps,
                 fingerprint=story.fingerprint.name,
                 tenant="" if plan is None else plan.tenant,
+                lines_left_out=left_out,
             )
         )
--- a/tests/command/test_log_commands.py
+++ b/tests/command/test_log_commands.py
@@ -130,6 +130,56 @@
     )
 
 
+def test_causes_name_a_full_link(tmp_path: Path) -> None:
+    file = tmp_path / "nodes.log"
+    file.write_text(written("e1", lost("r-1", "link-full"), 5))
+    shown = CliRunner().invoke(main, ["logs", "causes", str(file), "--json"])
+    (cause,) = json.loads(shown.output)["by_cause"]
+    assert (cause["cause"], cause["reason"]) == ("no room on a link", "link-full")
+
+
+def test_causes_tell_what_decided_a_401_and_count_calls_without_a_line(
+    tmp_path: Path,
+) -> None:
+    def refused(number: int, version: int, age: int, left_out: int = 0) -> str:
+        story = msgspec.structs.replace(
+            lost(f"r-{number}", "unknown-key", status=401),
+            target="",
+            version=version,
+            configuration_age_milliseconds=age,
+            lines_left_out=left_out,
+        )
+        return written("e1", story, number)
+
+    file = tmp_path / "nodes.log"
+    lines = [refused(1, 12, 40), refused(2, 14, 900, 30), refused(3, 13, 7)]
+    file.write_text("\n".join(lines))
+    shown = CliRunner().invoke(main, ["logs", "causes", str(file), "--json"])
+    found = json.loads(shown.output)
+    assert found["calls"] == 33
+    assert found["by_cause"] == [
+        {
+            "calls": 33,
+            "cause": "no key of a tenant",
+            "target": "",
+            "reason": "unknown-key",
+            "example": "r-1",
+            "lowest_version": 12,
+            "highest_version": 14,
+            "unconfirmed_milliseconds": 900,
+        }
+    ]
+    assert [row[2] for row in found["by_second"]] == [33]
+    table = CliRunner().invoke(main, ["logs", "causes", str(file)]).output
+    assert "unknown-key  r-1         12            14          900" in table
+    summary = CliRunner().invoke(main, ["logs", "summary", str(file), "--json"])
+    assert json.loads(summary.output)["calls"][0]["calls"] == 33
+    file.write_text("\n".join([*lines, refused(4, 9, -1)]))
+    shown = CliRunner().invoke(main, ["logs", "causes", str(file), "--json"])
+    (cause,) = json.loads(shown.output)["by_cause"]
+    assert (cause["lowest_version"], cause["unconfirmed_milliseconds"]) == (9, -1)
+
+
 def test_causes_of_failed_calls_by_the_lines_of_all_nodes(tmp_path: Path) -> None:
     free = msgspec.structs.replace(SERVED, request_id="other", running=3)
     lines = [
--- a/tests/data_plane/test_calls_of_tenants.py
+++ b/tests/data_plane/test_calls_of_tenants.py
@@ -204,6 +204,30 @@
     return [msgspec.structs.asdict(each) for each in node.notices if each.is_call]
 
 
+def test_a_flood_of_wrong_keys_has_few_lines_and_each_call_is_counted() -> None:
+    async def scene() -> None:
+        stage = Stage(ScriptedBackend(), "own")
+        address = await stage.start()
+        caller = await Caller.connect(address)
+        for _ in range(200):
+            caller.request(headers=showing("key-of-nobody"))
+            assert (await caller.answer()).status == 401
+        assert (await call(address, headers=showing(ANNA_KEY))).status == 200
+        lines = _lines(stage.entry)
+        refused = [line for line in lines if line["reason"] == "unknown-key"]
+        assert 10 <= len(refused) < 200
+        assert lines[-1]["tenant"] == "anna", "calls with a key have their lines"
+        stage.entry.plane.calls.freshness.confirmed(-100.0)
+        put_off = await call(address, headers=showing("key-of-nobody"))
+        assert put_off.reason == "configuration-not-confirmed"
+        line = _lines(stage.entry)[-1]
+        assert (line["reason"], line["lines_left_out"]) == (put_off.reason, 0)
+        caller.close()
+        await stage.stop()
+
+    run(scene())
+
+
 def _assert_keys_are_nowhere(stage: Stage) -> None:
     for node in stage.nodes:
         written = repr(node.notices)
