--- a/tests/operations_pages/test_pages_run.py
+++ b/tests/operations_pages/test_pages_run.py
@@ -15,7 +15,9 @@
 from click.testing import CliRunner
 
 from peppershore.command.main import main
+from peppershore.command.options import REPLICA_VARIABLE
 from peppershore.process.storage.errors import StoreRefusal
+from peppershore.version.tenants import key_fingerprint
 from peppershore_lab.fleet.addresses import AddressBlock
 
 PROJECT = Path(__file__).parents[2]
@@ -112,6 +114,21 @@
     run(folder, blocks("certificates.md", "sh"))
 
 
+def test_page_about_tenants(
+    folder: Path, replica: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv(REPLICA_VARIABLE, replica)
+    run(folder, blocks("tenants.md", "sh"))
+    output = (folder / "page.output").read_text()
+    next_key = (folder / "next.key").read_text().strip()
+    assert re.search(rf"studio +- +100 +- +{key_fingerprint(next_key)} ", output)
+    assert output.count("+ peppershore tenant set") == 6
+    for file in ("studio.key", "next.key"):
+        key = (folder / file).read_text().strip()
+        shown = [line for line in output.splitlines() if key in line]
+        assert all(line.startswith("+") for line in shown), "only what bash -x tells"
+
+
 def test_page_about_installing(folder: Path) -> None:
     """All but the two lines of pip, which `make install` runs with the same words."""
     script = blocks("install.md", "sh")
@@ -143,6 +160,7 @@
         "claims.md",
         "install.md",
         "replicas.md",
+        "tenants.md",
     }
     if blocks(page, "sh"):
         assert page in run_here | run_elsewhere
--- a/tests/operations_pages/test_walks.py
+++ b/tests/operations_pages/test_walks.py
@@ -64,6 +64,7 @@
         (walks.refused_under_load, walks.REFUSED_ID),
         (walks.lost_back_end, walks.LOST_ID),
         (walks.out_of_date_node, walks.STALE_ID),
+        (walks.dropped_key, walks.KEY_ID),
     ],
 )
 def test_lines_of_the_walk(
--- a/tests/operations_pages/walks.py
+++ b/tests/operations_pages/walks.py
@@ -1,4 +1,4 @@
-"""The three failures that docs/OPERATIONS.md walks through, played on real data planes."""
+"""The four failures that docs/OPERATIONS.md walks through, played on real data planes."""
 
 from __future__ import annotations
 
@@ -17,12 +17,20 @@
 )
 
 from peppershore.process.commands import Notice
-from peppershore.version.model import SecretGeneration, SecretResource, ServiceSettings
+from peppershore.version.model import (
+    SecretGeneration,
+    SecretResource,
+    ServiceSettings,
+    TenantResource,
+)
+from peppershore.version.tenants import key_digest
 
 REFUSED_ID = "r-refused"
 LOST_ID = "r-lost"
 STALE_ID = "r-stale"
 STALE_SECONDS = 9.0
+KEY_ID = "r-key"
+CONFIRMED_SECONDS = 0.2
 
 
 class Walk(msgspec.Struct, frozen=True):
@@ -95,6 +103,19 @@
     return Walk(tuple(edge.notices))
 
 
+async def dropped_key() -> Walk:
+    """A caller goes on with a key that its tenant no longer has."""
+    edge = Node("e1")
+    studio = TenantResource("studio", (key_digest(b"the next key"),))
+    address = await edge.start(endpoint("127.0.0.1:1", "k1"), tenants={"studio": studio})
+    now = asyncio.get_running_loop().time()
+    edge.plane.calls.freshness.confirmed(now - CONFIRMED_SECONDS)
+    headers = {"x-request-id": KEY_ID, "authorization": "Bearer the-former-key"}
+    await call(address, headers=headers)
+    await edge.plane.close()
+    return Walk(tuple(edge.notices))
+
+
 async def _ended(edge: Node, owner: Node, backend: ScriptedBackend) -> Walk:
     await edge.plane.close()
     await owner.plane.close()
