--- a/src/peppershore/command/secret_commands.py
+++ b/src/peppershore/command/secret_commands.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 import secrets
-import sys
-from pathlib import Path
 
 import click
 from returns.result import Failure, Result, Success
@@ -16,12 +14,12 @@
 from peppershore.command.edit_options import EditNames, edit_options, run_edit
 from peppershore.command.edits import read_tree
 from peppershore.command.failures import Failed, not_found, usage
+from peppershore.command.material_files import read_bounded
 from peppershore.command.options import OperatorContext, operator_options
 from peppershore.command.output import show_json, show_table, stop_with
 from peppershore.command.tree_output import view_tree
 from peppershore.version.model import PutSecret, RemoveSecret
 
-STANDARD_INPUT = "-"
 DEFAULT_MATERIAL_BYTES = 32
 MIN_MATERIAL_BYTES = 16
 MAX_MATERIAL_BYTES = 65_536
@@ -140,7 +138,7 @@
         return Success(secrets.token_bytes(generate))
     assert from_file is not None
     try:
-        material = _read_bytes(from_file)
+        material = read_bounded(from_file, MAX_MATERIAL_BYTES)
     except OSError as problem:
         message = f"{from_file} can't be read: {problem.strerror}"
         return Failure(usage(message, "give a readable file"))
@@ -149,10 +147,3 @@
         message = f"{from_file} holds {len(material)} bytes; allowed are {allowed}"
         return Failure(usage(message, "give a file of that size"))
     return Success(material)
-
-
-def _read_bytes(source: str) -> bytes:
-    if source == STANDARD_INPUT:
-        return sys.stdin.buffer.read(MAX_MATERIAL_BYTES + 1)
-    with Path(source).open("rb") as file:
-        return file.read(MAX_MATERIAL_BYTES + 1)
--- a/src/peppershore/command/tenant_keys.py
+++ b/src/peppershore/command/tenant_keys.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-import sys
-from pathlib import Path
-
 from returns.result import Failure, Result, Success
 
 from peppershore.command.failures import Failed, usage
+from peppershore.command.material_files import read_bounded
 from peppershore.version.tenants import (
     MAXIMUM_KEY_BYTES,
     MAXIMUM_KEYS_OF_TENANT,
     is_fingerprint,
 )
 
-STANDARD_INPUT = "-"
 MAXIMUM_FILE_BYTES = MAXIMUM_KEYS_OF_TENANT * (MAXIMUM_KEY_BYTES + 2)
 """As many keys as a tenant may have, with a line's end each."""
 
@@ -42,7 +39,7 @@
 def _keys_in(source: str, what: str) -> Result[list[str], Failed]:
     step = "give a readable file of text with a key in each line"
     try:
-        content = _read_bytes(source)
+        content = read_bounded(source, MAXIMUM_FILE_BYTES)
     except OSError as problem:
         return Failure(usage(f"{what} can't be read: {problem.strerror}", step))
     if len(content) > MAXIMUM_FILE_BYTES:
@@ -56,10 +53,3 @@
     if not keys:
         return Failure(usage(f"{what} holds no key", step))
     return Success(keys)
-
-
-def _read_bytes(source: str) -> bytes:
-    if source == STANDARD_INPUT:
-        return sys.stdin.buffer.read(MAXIMUM_FILE_BYTES + 1)
-    with Path(source).open("rb") as file:
-        return file.read(MAXIMUM_FILE_BYTES + 1)
--- a/tests/operations_pages/walks.py
+++ b/tests/operations_pages/walks.py
@@ -95,12 +95,8 @@
     address = await edge.start(
         endpoint("127.0.0.1:1", "k1"), route=route, secrets={"site": secret}
     )
-    now = asyncio.get_running_loop().time()
-    edge.plane.calls.freshness.confirmed(now - STALE_SECONDS)
     headers = {"x-request-id": STALE_ID, "authorization": "Bearer x.y.z"}
-    await call(address, headers=headers)
-    await edge.plane.close()
-    return Walk(tuple(edge.notices))
+    return await _refused_at_once(edge, address, STALE_SECONDS, headers)
 
 
 async def dropped_key() -> Walk:
@@ -108,9 +104,15 @@
     edge = Node("e1")
     studio = TenantResource("studio", (key_digest(b"the next key"),))
     address = await edge.start(endpoint("127.0.0.1:1", "k1"), tenants={"studio": studio})
-    now = asyncio.get_running_loop().time()
-    edge.plane.calls.freshness.confirmed(now - CONFIRMED_SECONDS)
     headers = {"x-request-id": KEY_ID, "authorization": "Bearer the-former-key"}
+    return await _refused_at_once(edge, address, CONFIRMED_SECONDS, headers)
+
+
+async def _refused_at_once(
+    edge: Node, address: str, confirmed_seconds_ago: float, headers: dict[str, str]
+) -> Walk:
+    now = asyncio.get_running_loop().time()
+    edge.plane.calls.freshness.confirmed(now - confirmed_seconds_ago)
     await call(address, headers=headers)
     await edge.plane.close()
     return Walk(tuple(edge.notices))
