--- a/src/peppershore/command/lost_calls.py
+++ b/src/peppershore/command/lost_calls.py
@@ -30,6 +30,8 @@
 NO_ROUTE = "no such route"
 NO_KNOWN_KEY = "no key of a tenant"
 LINK_WITHOUT_ROOM = "no room on a link"
+OVER_LIMIT = "tenant over its limit"
+LIMIT_NOT_KNOWN = "nobody grants calls"
 NODE_STOPPING = "node stopping"
 NOBODY_READY = "no back end known"
 BACK_END_FAILED = "back end failed"
@@ -49,6 +51,8 @@
     "unknown-key": NO_KNOWN_KEY,
     "key-changed-hands": NO_KNOWN_KEY,
     LINK_FULL: LINK_WITHOUT_ROOM,
+    "over-limit": OVER_LIMIT,
+    "limit-not-known": LIMIT_NOT_KNOWN,
     "node-stopping": NODE_STOPPING,
     "back-end-leaving": NODE_STOPPING,
     "nobody-ready": NOBODY_READY,
--- a/tests/command/test_log_commands.py
+++ b/tests/command/test_log_commands.py
@@ -130,12 +130,20 @@
     )
 
 
-def test_causes_name_a_full_link(tmp_path: Path) -> None:
+@pytest.mark.parametrize(
+    ("reason", "expected"),
+    [
+        ("link-full", "no room on a link"),
+        ("over-limit", "tenant over its limit"),
+        ("limit-not-known", "nobody grants calls"),
+    ],
+)
+def test_causes_name_what_is_short(tmp_path: Path, reason: str, expected: str) -> None:
     file = tmp_path / "nodes.log"
-    file.write_text(written("e1", lost("r-1", "link-full"), 5))
+    file.write_text(written("e1", lost("r-1", reason), 5))
     shown = CliRunner().invoke(main, ["logs", "causes", str(file), "--json"])
     (cause,) = json.loads(shown.output)["by_cause"]
-    assert (cause["cause"], cause["reason"]) == ("no room on a link", "link-full")
+    assert (cause["cause"], cause["reason"]) == (expected, reason)
 
 
 def test_causes_tell_what_decided_a_401_and_count_calls_without_a_line(
