--- a/tests/operations_pages/walks.py
+++ b/tests/operations_pages/walks.py
@@ -1,4 +1,4 @@
-"""The three failures that docs/OPERATIONS.md walks through, played on real data planes."""
+"""The four failures that docs/OPERATIONS.md walks through, played on real data planes."""
 
 from __future__ import annotations
 
@@ -17,12 +17,20 @@
 )
 
 from peppershore.process.commands import Notice
-from peppershore.version.model import SecretGeneration, SecretResource, ServiceSettings
+from peppershore.version.model import (
+    SecretGeneration,
+    SecretResource,
+    ServiceSettings,
+    TenantResource,
+)
+from peppershore.version.tenants import key_digest
 
 REFUSED_ID = "r-refused"
 LOST_ID = "r-lost"
 STALE_ID = "r-stale"
 STALE_SECONDS = 9.0
+KEY_ID = "r-key"
+CONFIRMED_SECONDS = 0.2
 
 
 class Walk(msgspec.Struct, frozen=True):
@@ -87,9 +95,24 @@
     address = await edge.start(
         endpoint("127.0.0.1:1", "k1"), route=route, secrets={"site": secret}
     )
-    now = asyncio.get_running_loop().time()
-    edge.plane.calls.freshness.confirmed(now - STALE_SECONDS)
     headers = {"x-request-id": STALE_ID, "authorization": "Bearer x.y.z"}
+    return await _refused_at_once(edge, address, STALE_SECONDS, headers)
+
+
+async def dropped_key() -> Walk:
+    """A caller goes on with a key that its tenant no longer has."""
+    edge = Node("e1")
+    studio = TenantResource("studio", (key_digest(b"the next key"),))
+    address = await edge.start(endpoint("127.0.0.1:1", "k1"), tenants={"studio": studio})
+    headers = {"x-request-id": KEY_ID, "authorization": "Bearer the-former-key"}
+    return await _refused_at_once(edge, address, CONFIRMED_SECONDS, headers)
+
+
+async def _refused_at_once(
+    edge: Node, address: str, confirmed_seconds_ago: float, headers: dict[str, str]
+) -> Walk:
+    now = asyncio.get_running_loop().time()
+    edge.plane.calls.freshness.confirmed(now - confirmed_seconds_ago)
     await call(address, headers=headers)
     await edge.plane.close()
     return Walk(tuple(edge.notices))
