Waiting calls: fair shares of tenants within a rank

Cause: by the earliest deadline alone, a tenant that sends nine times as much takes nine times the slots. Each tenant has a line and a virtual time; calls without a tenant are one line, by deadline as before. Early refusal at the entry is a core that nothing asks yet.

--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -31,6 +31,7 @@
     pick,
 )
 from peppershore.request.seeking import SlotSeeking
+from peppershore.request.tenants.weights import ConfiguredWeights, ShareWeights
 from peppershore.request.version_lanes import Lane, draw_lane, split_lanes
 from peppershore.request.waiting import Ticket, WaitingQueue
 from peppershore.request.work_times import WorkTimes
@@ -80,10 +81,12 @@
         choose: Choice = better_of_two,
         *,
         home: str = "",
+        weights: ConfiguredWeights | None = None,
     ) -> None:
         """Start without back ends; ``choose`` picks among those that have room.
 
         ``home`` names the node itself where it chooses for its own callers.
+        ``weights`` are those of the tenants on whose behalf calls are made.
         """
         self.service = service
         self.settings = settings
@@ -95,7 +98,8 @@
         self._offered: dict[str, EndpointState] = {}
         self._lanes: dict[Lane, tuple[dict[str, EndpointState], ...]] = {}
         self._split_lanes()
-        self._queue = WaitingQueue()
+        self._shares = ShareWeights(weights or ConfiguredWeights())
+        self._queue = WaitingQueue(self._shares.weight)
         self.seeking = SlotSeeking()
         self._bulk_in_flight = 0
         self._work = WorkTimes()
@@ -185,6 +189,8 @@
 
     def offer(self, ticket: Ticket, now: float) -> Decision:
         """Decide on a new call."""
+        if ticket.tenant:
+            self._shares.asked(ticket.tenant, now)
         if not any(self._lanes[ticket.lane]):
             reason = "nobody-ready"
             return NotRun(STATUS_UNAVAILABLE, reason, NOBODY_READY_RETRY_AFTER_MILLISECONDS)
@@ -282,7 +288,7 @@
             return True
         if not len(self._queue):
             return False
-        return self._queue.ahead_of(ticket.rank, ticket.deadline) > 0
+        return self._queue.ahead_of(ticket) > 0
 
     def _bulk_allowed(self) -> bool:
         slots = sum(state.limit for state in self._offered.values())
@@ -328,8 +334,8 @@
             return self._refusal(NO_SLOT_IN_TIME, wait)
         evicted: Ticket | None = None
         if len(self._queue) >= self.settings.queue_limit:
-            evicted = self._queue.least_important()
-            if evicted is None or not _more_important(ticket, evicted):
+            evicted = self._queue.gives_way(ticket)
+            if evicted is None:
                 return self._refusal(QUEUE_FULL, wait)
             self._queue.remove(evicted)
         self._queue.push(ticket)
@@ -349,7 +355,7 @@
         slots = sum(state.slots(now) for state in states)
         if not slots:
             return 0.0
-        ahead = self._queue.ahead_of(ticket.rank, ticket.deadline)
+        ahead = self._queue.ahead_of(ticket)
         return (ahead + 1) * self._work.of_all / slots
 
     def refusal_of_impatient(self, ticket: Ticket, now: float) -> NotRun:
@@ -385,7 +391,3 @@
             return None
         state.ramp_seconds = self._slow_start_seconds
         return state.eject(now)
-
-
-def _more_important(one: Ticket, other: Ticket) -> bool:
-    return one.rank < other.rank
--- a/src/peppershore/request/waiting.py
+++ b/src/peppershore/request/waiting.py
@@ -1,16 +1,16 @@
 """The bounded queue of calls that wait for a slot.
 
-By class, priority, whether they come for the first time, deadline.
+By class, priority, whether they come for the first time, fair shares of tenants, deadline.
 """
 
 from __future__ import annotations
 
-import heapq
 import math
 from collections.abc import Callable
 
 import msgspec
 
+from peppershore.request.tenants.fair_shares import FairLine, WeightOf, equal_weight
 from peppershore.request.version_lanes import Lane
 from peppershore.version.model import CallClass
 
@@ -62,11 +62,16 @@
 
 
 class WaitingQueue:
-    """Tickets in order; the least important one gives way when it is full."""
+    """Tickets in order; the least important one gives way when it is full.
 
-    def __init__(self) -> None:
-        """Start empty."""
-        self._heaps: dict[int, list[tuple[float, int, Ticket]]] = {}
+    Within a rank the tenants who wait have fair shares; calls without a tenant go by
+    deadline.
+    """
+
+    def __init__(self, weight_of: WeightOf = equal_weight) -> None:
+        """Start empty; ``weight_of`` gives a tenant's share against those of others."""
+        self._weight_of = weight_of
+        self._lines: dict[int, FairLine[Ticket]] = {}
         self._length = 0
         self._taken = 0
 
@@ -74,51 +79,46 @@
         """Tickets that wait."""
         return self._length
 
-    def ahead_of(self, rank: int, deadline: float) -> int:
+    def ahead_of(self, ticket: Ticket) -> int:
         """Give how many waiting tickets a new one would stand behind."""
-        return sum(
-            1
-            for heap_rank, heap in self._heaps.items()
-            if heap_rank <= rank
-            for due, _, ticket in heap
-            if ticket.waiting and (heap_rank < rank or due <= deadline)
-        )
+        own_rank = ticket.rank
+        ahead = 0
+        for rank, line in self._lines.items():
+            if rank < own_rank:
+                ahead += line.waiting
+            elif rank == own_rank:
+                ahead += line.ahead_of(ticket.tenant, ticket.deadline)
+        return ahead
 
     def push(self, ticket: Ticket) -> None:
         """Add a ticket."""
         ticket.waiting = True
         self._length += 1
-        heap = self._heaps.setdefault(ticket.rank, [])
-        heapq.heappush(heap, (ticket.deadline, ticket.number, ticket))
+        line = self._lines.get(ticket.rank)
+        if line is None:
+            line = self._lines[ticket.rank] = FairLine[Ticket](self._weight_of)
+        line.push(ticket)
 
     def remove(self, ticket: Ticket) -> None:
         """Take a ticket out, wherever it stands."""
         if ticket.waiting:
             ticket.waiting = False
             self._length -= 1
-            self._compact(self._heaps[ticket.rank])
+            self._lines[ticket.rank].left(ticket)
 
     def peek(self, with_bulk: bool = True) -> Ticket | None:
         """Give the next ticket; without ``with_bulk`` those of that class stay."""
-        ranks = sorted(self._heaps, reverse=self._lowest_first())
-        for rank in ranks:
+        for rank in sorted(self._lines, reverse=self._lowest_first()):
             if rank >= BULK_RANK and not with_bulk:
                 continue
-            heap = self._heaps[rank]
-            while heap and not heap[0][2].waiting:
-                heapq.heappop(heap)
-            if heap:
-                return heap[0][2]
+            first = self._lines[rank].first()
+            if first is not None:
+                return first
         return None
 
     def take_out(self, is_out: Callable[[Ticket], bool]) -> list[Ticket]:
         """Take out the waiting tickets for which ``is_out`` holds."""
-        out = [
-            ticket
-            for heap in self._heaps.values()
-            for _, _, ticket in heap
-            if ticket.waiting and is_out(ticket)
-        ]
+        out = [ticket for line in self._lines.values() for ticket in line if is_out(ticket)]
         for ticket in out:
             self.remove(ticket)
         return out
@@ -126,23 +126,25 @@
     def taken(self, ticket: Ticket) -> None:
         """A ticket got its slot."""
         self._taken += 1
+        if ticket.waiting:
+            self._lines[ticket.rank].served(ticket)
         self.remove(ticket)
 
-    def least_important(self) -> Ticket | None:
-        """Give the ticket that gives way first: last rank, latest deadline."""
-        for rank in sorted(self._heaps, reverse=True):
-            waiting = [entry for entry in self._heaps[rank] if entry[2].waiting]
-            if waiting:
-                return max(waiting, key=lambda entry: entry[:2])[2]
+    def gives_way(self, ticket: Ticket) -> Ticket | None:
+        """Give the ticket that leaves its place to a new one; None if none does.
+
+        That is one of the last rank, and there of the tenant that holds most.
+        """
+        for rank in sorted(self._lines, reverse=True):
+            line = self._lines[rank]
+            if not line.waiting:
+                continue
+            last = line.last()
+            if ticket.rank < rank:
+                return last
+            is_less = ticket.rank == rank and line.holds_less(ticket.tenant, last.tenant)
+            return last if is_less else None
         return None
 
     def _lowest_first(self) -> bool:
         return self._taken % FAIRNESS_INTERVAL == FAIRNESS_INTERVAL - 1
-
-    @staticmethod
-    def _compact(heap: list[tuple[float, int, Ticket]]) -> None:
-        """Drop withdrawn tickets once they are the larger part."""
-        gone = sum(1 for entry in heap if not entry[2].waiting)
-        if gone > 16 and gone * 2 > len(heap):
-            heap[:] = [entry for entry in heap if entry[2].waiting]
-            heapq.heapify(heap)
