Early refusal at the entry of tenants who are over their share

Cause: owners' refusals come after a way there; a tenant that they refuse more often than the others is refused at once at the node that takes its calls, as far as it is seen there.

--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -29,6 +29,7 @@
 )
 from peppershore.process.node.data.claim_desk import ClaimDesk
 from peppershore.process.node.data.direct_attempt import BackEndTerms, DirectAttempt
+from peppershore.process.node.data.early_refusals import EarlyRefusals
 from peppershore.process.node.data.link_attempt import LinkAttempt
 from peppershore.process.node.data.own_attempt import OwnAttempt
 from peppershore.process.node.data.own_backend import OwnBackend
@@ -51,6 +52,7 @@
 from peppershore.request.picker import RandomSource
 from peppershore.request.running_calls import RunningCalls
 from peppershore.request.tenants.callers import OnBehalf
+from peppershore.request.tenants.weights import ConfiguredWeights
 from peppershore.version.active import ActiveConfiguration
 
 MILLISECONDS = 1_000
@@ -108,7 +110,9 @@
         self.freshness = Freshness()
         self._entry = CallEntry(settings, self.freshness, random, self.names)
         self._terms = BackEndTerms(self.names)
-        self.admissions = ServiceAdmissions(settings, notice_sink, random)
+        self.weights = ConfiguredWeights()
+        self.early_refusals = EarlyRefusals(random)
+        self.admissions = ServiceAdmissions(settings, notice_sink, random, self.weights)
         bound = retry_bound(settings.shared_retries)
         self.repeats = CallRepeats(bound, notice_sink, random)
         self._pools = BackEndPools()
@@ -151,6 +155,8 @@
         """Decide new calls by this configuration."""
         self.configuration = active
         self._entry.use_configuration(active)
+        self.weights.use(active.tenants)
+        self.early_refusals.keep_only(active.services.__contains__)
         for call in list(self._live):
             call.configuration_changed()
         if active.secrets:
@@ -284,6 +290,7 @@
         self.counts.answered += 1
         now = self.loop.time()
         self.repeats.answered(plan, now)
+        self.early_refusals.answered(plan, now)
         self.figures.ended(plan, "answered", "", now - story.began_at)
         if status >= FIRST_SERVER_ERROR or self.log.takes_answered(request_id):
             end = CallEnd("answered", "", status)
@@ -298,8 +305,10 @@
             self.counts.not_run += 1
         else:
             self.counts.unknown += 1
-        seconds = self.loop.time() - story.began_at
-        self.figures.ended(plan, end.outcome, end.reason, seconds)
+        now = self.loop.time()
+        if plan is not None:
+            self.early_refusals.failed(plan, failed, now)
+        self.figures.ended(plan, end.outcome, end.reason, now - story.began_at)
         self._tell(plan, end, request_id, story)
 
     def abandoned(self, plan: CallPlan | None, request_id: bytes, story: StoryBook) -> None:
--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -45,6 +45,7 @@
 )
 from peppershore.request.picker import RandomSource
 from peppershore.request.running_calls import RunningCalls
+from peppershore.request.tenants.weights import ConfiguredWeights
 from peppershore.request.version_evidence import VersionEvidence
 from peppershore.request.waiting import Ticket
 from peppershore.request.wire_names import OWN_NAMES, WireNames
@@ -84,8 +85,12 @@
         *,
         transfers: BodyTransfers | None = None,
         quarantine: QuarantineGate | None = None,
+        weights: ConfiguredWeights | None = None,
     ) -> None:
-        """Start with all slots free; ``transfers`` bounds large bodies on their way."""
+        """Start with all slots free; ``transfers`` bounds large bodies on their way.
+
+        ``weights`` are those of the tenants of the configuration in use.
+        """
         self.leaving = False
         self.on_not_there: Callable[[str], None] = lambda life: None
         self.slots = endpoint.slots
@@ -107,7 +112,9 @@
         self.pool = ConnectionPool(endpoint.address, endpoint.connections)
         self._node = endpoint.node
         now = asyncio.get_running_loop().time()
-        self.admission = Admission(endpoint.service, settings, endpoint.zone, random)
+        self.admission = Admission(
+            endpoint.service, settings, endpoint.zone, random, weights=weights
+        )
         self.admission.use_endpoints((endpoint,), now)
         self._numbers = itertools.count(1)
         self._waiting: dict[int, WaitingAttempt] = {}
--- a/src/peppershore/process/node/data/service_admissions.py
+++ b/src/peppershore/process/node/data/service_admissions.py
@@ -25,6 +25,7 @@
 from peppershore.request.endpoint_state import EndpointState, Verdict
 from peppershore.request.outcome import STATUS_UNAVAILABLE, NotRun
 from peppershore.request.picker import RandomSource
+from peppershore.request.tenants.weights import ConfiguredWeights
 from peppershore.request.version_lanes import Lane
 from peppershore.request.waiting import Ticket
 from peppershore.version.model import ServiceSettings
@@ -55,8 +56,13 @@
         settings: NodeSettings,
         notice_sink: Callable[[Notice], None],
         random: RandomSource,
+        weights: ConfiguredWeights,
     ) -> None:
-        """Start without services and without endpoints."""
+        """Start without services and without endpoints.
+
+        ``weights`` are those of the tenants of the configuration in use.
+        """
+        self._weights = weights
         self.own: OwnBackend | None = None
         self._loop = asyncio.get_running_loop()
         self._settings = settings
@@ -228,6 +234,7 @@
             self._settings.zone,
             self._random,
             home=self._settings.node,
+            weights=self._weights,
         )
         self._admissions[service] = admission
         self._feed(admission, service, self._loop.time())
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -427,6 +427,7 @@
         calls.names,
         transfers=transfers,
         quarantine=calls.quarantine,
+        weights=calls.weights,
     )
     if settings.back_end_listen:
         backend.leave()
--- a/src/peppershore/request/tenants/entry_shares.py
+++ b/src/peppershore/request/tenants/entry_shares.py
@@ -1,9 +1,10 @@
 """Early refusal, at the node that takes a call, of tenants who are over their share.
 
-A node learns of shortage by how the calls that it sent on ended.  Where some of a
-tenant's were refused for want of slots, it sends on little more of them than were
-answered, and refuses the rest at once.  A tenant with few calls here is never refused
-early: owners of back ends order what is left by fair shares.
+A node learns of shortage by how the calls that it sent on ended.  A tenant that owners
+refuse more often than the others asks for more than its share: the node sends on twice
+what was answered of its calls, and refuses the rest at once.  A tenant with few calls
+here is never refused early, nor one that is refused as often as all: owners of back ends
+order what is left by fair shares.
 """
 
 from __future__ import annotations
@@ -12,7 +13,6 @@
 
 import msgspec
 
-from peppershore.request.client_retries import ClientRetryPace
 from peppershore.request.outcome import STATUS_UNAVAILABLE, NotRun
 from peppershore.request.picker import RandomSource
 
@@ -24,18 +24,32 @@
 within a second."""
 
 LEAST_ENDS = 3.0
-"""Ends of a tenant's calls, after decay, without which nothing is known of it."""
+"""Ends of calls, after decay, without which nothing is known of who made them."""
 
-SHORT_SHARE = 0.05
-"""Part of its calls refused for want of slots from which on a tenant lacks room."""
+MARGIN = 0.1
+"""A tenant is over its share if it is refused more often than the others at this node, by
+this part of its calls at least."""
 
-PROBE = 1.25
-"""So many times what was answered is sent on: with less, room that comes free would stay
-unused; with more, owners refuse what they can't run."""
+DEVIATIONS = 1.5
+"""It must also be refused more often by so many standard deviations of what chance does:
+with less, those who are refused as often as all would pay for chance."""
+
+PROBE = 2.0
+"""So many times what was answered is sent on: owners give by what they see asked for, and
+use room that comes free at once."""
 
 REPEAT_PROBE = 1.0
 """The same for calls that were refused before: they pay first."""
 
+LEAST_PART = 0.5
+"""At least so many times the part of the others' calls that is answered is sent on of a
+tenant's first sends: owners serve by what they see asked for, which must not die away."""
+
+SOONEST_RETURN_SECONDS = 0.8
+LATEST_RETURN_SECONDS = 2.0
+"""Callers who are over their share come again at any moment between these: not together,
+and not before a share that has come free is used."""
+
 Kind = tuple[str, int]
 """A tenant, and the class and priority of a call of its."""
 
@@ -59,10 +73,38 @@
         self.refused *= decay
 
     @property
-    def lacks_room(self) -> bool:
-        """Whether enough is known, and too much of it was refused."""
-        ended = self.answered + self.refused
-        return ended >= LEAST_ENDS and self.refused > SHORT_SHARE * ended
+    def ended(self) -> float:
+        """Calls that were sent on and are over."""
+        return self.answered + self.refused
+
+
+class Others(msgspec.Struct, frozen=True):
+    """Calls of the other tenants that were sent on and are over, and those refused."""
+
+    ended: float
+    refused: float
+
+    @property
+    def refused_part(self) -> float:
+        """Part of them that was refused; sums differ by rounding, so at most all."""
+        return min(1.0, self.refused / self.ended) if self.ended > 0.0 else 0.0
+
+
+def _is_over_share(ends: Ends, others: Others) -> bool:
+    """Whether a tenant is refused more often than the others, as far as is known."""
+    if ends.ended < LEAST_ENDS or others.ended < LEAST_ENDS:
+        return False
+    usual = others.refused_part
+    spread = math.sqrt(usual * (1.0 - usual) * (1.0 / ends.ended + 1.0 / others.ended))
+    return ends.refused / ends.ended > usual + max(MARGIN, DEVIATIONS * spread)
+
+
+def _sent_on_part(ends: Ends, others: Others, is_client_retry: bool) -> float:
+    """Give the part of a tenant's calls to send on while it is over its share."""
+    answered = ends.answered / ends.asked
+    if is_client_retry:
+        return REPEAT_PROBE * answered
+    return max(LEAST_PART * (1.0 - others.refused_part), PROBE * answered)
 
 
 class EntryShares:
@@ -72,8 +114,7 @@
         """Start without knowledge: all is sent on."""
         self._random = random
         self._ends: dict[Kind, Ends] = {}
-        self._all = Ends()
-        self._paces: dict[str, ClientRetryPace] = {}
+        self._of_all: dict[int, Ends] = {}
         self._pruned_at = 0.0
 
     def __len__(self) -> int:
@@ -83,60 +124,47 @@
     def refusal(self, kind: Kind, is_client_retry: bool, now: float) -> NotRun | None:
         """Count a call that came; give why it is not sent on, if it is not."""
         self._prune(now)
-        ends = self._ends.get(kind)
-        if ends is None:
-            ends = self._ends[kind] = Ends(at=now)
-        ends.fade(now)
+        ends, of_all = self._seen(kind, now)
         ends.asked += 1.0
-        self._all.fade(now)
-        self._all.asked += 1.0
-        if not ends.lacks_room:
+        others = Others(
+            max(0.0, of_all.ended - ends.ended), max(0.0, of_all.refused - ends.refused)
+        )
+        if not _is_over_share(ends, others):
             return None
-        if self._random.below(1.0) < self._passing(ends, is_client_retry):
+        if self._random.below(1.0) < _sent_on_part(ends, others, is_client_retry):
             return None
-        return self._over_share(kind[0], now)
+        return self._over_share()
 
     def answered(self, kind: Kind, now: float) -> None:
         """A call that was sent on was answered."""
-        ends = self._ended(kind, now)
-        ends.answered += 1.0
-        self._all.answered += 1.0
-        pace = self._paces.get(kind[0])
-        if pace is not None:
-            pace.answered(now)
+        for ends in self._seen(kind, now):
+            ends.answered += 1.0
 
     def refused(self, kind: Kind, now: float) -> None:
         """A call that was sent on was refused for want of slots."""
-        self._ended(kind, now).refused += 1.0
-        self._all.refused += 1.0
+        for ends in self._seen(kind, now):
+            ends.refused += 1.0
 
     # --- inside
 
-    def _passing(self, ends: Ends, is_client_retry: bool) -> float:
-        """Give the part of a tenant's calls to send on.
-
-        At least as much as is answered of all calls here, so that what an owner sees
-        asked for does not shrink with what it gives.
-        """
-        probe = REPEAT_PROBE if is_client_retry else PROBE
-        usual = self._all.answered / self._all.asked
-        return max(probe * ends.answered / ends.asked, usual)
-
-    def _over_share(self, tenant: str, now: float) -> NotRun:
-        """Give each of a tenant's calls another time to come again."""
-        pace = self._paces.get(tenant)
-        if pace is None:
-            pace = self._paces[tenant] = ClientRetryPace()
-        advice = math.ceil(pace.book(0.0, now) * 1_000)
+    def _over_share(self) -> NotRun:
+        """Give each call another time to come again."""
+        window = LATEST_RETURN_SECONDS - SOONEST_RETURN_SECONDS
+        seconds = SOONEST_RETURN_SECONDS + self._random.below(window)
+        advice = math.ceil(seconds * 1_000)
         return NotRun(STATUS_UNAVAILABLE, OVER_SHARE, advice)
 
-    def _ended(self, kind: Kind, now: float) -> Ends:
+    def _seen(self, kind: Kind, now: float) -> tuple[Ends, Ends]:
+        """Give what was seen of a kind of call, and of all of its class and priority."""
         ends = self._ends.get(kind)
         if ends is None:
             ends = self._ends[kind] = Ends(at=now)
+        of_all = self._of_all.get(kind[1])
+        if of_all is None:
+            of_all = self._of_all[kind[1]] = Ends(at=now)
         ends.fade(now)
-        self._all.fade(now)
-        return ends
+        of_all.fade(now)
+        return ends, of_all
 
     def _prune(self, now: float) -> None:
         """Forget tenants who have made no call for a while."""
@@ -147,5 +175,3 @@
         self._ends = {
             kind: ends for kind, ends in self._ends.items() if ends.at >= idle_since
         }
-        there = {tenant for tenant, _ in self._ends}
-        self._paces = {name: pace for name, pace in self._paces.items() if name in there}
--- a/src/peppershore/request/waiting.py
+++ b/src/peppershore/request/waiting.py
@@ -57,8 +57,12 @@
     @property
     def rank(self) -> int:
         """What goes first, lowest first: class, the route's priority, first calls."""
-        priority = min(self.priority, PRIORITIES - 1)
-        return RANKS[self.call_class] * RANKS_OF_CLASS + 2 * priority + self.is_client_retry
+        return line_of(self.call_class, self.priority) + self.is_client_retry
+
+
+def line_of(call_class: CallClass, priority: int) -> int:
+    """Give the rank of the first sends of a class and priority, lowest first."""
+    return RANKS[call_class] * RANKS_OF_CLASS + 2 * min(priority, PRIORITIES - 1)
 
 
 class WaitingQueue:
