--- /dev/null
+++ b/tests/data_plane/test_fair_waiting.py
@@ -0,0 +1,174 @@
+"""Tenants who wait for one back end, on every way, and calls it makes for one of them."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+from tests.data_plane.scripted_backend import Received, ScriptedBackend, answer_ok
+from tests.data_plane.stage import (
+    PUBLIC_ROUTE,
+    SERVICE,
+    Caller,
+    call,
+    configuration,
+    endpoint,
+    run,
+    until,
+)
+from tests.data_plane.test_tenants import ANNA_KEY, BOB, BOB_KEY, Stage, showing
+
+from peppershore.process.node.data.early_refusals import EarlyRefusals
+from peppershore.process.randomness import Randomness
+from peppershore.request.classification import CallPlan
+from peppershore.request.outcome import NO_SLOT_IN_TIME, NotRun
+from peppershore.request.tenants.entry_shares import OVER_SHARE
+from peppershore.version.model import TenantResource
+from peppershore.version.tenants import key_digest
+
+CARL_KEY = "key-of-carl"
+TENANTS = {
+    "bob": BOB,
+    "carl": TenantResource("carl", (key_digest(CARL_KEY.encode()),)),
+    "anna": TenantResource("anna", (key_digest(ANNA_KEY.encode()),)),
+}
+
+
+class HeldOnce:
+    """A back end that answers its first call when it is let go; one path calls on."""
+
+    def __init__(self) -> None:
+        self.let_go = asyncio.Event()
+        self.outbound = ""
+
+    async def script(self, request: Received, writer: asyncio.StreamWriter) -> None:
+        if request.target == "/held":
+            await self.let_go.wait()
+        if request.target == "/outer":
+            headers = {"x-request-id": f"{request.headers['x-request-id']}.1"}
+            answer = await call(self.outbound, "/inner", headers=headers)
+            assert answer.status == 200
+        await answer_ok(request, writer)
+
+
+def _waiting(stage: Stage) -> int:
+    """Calls in line at both nodes; one that owners hold is not in line at its entry."""
+    own = stage.nodes[0].plane.calls.own
+    assert own is not None
+    at_entries = sum(node.plane.calls.admissions.waiting for node in stage.nodes)
+    return own.admission.waiting + at_entries
+
+
+@pytest.mark.parametrize("way", ["own", "owner"])
+def test_a_call_of_one_tenant_waits_behind_one_of_another_and_not_behind_all(
+    way: str,
+) -> None:
+    async def scene() -> None:
+        held = HeldOnce()
+        backend = ScriptedBackend(held.script)
+        stage = Stage(backend, way)
+        address = await stage.start(slots=1)
+        for node in stage.nodes:
+            node.plane.use_configuration(configuration(tenants=TENANTS))
+        first = await Caller.connect(address)
+        first.request("/held", headers=showing(ANNA_KEY))
+        await until(lambda: len(backend.requests) == 1)
+        callers = [await Caller.connect(address) for _ in range(7)]
+        for number, caller in enumerate(callers[:6], 1):
+            caller.request(f"/bob-{number}", headers=showing(BOB_KEY))
+            await until(lambda number=number: _waiting(stage) == number)  # type: ignore[misc]
+        callers[6].request("/carl", headers=showing(CARL_KEY))
+        await until(lambda: _waiting(stage) == 7)
+        held.let_go.set()
+        for caller in (first, *callers):
+            assert (await caller.answer()).status == 200
+        order = [each.target for each in backend.requests]
+        assert order.index("/carl") <= 3
+        await stage.stop()
+
+    run(scene())
+
+
+def test_what_a_back_end_calls_on_for_goes_before_first_sends_of_all_tenants() -> None:
+    async def scene() -> None:
+        held = HeldOnce()
+        backend = ScriptedBackend(held.script)
+        stage = Stage(backend, "owner")
+        address = await stage.start(slots=2)
+        own = stage.nodes[0]
+        own.plane.use_endpoints((endpoint(backend.address, slots=2),))
+        for node in stage.nodes:
+            node.plane.use_configuration(configuration(tenants=TENANTS))
+        held.outbound = own.addresses.callers
+        first = await Caller.connect(address)
+        first.request("/held", headers=showing(ANNA_KEY))
+        await until(lambda: len(backend.requests) == 1)
+        callers = [await Caller.connect(address) for _ in range(3)]
+        callers[0].request("/outer", headers=showing(BOB_KEY, **{"x-request-id": "aa"}))
+        await until(lambda: len(backend.requests) == 2 and _waiting(stage) == 1)
+        for caller, key in zip(callers[1:], (ANNA_KEY, CARL_KEY), strict=True):
+            caller.request("/waits", headers=showing(key))
+        await until(lambda: _waiting(stage) == 3)
+        held.let_go.set()
+        for caller in (first, *callers):
+            assert (await caller.answer()).status == 200
+        order = [each.target for each in backend.requests]
+        assert order[:3] == ["/held", "/outer", "/inner"]
+        await stage.stop()
+
+    run(scene())
+
+
+def _plan(tenant: str, is_counted: bool = True) -> CallPlan:
+    return CallPlan(
+        service=SERVICE,
+        route="all",
+        target=SERVICE,
+        call_class="normal",
+        repeatable=True,
+        hop="owner",
+        deadline=1_000.0,
+        key="",
+        settings=PUBLIC_ROUTE,
+        tenant=tenant,
+        is_counted=is_counted,
+    )
+
+
+def _shortage(early: EarlyRefusals, hot: CallPlan, usual: CallPlan) -> list[NotRun]:
+    refusals = []
+    for number in range(200):
+        now = number / 50
+        refusal = early.refusal(hot, now)
+        if refusal is not None:
+            refusals.append(refusal)
+        elif number % 5:
+            early.failed(hot, NotRun(503, NO_SLOT_IN_TIME), now)
+        else:
+            early.answered(hot, now)
+        if number % 4 == 0 and early.refusal(usual, now) is None:
+            early.answered(usual, now)
+    return refusals
+
+
+def test_one_that_owners_refuse_more_often_is_refused_at_once() -> None:
+    refusals = _shortage(EarlyRefusals(Randomness(1)), _plan("hot"), _plan("usual"))
+    assert len(refusals) > 20
+    assert {refusal.reason for refusal in refusals} == {OVER_SHARE}
+
+
+def test_calls_that_back_ends_make_and_those_of_no_tenant_are_never_refused_early() -> None:
+    early = EarlyRefusals(Randomness(1))
+    assert not _shortage(early, _plan("hot", is_counted=False), _plan("usual"))
+    assert not _shortage(early, _plan("", is_counted=False), _plan("usual"))
+
+
+def test_each_service_is_judged_by_its_own_room_and_forgotten_with_it() -> None:
+    early = EarlyRefusals(Randomness(1))
+    hot, usual = _plan("hot"), _plan("usual")
+    assert _shortage(early, hot, usual)
+    elsewhere = msgspec.structs.replace(hot, target="other")
+    assert all(early.refusal(elsewhere, 4.0 + n / 50) is None for n in range(50))
+    early.keep_only(lambda service: service == "other")
+    assert all(early.refusal(hot, 4.0 + n / 50) is None for n in range(50))
