--- a/src/peppershore/request/tenants/entry_shares.py
+++ b/src/peppershore/request/tenants/entry_shares.py
@@ -1,10 +1,10 @@
 """Early refusal, at the node that takes a call, of tenants who are over their share.
 
 A node learns of shortage by how the calls that it sent on ended.  A tenant that owners
-refuse more often than the others asks for more than its share: the node sends on three
-times what was answered of its calls, and refuses the rest at once.  A tenant with few calls
-here is never refused early, nor one that is refused as often as all: owners of back ends
-order what is left by fair shares.
+refuse more often than the others asks for more than its share: the node sends on a part of
+its calls, of repeats less than of first sends, and refuses the rest at once.  A tenant with
+few calls here is never refused early, nor one that is refused as often as all: owners of
+back ends order what is left by fair shares.
 """
 
 from __future__ import annotations
@@ -34,14 +34,14 @@
 """It must also be refused more often by so many standard deviations of what chance does:
 with less, those who are refused as often as all would pay for chance."""
 
-PROBE = 3.0
+PROBE = 4.0
 """So many times what was answered is sent on: owners give by what they see asked for, and
 use room that comes free at once.  With less, repeats took room from first sends."""
 
-REPEAT_PROBE = 1.0
+REPEAT_PROBE = 0.3
 """The same for calls that were refused before: they pay first."""
 
-LEAST_PART = 0.5
+LEAST_PART = 0.8
 """At least so many times the part of the others' calls that is answered is sent on of a
 tenant's first sends: owners serve by what they see asked for, which must not die away."""
 
