--- a/src/peppershore/process/node/data/own_backend.py
+++ b/src/peppershore/process/node/data/own_backend.py
@@ -41,6 +41,7 @@
 from peppershore.request.outcome import SLOW_NOW, STATUS_UNAVAILABLE, NotRun
 from peppershore.request.picker import RandomSource
 from peppershore.request.running_calls import RunningCalls
+from peppershore.request.tenants.weights import ConfiguredWeights
 from peppershore.request.version_evidence import VersionEvidence
 from peppershore.request.waiting import Ticket
 from peppershore.request.wire_names import OWN_NAMES, WireNames
@@ -65,10 +66,12 @@
         transfers: BodyTransfers | None = None,
         quarantine: QuarantineGate | None = None,
         large_answers: LargeAnswers | None = None,
+        weights: ConfiguredWeights | None = None,
     ) -> None:
         """Start with all slots free; ``transfers`` bounds large bodies on their way.
 
         ``large_answers`` go out by this node's link; None: it is wide enough.
+        ``weights`` are those of the tenants of the configuration in use.
         """
         self.large_answers = large_answers
         self.leaving = False
@@ -95,7 +98,9 @@
         self.pool = ConnectionPool(endpoint.address, endpoint.connections)
         self._node = endpoint.node
         now = asyncio.get_running_loop().time()
-        self.admission = Admission(endpoint.service, settings, endpoint.zone, random)
+        self.admission = Admission(
+            endpoint.service, settings, endpoint.zone, random, weights=weights
+        )
         self.admission.use_endpoints((endpoint,), now)
         self._numbers = itertools.count(1)
         self._waiting: dict[int, WaitingAttempt] = {}
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -428,6 +428,7 @@
         transfers=transfers,
         quarantine=calls.quarantine,
         large_answers=calls.large_answers,
+        weights=calls.weights,
     )
     if settings.back_end_listen:
         backend.leave()
