--- a/benchmarks/fair_shares.py
+++ b/benchmarks/fair_shares.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from benchmarks.call_model import Clock
+from benchmarks.entry_shares import EntryShares
 from peppershore.connection.messages.calls import MICROSECONDS, OwnerLoad
 from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.randomness import Randomness
@@ -27,7 +28,6 @@
 from peppershore.request.endpoint_state import Verdict
 from peppershore.request.outcome import LOAD_REASONS, NotRun
 from peppershore.request.tenants import weights as weights_module
-from peppershore.request.tenants.entry_shares import EntryShares
 from peppershore.request.tenants.weights import ConfiguredWeights
 from peppershore.request.waiting import Ticket
 from peppershore.version.model import ServiceSettings, TenantResource
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -119,7 +119,6 @@
         self._entry = CallEntry(settings, self.freshness, random, self.names)
         self._terms = BackEndTerms(self.names)
         self.weights = ConfiguredWeights()
-        self.early_refusals = EarlyRefusals(random)
         self.admissions = ServiceAdmissions(settings, notice_sink, random, self.weights)
         bound = retry_bound(settings.shared_retries)
         self.repeats = CallRepeats(bound, notice_sink, random)
@@ -164,7 +163,6 @@
         self.configuration = active
         self._entry.use_configuration(active)
         self.weights.use(active.tenants)
-        self.early_refusals.keep_only(active.services.__contains__)
         for call in list(self._live):
             call.configuration_changed()
         if active.secrets:
@@ -320,7 +318,6 @@
         self.counts.answered += 1
         now = self.loop.time()
         self.repeats.answered(plan, now)
-        self.early_refusals.answered(plan, now)
         self.figures.ended(plan, "answered", "", now - story.began_at)
         if status >= FIRST_SERVER_ERROR or self.log.takes_answered(request_id):
             end = CallEnd("answered", "", status)
@@ -336,8 +333,6 @@
         else:
             self.counts.unknown += 1
         now = self.loop.time()
-        if plan is not None:
-            self.early_refusals.failed(plan, failed, now)
         self.figures.ended(plan, end.outcome, end.reason, now - story.began_at)
         self._tell(plan, end, request_id, story)
 
--- a/tests/request/test_entry_shares.py
+++ b/tests/request/test_entry_shares.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from peppershore.process.randomness import Randomness
-from peppershore.request.outcome import NotRun
-from peppershore.request.tenants.entry_shares import (
+from benchmarks.entry_shares import (
     LATEST_RETURN_SECONDS,
     LEAST_ENDS,
     LEAST_PART,
@@ -16,6 +14,9 @@
     Kind,
 )
 
+from peppershore.process.randomness import Randomness
+from peppershore.request.outcome import NotRun
+
 HOT, USUAL, SMALL = ("hot", 2), ("usual", 2), ("small", 2)
 
 
