--- /dev/null
+++ b/tests/data_plane/test_callers_leave_large_answers.py
@@ -0,0 +1,237 @@
+"""A caller that leaves midway keeps a link from others for half a second at the most.
+
+Virtual time; the links' queues stand for the buffers of the systems and of the network.
+The way of an answer is the product's: ``PacedAnswer`` at the back end's node and at the
+caller's, with the window that the caller's node gives.
+"""
+
+from __future__ import annotations
+
+import pytest
+from benchmarks.call_model import Clock
+from tests.data_plane.wire import Wire
+
+from peppershore.connection.http_head import AnswerHead, HeaderList
+from peppershore.process.node.data.attempt import AttemptSink
+from peppershore.process.node.data.paced_answer import LargeTerms, PacedAnswer
+from peppershore.request.outcome import Failed
+
+MOST_SECONDS = 0.5
+"""What operators are promised."""
+
+WAY_SECONDS = 0.0015
+LEAVER_BYTES = 4_000_000
+OTHER_BYTES = 90_000
+READ_BYTES = 16 * 1024
+LEAVES_AT = 1.0
+TERMS = LargeTerms("frames", 600.0, 0.0, elsewhere=False)
+
+
+class _Quiet:
+    """Those parts of an attempt and of its sink that no scene here needs."""
+
+    def send_data(self, data: bytes) -> None:
+        pass
+
+    def send_end(self, trailers: HeaderList) -> None:
+        pass
+
+    def flush(self) -> None:
+        pass
+
+    def settle(self) -> bool:
+        return False
+
+    def attempt_begun(self) -> None:
+        pass
+
+    def answer_head(self, head: AnswerHead) -> None:
+        pass
+
+    def answer_batch_ended(self) -> None:
+        pass
+
+    def sending_paused(self) -> None:
+        pass
+
+    def sending_resumed(self) -> None:
+        pass
+
+    def attempt_failed(self, failed: Failed) -> None:
+        raise AssertionError(failed)
+
+
+class BackEnd(_Quiet):
+    """Answers at once with so many bytes, as fast as they are read."""
+
+    def __init__(self, octets: int, sink: AttemptSink) -> None:
+        self.left = octets
+        self._sink = sink
+        self._is_paused = False
+
+    def start(self) -> None:
+        self._sink.answer_head(AnswerHead(200, b"OK", [], self.left, True))
+        self.resume_answer()
+
+    def cancel(self) -> None:
+        self.left = 0
+        self._is_paused = True
+
+    def pause_answer(self) -> None:
+        self._is_paused = True
+
+    def resume_answer(self) -> None:
+        self._is_paused = False
+        while self.left and not self._is_paused:
+            octets = min(READ_BYTES, self.left)
+            self.left -= octets
+            self._sink.answer_data(b"x" * octets)
+            if not self.left:
+                self._sink.answer_ended([])
+                return
+        self._sink.answer_batch_ended()
+
+
+class OwnersLink(_Quiet):
+    """An attempt of the caller's node: the answer comes over the owner's link.
+
+    So many bytes may be under way as the caller's node said; it gives credit for what it
+    took, unless it takes no more.
+    """
+
+    def __init__(self, owner: Wire, edge: Wire, octets: int, sink: AttemptSink) -> None:
+        self._owner = owner
+        self._sink = sink
+        self._left = octets
+        self._room = edge.desk.window_bytes
+        self._credit_kept = 0
+        self._is_paused = False
+        self._is_owner_paused = False
+        self.last_sent_at = 0.0
+        self._paced = PacedAnswer(
+            owner.desk, TERMS, self, lambda paced: BackEnd(octets, paced)
+        )
+
+    def start(self) -> None:
+        self._owner.clock.after(WAY_SECONDS, self._paced.start)
+
+    def cancel(self) -> None:
+        self._owner.clock.after(WAY_SECONDS, self._paced.cancel)
+
+    def pause_answer(self) -> None:
+        self._is_paused = True
+
+    def resume_answer(self) -> None:
+        self._is_paused = False
+        self._give_credit(0)
+
+    # --- as the owner's sink
+
+    def answer_data(self, data: bytes) -> None:
+        self.last_sent_at = self._owner.clock.now + self._owner.link.backlog_seconds
+        self._room -= len(data)
+        if self._room <= 0 and not self._is_owner_paused:
+            self._is_owner_paused = True
+            self._paced.pause_answer()
+        self._owner.link.carry(len(data), lambda: self._arrived(data))
+
+    def answer_ended(self, trailers: HeaderList) -> None:
+        pass
+
+    def _arrived(self, data: bytes) -> None:
+        self._left -= len(data)
+        self._sink.answer_data(data)
+        if self._left:
+            self._sink.answer_batch_ended()
+        else:
+            self._sink.answer_ended([])
+        self._give_credit(len(data))
+
+    def _give_credit(self, octets: int) -> None:
+        self._credit_kept += octets
+        if self._is_paused:
+            return
+        credit, self._credit_kept = self._credit_kept, 0
+        self._owner.clock.after(2 * WAY_SECONDS, lambda: self._credited(credit))
+
+    def _credited(self, octets: int) -> None:
+        self._room += octets
+        if self._room > 0 and self._is_owner_paused:
+            self._is_owner_paused = False
+            self._paced.resume_answer()
+
+
+class Caller(_Quiet):
+    """Asks at the edge for an answer of so many bytes, and may leave."""
+
+    def __init__(self, owner: Wire, edge: Wire, octets: int) -> None:
+        self._edge = edge
+        self.ended_at = 0.0
+        self.got = 0
+        self.last_sent_at = 0.0
+
+        def over_owner(sink: AttemptSink) -> OwnersLink:
+            self.owners_link = OwnersLink(owner, edge, octets, sink)
+            return self.owners_link
+
+        self._paced = PacedAnswer(edge.desk, TERMS, self, over_owner)
+        self._paced.start()
+
+    def leave(self) -> None:
+        self._paced.cancel()
+
+    def answer_data(self, data: bytes) -> None:
+        self.last_sent_at = self._edge.clock.now + self._edge.link.backlog_seconds
+        self._edge.link.carry(len(data), lambda: self._came(len(data)))
+
+    def answer_ended(self, trailers: HeaderList) -> None:
+        self._edge.link.carry(1, self._whole)
+
+    def _came(self, octets: int) -> None:
+        self.got += octets
+
+    def _whole(self) -> None:
+        self.ended_at = self._edge.clock.now
+
+
+@pytest.mark.parametrize(
+    ("owner_megabits", "edge_megabits"),
+    [(1.0, 1.0), (3.9, 3.9), (6.0, 6.0), (6.0, 1.0), (1.0, 6.0)],
+)
+def test_a_caller_that_leaves_midway_keeps_no_link_for_long(
+    owner_megabits: float, edge_megabits: float
+) -> None:
+    clock = Clock()
+    owner, edge = Wire(owner_megabits, clock), Wire(edge_megabits, clock)
+    leaver = Caller(owner, edge, LEAVER_BYTES)
+    clock.run(LEAVES_AT / 2)
+    other = Caller(owner, edge, OTHER_BYTES)
+    clock.run(LEAVES_AT)
+    assert leaver.got > 0
+    assert other.got == 0
+    leaver.leave()
+    clock.run(60.0)
+    assert leaver.last_sent_at <= LEAVES_AT + MOST_SECONDS
+    assert leaver.owners_link.last_sent_at <= LEAVES_AT + MOST_SECONDS
+    narrow = min(owner.desk.room.rate, edge.desk.room.rate)
+    alone = OTHER_BYTES / narrow * 1.2
+    assert other.got == OTHER_BYTES
+    assert other.ended_at <= LEAVES_AT + MOST_SECONDS + alone
+    for wire in (owner, edge):
+        assert (wire.desk.room.transfers, wire.desk.room.held) == (0, 0)
+
+
+def test_an_answer_behind_another_costs_no_more_than_its_window_when_dropped() -> None:
+    """It goes only while the one before it waits for credit."""
+    clock = Clock()
+    owner, edge = Wire(3.9, clock), Wire(3.9, clock)
+    first = Caller(owner, edge, OTHER_BYTES)
+    window = edge.desk.window_bytes
+    leaver = Caller(owner, edge, LEAVER_BYTES)
+    clock.run(0.01)
+    leaver.leave()
+    clock.run(60.0)
+    assert first.got == OTHER_BYTES
+    assert leaver.got == 0
+    sent = owner.link.octets - OTHER_BYTES
+    assert 0 <= sent <= window
--- a/tests/data_plane/test_large_answers_share_links.py
+++ b/tests/data_plane/test_large_answers_share_links.py
@@ -5,13 +5,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import pytest
-from benchmarks.call_model import Clock
-from benchmarks.link_model import Pipe
+from tests.data_plane.wire import SMALL_BYTES, Wire
 
-from peppershore.process.node.data.large_answers import LargeAnswers
 from peppershore.request.back_ends.link_room import (
     LINK_QUEUE_SECONDS,
     PIECE_SECONDS,
@@ -20,40 +16,6 @@
 from peppershore.request.outcome import LINK_FULL, NotRun
 
 RATES = (1.0, 3.9, 6.0)
-SMALL_BYTES = 100
-
-
-class _Cancelled:
-    def __init__(self) -> None:
-        self.is_set = False
-
-    def cancel(self) -> None:
-        self.is_set = True
-
-
-class Wire:
-    """A machine's link, a clock, and all that the machine sent."""
-
-    def __init__(self, megabits: float) -> None:
-        self.clock = Clock()
-        self.link = Pipe(self.clock, megabits)
-        self.waits: list[float] = []
-        self.desk = LargeAnswers(megabits, lambda: self.link.octets, self)
-
-    def time(self) -> float:
-        return self.clock.now
-
-    def call_later(self, delay: float, callback: Callable[[], None]) -> _Cancelled:
-        timer = _Cancelled()
-        self.clock.after(delay, lambda: None if timer.is_set else callback())
-        return timer
-
-    def send_small(self, every: float, until: float) -> None:
-        """Send a small message again and again; note what it waits."""
-        self.waits.append(self.link.backlog_seconds)
-        self.link.carry(SMALL_BYTES, lambda: None)
-        if self.clock.now + every < until:
-            self.clock.after(every, lambda: self.send_small(every, until))
 
 
 class Sender:
