Quotas: a call waits at least 0.3 s for a grant, however short its turn for a slot

On routes with a target latency of 400 ms a call's turn for a slot is 80 ms, so it waited 48 ms for a grant: less than the 100 ms after which a node asks again, so that one late answer was a refusal. Ruled out: elections (no leadership ended in the logs). Half of a call's time is left to run.

--- a/src/peppershore/process/node/data/quota_gate.py
+++ b/src/peppershore/process/node/data/quota_gate.py
@@ -30,6 +30,13 @@
 WAIT_SHARE = 0.6
 """Part of the time in which a call may wait for a slot, that it may wait for a grant."""
 
+LEAST_WAIT_SECONDS = 0.3
+"""Waits so long in any case that its deadline allows: a relay's and a node's ask may be
+lost once or be late, and are made again within it.  Turns for slots may be much shorter."""
+
+DEADLINE_SHARE = 0.5
+"""Part of its time that a call may wait for a grant: the rest is for running."""
+
 LONGEST_WAIT_SECONDS = 1.0
 """Nobody answers for about so long while a leader is elected; no call waits longer."""
 
@@ -49,6 +56,13 @@
 """Told of a refusal or, by None, that the call may run; gives whether it does."""
 
 
+def wait_until(plan: CallPlan, now: float) -> float:
+    """Give until when a call may wait for a grant; loop time, as ``now``."""
+    patience = max(LEAST_WAIT_SECONDS, WAIT_SHARE * (plan.start_by - now))
+    allowed = min(LONGEST_WAIT_SECONDS, DEADLINE_SHARE * (plan.deadline - now))
+    return now + max(0.0, min(patience, allowed))
+
+
 class QuotaGate:
     """Asks for grants, and decides the calls that wait for one."""
 
@@ -88,7 +102,7 @@
             decided(None)
             return
         now = self._loop.time()
-        waiter = Waiter(decided, _wait_until(plan, now))
+        waiter = Waiter(decided, wait_until(plan, now))
         decision = self._grants.take(plan.tenant, waiter, now)
         if decision is None:
             self._ask(now)
@@ -154,11 +168,6 @@
                 waiter.call(_not_known())
 
 
-def _wait_until(plan: CallPlan, now: float) -> float:
-    patience = WAIT_SHARE * (plan.start_by - now)
-    return min(now + min(patience, LONGEST_WAIT_SECONDS), plan.deadline)
-
-
 def _over_limit(seconds: float) -> NotRun:
     advice = math.ceil(seconds * MILLISECONDS)
     return NotRun(STATUS_TOO_MANY_REQUESTS, OVER_LIMIT, advice)
--- a/tests/data_plane/test_quota_gate.py
+++ b/tests/data_plane/test_quota_gate.py
@@ -9,7 +9,12 @@
 from tests.data_plane.stage import PUBLIC_ROUTE
 
 from peppershore.connection.messages.quotas import QuotaAsked, QuotaGranted, TenantGrant
-from peppershore.process.node.data.quota_gate import QuotaGate
+from peppershore.process.node.data.quota_gate import (
+    LEAST_WAIT_SECONDS,
+    LONGEST_WAIT_SECONDS,
+    QuotaGate,
+    wait_until,
+)
 from peppershore.process.randomness import Randomness
 from peppershore.process.settings import QuotaSettings
 from peppershore.request.classification import CallPlan
@@ -146,6 +151,25 @@
     asyncio.run(scene())
 
 
+def test_a_call_waits_long_enough_for_an_ask_to_be_made_again() -> None:
+    """Its turn for a slot may be far shorter: 80 ms where 400 ms are aimed at."""
+
+    def scene(stage: Stage) -> None:
+        now = stage.now()
+        plan = stage.plan("studio", patience=0.08)
+        waits = {
+            seconds: wait_until(msgspec.structs.replace(plan, deadline=now + seconds), now)
+            for seconds in (2.0, 0.2, 0.0, -1.0)
+        }
+        assert waits[2.0] == now + LEAST_WAIT_SECONDS
+        assert waits[0.2] == now + 0.1
+        assert waits[0.0] == waits[-1.0] == now
+        patient = stage.plan("studio")
+        assert wait_until(patient, now) == now + LONGEST_WAIT_SECONDS
+
+    play(scene)
+
+
 def test_a_tenant_whose_limit_is_lifted_is_counted_no_more() -> None:
     def scene(stage: Stage) -> None:
         lifted = msgspec.structs.replace(LIMITED, rate_per_second=0.0)
