Quotas: tenants with a limit at real processes, through hubs and nodes

One tenant asks for five times its limit and more at three nodes, another stays below its own: windows of what ran are within the bound, refusals are 429 with Retry-After, the other tenant is refused nothing.

--- a/tests/platform_adapter/stand_in.py
+++ b/tests/platform_adapter/stand_in.py
@@ -89,7 +89,16 @@
 class Machine:
     """A machine with an address of its own, and the process that runs there."""
 
-    def __init__(self, folder: Path, role: str, name: str, host: str) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        role: str,
+        name: str,
+        host: str,
+        bounds: Mapping[str, str] | None = None,
+    ) -> None:
+        """``bounds`` are told besides those that every site has."""
+        self._more_bounds = dict(bounds or {})
         self.name = name
         self.host = host
         self.role = role
@@ -180,6 +189,7 @@
                 "retryBudgetRatio": "0.2",
                 "budgetWindowS": "10",
                 "retryBudgetSlack": "60",
+                **self._more_bounds,
             },
         }
 
@@ -192,6 +202,8 @@
         self.instance = f"i-{machine.name}"
         self.state = "ready"
         self.runs: list[str] = []
+        self.ran_at: dict[str, float] = {}
+        """When each request came, by its id; monotonic seconds."""
         self.running = 0
         self.most_running = 0
         self.may_answer = threading.Event()
@@ -210,6 +222,7 @@
                     self._reply(MISDIRECTED, b"", {NOT_EXECUTED: "1"})
                     return
                 upstream.runs.append(self.headers.get(ATTEMPT_ID, ""))
+                upstream.ran_at[self.headers.get(ATTEMPT_ID, "")] = time.monotonic()
                 if self.path == HELD_PATH:
                     upstream.hold()
                 if self.path == CALLING_PATH:
@@ -286,14 +299,19 @@
 class Site:
     """Three core machines, and a machine with an upstream for each service name."""
 
-    def __init__(self, folder: Path, services: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        services: tuple[str, ...],
+        bounds: Mapping[str, str] | None = None,
+    ) -> None:
         self._block = AddressBlock()
         self.hubs = [
-            Machine(folder, "hub", f"core-{number}", self._block.next_host())
+            Machine(folder, "hub", f"core-{number}", self._block.next_host(), bounds)
             for number in range(1, 4)
         ]
         self.nodes = [
-            Machine(folder, "node", f"side-{number}", self._block.next_host())
+            Machine(folder, "node", f"side-{number}", self._block.next_host(), bounds)
             for number in range(1, len(services) + 1)
         ]
         self._services = services
