Quotas: a decision on a call's limit looks at its key again

A key may be taken away while its call waits, or may be in doubt by then where the node fails closed, which no new configuration tells. The call is then refused by its key, also where the limit would have refused it, and a grant goes to the next call that waits. A refusal by the limit told the wrong reason before (429 instead of 503, seen in the new test); a grant was given up.

--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -172,7 +172,7 @@
 
     def _quota_decided(self, refusal: NotRun | None) -> bool:
         """Take the decision on the tenant's limit; a call that is over needs none."""
-        if self._over:
+        if self._over or self._is_refused_by_key():
             return False
         if refusal is None:
             self._claim_or_admit()
--- a/tests/data_plane/test_calls_of_tenants.py
+++ b/tests/data_plane/test_calls_of_tenants.py
@@ -28,7 +28,8 @@
 
 from peppershore.connection.messages.base import Message
 from peppershore.connection.messages.calls import CallNotRun, CallStarted
-from peppershore.process.settings import HeaderSettings
+from peppershore.connection.messages.quotas import QuotaAsked, QuotaGranted, TenantGrant
+from peppershore.process.settings import HeaderSettings, QuotaSettings
 from peppershore.version.model import RouteResource, TenantResource
 from peppershore.version.tenants import key_digest
 
@@ -81,9 +82,10 @@
     def entry(self) -> Node:
         return self.nodes[-1]
 
-    def use(self, tenants: dict[str, TenantResource]) -> None:
+    def use(self, tenants: dict[str, TenantResource], **changes: Any) -> None:
         for node in self.nodes:
-            node.plane.use_configuration(configuration(tenants=tenants, others=OTHERS))
+            changed = configuration(tenants=tenants, others=OTHERS, **changes)
+            node.plane.use_configuration(changed)
 
     async def stop(self) -> None:
         for node in self.nodes:
@@ -315,6 +317,84 @@
     run(scene())
 
 
+LIMITED = TenantResource("bob", BOB.key_digests, rate_per_second=40.0, burst=40.0)
+SECOND_KEY = "second-key-of-bob"
+TWO_KEYS = msgspec.structs.replace(
+    LIMITED, key_digests=(*BOB.key_digests, key_digest(SECOND_KEY.encode()))
+)
+QUOTAS = QuotaSettings(window_seconds=5.0, overshoot=0.1, slack=20.0)
+
+
+class Asked:
+    """What a node asked for; it is answered only when told to."""
+
+    def __init__(self, node: Node) -> None:
+        self.asks: list[QuotaAsked] = []
+        self._gate = node.plane.calls.quotas
+        self._gate.on_ask = self.asks.append
+
+    def answer(self, calls: int, wait: int = 0) -> None:
+        for ask in self.asks:
+            grants = tuple(TenantGrant(each.tenant, calls, wait) for each in ask.asks)
+            self._gate.answered(QuotaGranted(ask.number, grants, 400))
+
+
+def patient() -> dict[str, Any]:
+    """A call that no slow machine lets wait in vain: only the test decides on it."""
+    route = msgspec.structs.replace(PUBLIC_ROUTE, timeout_milliseconds=30_000)
+    return {"route": route}
+
+
+def test_a_key_that_goes_while_its_call_waits_for_a_grant() -> None:
+    """The grant goes to a call whose key still holds."""
+
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        stage = Stage(backend, "own", quotas=QUOTAS)
+        address = await stage.start()
+        asked = Asked(stage.entry)
+        stage.use({"bob": TWO_KEYS}, **patient())
+        first, second = [await Caller.connect(address) for _ in range(2)]
+        first.request("/first", headers=showing(BOB_KEY))
+        await until(lambda: stage.entry.plane.calls.in_flight == 1)
+        second.request("/second", headers=showing(SECOND_KEY))
+        await until(lambda: stage.entry.plane.calls.in_flight == 2)
+        only = msgspec.structs.replace(TWO_KEYS, key_digests=TWO_KEYS.key_digests[1:])
+        stage.use({"bob": only}, **patient())
+        answer = await first.answer()
+        assert (answer.status, answer.reason) == (401, "unknown-key")
+        asked.answer(1)
+        assert (await second.answer()).status == 200
+        assert [each.target for each in backend.requests] == ["/second"]
+        await stage.stop()
+
+    run(scene())
+
+
+@pytest.mark.parametrize("granted", [1, 0])
+def test_a_key_that_nobody_confirms_when_its_call_is_decided(granted: int) -> None:
+    """No configuration came meanwhile: nothing but the time tells it."""
+
+    async def scene() -> None:
+        backend = ScriptedBackend()
+        stage = Stage(backend, "own", fail_closed=True, quotas=QUOTAS)
+        address = await stage.start()
+        asked = Asked(stage.entry)
+        stage.use({"bob": LIMITED}, **patient())
+        caller = await Caller.connect(address)
+        caller.request("/first", headers=showing(BOB_KEY))
+        await until(lambda: len(asked.asks) >= 1)
+        loop = asyncio.get_running_loop()
+        stage.entry.plane.calls.freshness.confirmed(loop.time() - 60.0)
+        asked.answer(granted, wait=0 if granted else 500)
+        answer = await caller.answer()
+        assert (answer.status, answer.reason) == (503, "keys-not-confirmed")
+        assert backend.requests == []
+        await stage.stop()
+
+    run(scene())
+
+
 def test_a_key_that_goes_before_another_try() -> None:
     stopped = asyncio.Event()
 
