Quotas: nodes count and write what decided on calls of tenants with a limit

A counter by tenant and outcome, of the first 100 tenants each and the rest together; a line for a refusal with the limit, what decided and how old that knowledge is, one a tenant in 5 s, 20 of all, with the number of those left out; logs causes puts both beside the refused calls of a tenant.

--- a/src/peppershore/command/logs_command.py
+++ b/src/peppershore/command/logs_command.py
@@ -18,6 +18,16 @@
 CAUSE_HEADER = ("calls", "cause", "target", "reason", "an example")
 SECOND_HEADER = ("second", "cause", "calls")
 NODE_HEADER = ("last node", "cause", "calls")
+LIMIT_HEADER = (
+    "calls",
+    "tenant",
+    "reason",
+    "limit a second",
+    "burst",
+    "decided by",
+    "known at most ms ago",
+    "an example",
+)
 SHOWN_NODES = 20
 """Nodes with most failed calls that people are shown; --json has all."""
 
@@ -118,6 +128,9 @@
         return
     click.echo(f"{found.calls} calls failed")
     show_table(CAUSE_HEADER, [msgspec.structs.astuple(each) for each in found.by_cause])
+    if found.by_limit:
+        rows = [msgspec.structs.astuple(each) for each in found.by_limit]
+        show_table(LIMIT_HEADER, rows)
     show_table(SECOND_HEADER, found.by_second)
     show_table(NODE_HEADER, found.by_node[:SHOWN_NODES])
 
--- a/src/peppershore/command/lost_calls.py
+++ b/src/peppershore/command/lost_calls.py
@@ -17,6 +17,8 @@
 
 CALL_EVENT = "call_story"
 SERVED_EVENT = "served_story"
+LIMIT_EVENT = "over_limit"
+LIMIT_REASONS = frozenset({"over-limit", "limit-not-known"})
 MILLISECONDS = 1_000
 
 FREE_WITHIN_SECONDS = 1
@@ -27,6 +29,8 @@
 NO_CONFIGURATION = "node without configuration"
 NO_ROUTE = "no such route"
 NO_KNOWN_KEY = "no key of a tenant"
+OVER_TENANTS_LIMIT = "over its tenant's limit"
+LIMIT_NOT_KNOWN = "what is left of its tenant's limit not known"
 NODE_STOPPING = "node stopping"
 NOBODY_READY = "no back end known"
 BACK_END_FAILED = "back end failed"
@@ -45,6 +49,8 @@
     "no-key": NO_KNOWN_KEY,
     "unknown-key": NO_KNOWN_KEY,
     "key-changed-hands": NO_KNOWN_KEY,
+    "over-limit": OVER_TENANTS_LIMIT,
+    "limit-not-known": LIMIT_NOT_KNOWN,
     "node-stopping": NODE_STOPPING,
     "back-end-leaving": NODE_STOPPING,
     "nobody-ready": NOBODY_READY,
@@ -73,24 +79,53 @@
     example: str
 
 
+class LimitRefusals(msgspec.Struct, frozen=True):
+    """Calls that a tenant's limit refused, and what decided by the lines of the nodes.
+
+    ``rate_per_second``, ``burst`` and ``knowledge`` are those of the last line, the age is
+    the highest; they are None where no line was read.
+    """
+
+    calls: int
+    tenant: str
+    reason: str
+    rate_per_second: float | None
+    burst: float | None
+    knowledge: str | None
+    oldest_knowledge_milliseconds: int | None
+    example: str
+
+
+class _LimitLine(msgspec.Struct, frozen=True):
+    tenant: str | None = None
+    rate_per_second: float | None = None
+    burst: float | None = None
+    knowledge: str | None = None
+    knowledge_age_milliseconds: int = -1
+
+
 class LostTables(msgspec.Struct, frozen=True):
-    """All failed calls, by cause and target, by second, and by last node tried."""
+    """All failed calls: by cause and target, second, last node tried, tenant's limit."""
 
     calls: int
     by_cause: tuple[LostCalls, ...]
     by_second: tuple[tuple[int, str, int], ...]
     by_node: tuple[tuple[str, str, int], ...]
+    by_limit: tuple[LimitRefusals, ...] = ()
 
 
 def lost_calls(lines: Iterable[LogLine]) -> LostTables:
     """Work out the cause of each call that failed."""
     stories: list[LogLine] = []
     free: set[tuple[str, int]] = set()
+    limits: list[LogLine] = []
     for line in lines:
         if line.event == CALL_EVENT and _is_failure(line):
             stories.append(line)
         elif line.event == SERVED_EVENT and _tells_free_slot(line):
             free.add((line.service, _second(line)))
+        elif line.event == LIMIT_EVENT:
+            limits.append(line)
     first = min((_second(story) for story in stories), default=0)
     by_cause: Counter[tuple[str, str, str]] = Counter()
     by_second: Counter[tuple[int, str]] = Counter()
@@ -112,9 +147,51 @@
         ),
         by_second=tuple((*kind, by_second[kind]) for kind in sorted(by_second)),
         by_node=tuple((*kind, count) for kind, count in by_node.most_common()),
+        by_limit=_by_limit(stories, limits),
     )
 
 
+def _by_limit(stories: list[LogLine], lines: list[LogLine]) -> tuple[LimitRefusals, ...]:
+    """Put refused calls of tenants beside what nodes wrote about such refusals."""
+    counts: Counter[tuple[str, str]] = Counter()
+    examples: dict[tuple[str, str], str] = {}
+    for story in stories:
+        if story.reason in LIMIT_REASONS:
+            kind = (str(story.fields.get("tenant", "")), story.reason)
+            counts[kind] += 1
+            examples.setdefault(kind, story.request_id)
+    found: list[LimitRefusals] = []
+    for (tenant, reason), calls in counts.most_common():
+        own = [
+            limit
+            for each in lines
+            if each.reason == reason and (limit := _limit_line(each)).tenant == tenant
+        ]
+        last = own[-1] if own else _LimitLine()
+        ages = [each.knowledge_age_milliseconds for each in own]
+        found.append(
+            LimitRefusals(
+                calls,
+                tenant,
+                reason,
+                last.rate_per_second,
+                last.burst,
+                last.knowledge,
+                max(ages, default=None),
+                examples[tenant, reason],
+            )
+        )
+    return tuple(found)
+
+
+def _limit_line(line: LogLine) -> _LimitLine:
+    """Read a node's line; one that is no such line belongs to no tenant."""
+    try:
+        return msgspec.convert(line.fields, _LimitLine)
+    except msgspec.ValidationError:
+        return _LimitLine()
+
+
 def _is_failure(line: LogLine) -> bool:
     return line.outcome != "answered" or line.status >= FIRST_SERVER_ERROR
 
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -99,7 +99,7 @@
         """Start without configuration and without endpoints."""
         self.loop = asyncio.get_running_loop()
         self.quarantine = QuarantineGate(self.loop.time)
-        self.quotas = QuotaGate(settings.quotas, self.loop, random)
+        self.quotas = QuotaGate(settings.quotas, self.loop, random, notice_sink)
         self.configuration: ActiveConfiguration | None = None
         self.claims = ClaimDesk()
         self.own: OwnBackend | None = None
--- a/src/peppershore/process/node/data/gauges.py
+++ b/src/peppershore/process/node/data/gauges.py
@@ -10,6 +10,7 @@
     """Show the ends of calls and what is in flight."""
     counts = plane.calls.counts
     metrics.add_source(plane.calls.figures)
+    metrics.add_source(plane.calls.quotas.figures)
     metrics.gauge("calls_answered", "Calls answered whole.", lambda: counts.answered)
     metrics.gauge("calls_not_run", "Calls refused, proven not run.", lambda: counts.not_run)
     metrics.gauge("calls_unknown", "Calls sent, without answer.", lambda: counts.unknown)
--- a/src/peppershore/process/node/data/notices.py
+++ b/src/peppershore/process/node/data/notices.py
@@ -53,3 +53,22 @@
     calls_at_start: int
     calls_cut: int
     direct_slots_cut: int
+
+
+class OverLimit(Notice, frozen=True):
+    """A call was refused by its tenant's limit, or as nobody knew what is left of it.
+
+    ``rate_per_second`` and ``burst`` are the limit as this node holds it, ``knowledge``
+    what decided: "used-up" or "nobody-answered".  ``knowledge_age_milliseconds``: since
+    the last answer for this tenant came here, -1 for never.  ``left_out``: refusals of
+    this tenant since its last line here.
+    """
+
+    tenant: str
+    reason: str
+    rate_per_second: float
+    burst: float
+    knowledge: str
+    knowledge_age_milliseconds: int
+    retry_after_milliseconds: int
+    left_out: int
--- a/src/peppershore/process/node/data/quota_gate.py
+++ b/src/peppershore/process/node/data/quota_gate.py
@@ -7,6 +7,9 @@
 from collections.abc import Callable
 
 from peppershore.connection.messages.quotas import QuotaAsked, QuotaGranted
+from peppershore.process.commands import Notice
+from peppershore.process.node.data.notices import OverLimit
+from peppershore.process.node.data.quota_figures import GRANTED, QuotaFigures
 from peppershore.process.quotas.node_grants import (
     Decision,
     Denied,
@@ -14,6 +17,7 @@
     NodeGrants,
     Waiter,
 )
+from peppershore.process.quotas.refusal_lines import RefusalLines
 from peppershore.process.quotas.turns import Turns
 from peppershore.process.settings import QuotaSettings
 from peppershore.request.classification import CallPlan
@@ -24,6 +28,7 @@
 )
 from peppershore.request.picker import RandomSource
 from peppershore.version.active import ActiveConfiguration
+from peppershore.version.model import TenantResource
 
 MILLISECONDS = 1_000
 
@@ -46,6 +51,12 @@
 LIMIT_NOT_KNOWN = "limit-not-known"
 """Reason of a refusal because nobody who may grant calls answered in time."""
 
+USED_UP = "used-up"
+NOBODY_ANSWERED = "nobody-answered"
+"""What decided a refusal, in its log line."""
+
+NEVER = -1
+
 NOT_KNOWN_MILLISECONDS = 300
 """Advice after that: another relay is found or another leader elected soon."""
 
@@ -71,14 +82,18 @@
         quotas: QuotaSettings | None,
         loop: asyncio.AbstractEventLoop,
         random: RandomSource,
+        notice_sink: Callable[[Notice], None],
     ) -> None:
         """Without ``quotas`` every call passes and nothing is asked."""
+        self.figures = QuotaFigures()
+        self._notice_sink = notice_sink
+        self._lines = RefusalLines()
         self.on_ask: Callable[[QuotaAsked], None] = lambda ask: None
         """Sends an ask to the relay in use, if there is one."""
         self._loop = loop
         self._random = random
         self._grants = None if quotas is None else NodeGrants(quotas)
-        self._limited: frozenset[str] = frozenset()
+        self._limited: dict[str, TenantResource] = {}
         self._turns: dict[str, Turns] = {}
         self._timer: asyncio.TimerHandle | None = None
 
@@ -87,10 +102,11 @@
         if self._grants is None:
             return
         tenants = active.tenants.items()
-        limited = [name for name, each in tenants if each.rate_per_second > 0.0]
-        self._limited = frozenset(limited)
-        self._grants.keep_only(self._limited)
-        for tenant in self._turns.keys() - self._limited:
+        self._limited = {name: each for name, each in tenants if each.rate_per_second > 0.0}
+        limited = frozenset(self._limited)
+        self._grants.keep_only(limited)
+        self._lines.keep_only(limited)
+        for tenant in self._turns.keys() - limited:
             del self._turns[tenant]
 
     def take(self, plan: CallPlan, decided: Decided) -> None:
@@ -159,13 +175,37 @@
             if isinstance(decision, Granted):
                 if waiter.call(None):
                     turns.granted(now)
+                    self.figures.decided(tenant, GRANTED)
                 else:
                     decisions += self._grants.put_back(tenant)
             elif isinstance(decision, Denied):
                 seconds = turns.book(decision.wait_seconds, self._random.below(1.0), now)
-                waiter.call(_over_limit(seconds))
+                self._refuse(waiter, tenant, _over_limit(seconds), now)
             else:
-                waiter.call(_not_known())
+                self._refuse(waiter, tenant, _not_known(), now)
+
+    def _refuse(self, waiter: Waiter, tenant: str, refusal: NotRun, now: float) -> None:
+        """Tell a call, count it, and write what decided, if a line is due."""
+        if not waiter.call(refusal):
+            return
+        self.figures.decided(tenant, refusal.reason)
+        limit = self._limited.get(tenant)
+        left_out = None if limit is None else self._lines.refused(tenant, now)
+        if limit is None or left_out is None:
+            return
+        assert self._grants is not None
+        age = self._grants.age_seconds(tenant, now)
+        line = OverLimit(
+            tenant,
+            refusal.reason,
+            limit.rate_per_second,
+            limit.burst,
+            USED_UP if refusal.reason == OVER_LIMIT else NOBODY_ANSWERED,
+            NEVER if math.isinf(age) else int(age * MILLISECONDS),
+            refusal.retry_after_milliseconds,
+            left_out,
+        )
+        self._notice_sink(line)
 
 
 def _over_limit(seconds: float) -> NotRun:
--- a/tests/command/test_log_commands.py
+++ b/tests/command/test_log_commands.py
@@ -17,6 +17,7 @@
 from peppershore.process.link_report import LinkTraffic
 from peppershore.process.logging import JsonLineFormatter, LogIdentity, event_name
 from peppershore.process.node.data.call_story import CallStep, CallStory, ServedStory
+from peppershore.process.node.data.notices import OverLimit
 from peppershore.process.node.notices import RelayChosen, RelayLeft, VersionApplied
 from peppershore.process.relay.notices import TreeAdvanced
 
@@ -163,6 +164,42 @@
     assert "6 calls failed" in table.output
 
 
+def test_causes_tell_what_decided_a_429(tmp_path: Path) -> None:
+    refused = msgspec.structs.replace(
+        lost("r-1", "over-limit", "not-run", 429), tenant="studio"
+    )
+    again = msgspec.structs.replace(refused, request_id="r-2")
+    other = msgspec.structs.replace(refused, request_id="r-3", tenant="press")
+    decided = OverLimit("studio", "over-limit", 40.0, 60.0, "used-up", 30, 900, 0)
+    older = msgspec.structs.replace(decided, knowledge_age_milliseconds=45)
+    lines = [
+        written("e1", refused, 100),
+        line("node", "e1", older, 100),
+        written("e2", again, 200),
+        line("node", "e2", decided, 200),
+        written("e2", other, 300),
+    ]
+    file = tmp_path / "all.log"
+    file.write_text("\n".join(lines))
+    shown = CliRunner().invoke(main, ["logs", "causes", str(file), "--json"])
+    found = json.loads(shown.output)
+    assert {each["cause"] for each in found["by_cause"]} == {"over its tenant's limit"}
+    assert found["by_limit"][0] == {
+        "calls": 2,
+        "tenant": "studio",
+        "reason": "over-limit",
+        "rate_per_second": 40.0,
+        "burst": 60.0,
+        "knowledge": "used-up",
+        "oldest_knowledge_milliseconds": 45,
+        "example": "r-1",
+    }
+    press = found["by_limit"][1]
+    assert (press["tenant"], press["calls"], press["knowledge"]) == ("press", 1, None)
+    table = CliRunner().invoke(main, ["logs", "causes", str(file)])
+    assert "used-up" in table.output
+
+
 def line(role: str, process: str, notice: Notice, at_milliseconds: int) -> str:
     record = logging.LogRecord("x", logging.INFO, "", 0, "", (), None)
     record.msg = event_name(type(notice))
--- a/tests/data_plane/test_quota_gate.py
+++ b/tests/data_plane/test_quota_gate.py
@@ -9,12 +9,16 @@
 from tests.data_plane.stage import PUBLIC_ROUTE
 
 from peppershore.connection.messages.quotas import QuotaAsked, QuotaGranted, TenantGrant
+from peppershore.process.commands import Notice
+from peppershore.process.node.data.notices import OverLimit
+from peppershore.process.node.data.quota_figures import MOST_TENANTS, QuotaFigures
 from peppershore.process.node.data.quota_gate import (
     LEAST_WAIT_SECONDS,
     LONGEST_WAIT_SECONDS,
     QuotaGate,
     wait_until,
 )
+from peppershore.process.quotas.refusal_lines import LINE_SECONDS, MOST_LINES, RefusalLines
 from peppershore.process.randomness import Randomness
 from peppershore.process.settings import QuotaSettings
 from peppershore.request.classification import CallPlan
@@ -35,7 +39,8 @@
     def __init__(self, quotas: QuotaSettings | None = QUOTAS) -> None:
         loop = asyncio.get_running_loop()
         self.now = loop.time
-        self.gate = QuotaGate(quotas, loop, Randomness(1))
+        self.notices: list[Notice] = []
+        self.gate = QuotaGate(quotas, loop, Randomness(1), self.notices.append)
         self.asks: list[QuotaAsked] = []
         self.told: list[NotRun | None] = []
         self.gate.on_ask = self.asks.append
@@ -67,6 +72,9 @@
             is_counted=is_counted,
         )
 
+    def counted(self) -> dict[tuple[str, str], float]:
+        return counted(self.gate.figures)
+
     def answer(self, calls: int, wait: int = 0) -> None:
         ask = self.asks[-1]
         grants = tuple(TenantGrant(each.tenant, calls, wait) for each in ask.asks)
@@ -170,6 +178,70 @@
     play(scene)
 
 
+def test_a_refusal_has_a_line_with_what_decided_and_further_ones_have_none() -> None:
+    def scene(stage: Stage) -> None:
+        stage.take()
+        stage.answer(0, wait=700)
+        stage.take()
+        stage.take()
+        (line,) = stage.notices
+        assert isinstance(line, OverLimit)
+        assert (line.tenant, line.reason, line.knowledge) == (
+            "studio",
+            "over-limit",
+            "used-up",
+        )
+        assert (line.rate_per_second, line.burst, line.left_out) == (40.0, 40.0, 0)
+        assert line.knowledge_age_milliseconds >= 0
+        assert stage.counted() == {("studio", "over-limit"): 3.0}
+
+    play(scene)
+
+
+def test_granted_calls_are_counted_and_have_no_line() -> None:
+    def scene(stage: Stage) -> None:
+        stage.gate.take(stage.plan("studio"), lambda refusal: False)
+        stage.take()
+        stage.take("free")
+        stage.answer(1)
+        assert stage.notices == []
+        assert stage.counted() == {("studio", "granted"): 1.0}
+
+    play(scene)
+
+
+def test_lines_of_refusals_are_bound_for_a_tenant_and_for_all() -> None:
+    lines = RefusalLines()
+    assert lines.refused("studio", 100.0) == 0
+    assert [lines.refused("studio", 101.0) for _ in range(3)] == [None] * 3
+    assert lines.refused("studio", 100.0 + LINE_SECONDS) == 3
+    assert lines.refused("studio", 100.0 + 2 * LINE_SECONDS) == 0
+    many = [lines.refused(f"t{number}", 111.0) for number in range(3 * MOST_LINES)]
+    assert sum(each is not None for each in many) == MOST_LINES - 1
+    lines.keep_only(frozenset())
+    assert lines.refused("t59", 111.0 + LINE_SECONDS) == 0
+
+
+def test_series_of_tenants_are_bound_however_many_there_are() -> None:
+    figures = QuotaFigures()
+    for number in range(3 * MOST_TENANTS):
+        figures.decided(f"t{number}", "granted")
+    figures.decided("t0", "granted")
+    found = counted(figures)
+    assert len(found) == MOST_TENANTS + 1
+    assert found["t0", "granted"] == 2.0
+    assert found["(others)", "granted"] == 2.0 * MOST_TENANTS
+
+
+def counted(figures: QuotaFigures) -> dict[tuple[str, str], float]:
+    (family,) = figures.collect()
+    return {
+        (each.labels["tenant"], each.labels["outcome"]): each.value
+        for each in family.samples
+        if each.name.endswith("_total")
+    }
+
+
 def test_a_tenant_whose_limit_is_lifted_is_counted_no_more() -> None:
     def scene(stage: Stage) -> None:
         lifted = msgspec.structs.replace(LIMITED, rate_per_second=0.0)
