Quotas: operators see how tenants use their limits, and when a limit binds

peppershore tenants asks the leader (a message of its own, operators only): usage of the last window, limit, admitted, refused, share; text and JSON. The leader writes a line when a limit begins to refuse calls and when it has refused none for 5 s. Told at real processes by each of three replicas.

--- a/src/peppershore/command/main.py
+++ b/src/peppershore/command/main.py
@@ -24,6 +24,7 @@
         "serve": f"{PACKAGE}.serve:serve",
         "settings": f"{PACKAGE}.settings_commands:settings",
         "status": f"{PACKAGE}.status_commands:status",
+        "tenants": f"{PACKAGE}.tenant_usage_command:tenants",
         "trace": f"{PACKAGE}.trace_command:trace",
         "tree": f"{PACKAGE}.tree_commands:tree",
         "watch": f"{PACKAGE}.watch_command:watch",
--- a/src/peppershore/connection/messages/operators.py
+++ b/src/peppershore/connection/messages/operators.py
@@ -125,3 +125,33 @@
     """Outcome of a membership change; ``problem`` is empty on success."""
 
     problem: str
+
+
+class TenantUsageQuery(Message, frozen=True, tag=102):
+    """Ask the leader how tenants use their limits."""
+
+
+class TenantUsage(msgspec.Struct, frozen=True, array_like=True):
+    """One tenant with a limit: ``rate_per_second`` calls, and ``burst`` on top.
+
+    ``used_per_second``: calls granted in the last whole window.  ``admitted`` calls were
+    granted since this leader began, ``refused`` ones refused by the limit, as far as nodes
+    told by now.  ``is_binding``: the limit refused calls in the last seconds.
+    """
+
+    tenant: str
+    rate_per_second: float
+    burst: float
+    used_per_second: float = 0.0
+    admitted: int = 0
+    refused: int = 0
+    is_binding: bool = False
+
+
+class TenantUsageAnswered(Message, frozen=True, tag=103):
+    """The leader's counts of ``seconds``; not ``is_counted``: no limit is counted here."""
+
+    replica: str
+    is_counted: bool
+    seconds: float
+    tenants: tuple[TenantUsage, ...]
--- a/src/peppershore/connection/messages/quotas.py
+++ b/src/peppershore/connection/messages/quotas.py
@@ -13,10 +13,14 @@
 
 
 class TenantAsk(msgspec.Struct, frozen=True, array_like=True):
-    """So many calls of one tenant are wanted."""
+    """So many calls of one tenant are wanted.
+
+    ``refused``: calls that its limit refused since the ask before; only counted.
+    """
 
     tenant: str
     calls: int
+    refused: int = 0
 
 
 class TenantGrant(msgspec.Struct, frozen=True, array_like=True):
--- a/src/peppershore/process/control/core.py
+++ b/src/peppershore/process/control/core.py
@@ -20,6 +20,7 @@
     StatusAnswered,
     StatusQuery,
     SubmitEdit,
+    TenantUsageQuery,
     TreeAnswered,
     TreeQuery,
     WatchRequest,
@@ -170,6 +171,7 @@
         """Forget silent relays; let rotations go on whose barrier is passed."""
         self._releases.tick()
         self._rollout_orders.tick()
+        self._quotas.tick()
         if self._rotation is None:
             self._rotation = RotationBarrier(self._progress, self.now)
         if self._progress.refresh(self.now):
@@ -220,8 +222,8 @@
             self._take_progress(message)
         elif isinstance(message, EvidenceShared):
             self.rollouts.take(message.evidence)
-        elif isinstance(message, QuotaAsked):
-            self._quotas.asked(link, message)
+        elif isinstance(message, QuotaAsked | TenantUsageQuery):
+            self._quotas.take_client(link, message)
         elif isinstance(message, HistoryQuery):
             self.send(link, self._history(message))
         elif isinstance(message, StatusQuery):
--- a/src/peppershore/process/control/notices.py
+++ b/src/peppershore/process/control/notices.py
@@ -104,3 +104,23 @@
     calls: int
     all_calls: int
     routes: tuple[str, ...]
+
+
+class TenantLimitBegan(Notice, frozen=True):
+    """A tenant's limit refuses calls from now on, as nodes told the leader."""
+
+    tenant: str
+    rate_per_second: float
+    burst: float
+
+
+class TenantLimitEnded(Notice, frozen=True):
+    """A tenant's limit refused nothing for 5 s; it did so for the time before those.
+
+    ``granted`` and ``refused`` are the calls of that time, as far as nodes told.
+    """
+
+    tenant: str
+    milliseconds: int
+    granted: int
+    refused: int
--- a/src/peppershore/process/control/quota_desk.py
+++ b/src/peppershore/process/control/quota_desk.py
@@ -5,21 +5,31 @@
 from typing import TYPE_CHECKING
 
 from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.operators import (
+    NotLeader,
+    TenantUsageAnswered,
+    TenantUsageQuery,
+)
 from peppershore.connection.messages.quotas import (
     QuotaAsked,
     QuotaForwarded,
     QuotaGranted,
     QuotaReturned,
 )
+from peppershore.process.commands import Notice
+from peppershore.process.control import notices
 from peppershore.process.events import LinkId
 from peppershore.process.quotas.decider import Decider
-from peppershore.process.quotas.limits import tenant_limits
+from peppershore.process.quotas.limits import Limit, tenant_limits
+from peppershore.process.quotas.usage import LimitBegan, LimitChange
 from peppershore.process.settings import QuotaSettings
 from peppershore.version.model import Version
 
 if TYPE_CHECKING:
     from peppershore.process.control.core import ControlCore
 
+MILLISECONDS = 1_000
+
 NOTHING_READ: Version = -1
 
 
@@ -50,7 +60,14 @@
         if self._names.pop(link, None) is not None:
             self._links = {asker: at for asker, at in self._links.items() if at != link}
 
-    def asked(self, link: LinkId, message: QuotaAsked) -> None:
+    def take_client(self, link: LinkId, message: QuotaAsked | TenantUsageQuery) -> None:
+        """Answer a relay or an operator."""
+        if isinstance(message, QuotaAsked):
+            self._asked(link, message)
+        else:
+            self._usage_asked(link)
+
+    def _asked(self, link: LinkId, message: QuotaAsked) -> None:
         """Answer a relay, or let the leader do it."""
         asker = f"{self._names.get(link, link)}/{message.life}"
         replica = self._replica
@@ -77,6 +94,29 @@
             if link is not None:
                 self._replica.send(link, message.granted)
 
+    # --- operators
+
+    def _usage_asked(self, link: LinkId) -> None:
+        """Tell an operator how tenants use their limits, or who knows."""
+        replica = self._replica
+        if not replica.leads:
+            replica.send(link, NotLeader(replica.leader_address))
+            return
+        decider, now = self._decider, replica.now
+        if decider is None:
+            answer = TenantUsageAnswered(replica.name, False, 0.0, ())
+        else:
+            age, usage = decider.age_seconds(now), decider.usage(now)
+            answer = TenantUsageAnswered(replica.name, True, age, usage)
+        replica.send(link, answer)
+
+    def tick(self) -> None:
+        """Tell of limits that began and ended to refuse calls."""
+        if self._decider is None:
+            return
+        for change in self._decider.limit_changes(self._replica.now):
+            self._replica.report(_notice(change, self._decider.limit_of(change.tenant)))
+
     # --- leadership
 
     def leadership_gained(self) -> None:
@@ -112,5 +152,16 @@
         return self._decider.answer(asker, number, message.asks, replica.now)
 
 
+def _notice(change: LimitChange, limit: Limit) -> Notice:
+    if isinstance(change, LimitBegan):
+        return notices.TenantLimitBegan(change.tenant, limit.rate, limit.burst)
+    return notices.TenantLimitEnded(
+        change.tenant,
+        int(change.seconds * MILLISECONDS),
+        change.granted,
+        change.refused,
+    )
+
+
 def _unknown(number: int) -> QuotaGranted:
     return QuotaGranted(number, (), 0, is_known=False)
--- a/src/peppershore/process/quotas/decider.py
+++ b/src/peppershore/process/quotas/decider.py
@@ -10,10 +10,12 @@
 
 import msgspec
 
+from peppershore.connection.messages.operators import TenantUsage
 from peppershore.connection.messages.quotas import QuotaGranted, TenantAsk, TenantGrant
 from peppershore.process.quotas.bucket import Bucket
 from peppershore.process.quotas.limits import Limit
 from peppershore.process.quotas.terms import lease_seconds, terms_of
+from peppershore.process.quotas.usage import LimitChange, Usage
 from peppershore.process.settings import QuotaSettings
 
 MILLISECONDS = 1_000
@@ -30,6 +32,8 @@
 
 EPOCHS_IN_TERM = 1 << 32
 
+NO_LIMIT = Limit(rate=0.0, burst=0.0)
+
 
 class _Asker(msgspec.Struct):
     first_at: float
@@ -48,6 +52,8 @@
         self._askers: dict[str, _Asker] = {}
         self._epoch = term * EPOCHS_IN_TERM
         self._looked_at = now
+        self._began_at = now
+        self._usage = Usage(quotas.window_seconds)
 
     def use_limits(self, limits: Mapping[str, Limit], now: float) -> None:
         """Go by these limits from now on.
@@ -62,6 +68,7 @@
         bound = {name: each for name, each in limits.items() if each.rate > 0.0}
         for name in self._buckets.keys() - bound.keys():
             del self._buckets[name]
+        self._usage.keep_only(frozenset(bound))
         for name, limit in bound.items():
             terms = terms_of(limit.rate, limit.burst, self._quotas)
             bucket = self._buckets.get(name)
@@ -82,6 +89,41 @@
             epoch=self._epoch,
         )
 
+    def limit_changes(self, now: float) -> list[LimitChange]:
+        """Give the limits that began and ended to refuse calls since the last time."""
+        return self._usage.changes(now)
+
+    def usage(self, now: float) -> tuple[TenantUsage, ...]:
+        """Give how each tenant with a limit used it since this leadership began."""
+        return tuple(
+            self._usage_of(name, limit, now)
+            for name, limit in sorted(self._limits.items())
+            if limit.rate > 0.0
+        )
+
+    def age_seconds(self, now: float) -> float:
+        """Give how long this leadership has counted."""
+        return now - self._began_at
+
+    def limit_of(self, tenant: str) -> Limit:
+        """Give a tenant's limit; a rate of 0 where it has none any more."""
+        return self._limits.get(tenant, NO_LIMIT)
+
+    def _usage_of(self, name: str, limit: Limit, now: float) -> TenantUsage:
+        use = self._usage.of(name)
+        if use is None:
+            return TenantUsage(name, limit.rate, limit.burst)
+        rate = use.rate(self._quotas.window_seconds, now)
+        return TenantUsage(
+            name,
+            limit.rate,
+            limit.burst,
+            rate,
+            use.granted,
+            use.refused,
+            use.is_binding,
+        )
+
     def _grant(self, ask: TenantAsk, share: float, now: float) -> TenantGrant:
         limit = self._limits.get(ask.tenant)
         if limit is None:
@@ -90,6 +132,7 @@
         if bucket is None:
             return TenantGrant(ask.tenant, max(0, ask.calls))
         granted = bucket.take(max(0, ask.calls), now)
+        self._usage.add(ask.tenant, granted, max(0, ask.refused), now)
         wait = 0
         if granted < ask.calls:
             wait = max(1, math.ceil(bucket.wait_seconds() * MILLISECONDS))
--- a/src/peppershore/process/quotas/node_grants.py
+++ b/src/peppershore/process/quotas/node_grants.py
@@ -61,7 +61,7 @@
 class _Line:
     """One tenant at a node."""
 
-    __slots__ = ("demand", "denied_until", "heard_at", "lots", "waiting")
+    __slots__ = ("demand", "denied_until", "heard_at", "lots", "refused", "waiting")
 
     def __init__(self) -> None:
         self.lots = Lots()
@@ -69,6 +69,12 @@
         self.demand = Demand()
         self.denied_until = 0.0
         self.heard_at = -math.inf
+        self.refused = 0
+
+    def tell_refused(self) -> int:
+        """Give the calls refused since this was last told."""
+        told, self.refused = self.refused, 0
+        return told
 
 
 class NodeGrants:
@@ -88,6 +94,7 @@
         if not line.waiting and line.lots.take(1, now)[0]:
             return Granted()
         if line.denied_until > now:
+            line.refused += 1
             return Denied(line.denied_until - now)
         line.waiting.append(waiter)
         self._due.add(tenant)
@@ -149,7 +156,10 @@
             return None
         self._asked_at = now
         number = self._asks.open(wanted, now)
-        asks = tuple(TenantAsk(tenant, calls) for tenant, calls in wanted.items())
+        asks = tuple(
+            TenantAsk(tenant, calls, self._lines[tenant].tell_refused())
+            for tenant, calls in wanted.items()
+        )
         return QuotaAsked(number, asks)
 
     def next_due(self, now: float) -> float | None:
@@ -185,6 +195,7 @@
             line.denied_until = now + grant.wait_milliseconds / MILLISECONDS
             denied = Denied(line.denied_until - now)
             decided += [(each, denied, grant.tenant) for each in line.waiting]
+            line.refused += len(line.waiting)
             line.waiting.clear()
         if line.waiting:
             self._due.add(grant.tenant)
--- a/src/peppershore/process/quotas/relay_line.py
+++ b/src/peppershore/process/quotas/relay_line.py
@@ -31,7 +31,7 @@
     next grants pay for them.
     """
 
-    __slots__ = ("ahead", "debts", "demand", "denied_until", "lots", "waiting")
+    __slots__ = ("ahead", "debts", "demand", "denied_until", "lots", "refused", "waiting")
 
     def __init__(self) -> None:
         """Begin with nothing granted."""
@@ -41,6 +41,7 @@
         self.demand = Demand()
         self.denied_until = 0.0
         self.ahead = 0
+        self.refused = 0
 
     @property
     def is_idle(self) -> bool:
@@ -53,6 +54,11 @@
         soon = self.demand.expected(FORECAST_SECONDS, now)
         return len(self.debts) + waited + soon - self.lots.calls
 
+    def tell_refused(self) -> int:
+        """Give the refused calls that nodes told of since this was last told."""
+        told, self.refused = self.refused, 0
+        return told
+
     def pay(self, granted: int, sent_at: float) -> int:
         """Pay with grants for what was given before their ask; give what is left.
 
--- a/src/peppershore/process/quotas/relay_pool.py
+++ b/src/peppershore/process/quotas/relay_pool.py
@@ -81,6 +81,7 @@
                 continue
             line = self._lines.setdefault(each.tenant, RelayLine())
             line.demand.add(each.calls, now)
+            line.refused += max(0, each.refused)
             line.waiting.append(NodeAsk(link, message.number, each.calls, now))
             self._serve(each.tenant, line, now)
         return self._done(source, now)
@@ -204,7 +205,10 @@
     def _ask(self, wanted: dict[str, int], now: float) -> QuotaAsked:
         self._asked_at = now
         number = self._asks.open(wanted, now)
-        asks = tuple(TenantAsk(tenant, calls) for tenant, calls in wanted.items())
+        asks = tuple(
+            TenantAsk(tenant, calls, self._lines[tenant].tell_refused())
+            for tenant, calls in wanted.items()
+        )
         return QuotaAsked(number, asks, self.life)
 
     def _set_timer(self, due_at: float, now: float) -> list[Command]:
--- a/tests/keys/test_keys.py
+++ b/tests/keys/test_keys.py
@@ -26,7 +26,7 @@
 from peppershore.connection.link import Link, LinkListener, open_link
 from peppershore.connection.messages.base import Message
 from peppershore.connection.messages.node import NodeHello
-from peppershore.connection.messages.operators import StatusQuery
+from peppershore.connection.messages.operators import StatusQuery, TenantUsageQuery
 from peppershore.connection.messages.relay import ConfirmRequest, FollowRequest
 from peppershore.connection.messages.session import Goodbye
 from peppershore.connection.tls import TlsPaths, client_context, server_context
@@ -191,6 +191,9 @@
         ("relay", OPERATOR, hello("kassa-1", "kassa"), False),
         ("control", OPERATOR, StatusQuery(), True),
         ("control", NODE, StatusQuery(), False),
+        ("control", OPERATOR, TenantUsageQuery(), True),
+        ("control", NODE, TenantUsageQuery(), False),
+        ("control", RELAY, TenantUsageQuery(), False),
         ("control", RELAY, FollowRequest("refund", "r1", "pasila", 0), True),
         ("control", RELAY, FollowRequest("refund", "r2", "pasila", 0), False),
         ("control", RELAY, ConfirmRequest(1), True),
--- a/tests/quotas/test_quota_group.py
+++ b/tests/quotas/test_quota_group.py
@@ -8,6 +8,11 @@
 from tests.consensus.control_cluster import ControlCluster
 
 from peppershore.connection.messages.base import Message
+from peppershore.connection.messages.operators import (
+    NotLeader,
+    TenantUsageAnswered,
+    TenantUsageQuery,
+)
 from peppershore.connection.messages.quotas import QuotaAsked, QuotaGranted, TenantAsk
 from peppershore.connection.messages.relay import FollowRequest
 from peppershore.process.quotas.limits import Limit
@@ -174,3 +179,52 @@
     asker.ask()
     cluster.run(0.5)
     assert (asker.granted, asker.unknown) == ([], 1)
+
+
+def usage(cluster: QuotaCluster, replica: str) -> Message:
+    """Give what a replica answers an operator who asks how tenants use their limits."""
+    answers: list[Message] = []
+    link = cluster.connect(replica, answers.append)
+    assert link is not None
+    cluster.send(replica, link, TenantUsageQuery())
+    cluster.run(0.1)
+    (answer,) = answers
+    return answer
+
+
+def test_the_leader_tells_operators_of_usage_and_others_name_the_leader() -> None:
+    cluster, askers, leader = started()
+    asker = askers[leader]
+    assert asker.link is not None
+    cluster.run(2.0)
+    for number, refused in enumerate((0, 7), start=1):
+        asks = (TenantAsk("studio", 20, refused),)
+        cluster.send(leader, asker.link, QuotaAsked(number, asks, 7))
+        cluster.run(0.1)
+    answer = usage(cluster, leader)
+    assert isinstance(answer, TenantUsageAnswered)
+    assert answer.is_counted
+    assert answer.seconds > 2.0
+    (studio,) = answer.tenants
+    assert (studio.rate_per_second, studio.burst) == (LIMIT.rate, LIMIT.burst)
+    assert (studio.admitted, studio.refused, studio.is_binding) == (40, 7, True)
+    follower = next(name for name in NAMES if name != leader)
+    pointer = usage(cluster, follower)
+    assert isinstance(pointer, NotLeader)
+    assert pointer.leader
+
+
+def test_without_the_setting_the_leader_says_that_it_counts_nothing() -> None:
+    cluster = ControlCluster(NAMES, seed=1)
+    cluster.run_until(lambda: cluster.leader() is not None)
+    cluster.run(SETTLE_SECONDS)
+    answers: list[Message] = []
+    leader = cluster.leader()
+    assert leader is not None
+    link = cluster.connect(leader, answers.append)
+    assert link is not None
+    cluster.send(leader, link, TenantUsageQuery())
+    cluster.run(0.1)
+    (answer,) = answers
+    assert isinstance(answer, TenantUsageAnswered)
+    assert (answer.is_counted, answer.tenants) == (False, ())
--- a/tests/quotas/test_quota_processes.py
+++ b/tests/quotas/test_quota_processes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import json
 import threading
 import time
 from collections.abc import Iterator
@@ -14,9 +15,11 @@
 
 import msgspec
 import pytest
+from click.testing import CliRunner
 from tests.platform_adapter.stand_in import ATTEMPT_ID, Machine, Reply, Site, ask, until
 from tests.platform_adapter.test_stand_in import HOST, configuration
 
+from peppershore.command.main import main
 from peppershore.process.quotas.limits import Limit
 from peppershore_lab.quota_world import QUOTAS, bound_of
 
@@ -136,6 +139,21 @@
     )
 
 
+def assert_operators_see(site: Site, ran_calls: int) -> None:
+    """``peppershore tenants`` tells of both, whichever replica is asked."""
+    for hub in site.hubs:
+        shown = CliRunner().invoke(main, ["tenants", "--replica", hub.seed, "--json"])
+        assert shown.exit_code == 0, shown.output
+        found = {each["tenant"]: each for each in json.loads(shown.output)["tenants"]}
+        assert found["busy"]["admitted"] >= ran_calls
+        assert found["busy"]["refused"] > 0
+        assert found["calm"]["admitted"] > 0
+    began = [line for hub in site.hubs for line in hub.lines("tenant_limit_began")]
+    assert "busy" in {line["tenant"] for line in began}
+    refused = [line for node in site.nodes for line in node.lines("over_limit")]
+    assert {line["tenant"] for line in refused} == {"busy"}
+
+
 def test_a_tenant_over_its_limit_is_bound_and_another_is_refused_nothing(
     site: Site,
 ) -> None:
@@ -159,5 +177,6 @@
         if each.reply.status == 429:
             assert float(each.reply.headers["retry-after"]) > 0.0
     assert sum(each.reply.status == 200 for each in busy.made) == len(calls)
+    assert_operators_see(site, len(calls))
     assert calm.made
     assert calm.statuses() == {200}
