--- a/benchmarks/quota_control.py
+++ b/benchmarks/quota_control.py
@@ -18,7 +18,6 @@
 from peppershore_lab.quota_world import Process, World
 
 SKEW = 1.2
-CALLS_PER_SECOND = 1_000.0
 LIMIT_SHARE = 1.6
 """A tenant's limit as a multiple of what it usually sends; the burst is one second's."""
 
@@ -35,6 +34,7 @@
     nodes: int = 72
     relays: int = 11
     hot: float = 1.0
+    calls_per_second: float = 1_000.0
 
 
 CASES = (
@@ -44,14 +44,17 @@
     Case(tenants=320),
     Case(nodes=36),
     Case(nodes=144),
+    Case(relays=4),
+    Case(relays=22),
+    Case(calls_per_second=4_000.0),
 )
 
 
-def usual_rates(tenants: int) -> dict[str, float]:
+def usual_rates(tenants: int, calls_per_second: float) -> dict[str, float]:
     """Give what each tenant usually sends, a few of them large."""
     weights = {f"t{number}": (number + 1) ** -SKEW for number in range(tenants)}
     whole = sum(weights.values())
-    return {name: CALLS_PER_SECOND * each / whole for name, each in weights.items()}
+    return {name: calls_per_second * each / whole for name, each in weights.items()}
 
 
 def offer(world: World, rates: dict[str, float], hot: float, seconds: float) -> None:
@@ -88,7 +91,7 @@
 
 def measure(case: Case) -> dict[str, object]:
     """Play one case."""
-    rates = usual_rates(case.tenants)
+    rates = usual_rates(case.tenants, case.calls_per_second)
     limits = {
         tenant: Limit(rate * LIMIT_SHARE, rate * LIMIT_SHARE)
         for tenant, rate in rates.items()
