--- a/src/peppershore/connection/messages/operators.py
+++ b/src/peppershore/connection/messages/operators.py
@@ -6,7 +6,7 @@
 
 from peppershore.connection.messages.base import Message
 from peppershore.connection.messages.relay import CommittedEdit, LaggingNode
-from peppershore.version.model import Edit, EditOutcome, Tree, Version
+from peppershore.version.model import Edit, EditOutcome, Figure, Tree, Version
 
 
 class SubmitEdit(Message, frozen=True, tag=90):
@@ -140,9 +140,9 @@
     """
 
     tenant: str
-    rate_per_second: float
-    burst: float
-    used_per_second: float = 0.0
+    rate_per_second: Figure
+    burst: Figure
+    used_per_second: Figure = 0.0
     admitted: int = 0
     refused: int = 0
     is_binding: bool = False
@@ -153,5 +153,5 @@
 
     replica: str
     is_counted: bool
-    seconds: float
+    seconds: Figure
     tenants: tuple[TenantUsage, ...]
