--- a/src/peppershore/command/main.py
+++ b/src/peppershore/command/main.py
@@ -25,6 +25,7 @@
         "settings": f"{PACKAGE}.settings_commands:settings",
         "status": f"{PACKAGE}.status_commands:status",
         "tenant": f"{PACKAGE}.tenant_commands:tenant",
+        "tenants": f"{PACKAGE}.tenant_usage_command:tenants",
         "trace": f"{PACKAGE}.trace_command:trace",
         "tree": f"{PACKAGE}.tree_commands:tree",
         "watch": f"{PACKAGE}.watch_command:watch",
