Far over a tenant's limit repeats ask for no grant

A node denies repeats of a tenant of whose calls it denied three a second or more; one denied now and then is a clump of a small tenant and asks as before. Ruled out: denying repeats after any denial (a small tenant's clump would wait a second). Kept for what it is for: first sends go first. 117 tests of quotas and of the gate pass.

--- a/src/peppershore/process/node/data/quota_gate.py
+++ b/src/peppershore/process/node/data/quota_gate.py
@@ -118,7 +118,7 @@
             decided(None)
             return
         now = self._loop.time()
-        waiter = Waiter(decided, wait_until(plan, now))
+        waiter = Waiter(decided, wait_until(plan, now), plan.is_client_retry)
         decision = self._grants.take(plan.tenant, waiter, now)
         if decision is None:
             self._ask(now)
--- a/src/peppershore/process/quotas/node_grants.py
+++ b/src/peppershore/process/quotas/node_grants.py
@@ -34,6 +34,12 @@
 """Asked for besides what waits: only where so many calls come that they will be used."""
 
 
+FAR_OVER_CALLS = 3
+"""A tenant of whose calls so many a second are denied here sends more than its limit
+gives.  Repeats then ask for nothing: what the limit gives goes to first sends, which can
+still be answered in time.  One denied call now and then is a clump of a small tenant."""
+
+
 class Granted(msgspec.Struct, frozen=True):
     """The call may run."""
 
@@ -52,21 +58,34 @@
 
 
 class Waiter(msgspec.Struct, eq=False):
-    """A call that waits, until then at the most; ``call`` is whatever knows it."""
+    """A call that waits, until then at the most; ``call`` is whatever knows it.
+
+    ``is_repeat``: its caller was refused before.
+    """
 
     call: Any
     until: float
+    is_repeat: bool = False
 
 
 class _Line:
     """One tenant at a node."""
 
-    __slots__ = ("demand", "denied_until", "heard_at", "lots", "refused", "waiting")
+    __slots__ = (
+        "demand",
+        "denials",
+        "denied_until",
+        "heard_at",
+        "lots",
+        "refused",
+        "waiting",
+    )
 
     def __init__(self) -> None:
         self.lots = Lots()
         self.waiting: deque[Waiter] = deque()
         self.demand = Demand()
+        self.denials = Demand()
         self.denied_until = 0.0
         self.heard_at = -math.inf
         self.refused = 0
@@ -91,10 +110,14 @@
         """Decide on a call, or let it wait: None."""
         line = self._lines.setdefault(tenant, _Line())
         line.demand.add(1, now)
+        if waiter.is_repeat and line.denials.expected(1.0, now) >= FAR_OVER_CALLS:
+            line.refused += 1
+            return Denied(max(0.0, line.denied_until - now))
         if not line.waiting and line.lots.take(1, now)[0]:
             return Granted()
         if line.denied_until > now:
             line.refused += 1
+            line.denials.add(1, now)
             return Denied(line.denied_until - now)
         line.waiting.append(waiter)
         self._due.add(tenant)
@@ -195,6 +218,7 @@
             line.denied_until = now + grant.wait_milliseconds / MILLISECONDS
             denied = Denied(line.denied_until - now)
             decided += [(each, denied, grant.tenant) for each in line.waiting]
+            line.denials.add(len(line.waiting), now)
             line.refused += len(line.waiting)
             line.waiting.clear()
         if line.waiting:
--- a/tests/quotas/test_quota_parts.py
+++ b/tests/quotas/test_quota_parts.py
@@ -344,6 +344,39 @@
     assert grants.take("studio", waiters[0], START + 0.08) is None
 
 
+def _denied(grants: NodeGrants, calls: int, now: float) -> None:
+    for number in range(calls):
+        grants.take("studio", Waiter(number, now + 1.0), now)
+    ask = grants.due_ask(now)
+    assert ask is not None
+    answer = QuotaGranted(ask.number, (TenantGrant("studio", 0, 10),), 400)
+    assert len(grants.answered(answer, now + 0.001)) == calls
+
+
+def test_far_over_the_limit_repeats_ask_for_nothing_and_first_sends_go_on() -> None:
+    grants = NodeGrants(QUOTAS)
+    _denied(grants, 6, START)
+    repeat = Waiter("repeat", START + 1.0, is_repeat=True)
+    assert isinstance(grants.take("studio", repeat, START + 0.1), Denied)
+    assert grants.due_ask(START + 0.1) is None
+    assert grants.take("studio", Waiter("first", START + 1.0), START + 0.1) is None
+    assert grants.due_ask(START + 0.1) is not None
+
+
+def test_a_repeat_of_a_clump_that_was_denied_once_is_asked_for() -> None:
+    grants = NodeGrants(QUOTAS)
+    _denied(grants, 1, START)
+    repeat = Waiter("repeat", START + 1.0, is_repeat=True)
+    assert grants.take("studio", repeat, START + 0.1) is None
+
+
+def test_repeats_are_asked_for_again_once_the_limit_denies_no_more() -> None:
+    grants = NodeGrants(QUOTAS)
+    _denied(grants, 6, START)
+    repeat = Waiter("repeat", START + 9.0, is_repeat=True)
+    assert grants.take("studio", repeat, START + 5.0) is None
+
+
 def test_a_call_that_nobody_answers_is_told_so_in_time() -> None:
     grants = NodeGrants(QUOTAS)
     grants.take("studio", Waiter("only", START + 0.3), START)
