Log the answer fields of a back end that its node has no use for

The lines could not tell whether a field is read by nobody or read and counted by each node alone. Tests with the change; no effect on calls.

--- a/src/peppershore/process/node/data/direct_attempt.py
+++ b/src/peppershore/process/node/data/direct_attempt.py
@@ -57,7 +57,7 @@
     __slots__ = (
         "_cancelled",
         "_connection",
-        "_on_load",
+        "_on_head",
         "_on_over",
         "_pool",
         "_refusal",
@@ -75,14 +75,14 @@
         on_over: Callable[[], None] | None = None,
         *,
         terms: BackEndTerms = DEFAULT_TERMS,
-        on_load: Callable[[bytes], None] | None = None,
+        on_head: Callable[[HeaderList], None] | None = None,
     ) -> None:
         """Create the attempt; it does nothing until ``start``.
 
-        ``on_over`` is called once when the attempt ends. ``on_load`` is called with the
-        load header of each answer of the back end, including its refusals.
+        ``on_over`` is called once when the attempt ends. ``on_head`` is called with the
+        header fields of each answer of the back end, including its refusals.
         """
-        self._on_load = on_load
+        self._on_head = on_head
         self._terms = terms
         self._refusal: NotRun | None = None
         self._on_over = on_over
@@ -146,9 +146,8 @@
 
     def answer_head(self, head: AnswerHead) -> None:
         """Forward the head of the answer, unless it reports that the call was not begun."""
-        load = self._terms.names.load
-        if load and self._on_load is not None:
-            self._on_load(first_value(head.headers, load))
+        if self._on_head is not None:
+            self._on_head(head.headers)
         self._refusal = self._refusal_in(head)
         if self._refusal is None:
             self._sink.answer_head(head)
--- a/src/peppershore/process/node/data/local_attempt.py
+++ b/src/peppershore/process/node/data/local_attempt.py
@@ -220,7 +220,7 @@
             self._request,
             self,
             terms=self._terms,
-            on_load=self._load_reported,
+            on_head=self._head_received,
         )
         self._direct.start()
 
@@ -277,9 +277,9 @@
         """Start sending the body: the back end is connected."""
         self._sink.attempt_begun()
 
-    def _load_reported(self, load_header: bytes) -> None:
-        """Record the load reported by the incarnation that runs this call."""
-        self._backend.load_reported(load_header, self._terms.life)
+    def _head_received(self, headers: HeaderList) -> None:
+        """Record what the incarnation that runs this call reports in its answer."""
+        self._backend.answer_received(headers, self._terms.life)
 
     def answer_head(self, head: AnswerHead) -> None:
         """Forward the head of the answer."""
--- a/src/peppershore/process/node/data/local_back_end.py
+++ b/src/peppershore/process/node/data/local_back_end.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from peppershore.connection.http_head import first_value
+from peppershore.connection.http_head import HeaderList, first_value
 from peppershore.connection.http_pool import ConnectionPool
 from peppershore.connection.messages.calls import MICROSECONDS, HeaderFields, OwnerLoad
 from peppershore.connection.messages.endpoints import Endpoint
@@ -35,6 +35,7 @@
 from peppershore.request.admission import Admission, Dispatch, Waiting
 from peppershore.request.back_ends.local_report import LocalReport
 from peppershore.request.back_ends.reported_load import read_load
+from peppershore.request.back_ends.unused_fields import UnusedFields
 from peppershore.request.body_prefetch import BodyPrefetch
 from peppershore.request.body_transfers import BodyTransfers
 from peppershore.request.endpoint_state import AttemptResult
@@ -78,6 +79,8 @@
         self.large_answers = large_answers
         self.leaving = False
         self.on_unreachable: Callable[[str], None] = lambda life: None
+        self.on_unused_fields: Callable[[tuple[str, ...]], None] = lambda names: None
+        """Called with the names of answer fields that the node has no use for."""
         self.slots = endpoint.slots
         self.running = RunningCalls()
         self.crashes = CrashWatch(endpoint.node, endpoint.address)
@@ -93,6 +96,7 @@
         self._endpoint = endpoint
         self.service = endpoint.service
         self._names = names
+        self._unused_fields = UnusedFields(names)
         self._life = NO_INCARNATION
         self._refuse_timer: asyncio.TimerHandle | None = None
         self._offered_slots = endpoint.slots
@@ -145,6 +149,14 @@
             link_wait_milliseconds=0 if scheduler is None else scheduler.wait_milliseconds,
         )
 
+    def answer_received(self, headers: HeaderList, life: str) -> None:
+        """Process what the incarnation ``life`` reports in the header of an answer."""
+        if self._names.load:
+            self.load_reported(first_value(headers, self._names.load), life)
+        unused = self._unused_fields.find(headers)
+        if unused:
+            self.on_unused_fields(unused)
+
     def load_reported(self, told: bytes, life: str) -> None:
         """Process the load field ``told`` of an answer of the incarnation ``life``.
 
@@ -222,6 +234,7 @@
         )
         now = asyncio.get_running_loop().time()
         self.report = LocalReport()
+        self._unused_fields = UnusedFields(self._names)
         self.admission.use_endpoints((self._endpoint,), now)
         self.pool.close_idle()
 
--- a/src/peppershore/process/node/data/notices.py
+++ b/src/peppershore/process/node/data/notices.py
@@ -37,6 +37,14 @@
     state: str
 
 
+class AnswerFieldsUnused(Notice, frozen=True):
+    """Answers of the local back end have header fields that this node has no use for."""
+
+    service: str
+    instance: str
+    fields: tuple[str, ...]
+
+
 class BackEndEnded(Notice, frozen=True):
     """This node's local back end ended without notice.
 
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -142,6 +142,7 @@
         self.calls.use_own_back_end(self._own)
         if self._own is not None:
             self._own.crashes.on_ended = self._back_end_ended
+            self._own.on_unused_fields = self._unused_fields_seen
         self._call_listener = CallListener(
             settings.cluster,
             lambda: self._own,
@@ -378,6 +379,12 @@
         if self._on_backend_state is not None:
             self._on_backend_state(state)
 
+    def _unused_fields_seen(self, fields: tuple[str, ...]) -> None:
+        if self._own is not None:
+            instance = self._own.life.instance
+            service = self._settings.service
+            self._notice_sink(notices.AnswerFieldsUnused(service, instance, fields))
+
     def _back_end_ended(self, life: str, under: tuple[Suspect, ...]) -> None:
         keys = tuple(each.key.hex() for each in under)
         self._notice_sink(notices.BackEndEnded(self._settings.service, life, keys))
--- a/src/peppershore/request/wire_names.py
+++ b/src/peppershore/request/wire_names.py
@@ -44,6 +44,12 @@
         """Answer fields that only a node sets, whatever a back end sends."""
         return frozenset({self.outcome, self.reason, self.request_id} - {b""})
 
+    @property
+    def used_fields(self) -> frozenset[bytes]:
+        """All fields that the data plane reads or writes."""
+        names = (getattr(self, each) for each in self.__struct_fields__)
+        return frozenset(name for name in names if isinstance(name, bytes) and name)
+
 
 OWN_NAMES = WireNames()
 """The default names, which are the product's own interface."""
--- a/tests/data_plane/test_told_loads.py
+++ b/tests/data_plane/test_told_loads.py
@@ -26,6 +26,7 @@
 from peppershore.process.node.back_end_reports import STATE_READY, BackEndView
 from peppershore.process.node.data.attempt import AttemptRequest
 from peppershore.process.node.data.local_back_end import LocalBackEnd
+from peppershore.process.node.data.notices import AnswerFieldsUnused
 from peppershore.process.randomness import Randomness
 from peppershore.process.settings import HeaderSettings
 from peppershore.request.back_ends.local_report import COUNT_SECONDS
@@ -258,3 +259,16 @@
         own.close()
 
     run(scene())
+
+
+def test_an_answer_field_that_the_node_does_not_use_is_logged_once() -> None:
+    async def scene() -> None:
+        async with Pair(reporting("1,0,5\r\nx-rate: 13.2")) as pair:
+            for _ in range(3):
+                assert (await pair.call()).status == 200
+            seen = [
+                each for each in pair.owner.notices if isinstance(each, AnswerFieldsUnused)
+            ]
+            assert [each.fields for each in seen] == [("x-rate",)]
+
+    run(scene())
