Limit the calls to a back end to the rate that it names in its answers

What callers saw: nothing; a back end in need got several times the calls that it had said it takes (221 in 4 s where 85 are allowed; in the test 122 where 65 are), and had to work them off.

Cause: no line of the product read the field. Class: a bound that the other side states in band and nobody is responsible for.

The node beside a back end, through which all calls to it pass, enforces the limit for all nodes: a token bucket of half a second, and a window of 4 s that also counts the calls sent before the limit was named, since the first window that must comply begins before it (3 s to comply, windows of 4 s). What that window still allows is spread over the time left. A limit ends with an answer without it to a call that was sent after the last answer that named one, so answers out of order change nothing; at least one call in 2 s goes to a back end that takes none, or its end would never be seen. Other nodes hear the need with each answer: they avoid a back end whose limit is used up, and what no back end takes in time is refused with the wait that its limit means. They tell it back with each call, so a restarted node beside the back end is bound at once; calls sent directly under a loan end with the first answer that names a limit.

--- a/src/peppershore/connection/messages/calls.py
+++ b/src/peppershore/connection/messages/calls.py
@@ -18,6 +18,29 @@
 """``CallStarted.patience_milliseconds`` of a call that may wait until its deadline."""
 
 
+NO_RATE_LIMIT = -1
+"""``BackEndNeed.calls_per_1000_seconds`` of a back end without a rate limit."""
+
+
+class BackEndNeed(msgspec.Struct, frozen=True, array_like=True):
+    """Need that the incarnation ``life`` of a back end reported in its answers.
+
+    ``calls_per_1000_seconds`` is the rate that it takes from all nodes together. One more
+    call would have to wait ``wait_milliseconds`` for it. ``is_leaving``: it ends soon and
+    takes no new calls.
+    """
+
+    life: str
+    calls_per_1000_seconds: int = NO_RATE_LIMIT
+    wait_milliseconds: int = 0
+    is_leaving: bool = False
+
+
+def calls_per_1000_seconds(rate: float | None) -> int:
+    """Return a rate limit in calls a second as ``BackEndNeed`` holds it; None is none."""
+    return NO_RATE_LIMIT if rate is None else round(rate * 1_000)
+
+
 class OwnerLoad(msgspec.Struct, frozen=True, array_like=True):
     """Load of a back end as counted by its local node.
 
@@ -29,6 +52,7 @@
     ``pace_age_milliseconds`` ago (-1: never).
     ``link_wait_milliseconds`` is the time that one more large answer would take to wait
     for the network link of the back end's node and be transmitted.
+    ``need`` is None while the back end reports none.
     """
 
     running: int
@@ -38,6 +62,7 @@
     pace_percent: int = 100
     pace_age_milliseconds: int = -1
     link_wait_milliseconds: int = 0
+    need: BackEndNeed | None = None
 
     @property
     def work_seconds(self) -> float:
@@ -71,6 +96,10 @@
     without tenants. ``answer_is_large``: the answer needs capacity on the network link of
     the back end's node and should be transferred completely within ``due_milliseconds``;
     ``answer_window`` bytes of it may be in transit (0: the default).
+
+    ``known_need`` is the last one that the receiver reported to the sender, and ``left``
+    are incarnations of its back end that said they are leaving: a receiver that restarted
+    meanwhile has forgotten both.
     """
 
     stream: int
@@ -98,6 +127,8 @@
     answer_is_large: bool = False
     due_milliseconds: int = 0
     answer_window: int = 0
+    known_need: BackEndNeed | None = None
+    left: tuple[str, ...] = ()
 
 
 class CallBody(Message, frozen=True, tag=142):
@@ -183,12 +214,14 @@
     """Loan: the receiver may have up to ``slots`` calls at the back end, sent directly.
 
     Replaces the previous loan. ``number`` is that of the request; the loan expires
-    ``lease_milliseconds`` after that request was sent, unless requested again.
+    ``lease_milliseconds`` after that request was sent, unless requested again. ``life``
+    names the incarnation of the back end that the slots belong to.
     """
 
     number: int
     slots: int
     lease_milliseconds: int
+    life: str = ""
 
 
 class SlotsReturned(Message, frozen=True, tag=151):
@@ -210,6 +243,12 @@
     number: int
 
 
+class BackEndNeedSeen(Message, frozen=True, tag=155):
+    """An answer to a call sent directly, under a loan, reported this need."""
+
+    need: BackEndNeed
+
+
 class CallPacked(Message, frozen=True, tag=154):
     """One message, compressed as the next chunk of this link's stream.
 
--- a/src/peppershore/process/node/data/attempt.py
+++ b/src/peppershore/process/node/data/attempt.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from peppershore.connection.http_head import AnswerHead, HeaderList, RequestHead
+from peppershore.connection.messages.calls import BackEndNeed
 from peppershore.request.fingerprint import Fingerprint
 from peppershore.request.outcome import Failed
 from peppershore.version.model import CallClass
@@ -96,6 +97,7 @@
     ``answer_is_large``: the answer needs capacity on the owner's network link and should
     be transferred by ``due`` (monotonic seconds).
     ``answer_window``: receive window in bytes for a large answer; 0 for the default.
+    ``known_need``, ``left``: what this node knows of the back end, as in ``CallStarted``.
     ``fingerprint``: identifies equal requests; it is extended as the body arrives.
     """
 
@@ -117,4 +119,6 @@
     answer_is_large: bool = False
     due: float = math.inf
     answer_window: int = 0
+    known_need: BackEndNeed | None = None
+    left: tuple[str, ...] = ()
     fingerprint: Fingerprint = msgspec.field(default_factory=Fingerprint)
--- a/src/peppershore/process/node/data/call_listener.py
+++ b/src/peppershore/process/node/data/call_listener.py
@@ -14,6 +14,7 @@
 from peppershore.connection.link import Link, LinkListener
 from peppershore.connection.messages.base import Message
 from peppershore.connection.messages.calls import (
+    BackEndNeedSeen,
     CallLinkAlive,
     CallLinkHello,
     CallLinkProbe,
@@ -84,7 +85,7 @@
             backend.reserve_lent_slots(self._lender.lent(now))
 
     def recall_loans(self) -> None:
-        """Recall every loan because the back end is leaving."""
+        """Recall every loan: the back end is leaving, or has a rate limit."""
         if self._lender is not None:
             self._lender.recall()
         for link in self._links:
@@ -131,9 +132,16 @@
                 self._lend(link, message)
             case SlotsReturned():
                 self._returned(link, message)
+            case BackEndNeedSeen():
+                self._need_seen(message)
             case _:
                 pass
 
+    def _need_seen(self, message: BackEndNeedSeen) -> None:
+        backend = self._backend()
+        if backend is not None:
+            backend.need_seen_elsewhere(message.need)
+
     def _lend(self, link: CallLink, request: SlotsAsked) -> None:
         backend = self._backend()
         if backend is None or link not in self._links:
@@ -142,11 +150,14 @@
         lender = self._lender_of(backend)
         now = asyncio.get_running_loop().time()
         free = backend.slots - backend.admission.in_flight - lender.lent(now)
-        wanted = 0 if backend.leaving else request.wanted
+        is_needy = backend.leaving or backend.need.report(now) is not None
+        wanted = 0 if is_needy else request.wanted
         borrower = self._links[link]
         granted = lender.asked(borrower, request.number, wanted, free, now)
         backend.reserve_lent_slots(lender.lent(now))
-        link.send(SlotsLent(request.number, granted, int(LEASE_SECONDS * MILLISECONDS)))
+        lease = int(LEASE_SECONDS * MILLISECONDS)
+        life = backend.life.name
+        link.send(SlotsLent(request.number, granted, lease, life))
 
     def _lender_of(self, backend: LocalBackEnd) -> Lender:
         longest = self._longest_call_seconds()
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -12,7 +12,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from peppershore.connection.http_head import HeaderList, RequestHead
+from peppershore.connection.http_head import AnswerHead, HeaderList, RequestHead
+from peppershore.connection.messages.calls import BackEndNeed, calls_per_1000_seconds
 from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.commands import Notice
 from peppershore.process.node.data.attempt import Attempt, AttemptRequest, AttemptSink
@@ -43,6 +44,7 @@
 from peppershore.process.settings import NodeSettings
 from peppershore.request.admission import Dispatch
 from peppershore.request.audience import load_token_library
+from peppershore.request.back_ends.reported_need import read_need
 from peppershore.request.body_transfers import takes_long
 from peppershore.request.classification import CallPlan, route_of
 from peppershore.request.fingerprint import Fingerprint
@@ -319,24 +321,49 @@
         self, dispatch: Dispatch, plan: CallPlan, request: AttemptRequest, sink: AttemptSink
     ) -> Attempt:
         endpoint = dispatch.endpoint
+        request = self._with_known_need(endpoint.node, request)
         if self.own is not None and endpoint.node == self._settings.node:
             return LocalAttempt(self.own, request, sink)
         if not endpoint.owner_address:
             pool = self._pools.pool(endpoint)
             return DirectAttempt(pool, request, sink, terms=self._terms)
-        if plan.hop == "direct":
+        if plan.hop == "direct" and request.known_need is None:
             address = endpoint.owner_address
             if self._links.borrow(address, self.loop.time()):
                 pool = self._pools.borrowed(endpoint, self._links.allowance(address))
+                life = self._links.lent_life(address)
                 return DirectAttempt(
                     pool,
                     request,
                     sink,
                     lambda: self._links.give_back(address),
                     terms=self._terms,
+                    on_head=lambda head: self._direct_answer(endpoint, life, head),
                 )
         return LinkAttempt(self._links, endpoint.owner_address, request, sink)
 
+    def _with_known_need(self, node: str, request: AttemptRequest) -> AttemptRequest:
+        need, left = self.admissions.needs.need(node), self.admissions.needs.left(node)
+        if need is None and not left:
+            return request
+        return msgspec.structs.replace(request, known_need=need, left=left)
+
+    def _direct_answer(self, endpoint: Endpoint, life: str, head: AnswerHead) -> None:
+        """Process a need that an answer to a call sent directly reports.
+
+        The owner has not seen the answer, so it is told.
+        """
+        reported = read_need(head.headers, self.names)
+        if reported.rate_limit is None and not reported.is_leaving:
+            return
+        need = BackEndNeed(
+            life,
+            calls_per_1000_seconds=calls_per_1000_seconds(reported.rate_limit),
+            is_leaving=reported.is_leaving,
+        )
+        self.admissions.need_heard(endpoint.node, need)
+        self._links.send_need(endpoint.owner_address, need)
+
     def answer_window(self, plan: CallPlan) -> int:
         """Return the receive window in bytes for a large answer; 0 for the default."""
         if self.large_answers is None or not plan.settings.large_answers:
--- a/src/peppershore/process/node/data/direct_attempt.py
+++ b/src/peppershore/process/node/data/direct_attempt.py
@@ -75,12 +75,12 @@
         on_over: Callable[[], None] | None = None,
         *,
         terms: BackEndTerms = DEFAULT_TERMS,
-        on_head: Callable[[HeaderList], None] | None = None,
+        on_head: Callable[[AnswerHead], None] | None = None,
     ) -> None:
         """Create the attempt; it does nothing until ``start``.
 
         ``on_over`` is called once when the attempt ends. ``on_head`` is called with the
-        header fields of each answer of the back end, including its refusals.
+        head of each answer of the back end, including its refusals.
         """
         self._on_head = on_head
         self._terms = terms
@@ -147,7 +147,7 @@
     def answer_head(self, head: AnswerHead) -> None:
         """Forward the head of the answer, unless it reports that the call was not begun."""
         if self._on_head is not None:
-            self._on_head(head.headers)
+            self._on_head(head)
         self._refusal = self._refusal_in(head)
         if self._refusal is None:
             self._sink.answer_head(head)
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -260,6 +260,8 @@
                 answer_is_large=request.answer_is_large,
                 due_milliseconds=_due_milliseconds(now, request),
                 answer_window=request.answer_window,
+                known_need=request.known_need,
+                left=request.left,
             )
         )
         if not self._started:
--- a/src/peppershore/process/node/data/local_attempt.py
+++ b/src/peppershore/process/node/data/local_attempt.py
@@ -222,6 +222,7 @@
             terms=self._terms,
             on_head=self._head_received,
         )
+        self._backend.call_sent()
         self._direct.start()
 
     def refused(self, refusal: NotRun) -> None:
@@ -277,9 +278,9 @@
         """Start sending the body: the back end is connected."""
         self._sink.attempt_begun()
 
-    def _head_received(self, headers: HeaderList) -> None:
+    def _head_received(self, head: AnswerHead) -> None:
         """Record what the incarnation that runs this call reports in its answer."""
-        self._backend.answer_received(headers, self._terms.life)
+        self._backend.answer_received(head, self._terms.life, self._started)
 
     def answer_head(self, head: AnswerHead) -> None:
         """Forward the head of the answer."""
--- a/src/peppershore/process/node/data/local_back_end.py
+++ b/src/peppershore/process/node/data/local_back_end.py
@@ -13,15 +13,19 @@
 
 import msgspec
 
-from peppershore.connection.http_head import HeaderList, first_value
+from peppershore.connection.http_head import AnswerHead, first_value
 from peppershore.connection.http_pool import ConnectionPool
-from peppershore.connection.messages.calls import MICROSECONDS, HeaderFields, OwnerLoad
+from peppershore.connection.messages.calls import (
+    MICROSECONDS,
+    BackEndNeed,
+    HeaderFields,
+    OwnerLoad,
+)
 from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.node.back_end_reports import (
     NO_INCARNATION,
     STATE_GONE,
     STATE_LEAVING,
-    STATE_READY,
     BackEndIncarnation,
     BackEndView,
 )
@@ -33,14 +37,23 @@
 from peppershore.process.node.data.quarantine_gate import QuarantineGate
 from peppershore.process.node.data.waiting_attempt import WaitingAttempt
 from peppershore.request.admission import Admission, Dispatch, Waiting
+from peppershore.request.back_ends.known_needs import UNIDENTIFIED_SECONDS
+from peppershore.request.back_ends.local_need import LocalNeed, NeedChange
 from peppershore.request.back_ends.local_report import LocalReport
+from peppershore.request.back_ends.need_bounds import DEFAULT_BOUNDS, NeedBounds
 from peppershore.request.back_ends.reported_load import read_load
+from peppershore.request.back_ends.reported_need import read_need
 from peppershore.request.back_ends.unused_fields import UnusedFields
 from peppershore.request.body_prefetch import BodyPrefetch
 from peppershore.request.body_transfers import BodyTransfers
 from peppershore.request.endpoint_state import AttemptResult
 from peppershore.request.fingerprint import Fingerprint
-from peppershore.request.outcome import SLOW_NOW, STATUS_UNAVAILABLE, NotRun
+from peppershore.request.outcome import (
+    SLOW_NOW,
+    STATUS_MISDIRECTED,
+    STATUS_UNAVAILABLE,
+    NotRun,
+)
 from peppershore.request.picker import RandomSource
 from peppershore.request.running_calls import RunningCalls
 from peppershore.request.tenants.weights import ConfiguredWeights
@@ -69,13 +82,18 @@
         quarantine: QuarantineGate | None = None,
         large_answers: LargeAnswers | None = None,
         weights: ConfiguredWeights | None = None,
+        bounds: NeedBounds = DEFAULT_BOUNDS,
     ) -> None:
         """Start with all slots free.
 
         ``transfers`` bounds the large request bodies in transit. ``large_answers``
         schedules the large answers on this node's link; None if the link is wide enough.
-        ``weights`` holds the tenants' weights of the configuration in use.
+        ``weights`` holds the tenants' weights of the configuration in use. ``bounds`` says
+        within what time a need that the back end reports takes effect.
         """
+        self._bounds = bounds
+        self.need = LocalNeed(NO_INCARNATION.name, bounds.limit_seconds)
+        self.on_need_changed: Callable[[NeedChange], None] = lambda change: None
         self.large_answers = large_answers
         self.leaving = False
         self.on_unreachable: Callable[[str], None] = lambda life: None
@@ -99,13 +117,19 @@
         self._unused_fields = UnusedFields(names)
         self._life = NO_INCARNATION
         self._refuse_timer: asyncio.TimerHandle | None = None
+        self._return_timer: asyncio.TimerHandle | None = None
         self._offered_slots = endpoint.slots
         self._lent = 0
         self.pool = ConnectionPool(endpoint.address, endpoint.connections)
         self._node = endpoint.node
         now = asyncio.get_running_loop().time()
         self.admission = Admission(
-            endpoint.service, settings, endpoint.zone, random, weights=weights
+            endpoint.service,
+            settings,
+            endpoint.zone,
+            random,
+            weights=weights,
+            rate_wait=self._rate_wait,
         )
         self.admission.use_endpoints((endpoint,), now)
         self._ticket_numbers = itertools.count(1)
@@ -147,16 +171,60 @@
             pace_percent=report.pace_percent,
             pace_age_milliseconds=report.pace_age_milliseconds(now),
             link_wait_milliseconds=0 if scheduler is None else scheduler.wait_milliseconds,
+            need=self.need.report(now),
         )
 
-    def answer_received(self, headers: HeaderList, life: str) -> None:
-        """Process what the incarnation ``life`` reports in the header of an answer."""
+    def answer_received(self, head: AnswerHead, life: str, sent_at: float) -> None:
+        """Process what ``life`` reports in the answer to a call sent at ``sent_at``.
+
+        An answer of another incarnation, late or in the place of ``life``, is ignored.
+        """
+        if life != self._life.name or head.status == STATUS_MISDIRECTED:
+            return
         if self._names.load:
-            self.load_reported(first_value(headers, self._names.load), life)
-        unused = self._unused_fields.find(headers)
+            self.load_reported(first_value(head.headers, self._names.load), life)
+        reported = read_need(head.headers, self._names)
+        now = asyncio.get_running_loop().time()
+        self._need_changed(self.need.answered(reported, head.status, sent_at, now))
+        unused = self._unused_fields.find(head.headers)
         if unused:
             self.on_unused_fields(unused)
 
+    def call_sent(self) -> None:
+        """Record that a call is sent to the back end now."""
+        self.need.rate_limit.sent(asyncio.get_running_loop().time())
+
+    def need_seen_elsewhere(self, need: BackEndNeed) -> None:
+        """Process the need that an answer to a call sent directly reported."""
+        now = asyncio.get_running_loop().time()
+        self._need_changed(self.need.seen_elsewhere(need, now))
+
+    def need_known_elsewhere(self, need: BackEndNeed | None, left: tuple[str, ...]) -> None:
+        """Process what a peer remembers of the back end: its need, incarnations that left.
+
+        One that is leaving by a peer's word gets no call from now on: when it began to
+        leave is not known here.
+        """
+        if need is None and not left:
+            return
+        now = asyncio.get_running_loop().time()
+        change = self.need.known_elsewhere(need, left, now)
+        self._need_changed(change)
+        if change.began_leaving:
+            self.leave()
+
+    def _need_changed(self, change: NeedChange) -> None:
+        if change.limit_began or change.limit_ended:
+            self._apply_limit()
+        if change.began_leaving:
+            self.crashes.mark_leaving()
+            self._leave_soon()
+            if not self._life.instance:
+                loop = asyncio.get_running_loop()
+                self._return_timer = loop.call_later(UNIDENTIFIED_SECONDS, self._return)
+        if change.limit_began or change.limit_ended or change.began_leaving:
+            self.on_need_changed(change)
+
     def load_reported(self, told: bytes, life: str) -> None:
         """Process the load field ``told`` of an answer of the incarnation ``life``.
 
@@ -167,6 +235,9 @@
             now = asyncio.get_running_loop().time()
             self.report.heard(load, self.admission.in_flight + self._lent, now)
 
+    def _rate_wait(self, calls: int, now: float) -> float:
+        return self.need.rate_limit.wait(calls, now)
+
     def request_id(self, request: AttemptRequest) -> bytes:
         """Return the request id that is sent to the back end; empty if there is none."""
         return first_value(request.headers, self._names.request_id)
@@ -190,17 +261,18 @@
             fingerprint=fingerprint,
         )
 
-    def use_view(self, view: BackEndView, leaving_bound_seconds: float) -> None:
+    def use_view(self, view: BackEndView) -> None:
         """Apply the state that the back end reports in its heartbeats.
 
         A back end that is leaving still gets the calls that arrive within
-        ``leaving_bound_seconds``, since they may already be on their way, and none after.
+        ``NeedBounds.leaving_seconds``, and none after.
         """
         if view.life != self._life:
             self._life = view.life
+            self.need = LocalNeed(view.life.name, self._bounds.limit_seconds)
             self.crashes.begin_incarnation(view.life.name)
             self._begin_incarnation()
-            self._cancel_refuse_timer()
+            self._cancel_leaving_timers()
             self.leaving = False
             now = asyncio.get_running_loop().time()
             self._warm_at = now + max(0, view.warming_milliseconds) / MILLISECONDS
@@ -211,14 +283,31 @@
         self._apply_limit()
         if view.state == STATE_LEAVING:
             self.crashes.mark_leaving()
-        if view.state == STATE_READY:
-            self._cancel_refuse_timer()
-            self.leaving = False
-        elif view.state == STATE_GONE:
+        if view.state == STATE_GONE:
             self.leave()
-        elif not self.leaving and self._refuse_timer is None:
+        elif view.state == STATE_LEAVING or self.need.is_leaving:
+            self._leave_soon()
+        else:
+            self._cancel_leaving_timers()
+            self.leaving = False
+
+    def _return(self) -> None:
+        """Accept calls again: a back end without a name may have been replaced."""
+        self._cancel_leaving_timers()
+        self.need = LocalNeed(self._life.name, self._bounds.limit_seconds)
+        self.leaving = False
+
+    def stop(self) -> None:
+        """Refuse new calls for good: this node stops. Waiting calls are still served."""
+        self._cancel_leaving_timers()
+        self.leaving = True
+
+    def _leave_soon(self) -> None:
+        """Refuse calls from the end of the bound on: some are still on their way."""
+        if not self.leaving and self._refuse_timer is None:
             loop = asyncio.get_running_loop()
-            self._refuse_timer = loop.call_later(leaving_bound_seconds, self.leave)
+            bound = self._bounds.leaving_seconds
+            self._refuse_timer = loop.call_later(bound, self.leave)
 
     def _begin_incarnation(self) -> None:
         """Offer all slots of a new incarnation; calls in progress keep theirs.
@@ -240,7 +329,9 @@
 
     def leave(self) -> None:
         """Refuse new and waiting calls from now on; running calls continue."""
-        self._cancel_refuse_timer()
+        if self._refuse_timer is not None:
+            self._refuse_timer.cancel()
+            self._refuse_timer = None
         self.leaving = True
         self.refuse_waiting()
 
@@ -275,7 +366,13 @@
         self._apply_limit()
 
     def start_ramp(self) -> None:
-        """Ramp up a back end that has come up: the rate of its calls rises gradually."""
+        """Ramp up a back end that has come up: the rate of its calls rises gradually.
+
+        It is another process, so what the one before reported no longer holds.
+        """
+        if self.need.is_leaving and not self._life.instance:
+            self._return()
+        self.need = LocalNeed(self._life.name, self._bounds.limit_seconds)
         self.crashes.begin_incarnation(self._life.name)
         state = self.admission.state(self._node)
         if state is not None:
@@ -320,6 +417,9 @@
         if self._refusal(request) is not None:
             return False
         admission = self.admission
+        now = asyncio.get_running_loop().time()
+        if self.need.rate_limit.room(now) <= self._prefetches.coming:
+            return False
         return self._prefetches.begin(admission.in_flight, admission.waiting, self.slots)
 
     def end_prefetch(self) -> None:
@@ -415,15 +515,18 @@
         for attempt in (*self._waiting.values(), *self._awaiting_transfer):
             attempt.refused(refusal)
 
-    def _cancel_refuse_timer(self) -> None:
+    def _cancel_leaving_timers(self) -> None:
         if self._refuse_timer is not None:
             self._refuse_timer.cancel()
             self._refuse_timer = None
+        if self._return_timer is not None:
+            self._return_timer.cancel()
+            self._return_timer = None
 
     def close(self) -> None:
         """Stop all timers and probes, and close idle connections."""
         self.crashes.close()
-        self._cancel_refuse_timer()
+        self._cancel_leaving_timers()
         if self._recheck_timer is not None:
             self._recheck_timer.cancel()
         self.pool.close()
@@ -433,9 +536,13 @@
         self.start_waiting()
 
     def _set_limit(self, now: float) -> None:
-        """Offer the slots that are neither lent nor taken by work unknown to this node."""
+        """Offer the slots that are neither lent nor taken by work unknown to this node.
+
+        No more calls may start than the back end's rate limit allows now.
+        """
         reserved = self._lent + self.report.taken(self.slots, now)
-        self.admission.set_limit(self._node, max(0, self.slots - reserved))
+        most = self.admission.in_flight + self.need.rate_limit.room(now)
+        self.admission.set_limit(self._node, max(0, min(self.slots - reserved, most)))
 
     def _refuse_evicted(self, decision: Waiting, now: float) -> None:
         if decision.evicted is None:
--- a/src/peppershore/process/node/data/notices.py
+++ b/src/peppershore/process/node/data/notices.py
@@ -45,6 +45,28 @@
     fields: tuple[str, ...]
 
 
+class RateLimitNamed(Notice, frozen=True):
+    """The local back end takes so many calls a second, by its answers."""
+
+    service: str
+    instance: str
+    calls_per_second: float
+
+
+class RateLimitEnded(Notice, frozen=True):
+    """The answers of the local back end name no rate limit any more."""
+
+    service: str
+    instance: str
+
+
+class LeavingAnswered(Notice, frozen=True):
+    """The answers of the local back end say that it is leaving."""
+
+    service: str
+    instance: str
+
+
 class BackEndEnded(Notice, frozen=True):
     """This node's local back end ended without notice.
 
--- a/src/peppershore/process/node/data/owner_links.py
+++ b/src/peppershore/process/node/data/owner_links.py
@@ -10,6 +10,8 @@
 from peppershore.connection.link import open_link
 from peppershore.connection.messages.base import Message
 from peppershore.connection.messages.calls import (
+    BackEndNeed,
+    BackEndNeedSeen,
     CallLinkAlive,
     CallLinkHello,
     CallLinkProbe,
@@ -112,6 +114,16 @@
         if kept is not None and owner.link is not None:
             owner.link.send(SlotsReturned(owner.borrower.number, kept))
 
+    def lent_life(self, address: str) -> str:
+        """Return the incarnation of the owner's back end whose slots are lent."""
+        return self._owner(address).borrower.life
+
+    def send_need(self, address: str, need: BackEndNeed) -> None:
+        """Send an owner the need that an answer to a call sent directly reported."""
+        link = self._owner(address).link
+        if link is not None:
+            link.send(BackEndNeedSeen(need))
+
     def allowance(self, address: str) -> int:
         """Return how many connections this node may hold to the owner's back end now."""
         now = asyncio.get_running_loop().time()
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -117,6 +117,7 @@
         if started.body_on_credit:
             window = backend.transfers.window_bytes
             self._receiving = ReceiveWindow(window, owed=window)
+        backend.need_known_elsewhere(started.known_need, started.left)
         self._record = backend.record(started.headers, self._body.fingerprint)
         request = _request(started, self._body.fingerprint)
         self._attempt = self._new_attempt(backend, request)
--- a/src/peppershore/process/node/data/service_admissions.py
+++ b/src/peppershore/process/node/data/service_admissions.py
@@ -13,14 +13,22 @@
 
 import msgspec
 
-from peppershore.connection.messages.calls import OwnerLoad
+from peppershore.connection.messages.calls import BackEndNeed, OwnerLoad
 from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.commands import Notice
 from peppershore.process.node.data import notices
 from peppershore.process.node.data.call_story import ChoiceSeen
 from peppershore.process.node.data.local_back_end import LocalBackEnd
+from peppershore.process.node.profile import need_bounds
 from peppershore.process.settings import NodeSettings
-from peppershore.request.admission import Admission, Decision, Dispatch, Waiting
+from peppershore.request.admission import (
+    STATE_LEAVING,
+    Admission,
+    Decision,
+    Dispatch,
+    Waiting,
+)
+from peppershore.request.back_ends.known_needs import UNIDENTIFIED_SECONDS, KnownNeeds
 from peppershore.request.classification import CallPlan
 from peppershore.request.endpoint_state import AttemptResult, EndpointState
 from peppershore.request.outcome import STATUS_UNAVAILABLE, NotRun
@@ -36,6 +44,8 @@
 The owner enforces the slots; this limit bounds how many calls may wait there."""
 
 MILLISECONDS = 1_000
+UNKNOWN_INCARNATION = -1
+TIMER_MARGIN_SECONDS = 0.001
 
 
 class WaitingCall(Protocol):
@@ -72,6 +82,10 @@
         self._admissions: dict[str, Admission] = {}
         self._endpoints: dict[str, tuple[Endpoint, ...]] = {}
         self._nodes_behind: dict[str, list[str]] = {}
+        self._incarnations: dict[str, int] = {}
+        self.needs = KnownNeeds()
+        self._leaving_seconds = need_bounds(settings).leaving_seconds
+        self._leaving_timers: set[asyncio.TimerHandle] = set()
         self._waiting: dict[int, WaitingCall] = {}
         self._ticket_numbers = itertools.count(1)
         self._recheck_timer: asyncio.TimerHandle | None = None
@@ -96,18 +110,18 @@
             grouped.setdefault(endpoint.service, []).append(endpoint)
         self._endpoints = {name: tuple(found) for name, found in grouped.items()}
         self._nodes_behind = {}
+        self._incarnations = {each.node: each.incarnation for each in endpoints}
         for endpoint in endpoints:
             behind = self._nodes_behind.setdefault(endpoint.owner_address, [])
             behind.append(endpoint.node)
-        now = self._loop.time()
-        for service, admission in self._admissions.items():
-            self._pass_endpoints(admission, service, now)
-        self._start_all_waiting()
+        self._pass_all_endpoints()
 
     def close(self) -> None:
         """Stop rechecking the queues."""
         if self._recheck_timer is not None:
             self._recheck_timer.cancel()
+        for timer in self._leaving_timers:
+            timer.cancel()
 
     def choose_version_group(self, service: str) -> VersionGroup:
         """Choose at random which version of the service's software is to serve one call."""
@@ -283,28 +297,62 @@
     def _pass_endpoints(self, admission: Admission, service: str, now: float) -> None:
         """Pass a service's live endpoints to its admission.
 
-        Each has as its slots the number of calls that this node may have there.
+        Each has as its slots the number of calls that this node may have there. One whose
+        answers said that it is leaving gets calls for a short time, and only if no other
+        is ready.
         """
-        endpoints = self._endpoints.get(service, ())
-        limited = [
-            msgspec.structs.replace(endpoint, slots=endpoint.slots * OWNER_LIMIT_FACTOR)
-            if endpoint.owner_address
-            else endpoint
-            for endpoint in endpoints
-        ]
-        admission.use_endpoints(tuple(limited), now)
+        offered: list[Endpoint] = []
+        for endpoint in self._endpoints.get(service, ()):
+            slots = endpoint.slots * (OWNER_LIMIT_FACTOR if endpoint.owner_address else 1)
+            left_at = self.needs.left_at(endpoint.node, endpoint.incarnation, now)
+            state = endpoint.state
+            if left_at is not None:
+                state = STATE_LEAVING
+                if now - left_at >= self._leaving_seconds:
+                    continue
+            offered.append(msgspec.structs.replace(endpoint, slots=slots, state=state))
+        admission.use_endpoints(tuple(offered), now)
 
     def load_reported(self, address: str, load: OwnerLoad, route: str) -> None:
         """Process the load of its back end that the owner at an address reported."""
         now = self._loop.time()
         for node in self._nodes_behind.get(address, ()):
+            self.need_heard(node, load.need)
             for admission in self._admissions.values():
                 admission.note_load(node, load, route, now)
 
+    def need_heard(self, node: str, need: BackEndNeed | None) -> None:
+        """Process the need of the back end beside ``node`` as an answer reported it."""
+        now = self._loop.time()
+        incarnation = self._incarnations.get(node, UNKNOWN_INCARNATION)
+        if self.needs.heard(node, incarnation, need, now):
+            self._pass_all_endpoints()
+            # Rounding of the timer must not make it fire before the end of the time.
+            self._pass_endpoints_again_after(self._leaving_seconds + TIMER_MARGIN_SECONDS)
+            if not need or not need.life:
+                self._pass_endpoints_again_after(
+                    UNIDENTIFIED_SECONDS + TIMER_MARGIN_SECONDS
+                )
+
+    def _pass_endpoints_again_after(self, seconds: float) -> None:
+        def pass_again() -> None:
+            self._leaving_timers.discard(timer)
+            self._pass_all_endpoints()
+
+        timer = self._loop.call_later(seconds, pass_again)
+        self._leaving_timers.add(timer)
+
+    def _pass_all_endpoints(self) -> None:
+        now = self._loop.time()
+        for service, admission in self._admissions.items():
+            self._pass_endpoints(admission, service, now)
+        self._start_all_waiting()
+
     def _note_local_load(self, admission: Admission, plan: CallPlan, now: float) -> None:
         """Record the local back end's load as reported to other nodes, for comparison."""
         if self.own is not None and plan.target == self.own.service:
             load = self.own.load(plan.route)
+            self.need_heard(self._settings.node, load.need)
             admission.note_load(self._settings.node, load, plan.route, now)
 
     def _start_all_waiting(self) -> None:
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -22,7 +22,11 @@
 from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.connection.messages.rollouts import RouteEvidence
 from peppershore.process.commands import Notice
-from peppershore.process.node.back_end_reports import NO_INCARNATION, BackEndView
+from peppershore.process.node.back_end_reports import (
+    NO_INCARNATION,
+    BackEndIncarnation,
+    BackEndView,
+)
 from peppershore.process.node.data import notices
 from peppershore.process.node.data.backend_probe import STATE_READY, BackendProbe
 from peppershore.process.node.data.call import Call
@@ -32,8 +36,10 @@
 from peppershore.process.node.data.link_guard import LinkGuard
 from peppershore.process.node.data.local_back_end import LocalBackEnd
 from peppershore.process.node.data.owner_links import OwnerLinks
+from peppershore.process.node.profile import need_bounds
 from peppershore.process.randomness import Randomness
 from peppershore.process.settings import NodeSettings
+from peppershore.request.back_ends.local_need import NeedChange
 from peppershore.request.body_transfers import BodyTransfers
 from peppershore.request.claim import ClaimsClient
 from peppershore.request.quarantine import Suspect
@@ -120,6 +126,8 @@
 
         The second argument holds the requests that ran there.
         """
+        self.on_back_end_leaving: Callable[[BackEndIncarnation], None] = lambda life: None
+        """Called with the incarnation of the local back end that says it is leaving."""
         self.on_evidence: Callable[[int, tuple[RouteEvidence, ...]], None] = (
             lambda began, routes: None
         )
@@ -143,6 +151,7 @@
         if self._own is not None:
             self._own.crashes.on_ended = self._back_end_ended
             self._own.on_unused_fields = self._unused_fields_seen
+            self._own.on_need_changed = self._need_changed
         self._call_listener = CallListener(
             settings.cluster,
             lambda: self._own,
@@ -181,11 +190,10 @@
 
     def use_back_end(self, view: BackEndView) -> None:
         """Apply the state that the local back end reports by heartbeats."""
-        bound = leaving_bound_seconds(self._settings)
         if self._own is None:
             return
         had_other_life = self._own.life not in (NO_INCARNATION, view.life)
-        self._own.use_view(view, bound)
+        self._own.use_view(view)
         if had_other_life:
             self._call_listener.recall_loans()
 
@@ -248,7 +256,7 @@
         leaving_ends = min(end, self._drain_began + LEAVING_SECONDS)
         await asyncio.sleep(max(0.0, leaving_ends - self._loop.time()))
         if self._own is not None:
-            self._own.leaving = True
+            self._own.stop()
         await self._wait_until_back_end_idle(end)
         await self._wait_until_callers_left(end)
         self._listener.close()
@@ -385,6 +393,26 @@
             service = self._settings.service
             self._notice_sink(notices.AnswerFieldsUnused(service, instance, fields))
 
+    def _need_changed(self, change: NeedChange) -> None:
+        """Log a change of the local back end's need; recall the slots that were lent.
+
+        A peer that calls the back end directly counts its calls for itself alone.
+        """
+        own = self._own
+        assert own is not None
+        service, instance = self._settings.service, own.life.instance
+        if change.limit_began:
+            rate = own.need.rate_limit.rate or 0.0
+            self._notice_sink(notices.RateLimitNamed(service, instance, rate))
+        if change.limit_ended:
+            self._notice_sink(notices.RateLimitEnded(service, instance))
+        if change.began_leaving:
+            self._notice_sink(notices.LeavingAnswered(service, instance))
+            if own.life != NO_INCARNATION:
+                self.on_back_end_leaving(own.life)
+        if change.limit_began or change.began_leaving:
+            self._call_listener.recall_loans()
+
     def _back_end_ended(self, life: str, under: tuple[Suspect, ...]) -> None:
         keys = tuple(each.key.hex() for each in under)
         self._notice_sink(notices.BackEndEnded(self._settings.service, life, keys))
@@ -424,18 +452,6 @@
         return report
 
 
-def leaving_bound_seconds(settings: NodeSettings) -> float:
-    """Return how long a leaving back end still receives calls after its report.
-
-    This is at most half of the time for which it continues to serve. The other half
-    remains for calls already in flight.
-    """
-    milliseconds = float(settings.back_end_leaving_milliseconds)
-    if settings.drain_milliseconds > 0.0:
-        milliseconds = min(milliseconds, settings.drain_milliseconds / 2.0)
-    return milliseconds / MILLISECONDS
-
-
 def _own_backend(
     settings: NodeSettings, random: Randomness, calls: Calls
 ) -> LocalBackEnd | None:
@@ -463,6 +479,7 @@
         quarantine=calls.quarantine,
         large_answers=calls.large_answers,
         weights=calls.weights,
+        bounds=need_bounds(settings),
     )
     if settings.back_end_listen:
         backend.leave()
--- a/src/peppershore/process/node/profile.py
+++ b/src/peppershore/process/node/profile.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
-from peppershore.process.settings import HeaderSettings, SharedRetrySettings
+from peppershore.process.settings import (
+    HeaderSettings,
+    NodeSettings,
+    SharedRetrySettings,
+)
+from peppershore.request.back_ends.need_bounds import NeedBounds
 from peppershore.request.shared_retries import RetryBound
 from peppershore.request.wire_names import OWN_NAMES, WireNames
 
+MILLISECONDS = 1_000
+
 
 def wire_names(settings: HeaderSettings | None) -> WireNames:
     """Return the configured header names in lower case, or the defaults without any."""
@@ -20,6 +27,8 @@
         expected_instance=_name(settings.expected_instance),
         not_run=_name(settings.not_run),
         load=_name(settings.load),
+        rate_limit=_name(settings.rate_limit),
+        leaving=_name(settings.leaving),
         caller=_name(settings.caller),
         tenant=_name(settings.tenant),
         answers_carry_id=settings.answers_carry_id,
@@ -28,6 +37,19 @@
     )
 
 
+def need_bounds(settings: NodeSettings) -> NeedBounds:
+    """Return within what time a need that the local back end reports takes effect.
+
+    A back end that is leaving gets calls for at most half of the time for which it
+    continues to serve. The other half remains for calls already in flight.
+    """
+    milliseconds = float(settings.back_end_leaving_milliseconds)
+    if settings.drain_milliseconds > 0.0:
+        milliseconds = min(milliseconds, settings.drain_milliseconds / 2.0)
+    limit = settings.rate_limit_apply_milliseconds
+    return NeedBounds(milliseconds / MILLISECONDS, limit / MILLISECONDS)
+
+
 def _name(text: str) -> bytes:
     return text.lower().encode("latin-1")
 
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -40,6 +40,7 @@
 from peppershore.process.node.inputs import (
     BackendDrained,
     BackEndEnded,
+    BackEndLeft,
     BackEndNotThere,
     BackEndReportRefused,
     BackendStateChanged,
@@ -222,17 +223,7 @@
     addresses = await data_plane.start()
     core = NodeCore(settings, load_memory(settings, metrics.notice), addresses.internal)
     shell = NodeShell(settings, core, data_plane, metrics.notice, security)
-    data_plane.on_backend_state(lambda state: shell.dispatch(BackendStateChanged(state)))
-    data_plane.on_back_end_unreachable(lambda life: shell.dispatch(BackEndNotThere(life)))
-    data_plane.on_back_end_ended = lambda life, under: shell.dispatch(
-        BackEndEnded(life, under)
-    )
-    data_plane.on_evidence = lambda began, routes: shell.dispatch(
-        EvidenceGathered(began, routes)
-    )
-    data_plane.calls.quarantine.on_cleared = lambda key: shell.dispatch(
-        SuspectEndedWell(key)
-    )
+    _pass_events(data_plane, shell)
     reports = HttpService(_back_end_api(shell).answer, MAX_BODY_BYTES)
     if settings.back_end_listen:
         await reports.start(settings.back_end_listen)
@@ -275,6 +266,24 @@
     security.close()
 
 
+def _pass_events(data_plane: DataPlane, shell: Shell) -> None:
+    """Pass what the data plane sees of the local back end to the core, as events."""
+    data_plane.on_backend_state(lambda state: shell.dispatch(BackendStateChanged(state)))
+    data_plane.on_back_end_unreachable(lambda life: shell.dispatch(BackEndNotThere(life)))
+    data_plane.on_back_end_leaving = lambda life: shell.dispatch(
+        BackEndLeft(life.instance, life.born)
+    )
+    data_plane.on_back_end_ended = lambda life, under: shell.dispatch(
+        BackEndEnded(life, under)
+    )
+    data_plane.on_evidence = lambda began, routes: shell.dispatch(
+        EvidenceGathered(began, routes)
+    )
+    data_plane.calls.quarantine.on_cleared = lambda key: shell.dispatch(
+        SuspectEndedWell(key)
+    )
+
+
 def _back_end_api(shell: Shell) -> BackEndApi:
     return BackEndApi(
         shell.dispatch, lambda reason: shell.dispatch(BackEndReportRefused(reason))
--- a/src/peppershore/process/settings_examples.py
+++ b/src/peppershore/process/settings_examples.py
@@ -126,6 +126,7 @@
 back_end_silent_milliseconds = 8000  # a back end that reports nothing so long is gone
 back_end_leaving_milliseconds = 1000  # calls a leaving back end is still given
 drain_milliseconds = 0.0           # how long a leaving one serves on; 0: not told
+rate_limit_apply_milliseconds = 3000.0  # a back end's own rate limit applies within it
 log_answered_every = 0             # of answered calls each n-th is logged; 0: none
 metrics_listen = ""                # one more address for the admin pages
 seek_free_slots = false            # ask owners for a free slot before waiting for one
--- a/src/peppershore/request/admission.py
+++ b/src/peppershore/request/admission.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -59,6 +59,16 @@
 factor. The expected wait is only a mean, and calls ahead of it may give up."""
 
 
+RateWait = Callable[[int, float], float]
+"""Returns the seconds until so many more calls may have started, given the time now."""
+
+
+def no_wait(calls: int, now: float) -> float:
+    """Return 0: there is no limit on the rate of calls."""
+    del calls, now
+    return 0.0
+
+
 class Dispatch(msgspec.Struct, frozen=True):
     """A call that may start now.
 
@@ -94,13 +104,15 @@
         *,
         home: str = "",
         weights: ConfiguredWeights | None = None,
+        rate_wait: RateWait = no_wait,
     ) -> None:
         """Start without back ends; ``choose`` picks among those that have room.
 
         ``home`` is the name of this node if it routes calls for its own callers, else "".
         ``weights`` are the configured weights of the tenants on whose behalf calls are
-        made.
+        made. ``rate_wait`` returns how long calls must wait for the back end's rate limit.
         """
+        self._rate_wait = rate_wait
         self.service = service
         self.settings = settings
         self._zone = zone
@@ -422,8 +434,8 @@
         slots = sum(state.slots(now) for state in states)
         if not slots:
             return 0.0
-        ahead = self._queue.ahead_of(ticket)
-        return (ahead + 1) * self._work.of_all / slots
+        calls = self._queue.ahead_of(ticket) + 1
+        return max(calls * self._work.of_all / slots, self._rate_wait(calls, now))
 
     def refusal_of_timed_out(self, ticket: Ticket, now: float) -> NotRun:
         """Return the refusal for a call whose wait time-out has passed."""
--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -47,6 +47,11 @@
 """Minimum time for which a back end without free slots is avoided, in the local zone and in
 another zone. It is longer if the back end's queue takes longer."""
 
+LIMITED_PAUSE_SECONDS = 0.25
+MAX_LIMITED_PAUSE_SECONDS = 1.0
+"""How long a back end whose rate limit is used up is avoided, at least and at most. All
+nodes share what it takes, so most of those that try earlier would be refused."""
+
 UTILIZATION_COST = 0.5
 """How much more a call costs at a back end without a free slot than at an idle one: some
 back ends slow down when nearly full, and a reported free slot may be taken by now."""
@@ -149,6 +154,10 @@
                 _queue_seconds(load),
             )
             self.passed_over_until = max(self.passed_over_until, now + pause)
+        if load.need is not None and load.need.wait_milliseconds > 0:
+            wait = load.need.wait_milliseconds / 1_000
+            pause = min(MAX_LIMITED_PAUSE_SECONDS, max(LIMITED_PAUSE_SECONDS, wait))
+            self.passed_over_until = max(self.passed_over_until, now + pause)
         self.speed.update_pace(load.pace_percent, load.pace_age_milliseconds, now)
         slow = self.speed.slow_seconds(now)
         if slow > 0.0:
--- a/src/peppershore/request/slot_loans.py
+++ b/src/peppershore/request/slot_loans.py
@@ -120,6 +120,8 @@
     def __init__(self) -> None:
         """Start without slots."""
         self.in_use = 0
+        self.life = ""
+        """Incarnation of the back end that the slots belong to."""
         self._held = 0
         self._until = 0.0
         self._number = 0
@@ -178,6 +180,7 @@
         }
         lease = grant.lease_milliseconds / MILLISECONDS
         self._held = grant.slots
+        self.life = grant.life
         self._number = grant.number
         self._until = asked_at + lease * (1.0 - CLOCK_DRIFT_SHARE) if asked_at else 0.0
         return SlotsReturned(grant.number, max(grant.slots, self.in_use))
--- a/src/peppershore/request/wire_names.py
+++ b/src/peppershore/request/wire_names.py
@@ -18,6 +18,8 @@
     - ``expected_instance``: the back end that a call is meant for.
     - ``not_run``: present on a back end's refusals of calls that it has not begun.
     - ``load``: the running and waiting calls of a back end, and its slots.
+    - ``rate_limit``: the calls a second that a back end takes from all nodes together;
+      ``leaving``: "1" in the answers of a back end that is leaving.
     - ``caller``: the service that a call comes from; ``tenant``: on whose behalf it is
       made.
     - ``unframed_answers``: an answer without a length, which ends with its connection,
@@ -33,6 +35,8 @@
     expected_instance: bytes = b""
     not_run: bytes = b""
     load: bytes = b""
+    rate_limit: bytes = b"peppershore-rate-limit"
+    leaving: bytes = b"peppershore-leaving"
     caller: bytes = b""
     tenant: bytes = b""
     answers_carry_id: bool = False
--- a/tests/data_plane/limited_site.py
+++ b/tests/data_plane/limited_site.py
@@ -13,11 +13,15 @@
 
 from peppershore.connection.messages.endpoints import Endpoint
 from peppershore.process.node.back_end_reports import STATE_READY, BackEndView
+from peppershore.process.node.data.local_back_end import LocalBackEnd
 
 RATE_LIMIT = "peppershore-rate-limit"
 LEAVING = "peppershore-leaving"
 SLOTS = 20
 WORK_SECONDS = 0.1
+CLOSE_SECONDS = 0.5
+"""Back ends see within this time that their connections were closed."""
+
 ROUTE = msgspec.structs.replace(PUBLIC_ROUTE, hop="owner")
 
 WINDOW_SECONDS = 4.0
@@ -104,7 +108,11 @@
 class NeedySite:
     """Nodes ``e1``, ``e2``, … of callers, and back ends ``k1``, ``k2``, … with theirs."""
 
-    def __init__(self, edges: int = 3, back_ends: int = 2, **changes: Any) -> None:
+    def __init__(
+        self, edges: int = 3, back_ends: int = 2, *, named: bool = True, **changes: Any
+    ) -> None:
+        """Start nothing; without ``named``, back ends send no heartbeats."""
+        self._named = named
         self.back_ends = {
             name: NeedyBackEnd(name)
             for name in (f"k{number}" for number in range(1, back_ends + 1))
@@ -135,11 +143,13 @@
             await node.plane.close()
         for back_end in self.back_ends.values():
             back_end.stop()
+        await asyncio.sleep(CLOSE_SECONDS)
 
     async def start_owner(self, name: str, address: str, incarnation: int = 1) -> None:
         owner = Node(name, address, slots=SLOTS)
         await owner.start(endpoint(address, name, "127.0.0.1:1", SLOTS), route=self._route)
-        owner.plane.use_back_end(BackEndView(f"i-{name}", STATE_READY, SLOTS, 0))
+        if self._named:
+            owner.plane.use_back_end(BackEndView(f"i-{name}", STATE_READY, SLOTS, 0))
         self.owners[name] = owner
         reached = endpoint(address, name, owner.addresses.internal, SLOTS)
         self.endpoints[name] = msgspec.structs.replace(reached, incarnation=incarnation)
@@ -151,6 +161,21 @@
         await self.start_owner(name, before.address, before.incarnation + 1)
         self.announce()
 
+    def own(self, name: str) -> LocalBackEnd:
+        own = self.owners[name].plane.calls.own
+        assert own is not None
+        return own
+
+    def replace_back_end(self, name: str) -> None:
+        """Let another incarnation of a back end take the place of the current one."""
+        life = f"{self.own(name).life.instance}-next"
+        self.owners[name].plane.use_back_end(BackEndView(life, STATE_READY, SLOTS, 0))
+        before = self.endpoints[name]
+        self.endpoints[name] = msgspec.structs.replace(
+            before, incarnation=before.incarnation + 1
+        )
+        self.announce()
+
     def announce(self) -> None:
         for node in self._edges.values():
             node.plane.use_endpoints(tuple(self.endpoints.values()))
--- a/tests/data_plane/test_own_back_end.py
+++ b/tests/data_plane/test_own_back_end.py
@@ -30,7 +30,7 @@
     async def scene() -> None:
         known = endpoint("127.0.0.1:1", slots=SLOTS)
         own = LocalBackEnd(known, ServiceSettings(), Randomness(1))
-        own.use_view(BackEndView("i-1", STATE_READY, SLOTS, warming), 1.0)
+        own.use_view(BackEndView("i-1", STATE_READY, SLOTS, warming))
         own.use_settings(ServiceSettings())
         state = own.admission.state(known.node)
         assert state is not None
@@ -44,16 +44,16 @@
     async def scene() -> None:
         known = endpoint("127.0.0.1:1", slots=SLOTS)
         own = LocalBackEnd(known, ServiceSettings(), Randomness(1))
-        own.use_view(BackEndView("i-1", STATE_READY, SLOTS, 0), 1.0)
+        own.use_view(BackEndView("i-1", STATE_READY, SLOTS, 0))
         before = own.admission.state(known.node)
         assert before is not None
         before.in_flight = 3
         before.consecutive_failures = 2
-        own.use_view(BackEndView("i-2", STATE_READY, SLOTS, 60_000), 1.0)
+        own.use_view(BackEndView("i-2", STATE_READY, SLOTS, 60_000))
         after = own.admission.state(known.node)
         assert after is not None
         assert (after.in_flight, after.consecutive_failures) == (3, 0)
-        own.use_view(BackEndView("i-2", STATE_READY, SLOTS, 50_000), 1.0)
+        own.use_view(BackEndView("i-2", STATE_READY, SLOTS, 50_000))
         assert own.admission.state(known.node) is after
         own.close()
 
--- a/tests/data_plane/test_told_loads.py
+++ b/tests/data_plane/test_told_loads.py
@@ -163,7 +163,7 @@
     own = LocalBackEnd(
         endpoint("127.0.0.1:1", slots=SLOTS), ServiceSettings(), Randomness(1), NAMES
     )
-    own.use_view(BackEndView("i-1", STATE_READY, SLOTS, 0), 1.0)
+    own.use_view(BackEndView("i-1", STATE_READY, SLOTS, 0))
     return own
 
 
@@ -219,7 +219,7 @@
         own = _own()
         before = own.life.name
         _report(own, b"5,9,5,250")
-        own.use_view(BackEndView("i-2", STATE_READY, SLOTS, 0), 1.0)
+        own.use_view(BackEndView("i-2", STATE_READY, SLOTS, 0))
         own.load_reported(b"5,9,5,250", before)
         assert own.load("all") == msgspec.structs.replace(
             own.load("all"), running=0, pace_percent=100, pace_age_milliseconds=-1
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -13,8 +13,7 @@
 from tests.platform_adapter.templates import ROOT, filled
 
 from peppershore.process.hub.plan import plan_hub
-from peppershore.process.node.data_plane import leaving_bound_seconds
-from peppershore.process.node.profile import retry_bound
+from peppershore.process.node.profile import need_bounds, retry_bound
 from peppershore.process.node.shell import stop_bound_seconds
 from peppershore.process.settings import HubSettings, NodeSettings, QuotaSettings
 from peppershore.process.settings_loader import KINDS, parse_settings
@@ -92,7 +91,7 @@
 ) -> None:
     other = FILLED | {"bounds": BOUNDS | {"drainMs": drain}}
     settings = parse_settings(NodeSettings, filled("node", other), {}).unwrap()
-    assert leaving_bound_seconds(settings) == pytest.approx(seconds)
+    assert need_bounds(settings).leaving_seconds == pytest.approx(seconds)
 
 
 def test_a_hub_keeps_the_bounds_of_its_deployment() -> None:
