--- a/src/peppershore/request/back_ends/reported_need.py
+++ b/src/peppershore/request/back_ends/reported_need.py
@@ -1,7 +1,7 @@
 """Parsing of the answer fields by which a back end reports that it is in need.
 
-One field names the calls a second that it takes from all nodes together, a decimal number.
-A malformed value counts neither as a limit nor as its end.
+One field names the calls a second that it takes from all nodes together, a decimal number;
+another says that it is leaving. A malformed value counts neither as a limit nor as its end.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from peppershore.connection.http_head import HeaderList
 from peppershore.request.wire_names import WireNames
 
+LEAVING_VALUE = b"1"
 MAX_RATE = 1_000_000.0
 """A back end that names a higher limit has none in effect."""
 
@@ -37,13 +38,16 @@
 def read_need(headers: HeaderList, names: WireNames) -> ReportedNeed:
     """Read the fields of an answer; of several limits in it, the lowest counts."""
     limits: list[bytes] = []
+    is_leaving = False
     for name, value in headers:
         if name == names.rate_limit:
             limits.append(value)
-    if not limits:
+        elif name == names.leaving:
+            is_leaving = is_leaving or value.strip(b" \t") == LEAVING_VALUE
+    if not limits and not is_leaving:
         return NO_NEED
     rates = [rate for rate in map(_rate, limits) if rate is not None]
-    return ReportedNeed(min(rates, default=None), True)
+    return ReportedNeed(min(rates, default=None), bool(limits), is_leaving)
 
 
 def _rate(value: bytes) -> float | None:
--- a/tests/back_ends/test_reported_need.py
+++ b/tests/back_ends/test_reported_need.py
@@ -36,6 +36,11 @@
     assert read_need(twice, NAMES) == ReportedNeed(4.5, True)
 
 
+def test_only_the_value_one_says_that_it_leaves() -> None:
+    assert read_need([(b"x-leaving", b"1")], NAMES).is_leaving
+    assert not read_need([(b"x-leaving", b"0")], NAMES).is_leaving
+
+
 def test_other_fields_and_unset_names_report_nothing() -> None:
     assert read_need([(b"date", b"now")], NAMES) == NO_NEED
     unset = WireNames(rate_limit=b"", leaving=b"")
