Rate limits comply from a little earlier; back ends without a node of their own are left, too

The limit was named up to the time of an answer before its node reads it, so 0.1 s of the time to comply is not used. Calls to a back end that no node stands beside report a leaving that its answers say to the caller's node alone; its rate limit is not enforced there, as nobody counts the calls of all nodes (open finding). Test added; the others hold.

--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -326,7 +326,13 @@
             return LocalAttempt(self.own, request, sink)
         if not endpoint.owner_address:
             pool = self._pools.pool(endpoint)
-            return DirectAttempt(pool, request, sink, terms=self._terms)
+            return DirectAttempt(
+                pool,
+                request,
+                sink,
+                terms=self._terms,
+                on_head=lambda head: self._direct_answer(endpoint, "", head),
+            )
         if plan.hop == "direct" and request.known_need is None:
             address = endpoint.owner_address
             if self._links.borrow(address, self.loop.time()):
@@ -351,7 +357,8 @@
     def _direct_answer(self, endpoint: Endpoint, life: str, head: AnswerHead) -> None:
         """Process a need that an answer to a call sent directly reports.
 
-        The owner has not seen the answer, so it is told.
+        The owner, if there is one, has not seen the answer, so it is told. ``life`` names
+        the incarnation that was called, "" if it is not known.
         """
         reported = read_need(head.headers, self.names)
         if reported.rate_limit is None and not reported.is_leaving:
@@ -362,7 +369,8 @@
             is_leaving=reported.is_leaving,
         )
         self.admissions.need_heard(endpoint.node, need)
-        self._links.send_need(endpoint.owner_address, need)
+        if endpoint.owner_address:
+            self._links.send_need(endpoint.owner_address, need)
 
     def answer_window(self, plan: CallPlan) -> int:
         """Return the receive window in bytes for a large answer; 0 for the default."""
--- a/src/peppershore/request/back_ends/rate_limit.py
+++ b/src/peppershore/request/back_ends/rate_limit.py
@@ -31,6 +31,10 @@
 """Rate of calls to a back end that takes fewer or none: only an answer tells its node that
 the limit has ended."""
 
+READ_LATE_SECONDS = 0.1
+"""A limit was named somewhat before its node reads the first answer that has it; this much
+of the time to comply is not used."""
+
 SLICE_SECONDS = 0.05
 """Resolution at which sent calls are counted."""
 
@@ -116,7 +120,7 @@
         self._tokens = 0.0
         self._refilled_at = now
         if now - self._ended_at > WINDOW_SECONDS:
-            self._binds_from = now + self._apply_seconds
+            self._binds_from = now + max(0.0, self._apply_seconds - READ_LATE_SECONDS)
 
     @property
     def _effective_rate(self) -> float:
--- a/tests/data_plane/limited_site.py
+++ b/tests/data_plane/limited_site.py
@@ -109,9 +109,19 @@
     """Nodes ``e1``, ``e2``, … of callers, and back ends ``k1``, ``k2``, … with theirs."""
 
     def __init__(
-        self, edges: int = 3, back_ends: int = 2, *, named: bool = True, **changes: Any
+        self,
+        edges: int = 3,
+        back_ends: int = 2,
+        *,
+        named: bool = True,
+        owned: bool = True,
+        **changes: Any,
     ) -> None:
-        """Start nothing; without ``named``, back ends send no heartbeats."""
+        """Start nothing; without ``named``, back ends send no heartbeats.
+
+        Without ``owned``, no node stands beside them: callers' nodes call them directly.
+        """
+        self._owned = owned
         self._named = named
         self.back_ends = {
             name: NeedyBackEnd(name)
@@ -151,7 +161,8 @@
         if self._named:
             owner.plane.use_back_end(BackEndView(f"i-{name}", STATE_READY, SLOTS, 0))
         self.owners[name] = owner
-        reached = endpoint(address, name, owner.addresses.internal, SLOTS)
+        owner_address = owner.addresses.internal if self._owned else ""
+        reached = endpoint(address, name, owner_address, SLOTS)
         self.endpoints[name] = msgspec.structs.replace(reached, incarnation=incarnation)
 
     async def restart_owner(self, name: str) -> None:
--- a/tests/data_plane/test_leaving_by_answers.py
+++ b/tests/data_plane/test_leaving_by_answers.py
@@ -120,3 +120,15 @@
             assert len(site.back_ends["k1"].arrivals) > before
 
     run_in_virtual_time(scene())
+
+
+def test_a_back_end_without_a_node_of_its_own_is_left_by_each_node() -> None:
+    async def scene() -> None:
+        async with NeedySite(owned=False) as site:
+            await site.load(RATE, 1.0)
+            site.back_ends["k1"].say_leaving()
+            await site.load(RATE, 5.0)
+            await site.settle()
+            assert late_arrivals(site, "k1") == []
+
+    run_in_virtual_time(scene())
