Soak: back ends name rate limits and leave by their answers alone

`--needs N`: so many back ends at a time report a need, whatever else strikes the site. Two checks, from what back ends saw: a limit holds from 3 s on, summed over nodes that had passed it on half a second before, and a call that begins 2 s after its node passed on a leaving goes elsewhere. Nodes that were restarted or stopped since are excused.

--- a/src/peppershore_lab/soak/back_end.py
+++ b/src/peppershore_lab/soak/back_end.py
@@ -20,7 +20,9 @@
 from peppershore_lab.soak.observations import (
     STATUS_OK,
     LeavingAcknowledged,
+    LeavingAnswered,
     LifeSeen,
+    LimitNamed,
     PoisonRan,
     Record,
     RunBegan,
@@ -87,6 +89,7 @@
         self._callers: set[asyncio.StreamWriter] = set()
         self._return: asyncio.Task[None] | None = None
         self._ended_at: dict[int, float] = {}
+        self._needs: dict[str, str] = {}
 
     async def start(self) -> None:
         """Listen, and report from now on; callers may not be there yet."""
@@ -128,8 +131,46 @@
         if not has_ended:
             self._begin_life()
 
+    async def name_limit_for(self, calls_per_second: float, seconds: float) -> None:
+        """Name a rate limit in every answer for a while, unless it ends before."""
+        life, at = self._lives, time.monotonic()
+        self._needs = {settings.RATE_LIMIT: f"{calls_per_second:.1f}"}
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            until = self._end_of(life)
+            named = LimitNamed(self._node, calls_per_second, at, until)
+            self._record.limits.append(named)
+            if self._lives == life:
+                self._needs = {}
+
+    async def answer_leaving_for(self, seconds: float) -> None:
+        """Say in every answer, and nowhere else, that it leaves; come back as another."""
+        life, at = self._lives, time.monotonic()
+        self._needs = {settings.LEAVING: "1"}
+        self._note_end()
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            until = self._end_of(life)
+            left = LeavingAnswered(self._node, at, until)
+            self._record.answered_leavings.append(left)
+            if self._lives == life and life not in self._ended_at:
+                self._begin_life()
+
+    @property
+    def is_needy(self) -> bool:
+        """Whether it reports a need, leaves, or is down."""
+        return bool(self._needs) or self._state != READY or self._server is None
+
+    def _end_of(self, life: int) -> float:
+        """Give when a life ended; now if it goes on, or another has begun just now."""
+        return self._ended_at.get(life, time.monotonic())
+
     def _begin_life(self) -> None:
         """Begin another life: under a name of its own, or under the old one."""
+        self._ended_at.setdefault(self._lives, time.monotonic())
+        self._needs = {}
         self._lives += 1
         self._state = READY
         self._note_birth()
@@ -237,7 +278,7 @@
         self._note_run(name, request)
         work = self._random.uniform(SHORTEST_WORK_SECONDS, LONGEST_WORK_SECONDS)
         await asyncio.sleep(work * self._random.random())
-        signed = (*own, (settings.SIGNATURE, self._instance))
+        signed = (*own, (settings.SIGNATURE, self._instance), *self._needs.items())
         return HttpAnswer(STATUS_OK, answer_body(name, len(request.body)), signed)
 
     def _note_run(self, name: str, request: HttpRequest) -> None:
--- a/src/peppershore_lab/soak/callers.py
+++ b/src/peppershore_lab/soak/callers.py
@@ -91,9 +91,7 @@
             and outcome.body == answer_body(name, len(body))
         )
         sent = isinstance(outcome, CallBroken) and outcome.sent
-        reason = ""
-        if isinstance(outcome, ClientAnswer):
-            reason = outcome.headers.get(settings.REASON, "")
+        headers = outcome.headers if isinstance(outcome, ClientAnswer) else {}
         ended = RequestEnded(
             request=name,
             node=self._node.name,
@@ -103,8 +101,11 @@
             status=status,
             whole=whole,
             sent=sent,
-            reason=reason,
+            reason=headers.get(settings.REASON, ""),
             tenant=used.tenant,
+            signature=headers.get(settings.SIGNATURE, ""),
+            says_limit=settings.RATE_LIMIT in headers,
+            says_leaving=settings.LEAVING in headers,
         )
         self._record.requests.append(ended)
         if status == 0:
--- a/src/peppershore_lab/soak/checks.py
+++ b/src/peppershore_lab/soak/checks.py
@@ -8,6 +8,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 
+from peppershore_lab.soak.need_checks import NEED_CHECKS
 from peppershore_lab.soak.observations import (
     REFUSALS,
     STATUS_NOT_FOUND,
@@ -236,6 +237,7 @@
     unreadable_words_are_refused,
     processes_do_not_end,
     *TENANT_CHECKS,
+    *NEED_CHECKS,
 )
 
 
--- a/src/peppershore_lab/soak/command.py
+++ b/src/peppershore_lab/soak/command.py
@@ -20,6 +20,7 @@
 MOST_HUBS = 7
 MOST_CONNECTIONS = 100
 MOST_POISON = 20
+MOST_NEEDS = 50
 SHOWN_VIOLATIONS = 10
 
 
@@ -49,6 +50,13 @@
     show_default=True,
     help="Requests that end whichever back end runs them, and come again.",
 )
+@click.option(
+    "--needs",
+    type=click.IntRange(0, MOST_NEEDS),
+    default=2,
+    show_default=True,
+    help="Back ends that report a need at a time: a rate limit, or that they leave.",
+)
 @click.option(
     "--keep",
     type=click.Path(path_type=Path, file_okay=False),
@@ -64,6 +72,7 @@
     nodes: int,
     connections: int,
     poison: int,
+    needs: int,
     keep: Path | None,
     as_json: bool,
 ) -> None:
@@ -75,7 +84,7 @@
     if keep is not None:
         keep.mkdir(parents=True, exist_ok=True)
     plans = [
-        SoakPlan(each, seconds, hubs, nodes, connections, poison)
+        SoakPlan(each, seconds, hubs, nodes, connections, poison, needs)
         for each in range(seed, seed + seeds)
     ]
     results = run_to_end(_run_all(plans, keep, as_json))
@@ -116,7 +125,8 @@
         f"seed {result.seed}: {verdict}; {seconds:.0f} s, "
         f"{sum(result.kinds.values())} faults, {result.requests} requests "
         f"({result.answered} answered, {result.refused} refused, {result.broken} cut), "
-        f"{result.poison} back ends ended, "
+        f"{result.poison} back ends ended, {result.limits} named limits, "
+        f"{result.answered_leavings} answered that they leave, "
         f"{result.acknowledged} of {result.changes} changes taken"
     )
     for violation in result.violations[:SHOWN_VIOLATIONS]:
--- a/src/peppershore_lab/soak/observations.py
+++ b/src/peppershore_lab/soak/observations.py
@@ -17,7 +17,8 @@
     ``once``: it may run at most once.  ``whole``: the answer is this request's own, to
     the last byte.  ``sent``: bytes of it left on a connection that was open.
     ``reason`` is the node's, for an answer of its own.  ``tenant`` holds the key that it
-    came with, "" where nobody ever did; None on routes without key.
+    came with, "" where nobody ever did; None on routes without key.  ``signature`` is the
+    back end's in its answer, and the other two say which need it reported with it.
     """
 
     request: str
@@ -30,6 +31,9 @@
     sent: bool
     reason: str = ""
     tenant: str | None = None
+    signature: str = ""
+    says_limit: bool = False
+    says_leaving: bool = False
 
 
 class RunBegan(msgspec.Struct, frozen=True):
@@ -58,6 +62,23 @@
     until: float
 
 
+class LimitNamed(msgspec.Struct, frozen=True):
+    """A back end named a rate limit in its answers, from ``at`` to ``until``."""
+
+    node: str
+    calls_per_second: float
+    at: float
+    until: float
+
+
+class LeavingAnswered(msgspec.Struct, frozen=True):
+    """A back end said in its answers that it leaves, from ``at`` until it was another."""
+
+    node: str
+    at: float
+    until: float
+
+
 class LifeSeen(msgspec.Struct, frozen=True):
     """One life of a back end, from when it listened until it ended or said it leaves."""
 
@@ -137,6 +158,8 @@
     runs: list[RunBegan] = []
     poison: list[PoisonRan] = []
     leavings: list[LeavingAcknowledged] = []
+    limits: list[LimitNamed] = []
+    answered_leavings: list[LeavingAnswered] = []
     lives: list[LifeSeen] = []
     words: list[WordAnswered] = []
     changes: list[ChangeAnswered] = []
--- a/src/peppershore_lab/soak/runner.py
+++ b/src/peppershore_lab/soak/runner.py
@@ -19,6 +19,7 @@
 from peppershore_lab.soak.faults import draw_faults
 from peppershore_lab.soak.injector import Injector
 from peppershore_lab.soak.machines import Machine, Site
+from peppershore_lab.soak.needs import Needs
 from peppershore_lab.soak.observations import STATUS_OK, Record, Violation
 from peppershore_lab.soak.operators import Operators
 from peppershore_lab.soak.poison import PoisonCallers
@@ -38,6 +39,7 @@
     """What a soak does; ``connections`` are those of callers at each node.
 
     ``poison``: so many requests end whichever back end runs them, and come again.
+    ``needs``: so many back ends at a time report a need in their answers.
     Without ``strikes`` nothing else happens.
     """
 
@@ -47,6 +49,7 @@
     nodes: int = 4
     connections: int = 4
     poison: int = 0
+    needs: int = 0
     strikes: bool = True
 
 
@@ -65,6 +68,8 @@
     reads: int
     probes: int
     poison: int
+    limits: int
+    answered_leavings: int
     kinds: dict[str, int]
     violations: tuple[Violation, ...]
 
@@ -123,7 +128,9 @@
         """Load and faults; the load goes on until the last fault is over."""
         callers = tuple(self._callers.values())
         poison = PoisonCallers(callers, self._plan.poison, self._plan.seed)
+        needs = Needs(self._called_back_ends, self._plan.needs, self._plan.seed)
         work = [
+            asyncio.create_task(needs.run()),
             asyncio.create_task(self._operators.run()),
             asyncio.create_task(self._watch_processes()),
             asyncio.create_task(poison.run(self._plan.seconds)),
@@ -143,6 +150,15 @@
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
 
+    @property
+    def _called_back_ends(self) -> tuple[SoakBackEnd, ...]:
+        """Back ends of the service that all routes lead to."""
+        return tuple(
+            self._back_ends[node.name]
+            for node in self._site.nodes
+            if node.service == SERVICES[0]
+        )
+
     async def _strike(self) -> None:
         """Bring the faults about; without any, let the load go on for as long."""
         if not self._plan.strikes:
@@ -214,6 +230,8 @@
             reads=len(record.reads),
             probes=len(record.probes),
             poison=len(record.poison),
+            limits=len(record.limits),
+            answered_leavings=len(record.answered_leavings),
             kinds=kinds,
             violations=find_violations(record),
         )
--- a/tests/soak/test_soak_checks.py
+++ b/tests/soak/test_soak_checks.py
@@ -11,7 +11,9 @@
     ConfigurationRead,
     Disturbance,
     LeavingAcknowledged,
+    LeavingAnswered,
     LifeSeen,
+    LimitNamed,
     MarkerProbed,
     PoisonRan,
     ProcessEnded,
@@ -67,7 +69,30 @@
     return msgspec.structs.replace(request, status=503, whole=False)
 
 
+def _limited(number: int) -> RequestEnded:
+    at = 10.0 + number * 0.1
+    return msgspec.structs.replace(
+        ANSWERED,
+        request=f"n-{number}",
+        sent_at=at,
+        ended_at=at + 0.05,
+        signature="node-2-1",
+        says_limit=True,
+        says_leaving=True,
+    )
+
+
+LIMITED = [_limited(number) for number in range(60)]
+LIMITED_RUNS = [RunBegan(each.request, "node-2", each.sent_at) for each in LIMITED]
+NAMED = LimitNamed("node-2", calls_per_second=2.0, at=10.0, until=16.0)
+LEFT = LeavingAnswered("node-2", at=10.0, until=16.0)
+RESTARTED = Disturbance("kill", "node-1", 12.0, 12.5, planned=False)
+
 BROKEN = {
+    "rate-limit": changed(requests=LIMITED, runs=LIMITED_RUNS, limits=[NAMED]),
+    "answered-leaving": changed(
+        requests=LIMITED, runs=LIMITED_RUNS, answered_leavings=[LEFT]
+    ),
     "whole-answers": changed(
         requests=[msgspec.structs.replace(ANSWERED, whole=False)],
     ),
@@ -194,6 +219,32 @@
             ),
             id="another-life",
         ),
+        pytest.param(
+            changed(
+                requests=LIMITED[::4],
+                runs=LIMITED_RUNS[::4],
+                limits=[NAMED],
+            ),
+            id="as-many-as-the-limit-allows",
+        ),
+        pytest.param(
+            changed(
+                requests=LIMITED,
+                runs=LIMITED_RUNS,
+                limits=[NAMED],
+                answered_leavings=[LEFT],
+                disturbances=[RESTARTED],
+            ),
+            id="the-node-restarted-since-it-was-told",
+        ),
+        pytest.param(
+            changed(
+                requests=LIMITED[:20],
+                runs=LIMITED_RUNS[:20],
+                answered_leavings=[LEFT],
+            ),
+            id="calls-that-began-in-time",
+        ),
         pytest.param(
             changed(
                 runs=[msgspec.structs.replace(RUN, at=31.0)],
