Test of a held request: the record tells that all processes were killed

The known red is traced: the test kills every process itself and never told the record, so the check that a back end which came up gets calls within 3 s was not excused for it, as it is for every fault that the soak's injector strikes. On a machine where the start takes some seconds a back end that had just come back was counted as unused: lives-are-used, node-1. Nothing of the check is changed, and the test's other demands are the same.

--- a/tests/soak/test_poison_requests.py
+++ b/tests/soak/test_poison_requests.py
@@ -14,12 +14,14 @@
 
 import asyncio
 import json
+import time
 from pathlib import Path
 
 import pytest
 from click.testing import CliRunner
 
 from peppershore.command.main import main
+from peppershore_lab.soak.observations import Disturbance
 from peppershore_lab.soak.runner import (
     POLL_SECONDS,
     START_SECONDS,
@@ -52,6 +54,7 @@
             while len(self._record.poison) < self.ENDS_BEFORE:  # noqa: ASYNC110
                 await asyncio.sleep(POLL_SECONDS)
         await asyncio.sleep(1.0)
+        begun_at = time.monotonic()
         for machine in self._site.machines:
             machine.busy = True
             machine.process.kill()
@@ -61,6 +64,10 @@
         async with asyncio.timeout(START_SECONDS):
             for node in self._site.nodes:
                 await self._until_served(node)
+        ended_at = time.monotonic()
+        for machine in self._site.machines:
+            kill = Disturbance("kill-all", machine.name, begun_at, ended_at, planned=False)
+            self._record.disturbances.append(kill)
         self.listed = await asyncio.to_thread(self._list)
         await asyncio.sleep(self.AFTER_SECONDS)
 
