Reword the soak's docstrings

The folder of the lab that this change touched most: standard terms (incarnation, heartbeat, crash, time-out) in place of the lab's own words, "Return" for functions.

--- a/src/peppershore_lab/soak/back_end.py
+++ b/src/peppershore_lab/soak/back_end.py
@@ -1,4 +1,4 @@
-"""A back end beside a node: reports itself, runs requests, and notes each run."""
+"""A back end with its local node: sends heartbeats, runs requests, and records each run."""
 
 from __future__ import annotations
 
@@ -36,14 +36,14 @@
 MISDIRECTED = 421
 SHORTEST_WORK_SECONDS, LONGEST_WORK_SECONDS = 0.002, 0.3
 SHORTEST_DOWN_SECONDS, LONGEST_DOWN_SECONDS = 0.8, 2.0
-"""A back end that ended is back after so long, as another life."""
+"""Time after which a crashed back end is back, as another incarnation."""
 
 MILLISECONDS = 1_000
 KEEPS_NAME = 0.5
-"""Share of back ends whose lives have one name; each of the others names every life."""
+"""Share of back ends whose incarnations all have one name; the others rename each."""
 
 UNREADABLE = 0.1
-"""Share of heartbeats after which a word follows that can't be read."""
+"""Share of heartbeats that are followed by a malformed one."""
 
 UNREADABLE_WORDS = (
     b"",
@@ -57,18 +57,18 @@
 )
 
 POISON = "poison"
-"""In the path of a request: the back end that begins to run it ends."""
+"""Marks, in a request's path, a request that crashes the back end that runs it."""
 
 READY, DRAINING = "ready", "draining"
 
 
 class SoakBackEnd:
-    """One back end, and its reports to the node beside it."""
+    """One back end and its heartbeats to its local node."""
 
     def __init__(
         self, node: str, host: str, service: str, record: Record, seed: int
     ) -> None:
-        """Nothing happens before ``start``."""
+        """Create the back end; ``start`` starts it."""
         self._node = node
         self._host = host
         self._service = service
@@ -92,14 +92,14 @@
         self._needs: dict[str, str] = {}
 
     async def start(self) -> None:
-        """Listen, and report from now on; callers may not be there yet."""
+        """Start listening and sending heartbeats; callers may come later."""
         self._note_birth()
         self._born_at = 0.0
         await self._listen()
         self._beats = asyncio.create_task(self._beat())
 
     async def stop(self) -> None:
-        """Report no more and listen no more."""
+        """Stop listening and sending heartbeats."""
         self._note_end()
         if self._return is not None:
             self._return.cancel()
@@ -112,7 +112,7 @@
         self._reports.close()
 
     async def leave_for(self, seconds: float) -> None:
-        """Say that it leaves; come back as another life after a while.
+        """Report by heartbeat that it is leaving; return as another incarnation afterwards.
 
         One that ends meanwhile has left, and comes back by itself.
         """
@@ -132,7 +132,7 @@
             self._begin_life()
 
     async def name_limit_for(self, calls_per_second: float, seconds: float) -> None:
-        """Name a rate limit in every answer for a while, unless it ends before."""
+        """Name a rate limit in every answer for ``seconds``, unless it crashes before."""
         life, at = self._lives, time.monotonic()
         self._needs = {settings.RATE_LIMIT: f"{calls_per_second:.1f}"}
         try:
@@ -145,7 +145,7 @@
                 self._needs = {}
 
     async def answer_leaving_for(self, seconds: float) -> None:
-        """Say in every answer, and nowhere else, that it leaves; come back as another."""
+        """Report only in answers that it is leaving; return as another incarnation."""
         life, at = self._lives, time.monotonic()
         self._needs = {settings.LEAVING: "1"}
         self._note_end()
@@ -160,15 +160,15 @@
 
     @property
     def is_needy(self) -> bool:
-        """Whether it reports a need, leaves, or is down."""
+        """Whether it reports a need, is leaving, or is down."""
         return bool(self._needs) or self._state != READY or self._server is None
 
     def _end_of(self, life: int) -> float:
-        """Give when a life ended; now if it goes on, or another has begun just now."""
+        """Return when an incarnation ended; the time now if it has not ended."""
         return self._ended_at.get(life, time.monotonic())
 
     def _begin_life(self) -> None:
-        """Begin another life: under a name of its own, or under the old one."""
+        """Begin another incarnation, under a new name or under the old one."""
         self._ended_at.setdefault(self._lives, time.monotonic())
         self._needs = {}
         self._lives += 1
@@ -204,7 +204,7 @@
             self._callers.discard(writer)
 
     def _end(self) -> None:
-        """End as a process does: nobody listens, and every connection is reset."""
+        """Crash: stop listening and reset every connection."""
         self._ended_at.setdefault(self._lives, time.monotonic())
         self._note_end()
         if self._server is not None:
@@ -230,7 +230,7 @@
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def _send_unreadable(self) -> None:
-        """Send a word that names no back end to use; note what it is answered."""
+        """Send a malformed heartbeat and record the status of the answer."""
         body = self._words.choice(UNREADABLE_WORDS)
         async with self._reporting:
             answer = await self._ask(body)
@@ -239,7 +239,7 @@
             self._record.words.append(word)
 
     async def _report(self) -> bool:
-        """Send one heartbeat; tell whether it was acknowledged."""
+        """Send one heartbeat; return whether it was acknowledged."""
         async with self._reporting:
             self._sequence += 1
             body = {
@@ -255,7 +255,7 @@
             return answer is not None and answer.status == STATUS_OK
 
     async def _ask(self, body: bytes) -> ClientAnswer | None:
-        """Send one word to the node; None if no answer came."""
+        """Send one report to the node; return None if no answer came."""
         path = f"/back-ends/{self._instance}/heartbeat"
         request = ClientRequest("POST", path, (), body)
         try:
@@ -293,5 +293,5 @@
 
 
 def answer_body(request: str, body_bytes: int) -> bytes:
-    """Give the body that answers a request: it names it, and is long enough to tear."""
+    """Return the body that answers a request: it has its id and may span several reads."""
     return f"{request}:{body_bytes};".encode() * 40
--- a/src/peppershore_lab/soak/callers.py
+++ b/src/peppershore_lab/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers of a soak: each keeps its connection until the node's process is gone."""
+"""Callers of a soak: each keeps its connection until the node's process has exited."""
 
 from __future__ import annotations
 
@@ -36,25 +36,25 @@
 PROBE_PAUSE_SECONDS = 0.2
 DEADLINE_MILLISECONDS = 3_000
 PATIENCE_SECONDS = 5.0
-"""After its deadline a caller waits no longer than so long for an answer."""
+"""Time-out of a caller for an answer; it is longer than the deadline of its requests."""
 
 GAVE_UP = "the caller left"
 
 
 class Callers:
-    """Sends requests to one node, on some connections that are kept."""
+    """Sends requests to one node over persistent connections."""
 
     def __init__(
         self, node: Machine, record: Record, seed: int, numbers: itertools.count[int]
     ) -> None:
-        """Number the requests by ``numbers``, which all callers share."""
+        """Create the callers; ``numbers`` numbers the requests of all callers."""
         self._node = node
         self._record = record
         self._seed = seed
         self._numbers = numbers
 
     async def run(self, connections: int, newest: Callable[[], int]) -> None:
-        """Send until cancelled; ``newest`` gives the version that probes ask for."""
+        """Send until cancelled; ``newest`` returns the version whose route is probed."""
         async with asyncio.TaskGroup() as group:
             for number in range(connections):
                 random = Random(self._seed * 1_000 + number)
@@ -112,7 +112,7 @@
             await asyncio.sleep(UNREACHED_PAUSE_SECONDS)
 
     async def send_poison(self, path: str) -> None:
-        """Send once more what ends the back end that runs it."""
+        """Send a request that crashes the back end that runs it."""
         connection = ClientConnection(f"{self._node.host}:{settings.CALLER_PORT}")
         name = f"poison-{next(self._numbers)}"
         request = _request("GET", path, name, b"", lasting_key(TENANTS[0].name))
@@ -120,7 +120,7 @@
         connection.close()
 
     async def _probe(self, newest: Callable[[], int]) -> None:
-        """Ask for the route of the newest version and of the one before, in turn."""
+        """Probe the routes of the newest version and of the one before, in turn."""
         before = 0
         while True:
             version = newest()
@@ -130,7 +130,7 @@
             await asyncio.sleep(PROBE_PAUSE_SECONDS)
 
     async def probe(self, version: int) -> int:
-        """Send a request on the route of a version; give its status, 0 for none."""
+        """Send a request on the route of a version; return its status, 0 if none."""
         connection = ClientConnection(f"{self._node.host}:{settings.CALLER_PORT}")
         name = f"p-{next(self._numbers)}"
         life, sent_at = self._node.life, time.monotonic()
@@ -154,7 +154,7 @@
 async def _answer(
     connection: ClientConnection, request: ClientRequest
 ) -> ClientAnswer | CallBroken:
-    """Send one request; a caller that waited in vain leaves."""
+    """Send one request; the caller disconnects at its time-out."""
     try:
         async with asyncio.timeout(PATIENCE_SECONDS):
             return await connection.call(request)
--- a/src/peppershore_lab/soak/checks.py
+++ b/src/peppershore_lab/soak/checks.py
@@ -22,19 +22,19 @@
 from peppershore_lab.soak.tenant_checks import TENANT_CHECKS
 
 LEAVING_SECONDS = 3.0
-"""A node gives a leaving back end calls for 1 s; what was on its way comes after that."""
+"""A leaving back end still gets calls for 1 s; the rest covers calls in transit."""
 
 CALM_SECONDS = 3.0
-"""So long after an unplanned fault a cut request is no news of a planned stop."""
+"""Time after an unplanned fault in which a cut request isn't due to a planned stop."""
 
 CROSSING_SECONDS = 0.5
 """A close that crosses a request is seen within this time."""
 
 SPREAD_SECONDS = 3.0
-"""So long after a third back end ended under a request every node knows of it."""
+"""Time after the third crash under a request within which every node knows of it."""
 
 USED_SECONDS = 3.0
-"""A life is reported within 0.3 s, and callers beside it call it from then on."""
+"""Time within which a new incarnation gets calls; it sends a heartbeat each 0.3 s."""
 
 MOST_ENDS_AFTER = 3
 QUARANTINED = "quarantined"
@@ -46,7 +46,7 @@
 
 
 def find_violations(record: Record) -> tuple[Violation, ...]:
-    """Give every broken promise, the first ones first."""
+    """Return all violations in order of time."""
     found = [violation for check in CHECKS for violation in check(record)]
     return tuple(sorted(found, key=lambda violation: violation.at))
 
@@ -59,7 +59,7 @@
 
 
 def lives_are_used(record: Record) -> Iterator[Violation]:
-    """A back end that came up gets calls soon, whatever it was called before."""
+    """A new incarnation of a back end gets calls soon, whatever its name is."""
     for life in record.lives:
         end = life.began_at + USED_SECONDS
         if life.ended_at < end or _was_disturbed(record, life, end):
@@ -71,14 +71,14 @@
 
 
 def unreadable_words_are_refused(record: Record) -> Iterator[Violation]:
-    """What can't be read is never acknowledged."""
+    """A malformed heartbeat is never acknowledged."""
     for word in record.words:
         if word.status == STATUS_OK:
             yield Violation("unreadable-words", word.node, word.at)
 
 
 def runs_at_most_once(record: Record) -> Iterator[Violation]:
-    """What may run once is run by one back end at most."""
+    """A request that may run once is run by one back end at most."""
     once = {request.request for request in record.requests if request.once}
     counts = Counter(run.request for run in record.runs if run.request in once)
     last = {run.request: run.at for run in record.runs}
@@ -88,7 +88,7 @@
 
 
 def not_run_is_true(record: Record) -> Iterator[Violation]:
-    """What was refused has not run and never does."""
+    """A refused request has not run and never will."""
     refused = {
         request.request: request
         for request in record.requests
@@ -119,7 +119,7 @@
 
 
 def leaving_back_ends_get_nothing(record: Record) -> Iterator[Violation]:
-    """A back end whose leaving was acknowledged is given no new work."""
+    """A back end whose leaving was acknowledged gets no new calls."""
     for leaving in record.leavings:
         for run in record.runs:
             is_late = leaving.at + LEAVING_SECONDS < run.at < leaving.until
@@ -129,7 +129,7 @@
 
 
 def one_of_two_wins(record: Record) -> Iterator[Violation]:
-    """Of changes on one base one is acknowledged; an invalid one never is."""
+    """One change on a base is acknowledged; an invalid one never is."""
     winners: defaultdict[int, set[str]] = defaultdict(set)
     for change in _acknowledged(record):
         if not change.valid:
@@ -140,7 +140,7 @@
 
 
 def acknowledged_is_not_refused(record: Record) -> Iterator[Violation]:
-    """What was acknowledged once is never refused when it is sent again."""
+    """An acknowledged change is never refused when it is sent again."""
     taken: dict[str, float] = {}
     for change in record.changes:
         if change.status == STATUS_OK:
@@ -185,7 +185,7 @@
 
 
 def newest_is_in_force_at_the_end(record: Record) -> Iterator[Violation]:
-    """Once all is calm, every machine is back and every node has the newest version."""
+    """After the faults every machine is back and every node has the newest version."""
     for machine in record.unready:
         yield Violation("not-back", machine, float("inf"))
     last = {probe.node: probe for probe in record.probes}
@@ -196,7 +196,7 @@
 
 
 def poison_is_held(record: Record) -> Iterator[Violation]:
-    """A request under which three back ends ended is given to hardly any other."""
+    """A request under which three back ends crashed runs at hardly any other."""
     ends: defaultdict[str, list[float]] = defaultdict(list)
     for run in record.poison:
         ends[run.path].append(run.at)
@@ -208,14 +208,14 @@
 
 
 def only_poison_is_held(record: Record) -> Iterator[Violation]:
-    """Whatever else ran where a back end ended is not taken for the cause."""
+    """Other requests that ran at a crashed back end are not quarantined."""
     for request in record.requests:
         if request.reason == QUARANTINED:
             yield Violation("only-poison-held", request.request, request.ended_at)
 
 
 def processes_do_not_end(record: Record) -> Iterator[Violation]:
-    """No process ends by itself."""
+    """No process exits by itself."""
     for end in record.ends:
         yield Violation("process-ended", f"{end.machine}: {end.what}", end.at)
 
@@ -246,7 +246,7 @@
 
 
 def _was_disturbed(record: Record, life: LifeSeen, end: float) -> bool:
-    """Whether the node beside a back end was: its own callers need no other machine."""
+    """Return whether a fault struck the back end's node: its own callers would call it."""
     return any(
         each.machine == life.node
         and each.begun_at <= end
@@ -265,7 +265,7 @@
 
 
 def _is_excused(record: Record, request: RequestEnded) -> bool:
-    """Whether an unplanned fault anywhere may have cut the request."""
+    """Return whether an unplanned fault on any machine may have cut the request."""
     return any(
         not each.planned
         and each.begun_at <= request.ended_at
--- a/src/peppershore_lab/soak/command.py
+++ b/src/peppershore_lab/soak/command.py
@@ -1,4 +1,4 @@
-"""``peppershore-lab soak``: soaks of some seeds, one after the other."""
+"""``peppershore-lab soak``: runs soaks of several seeds one after the other."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from peppershore_lab.soak.runner import SoakPlan, SoakResult, run_soak
 
 MOST_NODES = 100
-"""A node takes about 35 MB: so many stay under half of a machine of 8 GB."""
+"""A node takes about 35 MB, so this many use less than half of 8 GB."""
 
 MOST_HUBS = 7
 MOST_CONNECTIONS = 100
@@ -108,7 +108,7 @@
 
 
 def _put_away(folder: Path, result: SoakResult) -> None:
-    """Keep what a failed seed left, with its verdict; drop the rest."""
+    """Keep the folder of a failed seed, with its verdict; delete the others."""
     if not result.clean:
         verdict = msgspec.json.format(msgspec.json.encode(result))
         (folder / "verdict.json").write_bytes(verdict)
--- a/src/peppershore_lab/soak/configurations.py
+++ b/src/peppershore_lab/soak/configurations.py
@@ -17,21 +17,21 @@
 TARGET_MILLISECONDS = 500
 ATTEMPTS = 3
 OTHER_ROUTES = 200
-"""Routes that nobody asks for: a version has some size."""
+"""Routes without calls, which give a version a realistic size."""
 
 SHARED_KEY_SHARE = 0.2
-"""Part of the invalid configurations in which two tenants share a key."""
+"""Share of the invalid configurations in which two tenants share a key."""
 
 Configuration = dict[str, Any]
 
 
 def marker_prefix(version: int) -> str:
-    """Give the prefix of the route that only this version has."""
+    """Return the prefix of the route that only this version has."""
     return f"/v{version}/"
 
 
 def configuration(version: int, base: int, author: str) -> Configuration:
-    """Give a valid configuration; ``author`` makes it differ from one of equal number."""
+    """Return a valid configuration; ``author`` distinguishes those of equal number."""
     routes = {
         "once": _route(ONCE_PREFIX, "once"),
         "read": _route(READ_PREFIX, "repeatable"),
@@ -52,7 +52,7 @@
 
 
 def spoiled(whole: Configuration, random: Random) -> Configuration:
-    """Make a configuration invalid in one of the ways that operators err."""
+    """Return an invalid copy of a configuration, with a common mistake of operators."""
     if random.random() < SHARED_KEY_SHARE:
         return _with_a_shared_key(whole)
     route = dict(whole["routes"]["read"])
@@ -77,14 +77,14 @@
 
 
 def content_digest(whole: Configuration) -> str:
-    """Name a configuration by its number and the routes it has."""
+    """Return a digest of a configuration's number and its route names."""
     routes = whole["routes"]
     content = msgspec.json.encode((whole["version"], sorted(routes)))
     return xxhash.xxh3_64_hexdigest(content)
 
 
 def _public(route: dict[str, Any]) -> dict[str, Any]:
-    """Let callers without a key use a route."""
+    """Return the route with access for callers without a key."""
     return {**route, "public": True}
 
 
--- a/src/peppershore_lab/soak/faults.py
+++ b/src/peppershore_lab/soak/faults.py
@@ -36,7 +36,7 @@
 SHORTEST_GAP_SECONDS, LONGEST_GAP_SECONDS = 0.1, 2.5
 SHORTEST_FAULT_SECONDS, LONGEST_FAULT_SECONDS = 0.1, 4.0
 SERIES_SHARE = 0.3
-"""Part of the faults that strike several machines one after the other."""
+"""Share of the faults that strike several machines one after the other."""
 
 LONGEST_SERIES = 4
 HUBS, NODES, ANY = "hub", "node", ""
@@ -56,7 +56,7 @@
 def draw_faults(
     seed: int, seconds: float, hubs: tuple[str, ...], nodes: tuple[str, ...]
 ) -> tuple[Fault, ...]:
-    """Give the faults of a run, by time; the same seed gives the same faults."""
+    """Return the faults of a run in order of time; they depend on the seed alone."""
     random = Random(seed)
     names, weights = zip(*KINDS, strict=True)
     faults: list[Fault] = []
--- a/src/peppershore_lab/soak/injector.py
+++ b/src/peppershore_lab/soak/injector.py
@@ -17,7 +17,7 @@
 BETWEEN_SIGNALS_SECONDS = 0.3
 POLL_SECONDS = 0.01
 CATCH_UP_SECONDS = 6.0
-"""A hub with an emptied disk counts as lost for so long after its start."""
+"""Time after its start for which a hub with an emptied disk counts as lost."""
 
 
 class Injector:
@@ -26,7 +26,7 @@
     def __init__(
         self, site: Site, back_ends: Mapping[str, SoakBackEnd], record: Record
     ) -> None:
-        """Strike these machines and note what was done."""
+        """Inject faults into these machines and record them."""
         self._site = site
         self._back_ends = back_ends
         self._record = record
@@ -34,7 +34,7 @@
         self._wiped_until = 0.0
 
     async def run(self, faults: Sequence[Fault]) -> None:
-        """Carry out all faults; ends once everything runs again."""
+        """Inject all faults; return once every machine runs again."""
         self._begun = time.monotonic()
         async with asyncio.TaskGroup() as group:
             for fault in faults:
@@ -93,7 +93,7 @@
             self._start(machine)
 
     async def _stop(self, machine: Machine, twice: bool) -> None:
-        """Ask for a planned stop; kill what takes longer than the grace time."""
+        """Request a planned stop; kill the process at the end of the grace time."""
         machine.process.ask_to_stop()
         if twice:
             await asyncio.sleep(BETWEEN_SIGNALS_SECONDS)
@@ -106,7 +106,7 @@
         self._start(machine)
 
     async def _reload(self, machine: Machine) -> None:
-        """Change the seeds, and say so.
+        """Change the seeds in the settings file and send SIGHUP.
 
         What strikes the interpreter before the product's first line is nobody's fault.
         """
--- a/src/peppershore_lab/soak/machines.py
+++ b/src/peppershore_lab/soak/machines.py
@@ -24,7 +24,7 @@
     """A machine with the process that runs there; faults take its turn by ``busy``."""
 
     def __init__(self, name: str, role: str, host: str, folder: Path) -> None:
-        """Nothing runs before ``start``."""
+        """Describe the machine; ``process`` starts it."""
         self.name = name
         self.role = role
         self.host = host
@@ -38,12 +38,12 @@
 
     @property
     def life(self) -> int:
-        """Starts of the process so far."""
+        """Number of starts of the process so far."""
         return self.process.starts
 
     @property
     def takes_hangups(self) -> bool:
-        """Whether the process has said what SIGHUP is to do; before that it ends it."""
+        """Whether the process handles SIGHUP yet; until then the signal ends it."""
         status = Path(f"/proc/{self.process.pid}/status").read_text()
         fields = dict(line.split(":\t", 1) for line in status.splitlines())
         handled = int(fields["SigIgn"], 16) | int(fields["SigCgt"], 16)
@@ -62,18 +62,18 @@
         aside.rename(self._settings)
 
     def wipe(self) -> None:
-        """Lose the disk; the process must not run."""
+        """Delete the disk's contents; the process must not run."""
         shutil.rmtree(self._data_folder, ignore_errors=True)
 
     def note_end(self, record: Record) -> None:
-        """Note a process that is gone though nobody ended it."""
+        """Record a process that exited though nothing stopped it."""
         if not self.busy and not self.process.running:
             what = f"exit status {self.process.exit_status}"
             record.ends.append(ProcessEnded(self.name, what, time.monotonic()))
             self.busy = True
 
     def note_broken_invariants(self, record: Record) -> None:
-        """Note what the log tells of an error that nobody handled."""
+        """Record an unhandled error that the log contains."""
         if BROKEN_INVARIANT in self.log.read_text(errors="replace"):
             record.ends.append(ProcessEnded(self.name, "a traceback", time.monotonic()))
 
@@ -86,7 +86,7 @@
     """All machines of a soak."""
 
     def __init__(self, folder: Path, hubs: int, nodes: int, seed: int) -> None:
-        """Name the machines; nothing runs before ``start``."""
+        """Create the machines; ``start`` starts them."""
         self._random = Random(seed)
         self._block = AddressBlock()
         self.hubs = tuple(
@@ -104,22 +104,22 @@
         return (*self.hubs, *self.nodes)
 
     def named(self, name: str) -> Machine:
-        """Give the machine of a name."""
+        """Return the machine with this name."""
         return next(each for each in self.machines if each.name == name)
 
     def start(self) -> None:
-        """Start all machines; the hubs know each other from the first moment."""
+        """Start all machines; every hub has the addresses of all hubs."""
         founders = [hub.host for hub in self.hubs]
         for machine in self.machines:
             machine.write_settings(founders)
             machine.process.start()
 
     def some_seeds(self) -> list[str]:
-        """Give other seeds than before: some of the hubs."""
+        """Return a random choice of hubs as seeds."""
         return [hub.host for hub in self._random.sample(self.hubs, SEEDS)]
 
     def stop(self) -> None:
-        """End every process that this soak started, and free the addresses."""
+        """Kill every process that this soak started, and free the addresses."""
         for machine in self.machines:
             machine.process.kill()
         self._block.close()
--- a/src/peppershore_lab/soak/need_checks.py
+++ b/src/peppershore_lab/soak/need_checks.py
@@ -1,4 +1,4 @@
-"""Checks of what back ends in need get: their rate limits, and that they are leaving.
+"""Checks of the calls to back ends that report a rate limit or that they are leaving.
 
 A node is bound by what it passed on to its callers. One that was restarted or stopped for a
 moment since then is excused, since it may have forgotten.
@@ -24,25 +24,25 @@
 GRACE_SECONDS = 3.0
 TOLD_SECONDS = 0.5
 MOST_SHARE, MOST_CALLS = 1.5, 5
-"""From ``GRACE_SECONDS`` after a back end first named its limit, no window has more runs of
-nodes told ``TOLD_SECONDS`` before its end: so many times the limit, and so many more."""
+"""A window that ends ``GRACE_SECONDS`` or more after a limit was first named holds at most
+``MOST_SHARE`` times the limit's calls and ``MOST_CALLS`` more. Only calls of nodes count
+that had forwarded such an answer ``TOLD_SECONDS`` before its end."""
 
 DRAIN_SECONDS = 2.0
-"""A call that begins so long after its node passed on that a back end leaves goes
-elsewhere."""
+"""Time after which a node that forwarded a leaving answer sends that back end no call."""
 
 EXCUSING_KINDS = frozenset({"kill", "pause", "stop", "stop-twice", "kill-all"})
 
 
 class _Run(msgspec.Struct, frozen=True):
-    """A run, with the request of a caller that it belongs to."""
+    """When a back end began a request of a caller."""
 
     at: float
     request: RequestEnded
 
 
 def rate_limits_hold(record: Record) -> Iterator[Violation]:
-    """A back end that names a limit gets no more, summed over the nodes that know."""
+    """A back end gets no more calls than its limit allows, over all nodes that know it."""
     runs = _runs_by_back_end(record)
     for limit in record.limits:
         found = _first_breach(record, limit, runs.get(limit.node, []))
@@ -51,7 +51,7 @@
 
 
 def answered_leavings_bind(record: Record) -> Iterator[Violation]:
-    """A node that passed on that a back end leaves sends it no later call."""
+    """A node that forwarded a leaving answer sends that back end no later call."""
     runs = _runs_by_back_end(record)
     for leaving in record.answered_leavings:
         told = _told(record, leaving, "says_leaving")
@@ -105,7 +105,7 @@
 def _told(
     record: Record, need: LimitNamed | LeavingAnswered, field: str
 ) -> dict[str, float]:
-    """Give when each node first passed on an answer that reports this need."""
+    """Return when each node first forwarded an answer that reports this need."""
     told: dict[str, float] = {}
     for request in record.requests:
         of_back_end = request.signature.rpartition("-")[0] == need.node
--- a/src/peppershore_lab/soak/needs.py
+++ b/src/peppershore_lab/soak/needs.py
@@ -13,20 +13,20 @@
 SHORTEST_LEAVING_SECONDS, LONGEST_LEAVING_SECONDS = 1.0, 5.0
 SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS = 0.2, 2.0
 LIMIT_SHARE = 0.6
-"""Part of the needs that are limits."""
+"""Share of the needs that are rate limits."""
 
 
 class Needs:
-    """Lets back ends report needs, ``at_once`` of them, whatever else strikes them."""
+    """Lets up to ``at_once`` back ends at a time report needs, besides all faults."""
 
     def __init__(self, back_ends: Sequence[SoakBackEnd], at_once: int, seed: int) -> None:
-        """Draw from a source of their own, so that faults stay those of the seed."""
+        """Use a random source of its own, so that the faults of a seed stay the same."""
         self._back_ends = back_ends
         self._at_once = at_once
         self._seed = seed
 
     async def run(self) -> None:
-        """Go on until cancelled."""
+        """Report needs until cancelled."""
         async with asyncio.TaskGroup() as group:
             for number in range(self._at_once):
                 group.create_task(self._one_after_the_other(number))
--- a/src/peppershore_lab/soak/observations.py
+++ b/src/peppershore_lab/soak/observations.py
@@ -1,18 +1,18 @@
-"""What a soak saw, as values; times are monotonic seconds of the soak's own process."""
+"""Observations of a soak; times are in monotonic seconds of the soak's process."""
 
 from __future__ import annotations
 
 import msgspec
 
 REFUSALS = frozenset({408, 421, 429, 503})
-"""Statuses that say that a request has not run and never will."""
+"""Statuses that promise that a request has not run and never will."""
 
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 
 
 class RequestEnded(msgspec.Struct, frozen=True):
-    """A request of a caller, over; ``status`` 0: the connection ended without an answer.
+    """A caller's request that has ended; ``status`` 0: closed without an answer.
 
     ``once``: it may run at most once.  ``whole``: the answer is this request's own, to
     the last byte.  ``sent``: bytes of it left on a connection that was open.
@@ -47,7 +47,7 @@
 
 
 class PoisonRan(msgspec.Struct, frozen=True):
-    """A back end began to work on a request that ends whoever runs it, and ended."""
+    """A back end began a request that crashes it, and crashed."""
 
     path: str
     node: str
@@ -55,7 +55,7 @@
 
 
 class LeavingAcknowledged(msgspec.Struct, frozen=True):
-    """A node took its back end's word that it leaves; ``until`` is when it was back."""
+    """A node acknowledged a leaving heartbeat; ``until``: when the back end was back."""
 
     node: str
     at: float
@@ -72,7 +72,7 @@
 
 
 class LeavingAnswered(msgspec.Struct, frozen=True):
-    """A back end said in its answers that it leaves, from ``at`` until it was another."""
+    """Answers of a back end said from ``at`` to ``until`` that it is leaving."""
 
     node: str
     at: float
@@ -80,7 +80,7 @@
 
 
 class LifeSeen(msgspec.Struct, frozen=True):
-    """One life of a back end, from when it listened until it ended or said it leaves."""
+    """One incarnation of a back end, until it crashed or reported that it is leaving."""
 
     node: str
     began_at: float
@@ -88,7 +88,7 @@
 
 
 class WordAnswered(msgspec.Struct, frozen=True):
-    """A node's answer to a word of its back end that can't be read."""
+    """A node's answer to a malformed heartbeat."""
 
     node: str
     at: float
@@ -96,7 +96,7 @@
 
 
 class ChangeAnswered(msgspec.Struct, frozen=True):
-    """An answer to a configuration that was sent; ``status`` 0: none came."""
+    """The answer to a configuration that was sent; ``status`` 0 without one."""
 
     version: int
     base: int
@@ -107,7 +107,7 @@
 
 
 class ConfigurationRead(msgspec.Struct, frozen=True):
-    """The newest configuration by the word of a hub, asked for at ``asked_at``."""
+    """The newest configuration as read from a hub at ``asked_at``."""
 
     version: int
     digest: str
@@ -126,7 +126,7 @@
 
 
 class Disturbance(msgspec.Struct, frozen=True):
-    """A fault, from its begin to when everything of it was over."""
+    """A fault, from its beginning to the end of all its effects."""
 
     kind: str
     machine: str
@@ -136,7 +136,7 @@
 
 
 class ProcessEnded(msgspec.Struct, frozen=True):
-    """A process ended that nobody had stopped or killed, or wrote of a broken invariant."""
+    """A process exited by itself, or logged an unhandled error."""
 
     machine: str
     what: str
@@ -144,7 +144,7 @@
 
 
 class Violation(msgspec.Struct, frozen=True):
-    """A promise that was broken: which, by what, and when (monotonic seconds)."""
+    """A broken promise: its name, a detail, and when (monotonic seconds)."""
 
     promise: str
     detail: str
@@ -152,7 +152,7 @@
 
 
 class Record(msgspec.Struct):
-    """All that was seen in one soak; ``unready`` are machines not back at its end."""
+    """All observations of one soak; ``unready``: machines not back at its end."""
 
     requests: list[RequestEnded] = []
     runs: list[RunBegan] = []
--- a/src/peppershore_lab/soak/operators.py
+++ b/src/peppershore_lab/soak/operators.py
@@ -1,4 +1,4 @@
-"""Operators of a soak: changes, races, invalid ones, sent again until they are clear."""
+"""Operators of a soak: valid, racing and invalid changes, resent until answered clearly."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 )
 
 ANSWER_SECONDS = 1.0
-"""An operator goes on to another hub after so long without an answer."""
+"""Time-out for an answer, after which an operator tries another hub."""
 
 AGAIN_SECONDS = 0.1
 SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS = 0.05, 1.5
@@ -34,7 +34,7 @@
 LONGEST_STEP = 4
 PATH = "/configuration"
 NO_ANSWER = 0
-"""Also noted before the first send: what is on its way when the load ends may be taken."""
+"""Also recorded before the first send: a change in transit at the end may be accepted."""
 
 CLEAR = frozenset({STATUS_OK, 400, 409, 412, 413, 422})
 
@@ -43,7 +43,7 @@
     """Sends changes to any hub, one after the other or two at once."""
 
     def __init__(self, site: Site, record: Record, seed: int) -> None:
-        """Know no version yet."""
+        """Start without a known version."""
         self._site = site
         self._record = record
         self._random = Random(seed)
@@ -56,25 +56,25 @@
         return self._current
 
     async def run(self) -> None:
-        """Change the configuration again and again, until cancelled."""
+        """Send changes until cancelled."""
         while True:
             await self._change_once()
             pause = self._random.uniform(SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS)
             await asyncio.sleep(pause)
 
     async def send_first(self) -> None:
-        """Send the first configuration until it is taken."""
+        """Send the first configuration until it is accepted."""
         while self._current == 0:
             await self._change("first")
 
     async def settle(self) -> None:
-        """Make one last change that is clearly taken."""
+        """Send one last change until it is acknowledged."""
         before = self._current
         while self._current == before:
             await self._change("last")
 
     async def read(self, hub: Machine) -> int:
-        """Read the newest version at a hub; 0 if it gives none."""
+        """Return the newest version read from a hub; 0 without an answer."""
         asked_at = time.monotonic()
         answer = await _send(hub, "GET", None)
         if answer is None or answer.status != STATUS_OK:
@@ -111,7 +111,7 @@
         return configuration(self._highest, self._current, author)
 
     async def _learn_current(self) -> None:
-        """Another change won, or nothing is there yet: go by what a hub reads."""
+        """Read the current version: another change won, or there is none yet."""
         for hub in self._random.sample(self._site.hubs, len(self._site.hubs)):
             version = await self.read(hub)
             if version:
--- a/src/peppershore_lab/soak/poison.py
+++ b/src/peppershore_lab/soak/poison.py
@@ -1,4 +1,4 @@
-"""Callers that repeat requests which end whichever back end runs them."""
+"""Callers that repeat requests which crash every back end that runs them."""
 
 from __future__ import annotations
 
@@ -11,17 +11,17 @@
 from peppershore_lab.soak.configurations import READ_PREFIX
 
 FIRST_SECONDS = 2.0
-"""Before the first such request, so that other calls are under way."""
+"""Delay of the first such request, so that other calls are in flight."""
 
 SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS = 0.05, 0.5
-"""A caller that was not answered comes again after so long, at any node."""
+"""Pause before a caller repeats its request, at any node."""
 
 
 class PoisonCallers:
-    """Sends each of some requests again and again, at one node or another."""
+    """Sends each of several requests repeatedly, at random nodes."""
 
     def __init__(self, callers: Sequence[Callers], requests: int, seed: int) -> None:
-        """Nothing is sent before ``run``."""
+        """Create the callers; ``run`` starts them."""
         self._callers = callers
         self._requests = requests
         self._random = Random(seed)
--- a/src/peppershore_lab/soak/runner.py
+++ b/src/peppershore_lab/soak/runner.py
@@ -26,17 +26,17 @@
 
 START_SECONDS = 60.0
 CALM_SECONDS = 60.0
-"""After the faults everything has so long to be back, on a machine however loaded."""
+"""Time-out for everything to be back after the faults, also on a loaded machine."""
 
 POLL_SECONDS = 0.1
 HANG_UP_SECONDS = 0.2
-"""Back ends see the connections of ended nodes close within this time."""
+"""Time within which back ends see the connections of killed nodes close."""
 
 READY_PATH = "/readyz"
 
 
 class SoakPlan(msgspec.Struct, frozen=True):
-    """What a soak does; ``connections`` are those of callers at each node.
+    """Parameters of a soak; ``connections``: those of callers at each node.
 
     ``poison``: so many requests end whichever back end runs them, and come again.
     ``needs``: so many back ends at a time report a need in their answers.
@@ -54,7 +54,7 @@
 
 
 class SoakResult(msgspec.Struct, frozen=True):
-    """The verdict of a soak, with how much was seen; ``kinds`` counts faults."""
+    """Result of a soak, with counts of what was seen; ``kinds`` counts faults by kind."""
 
     seed: int
     seconds: float
@@ -80,10 +80,10 @@
 
 
 class Soak:
-    """One soak in a folder of its own, which keeps the logs."""
+    """One soak; its folder keeps the logs."""
 
     def __init__(self, plan: SoakPlan, folder: Path) -> None:
-        """Nothing starts before ``run``."""
+        """Create the site; ``run`` starts it."""
         self._plan = plan
         self._record = Record()
         self._site = Site(folder, plan.hubs, plan.nodes, plan.seed)
@@ -96,7 +96,7 @@
         self._back_ends: dict[str, SoakBackEnd] = {}
 
     async def run(self) -> SoakResult:
-        """Run to the end; whatever happens, no process stays."""
+        """Run to the end and return the result; every process is killed in any case."""
         try:
             await self._start()
             await self._play()
@@ -125,7 +125,7 @@
                 await self._until_served(node)
 
     async def _play(self) -> None:
-        """Load and faults; the load goes on until the last fault is over."""
+        """Apply load and faults; the load continues until the last fault is over."""
         callers = tuple(self._callers.values())
         poison = PoisonCallers(callers, self._plan.poison, self._plan.seed)
         needs = Needs(self._called_back_ends, self._plan.needs, self._plan.seed)
@@ -160,7 +160,7 @@
         )
 
     async def _strike(self) -> None:
-        """Bring the faults about; without any, let the load go on for as long."""
+        """Inject the faults; without any, wait for as long."""
         if not self._plan.strikes:
             await asyncio.sleep(self._plan.seconds)
             return
@@ -173,7 +173,7 @@
         await Injector(self._site, self._back_ends, self._record).run(faults)
 
     async def _calm_down(self) -> None:
-        """Everything must come back, with the last change in force at every node."""
+        """Wait until every machine is back and every node uses the last change."""
         waiting = {machine.name: machine for machine in self._site.machines}
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CALM_SECONDS):
@@ -238,7 +238,7 @@
 
 
 async def run_soak(plan: SoakPlan, folder: Path) -> tuple[SoakResult, float]:
-    """Run one soak with its logs in ``folder``; give the verdict and the seconds taken."""
+    """Run one soak with its logs in ``folder``; return the result and its seconds."""
     begun = time.monotonic()
     result = await Soak(plan, folder).run()
     return result, time.monotonic() - begun
--- a/src/peppershore_lab/soak/settings.py
+++ b/src/peppershore_lab/soak/settings.py
@@ -1,4 +1,4 @@
-"""The settings files of a soak's hubs and nodes, in the product's own words."""
+"""Settings files of a soak's hubs and nodes."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 REASON = "peppershore-reason"
 STOP_GRACE_SECONDS = 6.0
 LINK_MEGABITS = 4.0
-"""Narrow enough that a node takes in two large bodies at a time."""
+"""Capacity at which a node accepts two large bodies at a time."""
 
 
 QUOTAS = f"""
@@ -39,7 +39,7 @@
 
 
 def hub_settings(host: str, folder: str, seeds: Sequence[str], first_start: bool) -> str:
-    """Give the file of a hub; ``seeds`` are hosts of hubs."""
+    """Return the settings file of a hub; ``seeds`` are hosts of hubs."""
     return f"""\
 cluster = "soak"
 host = "{host}"
@@ -58,7 +58,7 @@
 
 
 def node_settings(node: str, host: str, service: str, seeds: Sequence[str]) -> str:
-    """Give the file of a node beside a back end that reports itself."""
+    """Return the settings file of a node whose back end sends heartbeats."""
     return f"""\
 cluster = "soak"
 node = "{node}"
--- a/src/peppershore_lab/soak/tenant_checks.py
+++ b/src/peppershore_lab/soak/tenant_checks.py
@@ -1,4 +1,4 @@
-"""Judges by a soak's record what tenants were promised: names, limits, fair shares."""
+"""Checks of a soak's record for tenants: their names, limits and fair shares."""
 
 from __future__ import annotations
 
@@ -15,10 +15,10 @@
 from peppershore_lab.soak.tenants import BY_NAME, WINDOW_SECONDS, SoakTenant
 
 LEAST_REQUESTS = 50
-"""Fewer say nothing of how often a tenant is served."""
+"""Minimum number of requests for a meaningful share of served ones."""
 
 STARVED_SHARE = 0.25
-"""A tenant is served at least so often as all are."""
+"""Minimum share of a tenant's requests served, relative to that of all tenants."""
 
 
 def tenants_are_true(record: Record) -> Iterator[Violation]:
@@ -52,7 +52,7 @@
 
 
 def _sent_and_run(record: Record) -> dict[str, list[tuple[float, float]]]:
-    """Give by tenant when each request that ran was sent and begun, by when it was sent."""
+    """Return, by tenant, when each request that ran was sent and begun, oldest first."""
     began = {run.request: run.at for run in reversed(record.runs)}
     found: defaultdict[str, list[tuple[float, float]]] = defaultdict(list)
     for request in record.requests:
--- a/src/peppershore_lab/soak/tenants.py
+++ b/src/peppershore_lab/soak/tenants.py
@@ -13,13 +13,13 @@
 WINDOW_SECONDS = 5.0
 OVERSHOOT = 0.1
 SLACK = 20.0
-"""By so much limits may be passed: the settings of hubs and nodes say the same."""
+"""How far limits may be exceeded, as in the settings of hubs and nodes."""
 
 STRANGER_SHARE = 0.02
-"""Part of the requests that come with a key that no configuration ever held."""
+"""Share of the requests with a key that no configuration ever held."""
 
 NEWEST_KEY_SHARE = 0.2
-"""Part of the requests that come with the key of the newest version."""
+"""Share of the requests with the key of the newest version."""
 
 STRANGER_KEY = "soak-stranger-key"
 
@@ -46,30 +46,30 @@
     SoakTenant("tiny", weight=0.5, rate_per_second=5.0, burst=5.0),
     SoakTenant("unlimited", weight=4.0),
 )
-"""One of them asks for several times its limit all the while."""
+"""One of them always sends several times its limit."""
 
 BY_NAME = {tenant.name: tenant for tenant in TENANTS}
 
 
 class KeyUsed(msgspec.Struct, frozen=True):
-    """The key of one request, and whose it is; "" for nobody's."""
+    """The key of one request, and the tenant that holds it ("" for none)."""
 
     key: str
     tenant: str
 
 
 def lasting_key(tenant: str) -> str:
-    """Give the key that a tenant has in every version."""
+    """Return the key that a tenant has in every version."""
     return f"soak-key-{tenant}"
 
 
 def key_of_version(tenant: str, version: int) -> str:
-    """Give the key that a tenant has in this version only."""
+    """Return the key that a tenant has in this version only."""
     return f"soak-key-{tenant}-{version}"
 
 
 def definitions(version: int) -> dict[str, Any]:
-    """Give the tenants as a configuration holds them."""
+    """Return the tenants as a configuration contains them."""
     return {
         tenant.name: {
             "keys": [lasting_key(tenant.name), key_of_version(tenant.name, version)],
@@ -81,7 +81,7 @@
 
 
 def draw_key(random: Random, newest: int) -> KeyUsed:
-    """Draw who sends a request and by which of its keys."""
+    """Choose at random which tenant sends a request, with which of its keys."""
     if random.random() < STRANGER_SHARE:
         return KeyUsed(STRANGER_KEY, "")
     weights = [tenant.weight for tenant in TENANTS]
@@ -92,5 +92,5 @@
 
 
 def authorization(key: str) -> tuple[str, str]:
-    """Give the header field that carries a key."""
+    """Return the header field that carries a key."""
     return (AUTHORIZATION, f"Bearer {key}")
