A back end that failed once gets calls again soon, also where calls come one at a time

What callers saw: with two back ends and a call each half second, one that failed once was left unused for 198 s. Cause: the cost of a failure fades, but never to nothing, and where calls come one at a time all other costs are equal, so any remainder decides each choice. Where owners count slots nothing else ever differs; without owners latency does (6 s). A remainder below a tenth of a call's cost no longer counts: 25 s.

--- a/src/peppershore/request/endpoint_state.py
+++ b/src/peppershore/request/endpoint_state.py
@@ -29,6 +29,10 @@
 value, a failing back end looks the fastest and attracts calls. It is scaled by the square
 of the share of failures, so that a few occasional failures shift no load."""
 
+MIN_FAILURE_EXCESS = 0.1
+"""A cost of past failures below this share of the cost of a call doesn't count. Where calls
+come one at a time all other costs are equal, and any remainder would decide each choice."""
+
 FADE_SECONDS = 10.0
 """Time constant by which observations lose weight. Without it, a back end that is no longer
 chosen because of past failures or slow answers would never be found to have recovered."""
@@ -205,7 +209,8 @@
         seconds of work in flight there, this call included.
         """
         fade = math.exp((self._last_seen - now) / FADE_SECONDS)
-        failing = 1.0 + FAILURE_COST * (self._failure_rate * fade) ** 2
+        excess = FAILURE_COST * (self._failure_rate * fade) ** 2
+        failing = 1.0 + excess if excess >= MIN_FAILURE_EXCESS else 1.0
         others = self._others if now - self._load_received_at < LOAD_MAX_AGE_SECONDS else 0
         calls = self.in_flight + others
         if self._reported_slots or self.endpoint.owner_address:
