--- a/tests/data_plane/limited_site.py
+++ b/tests/data_plane/limited_site.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -179,10 +179,17 @@
         reached = endpoint(address, name, owner_address, SLOTS)
         self.endpoints[name] = msgspec.structs.replace(reached, incarnation=incarnation)
 
-    async def restart_owner(self, name: str) -> None:
-        """Restart a back end's node, which forgets everything; callers' nodes learn."""
+    async def restart_owner(
+        self, name: str, down: Callable[[], Awaitable[None]] | None = None
+    ) -> None:
+        """Restart a back end's node, which forgets everything; callers' nodes learn.
+
+        ``down`` is awaited while it is down.
+        """
         before = self.endpoints[name]
         await self.owners[name].plane.close()
+        if down is not None:
+            await down()
         await self.start_owner(name, before.address, before.incarnation + 1)
         self.announce()
 
--- a/tests/data_plane/test_rate_limits_of_back_ends.py
+++ b/tests/data_plane/test_rate_limits_of_back_ends.py
@@ -126,6 +126,29 @@
     run_in_virtual_time(scene())
 
 
+@pytest.mark.parametrize("named_after", [0.05, 0.3, 0.6, 0.9])
+def test_a_limit_named_while_the_node_beside_was_down_holds(
+    named_after: float,
+) -> None:
+    """No node knows when such a limit was first named, so it binds later than it should."""
+
+    async def scene() -> None:
+        async with NeedySite() as site:
+
+            async def name_meanwhile() -> None:
+                await site.load(RATE, named_after)
+                site.back_ends["k1"].name_limit("7.5")
+                await site.load(RATE, 1.0 - named_after)
+
+            await site.load(RATE, 4.0)
+            await site.restart_owner("k1", name_meanwhile)
+            await site.load(RATE, 8.0)
+            await site.settle()
+            assert site.breaches("k1", 7.5) == []
+
+    run_in_virtual_time(scene())
+
+
 def test_the_limit_holds_for_calls_sent_directly_under_a_loan() -> None:
     """The node beside the back end sees no answers to such calls, and knew no limit."""
 
