--- a/src/peppershore/process/node/data/local_back_end.py
+++ b/src/peppershore/process/node/data/local_back_end.py
@@ -95,6 +95,7 @@
         self._bounds = bounds
         self.need = LocalNeed(NO_INCARNATION.name, bounds.limit_seconds)
         self.on_need_changed: Callable[[NeedChange], None] = lambda change: None
+        """Called when a rate limit begins or ends, or the back end begins to leave."""
         self.large_answers = large_answers
         self.leaving = False
         self.on_unreachable: Callable[[str], None] = lambda life: None
