Count what peers sent before the node beside a back end restarted, and bind a limit that may be old at once

Cause, by the lines of its node: the limit was named less than 3 s before the restart and no answer had told anybody. The new process knew neither what the one before had sent nor when the limit was first named, so it gave itself the time to comply once more. Class: a count that lives in one process alone, of a window that is longer than its restart. Each node counts what it sent to each owner in the last 4 s and tells it, by age, with the first message of a link; the owner counts what is older than itself. A limit in the first answer that a process reads binds at once. Ruled out: few calls until the first answer after each restart, which costs all restarts. Evidence: the scene breaks without both parts and holds with them; eight moments and rates hold.

--- a/src/peppershore/connection/messages/calls.py
+++ b/src/peppershore/connection/messages/calls.py
@@ -71,11 +71,16 @@
 
 
 class CallLinkHello(Message, frozen=True, tag=140):
-    """First message of a node that will send calls to a back end's local node."""
+    """First message of a node that will send calls to a back end's local node.
+
+    ``recent_calls`` counts those that it sent to this back end lately, in steps of half a
+    second before now, the newest first: a receiver that restarted has not counted them.
+    """
 
     cluster: str
     node: str
     incarnation: int
+    recent_calls: tuple[int, ...] = ()
 
 
 class CallStarted(Message, frozen=True, tag=141):
--- a/src/peppershore/process/node/data/call_listener.py
+++ b/src/peppershore/process/node/data/call_listener.py
@@ -126,6 +126,8 @@
                 link.send(Refused("other-cluster"))
                 link.close()
                 self._lost(link, "other-cluster")
+            case CallLinkHello():
+                self._peer_connected(message)
             case CallLinkProbe():
                 link.send(CallLinkAlive(message.number))
             case SlotsAsked():
@@ -137,6 +139,11 @@
             case _:
                 pass
 
+    def _peer_connected(self, hello: CallLinkHello) -> None:
+        backend = self._backend()
+        if backend is not None and hello.recent_calls:
+            backend.calls_sent_before(hello.recent_calls)
+
     def _need_seen(self, message: BackEndNeedSeen) -> None:
         backend = self._backend()
         if backend is not None:
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -338,6 +338,7 @@
             if self._links.borrow(address, self.loop.time()):
                 pool = self._pools.borrowed(endpoint, self._links.allowance(address))
                 life = self._links.lent_life(address)
+                self._links.call_sent(address)
                 return DirectAttempt(
                     pool,
                     request,
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -53,6 +53,9 @@
     def load_reported(self, address: str, load: OwnerLoad, route: str) -> None:
         """Record the load that an owner reported with a call of this route."""
 
+    def call_sent(self, address: str) -> None:
+        """Count a call that is sent to an owner."""
+
     def when_open(self, address: str, attempt: LinkAttempt) -> None:
         """Call ``attempt.link_open`` once the link is open, at once if it already is.
 
@@ -264,7 +267,9 @@
                 left=request.left,
             )
         )
-        if not self._started:
+        if self._started:
+            self._links.call_sent(self._address)
+        else:
             self._end(unreachable("owner-unreachable"))
 
     def _send_more(self) -> None:
--- a/src/peppershore/process/node/data/local_back_end.py
+++ b/src/peppershore/process/node/data/local_back_end.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -125,6 +125,7 @@
         self.pool = ConnectionPool(endpoint.address, endpoint.connections)
         self._node = endpoint.node
         now = asyncio.get_running_loop().time()
+        self._started_at = now
         self.admission = Admission(
             endpoint.service,
             settings,
@@ -196,6 +197,12 @@
         """Record that a call is sent to the back end now."""
         self.need.rate_limit.sent(asyncio.get_running_loop().time())
 
+    def calls_sent_before(self, by_age: Sequence[int]) -> None:
+        """Count the calls that a peer sent before this process started, by their age."""
+        now = asyncio.get_running_loop().time()
+        self.need.rate_limit.calls.add_earlier(by_age, now, self._started_at)
+        self._set_limit(now)
+
     def need_seen_elsewhere(self, need: BackEndNeed) -> None:
         """Process the need that an answer to a call sent directly reported."""
         now = asyncio.get_running_loop().time()
@@ -271,7 +278,7 @@
         """
         if view.life != self._life:
             self._life = view.life
-            self.need = LocalNeed(view.life.name, self._bounds.limit_seconds)
+            self._begin_need(view.life)
             self.crashes.begin_incarnation(view.life.name)
             self._begin_incarnation()
             self._cancel_leaving_timers()
@@ -304,6 +311,13 @@
         self._cancel_leaving_timers()
         self.leaving = True
 
+    def _begin_need(self, life: BackEndIncarnation) -> None:
+        """Begin without a need; what was sent to a still unnamed incarnation counts on."""
+        before = self.need
+        self.need = LocalNeed(life.name, self._bounds.limit_seconds)
+        if not before.life:
+            self.need.rate_limit.calls = before.rate_limit.calls
+
     def _leave_soon(self) -> None:
         """Refuse calls from the end of the bound on: some are still on their way."""
         if not self.leaving and self._refuse_timer is None:
--- a/src/peppershore/process/node/data/owner_links.py
+++ b/src/peppershore/process/node/data/owner_links.py
@@ -6,6 +6,8 @@
 import ssl
 from collections.abc import Callable
 
+import msgspec
+
 from peppershore.connection.call_link import CallLink
 from peppershore.connection.link import open_link
 from peppershore.connection.messages.base import Message
@@ -21,6 +23,7 @@
 )
 from peppershore.process.node.data.link_attempt import LinkAttempt
 from peppershore.process.node.data.link_guard import LinkGuard
+from peppershore.request.back_ends.recent_calls import WINDOW_SECONDS, RecentCalls
 from peppershore.request.slot_loans import Borrower
 
 HANDSHAKE_TIMEOUT_SECONDS = 1.0
@@ -37,13 +40,21 @@
 
 
 class _Owner:
-    """One owner: its link if open, the attempts that wait for it, the borrowed slots.
+    """One owner: its link if open, attempts that wait for it, borrowed slots, sent calls.
 
     ``last_received`` is the link's count of received messages at the last liveness check;
     ``probed_at`` is the time of the unanswered probe since then, or None.
     """
 
-    __slots__ = ("borrower", "last_received", "link", "opening", "probed_at", "waiting")
+    __slots__ = (
+        "borrower",
+        "calls",
+        "last_received",
+        "link",
+        "opening",
+        "probed_at",
+        "waiting",
+    )
 
     def __init__(self) -> None:
         self.last_received = 0
@@ -52,6 +63,7 @@
         self.opening: asyncio.Task[None] | None = None
         self.waiting: list[LinkAttempt] = []
         self.borrower = Borrower()
+        self.calls = RecentCalls()
 
 
 class OwnerLinks:
@@ -114,6 +126,10 @@
         if kept is not None and owner.link is not None:
             owner.link.send(SlotsReturned(owner.borrower.number, kept))
 
+    def call_sent(self, address: str) -> None:
+        """Count a call that is sent to an owner's back end, through the owner or not."""
+        self._owner(address).calls.add(asyncio.get_running_loop().time())
+
     def lent_life(self, address: str) -> str:
         """Return the incarnation of the owner's back end whose slots are lent."""
         return self._owner(address).borrower.life
@@ -141,11 +157,15 @@
     def keep_only(self, addresses: frozenset[str]) -> None:
         """Close the idle links to owners that are not in ``addresses``.
 
-        A link is idle if it has no stream open and no borrowed slot in use.
+        A link is idle if it has no stream open and no borrowed slot in use. An owner that
+        was sent calls lately is remembered: it may be restarting.
         """
+        window_begin = asyncio.get_running_loop().time() - WINDOW_SECONDS
         for address in [known for known in self._owners if known not in addresses]:
             owner = self._owners[address]
             idle = owner.link is None or owner.link.streams == 0
+            if owner.calls.since(window_begin):
+                continue
             if idle and owner.opening is None and owner.borrower.in_use == 0:
                 del self._owners[address]
                 if owner.link is not None:
@@ -195,7 +215,7 @@
             owner.opening = loop.create_task(self._connect(address, owner))
 
     async def _connect(self, address: str, owner: _Owner) -> None:
-        link = await self._open_confirmed(address)
+        link = await self._open_confirmed(address, owner)
         owner.opening = None
         waiting = owner.waiting
         owner.waiting = []
@@ -209,7 +229,7 @@
         for attempt in waiting:
             attempt.link_open(link)
 
-    async def _open_confirmed(self, address: str) -> CallLink | None:
+    async def _open_confirmed(self, address: str, owner: _Owner) -> CallLink | None:
         """Open a link and return it once the owner has answered a probe, else None.
 
         The operating system accepts connections for a process that is stopped or stuck.
@@ -235,7 +255,9 @@
             packs_heads=self._packs_heads,
         )
         link.start()
-        link.send(self._hello)
+        now = asyncio.get_running_loop().time()
+        recent = owner.calls.by_age(now)
+        link.send(msgspec.structs.replace(self._hello, recent_calls=recent))
         link.send(CallLinkProbe(0))
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_SECONDS):
--- a/src/peppershore/request/back_ends/local_need.py
+++ b/src/peppershore/request/back_ends/local_need.py
@@ -48,14 +48,15 @@
     ) -> NeedChange:
         """Process the need that an answer reports, to a call sent at ``sent_at``.
 
-        An answer without a limit ends the limit, unless it is a failure: those are often
+        A limit in the first answer may have been named before this process started. An
+        answer without a limit ends the limit, unless it is a failure: those are often
         written by other parts of the back end.
         """
-        self._has_answered = True
+        is_first, self._has_answered = not self._has_answered, True
         limited = self.rate_limit.rate is not None
         ended = False
         if reported.rate_limit is not None:
-            self.rate_limit.named(reported.rate_limit, now)
+            self.rate_limit.named(reported.rate_limit, now, is_new=not is_first)
         elif not reported.names_limit and status < FIRST_SERVER_ERROR:
             ended = self.rate_limit.not_named(sent_at)
         return NeedChange(
--- a/src/peppershore/request/back_ends/rate_limit.py
+++ b/src/peppershore/request/back_ends/rate_limit.py
@@ -12,12 +12,11 @@
 
 from __future__ import annotations
 
-import itertools
 import math
 import sys
-from collections import deque
 
-WINDOW_SECONDS = 4.0
+from peppershore.request.back_ends.recent_calls import WINDOW_SECONDS, RecentCalls
+
 MAX_WINDOW_SHARE = 1.4
 MAX_WINDOW_SLACK_CALLS = 3
 """A window holds at most this share of the rate's calls, and this many more. Back ends
@@ -35,9 +34,6 @@
 """A limit was named somewhat before its node reads the first answer that has it; this much
 of the time to comply is not used."""
 
-SLICE_SECONDS = 0.05
-"""Resolution at which sent calls are counted."""
-
 UNLIMITED_CALLS = sys.maxsize
 
 
@@ -55,7 +51,7 @@
         """
         self._apply_seconds = apply_seconds
         self._rate: float | None = None
-        self._sent: deque[list[int]] = deque()
+        self.calls = RecentCalls()
         self._tokens = 0.0
         self._refilled_at = 0.0
         self._binds_from = 0.0
@@ -67,10 +63,13 @@
         """Calls a second that the back end takes; None without a limit."""
         return self._rate
 
-    def named(self, rate: float, now: float) -> None:
-        """Record that the back end named its limit, in calls a second."""
+    def named(self, rate: float, now: float, *, is_new: bool = True) -> None:
+        """Record that the back end named its limit, in calls a second.
+
+        Without ``is_new`` it may have named one long before, so it gets no time to comply.
+        """
         if self._rate is None:
-            self._begin(now)
+            self._begin(now, is_new)
         else:
             self._refill(now)
         self._rate = rate
@@ -90,12 +89,7 @@
 
     def sent(self, now: float) -> None:
         """Record that a call is sent now."""
-        self._forget_before(now - WINDOW_SECONDS)
-        index = _slice_of(now)
-        if self._sent and self._sent[-1][0] == index:
-            self._sent[-1][1] += 1
-        else:
-            self._sent.append([index, 1])
+        self.calls.add(now)
         if self._rate is not None:
             self._refill(now)
             self._tokens -= 1.0
@@ -115,11 +109,13 @@
         self._refill(now)
         return max(self._wait_for_tokens(calls, now), self._wait_for_window(calls, now))
 
-    def _begin(self, now: float) -> None:
+    def _begin(self, now: float, is_new: bool) -> None:
         """Begin a period with a limit; one that follows closely continues the last."""
         self._tokens = 0.0
         self._refilled_at = now
-        if now - self._ended_at > WINDOW_SECONDS:
+        if not is_new:
+            self._binds_from = now
+        elif now - self._ended_at > WINDOW_SECONDS:
             self._binds_from = now + max(0.0, self._apply_seconds - READ_LATE_SECONDS)
 
     @property
@@ -163,22 +159,8 @@
         if excess <= 0:
             return 0.0
         begin = max(now, self._binds_from) - WINDOW_SECONDS
-        counted = [each for each in self._sent if each[0] >= _slice_of(begin)]
-        totals = itertools.accumulate(count for _, count in counted)
-        for (index, _), total in zip(counted, totals, strict=True):
-            if total >= excess:
-                return max(0.0, (index + 1) * SLICE_SECONDS + WINDOW_SECONDS - now)
-        return WINDOW_SECONDS
+        return max(0.0, self.calls.leaves_window_at(excess, begin) - now)
 
     def _in_window(self, now: float) -> int:
         """Return the calls sent so far in the window to now, or the first that binds."""
-        first = _slice_of(max(now, self._binds_from) - WINDOW_SECONDS)
-        return sum(count for index, count in self._sent if index >= first)
-
-    def _forget_before(self, at: float) -> None:
-        while self._sent and self._sent[0][0] < _slice_of(at):
-            self._sent.popleft()
-
-
-def _slice_of(at: float) -> int:
-    return math.floor(at / SLICE_SECONDS)
+        return self.calls.since(max(now, self._binds_from) - WINDOW_SECONDS)
--- a/tests/data_plane/limited_site.py
+++ b/tests/data_plane/limited_site.py
@@ -169,8 +169,10 @@
             back_end.stop()
         await asyncio.sleep(CLOSE_SECONDS)
 
-    async def start_owner(self, name: str, address: str, incarnation: int = 1) -> None:
-        owner = Node(name, address, slots=SLOTS)
+    async def start_owner(
+        self, name: str, address: str, incarnation: int = 1, listen: str = "127.0.0.1:0"
+    ) -> None:
+        owner = Node(name, address, slots=SLOTS, internal_listen=listen)
         await owner.start(endpoint(address, name, "127.0.0.1:1", SLOTS), route=self._route)
         if self._named:
             owner.plane.use_back_end(BackEndView(f"i-{name}", STATE_READY, SLOTS, 0))
@@ -190,7 +192,8 @@
         await self.owners[name].plane.close()
         if down is not None:
             await down()
-        await self.start_owner(name, before.address, before.incarnation + 1)
+        listen = self.owners[name].addresses.internal
+        await self.start_owner(name, before.address, before.incarnation + 1, listen)
         self.announce()
 
     def own(self, name: str) -> LocalBackEnd:
--- a/tests/data_plane/stage.py
+++ b/tests/data_plane/stage.py
@@ -97,7 +97,9 @@
             service=SERVICE if backend else "edge",
             zone="pasila",
             listen=changes.pop("listen", "127.0.0.1:0"),
-            internal_listen="127.0.0.1:0" if backend else "",
+            internal_listen=changes.pop(
+                "internal_listen", "127.0.0.1:0" if backend else ""
+            ),
             relays=(),
             backend=backend,
             slots=slots,
--- a/tests/data_plane/test_rate_limits_of_back_ends.py
+++ b/tests/data_plane/test_rate_limits_of_back_ends.py
@@ -127,24 +127,26 @@
 
 
 @pytest.mark.parametrize("named_after", [0.05, 0.3, 0.6, 0.9])
-def test_a_limit_named_while_the_node_beside_was_down_holds(
-    named_after: float,
+@pytest.mark.parametrize("rate", [60.0, 240.0])
+def test_a_limit_named_while_the_node_beside_was_down_counts_what_was_sent_before(
+    rate: float, named_after: float
 ) -> None:
-    """No node knows when such a limit was first named, so it binds later than it should."""
+    """That node had forgotten what it had sent, and took the limit for a new one."""
+    limit = rate / 8
 
     async def scene() -> None:
         async with NeedySite() as site:
 
             async def name_meanwhile() -> None:
-                await site.load(RATE, named_after)
-                site.back_ends["k1"].name_limit("7.5")
-                await site.load(RATE, 1.0 - named_after)
+                await site.load(rate, named_after)
+                site.back_ends["k1"].name_limit(str(limit))
+                await site.load(rate, 1.0 - named_after)
 
-            await site.load(RATE, 4.0)
+            await site.load(rate, 4.0)
             await site.restart_owner("k1", name_meanwhile)
-            await site.load(RATE, 8.0)
+            await site.load(rate, 8.0)
             await site.settle()
-            assert site.breaches("k1", 7.5) == []
+            assert site.breaches("k1", limit) == []
 
     run_in_virtual_time(scene())
 
