Remember the name of a leaving back end also while its endpoint is not known

Read in the change: a node that had heard a limit of a back end and then, while its endpoint was missing for a moment, that it leaves, took the unknown incarnation for the one it had noted before and forgot the name. The node beside the back end would still have refused later calls unless it had restarted. The test failed before; the others of what a node remembers hold as the code was.

--- a/src/peppershore/request/back_ends/known_needs.py
+++ b/src/peppershore/request/back_ends/known_needs.py
@@ -33,7 +33,7 @@
 
     need: BackEndNeed | None = None
     left: tuple[str, ...] = ()
-    left_incarnation: int = -1
+    left_incarnation: int | None = None
     left_at: float = -math.inf
     avoided_until: float = -math.inf
 
