Soak: a back end that comes back as the load ends is not expected to get calls

By its lines the back end's leaving was cancelled with the load, it came back at that moment, and every caller had left: nobody could call it. The soak now doesn't judge such an incarnation, as it does not judge the first one; all others as before.

--- a/src/peppershore_lab/soak/back_end.py
+++ b/src/peppershore_lab/soak/back_end.py
@@ -149,14 +149,19 @@
         life, at = self._lives, time.monotonic()
         self._needs = {settings.LEAVING: "1"}
         self._note_end()
+        is_load_on = False
         try:
             await asyncio.sleep(seconds)
+            is_load_on = True
         finally:
             until = self._end_of(life)
             left = LeavingAnswered(self._node, at, until)
             self._record.answered_leavings.append(left)
             if self._lives == life and life not in self._ended_at:
                 self._begin_life()
+                if not is_load_on:
+                    # Cancelled at the end of the load: no calls come that could use it.
+                    self._born_at = 0.0
 
     @property
     def is_needy(self) -> bool:
