--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""An upstream sends a tenth of its answers once more, late, while upstreams are full.
+"""Upstreams send a few of their answers once more, late, while they are full.
 
 Each round fills both upstreams of a service. The clients of one of them leave, and that
 upstream goes on with their work, so that it is full although its node has nothing there.
@@ -39,13 +39,13 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "lupu7.example"
-PLAY_SECONDS = 60.0
+PLAY_SECONDS = 75.0
 QUEUE = 4
 """An upstream works on SLOTS requests at a time and queues a few more (PROTOCOL.md)."""
 
 SHORT_SECONDS = 0.004
-SURPLUS_SHARE = 0.1
-"""Share of its answers that the faulty upstream sends once more."""
+SURPLUS_SHARE = 0.06
+"""Share of its answers that an upstream sends once more: twice the dose of the site."""
 
 
 class Full(Upstream):
--- a/review/standins/parts.py
+++ b/review/standins/parts.py
@@ -128,6 +128,7 @@
         self._sequence = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
+        self._open: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen, and send heartbeats from now on."""
@@ -136,33 +137,47 @@
         task = asyncio.create_task(self._beat())
         self._tasks.add(task)
 
+    def next_beat(self) -> tuple[str, bytes]:
+        """Return path and body of the next heartbeat."""
+        self._sequence += 1
+        beat = {
+            "service": self.node.service,
+            "address": self.node.address("application"),
+            "zone": self.node.zone,
+            "version": "v1",
+            "slots": SLOTS,
+            "state": "ready",
+            "warming_milliseconds": 0,
+            "sequence": self._sequence,
+        }
+        return f"/back-ends/{self.instance}/heartbeat", json.dumps(beat).encode()
+
     async def _beat(self) -> None:
         """Send a heartbeat each 1.5 s, or a little later where none was acknowledged."""
         while True:
-            self._sequence += 1
-            beat = {
-                "service": self.node.service,
-                "address": self.node.address("application"),
-                "zone": self.node.zone,
-                "version": "v1",
-                "slots": SLOTS,
-                "state": "ready",
-                "warming_milliseconds": 0,
-                "sequence": self._sequence,
-            }
-            path = f"/back-ends/{self.instance}/heartbeat"
-            body = json.dumps(beat).encode()
+            path, body = self.next_beat()
             answer = await ask(self.node.address("control"), "POST", path, body)
             taken = answer is not None and answer.status == 200
             await asyncio.sleep(1.5 if taken else 0.2)
 
+    async def crash(self) -> None:
+        """End without a word: no more heartbeats, and all connections are closed."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        for writer in list(self._open):
+            writer.transport.abort()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         ends = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError)
+        self._open.add(writer)
         with contextlib.suppress(*ends):
             while True:
                 await self._serve_one(reader, writer)
+        self._open.discard(writer)
         writer.close()
 
     async def _serve_one(
