--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,7 +17,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 
-from fleet import Fleet, Machine  # noqa: E402
+from fleet import Fleet, Machine, run_case  # noqa: E402
 from parts import (  # noqa: E402
     ATTEMPT,
     DEADLINE,
@@ -222,19 +222,5 @@
     return 1 if twice else 0
 
 
-async def main() -> int:
-    """Run the case with a record beside this file."""
-    with (Path(__file__).parent / "record.txt").open("w") as record:
-        fleet = Fleet(record)
-        try:
-            async with asyncio.timeout(110.0):
-                return await run(fleet)
-        except (OSError, TimeoutError) as problem:
-            fleet.record(f"could not run: {problem!r}")
-            return 2
-        finally:
-            fleet.end()
-
-
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(asyncio.run(run_case(Path(__file__).parent, run)))
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import os
 import random
 import shutil
@@ -17,6 +16,7 @@
 import sys
 import tempfile
 import tomllib
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, TextIO
 
@@ -25,6 +25,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 GRACE_SECONDS = 6
 RESTART_SECONDS = 0.5
+LONGEST_SECONDS = 110.0
+COULD_NOT_RUN = 2
 BOUNDS = {
     "seedLagS": 3,
     "addressReuseS": 2,
@@ -108,18 +110,6 @@
         await asyncio.sleep(RESTART_SECONDS)
         self.start()
 
-    async def stop_and_start(self) -> None:
-        """Stop the process as the platform does, and start it again."""
-        self.send(signal.SIGTERM)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(GRACE_SECONDS):
-                await self.ended()
-        if self.process is not None and self.process.poll() is None:
-            self.send(signal.SIGKILL)
-            await self.ended()
-        await asyncio.sleep(RESTART_SECONDS)
-        self.start()
-
     async def ended(self) -> None:
         """Wait until the process has ended."""
         if self.process is not None:
@@ -247,3 +237,20 @@
             for probe in held:
                 probe.close()
         return first
+
+
+async def run_case(folder: Path, run: Callable[[Fleet], Awaitable[int]]) -> int:
+    """Run a case with a record in its folder; end all its processes; return its status."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    with (folder / "record.txt").open("w") as record:
+        fleet = Fleet(record)
+        try:
+            async with asyncio.timeout(LONGEST_SECONDS):
+                return await run(fleet)
+        except (OSError, TimeoutError) as problem:
+            fleet.record(f"could not run: {problem!r}")
+            return COULD_NOT_RUN
+        finally:
+            fleet.end()
