Sight: sends that reach a back end are told apart by kind

Nothing told a first send from a repeat where it arrives, nor that the run which makes a call is a repeat itself, so the four hypotheses of the incident on repeats over all nodes could not be told apart. Each send now says its kind (first, retry, in-repeat); the node beside the back end counts the kinds (metrics), logs them while there are repeats (repeats_arrived, with the number of back ends by which it divides) and shows the kind of each logged call (served_story). No decision changed.

Two scenes on sockets with nested calls: 20 calls, one failed run, so 1 retry above and 1 call of a repeated run below.

--- a/src/peppershore/connection/messages/calls.py
+++ b/src/peppershore/connection/messages/calls.py
@@ -104,7 +104,7 @@
 
     ``known_need`` is the last one that the receiver reported to the sender, and ``left``
     are incarnations of its back end that said they are leaving: a receiver that restarted
-    meanwhile has forgotten both.
+    meanwhile has forgotten both. ``send_kind``: see ``request.send_kind``.
     """
 
     stream: int
@@ -134,6 +134,7 @@
     answer_window: int = 0
     known_need: BackEndNeed | None = None
     left: tuple[str, ...] = ()
+    send_kind: str = "first"
 
 
 class CallBody(Message, frozen=True, tag=142):
--- a/src/peppershore/process/node/data/attempt.py
+++ b/src/peppershore/process/node/data/attempt.py
@@ -15,6 +15,7 @@
 from peppershore.connection.messages.calls import BackEndNeed
 from peppershore.request.fingerprint import Fingerprint
 from peppershore.request.outcome import Failed
+from peppershore.request.send_kind import SendKind
 from peppershore.version.model import CallClass
 
 
@@ -99,6 +100,7 @@
     ``answer_window``: receive window in bytes for a large answer; 0 for the default.
     ``known_need``, ``left``: what this node knows of the back end, as in ``CallStarted``.
     ``fingerprint``: identifies equal requests; it is extended as the body arrives.
+    ``send_kind``: whether the back end's service has seen the call before.
     """
 
     head: RequestHead
@@ -122,3 +124,4 @@
     known_need: BackEndNeed | None = None
     left: tuple[str, ...] = ()
     fingerprint: Fingerprint = msgspec.field(default_factory=Fingerprint)
+    send_kind: SendKind = "first"
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -57,6 +57,7 @@
     out_of_time,
     worse,
 )
+from peppershore.request.send_kind import send_kind
 from peppershore.request.tenants.callers import NOBODY
 from peppershore.request.wait_division import may_wait_on, wait_until
 from peppershore.request.waiting import Ticket
@@ -364,6 +365,7 @@
             due=plan.due,
             answer_window=self._calls.answer_window(plan),
             fingerprint=self._body.fingerprint,
+            send_kind=send_kind(self._progress.offers, plan.is_in_repeat),
         )
 
     @property
--- a/src/peppershore/process/node/data/call_entry.py
+++ b/src/peppershore/process/node/data/call_entry.py
@@ -160,7 +160,7 @@
         whose = judged.unwrap()
         plan = self._with_tenant(plan, whose)
         if parentage.tenant is not None:
-            plan = prioritize_nested(plan, now)
+            plan = prioritize_nested(plan, now, is_in_repeat=parentage.is_repeat)
         checked = self._check_audience(plan, configuration, head, now)
         if isinstance(checked, Failure):
             return Failure(checked.failure())
@@ -290,7 +290,11 @@
         if self._tenants.keys.in_force and head.header(AUTHORIZATION_HEADER):
             return NO_PARENT
         request_id = head.header(self._names.request_id)
-        return Parentage(running.tenant_of_parent(request_id), may_be_child(request_id))
+        return Parentage(
+            running.tenant_of_parent(request_id),
+            may_be_child(request_id),
+            running.parent_is_repeat(request_id),
+        )
 
     def _from_own_backend(self, head: RequestHead) -> bool:
         return bool(self._backend_host) and head.peer_address == self._backend_host
--- a/src/peppershore/process/node/data/call_story.py
+++ b/src/peppershore/process/node/data/call_story.py
@@ -13,6 +13,7 @@
 from peppershore.process.commands import Notice
 from peppershore.request.fingerprint import Fingerprint
 from peppershore.request.outcome import Failed, NotRun
+from peppershore.request.send_kind import SendKind
 from peppershore.version.model import Version
 
 MAX_STEPS = 32
@@ -91,6 +92,8 @@
     ``waited_milliseconds``: time until the call got a slot; -1 if it never got one.
     ``pace_percent``: service time of the back end relative to the usual one (100: as
     usual) while the call ran, as the mean of the back end's reports; 0 without reports.
+    ``send_kind``: "first" if no back end had seen the call before, "retry" if one may have,
+    "in-repeat" for a call that a repeated run made.
     """
 
     level: ClassVar[str] = "info"
@@ -108,6 +111,7 @@
     fingerprint: str = ""
     waited_milliseconds: int = -1
     pace_percent: int = 0
+    send_kind: str = "first"
 
 
 class ServedRun(msgspec.Struct, frozen=True):
@@ -135,6 +139,7 @@
     waiting: int
     slots: int
     fingerprint: Fingerprint
+    send_kind: SendKind = "first"
 
 
 def served_story(
@@ -155,6 +160,7 @@
         fingerprint=record.fingerprint.name,
         waited_milliseconds=run.waited_milliseconds,
         pace_percent=run.pace_percent,
+        send_kind=record.send_kind,
     )
 
 
--- a/src/peppershore/process/node/data/gauges.py
+++ b/src/peppershore/process/node/data/gauges.py
@@ -18,6 +18,26 @@
     metrics.gauge(
         "call_retries", "Attempts after the first.", lambda: plane.calls.retries.count
     )
+    metrics.gauge(
+        "back_end_arrivals_first",
+        "Calls that reached the local back end and that no back end had seen.",
+        lambda: plane.arrivals.first,
+    )
+    metrics.gauge(
+        "back_end_arrivals_retry",
+        "Calls that reached the local back end after another one may have seen them.",
+        lambda: plane.arrivals.retry,
+    )
+    metrics.gauge(
+        "back_end_arrivals_in_repeat",
+        "Calls that reached the local back end and that a repeated run made.",
+        lambda: plane.arrivals.in_repeat,
+    )
+    metrics.gauge(
+        "back_end_repeats_unpaid",
+        "Repeats not sent to the local back end: the retry budget was used up.",
+        lambda: plane.arrivals.unpaid,
+    )
     metrics.gauge("calls_in_flight", "Calls not over.", lambda: plane.calls.in_flight)
     metrics.gauge(
         "calls_waiting",
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -265,6 +265,7 @@
                 answer_window=request.answer_window,
                 known_need=request.known_need,
                 left=request.left,
+                send_kind=request.send_kind,
             )
         )
         if self._started:
--- a/src/peppershore/process/node/data/local_attempt.py
+++ b/src/peppershore/process/node/data/local_attempt.py
@@ -212,7 +212,11 @@
         self._started = loop.time()
         self._is_running = True
         request_id = self._backend.request_id(self._request)
-        self._backend.running.began(request_id, self._request.tenant)
+        self._backend.running.began(
+            request_id,
+            self._request.tenant,
+            is_repeat=self._request.send_kind != "first",
+        )
         self._backend.quarantine.began(self._request.fingerprint)
         self._terms = self._backend.terms
         self._direct = DirectAttempt(
@@ -276,6 +280,7 @@
 
     def attempt_begun(self) -> None:
         """Start sending the body: the back end is connected."""
+        self._backend.arrivals.add(self._request.send_kind)
         self._sink.attempt_begun()
 
     def _head_received(self, head: AnswerHead) -> None:
--- a/src/peppershore/process/node/data/local_back_end.py
+++ b/src/peppershore/process/node/data/local_back_end.py
@@ -18,7 +18,6 @@
 from peppershore.connection.messages.calls import (
     MICROSECONDS,
     BackEndNeed,
-    HeaderFields,
     OwnerLoad,
 )
 from peppershore.connection.messages.endpoints import Endpoint
@@ -56,6 +55,7 @@
 )
 from peppershore.request.picker import RandomSource
 from peppershore.request.running_calls import RunningCalls
+from peppershore.request.send_kind import ArrivalCounts
 from peppershore.request.tenants.weights import ConfiguredWeights
 from peppershore.request.version_evidence import VersionEvidence
 from peppershore.request.waiting import Ticket
@@ -108,6 +108,8 @@
         self.transfers = transfers or BodyTransfers()
         self.evidence = VersionEvidence()
         self.report = LocalReport()
+        self.arrivals = ArrivalCounts()
+        """Sends that reached the back end since the start of this process."""
         self.refused_while_slow = 0
         """Number of calls refused while the machine was slow, so that they go elsewhere."""
         self._warm_at = 0.0
@@ -257,17 +259,18 @@
         life = self._life
         return BackEndTerms(self._names, life.instance.encode("latin-1"), life.name)
 
-    def record(self, headers: HeaderFields, fingerprint: Fingerprint) -> ServedRecord:
+    def record(self, request: AttemptRequest) -> ServedRecord:
         """Return the record of a peer's call that arrives now, with the load it finds."""
         return ServedRecord(
-            request_id=first_value(headers, self._names.request_id),
+            request_id=self.request_id(request),
             service=self.service,
             instance=self._life.instance,
             began_at=asyncio.get_running_loop().time(),
             running=self.admission.in_flight,
             waiting=self.admission.waiting,
             slots=self.slots,
-            fingerprint=fingerprint,
+            fingerprint=request.fingerprint,
+            send_kind=request.send_kind,
         )
 
     def use_view(self, view: BackEndView) -> None:
--- a/src/peppershore/process/node/data/notices.py
+++ b/src/peppershore/process/node/data/notices.py
@@ -31,6 +31,23 @@
     service: str
 
 
+class RepeatsArrived(Notice, frozen=True):
+    """Sends that reached the local back end in the last ``milliseconds``, by kind.
+
+    ``first``: no back end had seen the call. ``retry``: one may have. ``in_repeat``: a
+    repeated run made the call. ``unpaid``: repeats not sent for want of retry budget.
+    ``back_ends``: number of back ends among which the node divides the service's budget.
+    """
+
+    service: str
+    milliseconds: int
+    first: int
+    retry: int
+    in_repeat: int
+    unpaid: int
+    back_ends: int
+
+
 class BackendStateSeen(Notice, frozen=True):
     """The state of this node's local back end changed, as seen by its probe or a drain."""
 
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -48,6 +48,7 @@
     NotRun,
     Unknown,
 )
+from peppershore.request.send_kind import SEND_KINDS
 from peppershore.request.waiting import RANKS
 from peppershore.version.model import CallClass
 
@@ -118,8 +119,8 @@
             window = backend.transfers.window_bytes
             self._receiving = ReceiveWindow(window, owed=window)
         backend.need_known_elsewhere(started.known_need, started.left)
-        self._record = backend.record(started.headers, self._body.fingerprint)
         request = _request(started, self._body.fingerprint)
+        self._record = backend.record(request)
         self._attempt = self._new_attempt(backend, request)
         self._attempt.start()
 
@@ -337,6 +338,7 @@
         answer_is_large=started.answer_is_large,
         due=now + started.due_milliseconds / MILLISECONDS,
         fingerprint=fingerprint,
+        send_kind=SEND_KINDS.get(started.send_kind, "retry"),
     )
 
 
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -28,6 +28,7 @@
     BackEndView,
 )
 from peppershore.process.node.data import notices
+from peppershore.process.node.data.arrival_report import ArrivalReport
 from peppershore.process.node.data.backend_probe import STATE_READY, BackendProbe
 from peppershore.process.node.data.call import Call
 from peppershore.process.node.data.call_listener import CallListener
@@ -43,6 +44,7 @@
 from peppershore.request.body_transfers import BodyTransfers
 from peppershore.request.claim import ClaimsClient
 from peppershore.request.quarantine import Suspect
+from peppershore.request.send_kind import ArrivalCounts
 from peppershore.request.version_evidence import VersionEvidence
 from peppershore.version.active import ActiveConfiguration
 from peppershore.version.model import ServiceSettings
@@ -161,6 +163,7 @@
             log=self.calls.log,
             packs_heads=packs_heads,
         )
+        self._arrival_report = ArrivalReport(settings.service, self._loop.time())
         self._probe: BackendProbe | None = None
         self._on_backend_state: Callable[[str], None] | None = None
         self._tick: asyncio.TimerHandle | None = None
@@ -304,6 +307,11 @@
         """Slots of the local back end on loan, which other nodes may use directly."""
         return self._call_listener.lent(self._loop.time())
 
+    @property
+    def arrivals(self) -> ArrivalCounts:
+        """Sends that reached the local back end since the start; none without one."""
+        return ArrivalCounts() if self._own is None else self._own.arrivals
+
     @property
     def streams_served(self) -> int:
         """Number of other nodes' calls accepted for the local back end since the start."""
@@ -356,6 +364,7 @@
         if self._own is not None:
             self._own.pool.trim(now)
             self._send_evidence(self._own.evidence)
+            self._report_arrivals(self._own, now)
         self._close_idle(self._idle_seconds)
 
     def _send_evidence(self, evidence: VersionEvidence) -> None:
@@ -363,6 +372,11 @@
         if routes is not None and evidence.began_milliseconds:
             self.on_evidence(evidence.began_milliseconds, routes)
 
+    def _report_arrivals(self, own: LocalBackEnd, now: float) -> None:
+        notice = self._arrival_report.take(own.arrivals, self.calls.retries.nodes, now)
+        if notice is not None:
+            self._notice_sink(notice)
+
     @property
     def _idle_seconds(self) -> float:
         """Idle time-out of callers' connections, from the configuration if there is one."""
--- a/src/peppershore/request/classification.py
+++ b/src/peppershore/request/classification.py
@@ -57,6 +57,8 @@
     - ``tenant``: on whose behalf the call is made, "" if there are no tenants.
     - ``is_counted``: it carries that tenant's key, so it counts against its limit.
     - ``due``: monotonic time by which its answer should have arrived.
+    - ``is_nested``: the local back end makes it for a request that it runs.
+    - ``is_in_repeat``: it is nested in a run that is a repeat.
     """
 
     service: str
@@ -77,6 +79,8 @@
     tenant: str = ""
     is_counted: bool = False
     due: float = math.inf
+    is_nested: bool = False
+    is_in_repeat: bool = False
 
 
 def classify(
@@ -151,13 +155,22 @@
     return latency * CROSS_ZONE_GAIN_SHARE / MILLISECONDS
 
 
-def prioritize_nested(plan: CallPlan, now: float) -> CallPlan:
+def prioritize_nested(
+    plan: CallPlan, now: float, *, is_in_repeat: bool = False
+) -> CallPlan:
     """Return the plan of a call nested in a running one, placed ahead of new calls.
 
     Its refusal would waste all the work done so far, so it may also wait longer.
+    ``is_in_repeat``: the running one is a repeat.
     """
     start_by = now + (plan.deadline - now) * NESTED_WAIT_SHARE
-    return msgspec.structs.replace(plan, call_class="critical", start_by=start_by)
+    return msgspec.structs.replace(
+        plan,
+        call_class="critical",
+        start_by=start_by,
+        is_nested=True,
+        is_in_repeat=is_in_repeat,
+    )
 
 
 def host_of(head: RequestHead) -> str:
--- a/src/peppershore/request/running_calls.py
+++ b/src/peppershore/request/running_calls.py
@@ -1,4 +1,4 @@
-"""Requests that the local back end runs now, by their ids, and their tenants.
+"""Requests that the local back end runs now: ids, tenants, and which are repeats.
 
 The back end and other callers on its machine may share an address, so an address does not
 identify the caller. A back end that makes a call for a request that it runs gives the call
@@ -15,6 +15,7 @@
 class _Run(msgspec.Struct):
     count: int
     tenant: str
+    is_repeat: bool = False
 
 
 class RunningCalls:
@@ -24,13 +25,18 @@
         """Start without requests."""
         self._running: dict[bytes, _Run] = {}
 
-    def began(self, request_id: bytes, tenant: str = "") -> None:
+    def began(
+        self, request_id: bytes, tenant: str = "", *, is_repeat: bool = False
+    ) -> None:
         """Record that the back end received a request; the same id may run more than once.
 
         If an id runs for two tenants, calls made for it count as the first tenant's.
+        ``is_repeat``: the request may have run before. Calls made for an id of which any
+        run is a repeat count as calls of a repeat.
         """
         run = self._running.setdefault(request_id, _Run(0, tenant))
         run.count += 1
+        run.is_repeat |= is_repeat
 
     def ended(self, request_id: bytes) -> None:
         """Record that a request has finished."""
@@ -46,10 +52,18 @@
 
     def tenant_of_parent(self, request_id: bytes) -> str | None:
         """Return the tenant of the running request that a call is made for, else None."""
-        parent, separator, _ = request_id.rpartition(CHILD_SEPARATOR)
-        run = self._running.get(parent) if separator else None
+        run = self._parent(request_id)
         return None if run is None else run.tenant
 
+    def parent_is_repeat(self, request_id: bytes) -> bool:
+        """Report whether the running request that a call is made for is a repeat."""
+        run = self._parent(request_id)
+        return run is not None and run.is_repeat
+
+    def _parent(self, request_id: bytes) -> _Run | None:
+        parent, separator, _ = request_id.rpartition(CHILD_SEPARATOR)
+        return self._running.get(parent) if separator else None
+
 
 def may_be_child(request_id: bytes) -> bool:
     """Report whether an id has the form of a call that is made for another one."""
--- a/src/peppershore/request/tenants/callers.py
+++ b/src/peppershore/request/tenants/callers.py
@@ -67,10 +67,12 @@
 
     ``tenant`` is that of the running request, or None if there is no such request.
     ``may_be_child`` says that the call's address and the form of its id allow it.
+    ``is_repeat``: the running request may have run before.
     """
 
     tenant: str | None = None
     may_be_child: bool = False
+    is_repeat: bool = False
 
 
 NO_PARENT = Parentage()
--- a/tests/data_plane/stage.py
+++ b/tests/data_plane/stage.py
@@ -94,7 +94,7 @@
         settings = NodeSettings(
             cluster="test",
             node=name,
-            service=SERVICE if backend else "edge",
+            service=changes.pop("service", SERVICE if backend else "edge"),
             zone="pasila",
             listen=changes.pop("listen", "127.0.0.1:0"),
             internal_listen=changes.pop(
