--- a/tests/data_plane/nested_site.py
+++ b/tests/data_plane/nested_site.py
@@ -134,8 +134,9 @@
         self.service = service
         self.fail_next = 0
         self.fail_share = 0.0
-        self.is_slow_by = 0.0
         self.own_node = ""
+        self._goes_on = asyncio.Event()
+        self._goes_on.set()
         self._record = record
         self._random = random.Random(name)
         self._children = itertools.count(1)
@@ -147,11 +148,19 @@
     def stop(self) -> None:
         self._backend.stop()
 
+    def stand_still(self) -> None:
+        """Answer nothing until ``go_on``."""
+        self._goes_on.clear()
+
+    def go_on(self) -> None:
+        self._goes_on.set()
+
     async def _answer(self, request: Received, writer: asyncio.StreamWriter) -> None:
         await request.body()
         name = request.headers["x-request-id"]
         is_repeat = self._record.note_arrival(self.service, name)
-        await asyncio.sleep(WORK_SECONDS + self.is_slow_by)
+        await asyncio.sleep(WORK_SECONDS)
+        await self._goes_on.wait()
         called = True
         if self.service == UPPER:
             called = await self._call_lower(name, is_repeat)
@@ -174,7 +183,10 @@
 class NestedSite:
     """Callers' nodes ``e1``…, back ends ``u1``… of the upper service, ``l1``… below."""
 
-    def __init__(self, edges: int = 2, uppers: int = 3, lowers: int = 3) -> None:
+    def __init__(
+        self, edges: int = 2, uppers: int = 3, lowers: int = 3, slots: int = SLOTS
+    ) -> None:
+        self._slots = slots
         self.record = SiteRecord()
         self.upper = self._back_ends(UPPER, uppers)
         self.lower = self._back_ends(LOWER, lowers)
@@ -293,7 +305,7 @@
         node = Node(
             name,
             self._addresses[name],
-            SLOTS,
+            self._slots,
             service=back_end.service,
             listen="127.0.0.1:0" if earlier is None else earlier.addresses.callers,
             internal_listen="127.0.0.1:0"
@@ -306,7 +318,9 @@
         self.nodes[name] = node
         back_end.own_node = node.addresses.callers
         before = self._endpoints.get(name)
-        reached = endpoint(self._addresses[name], name, node.addresses.internal, SLOTS)
+        reached = endpoint(
+            self._addresses[name], name, node.addresses.internal, self._slots
+        )
         self._endpoints[name] = msgspec.structs.replace(
             reached,
             service=back_end.service,
