Repeats over all nodes are granted where they arrive, out of parts that restarts don't renew

Cause: each caller's node held its own part of the bound in memory, spent it when it decided on a retry, and divided the slack by the nodes known at the moment. So a restarted node had its whole part once more, a view of few nodes made each part larger, and calls made by a repeated run passed for first ones, which even earned retries.

Now the node beside a back end grants the repeats that arrive there: it sees all of them, whoever sent them, and counts them as they are sent.

--- a/src/peppershore/process/node/data/attempt_results.py
+++ b/src/peppershore/process/node/data/attempt_results.py
@@ -8,6 +8,7 @@
     LINK_FULL,
     PROBE_NEXT_REASONS,
     QUARANTINED,
+    RETRY_BUDGET_SPENT,
     RUNS_ALONE,
     STATUS_BAD_GATEWAY,
     STATUS_GATEWAY_TIMEOUT,
@@ -34,8 +35,8 @@
     """Return the result of a failed attempt, or None if it says nothing about the back end.
 
     A refusal because of load or a drain counts as "shed", not as a fault of the back end.
-    A momentary lack of a free slot or of link capacity says nothing about the next moment,
-    and a request held in quarantine says nothing about the back end.
+    A momentary lack of a free slot or of link capacity says nothing about the next moment.
+    A request held in quarantine and a repeat without budget say nothing about the back end.
     """
     if failed.reason in INCONCLUSIVE_REASONS:
         return None
@@ -44,5 +45,10 @@
     return "failed" if failed.reason in UNREACHABLE_REASONS else "shed"
 
 
-INCONCLUSIVE_REASONS = PROBE_NEXT_REASONS | {LINK_FULL, QUARANTINED, RUNS_ALONE}
+INCONCLUSIVE_REASONS = PROBE_NEXT_REASONS | {
+    LINK_FULL,
+    QUARANTINED,
+    RUNS_ALONE,
+    RETRY_BUDGET_SPENT,
+}
 UNREACHABLE_REASONS = frozenset({"back-end-unreachable", "owner-unreachable"})
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -48,6 +48,7 @@
 from peppershore.request.outcome import (
     BUSY,
     PROBE_NEXT_REASONS,
+    RETRY_BUDGET_SPENT,
     STATUS_BODY_TOO_LARGE,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
@@ -55,6 +56,7 @@
     NotRun,
     Unknown,
     out_of_time,
+    unpaid,
     worse,
 )
 from peppershore.request.send_kind import send_kind
@@ -298,6 +300,8 @@
             self._calls.admissions.slot_probed(self.plan, was_granted=False)
         if self._retry_if_possible(failed, result_of_failure(failed)):
             return
+        if failed.reason == RETRY_BUDGET_SPENT:
+            self._calls.retries.budget_spent(self.plan)
         self._discard_attempt(failed, result_of_failure(failed))
         assert self._worst_failure is not None
         self._fail(self._worst_failure)
@@ -319,7 +323,7 @@
         if self._fail_if_key_refused():
             return
         if self._progress.tries == 0:
-            self._calls.retries.first_attempt(self.plan, self._loop.time())
+            self._calls.retries.first_attempt(self.plan)
         may_wait = self._progress.may_wait or self._calls.admissions.waits_at_once(
             self.plan
         )
@@ -333,6 +337,9 @@
         request = self._request()
         seen = self._calls.admissions.choice_seen(dispatch, self.plan, request.may_wait)
         self._recorder.note_choice(self._attempt_began_at, dispatch.endpoint.node, seen)
+        if not self._calls.grants_unowned(dispatch.endpoint, request):
+            self.attempt_failed(unpaid())
+            return
         attempt = self._calls.new_attempt(dispatch, self.plan, request, self)
         self._attempt = attempt
         attempt.start()
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -124,7 +124,7 @@
         self.weights = ConfiguredWeights()
         self.admissions = ServiceAdmissions(settings, notice_sink, random, self.weights)
         bound = retry_bound(settings.shared_retries)
-        self.retries = CallRetries(bound, notice_sink, random)
+        self.retries = CallRetries(bound, notice_sink, random, self.loop.time())
         self._pools = BackEndPools()
         links.on_allowance = self._pools.limit_borrowed
         links.on_load = self.admissions.load_reported
@@ -179,7 +179,9 @@
 
     def use_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
         """Replace the live endpoints; drop the connections and links to all others."""
-        self.retries.nodes = len({each.node for each in endpoints})
+        self.retries.use_nodes(len({each.node for each in endpoints}), self.loop.time())
+        if self.own is not None:
+            self.own.use_endpoints(endpoints)
         self._pools.keep_only(endpoints)
         self._links.keep_only(frozenset(endpoint.owner_address for endpoint in endpoints))
         self.admissions.use_endpoints(endpoints)
@@ -296,13 +298,25 @@
         """Return the trailer fields to send to the back end."""
         return self._entry.forwarded_trailers(trailers) if trailers else trailers
 
+    def grants_unowned(self, endpoint: Endpoint, request: AttemptRequest) -> bool:
+        """Report whether the retry budget allows a send, as far as this node decides it.
+
+        The node beside a back end decides for that back end. This one decides for those
+        that have none.
+        """
+        if endpoint.owner_address or endpoint.node == self._settings.node:
+            return True
+        now = self.loop.time()
+        return self.retries.grants_unowned(request.service, request.send_kind, now)
+
     def new_attempt(
         self, dispatch: Dispatch, plan: CallPlan, request: AttemptRequest, sink: AttemptSink
     ) -> Attempt:
         """Create an attempt: to the local back end, directly, or through the owner.
 
         A back end that has an owner is called directly only if the route allows it and
-        this node holds a slot loan. A large answer is also paced to the capacity of this
+        this node holds a slot loan; repeats never are, since the owner counts them. A large
+        answer is also paced to the capacity of this
         node's network link.
         """
         capacity = self.large_answers
@@ -333,7 +347,8 @@
                 terms=self._terms,
                 on_head=lambda head: self._direct_answer(endpoint, "", head),
             )
-        if plan.hop == "direct" and request.known_need is None:
+        may_borrow = request.known_need is None and request.send_kind == "first"
+        if plan.hop == "direct" and may_borrow:
             address = endpoint.owner_address
             if self._links.borrow(address, self.loop.time()):
                 pool = self._pools.borrowed(endpoint, self._links.allowance(address))
--- a/src/peppershore/process/node/data/local_attempt.py
+++ b/src/peppershore/process/node/data/local_attempt.py
@@ -204,6 +204,8 @@
         if self._timer is not None:
             self._timer.cancel()
         refusal = self._backend.quarantine.refusal_here(self._request.fingerprint)
+        if refusal is None:
+            refusal = self._backend.charge(self._request.send_kind)
         if refusal is not None:
             self._end(None)
             self._sink.attempt_failed(refusal)
@@ -280,7 +282,7 @@
 
     def attempt_begun(self) -> None:
         """Start sending the body: the back end is connected."""
-        self._backend.arrivals.add(self._request.send_kind)
+        self._backend.call_arrived(self._request.send_kind)
         self._sink.attempt_begun()
 
     def _head_received(self, head: AnswerHead) -> None:
--- a/src/peppershore/process/node/data/local_back_end.py
+++ b/src/peppershore/process/node/data/local_back_end.py
@@ -52,10 +52,12 @@
     STATUS_MISDIRECTED,
     STATUS_UNAVAILABLE,
     NotRun,
+    unpaid,
 )
 from peppershore.request.picker import RandomSource
 from peppershore.request.running_calls import RunningCalls
-from peppershore.request.send_kind import ArrivalCounts
+from peppershore.request.send_kind import ArrivalCounts, SendKind
+from peppershore.request.shared_retries import RetryBound, SharedRetryBudget
 from peppershore.request.tenants.weights import ConfiguredWeights
 from peppershore.request.version_evidence import VersionEvidence
 from peppershore.request.waiting import Ticket
@@ -84,13 +86,15 @@
         large_answers: LargeAnswers | None = None,
         weights: ConfiguredWeights | None = None,
         bounds: NeedBounds = DEFAULT_BOUNDS,
+        retry_bound: RetryBound | None = None,
     ) -> None:
         """Start with all slots free.
 
         ``transfers`` bounds the large request bodies in transit. ``large_answers``
         schedules the large answers on this node's link; None if the link is wide enough.
         ``weights`` holds the tenants' weights of the configuration in use. ``bounds`` says
-        within what time a need that the back end reports takes effect.
+        within what time a need that the back end reports takes effect. ``retry_bound`` is
+        the retry bound shared by all nodes, None if there is none.
         """
         self._bounds = bounds
         self.need = LocalNeed(NO_INCARNATION.name, bounds.limit_seconds)
@@ -128,6 +132,9 @@
         self._node = endpoint.node
         now = asyncio.get_running_loop().time()
         self._started_at = now
+        self._retry_budget = (
+            None if retry_bound is None else SharedRetryBudget(retry_bound, now)
+        )
         self.admission = Admission(
             endpoint.service,
             settings,
@@ -199,6 +206,40 @@
         """Record that a call is sent to the back end now."""
         self.need.rate_limit.sent(asyncio.get_running_loop().time())
 
+    def call_arrived(self, kind: SendKind) -> None:
+        """Record that a call has reached the back end."""
+        self.arrivals.add(kind)
+        if kind == "first" and self._retry_budget is not None:
+            self._retry_budget.first_arrived(asyncio.get_running_loop().time())
+
+    def charge(self, kind: SendKind) -> NotRun | None:
+        """Charge a send to the retry budget; return the refusal if it is not covered."""
+        if kind == "first" or self._retry_budget is None:
+            return None
+        if self._retry_budget.spend(asyncio.get_running_loop().time()):
+            return None
+        self.arrivals.unpaid += 1
+        return unpaid()
+
+    def use_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
+        """Use the number of known back ends of this service, which share the budget."""
+        if self._retry_budget is not None:
+            nodes = {each.node for each in endpoints if each.service == self.service}
+            now = asyncio.get_running_loop().time()
+            self._retry_budget.share_among(len(nodes), now)
+
+    @property
+    def retry_sharers(self) -> int:
+        """Number of nodes by which the slack of the retry bound is divided."""
+        if self._retry_budget is None:
+            return 0
+        return self._retry_budget.sharers(asyncio.get_running_loop().time())
+
+    def _is_unpaid(self, kind: SendKind, now: float) -> bool:
+        if kind == "first" or self._retry_budget is None:
+            return False
+        return not self._retry_budget.has_room(now)
+
     def calls_sent_before(self, by_age: Sequence[int]) -> None:
         """Count the calls that a peer sent before this process started, by their age."""
         now = asyncio.get_running_loop().time()
@@ -405,6 +446,9 @@
         if refusal is not None:
             return refusal
         now = asyncio.get_running_loop().time()
+        if self._is_unpaid(request.send_kind, now):
+            self.arrivals.unpaid += 1
+            return unpaid()
         self._set_limit(now)
         ticket = Ticket(
             next(self._ticket_numbers),
@@ -433,10 +477,10 @@
         True if the call is likely to have a slot by the time its body is complete. The
         caller must then call ``end_prefetch`` once.
         """
-        if self._refusal(request) is not None:
+        now = asyncio.get_running_loop().time()
+        if self._refusal(request) or self._is_unpaid(request.send_kind, now):
             return False
         admission = self.admission
-        now = asyncio.get_running_loop().time()
         if self.need.rate_limit.room(now) <= self._prefetches.coming:
             return False
         return self._prefetches.begin(admission.in_flight, admission.waiting, self.slots)
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -37,7 +37,7 @@
 from peppershore.process.node.data.link_guard import LinkGuard
 from peppershore.process.node.data.local_back_end import LocalBackEnd
 from peppershore.process.node.data.owner_links import OwnerLinks
-from peppershore.process.node.profile import need_bounds
+from peppershore.process.node.profile import need_bounds, retry_bound
 from peppershore.process.randomness import Randomness
 from peppershore.process.settings import NodeSettings
 from peppershore.request.back_ends.local_need import NeedChange
@@ -373,7 +373,7 @@
             self.on_evidence(evidence.began_milliseconds, routes)
 
     def _report_arrivals(self, own: LocalBackEnd, now: float) -> None:
-        notice = self._arrival_report.take(own.arrivals, self.calls.retries.nodes, now)
+        notice = self._arrival_report.take(own.arrivals, own.retry_sharers, now)
         if notice is not None:
             self._notice_sink(notice)
 
@@ -494,6 +494,7 @@
         large_answers=calls.large_answers,
         weights=calls.weights,
         bounds=need_bounds(settings),
+        retry_bound=retry_bound(settings.shared_retries),
     )
     if settings.back_end_listen:
         backend.leave()
--- a/src/peppershore/request/next_attempt.py
+++ b/src/peppershore/request/next_attempt.py
@@ -1,9 +1,10 @@
 """Whether and where a call is retried after a failed attempt, and at what cost.
 
-An attempt that a back end may have seen costs retry budget and counts against the route's
-maximum number of attempts. A refusal by a back end's local node costs nothing, since the
-back end never saw the call. A call that is not safe to retry continues only after a
-refusal.
+After an attempt that a back end may have seen, the next one costs retry budget and counts
+against the route's maximum number of attempts. Where all nodes share a budget, the node of
+the back end that is tried grants it or refuses the repeat. A refusal by a back end's local
+node costs nothing, since the back end never saw the call. A call that is not safe to retry
+continues only after a refusal.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
     LOAD_REASONS,
     NO_SLOT_IN_TIME,
     PROBE_NEXT_REASONS,
+    RETRY_BUDGET_SPENT,
     STATUS_GATEWAY_TIMEOUT,
     Failed,
     NotRun,
@@ -37,6 +39,9 @@
 """Maximum number of attempts of one call that may wait for a slot. If each is refused for
 load, the next one would be too, and the request would only cross zones once more."""
 
+MAX_UNPAID = 2
+"""Number of nodes that may refuse a repeat of one call for want of retry budget. Each
+grants its own part of it, but all parts are used up by the same failures."""
 
 MAX_CRASHES = 2
 """Number of back ends that may crash under one request, including crashes reported by
@@ -49,7 +54,8 @@
 
     ``offers`` counts the back ends that may have seen it, ``tries`` all attempts, and
     ``waits`` the attempts that were allowed to wait for a slot; ``may_wait`` says whether
-    the last one was. ``ends`` counts the back ends whose process ended while running it.
+    the last one was. ``ends`` counts the back ends whose process ended while running it,
+    ``unpaid`` the refusals for want of retry budget.
     """
 
     offers: int = 0
@@ -57,6 +63,7 @@
     waits: int = 0
     may_wait: bool = False
     ends: int = 0
+    unpaid: int = 0
 
     @property
     def tries_another_zone(self) -> bool:
@@ -105,11 +112,12 @@
 def counted(progress: CallProgress, failed: Failed) -> CallProgress:
     """Return the progress after a failed attempt.
 
-    It counts the back end, which may have seen the call, and its crash if it crashed. An
-    attempt that no back end can have seen changes nothing.
+    It counts the back end, which may have seen the call, and its crash if it crashed. Of
+    attempts that no back end can have seen, only those without retry budget count.
     """
     if isinstance(failed, NotRun) and not failed.offered:
-        return progress
+        is_unpaid = failed.reason == RETRY_BUDGET_SPENT
+        return msgspec.structs.replace(progress, unpaid=progress.unpaid + is_unpaid)
     has_ended = failed.reason == BACK_END_ENDED
     return msgspec.structs.replace(
         progress, offers=progress.offers + 1, ends=progress.ends + has_ended
@@ -140,6 +148,11 @@
 
     The call first probes for a free slot, then waits where the wait should be shortest.
     """
+    if failed.reason == RETRY_BUDGET_SPENT:
+        may_retry = terms.has_other and progress.unpaid < MAX_UNPAID
+        return (
+            TryAgain(elsewhere=True, may_wait=progress.may_wait) if may_retry else GIVE_UP
+        )
     if _may_wait_elsewhere(progress, failed, terms):
         return TryAgain(elsewhere=True, may_wait=True)
     if not failed.retryable or _waits_are_used_up(progress, failed):
--- a/src/peppershore/request/outcome.py
+++ b/src/peppershore/request/outcome.py
@@ -51,6 +51,12 @@
 LINK_FULL = "link-full"
 """Reason of a refusal because the link can't carry one more large answer in time."""
 
+RETRY_BUDGET_SPENT = "retry-budget-spent"
+"""Reason of a refusal of a repeat, which the retry budget does not cover now."""
+
+UNPAID_RETRY_AFTER_MILLISECONDS = 100
+"""Retry advice in such a refusal: what the caller sends again is a new request."""
+
 QUEUE_FULL = "queue-full"
 DISPLACED = "displaced"
 DEADLINE_TOO_SHORT = "deadline-too-short"
@@ -123,6 +129,12 @@
     return NotRun(STATUS_UNAVAILABLE, "deadline-passed", advice)
 
 
+def unpaid() -> NotRun:
+    """Return the refusal of a repeat that the retry budget does not cover now."""
+    advice = UNPAID_RETRY_AFTER_MILLISECONDS
+    return NotRun(STATUS_UNAVAILABLE, RETRY_BUDGET_SPENT, advice, retryable=True)
+
+
 def worse(earlier: Failed | None, later: Failed) -> Failed:
     """Return the outcome to report after two attempts: unknown overrides not run."""
     if isinstance(earlier, Unknown) and isinstance(later, NotRun):
--- a/tests/request/test_next_attempt.py
+++ b/tests/request/test_next_attempt.py
@@ -22,6 +22,7 @@
     Failed,
     NotRun,
     Unknown,
+    unpaid,
 )
 
 BUSY_OWNER = NotRun(503, BUSY, 50, retryable=True)
@@ -49,6 +50,30 @@
 ONCE = CallProgress(offers=1, tries=1)
 UNSEEN = CallProgress(offers=0, tries=1)
 CASES = {
+    "no budget at one owner": (
+        CallProgress(offers=1, tries=2, unpaid=1),
+        unpaid(),
+        terms(),
+        FREE,
+    ),
+    "no budget at one owner, and it may wait": (
+        CallProgress(offers=1, tries=2, unpaid=1, may_wait=True),
+        unpaid(),
+        terms(),
+        TryAgain(elsewhere=True, may_wait=True),
+    ),
+    "no budget at the only owner": (
+        CallProgress(offers=1, tries=2, unpaid=1),
+        unpaid(),
+        terms(has_other=False),
+        GIVE_UP,
+    ),
+    "no budget at two owners": (
+        CallProgress(offers=1, tries=3, unpaid=2),
+        unpaid(),
+        terms(),
+        GIVE_UP,
+    ),
     "busy owner": (UNSEEN, BUSY_OWNER, terms(repeatable=False), FREE),
     "slow owner": (UNSEEN, SLOW_OWNER, terms(repeatable=False), FREE),
     "the only owner is slow": (
