A back end's error answer reaches its caller when no repeat is granted

Cause: the answer was discarded when the retry was scheduled. It is kept now until another back end has answered, and sent if none ran the call.

--- a/src/peppershore/process/node/data/answer_relay.py
+++ b/src/peppershore/process/node/data/answer_relay.py
@@ -35,11 +35,20 @@
 """Header that tells a caller refused with 401 how to send its key (RFC 9110, 11.6.1)."""
 
 
+class _WholeAnswer(msgspec.Struct, frozen=True):
+    """A complete answer of which the caller was sent nothing."""
+
+    head: AnswerHead
+    pieces: tuple[bytes, ...]
+    trailers: HeaderList
+
+
 class AnswerRelay:
     """The answer to one call, on its way to the caller."""
 
     __slots__ = (
         "_exchange",
+        "_fallback",
         "_head",
         "_held_bytes",
         "_names",
@@ -73,6 +82,7 @@
         self._pieces: list[bytes] = []
         self._kept: list[bytes] = []
         self._kept_bytes = 0
+        self._fallback: _WholeAnswer | None = None
 
     @property
     def begun(self) -> bool:
@@ -155,6 +165,27 @@
         )
         return KeptAnswer(self._head.status, headers, b"".join(self._kept))
 
+    def keep_as_fallback(self, trailers: HeaderList) -> None:
+        """Keep the complete error answer, in case that no other attempt gets one."""
+        assert self._head is not None
+        assert not self.begun
+        self._fallback = _WholeAnswer(self._head, tuple(self._pieces), trailers)
+
+    @property
+    def has_fallback(self) -> bool:
+        """Whether an error answer of an earlier attempt can still be sent."""
+        return self._fallback is not None and not self.begun
+
+    def send_fallback(self) -> None:
+        """Send the error answer of an earlier attempt."""
+        fallback = self._fallback
+        assert fallback is not None
+        self.forget()
+        self._head = fallback.head
+        self._pieces.extend(fallback.pieces)
+        self._held_bytes = sum(len(piece) for piece in fallback.pieces)
+        self.end(fallback.trailers)
+
     def forget(self) -> None:
         """Discard the answer of an attempt that failed before the caller was sent any."""
         self._stop_release_timer()
--- a/src/peppershore/process/node/data/call.py
+++ b/src/peppershore/process/node/data/call.py
@@ -273,14 +273,15 @@
         """Complete the answer, then free the slot; or retry at another back end.
 
         If the back end itself shed the call, or failed on a route that retries errors, the
-        answer is discarded if the call may be retried at another back end.
+        call is retried at another back end if it may be. The answer is kept meanwhile: the
+        caller gets it if no other back end runs the call.
         """
         if self._answer.is_overload_refusal and self._retry_elsewhere_if_possible(
-            SHED_OUTCOME, "shed"
+            SHED_OUTCOME, "shed", trailers
         ):
             return
         if self._retries_error and self._retry_elsewhere_if_possible(
-            FAILED_OUTCOME, "failed"
+            FAILED_OUTCOME, "failed", trailers
         ):
             return
         self._over = True
@@ -487,15 +488,17 @@
         return self.plan.settings.retry_errors and self._answer.is_error
 
     def _retry_elsewhere_if_possible(
-        self, failed: Failed, result: AttemptResult | None
+        self, failed: Failed, result: AttemptResult | None, trailers: HeaderList
     ) -> bool:
-        """Discard a complete answer and retry, if there is another back end to try.
+        """Set a complete answer aside and retry, if there is another back end to try.
 
         Return whether a retry was scheduled.
         """
         tried = self._excluded | self._current_node
         if not self._calls.admissions.has_back_end_besides(self.plan, tried):
             return False
+        if not self._answer.begun:
+            self._answer.keep_as_fallback(trailers)
         return self._retry_if_possible(failed, result)
 
     def _attempt_terms(self, for_free_slot: bool) -> AttemptTerms:
@@ -605,6 +608,9 @@
         self._fail(worse(self._worst_failure, failed))
 
     def _fail(self, failed: Failed) -> None:
+        if failed in (SHED_OUTCOME, FAILED_OUTCOME) and self._answer.has_fallback:
+            self._end_with_fallback()
+            return
         self._over = True
         if isinstance(failed, NotRun) and self._plan is not None:
             now = self._loop.time()
@@ -615,6 +621,15 @@
         self._calls.failed(self._plan, failed, self._request_id, self._recorder)
         self._finish(None)
 
+    def _end_with_fallback(self) -> None:
+        """Send the error answer of the first attempt: no other back end ran the call."""
+        self._over = True
+        self._answer.send_fallback()
+        self._calls.answered(
+            self.plan, self._answer.status, self._request_id, self._recorder
+        )
+        self._finish(None)
+
     def _abort(self) -> None:
         """Stop all work on the call because its caller disconnected."""
         if self._claim and not self._begun and not isinstance(self._worst_failure, Unknown):
