A run whose own call failed is not repeated: one layer repeats, the one next to the fault

Cause: a back end answers 500 when a call of its own fails, and the node above takes that for a fault of this back end. Nobody told it that the call had been repeated below. The node beside the back end sees the call fail and marks the error answer now.

--- a/src/peppershore/connection/http_head.py
+++ b/src/peppershore/connection/http_head.py
@@ -84,6 +84,8 @@
 
     For answers without a body (HEAD, 204, 304) ``has_body`` is false and
     ``content_length`` is the length that the back end declared, if any.
+    ``has_failed_call``: a call that the back end made for this request failed, after all
+    the attempts that are useful.
     """
 
     status: int
@@ -91,6 +93,7 @@
     headers: HeaderList
     content_length: int | None
     has_body: bool = True
+    has_failed_call: bool = False
 
 
 def received_headers(headers: Headers) -> HeaderList:
--- a/src/peppershore/connection/messages/calls.py
+++ b/src/peppershore/connection/messages/calls.py
@@ -160,7 +160,10 @@
 
 
 class CallAnswered(Message, frozen=True, tag=145):
-    """The head of the back end's answer and the first chunk of its body."""
+    """The head of the back end's answer and the first chunk of its body.
+
+    ``has_failed_call``: see ``AnswerHead``.
+    """
 
     stream: int
     status: int
@@ -172,6 +175,7 @@
     ended: bool
     trailers: HeaderFields
     load: OwnerLoad | None = None
+    has_failed_call: bool = False
 
 
 class CallAnswerBody(Message, frozen=True, tag=146):
--- a/src/peppershore/process/node/data/answer_relay.py
+++ b/src/peppershore/process/node/data/answer_relay.py
@@ -99,19 +99,26 @@
         """Whether the back end itself refused the call because of its load.
 
         A refusal with an outcome header was forwarded from a node further along the path,
-        which has already made all the attempts that are allowed.
+        which has already made all the attempts that are allowed. So was one of a back end
+        whose own call failed.
         """
         head = self._head
-        if head is None or head.status != STATUS_UNAVAILABLE:
+        if head is None or head.status != STATUS_UNAVAILABLE or head.has_failed_call:
             return False
         return all(name != self._names.outcome for name, _ in head.headers)
 
     @property
     def is_error(self) -> bool:
-        """Whether the back end itself failed, and the caller was sent nothing of it."""
+        """Whether the back end itself failed, and the caller was sent nothing of it.
+
+        One whose own call failed has not failed itself: the call was retried where it was
+        made, and another run would make it again.
+        """
         head = self._head
         if head is None or self.begun or head.status < FIRST_SERVER_ERROR:
             return False
+        if head.has_failed_call:
+            return False
         return all(name != self._names.outcome for name, _ in head.headers)
 
     def head(self, head: AnswerHead) -> None:
--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -53,6 +53,7 @@
     STATUS_UNAVAILABLE,
     Failed,
     NotRun,
+    is_final,
 )
 from peppershore.request.picker import RandomSource
 from peppershore.request.running_calls import RunningCalls
@@ -402,6 +403,8 @@
         One of ``log_answered_every`` other answers is logged; none if it is 0.
         """
         self.counts.answered += 1
+        if status >= FIRST_SERVER_ERROR:
+            self._call_failed(plan, request_id)
         now = self.loop.time()
         self.retries.answered(plan, now)
         self.figures.ended(plan, "answered", "", now - recorder.began_at)
@@ -422,6 +425,8 @@
             self.counts.not_run += 1
         else:
             self.counts.unknown += 1
+        if is_final(failed):
+            self._call_failed(plan, request_id)
         now = self.loop.time()
         self.figures.ended(plan, end.outcome, end.reason, now - recorder.began_at)
         self._log_call(plan, end, request_id, recorder)
@@ -437,6 +442,11 @@
 
     # --- internal
 
+    def _call_failed(self, plan: CallPlan | None, request_id: bytes) -> None:
+        """Record a failed call of the local back end for the request that it runs."""
+        if plan is not None and plan.is_nested and self.own is not None:
+            self.own.running.call_failed(request_id)
+
     def _log_call(
         self,
         plan: CallPlan | None,
--- a/src/peppershore/process/node/data/link_attempt.py
+++ b/src/peppershore/process/node/data/link_attempt.py
@@ -307,7 +307,12 @@
         length = None if message.content_length == NO_LENGTH else message.content_length
         self._sink.answer_head(
             AnswerHead(
-                message.status, message.reason, message.headers, length, message.has_body
+                message.status,
+                message.reason,
+                message.headers,
+                length,
+                message.has_body,
+                message.has_failed_call,
             )
         )
         self._forward_body(message.data, message.ended, message.trailers)
--- a/src/peppershore/process/node/data/local_attempt.py
+++ b/src/peppershore/process/node/data/local_attempt.py
@@ -213,9 +213,8 @@
         self._timer = loop.call_at(self._request.deadline, self._deadline_passed)
         self._started = loop.time()
         self._is_running = True
-        request_id = self._backend.request_id(self._request)
         self._backend.running.began(
-            request_id,
+            self._request_id,
             self._request.tenant,
             is_repeat=self._request.send_kind != "first",
         )
@@ -290,8 +289,10 @@
         self._backend.answer_received(head, self._terms.life, self._started)
 
     def answer_head(self, head: AnswerHead) -> None:
-        """Forward the head of the answer."""
+        """Forward the head of the answer; say whether a call made for it had failed."""
         self._status = head.status
+        if self._is_running and self._backend.running.has_failed_call(self._request_id):
+            head = msgspec.structs.replace(head, has_failed_call=True)
         self._sink.answer_head(head)
 
     def answer_data(self, data: bytes) -> None:
@@ -398,10 +399,14 @@
             latency = asyncio.get_running_loop().time() - self._started
             self._backend.finished(dispatch, latency, result)
 
+    @property
+    def _request_id(self) -> bytes:
+        return self._backend.request_id(self._request)
+
     def _mark_not_running(self) -> None:
         if self._is_running:
             self._is_running = False
-            self._backend.running.ended(self._backend.request_id(self._request))
+            self._backend.running.ended(self._request_id)
             self._backend.quarantine.over(self._request.fingerprint)
 
 
--- a/src/peppershore/process/node/data/served_stream.py
+++ b/src/peppershore/process/node/data/served_stream.py
@@ -363,6 +363,7 @@
         ended=ended,
         trailers=trailers,
         load=load,
+        has_failed_call=head.has_failed_call,
     )
 
 
--- a/src/peppershore/request/outcome.py
+++ b/src/peppershore/request/outcome.py
@@ -117,6 +117,17 @@
 Failed = NotRun | Unknown
 
 
+def is_final(failed: Failed) -> bool:
+    """Report whether a call failed after a back end may have seen it, or as a repeat.
+
+    Running the request that it was made for once more would then repeat it. A call that no
+    back end could take is not repeated by that.
+    """
+    if isinstance(failed, Unknown):
+        return True
+    return failed.offered or failed.reason == RETRY_BUDGET_SPENT
+
+
 def unreachable(reason: str) -> NotRun:
     """Return the refusal of a call that reached no back end; another may be reachable."""
     advice = UNREACHABLE_RETRY_AFTER_MILLISECONDS
--- a/src/peppershore/request/running_calls.py
+++ b/src/peppershore/request/running_calls.py
@@ -16,6 +16,7 @@
     count: int
     tenant: str
     is_repeat: bool = False
+    has_failed_call: bool = False
 
 
 class RunningCalls:
@@ -60,6 +61,17 @@
         run = self._parent(request_id)
         return run is not None and run.is_repeat
 
+    def call_failed(self, request_id: bytes) -> None:
+        """Record that a call failed for good, for the running request that it was for."""
+        run = self._parent(request_id)
+        if run is not None:
+            run.has_failed_call = True
+
+    def has_failed_call(self, request_id: bytes) -> bool:
+        """Report whether a call that was made for a running request failed for good."""
+        run = self._running.get(request_id)
+        return run is not None and run.has_failed_call
+
     def _parent(self, request_id: bytes) -> _Run | None:
         parent, separator, _ = request_id.rpartition(CHILD_SEPARATOR)
         return self._running.get(parent) if separator else None
--- a/tests/data_plane/test_repeats_over_all_nodes.py
+++ b/tests/data_plane/test_repeats_over_all_nodes.py
@@ -125,3 +125,32 @@
             assert site.served() == len(site.answers)
 
     run_in_virtual_time(scene())
+
+
+def test_a_run_whose_own_call_failed_is_not_repeated() -> None:
+    """Each layer repeated, so one fault below got the product of all their attempts."""
+
+    async def scene() -> None:
+        async with NestedSite() as site:
+            await site.load(RATE, SECONDS)
+            fail(site.lower, 1.0)
+            await site.load(10.0, 1.0)
+            await site.settle()
+            assert site.record.repeats(UPPER) == 0
+            assert 0 < site.record.repeats(LOWER) <= 20
+            assert {each.status for each in site.answers[-10:]} == {500}
+
+    run_in_virtual_time(scene())
+
+
+def test_a_run_that_fails_itself_is_repeated_though_it_made_a_call() -> None:
+    async def scene() -> None:
+        async with NestedSite() as site:
+            await site.load(RATE, SECONDS)
+            site.upper["u1"].fail_next = 2
+            await site.load(RATE, 1.0)
+            await site.settle()
+            assert site.record.repeats(UPPER) == 2
+            assert site.served() == len(site.answers)
+
+    run_in_virtual_time(scene())
