Retry budget: 0.85 of the ratio is granted, 0.15 after a restart

Arrivals are counted where and when they happen, so no margin is needed for views and delays; what one process grants and what a restarted one may grant just have to add up to the ratio.

The 36 cases of the part alone (0 to 8 restarts, 4 to 80 requests a second) and the scenes over sockets hold with it.

--- a/src/peppershore/request/shared_retries.py
+++ b/src/peppershore/request/shared_retries.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-RATIO_SHARE = 0.7
+RATIO_SHARE = 0.85
 """Share of ``RetryBound.ratio`` that a node grants, once it has run for a window."""
 
 RESTARTED_RATIO_SHARE = 1.0 - RATIO_SHARE
