A late heartbeat of a dead incarnation no longer ends the living one

Cause: a heartbeat of an incarnation heard for the first time ended the one before for good. A node that has just started knows no ended incarnation, so it took the late heartbeat of a dead one for a new one, and ignored the living one, though it acknowledged its heartbeats.

Now a heartbeat replaces, and only an incarnation's own word, or a start time, ends one for good. The replaced one returns when the back end refuses a call as meant for another (421), or after two heartbeats while the other sends none. Heartbeats without use are logged with the reason and counted.

--- a/src/peppershore/process/node/back_end_reports.py
+++ b/src/peppershore/process/node/back_end_reports.py
@@ -3,9 +3,14 @@
 A ``BackEndIncarnation`` identifies one incarnation of a back end: by the instance name
 that the back end gives itself and, if reported, by its start time. The start time is
 needed because a restarted back end may keep its name and number its reports from the
-beginning again. A later incarnation replaces an earlier one, and a late report of an
-earlier incarnation changes nothing. Once the node has acknowledged that an incarnation is
-leaving, this is final: after a bounded time the back end receives no new call.
+beginning again. Once the node has acknowledged that an incarnation is leaving, this is
+final: after a bounded time the back end receives no new call.
+
+A heartbeat may arrive after its sender has crashed, so without a start time it does not
+tell which of two incarnations is the later one. One that is heard for the first time is
+used at once, since it may be new; it does not end the one before for good. That one
+returns when the back end itself shows that the other is not there, or when it goes on
+sending heartbeats while the other sends none.
 """
 
 from __future__ import annotations
@@ -21,7 +26,18 @@
 START_UNKNOWN = 0
 """Start time of an incarnation that reports none: its instance name identifies it."""
 
-MAX_ENDED_INCARNATIONS = 64
+MAX_INCARNATIONS = 64
+"""Number of incarnations that are remembered as left, and as replaced."""
+
+HEARTBEATS_TO_RETURN = 2
+"""Heartbeats after which a replaced incarnation returns, if the current one sends none
+meanwhile. A single one may be late."""
+
+OTHER_SERVICE = "heartbeat of another service"
+HAS_LEFT = "heartbeat of an incarnation that has left"
+STARTED_EARLIER = "heartbeat of an incarnation that started earlier"
+REPLACED = "heartbeat of an incarnation that was replaced"
+OUT_OF_ORDER = "heartbeat out of order"
 
 
 class BackEndIncarnation(msgspec.Struct, frozen=True):
@@ -85,6 +101,21 @@
 NO_BACK_END = BackEndView()
 
 
+class _Heard(msgspec.Struct):
+    """The last heartbeat of an incarnation, which came at ``at`` (monotonic seconds).
+
+    ``view`` is the state that it gave the back end. ``unanswered`` counts its heartbeats
+    since the last one of the current incarnation. ``is_refuted``: since this heartbeat the
+    back end has shown that another incarnation is there.
+    """
+
+    view: BackEndView
+    sequence: int
+    at: float
+    unanswered: int = 0
+    is_refuted: bool = False
+
+
 class BackEndReports:
     """Tracks the incarnations of one node's local back end and its current state."""
 
@@ -98,35 +129,35 @@
         self._silent_seconds = silent_seconds
         self._last_report_at = 0.0
         self._newest_born = START_UNKNOWN
-        self._sequences: dict[BackEndIncarnation, int] = {}
-        self._ended: dict[BackEndIncarnation, None] = {}
+        self._heard: dict[BackEndIncarnation, _Heard] = {}
+        self._left: dict[BackEndIncarnation, None] = {}
 
     def apply(self, report: BackEndReport, now: float) -> bool:
         """Apply a heartbeat of the back end.
 
         Return whether the current incarnation, its state or its slots changed.
         """
-        if not self._is_acceptable(report):
+        if self._reason_to_ignore(report):
             return False
-        life = report.life
-        self._sequences[life] = report.sequence
+        is_new = report.life not in self._heard
         self._newest_born = max(self._newest_born, report.born)
-        self._last_report_at = now
-        was_leaving = self.view.state == STATE_LEAVING
-        is_same = life == self.view.life
-        if not is_same and self.view.instance:
-            self._mark_ended(self.view.life)
-        leaving = report.is_leaving or (is_same and was_leaving)
-        return self._replace_view(
-            BackEndView(
-                instance=report.instance,
-                state=STATE_LEAVING if leaving else STATE_READY,
-                slots=report.slots,
-                warming_milliseconds=report.warming_milliseconds,
-                born=report.born,
-                version=self.view.version if is_same else report.version,
-            )
-        )
+        heard = self._note(report, now)
+        is_current = report.life == self.view.life
+        if not (is_new or is_current or self._may_return(heard)):
+            return False
+        return self._make_current(heard, now)
+
+    def reason_not_used(self, report: BackEndReport) -> str:
+        """Return why ``apply`` does not use a heartbeat; "" if it uses it.
+
+        To be called before ``apply``.
+        """
+        reason = self._reason_to_ignore(report)
+        heard = self._heard.get(report.life)
+        if reason or heard is None or report.life == self.view.life:
+            return reason
+        after = msgspec.structs.replace(heard, unanswered=heard.unanswered + 1)
+        return "" if self._may_return(after) else REPLACED
 
     def mark_leaving(self, instance: str, born: int = START_UNKNOWN) -> bool:
         """Mark an incarnation that reported its termination as permanently leaving.
@@ -138,7 +169,7 @@
         life = BackEndIncarnation(instance, born)
         if not born and instance == self.view.instance:
             life = self.view.life
-        self._mark_ended(life)
+        self._mark_left(life)
         if life != self.view.life:
             return False
         return self._replace_view(msgspec.structs.replace(self.view, state=STATE_LEAVING))
@@ -146,14 +177,35 @@
     def mark_unreachable(self, life: str) -> bool:
         """Mark the back end as gone until its next heartbeat.
 
-        To be called when nothing, or another incarnation, answers at its address. ``life``
-        is the name of the incarnation that was expected there. Return whether the state of
-        the back end changed; it does not if ``life`` is not the current incarnation.
+        To be called when nothing answers at its address. ``life`` is the name of the
+        incarnation that was expected there. Return whether the state of the back end
+        changed; it does not if ``life`` is not the current incarnation.
         """
         if life != self.view.life.name or self.view.state == STATE_GONE:
             return False
         return self._replace_view(msgspec.structs.replace(self.view, state=STATE_GONE))
 
+    def mark_replaced(self, life: str, now: float) -> bool:
+        """Process that another incarnation than ``life`` answers at the address.
+
+        Of those heard before, the one heard last takes the place of ``life`` if it is not
+        silent; without one the back end is gone until the next heartbeat. Return whether
+        the state of the back end changed; it does not if ``life`` is not the current one.
+        """
+        if life != self.view.life.name:
+            return False
+        current = self._heard.get(self.view.life)
+        if current is not None:
+            current.is_refuted = True
+        others = [
+            heard
+            for heard in self._heard.values()
+            if heard.view.life != self.view.life and self._may_be_there(heard, now)
+        ]
+        if not others:
+            return self.mark_unreachable(life)
+        return self._make_current(max(others, key=lambda heard: heard.at), now)
+
     def overtaken(self, born: int) -> bool:
         """Record that other nodes know of an incarnation of this back end.
 
@@ -180,14 +232,61 @@
             return False
         return self._replace_view(msgspec.structs.replace(self.view, state=STATE_GONE))
 
-    def _is_acceptable(self, report: BackEndReport) -> bool:
-        """Return whether a heartbeat is for this service and not outdated."""
-        life = report.life
-        if report.service != self._service or life in self._ended:
-            return False
+    def _reason_to_ignore(self, report: BackEndReport) -> str:
+        """Return why a heartbeat is of no use whoever is there now; "" if it is."""
+        if report.service != self._service:
+            return OTHER_SERVICE
+        if report.life in self._left:
+            return HAS_LEFT
         if START_UNKNOWN < report.born < self._newest_born:
-            return False
-        return report.sequence > self._sequences.get(life, -1)
+            return STARTED_EARLIER
+        heard = self._heard.get(report.life)
+        if heard is not None and report.sequence <= heard.sequence:
+            return OUT_OF_ORDER
+        return ""
+
+    def _may_return(self, heard: _Heard) -> bool:
+        """Report whether a replaced incarnation becomes the current one again."""
+        return (
+            self.view.state == STATE_GONE
+            or heard.unanswered >= HEARTBEATS_TO_RETURN
+            or START_UNKNOWN < self.view.born < heard.view.born
+        )
+
+    def _may_be_there(self, heard: _Heard, now: float) -> bool:
+        """Report whether an incarnation may be the one at the address now."""
+        life = heard.view.life
+        is_excluded = heard.is_refuted or life in self._left
+        is_earlier = START_UNKNOWN < life.born < self._newest_born
+        is_silent = now - heard.at >= self._silent_seconds
+        return not (is_excluded or is_earlier or is_silent)
+
+    def _note(self, report: BackEndReport, now: float) -> _Heard:
+        """Record a heartbeat; return the record of its incarnation."""
+        life = report.life
+        before = self._heard.pop(life, None)
+        was_leaving = before is not None and before.view.state == STATE_LEAVING
+        is_leaving = report.is_leaving or was_leaving
+        view = BackEndView(
+            instance=report.instance,
+            state=STATE_LEAVING if is_leaving else STATE_READY,
+            slots=report.slots,
+            warming_milliseconds=report.warming_milliseconds,
+            born=report.born,
+            version=report.version if before is None else before.view.version,
+        )
+        unanswered = 0 if before is None else before.unanswered + 1
+        heard = _Heard(view, report.sequence, now, unanswered)
+        self._heard[life] = heard
+        self._forget_oldest()
+        return heard
+
+    def _make_current(self, heard: _Heard, now: float) -> bool:
+        """Use what an incarnation reported; the others have to prove themselves again."""
+        self._last_report_at = now
+        for other in self._heard.values():
+            other.unanswered = 0
+        return self._replace_view(heard.view)
 
     def _replace_view(self, view: BackEndView) -> bool:
         before = self.view
@@ -198,8 +297,16 @@
             before.slots,
         )
 
-    def _mark_ended(self, life: BackEndIncarnation) -> None:
-        self._ended[life] = None
-        self._sequences.pop(life, None)
-        while len(self._ended) > MAX_ENDED_INCARNATIONS:
-            del self._ended[next(iter(self._ended))]
+    def _mark_left(self, life: BackEndIncarnation) -> None:
+        self._left[life] = None
+        heard = self._heard.get(life)
+        if heard is not None:
+            heard.view = msgspec.structs.replace(heard.view, state=STATE_LEAVING)
+        while len(self._left) > MAX_INCARNATIONS:
+            del self._left[next(iter(self._left))]
+
+    def _forget_oldest(self) -> None:
+        """Forget the incarnation heard longest ago, except the current one."""
+        if len(self._heard) > MAX_INCARNATIONS:
+            oldest = next(life for life in self._heard if life != self.view.life)
+            del self._heard[oldest]
--- a/src/peppershore/process/node/core.py
+++ b/src/peppershore/process/node/core.py
@@ -46,7 +46,11 @@
 from peppershore.process.endpoints.table import STATE_GONE, STATE_LEAVING
 from peppershore.process.link_numbers import LinkNumbers
 from peppershore.process.node import notices
-from peppershore.process.node.back_end_reports import STATE_READY, BackEndReports
+from peppershore.process.node.back_end_reports import (
+    STATE_READY,
+    BackEndReport,
+    BackEndReports,
+)
 from peppershore.process.node.commands import (
     BackEndViewed,
     ConfigurationSwapped,
@@ -154,7 +158,8 @@
         self._token = 0
         self._is_stopping = False
         self._evidence_number = 0
-        self._unusable_reports = 0
+        self.unusable_reports = 0
+        """Number of reports of the local back end that were not used, since the start."""
         self._unusable_logged_at = -math.inf
         self._confirmed_at = -math.inf
         self._now = 0.0
@@ -218,11 +223,13 @@
         """Handle reports and statistics of the local back end, and changed settings."""
         match event:
             case BackEndReported():
-                self._view_changed(self._reports.apply(event.report, self._now))
+                self._back_end_reported(event.report)
             case BackEndLeft():
                 self._view_changed(self._reports.mark_leaving(event.instance, event.born))
             case BackEndReportRefused():
-                self._log_unusable_report(event)
+                self._log_unusable_report(event.reason)
+            case BackEndNotThere(is_replaced=True):
+                self._view_changed(self._reports.mark_replaced(event.life, self._now))
             case BackEndNotThere():
                 self._view_changed(self._reports.mark_unreachable(event.life))
             case EvidenceGathered():
@@ -260,12 +267,18 @@
         if self.sessions.active is not None:
             self._out.append(SendMessage(self.sessions.active.link, ask))
 
-    def _log_unusable_report(self, event: BackEndReportRefused) -> None:
-        """Log an invalid back-end report at a limited rate: its sender may send many."""
-        self._unusable_reports += 1
+    def _back_end_reported(self, report: BackEndReport) -> None:
+        reason = self._reports.reason_not_used(report)
+        if reason:
+            self._log_unusable_report(reason)
+        self._view_changed(self._reports.apply(report, self._now))
+
+    def _log_unusable_report(self, reason: str) -> None:
+        """Log a back-end report without use at a limited rate: its sender may send many."""
+        self.unusable_reports += 1
         if self._now >= self._unusable_logged_at + UNUSABLE_REPORT_LOG_SECONDS:
-            reason = event.reason[:MAX_REASON_CHARACTERS]
-            count = self._unusable_reports
+            reason = reason[:MAX_REASON_CHARACTERS]
+            count = self.unusable_reports
             self._report(notices.BackEndReportNotUsed(reason, count))
             self._unusable_logged_at = self._now
 
--- a/src/peppershore/process/node/data/direct_attempt.py
+++ b/src/peppershore/process/node/data/direct_attempt.py
@@ -15,6 +15,7 @@
 from peppershore.request.deadline import remaining_milliseconds
 from peppershore.request.outcome import (
     BROKE_OFF,
+    OTHER_BACK_END,
     STATUS_BAD_GATEWAY,
     STATUS_BAD_REQUEST,
     STATUS_MISDIRECTED,
@@ -220,7 +221,7 @@
         is_misdirected = head.status == STATUS_MISDIRECTED
         if not is_misdirected and not first_value(head.headers, names.not_run):
             return None
-        reason = "other-back-end" if is_misdirected else "back-end-refused"
+        reason = OTHER_BACK_END if is_misdirected else "back-end-refused"
         advice = REFUSED_RETRY_AFTER_MILLISECONDS
         return NotRun(STATUS_UNAVAILABLE, reason, advice, retryable=True, offered=True)
 
--- a/src/peppershore/process/node/data/local_attempt.py
+++ b/src/peppershore/process/node/data/local_attempt.py
@@ -33,6 +33,7 @@
     BROKE_OFF,
     BUSY,
     NO_SLOT_IN_TIME,
+    OTHER_BACK_END,
     STATUS_BAD_GATEWAY,
     STATUS_GATEWAY_TIMEOUT,
     STATUS_UNAVAILABLE,
@@ -44,7 +45,7 @@
 from peppershore.request.waiting import Ticket
 
 MILLISECONDS = 1_000
-ABSENT_REASONS = frozenset({"back-end-unreachable", "other-back-end"})
+ABSENT_REASONS = frozenset({"back-end-unreachable", OTHER_BACK_END})
 
 
 class LocalAttempt:
@@ -318,7 +319,8 @@
         """
         self._end(result_of_failure(failed))
         if failed.reason in ABSENT_REASONS:
-            self._backend.report_unreachable(self._terms.life)
+            is_replaced = failed.reason == OTHER_BACK_END
+            self._backend.report_absent(self._terms.life, is_replaced=is_replaced)
         if failed.reason == BROKE_OFF:
             self._awaits_crash_check = True
             crashes = self._backend.crashes
--- a/src/peppershore/process/node/data/local_back_end.py
+++ b/src/peppershore/process/node/data/local_back_end.py
@@ -102,7 +102,11 @@
         """Called when a rate limit begins or ends, or the back end begins to leave."""
         self.large_answers = large_answers
         self.leaving = False
-        self.on_unreachable: Callable[[str], None] = lambda life: None
+        self.on_absent: Callable[[str, bool], None] = lambda life, is_replaced: None
+        """Called with the name of an incarnation that is not at the back end's address.
+
+        The second argument says that another incarnation answered there.
+        """
         self.on_unused_fields: Callable[[tuple[str, ...]], None] = lambda names: None
         """Called with the names of answer fields that the node has no use for."""
         self.slots = endpoint.slots
@@ -400,13 +404,14 @@
         self.crashes.record_answered(fingerprint)
         self.quarantine.record_answered(fingerprint)
 
-    def report_unreachable(self, life: str) -> None:
-        """Report that ``life`` cannot be reached: nothing or another incarnation answers.
+    def report_absent(self, life: str, *, is_replaced: bool = False) -> None:
+        """Report that ``life`` is not at the address: nothing or another one answers.
 
-        Ignored unless ``life`` is the current incarnation.
+        Ignored unless ``life`` is the current incarnation. ``is_replaced``: another
+        incarnation answered.
         """
         if life == self._life.name:
-            self.on_unreachable(life)
+            self.on_absent(life, is_replaced)
 
     def use_settings(self, settings: ServiceSettings) -> None:
         """Apply new settings.
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -200,13 +200,14 @@
         if had_other_life:
             self._call_listener.recall_loans()
 
-    def on_back_end_unreachable(self, callback: Callable[[str], None]) -> None:
-        """Call ``callback`` with the name of an incarnation that cannot be reached.
+    def on_back_end_absent(self, callback: Callable[[str, bool], None]) -> None:
+        """Call ``callback`` with the name of an incarnation that is not at its address.
 
-        It is one of the local back end.
+        It is one of the local back end. The second argument says that another incarnation
+        answered there.
         """
         if self._own is not None:
-            self._own.on_unreachable = callback
+            self._own.on_absent = callback
 
     def on_backend_state(self, callback: Callable[[str], None]) -> None:
         """Start to probe the local back end; call ``callback`` with each new state.
@@ -432,7 +433,7 @@
         self._notice_sink(notices.BackEndEnded(self._settings.service, life, keys))
         self.on_back_end_ended(life, under)
         if self._own is not None:
-            self._own.report_unreachable(life)
+            self._own.report_absent(life)
 
     def _longest_call_seconds(self) -> float:
         """Return the longest time-out of calls from other nodes to the local back end."""
--- a/src/peppershore/process/node/inputs.py
+++ b/src/peppershore/process/node/inputs.py
@@ -42,10 +42,12 @@
 class BackEndNotThere(Event, frozen=True):
     """Nothing answers at the local back end's address, or another incarnation does.
 
-    ``life`` is the name of the incarnation that was expected there.
+    ``life`` is the name of the incarnation that was expected there. ``is_replaced``:
+    another one answered.
     """
 
     life: str
+    is_replaced: bool = False
 
 
 class BackEndEnded(Event, frozen=True):
--- a/src/peppershore/process/node/notices.py
+++ b/src/peppershore/process/node/notices.py
@@ -38,7 +38,7 @@
 
 
 class BackEndReportNotUsed(Notice, frozen=True):
-    """A back-end report was invalid; ``count`` is their number since the start."""
+    """A back-end report was invalid, or not used; ``count`` is their number so far."""
 
     level: ClassVar[str] = "warning"
     reason: str
--- a/src/peppershore/process/node/shell.py
+++ b/src/peppershore/process/node/shell.py
@@ -269,7 +269,9 @@
 def _pass_events(data_plane: DataPlane, shell: Shell) -> None:
     """Pass what the data plane sees of the local back end to the core, as events."""
     data_plane.on_backend_state(lambda state: shell.dispatch(BackendStateChanged(state)))
-    data_plane.on_back_end_unreachable(lambda life: shell.dispatch(BackEndNotThere(life)))
+    data_plane.on_back_end_absent(
+        lambda life, is_replaced: shell.dispatch(BackEndNotThere(life, is_replaced))
+    )
     data_plane.on_back_end_leaving = lambda life: shell.dispatch(
         BackEndLeft(life.instance, life.born)
     )
@@ -301,6 +303,11 @@
 
 
 def _add_gauges(metrics: ProcessMetrics, core: NodeCore, shell: Shell) -> None:
+    metrics.gauge(
+        "back_end_reports_unused",
+        "Reports of the local back end that were not used.",
+        lambda: core.unusable_reports,
+    )
     metrics.gauge("bytes_sent", "Bytes sent on links.", lambda: shell.bytes_sent)
     metrics.gauge(
         "bytes_received", "Bytes received on links.", lambda: shell.bytes_received
--- a/src/peppershore/request/outcome.py
+++ b/src/peppershore/request/outcome.py
@@ -42,6 +42,9 @@
 BACK_END_ENDED = "back-end-ended"
 """Reason of an unknown outcome: the back end's process ended while it ran the call."""
 
+OTHER_BACK_END = "other-back-end"
+"""Reason of a refusal: another incarnation than the expected one is at the address."""
+
 QUARANTINED = "quarantined"
 """Reason of a refusal: the request is held for a while because it crashes back ends."""
 
