A send is never answered by bytes that belong to an earlier send of the same request

Cause: a refused request was sent again to the same back end, with the same id, on the connection on which the refusal had come. The back end sent the refusal a second time, late, in place of the answer, and nothing in it tells the two sends apart: the request ran there, counted as not run, and ran elsewhere too.

A connection remembers the requests that it carried and is not used for one of them again, and requests that may run only once avoid connections on which anything was refused: where answers name no request, a surplus refusal of another one would pass as theirs. What the back end says on another connection is about this send, so it may be offered the request again.

--- a/src/peppershore/connection/http_client.py
+++ b/src/peppershore/connection/http_client.py
@@ -40,6 +40,10 @@
 STATUS_NOT_MODIFIED = 304
 HTTP_1_1 = b"1.1"
 MAX_MISMATCHED_ANSWERS = 3
+REMEMBERED_REQUESTS = 128
+"""Number of requests that a connection remembers. A request is sent again within its
+deadline, while a connection carries one exchange at a time."""
+
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=([0-9]{1,6})")
 
 
@@ -78,6 +82,9 @@
         """Call ``on_idle_lost`` if the connection closes outside an exchange."""
         self.last_used = 0.0
         self.exchanges = 0
+        self.has_refused = False
+        """Whether an answer on this connection said that its request was not begun."""
+        self._request_ids: dict[bytes, None] = {}
         self._on_idle_lost = on_idle_lost
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._transport: asyncio.Transport | None = None
@@ -149,6 +156,22 @@
             return False
         return self._poll is None or not self._poll.poll(0)
 
+    def note_request(self, request_id: bytes) -> None:
+        """Remember that a request was sent on this connection."""
+        if not request_id:
+            return
+        self._request_ids[request_id] = None
+        if len(self._request_ids) > REMEMBERED_REQUESTS:
+            del self._request_ids[next(iter(self._request_ids))]
+
+    def has_borne(self, request_id: bytes) -> bool:
+        """Report whether a request with this id was sent on this connection before.
+
+        An answer to that send may come a second time, and nothing in it tells it from the
+        answer to another send of the same id.
+        """
+        return request_id in self._request_ids
+
     def begin(
         self,
         head: RequestHead,
--- a/src/peppershore/connection/http_pool.py
+++ b/src/peppershore/connection/http_pool.py
@@ -34,20 +34,30 @@
         """Number of connections that are open or being opened."""
         return len(self._open) + len(self._opening)
 
-    def take(self, max_age_seconds: float | None = None) -> ClientConnection | None:
+    def take(
+        self,
+        max_age_seconds: float | None = None,
+        may_use: Callable[[ClientConnection], bool] = lambda connection: True,
+    ) -> ClientConnection | None:
         """Take an idle connection that looks open out of the pool, or return None.
 
-        ``max_age_seconds`` limits how long the connection may have been idle.
+        ``max_age_seconds`` limits how long the connection may have been idle. Those that
+        ``may_use`` rejects stay in the pool.
         """
-        while self._idle:
-            connection = self._idle[-1]
-            age = asyncio.get_running_loop().time() - connection.last_used
+        now = asyncio.get_running_loop().time()
+        position = len(self._idle)
+        while position:
+            position -= 1
+            connection = self._idle[position]
+            age = now - connection.last_used
             if max_age_seconds is not None and age > max_age_seconds:
                 return None
-            self._idle.pop()
-            if connection.usable and age < _idle_timeout(connection):
+            if not connection.usable or age >= _idle_timeout(connection):
+                del self._idle[position]
+                self._discard(connection)
+            elif may_use(connection):
+                del self._idle[position]
                 return connection
-            self._discard(connection)
         return None
 
     def connect(self, outcome: ConnectOutcome) -> None:
--- a/src/peppershore/process/node/data/direct_attempt.py
+++ b/src/peppershore/process/node/data/direct_attempt.py
@@ -97,12 +97,26 @@
     def start(self) -> None:
         """Start on a pooled connection, or on a new one if none can be reused."""
         max_age = None if self._request.repeatable else MAX_REUSE_AGE_SECONDS
-        connection = self._pool.take(max_age)
+        connection = self._pool.take(max_age, self._may_use)
         if connection is not None:
             self._begin(connection)
             return
         self._pool.connect(self._connected)
 
+    def _may_use(self, connection: ClientConnection) -> bool:
+        """Report whether no answer to an earlier send can be taken for that to this one.
+
+        A surplus refusal names its request at best, so this request is not sent twice on
+        one connection. One that may run only once avoids connections with refusals.
+        """
+        if connection.has_refused and not self._request.repeatable:
+            return False
+        return not connection.has_borne(self._request_id)
+
+    @property
+    def _request_id(self) -> bytes:
+        return first_value(self._request.headers, self._terms.names.request_id)
+
     # --- the interface Attempt
 
     def send_data(self, data: bytes) -> None:
@@ -152,6 +166,8 @@
         self._refusal = self._refusal_in(head)
         if self._refusal is None:
             self._sink.answer_head(head)
+        elif self._connection is not None:
+            self._connection.has_refused = True
 
     def answer_data(self, data: bytes) -> None:
         """Forward a chunk of the answer's body."""
@@ -255,6 +271,7 @@
             self._notify_ended()
             self._sink.attempt_failed(NotRun(STATUS_BAD_REQUEST, "malformed-request"))
             return
+        connection.note_request(self._request_id)
         self.begun = True
         self._sink.attempt_begun()
 
