Answers that end together do not cut a request's body that is arriving

Cause: each written answer scheduled a resume of the connection, which fed an empty chunk to the parser. When two answers ended in one turn of the loop, the first resume began a request with a body, and the second one's empty chunk ended its connection. A resume starts waiting requests now and feeds nothing.

--- a/src/peppershore/connection/http_server.py
+++ b/src/peppershore/connection/http_server.py
@@ -114,6 +114,15 @@
         self._is_processing = False
         self._write_answers()
 
+    def _resume_requests(self) -> None:
+        """Start the requests that waited for an answer, if none was started meanwhile."""
+        if self._transport is None or self._discarding:
+            return
+        self._is_processing = True
+        self._begin_requests()
+        self._is_processing = False
+        self._write_answers()
+
     def eof_received(self) -> bool:
         """Close the connection: a caller that closes its sending side has disconnected."""
         return False
@@ -327,10 +336,6 @@
         if self._unparsed:
             asyncio.get_running_loop().call_soon(self._resume_requests)
 
-    def _resume_requests(self) -> None:
-        if self._transport is not None and not self._discarding:
-            self.data_received(b"")
-
     def _close_after(self, exchange: ServerExchange) -> None:
         """Close after this answer; callers retry later requests, which stay unanswered."""
         self._abort_exchanges()
--- a/tests/http/test_http_exchanges.py
+++ b/tests/http/test_http_exchanges.py
@@ -145,6 +145,37 @@
     run(scene())
 
 
+def test_answers_that_end_together_do_not_end_a_body_that_is_arriving(
+    stage: Stage,
+) -> None:
+    """Each answer resumed the connection, and the second one ended the body under way."""
+
+    async def together(request: Received, writer: asyncio.StreamWriter) -> None:
+        body = await request.body()
+        if request.method == "GET":
+            await released.wait()
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n")
+        writer.write(b"%04x" % (len(body) & 0xFFFF))
+
+    released = asyncio.Event()
+    body = b"q" * 150_000
+
+    async def scene() -> None:
+        stage.backend.script = together
+        caller = await Caller.connect(await stage.start())
+        for number in range(20):
+            caller.request(f"/{number}")
+        caller.request("/query", "POST", body)
+        await until(lambda: len(stage.backend.requests) >= 8)
+        released.set()
+        answers = [await caller.answer() for _ in range(21)]
+        assert [each.broken for each in answers] == [""] * 21
+        assert answers[-1].body == b"%04x" % (len(body) & 0xFFFF)
+        await stage.close()
+
+    run(scene())
+
+
 def test_head_has_the_length_and_no_body(stage: Stage) -> None:
     async def head_only(request: Received, writer: asyncio.StreamWriter) -> None:
         writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 42\r\n\r\n")
