A late reply to a request of an earlier term does not lengthen the lease

Cause: AppendReply and SnapshotReply carry the present term of their sender and the round of the request, and rounds are numbered anew in each term. A leader that was elected again took a reply to a request of its former term (round 500, say) for rounds that its peer had not seen, so the lease went on without a majority. It takes two links between two replicas.

--- a/src/peppershore/connection/messages/consensus.py
+++ b/src/peppershore/connection/messages/consensus.py
@@ -103,12 +103,15 @@
 
     If ``accepted``, the receiver's log up to ``last_index`` is durable and equal to the
     leader's; otherwise ``last_index`` is the highest index at which they may agree.
+    ``request_term`` is the term of the request, which ``round`` belongs to; 0 from a
+    replica of a version that does not tell it.
     """
 
     term: int
     accepted: bool
     last_index: int
     round: int
+    request_term: int = 0
 
 
 class SnapshotChunk(Message, frozen=True, tag=75):
@@ -125,12 +128,16 @@
 
 
 class SnapshotReply(Message, frozen=True, tag=76):
-    """The receiver holds the first ``received_bytes`` of the snapshot at ``index``."""
+    """The receiver holds the first ``received_bytes`` of the snapshot at ``index``.
+
+    ``request_term``: as in ``AppendReply``.
+    """
 
     term: int
     index: int
     received_bytes: int
     round: int
+    request_term: int = 0
 
 
 class ElectNow(Message, frozen=True, tag=77):
--- a/src/peppershore/process/consensus/following.py
+++ b/src/peppershore/process/consensus/following.py
@@ -47,35 +47,35 @@
         commit index.
         """
         core = self._core
-        if not self._accept_leader(leader, request.term, request.round, now):
+        if not self._accept_leader(leader, request, now):
             return
         previous = request.previous_index
         if previous < core.log.base_index:
-            self._reply(leader, True, core.commit_index, request.round)
+            self._reply(leader, True, core.commit_index, request)
             return
         if core.log.term_at(previous) != request.previous_term:
-            self._reply(leader, False, self._hint(previous), request.round)
+            self._reply(leader, False, self._hint(previous), request)
             return
         self._append_new(request.entries)
         last = previous + len(request.entries)
         core.commit_to(min(request.commit_index, last))
-        self._reply(leader, True, last, request.round)
+        self._reply(leader, True, last, request)
 
     def handle_chunk(self, leader: str, chunk: SnapshotChunk, now: float) -> None:
         """Store a snapshot chunk; install the snapshot once it is complete."""
         core = self._core
-        if not self._accept_leader(leader, chunk.term, chunk.round, now):
+        if not self._accept_leader(leader, chunk, now):
             return
         if chunk.index <= core.commit_index:
             self._incoming = None
-            self._reply(leader, True, core.commit_index, chunk.round)
+            self._reply(leader, True, core.commit_index, chunk)
             return
         incoming = self._incoming_for(chunk)
         if chunk.offset == len(incoming.data):
             incoming.data += chunk.data
         if len(incoming.data) < chunk.total_bytes:
             received = len(incoming.data)
-            reply = SnapshotReply(core.term, chunk.index, received, chunk.round)
+            reply = SnapshotReply(core.term, chunk.index, received, chunk.round, chunk.term)
             core.send_when_durable(leader, reply)
             return
         self._incoming = None
@@ -83,17 +83,19 @@
         core.install(
             StateSnapshot(incoming.index, incoming.term, incoming.membership, parts)
         )
-        self._reply(leader, True, chunk.index, chunk.round)
+        self._reply(leader, True, chunk.index, chunk)
 
-    def _accept_leader(self, leader: str, term: int, round_number: int, now: float) -> bool:
+    def _accept_leader(
+        self, leader: str, request: AppendRequest | SnapshotChunk, now: float
+    ) -> bool:
         core = self._core
         if core.disk_refused:
             return False
-        if term < core.term:
-            self._reply(leader, False, core.log.last_index, round_number)
+        if request.term < core.term:
+            self._reply(leader, False, core.log.last_index, request)
             return False
-        assert core.leadership is None or term > core.term
-        core.follow(leader, term, "another replica leads", now)
+        assert core.leadership is None or request.term > core.term
+        core.follow(leader, request.term, "another replica leads", now)
         return True
 
     def _incoming_for(self, chunk: SnapshotChunk) -> IncomingSnapshot:
@@ -128,8 +130,15 @@
         first = log.first_index_of_term_at(previous)
         return max(first - 1, self._core.commit_index)
 
-    def _reply(self, leader: str, accepted: bool, index: int, round_number: int) -> None:
+    def _reply(
+        self,
+        leader: str,
+        accepted: bool,
+        index: int,
+        request: AppendRequest | SnapshotChunk,
+    ) -> None:
         core = self._core
         core.send_when_durable(
-            leader, AppendReply(core.term, accepted, index, round_number)
+            leader,
+            AppendReply(core.term, accepted, index, request.round, request.term),
         )
--- a/src/peppershore/process/consensus/leadership.py
+++ b/src/peppershore/process/consensus/leadership.py
@@ -24,6 +24,9 @@
 CLOCK_DRIFT_BOUND = 0.05
 """Largest rate error of a replica's monotonic clock, fast or slow, as a fraction."""
 
+TERM_NOT_TOLD = 0
+"""``request_term`` of a reply from a replica of a version that does not tell it."""
+
 LEASE_FRACTION = (1 - CLOCK_DRIFT_BOUND) / (1 + CLOCK_DRIFT_BOUND)
 """Length of a leader's lease, as a fraction of the election timeout."""
 
@@ -100,7 +103,7 @@
         peer = self._current_peers().get(name)
         if peer is None:
             return
-        peer.record_round(reply.round)
+        self._record_round(peer, reply)
         if reply.accepted:
             peer.record_match(reply.last_index)
         else:
@@ -114,13 +117,22 @@
         peer = self._current_peers().get(name)
         if peer is None:
             return
-        peer.record_round(reply.round)
+        self._record_round(peer, reply)
         self._process_acknowledgements()
         if peer.snapshot is None or peer.snapshot.index != reply.index:
             return
         if peer.record_received_bytes(reply.received_bytes):
             self._send_snapshot(peer)
 
+    def _record_round(self, peer: PeerProgress, reply: AppendReply | SnapshotReply) -> None:
+        """Count a reply for the rounds up to its own, if that is a round of this term.
+
+        Rounds begin anew with each term: a late reply to a request of an earlier term would
+        confirm rounds that the peer has not seen, and so lengthen the lease.
+        """
+        if reply.request_term in (self._core.term, TERM_NOT_TOLD):
+            peer.record_round(reply.round)
+
     def peer_link_changed(self, name: str) -> None:
         """Probe a peer again whose link opened or closed: sent messages may be lost."""
         peer = self._peers.get(name)
