--- a/src/peppershore_lab/soak/back_end.py
+++ b/src/peppershore_lab/soak/back_end.py
@@ -25,6 +25,7 @@
     LimitNamed,
     PoisonRan,
     Record,
+    RequestArrived,
     RunBegan,
     WordAnswered,
 )
@@ -34,6 +35,7 @@
 HEARTBEAT_SECONDS = 0.3
 REPORT_SECONDS = 1.0
 MISDIRECTED = 421
+STATUS_FAILED = 500
 SHORTEST_WORK_SECONDS, LONGEST_WORK_SECONDS = 0.002, 0.3
 SHORTEST_DOWN_SECONDS, LONGEST_DOWN_SECONDS = 0.8, 2.0
 """Time after which a crashed back end is back, as another incarnation."""
@@ -88,6 +90,9 @@
         self._beats: asyncio.Task[None] | None = None
         self._callers: set[asyncio.StreamWriter] = set()
         self._return: asyncio.Task[None] | None = None
+        self.failed_share = 0.0
+        """Share of the requests that it runs and answers with an error."""
+        self._failures = Random(f"{seed}/failures")
         self._ended_at: dict[int, float] = {}
         self._needs: dict[str, str] = {}
 
@@ -274,6 +279,8 @@
         name = request.headers.get(settings.REQUEST_ID, "")
         expected = request.headers.get(settings.EXPECTED_INSTANCE, self._instance)
         own = ((settings.REQUEST_ID, name),)
+        arrived = RequestArrived(name, self._node, time.monotonic())
+        self._record.arrivals.append(arrived)
         if expected != self._instance:
             return HttpAnswer(MISDIRECTED, b"", (*own, (settings.NOT_RUN, "1")))
         if POISON in request.target:
@@ -284,7 +291,9 @@
         work = self._random.uniform(SHORTEST_WORK_SECONDS, LONGEST_WORK_SECONDS)
         await asyncio.sleep(work * self._random.random())
         signed = (*own, (settings.SIGNATURE, self._instance), *self._needs.items())
-        return HttpAnswer(STATUS_OK, answer_body(name, len(request.body)), signed)
+        failed = self._failures.random() < self.failed_share
+        status = STATUS_FAILED if failed else STATUS_OK
+        return HttpAnswer(status, answer_body(name, len(request.body)), signed)
 
     def _note_run(self, name: str, request: HttpRequest) -> None:
         ran = RunBegan(
--- a/src/peppershore_lab/soak/checks.py
+++ b/src/peppershore_lab/soak/checks.py
@@ -19,6 +19,7 @@
     RequestEnded,
     Violation,
 )
+from peppershore_lab.soak.repeat_checks import REPEAT_CHECKS
 from peppershore_lab.soak.tenant_checks import TENANT_CHECKS
 
 LEAVING_SECONDS = 3.0
@@ -238,6 +239,7 @@
     processes_do_not_end,
     *TENANT_CHECKS,
     *NEED_CHECKS,
+    *REPEAT_CHECKS,
 )
 
 
--- a/src/peppershore_lab/soak/observations.py
+++ b/src/peppershore_lab/soak/observations.py
@@ -46,6 +46,14 @@
     has_key: bool = False
 
 
+class RequestArrived(msgspec.Struct, frozen=True):
+    """A request reached a back end, which ran or refused it."""
+
+    request: str
+    node: str
+    at: float
+
+
 class PoisonRan(msgspec.Struct, frozen=True):
     """A back end began a request that crashes it, and crashed."""
 
@@ -156,6 +164,7 @@
 
     requests: list[RequestEnded] = []
     runs: list[RunBegan] = []
+    arrivals: list[RequestArrived] = []
     poison: list[PoisonRan] = []
     leavings: list[LeavingAcknowledged] = []
     limits: list[LimitNamed] = []
--- a/src/peppershore_lab/soak/runner.py
+++ b/src/peppershore_lab/soak/runner.py
@@ -16,6 +16,7 @@
 from peppershore_lab.soak.callers import Callers
 from peppershore_lab.soak.checks import find_violations
 from peppershore_lab.soak.configurations import SERVICES
+from peppershore_lab.soak.failures import Failures
 from peppershore_lab.soak.faults import draw_faults
 from peppershore_lab.soak.injector import Injector
 from peppershore_lab.soak.machines import Machine, Site
@@ -63,6 +64,7 @@
     refused: int
     broken: int
     runs: int
+    repeats: int
     changes: int
     acknowledged: int
     reads: int
@@ -129,8 +131,10 @@
         callers = tuple(self._callers.values())
         poison = PoisonCallers(callers, self._plan.poison, self._plan.seed)
         needs = Needs(self._called_back_ends, self._plan.needs, self._plan.seed)
+        failures = Failures(self._called_back_ends, self._plan.seed)
         work = [
             asyncio.create_task(needs.run()),
+            asyncio.create_task(failures.run()),
             asyncio.create_task(self._operators.run()),
             asyncio.create_task(self._watch_processes()),
             asyncio.create_task(poison.run(self._plan.seconds)),
@@ -225,6 +229,7 @@
             refused=sum(each.status > STATUS_OK for each in record.requests),
             broken=sum(each.status == 0 for each in record.requests),
             runs=len(record.runs),
+            repeats=len(record.arrivals) - len({each.request for each in record.arrivals}),
             changes=len(record.changes),
             acknowledged=sum(each.status == STATUS_OK for each in record.changes),
             reads=len(record.reads),
--- a/src/peppershore_lab/soak/settings.py
+++ b/src/peppershore_lab/soak/settings.py
@@ -96,7 +96,7 @@
 [shared_retries]
 ratio = 0.2
 window_seconds = 10.0
-slack = 60
+slack = 20
 {QUOTAS}"""
 
 
--- a/tests/soak/test_soak_checks.py
+++ b/tests/soak/test_soak_checks.py
@@ -18,6 +18,7 @@
     PoisonRan,
     ProcessEnded,
     Record,
+    RequestArrived,
     RequestEnded,
     RunBegan,
     WordAnswered,
@@ -89,6 +90,11 @@
 RESTARTED = Disturbance("kill", "node-1", 12.0, 12.5, planned=False)
 
 BROKEN = {
+    "repeats-in-bound": changed(
+        arrivals=[
+            RequestArrived("s-1", "node-2", 10.0 + number / 100) for number in range(23)
+        ],
+    ),
     "rate-limit": changed(requests=LIMITED, runs=LIMITED_RUNS, limits=[NAMED]),
     "answered-leaving": changed(
         requests=LIMITED, runs=LIMITED_RUNS, answered_leavings=[LEFT]
