A connection to a back end is read again after an answer that ended while reading was paused

Cause: a slow reader pauses the connection in the middle of a batch; when the end of the answer is in the same batch, nobody resumes it, and it goes back to the pool unread. The end of an exchange resumes it now.

--- a/src/peppershore/connection/http_client.py
+++ b/src/peppershore/connection/http_client.py
@@ -354,6 +354,7 @@
         on_free = self._on_free
         self._on_free = None
         self._make_reusable()
+        self.resume_reading()
         if on_free is not None:
             on_free(self)
         sink.answer_ended(trailers)
