--- a/src/peppershore/connection/http_head.py
+++ b/src/peppershore/connection/http_head.py
@@ -18,7 +18,11 @@
 """Header fields as pairs of lower-case name and value, in their original order."""
 
 MAX_HEAD_BYTES = 32 * 1024
-MAX_HEADER_FIELDS = 100
+"""Longest head of an answer, and of a request while no other bound is configured."""
+
+MAX_REQUEST_LINE_BYTES = 8 * 1024
+"""What the request line may add to the configured bound on the header of a request."""
+
 HEAD_END = b"\r\n\r\n"
 LINE_END = b"\r\n"
 
@@ -145,15 +149,17 @@
     return b""
 
 
-def check_request_head(received: bytes) -> Result[bool, HeadProblem]:
-    """Check the raw bytes of a request head, as far as received.
+def check_request_head(
+    received: bytes, max_bytes: int = MAX_HEAD_BYTES
+) -> Result[bool, HeadProblem]:
+    """Check the raw bytes of a request head of at most ``max_bytes``, as far as received.
 
     Return Success(False) for a head that is incomplete so far, and Success(True) for a
     complete head whose message boundaries all parsers read in the same way.
     """
     end = received.find(HEAD_END)
     head = received if end < 0 else received[: end + len(HEAD_END)]
-    if len(head) > MAX_HEAD_BYTES:
+    if len(head) > max_bytes:
         return Failure(HeadProblem(STATUS_HEAD_TOO_LARGE, "head-too-large"))
     if end < 0:
         return _check_partial(head)
@@ -184,8 +190,6 @@
         return Failure(HeadProblem(STATUS_BAD_REQUEST, "bare-line-feed"))
     if head.count(b"\r") != line_ends:
         return Failure(HeadProblem(STATUS_BAD_REQUEST, "bare-carriage-return"))
-    if line_ends > MAX_HEADER_FIELDS:
-        return Failure(HeadProblem(STATUS_HEAD_TOO_LARGE, "too-many-fields"))
     if b"\x00" in head:
         return Failure(HeadProblem(STATUS_BAD_REQUEST, "null-byte"))
     if _FOLDED_LINE.search(head):
--- a/src/peppershore/connection/http_server.py
+++ b/src/peppershore/connection/http_server.py
@@ -18,7 +18,6 @@
 from returns.result import Failure
 
 from peppershore.connection.http_head import (
-    MAX_HEAD_BYTES,
     STATUS_BAD_REQUEST,
     HeadProblem,
     RequestHead,
@@ -45,6 +44,10 @@
 
     draining: bool
 
+    @property
+    def max_head_bytes(self) -> int:
+        """Longest head of a request, in bytes."""
+
     def request_received(self, exchange: ServerExchange, head: RequestHead) -> RequestSink:
         """Create a call; return its sink, which receives the rest of the request."""
 
@@ -202,7 +205,8 @@
     def _begin_requests(self) -> None:
         while self._unparsed and self._may_begin() and self._begin_request():
             pass
-        self._pipeline_paused = len(self._unparsed) > MAX_PIPELINED_BYTES
+        most = max(MAX_PIPELINED_BYTES, self._owner.max_head_bytes)
+        self._pipeline_paused = len(self._unparsed) > most
         self._apply_pauses()
 
     def _may_begin(self) -> bool:
@@ -223,13 +227,14 @@
 
         That is so if its head is incomplete or malformed, or if it has to wait.
         """
-        checked = check_request_head(self._unparsed)
+        max_bytes = self._owner.max_head_bytes
+        checked = check_request_head(self._unparsed, max_bytes)
         if isinstance(checked, Failure):
             self._refuse(checked.failure())
             return False
         if not checked.unwrap():
             return False
-        http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
         http.receive_data(self._unparsed)
         try:
             event = http.next_event()
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -11,7 +11,12 @@
 
 from peppershore.connection.authorization import Authorize, allow_all
 from peppershore.connection.head_packing import is_worth_it
-from peppershore.connection.http_head import HeadProblem, RequestHead
+from peppershore.connection.http_head import (
+    MAX_HEAD_BYTES,
+    MAX_REQUEST_LINE_BYTES,
+    HeadProblem,
+    RequestHead,
+)
 from peppershore.connection.http_listener import HttpListener
 from peppershore.connection.http_server import (
     RequestSink,
@@ -325,6 +330,14 @@
         self._caller_seen_at = self._loop.time()
         return Call(self.calls, exchange, head)
 
+    @property
+    def max_head_bytes(self) -> int:
+        """Longest head of a caller's request in bytes, by the configuration in use."""
+        settings = self._own_settings
+        if settings is None:
+            return MAX_HEAD_BYTES
+        return settings.max_header_bytes + MAX_REQUEST_LINE_BYTES
+
     def is_safe_to_retry(self, head: RequestHead) -> bool:
         """Return whether the route of a request declares it safe to retry."""
         return self.calls.is_safe_to_retry(head)
@@ -381,12 +394,17 @@
     @property
     def _idle_seconds(self) -> float:
         """Idle time-out of callers' connections, from the configuration if there is one."""
-        active = self.calls.configuration
-        settings = None if active is None else active.services.get(self._settings.service)
+        settings = self._own_settings
         if settings is None:
             return IDLE_SECONDS
         return settings.idle_timeout_milliseconds / MILLISECONDS
 
+    @property
+    def _own_settings(self) -> ServiceSettings | None:
+        """Settings of this node's service; None as long as no configuration has them."""
+        active = self.calls.configuration
+        return None if active is None else active.services.get(self._settings.service)
+
     def _close_idle(self, seconds: float) -> None:
         now = self._loop.time()
         for connection in list(self._connections):
--- a/tests/http/test_http_exchanges.py
+++ b/tests/http/test_http_exchanges.py
@@ -9,10 +9,12 @@
 from tests.data_plane.scripted_backend import Received, ScriptedBackend, answer_ok
 from tests.data_plane.stage import (
     PUBLIC_ROUTE,
+    QUICK_SERVICE,
     Answer,
     Caller,
     Node,
     call,
+    configuration,
     endpoint,
     run,
     until,
@@ -94,6 +96,32 @@
     run(scene())
 
 
+@pytest.mark.parametrize(
+    ("fields", "value_bytes", "status"),
+    [(101, 1, 200), (5_000, 1, 200), (70, 900, 200), (84, 900, 431), (1, 90_000, 431)],
+)
+def test_a_head_within_the_configured_bound_is_accepted(
+    fields: int, value_bytes: int, status: int
+) -> None:
+    """Proper requests with more than 100 fields or over 32 KiB were refused for good."""
+
+    async def scene() -> None:
+        stage = Stage("owner")
+        await stage.start()
+        bound = msgspec.structs.replace(QUICK_SERVICE, max_header_bytes=65_536)
+        active = configuration(msgspec.structs.replace(PUBLIC_ROUTE, hop="owner"))
+        services = {**active.services, "edge": bound}
+        stage.edge.plane.use_configuration(
+            msgspec.structs.replace(active, services=services)
+        )
+        headers = {f"x{number}": "v" * value_bytes for number in range(fields)}
+        answer = await call(stage.edge.addresses.callers, headers=headers)
+        assert answer.status == status
+        await stage.close()
+
+    run(scene())
+
+
 def test_large_body_passes_both_ways(stage: Stage) -> None:
     async def scene() -> None:
         body = bytes(range(256)) * (LARGE_BODY_BYTES // 256)
--- a/tests/platform_adapter/test_adapter.py
+++ b/tests/platform_adapter/test_adapter.py
@@ -83,6 +83,13 @@
     assert 1.5 <= stop_bound_seconds(settings) < 2.5
 
 
+def test_a_request_with_a_key_field_is_sent_on_where_no_claims_are_kept() -> None:
+    """An unsafe request with an idempotency key was always answered 503."""
+    settings = parse_settings(NodeSettings, filled("node", FILLED), {}).unwrap()
+    assert settings.claims == ()
+    assert settings.forward_unclaimed_keys
+
+
 @pytest.mark.parametrize(
     ("drain", "seconds"), [("2000", 1.0), ("500", 0.25), ("1333.33", 0.666665)]
 )
