--- a/src/peppershore_lab/soak/repeat_checks.py
+++ b/src/peppershore_lab/soak/repeat_checks.py
@@ -8,8 +8,8 @@
 from peppershore_lab.soak.observations import Record, Violation
 
 WINDOW_SECONDS = 10.0
-RATIO = 0.2
-SLACK = 20
+RATIO = 0.02
+SLACK = 6
 """In any window at most ``RATIO`` times the requests that callers sent, and ``SLACK`` more,
 arrive at the back ends of the service beyond the first arrival of their request. Requests
 are counted in the fullest of the window, the one half a window earlier, and the one
--- a/src/peppershore_lab/soak/settings.py
+++ b/src/peppershore_lab/soak/settings.py
@@ -94,9 +94,9 @@
 fractional_retry_after = true
 
 [shared_retries]
-ratio = 0.2
+ratio = 0.02
 window_seconds = 10.0
-slack = 20
+slack = 6
 {QUOTAS}"""
 
 
