--- a/src/peppershore_lab/soak/back_end.py
+++ b/src/peppershore_lab/soak/back_end.py
@@ -44,6 +44,11 @@
 KEEPS_NAME = 0.5
 """Share of back ends whose incarnations all have one name; the others rename each."""
 
+LATE_HEARTBEATS = 0.5
+"""Share of incarnations of which a heartbeat arrives after the next one has begun."""
+
+SHORTEST_DELAY_SECONDS, LONGEST_DELAY_SECONDS = 0.1, 4.0
+
 UNREADABLE = 0.1
 """Share of heartbeats that are followed by a malformed one."""
 
@@ -79,6 +84,8 @@
         self._instance = f"{node}-1"
         self._keeps_name = Random(f"{seed}/name").random() < KEEPS_NAME
         self._words = Random(f"{seed}/words")
+        self._delays = Random(f"{seed}/delays")
+        self._late: set[asyncio.Task[None]] = set()
         self._born_at = 0.0
         self._born = 0
         self._lives = 1
@@ -108,6 +115,8 @@
         self._note_end()
         if self._return is not None:
             self._return.cancel()
+        for task in self._late:
+            task.cancel()
         if self._beats is not None:
             self._beats.cancel()
             with contextlib.suppress(asyncio.CancelledError):
@@ -186,8 +195,24 @@
         self._note_birth()
         if self._keeps_name:
             self._sequence = 0
-        else:
-            self._instance = f"{self._node}-{self._lives}"
+            return
+        if self._delays.random() < LATE_HEARTBEATS:
+            self._delay_heartbeat()
+        self._instance = f"{self._node}-{self._lives}"
+
+    def _delay_heartbeat(self) -> None:
+        """Let a heartbeat of the incarnation that ends arrive late."""
+        self._sequence += 1
+        delay = self._delays.uniform(SHORTEST_DELAY_SECONDS, LONGEST_DELAY_SECONDS)
+        body = self._heartbeat(READY)
+        task = asyncio.create_task(self._send_late(self._instance, body, delay))
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+    async def _send_late(self, instance: str, body: bytes, delay: float) -> None:
+        await asyncio.sleep(delay)
+        async with self._reporting:
+            await self._ask(body, instance)
 
     def _note_birth(self) -> None:
         self._born_at = time.monotonic()
@@ -252,21 +277,28 @@
         """Send one heartbeat; return whether it was acknowledged."""
         async with self._reporting:
             self._sequence += 1
-            body = {
-                "service": self._service,
-                "address": f"{self._host}:{settings.APPLICATION_PORT}",
-                "slots": SLOTS,
-                "warming_milliseconds": 0,
-                "state": self._state,
-                "sequence": self._sequence,
-                "born": self._born,
-            }
-            answer = await self._ask(msgspec.json.encode(body))
+            answer = await self._ask(self._heartbeat(self._state))
             return answer is not None and answer.status == STATUS_OK
 
-    async def _ask(self, body: bytes) -> ClientAnswer | None:
-        """Send one report to the node; return None if no answer came."""
-        path = f"/back-ends/{self._instance}/heartbeat"
+    def _heartbeat(self, state: str) -> bytes:
+        """Return a heartbeat; one that has a name for each incarnation tells no birth."""
+        body = {
+            "service": self._service,
+            "address": f"{self._host}:{settings.APPLICATION_PORT}",
+            "slots": SLOTS,
+            "warming_milliseconds": 0,
+            "state": state,
+            "sequence": self._sequence,
+            "born": self._born if self._keeps_name else 0,
+        }
+        return msgspec.json.encode(body)
+
+    async def _ask(self, body: bytes, instance: str = "") -> ClientAnswer | None:
+        """Send one report to the node, of the current incarnation unless another is named.
+
+        Return None if no answer came.
+        """
+        path = f"/back-ends/{instance or self._instance}/heartbeat"
         request = ClientRequest("POST", path, (), body)
         try:
             async with asyncio.timeout(REPORT_SECONDS):
