--- a/src/peppershore/process/node/data/calls.py
+++ b/src/peppershore/process/node/data/calls.py
@@ -182,7 +182,7 @@
         """Replace the live endpoints; drop the connections and links to all others."""
         self.retries.use_nodes(len({each.node for each in endpoints}), self.loop.time())
         if self.own is not None:
-            self.own.use_endpoints(endpoints)
+            self.own.repeats.use_endpoints(endpoints, self.loop.time())
         self._pools.keep_only(endpoints)
         self._links.keep_only(frozenset(endpoint.owner_address for endpoint in endpoints))
         self.admissions.use_endpoints(endpoints)
--- a/src/peppershore/process/node/data/local_attempt.py
+++ b/src/peppershore/process/node/data/local_attempt.py
@@ -206,7 +206,7 @@
             self._timer.cancel()
         refusal = self._backend.quarantine.refusal_here(self._request.fingerprint)
         if refusal is None:
-            refusal = self._backend.charge(self._request.send_kind)
+            refusal = self._backend.repeats.charge(self._request.send_kind, loop.time())
         if refusal is not None:
             self._end(None)
             self._sink.attempt_failed(refusal)
@@ -282,7 +282,8 @@
 
     def attempt_begun(self) -> None:
         """Start sending the body: the back end is connected."""
-        self._backend.call_arrived(self._request.send_kind)
+        now = asyncio.get_running_loop().time()
+        self._backend.repeats.arrived(self._request.send_kind, now)
         self._sink.attempt_begun()
 
     def _head_received(self, head: AnswerHead) -> None:
--- a/src/peppershore/process/node/data/local_back_end.py
+++ b/src/peppershore/process/node/data/local_back_end.py
@@ -32,6 +32,7 @@
 from peppershore.process.node.data.call_story import ServedRecord
 from peppershore.process.node.data.crash_watch import CrashWatch
 from peppershore.process.node.data.direct_attempt import BackEndTerms
+from peppershore.process.node.data.granted_repeats import GrantedRepeats
 from peppershore.process.node.data.large_answers import LargeAnswers
 from peppershore.process.node.data.quarantine_gate import QuarantineGate
 from peppershore.process.node.data.waiting_attempt import WaitingAttempt
@@ -52,12 +53,10 @@
     STATUS_MISDIRECTED,
     STATUS_UNAVAILABLE,
     NotRun,
-    unpaid,
 )
 from peppershore.request.picker import RandomSource
 from peppershore.request.running_calls import RunningCalls
-from peppershore.request.send_kind import ArrivalCounts, SendKind
-from peppershore.request.shared_retries import RetryBound, SharedRetryBudget
+from peppershore.request.shared_retries import RetryBound
 from peppershore.request.tenants.weights import ConfiguredWeights
 from peppershore.request.version_evidence import VersionEvidence
 from peppershore.request.waiting import Ticket
@@ -116,8 +115,6 @@
         self.transfers = transfers or BodyTransfers()
         self.evidence = VersionEvidence()
         self.report = LocalReport()
-        self.arrivals = ArrivalCounts()
-        """Sends that reached the back end since the start of this process."""
         self.refused_while_slow = 0
         """Number of calls refused while the machine was slow, so that they go elsewhere."""
         self._warm_at = 0.0
@@ -136,9 +133,7 @@
         self._node = endpoint.node
         now = asyncio.get_running_loop().time()
         self._started_at = now
-        self._retry_budget = (
-            None if retry_bound is None else SharedRetryBudget(retry_bound, now)
-        )
+        self.repeats = GrantedRepeats(endpoint.service, retry_bound, now)
         self.admission = Admission(
             endpoint.service,
             settings,
@@ -210,40 +205,6 @@
         """Record that a call is sent to the back end now."""
         self.need.rate_limit.sent(asyncio.get_running_loop().time())
 
-    def call_arrived(self, kind: SendKind) -> None:
-        """Record that a call has reached the back end."""
-        self.arrivals.add(kind)
-        if kind == "first" and self._retry_budget is not None:
-            self._retry_budget.first_arrived(asyncio.get_running_loop().time())
-
-    def charge(self, kind: SendKind) -> NotRun | None:
-        """Charge a send to the retry budget; return the refusal if it is not covered."""
-        if kind == "first" or self._retry_budget is None:
-            return None
-        if self._retry_budget.spend(asyncio.get_running_loop().time()):
-            return None
-        self.arrivals.unpaid += 1
-        return unpaid()
-
-    def use_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
-        """Use the number of known back ends of this service, which share the budget."""
-        if self._retry_budget is not None:
-            nodes = {each.node for each in endpoints if each.service == self.service}
-            now = asyncio.get_running_loop().time()
-            self._retry_budget.share_among(len(nodes), now)
-
-    @property
-    def retry_sharers(self) -> int:
-        """Number of nodes by which the slack of the retry bound is divided."""
-        if self._retry_budget is None:
-            return 0
-        return self._retry_budget.sharers(asyncio.get_running_loop().time())
-
-    def _is_unpaid(self, kind: SendKind, now: float) -> bool:
-        if kind == "first" or self._retry_budget is None:
-            return False
-        return not self._retry_budget.has_room(now)
-
     def calls_sent_before(self, by_age: Sequence[int]) -> None:
         """Count the calls that a peer sent before this process started, by their age."""
         now = asyncio.get_running_loop().time()
@@ -451,9 +412,9 @@
         if refusal is not None:
             return refusal
         now = asyncio.get_running_loop().time()
-        if self._is_unpaid(request.send_kind, now):
-            self.arrivals.unpaid += 1
-            return unpaid()
+        unpaid = self.repeats.refusal(request.send_kind, now)
+        if unpaid is not None:
+            return unpaid
         self._set_limit(now)
         ticket = Ticket(
             next(self._ticket_numbers),
@@ -483,7 +444,7 @@
         caller must then call ``end_prefetch`` once.
         """
         now = asyncio.get_running_loop().time()
-        if self._refusal(request) or self._is_unpaid(request.send_kind, now):
+        if self._refusal(request) or not self.repeats.covers(request.send_kind, now):
             return False
         admission = self.admission
         if self.need.rate_limit.room(now) <= self._prefetches.coming:
--- a/src/peppershore/process/node/data_plane.py
+++ b/src/peppershore/process/node/data_plane.py
@@ -316,7 +316,7 @@
     @property
     def arrivals(self) -> ArrivalCounts:
         """Sends that reached the local back end since the start; none without one."""
-        return ArrivalCounts() if self._own is None else self._own.arrivals
+        return ArrivalCounts() if self._own is None else self._own.repeats.arrivals
 
     @property
     def streams_served(self) -> int:
@@ -387,7 +387,8 @@
             self.on_evidence(evidence.began_milliseconds, routes)
 
     def _report_arrivals(self, own: LocalBackEnd, now: float) -> None:
-        notice = self._arrival_report.take(own.arrivals, own.retry_sharers, now)
+        repeats = own.repeats
+        notice = self._arrival_report.take(repeats.arrivals, repeats.sharers(now), now)
         if notice is not None:
             self._notice_sink(notice)
 
