A hub that ends before the group is founded continues after its restart

Cause: only a hub whose settings say that this is the cluster's very first start may found, and the settings of its second start don't say so. Each hub stores the seeds of the first start beside its log now and goes on with them while its log is blank. All founders keep one list, and their stores keep their identities, so nothing is founded that the first process would not have founded; a hub without the record, as with an empty disk, founds nothing.

--- a/src/peppershore/process/hub/plan.py
+++ b/src/peppershore/process/hub/plan.py
@@ -35,17 +35,18 @@
     relay: RelaySettings
 
 
-def plan_hub(settings: HubSettings) -> HubPlan:
+def plan_hub(settings: HubSettings, founding: tuple[str, ...]) -> HubPlan:
     """Return the settings of the hub's control replica and of its relay.
 
-    ``seeds`` are addresses of hubs. On the first start of a cluster, the replicas of these
-    hubs are the founding members of the group; they are the same on all hubs. A replica
-    that is not among them or starts later waits to be admitted to the group.
+    ``seeds`` are addresses of hubs. ``founding`` are the addresses of the replicas that
+    found the group, the seeds at the first start of a cluster; they are the same on all
+    hubs, and empty on one that has not seen that start. A replica that is not among them
+    waits to be admitted to the group.
     """
     address = f"{settings.host}:{settings.replica_port}"
     seeds = seed_addresses(settings.seeds, settings.replica_port)
-    founds = settings.first_start and address in seeds
-    founders = tuple(PeerReplica(name=seed, address=seed) for seed in seeds)
+    founds = address in founding
+    founders = tuple(PeerReplica(name=each, address=each) for each in founding)
     control = ControlSettings(
         cluster=settings.cluster,
         replica=address,
--- a/src/peppershore/process/hub/shell.py
+++ b/src/peppershore/process/hub/shell.py
@@ -18,6 +18,7 @@
 from peppershore.process.control.rollout_orders import RolloutAnswered
 from peppershore.process.http_service import HttpService, ServiceAnswer, ServiceRequest
 from peppershore.process.hub.configuration_api import MAX_BODY_BYTES, ConfigurationApi
+from peppershore.process.hub.founding_record import FoundingRecord
 from peppershore.process.hub.plan import HubPlan, plan_hub, relay_name
 from peppershore.process.hub.rollout_api import ROOT as ROLLOUTS
 from peppershore.process.hub.rollout_api import RolloutApi
@@ -48,10 +49,14 @@
         Raises SystemExit if the store cannot be used.
         """
         self._settings = settings
-        self._plan = plan_hub(settings)
+        record = FoundingRecord(settings)
+        self._founding = record.founders()
+        self._plan = plan_hub(settings, self._founding)
         self._process = _control_process(self._plan)
         security = LinkSecurity("relay", settings.relay_tls)
         notice_sink = self._process.metrics.notice
+        if record.problem is not None:
+            notice_sink(record.problem)
         self._keeper = QuarantineKeeper(settings.data_folder, settings.cluster, notice_sink)
         core = RelayCore(self._plan.relay, self._keeper.load(), keeps_quarantine=True)
         self._relay = Shell(
@@ -105,7 +110,7 @@
 
     def reload(self, settings: HubSettings) -> None:
         """Apply changed settings, of which only ``seeds`` is used."""
-        plan = plan_hub(settings)
+        plan = plan_hub(settings, self._founding)
         self._process.shell.dispatch(SeedsChanged(plan.control.seeds))
 
     def _watch_members(self) -> None:
