Read-through: silence of a back end that returned counts from its own heartbeat

An incarnation that returned because the other one was refused counted as heard at that moment; silence counts from its last heartbeat now (test with 8 s of silence).

--- a/src/peppershore/process/hub/founding_record.py
+++ b/src/peppershore/process/hub/founding_record.py
@@ -50,7 +50,7 @@
         if not self._settings.first_start:
             return self._stored()
         settings = self._settings
-        seeds = tuple(seed_addresses(settings.seeds, settings.replica_port))
+        seeds = seed_addresses(settings.seeds, settings.replica_port)
         try:
             self._file.save(seeds)
         except OSError as problem:
--- a/src/peppershore/process/node/back_end_reports.py
+++ b/src/peppershore/process/node/back_end_reports.py
@@ -104,7 +104,7 @@
 class _Heard(msgspec.Struct):
     """The last heartbeat of an incarnation, which came at ``at`` (monotonic seconds).
 
-    ``view`` is the state that it gave the back end. ``unanswered`` counts its heartbeats
+    ``view`` is the state that it gave the back end. ``since_current`` counts its heartbeats
     since the last one of the current incarnation. ``is_refuted``: since this heartbeat the
     back end has shown that another incarnation is there.
     """
@@ -112,7 +112,7 @@
     view: BackEndView
     sequence: int
     at: float
-    unanswered: int = 0
+    since_current: int = 0
     is_refuted: bool = False
 
 
@@ -145,7 +145,7 @@
         is_current = report.life == self.view.life
         if not (is_new or is_current or self._may_return(heard)):
             return False
-        return self._make_current(heard, now)
+        return self._make_current(heard)
 
     def reason_not_used(self, report: BackEndReport) -> str:
         """Return why ``apply`` does not use a heartbeat; "" if it uses it.
@@ -156,7 +156,7 @@
         heard = self._heard.get(report.life)
         if reason or heard is None or report.life == self.view.life:
             return reason
-        after = msgspec.structs.replace(heard, unanswered=heard.unanswered + 1)
+        after = msgspec.structs.replace(heard, since_current=heard.since_current + 1)
         return "" if self._may_return(after) else REPLACED
 
     def mark_leaving(self, instance: str, born: int = START_UNKNOWN) -> bool:
@@ -204,7 +204,7 @@
         ]
         if not others:
             return self.mark_unreachable(life)
-        return self._make_current(max(others, key=lambda heard: heard.at), now)
+        return self._make_current(max(others, key=lambda heard: heard.at))
 
     def overtaken(self, born: int) -> bool:
         """Record that other nodes know of an incarnation of this back end.
@@ -249,7 +249,7 @@
         """Report whether a replaced incarnation becomes the current one again."""
         return (
             self.view.state == STATE_GONE
-            or heard.unanswered >= HEARTBEATS_TO_RETURN
+            or heard.since_current >= HEARTBEATS_TO_RETURN
             or START_UNKNOWN < self.view.born < heard.view.born
         )
 
@@ -275,17 +275,17 @@
             born=report.born,
             version=report.version if before is None else before.view.version,
         )
-        unanswered = 0 if before is None else before.unanswered + 1
-        heard = _Heard(view, report.sequence, now, unanswered)
+        since_current = 0 if before is None else before.since_current + 1
+        heard = _Heard(view, report.sequence, now, since_current)
         self._heard[life] = heard
         self._forget_oldest()
         return heard
 
-    def _make_current(self, heard: _Heard, now: float) -> bool:
-        """Use what an incarnation reported; the others have to prove themselves again."""
-        self._last_report_at = now
+    def _make_current(self, heard: _Heard) -> bool:
+        """Use what an incarnation reported last; count the others' heartbeats anew."""
+        self._last_report_at = heard.at
         for other in self._heard.values():
-            other.unanswered = 0
+            other.since_current = 0
         return self._replace_view(heard.view)
 
     def _replace_view(self, view: BackEndView) -> bool:
--- a/tests/node/test_late_heartbeats.py
+++ b/tests/node/test_late_heartbeats.py
@@ -102,6 +102,16 @@
     assert known.view.state == "gone"
 
 
+def test_one_that_returned_by_a_refusal_is_silent_since_its_own_heartbeat() -> None:
+    known = reports()
+    known.apply(report("living", 5), 0.0)
+    known.apply(report("dead", 40), 5.0)
+    known.mark_replaced("dead", 5.1)
+    assert state(known) == ("living", "ready")
+    assert known.tick(SILENT_SECONDS)
+    assert state(known) == ("living", "gone")
+
+
 def test_a_silent_one_does_not_return_by_a_refusal() -> None:
     known = reports()
     known.apply(report("old", 5), 0.0)
