The history of known back ends is trimmed as it grows

Each change of the number of back ends was remembered, and forgotten only when a repeat was asked for: a caller's node without repeats to back ends that have no node kept every change. It is trimmed at each change now; what is granted stays the same.

--- a/src/peppershore/request/shared_retries.py
+++ b/src/peppershore/request/shared_retries.py
@@ -58,12 +58,16 @@
         if value != self._current:
             self._replaced.append((now, self._current))
             self._current = value
+            self._forget(now)
 
     def peak(self, now: float) -> int:
         """Return the largest value that held at some time in the period."""
+        self._forget(now)
+        return max(self._current, *(value for _, value in self._replaced), 0)
+
+    def _forget(self, now: float) -> None:
         while self._replaced and self._replaced[0][0] < now - self._seconds:
             self._replaced.popleft()
-        return max(self._current, *(value for _, value in self._replaced), 0)
 
 
 class SharedRetryBudget:
