--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -599,11 +599,15 @@
         if self.heartbeats:
             self._beat = asyncio.create_task(self._send_beats())
 
+    def stop_beats(self):
+        """Send no more heartbeats by itself."""
+        if self._beat is not None:
+            self._beat.cancel()
+
     def crash(self, what="crashes"):
         """End at once, without a word; connections are reset."""
         self.record.line(f"upstream {self.name} {what}")
-        if self._beat is not None:
-            self._beat.cancel()
+        self.stop_beats()
         if self._server is not None:
             self._server.close()
         for task, writer in list(self._tasks):
