--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -733,6 +733,10 @@
         if writer.transport.is_closing():
             run.ended = "caller gone"
             return False
+        return await self.answer(run, writer)
+
+    async def answer(self, run, writer):
+        """Write the answer to a run; return whether the connection goes on."""
         body = (run.request * (self.body // 16 + 1))[: self.body].encode()
         load = f"{self._busy},{self._waiting},{self.slots}"
         writer.write(
